--- /dev/null
+++ b/packages/core/src/fleet/fleet_controller.ts
@@ -0,0 +1,362 @@
+/**
+ * Who else is an entry of the fleet and alive: each period a member is pinged in turn, an unanswered
+ * ping is repeated through others, and opinions travel on pings and acks. The cost of an entry is the
+ * same at 9 entries and at 530 (the SWIM protocol of Das, Gupta and Motivala, 2002).
+ *
+ * @module
+ */
+import {
+  after,
+  type Incarnation,
+  type Instant,
+  type Randomness,
+  sample,
+} from "../ids/index.ts";
+import type {
+  FleetGossip,
+  FleetMessage,
+  FleetRecord,
+  FleetState,
+  Holdings,
+  RegionSummary,
+  WorkReport,
+} from "./fleet_messages.ts";
+import { MemberBook } from "./member_book.ts";
+import type { FleetMember } from "./member_book.ts";
+import { ProbeSchedule } from "./probe_schedule.ts";
+import { RegionBook } from "./region_book.ts";
+
+/** How long a suspect may deny before it is held for dead. */
+export const SUSPICION_MS = 2_000;
+/** Up to so many members two are pinged a period: detection is quicker and still cheap. */
+const SMALL_FLEET = 16;
+const SMALL_FLEET_PINGS = 2;
+/** Entries asked to ping a silent one. */
+const INDIRECT_PROBES = 2;
+/** News in one message: keeps a datagram under 1,400 bytes. */
+const NEWS_PER_MESSAGE = 5;
+/** Lost addresses that are tried a period: heals partitions within seconds. */
+const LOST_ADDRESSES_A_PERIOD = 2;
+/** Entries outside the region that are told of a state change at once. */
+const FAR_ANNOUNCEMENTS = 8;
+/** Without this many ticks' gap the loop ran; a longer gap is a pause. */
+const PAUSE_MS = 1_000;
+
+/** Who this entry is. */
+export type FleetSelf = Omit<FleetRecord, "version" | "state">;
+
+/** What the controller is made with. */
+export interface FleetOptions {
+  readonly self: FleetSelf;
+  /** Peer addresses to begin with. */
+  readonly seeds: readonly string[];
+  /** Between pings, in milliseconds. */
+  readonly period: number;
+  readonly random: Randomness;
+  readonly send: (to: string, message: FleetMessage) => void;
+  readonly holdings: () => Holdings;
+  /** The own region's summary as it is now. */
+  readonly summary: (now: Instant) => RegionSummary;
+}
+
+/** Writes what is known of other entries. */
+export class FleetController {
+  readonly regions: RegionBook;
+  readonly #options: FleetOptions;
+  readonly #members = new MemberBook();
+  readonly #probes: ProbeSchedule;
+  /** Pings made for others: own sequence to asker and its sequence. */
+  readonly #favours = new Map<number, { to: string; sequence: number }>();
+  readonly #holdings = new Map<Incarnation, Holdings>();
+  #record: FleetRecord;
+  #nextPeriodAt: Instant;
+  #lastTickAt: Instant;
+  #lostCursor = 0;
+
+  constructor(options: FleetOptions, now: Instant) {
+    this.#options = options;
+    this.#probes = new ProbeSchedule(options.random);
+    this.#record = { ...options.self, version: 1, state: "starting" };
+    this.regions = new RegionBook(options.self.region);
+    this.#nextPeriodAt = now;
+    this.#lastTickAt = now;
+  }
+
+  /** This entry's own record. */
+  get record(): FleetRecord {
+    return this.#record;
+  }
+
+  /** Members that answer. */
+  live(): FleetMember[] {
+    return this.#members.withHealth("live");
+  }
+
+  /** Members that are not known to have ended: for shares that must not add up to too much. */
+  possible(): FleetMember[] {
+    return [...this.#members.all()].filter(({ health }) => health !== "dead");
+  }
+
+  /** The live member with the newest catalogue. */
+  newestHolder(): { member: FleetMember; holdings: Holdings } | undefined {
+    let best: { member: FleetMember; holdings: Holdings } | undefined;
+    for (const member of this.live()) {
+      const holdings = this.#holdings.get(member.record.incarnation);
+      const newer = holdings !== undefined &&
+        holdings.catalogue > (best?.holdings.catalogue ?? 0);
+      if (newer) {
+        best = { member, holdings };
+      }
+    }
+    return best;
+  }
+
+  /** Changes the own state and tells those who name this entry to callers, at once. */
+  changeState(state: FleetState, now: Instant): void {
+    if (state === this.#record.state) {
+      return;
+    }
+    this.#record = {
+      ...this.#record,
+      state,
+      version: this.#record.version + 1,
+    };
+    const own = this.#options.self.region;
+    const live = this.live();
+    const near = live.filter(({ record }) => record.region === own);
+    const far = sample(
+      live.filter(({ record }) => record.region !== own),
+      FAR_ANNOUNCEMENTS,
+      this.#options.random,
+    );
+    for (const { record } of [...near, ...far]) {
+      this.#send(record.peerAddress, { kind: "announce" });
+    }
+    this.#nextPeriodAt = now;
+  }
+
+  /** Tells the region's other entries of this one's work. */
+  tellWork(report: WorkReport): void {
+    const { region } = this.#options.self;
+    for (const { record } of this.live()) {
+      if (record.region === region) {
+        this.#send(record.peerAddress, { kind: "work", report });
+      }
+    }
+  }
+
+  /** Sends what is due and judges who was silent. */
+  tick(now: Instant): void {
+    this.#noteLoop(now);
+    this.#probes.takeIndirect(now).forEach((probe) =>
+      this.#askOthers(probe.target, probe.sequence)
+    );
+    this.#probes.takeFailed(now).forEach(({ target }) =>
+      this.#suspect(target, now)
+    );
+    this.#buryUndenied(now);
+    if (now >= this.#nextPeriodAt) {
+      this.#nextPeriodAt = after(now, this.#options.period);
+      this.#members.forget(now);
+      this.#pingNext(now);
+    }
+  }
+
+  /** Takes a datagram of a peer. */
+  receive(message: FleetMessage, now: Instant): void {
+    const { from, holdings } = message;
+    if (from.incarnation === this.#record.incarnation) {
+      return;
+    }
+    this.#noteLoop(now);
+    this.#members.hear(from, now);
+    this.#holdings.set(from.incarnation, holdings);
+    this.#probes.heard(from.incarnation);
+    switch (message.kind) {
+      case "ping":
+        this.#learn(message, now);
+        return this.#answer(from, message.sequence, now);
+      case "ack":
+        this.#learn(message, now);
+        this.#probes.close(message.sequence);
+        return this.#vouch(message.sequence);
+      case "indirect":
+        return this.#pingFor(message.target, {
+          to: from.peerAddress,
+          sequence: message.sequence,
+        }, now);
+      case "vouch":
+        return this.#probes.close(message.sequence);
+      case "announce":
+      case "work":
+        return;
+    }
+  }
+
+  /**
+   * A process that stood still has lost answers to its pings, and would suspect everybody: callers
+   * would be given a list with nobody but itself. So pings from before a pause prove nothing.
+   */
+  #noteLoop(now: Instant): void {
+    if (now - this.#lastTickAt > PAUSE_MS) {
+      this.#probes.clear();
+    }
+    this.#lastTickAt = now;
+  }
+
+  #learn({ news, regions }: FleetGossip, now: Instant): void {
+    for (const item of news) {
+      if (item.record.incarnation === this.#record.incarnation) {
+        this.#deny(item.health, item.record.version);
+      } else {
+        this.#members.learn(item, now);
+      }
+    }
+    regions.forEach((summary) => this.regions.learn(summary, now));
+  }
+
+  /** Somebody holds this entry for lost: a higher version overrules that wherever it has spread. */
+  #deny(health: string, version: number): void {
+    if (health !== "live" && version >= this.#record.version) {
+      this.#record = { ...this.#record, version: version + 1 };
+    }
+  }
+
+  #pingNext(now: Instant): void {
+    const candidates = [...this.#members.all()].filter(({ health }) =>
+      health !== "dead"
+    );
+    const pings = candidates.length <= SMALL_FLEET ? SMALL_FLEET_PINGS : 1;
+    for (const member of this.#probes.next(candidates, pings)) {
+      const sequence = this.#probes.open(member, now);
+      this.#ping(member.record.peerAddress, { sequence, about: member, now });
+    }
+    this.#tryLost(now);
+  }
+
+  /** Seeds nobody answers from and dead entries may be back: a healed cut shows only by asking. */
+  #tryLost(now: Instant): void {
+    const heard = new Set<string>([this.#record.peerAddress]);
+    const dead = new Map<string, FleetMember>();
+    for (const member of this.#members.all()) {
+      if (member.health === "dead") {
+        dead.set(member.record.peerAddress, member);
+      } else {
+        heard.add(member.record.peerAddress);
+      }
+    }
+    const lost = [...new Set([...this.#options.seeds, ...dead.keys()])].filter(
+      (address) => !heard.has(address),
+    );
+    const count = Math.min(LOST_ADDRESSES_A_PERIOD, lost.length);
+    for (let index = 0; index < count; index++) {
+      const address = lost[this.#lostCursor++ % lost.length]!;
+      this.#ping(address, {
+        sequence: this.#probes.number(),
+        about: dead.get(address),
+        now,
+      });
+    }
+  }
+
+  /** A ping tells its target what is thought of it, so that it can deny. */
+  #ping(
+    to: string,
+    { sequence, about, now }: {
+      sequence: number;
+      about: FleetMember | undefined;
+      now: Instant;
+    },
+  ): void {
+    const doubted = about !== undefined && about.health !== "live";
+    const gossip = this.#gossip(now);
+    const news = doubted
+      ? [{ record: about.record, health: about.health }, ...gossip.news]
+      : gossip.news;
+    this.#send(to, { kind: "ping", sequence, ...gossip, news });
+  }
+
+  #answer(to: FleetRecord, sequence: number, now: Instant): void {
+    this.#send(to.peerAddress, {
+      kind: "ack",
+      sequence,
+      ...this.#gossip(now),
+    });
+  }
+
+  #gossip(now: Instant): FleetGossip {
+    return {
+      news: this.#members.nextNews(NEWS_PER_MESSAGE),
+      regions: [this.#options.summary(now), ...this.regions.next(now)],
+    };
+  }
+
+  #askOthers(target: FleetMember, sequence: number): void {
+    const others = this.live().filter(({ record }) =>
+      record.incarnation !== target.record.incarnation
+    );
+    const { random } = this.#options;
+    for (const { record } of sample(others, INDIRECT_PROBES, random)) {
+      this.#send(record.peerAddress, {
+        kind: "indirect",
+        sequence,
+        target: target.record.peerAddress,
+      });
+    }
+  }
+
+  #pingFor(
+    target: string,
+    favour: { to: string; sequence: number },
+    now: Instant,
+  ): void {
+    const sequence = this.#probes.number();
+    this.#favours.set(sequence, favour);
+    if (this.#favours.size > MAX_FAVOURS) {
+      this.#favours.delete(this.#favours.keys().next().value!);
+    }
+    this.#ping(target, { sequence, about: undefined, now });
+  }
+
+  #vouch(sequence: number): void {
+    const favour = this.#favours.get(sequence);
+    if (favour !== undefined) {
+      this.#favours.delete(sequence);
+      this.#send(favour.to, { kind: "vouch", sequence: favour.sequence });
+    }
+  }
+
+  #suspect({ record }: FleetMember, now: Instant): void {
+    if (this.#members.get(record.incarnation)?.health === "live") {
+      this.#members.judge(record.incarnation, "suspect", now);
+    }
+  }
+
+  #buryUndenied(now: Instant): void {
+    for (const { record, since } of this.#members.withHealth("suspect")) {
+      if (now - since >= SUSPICION_MS) {
+        this.#members.judge(record.incarnation, "dead", now);
+        this.#holdings.delete(record.incarnation);
+      }
+    }
+  }
+
+  #send(to: string, message: MessageBody): void {
+    this.#options.send(
+      to,
+      {
+        from: this.#record,
+        holdings: this.#options.holdings(),
+        ...message,
+      } as FleetMessage,
+    );
+  }
+}
+
+/** Pings for others that are remembered. */
+const MAX_FAVOURS = 64;
+
+type Body<Message> = Message extends FleetMessage
+  ? Omit<Message, "from" | "holdings">
+  : never;
+type MessageBody = Body<FleetMessage>;
--- /dev/null
+++ b/packages/core/src/fleet/index.ts
@@ -0,0 +1,10 @@
+export {
+  FleetController,
+  type FleetOptions,
+  type FleetSelf,
+  SUSPICION_MS,
+} from "./fleet_controller.ts";
+export * from "./fleet_messages.ts";
+export type { FleetMember } from "./member_book.ts";
+export { DIRECT_TIMEOUT_MS, PROBE_TIMEOUT_MS } from "./probe_schedule.ts";
+export { SUMMARY_LIFETIME_MS } from "./region_book.ts";
--- /dev/null
+++ b/packages/core/src/fleet/region_book.ts
@@ -0,0 +1,65 @@
+/**
+ * What is known of other regions' load.
+ *
+ * @module
+ */
+import {
+  type Instant,
+  instant,
+  milliseconds,
+  type RegionId,
+} from "../ids/index.ts";
+import type { RegionSummary } from "./fleet_messages.ts";
+
+/** Older summaries say nothing any more. */
+export const SUMMARY_LIFETIME_MS = 5_000;
+/** Summaries of other regions in one message. */
+const REGIONS_PER_MESSAGE = 6;
+
+interface KnownSummary {
+  readonly summary: RegionSummary;
+  readonly countedAt: Instant;
+}
+
+/** Keeps the newest summary of each other region. */
+export class RegionBook {
+  readonly #own: RegionId;
+  readonly #summaries = new Map<RegionId, KnownSummary>();
+  #cursor = 0;
+
+  constructor(own: RegionId) {
+    this.#own = own;
+  }
+
+  learn(summary: RegionSummary, now: Instant): void {
+    const countedAt = instant(now - summary.age);
+    const known = this.#summaries.get(summary.region);
+    const newer = known === undefined || countedAt > known.countedAt;
+    if (summary.region !== this.#own && newer) {
+      this.#summaries.set(summary.region, { summary, countedAt });
+    }
+  }
+
+  /** Summaries of other regions that are fresh enough to act on. */
+  fresh(now: Instant): RegionSummary[] {
+    return [...this.#summaries.values()]
+      .filter(({ countedAt }) => now - countedAt <= SUMMARY_LIFETIME_MS)
+      .map(({ summary, countedAt }) => ({
+        ...summary,
+        age: milliseconds(now - countedAt),
+      }));
+  }
+
+  /** Summaries to pass on, in turn. */
+  next(now: Instant): RegionSummary[] {
+    const fresh = this.fresh(now);
+    if (fresh.length <= REGIONS_PER_MESSAGE) {
+      return fresh;
+    }
+    this.#cursor += REGIONS_PER_MESSAGE;
+    return Array.from(
+      { length: REGIONS_PER_MESSAGE },
+      (_, index) => fresh[(this.#cursor + index) % fresh.length]!,
+    );
+  }
+}
--- /dev/null
+++ b/packages/core/src/gateway/call.ts
@@ -0,0 +1,92 @@
+/**
+ * One request of a caller on its way through this entry.
+ *
+ * @module
+ */
+import type {
+  AttemptId,
+  EndpointId,
+  Instant,
+  ServiceId,
+} from "../ids/index.ts";
+import { mayRepeat, type Route } from "../routes/index.ts";
+import { AttemptLog } from "../verdict/index.ts";
+import type { EndpointState } from "./endpoint_state.ts";
+import type { CallHead, CallTarget } from "./messages.ts";
+
+/** Where a request stands. */
+export type CallPhase =
+  /** Waits for a place at an endpoint. */
+  | "waiting"
+  /** An attempt is under way, nothing has gone to the caller. */
+  | "trying"
+  /** The answer has begun. */
+  | "answering";
+
+/** One attempt under way. */
+export interface OpenAttempt {
+  readonly id: AttemptId;
+  readonly target: CallTarget;
+  /** `undefined` for an attempt by way of a peer. */
+  readonly state: EndpointState | undefined;
+  readonly madeAt: Instant;
+  /** When it was allowed to be written. */
+  sentAt: Instant | undefined;
+  /** When bytes last came from it. */
+  heardAt: Instant | undefined;
+}
+
+/** One request. */
+export class Call {
+  readonly head: CallHead;
+  readonly route: Route;
+  /** Services of the route, the one that the weights chose first. */
+  readonly services: readonly ServiceId[];
+  readonly arrivedAt: Instant;
+  /** When the caller, or the route's timeout, ends it. */
+  readonly endsAt: Instant;
+  readonly log = new AttemptLog();
+  readonly tried = new Set<EndpointId>();
+  phase: CallPhase = "waiting";
+  attempt: OpenAttempt | undefined;
+  attempts = 0;
+  /** Attempts that an endpoint or a peer got. */
+  sent = 0;
+  /** Refusals by endpoints, and connections that failed. */
+  rejections = 0;
+  unsent = 0;
+  lastEventId: string | undefined;
+  /** The caller has left; the attempt goes on because its call may not be repeated. */
+  orphaned = false;
+
+  constructor(
+    head: CallHead,
+    { route, services, arrivedAt, endsAt }: {
+      route: Route;
+      services: readonly ServiceId[];
+      arrivedAt: Instant;
+      endsAt: Instant;
+    },
+  ) {
+    this.head = head;
+    this.route = route;
+    this.services = services;
+    this.arrivedAt = arrivedAt;
+    this.endsAt = endsAt;
+    this.lastEventId = head.lastEventId;
+  }
+
+  get mayRepeat(): boolean {
+    return mayRepeat(this.route);
+  }
+
+  /** Endpoints that may have got the request, through whichever entry. */
+  get arrivals(): number {
+    return this.sent + (this.head.relay?.sentBefore ?? 0);
+  }
+
+  /** Whether its objective has passed. */
+  isLate(now: Instant): boolean {
+    return now - this.arrivedAt > this.route.objective;
+  }
+}
--- /dev/null
+++ b/packages/core/src/gateway/call_router.ts
@@ -0,0 +1,213 @@
+/**
+ * Where a request goes next: to an endpoint of the region, to an entry of another region, or nowhere.
+ *
+ * @module
+ */
+import type { FleetController } from "../fleet/index.ts";
+import {
+  type Incarnation,
+  type Instant,
+  type Milliseconds,
+  type Randomness,
+  type RegionId,
+  sample,
+  type ServiceId,
+} from "../ids/index.ts";
+import { mayServe } from "../routes/index.ts";
+import type { Call } from "./call.ts";
+import type { ColdAllowance } from "./cold_allowance.ts";
+import type { EndpointBook } from "./endpoint_book.ts";
+import type { EndpointState } from "./endpoint_state.ts";
+import type { CallTarget, GatewaySelf } from "./messages.ts";
+import { place, type Placement } from "./placement.ts";
+import type { RegionController, RegionView } from "./region_controller.ts";
+
+/** A wait longer than this is worth the way to another region and back. */
+const TRAVEL_GAIN_MS = 350;
+/** A region this busy takes no requests that could wait at home. */
+const MOST_REMOTE_UTILIZATION = 0.6;
+const MS_PER_SECOND = 1_000;
+/** Part of the urgencies that ranks are spread over; the highest is kept for none. */
+const URGENCY_BY_RANK = [2, 5, 7] as const;
+const LATE_URGENCY = 8;
+/** Part of an endpoint's connections that the region's entries use together. */
+const CONNECTION_PART = 0.8;
+
+/** Where a request goes. */
+export type Way =
+  | { readonly kind: "endpoint"; readonly placement: Chosen }
+  | {
+    readonly kind: "peer";
+    readonly incarnation: Incarnation;
+    readonly address: string;
+  }
+  | { readonly kind: "wait"; readonly wait: Milliseconds }
+  | { readonly kind: "none" };
+
+/** A chosen endpoint. */
+export type Chosen = Extract<Placement, { kind: "chosen" }>;
+
+/** What the router reads. */
+export interface RouterSources {
+  readonly self: GatewaySelf;
+  readonly fleet: FleetController;
+  readonly endpoints: EndpointBook;
+  readonly regions: RegionController;
+  readonly cold: ColdAllowance;
+  readonly random: Randomness;
+}
+
+/** Finds ways. */
+export class CallRouter {
+  readonly #sources: RouterSources;
+
+  constructor(sources: RouterSources) {
+    this.#sources = sources;
+  }
+
+  /** The next way of a request. `wait` is how long requests already wait here. */
+  next(call: Call, wait: number, now: Instant): Way {
+    const { self } = this.#sources;
+    const home = mayServe(call.route, self.region);
+    const local = home ? this.#local(call, now) : { kind: "none" as const };
+    if (local.kind === "chosen") {
+      return { kind: "endpoint", placement: local };
+    }
+    const mayTravel = call.head.relay === undefined;
+    if (local.kind === "none") {
+      return (mayTravel && this.#peer(call, Infinity, now)) || { kind: "none" };
+    }
+    const expected = Math.max(wait, local.wait);
+    const travel = mayTravel && expected > TRAVEL_GAIN_MS
+      ? this.#peer(call, expected, now)
+      : undefined;
+    return travel ?? { kind: "wait", wait: local.wait };
+  }
+
+  /** Whether an endpoint may still get a request that was meant for it. */
+  stillFits(call: Call, state: EndpointState, now: Instant): boolean {
+    return this.#sources.endpoints.accepts(state, now) &&
+      this.#coldAllows(state, now) &&
+      call.services.includes(state.record.service);
+  }
+
+  /** The target as the shell needs it. */
+  targetOf(call: Call, { state }: Chosen, now: Instant): CallTarget {
+    const entries = 1 + this.#region(now).length;
+    const connections = (state.service?.connectionLimit ?? entries) *
+      CONNECTION_PART / entries;
+    return {
+      kind: "endpoint",
+      endpoint: state.record.id,
+      address: state.record.address,
+      connections: Math.max(1, Math.floor(connections)),
+      urgency: state.service?.engine === undefined
+        ? undefined
+        : urgencyOf(call, now),
+      prefixFrom: undefined,
+    };
+  }
+
+  #local(call: Call, now: Instant): Placement {
+    const { self, endpoints } = this.#sources;
+    const work = { prompt: call.head.prompt, zone: self.zone };
+    let busy: Placement = { kind: "none" };
+    for (const service of call.services) {
+      const usable = endpoints.of(service).filter((state) =>
+        endpoints.accepts(state, now) && this.#coldAllows(state, now)
+      );
+      const fresh = usable.filter(({ record }) => !call.tried.has(record.id));
+      const found = place(work, fresh);
+      if (found.kind === "chosen") {
+        return found;
+      }
+      busy = busy.kind === "none" ? found : busy;
+    }
+    return busy;
+  }
+
+  #coldAllows(state: EndpointState, now: Instant): boolean {
+    if (!state.isCold(now)) {
+      return true;
+    }
+    const { self, cold } = this.#sources;
+    const region = [self.incarnation, ...this.#region(now)];
+    return cold.allows(state, { self: self.incarnation, region }, now);
+  }
+
+  /** Other entries of the own region that may be alive. */
+  #region(_now: Instant): Incarnation[] {
+    const { self, fleet } = this.#sources;
+    return fleet.possible()
+      .filter(({ record }) => record.region === self.region)
+      .map(({ record }) => record.incarnation);
+  }
+
+  /** An entry of the region where the request is served soonest, if that is sooner than waiting. */
+  #peer(call: Call, localWait: number, now: Instant): Way | undefined {
+    const { fleet, regions, self } = this.#sources;
+    const [service] = call.services;
+    const open = regions.others(service!, fleet, now).filter(({ region }) =>
+      mayServe(call.route, region) && region !== self.region
+    );
+    const forced = localWait === Infinity;
+    const useful = open.filter((view) =>
+      forced
+        ? (view.load?.endpoints ?? 0) > 0
+        : utilization(view) < MOST_REMOTE_UTILIZATION &&
+          (view.load?.backlog ?? 0) + TRAVEL_GAIN_MS < localWait
+    );
+    const best =
+      useful.sort((left, right) => utilization(left) - utilization(right))[0];
+    return best === undefined ? undefined : this.#entryOf(best.region, call);
+  }
+
+  #entryOf(region: RegionId, call: Call): Way | undefined {
+    const { fleet, random } = this.#sources;
+    const entries = fleet.live().filter(({ record }) =>
+      record.region === region && record.state === "ready"
+    );
+    const [picked] = sample(entries, 1, random);
+    if (picked === undefined || call.attempts >= MOST_ATTEMPTS) {
+      return undefined;
+    }
+    const { incarnation, peerAddress } = picked.record;
+    return { kind: "peer", incarnation, address: peerAddress };
+  }
+}
+
+/** Attempts of one request, failed connections included. */
+export const MOST_ATTEMPTS = 6;
+
+/** Part of a region's capacity that is asked for. */
+function utilization({ load }: RegionView): number {
+  return load === undefined || load.endpoints === 0
+    ? Infinity
+    : load.work / (load.endpoints * MS_PER_SECOND);
+}
+
+/** Engines take the urgent first: what can still be on time goes before what is late. */
+function urgencyOf(call: Call, now: Instant): number {
+  if (call.isLate(now)) {
+    return LATE_URGENCY;
+  }
+  const rank = Math.min(call.route.priority, URGENCY_BY_RANK.length - 1);
+  return URGENCY_BY_RANK[rank]!;
+}
+
+/** Services of a route, the one that the weights choose for this request first. */
+export function orderServices(
+  targets: readonly { readonly service: ServiceId; readonly weight: number }[],
+  place: number,
+): ServiceId[] {
+  const total = targets.reduce((sum, { weight }) => sum + weight, 0);
+  let left = place * total;
+  const index = targets.findIndex(({ weight }) => {
+    left -= weight;
+    return left < 0;
+  });
+  const chosen = Math.max(0, index);
+  return [...targets.slice(chosen), ...targets.slice(0, chosen)].map((
+    { service },
+  ) => service);
+}
--- /dev/null
+++ b/packages/core/src/gateway/endpoint_book.ts
@@ -0,0 +1,182 @@
+/**
+ * The endpoints of this entry's region and what is in flight there, by this entry and its peers.
+ *
+ * @module
+ */
+import type { PrefixNews, WorkReport } from "../fleet/index.ts";
+import type {
+  EndpointId,
+  Incarnation,
+  Instant,
+  RegionId,
+  ServiceId,
+  ZoneId,
+} from "../ids/index.ts";
+import type { CatalogueView } from "./catalogue_controller.ts";
+import { EndpointState } from "./endpoint_state.ts";
+
+/** A peer's report older than this is not counted any more: the peer has ended or is cut off. */
+const REPORT_LIFETIME_MS = 1_500;
+
+interface KnownReport {
+  readonly report: WorkReport;
+  readonly at: Instant;
+}
+
+/** Keeps the state of each endpoint; follows the catalogue. */
+export class EndpointBook {
+  readonly #region: RegionId;
+  readonly #regionByZone: ReadonlyMap<ZoneId, RegionId>;
+  readonly #catalogue: CatalogueView;
+  readonly #states = new Map<EndpointId, EndpointState>();
+  readonly #byService = new Map<ServiceId, EndpointState[]>();
+  readonly #reports = new Map<Incarnation, KnownReport>();
+  #evacuated: ReadonlySet<ZoneId> = new Set();
+  #generation = -1;
+
+  constructor(
+    { region, regionByZone, catalogue }: {
+      region: RegionId;
+      regionByZone: ReadonlyMap<ZoneId, RegionId>;
+      catalogue: CatalogueView;
+    },
+  ) {
+    this.#region = region;
+    this.#regionByZone = regionByZone;
+    this.#catalogue = catalogue;
+  }
+
+  get(id: EndpointId): EndpointState | undefined {
+    return this.#states.get(id);
+  }
+
+  all(): Iterable<EndpointState> {
+    return this.#states.values();
+  }
+
+  /** Endpoints of a service in the own region, leaving ones included. */
+  of(service: ServiceId): readonly EndpointState[] {
+    return this.#byService.get(service) ?? [];
+  }
+
+  /** Whether new work may go to an endpoint now. */
+  accepts({ record, health }: EndpointState, now: Instant): boolean {
+    return record.state === "ready" && health.usable(now) &&
+      !this.#catalogue.evacuated.has(record.zone) &&
+      this.#catalogue.endpoints.has(record.id);
+  }
+
+  /** Follows the catalogue, if it changed. */
+  follow(now: Instant): void {
+    if (this.#generation === this.#catalogue.generation) {
+      return;
+    }
+    this.#generation = this.#catalogue.generation;
+    for (const record of this.#catalogue.endpoints.values()) {
+      if (this.#regionByZone.get(record.zone) === this.#region) {
+        this.#take(record.id, now);
+      }
+    }
+    this.#dropGone();
+    this.#followEvacuations(now);
+    this.#index();
+  }
+
+  /** Takes a peer's report of its work, in place of its former one. */
+  learn(from: Incarnation, report: WorkReport, now: Instant): void {
+    this.#count(from, -1);
+    this.#reports.set(from, { report, at: now });
+    this.#count(from, 1);
+    report.prefixes.forEach((news) => this.#learnPrefix(news));
+  }
+
+  /** Reports of peers that still count. */
+  reports(): Iterable<KnownReport> {
+    return this.#reports.values();
+  }
+
+  /** Forgets reports of peers that fell silent. */
+  expire(now: Instant): void {
+    for (const [from, { at }] of this.#reports) {
+      if (now - at > REPORT_LIFETIME_MS) {
+        this.#count(from, -1);
+        this.#reports.delete(from);
+      }
+    }
+  }
+
+  #take(id: EndpointId, now: Instant): void {
+    const record = this.#catalogue.endpoints.get(id)!;
+    const service = this.#catalogue.document?.services.get(record.service);
+    const known = this.#states.get(id);
+    if (known === undefined) {
+      const state = new EndpointState(record, service, now);
+      this.#states.set(id, state);
+      this.#countAllAt(state);
+    } else {
+      known.renew(record, now);
+      known.service = service;
+    }
+  }
+
+  /** States of endpoints that left stay while something of ours is in flight there. */
+  #dropGone(): void {
+    for (const [id, state] of this.#states) {
+      if (!this.#catalogue.endpoints.has(id) && state.own.requests === 0) {
+        this.#states.delete(id);
+      }
+    }
+  }
+
+  #followEvacuations(now: Instant): void {
+    for (const zone of this.#evacuated) {
+      if (!this.#catalogue.evacuated.has(zone)) {
+        [...this.#states.values()]
+          .filter(({ record }) => record.zone === zone)
+          .forEach((state) => state.doubtWarmth(now));
+      }
+    }
+    this.#evacuated = new Set(this.#catalogue.evacuated);
+  }
+
+  #index(): void {
+    this.#byService.clear();
+    for (const state of this.#states.values()) {
+      if (!this.#catalogue.endpoints.has(state.record.id)) {
+        continue;
+      }
+      const { service } = state.record;
+      const list = this.#byService.get(service) ?? [];
+      list.push(state);
+      this.#byService.set(service, list);
+    }
+  }
+
+  #count(from: Incarnation, sign: 1 | -1): void {
+    const known = this.#reports.get(from);
+    for (const work of known?.report.endpoints ?? []) {
+      const peers = this.#states.get(work.endpoint)?.peers;
+      if (peers !== undefined) {
+        peers.prefill += sign * work.prefill;
+        peers.requests += sign * work.requests;
+        peers.tokens += sign * work.tokens;
+      }
+    }
+  }
+
+  /** Reports may name an endpoint before its record is read. */
+  #countAllAt({ record, peers }: EndpointState): void {
+    for (const { report } of this.#reports.values()) {
+      const work = report.endpoints.find(({ endpoint }) =>
+        endpoint === record.id
+      );
+      peers.prefill += work?.prefill ?? 0;
+      peers.requests += work?.requests ?? 0;
+      peers.tokens += work?.tokens ?? 0;
+    }
+  }
+
+  #learnPrefix({ endpoint, parts }: PrefixNews): void {
+    this.#states.get(endpoint)?.prefixes.use(parts);
+  }
+}
--- /dev/null
+++ b/packages/core/src/gateway/entry_directory.ts
@@ -0,0 +1,130 @@
+/**
+ * The entries that a caller is told to use.
+ *
+ * @module
+ */
+import type { FleetController, FleetRecord } from "../fleet/index.ts";
+import {
+  hash32,
+  type Instant,
+  type Milliseconds,
+  milliseconds,
+  type RegionId,
+  type ZoneId,
+} from "../ids/index.ts";
+import type { CatalogueView } from "./catalogue_controller.ts";
+import type { GatewaySelf } from "./messages.ts";
+import type { RegionController } from "./region_controller.ts";
+
+/** Entries in one answer. A few serve a caller as well as all, and each may get a connection. */
+const MOST_ENTRIES = 6;
+/** Callers keep an answer so long, and some three times as long: short, since it steers. */
+const LIST_LIFETIME_MS = 1_000;
+const UINT32_RANGE = 2 ** 32;
+
+/** Who asks. */
+export interface DirectoryQuestion {
+  readonly host: string;
+  readonly region: RegionId;
+  readonly zone: ZoneId;
+  /** Anything that stays the same for one caller. */
+  readonly caller: string;
+}
+
+/** What it is told. */
+export interface DirectoryAnswer {
+  readonly addresses: readonly string[];
+  readonly lifetime: Milliseconds;
+}
+
+/** What the directory reads. */
+export interface DirectorySources {
+  readonly self: GatewaySelf;
+  readonly fleet: FleetController;
+  readonly catalogue: CatalogueView;
+  readonly regions: RegionController;
+}
+
+/**
+ * Names entries to a caller, `undefined` where none is known to serve.
+ *
+ * Only entries that answer their peers are named. Callers are spread over regions by hash, so that a
+ * caller stays where it is while the shares stay; and never outside of the homes of a host's routes
+ * and the caller's own region.
+ */
+export function nameEntries(
+  { self, fleet, catalogue, regions }: DirectorySources,
+  question: DirectoryQuestion,
+  _now: Instant,
+): DirectoryAnswer | undefined {
+  const ready = [
+    fleet.record,
+    ...fleet.live().map(({ record }) => record),
+  ].filter(({ state }) => state === "ready");
+  const allowed = allowedRegions(catalogue, question);
+  const wanted = ready.filter(({ region }) => allowed(region));
+  const present = [...new Set(wanted.map(({ region }) => region))];
+  const shares = question.region === self.region ? regions.shares : [];
+  const region = pickRegion(question, { present, shares });
+  const chosen = region === undefined
+    ? ready.filter((record) => record.region === question.region)
+    : wanted.filter((record) => record.region === region);
+  const near = chosen.filter(({ zone }) => zone === question.zone);
+  const named = pickEntries(near.length > 0 ? near : chosen, question.caller);
+  return named.length === 0 ? undefined : {
+    addresses: named.map(({ callerAddress }) => callerAddress),
+    lifetime: milliseconds(LIST_LIFETIME_MS),
+  };
+}
+
+/** Regions that may serve all routes of a host; where there is none, the homes of each route do. */
+function allowedRegions(
+  { table }: CatalogueView,
+  { host }: DirectoryQuestion,
+): (region: RegionId) => boolean {
+  const homed = (table?.ofHost(host) ?? []).filter(({ homes }) =>
+    homes.length > 0
+  );
+  return (region) => homed.every(({ homes }) => homes.includes(region));
+}
+
+/** The caller's place between 0 and 1 decides: the shares' regions first, then its own. */
+function pickRegion(
+  question: DirectoryQuestion,
+  { present, shares }: {
+    present: readonly RegionId[];
+    shares: readonly { readonly region: RegionId; readonly share: number }[];
+  },
+): RegionId | undefined {
+  let place = hash32(`region ${question.caller}`) / UINT32_RANGE;
+  const sorted = [...shares].sort((left, right) =>
+    left.region < right.region ? -1 : 1
+  );
+  for (const { region, share } of sorted) {
+    if (present.includes(region)) {
+      if (place < share) {
+        return region;
+      }
+      place -= share;
+    }
+  }
+  if (present.includes(question.region)) {
+    return question.region;
+  }
+  const index = hash32(`home ${question.caller}`) % Math.max(1, present.length);
+  return [...present].sort()[index];
+}
+
+/** A few entries for this caller, the stronger ones more often (weighted rendezvous hashing). */
+function pickEntries(
+  records: readonly FleetRecord[],
+  caller: string,
+): FleetRecord[] {
+  const scored = records.map((record) => {
+    const place = (hash32(`${caller}|${record.incarnation}`) + 1) /
+      (UINT32_RANGE + 1);
+    return { record, score: -Math.log(place) / Math.max(record.weight, 0.01) };
+  });
+  scored.sort((left, right) => left.score - right.score);
+  return scored.slice(0, MOST_ENTRIES).map(({ record }) => record);
+}
--- /dev/null
+++ b/packages/core/src/gateway/gateway.ts
@@ -0,0 +1,279 @@
+/**
+ * All that an entry decides about requests of callers that name routes: events in, effects out. No
+ * sockets, no clock, no unseeded randomness.
+ *
+ * @module
+ */
+import { FleetController, type FleetRecord } from "../fleet/index.ts";
+import {
+  type Incarnation,
+  type Instant,
+  type Randomness,
+} from "../ids/index.ts";
+import type { CatalogueSnapshot } from "../routes/index.ts";
+import { CallController } from "./call_controller.ts";
+import { CallRouter } from "./call_router.ts";
+import {
+  CatalogueController,
+  type CatalogueView,
+} from "./catalogue_controller.ts";
+import { ColdAllowance } from "./cold_allowance.ts";
+import { EndpointBook } from "./endpoint_book.ts";
+import {
+  type DirectoryAnswer,
+  type DirectoryQuestion,
+  nameEntries,
+} from "./entry_directory.ts";
+import type { GatewayEffect, GatewayEvent, GatewaySelf } from "./messages.ts";
+import { RegionController } from "./region_controller.ts";
+import { RepeatBudget } from "./repeat_budget.ts";
+import { StopController } from "./stop_controller.ts";
+import { WorkTeller } from "./work_teller.ts";
+
+/** Between pings of the fleet. */
+const FLEET_PERIOD_MS = 500;
+/** The loop ticks far more often; a larger gap means that the process stood still. */
+const PAUSE_MS = 1_000;
+
+/** One entry's decisions. */
+export class Gateway {
+  readonly self: GatewaySelf;
+  readonly fleet: FleetController;
+  readonly #catalogue: CatalogueController;
+  readonly #endpoints: EndpointBook;
+  readonly #regions: RegionController;
+  readonly #calls: CallController;
+  readonly #teller: WorkTeller;
+  readonly #stop: StopController;
+  #effects: GatewayEffect[] = [];
+  #lastAt: Instant;
+
+  constructor(
+    { self, random }: { self: GatewaySelf; random: Randomness },
+    now: Instant,
+  ) {
+    this.self = self;
+    this.#lastAt = now;
+    const emit = (effect: GatewayEffect): void => {
+      this.#effects.push(effect);
+    };
+    this.#catalogue = new CatalogueController({
+      emit,
+      random,
+      now,
+      newestHolder: () => this.#newestHolder(),
+    });
+    this.#endpoints = new EndpointBook({
+      region: self.region,
+      regionByZone: self.regionByZone,
+      catalogue: this.#catalogue,
+    });
+    this.#regions = new RegionController({
+      region: self.region,
+      catalogue: this.#catalogue,
+      endpoints: this.#endpoints,
+      now,
+    });
+    this.fleet = new FleetController({
+      self,
+      seeds: self.seeds,
+      period: FLEET_PERIOD_MS,
+      random,
+      send: (to, message) => emit({ kind: "datagram", to, message }),
+      holdings: () => ({
+        document: this.#catalogue.document?.version ?? 0 as never,
+        catalogue: this.#catalogue.revision,
+      }),
+      summary: (at) => this.#regions.summary(at),
+    }, now);
+    const cold = new ColdAllowance(self.bounds);
+    const router = new CallRouter({
+      self,
+      fleet: this.fleet,
+      endpoints: this.#endpoints,
+      regions: this.#regions,
+      cold,
+      random,
+    });
+    this.#calls = new CallController({
+      emit,
+      random,
+      catalogue: this.#catalogue,
+      endpoints: this.#endpoints,
+      regions: this.#regions,
+      router,
+      budget: new RepeatBudget(self.bounds),
+      cold,
+      entries: () => this.fleet.possible().length + 1,
+    });
+    this.#teller = new WorkTeller(this.#endpoints, this.#regions);
+    this.#stop = new StopController({
+      emit,
+      calls: this.#calls,
+      stopTime: self.bounds.stopTime,
+    });
+  }
+
+  /** Takes one event and returns what is to be done, in order. */
+  handle(event: GatewayEvent, now: Instant): GatewayEffect[] {
+    this.#noteLoop(now);
+    this.#apply(event, now);
+    const effects = this.#effects;
+    this.#effects = [];
+    return effects;
+  }
+
+  /** The published picture in force. */
+  get catalogue(): CatalogueView {
+    return this.#catalogue;
+  }
+
+  get endpoints(): EndpointBook {
+    return this.#endpoints;
+  }
+
+  get regions(): RegionController {
+    return this.#regions;
+  }
+
+  get calls(): CallController {
+    return this.#calls;
+  }
+
+  /** Whether callers may use this entry. */
+  get ready(): boolean {
+    return this.fleet.record.state === "ready";
+  }
+
+  get stopping(): boolean {
+    return this.fleet.record.state === "stopping";
+  }
+
+  /** The picture for a peer that cannot read it. */
+  snapshot(): CatalogueSnapshot | undefined {
+    return this.#catalogue.snapshot();
+  }
+
+  /** The entries that a caller should use. */
+  nameEntries(
+    question: DirectoryQuestion,
+    now: Instant,
+  ): DirectoryAnswer | undefined {
+    return nameEntries(
+      {
+        self: this.self,
+        fleet: this.fleet,
+        catalogue: this.#catalogue,
+        regions: this.#regions,
+      },
+      question,
+      now,
+    );
+  }
+
+  #noteLoop(now: Instant): void {
+    const gap = now - this.#lastAt;
+    this.#lastAt = now;
+    if (gap < PAUSE_MS) {
+      return;
+    }
+    this.#effects.push({
+      kind: "log",
+      part: "stop",
+      text: "Woke from a pause.",
+      fields: { gapMs: Math.round(gap) },
+    });
+    this.#catalogue.woke(now);
+  }
+
+  #apply(event: GatewayEvent, now: Instant): void {
+    switch (event.kind) {
+      case "tick":
+        return this.#tick(now);
+      case "stop":
+        this.fleet.changeState("stopping", now);
+        return this.#stop.begin(now);
+      case "datagram":
+        return this.#receive(event.message, now);
+      case "catalogueRead":
+        this.#catalogue.read(event.snapshot, now);
+        return this.#followCatalogue(now);
+      case "catalogueChanged":
+        this.#catalogue.changed(event.changes, now);
+        return this.#followCatalogue(now);
+      case "catalogueCompacted":
+        return this.#catalogue.compacted(now);
+      case "catalogueFailed":
+        return this.#catalogue.failed(event.detail, now);
+      case "catalogueCopied":
+        this.#catalogue.copied(event.snapshot, now);
+        return this.#followCatalogue(now);
+      default:
+        return this.#applyCall(event, now);
+    }
+  }
+
+  #applyCall(event: GatewayEvent, now: Instant): void {
+    switch (event.kind) {
+      case "arrived":
+        return this.#calls.arrive(event.head, now);
+      case "commit":
+        return this.#calls.commit(event.attempt, now);
+      case "answered":
+        return this.#calls.answered(event.attempt, event.answer, now);
+      case "progress":
+        return this.#calls.progress(event.attempt, event.lastEventId, now);
+      case "ended":
+        return this.#calls.ended(event.attempt, event.end, now);
+      case "callerGone":
+        return this.#calls.callerGone(event.request, now);
+    }
+  }
+
+  #tick(now: Instant): void {
+    this.#catalogue.tick(now);
+    this.#followCatalogue(now);
+    this.#endpoints.expire(now);
+    this.fleet.tick(now);
+    this.#regions.tick(this.fleet, now);
+    this.#calls.tick(now);
+    this.#teller.tick(this.fleet, {
+      region: this.self.region,
+      prefixes: this.#calls.takePrefixNews(),
+    }, now);
+    this.#stop.tick(now);
+  }
+
+  #followCatalogue(now: Instant): void {
+    this.#endpoints.follow(now);
+    const starting = this.fleet.record.state === "starting";
+    if (starting && this.#catalogue.document !== undefined) {
+      this.fleet.changeState("ready", now);
+    }
+  }
+
+  #receive(
+    message: Extract<GatewayEvent, { kind: "datagram" }>["message"],
+    now: Instant,
+  ): void {
+    this.fleet.receive(message, now);
+    if (message.kind === "work") {
+      this.#endpoints.learn(message.from.incarnation, message.report, now);
+    }
+  }
+
+  #newestHolder():
+    | { address: string; revision: CatalogueSnapshot["revision"] }
+    | undefined {
+    const holder = this.fleet.newestHolder();
+    return holder === undefined ? undefined : {
+      address: holder.member.record.peerAddress,
+      revision: holder.holdings.catalogue,
+    };
+  }
+}
+
+/** What identifies an entry to operators. */
+export type EntryIdentity = Pick<FleetRecord, "id"> & {
+  readonly incarnation: Incarnation;
+};
--- /dev/null
+++ b/packages/core/src/gateway/messages.ts
@@ -0,0 +1,265 @@
+/**
+ * What the shell tells the gateway, and what the gateway has it do. The bytes of requests and answers
+ * stay in the shell.
+ *
+ * @module
+ */
+import type { FleetMessage, PromptPart } from "../fleet/index.ts";
+import type {
+  AttemptId,
+  CallId,
+  EndpointId,
+  EntryId,
+  Incarnation,
+  Milliseconds,
+  RegionId,
+  RequestId,
+  Revision,
+  ZoneId,
+} from "../ids/index.ts";
+import type { CatalogueChanges, CatalogueSnapshot } from "../routes/index.ts";
+import type { Verdict } from "../verdict/index.ts";
+
+/** What an entry knows of itself from its settings. Never changes. */
+export interface GatewaySelf {
+  readonly id: EntryId;
+  readonly incarnation: Incarnation;
+  readonly zone: ZoneId;
+  readonly region: RegionId;
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+  /** What it can carry, relative to other entries. */
+  readonly weight: number;
+  readonly seeds: readonly string[];
+  /** Region of each availability zone. */
+  readonly regionByZone: ReadonlyMap<ZoneId, RegionId>;
+  readonly bounds: GatewayBounds;
+}
+
+/** Figures that the deployment promises, from the settings. */
+export interface GatewayBounds {
+  /** Repeats allowed over all entries: this part of the requests of a window, and `repeatSlack`. */
+  readonly repeatRatio: number;
+  readonly repeatWindow: Milliseconds;
+  readonly repeatSlack: number;
+  /** A cold endpoint bears its rate times this, and `coldSlack`, in one second. */
+  readonly coldOvershoot: number;
+  readonly coldSlack: number;
+  /** Longest that callers may keep a list of entries. */
+  readonly listLifetime: Milliseconds;
+  /** Time from the signal to stop until the process is killed. */
+  readonly stopTime: Milliseconds;
+}
+
+/** What a caller says of its prompt. */
+export interface Prompt {
+  readonly model: string;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  /** In order; the last one belongs to the request itself. */
+  readonly parts: readonly PromptPart[];
+}
+
+/** All that is known of one request of a caller. */
+export interface CallHead {
+  readonly id: RequestId;
+  readonly call: CallId;
+  readonly host: string;
+  /** Path with its query, as sent. */
+  readonly target: string;
+  /** How long the caller will wait, `undefined` where it does not say. */
+  readonly timeLeft: Milliseconds | undefined;
+  readonly prompt: Prompt | undefined;
+  /** Last event that the caller has of an interrupted stream. */
+  readonly lastEventId: string | undefined;
+  readonly bodyBytes: number;
+  /** `undefined` where the caller itself sent it. */
+  readonly relay: RelayFacts | undefined;
+}
+
+/** What one entry tells another with a request that it passes on. */
+export interface RelayFacts {
+  readonly from: Incarnation;
+  /** Endpoints that may have got the request before. */
+  readonly sentBefore: number;
+}
+
+/** Where an attempt goes. */
+export type CallTarget =
+  | {
+    readonly kind: "endpoint";
+    readonly endpoint: EndpointId;
+    readonly address: string;
+    /** Connections that this entry may have open there. */
+    readonly connections: number;
+    /** 0 first, 9 last. */
+    readonly urgency: number | undefined;
+    /** Address of an endpoint that holds more of the prompt's prefix. */
+    readonly prefixFrom: string | undefined;
+  }
+  | {
+    readonly kind: "peer";
+    readonly incarnation: Incarnation;
+    readonly address: string;
+    readonly sentBefore: number;
+  };
+
+/** One attempt for the shell to make. */
+export interface CallAttempt {
+  readonly id: AttemptId;
+  readonly request: RequestId;
+  readonly target: CallTarget;
+  /** Whether the answer is a stream of events, to be passed on as they come. */
+  readonly streaming: boolean;
+  /** A connection that was idle for longer may be dead, and the request may not repeat. */
+  readonly mostIdle: Milliseconds;
+  /** Event after which a stream goes on. */
+  readonly resumeAfter: string | undefined;
+}
+
+/** Load that an endpoint told with an answer. */
+export interface ToldLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+}
+
+/** The head of an answer. */
+export interface CallAnswer {
+  readonly status: number;
+  /** Whether the answerer vouches that the request did not run and will not. */
+  readonly notRun: boolean;
+  /** Whether it is the endpoint's own answer, not a refusal by an entry on the way. */
+  readonly genuine: boolean;
+  readonly load: ToldLoad | undefined;
+  readonly retryAfter: Milliseconds | undefined;
+}
+
+/** How an attempt ended. */
+export type CallEnd =
+  /** No byte of the request was written. */
+  | { readonly kind: "unsent"; readonly detail: string }
+  /** Bytes were written, and no whole answer came. */
+  | { readonly kind: "lost"; readonly detail: string }
+  /** The whole answer came. */
+  | { readonly kind: "complete" };
+
+/** Something that happened. The time is given beside it. */
+export type GatewayEvent =
+  | { readonly kind: "tick" }
+  | { readonly kind: "stop" }
+  | { readonly kind: "datagram"; readonly message: FleetMessage }
+  | {
+    readonly kind: "catalogueRead";
+    readonly snapshot: CatalogueSnapshot;
+  }
+  | {
+    readonly kind: "catalogueChanged";
+    readonly changes: CatalogueChanges;
+  }
+  /** Changes since the revision in force are no longer to be had. */
+  | { readonly kind: "catalogueCompacted" }
+  | { readonly kind: "catalogueFailed"; readonly detail: string }
+  | {
+    readonly kind: "catalogueCopied";
+    readonly snapshot: CatalogueSnapshot | undefined;
+  }
+  | { readonly kind: "arrived"; readonly head: CallHead }
+  /** The connection stands; may the request be written? */
+  | { readonly kind: "commit"; readonly attempt: AttemptId }
+  | {
+    readonly kind: "answered";
+    readonly attempt: AttemptId;
+    readonly answer: CallAnswer;
+  }
+  /** Events of a stream, or bytes of a body, arrived. */
+  | {
+    readonly kind: "progress";
+    readonly attempt: AttemptId;
+    readonly lastEventId: string | undefined;
+  }
+  | {
+    readonly kind: "ended";
+    readonly attempt: AttemptId;
+    readonly end: CallEnd;
+  }
+  | { readonly kind: "callerGone"; readonly request: RequestId };
+
+/** Why a request is refused by an entry itself. */
+export type CallRefusalReason =
+  | "no_document"
+  | "no_route"
+  | "no_endpoint"
+  | "overloaded"
+  | "rejected"
+  | "deadline"
+  | "endpoint_failed"
+  | "loop";
+
+/** A final answer of an entry itself. */
+export interface CallRefusal {
+  readonly reason: CallRefusalReason;
+  readonly status: number;
+  readonly verdict: Verdict;
+  /** When asking again makes sense; only where the request has not run. */
+  readonly retryAfter: Milliseconds | undefined;
+}
+
+/** Parts of the gateway that log, each with its fixed prefix. */
+export type GatewayPart =
+  | "catalogue"
+  | "fleet"
+  | "call"
+  | "endpoint"
+  | "region"
+  | "stop";
+
+/** Something for the shell to do. */
+export type GatewayEffect =
+  | { readonly kind: "send"; readonly attempt: CallAttempt }
+  /** Answer to `commit`: write the request now, with this time left. */
+  | {
+    readonly kind: "proceed";
+    readonly attempt: AttemptId;
+    readonly timeLeft: Milliseconds;
+  }
+  | { readonly kind: "abort"; readonly attempt: AttemptId }
+  /** Answer to `answered`: pass the answer on to the caller. */
+  | { readonly kind: "forward"; readonly attempt: AttemptId }
+  /** Answer to `answered`: its events go on where the former attempt broke off. */
+  | { readonly kind: "goOn"; readonly attempt: AttemptId }
+  | {
+    readonly kind: "refuse";
+    readonly request: RequestId;
+    readonly refusal: CallRefusal;
+  }
+  /** The answer that has begun cannot be completed: end the caller's connection. */
+  | { readonly kind: "breakOff"; readonly request: RequestId }
+  | { readonly kind: "complete"; readonly request: RequestId }
+  | {
+    readonly kind: "datagram";
+    readonly to: string;
+    readonly message: FleetMessage;
+  }
+  /** Read everything, or what changed after a revision, waiting for that. */
+  | {
+    readonly kind: "readCatalogue";
+    readonly after: Revision | undefined;
+    readonly wait: Milliseconds;
+    readonly timeout: Milliseconds;
+  }
+  | {
+    readonly kind: "copyCatalogue";
+    readonly address: string;
+    readonly timeout: Milliseconds;
+  }
+  | {
+    readonly kind: "log";
+    readonly part: GatewayPart;
+    readonly text: string;
+    readonly fields: Readonly<Record<string, unknown>>;
+  }
+  | { readonly kind: "exit" };
+
+/** Where controllers put what the shell must do. */
+export type GatewayEmit = (effect: GatewayEffect) => void;
--- /dev/null
+++ b/packages/core/src/gateway/placement.ts
@@ -0,0 +1,137 @@
+/**
+ * Which endpoint of the region a request goes to, and whether it goes now.
+ *
+ * @module
+ */
+import type { Milliseconds, ZoneId } from "../ids/index.ts";
+import { milliseconds } from "../ids/index.ts";
+import type { EndpointState } from "./endpoint_state.ts";
+import type { Prompt } from "./messages.ts";
+
+/**
+ * Longest time that an engine may have to read prompts before it gets another one. Every step of an
+ * engine that reads takes up to a hundred milliseconds, and an event of a stream is several steps: a
+ * longer backlog would make each stream on the engine pause for longer than its objective.
+ */
+export const READ_AHEAD_MS = 260;
+/** Short prompts fit between the long ones. */
+const SHORT_PROMPT_TOKENS = 1_500;
+const SHORT_PROMPT_EXTRA_MS = 120;
+/** Part of an engine's memory that running requests may take: beyond it the engine preempts. */
+const MEMORY_PART = 0.9;
+/** Places of an engine left free for what other entries send at the same moment. */
+const SPARE_SLOTS = 2;
+/** A plain endpoint queues this many times its slots at the most. */
+const PLAIN_QUEUE_FACTOR = 1.5;
+/** Reading a prompt costs the requests behind it too, so that a cached prefix counts more than a wait. */
+const READ_WEIGHT = 1.4;
+/** Cost of one more request in an engine's batch, in milliseconds. */
+const BATCH_COST_MS = 0.4;
+/** Cost of an endpoint all of whose last answers were failures, in milliseconds. */
+const FAILURE_COST_MS = 1_500;
+/** Cost of another availability zone: bytes between zones are charged. */
+const OTHER_ZONE_COST_MS = 25;
+
+/** What a request asks of an endpoint. */
+export interface Work {
+  readonly prompt: Prompt | undefined;
+  readonly zone: ZoneId;
+}
+
+/** The outcome of a choice. */
+export type Placement =
+  | {
+    readonly kind: "chosen";
+    readonly state: EndpointState;
+    /** Prompt tokens that it will have to read. */
+    readonly prefill: number;
+    readonly tokens: number;
+  }
+  /** All are busy; a place may come free after this time. */
+  | { readonly kind: "busy"; readonly wait: Milliseconds }
+  | { readonly kind: "none" };
+
+/** Chooses among endpoints that accept new work. */
+export function place(
+  work: Work,
+  candidates: readonly EndpointState[],
+): Placement {
+  let best: Placement = { kind: "none" };
+  let bestCost = Infinity;
+  let wait = Infinity;
+  for (const state of candidates) {
+    const prefill = uncachedTokens(work.prompt, state);
+    const tokens = memoryTokens(work.prompt);
+    if (!fits(state, { prefill, tokens })) {
+      wait = Math.min(wait, waitAt(state));
+      continue;
+    }
+    const cost = costAt(state, prefill, work);
+    if (cost < bestCost) {
+      bestCost = cost;
+      best = { kind: "chosen", state, prefill, tokens };
+    }
+  }
+  return best.kind === "none" && wait < Infinity
+    ? { kind: "busy", wait: milliseconds(wait) }
+    : best;
+}
+
+/** Prompt tokens that an endpoint would have to read. */
+export function uncachedTokens(
+  prompt: Prompt | undefined,
+  state: EndpointState,
+): number {
+  if (prompt === undefined || state.service?.engine === undefined) {
+    return 0;
+  }
+  const cached = state.prefixes.cached(sharedParts(prompt));
+  return Math.max(0, prompt.promptTokens - cached);
+}
+
+/** Parts of a prompt that other requests have too. */
+export function sharedParts(prompt: Prompt): Prompt["parts"] {
+  return prompt.parts.slice(0, -1);
+}
+
+/** Time that an engine needs for a prompt of which nothing is cached. */
+export function engineTime(prompt: Prompt | undefined, rate: number): number {
+  return prompt === undefined ? 0 : prompt.promptTokens / rate;
+}
+
+function memoryTokens(prompt: Prompt | undefined): number {
+  return prompt === undefined ? 0 : prompt.promptTokens + prompt.outputTokens;
+}
+
+function fits(
+  state: EndpointState,
+  { prefill, tokens }: { prefill: number; tokens: number },
+): boolean {
+  const engine = state.service?.engine;
+  if (engine === undefined) {
+    return state.requests < state.slots * PLAIN_QUEUE_FACTOR;
+  }
+  if (state.requests >= engine.slots - SPARE_SLOTS) {
+    return false;
+  }
+  const empty = state.requests === 0;
+  if (!empty && state.tokens + tokens > engine.cacheTokens * MEMORY_PART) {
+    return false;
+  }
+  const extra = prefill <= SHORT_PROMPT_TOKENS ? SHORT_PROMPT_EXTRA_MS : 0;
+  const limit = (READ_AHEAD_MS + extra) * state.prefillRate;
+  return state.prefill === 0 || state.prefill + prefill <= limit;
+}
+
+function costAt(state: EndpointState, prefill: number, work: Work): number {
+  const reading = (state.prefill + prefill * READ_WEIGHT) / state.prefillRate;
+  const crowd = state.service?.engine === undefined
+    ? (state.requests / Math.max(1, state.slots)) * OTHER_ZONE_COST_MS
+    : state.requests * BATCH_COST_MS;
+  const away = state.record.zone === work.zone ? 0 : OTHER_ZONE_COST_MS;
+  return reading + crowd + away + state.health.failureRate * FAILURE_COST_MS;
+}
+
+function waitAt(state: EndpointState): number {
+  return Math.max(1, state.prefill / state.prefillRate);
+}
--- /dev/null
+++ b/packages/core/src/gateway/refusals.ts
@@ -0,0 +1,39 @@
+/**
+ * Answers that an entry gives itself.
+ *
+ * @module
+ */
+import type { Milliseconds } from "../ids/index.ts";
+import type { Verdict } from "../verdict/index.ts";
+import type { CallRefusal, CallRefusalReason } from "./messages.ts";
+
+const NOT_FOUND = 404;
+const BAD_GATEWAY = 502;
+const UNAVAILABLE = 503;
+const GATEWAY_TIMEOUT = 504;
+
+/**
+ * A refusal with the status that its verdict allows.
+ *
+ * 503 promises that the request has not run and never will; callers repeat actions on that promise.
+ * One notices a false one by an action that ran twice. So 503 is given for `not_run` alone.
+ */
+export function refuse(
+  reason: CallRefusalReason,
+  { verdict, retryAfter }: { verdict: Verdict; retryAfter: Milliseconds },
+): CallRefusal {
+  const notRun = verdict.kind === "not_run";
+  const status = reason === "no_route" && notRun
+    ? NOT_FOUND
+    : notRun
+    ? UNAVAILABLE
+    : reason === "deadline"
+    ? GATEWAY_TIMEOUT
+    : BAD_GATEWAY;
+  return {
+    reason,
+    status,
+    verdict,
+    retryAfter: status === UNAVAILABLE ? retryAfter : undefined,
+  };
+}
--- /dev/null
+++ b/packages/core/src/gateway/region_controller.ts
@@ -0,0 +1,161 @@
+/**
+ * The load of this region as it is told to others, and where this region's callers are sent.
+ *
+ * @module
+ */
+import type {
+  FleetController,
+  RegionShare,
+  RegionSummary,
+  ServiceArrivals,
+  ServiceLoad,
+} from "../fleet/index.ts";
+import {
+  after,
+  type Instant,
+  milliseconds,
+  type RegionId,
+  type ServiceId,
+} from "../ids/index.ts";
+import { ArrivalMeter } from "./arrival_meter.ts";
+import type { CatalogueView } from "./catalogue_controller.ts";
+import type { EndpointBook } from "./endpoint_book.ts";
+import { chooseShares, type RegionLoad, smoothShares } from "./steering.ts";
+
+/** Between two decisions where callers are sent: as often as figures from other regions come. */
+const DECIDE_PERIOD_MS = 400;
+const MS_PER_SECOND = 1_000;
+
+/** What is known of one other region. */
+export interface RegionView {
+  readonly region: RegionId;
+  readonly load: ServiceLoad | undefined;
+}
+
+/** Writes the region's summary and shares. */
+export class RegionController {
+  readonly arrivals = new ArrivalMeter();
+  readonly #region: RegionId;
+  readonly #catalogue: CatalogueView;
+  readonly #endpoints: EndpointBook;
+  #shares: RegionShare[] = [];
+  #nextDecisionAt: Instant;
+
+  constructor(
+    { region, catalogue, endpoints, now }: {
+      region: RegionId;
+      catalogue: CatalogueView;
+      endpoints: EndpointBook;
+      now: Instant;
+    },
+  ) {
+    this.#region = region;
+    this.#catalogue = catalogue;
+    this.#endpoints = endpoints;
+    this.#nextDecisionAt = now;
+  }
+
+  /** Where this region's callers are sent. */
+  get shares(): readonly RegionShare[] {
+    return this.#shares;
+  }
+
+  tick(fleet: FleetController, now: Instant): void {
+    if (now < this.#nextDecisionAt) {
+      return;
+    }
+    this.#nextDecisionAt = after(now, DECIDE_PERIOD_MS);
+    const regions = this.#engineLoads(fleet, now);
+    this.#shares = smoothShares(
+      this.#shares,
+      chooseShares(this.#region, regions),
+    );
+  }
+
+  /** The own region, as told to others. */
+  summary(now: Instant): RegionSummary {
+    const services = this.#catalogue.document?.services.keys() ?? [];
+    return {
+      region: this.#region,
+      age: milliseconds(0),
+      loads: [...services].map((service) => this.load(service, now)),
+      shares: this.#shares,
+    };
+  }
+
+  /** The own region's load for one service: this entry's part and what its peers told. */
+  load(service: ServiceId, now: Instant): ServiceLoad {
+    const usable = this.#endpoints.of(service).filter((state) =>
+      this.#endpoints.accepts(state, now)
+    );
+    let work = this.arrivals.lastSecond(service, now);
+    for (const { report } of this.#endpoints.reports()) {
+      work += report.arrivals.find((item) => item.service === service)?.work ??
+        0;
+    }
+    const backlog = usable.reduce(
+      (sum, state) => sum + state.prefill / state.prefillRate,
+      0,
+    );
+    return {
+      service,
+      endpoints: usable.length,
+      work: Math.round(work),
+      backlog: milliseconds(
+        usable.length === 0 ? 0 : Math.round(backlog / usable.length),
+      ),
+    };
+  }
+
+  /** This entry's arrivals, as told to its region. */
+  report(now: Instant): ServiceArrivals[] {
+    return [...this.arrivals.services()].map((service) => ({
+      service,
+      work: Math.round(this.arrivals.lastSecond(service, now)),
+      queued: 0,
+    })).filter(({ work }) => work > 0);
+  }
+
+  /** Other regions that can be reached and have endpoints for a service. */
+  others(
+    service: ServiceId,
+    fleet: FleetController,
+    now: Instant,
+  ): RegionView[] {
+    const reachable = new Set(
+      fleet.live().filter(({ record }) => record.state === "ready")
+        .map(({ record }) => record.region),
+    );
+    return fleet.regions.fresh(now)
+      .filter(({ region }) => reachable.has(region))
+      .map(({ region, loads }) => ({
+        region,
+        load: loads.find((load) => load.service === service),
+      }));
+  }
+
+  /** Regions by the load of their engines: these are what is scarce. */
+  #engineLoads(fleet: FleetController, now: Instant): RegionLoad[] {
+    const services = [...this.#catalogue.document?.services.values() ?? []]
+      .filter(({ engine }) => engine !== undefined)
+      .map(({ id }) => id);
+    const reachable = new Set(
+      fleet.live().filter(({ record }) => record.state === "ready")
+        .map(({ record }) => record.region),
+    );
+    const summaries = [
+      this.summary(now),
+      ...fleet.regions.fresh(now).filter(({ region }) => reachable.has(region)),
+    ];
+    return summaries.map(({ region, loads, shares }) => {
+      const engines = loads.filter(({ service }) => services.includes(service));
+      return {
+        region,
+        capacity: MS_PER_SECOND *
+          engines.reduce((sum, { endpoints }) => sum + endpoints, 0),
+        arrivals: engines.reduce((sum, { work }) => sum + work, 0),
+        shares,
+      };
+    });
+  }
+}
--- /dev/null
+++ b/packages/core/src/gateway/stop_controller.ts
@@ -0,0 +1,70 @@
+/**
+ * A planned stop that cuts off no request.
+ *
+ * @module
+ */
+import { after, type Instant, type Milliseconds } from "../ids/index.ts";
+import type { CallController } from "./call_controller.ts";
+import type { GatewayEmit } from "./messages.ts";
+
+/** Callers keep an old list of entries for some seconds: the entry serves them that long. */
+const LEAST_LINGER_MS = 3_500;
+/** Without a new request for so long callers have left. */
+const QUIET_MS = 1_200;
+/** Ends this long before it would be killed. */
+const MARGIN_MS = 600;
+
+/** Ends the process once callers have left and requests in flight are answered. */
+export class StopController {
+  readonly #emit: GatewayEmit;
+  readonly #calls: CallController;
+  readonly #stopTime: Milliseconds;
+  #begunAt: Instant | undefined;
+  #ended = false;
+
+  constructor(
+    { emit, calls, stopTime }: {
+      emit: GatewayEmit;
+      calls: CallController;
+      stopTime: Milliseconds;
+    },
+  ) {
+    this.#emit = emit;
+    this.#calls = calls;
+    this.#stopTime = stopTime;
+  }
+
+  /** Begins the stop. A second call changes nothing. */
+  begin(now: Instant): void {
+    if (this.#begunAt !== undefined) {
+      return;
+    }
+    this.#begunAt = now;
+    this.#emit({
+      kind: "log",
+      part: "stop",
+      text: "Stopping, callers are sent elsewhere.",
+      fields: { requests: this.#calls.active },
+    });
+  }
+
+  tick(now: Instant): void {
+    if (this.#begunAt === undefined || this.#ended) {
+      return;
+    }
+    const overdue = now >= after(this.#begunAt, this.#stopTime - MARGIN_MS);
+    const lingered = now >= after(this.#begunAt, LEAST_LINGER_MS);
+    const lastArrival = this.#calls.lastArrivalAt;
+    const quiet = lastArrival === undefined || now - lastArrival >= QUIET_MS;
+    if (overdue || (lingered && quiet && this.#calls.active === 0)) {
+      this.#ended = true;
+      this.#emit({
+        kind: "log",
+        part: "stop",
+        text: "Stopped.",
+        fields: { requests: this.#calls.active },
+      });
+      this.#emit({ kind: "exit" });
+    }
+  }
+}
--- a/packages/core/src/ids/hash.ts
+++ b/packages/core/src/ids/hash.ts
@@ -67,3 +67,18 @@
     return ((mixed ^ (mixed >>> 14)) >>> 0) / UINT32_RANGE;
   }
 }
+
+/** Up to `count` of the items, each equally likely, in random order. */
+export function sample<Item>(
+  items: readonly Item[],
+  count: number,
+  random: Randomness,
+): Item[] {
+  const left = [...items];
+  const taken = Math.min(count, left.length);
+  for (let index = 0; index < taken; index++) {
+    const other = index + Math.floor(random.next() * (left.length - index));
+    [left[index], left[other]] = [left[other]!, left[index]!];
+  }
+  return left.slice(0, taken);
+}
--- a/packages/core/src/ids/ids.ts
+++ b/packages/core/src/ids/ids.ts
@@ -29,6 +29,10 @@
 export type ServiceId = Branded<string, "ServiceId">;
 /** One request as received by one entry. */
 export type RequestId = Branded<string, "RequestId">;
+/** Name of a route in the routing document. */
+export type RouteName = Branded<string, "RouteName">;
+/** Identifier that a caller gives to one try of its own; endpoints repeat it in their answers. */
+export type CallId = Branded<string, "CallId">;
 /** One try of a request at one endpoint or peer. */
 export type AttemptId = Branded<string, "AttemptId">;
 /** Revision of the operators' text, counted by the configuration service. */
--- /dev/null
+++ b/packages/core/src/routes/index.ts
@@ -0,0 +1,3 @@
+export * from "./endpoint_record.ts";
+export * from "./route.ts";
+export * from "./route_table.ts";
--- /dev/null
+++ b/packages/core/src/routes/route_table.ts
@@ -0,0 +1,62 @@
+/**
+ * Finds the route of a request.
+ *
+ * @module
+ */
+import type { Route, RoutingDocument } from "./route.ts";
+
+/** Index of a document's routes by host and path prefix. */
+export class RouteTable {
+  readonly document: RoutingDocument;
+  readonly #hosts = new Map<string, Map<string, Route>>();
+
+  constructor(document: RoutingDocument) {
+    this.document = document;
+    for (const route of document.routes) {
+      const prefixes = this.#hosts.get(route.host) ?? new Map();
+      prefixes.set(route.pathPrefix, route);
+      this.#hosts.set(route.host, prefixes);
+    }
+  }
+
+  /**
+   * The route with the longest prefix of the path. Prefixes end with a slash, so only the path's own
+   * slashes are tried: the cost does not grow with the number of routes.
+   */
+  find(host: string, target: string): Route | undefined {
+    const prefixes = this.#hosts.get(withoutPort(host));
+    if (prefixes === undefined) {
+      return undefined;
+    }
+    const path = withoutQuery(target);
+    let end = path.length;
+    while (end > 0) {
+      const slash = path.lastIndexOf("/", end - 1);
+      if (slash < 0) {
+        return undefined;
+      }
+      const route = prefixes.get(path.slice(0, slash + 1));
+      if (route !== undefined) {
+        return route;
+      }
+      end = slash;
+    }
+    return undefined;
+  }
+
+  /** All routes of a host. */
+  ofHost(host: string): readonly Route[] {
+    return [...this.#hosts.get(withoutPort(host))?.values() ?? []];
+  }
+}
+
+function withoutPort(host: string): string {
+  const colon = host.lastIndexOf(":");
+  const bare = colon > 0 && !host.endsWith("]") ? host.slice(0, colon) : host;
+  return bare.toLowerCase();
+}
+
+function withoutQuery(target: string): string {
+  const mark = target.indexOf("?");
+  return mark < 0 ? target : target.slice(0, mark);
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/connections.ts
@@ -0,0 +1,204 @@
+/**
+ * Kept connections to endpoints and peers, one request at a time on each.
+ *
+ * @module
+ */
+import { connect, type Socket } from "node:net";
+import type { Instant } from "@sassafrasstep/core";
+import { type buildConnector, Client } from "undici";
+
+/** Within a region a connection stands after a few milliseconds; the first packet may be lost once. */
+const CONNECT_TIMEOUT_MS = 400;
+/** The way to another region and back, twice. */
+export const FAR_CONNECT_TIMEOUT_MS = 700;
+/** Idle connections are closed by us before the other side does, where it does not tell its time. */
+const IDLE_MS = 8_000;
+/** And this long before the time that it tells. */
+const IDLE_MARGIN_MS = 300;
+const MAX_RESPONSE_HEADER_BYTES = 32_768;
+
+/** No connection came about: nothing was written. */
+export class ConnectError extends Error {
+  override readonly name = "ConnectError";
+}
+
+/** How a connection is wanted. */
+export interface Wish {
+  /** Host and port. */
+  readonly address: string;
+  /** Connections that may be open at the address. */
+  readonly limit: number;
+  /** Longest idle time of a kept one, in milliseconds. */
+  readonly mostIdle: number;
+  readonly far: boolean;
+}
+
+/** One connection. */
+export class Connection {
+  readonly client: Client;
+  readonly address: string;
+  idleSince: Instant;
+  /**
+   * Set once the socket had an error. An answer without a length ends with its connection; one that
+   * was reset on the way would pass for whole, and its caller would get a part of it.
+   */
+  failed = false;
+
+  constructor(socket: Socket, address: string, now: Instant) {
+    this.address = address;
+    this.idleSince = now;
+    socket.on("error", () => this.failed = true);
+    this.client = new Client(`http://${address}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: IDLE_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      maxHeaderSize: MAX_RESPONSE_HEADER_BYTES,
+      connect: oneSocket(socket),
+    });
+    this.client.on("disconnect", () => this.failed = true);
+  }
+
+  /** Ends the connection. */
+  close(): void {
+    this.failed = true;
+    this.client.destroy().catch(ignoreClosed);
+  }
+}
+
+/**
+ * Hands the socket out once: a client that connects anew by itself would send a request twice without
+ * anybody having decided it.
+ */
+function oneSocket(socket: Socket): buildConnector.connector {
+  let taken = false;
+  return (_options, callback): void => {
+    const first = !taken && !socket.destroyed;
+    taken = true;
+    queueMicrotask(() =>
+      first
+        ? callback(null, socket)
+        : callback(new ConnectError("Connection was closed"), null)
+    );
+  };
+}
+
+function ignoreClosed(): void {
+  // A connection that is closed already is what was wanted.
+}
+
+/** All connections by address. */
+export class Connections {
+  readonly #idle = new Map<string, Connection[]>();
+  readonly #open = new Map<string, number>();
+  /** Opened since the start, for metrics. */
+  opened = 0;
+
+  /** Gives a kept connection at once, or opens one. */
+  take(
+    wish: Wish,
+    now: Instant,
+    done: (result: Connection | ConnectError) => void,
+  ): void {
+    const kept = this.#takeIdle(wish, now);
+    if (kept !== undefined) {
+      done(kept);
+      return;
+    }
+    const open = this.#open.get(wish.address) ?? 0;
+    if (open >= wish.limit) {
+      done(new ConnectError("Connections to the address are at their limit"));
+      return;
+    }
+    this.#connect(wish, now, done);
+  }
+
+  /** Gives a connection back after a whole answer. */
+  giveBack(connection: Connection, now: Instant): void {
+    if (connection.failed) {
+      return;
+    }
+    connection.idleSince = now;
+    const idle = this.#idle.get(connection.address) ?? [];
+    idle.push(connection);
+    this.#idle.set(connection.address, idle);
+  }
+
+  closeAll(): void {
+    for (const idle of this.#idle.values()) {
+      idle.forEach((connection) => connection.close());
+    }
+    this.#idle.clear();
+  }
+
+  /** The one used last, so that those that are not needed run out. */
+  #takeIdle(
+    { address, mostIdle }: Wish,
+    now: Instant,
+  ): Connection | undefined {
+    const idle = this.#idle.get(address);
+    while (idle !== undefined && idle.length > 0) {
+      const connection = idle[idle.length - 1]!;
+      if (connection.failed) {
+        idle.pop();
+      } else if (now - connection.idleSince >= mostIdle) {
+        return undefined;
+      } else {
+        idle.pop();
+        return connection;
+      }
+    }
+    return undefined;
+  }
+
+  #connect(
+    { address, far }: Wish,
+    now: Instant,
+    done: (result: Connection | ConnectError) => void,
+  ): void {
+    const colon = address.lastIndexOf(":");
+    const socket = connect({
+      host: address.slice(0, colon),
+      port: Number(address.slice(colon + 1)),
+      noDelay: true,
+    });
+    this.#count(address, 1);
+    this.opened++;
+    const timeout = far ? FAR_CONNECT_TIMEOUT_MS : CONNECT_TIMEOUT_MS;
+    const timer = setTimeout(
+      () => socket.destroy(new ConnectError("Connection timed out")),
+      timeout,
+    );
+    const fail = (error: Error): void => {
+      clearTimeout(timer);
+      done(new ConnectError(error.message));
+    };
+    socket.once("error", fail);
+    socket.once("close", () => this.#count(address, -1));
+    socket.once("connect", () => {
+      clearTimeout(timer);
+      socket.off("error", fail);
+      const connection = new Connection(socket, address, now);
+      connection.client.on("disconnect", () => this.#drop(connection));
+      done(connection);
+    });
+  }
+
+  #drop(connection: Connection): void {
+    const idle = this.#idle.get(connection.address) ?? [];
+    const index = idle.indexOf(connection);
+    if (index >= 0) {
+      idle.splice(index, 1);
+    }
+  }
+
+  #count(address: string, change: 1 | -1): void {
+    const open = (this.#open.get(address) ?? 0) + change;
+    if (open > 0) {
+      this.#open.set(address, open);
+    } else {
+      this.#open.delete(address);
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -0,0 +1,139 @@
+/**
+ * One request of a caller and the answer to it.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  type CallHead,
+  type CallRefusal,
+  type RequestId,
+  verdictHeader,
+} from "@sassafrasstep/core";
+import { VERDICT_HEADER } from "../callers/headers.ts";
+import type { CallerProtocol, RawHeaders } from "./protocol.ts";
+
+const NO_CONTENT_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** What an exchange is made with. */
+export interface ExchangeOptions {
+  readonly head: CallHead;
+  readonly body: Buffer;
+  readonly message: IncomingMessage;
+  readonly reply: ServerResponse;
+  readonly protocol: CallerProtocol;
+  /** Whether callers shall not use the connection again. */
+  readonly closing: () => boolean;
+}
+
+/** A request whose body has been read. */
+export class Exchange {
+  readonly head: CallHead;
+  readonly body: Buffer;
+  readonly #options: ExchangeOptions;
+  #resume: (() => void) | undefined;
+
+  constructor(options: ExchangeOptions) {
+    this.#options = options;
+    this.head = options.head;
+    this.body = options.body;
+    options.reply.on("drain", () => {
+      const resume = this.#resume;
+      this.#resume = undefined;
+      resume?.();
+    });
+  }
+
+  get id(): RequestId {
+    return this.head.id;
+  }
+
+  get method(): string {
+    return this.#options.message.method ?? "GET";
+  }
+
+  get rawHeaders(): RawHeaders {
+    return this.#options.message.rawHeaders;
+  }
+
+  /** Begins the answer. */
+  begin(
+    status: number,
+    { reason, headers }: { reason: string; headers: RawHeaders },
+  ): void {
+    const { reply, closing } = this.#options;
+    reply.sendDate = false;
+    const all = closing() ? [...headers, "connection", "close"] : headers;
+    reply.writeHead(status, reason, all);
+  }
+
+  /** Passes bytes on; `resume` is called once more may come, where the result is `false`. */
+  write(chunk: Buffer, resume: () => void): boolean {
+    const { reply } = this.#options;
+    if (reply.destroyed) {
+      return true;
+    }
+    const room = reply.write(chunk);
+    if (!room) {
+      this.#resume = resume;
+    }
+    return room;
+  }
+
+  /** Sends the head now: a stream's first event may be a while. */
+  flush(): void {
+    this.#options.reply.flushHeaders();
+  }
+
+  end(): void {
+    if (!this.#options.reply.writableEnded) {
+      this.#options.reply.end();
+    }
+  }
+
+  /** A whole answer at once. */
+  answer(
+    status: number,
+    { reason, headers, body }: {
+      reason: string;
+      headers: RawHeaders;
+      body: Buffer;
+    },
+  ): void {
+    const framed = NO_CONTENT_STATUSES.has(status)
+      ? headers
+      : [...headers, "content-length", String(body.length)];
+    this.begin(status, { reason, headers: framed });
+    this.#options.reply.end(body);
+  }
+
+  /** Ends the connection: the caller must see that the answer is not whole. */
+  breakOff(): void {
+    this.#options.reply.destroy();
+  }
+
+  /** An answer of the entry's own. */
+  refuse(refusal: CallRefusal): void {
+    const { reply, protocol } = this.#options;
+    if (reply.destroyed || reply.headersSent) {
+      reply.destroy();
+      return;
+    }
+    const body = Buffer.from(JSON.stringify({
+      type: "about:blank",
+      status: refusal.status,
+      title: refusal.reason,
+    }));
+    this.answer(refusal.status, {
+      reason: "",
+      body,
+      headers: [
+        ...protocol.refusalHeaders(refusal),
+        VERDICT_HEADER,
+        verdictHeader(refusal.verdict),
+        "content-type",
+        "application/problem+json",
+      ],
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -0,0 +1,269 @@
+/**
+ * One entry for callers that name routes: the gateway's decisions with their sockets, clock and timer.
+ *
+ * @module
+ */
+import { randomBytes, randomInt } from "node:crypto";
+import type { Server } from "node:http";
+import {
+  type AttemptId,
+  type CallAttempt,
+  Gateway,
+  type GatewayEffect,
+  type GatewayEvent,
+  type Incarnation,
+  type Instant,
+  instant,
+  Metrics,
+  type RequestId,
+  SeededRandomness,
+} from "@sassafrasstep/core";
+import type { H3 } from "h3";
+import type { Logger } from "../logs/index.ts";
+import type { GatewaySettings } from "../settings/index.ts";
+import { CatalogueRunner } from "./catalogue_runner.ts";
+import { Connections } from "./connections.ts";
+import { Datagrams } from "./datagrams.ts";
+import { EventCutter } from "./event_cutter.ts";
+import type { Exchange } from "./exchange.ts";
+import { applyLimits, createIngress, type IngressEvents } from "./ingress.ts";
+import { OutboundCall, type OutboundTools } from "./outbound_call.ts";
+import type {
+  CallerProtocol,
+  CatalogueSource,
+  EndpointProtocol,
+} from "./protocol.ts";
+import {
+  type ControlSources,
+  createAppServer,
+  createControlApp,
+  listenOn,
+  shareServer,
+} from "./servers.ts";
+import { reportGateway } from "./status.ts";
+
+/** Between ticks of the core: the grain of timeouts and of work reports. */
+const TICK_MS = 25;
+const INCARNATION_BYTES = 6;
+const SEED_LIMIT = 2 ** 32;
+
+/** How a platform is spoken to. */
+export interface GatewayPlatform {
+  readonly callers: CallerProtocol;
+  readonly endpoints: EndpointProtocol;
+  readonly source: CatalogueSource;
+  /** Applications for the directory and for readiness. */
+  readonly directory: (gateway: Gateway, now: () => Instant) => H3;
+  readonly readiness: (gateway: Gateway) => H3;
+}
+
+/** One request here: the caller's exchange and what its streams keep between attempts. */
+interface OpenCall {
+  readonly exchange: Exchange;
+  readonly cutter: EventCutter;
+}
+
+/** A running entry. */
+export class GatewayEntry {
+  readonly #settings: GatewaySettings;
+  readonly #platform: GatewayPlatform;
+  readonly #logger: Logger;
+  readonly #gateway: Gateway;
+  readonly #metrics = new Metrics();
+  readonly #connections = new Connections();
+  readonly #calls = new Map<RequestId, OpenCall>();
+  readonly #attempts = new Map<AttemptId, OutboundCall>();
+  readonly #outbound: OutboundTools;
+  readonly #datagrams: Datagrams;
+  readonly #catalogue: CatalogueRunner;
+  readonly #servers: Server[] = [];
+  #requests = 0;
+  #timer: NodeJS.Timeout | undefined;
+  #exited!: () => void;
+  /** Resolves when a planned stop is complete. */
+  readonly stopped: Promise<void> = new Promise((resolve) => {
+    this.#exited = resolve;
+  });
+
+  constructor(
+    settings: GatewaySettings,
+    { platform, logger }: { platform: GatewayPlatform; logger: Logger },
+  ) {
+    this.#settings = settings;
+    this.#platform = platform;
+    this.#logger = logger;
+    const incarnation = randomBytes(INCARNATION_BYTES).toString(
+      "hex",
+    ) as Incarnation;
+    this.#gateway = new Gateway({
+      self: { ...settings.self, incarnation },
+      random: new SeededRandomness(randomInt(SEED_LIMIT)),
+    }, this.#now());
+    this.#outbound = {
+      incarnation,
+      protocol: platform.endpoints,
+      connections: this.#connections,
+      now: () => this.#now(),
+      tell: (event) => this.#tell(event),
+      done: ({ id }) => this.#attempts.delete(id),
+    };
+    this.#datagrams = new Datagrams((message) =>
+      this.#tell({ kind: "datagram", message })
+    );
+    this.#catalogue = new CatalogueRunner({
+      source: platform.source,
+      tell: (event) => void this.#tell(event),
+    });
+  }
+
+  /** Listens and starts the loop. */
+  async start(): Promise<void> {
+    const { addresses } = this.#settings;
+    const control = createControlApp(this.#control());
+    const callers = createIngress(this.#ingress(), { relays: false });
+    const peers = shareServer(
+      createIngress(this.#ingress(), { relays: true }),
+      control,
+    );
+    const { directory, readiness } = this.#platform;
+    this.#servers.push(
+      callers,
+      peers,
+      createAppServer(control),
+      createAppServer(directory(this.#gateway, () => this.#now())),
+      createAppServer(readiness(this.#gateway)),
+    );
+    const places = [
+      addresses.callers,
+      addresses.peers,
+      addresses.control,
+      addresses.directory,
+      addresses.readiness,
+    ];
+    await this.#datagrams.listen(addresses.peers.host, addresses.peers.port);
+    await Promise.all(
+      this.#servers.map((server, index) => listenOn(server, places[index]!)),
+    );
+    this.#tell({ kind: "tick" });
+    this.#timer = setInterval(() => this.#tell({ kind: "tick" }), TICK_MS);
+    this.#logger.info("stop", "Listening.", { ...addresses });
+  }
+
+  /** Begins a planned stop; `stopped` tells of its end. */
+  stop(): void {
+    this.#tell({ kind: "stop" });
+  }
+
+  #now(): Instant {
+    return instant(performance.now());
+  }
+
+  #tell(event: GatewayEvent): readonly GatewayEffect[] {
+    const effects = this.#gateway.handle(event, this.#now());
+    for (const effect of effects) {
+      this.#run(effect);
+    }
+    return effects;
+  }
+
+  #ingress(): IngressEvents {
+    return {
+      protocol: this.#platform.callers,
+      limits: () => this.#gateway.catalogue.document?.limits,
+      closing: () => this.#gateway.stopping,
+      nextRequestId: () => {
+        this.#requests++;
+        return `${this.#settings.self.id}-${
+          this.#requests.toString(36)
+        }` as RequestId;
+      },
+      open: (exchange) => {
+        this.#calls.set(exchange.id, { exchange, cutter: new EventCutter() });
+        this.#tell({ kind: "arrived", head: exchange.head });
+      },
+      gone: (request) => {
+        this.#calls.delete(request);
+        this.#tell({ kind: "callerGone", request });
+      },
+    };
+  }
+
+  #control(): ControlSources {
+    return {
+      snapshot: () => this.#gateway.snapshot(),
+      status: () => reportGateway(this.#gateway, this.#now()),
+      prometheus: () => this.#metrics.toPrometheus(),
+      isReady: () => this.#gateway.ready,
+    };
+  }
+
+  #run(effect: GatewayEffect): void {
+    switch (effect.kind) {
+      case "send":
+        return this.#send(effect.attempt);
+      case "abort":
+        return this.#attempts.get(effect.attempt)?.abort();
+      case "refuse":
+        return this.#close(effect.request, (exchange) => {
+          exchange.refuse(effect.refusal);
+          this.#metrics.count("refusals", effect.refusal.reason);
+        });
+      case "breakOff":
+        return this.#close(effect.request, (exchange) => exchange.breakOff());
+      case "complete":
+        return this.#close(effect.request, (exchange) => exchange.end());
+      case "datagram":
+        return this.#datagrams.send(effect.to, effect.message);
+      case "readCatalogue":
+        this.#applyLimits();
+        return this.#catalogue.read(effect);
+      case "copyCatalogue":
+        return this.#catalogue.copy(effect);
+      case "log":
+        return this.#logger.info(effect.part, effect.text, effect.fields);
+      case "exit":
+        void this.#exit();
+    }
+  }
+
+  #send(attempt: CallAttempt): void {
+    const call = this.#calls.get(attempt.request);
+    if (call === undefined) {
+      return;
+    }
+    const outbound = new OutboundCall(attempt, {
+      exchange: call.exchange,
+      cutter: call.cutter,
+      tools: this.#outbound,
+    });
+    this.#attempts.set(attempt.id, outbound);
+    outbound.start();
+  }
+
+  #close(request: RequestId, end: (exchange: Exchange) => void): void {
+    const call = this.#calls.get(request);
+    this.#calls.delete(request);
+    if (call !== undefined) {
+      end(call.exchange);
+    }
+  }
+
+  #applyLimits(): void {
+    const limits = this.#gateway.catalogue.document?.limits;
+    if (limits !== undefined) {
+      applyLimits(this.#servers[0]!, limits);
+    }
+  }
+
+  async #exit(): Promise<void> {
+    clearInterval(this.#timer);
+    for (const server of this.#servers) {
+      server.close();
+      server.closeIdleConnections();
+    }
+    this.#datagrams.close();
+    this.#connections.closeAll();
+    await this.#platform.source.close();
+    this.#exited();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway_router.ts
@@ -0,0 +1,74 @@
+/**
+ * What an entry answers to peers and operators over tRPC.
+ *
+ * @module
+ */
+import type {
+  CatalogueSnapshot,
+  RoutedService,
+  RoutingDocument,
+} from "@sassafrasstep/core";
+import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
+import { initTRPC } from "@trpc/server";
+import type { GatewayStatus } from "./status.ts";
+
+/** The entry, as seen by its peers and operators. */
+export interface GatewayService {
+  snapshot(): CatalogueSnapshot | undefined;
+  status(): GatewayStatus;
+}
+
+const trpc = initTRPC.context<{ readonly service: GatewayService }>().create();
+
+/** All procedures. */
+export const gatewayRouter = trpc.router({
+  catalogue: trpc.procedure.query(({ ctx }) => {
+    const snapshot = ctx.service.snapshot();
+    return snapshot === undefined ? null : encodeSnapshot(snapshot);
+  }),
+  status: trpc.procedure.query(({ ctx }) => ctx.service.status()),
+});
+
+/** Type of the procedures, for clients. */
+export type GatewayRouter = typeof gatewayRouter;
+
+/** A client of an entry's control address, or of its address for peers. */
+export function createGatewayClient(url: string): TRPCClient<GatewayRouter> {
+  return createTRPCClient<GatewayRouter>({
+    links: [httpLink({ url: `${url}/trpc` })],
+  });
+}
+
+/** A snapshot as JSON: the services' map as a list. */
+export type SnapshotMessage =
+  & Omit<CatalogueSnapshot, "document">
+  & {
+    readonly document:
+      | Omit<RoutingDocument, "services">
+        & { readonly services: readonly RoutedService[] }
+      | undefined;
+  };
+
+function encodeSnapshot(snapshot: CatalogueSnapshot): SnapshotMessage {
+  const { document } = snapshot;
+  return {
+    ...snapshot,
+    document: document === undefined
+      ? undefined
+      : { ...document, services: [...document.services.values()] },
+  };
+}
+
+/** The snapshot that a peer sent. */
+export function decodeSnapshot(message: SnapshotMessage): CatalogueSnapshot {
+  const { document } = message;
+  return {
+    ...message,
+    document: document === undefined ? undefined : {
+      ...document,
+      services: new Map(
+        document.services.map((service) => [service.id, service]),
+      ),
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/index.ts
@@ -0,0 +1,4 @@
+export { GatewayEntry, type GatewayPlatform } from "./gateway_entry.ts";
+export { createGatewayClient } from "./gateway_router.ts";
+export * from "./protocol.ts";
+export type { GatewayStatus } from "./status.ts";
--- /dev/null
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -0,0 +1,352 @@
+/**
+ * One attempt: a request on a connection, and its answer on the way to the caller.
+ *
+ * @module
+ */
+import type {
+  CallAttempt,
+  CallEnd,
+  GatewayEffect,
+  GatewayEvent,
+  Instant,
+  Milliseconds,
+} from "@sassafrasstep/core";
+import type { Dispatcher } from "undici";
+import {
+  ConnectError,
+  type Connection,
+  type Connections,
+} from "./connections.ts";
+import { EventCutter } from "./event_cutter.ts";
+import type { Exchange } from "./exchange.ts";
+import { RELAY_HEADER } from "./ingress.ts";
+import type { EndpointProtocol, RawHeaders } from "./protocol.ts";
+
+/** Plain answers up to this size are held until they are whole, so that a torn one can be repeated. */
+const MAX_HELD_BYTES = 262_144;
+/** Of an answer that nobody wants so much is read, to keep its connection. */
+const MAX_DISCARDED_BYTES = 16_384;
+const FIRST_FINAL_STATUS = 200;
+/** Connections to one peer. */
+const PEER_CONNECTIONS = 64;
+
+/** What attempts work with. */
+export interface OutboundTools {
+  readonly incarnation: string;
+  readonly protocol: EndpointProtocol;
+  readonly connections: Connections;
+  readonly now: () => Instant;
+  /** Tells the gateway; runs the effects, and returns them. */
+  readonly tell: (event: GatewayEvent) => readonly GatewayEffect[];
+  /** The attempt needs nothing any more. */
+  readonly done: (attempt: CallAttempt) => void;
+}
+
+/** What happens to the bytes of the answer. */
+type Mode = "waiting" | "holding" | "passing" | "discarding";
+
+/** One attempt under way. */
+export class OutboundCall implements Dispatcher.DispatchHandler {
+  readonly #attempt: CallAttempt;
+  readonly #exchange: Exchange;
+  readonly #cutter: EventCutter;
+  readonly #tools: OutboundTools;
+  #connection: Connection | undefined;
+  #controller: Dispatcher.DispatchController | undefined;
+  #mode: Mode = "waiting";
+  #status = 0;
+  #reason = "";
+  #headers: RawHeaders = [];
+  #framed = false;
+  #held: Buffer[] = [];
+  #bytes = 0;
+  #over = false;
+
+  constructor(
+    attempt: CallAttempt,
+    { exchange, cutter, tools }: {
+      exchange: Exchange;
+      cutter: EventCutter;
+      tools: OutboundTools;
+    },
+  ) {
+    this.#attempt = attempt;
+    this.#exchange = exchange;
+    this.#cutter = cutter;
+    this.#tools = tools;
+  }
+
+  /** Gets a connection and, if the request is still to be sent, writes it. */
+  start(): void {
+    const { target, mostIdle } = this.#attempt;
+    const { connections, now } = this.#tools;
+    const far = target.kind === "peer";
+    const limit = target.kind === "peer"
+      ? PEER_CONNECTIONS
+      : target.connections;
+    connections.take(
+      { address: target.address, limit, mostIdle, far },
+      now(),
+      (result) => this.#connected(result),
+    );
+  }
+
+  /** The gateway wants no more of this attempt. */
+  abort(): void {
+    if (this.#over) {
+      return;
+    }
+    this.#over = true;
+    this.#controller?.abort(new Error("Attempt was given up"));
+    this.#connection?.close();
+    this.#tools.done(this.#attempt);
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#over) {
+      controller.abort(new Error("Attempt was given up"));
+    }
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    _headers: unknown,
+    reason?: string,
+  ): void {
+    if (status < FIRST_FINAL_STATUS || this.#over) {
+      return;
+    }
+    this.#status = status;
+    this.#reason = reason ?? "";
+    this.#headers = decodeHeaders(controller.rawHeaders as Buffer[]);
+    this.#framed = isFramed(this.#headers);
+    if (this.#attempt.streaming) {
+      this.#takeHead();
+    } else {
+      this.#mode = "holding";
+    }
+  }
+
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    if (this.#over) {
+      return;
+    }
+    this.#bytes += chunk.length;
+    switch (this.#mode) {
+      case "passing":
+        return this.#pass(controller, chunk);
+      case "holding":
+        return this.#hold(controller, chunk);
+      default:
+        if (this.#bytes > MAX_DISCARDED_BYTES) {
+          this.abort();
+        }
+    }
+  }
+
+  onResponseEnd(): void {
+    if (this.#over) {
+      return;
+    }
+    const torn = !this.#framed &&
+      (this.#connection?.failed === true || this.#cutter.rest.length > 0);
+    if (torn) {
+      return this.#end({ kind: "lost", detail: "Answer was cut off" });
+    }
+    if (this.#mode === "holding") {
+      this.#takeWhole();
+    } else if (this.#mode === "passing") {
+      this.#passRest();
+      this.#end({ kind: "complete" });
+    } else {
+      this.#finish();
+    }
+  }
+
+  onResponseError(_controller: unknown, error: Error): void {
+    this.#end({ kind: "lost", detail: error.message });
+  }
+
+  #connected(result: Connection | ConnectError): void {
+    if (this.#over) {
+      if (!(result instanceof ConnectError)) {
+        this.#tools.connections.giveBack(result, this.#tools.now());
+      }
+      return;
+    }
+    if (result instanceof ConnectError) {
+      return this.#end({ kind: "unsent", detail: result.message });
+    }
+    const { id } = this.#attempt;
+    const effects = this.#tools.tell({ kind: "commit", attempt: id });
+    const proceed = effects.find((effect) =>
+      effect.kind === "proceed" && effect.attempt === id
+    );
+    if (proceed?.kind === "proceed") {
+      this.#connection = result;
+      this.#write(result, proceed.timeLeft);
+    } else {
+      this.#over = true;
+      this.#tools.connections.giveBack(result, this.#tools.now());
+      this.#tools.done(this.#attempt);
+    }
+  }
+
+  #write({ client }: Connection, timeLeft: Milliseconds): void {
+    const { target, resumeAfter } = this.#attempt;
+    const { protocol, incarnation } = this.#tools;
+    const headers = protocol.requestHeaders(this.#exchange.rawHeaders, {
+      target,
+      timeLeft,
+      resumeAfter,
+    });
+    if (target.kind === "peer") {
+      headers.push(RELAY_HEADER, `${incarnation};${target.sentBefore}`);
+    }
+    client.dispatch({
+      path: this.#exchange.head.target,
+      method: this.#exchange.method as Dispatcher.HttpMethod,
+      headers,
+      body: this.#exchange.body,
+    }, this);
+  }
+
+  /** Asks the gateway what becomes of the answer. */
+  #takeHead(): void {
+    const { protocol, tell } = this.#tools;
+    const { id } = this.#attempt;
+    const head = protocol.readHead(
+      this.#status,
+      this.#headers,
+      this.#exchange.head,
+    );
+    if (!head.matches) {
+      // Bytes that belong to another request: nothing more on this connection can be trusted.
+      return this.#end({ kind: "lost", detail: "Answer to another request" });
+    }
+    const effects = tell({ kind: "answered", attempt: id, answer: head });
+    const verdict = effects.find((effect) =>
+      (effect.kind === "forward" || effect.kind === "goOn") &&
+      effect.attempt === id
+    );
+    this.#mode = verdict === undefined ? "discarding" : "passing";
+    if (verdict?.kind === "forward" && this.#attempt.streaming) {
+      this.#exchange.begin(this.#status, {
+        reason: this.#reason,
+        headers: protocol.answerHeaders(this.#headers),
+      });
+    }
+  }
+
+  #pass(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    const events = this.#cutter.push(chunk);
+    this.#tools.tell({
+      kind: "progress",
+      attempt: this.#attempt.id,
+      lastEventId: events?.lastId,
+    });
+    if (events !== undefined && !this.#over) {
+      this.#writeOut(controller, events.bytes);
+    }
+  }
+
+  #writeOut(controller: Dispatcher.DispatchController, bytes: Buffer): void {
+    if (!this.#exchange.write(bytes, () => controller.resume())) {
+      controller.pause();
+    }
+  }
+
+  #hold(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.#bytes <= MAX_HELD_BYTES) {
+      this.#held.push(chunk);
+      return;
+    }
+    this.#takeHead();
+    if (this.#mode !== "passing") {
+      return;
+    }
+    this.#exchange.begin(this.#status, {
+      reason: this.#reason,
+      headers: this.#tools.protocol.answerHeaders(this.#headers),
+    });
+    [...this.#held, chunk].forEach((part) => this.#writeOut(controller, part));
+    this.#held = [];
+  }
+
+  /** A plain answer is whole. */
+  #takeWhole(): void {
+    this.#takeHead();
+    if (this.#over) {
+      return;
+    }
+    if (this.#mode !== "passing") {
+      return this.#finish();
+    }
+    this.#exchange.answer(this.#status, {
+      reason: this.#reason,
+      headers: withoutLength(
+        this.#tools.protocol.answerHeaders(this.#headers),
+      ),
+      body: Buffer.concat(this.#held),
+    });
+    this.#end({ kind: "complete" });
+  }
+
+  #passRest(): void {
+    if (this.#cutter.rest.length > 0) {
+      this.#exchange.write(this.#cutter.rest, () => {});
+      this.#cutter.reset();
+    }
+  }
+
+  #end(end: CallEnd): void {
+    if (this.#over) {
+      return;
+    }
+    this.#over = true;
+    if (end.kind === "lost") {
+      this.#controller?.abort(new Error("Attempt was lost"));
+      this.#connection?.close();
+    }
+    this.#cutter.reset();
+    this.#release();
+    this.#tools.done(this.#attempt);
+    this.#tools.tell({ kind: "ended", attempt: this.#attempt.id, end });
+  }
+
+  /** The answer was read and is not wanted. */
+  #finish(): void {
+    this.#over = true;
+    this.#release();
+    this.#tools.done(this.#attempt);
+  }
+
+  #release(): void {
+    if (this.#connection !== undefined) {
+      this.#tools.connections.giveBack(this.#connection, this.#tools.now());
+    }
+  }
+}
+
+function decodeHeaders(raw: readonly (Buffer | string)[]): RawHeaders {
+  return raw.map((item) =>
+    typeof item === "string" ? item : item.toString("latin1")
+  );
+}
+
+function isFramed(headers: RawHeaders): boolean {
+  return headers.some((name, index) =>
+    index % 2 === 0 && /^(content-length|transfer-encoding)$/i.test(name)
+  );
+}
+
+function withoutLength(headers: RawHeaders): RawHeaders {
+  return headers.filter((_, index) =>
+    headers[index - index % 2]!.toLowerCase() !== "content-length"
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/status.ts
@@ -0,0 +1,76 @@
+/**
+ * What operators see of an entry.
+ *
+ * @module
+ */
+import { catalogueAge, type Gateway, type Instant } from "@sassafrasstep/core";
+
+/** State of one entry. */
+export interface GatewayStatus {
+  readonly id: string;
+  readonly incarnation: string;
+  readonly region: string;
+  readonly zone: string;
+  readonly state: string;
+  readonly documentVersion: number;
+  readonly catalogueRevision: number;
+  /** Since the platform last answered. */
+  readonly catalogueAgeMs: number | undefined;
+  readonly requests: number;
+  readonly queued: number;
+  readonly members: readonly MemberLine[];
+  readonly endpoints: readonly EndpointLine[];
+  readonly shares: readonly { region: string; share: number }[];
+}
+
+/** Another entry. */
+export interface MemberLine {
+  readonly id: string;
+  readonly region: string;
+  readonly state: string;
+}
+
+/** An endpoint of the region. */
+export interface EndpointLine {
+  readonly id: string;
+  readonly service: string;
+  readonly state: string;
+  readonly usable: boolean;
+  readonly cold: boolean;
+  readonly requests: number;
+  readonly prefillTokens: number;
+  readonly failureRate: number;
+}
+
+/** Collects the status. */
+export function reportGateway(gateway: Gateway, now: Instant): GatewayStatus {
+  const { self, fleet, catalogue, endpoints, calls, regions } = gateway;
+  return {
+    id: self.id,
+    incarnation: self.incarnation,
+    region: self.region,
+    zone: self.zone,
+    state: fleet.record.state,
+    documentVersion: catalogue.document?.version ?? 0,
+    catalogueRevision: catalogue.revision,
+    catalogueAgeMs: catalogueAge(catalogue, now),
+    requests: calls.active,
+    queued: calls.queued,
+    members: fleet.live().map(({ record: { id, region, state } }) => ({
+      id,
+      region,
+      state,
+    })),
+    endpoints: [...endpoints.all()].map((state) => ({
+      id: state.record.id,
+      service: state.record.service,
+      state: state.record.state,
+      usable: endpoints.accepts(state, now),
+      cold: state.isCold(now),
+      requests: state.requests,
+      prefillTokens: state.prefill,
+      failureRate: state.health.failureRate,
+    })),
+    shares: regions.shares.map(({ region, share }) => ({ region, share })),
+  };
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -25,3 +25,10 @@
   type Settings,
   type SettingsResult,
 } from "./settings/index.ts";
+export * from "./gateway/index.ts";
+export { Logger } from "./logs/index.ts";
+export {
+  type GatewaySettings,
+  type GatewaySettingsResult,
+  parseGatewaySettings,
+} from "./settings/index.ts";
--- /dev/null
+++ b/packages/daemon/src/settings/gateway_settings.ts
@@ -0,0 +1,139 @@
+/**
+ * Settings of an entry for callers that name routes: INI, checked whole, resolved once.
+ *
+ * @module
+ */
+import type {
+  EntryId,
+  GatewayBounds,
+  GatewaySelf,
+  LineFault,
+  Milliseconds,
+  RegionId,
+  ZoneId,
+} from "@sassafrasstep/core";
+import { z } from "zod";
+import {
+  ADDRESS,
+  type Address,
+  decimal,
+  LIST,
+  NAME,
+  readSections,
+} from "./ini_sections.ts";
+
+/** Where an entry listens. */
+export interface GatewayAddresses {
+  readonly callers: Address;
+  readonly readiness: Address;
+  readonly directory: Address;
+  readonly control: Address;
+  /** Datagrams and requests of other entries; the same port on all of them. */
+  readonly peers: Address;
+}
+
+/** Everything that an entry needs to know at its start. */
+export interface GatewaySettings {
+  readonly self: Omit<GatewaySelf, "incarnation">;
+  readonly addresses: GatewayAddresses;
+  /** Host and port of the platform's store. */
+  readonly storeAddress: string;
+  readonly logLevel: "debug" | "info" | "warn" | "error" | "silent";
+}
+
+/** Either settings or every fault of the text at once. */
+export type GatewaySettingsResult =
+  | { readonly ok: true; readonly settings: GatewaySettings }
+  | { readonly ok: false; readonly faults: readonly LineFault[] };
+
+const MS_PER_SECOND = 1_000;
+const MOST_WEIGHT = 4_096;
+const MOST_SECONDS = 3_600;
+const MOST_COUNT = 1_000_000;
+const PLACE = z.string().min(1, "a name").max(63, "63 characters at most");
+
+const schema = z.strictObject({
+  entry: z.strictObject({
+    id: NAME,
+    zone: PLACE,
+    region: PLACE,
+    /** Part of a core, and how fast cores are. */
+    processor_share: decimal(MOST_WEIGHT).default(1),
+    cores: decimal(MOST_WEIGHT).default(1),
+    log_level: z.enum(["debug", "info", "warn", "error", "silent"]).default(
+      "info",
+    ),
+  }),
+  addresses: z.strictObject({
+    callers: ADDRESS,
+    readiness: ADDRESS,
+    directory: ADDRESS,
+    control: ADDRESS,
+    peers: ADDRESS,
+  }),
+  peers: z.strictObject({ seeds: LIST.default([]) }).default({ seeds: [] }),
+  zones: z.record(PLACE, PLACE),
+  store: z.strictObject({ address: ADDRESS }),
+  bounds: z.strictObject({
+    repeat_ratio: decimal(1).default(0.1),
+    repeat_window_s: decimal(MOST_SECONDS).default(10),
+    repeat_slack: decimal(MOST_COUNT).default(10),
+    cold_overshoot: decimal(MOST_COUNT).default(1),
+    cold_slack: decimal(MOST_COUNT).default(1),
+    list_lifetime_s: decimal(MOST_SECONDS).default(5),
+    stop_s: decimal(MOST_SECONDS).default(8),
+  }),
+});
+
+type Data = z.infer<typeof schema>;
+
+/** Reads settings. Never throws. */
+export function parseGatewaySettings(text: string): GatewaySettingsResult {
+  const result = readSections(text, schema);
+  return result.ok ? { ok: true, settings: resolve(result.data) } : result;
+}
+
+function resolve(data: Data): GatewaySettings {
+  const { entry, addresses, peers, zones, store, bounds } = data;
+  return {
+    addresses,
+    storeAddress: textOf(store.address),
+    logLevel: entry.log_level,
+    self: {
+      id: entry.id as EntryId,
+      zone: entry.zone as ZoneId,
+      region: entry.region as RegionId,
+      callerAddress: textOf(addresses.callers),
+      peerAddress: textOf(addresses.peers),
+      weight: entry.processor_share * entry.cores,
+      // A seed is named by some address of its entry; peers listen on the same port everywhere.
+      seeds: peers.seeds.map((seed) =>
+        `${seed.slice(0, seed.lastIndexOf(":"))}:${addresses.peers.port}`
+      ),
+      regionByZone: new Map(
+        Object.entries(zones) as [ZoneId, RegionId][],
+      ),
+      bounds: resolveBounds(bounds),
+    },
+  };
+}
+
+function resolveBounds(bounds: Data["bounds"]): GatewayBounds {
+  return {
+    repeatRatio: bounds.repeat_ratio,
+    repeatWindow: seconds(bounds.repeat_window_s),
+    repeatSlack: bounds.repeat_slack,
+    coldOvershoot: bounds.cold_overshoot,
+    coldSlack: bounds.cold_slack,
+    listLifetime: seconds(bounds.list_lifetime_s),
+    stopTime: seconds(bounds.stop_s),
+  };
+}
+
+function seconds(value: number): Milliseconds {
+  return value * MS_PER_SECOND as Milliseconds;
+}
+
+function textOf({ host, port }: Address): string {
+  return `${host}:${port}`;
+}
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -3,24 +3,23 @@
  *
  * @module
  */
-import {
-  type BalancerName,
-  clip,
-  type EntryId,
-  type LineFault,
-  LineIndex,
-  type Milliseconds,
-  type RegionId,
-  type ZoneId,
+import type {
+  BalancerName,
+  EntryId,
+  LineFault,
+  Milliseconds,
+  RegionId,
+  ZoneId,
 } from "@sassafrasstep/core";
-import { parse as parseIni } from "ini";
 import { z } from "zod";
-
-/** Host and port to listen on; port 0 lets the system choose. */
-export interface Address {
-  readonly host: string;
-  readonly port: number;
-}
+import {
+  ADDRESS,
+  type Address,
+  LIST,
+  NAME,
+  readSections,
+  wholeNumber,
+} from "./ini_sections.ts";
 
 /** Everything that a daemon needs to know at its start. */
 export interface Settings {
@@ -50,25 +49,10 @@
   | { readonly ok: false; readonly faults: readonly LineFault[] };
 
 const MIN_SECRET_LENGTH = 16;
-const MAX_PORT = 65_535;
-const NAME = z.string().regex(
-  /^[a-z0-9][a-z0-9-]{0,62}$/,
-  "lower-case letters, digits and hyphens, 63 at most",
-);
-const ADDRESS = z.string().regex(
-  /^[^:]+:\d{1,5}$|^\[[0-9a-f:]+\]:\d{1,5}$/,
-  "host:port",
-)
-  .transform(toAddress).refine(
-    ({ port }) => port <= MAX_PORT,
-    `a port up to ${MAX_PORT}`,
-  );
 const URL_TEXT = z.string().refine(isHttpUrl, "an http URL").transform((url) =>
   url.replace(/\/$/, "")
 );
-const URLS = z.string().transform((text) =>
-  text.split(",").map((item) => item.trim()).filter((item) => item !== "")
-).pipe(z.array(URL_TEXT));
+const URLS = LIST.pipe(z.array(URL_TEXT));
 
 const sections = {
   entry: z.strictObject({
@@ -112,25 +96,10 @@
 
 /** Reads settings. Never throws. */
 export function parseSettings(text: string): SettingsResult {
-  const lines = new LineIndex(text);
-  const faults = [...lines.faults];
-  const result = settingsSchema.safeParse(parseSafely(text));
-  if (result.success && faults.length === 0) {
-    return { ok: true, settings: resolveSettings(result.data) };
-  }
-  for (const issue of result.error?.issues ?? []) {
-    faults.push(...toFaults(issue, { lines, text }));
-  }
-  faults.sort((left, right) => left.line - right.line);
-  return { ok: false, faults };
-}
-
-function parseSafely(text: string): unknown {
-  try {
-    return parseIni(text);
-  } catch {
-    return {};
-  }
+  const result = readSections(text, settingsSchema);
+  return result.ok
+    ? { ok: true, settings: resolveSettings(result.data) }
+    : result;
 }
 
 function resolveSettings(data: z.infer<typeof settingsSchema>): Settings {
@@ -155,58 +124,6 @@
   };
 }
 
-function toFaults(
-  issue: z.core.$ZodIssue,
-  { lines, text }: { lines: LineIndex; text: string },
-): LineFault[] {
-  const [section = "", key = ""] = issue.path.map(String);
-  if (issue.code === "unrecognized_keys") {
-    return issue.keys.map((name) => ({
-      line: section === "" ? lines.lineOf(name) : lines.lineOf(section, name),
-      section: section === "" ? name : section,
-      key: section === "" ? "" : name,
-      found: `unknown name "${clip(name)}"`,
-      expected: section === ""
-        ? `one of the sections ${Object.keys(sections).join(", ")}`
-        : "a key of this section",
-    }));
-  }
-  // A secret is never quoted back.
-  const found = key === "secret"
-    ? "a value that does not do"
-    : foundValue(text, { section, key });
-  return [{
-    line: lines.lineOf(section, key),
-    section,
-    key,
-    found,
-    expected: issue.message,
-  }];
-}
-
-function foundValue(
-  text: string,
-  { section, key }: { section: string; key: string },
-): string {
-  const parsed = parseSafely(text) as Record<string, Record<string, unknown>>;
-  const value = parsed[section]?.[key];
-  return value === undefined ? "nothing" : `"${clip(String(value))}"`;
-}
-
-function wholeNumber(least: number, most: number): z.ZodType<number> {
-  const expected = `a whole number from ${least} to ${most}`;
-  return z.string().regex(/^\d{1,9}$/, expected).transform(Number)
-    .refine((value) => value >= least && value <= most, expected);
-}
-
-function toAddress(text: string): Address {
-  const colon = text.lastIndexOf(":");
-  return {
-    host: text.slice(0, colon).replace(/^\[|\]$/g, ""),
-    port: Number(text.slice(colon + 1)),
-  };
-}
-
 function isHttpUrl(text: string): boolean {
   return URL.canParse(text) && /^https?:$/.test(new URL(text).protocol);
 }
