fix: a suspect endpoint comes back, and a failure is passed on where nobody else can answer

Cause: the check right before a send asked whether a suspect may get new work, and the trial under way said no: a suspect never got its trial. Reaching our own limit of connections counted as its failure. A failed answer was dropped for a repeat that had nowhere to go. Ruled out: load at the endpoint (six slots, two requests a second).

--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { PrefixNews } from "../fleet/index.ts";
 import {
   after,
   type AttemptId,
@@ -13,7 +14,6 @@
   type Randomness,
   type RequestId,
 } from "../ids/index.ts";
-import type { PrefixNews } from "../fleet/index.ts";
 import { Call, type OpenAttempt } from "./call.ts";
 import { CallQueue } from "./call_queue.ts";
 import {
@@ -21,18 +21,20 @@
   type Chosen,
   MOST_ATTEMPTS,
   orderServices,
+  type Way,
 } from "./call_router.ts";
 import type { CatalogueView } from "./catalogue_controller.ts";
 import type { ColdAllowance } from "./cold_allowance.ts";
 import type { EndpointBook } from "./endpoint_book.ts";
 import { DEFAULT_PREFILL_RATE, type EndpointState } from "./endpoint_state.ts";
-import type {
-  CallAnswer,
-  CallEnd,
-  CallHead,
-  CallRefusalReason,
-  CallTarget,
-  GatewayEmit,
+import {
+  type CallAnswer,
+  type CallEnd,
+  type CallHead,
+  type CallRefusalReason,
+  type CallTarget,
+  CONNECTION_LIMIT,
+  type GatewayEmit,
 } from "./messages.ts";
 import { engineTime, sharedParts } from "./placement.ts";
 import { refuse } from "./refusals.ts";
@@ -180,7 +182,8 @@
     if (call.phase === "answering") {
       return this.#goOn(call, answer, now);
     }
-    if (failed && call.mayRepeat && this.#mayTryAgain(call, now)) {
+    if (failed && call.mayRepeat && this.#canTryElsewhere(call, now)) {
+      // The shell reads the failure to its end and keeps the connection.
       this.#close(call, "lost");
       return this.#place(call, now);
     }
@@ -276,13 +279,19 @@
     }
     const wait = this.#expectedWait();
     const way = this.#tools.router.next(call, wait, now);
+    if (way.kind === "wait") {
+      this.#await(call, { wait: way.wait + wait, now });
+    } else {
+      this.#take(call, way, now);
+    }
+  }
+
+  #take(call: Call, way: Exclude<Way, { kind: "wait" }>, now: Instant): void {
     switch (way.kind) {
       case "endpoint":
         return this.#sendTo(call, way.placement, now);
       case "peer":
         return this.#relay(call, way, now);
-      case "wait":
-        return this.#await(call, { wait: way.wait + wait, now });
       case "none":
         return this.#fail(call, "no_endpoint", now);
     }
@@ -317,16 +326,9 @@
     }
     for (const call of this.#queue.ordered(now)) {
       const way = this.#tools.router.next(call, 0, now);
-      if (way.kind === "wait") {
-        continue;
-      }
-      this.#queue.remove(call);
-      if (way.kind === "endpoint") {
-        this.#sendTo(call, way.placement, now);
-      } else if (way.kind === "peer") {
-        this.#relay(call, way, now);
-      } else {
-        this.#fail(call, "no_endpoint", now);
+      if (way.kind !== "wait") {
+        this.#queue.remove(call);
+        this.#take(call, way, now);
       }
     }
   }
@@ -348,10 +350,7 @@
 
   #relay(
     call: Call,
-    { incarnation, address }: Extract<
-      ReturnType<CallRouter["next"]>,
-      { kind: "peer" }
-    >,
+    { incarnation, address }: Extract<Way, { kind: "peer" }>,
     now: Instant,
   ): void {
     const target: CallTarget = {
@@ -455,8 +454,7 @@
   #goOn(call: Call, { status }: CallAnswer, now: Instant): void {
     const { id } = call.attempt!;
     if (status !== OK) {
-      this.#tools.emit({ kind: "abort", attempt: id });
-      this.#close(call, "lost");
+      this.#leave(call);
       return this.#breakOffOrRetry(call, now);
     }
     this.#tools.emit({ kind: "goOn", attempt: id });
@@ -467,7 +465,9 @@
     { state }: OpenAttempt,
     { detail, now }: { detail: string; now: Instant },
   ): void {
-    state?.health.note("broken", now);
+    if (detail !== CONNECTION_LIMIT) {
+      state?.health.note("broken", now);
+    }
     if (state !== undefined) {
       call.tried.add(state.record.id);
     }
@@ -494,24 +494,44 @@
     if (call.phase === "answering") {
       return this.#breakOffOrRetry(call, now);
     }
-    if (call.mayRepeat && this.#mayTryAgain(call, now)) {
-      return this.#place(call, now);
+    if (!call.mayRepeat || !this.#tryElsewhere(call, now)) {
+      this.#fail(call, "endpoint_failed", now);
     }
-    this.#fail(call, "endpoint_failed", now);
   }
 
   /** A stream that has begun goes on elsewhere where its route allows it, or ends visibly broken. */
   #breakOffOrRetry(call: Call, now: Instant): void {
     const resumable = call.route.resumable && call.lastEventId !== undefined;
-    if (resumable && this.#mayTryAgain(call, now)) {
-      return this.#place(call, now);
+    if (!resumable || !this.#tryElsewhere(call, now)) {
+      this.#breakOff(call);
+    }
+  }
+
+  /** Leaves the attempt under way for another endpoint, if there is one and the budget allows it. */
+  #tryElsewhere(call: Call, now: Instant): boolean {
+    if (!this.#canTryElsewhere(call, now)) {
+      return false;
     }
-    this.#breakOff(call);
+    this.#leave(call);
+    this.#place(call, now);
+    return true;
+  }
+
+  /** Takes a repeat of the budget, if there is another endpoint to send to. */
+  #canTryElsewhere(call: Call, now: Instant): boolean {
+    const allowed = call.endsAt - now >= LEAST_REPEAT_TIME_MS &&
+      call.arrivals < call.route.attempts && call.attempts < MOST_ATTEMPTS;
+    const way = allowed ? this.#tools.router.next(call, 0, now) : undefined;
+    const possible = way?.kind === "endpoint" || way?.kind === "peer";
+    return possible && this.#spendRepeat(call, now);
   }
 
-  #mayTryAgain(call: Call, now: Instant): boolean {
-    return call.endsAt - now >= LEAST_REPEAT_TIME_MS &&
-      call.arrivals < call.route.attempts && this.#spendRepeat(call, now);
+  /** Gives up the attempt under way, if there still is one. */
+  #leave(call: Call): void {
+    if (call.attempt !== undefined) {
+      this.#tools.emit({ kind: "abort", attempt: call.attempt.id });
+      this.#close(call, "lost");
+    }
   }
 
   #spendRepeat(call: Call, now: Instant): boolean {
@@ -533,14 +553,10 @@
     const silent = engine
       ? quiet > limit && now - (state.heardAt ?? sentAt) > limit
       : attempt.heardAt === undefined && quiet > limit;
-    if (!silent || !this.#mayTryAgain(call, now)) {
-      return;
+    if (silent && this.#tryElsewhere(call, now)) {
+      this.#log("Endpoint is silent.", call, { endpoint: state.record.id });
+      state.health.note("broken", now);
     }
-    this.#tools.emit({ kind: "abort", attempt: attempt.id });
-    this.#log("Endpoint is silent.", call, { endpoint: state.record.id });
-    state.health.note("broken", now);
-    this.#close(call, "lost");
-    this.#place(call, now);
   }
 
   #expire(call: Call, now: Instant): void {
@@ -564,10 +580,7 @@
   }
 
   #giveUp(call: Call): void {
-    if (call.attempt !== undefined) {
-      this.#tools.emit({ kind: "abort", attempt: call.attempt.id });
-      this.#close(call, "lost");
-    }
+    this.#leave(call);
     this.#forget(call);
   }
 
--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -86,7 +86,7 @@
 
   /** Whether an endpoint may still get a request that was meant for it. */
   stillFits(call: Call, state: EndpointState, now: Instant): boolean {
-    return this.#sources.endpoints.accepts(state, now) &&
+    return this.#sources.endpoints.isOpen(state) &&
       this.#coldAllows(state, now) &&
       call.services.includes(state.record.service);
   }
--- a/packages/core/src/gateway/endpoint_book.ts
+++ b/packages/core/src/gateway/endpoint_book.ts
@@ -60,8 +60,13 @@
   }
 
   /** Whether new work may go to an endpoint now. */
-  accepts({ record, health }: EndpointState, now: Instant): boolean {
-    return record.state === "ready" && health.usable(now) &&
+  accepts(state: EndpointState, now: Instant): boolean {
+    return this.isOpen(state) && state.health.usable(now);
+  }
+
+  /** Whether an endpoint is neither leaving, nor gone, nor evacuated. */
+  isOpen({ record }: EndpointState): boolean {
+    return record.state === "ready" &&
       !this.#catalogue.evacuated.has(record.zone) &&
       this.#catalogue.endpoints.has(record.id);
   }
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -135,6 +135,9 @@
   readonly retryAfter: Milliseconds | undefined;
 }
 
+/** Detail of an attempt that found all connections to its endpoint taken: no fault of the endpoint. */
+export const CONNECTION_LIMIT = "Connections are at their limit";
+
 /** How an attempt ended. */
 export type CallEnd =
   /** No byte of the request was written. */
--- a/packages/daemon/src/gateway/connections.ts
+++ b/packages/daemon/src/gateway/connections.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { connect, type Socket } from "node:net";
-import type { Instant } from "@sassafrasstep/core";
+import { CONNECTION_LIMIT, type Instant } from "@sassafrasstep/core";
 import { type buildConnector, Client } from "undici";
 
 /** Within a region a connection stands after a few milliseconds; the first packet may be lost once. */
@@ -107,8 +107,8 @@
       return;
     }
     const open = this.#open.get(wish.address) ?? 0;
-    if (open >= wish.limit) {
-      done(new ConnectError("Connections to the address are at their limit"));
+    if (open >= wish.limit && !this.#evict(wish.address)) {
+      done(new ConnectError(CONNECTION_LIMIT));
       return;
     }
     this.#connect(wish, now, done);
@@ -185,6 +185,13 @@
     });
   }
 
+  /** Makes room by closing the connection that was idle for longest. */
+  #evict(address: string): boolean {
+    const oldest = this.#idle.get(address)?.shift();
+    oldest?.close();
+    return oldest !== undefined;
+  }
+
   #drop(connection: Connection): void {
     const idle = this.#idle.get(connection.address) ?? [];
     const index = idle.indexOf(connection);
