test: scenarios of entries before routes, under virtual time

Cause: the gateway had no test; its rules are of the kind that only sequences of events break. Ruled out: processes and sockets for these; they have their own tests.

--- /dev/null
+++ b/playground/src/routes/fake_backend.ts
@@ -0,0 +1,167 @@
+/**
+ * An endpoint under virtual time: runs requests, and fails in the ways that endpoints do.
+ *
+ * @module
+ */
+import type { EndpointId } from "@sassafrasstep/core";
+import type { Spot } from "../scenario/network.ts";
+import type { VirtualTime } from "../scenario/virtual_time.ts";
+
+/** How the endpoint treats requests. */
+export type BackendMode =
+  | "answer"
+  /** Runs and says failure. */
+  | "fail"
+  /** Says that it did not run. */
+  | "reject"
+  /** Runs and breaks the connection. */
+  | "reset_after"
+  /** Breaks the connection and does not run. */
+  | "reset_before"
+  /** Nothing comes back, connections hang. */
+  | "dark"
+  /** Connections are refused. */
+  | "refuse"
+  /** Another endpoint has the address. */
+  | "misdirect"
+  /** Breaks streams off after some events. */
+  | "torn";
+
+/** Events before a torn stream breaks. */
+export const TORN_EVENTS = 3;
+const EVENT_MS = 40;
+
+/** What an attempt sees of its request. */
+export interface BackendAnswer {
+  head(status: number, notRun: boolean): void;
+  event(id: number): void;
+  complete(): void;
+  lost(detail: string): void;
+}
+
+/** One request at the endpoint. */
+export interface BackendRequest {
+  readonly call: string;
+  readonly streaming: boolean;
+  readonly events: number;
+  readonly resumeAfter: number;
+  readonly prefill: number;
+  readonly answer: BackendAnswer;
+}
+
+/** One run of a request. */
+export interface Run {
+  readonly call: string;
+  readonly backend: string;
+  readonly at: number;
+}
+
+/** One endpoint. */
+export class FakeBackend {
+  readonly name: string;
+  readonly id: EndpointId;
+  readonly service: string;
+  readonly spot: Spot;
+  readonly slots: number;
+  readonly work: number;
+  mode: BackendMode = "answer";
+  /** Times of requests that arrived. */
+  readonly arrivals: number[] = [];
+  readonly #time: VirtualTime;
+  readonly #runs: Run[];
+  readonly #cancelled = new Set<BackendAnswer>();
+  #busyUntil = 0;
+
+  constructor(
+    { name, id, service, spot, slots, work }: {
+      name: string;
+      id: string;
+      service: string;
+      spot: Spot;
+      slots: number;
+      work: number;
+    },
+    { time, runs }: { time: VirtualTime; runs: Run[] },
+  ) {
+    this.name = name;
+    this.id = id as EndpointId;
+    this.service = service;
+    this.spot = spot;
+    this.slots = slots;
+    this.work = work;
+    this.#time = time;
+    this.#runs = runs;
+  }
+
+  cancel(answer: BackendAnswer): void {
+    this.#cancelled.add(answer);
+  }
+
+  take(request: BackendRequest): void {
+    this.arrivals.push(this.#time.now);
+    switch (this.mode) {
+      case "dark":
+        return;
+      case "reject":
+        return this.#head(request, 503, true);
+      case "misdirect":
+        return this.#head(request, 421, true);
+      case "reset_before":
+        return this.#later(1, request, () => request.answer.lost("reset"));
+      default:
+        return this.#run(request);
+    }
+  }
+
+  #head({ answer }: BackendRequest, status: number, notRun: boolean): void {
+    this.#time.after(1, () => answer.head(status, notRun));
+  }
+
+  #run(request: BackendRequest): void {
+    const { call, answer } = request;
+    this.#runs.push({ call, backend: this.name, at: this.#time.now });
+    const start = Math.max(this.#time.now, this.#busyUntil);
+    this.#busyUntil = start + request.prefill;
+    const ready = this.#busyUntil - this.#time.now + this.work;
+    if (this.mode === "reset_after") {
+      return this.#later(ready, request, () => answer.lost("reset"));
+    }
+    if (request.streaming) {
+      return this.#later(ready, request, () => this.#stream(request));
+    }
+    const status = this.mode === "fail" ? 500 : 200;
+    this.#later(ready, request, () => {
+      answer.head(status, false);
+      answer.complete();
+    });
+  }
+
+  #stream(request: BackendRequest): void {
+    const { answer, events, resumeAfter } = request;
+    answer.head(200, false);
+    const first = resumeAfter + 1;
+    const torn = this.mode === "torn";
+    const last = torn ? Math.min(events, first + TORN_EVENTS - 1) : events;
+    for (let id = first; id <= last; id++) {
+      this.#later((id - first) * EVENT_MS, request, () => {
+        if (this.mode !== "dark") {
+          answer.event(id);
+        }
+      });
+    }
+    this.#later((last - first + 1) * EVENT_MS, request, () => {
+      if (this.mode === "dark") {
+        return;
+      }
+      torn ? answer.lost("reset") : answer.complete();
+    });
+  }
+
+  #later(delay: number, { answer }: BackendRequest, run: () => void): void {
+    this.#time.after(delay, () => {
+      if (!this.#cancelled.has(answer)) {
+        run();
+      }
+    });
+  }
+}
--- /dev/null
+++ b/playground/src/routes/fake_store.ts
@@ -0,0 +1,167 @@
+/**
+ * The platform's published picture, with the ways in which it can fail its readers.
+ *
+ * @module
+ */
+import type {
+  CatalogueChange,
+  CatalogueSnapshot,
+  EndpointId,
+  EndpointRecord,
+  GatewayEvent,
+  Revision,
+  Route,
+  RoutedService,
+  RoutingDocument,
+  ZoneId,
+} from "@sassafrasstep/core";
+import { milliseconds } from "@sassafrasstep/core";
+import type { VirtualTime } from "../scenario/virtual_time.ts";
+
+/** How the store treats a reader. */
+export type StoreMode = "up" | "silent" | "busy" | "stale";
+
+const ANSWER_MS = 4;
+const HEADER_BYTES = 16_384;
+const BODY_BYTES = 4_194_304;
+const HEADER_MS = 3_000;
+const IDLE_MS = 15_000;
+
+interface Watch {
+  readonly after: number;
+  readonly answer: (event: GatewayEvent) => void;
+}
+
+/** A store under virtual time. */
+export class FakeStore {
+  readonly routes = new Map<string, Route>();
+  readonly services = new Map<string, RoutedService>();
+  /** Mode for all readers, and for single ones. */
+  mode: StoreMode = "up";
+  readonly modes = new Map<string, StoreMode>();
+  reads = 0;
+  readonly #time: VirtualTime;
+  readonly #endpoints = new Map<EndpointId, EndpointRecord>();
+  readonly #evacuated = new Set<ZoneId>();
+  readonly #log: { revision: number; change: CatalogueChange }[] = [];
+  #watches: Watch[] = [];
+  #document: RoutingDocument | undefined;
+  #revision = 1;
+  #oldest = 0;
+
+  constructor(time: VirtualTime) {
+    this.#time = time;
+  }
+
+  /** Publishes the routes and services as they are, under the next version. */
+  publishDocument(version: number): void {
+    const document: RoutingDocument = {
+      version: version as Revision,
+      routes: [...this.routes.values()],
+      services: new Map(
+        [...this.services.values()].map((service) => [service.id, service]),
+      ),
+      limits: {
+        headerBytes: HEADER_BYTES,
+        bodyBytes: BODY_BYTES,
+        headerTime: milliseconds(HEADER_MS),
+        idleTime: milliseconds(IDLE_MS),
+      },
+    };
+    this.#document = document;
+    this.#note({ kind: "document", document });
+  }
+
+  put(record: EndpointRecord): void {
+    this.#endpoints.set(record.id, record);
+    this.#note({ kind: "endpoint", record });
+  }
+
+  remove(id: EndpointId): void {
+    this.#endpoints.delete(id);
+    this.#note({ kind: "endpointRemoved", id });
+  }
+
+  evacuate(zone: ZoneId, evacuated: boolean): void {
+    if (evacuated) {
+      this.#evacuated.add(zone);
+      this.#note({ kind: "evacuated", zone });
+    } else {
+      this.#evacuated.delete(zone);
+      this.#note({ kind: "evacuationEnded", zone });
+    }
+  }
+
+  /** Forgets which changes led here. */
+  compact(): void {
+    this.#oldest = this.#revision;
+    this.#log.length = 0;
+  }
+
+  /** Answers one read, or leaves it without an answer. */
+  read(
+    reader: string,
+    { after, wait }: { after: number | undefined; wait: number },
+    answer: (event: GatewayEvent) => void,
+  ): void {
+    this.reads++;
+    const mode = this.modes.get(reader) ?? this.mode;
+    if (mode === "silent") {
+      return;
+    }
+    this.#time.after(ANSWER_MS, () => {
+      if (mode === "busy") {
+        answer({ kind: "catalogueFailed", detail: "Store is busy" });
+      } else if (after === undefined) {
+        answer({ kind: "catalogueRead", snapshot: this.#snapshot() });
+      } else if (after < this.#oldest) {
+        answer({ kind: "catalogueCompacted" });
+      } else {
+        this.#watch({ after, answer }, wait);
+      }
+    });
+  }
+
+  #watch(watch: Watch, wait: number): void {
+    if (this.#revision > watch.after) {
+      return this.#answer(watch);
+    }
+    this.#watches.push(watch);
+    this.#time.after(wait, () => {
+      if (this.#watches.includes(watch)) {
+        this.#watches = this.#watches.filter((item) => item !== watch);
+        this.#answer(watch);
+      }
+    });
+  }
+
+  #answer({ after, answer }: Watch): void {
+    answer({
+      kind: "catalogueChanged",
+      changes: {
+        revision: this.#revision as Revision,
+        changes: this.#log.filter(({ revision }) => revision > after)
+          .map(({ change }) => change),
+      },
+    });
+  }
+
+  #snapshot(): CatalogueSnapshot {
+    return {
+      revision: this.#revision as Revision,
+      document: this.#document,
+      endpoints: [...this.#endpoints.values()],
+      evacuated: [...this.#evacuated],
+    };
+  }
+
+  #note(change: CatalogueChange): void {
+    this.#revision++;
+    this.#log.push({ revision: this.#revision, change });
+    const waiting = this.#watches;
+    this.#watches = [];
+    for (const watch of waiting) {
+      this.#time.after(1, () => this.#answer(watch));
+    }
+  }
+}
--- /dev/null
+++ b/playground/src/routes/index.ts
@@ -0,0 +1,1 @@
+export { type RoutesOutcome, runRoutes } from "./run_routes.ts";
--- /dev/null
+++ b/playground/src/routes/route_actions.ts
@@ -0,0 +1,163 @@
+/**
+ * What happens in a scenario.
+ *
+ * @module
+ */
+import type { EndpointId, Prompt, ZoneId } from "@sassafrasstep/core";
+import {
+  type Line,
+  option,
+  parseTime,
+  ScriptError,
+  word,
+} from "../scenario/script.ts";
+import type { BackendMode, FakeBackend } from "./fake_backend.ts";
+import type { StoreMode } from "./fake_store.ts";
+import { addBackend, readRoute, recordOf } from "./route_setting.ts";
+import type { RouteWorld } from "./route_world.ts";
+
+/** State that actions keep beside the world. */
+export interface RouteStage {
+  readonly world: RouteWorld;
+  version: number;
+  sequence: number;
+}
+
+type Action = (stage: RouteStage, line: Line) => void;
+
+const ACTIONS: Readonly<Record<string, Action>> = {
+  call: ({ world }, line) => call(world, line),
+  load: ({ world }, line) => load(world, line),
+  leave: ({ world }, line) => {
+    const seen = world.calls.get(word(line, 1, "a call"));
+    seen?.entry.leave(seen.id!);
+  },
+  mode: ({ world }, line) => {
+    backendOf(world, line).mode = word(line, 2, "a mode") as BackendMode;
+  },
+  kill: ({ world }, line) => entryOf(world, line).kill(),
+  start: ({ world }, line) => world.startEntry(word(line, 1, "an entry")),
+  stop: ({ world }, line) => entryOf(world, line).stop(),
+  freeze: ({ world }, line) => entryOf(world, line).freeze(),
+  thaw: ({ world }, line) => entryOf(world, line).thaw(),
+  cut: ({ world }, line) => world.cut(word(line, 1, "an entry")),
+  isolate: ({ world }, line) => world.network.isolate(line.words.slice(1)),
+  heal: ({ world }) => world.heal(),
+  lose: ({ world }, line) => world.loss = Number(word(line, 1, "a part")),
+  store: ({ world }, line) => storeMode(world, line),
+  compact: ({ world }) => world.store.compact(),
+  publish: (stage) => {
+    stage.version += 3;
+    stage.world.store.publishDocument(stage.version);
+  },
+  route: ({ world }, line) =>
+    void world.store.routes.set(word(line, 1, "a name"), readRoute(line)),
+  unroute: ({ world }, line) =>
+    void world.store.routes.delete(word(line, 1, "a name")),
+  backend: ({ world }, line) => addBackend(world, line),
+  drain: (stage, line) => {
+    stage.sequence++;
+    const backend = backendOf(stage.world, line);
+    const { sequence } = stage;
+    stage.world.store.put(recordOf(backend, { sequence, state: "draining" }));
+  },
+  beat: (stage, line) => {
+    stage.sequence++;
+    stage.world.store.put(recordOf(backendOf(stage.world, line), {
+      sequence: stage.sequence,
+      coldFor: parseTime(line, option(line, "cold", "0ms")),
+    }));
+  },
+  remove: ({ world }, line) =>
+    world.store.remove(backendOf(world, line).id as EndpointId),
+  evacuate: ({ world }, line) =>
+    world.store.evacuate(word(line, 1, "a zone") as ZoneId, true),
+  restore: ({ world }, line) =>
+    world.store.evacuate(word(line, 1, "a zone") as ZoneId, false),
+};
+
+/** Does one step. */
+export function act(stage: RouteStage, line: Line): void {
+  const action = ACTIONS[line.words[0]!];
+  if (action === undefined) {
+    throw new ScriptError(line, Object.keys(ACTIONS).join(", "));
+  }
+  action(stage, line);
+}
+
+/** `call NAME ROUTE via ENTRY [time T] [prompt N] [shared ID:N] [events N]` */
+function call(world: RouteWorld, line: Line): void {
+  send(world, line, word(line, 1, "a name"));
+}
+
+/** `load NAME ROUTE via ENTRY count N every T ...`: calls `NAME-1` to `NAME-N`. */
+function load(world: RouteWorld, line: Line): void {
+  const count = Number(option(line, "count", "1"));
+  const every = parseTime(line, option(line, "every", "10ms"));
+  for (let index = 1; index <= count; index++) {
+    world.time.after(
+      (index - 1) * every,
+      () => send(world, line, `${word(line, 1, "a name")}-${index}`),
+    );
+  }
+}
+
+function send(world: RouteWorld, line: Line, name: string): void {
+  const time = option(line, "time", "");
+  world.call({
+    name,
+    route: word(line, 2, "a route"),
+    entry: option(line, "via", ""),
+    timeLeft: time === "" ? undefined : parseTime(line, time),
+    prompt: promptOf(line, name),
+    events: Number(option(line, "events", "5")),
+  });
+}
+
+function promptOf(line: Line, name: string): Prompt | undefined {
+  const tokens = Number(option(line, "prompt", "0"));
+  if (tokens === 0) {
+    return undefined;
+  }
+  const [id, count] = option(line, "shared", "").split(":");
+  const shared = count === undefined
+    ? []
+    : [{ id: id!, tokens: Number(count) }];
+  const total = shared.reduce((sum, part) => sum + part.tokens, tokens);
+  return {
+    model: "m",
+    promptTokens: total,
+    outputTokens: 50,
+    parts: [...shared, { id: name, tokens }],
+  };
+}
+
+/** `store MODE [ENTRY...]` */
+function storeMode({ store }: RouteWorld, line: Line): void {
+  const mode = word(line, 1, "a mode") as StoreMode;
+  const entries = line.words.slice(2);
+  if (entries.length === 0) {
+    store.mode = mode;
+    store.modes.clear();
+  }
+  entries.forEach((entry) => store.modes.set(entry, mode));
+}
+
+function entryOf(
+  { entries }: RouteWorld,
+  line: Line,
+): NonNullable<ReturnType<RouteWorld["entries"]["get"]>> {
+  const entry = entries.get(word(line, 1, "an entry"));
+  if (entry === undefined) {
+    throw new ScriptError(line, "an entry of the setting");
+  }
+  return entry;
+}
+
+function backendOf({ backends }: RouteWorld, line: Line): FakeBackend {
+  const backend = backends.get(word(line, 1, "a backend"));
+  if (backend === undefined) {
+    throw new ScriptError(line, "a backend of the setting");
+  }
+  return backend;
+}
--- /dev/null
+++ b/playground/src/routes/route_expectations.ts
@@ -0,0 +1,196 @@
+/**
+ * What a scenario expects, and what must hold in every one.
+ *
+ * @module
+ */
+import { mayRepeat, mayServe, type RegionId } from "@sassafrasstep/core";
+import {
+  type Line,
+  option,
+  parseTime,
+  ScriptError,
+  word,
+} from "../scenario/script.ts";
+import type { RouteWorld, SeenCall } from "./route_world.ts";
+
+const BURST_WINDOW_MS = 1_000;
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+type Check = (world: RouteWorld, line: Line) => string | undefined;
+
+const CHECKS: Readonly<Record<string, Check>> = {
+  /** `expect call NAME [status N] [runs N] [by BACKEND] [events N] [complete|broken|open] [within T] [retry]` */
+  call: (world, line) => checkCall(world, line),
+  /** `expect load NAME served N` or `refused N`: at least so many. */
+  load: (world, line) => checkLoad(world, line),
+  /** `expect names ENTRY ZONE HOST LIST` */
+  names: (world, line) => {
+    const found = world.named(word(line, 1, "an entry"), {
+      zone: word(line, 2, "a zone"),
+      host: word(line, 3, "a host"),
+    }).join(",") || "none";
+    return differs("names", found, word(line, 4, "a list"));
+  },
+  /** `expect version ENTRY N` */
+  version: (world, line) => {
+    const gateway = world.entries.get(word(line, 1, "an entry"))?.gateway;
+    const found = String(gateway?.catalogue.document?.version ?? 0);
+    return differs("version", found, word(line, 2, "a version"));
+  },
+  /** `expect burst BACKEND N`: at most so many requests in any second. */
+  burst: (world, line) => {
+    const backend = world.backends.get(word(line, 1, "a backend"))!;
+    const most = Number(word(line, 2, "a number"));
+    const found = largestBurst(backend.arrivals);
+    return found <= most ? undefined : `burst ${found}, at most ${most}`;
+  },
+  /** `expect quiet BACKEND since T`: nothing arrived later. */
+  quiet: (world, line) => {
+    const backend = world.backends.get(word(line, 1, "a backend"))!;
+    const since = world.startOfScript +
+      parseTime(line, option(line, "since", ""));
+    const late = backend.arrivals.filter((at) => at > since).length;
+    return late === 0 ? undefined : `${late} requests came later`;
+  },
+  /** `expect arrivals BACKEND... between A B` */
+  arrivals: (world, line) => {
+    const end = line.words.indexOf("between");
+    const found = line.words.slice(1, end).reduce(
+      (sum, name) => sum + world.backends.get(name)!.arrivals.length,
+      0,
+    );
+    const [least, most] = line.words.slice(end + 1).map(Number);
+    return found >= least! && found <= most!
+      ? undefined
+      : `${found} arrivals, from ${least} to ${most} expected`;
+  },
+  /** `expect ended ENTRY`: its process is over. */
+  ended: (world, line) =>
+    world.entries.get(word(line, 1, "an entry"))?.alive === false
+      ? undefined
+      : "the entry still runs",
+};
+
+/** Tells what is wrong, `undefined` where the expectation holds. */
+export function checkRoutes(world: RouteWorld, line: Line): string | undefined {
+  const words = line.words.slice(1);
+  const check = CHECKS[words[0] ?? ""];
+  if (check === undefined) {
+    throw new ScriptError(line, `expect ${Object.keys(CHECKS).join(", ")}`);
+  }
+  const wrong = check(world, { number: line.number, words });
+  return wrong === undefined
+    ? undefined
+    : `Line ${line.number} "${line.words.join(" ")}": ${wrong}`;
+}
+
+/** What must hold whatever happens. */
+export function findViolations(world: RouteWorld): string[] {
+  return [...world.calls.values()].flatMap((call) => [
+    ...checkOnce(world, call),
+    ...checkRefusal(world, call),
+    ...checkHome(world, call),
+    ...checkOrder(call),
+  ]);
+}
+
+function checkCall(world: RouteWorld, line: Line): string | undefined {
+  const name = word(line, 1, "a call");
+  const call = world.calls.get(name);
+  if (call === undefined) {
+    return "no such call";
+  }
+  const runs = world.runs.filter((run) => run.call === name);
+  const took = (call.endedAt ?? Infinity) - call.sentAt;
+  const state = call.ended ?? "open";
+  const wanted = line.words.find((item) =>
+    item === "complete" || item === "broken" || item === "open"
+  );
+  const retry = line.words.includes("retry");
+  return [
+    compare(line, "status", String(call.status ?? "none")),
+    compare(line, "runs", String(runs.length)),
+    compare(line, "by", runs.at(-1)?.backend ?? "none"),
+    compare(line, "events", String(call.events.length)),
+    wanted === undefined ? undefined : differs("state", state, wanted),
+    line.words.includes("within") &&
+      took > parseTime(line, option(line, "within", ""))
+      ? `took ${took} ms`
+      : undefined,
+    retry && !((call.retryAfter ?? 0) > 0) ? "no time to come back" : undefined,
+  ].find((wrong) => wrong !== undefined);
+}
+
+function checkLoad(world: RouteWorld, line: Line): string | undefined {
+  const prefix = `${word(line, 1, "a load")}-`;
+  const calls = [...world.calls.values()].filter(({ name }) =>
+    name.startsWith(prefix)
+  );
+  const served =
+    calls.filter(({ status, ended }) => status === 200 && ended === "complete")
+      .length;
+  const least = Number(option(line, "served", "0"));
+  const cut = calls.filter(({ ended }) => ended === "broken").length;
+  const mostCut = Number(option(line, "cut", "Infinity"));
+  return served < least
+    ? `${served} of ${calls.length} served`
+    : cut > mostCut
+    ? `${cut} cut off`
+    : undefined;
+}
+
+function compare(line: Line, key: string, found: string): string | undefined {
+  return line.words.includes(key)
+    ? differs(key, found, option(line, key, ""))
+    : undefined;
+}
+
+function differs(
+  what: string,
+  found: string,
+  expected: string,
+): string | undefined {
+  return found === expected
+    ? undefined
+    : `${what} ${found}, expected ${expected}`;
+}
+
+function checkOnce(world: RouteWorld, { name, route }: SeenCall): string[] {
+  const known = world.store.routes.get(route);
+  const runs = world.runs.filter(({ call }) => call === name).length;
+  return known !== undefined && !mayRepeat(known) && runs > 1
+    ? [`Call ${name} ran ${runs} times`]
+    : [];
+}
+
+function checkRefusal(world: RouteWorld, call: SeenCall): string[] {
+  const ran = world.runs.some(({ call: name }) => name === call.name);
+  const known = world.store.routes.get(call.route);
+  return ran && known !== undefined && !mayRepeat(known) &&
+      NOT_RUN_STATUSES.has(call.status ?? 0)
+    ? [`Call ${call.name} was refused with ${call.status} and ran`]
+    : [];
+}
+
+function checkHome(world: RouteWorld, { name, route }: SeenCall): string[] {
+  const known = world.store.routes.get(route);
+  return world.runs.filter(({ call }) => call === name).flatMap((run) => {
+    const { region } = world.backends.get(run.backend)!.spot;
+    return known === undefined || mayServe(known, region as RegionId)
+      ? []
+      : [`Call ${name} ran in ${region}`];
+  });
+}
+
+function checkOrder({ name, events }: SeenCall): string[] {
+  return events.every((id, index) => id === index + 1)
+    ? []
+    : [`Call ${name} got events ${events.join()}`];
+}
+
+function largestBurst(arrivals: readonly number[]): number {
+  return arrivals.reduce((most, start, index) => {
+    const end = arrivals.findIndex((at) => at >= start + BURST_WINDOW_MS);
+    return Math.max(most, (end < 0 ? arrivals.length : end) - index);
+  }, 0);
+}
--- /dev/null
+++ b/playground/src/routes/route_setting.ts
@@ -0,0 +1,143 @@
+/**
+ * Builds a world from the lines before the steps.
+ *
+ * @module
+ */
+import {
+  type EndpointRecord,
+  milliseconds,
+  type RegionId,
+  type Route,
+  type RouteKind,
+  type RouteName,
+  type ServiceId,
+  type ZoneId,
+} from "@sassafrasstep/core";
+import type { Spot } from "../scenario/network.ts";
+import {
+  type Line,
+  option,
+  parseTime,
+  ScriptError,
+  word,
+} from "../scenario/script.ts";
+import { FakeBackend } from "./fake_backend.ts";
+import { addressOf, type RouteWorld } from "./route_world.ts";
+
+const ENGINE_SLOTS = 64;
+const CACHE_TOKENS = 240_000;
+const COLD_PERIOD_MS = 3_000;
+
+/** Applies one line of a setting. */
+export function setUp(world: RouteWorld, line: Line): void {
+  const [kind, name = ""] = line.words;
+  switch (kind) {
+    case "region":
+      line.words.slice(2).forEach((zone) =>
+        world.spots.set(zone, { zone, region: name })
+      );
+      return;
+    case "entry":
+      world.addEntry(name, spotOf(world, line));
+      return;
+    case "service":
+      return addService(world, line);
+    case "backend":
+      return addBackend(world, line);
+    case "route":
+      world.store.routes.set(name, readRoute(line));
+      return;
+    default:
+      throw new ScriptError(
+        line,
+        "region, entry, service, backend, route or at",
+      );
+  }
+}
+
+/** `route NAME SERVICE KIND [host H] [attempts N] [timeout T] [objective T] [homes R,R] [resumable]` */
+export function readRoute(line: Line): Route {
+  const name = word(line, 1, "a name");
+  const homes = option(line, "homes", "");
+  return {
+    name: name as RouteName,
+    host: option(line, "host", `${name}.example`),
+    pathPrefix: option(line, "path", `/${name}/`),
+    kind: word(line, 3, "a kind") as RouteKind,
+    targets: [{ service: word(line, 2, "a service") as ServiceId, weight: 1 }],
+    attempts: Number(option(line, "attempts", "1")),
+    timeout: milliseconds(parseTime(line, option(line, "timeout", "5s"))),
+    objective: milliseconds(parseTime(line, option(line, "objective", "1s"))),
+    pauseObjective: undefined,
+    priority: Number(option(line, "priority", "1")),
+    homes: homes === "" ? [] : homes.split(",") as RegionId[],
+    sticky: false,
+    resumable: line.words.includes("resumable"),
+  };
+}
+
+/** `service NAME [engine] [cold RATE]` */
+function addService(world: RouteWorld, line: Line): void {
+  const name = word(line, 1, "a name");
+  world.store.services.set(name, {
+    id: name as ServiceId,
+    healthPath: "/health",
+    connectionLimit: Number(option(line, "connections", "100")),
+    coldRate: Number(option(line, "cold", "0")),
+    coldPeriod: milliseconds(COLD_PERIOD_MS),
+    engine: line.words.includes("engine")
+      ? { slots: ENGINE_SLOTS, cacheTokens: CACHE_TOKENS, fetches: false }
+      : undefined,
+  });
+}
+
+/** `backend NAME ZONE SERVICE [slots N] [work T] [cold T] [id ID]`: a new endpoint, published at once. */
+export function addBackend(world: RouteWorld, line: Line): void {
+  const name = word(line, 1, "a name");
+  const backend = new FakeBackend({
+    name,
+    id: option(line, "id", `i-${name}`),
+    service: word(line, 3, "a service"),
+    spot: spotOf(world, line),
+    slots: Number(option(line, "slots", "8")),
+    work: parseTime(line, option(line, "work", "20ms")),
+  }, { time: world.time, runs: world.runs });
+  world.backends.set(name, backend);
+  world.store.put(
+    recordOf(backend, {
+      sequence: 1,
+      coldFor: parseTime(line, option(line, "cold", "0ms")),
+    }),
+  );
+}
+
+/** The record that a backend publishes. */
+export function recordOf(
+  backend: FakeBackend,
+  { sequence, coldFor = 0, state = "ready" }: {
+    sequence: number;
+    coldFor?: number;
+    state?: "ready" | "draining";
+  },
+): EndpointRecord {
+  return {
+    id: backend.id,
+    service: backend.service as ServiceId,
+    address: addressOf(backend),
+    zone: backend.spot.zone as ZoneId,
+    softwareVersion: "v1",
+    slots: backend.slots,
+    state,
+    coldFor: milliseconds(coldFor),
+    leavesIn: undefined,
+    sequence,
+  };
+}
+
+function spotOf({ spots }: RouteWorld, line: Line): Spot {
+  const spot = spots.get(word(line, 2, "a zone"));
+  if (spot === undefined) {
+    throw new ScriptError(line, "a zone of a region above");
+  }
+  return spot;
+}
--- /dev/null
+++ b/playground/src/routes/route_world.ts
@@ -0,0 +1,376 @@
+/**
+ * A fleet of entries with callers, endpoints, store and network, under virtual time.
+ *
+ * @module
+ */
+import {
+  type CallAnswer,
+  type CallHead,
+  type CallId,
+  type CallTarget,
+  type CatalogueSnapshot,
+  type EntryId,
+  type FleetMessage,
+  type GatewayBounds,
+  type GatewaySelf,
+  instant,
+  milliseconds,
+  type Prompt,
+  type RegionId,
+  type RequestId,
+  SeededRandomness,
+  type ZoneId,
+} from "@sassafrasstep/core";
+import { Network, PLATFORM, type Spot } from "../scenario/network.ts";
+import { VirtualTime } from "../scenario/virtual_time.ts";
+import type { BackendAnswer, FakeBackend, Run } from "./fake_backend.ts";
+import { FakeStore } from "./fake_store.ts";
+import { type Recipient, VirtualGateway } from "./virtual_gateway.ts";
+
+const PREFILL_RATE = 38;
+const BOUNDS: GatewayBounds = {
+  repeatRatio: 0.2,
+  repeatWindow: milliseconds(10_000),
+  repeatSlack: 50,
+  coldOvershoot: 1.5,
+  coldSlack: 3,
+  listLifetime: milliseconds(5_000),
+  stopTime: milliseconds(8_000),
+};
+
+/** A request as its caller sees it. */
+export interface SeenCall {
+  readonly name: string;
+  readonly route: string;
+  readonly entry: VirtualGateway;
+  readonly sentAt: number;
+  id: RequestId | undefined;
+  status: number | undefined;
+  retryAfter: number | undefined;
+  readonly events: number[];
+  ended: "complete" | "broken" | undefined;
+  endedAt: number | undefined;
+}
+
+/** How a request is sent. */
+export interface CallPlan {
+  readonly name: string;
+  readonly route: string;
+  readonly entry: string;
+  readonly timeLeft: number | undefined;
+  readonly prompt: Prompt | undefined;
+  readonly events: number;
+}
+
+interface ToBackend {
+  readonly target: Extract<CallTarget, { kind: "endpoint" }>;
+  readonly head: CallHead;
+  readonly resumeAfter: string | undefined;
+  readonly recipient: Recipient;
+}
+
+interface ToPeer {
+  readonly target: Extract<CallTarget, { kind: "peer" }>;
+  readonly head: CallHead;
+  readonly resumeAfter: string | undefined;
+  readonly recipient: Recipient;
+}
+
+/** One line of an entry's log. */
+export interface WorldLogLine {
+  readonly at: number;
+  readonly entry: string;
+  readonly text: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** The world of one scenario. */
+export class RouteWorld {
+  readonly time = new VirtualTime();
+  readonly network = new Network();
+  readonly store = new FakeStore(this.time);
+  readonly entries = new Map<string, VirtualGateway>();
+  readonly backends = new Map<string, FakeBackend>();
+  readonly calls = new Map<string, SeenCall>();
+  readonly runs: Run[] = [];
+  readonly log: WorldLogLine[] = [];
+  readonly spots = new Map<string, Spot>();
+  readonly random: SeededRandomness;
+  /** Entries that are cut off from all others, alone. */
+  readonly cutOff = new Set<string>();
+  /** When steps began, in virtual milliseconds. */
+  startOfScript = 0;
+  /** Part of datagrams that is lost. */
+  loss = 0;
+  readonly #seed: number;
+  readonly #events = new Map<string, number>();
+
+  constructor(seed: number) {
+    this.#seed = seed;
+    this.random = new SeededRandomness(seed);
+  }
+
+  addEntry(name: string, spot: Spot): VirtualGateway {
+    const seed = this.#seed * 1_000 + this.entries.size * 10;
+    const entry = new VirtualGateway(name, { spot, world: this, seed });
+    this.entries.set(name, entry);
+    return entry;
+  }
+
+  startEntry(name: string): void {
+    const entry = this.entries.get(name)!;
+    entry.start(this.#selfOf(entry));
+  }
+
+  /** Sends a request of a caller. */
+  call(plan: CallPlan): void {
+    const entry = this.entries.get(plan.entry)!;
+    const route = this.store.routes.get(plan.route);
+    const seen: SeenCall = {
+      name: plan.name,
+      route: plan.route,
+      entry,
+      sentAt: this.time.now,
+      id: undefined,
+      status: undefined,
+      retryAfter: undefined,
+      events: [],
+      ended: undefined,
+      endedAt: undefined,
+    };
+    this.calls.set(plan.name, seen);
+    this.#events.set(plan.name, plan.events);
+    seen.id = entry.arrive({
+      call: plan.name as CallId,
+      host: route?.host ?? "nowhere",
+      target: `${route?.pathPrefix ?? "/nothing/"}x`,
+      timeLeft: plan.timeLeft === undefined
+        ? undefined
+        : milliseconds(plan.timeLeft),
+      prompt: plan.prompt,
+      lastEventId: undefined,
+      bodyBytes: 0,
+      relay: undefined,
+    }, this.#callerOf(seen));
+  }
+
+  // What entries do.
+
+  datagram(from: VirtualGateway, to: string, message: FleetMessage): void {
+    const target = this.#entryAt(to);
+    const lost = this.loss > 0 && this.random.next() < this.loss;
+    if (target === undefined || lost || !this.#reaches(from, target)) {
+      return;
+    }
+    const copy = structuredClone(message);
+    this.time.after(this.network.delay(from.spot, target.spot), () => {
+      if (target.alive) {
+        target.tell({ kind: "datagram", message: copy });
+      }
+    });
+  }
+
+  copy(
+    from: VirtualGateway,
+    address: string,
+    done: (snapshot: CatalogueSnapshot | undefined) => void,
+  ): void {
+    const target = this.#entryAt(address);
+    const delay = 2 * this.network.delay(from.spot, target?.spot ?? from.spot);
+    this.time.after(delay, () => {
+      const answers = target !== undefined && !target.frozen &&
+        this.#reaches(from, target);
+      done(answers ? target.gateway?.snapshot() : undefined);
+    });
+  }
+
+  reachesStore({ spot }: VirtualGateway): boolean {
+    return this.network.reaches(spot, PLATFORM);
+  }
+
+  /** Cuts one entry off from the others. */
+  cut(entry: string): void {
+    this.cutOff.add(entry);
+    this.network.isolate([entry]);
+  }
+
+  heal(): void {
+    this.cutOff.clear();
+    this.network.heal();
+  }
+
+  /** Whether a connection comes about. */
+  connects(
+    from: VirtualGateway,
+    target: CallTarget,
+  ): "yes" | "refused" | "silence" {
+    if (target.kind === "peer") {
+      const peer = this.#entryAt(target.address);
+      return peer === undefined || !this.#reaches(from, peer)
+        ? "silence"
+        : peer.alive
+        ? "yes"
+        : "refused";
+    }
+    const backend = this.#backendAt(target.address);
+    if (
+      backend === undefined || backend.mode === "dark" ||
+      !this.network.reaches(from.spot, backend.spot)
+    ) {
+      return "silence";
+    }
+    return backend.mode === "refuse" ? "refused" : "yes";
+  }
+
+  toBackend({ target, head, resumeAfter, recipient }: ToBackend): () => void {
+    const backend = this.#backendAt(target.address)!;
+    if (backend.id !== target.endpoint) {
+      this.time.after(1, () => recipient.head(answerOf(421, true)));
+      return () => {};
+    }
+    const answer: BackendAnswer = {
+      head: (status, notRun) => recipient.head(answerOf(status, notRun)),
+      event: (id) => recipient.event(id),
+      complete: () => recipient.complete(),
+      lost: () => recipient.broken(),
+    };
+    backend.take({
+      call: head.call,
+      streaming: head.prompt !== undefined,
+      events: this.#events.get(head.call) ?? 0,
+      resumeAfter: Number(resumeAfter ?? head.lastEventId ?? 0),
+      prefill: (head.prompt?.promptTokens ?? 0) / PREFILL_RATE,
+      answer,
+    });
+    return () => backend.cancel(answer);
+  }
+
+  toPeer(
+    from: VirtualGateway,
+    { target, head, resumeAfter, recipient }: ToPeer,
+  ): () => void {
+    const peer = this.#entryAt(target.address)!;
+    const delay = this.network.delay(from.spot, peer.spot);
+    let id: RequestId | undefined;
+    let cancelled = false;
+    const back = (run: () => void): void => {
+      this.time.after(delay, () => {
+        if (!cancelled && this.#reaches(peer, from)) {
+          run();
+        }
+      });
+    };
+    this.time.after(delay, () => {
+      if (!cancelled && peer.alive) {
+        id = peer.arrive({
+          ...head,
+          lastEventId: resumeAfter ?? head.lastEventId,
+          relay: {
+            from: from.gateway!.self.incarnation,
+            sentBefore: target.sentBefore,
+          },
+        }, {
+          head: (answer) => back(() => recipient.head(answer)),
+          event: (event) => back(() => recipient.event(event)),
+          complete: () => back(() => recipient.complete()),
+          broken: () => back(() => recipient.broken()),
+        });
+      }
+    });
+    return () => {
+      cancelled = true;
+      this.time.after(delay, () => {
+        if (id !== undefined && peer.alive) {
+          peer.leave(id);
+        }
+      });
+    };
+  }
+
+  /** Entries that one entry names to a caller of a zone. */
+  named(
+    entry: string,
+    { host, zone }: { host: string; zone: string },
+  ): string[] {
+    const gateway = this.entries.get(entry)?.gateway;
+    const answer = gateway?.nameEntries({
+      host,
+      zone: zone as ZoneId,
+      region: this.spots.get(zone)!.region as RegionId,
+      caller: "caller",
+    }, instant(this.time.now));
+    return (answer?.addresses ?? []).map((address) => address.split(":")[0]!)
+      .sort();
+  }
+
+  #callerOf(seen: SeenCall): Recipient {
+    const end = (how: "complete" | "broken"): void => {
+      seen.ended ??= how;
+      seen.endedAt ??= this.time.now;
+    };
+    return {
+      head: ({ status, retryAfter }) => {
+        seen.status = status;
+        seen.retryAfter = retryAfter;
+      },
+      event: (id) => seen.events.push(id),
+      complete: () => end("complete"),
+      broken: () => end("broken"),
+    };
+  }
+
+  #selfOf({ name, spot }: VirtualGateway): Omit<GatewaySelf, "incarnation"> {
+    return {
+      id: name as EntryId,
+      zone: spot.zone as ZoneId,
+      region: spot.region as RegionId,
+      callerAddress: `${name}:80`,
+      peerAddress: `${name}:90`,
+      weight: 1,
+      seeds: [...this.entries.keys()].slice(0, 2).map((seed) => `${seed}:90`),
+      regionByZone: new Map(
+        [...this.spots.values()].map((
+          { zone, region },
+        ) => [zone as ZoneId, region as RegionId]),
+      ),
+      bounds: BOUNDS,
+    };
+  }
+
+  #entryAt(address: string): VirtualGateway | undefined {
+    return this.entries.get(address.split(":")[0]!);
+  }
+
+  #backendAt(address: string): FakeBackend | undefined {
+    // The one that came last has the address now.
+    return [...this.backends.values()].findLast((backend) =>
+      addressOf(backend) === address
+    );
+  }
+
+  #reaches(from: VirtualGateway, to: VirtualGateway): boolean {
+    return this.network.reaches(
+      this.#spotOf(from),
+      this.#spotOf(to),
+    );
+  }
+
+  #spotOf({ name, spot }: VirtualGateway): Spot {
+    return this.cutOff.has(name) ? { zone: name, region: spot.region } : spot;
+  }
+}
+
+/** Address of a backend: those of the same name before the slash share it. */
+export function addressOf({ name }: FakeBackend): string {
+  return `${name.split("/")[0]}:70`;
+}
+
+function answerOf(status: number, notRun: boolean): CallAnswer {
+  return {
+    status,
+    notRun,
+    genuine: !notRun,
+    load: undefined,
+    retryAfter: undefined,
+  };
+}
--- /dev/null
+++ b/playground/src/routes/virtual_gateway.ts
@@ -0,0 +1,328 @@
+/**
+ * One entry under virtual time: the gateway's decisions with fakes for its sockets.
+ *
+ * @module
+ */
+import {
+  type AttemptId,
+  type CallAnswer,
+  type CallAttempt,
+  type CallHead,
+  Gateway,
+  type GatewayEffect,
+  type GatewayEvent,
+  type GatewaySelf,
+  type Incarnation,
+  type Instant,
+  instant,
+  milliseconds,
+  type RequestId,
+  SeededRandomness,
+} from "@sassafrasstep/core";
+import type { Spot } from "../scenario/network.ts";
+import type { RouteWorld } from "./route_world.ts";
+
+const CONNECT_MS = 1;
+const CONNECT_TIMEOUT_MS = 400;
+const TICK_MS = 25;
+
+/** Who gets the answer to a request: a caller, or the entry that passed it on. */
+export interface Recipient {
+  head(answer: CallAnswer): void;
+  event(id: number): void;
+  complete(): void;
+  /** The answer broke off, or the entry died. */
+  broken(): void;
+}
+
+interface OpenAttempt {
+  readonly attempt: CallAttempt;
+  cancel: (() => void) | undefined;
+}
+
+/** One entry. */
+export class VirtualGateway {
+  readonly name: string;
+  readonly spot: Spot;
+  readonly #world: RouteWorld;
+  readonly #seed: number;
+  readonly #recipients = new Map<RequestId, Recipient>();
+  readonly #heads = new Map<RequestId, CallHead>();
+  readonly #attempts = new Map<AttemptId, OpenAttempt>();
+  #gateway: Gateway | undefined;
+  #life = 0;
+  #requests = 0;
+  #frozenAt: number | undefined;
+  #held: (() => void)[] = [];
+
+  constructor(
+    name: string,
+    { spot, world, seed }: { spot: Spot; world: RouteWorld; seed: number },
+  ) {
+    this.name = name;
+    this.spot = spot;
+    this.#world = world;
+    this.#seed = seed;
+  }
+
+  get gateway(): Gateway | undefined {
+    return this.#gateway;
+  }
+
+  get alive(): boolean {
+    return this.#gateway !== undefined;
+  }
+
+  get frozen(): boolean {
+    return this.#frozenAt !== undefined;
+  }
+
+  /** Begins a new life. */
+  start(self: Omit<GatewaySelf, "incarnation">): void {
+    this.#life++;
+    this.#gateway = new Gateway({
+      self: {
+        ...self,
+        incarnation: `${this.name}-${this.#life}` as Incarnation,
+      },
+      random: new SeededRandomness(this.#seed + this.#life),
+    }, this.#now());
+    this.#tick(this.#life);
+  }
+
+  /** Ends without a word. */
+  kill(): void {
+    this.#gateway = undefined;
+    this.#attempts.forEach(({ cancel }) => cancel?.());
+    this.#attempts.clear();
+    const open = [...this.#recipients.values()];
+    this.#recipients.clear();
+    open.forEach((recipient) => recipient.broken());
+  }
+
+  stop(): void {
+    this.tell({ kind: "stop" });
+  }
+
+  /** The process stands still; what arrives waits in its sockets. */
+  freeze(): void {
+    this.#frozenAt = this.#world.time.now;
+  }
+
+  thaw(): void {
+    if (this.#frozenAt === undefined) {
+      return;
+    }
+    this.#frozenAt = undefined;
+    const held = this.#held;
+    this.#held = [];
+    held.forEach((run) => run());
+  }
+
+  /** A request arrives with its whole body. */
+  arrive(head: Omit<CallHead, "id">, recipient: Recipient): RequestId {
+    this.#requests++;
+    const id = `${this.name}.${this.#life}.${this.#requests}` as RequestId;
+    this.#recipients.set(id, recipient);
+    const whole = { ...head, id };
+    this.#heads.set(id, whole);
+    this.tell({ kind: "arrived", head: whole });
+    return id;
+  }
+
+  /** The caller closes its connection. */
+  leave(id: RequestId): void {
+    this.#recipients.delete(id);
+    this.tell({ kind: "callerGone", request: id });
+  }
+
+  /** Tells the gateway, now or when it wakes. */
+  tell(event: GatewayEvent): readonly GatewayEffect[] {
+    if (this.#frozenAt !== undefined) {
+      this.#held.push(() => this.tell(event));
+      return [];
+    }
+    const effects = this.#gateway?.handle(event, this.#now()) ?? [];
+    effects.forEach((effect) => this.#run(effect));
+    return effects;
+  }
+
+  #now(): Instant {
+    return instant(this.#world.time.now);
+  }
+
+  #tick(life: number): void {
+    if (life !== this.#life || this.#gateway === undefined) {
+      return;
+    }
+    if (this.#frozenAt === undefined) {
+      this.tell({ kind: "tick" });
+    }
+    this.#world.time.after(TICK_MS, () => this.#tick(life));
+  }
+
+  #run(effect: GatewayEffect): void {
+    switch (effect.kind) {
+      case "datagram":
+        return this.#world.datagram(this, effect.to, effect.message);
+      case "readCatalogue":
+        return this.#read(effect);
+      case "copyCatalogue":
+        return this.#world.copy(
+          this,
+          effect.address,
+          (snapshot) => this.tell({ kind: "catalogueCopied", snapshot }),
+        );
+      case "send":
+        return this.#send(effect.attempt);
+      case "abort":
+        this.#attempts.get(effect.attempt)?.cancel?.();
+        this.#attempts.delete(effect.attempt);
+        return;
+      case "refuse":
+        return this.#refuse(effect);
+      case "breakOff":
+        return this.#finish(effect.request, (to) => to.broken());
+      case "complete":
+        return this.#finish(effect.request, (to) => to.complete());
+      case "exit":
+        return this.kill();
+      case "log":
+        this.#world.log.push({
+          at: this.#world.time.now,
+          entry: this.name,
+          text: `${effect.part}: ${effect.text}`,
+          fields: effect.fields,
+        });
+    }
+  }
+
+  #read(effect: Extract<GatewayEffect, { kind: "readCatalogue" }>): void {
+    const life = this.#life;
+    let open = true;
+    const once = (event: GatewayEvent): void => {
+      if (open && life === this.#life) {
+        open = false;
+        this.tell(event);
+      }
+    };
+    if (this.#world.reachesStore(this)) {
+      this.#world.store.read(this.name, effect, once);
+    }
+    this.#world.time.after(
+      effect.timeout,
+      () => once({ kind: "catalogueFailed", detail: "Read timed out" }),
+    );
+  }
+
+  #refuse(
+    { request, refusal }: Extract<GatewayEffect, { kind: "refuse" }>,
+  ): void {
+    this.#finish(request, (to) => {
+      to.head({
+        status: refusal.status,
+        notRun: refusal.verdict.kind === "not_run",
+        genuine: false,
+        load: undefined,
+        retryAfter: refusal.retryAfter,
+      });
+      to.complete();
+    });
+  }
+
+  #finish(id: RequestId, end: (to: Recipient) => void): void {
+    const recipient = this.#recipients.get(id);
+    this.#recipients.delete(id);
+    this.#heads.delete(id);
+    if (recipient !== undefined) {
+      end(recipient);
+    }
+  }
+
+  #send(attempt: CallAttempt): void {
+    const open: OpenAttempt = { attempt, cancel: undefined };
+    this.#attempts.set(attempt.id, open);
+    const reaches = this.#world.connects(this, attempt.target);
+    const delay = reaches === "yes" || reaches === "refused"
+      ? CONNECT_MS
+      : CONNECT_TIMEOUT_MS;
+    this.#world.time.after(delay, () => {
+      if (!this.#attempts.has(attempt.id)) {
+        return;
+      }
+      if (reaches === "yes") {
+        this.#commit(open);
+      } else {
+        this.#end(attempt.id, { kind: "unsent", detail: "No connection" });
+      }
+    });
+  }
+
+  #commit(open: OpenAttempt): void {
+    const { id, request, target, resumeAfter } = open.attempt;
+    const effects = this.tell({ kind: "commit", attempt: id });
+    const proceed = effects.find((effect) =>
+      effect.kind === "proceed" && effect.attempt === id
+    );
+    const head = this.#heads.get(request);
+    if (proceed?.kind !== "proceed" || head === undefined) {
+      this.#attempts.delete(id);
+      return;
+    }
+    const recipient = this.#recipientOf(id);
+    open.cancel = target.kind === "endpoint"
+      ? this.#world.toBackend({ target, head, resumeAfter, recipient })
+      : this.#world.toPeer(this, {
+        target,
+        head: { ...head, timeLeft: milliseconds(proceed.timeLeft) },
+        resumeAfter,
+        recipient,
+      });
+  }
+
+  #recipientOf(id: AttemptId): Recipient {
+    const current = (): boolean => this.#attempts.has(id);
+    return {
+      head: (answer) => {
+        if (!current()) {
+          return;
+        }
+        const { request } = this.#attempts.get(id)!.attempt;
+        const effects = this.tell({ kind: "answered", attempt: id, answer });
+        const forwarded = effects.some((effect) =>
+          effect.kind === "forward" && effect.attempt === id
+        );
+        const goesOn = effects.some((effect) =>
+          effect.kind === "goOn" && effect.attempt === id
+        );
+        if (forwarded) {
+          this.#recipients.get(request)?.head(answer);
+        } else if (!goesOn) {
+          this.#attempts.delete(id);
+        }
+      },
+      event: (event) => {
+        if (current()) {
+          const { request } = this.#attempts.get(id)!.attempt;
+          this.tell({
+            kind: "progress",
+            attempt: id,
+            lastEventId: String(event),
+          });
+          this.#recipients.get(request)?.event(event);
+        }
+      },
+      complete: () => this.#end(id, { kind: "complete" }),
+      broken: () => this.#end(id, { kind: "lost", detail: "Broke off" }),
+    };
+  }
+
+  #end(
+    id: AttemptId,
+    end: Extract<GatewayEvent, { kind: "ended" }>["end"],
+  ): void {
+    if (this.#attempts.delete(id)) {
+      this.tell({ kind: "ended", attempt: id, end });
+    }
+  }
+}
