fix: late requests at a stopping entry, attempts of passed-on requests, torn answers without a length

Ruled out: waiting for an error after the end (none comes); reading the length from the seal (no contract).

--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -92,6 +92,7 @@
   readonly #queue = new CallQueue();
   #prefixNews: PrefixNews[] = [];
   #lastArrivalAt: Instant | undefined;
+  #refusesNew = false;
 
   constructor(tools: CallTools) {
     this.#tools = tools;
@@ -117,8 +118,16 @@
     return news;
   }
 
+  /** From now on requests are refused: the process ends before they would be answered. */
+  refuseNew(): void {
+    this.#refusesNew = true;
+  }
+
   /** A request has arrived with its whole body. */
   arrive(head: CallHead, now: Instant): void {
+    if (this.#refusesNew) {
+      return this.#refuseHead(head, "stopping");
+    }
     this.#lastArrivalAt = now;
     const { table } = this.#tools.catalogue;
     if (table === undefined) {
@@ -416,7 +425,7 @@
         this.#tools.cold.spend(state.record.id, now);
       }
     }
-    call.sent++;
+    call.sent += attemptsOf(call, attempt);
   }
 
   #noteLoad({ state }: OpenAttempt, { load }: CallAnswer, now: Instant): void {
@@ -434,6 +443,9 @@
     if (answer.status === MISDIRECTED) {
       state?.health.suspect(now);
     }
+    call.sent -= call.attempt!.state === undefined
+      ? attemptsOf(call, call.attempt!)
+      : 0;
     this.#close(call, "refused");
     call.rejections++;
     if (call.phase === "answering") {
@@ -673,6 +685,14 @@
   return route.kind === "stream" ? STREAM_IDLE_MS : 0;
 }
 
+/**
+ * A peer may use all attempts of a request that is passed on to it, and its connection may break before
+ * it tells. Counted as one, the request could run at more endpoints than its route allows.
+ */
+function attemptsOf({ route }: Call, { target }: OpenAttempt): number {
+  return target.kind === "peer" ? route.attempts : 1;
+}
+
 const STREAM_IDLE_MS = 1_000;
 const OK = 200;
 const NOT_FOUND = 404;
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -197,7 +197,7 @@
   | "rejected"
   | "deadline"
   | "endpoint_failed"
-  | "loop";
+  | "stopping";
 
 /** A final answer of an entry itself. */
 export interface CallRefusal {
@@ -262,6 +262,8 @@
     readonly text: string;
     readonly fields: Readonly<Record<string, unknown>>;
   }
+  /** Take no new connection, and close those that have no request. */
+  | { readonly kind: "closeDoors" }
   | { readonly kind: "exit" };
 
 /** Where controllers put what the shell must do. */
--- a/packages/core/src/gateway/stop_controller.ts
+++ b/packages/core/src/gateway/stop_controller.ts
@@ -7,7 +7,11 @@
 import type { CallController } from "./call_controller.ts";
 import type { GatewayEmit } from "./messages.ts";
 
-/** Callers keep an old list of entries for some seconds: the entry serves them that long. */
+/**
+ * Callers keep an old list of entries for some seconds: the entry serves them that long. What it took
+ * later might not be answered before the process has to end, and would be cut off.
+ */
+const DOORS_OPEN_MS = 2_600;
 const LEAST_LINGER_MS = 3_500;
 /** Without a new request for so long callers have left. */
 const QUIET_MS = 1_200;
@@ -20,6 +24,7 @@
   readonly #calls: CallController;
   readonly #stopTime: Milliseconds;
   #begunAt: Instant | undefined;
+  #doorsClosed = false;
   #ended = false;
 
   constructor(
@@ -52,6 +57,11 @@
     if (this.#begunAt === undefined || this.#ended) {
       return;
     }
+    if (!this.#doorsClosed && now >= after(this.#begunAt, DOORS_OPEN_MS)) {
+      this.#doorsClosed = true;
+      this.#calls.refuseNew();
+      this.#emit({ kind: "closeDoors" });
+    }
     const overdue = now >= after(this.#begunAt, this.#stopTime - MARGIN_MS);
     const lingered = now >= after(this.#begunAt, LEAST_LINGER_MS);
     const lastArrival = this.#calls.lastArrivalAt;
--- /dev/null
+++ b/packages/daemon/src/gateway/__tests__/connections.test.ts
@@ -0,0 +1,62 @@
+import { instant } from "@sassafrasstep/core";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { ConnectError, type Connection, Connections } from "../connections.ts";
+import { listenRaw, type RawEndpoint } from "./wire_fixture.ts";
+
+const NOW = instant(1_000);
+
+describe("connections", () => {
+  let endpoint: RawEndpoint;
+  let connections: Connections;
+
+  beforeEach(async () => {
+    endpoint = await listenRaw(() => {});
+    connections = new Connections();
+  });
+  afterEach(async () => {
+    connections.closeAll();
+    await endpoint.close();
+  });
+
+  function take(
+    { limit = 4, mostIdle = Infinity, now = NOW } = {},
+  ): Promise<Connection | ConnectError> {
+    const { address } = endpoint;
+    return new Promise((resolve) =>
+      connections.take({ address, limit, mostIdle, far: false }, now, resolve)
+    );
+  }
+
+  it("gives the one used last", async () => {
+    const first = await take() as Connection;
+    const second = await take() as Connection;
+    connections.giveBack(first, NOW);
+    connections.giveBack(second, NOW);
+    expect(await take()).toBe(second);
+    expect(connections.opened).toBe(2);
+  });
+
+  it("opens a new one where the kept ones were idle for too long", async () => {
+    const kept = await take() as Connection;
+    connections.giveBack(kept, NOW);
+    const other = await take({ mostIdle: 500, now: instant(NOW + 501) });
+    expect(other).not.toBe(kept);
+  });
+
+  it("keeps to the limit, and closes an idle one to make room", async () => {
+    const first = await take({ limit: 2 }) as Connection;
+    await take({ limit: 2 });
+    expect(await take({ limit: 2 })).toBeInstanceOf(ConnectError);
+    connections.giveBack(first, NOW);
+    const fresh = await take({ limit: 2, mostIdle: 0 });
+    expect(fresh).not.toBeInstanceOf(ConnectError);
+    expect(first.failed).toBe(true);
+  });
+
+  it("never gives back one that failed", async () => {
+    const first = await take() as Connection;
+    first.close();
+    connections.giveBack(first, NOW);
+    expect(await take()).not.toBe(first);
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/gateway/__tests__/event_cutter.test.ts
@@ -0,0 +1,52 @@
+import { describe, expect, it } from "vitest";
+import { EventCutter } from "../event_cutter.ts";
+
+function feed(chunks: readonly string[]): { out: string; ids: unknown[] } {
+  const cutter = new EventCutter();
+  let out = "";
+  const ids: unknown[] = [];
+  for (const chunk of chunks) {
+    const events = cutter.push(Buffer.from(chunk));
+    if (events !== undefined) {
+      out += events.bytes.toString();
+      ids.push(events.lastId);
+    }
+  }
+  return { out, ids };
+}
+
+describe("event cutter", () => {
+  const whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+  it("passes whole events on with the last id", () => {
+    expect(feed([whole])).toEqual({ out: whole, ids: ["2"] });
+  });
+
+  it("gives the same bytes however they are cut", () => {
+    for (let at = 1; at < whole.length; at++) {
+      expect(feed([whole.slice(0, at), whole.slice(at)]).out).toBe(whole);
+    }
+    expect(feed([...whole]).out).toBe(whole);
+  });
+
+  it("keeps a torn event back", () => {
+    const cutter = new EventCutter();
+    const events = cutter.push(Buffer.from(`${whole}id: 3\nda`));
+    expect(events?.bytes.toString()).toBe(whole);
+    expect(cutter.rest.toString()).toBe("id: 3\nda");
+    cutter.reset();
+    expect(cutter.push(Buffer.from("id: 3\n\n"))?.bytes.toString()).toBe(
+      "id: 3\n\n",
+    );
+  });
+
+  it("knows events that end lines with carriage returns", () => {
+    const text = "id: 7\r\ndata: a\r\n\r\n";
+    expect(feed([text])).toEqual({ out: text, ids: ["7"] });
+  });
+
+  it("reads the id behind another first line", () => {
+    expect(feed(["x-note: 4\nid: 9\ndata: a\n\n"]).ids).toEqual(["9"]);
+    expect(feed(["data: a\n\n"]).ids).toEqual([undefined]);
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/gateway/__tests__/outbound_call.test.ts
@@ -0,0 +1,248 @@
+import type { Socket } from "node:net";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { Connections } from "../connections.ts";
+import {
+  attempt,
+  endOf,
+  listenRaw,
+  type RawAnswer,
+  type RawEndpoint,
+} from "./wire_fixture.ts";
+
+const HEAD = "HTTP/1.1 200 OK\r\nx-call: c1\r\n";
+const LENGTH = `${HEAD}content-length: 5\r\n\r\n`;
+const CHUNKED = `${HEAD}transfer-encoding: chunked\r\n\r\n`;
+const UNFRAMED = `${HEAD}connection: close\r\n\r\n`;
+
+function say(text: string, then?: (socket: Socket) => void): RawAnswer {
+  return (socket) => socket.write(text, () => then?.(socket));
+}
+
+describe("an attempt", () => {
+  let connections: Connections;
+  let endpoint: RawEndpoint | undefined;
+
+  beforeEach(() => {
+    connections = new Connections();
+  });
+  afterEach(async () => {
+    connections.closeAll();
+    await endpoint?.close();
+    endpoint = undefined;
+  });
+
+  describe("of a plain request", () => {
+    const cases: readonly {
+      name: string;
+      answer: RawAnswer;
+      end: string;
+      body?: string;
+    }[] = [
+      {
+        name: "an answer with a length",
+        answer: say(`${LENGTH}hello`),
+        end: "complete",
+        body: "hello",
+      },
+      {
+        name: "a chunked answer",
+        answer: say(`${CHUNKED}5\r\nhello\r\n0\r\n\r\n`),
+        end: "complete",
+        body: "hello",
+      },
+      {
+        name: "an answer without a length that ends with its connection",
+        answer: say(`${UNFRAMED}hello`, (socket) => socket.end()),
+        end: "complete",
+        body: "hello",
+      },
+      {
+        name: "an answer without a length that is reset",
+        answer: say(
+          `${UNFRAMED}hel`,
+          (socket) => setTimeout(() => socket.resetAndDestroy(), 5),
+        ),
+        end: "lost",
+      },
+      {
+        name: "an answer without a length whose last bytes come with a reset",
+        answer: (socket) => {
+          socket.write(`${UNFRAMED}hel`);
+          socket.resetAndDestroy();
+        },
+        end: "lost",
+      },
+      {
+        name: "an answer that is shorter than its length",
+        answer: say(`${LENGTH}hel`, (socket) => socket.end()),
+        end: "lost",
+      },
+      {
+        name: "a chunked answer that breaks off",
+        answer: say(`${CHUNKED}5\r\nhel`, (socket) => socket.destroy()),
+        end: "lost",
+      },
+      {
+        name: "bytes that are no answer",
+        answer: say("nonsense\r\n\r\n"),
+        end: "lost",
+      },
+      {
+        name: "an answer to another request",
+        answer: say(`${LENGTH}hello`.replace("c1", "c9")),
+        end: "lost",
+      },
+      {
+        name: "a connection that closes at once",
+        answer: (socket) => socket.destroy(),
+        end: "lost",
+      },
+      {
+        name: "an interim answer before the final one",
+        answer: say(`HTTP/1.1 102 Processing\r\n\r\n${LENGTH}hello`),
+        end: "complete",
+        body: "hello",
+      },
+      {
+        name: "bytes after the answer",
+        answer: say(`${LENGTH}hello${LENGTH}other`),
+        end: "complete",
+        body: "hello",
+      },
+    ];
+    it.each(cases)("$name: $end", async ({ answer, end, body }) => {
+      endpoint = await listenRaw(answer);
+      const seen = await attempt(endpoint.address, { connections }).done;
+      expect(endOf(seen)).toBe(end);
+      expect(seen.body).toBe(body ?? "");
+    });
+
+    it("is unsent where no connection comes about", async () => {
+      const gone = await listenRaw(() => {});
+      await gone.close();
+      const seen = await attempt(gone.address, { connections }).done;
+      expect(endOf(seen)).toBe("unsent");
+    });
+
+    it("is written once, and not at all where the gateway says no", async () => {
+      endpoint = await listenRaw(say(`${LENGTH}hello`));
+      const refused = attempt(endpoint.address, {
+        connections,
+        judge: () => [],
+      });
+      await refused.done;
+      expect(endpoint.requests).toEqual([]);
+      await attempt(endpoint.address, { connections }).done;
+      expect(endpoint.requests.length).toBe(1);
+      expect(endpoint.connections).toBe(1);
+    });
+
+    /**
+     * Symptom: a badge is printed twice with one attempt in the log.
+     * Sequence: a kept connection dies as the request is written on it.
+     * Cause: an HTTP client that connects anew and sends again by itself.
+     */
+    it("is not sent again by itself on a connection that died", async () => {
+      let answers = 0;
+      endpoint = await listenRaw((socket) => {
+        answers++;
+        answers === 1 ? socket.write(`${LENGTH}hello`) : socket.destroy();
+      });
+      await attempt(endpoint.address, { connections }).done;
+      const second = await attempt(endpoint.address, { connections }).done;
+      expect(endOf(second)).toBe("lost");
+      await new Promise((resolve) => setImmediate(resolve));
+      expect(endpoint.requests.length).toBe(2);
+    });
+
+    /**
+     * Symptom: a caller gets another caller's answer.
+     * Sequence: an endpoint says one more answer after a complete one; the next request goes out on
+     * the same connection.
+     * Cause: the extra answer is taken for that of the next request.
+     */
+    it("never takes an extra answer for its own", async () => {
+      endpoint = await listenRaw(
+        say(`${LENGTH}hello${LENGTH.replace("c1", "c0")}extra`),
+      );
+      await attempt(endpoint.address, { connections }).done;
+      const second = await attempt(endpoint.address, { connections }).done;
+      expect(second.body).toBe("hello");
+      expect(endpoint.connections).toBe(2);
+    });
+
+    it("gets the bytes of its own body after an early answer to another", async () => {
+      endpoint = await listenRaw((socket, request) => {
+        if (request.includes(" /x ")) {
+          socket.write(`${LENGTH}early`);
+        }
+      });
+      const body = "b".repeat(200_000);
+      await attempt(endpoint.address, { connections, body }).done;
+      await attempt(endpoint.address, { connections }).done;
+      const sent = endpoint.requests.join("");
+      expect(sent.split("GET /x ").length).toBe(2);
+      expect(sent.match(/b+/g)!.join("").length).toBeGreaterThanOrEqual(1);
+    });
+  });
+
+  describe("of a stream", () => {
+    const FIRST = "id: 1\ndata: a\n\n";
+
+    it("passes events on as they come", async () => {
+      endpoint = await listenRaw((socket) => {
+        socket.write(`${CHUNKED}${chunk(FIRST)}`);
+        setTimeout(() => socket.write(`${chunk("id: 2\n\n")}0\r\n\r\n`), 20);
+      });
+      const { seen, done } = attempt(endpoint.address, {
+        connections,
+        streaming: true,
+      });
+      await until(() => seen.body === FIRST);
+      await done;
+      expect(seen.body).toBe(`${FIRST}id: 2\n\n`);
+      expect(endOf(seen)).toBe("complete");
+    });
+
+    it("keeps back an event that is torn", async () => {
+      endpoint = await listenRaw(
+        say(
+          `${CHUNKED}${chunk(`${FIRST}id: 2\nda`)}`,
+          (socket) => setTimeout(() => socket.destroy(), 5),
+        ),
+      );
+      const seen = await attempt(endpoint.address, {
+        connections,
+        streaming: true,
+      }).done;
+      expect(seen.body).toBe(FIRST);
+      expect(endOf(seen)).toBe("lost");
+    });
+
+    it("is given up at once", async () => {
+      let closed = false;
+      endpoint = await listenRaw((socket) => {
+        socket.on("close", () => closed = true);
+        socket.write(`${CHUNKED}${chunk(FIRST)}`);
+      });
+      const { seen, call } = attempt(endpoint.address, {
+        connections,
+        streaming: true,
+      });
+      await until(() => seen.body === FIRST);
+      call.abort();
+      await until(() => closed);
+      expect(endOf(seen)).toBe("none");
+    });
+  });
+});
+
+function chunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await new Promise((resolve) => setTimeout(resolve, 2));
+  }
+}
--- a/packages/daemon/src/gateway/connections.ts
+++ b/packages/daemon/src/gateway/connections.ts
@@ -43,11 +43,18 @@
    * was reset on the way would pass for whole, and its caller would get a part of it.
    */
   failed = false;
+  /** Whether the answer under way ends with the connection. */
+  endsAnswer = false;
 
   constructor(socket: Socket, address: string, now: Instant) {
     this.address = address;
     this.idleSince = now;
     socket.on("error", () => this.failed = true);
+    socket.on("end", () => {
+      if (this.endsAnswer && isReset(socket)) {
+        this.failed = true;
+      }
+    });
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -67,6 +74,19 @@
   }
 }
 
+/**
+ * Whether a connection that seems to have ended in order was reset.
+ *
+ * The event loop's library tells of an end where a reset arrives together with the last bytes, so that a
+ * torn answer without a length looks whole; one notices by bodies that are too short. A write tells: it
+ * fails at once on a connection that was reset. An empty line is the one thing that means nothing to a
+ * peer that has only closed its side.
+ */
+function isReset(socket: Socket): boolean {
+  socket.write("\r\n");
+  return socket.errored !== null;
+}
+
 /**
  * Hands the socket out once: a client that connects anew by itself would send a request twice without
  * anybody having decided it.
@@ -162,6 +182,8 @@
       host: address.slice(0, colon),
       port: Number(address.slice(colon + 1)),
       noDelay: true,
+      // Ours stays open when the other side ends, see `isReset`; the client closes it.
+      allowHalfOpen: true,
     });
     this.#count(address, 1);
     this.opened++;
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -221,6 +221,8 @@
         return this.#catalogue.copy(effect);
       case "log":
         return this.#logger.info(effect.part, effect.text, effect.fields);
+      case "closeDoors":
+        return this.#closeDoors();
       case "exit":
         void this.#exit();
     }
@@ -255,6 +257,14 @@
     }
   }
 
+  #closeDoors(): void {
+    const [callers, peers] = this.#servers;
+    for (const server of [callers!, peers!]) {
+      server.close();
+      server.closeIdleConnections();
+    }
+  }
+
   async #exit(): Promise<void> {
     clearInterval(this.#timer);
     for (const server of this.#servers) {
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -122,6 +122,7 @@
     this.#reason = reason ?? "";
     this.#headers = decodeHeaders(controller.rawHeaders as Buffer[]);
     this.#framed = isFramed(this.#headers);
+    this.#connection!.endsAnswer = !this.#framed;
     if (this.#attempt.streaming) {
       this.#takeHead();
     } else {
--- /dev/null
+++ b/packages/daemon/src/settings/__tests__/gateway_settings.test.ts
@@ -0,0 +1,81 @@
+import { describe, expect, it } from "vitest";
+import { parseGatewaySettings } from "../index.ts";
+
+const TEXT = `
+[entry]
+id = front-a-1
+zone = a-1
+region = a
+processor_share = 0.5
+cores = 2
+
+[addresses]
+callers = 10.1.0.1:80
+readiness = 10.1.0.1:81
+directory = 10.1.0.1:82
+control = 10.1.0.1:83
+peers = 10.1.0.1:90
+
+[peers]
+seeds = 10.1.0.1:83,10.2.0.1:83
+
+[zones]
+a-1 = a
+b-1 = b
+
+[store]
+address = 10.9.0.1:70
+
+[bounds]
+repeat_ratio = 0.25
+stop_s = 6
+`;
+
+function faults(text: string): string[] {
+  const result = parseGatewaySettings(text);
+  return result.ok
+    ? []
+    : result.faults.map(({ section, key, found, expected }) =>
+      `${section}.${key}: ${found}, ${expected}`
+    );
+}
+
+describe("gateway settings", () => {
+  it("resolves a whole text", () => {
+    const result = parseGatewaySettings(TEXT);
+    expect(result.ok).toBe(true);
+    if (result.ok) {
+      const { self, storeAddress } = result.settings;
+      expect(self.weight).toBe(1);
+      expect(self.seeds).toEqual(["10.1.0.1:90", "10.2.0.1:90"]);
+      expect(self.regionByZone.get("b-1" as never)).toBe("b");
+      expect(self.bounds.repeatRatio).toBe(0.25);
+      expect(self.bounds.stopTime).toBe(6_000);
+      expect(self.bounds.listLifetime).toBe(5_000);
+      expect(storeAddress).toBe("10.9.0.1:70");
+    }
+  });
+
+  it.each([
+    ["stop_s = 6", "stop_s = soon", "bounds.stop_s", '"soon"'],
+    [
+      "callers = 10.1.0.1:80",
+      "callers = nowhere",
+      "addresses.callers",
+      '"nowhere"',
+    ],
+    [
+      "peers = 10.1.0.1:90",
+      "peers = 10.1.0.1:99999",
+      "addresses.peers",
+      "a port up to",
+    ],
+    ["region = a\n", "", "entry.region", "nothing"],
+    ["repeat_ratio", "repeat_ration", "bounds.repeat_ration", "unknown name"],
+    ["[store]", "[stores]", "store", "unknown name"],
+  ])("tells what is wrong with %s", (from, to, place, word) => {
+    const found = faults(TEXT.replace(from, to)).join("\n");
+    expect(found).toContain(place);
+    expect(found).toContain(word);
+  });
+});
--- a/playground/src/routes/fake_backend.ts
+++ b/playground/src/routes/fake_backend.ts
@@ -126,7 +126,7 @@
     if (this.mode === "reset_after") {
       return this.#later(ready, request, () => answer.lost("reset"));
     }
-    if (request.streaming) {
+    if (request.streaming && this.mode !== "fail") {
       return this.#later(ready, request, () => this.#stream(request));
     }
     const status = this.mode === "fail" ? 500 : 200;
--- a/playground/src/routes/route_expectations.ts
+++ b/playground/src/routes/route_expectations.ts
@@ -91,6 +91,7 @@
     ...checkRefusal(world, call),
     ...checkHome(world, call),
     ...checkOrder(call),
+    ...checkAttempts(world, call),
   ]);
 }
 
@@ -188,6 +189,16 @@
     : [`Call ${name} got events ${events.join()}`];
 }
 
+function checkAttempts(world: RouteWorld, { name, route }: SeenCall): string[] {
+  const allowed = world.store.routes.get(route)?.attempts ?? Infinity;
+  const used = new Set(
+    world.runs.filter(({ call }) => call === name).map(({ backend }) =>
+      backend
+    ),
+  ).size;
+  return used <= allowed ? [] : [`Call ${name} ran at ${used} endpoints`];
+}
+
 function largestBurst(arrivals: readonly number[]): number {
   return arrivals.reduce((most, start, index) => {
     const end = arrivals.findIndex((at) => at >= start + BURST_WINDOW_MS);
