test: the adapter against stand-ins, and the whole path over real processes

Cause: platform/ had no test. Change: stand-ins of the store (pages, watch, history, six faults) and of endpoints, contract tests as tables, and three entries as processes before them: verdicts, streams that resume or break off, a document that changes, an endpoint that leaves, an entry that stops. Ruled out: the platform's names in the playground; they come from platform/.

--- /dev/null
+++ b/playground/src/platform/__tests__/platform_path.test.ts
@@ -0,0 +1,223 @@
+import { once } from "node:events";
+import { HEADERS, KEYS } from "@sassafrasstep/platform";
+import { Agent } from "undici";
+import { afterAll, beforeAll, beforeEach, describe, expect, it } from "vitest";
+import {
+  callPlatform,
+  eventually,
+  PlatformFleet,
+  route,
+  ROUTES,
+  StandInEndpoint,
+} from "../index.ts";
+
+const EVENTS = [1, 2, 3, 4, 5].map((id) => `id: ${id}\ndata: event ${id}\n\n`)
+  .join("");
+
+describe("the whole path on the platform's protocol", () => {
+  const fleet = new PlatformFleet();
+
+  beforeAll(async () => {
+    await fleet.prepare();
+    await fleet.start(3);
+  });
+  afterAll(() => fleet.close());
+  beforeEach(() => {
+    fleet.endpoints.forEach((endpoint) => endpoint.fault = "none");
+  });
+
+  const first = (): string => fleet.entries[0]!.callers;
+  const runsOf = (call: string): number =>
+    fleet.endpoints.flatMap(({ runs }) => runs).filter((run) => run === call)
+      .length;
+
+  describe("a request", () => {
+    it("gets the endpoint's answer with its seal", async () => {
+      const answer = await callPlatform(first(), {
+        path: "/once/a?b=c",
+        call: "c1",
+        body: "badge",
+      });
+      expect(answer.status).toBe(200);
+      expect(answer.body).toBe(StandInEndpoint.bodyOf("c1"));
+      expect(answer.headers[HEADERS.seal]).toBe("seal-c1");
+      const seen = fleet.endpoints.flatMap(({ requests }) => requests).find((
+        { headers },
+      ) => headers[HEADERS.call] === "c1");
+      expect(seen?.url).toBe("/once/a?b=c");
+      expect(seen?.method).toBe("POST");
+      expect(Number(seen?.headers[HEADERS.timeLeft])).toBeLessThanOrEqual(
+        3_000,
+      );
+    });
+
+    it("has no header of its caller that only the system may set", async () => {
+      await callPlatform(first(), {
+        path: "/again/x",
+        call: "c2",
+        headers: { "kv-from": "1.2.3.4:5/6", "x-cache-hold": "h" },
+      });
+      const seen = fleet.endpoints.flatMap(({ requests }) => requests).find((
+        { headers },
+      ) => headers[HEADERS.call] === "c2");
+      expect(seen?.headers["kv-from"]).toBeUndefined();
+      expect(seen?.headers["x-cache-hold"]).toBeUndefined();
+    });
+
+    it("that no route takes is a 404", async () => {
+      const answer = await callPlatform(first(), { path: "/no/x", call: "c3" });
+      expect(answer.status).toBe(404);
+    });
+
+    it("that is too large is a 413", async () => {
+      const answer = await callPlatform(first(), {
+        path: "/once/x",
+        call: "c4",
+        body: "x".repeat(70_000),
+      });
+      expect(answer.status).toBe(413);
+      expect(runsOf("c4")).toBe(0);
+    });
+
+    it("that every endpoint turns away is a 503 with a time to come back", async () => {
+      fleet.endpoints.forEach((endpoint) => endpoint.fault = "full");
+      const answer = await callPlatform(first(), {
+        path: "/once/x",
+        call: "c5",
+        body: "badge",
+      });
+      expect(answer.status).toBe(503);
+      expect(Number(answer.headers[HEADERS.retryAfter])).toBeGreaterThan(0);
+      expect(runsOf("c5")).toBe(0);
+    });
+
+    it("that may have run is a 502 and runs once", async () => {
+      fleet.endpoints.forEach((endpoint) => endpoint.fault = "breaks");
+      const answer = await callPlatform(first(), {
+        path: "/once/x",
+        call: "c6",
+        body: "badge",
+      });
+      expect(answer.status).toBe(502);
+      expect(runsOf("c6")).toBe(1);
+    });
+
+    it("that may repeat is answered by another endpoint", async () => {
+      fleet.endpoints[0]!.fault = "breaks";
+      for (let index = 0; index < 6; index++) {
+        const answer = await callPlatform(first(), {
+          path: "/again/x",
+          call: `c7-${index}`,
+        });
+        expect(answer.status).toBe(200);
+      }
+    });
+  });
+
+  describe("a stream", () => {
+    it("passes through byte for byte", async () => {
+      const answer = await callPlatform(first(), {
+        path: "/stream/x",
+        call: "s1",
+        tokens: "100,5",
+        body: "q",
+      });
+      expect(answer.status).toBe(200);
+      expect(answer.body).toBe(EVENTS);
+    });
+
+    it("goes on at another engine where its route allows it", async () => {
+      fleet.endpoints[2]!.fault = "torn";
+      for (let index = 0; index < 4; index++) {
+        const answer = await callPlatform(first(), {
+          path: "/resume/x",
+          call: `s2-${index}`,
+          tokens: "100,5",
+          body: "q",
+        });
+        expect(answer.body).toBe(EVENTS);
+      }
+    });
+
+    it("breaks off visibly where it does not", async () => {
+      fleet.endpoints[2]!.fault = "torn";
+      fleet.endpoints[3]!.fault = "torn";
+      await expect(callPlatform(first(), {
+        path: "/stream/x",
+        call: "s3",
+        tokens: "100,5",
+        body: "q",
+      })).rejects.toThrow();
+    });
+  });
+
+  describe("the operators' document", () => {
+    it("is in force at every entry, and a removed route is gone", async () => {
+      fleet.publishDocument([
+        ...ROUTES,
+        route("extra", { kind: "idempotent", service: "plain" }),
+      ]);
+      for (const { callers } of fleet.entries) {
+        await eventually(async () => {
+          const answer = await callPlatform(callers, {
+            path: "/extra/x",
+            call: "d1",
+          });
+          return answer.status === 200;
+        });
+      }
+      fleet.publishDocument(ROUTES);
+      for (const { callers } of fleet.entries) {
+        await eventually(async () => {
+          const answer = await callPlatform(callers, {
+            path: "/extra/x",
+            call: "d2",
+          });
+          return answer.status === 404;
+        });
+      }
+    });
+  });
+
+  describe("an endpoint that leaves", () => {
+    it("gets nothing more", async () => {
+      const [leaving] = fleet.endpoints;
+      fleet.store.remove(`${KEYS.endpoint}${leaving!.id}`);
+      await eventually(async () => {
+        const before = leaving!.requests.length;
+        for (let index = 0; index < 4; index++) {
+          await callPlatform(first(), { path: "/again/x", call: "e1" });
+        }
+        return leaving!.requests.length === before;
+      });
+    });
+  });
+
+  describe("a stopping entry", () => {
+    it("leaves the list, answers what it has, and ends", async () => {
+      const [stopping, other] = [fleet.entries[2]!, fleet.entries[0]!];
+      await eventually(async () =>
+        (await fleet.named(other, "kiosk.example")).length === 3
+      );
+      const dispatcher = new Agent({
+        connections: 1,
+        keepAliveTimeout: 20_000,
+      });
+      const call = (id: string): Promise<{ status: number }> =>
+        callPlatform(stopping.callers, {
+          path: "/again/x",
+          call: id,
+          dispatcher,
+        });
+      expect((await call("t1")).status).toBe(200);
+      stopping.process.kill("SIGTERM");
+      await eventually(async () =>
+        (await fleet.named(other, "kiosk.example")).length === 2
+      );
+      expect((await call("t2")).status).toBe(200);
+      const [code] = await once(stopping.process, "exit");
+      expect(code).toBe(0);
+      await dispatcher.close();
+    });
+  });
+});
--- /dev/null
+++ b/playground/src/platform/__tests__/store_source.test.ts
@@ -0,0 +1,96 @@
+import { milliseconds, type Revision } from "@sassafrasstep/core";
+import { KEYS, StoreSource } from "@sassafrasstep/platform";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { StandInStore, type StoreFault } from "../index.ts";
+
+const TIMEOUT = milliseconds(100);
+const ENDPOINT = {
+  service: "s",
+  address: "1.2.3.4:5",
+  zone: "a-1",
+  state: "ready",
+  sequence: 1,
+};
+
+describe("the store's reader", () => {
+  let store: StandInStore;
+  let source: StoreSource;
+  const notes: string[] = [];
+
+  beforeEach(async () => {
+    store = new StandInStore();
+    notes.length = 0;
+    source = new StoreSource(await store.listen(), (text) => notes.push(text));
+  });
+  afterEach(async () => {
+    await source.close();
+    await store.close();
+  });
+
+  it("reads all pages", async () => {
+    for (let index = 0; index < 8; index++) {
+      store.put(`${KEYS.endpoint}i-${index}`, ENDPOINT);
+    }
+    store.put(`${KEYS.evacuation}a-1`, {});
+    const snapshot = await source.snapshot(TIMEOUT);
+    expect(snapshot.endpoints.length).toBe(8);
+    expect(snapshot.evacuated).toEqual(["a-1"]);
+    expect(snapshot.document).toBeUndefined();
+  });
+
+  it("waits for changes", async () => {
+    const { revision } = await source.snapshot(TIMEOUT);
+    const waiting = source.changes(revision, {
+      wait: milliseconds(5_000),
+      timeout: milliseconds(6_000),
+    });
+    store.put(`${KEYS.endpoint}i-1`, ENDPOINT);
+    const answer = await waiting;
+    expect(answer.kind).toBe("changes");
+    if (answer.kind === "changes") {
+      expect(answer.changes.changes.map(({ kind }) => kind)).toEqual([
+        "endpoint",
+      ]);
+      expect(answer.changes.revision).toBe(1);
+    }
+  });
+
+  it("tells of removals and of changes that are forgotten", async () => {
+    store.put(`${KEYS.endpoint}i-1`, ENDPOINT);
+    store.remove(`${KEYS.endpoint}i-1`);
+    const limits = { wait: milliseconds(0), timeout: TIMEOUT };
+    const answer = await source.changes(1 as Revision, limits);
+    expect(answer).toMatchObject({
+      changes: { changes: [{ kind: "endpointRemoved", id: "i-1" }] },
+    });
+    store.compact();
+    expect(await source.changes(1 as Revision, limits)).toEqual({
+      kind: "compacted",
+    });
+  });
+
+  it.each<StoreFault>(["silent", "busy", "reset", "garbage", "slow"])(
+    "fails in time where the store is %s, and reads again afterwards",
+    async (fault) => {
+      store.fault = fault;
+      await expect(source.snapshot(TIMEOUT)).rejects.toThrow();
+      store.fault = "none";
+      expect((await source.snapshot(TIMEOUT)).revision).toBe(0);
+    },
+  );
+
+  /**
+   * Symptom: all endpoints vanish from an entry's picture.
+   * Sequence: one record of a new shape is written.
+   * Cause: a whole page is dropped for one item that cannot be read.
+   */
+  it("reads the others where one record is wrong, and says which", async () => {
+    store.put(`${KEYS.endpoint}i-1`, { ...ENDPOINT, address: 7 });
+    store.putRaw(`${KEYS.endpoint}i-2`, "bm8=");
+    store.put(`${KEYS.endpoint}i-3`, { ...ENDPOINT, unknown: true });
+    const { endpoints } = await source.snapshot(TIMEOUT);
+    expect(endpoints.map(({ id }) => id)).toEqual(["i-3"]);
+    expect(notes.join("\n")).toContain('"address"');
+    expect(notes.join("\n")).toContain("i-2");
+  });
+});
--- /dev/null
+++ b/playground/src/platform/index.ts
@@ -0,0 +1,10 @@
+export { callPlatform, type PlatformAnswer } from "./platform_caller.ts";
+export {
+  eventually,
+  type PlatformEntry,
+  PlatformFleet,
+  route,
+  ROUTES,
+} from "./platform_fleet.ts";
+export { StandInEndpoint } from "./stand_in_endpoint.ts";
+export { StandInStore, type StoreFault } from "./stand_in_store.ts";
--- /dev/null
+++ b/playground/src/platform/platform_caller.ts
@@ -0,0 +1,45 @@
+/**
+ * A caller of the platform.
+ *
+ * @module
+ */
+import { HEADERS } from "@sassafrasstep/platform";
+import { type Dispatcher, request } from "undici";
+
+/** What a caller got. */
+export interface PlatformAnswer {
+  readonly status: number;
+  readonly headers: Dispatcher.ResponseData["headers"];
+  readonly body: string;
+}
+
+/** Sends one request and reads the whole answer. */
+export async function callPlatform(
+  address: string,
+  { path, call, tokens, body, dispatcher, headers = {} }: {
+    path: string;
+    call: string;
+    tokens?: string;
+    body?: string;
+    dispatcher?: Dispatcher;
+    headers?: Record<string, string>;
+  },
+): Promise<PlatformAnswer> {
+  const answer = await request(`http://${address}${path}`, {
+    method: body === undefined ? "GET" : "POST",
+    body: body ?? null,
+    ...(dispatcher === undefined ? {} : { dispatcher }),
+    headers: {
+      host: "kiosk.example",
+      [HEADERS.call]: call,
+      [HEADERS.timeLeft]: "3000",
+      ...(tokens === undefined ? {} : { [HEADERS.tokens]: tokens }),
+      ...headers,
+    },
+  });
+  return {
+    status: answer.statusCode,
+    headers: answer.headers,
+    body: await answer.body.text(),
+  };
+}
--- /dev/null
+++ b/playground/src/platform/platform_fleet.ts
@@ -0,0 +1,254 @@
+/**
+ * A fleet on the platform's protocol: the real programs, with stand-ins for store and endpoints.
+ *
+ * @module
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { createSocket } from "node:dgram";
+import { once } from "node:events";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { CALLS, KEYS, SETTINGS_VARIABLE } from "@sassafrasstep/platform";
+import { StandInEndpoint } from "./stand_in_endpoint.ts";
+import { StandInStore } from "./stand_in_store.ts";
+
+const PROGRAM = fileURLToPath(
+  new URL("../../../platform/dist/main.js", import.meta.url),
+);
+const READY_POLL_MS = 20;
+const READY_TIMEOUT_MS = 20_000;
+/** Each entry has a loopback address of its own, so that all can use the same port for peers. */
+const FIRST_HOST = 11;
+
+/** One entry's process. */
+export interface PlatformEntry {
+  readonly name: string;
+  readonly host: string;
+  readonly callers: string;
+  readonly directory: string;
+  readonly readiness: string;
+  readonly control: string;
+  process: ChildProcess;
+}
+
+/** A running fleet. */
+export class PlatformFleet {
+  readonly store = new StandInStore();
+  readonly endpoints: StandInEndpoint[] = [];
+  readonly entries: PlatformEntry[] = [];
+  readonly #folder = mkdtempSync(join(tmpdir(), "fleet-"));
+  #storeAddress = "";
+  #peerPort = 0;
+  #version = 1;
+
+  /** Starts the store, and endpoints for a plain service and for engines. */
+  async prepare(): Promise<void> {
+    this.#storeAddress = await this.store.listen();
+    this.#peerPort = await freeUdpPort();
+    for (const [id, service] of ENDPOINTS) {
+      const endpoint = new StandInEndpoint(id);
+      this.endpoints.push(endpoint);
+      this.publishEndpoint(id, {
+        service,
+        address: await endpoint.listen(),
+        state: "ready",
+        sequence: 1,
+      });
+    }
+    this.publishDocument(ROUTES);
+  }
+
+  publishDocument(routes: readonly object[]): void {
+    this.#version += 2;
+    this.store.put(KEYS.document, {
+      version: this.#version,
+      routes,
+      services: SERVICES,
+      limits: {
+        header_bytes: 16_384,
+        body_bytes: 65_536,
+        header_ms: 3_000,
+        idle_ms: 15_000,
+      },
+    });
+  }
+
+  publishEndpoint(id: string, fields: object): void {
+    this.store.put(`${KEYS.endpoint}${id}`, {
+      zone: "a-1",
+      version: "v1",
+      slots: 8,
+      cold_remaining_ms: 0,
+      ...fields,
+    });
+  }
+
+  /** Starts entries and waits until all serve. */
+  async start(count: number): Promise<void> {
+    for (let index = 0; index < count; index++) {
+      this.entries.push(await this.#entry(index));
+    }
+    await Promise.all(this.entries.map((entry) => this.ready(entry)));
+  }
+
+  /** Waits until an entry serves. */
+  async ready({ readiness }: PlatformEntry): Promise<void> {
+    await eventually(async () => {
+      const { status } = await fetch(`http://${readiness}${CALLS.ready}`);
+      return status === 200;
+    });
+  }
+
+  /** Entries that one entry names. */
+  async named(entry: PlatformEntry, host: string): Promise<string[]> {
+    const query = `name=${host}&region=a&zone=a-1`;
+    const answer = await fetch(
+      `http://${entry.directory}${CALLS.resolve}?${query}`,
+    );
+    const { addresses } = await answer.json() as { addresses: string[] };
+    return addresses.sort();
+  }
+
+  async close(): Promise<void> {
+    for (const { process } of this.entries) {
+      if (process.exitCode === null && process.signalCode === null) {
+        process.kill("SIGKILL");
+        await once(process, "exit");
+      }
+    }
+    await Promise.all(this.endpoints.map((endpoint) => endpoint.close()));
+    await this.store.close();
+    rmSync(this.#folder, { recursive: true });
+  }
+
+  async #entry(index: number): Promise<PlatformEntry> {
+    const host = `127.0.0.${FIRST_HOST + index}`;
+    const name = `entry-${index + 1}`;
+    const ports = await Promise.all(
+      Array.from({ length: 4 }, () => freePort(host)),
+    );
+    const [callers, directory, readiness, control] = ports.map((port) =>
+      `${host}:${port}`
+    );
+    const settings = join(this.#folder, `${name}.ini`);
+    writeFileSync(
+      settings,
+      `[entry]
+id = ${name}
+zone = a-1
+region = a
+[addresses]
+callers = ${callers}
+directory = ${directory}
+readiness = ${readiness}
+control = ${control}
+peers = ${host}:${this.#peerPort}
+[peers]
+seeds = 127.0.0.${FIRST_HOST}:1
+[zones]
+a-1 = a
+[store]
+address = ${this.#storeAddress}
+[bounds]
+stop_s = 8
+`,
+    );
+    return {
+      name,
+      host,
+      callers: callers!,
+      directory: directory!,
+      readiness: readiness!,
+      control: control!,
+      process: spawn(process.execPath, [PROGRAM], {
+        env: { [SETTINGS_VARIABLE]: settings },
+        stdio: ["ignore", "ignore", "inherit"],
+      }),
+    };
+  }
+}
+
+/** Waits until a condition holds. */
+export async function eventually(
+  condition: () => boolean | Promise<boolean>,
+): Promise<void> {
+  const end = performance.now() + READY_TIMEOUT_MS;
+  while (performance.now() < end) {
+    if (await Promise.resolve(condition()).catch(() => false)) {
+      return;
+    }
+    await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS));
+  }
+  throw new Error("Condition did not come true in time");
+}
+
+async function freePort(host: string): Promise<number> {
+  const server = createServer();
+  server.listen(0, host);
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, "close");
+  return port;
+}
+
+async function freeUdpPort(): Promise<number> {
+  const socket = createSocket("udp4");
+  socket.bind(0, "127.0.0.1");
+  await once(socket, "listening");
+  const { port } = socket.address();
+  socket.close();
+  await once(socket, "close");
+  return port;
+}
+
+const ENDPOINTS = [
+  ["i-p1", "plain"],
+  ["i-p2", "plain"],
+  ["i-e1", "pool"],
+  ["i-e2", "pool"],
+] as const;
+
+const SERVICES = [
+  { name: "plain", connection_limit: 100, cold_s: 0, cold_per_s: 0 },
+  {
+    name: "pool",
+    connection_limit: 100,
+    cold_s: 0,
+    cold_per_s: 0,
+    engine: { slots: 64, cache_tokens: 100_000 },
+  },
+];
+
+/** Routes of the stand-in document, each on a path of its name. */
+export const ROUTES = [
+  route("once", { kind: "non_idempotent", service: "plain", attempts: 1 }),
+  route("again", { kind: "idempotent", service: "plain", attempts: 2 }),
+  route("stream", { kind: "stream", service: "pool", attempts: 1 }),
+  route("resume", {
+    kind: "stream",
+    service: "pool",
+    attempts: 2,
+    resumable: true,
+  }),
+];
+
+/** One route of a document. */
+export function route(name: string, fields: object): object {
+  return {
+    name,
+    host: "kiosk.example",
+    path_prefix: `/${name}/`,
+    timeout_ms: 3_000,
+    response_target_ms: 500,
+    priority: 1,
+    sticky: false,
+    resumable: false,
+    home_regions: [],
+    ...fields,
+  };
+}
--- /dev/null
+++ b/playground/src/platform/stand_in_endpoint.ts
@@ -0,0 +1,126 @@
+/**
+ * A stand-in of the platform's endpoints: plain answers and event streams, and the ways they can fail.
+ *
+ * @module
+ */
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { HEADERS } from "@sassafrasstep/platform";
+
+/** How the endpoint treats a request. */
+export type EndpointFault =
+  | "none"
+  /** Says that it did not run. */
+  | "full"
+  /** Runs and fails. */
+  | "fails"
+  /** Runs and breaks off. */
+  | "breaks"
+  /** Breaks streams off inside an event. */
+  | "torn"
+  /** Takes the request and never answers. */
+  | "silent";
+
+const UNAVAILABLE = 503;
+const MISDIRECTED = 421;
+const FAILED = 500;
+const EVENT_MS = 5;
+
+/** An endpoint on loopback. */
+export class StandInEndpoint {
+  readonly id: string;
+  fault: EndpointFault = "none";
+  /** Ids of calls that ran, in order. */
+  readonly runs: string[] = [];
+  /** Heads of all requests. */
+  readonly requests: IncomingMessage[] = [];
+  /** Events of a stream. */
+  events = 5;
+  readonly #server: Server = createServer((message, reply) =>
+    this.#take(message, reply)
+  );
+
+  constructor(id: string) {
+    this.id = id;
+  }
+
+  async listen(): Promise<string> {
+    this.#server.listen(0, "127.0.0.1");
+    await once(this.#server, "listening");
+    const { port } = this.#server.address() as AddressInfo;
+    return `127.0.0.1:${port}`;
+  }
+
+  async close(): Promise<void> {
+    this.#server.closeAllConnections();
+    this.#server.close();
+    await once(this.#server, "close");
+  }
+
+  /** The body that a call gets. */
+  static bodyOf(call: string): string {
+    return `answer to ${call}`;
+  }
+
+  #take(message: IncomingMessage, reply: ServerResponse): void {
+    message.resume();
+    message.on("end", () => this.#answer(message, reply));
+  }
+
+  #answer(message: IncomingMessage, reply: ServerResponse): void {
+    this.requests.push(message);
+    const expected = message.headers[HEADERS.expectedEndpoint];
+    if (expected !== this.id) {
+      reply.writeHead(MISDIRECTED, { [HEADERS.endpoint]: this.id }).end();
+      return;
+    }
+    const call = String(message.headers[HEADERS.call]);
+    if (this.fault === "full") {
+      reply.writeHead(UNAVAILABLE, { [HEADERS.notRun]: "1" }).end();
+      return;
+    }
+    if (this.fault === "silent") {
+      return;
+    }
+    this.runs.push(call);
+    if (this.fault === "breaks") {
+      message.socket.resetAndDestroy();
+      return;
+    }
+    const headers = { [HEADERS.call]: call, [HEADERS.seal]: `seal-${call}` };
+    if (message.headers[HEADERS.tokens] !== undefined) {
+      this.#stream(message, { reply, headers });
+      return;
+    }
+    reply.writeHead(this.fault === "fails" ? FAILED : 200, headers);
+    reply.end(StandInEndpoint.bodyOf(call));
+  }
+
+  #stream(
+    message: IncomingMessage,
+    { reply, headers }: {
+      reply: ServerResponse;
+      headers: Record<string, string>;
+    },
+  ): void {
+    reply.writeHead(200, { ...headers, "content-type": "text/event-stream" });
+    const first = Number(message.headers[HEADERS.lastEvent] ?? 0) + 1;
+    const say = (id: number): void => {
+      if (this.fault === "torn" && id === first + 2) {
+        reply.write(`id: ${id}\nda`, () => message.socket.destroy());
+      } else if (id > this.events) {
+        reply.end();
+      } else {
+        reply.write(`id: ${id}\ndata: event ${id}\n\n`);
+        setTimeout(() => say(id + 1), EVENT_MS);
+      }
+    };
+    say(first);
+  }
+}
