--- a/packages/core/src/gateway/entry_directory.ts
+++ b/packages/core/src/gateway/entry_directory.ts
@@ -64,7 +64,9 @@
   const allowed = allowedRegions(catalogue, question);
   const wanted = ready.filter(({ region }) => allowed(region));
   const present = [...new Set(wanted.map(({ region }) => region))];
-  const shares = question.region === self.region ? regions.shares : [];
+  const steered = question.region === self.region &&
+    hasEngines(catalogue, question);
+  const shares = steered ? regions.shares : [];
   const region = pickRegion(question, { present, shares });
   const chosen = region === undefined
     ? ready.filter((record) => record.region === question.region)
@@ -88,6 +90,21 @@
   return (region) => homed.every(({ homes }) => homes.includes(region));
 }
 
+/**
+ * Whether a host's requests go to engines. What plain services do takes less time than the way to
+ * another region and back, and they have room.
+ */
+function hasEngines(
+  { table, document }: CatalogueView,
+  { host }: DirectoryQuestion,
+): boolean {
+  return (table?.ofHost(host) ?? []).some(({ targets }) =>
+    targets.some(({ service }) =>
+      document?.services.get(service)?.engine !== undefined
+    )
+  );
+}
+
 /** The caller's place between 0 and 1 decides: the shares' regions first, then its own. */
 function pickRegion(
   question: DirectoryQuestion,
