perf: a kept prefix is fetched from the neighbour, and refused callers are told to come back later

Cause: reading is what is scarce, and a subject's prefix that stood on a busy engine was read again on another. Callers refused for want of an endpoint were told 150 ms, came back to the same, and had lost their second try. A suspect was tried again only every 4 s, longer than most endpoints are gone. Ruled out: fetching less than 1,024 tokens (a transfer costs more than reading them).

--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -62,7 +62,13 @@
 const ORPHAN_MS = 5_000;
 /** Callers come back in a wave if all are told the same time: this part of it is drawn. */
 const RETRY_SPREAD = 0.5;
-const LEAST_RETRY_MS = 150;
+/** A document, or an entry in the place of a stopping one, is there after a moment. */
+const SOON_MS = 300;
+/**
+ * Endpoints that are gone or full are not back within a moment: callers who return at once are refused
+ * again, and have lost their second try.
+ */
+const LATER_MS = 1_200;
 const UINT32_RANGE = 2 ** 32;
 /** Output tokens cost an engine this much, in milliseconds, while a full batch shares each step. */
 const OUTPUT_TOKEN_MS = 0.15;
@@ -629,7 +635,7 @@
     const verdict = call.log.verdict();
     const refusal = refuse(reason, {
       verdict,
-      retryAfter: this.#spread(wait),
+      retryAfter: this.#spread(Math.max(LATER_MS, wait ?? 0)),
     });
     this.#log("Request is refused.", call, {
       reason,
@@ -644,15 +650,14 @@
   #refuseHead({ id }: CallHead, reason: CallRefusalReason): void {
     const refusal = refuse(reason, {
       verdict: { kind: "not_run" },
-      retryAfter: this.#spread(undefined),
+      retryAfter: this.#spread(SOON_MS),
     });
     this.#tools.emit({ kind: "refuse", request: id, refusal });
   }
 
-  #spread(wait: Milliseconds | undefined): Milliseconds {
-    const base = Math.max(LEAST_RETRY_MS, wait ?? LEAST_RETRY_MS);
+  #spread(wait: number): Milliseconds {
     const drawn = 1 + RETRY_SPREAD * (this.#tools.random.next() - 0.5) * 2;
-    return milliseconds(base * drawn);
+    return milliseconds(wait * drawn);
   }
 
   #forget(call: Call): void {
--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -19,7 +19,7 @@
 import type { EndpointBook } from "./endpoint_book.ts";
 import type { EndpointState } from "./endpoint_state.ts";
 import type { CallTarget, GatewaySelf } from "./messages.ts";
-import { place, type Placement } from "./placement.ts";
+import { findHolder, place, type Placement } from "./placement.ts";
 import type { RegionController, RegionView } from "./region_controller.ts";
 
 /** A wait longer than this is worth the way to another region and back. */
@@ -92,7 +92,7 @@
   }
 
   /** The target as the shell needs it. */
-  targetOf(call: Call, { state }: Chosen, now: Instant): CallTarget {
+  targetOf(call: Call, { state, fetchFrom }: Chosen, now: Instant): CallTarget {
     const entries = 1 + this.#region(now).length;
     const connections = (state.service?.connectionLimit ?? entries) *
       CONNECTION_PART / entries;
@@ -104,20 +104,21 @@
       urgency: state.service?.engine === undefined
         ? undefined
         : urgencyOf(call, now),
-      prefixFrom: undefined,
+      prefixFrom: fetchFrom?.record.address,
     };
   }
 
   #local(call: Call, now: Instant): Placement {
     const { self, endpoints } = this.#sources;
-    const work = { prompt: call.head.prompt, zone: self.zone };
+    const { prompt } = call.head;
     let busy: Placement = { kind: "none" };
     for (const service of call.services) {
       const usable = endpoints.of(service).filter((state) =>
         endpoints.accepts(state, now) && this.#coldAllows(state, now)
       );
       const fresh = usable.filter(({ record }) => !call.tried.has(record.id));
-      const found = place(work, fresh);
+      const holder = findHolder(prompt, usable);
+      const found = place({ prompt, holder, zone: self.zone }, fresh);
       if (found.kind === "chosen") {
         return found;
       }
--- a/packages/core/src/gateway/endpoint_health.ts
+++ b/packages/core/src/gateway/endpoint_health.ts
@@ -12,7 +12,7 @@
 const FAILURES_TO_SUSPECT = 2;
 /** First time out of use; doubles with each trial that fails, up to the most. */
 const FIRST_SUSPICION_MS = 500;
-const MOST_SUSPICION_MS = 4_000;
+const MOST_SUSPICION_MS = 2_000;
 
 /** How an attempt went, as far as the endpoint is to blame. */
 export type Outcome =
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -32,10 +32,23 @@
 /** Cost of another availability zone: bytes between zones are charged. */
 const OTHER_ZONE_COST_MS = 25;
 
+/** A fetched prefix saves at least so much reading, or it is not worth its transfer. */
+const LEAST_FETCH_TOKENS = 1_024;
+/** Time that a fetch takes before reading goes on. */
+const FETCH_COST_MS = 12;
+
 /** What a request asks of an endpoint. */
 export interface Work {
   readonly prompt: Prompt | undefined;
   readonly zone: ZoneId;
+  /** The endpoint that has most of the prompt's prefix, of those that others can fetch from. */
+  readonly holder: PrefixHolder | undefined;
+}
+
+/** An endpoint with part of a prompt in its cache. */
+export interface PrefixHolder {
+  readonly state: EndpointState;
+  readonly tokens: number;
 }
 
 /** The outcome of a choice. */
@@ -46,6 +59,8 @@
     /** Prompt tokens that it will have to read. */
     readonly prefill: number;
     readonly tokens: number;
+    /** Where it fetches part of the prefix from. */
+    readonly fetchFrom: EndpointState | undefined;
   }
   /** All are busy; a place may come free after this time. */
   | { readonly kind: "busy"; readonly wait: Milliseconds }
@@ -60,16 +75,17 @@
   let bestCost = Infinity;
   let wait = Infinity;
   for (const state of candidates) {
-    const prefill = uncachedTokens(work.prompt, state);
+    const { prefill, fetchFrom } = readingAt(work, state);
     const tokens = memoryTokens(work.prompt);
     if (!fits(state, { prefill, tokens })) {
       wait = Math.min(wait, waitAt(state));
       continue;
     }
-    const cost = costAt(state, prefill, work);
+    const cost = costAt(state, prefill, work) +
+      (fetchFrom === undefined ? 0 : FETCH_COST_MS);
     if (cost < bestCost) {
       bestCost = cost;
-      best = { kind: "chosen", state, prefill, tokens };
+      best = { kind: "chosen", state, prefill, tokens, fetchFrom };
     }
   }
   return best.kind === "none" && wait < Infinity
@@ -77,16 +93,45 @@
     : best;
 }
 
-/** Prompt tokens that an endpoint would have to read. */
-export function uncachedTokens(
+/** The endpoint that has most of a prompt's shared parts. */
+export function findHolder(
   prompt: Prompt | undefined,
+  states: readonly EndpointState[],
+): PrefixHolder | undefined {
+  let best: PrefixHolder | undefined;
+  if (prompt === undefined) {
+    return undefined;
+  }
+  const parts = sharedParts(prompt);
+  for (const state of states) {
+    const tokens = state.service?.engine?.fetches === true
+      ? state.prefixes.cached(parts)
+      : 0;
+    if (tokens > (best?.tokens ?? 0)) {
+      best = { state, tokens };
+    }
+  }
+  return best;
+}
+
+/** What an endpoint would have to read of a prompt, and where it would fetch the rest from. */
+function readingAt(
+  { prompt, holder }: Work,
   state: EndpointState,
-): number {
+): { prefill: number; fetchFrom: EndpointState | undefined } {
   if (prompt === undefined || state.service?.engine === undefined) {
-    return 0;
+    return { prefill: 0, fetchFrom: undefined };
   }
   const cached = state.prefixes.cached(sharedParts(prompt));
-  return Math.max(0, prompt.promptTokens - cached);
+  const fetched = holder === undefined || holder.state === state
+    ? 0
+    : holder.tokens - cached;
+  const worth = fetched >= LEAST_FETCH_TOKENS;
+  const kept = worth ? holder!.tokens : cached;
+  return {
+    prefill: Math.max(0, prompt.promptTokens - kept),
+    fetchFrom: worth ? holder!.state : undefined,
+  };
 }
 
 /** Parts of a prompt that other requests have too. */
