perf: engines rest between prompts, entries see each other's at once, hosts with mixed homes are steered

Cause: guests' answers of the busy hour paused for 619 ms at the median against 600: an engine that reads without a rest gives each event of a stream only steps of a hundred milliseconds; entries of a region of six sent to the same engine, their reports being a quarter of a second old; a region with a host whose routes have different homes kept all of its callers (149 guests in 4 s against 5 next door), and what waited there was never passed on; a queue of hundreds was asked through at each event. Change: prompts for at most 420 ms in a row, then a rest; work reports at once, of what changed only; the homes of a host count by its present traffic; a request that has waited is passed on; one of a kind is asked.

--- a/packages/core/src/fleet/fleet_controller.ts
+++ b/packages/core/src/fleet/fleet_controller.ts
@@ -137,10 +137,14 @@
 
   /** Tells the region's other entries of this one's work. */
   tellWork(report: WorkReport): void {
-    const { region } = this.#options.self;
+    const { region, incarnation } = this.#options.self;
     for (const { record } of this.live()) {
       if (record.region === region) {
-        this.#send(record.peerAddress, { kind: "work", report });
+        this.#options.send(record.peerAddress, {
+          kind: "work",
+          incarnation,
+          report,
+        });
       }
     }
   }
@@ -164,6 +168,9 @@
 
   /** Takes a datagram of a peer. */
   receive(message: FleetMessage, now: Instant): void {
+    if (message.kind === "work") {
+      return;
+    }
     const { from, holdings } = message;
     if (from.incarnation === this.#record.incarnation) {
       return;
@@ -188,7 +195,6 @@
       case "vouch":
         return this.#probes.close(message.sequence);
       case "announce":
-      case "work":
         return;
     }
   }
@@ -356,7 +362,7 @@
 /** Pings for others that are remembered. */
 const MAX_FAVOURS = 64;
 
-type Body<Message> = Message extends FleetMessage
+type Body<Message> = Message extends { readonly from: FleetRecord }
   ? Omit<Message, "from" | "holdings">
   : never;
 type MessageBody = Body<FleetMessage>;
--- a/packages/core/src/fleet/fleet_messages.ts
+++ b/packages/core/src/fleet/fleet_messages.ts
@@ -104,6 +104,8 @@
 
 /** Work of one entry, told to the entries of its region. */
 export interface WorkReport {
+  /** Whether only what changed is named; otherwise all that is not named is nothing. */
+  readonly partial: boolean;
   readonly endpoints: readonly EndpointWork[];
   readonly prefixes: readonly PrefixNews[];
   /** Work that arrived here in the last second, in endpoint milliseconds. */
@@ -145,7 +147,12 @@
   | FleetMessageBase & { readonly kind: "vouch"; readonly sequence: number }
   /** The sender changed its state. Wants no answer. */
   | FleetMessageBase & { readonly kind: "announce" }
-  | FleetMessageBase & { readonly kind: "work"; readonly report: WorkReport };
+  /** Told often, so it names its sender only. */
+  | {
+    readonly kind: "work";
+    readonly incarnation: Incarnation;
+    readonly report: WorkReport;
+  };
 
 /** What pings and acks carry beside their purpose. */
 export interface FleetGossip {
--- /dev/null
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -0,0 +1,177 @@
+import { describe, expect, it } from "vitest";
+import {
+  type CallId,
+  type EndpointId,
+  instant,
+  milliseconds,
+  type RequestId,
+  type Revision,
+  type RouteName,
+  SeededRandomness,
+  type ServiceId,
+  type ZoneId,
+} from "../../index.ts";
+import {
+  type Route,
+  RouteTable,
+  type RoutingDocument,
+} from "../../routes/index.ts";
+import { CallController } from "../call_controller.ts";
+import type { CallRouter, Way } from "../call_router.ts";
+import { ColdAllowance } from "../cold_allowance.ts";
+import { EndpointState } from "../endpoint_state.ts";
+import type { GatewayBounds, GatewayEffect } from "../messages.ts";
+import { RepeatBudget } from "../repeat_budget.ts";
+import type { RegionController } from "../region_controller.ts";
+
+const SERVICE = "pool" as ServiceId;
+const ROUTE: Route = {
+  name: "digest" as RouteName,
+  host: "h",
+  pathPrefix: "/d/",
+  kind: "stream",
+  targets: [{ service: SERVICE, weight: 1 }],
+  attempts: 1,
+  timeout: milliseconds(60_000),
+  objective: milliseconds(1_000),
+  pauseObjective: undefined,
+  priority: 1,
+  homes: [],
+  sticky: false,
+  resumable: false,
+};
+const DOCUMENT: RoutingDocument = {
+  version: 1 as Revision,
+  routes: [ROUTE],
+  services: new Map(),
+  limits: {
+    headerBytes: 1,
+    bodyBytes: 1,
+    headerTime: milliseconds(1),
+    idleTime: milliseconds(1),
+  },
+};
+const BOUNDS: GatewayBounds = {
+  repeatRatio: 0.2,
+  repeatWindow: milliseconds(10_000),
+  repeatSlack: 10,
+  coldOvershoot: 1,
+  coldSlack: 1,
+  listLifetime: milliseconds(1_000),
+  stopTime: milliseconds(8_000),
+};
+
+/** A controller whose router says what the test says, and counts. */
+function build(): {
+  controller: CallController;
+  effects: GatewayEffect[];
+  asked: { count: number; way: Way };
+} {
+  const asked: { count: number; way: Way } = {
+    count: 0,
+    way: { kind: "wait", wait: milliseconds(1) },
+  };
+  const effects: GatewayEffect[] = [];
+  const router = {
+    next: () => {
+      asked.count++;
+      return asked.way;
+    },
+    targetOf: () => ({ kind: "endpoint" }),
+    stillFits: () => true,
+  } as unknown as CallRouter;
+  const controller = new CallController({
+    emit: (effect) => effects.push(effect),
+    random: new SeededRandomness(1),
+    catalogue: { table: new RouteTable(DOCUMENT) } as never,
+    endpoints: { all: () => [] } as never,
+    regions: {
+      arrivals: { add: () => {} },
+      traffic: { add: () => {} },
+      noteReading: () => {},
+      readPart: 0,
+    } as unknown as RegionController,
+    router,
+    budget: new RepeatBudget(BOUNDS),
+    cold: new ColdAllowance(BOUNDS),
+    entries: () => 1,
+    regionEntries: () => 1,
+  });
+  return { controller, effects, asked };
+}
+
+function arrive(
+  controller: CallController,
+  id: string,
+  promptTokens: number,
+): void {
+  controller.arrive({
+    id: id as RequestId,
+    call: id as CallId,
+    host: "h",
+    target: "/d/x",
+    timeLeft: undefined,
+    prompt: { model: "m", promptTokens, outputTokens: 1, parts: [] },
+    lastEventId: undefined,
+    bodyBytes: 0,
+    relay: undefined,
+  }, instant(0));
+}
+
+describe("waiting requests", () => {
+  /**
+   * Symptom: under overload an entry answers late and sends requests on whose callers have left.
+   * Sequence: some hundred requests wait; each event of a stream asks for a place for each of them.
+   * Cause: the work for an event grows with the queue, and takes the whole processor.
+   */
+  it("cost no more the more there are", () => {
+    const { controller, asked } = build();
+    for (let index = 0; index < 300; index++) {
+      arrive(controller, `long-${index}`, 8_000);
+      arrive(controller, `short-${index}`, 500);
+    }
+    expect(controller.queued).toBe(600);
+    asked.count = 0;
+    controller.tick(instant(25));
+    expect(asked.count).toBeLessThanOrEqual(2);
+  });
+
+  it("all get a place once there are places", () => {
+    const { controller, effects, asked } = build();
+    arrive(controller, "a", 8_000);
+    arrive(controller, "b", 500);
+    const record = {
+      id: "e" as EndpointId,
+      service: SERVICE,
+      address: "a:1",
+      zone: "z" as ZoneId,
+      softwareVersion: "v",
+      slots: 8,
+      state: "ready" as const,
+      coldFor: milliseconds(0),
+      leavesIn: undefined,
+      sequence: 1,
+    };
+    asked.way = {
+      kind: "endpoint",
+      placement: {
+        kind: "chosen",
+        state: new EndpointState(record, undefined, instant(0)),
+        prefill: 0,
+        tokens: 0,
+        fetchFrom: undefined,
+      },
+    };
+    controller.tick(instant(25));
+    expect(controller.queued).toBe(0);
+    expect(effects.filter(({ kind }) => kind === "send").length).toBe(2);
+  });
+
+  it("are gone with their callers", () => {
+    const { controller } = build();
+    arrive(controller, "a", 8_000);
+    controller.callerGone("a" as RequestId, instant(10));
+    expect(controller.queued).toBe(0);
+    expect(controller.active).toBe(0);
+  });
+});
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -36,7 +36,7 @@
   CONNECTION_LIMIT,
   type GatewayEmit,
 } from "./messages.ts";
-import { engineTime, sharedParts } from "./placement.ts";
+import { engineTime, isShort, sharedParts } from "./placement.ts";
 import { refuse } from "./refusals.ts";
 import type { RegionController } from "./region_controller.ts";
 import type { RepeatBudget } from "./repeat_budget.ts";
@@ -88,6 +88,8 @@
   readonly cold: ColdAllowance;
   /** Entries that may be alive, this one included. */
   readonly entries: () => number;
+  /** Live entries of the region, this one included. */
+  readonly regionEntries: () => number;
 }
 
 /** Writes the requests. */
@@ -168,7 +170,7 @@
     const wanted = timeLeft >= LEAST_TIME_MS &&
       (state === undefined || this.#tools.router.stillFits(call, state, now));
     if (!wanted) {
-      this.#close(call, "unsent");
+      this.#close(call, "unsent", now);
       this.#place(call, now);
       return;
     }
@@ -199,7 +201,7 @@
     }
     if (failed && call.mayRepeat && this.#canTryElsewhere(call, now)) {
       // The shell reads the failure to its end and keeps the connection.
-      this.#close(call, "lost");
+      this.#close(call, "lost", now);
       return this.#place(call, now);
     }
     call.phase = "answering";
@@ -237,7 +239,7 @@
       return;
     }
     if (end.kind === "complete") {
-      this.#close(call, "completed");
+      this.#close(call, "completed", now);
       this.#tools.emit({ kind: "complete", request: call.head.id });
       this.#forget(call);
     } else if (end.kind === "unsent") {
@@ -259,7 +261,7 @@
       call.orphaned = true;
       return;
     }
-    this.#giveUp(call);
+    this.#giveUp(call, now);
     this.#drain(now);
   }
 
@@ -277,14 +279,16 @@
     this.#drain(now);
   }
 
-  #meter({ head, services }: Call, now: Instant): void {
+  #meter({ head, services, route }: Call, now: Instant): void {
     const [service] = services;
+    const { regions } = this.#tools;
     const work = head.prompt === undefined
       ? PLAIN_WORK_MS
-      : engineTime(head.prompt, DEFAULT_PREFILL_RATE) +
+      : engineTime(head.prompt, DEFAULT_PREFILL_RATE) * regions.readPart +
         head.prompt.outputTokens * OUTPUT_TOKEN_MS;
-    if (head.relay === undefined || head.relay.sentBefore === 0) {
-      this.#tools.regions.arrivals.add(service!, work, now);
+    regions.arrivals.add(service!, work, now);
+    if (head.relay === undefined) {
+      regions.traffic.add(route.name, now);
     }
   }
 
@@ -331,7 +335,9 @@
       [...this.#tools.endpoints.all()].filter(({ service }) =>
         service?.engine !== undefined
       ).length;
-    return this.#queue.tokens /
+    // The region's other entries have as much waiting: callers choose among them by chance.
+    const waiting = this.#queue.tokens * this.#tools.regionEntries();
+    return waiting * this.#tools.regions.readPart /
       (DEFAULT_PREFILL_RATE * Math.max(1, engines));
   }
 
@@ -339,9 +345,19 @@
     if (this.#queue.size === 0) {
       return;
     }
+    // Where one has to wait, those of its kind behind it have to wait too: asking for each would cost
+    // more the longer the queue is, and the entry would be late when it has most to do.
+    const blocked = new Set<string>();
     for (const call of this.#queue.ordered(now)) {
-      const way = this.#tools.router.next(call, 0, now);
-      if (way.kind !== "wait") {
+      const kind = `${call.services[0]} ${isShort(call.head.prompt)}`;
+      if (blocked.has(kind)) {
+        continue;
+      }
+      const waited = now - call.arrivedAt;
+      const way = this.#tools.router.next(call, waited, now);
+      if (way.kind === "wait") {
+        blocked.add(kind);
+      } else {
         this.#queue.remove(call);
         this.#take(call, way, now);
       }
@@ -357,6 +373,7 @@
     const { prompt } = call.head;
     if (prompt !== undefined && state.service?.engine !== undefined) {
       const parts = sharedParts(prompt);
+      this.#tools.regions.noteReading(prefill, prompt.promptTokens);
       state.prefixes.use(parts);
       this.#prefixNews.push({ endpoint: state.record.id, parts });
     }
@@ -452,7 +469,7 @@
     call.sent -= call.attempt!.state === undefined
       ? attemptsOf(call, call.attempt!)
       : 0;
-    this.#close(call, "refused");
+    this.#close(call, "refused", now);
     call.rejections++;
     if (call.phase === "answering") {
       return this.#breakOff(call);
@@ -472,7 +489,7 @@
   #goOn(call: Call, { status }: CallAnswer, now: Instant): void {
     const { id } = call.attempt!;
     if (status !== OK) {
-      this.#leave(call);
+      this.#leave(call, now);
       return this.#breakOffOrRetry(call, now);
     }
     this.#tools.emit({ kind: "goOn", attempt: id });
@@ -489,7 +506,7 @@
     if (state !== undefined) {
       call.tried.add(state.record.id);
     }
-    this.#close(call, "unsent");
+    this.#close(call, "unsent", now);
     this.#log("Attempt was not sent.", call, { detail });
     call.unsent++;
     if (call.orphaned || call.unsent > MOST_UNSENT) {
@@ -504,7 +521,7 @@
     { detail, now }: { detail: string; now: Instant },
   ): void {
     state?.health.note("broken", now);
-    this.#close(call, "lost");
+    this.#close(call, "lost", now);
     this.#log("Attempt was lost.", call, { detail });
     if (call.orphaned) {
       return this.#forget(call);
@@ -530,7 +547,7 @@
     if (!this.#canTryElsewhere(call, now)) {
       return false;
     }
-    this.#leave(call);
+    this.#leave(call, now);
     this.#place(call, now);
     return true;
   }
@@ -545,10 +562,10 @@
   }
 
   /** Gives up the attempt under way, if there still is one. */
-  #leave(call: Call): void {
+  #leave(call: Call, now: Instant): void {
     if (call.attempt !== undefined) {
       this.#tools.emit({ kind: "abort", attempt: call.attempt.id });
-      this.#close(call, "lost");
+      this.#close(call, "lost", now);
     }
   }
 
@@ -583,6 +600,7 @@
       this.#close(
         call,
         call.attempt.sentAt === undefined ? "unsent" : "lost",
+        now,
       );
     }
     if (call.phase === "answering") {
@@ -593,12 +611,12 @@
 
   #endOrphan(call: Call, now: Instant): void {
     if (now - call.endsAt >= ORPHAN_MS) {
-      this.#giveUp(call);
+      this.#giveUp(call, now);
     }
   }
 
-  #giveUp(call: Call): void {
-    this.#leave(call);
+  #giveUp(call: Call, now: Instant): void {
+    this.#leave(call, now);
     this.#forget(call);
   }
 
@@ -606,11 +624,12 @@
   #close(
     call: Call,
     state: "unsent" | "lost" | "refused" | "completed",
+    now: Instant,
   ): void {
     const { attempt } = call;
     if (attempt !== undefined) {
       call.log.record(attempt.id, state);
-      attempt.state?.end(attempt.id);
+      attempt.state?.end(attempt.id, now);
       this.#attempts.delete(attempt.id);
       call.attempt = undefined;
     }
--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -5,6 +5,7 @@
  */
 import type { FleetController } from "../fleet/index.ts";
 import {
+  hash32,
   type Incarnation,
   type Instant,
   type Milliseconds,
@@ -32,6 +33,9 @@
 const LATE_URGENCY = 8;
 /** Part of an endpoint's connections that the region's entries use together. */
 const CONNECTION_PART = 0.8;
+/** Entries that choose in the same moment see the same picture; this much sets them apart. */
+const BIAS_MS = 15;
+const UINT32_RANGE = 2 ** 32;
 
 /** Where a request goes. */
 export type Way =
@@ -65,6 +69,11 @@
     this.#sources = sources;
   }
 
+  readonly #biasOf = ({ record }: EndpointState): number => {
+    const { incarnation } = this.#sources.self;
+    return BIAS_MS * hash32(`${incarnation} ${record.id}`) / UINT32_RANGE;
+  };
+
   /** The next way of a request. `wait` is how long requests already wait here. */
   next(call: Call, wait: number, now: Instant): Way {
     const { self } = this.#sources;
@@ -118,7 +127,8 @@
       );
       const fresh = usable.filter(({ record }) => !call.tried.has(record.id));
       const holder = findHolder(prompt, usable);
-      const found = place({ prompt, holder, zone: self.zone }, fresh);
+      const work = { prompt, holder, zone: self.zone, biasOf: this.#biasOf };
+      const found = place(work, fresh, now);
       if (found.kind === "chosen") {
         return found;
       }
--- a/packages/core/src/gateway/endpoint_book.ts
+++ b/packages/core/src/gateway/endpoint_book.ts
@@ -89,9 +89,13 @@
 
   /** Takes a peer's report of its work, in place of its former one. */
   learn(from: Incarnation, report: WorkReport, now: Instant): void {
-    this.#count(from, -1);
-    this.#reports.set(from, { report, at: now });
-    this.#count(from, 1);
+    const known = this.#reports.get(from);
+    const whole = report.partial && known !== undefined
+      ? merge(known.report, report)
+      : report;
+    this.#count(from, -1, now);
+    this.#reports.set(from, { report: whole, at: now });
+    this.#count(from, 1, now);
     report.prefixes.forEach((news) => this.#learnPrefix(news));
   }
 
@@ -104,7 +108,7 @@
   expire(now: Instant): void {
     for (const [from, { at }] of this.#reports) {
       if (now - at > REPORT_LIFETIME_MS) {
-        this.#count(from, -1);
+        this.#count(from, -1, now);
         this.#reports.delete(from);
       }
     }
@@ -157,15 +161,10 @@
     }
   }
 
-  #count(from: Incarnation, sign: 1 | -1): void {
+  #count(from: Incarnation, sign: 1 | -1, now: Instant): void {
     const known = this.#reports.get(from);
     for (const work of known?.report.endpoints ?? []) {
-      const peers = this.#states.get(work.endpoint)?.peers;
-      if (peers !== undefined) {
-        peers.prefill += sign * work.prefill;
-        peers.requests += sign * work.requests;
-        peers.tokens += sign * work.tokens;
-      }
+      this.#states.get(work.endpoint)?.countPeer(work, sign, now);
     }
   }
 
@@ -185,3 +184,15 @@
     this.#states.get(endpoint)?.prefixes.use(parts);
   }
 }
+
+/** What is named anew takes the place of what was; arrivals are always whole. */
+function merge(known: WorkReport, news: WorkReport): WorkReport {
+  const named = new Set(news.endpoints.map(({ endpoint }) => endpoint));
+  return {
+    ...news,
+    endpoints: [
+      ...known.endpoints.filter(({ endpoint }) => !named.has(endpoint)),
+      ...news.endpoints,
+    ],
+  };
+}
--- a/packages/core/src/gateway/endpoint_state.ts
+++ b/packages/core/src/gateway/endpoint_state.ts
@@ -21,6 +21,16 @@
 const LEAST_RATE = 2;
 const MOST_RATE = 200;
 
+/**
+ * After an engine has read prompts for some time it goes without for this part of that time. A step
+ * that reads takes a hundred milliseconds, one that does not takes five: a little time without reading
+ * gives the running streams most of their tokens. Without it, long answers do not end in time at all.
+ */
+const REST_PART = 0.2;
+/** Shortest and longest rest, in milliseconds: some steps that do not read. */
+const LEAST_REST_MS = 30;
+const MOST_REST_MS = 80;
+
 /** One of this entry's attempts in flight at the endpoint. */
 export interface Share {
   /** Tokens to be read before the first event; 0 after it. */
@@ -57,6 +67,9 @@
   /** After an evacuation, records up to this one do not tell whether it is cold. */
   #doubtedSequence = -1;
   readonly #shares = new Map<AttemptId, Share>();
+  /** Since when prompts are being read, `undefined` while none is. */
+  #readingSince: Instant | undefined;
+  #restUntil: Instant | undefined;
 
   constructor(
     record: EndpointRecord,
@@ -108,6 +121,27 @@
     return this.own.tokens + this.peers.tokens;
   }
 
+  /** Whether its running streams have a moment without reading beside them. */
+  isResting(now: Instant): boolean {
+    return this.#restUntil !== undefined && now < this.#restUntil &&
+      this.requests > 0;
+  }
+
+  /** For how long it has been reading without a rest. */
+  readingFor(now: Instant): number {
+    return this.#readingSince === undefined ? 0 : now - this.#readingSince;
+  }
+
+  /** Counts a peer's work, or takes it off. */
+  countPeer(work: EndpointWork, sign: 1 | -1, now: Instant): void {
+    this.peers.prefill += sign * work.prefill;
+    this.peers.requests += sign * work.requests;
+    this.peers.tokens += sign * work.tokens;
+    if (sign > 0) {
+      this.#noteReading(now);
+    }
+  }
+
   /** An attempt goes there. */
   begin(
     attempt: AttemptId,
@@ -119,6 +153,7 @@
     this.own.prefill += prefill;
     this.own.requests++;
     this.own.tokens += tokens;
+    this.#noteReading(now);
   }
 
   /** The attempt's first event came: its prompt has been read. */
@@ -130,10 +165,11 @@
     this.#measure(share, now);
     this.own.prefill -= share.prefill;
     share.prefill = 0;
+    this.#noteReading(now);
   }
 
   /** The attempt is over. */
-  end(attempt: AttemptId): void {
+  end(attempt: AttemptId, now: Instant): void {
     const share = this.#shares.get(attempt);
     if (share === undefined) {
       return;
@@ -142,6 +178,7 @@
     this.own.prefill -= share.prefill;
     this.own.requests--;
     this.own.tokens -= share.tokens;
+    this.#noteReading(now);
   }
 
   /** This entry's work there, as told to peers. */
@@ -149,6 +186,17 @@
     return { endpoint: this.record.id, ...this.own };
   }
 
+  #noteReading(now: Instant): void {
+    if (this.prefill > 0) {
+      this.#readingSince ??= now;
+    } else if (this.#readingSince !== undefined) {
+      const took = now - this.#readingSince;
+      this.#readingSince = undefined;
+      const rest = Math.max(LEAST_REST_MS, took * REST_PART);
+      this.#restUntil = after(now, Math.min(MOST_REST_MS, rest));
+    }
+  }
+
   #measure({ prefill, sentAt, alone }: Share, now: Instant): void {
     const took = now - sentAt - FIRST_EVENT_OVERHEAD_MS;
     if (!alone || prefill < MEASURABLE_TOKENS || took <= 0) {
--- a/packages/core/src/gateway/entry_directory.ts
+++ b/packages/core/src/gateway/entry_directory.ts
@@ -12,6 +12,7 @@
   type RegionId,
   type ZoneId,
 } from "../ids/index.ts";
+import { mayServe, type Route } from "../routes/index.ts";
 import type { CatalogueView } from "./catalogue_controller.ts";
 import type { GatewaySelf } from "./messages.ts";
 import type { RegionController } from "./region_controller.ts";
@@ -21,6 +22,12 @@
 /** Callers keep an answer so long, and some three times as long: short, since it steers. */
 const LIST_LIFETIME_MS = 1_000;
 const UINT32_RANGE = 2 ** 32;
+/** Requests of a host, fading, from which on its present use is known. */
+const LEAST_TRAFFIC = 5;
+/** Part of a host's homed requests that may be named an entry outside of their homes. */
+const MOST_ASTRAY = 0.01;
+/** Part of a host's requests that its own region may pass on. */
+const MOST_PASSED_ON = 0.9;
 
 /** Who asks. */
 export interface DirectoryQuestion {
@@ -55,13 +62,13 @@
 export function nameEntries(
   { self, fleet, catalogue, regions }: DirectorySources,
   question: DirectoryQuestion,
-  _now: Instant,
+  now: Instant,
 ): DirectoryAnswer | undefined {
   const ready = [
     fleet.record,
     ...fleet.live().map(({ record }) => record),
   ].filter(({ state }) => state === "ready");
-  const allowed = allowedRegions(catalogue, question);
+  const allowed = allowedRegions({ catalogue, regions }, question, now);
   const wanted = ready.filter(({ region }) => allowed(region));
   const present = [...new Set(wanted.map(({ region }) => region))];
   const steered = question.region === self.region &&
@@ -79,15 +86,37 @@
   };
 }
 
-/** Regions that may serve all routes of a host; where there is none, the homes of each route do. */
+/**
+ * Regions whose entries may be named for a host.
+ *
+ * A host may carry routes with homes and routes without. A caller that is named an entry of a region
+ * which is no home sends its homed requests there; only few may be. So a region counts by the part of
+ * the host's present requests that have to stay elsewhere; before there are any, each route counts.
+ * The caller's own region is always allowed, but for hosts whose requests nearly all belong elsewhere:
+ * each would be passed on.
+ */
 function allowedRegions(
-  { table }: CatalogueView,
-  { host }: DirectoryQuestion,
+  { catalogue, regions }: Pick<DirectorySources, "catalogue" | "regions">,
+  { host, region: own }: DirectoryQuestion,
+  now: Instant,
 ): (region: RegionId) => boolean {
-  const homed = (table?.ofHost(host) ?? []).filter(({ homes }) =>
-    homes.length > 0
-  );
-  return (region) => homed.every(({ homes }) => homes.includes(region));
+  const routes = catalogue.table?.ofHost(host) ?? [];
+  const weights = routes.map(({ name }) => regions.traffic.of(name, now));
+  const seen = weights.some((weight) => weight >= LEAST_TRAFFIC);
+  const weightOf = (index: number): number => seen ? weights[index]! : 1;
+  const sumOf = (counts: (route: Route) => boolean): number =>
+    routes.reduce(
+      (sum, route, index) => counts(route) ? sum + weightOf(index) : sum,
+      0,
+    );
+  const all = sumOf(() => true);
+  const homed = sumOf(({ homes }) => homes.length > 0);
+  return (region) => {
+    const astray = sumOf((route) => !mayServe(route, region));
+    return region === own
+      ? astray <= all * MOST_PASSED_ON
+      : astray <= homed * MOST_ASTRAY;
+  };
 }
 
 /**
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -105,6 +105,10 @@
       budget: new RepeatBudget(self.bounds),
       cold,
       entries: () => this.fleet.possible().length + 1,
+      regionEntries: () =>
+        1 +
+        this.fleet.live().filter(({ record }) => record.region === self.region)
+          .length,
     });
     this.#teller = new WorkTeller(this.#endpoints, this.#regions);
     this.#stop = new StopController({
@@ -258,7 +262,7 @@
   ): void {
     this.fleet.receive(message, now);
     if (message.kind === "work") {
-      this.#endpoints.learn(message.from.incarnation, message.report, now);
+      this.#endpoints.learn(message.incarnation, message.report, now);
     }
   }
 
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -3,8 +3,12 @@
  *
  * @module
  */
-import type { Milliseconds, ZoneId } from "../ids/index.ts";
-import { milliseconds } from "../ids/index.ts";
+import {
+  type Instant,
+  type Milliseconds,
+  milliseconds,
+  type ZoneId,
+} from "../ids/index.ts";
 import type { EndpointState } from "./endpoint_state.ts";
 import type { Prompt } from "./messages.ts";
 
@@ -14,6 +18,12 @@
  * longer backlog would make each stream on the engine pause for longer than its objective.
  */
 export const READ_AHEAD_MS = 260;
+/**
+ * Longest time that an engine may read without a rest. An event of a stream is several steps of its
+ * engine: with a rest within each of them no pause exceeds half a second, without one it is as long as
+ * the steps that read.
+ */
+const READ_STRETCH_MS = 420;
 /** Short prompts fit between the long ones. */
 const SHORT_PROMPT_TOKENS = 1_500;
 const SHORT_PROMPT_EXTRA_MS = 120;
@@ -41,6 +51,8 @@
 export interface Work {
   readonly prompt: Prompt | undefined;
   readonly zone: ZoneId;
+  /** A small cost of the entry's own, so that entries that choose at once choose differently. */
+  readonly biasOf: (state: EndpointState) => number;
   /** The endpoint that has most of the prompt's prefix, of those that others can fetch from. */
   readonly holder: PrefixHolder | undefined;
 }
@@ -70,6 +82,7 @@
 export function place(
   work: Work,
   candidates: readonly EndpointState[],
+  now: Instant,
 ): Placement {
   let best: Placement = { kind: "none" };
   let bestCost = Infinity;
@@ -77,11 +90,11 @@
   for (const state of candidates) {
     const { prefill, fetchFrom } = readingAt(work, state);
     const tokens = memoryTokens(work.prompt);
-    if (!fits(state, { prefill, tokens })) {
+    if (!fits(state, { prefill, tokens }, now)) {
       wait = Math.min(wait, waitAt(state));
       continue;
     }
-    const cost = costAt(state, prefill, work) +
+    const cost = costAt(state, prefill, work) + work.biasOf(state) +
       (fetchFrom === undefined ? 0 : FETCH_COST_MS);
     if (cost < bestCost) {
       bestCost = cost;
@@ -139,6 +152,11 @@
   return prompt.parts.slice(0, -1);
 }
 
+/** Whether a prompt is read so fast that it fits between the long ones. */
+export function isShort(prompt: Prompt | undefined): boolean {
+  return prompt !== undefined && prompt.promptTokens <= SHORT_PROMPT_TOKENS;
+}
+
 /** Time that an engine needs for a prompt of which nothing is cached. */
 export function engineTime(prompt: Prompt | undefined, rate: number): number {
   return prompt === undefined ? 0 : prompt.promptTokens / rate;
@@ -151,6 +169,7 @@
 function fits(
   state: EndpointState,
   { prefill, tokens }: { prefill: number; tokens: number },
+  now: Instant,
 ): boolean {
   const engine = state.service?.engine;
   if (engine === undefined) {
@@ -163,7 +182,14 @@
   if (!empty && state.tokens + tokens > engine.cacheTokens * MEMORY_PART) {
     return false;
   }
-  const extra = prefill <= SHORT_PROMPT_TOKENS ? SHORT_PROMPT_EXTRA_MS : 0;
+  const short = prefill <= SHORT_PROMPT_TOKENS;
+  const stretch = state.readingFor(now) +
+    (state.prefill + prefill) / state.prefillRate;
+  const disturbs = state.prefill > 0 && stretch > READ_STRETCH_MS;
+  if (!short && (disturbs || state.isResting(now))) {
+    return false;
+  }
+  const extra = short ? SHORT_PROMPT_EXTRA_MS : 0;
   const limit = (READ_AHEAD_MS + extra) * state.prefillRate;
   return state.prefill === 0 || state.prefill + prefill <= limit;
 }
--- a/packages/core/src/gateway/region_controller.ts
+++ b/packages/core/src/gateway/region_controller.ts
@@ -20,11 +20,15 @@
 import { ArrivalMeter } from "./arrival_meter.ts";
 import type { CatalogueView } from "./catalogue_controller.ts";
 import type { EndpointBook } from "./endpoint_book.ts";
+import { RouteTraffic } from "./route_traffic.ts";
 import { chooseShares, type RegionLoad, smoothShares } from "./steering.ts";
 
 /** Between two decisions where callers are sent: as often as figures from other regions come. */
 const DECIDE_PERIOD_MS = 400;
 const MS_PER_SECOND = 1_000;
+/** Part of a prompt that is read, until it was measured, and the weight of the newest measurement. */
+const FIRST_READ_PART = 0.6;
+const NEWEST_READ_WEIGHT = 0.02;
 
 /** What is known of one other region. */
 export interface RegionView {
@@ -35,9 +39,11 @@
 /** Writes the region's summary and shares. */
 export class RegionController {
   readonly arrivals = new ArrivalMeter();
+  readonly traffic = new RouteTraffic();
   readonly #region: RegionId;
   readonly #catalogue: CatalogueView;
   readonly #endpoints: EndpointBook;
+  #readPart = FIRST_READ_PART;
   #shares: RegionShare[] = [];
   #nextDecisionAt: Instant;
 
@@ -72,6 +78,17 @@
     );
   }
 
+  /** Part of a prompt that engines have to read: the rest is cached. */
+  get readPart(): number {
+    return this.#readPart;
+  }
+
+  /** Notes what an engine had to read of a prompt. */
+  noteReading(prefill: number, promptTokens: number): void {
+    const part = prefill / Math.max(1, promptTokens);
+    this.#readPart += NEWEST_READ_WEIGHT * (part - this.#readPart);
+  }
+
   /** The own region, as told to others. */
   summary(now: Instant): RegionSummary {
     const services = this.#catalogue.document?.services.keys() ?? [];
--- a/packages/daemon/src/gateway/fleet_schema.ts
+++ b/packages/daemon/src/gateway/fleet_schema.ts
@@ -46,6 +46,7 @@
   })),
 };
 const report = z.object({
+  partial: z.boolean(),
   endpoints: list(z.object({
     endpoint: text,
     prefill: number,
@@ -70,7 +71,7 @@
   }),
   z.object({ kind: z.literal("vouch"), sequence: whole, ...base }),
   z.object({ kind: z.literal("announce"), ...base }),
-  z.object({ kind: z.literal("work"), report, ...base }),
+  z.object({ kind: z.literal("work"), incarnation: text, report }),
 ]);
 
 /** Reads a datagram, `undefined` where it is none of ours. */
