--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -272,6 +272,8 @@
         this.#endOrphan(call, now);
       } else if (now >= call.endsAt) {
         this.#expire(call, now);
+      } else if (this.#waitedTooLong(call, now)) {
+        this.#fail(call, "overloaded", now);
       } else if (call.attempt !== undefined) {
         this.#checkSilence(call, call.attempt, now);
       }
@@ -575,6 +577,13 @@
     return this.#tools.budget.spend(service!, { entries }, now);
   }
 
+  /** Waiting on would end in a refusal too, only later: the caller learns it while it can still act. */
+  #waitedTooLong(call: Call, now: Instant): boolean {
+    const time = call.endsAt - call.arrivedAt;
+    return call.phase === "waiting" && call.attempts === 0 &&
+      now - call.arrivedAt > time * WAIT_PART;
+  }
+
   #checkSilence(call: Call, attempt: OpenAttempt, now: Instant): void {
     const { state, sentAt } = attempt;
     if (state === undefined || sentAt === undefined || !call.mayRepeat) {
--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -28,16 +28,16 @@
  * Pause between two reads of changes. Endpoints write their records every second or so: without a
  * pause a waiting read would return for each of them. Well under the seconds that a change may take.
  */
-const READ_PAUSE_MS = 700;
+const READ_PAUSE_MS = 1_200;
 /** Longest that one read waits for a change. */
-const READ_WAIT_MS = 2_500;
+const READ_WAIT_MS = 1_500;
 /** Endpoints write every second or so: a longer silence was the platform's, not theirs. */
-const SILENT_READ_MS = 1_800;
+const SILENT_READ_MS = 1_400;
 /** Beyond its wait a read may take so long: a slow service, and a silent connection. */
-const READ_TIMEOUT_MS = 1_500;
+const READ_TIMEOUT_MS = 1_000;
 /** After a failed read; doubles up to the most. */
 const FIRST_RETRY_MS = 200;
-const MOST_RETRY_MS = 800;
+const MOST_RETRY_MS = 500;
 /** Silence of the platform after which a peer is asked. */
 const ASK_PEER_AFTER_MS = 2_000;
 /** Between two copies from peers. */
@@ -47,7 +47,7 @@
  * Endpoints' records run out while the platform is down, and are back within two seconds of its
  * return. Dropping them at once would leave nothing to serve from.
  */
-const RETURN_GRACE_MS = 2_500;
+const RETURN_GRACE_MS = 2_200;
 
 /** The section of the board. */
 export interface CatalogueView {
@@ -178,12 +178,17 @@
     }
   }
 
-  /** The picture for a peer. */
+  /**
+   * The picture for a peer. An endpoint that is only kept for a while, its record missing, is not in it:
+   * the peer would take it for published and, reading on from our revision, never learn that it is gone.
+   */
   snapshot(): CatalogueSnapshot | undefined {
     return this.document === undefined ? undefined : {
       revision: this.revision,
       document: this.document,
-      endpoints: [...this.endpoints.values()],
+      endpoints: [...this.endpoints.values()].filter(({ id }) =>
+        !this.#missing.has(id)
+      ),
       evacuated: [...this.evacuated],
     };
   }
@@ -191,13 +196,13 @@
   #read(): void {
     this.#reading = true;
     const changesOnly = !this.#snapshotWanted;
+    // After a failure nothing is waited for: what matters is to know at once that it answers again.
+    const wait = changesOnly && this.#failures === 0 ? READ_WAIT_MS : 0;
     this.#emit({
       kind: "readCatalogue",
       after: changesOnly ? this.revision : undefined,
-      wait: milliseconds(changesOnly ? READ_WAIT_MS : 0),
-      timeout: milliseconds(
-        READ_TIMEOUT_MS + (changesOnly ? READ_WAIT_MS : 0),
-      ),
+      wait: milliseconds(wait),
+      timeout: milliseconds(READ_TIMEOUT_MS + wait),
     });
   }
 
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -40,7 +40,7 @@
 /** Cost of an endpoint all of whose last answers were failures, in milliseconds. */
 const FAILURE_COST_MS = 1_500;
 /** Cost of another availability zone: bytes between zones are charged. */
-const OTHER_ZONE_COST_MS = 25;
+const OTHER_ZONE_COST_MS = 60;
 
 /** A fetched prefix saves at least so much reading, or it is not worth its transfer. */
 const LEAST_FETCH_TOKENS = 1_024;
