fix: a changed settings file is read again at SIGHUP, and does not end the process

Cause: no listener for the signal, so that it ended the process; grown deployments send it. Ruled out: watching the file (the platform says by the signal when it has changed). Conclusion: only figures can change; another address is another start.

--- a/packages/core/src/gateway/cold_allowance.ts
+++ b/packages/core/src/gateway/cold_allowance.ts
@@ -23,13 +23,18 @@
  * their views, may send to it, and only half of what it bears.
  */
 export class ColdAllowance {
-  readonly #bounds: GatewayBounds;
+  #bounds: GatewayBounds;
   readonly #sent = new Map<EndpointId, Instant[]>();
 
   constructor(bounds: GatewayBounds) {
     this.#bounds = bounds;
   }
 
+  /** Takes new figures. */
+  rebound(bounds: GatewayBounds): void {
+    this.#bounds = bounds;
+  }
+
   /** Whether this entry may send to the cold endpoint now. */
   allows(
     { record, service }: EndpointState,
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -45,6 +45,8 @@
   readonly #calls: CallController;
   readonly #teller: WorkTeller;
   readonly #stop: StopController;
+  readonly #budget: RepeatBudget;
+  readonly #cold: ColdAllowance;
   #effects: GatewayEffect[] = [];
   #lastAt: Instant;
 
@@ -87,6 +89,8 @@
       summary: (at) => this.#regions.summary(at),
     }, now);
     const cold = new ColdAllowance(self.bounds);
+    this.#cold = cold;
+    this.#budget = new RepeatBudget(self.bounds);
     const router = new CallRouter({
       self,
       fleet: this.fleet,
@@ -102,7 +106,7 @@
       endpoints: this.#endpoints,
       regions: this.#regions,
       router,
-      budget: new RepeatBudget(self.bounds),
+      budget: this.#budget,
       cold,
       entries: () => this.fleet.possible().length + 1,
       regionEntries: () =>
@@ -197,6 +201,10 @@
       case "stop":
         this.fleet.changeState("stopping", now);
         return this.#stop.begin(now);
+      case "rebound":
+        this.#budget.rebound(event.bounds);
+        this.#cold.rebound(event.bounds);
+        return this.#stop.rebound(event.bounds.stopTime);
       case "datagram":
         return this.#receive(event.message, now);
       case "catalogueRead":
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -151,6 +151,8 @@
 export type GatewayEvent =
   | { readonly kind: "tick" }
   | { readonly kind: "stop" }
+  /** The settings have changed. */
+  | { readonly kind: "rebound"; readonly bounds: GatewayBounds }
   | { readonly kind: "datagram"; readonly message: FleetMessage }
   | {
     readonly kind: "catalogueRead";
--- a/packages/core/src/gateway/repeat_budget.ts
+++ b/packages/core/src/gateway/repeat_budget.ts
@@ -23,13 +23,16 @@
  * by the largest number of entries that may be alive.
  */
 export class RepeatBudget {
-  readonly #bounds: GatewayBounds;
-  readonly #bucketMs: number;
+  #bounds: GatewayBounds;
   readonly #services = new Map<ServiceId, Counts>();
 
   constructor(bounds: GatewayBounds) {
     this.#bounds = bounds;
-    this.#bucketMs = bounds.repeatWindow / BUCKETS;
+  }
+
+  /** Takes new figures; what was counted stays. */
+  rebound(bounds: GatewayBounds): void {
+    this.#bounds = bounds;
   }
 
   /** Notes the first send of a request. */
@@ -60,7 +63,7 @@
   }
 
   #counts(service: ServiceId, now: Instant): Counts {
-    const bucket = Math.floor(now / this.#bucketMs);
+    const bucket = Math.floor(now * BUCKETS / this.#bounds.repeatWindow);
     let counts = this.#services.get(service);
     if (counts === undefined) {
       counts = {
--- a/packages/core/src/gateway/stop_controller.ts
+++ b/packages/core/src/gateway/stop_controller.ts
@@ -22,7 +22,7 @@
 export class StopController {
   readonly #emit: GatewayEmit;
   readonly #calls: CallController;
-  readonly #stopTime: Milliseconds;
+  #stopTime: Milliseconds;
   #begunAt: Instant | undefined;
   #doorsClosed = false;
   #ended = false;
@@ -39,6 +39,11 @@
     this.#stopTime = stopTime;
   }
 
+  /** Takes a new figure. */
+  rebound(stopTime: Milliseconds): void {
+    this.#stopTime = stopTime;
+  }
+
   /** Begins the stop. A second call changes nothing. */
   begin(now: Instant): void {
     if (this.#begunAt !== undefined) {
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -149,6 +149,15 @@
     this.#logger.info("stop", "Listening.", { ...addresses });
   }
 
+  /**
+   * Takes changed settings. Only figures can change: an entry that gets other addresses or another place
+   * is started anew.
+   */
+  reload({ self }: GatewaySettings): void {
+    this.#tell({ kind: "rebound", bounds: self.bounds });
+    this.#logger.info("stop", "Settings were read again.", {});
+  }
+
   /** Begins a planned stop; `stopped` tells of its end. */
   stop(): void {
     this.#tell({ kind: "stop" });
--- a/playground/src/platform/__tests__/platform_path.test.ts
+++ b/playground/src/platform/__tests__/platform_path.test.ts
@@ -1,4 +1,5 @@
 import { once } from "node:events";
+import { readFileSync, writeFileSync } from "node:fs";
 import { HEADERS, KEYS } from "@sassafrasstep/platform";
 import { Agent } from "undici";
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from "vitest";
@@ -193,6 +194,30 @@
     });
   });
 
+  /**
+   * Symptom: entries end when their settings are changed.
+   * Sequence: the settings file is written anew, the process gets SIGHUP; then the same with a fault.
+   * Cause: a process without a listener for that signal is ended by it.
+   */
+  describe("changed settings", () => {
+    it("are read without a break, and faulty ones change nothing", async () => {
+      const { settings, process: child, callers } = fleet.entries[1]!;
+      const text = readFileSync(settings, "utf8");
+      for (const changed of [text.replace("stop_s = 8", "stop_s = 7"), "["]) {
+        writeFileSync(settings, changed);
+        child.kill("SIGHUP");
+        for (let index = 0; index < 10; index++) {
+          const answer = await callPlatform(callers, {
+            path: "/again/x",
+            call: `h${index}`,
+          });
+          expect(answer.status).toBe(200);
+        }
+      }
+      expect(child.exitCode).toBeNull();
+    });
+  });
+
   describe("a stopping entry", () => {
     it("leaves the list, answers what it has, and ends", async () => {
       const [stopping, other] = [fleet.entries[2]!, fleet.entries[0]!];
--- a/playground/src/platform/platform_fleet.ts
+++ b/playground/src/platform/platform_fleet.ts
@@ -32,6 +32,8 @@
   readonly directory: string;
   readonly readiness: string;
   readonly control: string;
+  /** Path of its settings. */
+  readonly settings: string;
   process: ChildProcess;
 }
 
@@ -154,6 +156,7 @@
 [store]
 address = ${this.#storeAddress}
 [bounds]
+repeat_slack = 100
 stop_s = 8
 `,
     );
@@ -164,6 +167,7 @@
       directory: directory!,
       readiness: readiness!,
       control: control!,
+      settings,
       process: spawn(process.execPath, [PROGRAM], {
         env: { [SETTINGS_VARIABLE]: settings },
         stdio: ["ignore", "ignore", "inherit"],
