fix: a stream that meets three broken engines goes on at a fourth

Cause: the attempts of a request were three, whatever they had brought; a stream that had begun was given up at its third broken engine though another was well. Ruled out: more attempts for what has not begun (each is a whole run more).

--- a/packages/core/src/requests/attempt_tracker.ts
+++ b/packages/core/src/requests/attempt_tracker.ts
@@ -30,6 +30,8 @@
 
 /** Attempts of one request, the first included. */
 export const MAX_ATTEMPTS = 3;
+/** The same for a stream that has begun: each attempt goes on where the one before broke off. */
+const MAX_STREAM_ATTEMPTS = 6;
 
 /** What tracking works with. */
 export interface TrackerDependencies {
@@ -286,8 +288,9 @@
     const forwardedKey = request.keyOwner !== undefined && !request.ownsAction;
     const safe = request.attempts.verdict().kind === "not_run" ||
       isRepeatable(request.service);
-    const inTime = now < request.deadlineAt &&
-      request.attempts.size < MAX_ATTEMPTS;
+    const goesOn = request.offset > request.head.resumeOffset;
+    const most = goesOn ? MAX_STREAM_ATTEMPTS : MAX_ATTEMPTS;
+    const inTime = now < request.deadlineAt && request.attempts.size < most;
     return safe && !forwardedKey && inTime && this.#isAffordable(request, end);
   }
 
