--- /dev/null
+++ b/packages/core/src/gateway/__tests__/limits.test.ts
@@ -0,0 +1,120 @@
+import { describe, expect, it } from "vitest";
+import {
+  type EndpointId,
+  type Incarnation,
+  instant,
+  milliseconds,
+  type ServiceId,
+  type ZoneId,
+} from "../../index.ts";
+import { ColdAllowance } from "../cold_allowance.ts";
+import { EndpointHealth } from "../endpoint_health.ts";
+import { EndpointState } from "../endpoint_state.ts";
+import type { GatewayBounds } from "../messages.ts";
+import { RepeatBudget } from "../repeat_budget.ts";
+
+const SERVICE = "s" as ServiceId;
+const BOUNDS: GatewayBounds = {
+  repeatRatio: 0.2,
+  repeatWindow: milliseconds(10_000),
+  repeatSlack: 54,
+  coldOvershoot: 1.5,
+  coldSlack: 3,
+  listLifetime: milliseconds(1_000),
+  stopTime: milliseconds(8_000),
+};
+
+describe("the budget of repeats", () => {
+  /**
+   * Symptom: repeats of all entries together are more than the platform allows.
+   * Sequence: every entry repeats as often as it may.
+   * Cause: each entry takes the whole of the slack.
+   */
+  it.each([1, 7, 91])("is kept by %i entries together", (entries) => {
+    const firsts = 40;
+    let repeats = 0;
+    for (let entry = 0; entry < entries; entry++) {
+      const budget = new RepeatBudget(BOUNDS);
+      for (let index = 0; index < firsts; index++) {
+        budget.noteFirst(SERVICE, instant(index));
+      }
+      while (budget.spend(SERVICE, { entries }, instant(100))) {
+        repeats++;
+      }
+    }
+    const allowed = BOUNDS.repeatRatio * firsts * entries + BOUNDS.repeatSlack;
+    expect(repeats).toBeLessThanOrEqual(allowed);
+    expect(repeats).toBeGreaterThan(0);
+  });
+
+  it("comes back as its window passes", () => {
+    const budget = new RepeatBudget(BOUNDS);
+    while (budget.spend(SERVICE, { entries: 9 }, instant(0))) {
+      // Until it is used up.
+    }
+    expect(budget.spend(SERVICE, { entries: 9 }, instant(5_000))).toBe(false);
+    expect(budget.spend(SERVICE, { entries: 9 }, instant(11_000))).toBe(true);
+  });
+});
+
+describe("the allowance of a cold endpoint", () => {
+  const state = new EndpointState(
+    {
+      id: "e" as EndpointId,
+      service: SERVICE,
+      address: "e:1",
+      zone: "z" as ZoneId,
+      softwareVersion: "v",
+      slots: 1,
+      state: "ready",
+      coldFor: milliseconds(5_000),
+      leavesIn: undefined,
+      sequence: 1,
+    },
+    {
+      id: SERVICE,
+      healthPath: "/",
+      connectionLimit: 1,
+      coldRate: 1.9,
+      coldPeriod: milliseconds(3_000),
+      engine: undefined,
+    },
+    instant(0),
+  );
+
+  it("belongs to one entry, and to two views bears both", () => {
+    const region = ["a", "b", "c"] as Incarnation[];
+    let sent = 0;
+    for (const self of region) {
+      const cold = new ColdAllowance(BOUNDS);
+      while (cold.allows(state, { self, region }, instant(10))) {
+        cold.spend(state.record.id, instant(10));
+        sent++;
+      }
+    }
+    const bound = 1.9 * BOUNDS.coldOvershoot + BOUNDS.coldSlack;
+    expect(sent).toBeGreaterThan(0);
+    expect(2 * sent).toBeLessThanOrEqual(bound);
+  });
+});
+
+describe("an endpoint's health", () => {
+  it("is doubted after two broken connections in a row, not after one", () => {
+    const health = new EndpointHealth();
+    health.note("broken", instant(0));
+    expect(health.usable(instant(1))).toBe(true);
+    health.note("broken", instant(2));
+    expect(health.usable(instant(3))).toBe(false);
+  });
+
+  it("is tried with one request, and mended by a good answer", () => {
+    const health = new EndpointHealth();
+    health.suspect(instant(0));
+    expect(health.usable(instant(600))).toBe(true);
+    health.used(instant(600));
+    expect(health.usable(instant(601))).toBe(false);
+    health.note("good", instant(650));
+    expect(health.usable(instant(651))).toBe(true);
+    expect(health.suspected).toBe(false);
+  });
+});
--- a/playground/src/slopes/probe_fleet.ts
+++ b/playground/src/slopes/probe_fleet.ts
@@ -121,7 +121,9 @@
     let region = WATCH_MS;
     while (this.#time.now - from < WATCH_MS) {
       this.run(TICK_MS);
-      const holding = [...this.#nodes.values()].filter(({ alive, controller }) =>
+      const holding = [...this.#nodes.values()].filter((
+        { alive, controller },
+      ) =>
         alive &&
         controller.live().some(({ record }) =>
           record.incarnation === lost!.incarnation
