feat: operators ask an entry before routes, and check its settings

Cause: the command line knew the other interface only. Ruled out: asking the whole fleet from one entry (members are told without their control addresses). Conclusion: explain and logs over collected lines are still owed.

--- /dev/null
+++ b/packages/cli/src/commands/gateway_commands.ts
@@ -0,0 +1,82 @@
+/**
+ * `gateway`: asks one entry before routes what it believes.
+ *
+ * @module
+ */
+import { createGatewayClient, type GatewayStatus } from "@sassafrasstep/daemon";
+import { type CommandResult, EXIT, formatTable } from "../output/index.ts";
+
+/** Age of the published picture from which on it is a problem, in milliseconds. */
+const OLD_CATALOGUE_MS = 10_000;
+
+/** One entry's picture: document, members, endpoints, where callers are sent. */
+export async function showGateway(controlUrl: string): Promise<CommandResult> {
+  const client = createGatewayClient(controlUrl.replace(/\/$/, ""));
+  let status: GatewayStatus;
+  try {
+    status = await client.status.query();
+  } catch (error) {
+    const text = `Cannot ask ${controlUrl}: ${(error as Error).message}`;
+    return { text, json: { error: text }, exitCode: EXIT.unwell };
+  }
+  const problems = problemsOf(status);
+  const sections = [
+    headOf(status),
+    formatTable(
+      ["MEMBER", "REGION", "STATE"],
+      status.members.map(({ id, region, state }) => [id, region, state]),
+    ),
+    endpointsOf(status),
+    problems.map((problem) => `problem: ${problem}`).join("\n"),
+  ];
+  return {
+    text: sections.filter((section) => section !== "").join("\n\n"),
+    json: { ...status, problems },
+    exitCode: problems.length === 0 ? EXIT.ok : EXIT.unwell,
+  };
+}
+
+function headOf(status: GatewayStatus): string {
+  const shares = status.shares.map(({ region, share }) =>
+    `${region} ${share.toFixed(2)}`
+  ).join(", ");
+  return [
+    `entry     ${status.id} (${status.zone}, ${status.region}), ${status.state}`,
+    `document  version ${status.documentVersion}, picture ${
+      status.catalogueAgeMs === undefined
+        ? "never confirmed"
+        : `${Math.round(status.catalogueAgeMs)} ms old`
+    }`,
+    `requests  ${status.requests}, of them waiting ${status.queued}`,
+    `callers   sent elsewhere: ${shares === "" ? "none" : shares}`,
+  ].join("\n");
+}
+
+function endpointsOf({ endpoints }: GatewayStatus): string {
+  return formatTable(
+    ["ENDPOINT", "SERVICE", "STATE", "REQUESTS", "PREFILL", "FAILURES"],
+    endpoints.map((endpoint) => [
+      endpoint.id,
+      endpoint.service,
+      [
+        endpoint.state,
+        ...endpoint.usable ? [] : ["not usable"],
+        ...endpoint.cold ? ["cold"] : [],
+      ].join(", "),
+      endpoint.requests,
+      endpoint.prefillTokens,
+      endpoint.failureRate.toFixed(2),
+    ]),
+  );
+}
+
+function problemsOf(status: GatewayStatus): string[] {
+  const age = status.catalogueAgeMs ?? Infinity;
+  return [
+    ...status.documentVersion === 0 ? ["no document yet"] : [],
+    ...age > OLD_CATALOGUE_MS ? ["the store does not answer"] : [],
+    ...status.endpoints.filter(({ state, usable }) =>
+      state === "ready" && !usable
+    ).map(({ id }) => `endpoint ${id} is ready and not usable`),
+  ];
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -14,6 +14,7 @@
   explainRequest,
   FleetClient,
   showEntries,
+  showGateway,
   showMetrics,
   showStatus,
 } from "./commands/index.ts";
@@ -28,6 +29,7 @@
     $ sassafrasstep entries                entries and their addresses
     $ sassafrasstep explain REQUEST-ID     each decision on a request
     $ sassafrasstep metrics                histograms and counters
+    $ sassafrasstep gateway URL            what an entry before routes believes
 
   Options
     --control URL      control address of any entry
@@ -73,6 +75,8 @@
       return await withFleet(showEntries);
     case "metrics":
       return await withFleet(showMetrics);
+    case "gateway":
+      return await showGateway(argument(args, 0, "URL"));
     case "explain": {
       const request = argument(args, 0, "REQUEST-ID");
       return await withFleet((fleet) => explainRequest(fleet, request));
@@ -81,7 +85,7 @@
       throw new Error(
         `Cannot run "${
           command ?? ""
-        }": use check, diff, status, entries, explain or metrics`,
+        }": use check, diff, status, entries, explain, metrics or gateway`,
       );
   }
 }
--- a/packages/daemon/src/gateway/status.ts
+++ b/packages/daemon/src/gateway/status.ts
@@ -15,7 +15,7 @@
   readonly documentVersion: number;
   readonly catalogueRevision: number;
   /** Since the platform last answered. */
-  readonly catalogueAgeMs: number | undefined;
+  readonly catalogueAgeMs?: number | undefined;
   readonly requests: number;
   readonly queued: number;
   readonly members: readonly MemberLine[];
--- a/playground/src/platform/__tests__/platform_path.test.ts
+++ b/playground/src/platform/__tests__/platform_path.test.ts
@@ -1,5 +1,7 @@
+import { spawnSync } from "node:child_process";
 import { once } from "node:events";
 import { readFileSync, writeFileSync } from "node:fs";
+import { fileURLToPath } from "node:url";
 import { HEADERS, KEYS } from "@sassafrasstep/platform";
 import { Agent } from "undici";
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from "vitest";
@@ -218,6 +220,47 @@
     });
   });
 
+  describe("operators", () => {
+    const run = (program: string, ...args: string[]): {
+      code: number | null;
+      text: string;
+    } => {
+      const path = fileURLToPath(
+        new URL(`../../../../${program}`, import.meta.url),
+      );
+      const done = spawnSync(process.execPath, [path, ...args], {
+        encoding: "utf8",
+      });
+      return { code: done.status, text: done.stdout + done.stderr };
+    };
+
+    it("see what an entry believes", () => {
+      const url = `http://${fleet.entries[0]!.control}`;
+      const { code, text } = run("packages/cli/dist/main.js", "gateway", url);
+      expect(text).toContain("entry-1 (a-1, a), ready");
+      expect(text).toContain("i-e1");
+      expect(code).toBe(0);
+      expect(
+        run("packages/cli/dist/main.js", "gateway", "http://127.0.0.1:1").code,
+      )
+        .toBe(1);
+    });
+
+    it("check settings, and are told what is wrong", () => {
+      const { settings } = fleet.entries[0]!;
+      const program = "platform/dist/main.js";
+      expect(run(program, "--check", settings).code).toBe(0);
+      const faulty = `${settings}.faulty`;
+      writeFileSync(
+        faulty,
+        readFileSync(settings, "utf8").replace("zone =", "zne ="),
+      );
+      const { code, text } = run(program, "--check", faulty);
+      expect(code).toBe(2);
+      expect(text).toContain('unknown name "zne"');
+    });
+  });
+
   describe("a stopping entry", () => {
     it("leaves the list, answers what it has, and ends", async () => {
       const [stopping, other] = [fleet.entries[2]!, fleet.entries[0]!];
