refactor: the requests' controller in five parts

Change: attempts, ends, placer and recovery are classes of their own; no decision differs. Ruled out: one class each for plain calls and streams (they share all but the resumption).

--- /dev/null
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -0,0 +1,200 @@
+/**
+ * Attempts under way: what is sent where, and what it takes there.
+ *
+ * @module
+ */
+import type { PrefixNews } from "../fleet/index.ts";
+import { type AttemptId, type Instant, milliseconds } from "../ids/index.ts";
+import type { Call, OpenAttempt } from "./call.ts";
+import type { CallRouter, Chosen, Way } from "./call_router.ts";
+import type { ColdAllowance } from "./cold_allowance.ts";
+import type { EndpointState } from "./endpoint_state.ts";
+import type { CallAnswer, CallTarget, GatewayEmit } from "./messages.ts";
+import { sharedParts } from "./placement.ts";
+import type { RegionController } from "./region_controller.ts";
+import type { RepeatBudget } from "./repeat_budget.ts";
+
+const STREAM_IDLE_MS = 1_000;
+
+/** What attempts are made with. */
+export interface AttemptTools {
+  readonly emit: GatewayEmit;
+  readonly regions: RegionController;
+  readonly router: CallRouter;
+  readonly budget: RepeatBudget;
+  readonly cold: ColdAllowance;
+}
+
+/** A request with its attempt under way. */
+export interface CallOnWay {
+  readonly call: Call;
+  readonly attempt: OpenAttempt;
+}
+
+/** Keeps the attempts under way. */
+export class CallAttempts {
+  readonly #tools: AttemptTools;
+  readonly #calls = new Map<AttemptId, Call>();
+  #prefixNews: PrefixNews[] = [];
+
+  constructor(tools: AttemptTools) {
+    this.#tools = tools;
+  }
+
+  /** The request of an attempt, `undefined` where it is no longer under way. */
+  find(id: AttemptId): CallOnWay | undefined {
+    const call = this.#calls.get(id);
+    const attempt = call?.attempt;
+    return call === undefined || attempt?.id !== id
+      ? undefined
+      : { call, attempt };
+  }
+
+  /** Prefixes that engines were given to read since the last call. */
+  takePrefixNews(): PrefixNews[] {
+    const news = this.#prefixNews;
+    this.#prefixNews = [];
+    return news;
+  }
+
+  /** Sends to an endpoint. */
+  sendTo(call: Call, chosen: Chosen, now: Instant): void {
+    const { state, prefill, tokens } = chosen;
+    const target = this.#tools.router.targetOf(call, chosen, now);
+    const attempt = this.#open(call, { target, state, now });
+    state.begin(attempt.id, { prefill, tokens }, now);
+    state.health.used(now);
+    const { prompt } = call.head;
+    if (prompt !== undefined && state.service?.engine !== undefined) {
+      const parts = sharedParts(prompt);
+      this.#tools.regions.noteReading(prefill, prompt.promptTokens);
+      state.prefixes.use(parts);
+      this.#prefixNews.push({ endpoint: state.record.id, parts });
+    }
+    this.#emitSend(call, attempt);
+  }
+
+  /** Passes a request on to an entry of another region. */
+  relay(
+    call: Call,
+    { incarnation, address }: Extract<Way, { kind: "peer" }>,
+    now: Instant,
+  ): void {
+    const target: CallTarget = {
+      kind: "peer",
+      incarnation,
+      address,
+      sentBefore: call.arrivals,
+    };
+    this.#emitSend(call, this.#open(call, { target, state: undefined, now }));
+  }
+
+  /** The request is about to be written. */
+  noteSent(call: Call, attempt: OpenAttempt, now: Instant): void {
+    const { state, id } = attempt;
+    attempt.sentAt = now;
+    call.log.record(id, "sent");
+    if (state !== undefined) {
+      call.tried.add(state.record.id);
+      if (call.arrivals === 0) {
+        this.#tools.budget.noteFirst(state.record.service, now);
+      }
+      if (state.isCold(now)) {
+        this.#tools.cold.spend(state.record.id, now);
+      }
+    }
+    call.sent += attemptsOf(call, attempt);
+  }
+
+  /** Takes the load that an answer tells. */
+  noteLoad({ state }: OpenAttempt, { load }: CallAnswer, now: Instant): void {
+    if (state !== undefined) {
+      state.heardAt = now;
+      state.load = load ?? state.load;
+      state.loadAt = load === undefined ? state.loadAt : now;
+    }
+  }
+
+  /** The attempt under way is over, one way or another. */
+  close(
+    call: Call,
+    state: "unsent" | "lost" | "refused" | "completed",
+    now: Instant,
+  ): void {
+    const { attempt } = call;
+    if (attempt !== undefined) {
+      call.log.record(attempt.id, state);
+      attempt.state?.end(attempt.id, now);
+      this.#calls.delete(attempt.id);
+      call.attempt = undefined;
+    }
+  }
+
+  /** Gives up the attempt under way, if there still is one. */
+  leave(call: Call, now: Instant): void {
+    if (call.attempt !== undefined) {
+      this.#tools.emit({ kind: "abort", attempt: call.attempt.id });
+      this.close(call, "lost", now);
+    }
+  }
+
+  #open(
+    call: Call,
+    { target, state, now }: {
+      target: CallTarget;
+      state: EndpointState | undefined;
+      now: Instant;
+    },
+  ): OpenAttempt {
+    call.attempts++;
+    const id = `${call.head.id}.${call.attempts}` as AttemptId;
+    const attempt: OpenAttempt = {
+      id,
+      target,
+      state,
+      madeAt: now,
+      sentAt: undefined,
+      heardAt: undefined,
+    };
+    call.attempt = attempt;
+    if (call.phase === "waiting") {
+      call.phase = "trying";
+    }
+    call.log.record(id, "prepared");
+    this.#calls.set(id, call);
+    return attempt;
+  }
+
+  #emitSend(call: Call, { id, target }: OpenAttempt): void {
+    this.#tools.emit({
+      kind: "send",
+      attempt: {
+        id,
+        request: call.head.id,
+        target,
+        streaming: call.route.kind === "stream",
+        mostIdle: milliseconds(mostIdle(call)),
+        resumeAfter: call.lastEventId,
+      },
+    });
+  }
+}
+
+/**
+ * A kept connection may be dead without anybody having been told; a request that is written to it may
+ * then not be repeated, though it did not run. The longer it was idle, the likelier.
+ */
+function mostIdle({ mayRepeat, route }: Call): number {
+  if (mayRepeat) {
+    return Infinity;
+  }
+  return route.kind === "stream" ? STREAM_IDLE_MS : 0;
+}
+
+/**
+ * A peer may use all attempts of a request that is passed on to it, and its connection may break before
+ * it tells. Counted as one, the request could run at more endpoints than its route allows.
+ */
+export function attemptsOf({ route }: Call, { target }: OpenAttempt): number {
+  return target.kind === "peer" ? route.attempts : 1;
+}
--- /dev/null
+++ b/packages/core/src/gateway/call_placer.ts
@@ -0,0 +1,122 @@
+/**
+ * Waiting for a place, and getting one.
+ *
+ * @module
+ */
+import { type Instant, milliseconds } from "../ids/index.ts";
+import type { Call } from "./call.ts";
+import type { CallAttempts } from "./call_attempts.ts";
+import type { CallEnds } from "./call_ends.ts";
+import { CallQueue } from "./call_queue.ts";
+import { type CallRouter, MOST_ATTEMPTS, type Way } from "./call_router.ts";
+import type { EndpointBook } from "./endpoint_book.ts";
+import { DEFAULT_PREFILL_RATE } from "./endpoint_state.ts";
+import { isShort } from "./placement.ts";
+import type { RegionController } from "./region_controller.ts";
+
+/** A request with less time than this is not worth a send. */
+export const LEAST_TIME_MS = 30;
+/** Part of a request's time that it may wait for a place; beyond it is refused at once. */
+const WAIT_PART = 0.4;
+
+/** What the placer works with. */
+export interface PlacerTools {
+  readonly attempts: CallAttempts;
+  readonly ends: CallEnds;
+  readonly router: CallRouter;
+  readonly endpoints: EndpointBook;
+  readonly regions: RegionController;
+  /** Live entries of the region, this one included. */
+  readonly regionEntries: () => number;
+}
+
+/** Finds a place for each request, or has it wait. */
+export class CallPlacer {
+  readonly queue = new CallQueue();
+  readonly #tools: PlacerTools;
+
+  constructor(tools: PlacerTools) {
+    this.#tools = tools;
+  }
+
+  /** Sends a request on its way, now or once there is a place. */
+  place(call: Call, now: Instant): void {
+    if (call.attempts >= MOST_ATTEMPTS || call.endsAt - now < LEAST_TIME_MS) {
+      return this.#tools.ends.fail(call, "no_endpoint", now);
+    }
+    const wait = this.#expectedWait();
+    const way = this.#tools.router.next(call, wait, now);
+    if (way.kind === "wait") {
+      this.#await(call, { wait: way.wait + wait, now });
+    } else {
+      this.#take(call, way, now);
+    }
+  }
+
+  /** Places what waits, as far as there are places. */
+  drain(now: Instant): void {
+    if (this.queue.size === 0) {
+      return;
+    }
+    // Where one has to wait, those of its kind behind it have to wait too: asking for each would cost
+    // more the longer the queue is, and the entry would be late when it has most to do.
+    const blocked = new Set<string>();
+    for (const call of this.queue.ordered(now)) {
+      const kind = `${call.services[0]} ${isShort(call.head.prompt)}`;
+      if (blocked.has(kind)) {
+        continue;
+      }
+      const waited = now - call.arrivedAt;
+      const way = this.#tools.router.next(call, waited, now);
+      if (way.kind === "wait") {
+        blocked.add(kind);
+      } else {
+        this.queue.remove(call);
+        this.#take(call, way, now);
+      }
+    }
+  }
+
+  /** Waiting on would end in a refusal too, only later: the caller learns it while it can still act. */
+  waitedTooLong(call: Call, now: Instant): boolean {
+    const time = call.endsAt - call.arrivedAt;
+    return call.phase === "waiting" && call.attempts === 0 &&
+      now - call.arrivedAt > time * WAIT_PART;
+  }
+
+  #take(call: Call, way: Exclude<Way, { kind: "wait" }>, now: Instant): void {
+    switch (way.kind) {
+      case "endpoint":
+        return this.#tools.attempts.sendTo(call, way.placement, now);
+      case "peer":
+        return this.#tools.attempts.relay(call, way, now);
+      case "none":
+        return this.#tools.ends.fail(call, "no_endpoint", now);
+    }
+  }
+
+  /** Waits for a place, unless that would take too long: then the caller learns it at once. */
+  #await(call: Call, { wait, now }: { wait: number; now: Instant }): void {
+    const known = call.phase === "waiting" && call.attempts === 0;
+    const left = call.endsAt - now;
+    if (known && wait > left * WAIT_PART) {
+      return this.#tools.ends.fail(call, "overloaded", now, milliseconds(wait));
+    }
+    if (call.phase === "trying") {
+      call.phase = "waiting";
+    }
+    this.queue.add(call);
+  }
+
+  /** Time until what waits already will have been read. */
+  #expectedWait(): number {
+    const engines =
+      [...this.#tools.endpoints.all()].filter(({ service }) =>
+        service?.engine !== undefined
+      ).length;
+    // The region's other entries have as much waiting: callers choose among them by chance.
+    const waiting = this.queue.tokens * this.#tools.regionEntries();
+    return waiting * this.#tools.regions.readPart /
+      (DEFAULT_PREFILL_RATE * Math.max(1, engines));
+  }
+}
--- /dev/null
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -0,0 +1,189 @@
+/**
+ * What becomes of a request whose attempt brought no answer.
+ *
+ * @module
+ */
+import type { Instant } from "../ids/index.ts";
+import type { Call, OpenAttempt } from "./call.ts";
+import { attemptsOf, type CallAttempts } from "./call_attempts.ts";
+import type { CallEnds } from "./call_ends.ts";
+import type { CallPlacer } from "./call_placer.ts";
+import { type CallRouter, MOST_ATTEMPTS } from "./call_router.ts";
+import {
+  type CallAnswer,
+  CONNECTION_LIMIT,
+  type GatewayEmit,
+} from "./messages.ts";
+import type { RepeatBudget } from "./repeat_budget.ts";
+
+/** A repeat needs this much time left. */
+const LEAST_REPEAT_TIME_MS = 150;
+/** Refusals by endpoints of one request that are answered by another try. */
+const MOST_REJECTIONS = 2;
+/** Failed connections of one request. */
+const MOST_UNSENT = 4;
+/** Part of the objective after which a silent plain endpoint is given up, if the call may repeat. */
+const SILENT_PART = 0.5;
+/**
+ * A running stream has an event every few steps of its engine, half a second at the worst. An engine
+ * from which no stream hears anything for so long has gone silent without closing its connections.
+ */
+const SILENT_ENGINE_MS = 1_500;
+const OK = 200;
+const NOT_FOUND = 404;
+const MISDIRECTED = 421;
+
+/** What recovery works with. */
+export interface RecoveryTools {
+  readonly emit: GatewayEmit;
+  readonly attempts: CallAttempts;
+  readonly ends: CallEnds;
+  readonly placer: CallPlacer;
+  readonly router: CallRouter;
+  readonly budget: RepeatBudget;
+  /** Entries that may be alive, this one included. */
+  readonly entries: () => number;
+  /** The request is over, and nobody is told. */
+  readonly forget: (call: Call) => void;
+}
+
+/** Repeats where route, attempts and budget allow it; otherwise the request ends. */
+export class CallRecovery {
+  readonly #tools: RecoveryTools;
+
+  constructor(tools: RecoveryTools) {
+    this.#tools = tools;
+  }
+
+  /** The endpoint, or a peer, vouches that the request did not run. */
+  rejected(call: Call, answer: CallAnswer, now: Instant): void {
+    const { state } = call.attempt!;
+    state?.health.note("failed", now);
+    if (answer.status === MISDIRECTED) {
+      state?.health.suspect(now);
+    }
+    call.sent -= call.attempt!.state === undefined
+      ? attemptsOf(call, call.attempt!)
+      : 0;
+    this.#tools.attempts.close(call, "refused", now);
+    call.rejections++;
+    if (call.phase === "answering") {
+      return this.#tools.ends.breakOff(call);
+    }
+    if (answer.status === NOT_FOUND) {
+      return this.#tools.ends.fail(call, "no_route", now);
+    }
+    const again = call.rejections <= MOST_REJECTIONS &&
+      this.#spendRepeat(call, now);
+    if (again) {
+      return this.#tools.placer.place(call, now);
+    }
+    this.#tools.ends.fail(call, "rejected", now, answer.retryAfter);
+  }
+
+  /** An interrupted stream goes on at another endpoint, under the head of its first answer. */
+  goOn(call: Call, { status }: CallAnswer, now: Instant): void {
+    const { id } = call.attempt!;
+    if (status !== OK) {
+      this.#tools.attempts.leave(call, now);
+      return this.#breakOffOrRetry(call, now);
+    }
+    this.#tools.emit({ kind: "goOn", attempt: id });
+  }
+
+  /** No byte was written. */
+  failedToSend(
+    call: Call,
+    { state }: OpenAttempt,
+    { detail, now }: { detail: string; now: Instant },
+  ): void {
+    if (detail !== CONNECTION_LIMIT) {
+      state?.health.note("broken", now);
+    }
+    if (state !== undefined) {
+      call.tried.add(state.record.id);
+    }
+    this.#tools.attempts.close(call, "unsent", now);
+    this.#tools.ends.log("Attempt was not sent.", call, { detail });
+    call.unsent++;
+    if (call.orphaned || call.unsent > MOST_UNSENT) {
+      return this.#tools.ends.fail(call, "no_endpoint", now);
+    }
+    this.#tools.placer.place(call, now);
+  }
+
+  /** Bytes were written, and no whole answer came. */
+  lost(
+    call: Call,
+    { state }: OpenAttempt,
+    { detail, now }: { detail: string; now: Instant },
+  ): void {
+    state?.health.note("broken", now);
+    this.#tools.attempts.close(call, "lost", now);
+    this.#tools.ends.log("Attempt was lost.", call, { detail });
+    if (call.orphaned) {
+      return this.#tools.forget(call);
+    }
+    if (call.phase === "answering") {
+      return this.#breakOffOrRetry(call, now);
+    }
+    if (!call.mayRepeat || !this.#tryElsewhere(call, now)) {
+      this.#tools.ends.fail(call, "endpoint_failed", now);
+    }
+  }
+
+  /** Leaves an endpoint from which nothing comes. */
+  checkSilence(call: Call, attempt: OpenAttempt, now: Instant): void {
+    const { state, sentAt } = attempt;
+    if (state === undefined || sentAt === undefined || !call.mayRepeat) {
+      return;
+    }
+    const engine = state.service?.engine !== undefined;
+    const quiet = now - Math.max(attempt.heardAt ?? sentAt, sentAt);
+    const limit = engine
+      ? SILENT_ENGINE_MS
+      : call.route.objective * SILENT_PART;
+    const silent = engine
+      ? quiet > limit && now - (state.heardAt ?? sentAt) > limit
+      : attempt.heardAt === undefined && quiet > limit;
+    if (silent && this.#tryElsewhere(call, now)) {
+      this.#tools.ends.log("Endpoint is silent.", call, {
+        endpoint: state.record.id,
+      });
+      state.health.note("broken", now);
+    }
+  }
+
+  /** Takes a repeat of the budget, if there is another endpoint to send to. */
+  canTryElsewhere(call: Call, now: Instant): boolean {
+    const allowed = call.endsAt - now >= LEAST_REPEAT_TIME_MS &&
+      call.arrivals < call.route.attempts && call.attempts < MOST_ATTEMPTS;
+    const way = allowed ? this.#tools.router.next(call, 0, now) : undefined;
+    const possible = way?.kind === "endpoint" || way?.kind === "peer";
+    return possible && this.#spendRepeat(call, now);
+  }
+
+  /** A stream that has begun goes on elsewhere where its route allows it, or ends visibly broken. */
+  #breakOffOrRetry(call: Call, now: Instant): void {
+    const resumable = call.route.resumable && call.lastEventId !== undefined;
+    if (!resumable || !this.#tryElsewhere(call, now)) {
+      this.#tools.ends.breakOff(call);
+    }
+  }
+
+  /** Leaves the attempt under way for another endpoint, if there is one and the budget allows it. */
+  #tryElsewhere(call: Call, now: Instant): boolean {
+    if (!this.canTryElsewhere(call, now)) {
+      return false;
+    }
+    this.#tools.attempts.leave(call, now);
+    this.#tools.placer.place(call, now);
+    return true;
+  }
+
+  #spendRepeat(call: Call, now: Instant): boolean {
+    const [service] = call.services;
+    const entries = this.#tools.entries();
+    return this.#tools.budget.spend(service!, { entries }, now);
+  }
+}
--- a/playground/src/guards/route_guards.ts
+++ b/playground/src/guards/route_guards.ts
@@ -14,11 +14,11 @@
   {
     point: "routes: at most once",
     name: "a lost attempt is repeated only where the route allows it",
-    file: `${GATEWAY}/call_controller.ts`,
+    file: `${GATEWAY}/call_recovery.ts`,
     find: "if (!call.mayRepeat || !this.#tryElsewhere(call, now)) {",
     replace: "if (!this.#tryElsewhere(call, now)) {",
     also: [{
-      file: `${GATEWAY}/call_controller.ts`,
+      file: `${GATEWAY}/call_recovery.ts`,
       find: "call.arrivals < call.route.attempts &&",
       replace: "",
     }],
@@ -33,7 +33,7 @@
   {
     point: "routes: attempts",
     name: "an attempt by way of a peer counts as all",
-    file: `${GATEWAY}/call_controller.ts`,
+    file: `${GATEWAY}/call_attempts.ts`,
     find: 'return target.kind === "peer" ? route.attempts : 1;',
     replace: 'return target.kind === "peer" ? Math.min(1, route.attempts) : 1;',
   },
@@ -83,8 +83,8 @@
     point: "routes: configuration",
     name: "an entry that knows nothing yet does not say that there is no route",
     file: `${GATEWAY}/call_controller.ts`,
-    find: 'return this.#refuseHead(head, "no_document");',
-    replace: 'return this.#refuseHead(head, "no_route");',
+    find: 'return this.#ends.refuseHead(head, "no_document");',
+    replace: 'return this.#ends.refuseHead(head, "no_route");',
   },
   {
     point: "routes: configuration",
@@ -117,11 +117,11 @@
   {
     point: "routes: streams",
     name: "a stream goes on only where its route allows it",
-    file: `${GATEWAY}/call_controller.ts`,
+    file: `${GATEWAY}/call_recovery.ts`,
     find: "const resumable = call.route.resumable &&",
     replace: "const resumable =",
     also: [{
-      file: `${GATEWAY}/call_controller.ts`,
+      file: `${GATEWAY}/call_recovery.ts`,
       find: "call.arrivals < call.route.attempts &&",
       replace: "",
     }],
@@ -129,7 +129,7 @@
   {
     point: "routes: streams",
     name: "streams leave an engine that has gone silent",
-    file: `${GATEWAY}/call_controller.ts`,
+    file: `${GATEWAY}/call_recovery.ts`,
     find: "if (silent && this.#tryElsewhere(call, now)) {",
     replace: "if (silent && now < 0 && this.#tryElsewhere(call, now)) {",
   },
@@ -169,14 +169,14 @@
   {
     point: "routes: failures",
     name: "a failure is dropped only for another endpoint",
-    file: `${GATEWAY}/call_controller.ts`,
+    file: `${GATEWAY}/call_recovery.ts`,
     find: 'const possible = way?.kind === "endpoint" || way?.kind === "peer";',
     replace: "const possible = way !== undefined;",
   },
   {
     point: "routes: overload",
     name: "one request of a kind is asked",
-    file: `${GATEWAY}/call_controller.ts`,
+    file: `${GATEWAY}/call_placer.ts`,
     find: "blocked.add(kind);",
     replace: "",
   },
