feat: routes in the operators' text

Cause: routes were the platform's alone; the product's own text could not say them. Ruled out: serving them already (a second source of the catalogue is needed for that). Conclusion: the text holds and checks routes; entries serve those of the platform's document only.

--- a/packages/core/src/text/__tests__/parse.test.ts
+++ b/packages/core/src/text/__tests__/parse.test.ts
@@ -56,6 +56,82 @@
     });
   });
 
+  describe("routes", () => {
+    const ROUTE = `
+[route ask]
+host = kiosk.example
+path = /ask/
+services = pool
+kind = stream
+resumable = yes
+attempts = 2
+homes = north
+`;
+
+    it("are read with their defaults", () => {
+      const result = parseText(GOOD + ROUTE);
+      const route = result.ok
+        ? [...result.deployment.routes.values()][0]
+        : undefined;
+      expect(route).toMatchObject({
+        host: "kiosk.example",
+        pathPrefix: "/ask/",
+        targets: [{ service: "pool", weight: 1 }],
+        attempts: 2,
+        timeout: 15_000,
+        priority: 1,
+        homes: ["north"],
+        resumable: true,
+      });
+    });
+
+    it("may have services with weights", () => {
+      const result = parseText(
+        GOOD + ROUTE.replace("services = pool", "services = pool:90"),
+      );
+      expect(result.ok && [...result.deployment.routes.values()][0]!.targets)
+        .toEqual([{ service: "pool", weight: 90 }]);
+    });
+
+    it.each([
+      ["path = /ask/", "path = ask", "ends with a slash"],
+      ["services = pool", "services = pol", "a service of this text"],
+      ["services = pool", "services = pool:0", "a weight above 0"],
+      ["homes = north", "homes = south", "a region that has"],
+      ["kind = stream", "kind = idempotent", "kind = stream"],
+      ["resumable = yes\n", "kind = non_idempotent\n", "repeated"],
+      ["kind = stream\nresumable = yes", "kind = non_idempotent", "1: a call"],
+      ["host = kiosk.example", "host = Kiosk", "lower case"],
+    ])("with %s made %s are faulty", (from, to, expected) => {
+      const faults = faultsOf(parseText(GOOD + ROUTE.replace(from, to)));
+      expect(faults.join("\n")).toContain(
+        expected === "repeated" ? "kind" : expected,
+      );
+    });
+
+    it("have a place of their own", () => {
+      const twice = GOOD + ROUTE + ROUTE.replace("route ask", "route again");
+      expect(faultsOf(parseText(twice)).join()).toContain(
+        'a place that route "ask" does not have',
+      );
+    });
+
+    it("show in a diff", () => {
+      const before = parseText(GOOD + ROUTE);
+      const next = parseText(
+        GOOD + ROUTE.replace("services = pool", "services = pool:9"),
+      );
+      const changes = before.ok && next.ok
+        ? diffDeployments(before.deployment, next.deployment)
+        : [];
+      expect(changes).toEqual([{
+        subject: "route ask",
+        change:
+          'targets: [{"service":"pool","weight":1}] -> [{"service":"pool","weight":9}]',
+      }]);
+    });
+  });
+
   describe("a faulty text", () => {
     const cases: [string, string, string][] = [
       [
--- a/packages/core/src/text/check_references.ts
+++ b/packages/core/src/text/check_references.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { ServiceId } from "../ids/index.ts";
+import type { Route } from "../routes/index.ts";
 import type { Deployment, Service } from "./deployment.ts";
 
 type Report = (
@@ -20,6 +21,7 @@
   for (const service of deployment.services.values()) {
     checkService(deployment, service, report);
   }
+  checkRoutes(deployment, report);
   checkCustomers(deployment, report);
 }
 
@@ -117,6 +119,49 @@
   return false;
 }
 
+function checkRoutes(deployment: Deployment, report: Report): void {
+  const ownerByPlace = new Map<string, string>();
+  for (const route of deployment.routes.values()) {
+    checkRoute(deployment, route, report);
+    const place = `${route.host}${route.pathPrefix}`;
+    const owner = ownerByPlace.get(place);
+    if (owner !== undefined) {
+      const expected = `a place that route "${owner}" does not have`;
+      report(`route ${route.name}`, "path", `"${place}"`, expected);
+    }
+    ownerByPlace.set(place, route.name);
+  }
+}
+
+function checkRoute(
+  deployment: Deployment,
+  { name, kind, targets, homes, attempts, resumable }: Route,
+  report: Report,
+): void {
+  const section = `route ${name}`;
+  for (const { service } of targets) {
+    if (!deployment.services.has(service)) {
+      report(section, "services", `"${service}"`, "a service of this text");
+    }
+  }
+  for (const home of homes) {
+    const served = targets.every(({ service }) =>
+      deployment.services.get(service)?.regions.includes(home) ?? true
+    );
+    if (!deployment.regions.has(home) || !served) {
+      const expected = "a region that has the route's services";
+      report(section, "homes", `"${home}"`, expected);
+    }
+  }
+  if (kind === "non_idempotent" && attempts > 1) {
+    const expected = "1: a call that may not repeat gets one attempt";
+    report(section, "attempts", `"${attempts}"`, expected);
+  }
+  if (kind !== "stream" && resumable) {
+    report(section, "resumable", '"yes"', "kind = stream");
+  }
+}
+
 function checkCustomers(deployment: Deployment, report: Report): void {
   const ownerByDigest = new Map<string, string>();
   for (const customer of deployment.customers.values()) {
--- a/packages/core/src/text/deployment.ts
+++ b/packages/core/src/text/deployment.ts
@@ -7,9 +7,11 @@
   CustomerId,
   Milliseconds,
   RegionId,
+  RouteName,
   ServiceId,
   ZoneId,
 } from "../ids/index.ts";
+import type { Route } from "../routes/index.ts";
 
 /** What the deployment weighs most. */
 export type Objective = "tail" | "cost";
@@ -81,5 +83,7 @@
   readonly regions: ReadonlyMap<RegionId, Region>;
   readonly services: ReadonlyMap<ServiceId, Service>;
   readonly customers: ReadonlyMap<CustomerId, Customer>;
+  /** Hosts and paths that are passed through to services as they are. */
+  readonly routes: ReadonlyMap<RouteName, Route>;
   readonly customerByDigest: ReadonlyMap<string, Customer>;
 }
--- a/packages/core/src/text/diff.ts
+++ b/packages/core/src/text/diff.ts
@@ -12,9 +12,7 @@
   readonly warning?: string;
 }
 
-type Named = { readonly id: string };
-
-/** Lists services, regions, customers and limits that differ. */
+/** Lists services, regions, routes, customers and limits that differ. */
 export function diffDeployments(
   before: Deployment,
   next: Deployment,
@@ -23,6 +21,7 @@
     ...diffHead(before, next),
     ...diffMaps("region", before.regions, next.regions),
     ...diffMaps("service", before.services, next.services),
+    ...diffMaps("route", before.routes, next.routes),
     ...diffMaps("customer", before.customers, next.customers),
   ];
 }
@@ -37,7 +36,7 @@
   }));
 }
 
-function diffMaps<Item extends Named>(
+function diffMaps<Item extends object>(
   kind: string,
   before: ReadonlyMap<string, Item>,
   next: ReadonlyMap<string, Item>,
@@ -72,12 +71,17 @@
     const name = String(key);
     const change = name === "tokenDigests"
       ? "token digests changed"
-      : `${name}: ${before[key]} -> ${next[key]}`;
+      : `${name}: ${shown(before[key])} -> ${shown(next[key])}`;
     return name === "home"
       ? { subject, change, warning: HOME_WARNING }
       : { subject, change };
   });
 }
 
+function shown(value: unknown): string {
+  const nested = Array.isArray(value) && typeof value[0] === "object";
+  return nested ? JSON.stringify(value) : String(value);
+}
+
 const HOME_WARNING =
   "A change of home: move the customer's data first; keys of open actions stay with entries of the old home";
--- a/packages/core/src/text/parse.ts
+++ b/packages/core/src/text/parse.ts
@@ -6,8 +6,15 @@
  */
 import { parse as parseIni } from "ini";
 import type { z } from "zod";
-import type { CustomerId, RegionId, ServiceId, ZoneId } from "../ids/index.ts";
+import type {
+  CustomerId,
+  RegionId,
+  RouteName,
+  ServiceId,
+  ZoneId,
+} from "../ids/index.ts";
 import { milliseconds } from "../ids/index.ts";
+import type { Route } from "../routes/index.ts";
 import { checkReferences } from "./check_references.ts";
 import type { Customer, Deployment, Region, Service } from "./deployment.ts";
 import { clip, type LineFault, LineIndex } from "./lines.ts";
@@ -18,6 +25,7 @@
   nameSchema,
   plainSchema,
   regionSchema,
+  routeSchema,
 } from "./schema.ts";
 
 /** The configuration service holds values up to a megabyte. */
@@ -64,6 +72,7 @@
   readonly #regions = new Map<RegionId, Region>();
   readonly #services = new Map<ServiceId, Service>();
   readonly #customers = new Map<CustomerId, Customer>();
+  readonly #routes = new Map<RouteName, Route>();
   #head: z.infer<typeof deploymentSchema> | undefined;
 
   constructor(text: string) {
@@ -116,6 +125,7 @@
       services: this.#services,
       customers: this.#customers,
       customerByDigest,
+      routes: this.#routes,
     };
   }
 
@@ -133,9 +143,10 @@
       return;
     }
     const known = kind === "region" || kind === "service" ||
-      kind === "customer";
+      kind === "customer" || kind === "route";
     if (!known || extra.length > 0 || !nameSchema.safeParse(name).success) {
-      const expected = "deployment, region NAME, service NAME or customer NAME";
+      const expected =
+        "deployment, region NAME, service NAME, route NAME or customer NAME";
       this.#fault(section, "", {
         found: `section [${clip(section)}]`,
         expected,
@@ -146,7 +157,7 @@
   }
 
   #readNamed(
-    kind: "region" | "service" | "customer",
+    kind: "region" | "service" | "customer" | "route",
     name: string,
     { section, body }: { section: string; body: object },
   ): void {
@@ -154,6 +165,8 @@
       this.#readRegion(name as RegionId, { section, body });
     } else if (kind === "service") {
       this.#readService(name as ServiceId, { section, body });
+    } else if (kind === "route") {
+      this.#readRoute(name as RouteName, { section, body });
     } else {
       this.#readCustomer(name as CustomerId, { section, body });
     }
@@ -212,6 +225,32 @@
     this.#services.set(id, service);
   }
 
+  #readRoute(
+    name: RouteName,
+    { section, body }: { section: string; body: object },
+  ): void {
+    const found = this.#check(routeSchema, section, body);
+    if (found) {
+      this.#routes.set(name, {
+        name,
+        host: found.host,
+        pathPrefix: found.path,
+        kind: found.kind,
+        targets: found.services as unknown as Route["targets"],
+        attempts: found.attempts,
+        timeout: milliseconds(found.timeout_ms),
+        objective: milliseconds(found.objective_ms),
+        pauseObjective: found.pause_ms === undefined
+          ? undefined
+          : milliseconds(found.pause_ms),
+        priority: found.priority,
+        homes: found.homes as RegionId[],
+        sticky: found.sticky,
+        resumable: found.resumable,
+      });
+    }
+  }
+
   #readCustomer(
     id: CustomerId,
     { section, body }: { section: string; body: object },
--- a/packages/core/src/text/schema.ts
+++ b/packages/core/src/text/schema.ts
@@ -89,6 +89,37 @@
   ...serviceBase,
 });
 
+const HOST = /^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$/;
+const PATH = /^\/([^\s?#]*\/)?$/;
+const TARGET = /^([a-z0-9][a-z0-9-]{0,62})(?::(\d{1,6}))?$/;
+
+/** `NAME` or `NAME:WEIGHT` between commas. */
+const targets = list.pipe(
+  z.array(
+    z.string().regex(TARGET, "a service, or services with weights: pool:90")
+      .transform((text) => {
+        const [, service, weight] = TARGET.exec(text)!;
+        return { service: service!, weight: Number(weight ?? 1) };
+      }).refine(({ weight }) => weight > 0, "a weight above 0"),
+  ),
+).refine((items) => items.length > 0, "at least one service");
+
+/** `[route NAME]` */
+export const routeSchema = z.strictObject({
+  host: z.string().regex(HOST, "a host name in lower case"),
+  path: z.string().regex(PATH, "a path that begins and ends with a slash"),
+  services: targets,
+  kind: z.enum(["idempotent", "non_idempotent", "stream"]),
+  attempts: whole(1, 16).default(1),
+  timeout_ms: whole(1, 3_600_000).default(15_000),
+  objective_ms: whole(1, 3_600_000).default(1_000),
+  pause_ms: whole(1, 3_600_000).optional(),
+  priority: whole(0, 9).default(1),
+  homes: names.default([]),
+  sticky: flag.default(false),
+  resumable: flag.default(false),
+});
+
 /** `[customer NAME]` */
 export const customerSchema = z.strictObject({
   home: nameSchema,
