--- a/playground/src/routes/route_expectations.ts
+++ b/playground/src/routes/route_expectations.ts
@@ -11,7 +11,8 @@
   ScriptError,
   word,
 } from "../scenario/script.ts";
-import type { RouteWorld, SeenCall } from "./route_world.ts";
+import type { SeenCall } from "./route_types.ts";
+import type { RouteWorld } from "./route_world.ts";
 
 const BURST_WINDOW_MS = 1_000;
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
--- /dev/null
+++ b/playground/src/routes/route_types.ts
@@ -0,0 +1,60 @@
+/**
+ * What callers, entries and endpoints of a scenario tell each other.
+ *
+ * @module
+ */
+import type {
+  CallHead,
+  CallTarget,
+  Prompt,
+  RequestId,
+} from "@sassafrasstep/core";
+import type { Recipient, VirtualGateway } from "./virtual_gateway.ts";
+
+/** A request as its caller sees it. */
+export interface SeenCall {
+  readonly name: string;
+  readonly route: string;
+  readonly entry: VirtualGateway;
+  readonly sentAt: number;
+  id: RequestId | undefined;
+  status: number | undefined;
+  retryAfter: number | undefined;
+  readonly events: number[];
+  ended: "complete" | "broken" | undefined;
+  endedAt: number | undefined;
+}
+
+/** How a request is sent. */
+export interface CallPlan {
+  readonly name: string;
+  readonly route: string;
+  readonly entry: string;
+  readonly timeLeft: number | undefined;
+  readonly prompt: Prompt | undefined;
+  readonly events: number;
+}
+
+/** An attempt on its way. */
+export interface ToBackend {
+  readonly target: Extract<CallTarget, { kind: "endpoint" }>;
+  readonly head: CallHead;
+  readonly resumeAfter: string | undefined;
+  readonly recipient: Recipient;
+}
+
+/** An attempt on its way. */
+export interface ToPeer {
+  readonly target: Extract<CallTarget, { kind: "peer" }>;
+  readonly head: CallHead;
+  readonly resumeAfter: string | undefined;
+  readonly recipient: Recipient;
+}
+
+/** One line of an entry's log. */
+export interface WorldLogLine {
+  readonly at: number;
+  readonly entry: string;
+  readonly text: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
--- a/playground/src/routes/route_world.ts
+++ b/playground/src/routes/route_world.ts
@@ -5,7 +5,6 @@
  */
 import {
   type CallAnswer,
-  type CallHead,
   type CallId,
   type CallTarget,
   type CatalogueSnapshot,
@@ -15,7 +14,6 @@
   type GatewaySelf,
   instant,
   milliseconds,
-  type Prompt,
   type RegionId,
   type RequestId,
   SeededRandomness,
@@ -25,6 +23,13 @@
 import { VirtualTime } from "../scenario/virtual_time.ts";
 import type { BackendAnswer, FakeBackend, Run } from "./fake_backend.ts";
 import { FakeStore } from "./fake_store.ts";
+import type {
+  CallPlan,
+  SeenCall,
+  ToBackend,
+  ToPeer,
+  WorldLogLine,
+} from "./route_types.ts";
 import { type Recipient, VirtualGateway } from "./virtual_gateway.ts";
 
 const PREFILL_RATE = 38;
@@ -38,52 +43,6 @@
   stopTime: milliseconds(8_000),
 };
 
-/** A request as its caller sees it. */
-export interface SeenCall {
-  readonly name: string;
-  readonly route: string;
-  readonly entry: VirtualGateway;
-  readonly sentAt: number;
-  id: RequestId | undefined;
-  status: number | undefined;
-  retryAfter: number | undefined;
-  readonly events: number[];
-  ended: "complete" | "broken" | undefined;
-  endedAt: number | undefined;
-}
-
-/** How a request is sent. */
-export interface CallPlan {
-  readonly name: string;
-  readonly route: string;
-  readonly entry: string;
-  readonly timeLeft: number | undefined;
-  readonly prompt: Prompt | undefined;
-  readonly events: number;
-}
-
-interface ToBackend {
-  readonly target: Extract<CallTarget, { kind: "endpoint" }>;
-  readonly head: CallHead;
-  readonly resumeAfter: string | undefined;
-  readonly recipient: Recipient;
-}
-
-interface ToPeer {
-  readonly target: Extract<CallTarget, { kind: "peer" }>;
-  readonly head: CallHead;
-  readonly resumeAfter: string | undefined;
-  readonly recipient: Recipient;
-}
-
-/** One line of an entry's log. */
-export interface WorldLogLine {
-  readonly at: number;
-  readonly entry: string;
-  readonly text: string;
-  readonly fields: Readonly<Record<string, unknown>>;
-}
-
 /** The world of one scenario. */
 export class RouteWorld {
   readonly time = new VirtualTime();
