--- a/packages/daemon/src/settings/__tests__/gateway_settings.test.ts
+++ b/packages/daemon/src/settings/__tests__/gateway_settings.test.ts
@@ -56,6 +56,19 @@
     }
   });
 
+  /**
+   * Symptom: no entry of a deployment starts.
+   * Sequence: the template names a figure that the deployment does not have, and renders nothing.
+   * Cause: an empty value is taken for a faulty one.
+   */
+  it("takes its own figure where the deployment has none", () => {
+    const result = parseGatewaySettings(
+      TEXT.replace("stop_s = 6", "stop_s = ").replace("cores = 2", "cores ="),
+    );
+    expect(result.ok && result.settings.self.bounds.stopTime).toBe(8_000);
+    expect(result.ok && result.settings.self.weight).toBe(0.5);
+  });
+
   /**
    * Symptom: no entry of a deployment starts, each ends with faulty settings.
    * Sequence: a VM's share of a core is 0.48600000000000004.
--- a/packages/daemon/src/settings/gateway_settings.ts
+++ b/packages/daemon/src/settings/gateway_settings.ts
@@ -16,9 +16,8 @@
 import {
   ADDRESS,
   type Address,
-  decimal,
+  decimalOr,
   LIST,
-  NAME,
   readSections,
 } from "./ini_sections.ts";
 
@@ -54,12 +53,12 @@
 
 const schema = z.strictObject({
   entry: z.strictObject({
-    id: NAME,
+    id: PLACE,
     zone: PLACE,
     region: PLACE,
     /** Part of a core, and how fast cores are. */
-    processor_share: decimal(MOST_WEIGHT).default(1),
-    cores: decimal(MOST_WEIGHT).default(1),
+    processor_share: decimalOr(1, MOST_WEIGHT),
+    cores: decimalOr(1, MOST_WEIGHT),
     log_level: z.enum(["debug", "info", "warn", "error", "silent"]).default(
       "info",
     ),
@@ -75,13 +74,13 @@
   zones: z.record(PLACE, PLACE),
   store: z.strictObject({ address: ADDRESS }),
   bounds: z.strictObject({
-    repeat_ratio: decimal(1).default(0.1),
-    repeat_window_s: decimal(MOST_SECONDS).default(10),
-    repeat_slack: decimal(MOST_COUNT).default(10),
-    cold_overshoot: decimal(MOST_COUNT).default(1),
-    cold_slack: decimal(MOST_COUNT).default(1),
-    list_lifetime_s: decimal(MOST_SECONDS).default(5),
-    stop_s: decimal(MOST_SECONDS).default(8),
+    repeat_ratio: decimalOr(0.1, 1),
+    repeat_window_s: decimalOr(10, MOST_SECONDS),
+    repeat_slack: decimalOr(10, MOST_COUNT),
+    cold_overshoot: decimalOr(1, MOST_COUNT),
+    cold_slack: decimalOr(1, MOST_COUNT),
+    list_lifetime_s: decimalOr(5, MOST_SECONDS),
+    stop_s: decimalOr(8, MOST_SECONDS),
   }),
 });
 
--- a/packages/daemon/src/settings/ini_sections.ts
+++ b/packages/daemon/src/settings/ini_sections.ts
@@ -114,6 +114,17 @@
     .refine((value) => value >= 0 && value <= most, expected);
 }
 
+/**
+ * A decimal number, or a default where nothing stands: a template renders nothing for a figure that a
+ * deployment does not have.
+ */
+export function decimalOr(otherwise: number, most: number): z.ZodType<number> {
+  return z.preprocess(
+    (value) => value === "" ? undefined : value,
+    decimal(most).default(otherwise),
+  );
+}
+
 /** Items between commas. */
 export const LIST = z.string().transform((text) =>
   text.split(",").map((item) => item.trim()).filter((item) => item !== "")
