--- a/packages/core/src/fleet/fleet_controller.ts
+++ b/packages/core/src/fleet/fleet_controller.ts
@@ -5,22 +5,16 @@
  *
  * @module
  */
-import {
-  after,
-  type Incarnation,
-  type Instant,
-  type Randomness,
-  sample,
-} from "../ids/index.ts";
+import { after, type Incarnation, type Instant, sample } from "../ids/index.ts";
 import type {
   FleetGossip,
   FleetMessage,
   FleetRecord,
   FleetState,
   Holdings,
-  RegionSummary,
   WorkReport,
 } from "./fleet_messages.ts";
+import type { FleetOptions } from "./fleet_options.ts";
 import { MemberBook } from "./member_book.ts";
 import type { FleetMember } from "./member_book.ts";
 import { ProbeSchedule } from "./probe_schedule.ts";
@@ -42,23 +36,6 @@
 /** Without this many ticks' gap the loop ran; a longer gap is a pause. */
 const PAUSE_MS = 1_000;
 
-/** Who this entry is. */
-export type FleetSelf = Omit<FleetRecord, "version" | "state">;
-
-/** What the controller is made with. */
-export interface FleetOptions {
-  readonly self: FleetSelf;
-  /** Peer addresses to begin with. */
-  readonly seeds: readonly string[];
-  /** Between pings, in milliseconds. */
-  readonly period: number;
-  readonly random: Randomness;
-  readonly send: (to: string, message: FleetMessage) => void;
-  readonly holdings: () => Holdings;
-  /** The own region's summary as it is now. */
-  readonly summary: (now: Instant) => RegionSummary;
-}
-
 /** Writes what is known of other entries. */
 export class FleetController {
   readonly regions: RegionBook;
--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -102,7 +102,7 @@
 
   /** The target as the shell needs it. */
   targetOf(call: Call, { state, fetchFrom }: Chosen, now: Instant): CallTarget {
-    const entries = 1 + this.#region(now).length;
+    const entries = 1 + this.#region().length;
     const connections = (state.service?.connectionLimit ?? entries) *
       CONNECTION_PART / entries;
     return {
@@ -142,12 +142,12 @@
       return true;
     }
     const { self, cold } = this.#sources;
-    const region = [self.incarnation, ...this.#region(now)];
+    const region = [self.incarnation, ...this.#region()];
     return cold.allows(state, { self: self.incarnation, region }, now);
   }
 
   /** Other entries of the own region that may be alive. */
-  #region(_now: Instant): Incarnation[] {
+  #region(): Incarnation[] {
     const { self, fleet } = this.#sources;
     return fleet.possible()
       .filter(({ record }) => record.region === self.region)
--- a/packages/core/src/gateway/entry_directory.ts
+++ b/packages/core/src/gateway/entry_directory.ts
@@ -82,7 +82,9 @@
   const named = pickEntries(near.length > 0 ? near : chosen, question.caller);
   return named.length === 0 ? undefined : {
     addresses: named.map(({ callerAddress }) => callerAddress),
-    lifetime: milliseconds(LIST_LIFETIME_MS),
+    lifetime: milliseconds(
+      Math.min(LIST_LIFETIME_MS, self.bounds.listLifetime),
+    ),
   };
 }
 
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -4,12 +4,8 @@
  *
  * @module
  */
-import { FleetController, type FleetRecord } from "../fleet/index.ts";
-import {
-  type Incarnation,
-  type Instant,
-  type Randomness,
-} from "../ids/index.ts";
+import { FleetController } from "../fleet/index.ts";
+import type { Instant, Randomness } from "../ids/index.ts";
 import type { CatalogueSnapshot } from "../routes/index.ts";
 import { CallController } from "./call_controller.ts";
 import { CallRouter } from "./call_router.ts";
@@ -284,8 +280,3 @@
     };
   }
 }
-
-/** What identifies an entry to operators. */
-export type EntryIdentity = Pick<FleetRecord, "id"> & {
-  readonly incarnation: Incarnation;
-};
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -21,6 +21,7 @@
 import type { Exchange } from "./exchange.ts";
 import { RELAY_HEADER } from "./ingress.ts";
 import type { EndpointProtocol, RawHeaders } from "./protocol.ts";
+import { decodeHeaders, isFramed, withoutLength } from "./raw_headers.ts";
 
 /** Plain answers up to this size are held until they are whole, so that a torn one can be repeated. */
 const MAX_HELD_BYTES = 262_144;
@@ -333,21 +334,3 @@
     }
   }
 }
-
-function decodeHeaders(raw: readonly (Buffer | string)[]): RawHeaders {
-  return raw.map((item) =>
-    typeof item === "string" ? item : item.toString("latin1")
-  );
-}
-
-function isFramed(headers: RawHeaders): boolean {
-  return headers.some((name, index) =>
-    index % 2 === 0 && /^(content-length|transfer-encoding)$/i.test(name)
-  );
-}
-
-function withoutLength(headers: RawHeaders): RawHeaders {
-  return headers.filter((_, index) =>
-    headers[index - index % 2]!.toLowerCase() !== "content-length"
-  );
-}
--- /dev/null
+++ b/packages/daemon/src/gateway/raw_headers.ts
@@ -0,0 +1,27 @@
+/**
+ * Headers as they stand on the wire.
+ *
+ * @module
+ */
+import type { RawHeaders } from "./protocol.ts";
+
+/** Headers as text. */
+export function decodeHeaders(raw: readonly (Buffer | string)[]): RawHeaders {
+  return raw.map((item) =>
+    typeof item === "string" ? item : item.toString("latin1")
+  );
+}
+
+/** Whether a body says where it ends. */
+export function isFramed(headers: RawHeaders): boolean {
+  return headers.some((name, index) =>
+    index % 2 === 0 && /^(content-length|transfer-encoding)$/i.test(name)
+  );
+}
+
+/** For a body whose length is known anew. */
+export function withoutLength(headers: RawHeaders): RawHeaders {
+  return headers.filter((_, index) =>
+    headers[index - index % 2]!.toLowerCase() !== "content-length"
+  );
+}
