--- a/packages/core/src/actions/action_controller.ts
+++ b/packages/core/src/actions/action_controller.ts
@@ -20,60 +20,25 @@
   HandOver,
   Outcome,
   OutcomeCopy,
-  UsedKey,
 } from "../messages/index.ts";
 import { outcomeBytes, OutcomeCopies, scopedKey } from "./outcome_copies.ts";
 import { keepersOf, otherKeeper } from "./outcome_keepers.ts";
 import { KEPT_EPOCHS, OwnerRights } from "./owner_rights.ts";
 import { formatOwnerToken, type KeyOwner } from "./owner_token.ts";
-
-/** Used keys that one entry keeps; a new key beyond it is refused before it runs. */
-export const MAX_USED_KEYS = 20_000;
-/** Bytes of kept answers, own and copied. */
-export const MAX_KEPT_ANSWER_BYTES = 8_388_608;
-
-/** What this entry can say of a key. */
-export type Standing =
-  /** This entry owns it and it was never used, or every use ended without a run. */
-  | { readonly kind: "unused" }
-  | { readonly kind: "running"; readonly bodyDigest: string }
-  | {
-    readonly kind: "known";
-    readonly bodyDigest: string;
-    readonly outcome: Outcome;
-  }
-  /** This entry owns it, and its epoch is over. */
-  | { readonly kind: "expired" }
-  /** This entry owns it, and never gave out a token of that epoch. */
-  | { readonly kind: "invalid" }
-  | { readonly kind: "elsewhere"; readonly member: Member }
-  /** The owner is not heard; this peer may keep a copy of the outcome. */
-  | {
-    readonly kind: "perhaps_kept";
-    readonly member: Member;
-    readonly ownerGone: boolean;
-  }
-  /** The owner's incarnation ended and nothing more can be learnt. */
-  | { readonly kind: "gone" }
-  /** The owner is not heard, and may be alive. */
-  | { readonly kind: "unreachable" };
-
-interface Action {
-  readonly customer: CustomerId;
-  readonly home: RegionId;
-  readonly key: IdempotencyKey;
-  readonly owner: Incarnation;
-  readonly epoch: number;
-  readonly bodyDigest: string;
-  readonly outcome: Outcome | undefined;
-}
+import {
+  MAX_KEPT_ANSWER_BYTES,
+  MAX_USED_KEYS,
+  type Standing,
+  toUsedKey,
+  type UsedAction,
+} from "./used_action.ts";
 
 /** Writes the `actions` section, and is its view. */
 export class ActionController implements ActionsView {
   readonly #board: Blackboard;
   readonly #emit: Emit;
   readonly #rights: OwnerRights;
-  readonly #used = new Map<string, Action>();
+  readonly #used = new Map<string, UsedAction>();
   readonly #copies = new OutcomeCopies();
   #answerBytes = 0;
   #lastEpochs = "";
@@ -363,15 +328,3 @@
     this.#used.delete(id);
   }
 }
-
-function toUsedKey(action: Action): UsedKey {
-  const { customer, home, key, bodyDigest, epoch } = action;
-  return {
-    customer,
-    home,
-    key,
-    bodyDigest,
-    epoch,
-    outcome: action.outcome ?? { kind: "unknown" },
-  };
-}
--- a/packages/core/src/configuration/configuration_controller.ts
+++ b/packages/core/src/configuration/configuration_controller.ts
@@ -11,7 +11,6 @@
 } from "../blackboard/index.ts";
 import {
   after,
-  type Incarnation,
   type Instant,
   type Randomness,
   type Revision,
@@ -23,38 +22,18 @@
   parseText,
   type TextFault,
 } from "../text/index.ts";
+import {
+  CONFIRMATION_WAIT_MS,
+  COPY_TIMEOUT_MS,
+  FAILED_READ_PAUSE_MS,
+  FALLBACK_READ_PERIOD_MS,
+  FIRST_READ_PERIOD_MS,
+  foreignName,
+  LEAST_WATCH_PAUSE_MS,
+  REJECTED_READ_SPREAD_MS,
+} from "./configuration_section.ts";
 import { newestHolder } from "./newest_holder.ts";
-import { hasWatchDuty, watchInterval } from "./watch_duty.ts";
-
-/** Each entry reads by itself now and then, in case that no watcher and no peer tells it. */
-export const FALLBACK_READ_PERIOD_MS = 60_000;
-/** Entries that hear of a rejected text read it within this time, not all at once. */
-const REJECTED_READ_SPREAD_MS = 2_000;
-/** Between reads of an entry that still has no text. */
-export const FIRST_READ_PERIOD_MS = 500;
-/** Pause after a read that failed. */
-export const FAILED_READ_PAUSE_MS = 2_000;
-/** Pause between two watches of one entry, against a service that answers each at once. */
-const LEAST_WATCH_PAUSE_MS = 1_000;
-/** Time after which an unanswered copy is asked for again, of another peer where there is one. */
-export const COPY_TIMEOUT_MS = 1_000;
-/** How long requests wait for a confirmation after a pause, before the entry goes on with what it holds. */
-export const CONFIRMATION_WAIT_MS = 1_500;
-
-/** First section of a new entry. */
-export function createConfiguration(): Writable<ConfigurationView> {
-  return {
-    revision: 0 as Revision,
-    text: "",
-    deployment: undefined,
-    rejected: undefined,
-    missing: undefined,
-    confirmedAt: undefined,
-    unconfirmed: false,
-    platformReachable: false,
-    platformReads: 0,
-  };
-}
+import { hasWatchDuty, liveZone, watchInterval } from "./watch_duty.ts";
 
 /** Writes the `configuration` section. */
 export class ConfigurationController {
@@ -219,16 +198,8 @@
       return;
     }
     if (result.deployment.name !== this.#board.self.deployment) {
-      const expected =
-        `the name "${this.#board.self.deployment}" of this entry's settings`;
       this.#reject(revision, [
-        {
-          line: 1,
-          section: "deployment",
-          key: "name",
-          found: `"${result.deployment.name}"`,
-          expected,
-        },
+        foreignName(result.deployment.name, this.#board.self.deployment),
       ]);
       return;
     }
@@ -367,7 +338,7 @@
       return false;
     }
     const { self } = this.#board;
-    const zone = this.#liveZone();
+    const zone = liveZone(this.#board);
     const interval = watchInterval(this.#section.text.length, zone.length);
     const adoptedLately = this.#adoptedAt !== undefined &&
       now - this.#adoptedAt < interval;
@@ -376,15 +347,4 @@
     return !adoptedLately && !watchedLately &&
       hasWatchDuty(self.incarnation, this.#section.revision, zone);
   }
-
-  #liveZone(): Incarnation[] {
-    const { self, membership } = this.#board;
-    const zone: Incarnation[] = [self.incarnation];
-    for (const { health, record } of membership.members.values()) {
-      if (health === "live" && record.zone === self.zone) {
-        zone.push(record.incarnation);
-      }
-    }
-    return zone;
-  }
 }
--- a/packages/core/src/configuration/watch_duty.ts
+++ b/packages/core/src/configuration/watch_duty.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Blackboard } from "../blackboard/index.ts";
 import {
   type Incarnation,
   type Milliseconds,
@@ -55,3 +56,14 @@
     Math.min(LONGEST_INTERVAL_MS, Math.max(LEAST_INTERVAL_MS, interval)),
   );
 }
+
+/** Live entries of the own zone, this one included. */
+export function liveZone({ self, membership }: Blackboard): Incarnation[] {
+  const zone: Incarnation[] = [self.incarnation];
+  for (const { health, record } of membership.members.values()) {
+    if (health === "live" && record.zone === self.zone) {
+      zone.push(record.incarnation);
+    }
+  }
+  return zone;
+}
--- a/packages/core/src/requests/index.ts
+++ b/packages/core/src/requests/index.ts
@@ -15,10 +15,7 @@
   otherEntries,
 } from "./entry_list.ts";
 export { judgeEnd } from "./judge_end.ts";
-export {
-  ACTION_GRACE_MS,
-  CONFIRMING_MS,
-  RequestController,
-} from "./request_controller.ts";
+export { RequestController } from "./request_controller.ts";
+export { ACTION_GRACE_MS, CONFIRMING_MS } from "./request_dependencies.ts";
 export { RetryBudget } from "./retry_budget.ts";
 export { LOW_CLASS_TURN, ServiceQueue, type Waiting } from "./service_queue.ts";
--- a/packages/core/src/requests/request_controller.ts
+++ b/packages/core/src/requests/request_controller.ts
@@ -3,10 +3,7 @@
  *
  * @module
  */
-import type { ActionController } from "../actions/index.ts";
 import type { Blackboard, RequestsView } from "../blackboard/index.ts";
-import type { EndpointController } from "../endpoints/index.ts";
-import type { Explanations } from "../explain/index.ts";
 import type {
   AttemptId,
   CustomerId,
@@ -17,12 +14,9 @@
 import type {
   AttemptEnd,
   BodyFacts,
-  Emit,
   RequestHead,
   Spare,
 } from "../messages/index.ts";
-import type { Metrics } from "../metrics/index.ts";
-import type { Balancer } from "../routing/index.ts";
 import {
   MAY_HAVE_RUN_OPEN,
   NOT_RUN,
@@ -41,26 +35,16 @@
 import { CustomerLimits } from "./customer_limits.ts";
 import { otherEntries } from "./entry_list.ts";
 import { KeyRouter } from "./key_router.ts";
+import {
+  ACTION_GRACE_MS,
+  CONFIRMING_MS,
+  type RequestDependencies,
+} from "./request_dependencies.ts";
 import { RequestTable } from "./request_table.ts";
 import { DEFAULT_RETRY, Router } from "./router.ts";
 import { measureSpare } from "./spare.ts";
 import { Spills } from "./spills.ts";
 
-/** How long a request waits for the text in force to be confirmed. */
-export const CONFIRMING_MS = 2_000;
-/** How long past its deadline an action may take to end before its answer counts as lost. */
-export const ACTION_GRACE_MS = 30_000;
-
-/** What the controller works with. */
-export interface RequestDependencies {
-  readonly emit: Emit;
-  readonly actions: ActionController;
-  readonly endpoints: EndpointController;
-  readonly balancer: Balancer;
-  readonly explanations: Explanations;
-  readonly metrics: Metrics;
-}
-
 /** Writes the `requests` section, and is its view. */
 export class RequestController implements RequestsView {
   readonly #board: Blackboard;
--- a/playground/src/fleet/fleet.ts
+++ b/playground/src/fleet/fleet.ts
@@ -11,11 +11,10 @@
 import type { Blueprint, Place } from "./blueprint.ts";
 import { Child } from "./child.ts";
 import { Relay } from "./relay.ts";
+import { waitFor } from "./wait_for.ts";
 
 /** Secret of every fleet of the playground. */
 export const PLAYGROUND_SECRET = "playground-secret-0123456789";
-const READY_TIMEOUT_MS = 30_000;
-const POLL_MS = 50;
 
 /** A running entry. */
 export interface FleetEntry extends Place {
@@ -338,29 +337,3 @@
 `;
   }
 }
-
-/** Polls a condition; throws with its name when it does not come true in time. */
-export async function waitFor(
-  name: string,
-  condition: () => Promise<boolean> | boolean,
-  timeoutMs = READY_TIMEOUT_MS,
-): Promise<void> {
-  const until = performance.now() + timeoutMs;
-  while (performance.now() < until) {
-    if (await attempt(condition)) {
-      return;
-    }
-    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
-  }
-  throw new Error(`Waited ${timeoutMs} ms in vain for ${name}`);
-}
-
-async function attempt(
-  condition: () => Promise<boolean> | boolean,
-): Promise<boolean> {
-  try {
-    return await condition();
-  } catch {
-    return false;
-  }
-}
--- a/playground/src/fleet/index.ts
+++ b/playground/src/fleet/index.ts
@@ -11,6 +11,6 @@
   type FleetOptions,
   type FleetStandIn,
   PLAYGROUND_SECRET,
-  waitFor,
 } from "./fleet.ts";
 export { Relay } from "./relay.ts";
+export { waitFor } from "./wait_for.ts";
--- a/playground/src/guards/guards.ts
+++ b/playground/src/guards/guards.ts
@@ -218,8 +218,8 @@
     point: "whole answers",
     name: "a broken stream goes on at another engine",
     file: `${CORE}/requests/attempt_tracker.ts`,
-    find: "isRepeatable(request.service);\n    const inTime",
-    replace: "Date.now() < 0;\n    const inTime",
+    find: "isRepeatable(request.service);\n    const goesOn",
+    replace: "Date.now() < 0;\n    const goesOn",
   },
   {
     point: "leaving endpoints",
--- a/playground/src/platform/stand_in_store.ts
+++ b/playground/src/platform/stand_in_store.ts
@@ -3,15 +3,14 @@
  *
  * @module
  */
-import { once } from "node:events";
 import {
   createServer,
   type IncomingMessage,
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
 import { CALLS } from "@sassafrasstep/platform";
+import { closeAtOnce, listenOnLoopback } from "./loopback.ts";
 
 /** How the store treats a call. */
 export type StoreFault =
@@ -52,17 +51,12 @@
     this.#take(message, reply)
   );
 
-  async listen(): Promise<string> {
-    this.#server.listen(0, "127.0.0.1");
-    await once(this.#server, "listening");
-    const { port } = this.#server.address() as AddressInfo;
-    return `127.0.0.1:${port}`;
+  listen(): Promise<string> {
+    return listenOnLoopback(this.#server);
   }
 
-  async close(): Promise<void> {
-    this.#server.closeAllConnections();
-    this.#server.close();
-    await once(this.#server, "close");
+  close(): Promise<void> {
+    return closeAtOnce(this.#server);
   }
 
   /** Writes a value as JSON. */
--- a/playground/src/routes/run_routes.ts
+++ b/playground/src/routes/run_routes.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { parseScript, word } from "../scenario/script.ts";
+import { parseScript, settingOf } from "../scenario/script.ts";
 import { act, type RouteStage } from "./route_actions.ts";
 import { checkRoutes, findViolations } from "./route_expectations.ts";
 import { setUp } from "./route_setting.ts";
@@ -37,11 +37,7 @@
   const script = parseScript(text);
   const world = new RouteWorld(seed);
   const stage: RouteStage = { world, version: FIRST_VERSION, sequence: 1 };
-  const setting = script.setting.flatMap((line) =>
-    line.words[0] === "use"
-      ? parseScript(loadSetting(word(line, 1, "a setting"))).setting
-      : [line]
-  );
+  const setting = settingOf(script, loadSetting);
   setting.forEach((line) => setUp(world, line));
   world.store.publishDocument(stage.version);
   [...world.entries.keys()].forEach((name) => world.startEntry(name));
--- a/playground/src/scenario/run_scenario.ts
+++ b/playground/src/scenario/run_scenario.ts
@@ -14,6 +14,7 @@
   parseScript,
   parseTime,
   ScriptError,
+  settingOf,
   word,
 } from "./script.ts";
 import { ScenarioText } from "./scenario_text.ts";
@@ -44,11 +45,7 @@
   const script = parseScript(text);
   const stage: Stage = { world: new World(seed), text: new ScenarioText() };
   const { world } = stage;
-  const setting = script.setting.flatMap((line) =>
-    line.words[0] === "use"
-      ? parseScript(loadSetting(word(line, 1, "a setting"))).setting
-      : [line]
-  );
+  const setting = settingOf(script, loadSetting);
   prepare(stage, setting);
   world.time.runUntil(START_MS);
   world.startOfScript = START_MS;
--- a/playground/src/scenario/script.ts
+++ b/playground/src/scenario/script.ts
@@ -106,3 +106,15 @@
   );
   return Object.fromEntries(found);
 }
+
+/** The lines before the steps, with those that `use NAME` stands for. */
+export function settingOf(
+  script: Script,
+  loadSetting: (name: string) => string,
+): Line[] {
+  return script.setting.flatMap((line) =>
+    line.words[0] === "use"
+      ? parseScript(loadSetting(word(line, 1, "a setting"))).setting
+      : [line]
+  );
+}
