refactor: favours, lost addresses and the pace of joining in modules of their own

No behaviour changed: 126 tests of fleet, gateway and scenarios pass as before, the guard of the pace is seen failing at its new place.

--- a/packages/core/src/fleet/fleet_controller.ts
+++ b/packages/core/src/fleet/fleet_controller.ts
@@ -12,6 +12,7 @@
   sample,
   type ZoneId,
 } from "../ids/index.ts";
+import { type Favour, Favours } from "./favours.ts";
 import type {
   FleetGossip,
   FleetMessage,
@@ -21,6 +22,8 @@
   WorkReport,
 } from "./fleet_messages.ts";
 import type { FleetOptions } from "./fleet_options.ts";
+import { JoinPace } from "./join_pace.ts";
+import { LostAddresses } from "./lost_addresses.ts";
 import { MemberBook } from "./member_book.ts";
 import type { FleetMember } from "./member_book.ts";
 import { ProbeSchedule } from "./probe_schedule.ts";
@@ -42,12 +45,6 @@
 const NEWCOMER_MS = 3_000;
 /** Between pings of an entry that is still getting to know the fleet. */
 const JOIN_PERIOD_MS = 100;
-/** It knows the fleet once it has learned of nobody for so long, */
-const JOIN_QUIET_MS = 1_000;
-/** and at the latest then. */
-const MOST_JOIN_MS = 10_000;
-/** Lost addresses that are tried a period: heals partitions within seconds. */
-const LOST_ADDRESSES_A_PERIOD = 2;
 /** Entries outside the region that are told of a state change at once. */
 const FAR_ANNOUNCEMENTS = 8;
 /** Without this many ticks' gap the loop ran; a longer gap is a pause. */
@@ -59,17 +56,13 @@
   readonly #options: FleetOptions;
   readonly #members = new MemberBook();
   readonly #probes: ProbeSchedule;
-  /** Pings made for others: own sequence to asker and its sequence. */
-  readonly #favours = new Map<number, { to: string; sequence: number }>();
+  readonly #favours = new Favours();
+  readonly #lost: LostAddresses;
+  readonly #pace: JoinPace;
   readonly #holdings = new Map<Incarnation, Holdings>();
   #record: FleetRecord;
   #nextPeriodAt: Instant;
   #lastTickAt: Instant;
-  #lostCursor = 0;
-  readonly #startedAt: Instant;
-  /** When it last learned of a member that it did not know. */
-  #learnedAt: Instant;
-  #membersKnown = 0;
 
   constructor(options: FleetOptions, now: Instant) {
     this.#options = options;
@@ -78,8 +71,8 @@
     this.regions = new RegionBook(options.self.region);
     this.#nextPeriodAt = now;
     this.#lastTickAt = now;
-    this.#startedAt = now;
-    this.#learnedAt = now;
+    this.#pace = new JoinPace(now);
+    this.#lost = new LostAddresses(options.self.peerAddress, options.seeds);
   }
 
   /** This entry's own record. */
@@ -158,7 +151,7 @@
     );
     this.#buryUndenied(now);
     if (now >= this.#nextPeriodAt) {
-      const joining = this.#isJoining(now);
+      const joining = this.#pace.isJoining(this.#members.size, now);
       const period = joining ? JOIN_PERIOD_MS : this.#options.period;
       this.#nextPeriodAt = after(now, period);
       this.#members.forget(now);
@@ -199,22 +192,6 @@
     }
   }
 
-  /**
-   * Whether this entry is still getting to know the fleet. A fleet whose entries all start at once knows nothing of itself, and an entry
-   * that starts anew is told little by one that is settled: callers are then sent to the few entries that
-   * are known, and engines are chosen without hearing of each other's work. At the pace of a settled fleet
-   * 72 entries knew 40% of each other after two seconds; so a newcomer asks more often until nobody new
-   * turns up.
-   */
-  #isJoining(now: Instant): boolean {
-    if (this.#members.size > this.#membersKnown) {
-      this.#learnedAt = now;
-    }
-    this.#membersKnown = this.#members.size;
-    return now - this.#learnedAt < JOIN_QUIET_MS &&
-      now - this.#startedAt < MOST_JOIN_MS;
-  }
-
   /**
    * A process that stood still has lost answers to its pings, and would suspect everybody: callers
    * would be given a list with nobody but itself. So pings from before a pause prove nothing.
@@ -253,31 +230,9 @@
       const sequence = this.#probes.open(member, now);
       this.#ping(member.record.peerAddress, { sequence, about: member, now });
     }
-    this.#tryLost(now);
-  }
-
-  /** Seeds nobody answers from and dead entries may be back: a healed cut shows only by asking. */
-  #tryLost(now: Instant): void {
-    const heard = new Set<string>([this.#record.peerAddress]);
-    const dead = new Map<string, FleetMember>();
-    for (const member of this.#members.all()) {
-      if (member.health === "dead") {
-        dead.set(member.record.peerAddress, member);
-      } else {
-        heard.add(member.record.peerAddress);
-      }
-    }
-    const lost = [...new Set([...this.#options.seeds, ...dead.keys()])].filter(
-      (address) => !heard.has(address),
-    );
-    const count = Math.min(LOST_ADDRESSES_A_PERIOD, lost.length);
-    for (let index = 0; index < count; index++) {
-      const address = lost[this.#lostCursor++ % lost.length]!;
-      this.#ping(address, {
-        sequence: this.#probes.number(),
-        about: dead.get(address),
-        now,
-      });
+    for (const { address, member } of this.#lost.next(this.#members.all())) {
+      const sequence = this.#probes.number();
+      this.#ping(address, { sequence, about: member, now });
     }
   }
 
@@ -331,23 +286,15 @@
     }
   }
 
-  #pingFor(
-    target: string,
-    favour: { to: string; sequence: number },
-    now: Instant,
-  ): void {
+  #pingFor(target: string, favour: Favour, now: Instant): void {
     const sequence = this.#probes.number();
-    this.#favours.set(sequence, favour);
-    if (this.#favours.size > MAX_FAVOURS) {
-      this.#favours.delete(this.#favours.keys().next().value!);
-    }
+    this.#favours.add(sequence, favour);
     this.#ping(target, { sequence, about: undefined, now });
   }
 
   #vouch(sequence: number): void {
-    const favour = this.#favours.get(sequence);
+    const favour = this.#favours.take(sequence);
     if (favour !== undefined) {
-      this.#favours.delete(sequence);
       this.#send(favour.to, { kind: "vouch", sequence: favour.sequence });
     }
   }
@@ -379,9 +326,6 @@
   }
 }
 
-/** Pings for others that are remembered. */
-const MAX_FAVOURS = 64;
-
 type Body<Message> = Message extends { readonly from: FleetRecord }
   ? Omit<Message, "from" | "holdings">
   : never;
--- a/playground/src/guards/route_guards.ts
+++ b/playground/src/guards/route_guards.ts
@@ -205,7 +205,7 @@
     point: "routes: the list of entries",
     name: "an entry that knows little of the fleet asks more often",
     file: `${FLEET}/fleet_controller.ts`,
-    find: "const joining = this.#isJoining(now);",
+    find: "const joining = this.#pace.isJoining(this.#members.size, now);",
     replace: "const joining = false;",
   },
   {
