--- a/packages/core/src/gateway/__tests__/placement.test.ts
+++ b/packages/core/src/gateway/__tests__/placement.test.ts
@@ -1,47 +1,13 @@
 import { beforeEach, describe, expect, it } from "vitest";
-import {
-  type AttemptId,
-  type EndpointId,
-  instant,
-  milliseconds,
-  type ServiceId,
-  type ZoneId,
-} from "../../index.ts";
-import type { RoutedService } from "../../routes/index.ts";
-import { DEFAULT_PREFILL_RATE, EndpointState } from "../endpoint_state.ts";
+import { type AttemptId, instant, type ZoneId } from "../../index.ts";
+import { DEFAULT_PREFILL_RATE, type EndpointState } from "../endpoint_state.ts";
 import type { Prompt } from "../messages.ts";
+import { engine } from "./engine_fixture.ts";
 import { findHolder, place, READ_AHEAD_MS, type Work } from "../placement.ts";
 
-const POOL: RoutedService = {
-  id: "pool" as ServiceId,
-  healthPath: "/",
-  connectionLimit: 10,
-  coldRate: 0,
-  coldPeriod: milliseconds(0),
-  engine: { slots: 64, cacheTokens: 200_000, fetches: true },
-};
 const LONG = Math.floor(READ_AHEAD_MS * DEFAULT_PREFILL_RATE * 0.9);
 const SHARED = { id: "s", tokens: 4_000 };
 
-function engine(name: string, zone = "z1"): EndpointState {
-  return new EndpointState(
-    {
-      id: name as EndpointId,
-      service: POOL.id,
-      address: `${name}:1`,
-      zone: zone as ZoneId,
-      softwareVersion: "v",
-      slots: 64,
-      state: "ready",
-      coldFor: milliseconds(0),
-      leavesIn: undefined,
-      sequence: 1,
-    },
-    POOL,
-    instant(0),
-  );
-}
-
 function prompt(tokens: number, shared = false): Prompt {
   return {
     model: "m",
--- a/packages/core/src/gateway/__tests__/work_teller.test.ts
+++ b/packages/core/src/gateway/__tests__/work_teller.test.ts
@@ -4,26 +4,17 @@
   type EndpointId,
   type FleetMessage,
   instant,
-  milliseconds,
   type PrefixNews,
   type RegionId,
-  type ServiceId,
   type WorkReport,
   type ZoneId,
 } from "../../index.ts";
 import type { EndpointBook } from "../endpoint_book.ts";
-import { EndpointState } from "../endpoint_state.ts";
+import type { EndpointState } from "../endpoint_state.ts";
+import { engine } from "./engine_fixture.ts";
 import { WorkTeller } from "../work_teller.ts";
 
 const REGION = "r" as RegionId;
-const SERVICE = {
-  id: "pool" as ServiceId,
-  healthPath: "/",
-  connectionLimit: 10,
-  coldRate: 0,
-  coldPeriod: milliseconds(0),
-  engine: { slots: 64, cacheTokens: 200_000, fetches: true },
-};
 const LONG = 8_000;
 const SUBJECT: PrefixNews = {
   endpoint: "e1" as EndpointId,
@@ -34,25 +25,6 @@
   parts: [{ id: "g", tokens: 200 }],
 };
 
-function engine(name: string, zone: string): EndpointState {
-  return new EndpointState(
-    {
-      id: name as EndpointId,
-      service: SERVICE.id,
-      address: `${name}:1`,
-      zone: zone as ZoneId,
-      softwareVersion: "v",
-      slots: 64,
-      state: "ready",
-      coldFor: milliseconds(0),
-      leavesIn: undefined,
-      sequence: 1,
-    },
-    SERVICE,
-    instant(0),
-  );
-}
-
 /** A teller in zone z1 of a region with an engine in each of its two zones. */
 describe("an entry's reports of its work", () => {
   let near: EndpointState;
--- a/playground/src/scenario/actions.ts
+++ b/playground/src/scenario/actions.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { FakeBehaviour, FakeEndpoint } from "./endpoint_fakes.ts";
-import type { CallerSend } from "./exchanges.ts";
+import type { CallerSend } from "./caller_results.ts";
 import type { FakeMode } from "./platform_fakes.ts";
 import {
   type Line,
--- a/playground/src/scenario/exchanges.ts
+++ b/playground/src/scenario/exchanges.ts
@@ -13,68 +13,45 @@
   type RequestHead,
   type RequestId,
   sha256,
-  type StoredAnswer,
 } from "@sassafrasstep/core";
-import type { FakeEndpoint, FakeReply } from "./endpoint_fakes.ts";
+import {
+  type CallerResult,
+  CallerResults,
+  type CallerSend,
+  type WayEnd,
+} from "./caller_results.ts";
+import { EndpointWay } from "./endpoint_way.ts";
 import { ANSWER_SLACK_MS } from "./violations.ts";
 import type { VirtualEntry } from "./virtual_entry.ts";
+import {
+  CONNECT_REFUSED,
+  CONNECT_TIMEOUT_MS,
+  type Open,
+  RESET,
+  storedAnswer,
+} from "./way.ts";
 import type { World } from "./world.ts";
 
-/** What a scenario's caller sends. */
-export interface CallerSend {
-  readonly name: string;
-  readonly customer: string;
-  readonly service: string;
-  readonly entry: string;
-  readonly key: string | undefined;
-  readonly body: string;
-  readonly deadlineMs: number;
-  readonly requestClass: string | undefined;
-  readonly promptTokens: number;
-  readonly hops: readonly string[];
-}
-
-/** What came of it. */
-export interface CallerResult {
-  readonly name: string;
-  readonly at: number;
-  readonly status: number;
-  readonly verdict: string;
-  readonly thisSend: string;
-  readonly reason: string;
-  readonly body: string;
-  readonly replayed: boolean;
-  readonly retryAfterMs: number;
-  readonly goTo: readonly string[];
-}
-
-/** Where a request that an entry works on came from. */
-interface Open {
-  readonly entry: VirtualEntry;
-  readonly send: CallerSend;
-  /** Id at the first entry. */
-  readonly origin: string;
-  readonly hops: number;
-  readonly reply: (answer: FinalAnswer | { readonly kind: "streamed" }) => void;
-}
-
-const CONNECT_REFUSED: AttemptEnd = {
-  kind: "unsent",
-  detail: "connect refused",
-};
-const CONNECT_TIMEOUT_MS = 1_000;
-const RESET: AttemptEnd = { kind: "lost", detail: "reset" };
-
 /** Carries requests. */
 export class Exchanges {
-  readonly results = new Map<string, CallerResult>();
   readonly #world: World;
   readonly #open = new Map<string, Open>();
-  readonly #gone = new Set<string>();
+  readonly #callers: CallerResults;
+  readonly #endpoints: EndpointWay;
   #counter = 0;
 
   constructor(world: World) {
     this.#world = world;
+    this.#callers = new CallerResults(world);
+    this.#endpoints = new EndpointWay({
+      world,
+      close: (request) => this.#open.delete(request),
+    });
+  }
+
+  /** What callers got so far. */
+  get results(): ReadonlyMap<string, CallerResult> {
+    return this.#callers.byCaller;
   }
 
   /** A caller sends; its connection is refused by a dead entry. */
@@ -82,7 +59,7 @@
     const entry = this.#world.entry(send.entry);
     const { time, violations } = this.#world;
     if (entry === undefined || entry.dead) {
-      this.#record(send, {
+      this.#callers.record(send, {
         status: 0,
         verdict: "not_run",
         reason: "connect refused",
@@ -91,9 +68,8 @@
     }
     const sentAt = time.now;
     time.after(send.deadlineMs + ANSWER_SLACK_MS, () => {
-      const silent = !this.results.has(send.name) && !this.#gone.has(send.name);
       if (
-        silent && !entry.dead && !entry.frozen &&
+        this.#callers.isOpen(send.name) && !entry.dead && !entry.frozen &&
         !this.#world.wasFrozen(entry.id, sentAt)
       ) {
         violations.note(
@@ -109,7 +85,7 @@
       send,
       origin: id,
       hops: 0,
-      reply: (answer) => this.#answerCaller(send, answer),
+      reply: (answer) => this.#callers.answer(send, answer),
     }, {
       id,
       forwarded: false,
@@ -121,7 +97,7 @@
 
   /** A caller hangs up. */
   hangUp(name: string): void {
-    this.#gone.add(name);
+    this.#callers.hangUp(name);
     for (const [id, open] of this.#open) {
       if (open.send.name === name && open.hops === 0) {
         open.entry.tell({ kind: "callerGone", request: id as RequestId });
@@ -164,7 +140,7 @@
       return;
     }
     if (attempt.target.kind === "endpoint") {
-      this.#toEndpoint(entry, {
+      this.#endpoints.send(entry, {
         attempt,
         open,
         endpoint: this.#world.endpoint(attempt.target.endpoint),
@@ -184,7 +160,7 @@
       if (open.entry === entry) {
         this.#open.delete(id);
         if (open.hops === 0) {
-          this.#record(open.send, {
+          this.#callers.record(open.send, {
             status: 0,
             verdict: "",
             reason: "connection reset",
@@ -226,112 +202,6 @@
     entry.tell({ kind: "request", head });
   }
 
-  #toEndpoint(
-    entry: VirtualEntry,
-    { attempt, open, endpoint }: {
-      attempt: Attempt;
-      open: Open;
-      endpoint: FakeEndpoint | undefined;
-    },
-  ): void {
-    const { network, time } = this.#world;
-    const end = (result: AttemptEnd): void =>
-      entry.tell({ kind: "attemptEnded", attempt: attempt.id, end: result });
-    if (endpoint === undefined || !network.reaches(entry, endpoint)) {
-      time.after(CONNECT_TIMEOUT_MS, () => end(CONNECT_REFUSED));
-      return;
-    }
-    const delay = network.delay(entry, endpoint);
-    time.after(2 * delay, () => {
-      if (endpoint.dead) {
-        end(CONNECT_REFUSED);
-        return;
-      }
-      entry.deliver(() => {
-        const proceeds = entry.ask({ kind: "commit", attempt: attempt.id })
-          .some(({ kind }) => kind === "proceed");
-        if (proceeds) {
-          time.after(
-            delay,
-            () => this.#runAtEndpoint(entry, { attempt, open, endpoint, end }),
-          );
-        }
-      });
-    });
-  }
-
-  #runAtEndpoint(
-    entry: VirtualEntry,
-    { attempt, open, endpoint, end }: {
-      attempt: Attempt;
-      open: Open;
-      endpoint: FakeEndpoint;
-      end: (result: AttemptEnd) => void;
-    },
-  ): void {
-    const { time, violations, network } = this.#world;
-    if (endpoint.dead) {
-      end(RESET);
-      return;
-    }
-    const { customer } = open.send;
-    this.#world.checkHome(endpoint.region, { what: "call", customer });
-    violations.checkLeaving(time.now, {
-      id: endpoint.id,
-      signs: endpoint.signs,
-      zone: entry.zone,
-    });
-    const reply = endpoint.take({
-      attempt: attempt.id,
-      origin: open.origin,
-      key: open.send.key,
-      customer,
-      resumeOffset: attempt.resumeOffset,
-    });
-    this.#checkRuns(open.send);
-    if (reply.end.kind === "none") {
-      return;
-    }
-    time.after(reply.afterMs, () => {
-      endpoint.ended();
-      if (endpoint.dead || !network.reaches(endpoint, entry)) {
-        end(RESET);
-        return;
-      }
-      this.#deliverReply(entry, { attempt, open, reply, end });
-    });
-  }
-
-  #deliverReply(
-    entry: VirtualEntry,
-    { attempt, open, reply, end }: {
-      attempt: Attempt;
-      open: Open;
-      reply: FakeReply;
-      end: (result: AttemptEnd) => void;
-    },
-  ): void {
-    if (reply.end.kind === "answer") {
-      end({ kind: "answered", answer: storedAnswer(reply.end) });
-    } else if (reply.end.kind === "stream") {
-      entry.tell({ kind: "firstToken", attempt: attempt.id });
-      entry.tell({
-        kind: "progress",
-        attempt: attempt.id,
-        offset: reply.end.tokens,
-      });
-      const { whole } = reply.end;
-      entry.deliver(() => {
-        if (whole && this.#open.delete(attempt.request)) {
-          open.reply({ kind: "streamed" });
-        }
-      });
-      end(whole ? { kind: "streamed" } : RESET);
-    } else {
-      end(RESET);
-    }
-  }
-
   #toPeer(
     entry: VirtualEntry,
     { attempt, open, peer }: {
@@ -363,7 +233,7 @@
         customer: open.send.customer,
       });
       const reply = (
-        answer: FinalAnswer | { readonly kind: "streamed" },
+        answer: WayEnd,
       ): void =>
         time.after(
           delay,
@@ -399,7 +269,7 @@
     { attempt, open, answer, end }: {
       attempt: Attempt;
       open: Open;
-      answer: FinalAnswer | { readonly kind: "streamed" };
+      answer: WayEnd;
       end: (result: AttemptEnd) => void;
     },
   ): void {
@@ -428,100 +298,6 @@
       end({ kind: "answered", answer: answer.answer, verdict: answer.verdict });
     }
   }
-
-  #answerCaller(
-    send: CallerSend,
-    answer: FinalAnswer | { readonly kind: "streamed" },
-  ): void {
-    if (this.#gone.has(send.name)) {
-      return;
-    }
-    if (answer.kind === "streamed") {
-      this.#record(send, { status: 200, verdict: "ran" });
-    } else if (answer.kind === "refused") {
-      const { status, verdict, thisSend, reason, retryAfter, goTo } =
-        answer.refusal;
-      this.#record(send, {
-        status,
-        verdict: verdictName(verdict),
-        thisSend: thisSend === undefined ? "" : verdictName(thisSend),
-        reason,
-        retryAfterMs: retryAfter ?? 0,
-        goTo: goTo ?? [],
-      });
-    } else {
-      const body = Buffer.from(answer.answer.body, "base64").toString();
-      const { verdict, replayed } = answer;
-      this.#record(send, {
-        status: answer.answer.status,
-        verdict: verdictName(verdict),
-        body,
-        replayed,
-      });
-    }
-  }
-
-  #record(send: CallerSend, result: Partial<CallerResult>): void {
-    const { time, violations } = this.#world;
-    if (this.results.has(send.name)) {
-      violations.note(time.now, `caller ${send.name} got a second answer`);
-    }
-    const whole: CallerResult = {
-      name: send.name,
-      at: time.now,
-      status: 0,
-      verdict: "",
-      thisSend: "",
-      reason: "",
-      body: "",
-      replayed: false,
-      retryAfterMs: 0,
-      goTo: [],
-      ...result,
-    };
-    this.results.set(send.name, whole);
-    this.#checkVerdict(send, whole);
-  }
-
-  /** Holds what a caller was told against what the endpoints counted. */
-  #checkVerdict(
-    send: CallerSend,
-    { status, verdict, body }: CallerResult,
-  ): void {
-    const { time, violations } = this.#world;
-    const runs = send.key === undefined ? 0 : this.#world.runsOf(send.key);
-    if (status !== 0 && verdict === "not_run" && runs > 0) {
-      violations.note(
-        time.now,
-        `caller ${send.name} was told not_run of a key that ran ${runs} times`,
-      );
-    }
-    if (verdict === "ran" && send.key !== undefined && runs === 0) {
-      violations.note(
-        time.now,
-        `caller ${send.name} was told ran of a key that never ran`,
-      );
-    }
-    if (
-      status === 200 && send.key !== undefined &&
-      body !== `answer for ${send.key}`
-    ) {
-      violations.note(
-        time.now,
-        `caller ${send.name} got "${body}", which is not its own answer`,
-      );
-    }
-  }
-
-  #checkRuns({ key: actionKey }: CallerSend): void {
-    if (actionKey !== undefined) {
-      this.#world.violations.checkRuns(
-        this.#world.time.now,
-        actionKey,
-        this.#world.runsOf(actionKey),
-      );
-    }
-  }
 }
 
 const LOST_PEER = {
@@ -530,19 +306,3 @@
   detail: "",
   verdict: { kind: "not_run" },
 } as const;
-
-function verdictName(verdict: { kind: string; settled?: boolean }): string {
-  return verdict.kind === "may_have_run"
-    ? `may_have_run_${verdict.settled === true ? "settled" : "open"}`
-    : verdict.kind;
-}
-
-function storedAnswer(
-  { status, body }: { status: number; body: string },
-): StoredAnswer {
-  return {
-    status,
-    contentType: "text/plain",
-    body: Buffer.from(body).toString("base64"),
-  };
-}
