--- a/packages/core/src/gateway/__tests__/work_teller.test.ts
+++ b/packages/core/src/gateway/__tests__/work_teller.test.ts
@@ -75,7 +75,7 @@
   });
 
   /**
-   * Symptom: half of the bytes between zones, and a fifth of the processor time, are work reports.
+   * Symptom: most datagrams, and most bytes between zones, are work reports.
    * Sequence: each prompt at an engine of this zone was told to the entries of all zones at once.
    * Cause: entries choose among the engines of their own zone, the others did not act on it.
    */
--- a/packages/core/src/gateway/work_teller.ts
+++ b/packages/core/src/gateway/work_teller.ts
@@ -43,8 +43,9 @@
  * Sends work reports.
  *
  * Entries choose engines of their own zone as long as it has any, so the other zones hardly ever act on
- * what happens here. Told of each prompt, they cost half of all bytes between zones and a fifth of the
- * processor time; they are told what concerns their own engines, and the rest once a second.
+ * what happens here. While they were told of each prompt, reports were 418,000 of the 436,000 datagrams
+ * of 91 entries in 40 s, and bytes between zones four times as many. They are told what concerns their
+ * own engines, and the rest once a second.
  */
 export class WorkTeller {
   readonly #sources: TellerSources;
--- a/playground/src/guards/route_guards.ts
+++ b/playground/src/guards/route_guards.ts
@@ -202,14 +202,14 @@
     replace: "const end = bytes.length;",
   },
   {
-    point: "routes: the list of entries",
+    point: "routes: list of entries",
     name: "an entry that knows little of the fleet asks more often",
     file: `${FLEET}/fleet_controller.ts`,
     find: "const joining = this.#pace.isJoining(this.#members.size, now);",
     replace: "const joining = false;",
   },
   {
-    point: "routes: the list of entries",
+    point: "routes: list of entries",
     name: "a newcomer is told of members that are no news",
     file: `${FLEET}/fleet_controller.ts`,
     find: "const isNewcomer = to !== undefined &&",
