--- a/packages/core/src/gateway/work_teller.ts
+++ b/packages/core/src/gateway/work_teller.ts
@@ -44,7 +44,7 @@
  *
  * Entries choose engines of their own zone as long as it has any, so the other zones hardly ever act on
  * what happens here. While they were told of each prompt, reports were 418,000 of the 436,000 datagrams
- * of 91 entries in 40 s, and bytes between zones four times as many. They are told what concerns their
+ * of 91 entries in 40 s, and bytes between zones over twice as many. They are told what concerns their
  * own engines, and the rest once a second.
  */
 export class WorkTeller {
