--- a/playground/src/scenario/endpoint_way.ts
+++ b/playground/src/scenario/endpoint_way.ts
@@ -10,6 +10,8 @@
 import {
   CONNECT_REFUSED,
   CONNECT_TIMEOUT_MS,
+  endingOf,
+  isWanted,
   type Open,
   RESET,
   storedAnswer,
@@ -41,8 +43,7 @@
     },
   ): void {
     const { network, time } = this.#tools.world;
-    const end = (result: AttemptEnd): void =>
-      entry.tell({ kind: "attemptEnded", attempt: attempt.id, end: result });
+    const end = endingOf(entry, attempt);
     if (endpoint === undefined || !network.reaches(entry, endpoint)) {
       time.after(CONNECT_TIMEOUT_MS, () => end(CONNECT_REFUSED));
       return;
@@ -54,9 +55,7 @@
         return;
       }
       entry.deliver(() => {
-        const proceeds = entry.ask({ kind: "commit", attempt: attempt.id })
-          .some(({ kind }) => kind === "proceed");
-        if (proceeds) {
+        if (isWanted(entry, attempt)) {
           time.after(
             delay,
             () => this.#runAtEndpoint(entry, { attempt, open, endpoint, end }),
--- a/playground/src/scenario/exchanges.ts
+++ b/playground/src/scenario/exchanges.ts
@@ -26,6 +26,8 @@
 import {
   CONNECT_REFUSED,
   CONNECT_TIMEOUT_MS,
+  endingOf,
+  isWanted,
   type Open,
   RESET,
   storedAnswer,
@@ -211,8 +213,7 @@
     },
   ): void {
     const { network, time } = this.#world;
-    const end = (result: AttemptEnd): void =>
-      entry.tell({ kind: "attemptEnded", attempt: attempt.id, end: result });
+    const end = endingOf(entry, attempt);
     if (peer === undefined || peer.dead || !network.reaches(entry, peer)) {
       time.after(
         peer === undefined || peer.dead ? 2 : CONNECT_TIMEOUT_MS,
@@ -222,10 +223,7 @@
     }
     const delay = network.delay(entry, peer);
     entry.deliver(() => {
-      const proceeds = entry.ask({ kind: "commit", attempt: attempt.id }).some((
-        { kind },
-      ) => kind === "proceed");
-      if (!proceeds) {
+      if (!isWanted(entry, attempt)) {
         return;
       }
       this.#world.checkHome(peer.region, {
--- a/playground/src/scenario/way.ts
+++ b/playground/src/scenario/way.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { AttemptEnd, StoredAnswer } from "@sassafrasstep/core";
+import type { Attempt, AttemptEnd, StoredAnswer } from "@sassafrasstep/core";
 import type { CallerSend, WayEnd } from "./caller_results.ts";
 import type { VirtualEntry } from "./virtual_entry.ts";
 
@@ -37,3 +37,17 @@
     body: Buffer.from(body).toString("base64"),
   };
 }
+
+/** Whether an entry still wants an attempt whose connection stands. */
+export function isWanted(entry: VirtualEntry, { id }: Attempt): boolean {
+  return entry.ask({ kind: "commit", attempt: id })
+    .some(({ kind }) => kind === "proceed");
+}
+
+/** Tells an entry how an attempt ended. */
+export function endingOf(
+  entry: VirtualEntry,
+  { id }: Attempt,
+): (end: AttemptEnd) => void {
+  return (end) => entry.tell({ kind: "attemptEnded", attempt: id, end });
+}
