perf: work is counted with the answer that callers expect, not the longest they allow

Cause: region work took each caller's limit on output for its length (1,116 tokens a review, of which 380 come). It came out three times too high, so every region looked over 60% busy while its engines idled: none was relayed to, and callers were sent away in the calm.

Change: expected output from the caller's hint, or a third of the limit; cost of a prompt in a module of its own.

--- a/packages/core/src/gateway/__tests__/placement.test.ts
+++ b/packages/core/src/gateway/__tests__/placement.test.ts
@@ -1,9 +1,10 @@
 import { beforeEach, describe, expect, it } from "vitest";
 import { type AttemptId, instant, type ZoneId } from "../../index.ts";
-import { DEFAULT_PREFILL_RATE, type EndpointState } from "../endpoint_state.ts";
+import type { EndpointState } from "../endpoint_state.ts";
 import type { Prompt } from "../messages.ts";
 import { engine } from "./engine_fixture.ts";
 import { findHolder, place, READ_AHEAD_MS, type Work } from "../placement.ts";
+import { DEFAULT_PREFILL_RATE } from "../prompt_cost.ts";
 
 const LONG = Math.floor(READ_AHEAD_MS * DEFAULT_PREFILL_RATE * 0.9);
 const SHARED = { id: "s", tokens: 4_000 };
@@ -13,6 +14,7 @@
     model: "m",
     promptTokens: tokens,
     outputTokens: 50,
+    outputHint: undefined,
     parts: shared
       ? [SHARED, { id: "own", tokens: tokens - SHARED.tokens }]
       : [],
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -22,22 +22,19 @@
 import type { CatalogueView } from "./catalogue_controller.ts";
 import type { ColdAllowance } from "./cold_allowance.ts";
 import type { EndpointBook } from "./endpoint_book.ts";
-import { DEFAULT_PREFILL_RATE } from "./endpoint_state.ts";
 import {
   type CallAnswer,
   type CallEnd,
   type CallHead,
   type GatewayEmit,
 } from "./messages.ts";
-import { engineTime } from "./placement.ts";
+import { engineWork } from "./prompt_cost.ts";
 import type { RegionController } from "./region_controller.ts";
 import type { RepeatBudget } from "./repeat_budget.ts";
 
 /** A caller's call that may not repeat goes on without it for so long. */
 const ORPHAN_MS = 5_000;
 const UINT32_RANGE = 2 ** 32;
-/** Output tokens cost an engine this much, in milliseconds, while a full batch shares each step. */
-const OUTPUT_TOKEN_MS = 0.15;
 /** Work of a call to a plain service, in endpoint milliseconds. */
 const PLAIN_WORK_MS = 50;
 const FIRST_SERVER_ERROR = 500;
@@ -265,8 +262,7 @@
     const { regions } = this.#tools;
     const work = head.prompt === undefined
       ? PLAIN_WORK_MS
-      : engineTime(head.prompt, DEFAULT_PREFILL_RATE) * regions.readPart +
-        head.prompt.outputTokens * OUTPUT_TOKEN_MS;
+      : engineWork(head.prompt, regions.readPart);
     regions.arrivals.add(service!, work, now);
     if (head.relay === undefined) {
       regions.traffic.add(route.name, now);
--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -10,8 +10,8 @@
 import { CallQueue } from "./call_queue.ts";
 import { type CallRouter, MOST_ATTEMPTS, type Way } from "./call_router.ts";
 import type { EndpointBook } from "./endpoint_book.ts";
-import { DEFAULT_PREFILL_RATE } from "./endpoint_state.ts";
 import { isShort } from "./placement.ts";
+import { DEFAULT_PREFILL_RATE } from "./prompt_cost.ts";
 import type { RegionController } from "./region_controller.ts";
 
 /** A request with less time than this is not worth a send. */
--- a/packages/core/src/gateway/endpoint_state.ts
+++ b/packages/core/src/gateway/endpoint_state.ts
@@ -9,9 +9,8 @@
 import { EndpointHealth } from "./endpoint_health.ts";
 import type { ToldLoad } from "./messages.ts";
 import { PrefixMemory } from "./prefix_memory.ts";
+import { DEFAULT_PREFILL_RATE } from "./prompt_cost.ts";
 
-/** Prompt tokens that an engine reads in a millisecond, until it was measured. */
-export const DEFAULT_PREFILL_RATE = 35;
 /** Weight of the newest measurement of the prefill rate. */
 const NEWEST_RATE_WEIGHT = 0.2;
 /** Shorter prompts say little about the rate. */
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -55,7 +55,10 @@
 export interface Prompt {
   readonly model: string;
   readonly promptTokens: number;
+  /** Longest answer that the caller allows for. */
   readonly outputTokens: number;
+  /** Length of the answer that the caller expects; right in the middle, often far off. */
+  readonly outputHint: number | undefined;
   /** In order; the last one belongs to the request itself. */
   readonly parts: readonly PromptPart[];
 }
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -157,11 +157,6 @@
   return prompt !== undefined && prompt.promptTokens <= SHORT_PROMPT_TOKENS;
 }
 
-/** Time that an engine needs for a prompt of which nothing is cached. */
-export function engineTime(prompt: Prompt | undefined, rate: number): number {
-  return prompt === undefined ? 0 : prompt.promptTokens / rate;
-}
-
 function memoryTokens(prompt: Prompt | undefined): number {
   return prompt === undefined ? 0 : prompt.promptTokens + prompt.outputTokens;
 }
--- a/playground/src/routes/route_actions.ts
+++ b/playground/src/routes/route_actions.ts
@@ -130,6 +130,7 @@
     model: "m",
     promptTokens: total,
     outputTokens: 50,
+    outputHint: undefined,
     parts: [...shared, { id: name, tokens }],
   };
 }
