fix: requests that reach an entry before its first read of the picture are held, not refused

Cause: an entry listens some milliseconds, or a third of a second where the platform is a region away, before it has read the picture. What arrived was refused with 300 ms to come back; the caller's one retry met the next entry that had just started.

Refusals before a route are logged.

Ruled out: holding while reads fail; nobody knows for how long.

--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -13,6 +13,8 @@
   type Randomness,
   type RequestId,
 } from "../ids/index.ts";
+import type { RouteTable } from "../routes/index.ts";
+import { ArrivalHold, type HeldCall } from "./arrival_hold.ts";
 import { Call } from "./call.ts";
 import { CallAttempts } from "./call_attempts.ts";
 import { CallEnds } from "./call_ends.ts";
@@ -65,6 +67,7 @@
   readonly #recovery: CallRecovery;
   #lastArrivalAt: Instant | undefined;
   #refusesNew = false;
+  readonly #hold = new ArrivalHold();
 
   constructor(tools: CallTools) {
     this.#tools = tools;
@@ -91,7 +94,7 @@
 
   /** Requests that have no final answer. */
   get active(): number {
-    return this.#calls.size;
+    return this.#calls.size + this.#hold.size;
   }
 
   get queued(): number {
@@ -113,10 +116,21 @@
       return this.#ends.refuseHead(head, "stopping");
     }
     this.#lastArrivalAt = now;
-    const { table } = this.#tools.catalogue;
-    if (table === undefined) {
+    const { table, failing } = this.#tools.catalogue;
+    if (table !== undefined) {
+      return this.#open(table, { head, arrivedAt: now }, now);
+    }
+    if (failing) {
       return this.#ends.refuseHead(head, "no_document");
     }
+    this.#hold.add(head, now);
+  }
+
+  #open(
+    table: RouteTable,
+    { head, arrivedAt }: Pick<HeldCall, "head" | "arrivedAt">,
+    now: Instant,
+  ): void {
     const route = table.find(head.host, head.target);
     if (route === undefined) {
       return this.#ends.refuseHead(head, "no_route");
@@ -126,8 +140,8 @@
     const call = new Call(head, {
       route,
       services: orderServices(route.targets, place),
-      arrivedAt: now,
-      endsAt: after(now, time),
+      arrivedAt,
+      endsAt: after(arrivedAt, time),
     });
     this.#calls.set(head.id, call);
     this.#meter(call, now);
@@ -229,7 +243,7 @@
   /** The caller has closed its connection. */
   callerGone(id: RequestId, now: Instant): void {
     const call = this.#calls.get(id);
-    if (call === undefined) {
+    if (this.#hold.remove(id) || call === undefined) {
       return;
     }
     const running = call.attempt?.sentAt !== undefined;
@@ -245,6 +259,7 @@
   tick(now: Instant): void {
     for (const call of [...this.#calls.values()]) {
       if (call.orphaned) {
+    this.#releaseHeld(now);
         this.#endOrphan(call, now);
       } else if (now >= call.endsAt) {
         this.#expire(call, now);
@@ -257,11 +272,25 @@
     this.#placer.drain(now);
   }
 
+  /** Goes on with what was held, once the picture is there, or will not be. */
+  #releaseHeld(now: Instant): void {
+    if (this.#hold.size === 0) {
+      return;
+    }
+    const { table, failing } = this.#tools.catalogue;
+    if (table !== undefined) {
+      this.#hold.takeAll().forEach((held) => this.#open(table, held, now));
+      return;
+    }
+    const over = failing ? this.#hold.takeAll() : this.#hold.takeOverdue(now);
+    over.forEach(({ head }) => this.#ends.refuseHead(head, "no_document"));
+  }
+
+    const work = head.prompt === undefined
+      ? PLAIN_WORK_MS
   #meter({ head, services, route }: Call, now: Instant): void {
     const [service] = services;
     const { regions } = this.#tools;
-    const work = head.prompt === undefined
-      ? PLAIN_WORK_MS
       : engineWork(head.prompt, regions.readPart);
     regions.arrivals.add(service!, work, now);
     if (head.relay === undefined) {
--- a/packages/core/src/gateway/call_ends.ts
+++ b/packages/core/src/gateway/call_ends.ts
@@ -15,11 +15,11 @@
 
 /** Callers come back in a wave if all are told the same time: this part of it is drawn. */
 const RETRY_SPREAD = 0.5;
-/** A document, or an entry in the place of a stopping one, is there after a moment. */
+/** Another entry in the place of a stopping one is there at once. */
 const SOON_MS = 300;
 /**
- * Endpoints that are gone or full are not back within a moment: callers who return at once are refused
- * again, and have lost their second try.
+ * Endpoints that are gone or full, and a platform that does not answer, are not back within a moment:
+ * callers who return at once are refused again, and have lost their second try.
  */
 const LATER_MS = 1_200;
 
@@ -75,10 +75,22 @@
   }
 
   /** Refuses what has not become a request. */
-  refuseHead({ id }: CallHead, reason: CallRefusalReason): void {
+  refuseHead({ id, call }: CallHead, reason: CallRefusalReason): void {
     const refusal = refuse(reason, {
       verdict: { kind: "not_run" },
-      retryAfter: this.#spread(SOON_MS),
+      retryAfter: this.#spread(reason === "stopping" ? SOON_MS : LATER_MS),
+    });
+    this.#emit({
+      kind: "log",
+      part: "call",
+      text: "Request is refused.",
+      fields: {
+        call,
+        attempts: 0,
+        reason,
+        status: refusal.status,
+        cause: "refused",
+      },
     });
     this.#emit({ kind: "refuse", request: id, refusal });
   }
--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -61,6 +61,8 @@
   /** When the platform last answered. */
   readonly confirmedAt: Instant | undefined;
   readonly reachable: boolean;
+  /** Whether the last read failed. */
+  readonly failing: boolean;
 }
 
 /** Writes the catalogue. */
@@ -111,6 +113,10 @@
     return this.table?.document;
   }
 
+  get failing(): boolean {
+    return this.#failures > 0;
+  }
+
   /** Starts reads that are due. */
   tick(now: Instant): void {
     this.#dropMissing(now);
