feat: a request served late or not at all leaves a line with its cause

Cause: nothing was logged of a request whose caller left, or that was late; where worth is lost could not be said.

Change: a trace of each request: what was known when it was placed, when it was sent, first heard, its longest pause, its events; the cause as a closed list. One log call for each, none on the way of what is on time.

--- a/packages/core/src/gateway/call.ts
+++ b/packages/core/src/gateway/call.ts
@@ -11,6 +11,7 @@
 } from "../ids/index.ts";
 import { mayRepeat, type Route } from "../routes/index.ts";
 import { AttemptLog } from "../verdict/index.ts";
+import { CallTrace } from "./call_trace.ts";
 import type { EndpointState } from "./endpoint_state.ts";
 import type { CallHead, CallTarget } from "./messages.ts";
 
@@ -34,6 +35,8 @@
   sentAt: Instant | undefined;
   /** When bytes last came from it. */
   heardAt: Instant | undefined;
+  /** Whether its answer says failure. */
+  failed: boolean;
 }
 
 /** One request. */
@@ -46,6 +49,7 @@
   /** When the caller, or the route's timeout, ends it. */
   readonly endsAt: Instant;
   readonly log = new AttemptLog();
+  readonly trace = new CallTrace();
   readonly tried = new Set<EndpointId>();
   phase: CallPhase = "waiting";
   attempt: OpenAttempt | undefined;
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -62,6 +62,7 @@
     const { state, prefill, tokens } = chosen;
     const target = this.#tools.router.targetOf(call, chosen, now);
     const attempt = this.#open(call, { target, state, now });
+    call.trace.reads(prefill);
     state.begin(attempt.id, { prefill, tokens }, now);
     state.health.used(now);
     const { prompt } = call.head;
@@ -93,6 +94,7 @@
   noteSent(call: Call, attempt: OpenAttempt, now: Instant): void {
     const { state, id } = attempt;
     attempt.sentAt = now;
+    call.trace.sent(now);
     call.log.record(id, "sent");
     if (state !== undefined) {
       call.tried.add(state.record.id);
@@ -155,8 +157,10 @@
       madeAt: now,
       sentAt: undefined,
       heardAt: undefined,
+      failed: false,
     };
     call.attempt = attempt;
+    call.trace.placed(attempt);
     if (call.phase === "waiting") {
       call.phase = "trying";
     }
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -195,6 +195,7 @@
       return this.#placer.place(call, now);
     }
     call.phase = "answering";
+    attempt.failed = failed;
     this.#tools.emit({ kind: "forward", attempt: id });
   }
 
@@ -211,6 +212,7 @@
     const { call, attempt } = found;
     const first = attempt.state !== undefined && attempt.state.own.prefill > 0;
     attempt.heardAt = now;
+    call.trace.heard(now);
     if (attempt.state !== undefined) {
       attempt.state.heardAt = now;
       attempt.state.firstEvent(id, now);
@@ -230,8 +232,7 @@
     const { call, attempt } = found;
     if (end.kind === "complete") {
       this.#attempts.close(call, "completed", now);
-      this.#tools.emit({ kind: "complete", request: call.head.id });
-      this.#forget(call);
+      this.#ends.complete(call, attempt.failed, now);
     } else if (end.kind === "unsent") {
       this.#recovery.failedToSend(call, attempt, { detail: end.detail, now });
     } else {
@@ -251,15 +252,16 @@
       call.orphaned = true;
       return;
     }
-    this.#giveUp(call, now);
+    this.#attempts.leave(call, now);
+    this.#ends.left(call, now);
     this.#placer.drain(now);
   }
 
   /** Ends what has run out of time, and leaves endpoints that fell silent. */
   tick(now: Instant): void {
+    this.#releaseHeld(now);
     for (const call of [...this.#calls.values()]) {
       if (call.orphaned) {
-    this.#releaseHeld(now);
         this.#endOrphan(call, now);
       } else if (now >= call.endsAt) {
         this.#expire(call, now);
@@ -286,11 +288,11 @@
     over.forEach(({ head }) => this.#ends.refuseHead(head, "no_document"));
   }
 
-    const work = head.prompt === undefined
-      ? PLAIN_WORK_MS
   #meter({ head, services, route }: Call, now: Instant): void {
     const [service] = services;
     const { regions } = this.#tools;
+    const work = head.prompt === undefined
+      ? PLAIN_WORK_MS
       : engineWork(head.prompt, regions.readPart);
     regions.arrivals.add(service!, work, now);
     if (head.relay === undefined) {
@@ -308,7 +310,8 @@
       );
     }
     if (call.phase === "answering") {
-      return this.#ends.breakOff(call);
+      const cause = call.trace.cause(call, false, now) ?? "starved";
+      return this.#ends.breakOff(call, cause, now);
     }
     this.#ends.fail(call, "deadline", now);
   }
--- a/packages/core/src/gateway/call_ends.ts
+++ b/packages/core/src/gateway/call_ends.ts
@@ -10,6 +10,7 @@
   type Randomness,
 } from "../ids/index.ts";
 import type { Call } from "./call.ts";
+import type { LossCause } from "./call_trace.ts";
 import type { CallHead, CallRefusalReason, GatewayEmit } from "./messages.ts";
 import { refuse } from "./refusals.ts";
 
@@ -42,9 +43,29 @@
     this.#forget = forget;
   }
 
+  /** The whole answer has gone to the caller. */
+  complete(call: Call, failed: boolean, now: Instant): void {
+    const cause = failed
+      ? "endpoint_failed"
+      : call.trace.cause(call, true, now);
+    if (cause !== undefined) {
+      const text = failed ? "Endpoint answered a failure." : "Answer was late.";
+      this.#logLoss(text, call, { cause, now });
+    }
+    this.#emit({ kind: "complete", request: call.head.id });
+    this.#forget(call);
+  }
+
+  /** The caller has closed its connection before its answer was whole. */
+  left(call: Call, now: Instant): void {
+    const cause = call.trace.cause(call, false, now) ?? "starved";
+    this.#logLoss("Caller left.", call, { cause, now });
+    this.#forget(call);
+  }
+
   /** Ends an answer that has begun: its caller must see that it is not whole. */
-  breakOff(call: Call): void {
-    this.log("Answer is broken off.", call, {});
+  breakOff(call: Call, cause: LossCause, now: Instant): void {
+    this.#logLoss("Answer is broken off.", call, { cause, now });
     this.#emit({ kind: "breakOff", request: call.head.id });
     this.#forget(call);
   }
@@ -57,7 +78,7 @@
     wait?: Milliseconds,
   ): void {
     if (call.phase === "answering") {
-      return this.breakOff(call);
+      return this.breakOff(call, causeOf(reason), now);
     }
     const verdict = call.log.verdict();
     const refusal = refuse(reason, {
@@ -68,7 +89,11 @@
       reason,
       verdict: verdict.kind,
       status: refusal.status,
-      afterMs: Math.round(now - call.arrivedAt),
+      cause: causeOf(reason),
+      retryAfterMs: refusal.retryAfter === undefined
+        ? undefined
+        : Math.round(refusal.retryAfter),
+      ...call.trace.fields(call, now),
     });
     this.#emit({ kind: "refuse", request: call.head.id, refusal });
     this.#forget(call);
@@ -109,8 +134,28 @@
     });
   }
 
+  #logLoss(
+    text: string,
+    call: Call,
+    { cause, now }: { cause: LossCause; now: Instant },
+  ): void {
+    this.log(text, call, { cause, ...call.trace.fields(call, now) });
+  }
+
   #spread(wait: number): Milliseconds {
     const drawn = 1 + RETRY_SPREAD * (this.#random.next() - 0.5) * 2;
     return milliseconds(wait * drawn);
   }
 }
+
+/** The cause behind a refusal: where an endpoint got the request, it is the endpoint's end. */
+function causeOf(reason: CallRefusalReason): LossCause {
+  switch (reason) {
+    case "endpoint_failed":
+      return "endpoint_lost";
+    case "deadline":
+      return "slow_start";
+    default:
+      return "refused";
+  }
+}
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -68,7 +68,7 @@
     this.#tools.attempts.close(call, "refused", now);
     call.rejections++;
     if (call.phase === "answering") {
-      return this.#tools.ends.breakOff(call);
+      return this.#tools.ends.breakOff(call, "endpoint_lost", now);
     }
     if (answer.status === NOT_FOUND) {
       return this.#tools.ends.fail(call, "no_route", now);
@@ -167,7 +167,7 @@
   #breakOffOrRetry(call: Call, now: Instant): void {
     const resumable = call.route.resumable && call.lastEventId !== undefined;
     if (!resumable || !this.#tryElsewhere(call, now)) {
-      this.#tools.ends.breakOff(call);
+      this.#tools.ends.breakOff(call, "endpoint_lost", now);
     }
   }
 
--- /dev/null
+++ b/packages/core/src/gateway/call_trace.ts
@@ -0,0 +1,117 @@
+/**
+ * What happened to one request on its way, kept until it ends: a request that is served badly leaves a
+ * line with its cause and what was known when it was placed.
+ *
+ * @module
+ */
+import type { Instant } from "../ids/index.ts";
+import type { Call, OpenAttempt } from "./call.ts";
+
+/** Why a request was served late or not at all, as far as the entry saw it. */
+export type LossCause =
+  /** No place for it in time. */
+  | "waited"
+  /** Sent in time, and its first event or its answer came late or not at all. */
+  | "slow_start"
+  /** Its events paused for longer than its route allows. */
+  | "paused"
+  /** Its events came, too slowly for its time. */
+  | "starved"
+  /** The endpoint or its connection broke off. */
+  | "endpoint_lost"
+  /** The endpoint answered with a failure. */
+  | "endpoint_failed"
+  /** The entry refused it. */
+  | "refused";
+
+/** What was known when an attempt was made. */
+interface Placed {
+  readonly endpoint: string;
+  /** Prompt tokens that it was expected to read for this request. */
+  readonly prefill: number;
+  /** Tokens that it already had to read, by this entry's picture. */
+  readonly backlog: number;
+  readonly requests: number;
+}
+
+/** Notes of one request. */
+export class CallTrace {
+  #placed: Placed | undefined;
+  #sentAt: Instant | undefined;
+  #firstAt: Instant | undefined;
+  #lastAt: Instant | undefined;
+  #longestPause = 0;
+  #events = 0;
+
+  /** An attempt is made; call it before the attempt counts at the endpoint. */
+  placed({ target, state }: Pick<OpenAttempt, "target" | "state">): void {
+    this.#placed = {
+      endpoint: target.kind === "endpoint"
+        ? target.endpoint
+        : target.incarnation,
+      prefill: 0,
+      backlog: state?.prefill ?? 0,
+      requests: state?.requests ?? 0,
+    };
+  }
+
+  /** What the endpoint will have to read. */
+  reads(prefill: number): void {
+    if (this.#placed !== undefined) {
+      this.#placed = { ...this.#placed, prefill };
+    }
+  }
+
+  sent(now: Instant): void {
+    this.#sentAt = now;
+  }
+
+  /** Bytes of the answer arrived. */
+  heard(now: Instant): void {
+    this.#firstAt ??= now;
+    if (this.#lastAt !== undefined) {
+      this.#longestPause = Math.max(this.#longestPause, now - this.#lastAt);
+    }
+    this.#lastAt = now;
+    this.#events++;
+  }
+
+  /** Why a request that ends now, unserved or late, does; `undefined` where it was on time. */
+  cause(call: Call, served: boolean, now: Instant): LossCause | undefined {
+    const { objective, pauseObjective } = call.route;
+    const pause = Math.max(
+      this.#longestPause,
+      served || this.#lastAt === undefined ? 0 : now - this.#lastAt,
+    );
+    if (this.#sentAt === undefined) {
+      return "waited";
+    }
+    const start = (this.#firstAt ?? now) - call.arrivedAt;
+    if (start > objective) {
+      const waited = this.#sentAt - call.arrivedAt;
+      return waited > start / 2 ? "waited" : "slow_start";
+    }
+    if (pause > (pauseObjective ?? Infinity)) {
+      return "paused";
+    }
+    return served ? undefined : "starved";
+  }
+
+  /** Fields of the line. */
+  fields({ head, arrivedAt }: Call, now: Instant): Record<string, unknown> {
+    const since = (at: Instant | undefined): number | undefined =>
+      at === undefined ? undefined : Math.round(at - arrivedAt);
+    return {
+      ...this.#placed,
+      promptTokens: head.prompt?.promptTokens,
+      outputTokens: head.prompt?.outputTokens,
+      outputHint: head.prompt?.outputHint,
+      sentMs: since(this.#sentAt),
+      firstMs: since(this.#firstAt),
+      pauseMs: Math.round(this.#longestPause),
+      events: this.#events,
+      endedMs: since(now),
+      relayed: head.relay !== undefined,
+    };
+  }
+}
