--- /dev/null
+++ b/playground/src/load/index.ts
@@ -0,0 +1,2 @@
+export { type LoadReport, reportLoad } from "./load_report.ts";
+export { type LoadResult, runLoad } from "./load_run.ts";
--- /dev/null
+++ b/playground/src/load/main.ts
@@ -0,0 +1,73 @@
+/**
+ * Plays loads and prints what came of them: `npm run load -- CASE... [--seeds N] [--json]`.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import meow from "meow";
+import { type LoadReport, reportLoad, runLoad } from "./index.ts";
+
+const FOLDER = new URL("../../loads/", import.meta.url);
+
+const cli = meow(
+  `
+  Usage
+    $ npm run load -- CASE...    play loads of playground/loads, by name
+
+  Options
+    --seeds N  traffics and entries drawn anew, default 4
+    --json     print JSON
+`,
+  {
+    importMeta: import.meta,
+    flags: {
+      seeds: { type: "number", default: 4 },
+      json: { type: "boolean", default: false },
+    },
+  },
+);
+
+for (const name of cli.input) {
+  const text = readFileSync(new URL(`${name}.load`, FOLDER), "utf8");
+  const reports: LoadReport[] = [];
+  for (let seed = 1; seed <= cli.flags.seeds; seed++) {
+    reports.push(reportLoad(runLoad(text, { seed, loadSetting })));
+  }
+  console.log(
+    cli.flags.json
+      ? JSON.stringify({ name, reports })
+      : describe(name, reports),
+  );
+}
+
+function loadSetting(name: string): string {
+  return readFileSync(new URL(`${name}.setting`, FOLDER), "utf8");
+}
+
+function describe(name: string, reports: readonly LoadReport[]): string {
+  const mean = (figure: (report: LoadReport) => number): string =>
+    (reports.reduce((sum, report) => sum + figure(report), 0) / reports.length)
+      .toFixed(3);
+  const kinds = Object.keys(reports[0]!.kinds);
+  return [
+    `${name}: earned ${mean(({ all }) => all.earned)} (${
+      reports.map(({ all }) => all.earned.toFixed(3)).join(", ")
+    }), worst windows ${mean(({ worstWindows }) => worstWindows)}`,
+    ...kinds.map((kind) => {
+      const of = (end: "on_time" | "late" | "refused" | "failed" | "left") =>
+        `${end} ${
+          mean(({ kinds }) =>
+            kinds[kind]!.ends[end] / Math.max(1, kinds[kind]!.requests)
+          )
+        }`;
+      return `  ${kind.padEnd(8)} earned ${
+        mean(({ kinds }) => kinds[kind]!.earned)
+      }, ${of("on_time")}, ${of("late")}, ${of("refused")}, ${of("failed")}, ${
+        of("left")
+      }`;
+    }),
+    `  read ${
+      mean(({ readThousands }) => readThousands)
+    } thousand tokens, kept ${mean(({ keptThousands }) => keptThousands)}`,
+  ].join("\n");
+}
--- a/playground/src/routes/fake_backend.ts
+++ b/playground/src/routes/fake_backend.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { EndpointId } from "@sassafrasstep/core";
+import type { CallHead, CallTarget, EndpointId } from "@sassafrasstep/core";
 import type { Spot } from "../scenario/network.ts";
 import type { VirtualTime } from "../scenario/virtual_time.ts";
 
@@ -46,6 +46,8 @@
   readonly events: number;
   readonly resumeAfter: number;
   readonly prefill: number;
+  readonly head: CallHead;
+  readonly target: Extract<CallTarget, { kind: "endpoint" }>;
   readonly answer: BackendAnswer;
 }
 
@@ -67,7 +69,7 @@
   mode: BackendMode = "answer";
   /** Times of requests that arrived. */
   readonly arrivals: number[] = [];
-  readonly #time: VirtualTime;
+  protected readonly time: VirtualTime;
   readonly #runs: Run[];
   readonly #cancelled = new Set<BackendAnswer>();
   #busyUntil = 0;
@@ -89,7 +91,7 @@
     this.spot = spot;
     this.slots = slots;
     this.work = work;
-    this.#time = time;
+    this.time = time;
     this.#runs = runs;
   }
 
@@ -98,7 +100,7 @@
   }
 
   take(request: BackendRequest): void {
-    this.arrivals.push(this.#time.now);
+    this.arrivals.push(this.time.now);
     switch (this.mode) {
       case "dark":
         return;
@@ -109,20 +111,25 @@
       case "reset_before":
         return this.#later(1, request, () => request.answer.lost("reset"));
       default:
-        return this.#run(request);
+        this.#runs.push({
+          call: request.call,
+          backend: this.name,
+          at: this.time.now,
+        });
+        return this.run(request);
     }
   }
 
   #head({ answer }: BackendRequest, status: number, notRun: boolean): void {
-    this.#time.after(1, () => answer.head(status, notRun));
+    this.time.after(1, () => answer.head(status, notRun));
   }
 
-  #run(request: BackendRequest): void {
-    const { call, answer } = request;
-    this.#runs.push({ call, backend: this.name, at: this.#time.now });
-    const start = Math.max(this.#time.now, this.#busyUntil);
+  /** Works on a request that was taken. */
+  protected run(request: BackendRequest): void {
+    const { answer } = request;
+    const start = Math.max(this.time.now, this.#busyUntil);
     this.#busyUntil = start + request.prefill;
-    const ready = this.#busyUntil - this.#time.now + this.work;
+    const ready = this.#busyUntil - this.time.now + this.work;
     if (this.mode === "reset_after") {
       return this.#later(ready, request, () => answer.lost("reset"));
     }
@@ -158,7 +165,7 @@
   }
 
   #later(delay: number, { answer }: BackendRequest, run: () => void): void {
-    this.#time.after(delay, () => {
+    this.time.after(delay, () => {
       if (!this.#cancelled.has(answer)) {
         run();
       }
--- a/playground/src/routes/route_setting.ts
+++ b/playground/src/routes/route_setting.ts
@@ -5,6 +5,7 @@
  */
 import {
   type EndpointRecord,
+  type Milliseconds,
   milliseconds,
   type RegionId,
   type Route,
@@ -55,7 +56,7 @@
   }
 }
 
-/** `route NAME SERVICE KIND [host H] [attempts N] [timeout T] [objective T] [homes R,R] [resumable]` */
+/** `route NAME SERVICE KIND [host H] [attempts N] [timeout T] [objective T] [pause T] [homes R,R] [resumable]` */
 export function readRoute(line: Line): Route {
   const name = word(line, 1, "a name");
   const homes = option(line, "homes", "");
@@ -68,7 +69,7 @@
     attempts: Number(option(line, "attempts", "1")),
     timeout: milliseconds(parseTime(line, option(line, "timeout", "5s"))),
     objective: milliseconds(parseTime(line, option(line, "objective", "1s"))),
-    pauseObjective: undefined,
+    pauseObjective: readPause(line),
     priority: Number(option(line, "priority", "1")),
     homes: homes === "" ? [] : homes.split(",") as RegionId[],
     sticky: false,
@@ -76,7 +77,12 @@
   };
 }
 
-/** `service NAME [engine] [cold RATE]` */
+function readPause(line: Line): Milliseconds | undefined {
+  const text = option(line, "pause", "");
+  return text === "" ? undefined : milliseconds(parseTime(line, text));
+}
+
+/** `service NAME [engine [slots N] [cache N] [fetches]] [cold RATE]` */
 function addService(world: RouteWorld, line: Line): void {
   const name = word(line, 1, "a name");
   world.store.services.set(name, {
@@ -86,7 +92,11 @@
     coldRate: Number(option(line, "cold", "0")),
     coldPeriod: milliseconds(COLD_PERIOD_MS),
     engine: line.words.includes("engine")
-      ? { slots: ENGINE_SLOTS, cacheTokens: CACHE_TOKENS, fetches: false }
+      ? {
+        slots: Number(option(line, "slots", String(ENGINE_SLOTS))),
+        cacheTokens: Number(option(line, "cache", String(CACHE_TOKENS))),
+        fetches: line.words.includes("fetches"),
+      }
       : undefined,
   });
 }
--- a/playground/src/routes/route_world.ts
+++ b/playground/src/routes/route_world.ts
@@ -81,6 +81,11 @@
     entry.start(this.#selfOf(entry));
   }
 
+  /** Says how many events the answer to a request has. */
+  expectEvents(call: string, events: number): void {
+    this.#events.set(call, events);
+  }
+
   /** Sends a request of a caller. */
   call(plan: CallPlan): void {
     const entry = this.entries.get(plan.entry)!;
@@ -98,7 +103,7 @@
       endedAt: undefined,
     };
     this.calls.set(plan.name, seen);
-    this.#events.set(plan.name, plan.events);
+    this.expectEvents(plan.name, plan.events);
     seen.id = entry.arrive({
       call: plan.name as CallId,
       host: route?.host ?? "nowhere",
@@ -171,7 +176,7 @@
         ? "yes"
         : "refused";
     }
-    const backend = this.#backendAt(target.address);
+    const backend = this.backendAt(target.address);
     if (
       backend === undefined || backend.mode === "dark" ||
       !this.network.reaches(from.spot, backend.spot)
@@ -182,7 +187,7 @@
   }
 
   toBackend({ target, head, resumeAfter, recipient }: ToBackend): () => void {
-    const backend = this.#backendAt(target.address)!;
+    const backend = this.backendAt(target.address)!;
     if (backend.id !== target.endpoint) {
       this.time.after(1, () => recipient.head(answerOf(421, true)));
       return () => {};
@@ -199,6 +204,8 @@
       events: this.#events.get(head.call) ?? 0,
       resumeAfter: Number(resumeAfter ?? head.lastEventId ?? 0),
       prefill: (head.prompt?.promptTokens ?? 0) / PREFILL_RATE,
+      head,
+      target,
       answer,
     });
     return () => backend.cancel(answer);
@@ -300,7 +307,8 @@
     return this.entries.get(address.split(":")[0]!);
   }
 
-  #backendAt(address: string): FakeBackend | undefined {
+  /** Who answers at an address, `undefined` for nobody. */
+  backendAt(address: string): FakeBackend | undefined {
     // The one that came last has the address now.
     return [...this.backends.values()].findLast((backend) =>
       addressOf(backend) === address
