perf: a request's wait is counted by what goes before it

Change: prompt tokens of the same or a more urgent rank count, and a rank that has to wait blocks its own only.

--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -44,7 +44,7 @@
     if (call.attempts >= MOST_ATTEMPTS || call.endsAt - now < LEAST_TIME_MS) {
       return this.#tools.ends.fail(call, "no_endpoint", now);
     }
-    const wait = this.#expectedWait();
+    const wait = this.#expectedWait(call);
     const way = this.#tools.router.next(call, wait, now);
     if (way.kind === "wait") {
       this.#await(call, { wait: way.wait + wait, now });
@@ -62,7 +62,8 @@
     // more the longer the queue is, and the entry would be late when it has most to do.
     const blocked = new Set<string>();
     for (const call of this.queue.ordered(now)) {
-      const kind = `${call.services[0]} ${isShort(call.head.prompt)}`;
+      const { route, services, head } = call;
+      const kind = `${services[0]} ${route.priority} ${isShort(head.prompt)}`;
       if (blocked.has(kind)) {
         continue;
       }
@@ -108,14 +109,15 @@
     this.queue.add(call);
   }
 
-  /** Time until what waits already will have been read. */
-  #expectedWait(): number {
+  /** Time until what waits already, and goes first, will have been read. */
+  #expectedWait({ route }: Call): number {
     const engines =
       [...this.#tools.endpoints.all()].filter(({ service }) =>
         service?.engine !== undefined
       ).length;
     // The region's other entries have as much waiting: callers choose among them by chance.
-    const waiting = this.queue.tokens * this.#tools.regionEntries();
+    const waiting = this.queue.tokensAhead(route.priority) *
+      this.#tools.regionEntries();
     return waiting * this.#tools.regions.readPart /
       (DEFAULT_PREFILL_RATE * Math.max(1, engines));
   }
--- a/packages/core/src/gateway/call_queue.ts
+++ b/packages/core/src/gateway/call_queue.ts
@@ -22,8 +22,11 @@
     this.#calls.delete(call.head.id);
   }
 
-  /** Prompt tokens that wait. */
-  get tokens(): number {
+  /**
+   * Prompt tokens that wait and get a place before one of a rank. Counted with all that waits, urgent
+   * requests were refused for a queue that they never stand in.
+   */
+  tokensAhead(priority: number): number {
     let tokens = 0;
     for (const { head } of this.#calls.values()) {
       tokens += head.prompt?.promptTokens ?? 0;
