fix: what a region turns away goes another way, and what has published endpoints waits for them

Change: refusals say how many endpoints were offered the request; none makes another way no repeat, and its region gets none of that service for 400 ms. A request without a way waits, within its bound, while endpoints are published that are neither leaving nor evacuated; one that was passed on is turned away. Waits are bounded until an endpoint got it.

Ruled out: a longer time to come back alone; callers come back once.

--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -78,12 +78,13 @@
   /** Passes a request on to an entry of another region. */
   relay(
     call: Call,
-    { incarnation, address }: Extract<Way, { kind: "peer" }>,
+    { incarnation, region, address }: Extract<Way, { kind: "peer" }>,
     now: Instant,
   ): void {
     const target: CallTarget = {
       kind: "peer",
       incarnation,
+      region,
       address,
       sentBefore: call.arrivals,
     };
@@ -98,6 +99,7 @@
     call.log.record(id, "sent");
     if (state !== undefined) {
       call.tried.add(state.record.id);
+      call.offered++;
       if (call.arrivals === 0) {
         this.#tools.budget.noteFirst(state.record.service, now);
       }
--- a/packages/core/src/gateway/call_ends.ts
+++ b/packages/core/src/gateway/call_ends.ts
@@ -83,6 +83,7 @@
     const verdict = call.log.verdict();
     const refusal = refuse(reason, {
       verdict,
+      offered: call.offered,
       retryAfter: this.#spread(Math.max(LATER_MS, wait ?? 0)),
     });
     this.log("Request is refused.", call, {
@@ -103,6 +104,7 @@
   refuseHead({ id, call }: CallHead, reason: CallRefusalReason): void {
     const refusal = refuse(reason, {
       verdict: { kind: "not_run" },
+      offered: 0,
       retryAfter: this.#spread(reason === "stopping" ? SOON_MS : LATER_MS),
     });
     this.#emit({
--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -82,7 +82,7 @@
   /** Waiting on would end in a refusal too, only later: the caller learns it while it can still act. */
   waitedTooLong(call: Call, now: Instant): boolean {
     const time = call.endsAt - call.arrivedAt;
-    return call.phase === "waiting" && call.attempts === 0 &&
+    return call.phase === "waiting" && call.offered === 0 &&
       now - call.arrivedAt > time * WAIT_PART;
   }
 
@@ -99,7 +99,7 @@
 
   /** Waits for a place, unless that would take too long: then the caller learns it at once. */
   #await(call: Call, { wait, now }: { wait: number; now: Instant }): void {
-    const known = call.phase === "waiting" && call.attempts === 0;
+    const known = call.offered === 0;
     const left = call.endsAt - now;
     if (known && wait > left * WAIT_PART) {
       return this.#tools.ends.fail(call, "overloaded", now, milliseconds(wait));
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -62,10 +62,18 @@
     if (answer.status === MISDIRECTED) {
       state?.health.suspect(now);
     }
-    call.sent -= call.attempt!.state === undefined
-      ? attemptsOf(call, call.attempt!)
-      : 0;
+    const { target } = call.attempt!;
+    const declined = target.kind === "peer" && answer.offered === 0;
+    if (target.kind === "peer") {
+      call.sent -= attemptsOf(call, call.attempt!);
+      call.offered += answer.offered ?? 1;
+    }
     this.#tools.attempts.close(call, "refused", now);
+    if (declined && call.phase !== "answering") {
+      // No endpoint got it, so that another way is no repeat.
+      this.#tools.router.noteDeclined(call, target.region, now);
+      return this.#tools.placer.place(call, now);
+    }
     call.rejections++;
     if (call.phase === "answering") {
       return this.#tools.ends.breakOff(call, "endpoint_lost", now);
--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -9,6 +9,7 @@
   type Incarnation,
   type Instant,
   type Milliseconds,
+  milliseconds,
   type Randomness,
   type RegionId,
   sample,
@@ -36,6 +37,10 @@
 /** Entries that choose in the same moment see the same picture; this much sets them apart. */
 const BIAS_MS = 15;
 const UINT32_RANGE = 2 ** 32;
+/** A region that turned a request away gets none of its service for so long: its summary is as old. */
+const DECLINED_MS = 400;
+/** Wait for endpoints that are there and can't be used at present, until something is known. */
+const RETURN_WAIT_MS = 100;
 
 /** Where a request goes. */
 export type Way =
@@ -43,6 +48,7 @@
   | {
     readonly kind: "peer";
     readonly incarnation: Incarnation;
+    readonly region: RegionId;
     readonly address: string;
   }
   | { readonly kind: "wait"; readonly wait: Milliseconds }
@@ -64,6 +70,8 @@
 /** Finds ways. */
 export class CallRouter {
   readonly #sources: RouterSources;
+  /** When a region last turned a request of a service away. */
+  readonly #declined = new Map<string, Instant>();
 
   constructor(sources: RouterSources) {
     this.#sources = sources;
@@ -84,7 +92,8 @@
     }
     const mayTravel = call.head.relay === undefined;
     if (local.kind === "none") {
-      return (mayTravel && this.#peer(call, Infinity, now)) || { kind: "none" };
+      return (mayTravel && this.#peer(call, Infinity, now)) ||
+        this.#awaitReturn(call);
     }
     const expected = Math.max(wait, local.wait);
     const travel = mayTravel && expected > TRAVEL_GAIN_MS
@@ -93,6 +102,28 @@
     return travel ?? { kind: "wait", wait: local.wait };
   }
 
+  /** A region had no place for a request that was passed on to it. */
+  noteDeclined(call: Call, region: RegionId, now: Instant): void {
+    this.#declined.set(`${region} ${call.services[0]}`, now);
+  }
+
+  /**
+   * Waits where endpoints are published that cannot be used at present: suspects that may answer again,
+   * cold ones that another entry tends. Refused at once, callers come back once, into the same hole: on
+   * one day 959 of 1,450 refusals were of this kind. A request that was passed on is turned away
+   * instead, since its first entry knows more ways.
+   */
+  #awaitReturn(call: Call): Way {
+    const { endpoints } = this.#sources;
+    const published = call.head.relay === undefined && call.offered === 0 &&
+      call.services.some((service) =>
+        endpoints.isPublished(service, (region) => mayServe(call.route, region))
+      );
+    return published
+      ? { kind: "wait", wait: milliseconds(RETURN_WAIT_MS) }
+      : { kind: "none" };
+  }
+
   /** Whether an endpoint may still get a request that was meant for it. */
   stillFits(call: Call, state: EndpointState, now: Instant): boolean {
     return this.#sources.endpoints.isOpen(state) &&
@@ -165,7 +196,9 @@
     const { fleet, regions, self } = this.#sources;
     const [service] = call.services;
     const open = regions.others(service!, fleet, now).filter(({ region }) =>
-      mayServe(call.route, region) && region !== self.region
+      mayServe(call.route, region) && region !== self.region &&
+      now - (this.#declined.get(`${region} ${service}`) ?? -Infinity) >=
+        DECLINED_MS
     );
     const forced = localWait === Infinity;
     const useful = open.filter((view) =>
@@ -189,7 +222,7 @@
       return undefined;
     }
     const { incarnation, peerAddress } = picked.record;
-    return { kind: "peer", incarnation, address: peerAddress };
+    return { kind: "peer", incarnation, region, address: peerAddress };
   }
 }
 
--- a/packages/core/src/gateway/endpoint_book.ts
+++ b/packages/core/src/gateway/endpoint_book.ts
@@ -74,6 +74,24 @@
       this.#catalogue.endpoints.has(record.id);
   }
 
+  /** Whether some endpoint of a service, in any region that will do, is neither leaving nor evacuated. */
+  isPublished(
+    service: ServiceId,
+    willDo: (region: RegionId) => boolean,
+  ): boolean {
+    const { endpoints, evacuated } = this.#catalogue;
+    for (const record of endpoints.values()) {
+      const region = this.#regionByZone.get(record.zone);
+      if (
+        record.service === service && record.state === "ready" &&
+        !evacuated.has(record.zone) && region !== undefined && willDo(region)
+      ) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Follows the catalogue, if it changed. */
   follow(now: Instant): void {
     if (this.#generation === this.#catalogue.generation) {
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -103,6 +103,7 @@
   | {
     readonly kind: "peer";
     readonly incarnation: Incarnation;
+    readonly region: RegionId;
     readonly address: string;
     readonly sentBefore: number;
   };
@@ -136,6 +137,8 @@
   readonly genuine: boolean;
   readonly load: ToldLoad | undefined;
   readonly retryAfter: Milliseconds | undefined;
+  /** Endpoints that an entry on the way offered it to before it refused, `undefined` where none says. */
+  readonly offered: number | undefined;
 }
 
 /** Detail of an attempt that found all connections to its endpoint taken: no fault of the endpoint. */
@@ -209,6 +212,8 @@
   readonly reason: CallRefusalReason;
   readonly status: number;
   readonly verdict: Verdict;
+  /** Endpoints that may have got it, through this entry or one that it was passed on to. */
+  readonly offered: number;
   /** When asking again makes sense; only where the request has not run. */
   readonly retryAfter: Milliseconds | undefined;
 }
--- a/packages/core/src/gateway/refusals.ts
+++ b/packages/core/src/gateway/refusals.ts
@@ -20,7 +20,11 @@
  */
 export function refuse(
   reason: CallRefusalReason,
-  { verdict, retryAfter }: { verdict: Verdict; retryAfter: Milliseconds },
+  { verdict, offered, retryAfter }: {
+    verdict: Verdict;
+    offered: number;
+    retryAfter: Milliseconds;
+  },
 ): CallRefusal {
   const notRun = verdict.kind === "not_run";
   const status = reason === "no_route" && notRun
@@ -34,6 +38,7 @@
     reason,
     status,
     verdict,
+    offered,
     retryAfter: status === UNAVAILABLE ? retryAfter : undefined,
   };
 }
--- a/packages/daemon/src/callers/headers.ts
+++ b/packages/daemon/src/callers/headers.ts
@@ -20,6 +20,8 @@
 export const VERDICT_HEADER = "sassafrasstep-verdict";
 /** The same for this send alone, where a key's earlier sends make a difference. */
 export const THIS_SEND_HEADER = "sassafrasstep-this-send";
+/** Endpoints that the entry, or one behind it, offered a refused request to. */
+export const OFFERED_HEADER = "sassafrasstep-offered";
 /** Set on an answer that an earlier send of the key got. */
 export const REPLAYED_HEADER = "sassafrasstep-replayed";
 /** When to come back, in milliseconds; `Retry-After` says it in whole seconds. */
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -10,7 +10,7 @@
   type RequestId,
   verdictHeader,
 } from "@sassafrasstep/core";
-import { VERDICT_HEADER } from "../callers/headers.ts";
+import { OFFERED_HEADER, VERDICT_HEADER } from "../callers/headers.ts";
 import type { CallerProtocol, RawHeaders } from "./protocol.ts";
 
 const NO_CONTENT_STATUSES: ReadonlySet<number> = new Set([204, 304]);
@@ -140,6 +140,8 @@
         ...protocol.refusalHeaders(refusal),
         VERDICT_HEADER,
         verdictHeader(refusal.verdict),
+        OFFERED_HEADER,
+        String(refusal.offered),
         "content-type",
         "application/problem+json",
       ],
--- a/playground/src/routes/route_world.ts
+++ b/playground/src/routes/route_world.ts
@@ -339,5 +339,6 @@
     genuine: !notRun,
     load: undefined,
     retryAfter: undefined,
+    offered: undefined,
   };
 }
--- a/playground/src/routes/virtual_gateway.ts
+++ b/playground/src/routes/virtual_gateway.ts
@@ -225,6 +225,7 @@
         genuine: false,
         load: undefined,
         retryAfter: refusal.retryAfter,
+        offered: refusal.offered,
       });
       to.complete();
     });
