perf: kept connections are used again at endpoints that were heard just now

Change: at an endpoint heard within half a second a stream takes a connection idle for up to 4 s, another call 0.8 s; at one that was not, as before: a kept connection to a silent endpoint loses what a new one would not have sent.

Ruled out: longer idle times without the condition; nothing then tells a silent endpoint. Test: idle_limit.

--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -10,12 +10,11 @@
 import type { ColdAllowance } from "./cold_allowance.ts";
 import type { EndpointState } from "./endpoint_state.ts";
 import type { CallAnswer, CallTarget, GatewayEmit } from "./messages.ts";
+import { mostIdle } from "./idle_limit.ts";
 import { sharedParts } from "./placement.ts";
 import type { RegionController } from "./region_controller.ts";
 import type { RepeatBudget } from "./repeat_budget.ts";
 
-const STREAM_IDLE_MS = 1_000;
-
 /** What attempts are made with. */
 export interface AttemptTools {
   readonly emit: GatewayEmit;
@@ -72,7 +71,7 @@
       state.prefixes.use(parts);
       this.#prefixNews.push({ endpoint: state.record.id, parts });
     }
-    this.#emitSend(call, attempt);
+    this.#emitSend(call, attempt, now);
   }
 
   /** Passes a request on to an entry of another region. */
@@ -88,7 +87,8 @@
       address,
       sentBefore: call.arrivals,
     };
-    this.#emitSend(call, this.#open(call, { target, state: undefined, now }));
+    const attempt = this.#open(call, { target, state: undefined, now });
+    this.#emitSend(call, attempt, now);
   }
 
   /** The request is about to be written. */
@@ -171,7 +171,11 @@
     return attempt;
   }
 
-  #emitSend(call: Call, { id, target }: OpenAttempt): void {
+  #emitSend(
+    call: Call,
+    { id, target, state }: OpenAttempt,
+    now: Instant,
+  ): void {
     this.#tools.emit({
       kind: "send",
       attempt: {
@@ -179,24 +183,13 @@
         request: call.head.id,
         target,
         streaming: call.route.kind === "stream",
-        mostIdle: milliseconds(mostIdle(call)),
+        mostIdle: milliseconds(mostIdle(call, state, now)),
         resumeAfter: call.lastEventId,
       },
     });
   }
 }
 
-/**
- * A kept connection may be dead without anybody having been told; a request that is written to it may
- * then not be repeated, though it did not run. The longer it was idle, the likelier.
- */
-function mostIdle({ mayRepeat, route }: Call): number {
-  if (mayRepeat) {
-    return Infinity;
-  }
-  return route.kind === "stream" ? STREAM_IDLE_MS : 0;
-}
-
 /**
  * A peer may use all attempts of a request that is passed on to it, and its connection may break before
  * it tells. Counted as one, the request could run at more endpoints than its route allows.
