perf: regions act twice as fast on each other's load, and relay what would wait for 200 ms

Cause: a region whose zone had been taken back went on sending its callers away for two seconds, beside idle engines; one whose engines read all the time told waits of some milliseconds, since only the reading under way counted, so that nothing was relayed.

--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -25,9 +25,9 @@
 import type { RegionController, RegionView } from "./region_controller.ts";
 
 /** A wait longer than this is worth the way to another region and back. */
-const TRAVEL_GAIN_MS = 350;
+const TRAVEL_GAIN_MS = 200;
 /** A region this busy takes no requests that could wait at home. */
-const MOST_REMOTE_UTILIZATION = 0.6;
+const MOST_REMOTE_UTILIZATION = 0.8;
 const MS_PER_SECOND = 1_000;
 /** Part of the urgencies that ranks are spread over; the highest is kept for none. */
 const URGENCY_BY_RANK = [2, 5, 7] as const;
--- a/packages/core/src/gateway/endpoint_state.ts
+++ b/packages/core/src/gateway/endpoint_state.ts
@@ -142,6 +142,12 @@
     return reading + (this.#readingPart - reading) * kept;
   }
 
+  /** Milliseconds without reading until that part is down to `part`. */
+  timeToReadingPart(part: number, now: Instant): number {
+    const above = this.readingPart(now) / part;
+    return above <= 1 ? 0 : READING_MEMORY_MS * Math.log(above);
+  }
+
   /** For how long it has been reading without a rest. */
   readingFor(now: Instant): number {
     return this.#readingSince === undefined ? 0 : now - this.#readingSince;
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -102,7 +102,7 @@
     const tokens = memoryTokens(work.prompt);
     const need = { prefill, tokens, urgent: work.urgent };
     if (!fits(state, need, now)) {
-      wait = Math.min(wait, waitAt(state));
+      wait = Math.min(wait, waitAt(state, now));
       continue;
     }
     const cost = costAt(state, prefill, work) + work.biasOf(state) +
@@ -215,6 +215,8 @@
   return reading + crowd + away + state.health.failureRate * FAILURE_COST_MS;
 }
 
-function waitAt(state: EndpointState): number {
-  return Math.max(1, state.prefill / state.prefillRate);
+/** Until what is read there has been read, and it has read little enough of late to read on. */
+function waitAt(state: EndpointState, now: Instant): number {
+  const reading = state.prefill / state.prefillRate;
+  return Math.max(1, reading + state.timeToReadingPart(MOST_READING_PART, now));
 }
--- a/packages/core/src/gateway/region_controller.ts
+++ b/packages/core/src/gateway/region_controller.ts
@@ -23,8 +23,8 @@
 import { RouteTraffic } from "./route_traffic.ts";
 import { chooseShares, type RegionLoad, smoothShares } from "./steering.ts";
 
-/** Between two decisions where callers are sent: as often as figures from other regions come. */
-const DECIDE_PERIOD_MS = 400;
+/** Between two decisions where callers are sent: twice as often as figures from other regions come. */
+const DECIDE_PERIOD_MS = 250;
 const MS_PER_SECOND = 1_000;
 /** Part of a prompt that is read, until it was measured, and the weight of the newest measurement. */
 const FIRST_READ_PART = 0.6;
--- a/packages/core/src/gateway/steering.ts
+++ b/packages/core/src/gateway/steering.ts
@@ -10,8 +10,11 @@
 export const KEEP_UTILIZATION = 0.35;
 /** Rounds of the estimate of demand; it converges within a few. */
 const ESTIMATE_ROUNDS = 12;
-/** Weight of the newest shares: entries act on figures that are a second old, and must not swing. */
-const NEWEST_SHARE_WEIGHT = 0.5;
+/**
+ * Weight of the newest shares. Demand is solved for with the shares in force, so that little damping
+ * keeps them from swinging; with 0.5 a region that was back kept sending its callers away for seconds.
+ */
+const NEWEST_SHARE_WEIGHT = 0.9;
 /** Smaller shares are not worth a caller's new connections. */
 const LEAST_SHARE = 0.02;
 
