feat: sassafrasstep losses adds up why requests were late or not served

Cause: lines with causes stood in the logs of each entry, and nothing summed them.

A plot is not there yet.

--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -5,5 +5,6 @@
   showMetrics,
   showStatus,
 } from "./fleet_commands.ts";
+export { showLosses } from "./loss_commands.ts";
 export { showGateway } from "./gateway_commands.ts";
 export { checkFile, diffFiles } from "./text_commands.ts";
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -15,6 +15,7 @@
   FleetClient,
   showEntries,
   showGateway,
+  showLosses,
   showMetrics,
   showStatus,
 } from "./commands/index.ts";
@@ -30,6 +31,7 @@
     $ sassafrasstep explain REQUEST-ID     each decision on a request
     $ sassafrasstep metrics                histograms and counters
     $ sassafrasstep gateway URL            what an entry before routes believes
+    $ sassafrasstep losses FILE...         why requests were late or not served, from collected lines
 
   Options
     --control URL      control address of any entry
@@ -77,6 +79,8 @@
       return await withFleet(showMetrics);
     case "gateway":
       return await showGateway(argument(args, 0, "URL"));
+    case "losses":
+      return showLosses(args);
     case "explain": {
       const request = argument(args, 0, "REQUEST-ID");
       return await withFleet((fleet) => explainRequest(fleet, request));
@@ -85,7 +89,7 @@
       throw new Error(
         `Cannot run "${
           command ?? ""
-        }": use check, diff, status, entries, explain, metrics or gateway`,
+        }": use check, diff, status, entries, explain, metrics, gateway or losses`,
       );
   }
 }
