--- a/playground/src/load/load_caller.ts
+++ b/playground/src/load/load_caller.ts
@@ -37,6 +37,13 @@
   readonly number: number;
 }
 
+/** How a try ended. */
+interface TryEnd {
+  readonly end: LoadEnd;
+  readonly retryAfter: number | undefined;
+  readonly firstAfter: number | undefined;
+}
+
 /** One caller. */
 export class LoadCaller {
   readonly #name: string;
@@ -80,18 +87,15 @@
     new CallerTry(attempt, {
       world: this.#world,
       entry,
-      ended: (end, retryAfter) => this.#ended(attempt, { end, retryAfter }),
+      ended: (how) => this.#ended(attempt, how),
     }).start();
   }
 
-  #ended(
-    attempt: Try,
-    { end, retryAfter }: { end: LoadEnd; retryAfter: number | undefined },
-  ): void {
+  #ended(attempt: Try, { end, retryAfter, firstAfter }: TryEnd): void {
     if (end === "refused") {
       return this.#again(attempt, { wait: retryAfter ?? 0, end });
     }
-    this.#finish(attempt, end);
+    this.#finish(attempt, end, firstAfter);
   }
 
   /** Comes back once, if there is time. */
@@ -111,7 +115,11 @@
     );
   }
 
-  #finish({ drawn, startedAt, number }: Try, end: LoadEnd): void {
+  #finish(
+    { drawn, startedAt, number }: Try,
+    end: LoadEnd,
+    firstAfter?: number,
+  ): void {
     const { worth, kind } = drawn;
     const late = worth * kind.lateWorth / kind.worth;
     this.#done({
@@ -122,6 +130,7 @@
       earned: end === "on_time" ? worth : end === "late" ? late : 0,
       end,
       tries: number,
+      firstAfter,
     });
   }
 
@@ -163,11 +172,12 @@
   readonly #attempt: Try;
   readonly #world: RouteWorld;
   readonly #entry: VirtualGateway;
-  readonly #ended: (end: LoadEnd, retryAfter?: number) => void;
+  readonly #ended: (how: TryEnd) => void;
   #status = 0;
   #retryAfter: number | undefined;
   #late = false;
   #heardAt: number | undefined;
+  #firstAfter: number | undefined;
   #over = false;
 
   constructor(
@@ -175,7 +185,7 @@
     { world, entry, ended }: {
       world: RouteWorld;
       entry: VirtualGateway;
-      ended: (end: LoadEnd, retryAfter?: number) => void;
+      ended: (how: TryEnd) => void;
     },
   ) {
     this.#attempt = attempt;
@@ -270,6 +280,7 @@
       ? objective
       : pauseObjective ?? Infinity;
     this.#late ||= gap > most;
+    this.#firstAfter ??= time.now - startedAt;
     this.#heardAt = time.now;
   }
 
@@ -290,7 +301,11 @@
   #finish(end: LoadEnd): void {
     if (!this.#over) {
       this.#over = true;
-      this.#ended(end, this.#retryAfter);
+      this.#ended({
+        end,
+        retryAfter: this.#retryAfter,
+        firstAfter: this.#firstAfter,
+      });
     }
   }
 }
--- a/playground/src/load/load_report.ts
+++ b/playground/src/load/load_report.ts
@@ -21,6 +21,9 @@
   readonly requests: number;
   readonly earned: number;
   readonly ends: Readonly<Record<LoadEnd, number>>;
+  /** Time to the first event, middle and 95th in a hundred, in milliseconds. */
+  readonly firstMedian: number;
+  readonly firstP95: number;
 }
 
 /** The figures of one run. */
@@ -72,5 +75,13 @@
         outcomes.filter((outcome) => outcome.end === end).length,
       ]),
     ) as Record<LoadEnd, number>,
+    firstMedian: quantile(outcomes, 0.5),
+    firstP95: quantile(outcomes, 0.95),
   };
 }
+
+function quantile(outcomes: readonly LoadOutcome[], part: number): number {
+  const times = outcomes.flatMap(({ firstAfter }) => firstAfter ?? [])
+    .sort((left, right) => left - right);
+  return Math.round(times[Math.floor(part * times.length)] ?? 0);
+}
--- a/playground/src/load/load_types.ts
+++ b/playground/src/load/load_types.ts
@@ -50,4 +50,6 @@
   readonly earned: number;
   readonly end: LoadEnd;
   readonly tries: number;
+  /** From the first try to the first event, in milliseconds; `undefined` without one. */
+  readonly firstAfter: number | undefined;
 }
--- a/playground/src/load/main.ts
+++ b/playground/src/load/main.ts
@@ -60,11 +60,14 @@
             kinds[kind]!.ends[end] / Math.max(1, kinds[kind]!.requests)
           )
         }`;
+      const first = `first event ${
+        mean(({ kinds }) => kinds[kind]!.firstMedian)
+      }, 95th ${mean(({ kinds }) => kinds[kind]!.firstP95)} ms`;
       return `  ${kind.padEnd(8)} earned ${
         mean(({ kinds }) => kinds[kind]!.earned)
       }, ${of("on_time")}, ${of("late")}, ${of("refused")}, ${of("failed")}, ${
         of("left")
-      }`;
+      }, ${first}`;
     }),
     `  read ${
       mean(({ readThousands }) => readThousands)
