--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -21,7 +21,7 @@
 import { CallPlacer, LEAST_TIME_MS } from "./call_placer.ts";
 import { CallRecovery } from "./call_recovery.ts";
 import { type CallRouter, orderServices } from "./call_router.ts";
-import type { CatalogueView } from "./catalogue_controller.ts";
+import type { CatalogueView } from "./catalogue_view.ts";
 import type { ColdAllowance } from "./cold_allowance.ts";
 import type { EndpointBook } from "./endpoint_book.ts";
 import {
--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -22,6 +22,7 @@
   RouteTable,
   type RoutingDocument,
 } from "../routes/index.ts";
+import type { CatalogueView } from "./catalogue_view.ts";
 import type { GatewayEmit } from "./messages.ts";
 
 /**
@@ -49,22 +50,6 @@
  */
 const RETURN_GRACE_MS = 2_200;
 
-/** The section of the board. */
-export interface CatalogueView {
-  readonly revision: Revision;
-  readonly document: RoutingDocument | undefined;
-  readonly table: RouteTable | undefined;
-  readonly endpoints: ReadonlyMap<EndpointId, EndpointRecord>;
-  readonly evacuated: ReadonlySet<ZoneId>;
-  /** Grows with each change of the above. */
-  readonly generation: number;
-  /** When the platform last answered. */
-  readonly confirmedAt: Instant | undefined;
-  readonly reachable: boolean;
-  /** Whether the last read failed. */
-  readonly failing: boolean;
-}
-
 /** Writes the catalogue. */
 export class CatalogueController implements CatalogueView {
   revision = 0 as Revision;
--- a/packages/core/src/gateway/endpoint_book.ts
+++ b/packages/core/src/gateway/endpoint_book.ts
@@ -12,7 +12,7 @@
   ServiceId,
   ZoneId,
 } from "../ids/index.ts";
-import type { CatalogueView } from "./catalogue_controller.ts";
+import type { CatalogueView } from "./catalogue_view.ts";
 import { EndpointState } from "./endpoint_state.ts";
 
 /**
--- a/packages/core/src/gateway/entry_directory.ts
+++ b/packages/core/src/gateway/entry_directory.ts
@@ -14,7 +14,7 @@
   type ZoneId,
 } from "../ids/index.ts";
 import { mayServe, type Route } from "../routes/index.ts";
-import type { CatalogueView } from "./catalogue_controller.ts";
+import type { CatalogueView } from "./catalogue_view.ts";
 import type { GatewaySelf } from "./messages.ts";
 import type { RegionController } from "./region_controller.ts";
 
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -9,10 +9,8 @@
 import type { CatalogueSnapshot } from "../routes/index.ts";
 import { CallController } from "./call_controller.ts";
 import { CallRouter } from "./call_router.ts";
-import {
-  CatalogueController,
-  type CatalogueView,
-} from "./catalogue_controller.ts";
+import { CatalogueController } from "./catalogue_controller.ts";
+import type { CatalogueView } from "./catalogue_view.ts";
 import { ColdAllowance } from "./cold_allowance.ts";
 import { EndpointBook } from "./endpoint_book.ts";
 import {
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -1,4 +1,5 @@
-export { catalogueAge, type CatalogueView } from "./catalogue_controller.ts";
+export { catalogueAge } from "./catalogue_controller.ts";
+export type { CatalogueView } from "./catalogue_view.ts";
 export type { DirectoryAnswer, DirectoryQuestion } from "./entry_directory.ts";
 export type { EndpointState } from "./endpoint_state.ts";
 export { Gateway } from "./gateway.ts";
--- a/packages/core/src/gateway/region_controller.ts
+++ b/packages/core/src/gateway/region_controller.ts
@@ -18,7 +18,7 @@
   type ServiceId,
 } from "../ids/index.ts";
 import { ArrivalMeter } from "./arrival_meter.ts";
-import type { CatalogueView } from "./catalogue_controller.ts";
+import type { CatalogueView } from "./catalogue_view.ts";
 import type { EndpointBook } from "./endpoint_book.ts";
 import type { Prompt } from "./messages.ts";
 import { engineWork } from "./prompt_cost.ts";
