--- a/playground/src/load/part_cache.ts
+++ b/playground/src/load/part_cache.ts
@@ -1,6 +1,9 @@
 /**
  * Prompt parts that an engine keeps; the least recently used ones yield.
  *
+ * Not the memory that entries keep of engines, though alike: a model that shared its code would share its
+ * faults.
+ *
  * @module
  */
 
--- a/playground/src/slopes/main.ts
+++ b/playground/src/slopes/main.ts
@@ -6,7 +6,8 @@
 import { fitLine } from "./fit.ts";
 import { measureSpread, type Spread } from "./fleet_spread.ts";
 import { TARGET } from "./made_fleet.ts";
-import { measureAll, type Measurement, newsBytes } from "./measurements.ts";
+import { measureAll, newsBytes } from "./measurements.ts";
+import type { Measurement } from "./meter.ts";
 
 const PERCENT = 100;
 const FLEETS = [
--- a/playground/src/slopes/measurements.ts
+++ b/playground/src/slopes/measurements.ts
@@ -4,22 +4,13 @@
  * @module
  */
 import {
-  Core,
   diffText,
-  type EndpointId,
-  type EntryId,
-  type Incarnation,
   instant,
-  milliseconds,
   parseText,
-  type RegionId,
-  type RequestHead,
   type RequestId,
   type Revision,
-  SeededRandomness,
   sha256,
   TokenStream,
-  type ZoneId,
 } from "@sassafrasstep/core";
 import {
   Credentials,
@@ -29,29 +20,24 @@
 } from "@sassafrasstep/daemon";
 import { Relay } from "../fleet/index.ts";
 import { median, type Point } from "./fit.ts";
+import { driveRequest, list, makeCore, START_MS } from "./measured_core.ts";
+import {
+  BYTES_PER_KB,
+  cpuOf,
+  type Measurement,
+  memorySlope,
+  REPEATS,
+} from "./meter.ts";
 import {
   type FleetSize,
   makeHeartbeat,
-  makeReport,
   makeText,
-  makeVms,
   TARGET,
 } from "./made_fleet.ts";
 import { startPeerSink } from "./peer_sink.ts";
 
-const REPEATS = 5;
-const START_MS = 1_000_000;
-const BYTES_PER_KB = 1_024;
 const MICROS_PER_MS = 1_000;
 
-/** A measured slope: what grows with what. */
-export interface Measurement {
-  readonly name: string;
-  readonly per: string;
-  readonly unit: string;
-  readonly points: readonly Point[];
-}
-
 /** Runs all measurements, one after the other. */
 export async function measureAll(): Promise<Measurement[]> {
   return [
@@ -305,122 +291,3 @@
   });
   return { name: "tokens put in order", per: "token", unit: "us CPU", points };
 }
-
-function driveRequest(
-  core: Core,
-  { id, now }: { id: RequestId; now: number },
-): void {
-  const at = instant(now);
-  const head: RequestHead = {
-    id,
-    tokenDigest: sha256("token-0"),
-    service: "model-0",
-    requestClass: undefined,
-    deadline: milliseconds(10_000),
-    key: undefined,
-    hops: [],
-    forwarded: false,
-    resumeOffset: 0,
-  };
-  core.handle({ kind: "request", head }, at);
-  const facts = {
-    digest: "x",
-    promptTokens: 500,
-    blocks: [1, 2, 3, 4, 5, 6, 7],
-  };
-  for (const effect of core.handle({ kind: "body", request: id, facts }, at)) {
-    if (effect.kind === "dispatch") {
-      const attempt = effect.attempt.id;
-      core.handle({ kind: "commit", attempt }, at);
-      core.handle({ kind: "firstToken", attempt }, at);
-      core.handle({ kind: "progress", attempt, offset: 300 }, at);
-      core.handle(
-        { kind: "attemptEnded", attempt, end: { kind: "streamed" } },
-        at,
-      );
-    }
-  }
-}
-
-function makeCore(): Core {
-  const core = new Core({
-    self: {
-      id: "entry-z0-0" as EntryId,
-      incarnation: "0123456789abffff" as Incarnation,
-      zone: "z0" as ZoneId,
-      region: "r0" as RegionId,
-      url: "http://10.1.0.0:7000",
-      controlUrl: "http://10.1.0.0:7001",
-      deployment: "made",
-      seeds: [],
-      heartbeatPeriod: milliseconds(1_000),
-      epochLength: milliseconds(300_000),
-    },
-    random: new SeededRandomness(1),
-  }, instant(START_MS));
-  // High limits: the slope is that of serving, not of refusing.
-  const text = makeText(TARGET).replaceAll(
-    "requests_per_s = 100",
-    "requests_per_s = 900000",
-  );
-  core.handle(
-    { kind: "configurationRead", revision: 1 as Revision, text },
-    instant(START_MS),
-  );
-  return core;
-}
-
-function list(core: Core, endpoints: number): void {
-  core.handle(
-    { kind: "vmsListed", vms: makeVms(endpoints, 3) },
-    instant(START_MS),
-  );
-  for (let index = 0; index < endpoints; index++) {
-    const endpoint = `vm-0a1b2c3d4e5f${index}` as EndpointId;
-    core.handle({
-      kind: "load",
-      endpoint,
-      report: makeReport(`m${index % 5}@v1`),
-    }, instant(START_MS));
-  }
-}
-
-/** Median microseconds of CPU of one run. */
-function cpuOf(count: number, run: () => unknown): number {
-  for (let index = 0; index < count / 4; index++) {
-    run();
-  }
-  const values = Array.from({ length: REPEATS }, () => {
-    const cpu = process.cpuUsage();
-    for (let index = 0; index < count; index++) {
-      run();
-    }
-    const used = process.cpuUsage(cpu);
-    return (used.user + used.system) / count;
-  });
-  return median(values);
-}
-
-function memorySlope(
-  name: string,
-  per: string,
-  sizes: readonly number[],
-  make: (size: number) => unknown,
-): Measurement {
-  const points = sizes.map((size): Point => {
-    const before = heapKb();
-    const kept = make(size);
-    const value = heapKb() - before;
-    return { size, value: kept === undefined ? 0 : value };
-  });
-  return { name: `memory of ${name}s`, per, unit: "KB heap", points };
-}
-
-function heapKb(): number {
-  if (globalThis.gc === undefined) {
-    throw new Error("Cannot measure memory: run node with --expose-gc");
-  }
-  globalThis.gc();
-  globalThis.gc();
-  return process.memoryUsage().heapUsed / BYTES_PER_KB;
-}
