--- a/playground/src/__tests__/whole_path.test.ts
+++ b/playground/src/__tests__/whole_path.test.ts
@@ -2,57 +2,19 @@
  * The whole path over real processes, kills and freezes included.
  */
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { type FleetStandIn, waitFor } from "../index.ts";
 import {
-  Client,
-  Fleet,
-  type FleetEntry,
-  type FleetStandIn,
-  type KnownEntry,
-  readBlueprint,
-  tokenAt,
-  waitFor,
-} from "../index.ts";
-
-const fleet = new Fleet(readBlueprint("peachtree"));
-const kiosk = new Client("demo-clinic-north");
-const guest = new Client("demo-church-hall");
-const PROMPT = "Where do I find my host?";
-
-function entryNamed(known: KnownEntry): FleetEntry {
-  return fleet.entries.find(({ id }) => id === known.id)!;
-}
-
-/** Entries for the kiosk: those of its home. */
-async function homeEntries(): Promise<readonly KnownEntry[]> {
-  const alive = fleet.entries.find(({ child }) =>
-    child.process.exitCode === null && child.process.signalCode === null
-  )!;
-  return await kiosk.entries(alive.url, "check-in");
-}
-
-async function runsOf(key: string): Promise<number> {
-  const states = await Promise.all(
-    fleet.standInsOf("plain").map(({ id }) =>
-      fleet.readControl<{ runs: Record<string, number> }>(id, "runs")
-    ),
-  );
-  return states.reduce((sum, { runs }) => sum + (runs[key] ?? 0), 0);
-}
-
-function expectedText(tokens: number): string {
-  return Array.from(
-    { length: tokens },
-    (_, offset) => tokenAt(`user\n${PROMPT}`, offset),
-  ).join("");
-}
-
-async function setPrinters(behaviour: object): Promise<void> {
-  await Promise.all(
-    fleet.standInsOf("plain").map(({ id }) =>
-      fleet.control(id, "mode", behaviour)
-    ),
-  );
-}
+  entryNamed,
+  expectedText,
+  fleet,
+  guest,
+  homeEntries,
+  kiosk,
+  PROMPT,
+  replaceDead,
+  runsOf,
+  setPrinters,
+} from "./whole_path_fixture.ts";
 
 beforeAll(async () => {
   await fleet.start();
@@ -364,32 +326,3 @@
     });
   });
 });
-
-/** Replaces entries that are gone, as the platform would. */
-async function replaceDead(): Promise<void> {
-  const dead = fleet.entries.filter(({ child }) =>
-    child.process.exitCode !== null || child.process.signalCode !== null
-  );
-  for (const entry of dead) {
-    fleet.entries.splice(fleet.entries.indexOf(entry), 1);
-    await fleet.addEntry({ zone: entry.zone, region: entry.region });
-  }
-  await fleet.publishVms();
-  await waitFor("the new entries to be known", async () => {
-    const all = await Promise.all(
-      fleet.entries.map((entry) => fleet.status(entry)),
-    );
-    const ids = fleet.entries.map(({ id }) => id);
-    return all.every(({ phase, members, id, endpoints }) => {
-      const live = members.filter(({ health, state }) =>
-        health === "live" && state === "ready"
-      ).map((member) => member.id);
-      const known = endpoints.some(({ pool, state }) =>
-        pool === "check-in" && state === "live"
-      );
-      const gone = live.every((name) => ids.includes(name));
-      return phase === "ready" && known && gone &&
-        ids.every((name) => name === id || live.includes(name));
-    });
-  });
-}
