test: a request that crashes what runs it comes again and is sent on, failing

Symptom: endpoints end one after the other while one request comes again with other ids, at other entries.

The scenarios' language gets bodies, callers, endpoints that end in four ways and come back.

--- a/playground/src/routes/fake_backend.ts
+++ b/playground/src/routes/fake_backend.ts
@@ -30,6 +30,7 @@
 /** Events before a torn stream breaks. */
 export const TORN_EVENTS = 3;
 const EVENT_MS = 40;
+const FAILED = 500;
 
 /** What an attempt sees of its request. */
 export interface BackendAnswer {
@@ -51,6 +52,16 @@
   readonly answer: BackendAnswer;
 }
 
+/** What ends endpoints, as they see it. */
+export interface CrashRules {
+  /** A request has reached an endpoint. */
+  noteArrival(call: string): void;
+  /** Time until a run of a request ends its endpoint, `undefined` where it does not. */
+  timeOf(call: string): number | undefined;
+  /** The endpoint ends under a request. */
+  under(call: string, backend: FakeBackend): void;
+}
+
 /** One run of a request. */
 export interface Run {
   readonly call: string;
@@ -72,7 +83,7 @@
   /** Times of requests that arrived. */
   readonly arrivals: number[] = [];
   protected readonly time: VirtualTime;
-  readonly #runs: Run[];
+  readonly #tools: { time: VirtualTime; runs: Run[]; crashes?: CrashRules };
   readonly #cancelled = new Set<BackendAnswer>();
   readonly #open = new Set<BackendAnswer>();
   #busyUntil = 0;
@@ -86,7 +97,7 @@
       slots: number;
       work: number;
     },
-    { time, runs }: { time: VirtualTime; runs: Run[] },
+    tools: { time: VirtualTime; runs: Run[]; crashes?: CrashRules },
   ) {
     this.name = name;
     this.id = id as EndpointId;
@@ -94,15 +105,38 @@
     this.spot = spot;
     this.slots = slots;
     this.work = work;
-    this.time = time;
-    this.#runs = runs;
+    this.time = tools.time;
+    this.#tools = tools;
+  }
+
+  /** Another endpoint of the same kind, at the same address. */
+  successor({ name, id }: { name: string; id: string }): FakeBackend {
+    const { service, spot, slots, work } = this;
+    return new FakeBackend(
+      { name, id, service, spot, slots, work },
+      this.#tools,
+    );
+  }
+
+  /** Its process ends: what it ran is lost. `answers`: it still says that it failed. */
+  end(mode: "dark" | "refuse", { answers }: { answers: boolean }): void {
+    const open = [...this.#open].filter((answer) =>
+      !this.#cancelled.has(answer)
+    );
+    this.startAgain(this.life);
+    this.mode = mode;
+    if (mode === "refuse") {
+      open.forEach((answer) =>
+        this.time.after(1, () => this.#breakOff(answer, answers))
+      );
+    }
   }
 
   /**
    * Ends without a word and is there again under its id and address: what it ran is lost, and the
    * connections to the former life stay silent.
    */
-  startAgain(life: number): void {
+  startAgain(life: number | undefined): void {
     this.life = life;
     this.#busyUntil = this.time.now;
     this.#open.forEach((answer) => this.#cancelled.add(answer));
@@ -115,6 +149,7 @@
 
   take(request: BackendRequest): void {
     this.arrivals.push(this.time.now);
+    this.#tools.crashes?.noteArrival(request.call);
     this.#open.add(request.answer);
     switch (this.mode) {
       case "dark":
@@ -126,12 +161,33 @@
       case "reset_before":
         return this.#later(1, request, () => request.answer.lost("reset"));
       default:
-        this.#runs.push({
+        this.#tools.runs.push({
           call: request.call,
           backend: this.name,
           at: this.time.now,
         });
-        return this.run(request);
+        if (!this.#crashUnder(request)) {
+          this.run(request);
+        }
+    }
+  }
+
+  #crashUnder(request: BackendRequest): boolean {
+    const { crashes } = this.#tools;
+    const after = crashes?.timeOf(request.call);
+    if (after === undefined) {
+      return false;
+    }
+    this.#later(after, request, () => crashes!.under(request.call, this));
+    return true;
+  }
+
+  #breakOff(answer: BackendAnswer, answers: boolean): void {
+    if (answers) {
+      answer.head(FAILED, false);
+      answer.complete();
+    } else {
+      answer.lost("closed");
     }
   }
 
@@ -153,6 +209,7 @@
     }
     const status = this.mode === "fail" ? 500 : 200;
     this.#later(ready, request, () => {
+      this.#open.delete(answer);
       answer.head(status, false);
       answer.complete();
     });
@@ -172,6 +229,7 @@
       });
     }
     this.#later((last - first + 1) * EVENT_MS, request, () => {
+      this.#open.delete(answer);
       if (this.mode === "dark") {
         return;
       }
--- a/playground/src/routes/route_actions.ts
+++ b/playground/src/routes/route_actions.ts
@@ -11,6 +11,7 @@
   ScriptError,
   word,
 } from "../scenario/script.ts";
+import { type EndKind, presentAt } from "./crashes.ts";
 import type { BackendMode, FakeBackend } from "./fake_backend.ts";
 import type { StoreMode } from "./fake_store.ts";
 import { addBackend, readRoute, recordOf } from "./route_setting.ts";
@@ -71,6 +72,8 @@
     }));
   },
   reborn: ({ world }, line) => reborn(world, line),
+  poison: ({ world }, line) => poison(world, line),
+  end: ({ world }, line) => end(world, line),
   late_record: ({ world }, line) => {
     const life = Number(option(line, "life", "1"));
     const sequence = Number(option(line, "sequence", "1"));
@@ -94,32 +97,44 @@
   action(stage, line);
 }
 
-/** `call NAME ROUTE via ENTRY [time T] [prompt N] [shared ID:N] [events N]` */
+/** `call NAME ROUTE via ENTRY [time T] [prompt N] [shared ID:N] [events N] [body B] [from CALLER]` */
 function call(world: RouteWorld, line: Line): void {
-  send(world, line, word(line, 1, "a name"));
+  send(world, line, { name: word(line, 1, "a name"), index: 0 });
 }
 
-/** `load NAME ROUTE via ENTRY count N every T ...`: calls `NAME-1` to `NAME-N`. */
+/** `load NAME ROUTE via ENTRY,... count N every T ...`: calls `NAME-1` to `NAME-N`, at the entries in turn. */
 function load(world: RouteWorld, line: Line): void {
   const count = Number(option(line, "count", "1"));
   const every = parseTime(line, option(line, "every", "10ms"));
   for (let index = 1; index <= count; index++) {
     world.time.after(
       (index - 1) * every,
-      () => send(world, line, `${word(line, 1, "a name")}-${index}`),
+      () =>
+        send(world, line, {
+          name: `${word(line, 1, "a name")}-${index}`,
+          index,
+        }),
     );
   }
 }
 
-function send(world: RouteWorld, line: Line, name: string): void {
+function send(
+  world: RouteWorld,
+  line: Line,
+  { name, index }: { name: string; index: number },
+): void {
   const time = option(line, "time", "");
+  const entries = option(line, "via", "").split(",");
+  const callers = option(line, "from", "caller").split(",");
   world.call({
     name,
     route: word(line, 2, "a route"),
-    entry: option(line, "via", ""),
+    entry: entries[index % entries.length]!,
     timeLeft: time === "" ? undefined : parseTime(line, time),
     prompt: promptOf(line, name),
     events: Number(option(line, "events", "5")),
+    body: option(line, "body", name),
+    caller: callers[index % callers.length]!,
   });
 }
 
@@ -142,6 +157,29 @@
   };
 }
 
+/** `poison BODY [after T] [how close|dark|failure|reborn] [down T]`: it crashes each endpoint that runs it. */
+function poison(world: RouteWorld, line: Line): void {
+  world.crashes.addPoison(word(line, 1, "a body"), {
+    after: parseTime(line, option(line, "after", "100ms")),
+    how: option(line, "how", "close") as EndKind,
+    down: parseTime(line, option(line, "down", "7s")),
+  });
+}
+
+/** `end NAME,... every T [how ...] [down T]`: endpoints end one after the other, under nothing of ours. */
+function end(world: RouteWorld, line: Line): void {
+  const names = word(line, 1, "backends").split(",");
+  const every = parseTime(line, option(line, "every", "0ms"));
+  const how = option(line, "how", "close") as EndKind;
+  const down = parseTime(line, option(line, "down", "7s"));
+  names.forEach((name, index) =>
+    world.time.after(
+      index * every,
+      () => world.crashes.end(presentAt(world, name), { how, down }),
+    )
+  );
+}
+
 /** `reborn NAME life N [cold T]`: starts again under its id; what it ran is lost, its counts start anew. */
 function reborn(world: RouteWorld, line: Line): void {
   const backend = backendOf(world, line);
--- a/playground/src/routes/route_expectations.ts
+++ b/playground/src/routes/route_expectations.ts
@@ -11,6 +11,7 @@
   ScriptError,
   word,
 } from "../scenario/script.ts";
+import { checkPoisons } from "./crashes.ts";
 import type { SeenCall } from "./route_types.ts";
 import type { RouteWorld } from "./route_world.ts";
 
@@ -77,6 +78,26 @@
       ? undefined
       : `${found} arrivals, from ${least} to ${most} expected`;
   },
+  /** `expect poison BODY sends N ends N`: at most so many, after it had to be known and in all. */
+  poison: ({ crashes }, line) => {
+    const body = word(line, 1, "a body");
+    const sends = crashes.lateSends(body);
+    const ends = crashes.poisons.get(body)!.ends.length;
+    const tooMany = sends > Number(option(line, "sends", "Infinity")) ||
+      ends > Number(option(line, "ends", "Infinity"));
+    return tooMany ? `${sends} sends, ${ends} ends` : undefined;
+  },
+  /** `expect held NAME... N`: so many of the calls that begin so were refused as held back. */
+  held: (world, line) => {
+    const names = line.words.slice(1, -1);
+    const found = heldCalls(world).filter((call) =>
+      names.some((name) => call.startsWith(name))
+    );
+    const wanted = Number(line.words.at(-1));
+    return found.length === wanted
+      ? undefined
+      : `${found.length} held back: ${found.join()}`;
+  },
   /** `expect ended ENTRY`: its process is over. */
   ended: (world, line) =>
     world.entries.get(word(line, 1, "an entry"))?.alive === false
@@ -99,13 +120,22 @@
 
 /** What must hold whatever happens. */
 export function findViolations(world: RouteWorld): string[] {
-  return [...world.calls.values()].flatMap((call) => [
+  const calls = [...world.calls.values()].flatMap((call) => [
     ...checkOnce(world, call),
     ...checkRefusal(world, call),
     ...checkHome(world, call),
     ...checkOrder(call),
     ...checkAttempts(world, call),
   ]);
+  return [...calls, ...checkPoisons(world)];
+}
+
+/** Calls that an entry refused because what they carry is held back. */
+export function heldCalls({ log }: RouteWorld): string[] {
+  const refused = log.filter(({ text, fields }) =>
+    text === "call: Request is refused." && fields.reason === "held"
+  );
+  return [...new Set(refused.map(({ fields }) => String(fields.call)))];
 }
 
 function checkCall(world: RouteWorld, line: Line): string | undefined {
--- a/playground/src/routes/route_setting.ts
+++ b/playground/src/routes/route_setting.ts
@@ -112,7 +112,7 @@
     spot: spotOf(world, line),
     slots: Number(option(line, "slots", "8")),
     work: parseTime(line, option(line, "work", "20ms")),
-  }, { time: world.time, runs: world.runs });
+  }, { time: world.time, runs: world.runs, crashes: world.crashes });
   const life = Number(option(line, "life", "0"));
   backend.life = life === 0 ? undefined : life;
   world.backends.set(name, backend);
--- a/playground/src/routes/route_types.ts
+++ b/playground/src/routes/route_types.ts
@@ -33,6 +33,9 @@
   readonly timeLeft: number | undefined;
   readonly prompt: Prompt | undefined;
   readonly events: number;
+  /** Two requests with the same one are alike. */
+  readonly body: string;
+  readonly caller: string;
 }
 
 /** An attempt on its way. */
--- a/playground/src/routes/route_world.ts
+++ b/playground/src/routes/route_world.ts
@@ -21,6 +21,7 @@
 } from "@sassafrasstep/core";
 import { Network, PLATFORM, type Spot } from "../scenario/network.ts";
 import { VirtualTime } from "../scenario/virtual_time.ts";
+import { Crashes } from "./crashes.ts";
 import type { BackendAnswer, FakeBackend, Run } from "./fake_backend.ts";
 import { FakeStore } from "./fake_store.ts";
 import type {
@@ -52,6 +53,7 @@
   readonly backends = new Map<string, FakeBackend>();
   readonly calls = new Map<string, SeenCall>();
   readonly runs: Run[] = [];
+  readonly crashes = new Crashes(this);
   readonly log: WorldLogLine[] = [];
   readonly spots = new Map<string, Spot>();
   readonly random: SeededRandomness;
@@ -63,6 +65,7 @@
   loss = 0;
   readonly #seed: number;
   readonly #events = new Map<string, number>();
+  readonly #bodies = new Map<string, string>();
 
   constructor(seed: number) {
     this.#seed = seed;
@@ -86,6 +89,11 @@
     this.#events.set(call, events);
   }
 
+  /** What a request carries: a body of its own, unless it was said otherwise. */
+  bodyOf(call: string): string {
+    return this.#bodies.get(call) ?? call;
+  }
+
   /** Sends a request of a caller. */
   call(plan: CallPlan): void {
     const entry = this.entries.get(plan.entry)!;
@@ -104,6 +112,7 @@
     };
     this.calls.set(plan.name, seen);
     this.expectEvents(plan.name, plan.events);
+    this.#bodies.set(plan.name, plan.body);
     seen.id = entry.arrive({
       call: plan.name as CallId,
       host: route?.host ?? "nowhere",
