feat: entries see the ends of endpoints and what was there

Cause: a line of a lost attempt named the caller's try, which is new each time, and nothing told a broken connection from the end of an endpoint, so that nobody could say under what endpoints ended.

Change: each request has a fingerprint, a digest of host, path and body and one of its caller's address, worked out while the body passes and handed on with a relayed request. An attempt that is lost waits for word that its endpoint ended: nothing listens at its address, its record is gone or tells another life, or a peer says so, and nothing was heard from it since. The line 'Endpoint has ended.' names up to eight of the requests there; a gauge counts ends. Entries tell each other, add up which request ended what, and list what they would hold back in status and metrics. Nothing acts on that yet: no request is treated in another way.

Ruled out: counting broken connections, which a reset of the network breaks as well.

--- a/packages/cli/src/commands/gateway_commands.ts
+++ b/packages/cli/src/commands/gateway_commands.ts
@@ -8,6 +8,7 @@
 
 /** Age of the published picture from which on it is a problem, in milliseconds. */
 const OLD_CATALOGUE_MS = 10_000;
+const MS_PER_SECOND = 1_000;
 
 /** One entry's picture: document, members, endpoints, where callers are sent. */
 export async function showGateway(controlUrl: string): Promise<CommandResult> {
@@ -27,6 +28,7 @@
       status.members.map(({ id, region, state }) => [id, region, state]),
     ),
     endpointsOf(status),
+    heldOf(status),
     problems.map((problem) => `problem: ${problem}`).join("\n"),
   ];
   return {
@@ -70,6 +72,20 @@
   );
 }
 
+function heldOf({ held }: GatewayStatus): string {
+  return held.length === 0 ? "" : formatTable(
+    ["HELD BACK", "CALLER", "SERVICE", "SOFTWARE", "TERM", "SECONDS LEFT"],
+    held.map(({ digest, caller, service, versions, term, remainingMs }) => [
+      digest,
+      caller ?? "any",
+      service,
+      versions.join(", "),
+      term,
+      Math.round(remainingMs / MS_PER_SECOND),
+    ]),
+  );
+}
+
 function problemsOf(status: GatewayStatus): string[] {
   const age = status.catalogueAgeMs ?? Infinity;
   return [
@@ -78,5 +94,8 @@
     ...status.endpoints.filter(({ state, usable }) =>
       state === "ready" && !usable
     ).map(({ id }) => `endpoint ${id} is ready and not usable`),
+    ...status.held.map(({ digest, service }) =>
+      `request ${digest} is held back: endpoints of ${service} ended under it`
+    ),
   ];
 }
--- a/packages/core/src/fleet/__tests__/fleet_controller.test.ts
+++ b/packages/core/src/fleet/__tests__/fleet_controller.test.ts
@@ -51,6 +51,7 @@
         seeds,
         period: PERIOD_MS,
         resting: () => this.resting.has(name),
+        holds: () => [],
         random: new SeededRandomness(this.#lives),
         send: (to, message) => this.#send(`${name}:1`, to, message),
         holdings: () => ({ document: 0 as Revision, catalogue: 0 as Revision }),
--- a/packages/core/src/fleet/fleet_controller.ts
+++ b/packages/core/src/fleet/fleet_controller.ts
@@ -5,11 +5,19 @@
  *
  * @module
  */
-import { after, type Incarnation, type Instant, sample } from "../ids/index.ts";
+import {
+  after,
+  type Incarnation,
+  type Instant,
+  type Revision,
+  sample,
+} from "../ids/index.ts";
+import type { QuarantineNews } from "../quarantine/index.ts";
 import { type IndirectProbe, IndirectProbes } from "./indirect_probes.ts";
 import type {
   FleetGossip,
   FleetMessage,
+  FleetMessageBody,
   FleetRecord,
   FleetState,
   Holdings,
@@ -20,15 +28,12 @@
 import { UnreachablePeers } from "./unreachable_peers.ts";
 import { MembershipList } from "./membership_list.ts";
 import type { FleetMember } from "./membership_list.ts";
+import { pingPeriod, pingsOf } from "./ping_pace.ts";
 import { ProbeSchedule } from "./probe_schedule.ts";
 import { RegionSummaries } from "./region_summaries.ts";
 
 /** How long a suspect may deny before it is held for dead. */
 export const SUSPICION_MS = 2_000;
-/** Up to so many members two are pinged a period: detection is quicker and still cheap. */
-const SMALL_FLEET = 16;
-/** Pings a period in a small fleet, and of an entry that is still getting to know a large one. */
-const MOST_PINGS = 2;
 /** Entries asked to ping a silent one. */
 const INDIRECT_PROBES = 2;
 /** News in one message: keeps a datagram under 1,400 bytes. */
@@ -37,10 +42,6 @@
 const MEMBERS_FOR_NEWCOMER = 9;
 /** An entry first heard of less than this long ago is told of members that are no news to others. */
 const NEWCOMER_MS = 3_000;
-/** Between pings of an entry that is still getting to know the fleet. */
-const JOIN_PERIOD_MS = 100;
-/** Periods between pings of an entry that stands by in a large fleet. */
-const RESTING_PERIODS = 2;
 /** Entries outside the region that are told of a state change at once. */
 const FAR_ANNOUNCEMENTS = 8;
 /** Without this many ticks' gap the loop ran; a longer gap is a pause. */
@@ -86,15 +87,13 @@
     return [...this.#members.all()].filter(({ health }) => health !== "dead");
   }
 
-  /** The live member with the newest catalogue. */
-  newestHolder(): { member: FleetMember; holdings: Holdings } | undefined {
-    let best: { member: FleetMember; holdings: Holdings } | undefined;
-    for (const member of this.live()) {
-      const holdings = this.#holdings.get(member.record.incarnation);
-      const newer = holdings !== undefined &&
-        holdings.catalogue > (best?.holdings.catalogue ?? 0);
-      if (newer) {
-        best = { member, holdings };
+  /** Where the newest catalogue is that a live member holds, and its revision. */
+  newestHolder(): { address: string; revision: Revision } | undefined {
+    let best: { address: string; revision: Revision } | undefined;
+    for (const { record: { incarnation, peerAddress } } of this.live()) {
+      const revision = this.#holdings.get(incarnation)?.catalogue;
+      if (revision !== undefined && revision > (best?.revision ?? 0)) {
+        best = { address: peerAddress, revision };
       }
     }
     return best;
@@ -130,13 +129,19 @@
     isTold: (record: FleetRecord) => boolean,
   ): void {
     const { region, incarnation } = this.#options.self;
-    // One message for all: it is written once, however many get it.
-    const message: FleetMessage = { kind: "work", incarnation, report };
-    for (const { record } of this.live()) {
-      if (record.region === region && isTold(record)) {
-        this.#options.send(record.peerAddress, message);
-      }
-    }
+    this.#tell(
+      { kind: "work", incarnation, report },
+      (record) => record.region === region && isTold(record),
+    );
+  }
+
+  /** Tells the entries that `isTold` names of requests that end endpoints. */
+  sendQuarantine(
+    news: QuarantineNews,
+    isTold: (record: FleetRecord) => boolean,
+  ): void {
+    const { incarnation } = this.#options.self;
+    this.#tell({ kind: "quarantine", incarnation, news }, isTold);
   }
 
   /** Sends what is due and judges who was silent. */
@@ -151,7 +156,15 @@
     this.#buryUndenied(now);
     if (now >= this.#nextPeriodAt) {
       const joining = this.isJoining(now);
-      this.#nextPeriodAt = after(now, this.#period(joining));
+      this.#nextPeriodAt = after(
+        now,
+        pingPeriod({
+          period: this.#options.period,
+          joining,
+          members: this.#members.size,
+          resting: this.#options.resting(),
+        }),
+      );
       this.#members.forget(now);
       this.#pingNext(joining, now);
     }
@@ -164,7 +177,7 @@
 
   /** Takes a datagram of a peer. */
   receive(message: FleetMessage, now: Instant): void {
-    if (message.kind === "work") {
+    if (message.kind === "work" || message.kind === "quarantine") {
       return;
     }
     const { from, holdings } = message;
@@ -206,19 +219,6 @@
     this.#lastTickAt = now;
   }
 
-  /**
-   * In a large fleet those that stand by ping half as often: they are most of it, and each member is
-   * still pinged about once a second.
-   */
-  #period(joining: boolean): number {
-    if (joining) {
-      return JOIN_PERIOD_MS;
-    }
-    const { period, resting } = this.#options;
-    const relaxed = this.#members.size > SMALL_FLEET && resting();
-    return relaxed ? period * RESTING_PERIODS : period;
-  }
-
   #learn({ news, regions }: FleetGossip, now: Instant): void {
     for (const item of news) {
       if (item.record.incarnation === this.#record.incarnation) {
@@ -241,7 +241,7 @@
     const candidates = [...this.#members.all()].filter(({ health }) =>
       health !== "dead"
     );
-    const pings = joining || candidates.length <= SMALL_FLEET ? MOST_PINGS : 1;
+    const pings = pingsOf({ joining, members: candidates.length });
     for (const member of this.#probes.next(candidates, pings)) {
       const sequence = this.#probes.open(member, now);
       this.#ping(member.record.peerAddress, { sequence, about: member, now });
@@ -279,10 +279,16 @@
 
   #gossip(to: FleetMember | undefined, now: Instant): FleetGossip {
     const own = this.#options.summary(now);
+    const holds = this.#options.holds(now);
     const isNewcomer = to !== undefined && now - to.since < NEWCOMER_MS;
     return isNewcomer
-      ? { news: this.#members.introduce(MEMBERS_FOR_NEWCOMER), regions: [own] }
+      ? {
+        news: this.#members.introduce(MEMBERS_FOR_NEWCOMER),
+        regions: [own],
+        holds,
+      }
       : {
+        holds,
         news: this.#members.nextNews(NEWS_PER_MESSAGE),
         regions: [own, ...this.regions.next(now)],
       };
@@ -330,7 +336,19 @@
     }
   }
 
-  #send(to: string, message: MessageBody): void {
+  /** One message for all: it is written once, however many get it. */
+  #tell(
+    message: FleetMessage,
+    isTold: (record: FleetRecord) => boolean,
+  ): void {
+    for (const { record } of this.live()) {
+      if (isTold(record)) {
+        this.#options.send(record.peerAddress, message);
+      }
+    }
+  }
+
+  #send(to: string, message: FleetMessageBody): void {
     this.#options.send(
       to,
       {
@@ -341,8 +359,3 @@
     );
   }
 }
-
-type Body<Message> = Message extends { readonly from: FleetRecord }
-  ? Omit<Message, "from" | "holdings">
-  : never;
-type MessageBody = Body<FleetMessage>;
--- a/packages/core/src/fleet/fleet_messages.ts
+++ b/packages/core/src/fleet/fleet_messages.ts
@@ -14,6 +14,7 @@
   ServiceId,
   ZoneId,
 } from "../ids/index.ts";
+import type { HoldNotice, QuarantineNews } from "../quarantine/index.ts";
 
 /** Whether an entry takes new requests. */
 export type FleetState = "starting" | "ready" | "stopping";
@@ -163,10 +164,24 @@
     readonly kind: "work";
     readonly incarnation: Incarnation;
     readonly report: WorkReport;
+  }
+  /** Ends of endpoints, and requests that are held back for them. */
+  | {
+    readonly kind: "quarantine";
+    readonly incarnation: Incarnation;
+    readonly news: QuarantineNews;
   };
 
+type Body<Message> = Message extends { readonly from: FleetRecord }
+  ? Omit<Message, "from" | "holdings">
+  : never;
+/** A datagram without what each of its sender's begins with. */
+export type FleetMessageBody = Body<FleetMessage>;
+
 /** What pings and acks carry beside their purpose. */
 export interface FleetGossip {
   readonly news: readonly FleetNews[];
   readonly regions: readonly RegionSummary[];
+  /** Requests that are held back: who starts anew, or was cut off, learns of them so. */
+  readonly holds: readonly HoldNotice[];
 }
--- a/packages/core/src/fleet/fleet_options.ts
+++ b/packages/core/src/fleet/fleet_options.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Instant, Randomness } from "../ids/index.ts";
+import type { HoldNotice } from "../quarantine/index.ts";
 import type {
   FleetMessage,
   FleetRecord,
@@ -24,8 +25,10 @@
   readonly random: Randomness;
   readonly send: (to: string, message: FleetMessage) => void;
   readonly holdings: () => Holdings;
-  /** The own region's summary as it is now. */
   /** Whether this entry stands by: it has had no requests lately. */
   readonly resting: () => boolean;
+  /** The own region's summary as it is now. */
   readonly summary: (now: Instant) => RegionSummary;
+  /** Some of the requests that are held back, others each time. */
+  readonly holds: (now: Instant) => readonly HoldNotice[];
 }
--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -23,6 +23,7 @@
 import type { GatewayBounds, GatewayEffect } from "../messages.ts";
 import { RepeatBudget } from "../repeat_budget.ts";
 import type { RegionController } from "../region_controller.ts";
+import { emptyQuarantine, fingerprint } from "./quarantine_fixture.ts";
 
 const SERVICE = "pool" as ServiceId;
 const ROUTE: Route = {
@@ -97,6 +98,7 @@
     router,
     budget: new RepeatBudget(BOUNDS),
     cold: new ColdAllowance(BOUNDS),
+    quarantine: emptyQuarantine(),
     entries: () => 1,
     regionEntries: () => 1,
   });
@@ -123,6 +125,7 @@
     },
     lastEventId: undefined,
     bodyBytes: 0,
+    fingerprint: fingerprint(id),
     relay: undefined,
   }, instant(0));
 }
--- a/packages/core/src/gateway/__tests__/call_trace.test.ts
+++ b/packages/core/src/gateway/__tests__/call_trace.test.ts
@@ -10,6 +10,7 @@
 } from "../../index.ts";
 import type { Route } from "../../routes/index.ts";
 import { Call, type OpenAttempt } from "../call.ts";
+import { fingerprint } from "./quarantine_fixture.ts";
 import { engine } from "./engine_fixture.ts";
 
 const ROUTE: Route = {
@@ -60,6 +61,7 @@
       prompt: undefined,
       lastEventId: undefined,
       bodyBytes: 0,
+      fingerprint: fingerprint("c"),
       relay: undefined,
     }, {
       route: ROUTE,
--- /dev/null
+++ b/packages/core/src/gateway/__tests__/quarantine_fixture.ts
@@ -0,0 +1,29 @@
+import type {
+  CallerDigest,
+  ContentDigest,
+  Incarnation,
+  RequestFingerprint,
+} from "../../index.ts";
+import { QuarantineController } from "../../quarantine/index.ts";
+
+/** What a request is known by. */
+export function fingerprint(
+  content: string,
+  caller = "caller",
+): RequestFingerprint {
+  return {
+    content: content as ContentDigest,
+    caller: caller as CallerDigest,
+  };
+}
+
+/** A quarantine of an entry that is alone and has seen nothing. */
+export function emptyQuarantine(): QuarantineController {
+  return new QuarantineController({
+    self: { incarnation: "i" as Incarnation },
+    endpoints: () => new Map(),
+    entries: () => ["i" as Incarnation],
+    tell: () => {},
+    log: () => {},
+  });
+}
--- a/packages/core/src/gateway/__tests__/rest.test.ts
+++ b/packages/core/src/gateway/__tests__/rest.test.ts
@@ -57,6 +57,7 @@
     holdings: { document: 1, catalogue: 1 },
     news: [],
     regions: [],
+    holds: [],
   });
   const acknowledge = (to: string, sequence: number): void =>
     handle({
--- a/packages/core/src/gateway/__tests__/work_reporter.test.ts
+++ b/packages/core/src/gateway/__tests__/work_reporter.test.ts
@@ -220,6 +220,7 @@
       seeds: [],
       period: 500,
       resting: () => false,
+      holds: () => [],
       random: { next: () => 0.5 } as never,
       send: (_to, message) => sent.push(message),
       holdings: () => ({ document: 0, catalogue: 0 }) as never,
--- a/packages/core/src/gateway/call.ts
+++ b/packages/core/src/gateway/call.ts
@@ -15,6 +15,10 @@
 import type { EndpointState } from "./endpoint_state.ts";
 import type { CallHead, CallTarget } from "./messages.ts";
 
+/** Characters of a path in a line. */
+const MOST_PATH_LENGTH = 120;
+const NO_VERSIONS: ReadonlySet<string> = new Set();
+
 /** Where a request stands. */
 export type CallPhase =
   /** Waits for a place at an endpoint. */
@@ -66,6 +70,8 @@
   rejections = 0;
   unsent = 0;
   lastEventId: string | undefined;
+  /** Software of endpoints that it must not go to. */
+  avoidedVersions: ReadonlySet<string> = NO_VERSIONS;
   /** The caller has left; the attempt goes on because its call may not be repeated. */
   orphaned = false;
 
@@ -95,6 +101,11 @@
     return this.sent + (this.head.relay?.sentBefore ?? 0);
   }
 
+  /** Its path without the query, for operators. */
+  get path(): string {
+    return this.head.target.split("?")[0]!.slice(0, MOST_PATH_LENGTH);
+  }
+
   /** Whether its objective has passed. */
   isLate(now: Instant): boolean {
     return now - this.arrivedAt > this.route.objective;
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -12,6 +12,7 @@
 import type { CallAnswer, CallTarget, GatewayEmit } from "./messages.ts";
 import { mostIdle } from "./idle_limit.ts";
 import { sharedParts } from "./placement.ts";
+import type { QuarantineController, RunEnd } from "../quarantine/index.ts";
 import type { RegionController } from "./region_controller.ts";
 import type { RepeatBudget } from "./repeat_budget.ts";
 
@@ -22,6 +23,7 @@
   readonly router: CallRouter;
   readonly budget: RepeatBudget;
   readonly cold: ColdAllowance;
+  readonly quarantine: QuarantineController;
 }
 
 /** A request with its attempt under way. */
@@ -116,6 +118,10 @@
       if (state.isCold(now)) {
         this.#tools.cold.spend(state.record.id, now);
       }
+      const { fingerprint } = call.head;
+      const { path } = call;
+      const run = { attempt: id, fingerprint, path, sentAt: now };
+      this.#tools.quarantine.began(state, run);
     }
     call.sent += attemptsOf(call, attempt);
   }
@@ -141,9 +147,31 @@
       attempt.state?.end(attempt.id, now);
       this.#calls.delete(attempt.id);
       call.attempt = undefined;
+      this.#noteEnd(call, attempt, { state, now });
     }
   }
 
+  #noteEnd(
+    { head: { fingerprint } }: Call,
+    { id, state: endpoint, sentAt, failed }: OpenAttempt,
+    { state, now }: {
+      state: "unsent" | "lost" | "refused" | "completed";
+      now: Instant;
+    },
+  ): void {
+    if (endpoint === undefined || sentAt === undefined) {
+      return;
+    }
+    const lost = state === "lost" || failed;
+    const end: RunEnd = lost
+      ? "lost"
+      : state === "completed"
+      ? "answered"
+      : "refused";
+    const run = { attempt: id, fingerprint, end };
+    this.#tools.quarantine.ended(endpoint, run, now);
+  }
+
   /** Gives up the attempt under way, if there still is one. */
   leave(call: Call, now: Instant): void {
     if (call.attempt !== undefined) {
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -31,6 +31,7 @@
   type CallHead,
   type GatewayEmit,
 } from "./messages.ts";
+import type { QuarantineController } from "../quarantine/index.ts";
 import type { RegionController } from "./region_controller.ts";
 import type { RepeatBudget } from "./repeat_budget.ts";
 
@@ -49,6 +50,7 @@
   readonly router: CallRouter;
   readonly budget: RepeatBudget;
   readonly cold: ColdAllowance;
+  readonly quarantine: QuarantineController;
   /** Entries that may be alive, this one included. */
   readonly entries: () => number;
   /** Live entries of the region, this one included. */
@@ -233,7 +235,7 @@
       this.#attempts.close(call, "completed", now);
       this.#ends.complete(call, attempt.failed, now);
     } else if (end.kind === "unsent") {
-      this.#recovery.failedToSend(call, attempt, { detail: end.detail, now });
+      this.#recovery.failedToSend(call, attempt, { ...end, now });
     } else {
       this.#recovery.lost(call, attempt, { detail: end.detail, now });
     }
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -15,6 +15,7 @@
   type GatewayEmit,
 } from "./messages.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
+import type { QuarantineController } from "../quarantine/index.ts";
 import type { RepeatBudget } from "./repeat_budget.ts";
 
 /** A repeat needs this much time left. */
@@ -43,6 +44,7 @@
   readonly router: CallRouter;
   readonly endpoints: EndpointRegistry;
   readonly budget: RepeatBudget;
+  readonly quarantine: QuarantineController;
   /** Entries that may be alive, this one included. */
   readonly entries: () => number;
   /** The request is over, and nobody is told. */
@@ -105,11 +107,18 @@
   failedToSend(
     call: Call,
     { state }: OpenAttempt,
-    { detail, now }: { detail: string; now: Instant },
+    { detail, refused, now }: {
+      detail: string;
+      refused: boolean;
+      now: Instant;
+    },
   ): void {
     if (detail !== CONNECTION_LIMIT) {
       state?.health.note("unreached", now);
     }
+    if (state !== undefined && refused) {
+      this.#tools.quarantine.refused(state);
+    }
     if (state !== undefined) {
       call.tried.add(state.record.id);
       call.unreached.add(state.record.id);
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -8,7 +8,6 @@
 import {
   type Instant,
   type Milliseconds,
-  milliseconds,
   type Randomness,
 } from "../ids/index.ts";
 import type { CatalogueSnapshot } from "../routes/index.ts";
@@ -25,8 +24,11 @@
 } from "./entry_directory.ts";
 import type { GatewayEffect, GatewayEvent, GatewaySelf } from "./messages.ts";
 import { RegionController } from "./region_controller.ts";
+import type { QuarantineController } from "../quarantine/index.ts";
+import { createQuarantine } from "./quarantine_link.ts";
 import { RepeatBudget } from "./repeat_budget.ts";
 import { ServingSet } from "./serving_set.ts";
+import { tickPause } from "./tick_pause.ts";
 import { StopController } from "./stop_controller.ts";
 import { WorkReporter } from "./work_reporter.ts";
 
@@ -34,15 +36,6 @@
 const FLEET_PERIOD_MS = 500;
 /** The loop ticks far more often; a larger gap means that the process stood still. */
 const PAUSE_MS = 1_000;
-/** Between ticks while requests are open: the grain of timeouts and of work reports. */
-const TICK_MS = 25;
-/**
- * Between ticks without any: pings and reads of the picture are late by as much. Waking was a third of
- * what an entry spent that had nothing to do.
- */
-const RESTING_TICK_MS = 250;
-/** The same while the entry gets to know the fleet: it asks as often. */
-const JOINING_TICK_MS = 100;
 /** Without a request for so long an entry that is not named stands by: lists last a second, some three. */
 const REST_AFTER_MS = 4_000;
 
@@ -59,6 +52,7 @@
   readonly #budget: RepeatBudget;
   readonly #cold: ColdAllowance;
   readonly #serving: ServingSet;
+  readonly #quarantine: QuarantineController;
   #effects: GatewayEffect[] = [];
   #lastAt: Instant;
   /** Whether it stands by: callers are not named it, and those that had been are done. */
@@ -77,7 +71,7 @@
       emit,
       random,
       now,
-      newestHolder: () => this.#newestHolder(),
+      newestHolder: () => this.fleet.newestHolder(),
       resting: () => this.#resting,
     });
     this.#endpoints = new EndpointRegistry({
@@ -103,12 +97,21 @@
       }),
       summary: (at) => this.#regions.summary(at),
       resting: () => this.#resting,
+      holds: (at) => this.#quarantine.holds.next(at),
     }, now);
     this.#serving = new ServingSet({
       self,
       fleet: this.fleet,
       regions: this.#regions,
     });
+    this.#quarantine = createQuarantine({
+      self,
+      emit,
+      catalogue: this.#catalogue,
+      fleet: this.fleet,
+      serving: this.#serving,
+      now: () => this.#lastAt,
+    });
     const cold = new ColdAllowance(self.bounds);
     this.#cold = cold;
     this.#budget = new RepeatBudget(self.bounds);
@@ -130,6 +133,7 @@
       router,
       budget: this.#budget,
       cold,
+      quarantine: this.#quarantine,
       entries: () => this.fleet.possible().length + 1,
       regionEntries: () => 1 + this.#endpoints.busyPeers(),
     });
@@ -159,12 +163,10 @@
 
   /** Time until the next tick is due, unless something happens before. */
   get tickPause(): Milliseconds {
-    if (this.#calls.active > 0) {
-      return milliseconds(TICK_MS);
-    }
-    return milliseconds(
-      this.fleet.isJoining(this.#lastAt) ? JOINING_TICK_MS : RESTING_TICK_MS,
-    );
+    return tickPause({
+      active: this.#calls.active > 0,
+      joining: this.fleet.isJoining(this.#lastAt),
+    });
   }
 
   /** The published picture in force. */
@@ -180,6 +182,11 @@
     return this.#regions;
   }
 
+  /** Requests that are held back, and endpoints that ended. */
+  get quarantine(): QuarantineController {
+    return this.#quarantine;
+  }
+
   get calls(): CallController {
     return this.#calls;
   }
@@ -277,6 +284,8 @@
         return this.#calls.ended(event.attempt, event.end, now);
       case "callerGone":
         return this.#calls.callerGone(event.request, now);
+      case "release":
+        this.#quarantine.release(event.content, now);
     }
   }
 
@@ -302,6 +311,7 @@
     this.#endpoints.expire(now);
     this.fleet.tick(now);
     this.#regions.tick(this.fleet, now);
+    this.#quarantine.tick(now);
     this.#calls.tick(now);
     this.#reporter.tick(this.#calls.takePrefixNews(), now);
     this.#stop.tick(now);
@@ -321,21 +331,15 @@
     now: Instant,
   ): void {
     this.fleet.receive(message, now);
-    if (message.kind === "work") {
+    if (message.kind === "quarantine") {
+      this.#quarantine.learn(message.news, now);
+    } else if (message.kind === "ping" || message.kind === "ack") {
+      this.#quarantine.learnHolds(message.holds, now);
+    } else if (message.kind === "work") {
       this.#endpoints.learn(message.incarnation, message.report, now);
       if (this.#resting) {
         this.#catalogue.noteOther(message.report.picture, now);
       }
     }
   }
-
-  #newestHolder():
-    | { address: string; revision: CatalogueSnapshot["revision"] }
-    | undefined {
-    const holder = this.fleet.newestHolder();
-    return holder === undefined ? undefined : {
-      address: holder.member.record.peerAddress,
-      revision: holder.holdings.catalogue,
-    };
-  }
 }
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -8,6 +8,7 @@
 import type {
   AttemptId,
   CallId,
+  ContentDigest,
   EndpointId,
   EntryId,
   Incarnation,
@@ -17,6 +18,7 @@
   Revision,
   ZoneId,
 } from "../ids/index.ts";
+import type { RequestFingerprint } from "../quarantine/index.ts";
 import type { CatalogueChanges, CatalogueSnapshot } from "../routes/index.ts";
 import type { Verdict } from "../verdict/index.ts";
 
@@ -76,6 +78,8 @@
   /** Last event that the caller has of an interrupted stream. */
   readonly lastEventId: string | undefined;
   readonly bodyBytes: number;
+  /** What it is known by when it comes again. */
+  readonly fingerprint: RequestFingerprint;
   /** `undefined` where the caller itself sent it. */
   readonly relay: RelayFacts | undefined;
 }
@@ -147,7 +151,12 @@
 /** How an attempt ended. */
 export type CallEnd =
   /** No byte of the request was written. */
-  | { readonly kind: "unsent"; readonly detail: string }
+  | {
+    readonly kind: "unsent";
+    readonly detail: string;
+    /** Whether nothing listens at the address: the process behind it has ended. */
+    readonly refused: boolean;
+  }
   /** Bytes were written, and no whole answer came. */
   | { readonly kind: "lost"; readonly detail: string }
   /** The whole answer came. */
@@ -194,7 +203,9 @@
     readonly attempt: AttemptId;
     readonly end: CallEnd;
   }
-  | { readonly kind: "callerGone"; readonly request: RequestId };
+  | { readonly kind: "callerGone"; readonly request: RequestId }
+  /** An operator ends a hold. */
+  | { readonly kind: "release"; readonly content: ContentDigest };
 
 /** Why a request is refused by an entry itself. */
 export type CallRefusalReason =
@@ -205,6 +216,8 @@
   | "rejected"
   | "deadline"
   | "endpoint_failed"
+  /** It has ended endpoints that ran it. */
+  | "held"
   | "stopping";
 
 /** A final answer of an entry itself. */
@@ -224,6 +237,7 @@
   | "fleet"
   | "call"
   | "endpoint"
+  | "quarantine"
   | "region"
   | "stop";
 
--- a/packages/core/src/ids/ids.ts
+++ b/packages/core/src/ids/ids.ts
@@ -41,6 +41,11 @@
  */
 export type EndpointLife = Branded<number, "EndpointLife">;
 
+/** Digest of what a request asks for: host, path and body. The same for each repeat of it. */
+export type ContentDigest = Branded<string, "ContentDigest">;
+/** Digest of who sends a request, as far as entries can tell. */
+export type CallerDigest = Branded<string, "CallerDigest">;
+
 /** Revision of the operators' text, counted by the configuration service. */
 export type Revision = Branded<number, "Revision">;
 /** Idempotency key as the caller sent it. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export * from "./messages/index.ts";
 export * from "./metrics/index.ts";
 export * from "./placement/index.ts";
+export * from "./quarantine/index.ts";
 export * from "./requests/index.ts";
 export * from "./routes/index.ts";
 export * from "./routing/index.ts";
--- /dev/null
+++ b/packages/core/src/quarantine/crash_ledger.ts
@@ -0,0 +1,96 @@
+/**
+ * The endpoints that ended lately and what was there, from all entries' reports.
+ *
+ * @module
+ */
+import { after, type ContentDigest, type Instant } from "../ids/index.ts";
+import { type Culprit, findCulprits, type KnownEnd } from "./crash_evidence.ts";
+import type { CrashReport } from "./crash_report.ts";
+
+/**
+ * Requests that crash endpoints may come minutes apart. An end that is older says little: whoever sends
+ * the same for so long and is answered by nobody meets the next three.
+ */
+const END_LIFETIME_MS = 300_000;
+/** Ends that are kept, and requests of each: some two megabytes when both are full. */
+const MOST_ENDS = 128;
+const MOST_VICTIMS = 256;
+/** A request lost with so many endpoints is not sent to another at once: its caller learns that it failed. */
+const ENDS_OF_SUSPECT = 2;
+
+/** Adds up ends. */
+export class CrashLedger {
+  readonly #ends = new Map<string, KnownEnd>();
+
+  /** Takes what an entry saw; several entries see the same end. */
+  add(report: CrashReport, now: Instant): void {
+    const key = `${report.endpoint} ${report.life ?? ""}`;
+    const end = this.#ends.get(key) ?? endOf(report, now);
+    for (const { content, caller, exposure } of report.victims) {
+      if (end.victims.size >= MOST_VICTIMS && !end.victims.has(content)) {
+        continue;
+      }
+      const callers = end.victims.get(content) ?? new Map();
+      callers.set(caller, Math.min(exposure, callers.get(caller) ?? Infinity));
+      end.victims.set(content, callers);
+    }
+    this.#ends.set(key, end);
+    this.#forget(now);
+  }
+
+  /** An endpoint has answered a request: what ended before did not end of it. */
+  answered(content: ContentDigest, now: Instant): void {
+    for (const { at, victims } of this.#ends.values()) {
+      if (at <= now) {
+        victims.delete(content);
+      }
+    }
+  }
+
+  /** Whether an endpoint ended under a request that no endpoint has answered since. */
+  knows(content: ContentDigest): boolean {
+    return this.endsOf(content) > 0;
+  }
+
+  /** Whether another end under it would be one too many. */
+  suspects(content: ContentDigest): boolean {
+    return this.endsOf(content) >= ENDS_OF_SUSPECT;
+  }
+
+  /** Endpoints that ended under a request since one answered it. */
+  endsOf(content: ContentDigest): number {
+    let count = 0;
+    for (const { victims } of this.#ends.values()) {
+      count += Number(victims.has(content));
+    }
+    return count;
+  }
+
+  /** Who ended what is not explained by a request that is held already. */
+  culprits(isHeld: (content: ContentDigest) => boolean): Culprit[] {
+    const open = [...this.#ends.values()].filter(({ victims }) =>
+      ![...victims.keys()].some(isHeld)
+    );
+    return findCulprits(open);
+  }
+
+  #forget(now: Instant): void {
+    for (const [key, { at }] of this.#ends) {
+      if (now - at > END_LIFETIME_MS || this.#ends.size > MOST_ENDS) {
+        this.#ends.delete(key);
+      }
+    }
+  }
+}
+
+function endOf(report: CrashReport, now: Instant): KnownEnd {
+  const { service, zone, softwareVersion, others, age } = report;
+  return {
+    service,
+    zone,
+    softwareVersion,
+    others,
+    at: after(now, -age),
+    victims: new Map(),
+  };
+}
--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -13,6 +13,15 @@
   state: "ready",
   weight: 0.324,
 };
+const hold = {
+  content: "Y2FsbGVyIGRpZ2Vz",
+  caller: "ZGlnZXN0",
+  service: "pool",
+  versions: ["v1"],
+  term: 2,
+  remaining: 1_200_000,
+  released: false,
+};
 const base = { from: record, holdings: { document: 7, catalogue: 1234 } };
 const gossip = {
   sequence: 12,
@@ -32,6 +41,25 @@
     }],
     shares: [{ region: "r2", share: 0.25 }],
   }],
+  holds: [hold],
+};
+const news = {
+  crashes: [{
+    endpoint: "i-7f3a91c2",
+    life: undefined,
+    service: "pool",
+    zone: "z1",
+    softwareVersion: "v1",
+    age: 120,
+    others: 3,
+    victims: [{
+      content: "Y2FsbGVyIGRpZ2Vz",
+      caller: "ZGlnZXN0",
+      exposure: 88,
+    }],
+  }],
+  answered: ["Y2FsbGVyIGRpZ2Vz"],
+  holds: [hold, { ...hold, caller: undefined, released: true }],
 };
 const report = {
   partial: true,
@@ -57,6 +85,7 @@
   { kind: "indirect_ack", ...base, sequence: 4 },
   { kind: "announce", ...base },
   { kind: "work", incarnation: record.incarnation, report },
+  { kind: "quarantine", incarnation: record.incarnation, news },
 ] as unknown as FleetMessage[];
 
 describe("datagrams between entries", () => {
--- a/packages/daemon/src/gateway/connections.ts
+++ b/packages/daemon/src/gateway/connections.ts
@@ -15,11 +15,19 @@
 const IDLE_MS = 8_000;
 /** And this long before the time that it tells. */
 const IDLE_MARGIN_MS = 300;
+const REFUSED = "ECONNREFUSED";
 const MAX_RESPONSE_HEADER_BYTES = 32_768;
 
 /** No connection came about: nothing was written. */
 export class ConnectError extends Error {
   override readonly name = "ConnectError";
+  /** Whether nothing listens at the address. */
+  readonly refused: boolean;
+
+  constructor(message: string, { refused = false } = {}) {
+    super(message);
+    this.refused = refused;
+  }
 }
 
 /** How a connection is wanted. */
@@ -192,9 +200,10 @@
       () => socket.destroy(new ConnectError("Connection timed out")),
       timeout,
     );
-    const fail = (error: Error): void => {
+    const fail = (error: Error & { code?: string }): void => {
       clearTimeout(timer);
-      done(new ConnectError(error.message));
+      const refused = error.code === REFUSED;
+      done(new ConnectError(error.message, { refused }));
     };
     socket.once("error", fail);
     socket.once("close", () => this.#count(address, -1));
--- a/packages/daemon/src/gateway/fleet_schema.ts
+++ b/packages/daemon/src/gateway/fleet_schema.ts
@@ -14,13 +14,13 @@
   WorkReport,
 } from "@sassafrasstep/core";
 import { z } from "zod";
-
-const MAX_ITEMS = 1_024;
-const text = z.string().max(256);
-const number = z.number();
-const whole = z.number().int().nonnegative();
-const list = <Item extends z.ZodType>(item: Item): z.ZodArray<Item> =>
-  z.array(item).max(MAX_ITEMS);
+import {
+  encodeHoldNotice,
+  encodeQuarantineNews,
+  holdNotice,
+  quarantineNews,
+} from "./quarantine_schema.ts";
+import { life, list, number, text, whole } from "./schema_parts.ts";
 
 const record = z.tuple([
   text,
@@ -76,8 +76,6 @@
 const summary = z.tuple([text, number, list(load), list(share)]).transform(
   ([region, age, loads, shares]) => ({ region, age, loads, shares }),
 );
-/** 0 stands for an endpoint that does not tell its life. */
-const life = whole.transform((value) => value === 0 ? undefined : value);
 const part = z.tuple([text, number]).transform(
   ([id, tokens]) => ({ id, tokens }),
 );
@@ -114,25 +112,33 @@
 }));
 
 const base = [record, holdings] as const;
-const probe = z.tuple([...base, whole, list(news), list(summary)]);
+const probe = z.tuple([
+  ...base,
+  whole,
+  list(news),
+  list(summary),
+  list(holdNotice),
+]);
 
 /** What follows the kind, for each kind of message. */
 const BODIES = {
-  ping: probe.transform(([from, holdings, sequence, news, regions]) => ({
+  ping: probe.transform(([from, holdings, sequence, news, regions, holds]) => ({
     kind: "ping",
     from,
     holdings,
     sequence,
     news,
     regions,
+    holds,
   })),
-  ack: probe.transform(([from, holdings, sequence, news, regions]) => ({
+  ack: probe.transform(([from, holdings, sequence, news, regions, holds]) => ({
     kind: "ack",
     from,
     holdings,
     sequence,
     news,
     regions,
+    holds,
   })),
   indirect: z.tuple([...base, whole, text]).transform(
     ([from, holdings, sequence, target]) => ({
@@ -157,6 +163,9 @@
   work: z.tuple([text, report]).transform(
     ([incarnation, report]) => ({ kind: "work", incarnation, report }),
   ),
+  quarantine: z.tuple([text, quarantineNews]).transform(
+    ([incarnation, news]) => ({ kind: "quarantine", incarnation, news }),
+  ),
 } as const;
 
 /** Reads a datagram, `undefined` where it is none of ours. */
@@ -184,6 +193,9 @@
   if (message.kind === "work") {
     return [message.incarnation, encodeReport(message.report)];
   }
+  if (message.kind === "quarantine") {
+    return [message.incarnation, encodeQuarantineNews(message.news)];
+  }
   const base = [encodeRecord(message.from), encodeHoldings(message.holdings)];
   switch (message.kind) {
     case "ping":
@@ -216,10 +228,11 @@
   return [document, catalogue];
 }
 
-function encodeGossip({ news, regions }: FleetGossip): unknown[] {
+function encodeGossip({ news, regions, holds }: FleetGossip): unknown[] {
   return [
     news.map(({ record, health }) => [encodeRecord(record), health]),
     regions.map(encodeSummary),
+    holds.map(encodeHoldNotice),
   ];
 }
 
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -232,11 +232,13 @@
   }
 
   #gauges(): Record<string, number> {
-    const { catalogue, calls, fleet } = this.#gateway;
+    const { catalogue, calls, fleet, quarantine } = this.#gateway;
     return {
       requests: calls.active,
       queued: calls.queued,
       members: fleet.live().length,
+      endpoint_ends: quarantine.ends,
+      requests_held: quarantine.holds.size,
       document_version: catalogue.document?.version ?? 0,
       store_reachable: catalogue.reachable ? 1 : 0,
       store_age_ms: Math.round(catalogueAge(catalogue, this.#now()) ?? -1),
--- a/packages/daemon/src/gateway/ingress.ts
+++ b/packages/daemon/src/gateway/ingress.ts
@@ -15,15 +15,14 @@
 import type { Socket } from "node:net";
 import type {
   CallerLimits,
-  Incarnation,
-  RelayFacts,
+  RequestFingerprint,
   RequestId,
 } from "@sassafrasstep/core";
 import { Exchange } from "./exchange.ts";
+import { FingerprintBuilder } from "./fingerprints.ts";
 import type { CallerProtocol } from "./protocol.ts";
+import { readRelay, RELAY_HEADER } from "./relay_header.ts";
 
-/** Names the entry that passes a request on, and how many endpoints may have got it. */
-export const RELAY_HEADER = "sassafrasstep-relay";
 /** Larger heads are refused; callers' own limit is lower. */
 const MAX_HEADER_BYTES = 65_536;
 /** A head that is slower than this is no caller's. */
@@ -77,9 +76,10 @@
 }
 
 function take(events: IngressEvents, arrival: Arrival): void {
-  const { message, reply } = arrival;
+  const { message, reply, relays } = arrival;
   const limit = events.limits()?.bodyBytes ?? DEFAULT_BODY_BYTES;
   const chunks: Buffer[] = [];
+  const fingerprint = relays ? undefined : new FingerprintBuilder(message);
   let size = 0;
   message.on("data", (chunk: Buffer) => {
     size += chunk.length;
@@ -89,12 +89,13 @@
       end(reply, TOO_LARGE);
     } else {
       chunks.push(chunk);
+      fingerprint?.add(chunk);
     }
   });
   message.on("end", () => {
     if (size <= limit) {
       const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-      open(events, arrival, body);
+      open(events, arrival, { body, fingerprint: fingerprint?.build() });
     }
   });
   message.on("error", () => reply.destroy());
@@ -102,12 +103,18 @@
 
 function open(
   events: IngressEvents,
-  { message, reply, relays }: Arrival,
-  body: Buffer,
+  { message, reply }: Arrival,
+  { body, fingerprint }: {
+    body: Buffer;
+    /** `undefined` for a request that an entry passes on. */
+    fingerprint: RequestFingerprint | undefined;
+  },
 ): void {
   const head = events.protocol.readHead(message);
-  const relay = relays ? readRelay(message) : undefined;
-  if (head === undefined || (relays && relay === undefined)) {
+  const facts = fingerprint === undefined
+    ? readRelay(message.headers[RELAY_HEADER])
+    : { fingerprint, relay: undefined };
+  if (head === undefined || facts === undefined) {
     end(reply, BAD_REQUEST);
     return;
   }
@@ -119,7 +126,7 @@
   });
   events.open(
     new Exchange({
-      head: { ...head, id, bodyBytes: body.length, relay },
+      head: { ...head, ...facts, id, bodyBytes: body.length },
       body,
       message,
       reply,
@@ -129,15 +136,6 @@
   );
 }
 
-function readRelay({ headers }: IncomingMessage): RelayFacts | undefined {
-  const text = headers[RELAY_HEADER];
-  const [from, sent] = typeof text === "string" ? text.split(";") : [];
-  const sentBefore = Number(sent);
-  return from === undefined || !Number.isInteger(sentBefore)
-    ? undefined
-    : { from: from as Incarnation, sentBefore };
-}
-
 /** A request that is malformed, too large or stopped short leaves the stream unusable: the connection ends. */
 function end(reply: ServerResponse, status: number): void {
   reply.writeHead(status, { connection: "close", "content-length": 0 });
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -8,6 +8,7 @@
   CallEnd,
   GatewayEffect,
   GatewayEvent,
+  Incarnation,
   Instant,
   Milliseconds,
 } from "@sassafrasstep/core";
@@ -19,7 +20,7 @@
 } from "./connections.ts";
 import { EventCutter } from "./event_cutter.ts";
 import type { Exchange } from "./exchange.ts";
-import { RELAY_HEADER } from "./ingress.ts";
+import { RELAY_HEADER, writeRelay } from "./relay_header.ts";
 import type { EndpointProtocol, RawHeaders } from "./protocol.ts";
 import { decodeHeaders, isFramed, withoutLength } from "./raw_headers.ts";
 
@@ -33,7 +34,7 @@
 
 /** What attempts work with. */
 export interface OutboundTools {
-  readonly incarnation: string;
+  readonly incarnation: Incarnation;
   readonly protocol: EndpointProtocol;
   readonly connections: Connections;
   readonly now: () => Instant;
@@ -182,7 +183,8 @@
       return;
     }
     if (result instanceof ConnectError) {
-      return this.#end({ kind: "unsent", detail: result.message });
+      const { message: detail, refused } = result;
+      return this.#end({ kind: "unsent", detail, refused });
     }
     const { id } = this.#attempt;
     const effects = this.#tools.tell({ kind: "commit", attempt: id });
@@ -208,7 +210,9 @@
       resumeAfter,
     });
     if (target.kind === "peer") {
-      headers.push(RELAY_HEADER, `${incarnation};${target.sentBefore}`);
+      const facts = { from: incarnation, sentBefore: target.sentBefore };
+      const { fingerprint } = this.#exchange.head;
+      headers.push(RELAY_HEADER, writeRelay(facts, fingerprint));
     }
     client.dispatch({
       path: this.#exchange.head.target,
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -20,7 +20,10 @@
 export type RawHeaders = string[];
 
 /** What a caller's request says, before its body. */
-export type CallerHead = Omit<CallHead, "id" | "bodyBytes" | "relay">;
+export type CallerHead = Omit<
+  CallHead,
+  "id" | "bodyBytes" | "fingerprint" | "relay"
+>;
 
 /** Requests of callers. */
 export interface CallerProtocol {
--- a/packages/daemon/src/gateway/status.ts
+++ b/packages/daemon/src/gateway/status.ts
@@ -3,7 +3,12 @@
  *
  * @module
  */
-import { catalogueAge, type Gateway, type Instant } from "@sassafrasstep/core";
+import {
+  catalogueAge,
+  type Gateway,
+  type HoldNotice,
+  type Instant,
+} from "@sassafrasstep/core";
 
 /** State of one entry. */
 export interface GatewayStatus {
@@ -21,6 +26,20 @@
   readonly members: readonly MemberLine[];
   readonly endpoints: readonly EndpointLine[];
   readonly shares: readonly { region: string; share: number }[];
+  /** Requests that go to no endpoint, as they have ended some. */
+  readonly held: readonly HeldLine[];
+}
+
+/** A request that is held back. */
+export interface HeldLine {
+  readonly digest: string;
+  /** Digest of its only caller, where it has one. */
+  readonly caller?: string | undefined;
+  readonly service: string;
+  /** Software of the endpoints that ended under it. */
+  readonly versions: readonly string[];
+  readonly term: number;
+  readonly remainingMs: number;
 }
 
 /** Another entry. */
@@ -72,5 +91,19 @@
       failureRate: state.health.failureRate,
     })),
     shares: regions.shares.map(({ region, share }) => ({ region, share })),
+    held: gateway.quarantine.holds.list(now).map(heldLine),
+  };
+}
+
+function heldLine(
+  { content, caller, service, versions, term, remaining }: HoldNotice,
+): HeldLine {
+  return {
+    digest: content,
+    caller,
+    service,
+    versions,
+    term,
+    remainingMs: Math.round(remaining),
   };
 }
--- a/playground/src/load/load_caller.ts
+++ b/playground/src/load/load_caller.ts
@@ -13,7 +13,7 @@
   sample,
   type ZoneId,
 } from "@sassafrasstep/core";
-import type { RouteWorld } from "../routes/route_world.ts";
+import { fingerprintOf, type RouteWorld } from "../routes/route_world.ts";
 import type { VirtualGateway } from "../routes/virtual_gateway.ts";
 import type { DrawnRequest, LoadEnd, LoadOutcome } from "./load_types.ts";
 
@@ -222,6 +222,7 @@
       prompt: drawn.prompt,
       lastEventId: undefined,
       bodyBytes: 0,
+      fingerprint: fingerprintOf(name, this.#attempt.drawn.kind.name),
       relay: undefined,
     }, {
       head: (answer) => back(() => this.#head(answer)),
--- a/playground/src/routes/route_world.ts
+++ b/playground/src/routes/route_world.ts
@@ -5,9 +5,11 @@
  */
 import {
   type CallAnswer,
+  type CallerDigest,
   type CallId,
   type CallTarget,
   type CatalogueSnapshot,
+  type ContentDigest,
   type EntryId,
   type FleetMessage,
   type GatewayBounds,
@@ -15,6 +17,7 @@
   instant,
   milliseconds,
   type RegionId,
+  type RequestFingerprint,
   type RequestId,
   SeededRandomness,
   type ZoneId,
@@ -123,6 +126,7 @@
       prompt: plan.prompt,
       lastEventId: undefined,
       bodyBytes: 0,
+      fingerprint: fingerprintOf(plan.body, plan.caller),
       relay: undefined,
     }, this.#callerOf(seen));
   }
@@ -336,6 +340,14 @@
   }
 }
 
+/** What a request is known by. */
+export function fingerprintOf(
+  body: string,
+  caller: string,
+): RequestFingerprint {
+  return { content: body as ContentDigest, caller: caller as CallerDigest };
+}
+
 /** Address of a backend: those of the same name before the slash share it. */
 export function addressOf({ name }: FakeBackend): string {
   return `${name.split("/")[0]}:70`;
--- a/playground/src/routes/virtual_gateway.ts
+++ b/playground/src/routes/virtual_gateway.ts
@@ -273,7 +273,11 @@
       if (reaches === "yes") {
         this.#commit(open);
       } else {
-        this.#end(attempt.id, { kind: "unsent", detail: "No connection" });
+        this.#end(attempt.id, {
+          kind: "unsent",
+          detail: "No connection",
+          refused: reaches === "refused",
+        });
       }
     });
   }
--- a/playground/src/slopes/probe_fleet.ts
+++ b/playground/src/slopes/probe_fleet.ts
@@ -157,6 +157,7 @@
       seeds: ["n0:90", "n1:90", "n2:90"],
       period: PERIOD_MS,
       resting: () => false,
+      holds: () => [],
       random: new SeededRandomness(index + 1),
       send: (to, message) => this.#send({ from: region, to, message }),
       holdings: () => ({ document: 1 as Revision, catalogue: 1 as Revision }),
