fix: a request that crashes what runs it is held back, by all entries together

Cause: attempts, the budget of repeats and the trials of suspects each bound one request, one entry or one endpoint. A request that ends its endpoint and comes again, with another id and at another entry, is new to all of them; its entry sent it to a second endpoint besides.

Change: entries add up the ends that they tell each other. A request that was at two ends since an endpoint last answered it is not repeated by the entry that sent it; from three on one copy at a time is tried, and the others wait for its outcome; if that ends an endpoint too, and chance and other requests do not explain the ends, it is held: refused at once with 503 and the time until it may be tried again, or 502 where this try has run. A hold lasts ten minutes, doubles with each end after it, is tried earlier on software that it has not ended, by one entry, and is over when an endpoint answers it. Pings carry holds, so that who starts anew or was cut off learns of them. A lost connection has the entry look once whether the port is closed: the end is known after milliseconds instead of three seconds.

--- a/packages/core/src/gateway/__tests__/quarantine_fixture.ts
+++ b/packages/core/src/gateway/__tests__/quarantine_fixture.ts
@@ -23,6 +23,7 @@
     self: { incarnation: "i" as Incarnation },
     endpoints: () => new Map(),
     entries: () => ["i" as Incarnation],
+    knock: () => {},
     tell: () => {},
     log: () => {},
   });
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -121,7 +121,7 @@
       const { fingerprint } = call.head;
       const { path } = call;
       const run = { attempt: id, fingerprint, path, sentAt: now };
-      this.#tools.quarantine.began(state, run);
+      this.#tools.quarantine.began(state, run, call.head.id);
     }
     call.sent += attemptsOf(call, attempt);
   }
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -165,6 +165,9 @@
       this.#placer.place(call, now);
       return;
     }
+    if (!this.#placer.maySend(call, now)) {
+      return;
+    }
     this.#attempts.noteSent(call, attempt, now);
     this.#tools.emit({
       kind: "proceed",
--- a/packages/core/src/gateway/call_ends.ts
+++ b/packages/core/src/gateway/call_ends.ts
@@ -84,7 +84,10 @@
     const refusal = refuse(reason, {
       verdict,
       offered: call.offered,
-      retryAfter: this.#spread(Math.max(LATER_MS, wait ?? 0)),
+      // A held request is of no use before its time, however many callers send it.
+      retryAfter: reason === "held" && wait !== undefined
+        ? wait
+        : this.#spread(Math.max(LATER_MS, wait ?? 0)),
     });
     this.log("Request is refused.", call, {
       reason,
--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -3,7 +3,12 @@
  *
  * @module
  */
-import { type Instant, milliseconds } from "../ids/index.ts";
+import {
+  type Instant,
+  milliseconds,
+  type RequestId,
+  type ServiceId,
+} from "../ids/index.ts";
 import type { Call } from "./call.ts";
 import type { CallAttempts } from "./call_attempts.ts";
 import type { CallEnds } from "./call_ends.ts";
@@ -12,6 +17,10 @@
 import type { EndpointRegistry } from "./endpoint_registry.ts";
 import { isShort } from "./placement.ts";
 import { DEFAULT_PREFILL_RATE } from "./prompt_cost.ts";
+import type {
+  QuarantineController,
+  RequestFingerprint,
+} from "../quarantine/index.ts";
 import type { RegionController } from "./region_controller.ts";
 
 /** A request with less time than this is not worth a send. */
@@ -25,6 +34,8 @@
 const WAIT_PART = 0.4;
 const MOST_WAIT_MS = 2_500;
 
+const NONE: ReadonlySet<string> = new Set();
+
 /** What the placer works with. */
 export interface PlacerTools {
   readonly attempts: CallAttempts;
@@ -32,6 +43,7 @@
   readonly router: CallRouter;
   readonly endpoints: EndpointRegistry;
   readonly regions: RegionController;
+  readonly quarantine: QuarantineController;
   /** Entries of the region that carry requests, this one included. */
   readonly regionEntries: () => number;
 }
@@ -50,6 +62,9 @@
     if (call.attempts >= MOST_ATTEMPTS || call.endsAt - now < LEAST_TIME_MS) {
       return this.#tools.ends.fail(call, "no_endpoint", now);
     }
+    if (this.#judge(call, now) !== "free") {
+      return;
+    }
     const wait = this.#expectedWait(call);
     const way = this.#tools.router.next(call, wait, now);
     if (way.kind === "wait") {
@@ -69,6 +84,9 @@
     const blocked = new Set<string>();
     const { readPart } = this.#tools.regions;
     for (const call of this.queue.ordered(readPart, now)) {
+      if (this.#judge(call, now) !== "free") {
+        continue;
+      }
       const { route, services, head } = call;
       const kind = `${services[0]} ${route.priority} ${isShort(head.prompt)}`;
       if (blocked.has(kind)) {
@@ -85,6 +103,17 @@
     }
   }
 
+  /** Whether a request whose connection stands may be written: it may be held back since it was placed. */
+  maySend(call: Call, now: Instant): boolean {
+    const { kind } = this.#tools.quarantine.judge(subjectOf(call), now);
+    if (kind === "held" || kind === "wait") {
+      this.#tools.attempts.close(call, "unsent", now);
+      this.#judge(call, now);
+      return false;
+    }
+    return true;
+  }
+
   /** Waiting on would end in a refusal too, only later: the caller learns it while it can still act. */
   waitedTooLong(call: Call, now: Instant): boolean {
     const time = call.endsAt - call.arrivedAt;
@@ -92,6 +121,34 @@
       now - call.arrivedAt > waitLimit(time);
   }
 
+  /**
+   * Ends a request that is held back, with word that there is no use in asking again soon; sent on, it
+   * would end the next endpoint and lose all that runs there. One that is tried elsewhere just now waits.
+   */
+  #judge(call: Call, now: Instant): "free" | "over" | "waits" {
+    const verdict = this.#tools.quarantine.judge(subjectOf(call), now);
+    switch (verdict.kind) {
+      case "held":
+        this.#tools.ends.fail(call, "held", now, verdict.wait);
+        return "over";
+      case "wait":
+        return this.#awaitTrial(call, now);
+      default:
+        call.avoidedVersions = verdict.kind === "trial" ? verdict.except : NONE;
+        return "free";
+    }
+  }
+
+  #awaitTrial(call: Call, now: Instant): "over" | "waits" {
+    if (call.phase === "answering") {
+      this.#tools.ends.fail(call, "endpoint_failed", now);
+      return "over";
+    }
+    call.phase = "waiting";
+    this.queue.add(call);
+    return "waits";
+  }
+
   #take(call: Call, way: Exclude<Way, { kind: "wait" }>, now: Instant): void {
     switch (way.kind) {
       case "endpoint":
@@ -133,3 +190,11 @@
 function waitLimit(time: number): number {
   return Math.min(MOST_WAIT_MS, time * WAIT_PART);
 }
+
+function subjectOf({ head: { id, fingerprint }, services }: Call): {
+  id: RequestId;
+  fingerprint: RequestFingerprint;
+  services: readonly ServiceId[];
+} {
+  return { id, fingerprint, services };
+}
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -117,7 +117,7 @@
       state?.health.note("unreached", now);
     }
     if (state !== undefined && refused) {
-      this.#tools.quarantine.refused(state);
+      this.#tools.quarantine.refused(state.record, now);
     }
     if (state !== undefined) {
       call.tried.add(state.record.id);
@@ -140,6 +140,9 @@
   ): void {
     state?.health.note("broken", now);
     this.#tools.attempts.close(call, "lost", now);
+    if (state !== undefined) {
+      this.#tools.quarantine.broken(state, now);
+    }
     this.#tools.ends.log("Attempt was lost.", call, { detail });
     if (call.orphaned) {
       return this.#tools.forget(call);
@@ -199,7 +202,8 @@
   /** Takes a repeat of the budget, if there is another endpoint to send to. */
   canTryElsewhere(call: Call, now: Instant): boolean {
     const allowed = call.endsAt - now >= LEAST_REPEAT_TIME_MS &&
-      call.arrivals < call.route.attempts && call.attempts < MOST_ATTEMPTS;
+      call.arrivals < call.route.attempts && call.attempts < MOST_ATTEMPTS &&
+      !this.#tools.quarantine.deniesRepeat(call.head.fingerprint);
     const way = allowed ? this.#tools.router.next(call, 0, now) : undefined;
     const possible = way?.kind === "endpoint" || way?.kind === "peer";
     return possible && this.#spendRepeat(call, now);
--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -201,7 +201,8 @@
     let busy: Placement = { kind: "none" };
     for (const service of call.services) {
       const usable = endpoints.of(service).filter((state) =>
-        endpoints.accepts(state, now) && this.#coldAllows(state, now)
+        endpoints.accepts(state, now) && this.#coldAllows(state, now) &&
+        !call.avoidedVersions.has(state.record.softwareVersion)
       );
       const fresh = untried(call, usable);
       const holder = findHolder(prompt, usable);
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -284,6 +284,10 @@
         return this.#calls.ended(event.attempt, event.end, now);
       case "callerGone":
         return this.#calls.callerGone(event.request, now);
+      case "portClosed": {
+        const { endpoint: id, life } = event;
+        return this.#quarantine.refused({ id, life }, now);
+      }
       case "release":
         this.#quarantine.release(event.content, now);
     }
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -10,6 +10,7 @@
   CallId,
   ContentDigest,
   EndpointId,
+  EndpointLife,
   EntryId,
   Incarnation,
   Milliseconds,
@@ -204,6 +205,12 @@
     readonly end: CallEnd;
   }
   | { readonly kind: "callerGone"; readonly request: RequestId }
+  /** Nothing listens at the address of an endpoint that was knocked at. */
+  | {
+    readonly kind: "portClosed";
+    readonly endpoint: EndpointId;
+    readonly life: EndpointLife | undefined;
+  }
   /** An operator ends a hold. */
   | { readonly kind: "release"; readonly content: ContentDigest };
 
@@ -251,6 +258,13 @@
     readonly timeLeft: Milliseconds;
   }
   | { readonly kind: "abort"; readonly attempt: AttemptId }
+  /** Connect to an address and close at once; tell if nothing listens there. */
+  | {
+    readonly kind: "knock";
+    readonly endpoint: EndpointId;
+    readonly life: EndpointLife | undefined;
+    readonly address: string;
+  }
   /** Answer to `answered`: pass the answer on to the caller. */
   | { readonly kind: "forward"; readonly attempt: AttemptId }
   /** Answer to `answered`: its events go on where the former attempt broke off. */
--- a/packages/core/src/gateway/quarantine_link.ts
+++ b/packages/core/src/gateway/quarantine_link.ts
@@ -37,6 +37,8 @@
   return new QuarantineController({
     self,
     tell,
+    knock: ({ id, life, address }) =>
+      emit({ kind: "knock", endpoint: id, life, address }),
     endpoints: () => catalogue.endpoints,
     entries: () => [
       self.incarnation,
--- a/packages/core/src/quarantine/crash_evidence.ts
+++ b/packages/core/src/quarantine/crash_evidence.ts
@@ -21,6 +21,8 @@
   readonly others: number;
   /** For each request there, by caller: milliseconds from its sending to the end. */
   readonly victims: Map<ContentDigest, Map<CallerDigest, number>>;
+  /** Those of them that were sent by themselves, as they had been at several ends. */
+  readonly trials: Set<ContentDigest>;
 }
 
 /** A request that ends endpoints. */
@@ -63,14 +65,15 @@
  * A crash of an endpoint's own, a lost zone or a killed rack ends endpoints under good requests as well. A
  * request is told from its neighbours by three things: how likely it was that its endpoint would end in
  * the time that it was there, by the ends around it in the zone; that this happened three times and more,
- * and it was never answered; and that no other request was at the same ends. See the module's tests for
- * how often that is wrong.
+ * the last time when it was tried by itself, and it was never answered; and that no other request was at
+ * the same ends. See the tests of the quarantine's trials for how often that is wrong.
  */
 export function findCulprits(ends: readonly KnownEnd[]): Culprit[] {
   const culprits: Culprit[] = [];
   let left = ends;
   for (;;) {
     const [surest] = suspectsOf(left)
+      .filter(wasTried)
       .filter((suspect) => suspect.score >= LEAST_SCORE && isUnique(suspect))
       .sort((one, other) => other.score - one.score);
     if (surest === undefined) {
@@ -121,6 +124,11 @@
   });
 }
 
+/** Ends of a burst may be chance; one under a trial that came after them is not. */
+function wasTried({ content, ends }: Suspect): boolean {
+  return ends.some(({ end }) => end.trials.has(content));
+}
+
 /** What ends say against a request; those in the same moment say it once. */
 function scoreOf(ends: readonly WeighedEnd[]): number {
   let score = 0;
--- a/packages/core/src/quarantine/crash_ledger.ts
+++ b/packages/core/src/quarantine/crash_ledger.ts
@@ -4,7 +4,12 @@
  * @module
  */
 import { after, type ContentDigest, type Instant } from "../ids/index.ts";
-import { type Culprit, findCulprits, type KnownEnd } from "./crash_evidence.ts";
+import {
+  type Culprit,
+  findCulprits,
+  type KnownEnd,
+  LEAST_ENDS,
+} from "./crash_evidence.ts";
 import type { CrashReport } from "./crash_report.ts";
 
 /**
@@ -16,7 +21,7 @@
 const MOST_ENDS = 128;
 const MOST_VICTIMS = 256;
 /** A request lost with so many endpoints is not sent to another at once: its caller learns that it failed. */
-const ENDS_OF_SUSPECT = 2;
+const ENDS_WITHOUT_REPEAT = 2;
 
 /** Adds up ends. */
 export class CrashLedger {
@@ -26,10 +31,13 @@
   add(report: CrashReport, now: Instant): void {
     const key = `${report.endpoint} ${report.life ?? ""}`;
     const end = this.#ends.get(key) ?? endOf(report, now);
-    for (const { content, caller, exposure } of report.victims) {
+    for (const { content, caller, exposure, trial } of report.victims) {
       if (end.victims.size >= MOST_VICTIMS && !end.victims.has(content)) {
         continue;
       }
+      if (trial) {
+        end.trials.add(content);
+      }
       const callers = end.victims.get(content) ?? new Map();
       callers.set(caller, Math.min(exposure, callers.get(caller) ?? Infinity));
       end.victims.set(content, callers);
@@ -52,9 +60,14 @@
     return this.endsOf(content) > 0;
   }
 
-  /** Whether another end under it would be one too many. */
+  /** Whether a request that is lost again is not to be repeated by the entry that sent it. */
+  deniesRepeat(content: ContentDigest): boolean {
+    return this.endsOf(content) >= ENDS_WITHOUT_REPEAT;
+  }
+
+  /** Whether a request was at so many ends that it is tried by itself. */
   suspects(content: ContentDigest): boolean {
-    return this.endsOf(content) >= ENDS_OF_SUSPECT;
+    return this.endsOf(content) >= LEAST_ENDS;
   }
 
   /** Endpoints that ended under a request since one answered it. */
@@ -92,5 +105,6 @@
     others,
     at: after(now, -age),
     victims: new Map(),
+    trials: new Set(),
   };
 }
--- a/packages/core/src/quarantine/crash_report.ts
+++ b/packages/core/src/quarantine/crash_report.ts
@@ -17,6 +17,8 @@
 export interface CrashVictim extends RequestFingerprint {
   /** From its sending to the end. */
   readonly exposure: Milliseconds;
+  /** Whether it was sent by itself, as it had been at several ends. */
+  readonly trial: boolean;
 }
 
 /** The end of one life of an endpoint, as one entry saw it. */
@@ -54,5 +56,7 @@
   readonly crashes: readonly CrashReport[];
   /** Requests known from crashes that an endpoint has answered since. */
   readonly answered: readonly ContentDigest[];
+  /** Requests that were at several ends and that this entry now tries, one at a time. */
+  readonly tried: readonly ContentDigest[];
   readonly holds: readonly HoldNotice[];
 }
--- a/packages/core/src/quarantine/crash_watch.ts
+++ b/packages/core/src/quarantine/crash_watch.ts
@@ -16,6 +16,8 @@
 const STRAGGLER_MS = 100;
 /** An attempt from whose endpoint nothing was heard for so long is lost with it, closed or not. */
 const SILENT_MS = 1_000;
+/** All connections to an endpoint that ended break at once: one look at its port is enough for them. */
+const KNOCK_PAUSE_MS = 500;
 /** Endpoints that ended, remembered so that what is lost there a moment later counts with them. */
 const ENDED_MEMORY_MS = 10_000;
 
@@ -33,6 +35,8 @@
   /** Path without its query, for operators. */
   readonly path: string;
   readonly sentAt: Instant;
+  /** Whether it was sent by itself, as it had been at several ends. */
+  readonly trial: boolean;
 }
 
 /** A request that was at an endpoint when that ended. */
@@ -54,6 +58,7 @@
   /** Nothing listens at its address any more. */
   refused: boolean;
   endedAt: Instant | undefined;
+  knockedAt: Instant | undefined;
 }
 
 /**
@@ -95,9 +100,21 @@
     }
   }
 
-  /** Nothing listens at an endpoint's address. */
-  refused(endpoint: WatchedEndpoint): void {
+  /** Whether to see, after a loss, if something still listens at an endpoint's address. */
+  isToKnock(endpoint: WatchedEndpoint, now: Instant): boolean {
     const watched = this.#watched.get(keyOf(endpoint.record));
+    const due = watched !== undefined && watched.lost.length > 0 &&
+      watched.endedAt === undefined &&
+      now - (watched.knockedAt ?? -Infinity) >= KNOCK_PAUSE_MS;
+    if (due) {
+      watched.knockedAt = now;
+    }
+    return due;
+  }
+
+  /** Nothing listens at an endpoint's address. */
+  refused(endpoint: Pick<EndpointRecord, "id" | "life">): void {
+    const watched = this.#watched.get(keyOf(endpoint));
     if (watched !== undefined) {
       watched.refused = true;
     }
@@ -143,6 +160,7 @@
       lost: [],
       refused: false,
       endedAt: undefined,
+      knockedAt: undefined,
     };
     this.#watched.set(key, watched);
     return watched;
--- a/packages/core/src/quarantine/quarantine_controller.ts
+++ b/packages/core/src/quarantine/quarantine_controller.ts
@@ -16,6 +16,7 @@
   type Instant,
   milliseconds,
   rendezvous,
+  type RequestId,
 } from "../ids/index.ts";
 import type { EndpointRecord } from "../routes/index.ts";
 import type { Culprit } from "./crash_evidence.ts";
@@ -33,6 +34,7 @@
 } from "./crash_watch.ts";
 import type { RequestFingerprint } from "./fingerprint.ts";
 import { HoldList, type HoldVerdict } from "./hold_list.ts";
+import { OpenTrials } from "./open_trials.ts";
 import { endFields, holdLine } from "./quarantine_lines.ts";
 import { ServedMemory } from "./served_memory.ts";
 
@@ -40,7 +42,12 @@
 const MOST_VICTIMS = 128;
 /** Requests in one datagram: it stays under 1,400 bytes. */
 const VICTIMS_PER_MESSAGE = 30;
-const NOTHING_NEW: QuarantineNews = { crashes: [], answered: [], holds: [] };
+const NOTHING_NEW: QuarantineNews = {
+  crashes: [],
+  answered: [],
+  tried: [],
+  holds: [],
+};
 
 /** What the controller works with. */
 export interface QuarantineSources {
@@ -49,6 +56,8 @@
   readonly endpoints: () => ReadonlyMap<EndpointRecord["id"], EndpointRecord>;
   /** Entries that are alive, this one included. */
   readonly entries: () => readonly Incarnation[];
+  /** Has the shell see whether something listens at an endpoint's address. */
+  readonly knock: (record: EndpointRecord) => void;
   /** Tells the entries that carry requests, or all. */
   readonly tell: (news: QuarantineNews, to: "carriers" | "all") => void;
   readonly log: (
@@ -58,6 +67,12 @@
   ) => void;
 }
 
+/** What becomes of a request. */
+export type QuarantineVerdict =
+  | HoldVerdict
+  /** Another copy of it is tried; its outcome is known soon. */
+  | { readonly kind: "wait" };
+
 /** How a request at an endpoint ended. */
 export type RunEnd =
   /** The endpoint answered it. */
@@ -73,6 +88,7 @@
   readonly #watch: CrashWatch;
   readonly #ledger = new CrashLedger();
   readonly #holds = new HoldList();
+  readonly #trials = new OpenTrials();
   readonly #served = new ServedMemory();
   #answered: ContentDigest[] = [];
   /** Ends of endpoints that this entry lost requests with. */
@@ -92,25 +108,47 @@
 
   /** Whether a request may go to an endpoint of some services. */
   judge(
-    fingerprint: RequestFingerprint,
-    services: readonly EndpointRecord["service"][],
+    { id, fingerprint, services }: {
+      id: RequestId;
+      fingerprint: RequestFingerprint;
+      services: readonly EndpointRecord["service"][];
+    },
     now: Instant,
-  ): HoldVerdict {
-    return this.#holds.judge(fingerprint, {
-      mayTry: () => this.#triesOf(fingerprint.content),
+  ): QuarantineVerdict {
+    const { content } = fingerprint;
+    const verdict = this.#holds.judge(fingerprint, {
+      mayTry: () => this.#triesOf(content),
       versions: () => this.#versionsOf(services),
     }, now);
+    if (verdict.kind !== "free" || !this.#ledger.suspects(content)) {
+      return verdict;
+    }
+    const ends = this.#ledger.endsOf(content);
+    return this.#trials.blocks(content, { request: id, ends }, now)
+      ? { kind: "wait" }
+      : verdict;
   }
 
   /** Whether a request that was lost with its endpoint is not to be sent to another one by this entry. */
-  isSuspect({ content }: RequestFingerprint): boolean {
-    return this.#holds.has(content) || this.#ledger.suspects(content);
+  deniesRepeat({ content }: RequestFingerprint): boolean {
+    return this.#holds.has(content) || this.#ledger.deniesRepeat(content);
   }
 
   /** A request is written to an endpoint. */
-  began(endpoint: WatchedEndpoint, run: WatchedRun): void {
-    this.#watch.began(endpoint, run);
-    this.#holds.noteTrial(run.fingerprint.content, run.sentAt);
+  began(
+    endpoint: WatchedEndpoint,
+    run: Omit<WatchedRun, "trial">,
+    request: RequestId,
+  ): void {
+    const { fingerprint: { content }, sentAt } = run;
+    const trial = this.#ledger.suspects(content);
+    this.#watch.began(endpoint, { ...run, trial });
+    this.#holds.noteTrial(content, sentAt);
+    if (trial) {
+      const ends = this.#ledger.endsOf(content);
+      this.#trials.begin(content, { request, ends }, sentAt);
+      this.#sources.tell({ ...NOTHING_NEW, tried: [content] }, "carriers");
+    }
   }
 
   /** A request's time at an endpoint is over. */
@@ -132,15 +170,30 @@
     }
   }
 
+  /** A connection to an endpoint broke: whether its process ended shows at once where its port is closed. */
+  broken(endpoint: WatchedEndpoint, now: Instant): void {
+    if (this.#watch.isToKnock(endpoint, now)) {
+      this.#sources.knock(endpoint.record);
+    }
+  }
+
   /** Nothing listens at an endpoint's address. */
-  refused(endpoint: WatchedEndpoint): void {
+  refused(
+    endpoint: Pick<EndpointRecord, "id" | "life">,
+    now: Instant,
+  ): void {
     this.#watch.refused(endpoint);
+    this.#reportEnds(now);
   }
 
   /** Takes a peer's news. */
   learn(news: QuarantineNews, now: Instant): void {
     news.answered.forEach((content) => this.#clear(content, now));
     this.learnHolds(news.holds, now);
+    for (const content of news.tried) {
+      const ends = this.#ledger.endsOf(content);
+      this.#trials.begin(content, { request: undefined, ends }, now);
+    }
     for (const report of news.crashes) {
       this.#watch.told({ id: report.endpoint, life: report.life }, now);
       this.#add(report, now);
@@ -163,7 +216,8 @@
   }
 
   tick(now: Instant): void {
-    this.#watch.takeEnded(now).forEach((ended) => this.#report(ended, now));
+    this.#reportEnds(now);
+    this.#trials.forget(now);
     if (this.#answered.length > 0) {
       const answered = this.#answered.splice(0, VICTIMS_PER_MESSAGE);
       this.#sources.tell({ ...NOTHING_NEW, answered }, "carriers");
@@ -176,6 +230,10 @@
     );
   }
 
+  #reportEnds(now: Instant): void {
+    this.#watch.takeEnded(now).forEach((ended) => this.#report(ended, now));
+  }
+
   /** One entry tries a held request again, so that trials do not add up either. */
   #triesOf(content: ContentDigest): boolean {
     const [first] = rendezvous(
@@ -249,8 +307,9 @@
     this.#sources.log("endpoint", "Endpoint has ended.", fields);
     const victims = runs
       .filter(({ fingerprint }) => !this.#served.has(fingerprint.content, now))
-      .map(({ fingerprint, sentAt, lostAt }) => ({
+      .map(({ fingerprint, sentAt, lostAt, trial }) => ({
         ...fingerprint,
+        trial,
         exposure: milliseconds(Math.round(lostAt - sentAt)),
       }))
       .sort((left, right) => left.exposure - right.exposure)
--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -56,9 +56,11 @@
       content: "Y2FsbGVyIGRpZ2Vz",
       caller: "ZGlnZXN0",
       exposure: 88,
+      trial: true,
     }],
   }],
   answered: ["Y2FsbGVyIGRpZ2Vz"],
+  tried: ["Y2FsbGVyIGRpZ2Vz"],
   holds: [hold, { ...hold, caller: undefined, released: true }],
 };
 const report = {
--- a/packages/daemon/src/gateway/connections.ts
+++ b/packages/daemon/src/gateway/connections.ts
@@ -142,6 +142,24 @@
     this.#connect(wish, now, done);
   }
 
+  /** Connects and closes at once; `closed` is called if nothing listens there. */
+  knock(address: string, closed: () => void): void {
+    const colon = address.lastIndexOf(":");
+    const socket = connect({
+      host: address.slice(0, colon),
+      port: Number(address.slice(colon + 1)),
+    });
+    this.opened++;
+    const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
+    socket.once("close", () => clearTimeout(timer));
+    socket.once("connect", () => socket.destroy());
+    socket.on("error", ({ code }: Error & { code?: string }) => {
+      if (code === REFUSED) {
+        closed();
+      }
+    });
+  }
+
   /** Gives a connection back after a whole answer. */
   giveBack(connection: Connection, now: Instant): void {
     if (connection.failed) {
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -255,6 +255,8 @@
         return this.#send(effect.attempt);
       case "abort":
         return this.#attempts.get(effect.attempt)?.abort();
+      case "knock":
+        return this.#knock(effect);
       case "refuse":
         return this.#close(effect.request, (exchange) => {
           exchange.refuse(effect.refusal);
@@ -297,6 +299,15 @@
     outbound.start();
   }
 
+  #knock(
+    { endpoint, life, address }: Extract<GatewayEffect, { kind: "knock" }>,
+  ): void {
+    this.#connections.knock(
+      address,
+      () => this.#tell({ kind: "portClosed", endpoint, life }),
+    );
+  }
+
   #close(request: RequestId, end: (exchange: Exchange) => void): void {
     const call = this.#calls.get(request);
     this.#calls.delete(request);
--- a/packages/daemon/src/gateway/quarantine_schema.ts
+++ b/packages/daemon/src/gateway/quarantine_schema.ts
@@ -7,8 +7,13 @@
 import { z } from "zod";
 import { life, list, number, text, whole } from "./schema_parts.ts";
 
-const victim = z.tuple([text, text, number]).transform(
-  ([content, caller, exposure]) => ({ content, caller, exposure }),
+const victim = z.tuple([text, text, number, z.boolean()]).transform(
+  ([content, caller, exposure, trial]) => ({
+    content,
+    caller,
+    exposure,
+    trial,
+  }),
 );
 const crash = z.tuple([
   text,
@@ -57,8 +62,14 @@
 export const quarantineNews = z.tuple([
   list(crash),
   list(text),
+  list(text),
   list(holdNotice),
-]).transform(([crashes, answered, holds]) => ({ crashes, answered, holds }));
+]).transform(([crashes, answered, tried, holds]) => ({
+  crashes,
+  answered,
+  tried,
+  holds,
+}));
 
 /** Writes a notice. */
 export function encodeHoldNotice(notice: HoldNotice): unknown[] {
@@ -75,7 +86,7 @@
 
 /** Writes news. */
 export function encodeQuarantineNews(
-  { crashes, answered, holds }: QuarantineNews,
+  { crashes, answered, tried, holds }: QuarantineNews,
 ): unknown[] {
   return [
     crashes.map((report) => [
@@ -87,10 +98,11 @@
       report.age,
       report.others,
       report.victims.map((
-        { content, caller, exposure },
-      ) => [content, caller, exposure]),
+        { content, caller, exposure, trial },
+      ) => [content, caller, exposure, trial]),
     ]),
     answered,
+    tried,
     holds.map(encodeHoldNotice),
   ];
 }
--- a/playground/src/routes/route_world.ts
+++ b/playground/src/routes/route_world.ts
@@ -199,6 +199,13 @@
     return backend.mode === "refuse" ? "refused" : "yes";
   }
 
+  /** Whether an entry learns that nothing listens at an endpoint's address. */
+  isClosed(from: VirtualGateway, address: string): boolean {
+    const backend = this.backendAt(address);
+    return backend?.mode === "refuse" &&
+      this.network.reaches(from.spot, backend.spot);
+  }
+
   toBackend({ target, head, resumeAfter, recipient }: ToBackend): () => void {
     const backend = this.backendAt(target.address)!;
     if (backend.id !== target.endpoint) {
--- a/playground/src/routes/virtual_gateway.ts
+++ b/playground/src/routes/virtual_gateway.ts
@@ -198,6 +198,8 @@
         this.#attempts.get(effect.attempt)?.cancel?.();
         this.#attempts.delete(effect.attempt);
         return;
+      case "knock":
+        return this.#knock(effect);
       case "refuse":
         return this.#refuse(effect);
       case "breakOff":
@@ -216,6 +218,16 @@
     }
   }
 
+  #knock(
+    { endpoint, life, address }: Extract<GatewayEffect, { kind: "knock" }>,
+  ): void {
+    this.#world.time.after(CONNECT_MS, () => {
+      if (this.#world.isClosed(this, address)) {
+        this.tell({ kind: "portClosed", endpoint, life });
+      }
+    });
+  }
+
   #read(effect: Extract<GatewayEffect, { kind: "readCatalogue" }>): void {
     const life = this.#life;
     let open = true;
