fix: popular requests and neighbours of a crashing one are not held; holds know software

Cause: drawn trials of good requests that callers repeat beside endpoints that end showed three faults of the first rule. The copy of a request that was there for the shortest time counted, so that a popular body with a copy at each endpoint looked quick; many weak ends added up; and what was at every end stood in the way of holding the one that caused them. Also, an answer on mended software ended the hold for the software that still crashes, and the one entry that tries was often one that no caller reaches.

Change: the copy counts that was there for longest; an end that one in seven bystanders would have met says nothing, and such a bystander explains nothing; trials begin at the second end, so that the third may tell. A hold goes on for the software that it was about. The entry that tries is one that carries requests where there are endpoints to try it on. Holds spread by five entries a hop, not from each to all. The first hold lasts two minutes. A failed answer has the entry look at the port as well.

The scenarios' check counts sends by entries that ran for six seconds, as only these can know.

--- a/packages/core/src/gateway/__tests__/quarantine_fixture.ts
+++ b/packages/core/src/gateway/__tests__/quarantine_fixture.ts
@@ -22,7 +22,7 @@
   return new QuarantineController({
     self: { incarnation: "i" as Incarnation },
     endpoints: () => new Map(),
-    entries: () => ["i" as Incarnation],
+    carriers: () => ["i" as Incarnation],
     knock: () => {},
     tell: () => {},
     log: () => {},
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -170,6 +170,9 @@
       : "refused";
     const run = { attempt: id, fingerprint, end };
     this.#tools.quarantine.ended(endpoint, run, now);
+    if (failed) {
+      this.#tools.quarantine.broken(endpoint, now);
+    }
   }
 
   /** Gives up the attempt under way, if there still is one. */
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -195,6 +195,7 @@
     }
     if (failed && call.mayRepeat && this.#recovery.canTryElsewhere(call, now)) {
       // The shell reads the failure to its end and keeps the connection.
+      attempt.failed = true;
       this.#attempts.close(call, "lost", now);
       return this.#placer.place(call, now);
     }
--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -134,7 +134,9 @@
       case "wait":
         return this.#awaitTrial(call, now);
       default:
-        call.avoidedVersions = verdict.kind === "trial" ? verdict.except : NONE;
+        call.avoidedVersions = verdict.kind === "limited"
+          ? verdict.except
+          : NONE;
         return "free";
     }
   }
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -203,7 +203,7 @@
   canTryElsewhere(call: Call, now: Instant): boolean {
     const allowed = call.endsAt - now >= LEAST_REPEAT_TIME_MS &&
       call.arrivals < call.route.attempts && call.attempts < MOST_ATTEMPTS &&
-      !this.#tools.quarantine.deniesRepeat(call.head.fingerprint);
+      !this.#tools.quarantine.isSuspect(call.head.fingerprint);
     const way = allowed ? this.#tools.router.next(call, 0, now) : undefined;
     const possible = way?.kind === "endpoint" || way?.kind === "peer";
     return possible && this.#spendRepeat(call, now);
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -107,6 +107,7 @@
     this.#quarantine = createQuarantine({
       self,
       emit,
+      random,
       catalogue: this.#catalogue,
       fleet: this.fleet,
       serving: this.#serving,
--- a/packages/core/src/gateway/quarantine_link.ts
+++ b/packages/core/src/gateway/quarantine_link.ts
@@ -3,20 +3,29 @@
  *
  * @module
  */
-import type { FleetController } from "../fleet/index.ts";
-import type { Instant } from "../ids/index.ts";
+import type { FleetController, FleetRecord } from "../fleet/index.ts";
+import { type Instant, type Randomness, sample } from "../ids/index.ts";
 import {
+  type NewsRecipients,
   QuarantineController,
-  type QuarantineNews,
 } from "../quarantine/index.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
 import type { GatewayEmit, GatewaySelf } from "./messages.ts";
 import type { ServingSet } from "./serving_set.ts";
 
+/**
+ * Entries that are told of a hold by one that learns of it. Each passes it on to as many, so that all have
+ * it after a few hops and none sends more than these; whom that misses learns from the next pings.
+ */
+const FANOUT = 5;
+/** In a fleet of so many all are told at once. */
+const SMALL_FLEET = 16;
+
 /** What the link is made of. */
 export interface QuarantineLinkSources {
-  readonly self: Pick<GatewaySelf, "incarnation">;
+  readonly self: Pick<GatewaySelf, "incarnation" | "regionByZone">;
   readonly emit: GatewayEmit;
+  readonly random: Randomness;
   readonly catalogue: CatalogueView;
   readonly fleet: FleetController;
   readonly serving: ServingSet;
@@ -25,25 +34,39 @@
 
 /** Makes the quarantine of an entry. */
 export function createQuarantine(
-  { self, emit, catalogue, fleet, serving, now }: QuarantineLinkSources,
+  sources: QuarantineLinkSources,
 ): QuarantineController {
-  const tell = (news: QuarantineNews, to: "carriers" | "all"): void => {
-    const at = now();
-    fleet.sendQuarantine(
-      news,
-      (record) => to === "all" || serving.has(record, at),
-    );
-  };
+  const { self, emit, catalogue, fleet, serving, now } = sources;
   return new QuarantineController({
     self,
-    tell,
+    tell: (news, to) => fleet.sendQuarantine(news, recipients(sources, to)),
     knock: ({ id, life, address }) =>
       emit({ kind: "knock", endpoint: id, life, address }),
     endpoints: () => catalogue.endpoints,
-    entries: () => [
-      self.incarnation,
-      ...fleet.live().map(({ record }) => record.incarnation),
-    ],
+    carriers: (zones) => {
+      const regions = new Set(
+        [...zones].map((zone) => self.regionByZone.get(zone)),
+      );
+      return [...regions].flatMap((region) =>
+        region === undefined ? [] : serving.of(region, now())
+      ).map(({ incarnation }) => incarnation);
+    },
     log: (part, text, fields) => emit({ kind: "log", part, text, fields }),
   });
 }
+
+function recipients(
+  { fleet, random, serving, now }: QuarantineLinkSources,
+  to: NewsRecipients,
+): (record: FleetRecord) => boolean {
+  if (to === "carriers") {
+    const at = now();
+    return (record) => serving.has(record, at);
+  }
+  const live = fleet.live().map(({ record }) => record);
+  const picked = live.length <= SMALL_FLEET
+    ? live
+    : sample(live, FANOUT, random);
+  const told = new Set(picked.map(({ incarnation }) => incarnation));
+  return ({ incarnation }) => told.has(incarnation);
+}
--- a/packages/core/src/quarantine/crash_evidence.ts
+++ b/packages/core/src/quarantine/crash_evidence.ts
@@ -19,7 +19,7 @@
   readonly at: Instant;
   /** Other endpoints of the service in its zone that took work then. */
   readonly others: number;
-  /** For each request there, by caller: milliseconds from its sending to the end. */
+  /** For each request there, by caller: milliseconds from the sending of its first copy to the end. */
   readonly victims: Map<ContentDigest, Map<CallerDigest, number>>;
   /** Those of them that were sent by themselves, as they had been at several ends. */
   readonly trials: Set<ContentDigest>;
@@ -35,7 +35,7 @@
 }
 
 /** Ends that one request must have been at. Two are chance too often: what one loses is sent to the next. */
-export const LEAST_ENDS = 3;
+const LEAST_ENDS = 3;
 /**
  * Natural logarithm of how much likelier a request must be to end what runs it than to have been there by
  * chance: one in 400,000, as a service of today's size loses up to some hundred requests with an endpoint.
@@ -55,6 +55,11 @@
 const SIMULTANEOUS_MS = 300;
 /** No single end proves more, however quick. */
 const LEAST_CHANCE = 0.005;
+/**
+ * An end that one in seven bystanders would have met says nothing: where all endpoints of a zone end again
+ * and again, what is sent to each of them would be held for many such ends together.
+ */
+const LEAST_WEIGHT = 2;
 /** Requests are told apart by no less than this: delays of connections and of notice. */
 const LEAST_EXPOSURE_MS = 50;
 
@@ -91,37 +96,32 @@
   }
 }
 
-/** An end with what it says against one request. */
+/** An end with what it says against each request that was there, nothing left out but nothings. */
 interface WeighedEnd {
   readonly end: KnownEnd;
-  readonly weight: number;
+  readonly weights: ReadonlyMap<ContentDigest, number>;
 }
 
 interface Suspect {
   readonly content: ContentDigest;
-  /** In order of time. */
+  /** Those that speak against it, in order of time. */
   readonly ends: readonly WeighedEnd[];
   readonly score: number;
 }
 
 function suspectsOf(ends: readonly KnownEnd[]): Suspect[] {
-  const rates = new Map(ends.map((end) => [end, rateAround(end, ends)]));
-  const counts = new Map<ContentDigest, KnownEnd[]>();
+  const counts = new Map<ContentDigest, WeighedEnd[]>();
   for (const end of [...ends].sort((left, right) => left.at - right.at)) {
-    for (const content of end.victims.keys()) {
+    const weights = weightsOf(end, rateAround(end, ends));
+    for (const content of weights.keys()) {
       const list = counts.get(content) ?? [];
-      list.push(end);
+      list.push({ end, weights });
       counts.set(content, list);
     }
   }
-  const often = [...counts].filter(([, own]) => own.length >= LEAST_ENDS);
-  return often.map(([content, own]) => {
-    const weighed = own.map((end) => ({
-      end,
-      weight: weightOf(end.victims.get(content)!, rates.get(end)!),
-    }));
-    return { content, ends: weighed, score: scoreOf(weighed) };
-  });
+  return [...counts].filter(([, own]) => own.length >= LEAST_ENDS).map((
+    [content, own],
+  ) => ({ content, ends: own, score: scoreOf(content, own) }));
 }
 
 /** Ends of a burst may be chance; one under a trial that came after them is not. */
@@ -130,31 +130,48 @@
 }
 
 /** What ends say against a request; those in the same moment say it once. */
-function scoreOf(ends: readonly WeighedEnd[]): number {
+function scoreOf(
+  content: ContentDigest,
+  ends: readonly WeighedEnd[],
+): number {
   let score = 0;
   let groupAt = -Infinity;
   let best = 0;
-  for (const { end: { at }, weight } of ends) {
+  for (const { end: { at }, weights } of ends) {
     if (at - groupAt > SIMULTANEOUS_MS) {
       score += best;
       best = 0;
       groupAt = at;
     }
-    best = Math.max(best, weight);
+    best = Math.max(best, weights.get(content) ?? 0);
   }
   return score + best;
 }
 
-/** Natural logarithm of one over the chance that an end met a request that has nothing to do with it. */
+function weightsOf(
+  { victims }: KnownEnd,
+  rate: number,
+): Map<ContentDigest, number> {
+  const weights = new Map<ContentDigest, number>();
+  for (const [content, exposures] of victims) {
+    const weight = weightOf(exposures, rate);
+    if (weight >= LEAST_WEIGHT) {
+      weights.set(content, weight);
+    }
+  }
+  return weights;
+}
+
+/**
+ * Natural logarithm of one over the chance that an end met a request that has nothing to do with it. Of
+ * several copies the one counts that was there for longest: it ran for so long and ended nothing.
+ */
 function weightOf(
   exposures: ReadonlyMap<CallerDigest, number>,
   rate: number,
 ): number {
-  const exposure = Math.max(
-    LEAST_EXPOSURE_MS,
-    Math.min(...exposures.values()),
-  );
-  return -Math.log(Math.min(1, Math.max(LEAST_CHANCE, exposure * rate)));
+  const exposure = Math.max(LEAST_EXPOSURE_MS, ...exposures.values());
+  return -Math.log(Math.max(LEAST_CHANCE, exposure * rate));
 }
 
 /** Ends of one endpoint in a millisecond, by the other ends in its zone around this one. */
@@ -170,12 +187,13 @@
   return Math.max(1 / CALM_MS, ...rates) / (end.others + 1);
 }
 
-/** Whether no other request explains a suspect's ends. */
+/** Whether no other request explains a suspect's ends: one against which they speak too. */
 function isUnique({ content, ends }: Suspect): boolean {
-  const rivals = new Set(ends.flatMap(({ end }) => [...end.victims.keys()]));
+  const rivals = new Set(ends.flatMap(({ weights }) => [...weights.keys()]));
   rivals.delete(content);
   return [...rivals].every((rival) =>
-    scoreOf(ends.filter(({ end }) => !end.victims.has(rival))) >= LEAST_ALONE
+    scoreOf(content, ends.filter(({ weights }) => !weights.has(rival))) >=
+      LEAST_ALONE
   );
 }
 
--- a/packages/core/src/quarantine/crash_ledger.ts
+++ b/packages/core/src/quarantine/crash_ledger.ts
@@ -4,12 +4,7 @@
  * @module
  */
 import { after, type ContentDigest, type Instant } from "../ids/index.ts";
-import {
-  type Culprit,
-  findCulprits,
-  type KnownEnd,
-  LEAST_ENDS,
-} from "./crash_evidence.ts";
+import { type Culprit, findCulprits, type KnownEnd } from "./crash_evidence.ts";
 import type { CrashReport } from "./crash_report.ts";
 
 /**
@@ -20,8 +15,11 @@
 /** Ends that are kept, and requests of each: some two megabytes when both are full. */
 const MOST_ENDS = 128;
 const MOST_VICTIMS = 256;
-/** A request lost with so many endpoints is not sent to another at once: its caller learns that it failed. */
-const ENDS_WITHOUT_REPEAT = 2;
+/**
+ * A request that was lost with so many endpoints is tried by itself, and not sent on at once when it is
+ * lost again: the next end may be the one that tells.
+ */
+const ENDS_OF_SUSPECT = 2;
 
 /** Adds up ends. */
 export class CrashLedger {
@@ -39,7 +37,7 @@
         end.trials.add(content);
       }
       const callers = end.victims.get(content) ?? new Map();
-      callers.set(caller, Math.min(exposure, callers.get(caller) ?? Infinity));
+      callers.set(caller, Math.max(exposure, callers.get(caller) ?? 0));
       end.victims.set(content, callers);
     }
     this.#ends.set(key, end);
@@ -60,14 +58,9 @@
     return this.endsOf(content) > 0;
   }
 
-  /** Whether a request that is lost again is not to be repeated by the entry that sent it. */
-  deniesRepeat(content: ContentDigest): boolean {
-    return this.endsOf(content) >= ENDS_WITHOUT_REPEAT;
-  }
-
   /** Whether a request was at so many ends that it is tried by itself. */
   suspects(content: ContentDigest): boolean {
-    return this.endsOf(content) >= LEAST_ENDS;
+    return this.endsOf(content) >= ENDS_OF_SUSPECT;
   }
 
   /** Endpoints that ended under a request since one answered it. */
--- a/packages/core/src/quarantine/crash_report.ts
+++ b/packages/core/src/quarantine/crash_report.ts
@@ -15,7 +15,7 @@
 
 /** A request of one entry that ran, or waited, at an endpoint when that ended. */
 export interface CrashVictim extends RequestFingerprint {
-  /** From its sending to the end. */
+  /** From the sending of its first copy there to the end. */
   readonly exposure: Milliseconds;
   /** Whether it was sent by itself, as it had been at several ends. */
   readonly trial: boolean;
@@ -43,6 +43,8 @@
   readonly service: ServiceId;
   /** Software versions of the endpoints that ended under it. */
   readonly versions: readonly string[];
+  /** Other software that has answered it since: there it goes. */
+  readonly mended: readonly string[];
   /** Times that it was held, this one included: a later hold takes the place of a former. */
   readonly term: number;
   /** Until it may be tried again. */
@@ -51,12 +53,26 @@
   readonly released: boolean;
 }
 
+/** A request that an endpoint has answered. */
+export interface AnsweredRequest {
+  readonly content: ContentDigest;
+  readonly softwareVersion: string;
+}
+
 /** What one entry tells others at once. */
 export interface QuarantineNews {
   readonly crashes: readonly CrashReport[];
   /** Requests known from crashes that an endpoint has answered since. */
-  readonly answered: readonly ContentDigest[];
+  readonly answered: readonly AnsweredRequest[];
   /** Requests that were at several ends and that this entry now tries, one at a time. */
   readonly tried: readonly ContentDigest[];
   readonly holds: readonly HoldNotice[];
 }
+
+/** No news: the base of messages that bring one kind of it. */
+export const NOTHING_NEW: QuarantineNews = {
+  crashes: [],
+  answered: [],
+  tried: [],
+  holds: [],
+};
--- a/packages/core/src/quarantine/hold_list.ts
+++ b/packages/core/src/quarantine/hold_list.ts
@@ -14,18 +14,18 @@
 import type { RequestFingerprint } from "./fingerprint.ts";
 
 /**
- * First time that a request is held, doubled with each end that it brings after that, up to the most. Ten
- * minutes are shorter than it takes people to mend a service, and an endpoint that ends every ten
- * minutes, then every twenty, is one that callers hardly notice.
+ * First time that a request is held, doubled with each end that it brings after that, up to the most. A
+ * good request that was held by mistake is back after two minutes; a bad one has ended three endpoints more
+ * after a quarter of an hour, and then one in each half hour, hour and so on.
  */
-const FIRST_HOLD_MS = 600_000;
+const FIRST_HOLD_MS = 120_000;
 const MOST_HOLD_MS = 14_400_000;
 /** A trial has an outcome by then: its endpoint has answered, or its end is known everywhere. */
 const TRIAL_MS = 12_000;
 /** Each took three endpoints at least, so that many mean many ends; the one that ends first yields. */
 const MOST_HOLDS = 256;
-/** Holds told in one message. */
-const HOLDS_PER_MESSAGE = 3;
+/** Holds told in one message: a ping to a newcomer has little room left. */
+const HOLDS_PER_MESSAGE = 2;
 
 /** One hold. */
 interface Hold {
@@ -33,6 +33,8 @@
   caller: HoldNotice["caller"];
   readonly service: HoldNotice["service"];
   readonly versions: Set<string>;
+  /** Software that has answered it since. */
+  readonly mended: Set<string>;
   term: number;
   /** Until then nothing is tried but software that it has not ended yet. */
   until: Instant;
@@ -42,24 +44,25 @@
   triedAt: Instant | undefined;
 }
 
+/** What is held, and why. */
+export type HeldRequest = Pick<
+  HoldNotice,
+  "content" | "caller" | "service" | "versions"
+>;
+
 /** What becomes of a request. */
 export type HoldVerdict =
   | { readonly kind: "free" }
   /** It goes to no endpoint; there is no use in asking again before `wait` is over. */
   | { readonly kind: "held"; readonly wait: Milliseconds }
-  /** It may go to one endpoint, of software that it has not ended yet where that is said. */
-  | { readonly kind: "trial"; readonly except: ReadonlySet<string> };
+  /** It may go to endpoints of other software than this: as a trial, or as that has answered it. */
+  | { readonly kind: "limited"; readonly except: ReadonlySet<string> };
 
 const FREE: HoldVerdict = { kind: "free" };
 const NOTHING: ReadonlySet<string> = new Set();
 
-/** What a verdict depends on beside the hold. */
-export interface TrialFacts {
-  /** Whether this entry is the one that tries. */
-  readonly mayTry: () => boolean;
-  /** Software of the endpoints that the request could go to. */
-  readonly versions: () => Iterable<string>;
-}
+/** Whether this entry is the one that tries a request, on endpoints of other software than `tested`. */
+export type MayTry = (tested: ReadonlySet<string>) => boolean;
 
 /** Keeps holds. */
 export class HoldList {
@@ -78,24 +81,42 @@
   /** Whether a request may go to an endpoint. */
   judge(
     { content, caller }: RequestFingerprint,
-    facts: TrialFacts,
+    mayTry: MayTry,
     now: Instant,
   ): HoldVerdict {
     const hold = this.#holds.get(content);
     if (hold === undefined || hold.released || !isMeant(hold, caller)) {
       return FREE;
     }
+    if (hold.mended.size > 0 && now < hold.until) {
+      return { kind: "limited", except: hold.versions };
+    }
     const tested = now >= hold.until ? NOTHING : hold.versions;
     const onTrial = now - (hold.triedAt ?? -Infinity) < TRIAL_MS;
-    const untested = (): boolean =>
-      [...facts.versions()].some((version) => !tested.has(version));
-    if (!onTrial && facts.mayTry() && untested()) {
-      return { kind: "trial", except: tested };
+    if (!onTrial && mayTry(tested)) {
+      return { kind: "limited", except: tested };
     }
     const left = Math.max(TRIAL_MS, hold.until - now);
     return { kind: "held", wait: milliseconds(left) };
   }
 
+  /**
+   * An endpoint has answered a held request: on software that it had ended the hold is over, on other
+   * software it goes on for the former alone. Returns whether it is over.
+   */
+  noteAnswered(content: ContentDigest, version: string): boolean {
+    const hold = this.#holds.get(content);
+    if (hold === undefined || hold.released) {
+      return false;
+    }
+    if (hold.versions.has(version)) {
+      return this.release(content);
+    }
+    hold.mended.add(version);
+    hold.triedAt = undefined;
+    return false;
+  }
+
   /** A held request was sent as a trial. */
   noteTrial(content: ContentDigest, now: Instant): void {
     const hold = this.#holds.get(content);
@@ -106,10 +127,7 @@
 
   /** Holds a request, or holds it for longer: it has ended endpoints again, or other callers send it too. */
   hold(
-    { content, caller, service, versions }: Pick<
-      HoldNotice,
-      "content" | "caller" | "service" | "versions"
-    >,
+    { content, caller, service, versions }: HeldRequest,
     now: Instant,
   ): void {
     const known = this.#holds.get(content);
@@ -121,6 +139,11 @@
       caller,
       service,
       versions: new Set([...former, ...versions]),
+      mended: new Set(
+        [...known?.mended ?? []].filter((version) =>
+          !versions.includes(version)
+        ),
+      ),
       term,
       until: after(now, lasts),
       forgetAt: after(now, 2 * lasts),
@@ -132,18 +155,17 @@
   /** What an end under a held request says: something new only after a trial, or of other software. */
   isNewEnd(
     content: ContentDigest,
-    { at, version, callers }: {
+    { at, version, caller }: {
       at: Instant;
       version: string;
-      callers: Iterable<HoldNotice["caller"]>;
+      caller: HoldNotice["caller"];
     },
   ): boolean {
     const hold = this.#holds.get(content);
     if (hold === undefined || hold.released) {
       return false;
     }
-    const others = hold.caller !== undefined &&
-      [...callers].some((caller) => caller !== hold.caller);
+    const others = hold.caller !== undefined && caller !== hold.caller;
     return at >= hold.until || !hold.versions.has(version) || others;
   }
 
@@ -162,6 +184,8 @@
     const known = this.#holds.get(notice.content);
     if (known !== undefined && notice.term === known.term) {
       notice.versions.forEach((version) => known.versions.add(version));
+      notice.mended.forEach((version) => known.mended.add(version));
+      known.caller = notice.caller === known.caller ? known.caller : undefined;
       return notice.released && this.release(notice.content);
     }
     if (notice.term < (known?.term ?? 0)) {
@@ -171,6 +195,7 @@
     this.#put({
       ...notice,
       versions: new Set(notice.versions),
+      mended: new Set(notice.mended),
       until,
       forgetAt: after(until, FIRST_HOLD_MS),
       triedAt: undefined,
@@ -232,14 +257,15 @@
 }
 
 function noticeOf(hold: Hold, now: Instant): HoldNotice {
-  const { content, caller, service, versions, term, until, released } = hold;
+  const { until, versions, mended, ...rest } = hold;
   return {
-    content,
-    caller,
-    service,
+    content: rest.content,
+    caller: rest.caller,
+    service: rest.service,
     versions: [...versions],
-    term,
+    mended: [...mended],
+    term: rest.term,
     remaining: milliseconds(Math.max(0, until - now)),
-    released,
+    released: rest.released,
   };
 }
--- a/packages/core/src/quarantine/quarantine_controller.ts
+++ b/packages/core/src/quarantine/quarantine_controller.ts
@@ -12,20 +12,19 @@
 import {
   type AttemptId,
   type ContentDigest,
-  type Incarnation,
   type Instant,
-  milliseconds,
-  rendezvous,
   type RequestId,
 } from "../ids/index.ts";
 import type { EndpointRecord } from "../routes/index.ts";
-import type { Culprit } from "./crash_evidence.ts";
 import { CrashLedger } from "./crash_ledger.ts";
 import type {
+  AnsweredRequest,
   CrashReport,
   HoldNotice,
   QuarantineNews,
 } from "./crash_report.ts";
+import { NOTHING_NEW } from "./crash_report.ts";
+import { partsOf, reportOf } from "./crash_reports.ts";
 import {
   CrashWatch,
   type EndedEndpoint,
@@ -33,33 +32,21 @@
   type WatchedRun,
 } from "./crash_watch.ts";
 import type { RequestFingerprint } from "./fingerprint.ts";
-import { HoldList, type HoldVerdict } from "./hold_list.ts";
+import { HoldKeeper, type NewsRecipients } from "./hold_keeper.ts";
+import type { HoldList, HoldVerdict } from "./hold_list.ts";
 import { OpenTrials } from "./open_trials.ts";
-import { endFields, holdLine } from "./quarantine_lines.ts";
+import { endFields } from "./quarantine_lines.ts";
 import { ServedMemory } from "./served_memory.ts";
+import { trialOwner, type TrialSources } from "./trial_owner.ts";
 
-/** Requests of one end that are told: more than an entry has at one endpoint on an ordinary day. */
-const MOST_VICTIMS = 128;
-/** Requests in one datagram: it stays under 1,400 bytes. */
-const VICTIMS_PER_MESSAGE = 30;
-const NOTHING_NEW: QuarantineNews = {
-  crashes: [],
-  answered: [],
-  tried: [],
-  holds: [],
-};
+/** Answered requests in one datagram: it stays under 1,400 bytes. */
+const ANSWERED_PER_MESSAGE = 48;
 
 /** What the controller works with. */
-export interface QuarantineSources {
-  readonly self: { readonly incarnation: Incarnation };
-  /** Published endpoints of all regions. */
-  readonly endpoints: () => ReadonlyMap<EndpointRecord["id"], EndpointRecord>;
-  /** Entries that are alive, this one included. */
-  readonly entries: () => readonly Incarnation[];
+export interface QuarantineSources extends TrialSources {
   /** Has the shell see whether something listens at an endpoint's address. */
   readonly knock: (record: EndpointRecord) => void;
-  /** Tells the entries that carry requests, or all. */
-  readonly tell: (news: QuarantineNews, to: "carriers" | "all") => void;
+  readonly tell: (news: QuarantineNews, to: NewsRecipients) => void;
   readonly log: (
     part: "endpoint" | "quarantine",
     text: string,
@@ -87,15 +74,16 @@
   readonly #sources: QuarantineSources;
   readonly #watch: CrashWatch;
   readonly #ledger = new CrashLedger();
-  readonly #holds = new HoldList();
+  readonly #keeper: HoldKeeper;
   readonly #trials = new OpenTrials();
   readonly #served = new ServedMemory();
-  #answered: ContentDigest[] = [];
+  #answered: AnsweredRequest[] = [];
   /** Ends of endpoints that this entry lost requests with. */
   ends = 0;
 
   constructor(sources: QuarantineSources) {
     this.#sources = sources;
+    this.#keeper = new HoldKeeper(sources);
     this.#watch = new CrashWatch(({ id, life }) => {
       const present = sources.endpoints().get(id);
       return present === undefined || present.life !== life;
@@ -103,7 +91,7 @@
   }
 
   get holds(): HoldList {
-    return this.#holds;
+    return this.#keeper.holds;
   }
 
   /** Whether a request may go to an endpoint of some services. */
@@ -116,10 +104,8 @@
     now: Instant,
   ): QuarantineVerdict {
     const { content } = fingerprint;
-    const verdict = this.#holds.judge(fingerprint, {
-      mayTry: () => this.#triesOf(content),
-      versions: () => this.#versionsOf(services),
-    }, now);
+    const mayTry = trialOwner(this.#sources, { content, services });
+    const verdict = this.holds.judge(fingerprint, mayTry, now);
     if (verdict.kind !== "free" || !this.#ledger.suspects(content)) {
       return verdict;
     }
@@ -130,8 +116,8 @@
   }
 
   /** Whether a request that was lost with its endpoint is not to be sent to another one by this entry. */
-  deniesRepeat({ content }: RequestFingerprint): boolean {
-    return this.#holds.has(content) || this.#ledger.deniesRepeat(content);
+  isSuspect({ content }: RequestFingerprint): boolean {
+    return this.holds.has(content) || this.#ledger.suspects(content);
   }
 
   /** A request is written to an endpoint. */
@@ -143,7 +129,7 @@
     const { fingerprint: { content }, sentAt } = run;
     const trial = this.#ledger.suspects(content);
     this.#watch.began(endpoint, { ...run, trial });
-    this.#holds.noteTrial(content, sentAt);
+    this.holds.noteTrial(content, sentAt);
     if (trial) {
       const ends = this.#ledger.endsOf(content);
       this.#trials.begin(content, { request, ends }, sentAt);
@@ -166,11 +152,13 @@
     }
     this.#watch.ended(endpoint, attempt);
     if (end === "answered") {
-      this.#noteAnswered(fingerprint.content, now);
+      const { softwareVersion } = endpoint.record;
+      const { content } = fingerprint;
+      this.#noteAnswered({ content, softwareVersion }, now);
     }
   }
 
-  /** A connection to an endpoint broke: whether its process ended shows at once where its port is closed. */
+  /** A connection broke, or an answer failed: whether the process ended shows where its port is closed. */
   broken(endpoint: WatchedEndpoint, now: Instant): void {
     if (this.#watch.isToKnock(endpoint, now)) {
       this.#sources.knock(endpoint.record);
@@ -188,7 +176,7 @@
 
   /** Takes a peer's news. */
   learn(news: QuarantineNews, now: Instant): void {
-    news.answered.forEach((content) => this.#clear(content, now));
+    news.answered.forEach((answered) => this.#clear(answered, now));
     this.learnHolds(news.holds, now);
     for (const content of news.tried) {
       const ends = this.#ledger.endsOf(content);
@@ -203,97 +191,54 @@
 
   /** Takes what a peer holds back. */
   learnHolds(holds: readonly HoldNotice[], now: Instant): void {
-    for (const notice of holds) {
-      if (this.#holds.learn(notice, now)) {
-        this.#logHold(notice.content, { told: true }, now);
-      }
-    }
+    holds.forEach((notice) => this.#keeper.learn(notice, now));
   }
 
   /** An operator ends a hold, everywhere. */
   release(content: ContentDigest, now: Instant): boolean {
-    return this.#release(content, "operator", now);
+    this.#ledger.answered(content, now);
+    return this.#keeper.release(content, now);
   }
 
   tick(now: Instant): void {
     this.#reportEnds(now);
     this.#trials.forget(now);
     if (this.#answered.length > 0) {
-      const answered = this.#answered.splice(0, VICTIMS_PER_MESSAGE);
+      const answered = this.#answered.splice(0, ANSWERED_PER_MESSAGE);
       this.#sources.tell({ ...NOTHING_NEW, answered }, "carriers");
     }
-    this.#holds.forget(now).forEach((content) =>
-      this.#sources.log("quarantine", "Request is no longer held back.", {
-        digest: content,
-        reason: "time",
-      })
-    );
+    this.#keeper.tick(now);
   }
 
   #reportEnds(now: Instant): void {
     this.#watch.takeEnded(now).forEach((ended) => this.#report(ended, now));
   }
 
-  /** One entry tries a held request again, so that trials do not add up either. */
-  #triesOf(content: ContentDigest): boolean {
-    const [first] = rendezvous(
-      content,
-      this.#sources.entries(),
-      (incarnation) => incarnation,
-    );
-    return first === this.#sources.self.incarnation;
-  }
-
-  #versionsOf(services: readonly EndpointRecord["service"][]): string[] {
-    return [...this.#sources.endpoints().values()]
-      .filter(({ service, state }) =>
-        state === "ready" && services.includes(service)
-      )
-      .map(({ softwareVersion }) => softwareVersion);
-  }
-
-  #noteAnswered(content: ContentDigest, now: Instant): void {
+  #noteAnswered(answered: AnsweredRequest, now: Instant): void {
+    const { content } = answered;
     this.#served.add(content, now);
-    if (this.#ledger.knows(content) || this.#holds.has(content)) {
-      this.#tellAnswered(content, now);
+    if (this.#ledger.knows(content) || this.holds.has(content)) {
+      this.#tellAnswered(answered, now);
     }
   }
 
-  #tellAnswered(content: ContentDigest, now: Instant): void {
-    this.#answered.push(content);
-    this.#clear(content, now);
+  #tellAnswered(answered: AnsweredRequest, now: Instant): void {
+    this.#answered.push(answered);
+    this.#clear(answered, now);
   }
 
-  #clear(content: ContentDigest, now: Instant): void {
-    this.#ledger.answered(content, now);
-    this.#release(content, "answered", now);
-  }
-
-  #release(
-    content: ContentDigest,
-    reason: "answered" | "operator",
-    now: Instant,
-  ): boolean {
-    if (!this.#holds.release(content)) {
-      return false;
-    }
-    this.#ledger.answered(content, now);
-    this.#sources.log("quarantine", "Request is no longer held back.", {
-      digest: content,
-      reason,
-    });
-    const notice = this.#holds.notice(content, now);
-    if (notice !== undefined) {
-      this.#sources.tell({ ...NOTHING_NEW, holds: [notice] }, "all");
-    }
-    return true;
+  #clear(answered: AnsweredRequest, now: Instant): void {
+    this.#ledger.answered(answered.content, now);
+    this.#keeper.noteAnswered(answered, now);
   }
 
   /** What a peer lost and this entry answered lately did not end the endpoint. */
   #defend({ crashes }: QuarantineNews, now: Instant): void {
-    for (const { victims } of crashes) {
+    for (const { victims, softwareVersion } of crashes) {
       victims.filter(({ content }) => this.#served.has(content, now))
-        .forEach(({ content }) => this.#tellAnswered(content, now));
+        .forEach(({ content }) =>
+          this.#tellAnswered({ content, softwareVersion }, now)
+        );
     }
   }
 
@@ -305,96 +250,21 @@
       (content) => this.#ledger.endsOf(content),
     );
     this.#sources.log("endpoint", "Endpoint has ended.", fields);
-    const victims = runs
-      .filter(({ fingerprint }) => !this.#served.has(fingerprint.content, now))
-      .map(({ fingerprint, sentAt, lostAt, trial }) => ({
-        ...fingerprint,
-        trial,
-        exposure: milliseconds(Math.round(lostAt - sentAt)),
-      }))
-      .sort((left, right) => left.exposure - right.exposure)
-      .slice(0, MOST_VICTIMS);
-    const report: CrashReport = {
-      endpoint: record.id,
-      life: record.life,
-      service: record.service,
-      zone: record.zone,
-      softwareVersion: record.softwareVersion,
-      age: milliseconds(Math.round(now - at)),
-      others: this.#othersOf(record),
-      victims,
-    };
-    this.#tellEnd(report);
-    this.#add(report, now);
-  }
-
-  #tellEnd(report: CrashReport): void {
-    const { victims } = report;
-    for (let from = 0; from < victims.length; from += VICTIMS_PER_MESSAGE) {
-      const part = victims.slice(from, from + VICTIMS_PER_MESSAGE);
-      const crashes = [{ ...report, victims: part }];
-      this.#sources.tell({ ...NOTHING_NEW, crashes }, "carriers");
+    const report = reportOf({ record, at, runs }, {
+      endpoints: this.#sources.endpoints(),
+      isServed: (content) => this.#served.has(content, now),
+    }, now);
+    for (const part of partsOf(report)) {
+      this.#sources.tell({ ...NOTHING_NEW, crashes: [part] }, "carriers");
     }
-  }
-
-  #othersOf(record: EndpointRecord): number {
-    return [...this.#sources.endpoints().values()].filter((other) =>
-      other.id !== record.id && other.service === record.service &&
-      other.zone === record.zone && other.state === "ready"
-    ).length;
+    this.#add(report, now);
   }
 
   #add(report: CrashReport, now: Instant): void {
     this.#ledger.add(report, now);
-    this.#holdLonger(report, now);
-    this.#ledger.culprits((content) => this.#holds.has(content)).forEach((
+    this.#keeper.noteEnd(report, now);
+    this.#ledger.culprits((content) => this.holds.has(content)).forEach((
       culprit,
-    ) => this.#hold(culprit, now));
-  }
-
-  /** An end under a held request: a trial has failed, or other software or callers are no better. */
-  #holdLonger(report: CrashReport, now: Instant): void {
-    const { service, softwareVersion: version, age, victims } = report;
-    const at = (now - age) as Instant;
-    for (const { content, caller } of victims) {
-      if (this.#holds.isNewEnd(content, { at, version, callers: [caller] })) {
-        const held = this.#holds.notice(content, now)!;
-        const same = held.caller === caller;
-        this.#put({
-          content,
-          caller: same ? caller : undefined,
-          service,
-          versions: [version],
-        }, now);
-        this.#logHold(content, {}, now);
-      }
-    }
-  }
-
-  #hold({ content, caller, ends, score }: Culprit, now: Instant): void {
-    const { service } = ends[0]!;
-    const versions = ends.map(({ softwareVersion }) => softwareVersion);
-    this.#put({ content, caller, service, versions }, now);
-    this.#logHold(content, {
-      ends: ends.length,
-      score: Number(score.toFixed(1)),
-    }, now);
-  }
-
-  #put(hold: Parameters<HoldList["hold"]>[0], now: Instant): void {
-    this.#holds.hold(hold, now);
-    const notice = this.#holds.notice(hold.content, now)!;
-    this.#sources.tell({ ...NOTHING_NEW, holds: [notice] }, "all");
-  }
-
-  #logHold(
-    content: ContentDigest,
-    fields: Readonly<Record<string, unknown>>,
-    now: Instant,
-  ): void {
-    const { text, fields: known } = holdLine(
-      this.#holds.notice(content, now)!,
-    );
-    this.#sources.log("quarantine", text, { ...known, ...fields });
+    ) => this.#keeper.hold(culprit, now));
   }
 }
--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -18,6 +18,7 @@
   caller: "ZGlnZXN0",
   service: "pool",
   versions: ["v1"],
+  mended: ["v2"],
   term: 2,
   remaining: 1_200_000,
   released: false,
@@ -59,7 +60,7 @@
       trial: true,
     }],
   }],
-  answered: ["Y2FsbGVyIGRpZ2Vz"],
+  answered: [{ content: "Y2FsbGVyIGRpZ2Vz", softwareVersion: "v2" }],
   tried: ["Y2FsbGVyIGRpZ2Vz"],
   holds: [hold, { ...hold, caller: undefined, released: true }],
 };
--- a/packages/daemon/src/gateway/quarantine_schema.ts
+++ b/packages/daemon/src/gateway/quarantine_schema.ts
@@ -37,22 +37,28 @@
   victims,
 }));
 
+const answered = z.tuple([text, text]).transform(
+  ([content, softwareVersion]) => ({ content, softwareVersion }),
+);
+
 /** A request that is held back; an empty caller stands for all. */
 export const holdNotice = z.tuple([
   text,
   text,
   text,
   list(text),
+  list(text),
   whole,
   number,
   z.boolean(),
 ]).transform((
-  [content, caller, service, versions, term, remaining, released],
+  [content, caller, service, versions, mended, term, remaining, released],
 ) => ({
   content,
   caller: caller === "" ? undefined : caller,
   service,
   versions,
+  mended,
   term,
   remaining,
   released,
@@ -61,7 +67,7 @@
 /** One entry's news. */
 export const quarantineNews = z.tuple([
   list(crash),
-  list(text),
+  list(answered),
   list(text),
   list(holdNotice),
 ]).transform(([crashes, answered, tried, holds]) => ({
@@ -78,6 +84,7 @@
     notice.caller ?? "",
     notice.service,
     notice.versions,
+    notice.mended,
     notice.term,
     Math.round(notice.remaining),
     notice.released,
@@ -101,7 +108,7 @@
         { content, caller, exposure, trial },
       ) => [content, caller, exposure, trial]),
     ]),
-    answered,
+    answered.map(({ content, softwareVersion }) => [content, softwareVersion]),
     tried,
     holds.map(encodeHoldNotice),
   ];
--- a/playground/src/routes/crashes.ts
+++ b/playground/src/routes/crashes.ts
@@ -7,6 +7,7 @@
 import type { FakeBackend } from "./fake_backend.ts";
 import { addressOf, type RouteWorld } from "./route_world.ts";
 import { recordOf } from "./route_setting.ts";
+import type { VirtualGateway } from "./virtual_gateway.ts";
 
 /** Until the platform takes the record of an endpoint away that is silent. */
 const RECORD_LIFETIME_MS = 3_000;
@@ -29,6 +30,13 @@
   /** As `close`, and it is back at once under its id. */
   | "reborn";
 
+/** One send of a body to an endpoint. */
+interface Arrival {
+  readonly at: number;
+  /** Whether its entry had run for long enough to know what the others know. */
+  readonly inTouch: boolean;
+}
+
 /** A body that crashes what runs it. */
 interface Poison {
   /** From the start of a run to its end. */
@@ -37,14 +45,14 @@
   readonly down: number;
   /** Times at which endpoints ended under it. */
   readonly ends: number[];
-  /** Times at which it reached endpoints. */
-  readonly arrivals: number[];
+  readonly arrivals: Arrival[];
 }
 
 /** Ends endpoints, and counts under what. */
 export class Crashes {
   readonly poisons = new Map<string, Poison>();
   readonly #world: RouteWorld;
+  readonly #cured = new Set<string>();
   #lives = 0;
 
   constructor(world: RouteWorld) {
@@ -62,15 +70,27 @@
     this.poisons.set(body, { after, how, down, ends: [], arrivals: [] });
   }
 
-  /** A request has reached an endpoint. */
-  noteArrival(call: string): void {
-    const poison = this.#poisonOf(call);
-    poison?.arrivals.push(this.#world.time.now);
+  /** Endpoints of this software do not crash. */
+  cure(version: string): void {
+    this.#cured.add(version);
+  }
+
+  /** A request has reached an endpoint that it may crash. */
+  noteArrival(
+    call: string,
+    { from, at }: { from: VirtualGateway; at: FakeBackend },
+  ): void {
+    if (this.#cured.has(at.version)) {
+      return;
+    }
+    const { now } = this.#world.time;
+    const inTouch = now - from.startedAt >= SETTLE_MS;
+    this.#poisonOf(call)?.arrivals.push({ at: now, inTouch });
   }
 
   /** Time until a run of a request ends its endpoint, `undefined` where it does not. */
-  timeOf(call: string): number | undefined {
-    return this.#poisonOf(call)?.after;
+  timeOf(call: string, { version }: FakeBackend): number | undefined {
+    return this.#cured.has(version) ? undefined : this.#poisonOf(call)?.after;
   }
 
   /** The endpoint ends under a request. */
@@ -96,11 +116,13 @@
     time.after(down, () => this.#replace(backend));
   }
 
-  /** Sends to endpoints of a body later than it had to be known. */
+  /** Sends to endpoints of a body, by entries in touch, later than it had to be known. */
   lateSends(body: string): number {
     const { ends, arrivals } = this.poisons.get(body)!;
     const third = ends[ENDS_TO_KNOW - 1] ?? Infinity;
-    return arrivals.filter((at) => at > third + SETTLE_MS).length;
+    return arrivals.filter(({ at, inTouch }) =>
+      inTouch && at > third + SETTLE_MS
+    ).length;
   }
 
   #poisonOf(call: string): Poison | undefined {
--- a/playground/src/routes/fake_backend.ts
+++ b/playground/src/routes/fake_backend.ts
@@ -5,6 +5,7 @@
  */
 import type { CallHead, CallTarget, EndpointId } from "@sassafrasstep/core";
 import type { Spot } from "../scenario/network.ts";
+import type { VirtualGateway } from "./virtual_gateway.ts";
 import type { VirtualTime } from "../scenario/virtual_time.ts";
 
 /** How the endpoint treats requests. */
@@ -43,6 +44,7 @@
 /** One request at the endpoint. */
 export interface BackendRequest {
   readonly call: string;
+  readonly from: VirtualGateway;
   readonly streaming: boolean;
   readonly events: number;
   readonly resumeAfter: number;
@@ -55,9 +57,12 @@
 /** What ends endpoints, as they see it. */
 export interface CrashRules {
   /** A request has reached an endpoint. */
-  noteArrival(call: string): void;
+  noteArrival(
+    call: string,
+    way: { from: VirtualGateway; at: FakeBackend },
+  ): void;
   /** Time until a run of a request ends its endpoint, `undefined` where it does not. */
-  timeOf(call: string): number | undefined;
+  timeOf(call: string, backend: FakeBackend): number | undefined;
   /** The endpoint ends under a request. */
   under(call: string, backend: FakeBackend): void;
 }
@@ -77,6 +82,7 @@
   readonly spot: Spot;
   readonly slots: number;
   readonly work: number;
+  readonly version: string;
   mode: BackendMode = "answer";
   /** Its present life, where it tells one. */
   life: number | undefined;
@@ -89,13 +95,14 @@
   #busyUntil = 0;
 
   constructor(
-    { name, id, service, spot, slots, work }: {
+    { name, id, service, spot, slots, work, version = "v1" }: {
       name: string;
       id: string;
       service: string;
       spot: Spot;
       slots: number;
       work: number;
+      version?: string;
     },
     tools: { time: VirtualTime; runs: Run[]; crashes?: CrashRules },
   ) {
@@ -105,15 +112,16 @@
     this.spot = spot;
     this.slots = slots;
     this.work = work;
+    this.version = version;
     this.time = tools.time;
     this.#tools = tools;
   }
 
   /** Another endpoint of the same kind, at the same address. */
   successor({ name, id }: { name: string; id: string }): FakeBackend {
-    const { service, spot, slots, work } = this;
+    const { service, spot, slots, work, version } = this;
     return new FakeBackend(
-      { name, id, service, spot, slots, work },
+      { name, id, service, spot, slots, work, version },
       this.#tools,
     );
   }
@@ -149,7 +157,10 @@
 
   take(request: BackendRequest): void {
     this.arrivals.push(this.time.now);
-    this.#tools.crashes?.noteArrival(request.call);
+    this.#tools.crashes?.noteArrival(request.call, {
+      from: request.from,
+      at: this,
+    });
     this.#open.add(request.answer);
     switch (this.mode) {
       case "dark":
@@ -174,7 +185,7 @@
 
   #crashUnder(request: BackendRequest): boolean {
     const { crashes } = this.#tools;
-    const after = crashes?.timeOf(request.call);
+    const after = crashes?.timeOf(request.call, this);
     if (after === undefined) {
       return false;
     }
--- a/playground/src/routes/quarantine_trials.ts
+++ b/playground/src/routes/quarantine_trials.ts
@@ -28,6 +28,8 @@
   readonly poisons: number;
   /** Streams, or calls to plain endpoints. */
   readonly kind: "answer" | "notify";
+  /** Events of a stream. */
+  readonly events: number;
 }
 
 /** What came of it. */
@@ -69,10 +71,10 @@
 
 function addGood(
   lines: string[],
-  { kind }: TrialPlan,
+  { kind, events }: TrialPlan,
   random: SeededRandomness,
 ): void {
-  const shape = kind === "answer" ? "prompt 600 events 40" : "";
+  const shape = kind === "answer" ? `prompt 600 events ${events}` : "";
   for (let index = 1; index <= REPEATED; index++) {
     const at = Math.round(2_000 + random.next() * 10_000);
     const count = 1 + Math.floor(random.next() * MOST_REPEATS);
@@ -120,13 +122,13 @@
 
 function addPoison(
   lines: string[],
-  { index, plan: { kind } }: { index: number; plan: TrialPlan },
+  { index, plan: { kind, events } }: { index: number; plan: TrialPlan },
   random: SeededRandomness,
 ): void {
   const after = Math.round(20 + random.next() * 400);
   const every = Math.round(200 + random.next() * 1_500);
   const at = Math.round(3_000 + random.next() * 3_000);
-  const shape = kind === "answer" ? "prompt 600 events 40" : "";
+  const shape = kind === "answer" ? `prompt 600 events ${events}` : "";
   lines.push(`at 0s poison bad${index} after ${after}ms`);
   lines.push(
     `at ${at}ms load x${index} ${kind} via ${
--- a/playground/src/routes/route_actions.ts
+++ b/playground/src/routes/route_actions.ts
@@ -74,6 +74,8 @@
   reborn: ({ world }, line) => reborn(world, line),
   poison: ({ world }, line) => poison(world, line),
   end: ({ world }, line) => end(world, line),
+  cure: ({ world: { crashes } }, line) =>
+    crashes.cure(word(line, 1, "a version")),
   late_record: ({ world }, line) => {
     const life = Number(option(line, "life", "1"));
     const sequence = Number(option(line, "sequence", "1"));
--- a/playground/src/routes/route_setting.ts
+++ b/playground/src/routes/route_setting.ts
@@ -102,7 +102,7 @@
   });
 }
 
-/** `backend NAME ZONE SERVICE [slots N] [work T] [cold T] [id ID] [life N]`: a new endpoint, published at once. */
+/** `backend NAME ZONE SERVICE [slots N] [work T] [cold T] [id ID] [life N] [version V]`: a new endpoint, published at once. */
 export function addBackend(world: RouteWorld, line: Line): void {
   const name = word(line, 1, "a name");
   const backend = new FakeBackend({
@@ -112,6 +112,7 @@
     spot: spotOf(world, line),
     slots: Number(option(line, "slots", "8")),
     work: parseTime(line, option(line, "work", "20ms")),
+    version: option(line, "version", "v1"),
   }, { time: world.time, runs: world.runs, crashes: world.crashes });
   const life = Number(option(line, "life", "0"));
   backend.life = life === 0 ? undefined : life;
@@ -139,7 +140,7 @@
     service: backend.service as ServiceId,
     address: addressOf(backend),
     zone: backend.spot.zone as ZoneId,
-    softwareVersion: "v1",
+    softwareVersion: backend.version,
     slots: backend.slots,
     state,
     coldFor: milliseconds(coldFor),
--- a/playground/src/routes/route_world.ts
+++ b/playground/src/routes/route_world.ts
@@ -206,7 +206,10 @@
       this.network.reaches(from.spot, backend.spot);
   }
 
-  toBackend({ target, head, resumeAfter, recipient }: ToBackend): () => void {
+  toBackend(
+    from: VirtualGateway,
+    { target, head, resumeAfter, recipient }: ToBackend,
+  ): () => void {
     const backend = this.backendAt(target.address)!;
     if (backend.id !== target.endpoint) {
       this.time.after(1, () => recipient.head(answerOf(421, true)));
@@ -220,6 +223,7 @@
     };
     backend.take({
       call: head.call,
+      from,
       streaming: head.prompt !== undefined,
       events: this.#events.get(head.call) ?? 0,
       resumeAfter: Number(resumeAfter ?? head.lastEventId ?? 0),
--- a/playground/src/routes/virtual_gateway.ts
+++ b/playground/src/routes/virtual_gateway.ts
@@ -50,6 +50,8 @@
   readonly #attempts = new Map<AttemptId, OpenAttempt>();
   #gateway: Gateway | undefined;
   #life = 0;
+  /** When its present life began. */
+  startedAt = 0;
   #nextTickAt = 0;
   #requests = 0;
   #frozenAt: number | undefined;
@@ -80,6 +82,7 @@
   /** Begins a new life. */
   start(self: Omit<GatewaySelf, "incarnation">): void {
     this.#life++;
+    this.startedAt = this.#world.time.now;
     this.#gateway = new Gateway({
       self: {
         ...self,
@@ -307,7 +310,7 @@
     }
     const recipient = this.#recipientOf(id);
     open.cancel = target.kind === "endpoint"
-      ? this.#world.toBackend({ target, head, resumeAfter, recipient })
+      ? this.#world.toBackend(this, { target, head, resumeAfter, recipient })
       : this.#world.toPeer(this, {
         target,
         head: { ...head, timeLeft: milliseconds(proceed.timeLeft) },
