fix: a region that turns a suspect away is not taken for full

Cause: a refusal without any attempt by another region marks that region as having no place for 400 ms, for all requests of the service. A request that is held there, or waits for its trial, is refused in the same way.

--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -77,7 +77,9 @@
     this.#tools.attempts.close(call, "refused", now);
     if (declined && call.phase !== "answering") {
       // No endpoint got it, so that another way is no repeat.
-      this.#tools.router.noteDeclined(call, target.region, now);
+      if (!this.#tools.quarantine.isSuspect(call.head.fingerprint)) {
+        this.#tools.router.noteDeclined(call, target.region, now);
+      }
       return this.#tools.placer.place(call, now);
     }
     call.rejections++;
