fix: a request that waits for a trial is given up in time; ends are looked up, not counted, at each send

Cause, both by reading: a request that an endpoint had turned away and that then waited for the outcome of another copy's trial was not bounded but by its deadline; and each placing of each waiting request walked all known ends (up to 128) to count them. Change: such a wait has the bound of any other; the ledger keeps the count of ends by request. 302 tests of routes, quarantine and gateway pass.

--- a/packages/core/src/gateway/call.ts
+++ b/packages/core/src/gateway/call.ts
@@ -72,6 +72,8 @@
   lastEventId: string | undefined;
   /** Software of endpoints that it must not go to. */
   avoidedVersions: ReadonlySet<string> = NO_VERSIONS;
+  /** Whether it waits for the outcome of another copy's trial. */
+  awaitsTrial = false;
   /** The caller has left; the attempt goes on because its call may not be repeated. */
   orphaned = false;
 
--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -117,7 +117,8 @@
   /** Waiting on would end in a refusal too, only later: the caller learns it while it can still act. */
   waitedTooLong(call: Call, now: Instant): boolean {
     const time = call.endsAt - call.arrivedAt;
-    return call.phase === "waiting" && call.offered === 0 &&
+    const alone = call.offered === 0 || call.awaitsTrial;
+    return call.phase === "waiting" && alone &&
       now - call.arrivedAt > waitLimit(time);
   }
 
@@ -134,6 +135,7 @@
       case "wait":
         return this.#awaitTrial(call, now);
       default:
+        call.awaitsTrial = false;
         call.avoidedVersions = verdict.kind === "limited"
           ? verdict.except
           : NONE;
@@ -147,6 +149,7 @@
       return "over";
     }
     call.phase = "waiting";
+    call.awaitsTrial = true;
     this.queue.add(call);
     return "waits";
   }
--- a/packages/core/src/quarantine/crash_ledger.ts
+++ b/packages/core/src/quarantine/crash_ledger.ts
@@ -5,7 +5,7 @@
  */
 import { after, type ContentDigest, type Instant } from "../ids/index.ts";
 import { type Culprit, findCulprits, type KnownEnd } from "./crash_evidence.ts";
-import type { CrashReport } from "./crash_report.ts";
+import type { CrashReport, CrashVictim } from "./crash_report.ts";
 
 /**
  * Requests that crash endpoints may come minutes apart. An end that is older says little: whoever sends
@@ -24,38 +24,35 @@
 /** Adds up ends. */
 export class CrashLedger {
   readonly #ends = new Map<string, KnownEnd>();
+  /** Ends by request: it is asked for with each send. */
+  readonly #counts = new Map<ContentDigest, number>();
 
   /** Takes what an entry saw; several entries see the same end. */
   add(report: CrashReport, now: Instant): void {
     const key = `${report.endpoint} ${report.life ?? ""}`;
     const end = this.#ends.get(key) ?? endOf(report, now);
-    for (const { content, caller, exposure, trial } of report.victims) {
-      if (end.victims.size >= MOST_VICTIMS && !end.victims.has(content)) {
-        continue;
-      }
-      if (trial) {
-        end.trials.add(content);
-      }
-      const callers = end.victims.get(content) ?? new Map();
-      callers.set(caller, Math.max(exposure, callers.get(caller) ?? 0));
-      end.victims.set(content, callers);
-    }
     this.#ends.set(key, end);
+    for (const victim of report.victims) {
+      this.#addVictim(end, victim);
+    }
     this.#forget(now);
   }
 
   /** An endpoint has answered a request: what ended before did not end of it. */
   answered(content: ContentDigest, now: Instant): void {
+    if (!this.knows(content)) {
+      return;
+    }
     for (const { at, victims } of this.#ends.values()) {
-      if (at <= now) {
-        victims.delete(content);
+      if (at <= now && victims.delete(content)) {
+        this.#count(content, -1);
       }
     }
   }
 
   /** Whether an endpoint ended under a request that no endpoint has answered since. */
   knows(content: ContentDigest): boolean {
-    return this.endsOf(content) > 0;
+    return this.#counts.has(content);
   }
 
   /** Whether a request was at so many ends that it is tried by itself. */
@@ -65,11 +62,7 @@
 
   /** Endpoints that ended under a request since one answered it. */
   endsOf(content: ContentDigest): number {
-    let count = 0;
-    for (const { victims } of this.#ends.values()) {
-      count += Number(victims.has(content));
-    }
-    return count;
+    return this.#counts.get(content) ?? 0;
   }
 
   /** Who ended what is not explained by a request that is held already. */
@@ -80,10 +73,39 @@
     return findCulprits(open);
   }
 
+  #addVictim(
+    { victims, trials }: KnownEnd,
+    { content, caller, exposure, trial }: CrashVictim,
+  ): void {
+    const known = victims.get(content);
+    if (known === undefined && victims.size >= MOST_VICTIMS) {
+      return;
+    }
+    if (known === undefined) {
+      this.#count(content, 1);
+    }
+    const callers = known ?? new Map();
+    callers.set(caller, Math.max(exposure, callers.get(caller) ?? 0));
+    victims.set(content, callers);
+    if (trial) {
+      trials.add(content);
+    }
+  }
+
+  #count(content: ContentDigest, change: 1 | -1): void {
+    const count = this.endsOf(content) + change;
+    if (count > 0) {
+      this.#counts.set(content, count);
+    } else {
+      this.#counts.delete(content);
+    }
+  }
+
   #forget(now: Instant): void {
-    for (const [key, { at }] of this.#ends) {
+    for (const [key, { at, victims }] of this.#ends) {
       if (now - at > END_LIFETIME_MS || this.#ends.size > MOST_ENDS) {
         this.#ends.delete(key);
+        [...victims.keys()].forEach((content) => this.#count(content, -1));
       }
     }
   }
--- a/playground/src/guards/quarantine_guards.ts
+++ b/playground/src/guards/quarantine_guards.ts
@@ -44,8 +44,8 @@
     point: POINT,
     name: "the answer to a request clears it of the ends before",
     file: `${QUARANTINE}/crash_ledger.ts`,
-    find: "      if (at <= now) {\n",
-    replace: "      if (at <= now && at > now) {\n",
+    find: "if (at <= now && victims.delete(content)) {",
+    replace: "if (at > now && victims.delete(content)) {",
   },
   {
     point: POINT,
