fix: what entries tell of ends and answers is bounded

Cause: each end of an endpoint and each answer to a request that was at one was told to all entries that carry: a lost zone of hundreds of endpoints would have cost hundreds of kilobytes an entry. Change: eight ends a second are told, answers only of requests that were at two ends or are held; the others clear the entry's own count. Popular bodies are defended by whoever answered them lately, as before.

--- a/packages/core/src/quarantine/quarantine_controller.ts
+++ b/packages/core/src/quarantine/quarantine_controller.ts
@@ -41,6 +41,12 @@
 
 /** Answered requests in one datagram: it stays under 1,400 bytes. */
 const ANSWERED_PER_MESSAGE = 48;
+/**
+ * Ends that are told in a second. Where more end together it is a zone or a rack, which says nothing of a
+ * request, and hundreds of reports to each entry that carries would cost more than what they are for.
+ */
+const MOST_TOLD = 8;
+const SECOND_MS = 1_000;
 
 /** What the controller works with. */
 export interface QuarantineSources extends TrialSources {
@@ -78,6 +84,8 @@
   readonly #trials = new OpenTrials();
   readonly #served = new ServedMemory();
   #answered: AnsweredRequest[] = [];
+  /** When ends were told, in the last second. */
+  #toldAt: Instant[] = [];
   /** Ends of endpoints that this entry lost requests with. */
   ends = 0;
 
@@ -116,7 +124,7 @@
   }
 
   /** Whether a request that was lost with its endpoint is not to be sent to another one by this entry. */
-  isSuspect({ content }: RequestFingerprint): boolean {
+  isSuspect({ content }: Pick<RequestFingerprint, "content">): boolean {
     return this.holds.has(content) || this.#ledger.suspects(content);
   }
 
@@ -213,8 +221,10 @@
   #noteAnswered(answered: AnsweredRequest, now: Instant): void {
     const { content } = answered;
     this.#served.add(content, now);
-    if (this.#ledger.knows(content) || this.holds.has(content)) {
+    if (this.isSuspect({ content })) {
       this.#tellAnswered(answered, now);
+    } else {
+      this.#ledger.answered(content, now);
     }
   }
 
@@ -250,10 +260,19 @@
       endpoints: this.#sources.endpoints(),
       isServed: (content) => this.#served.has(content, now),
     }, now);
+    this.#tell(report, now);
+    this.#add(report, now);
+  }
+
+  #tell(report: CrashReport, now: Instant): void {
+    this.#toldAt = this.#toldAt.filter((at) => now - at < SECOND_MS);
+    if (this.#toldAt.length >= MOST_TOLD) {
+      return;
+    }
+    this.#toldAt.push(now);
     for (const part of partsOf(report)) {
       this.#sources.tell({ ...NOTHING_NEW, crashes: [part] }, "carriers");
     }
-    this.#add(report, now);
   }
 
   #add(report: CrashReport, now: Instant): void {
