test: the quarantine of one entry, its parts together

Holds after the third end and tells of it; one copy at a time; one look at a port; eight ends told of forty; eight requests in a line of sixty; an operator's release.

--- /dev/null
+++ b/packages/core/src/quarantine/__tests__/quarantine_controller.test.ts
@@ -0,0 +1,172 @@
+import { beforeEach, describe, expect, it } from "vitest";
+import {
+  type AttemptId,
+  type CallerDigest,
+  type ContentDigest,
+  type EndpointId,
+  type EndpointRecord,
+  type Incarnation,
+  instant,
+  milliseconds,
+  type RequestId,
+  type ServiceId,
+  type ZoneId,
+} from "../../index.ts";
+import type { QuarantineNews } from "../crash_report.ts";
+import { QuarantineController } from "../quarantine_controller.ts";
+
+const POOL = "pool" as ServiceId;
+const CALLER = "c" as CallerDigest;
+const BAD = "bad" as ContentDigest;
+const SEEN_MS = 200;
+
+function record(name: string): EndpointRecord {
+  return {
+    id: name as EndpointId,
+    service: POOL,
+    address: `${name}:1`,
+    zone: "z" as ZoneId,
+    softwareVersion: "v1",
+    slots: 8,
+    state: "ready",
+    coldFor: milliseconds(0),
+    leavesIn: undefined,
+    life: undefined,
+    sequence: 1,
+  };
+}
+
+describe("an entry's quarantine", () => {
+  let told: { news: QuarantineNews; to: string }[];
+  let lines: { text: string; fields: Readonly<Record<string, unknown>> }[];
+  let knocks: string[];
+  let controller: QuarantineController;
+  let attempts = 0;
+
+  beforeEach(() => {
+    told = [];
+    lines = [];
+    knocks = [];
+    controller = new QuarantineController({
+      self: { incarnation: "me" as Incarnation },
+      endpoints: () =>
+        new Map(
+          Array.from({ length: 40 }, (_, index) => record(`e${index}`)).map(
+            (item) => [item.id, item],
+          ),
+        ),
+      carriers: () => ["another" as Incarnation],
+      knock: ({ id }) => knocks.push(id),
+      tell: (news, to) => told.push({ news, to }),
+      log: (_part, text, fields) => lines.push({ text, fields }),
+    });
+  });
+
+  /** A request runs at an endpoint that ends under it. */
+  const end = (endpoint: string, contents: readonly string[], at: number) => {
+    const watched = { record: record(endpoint), heardAt: undefined };
+    const begun = contents.map((content) => {
+      attempts++;
+      const attempt = `a${attempts}` as AttemptId;
+      const fingerprint = {
+        content: content as ContentDigest,
+        caller: CALLER,
+      };
+      const run = { attempt, fingerprint, path: "/p", sentAt: instant(at) };
+      controller.began(watched, run, `r${attempts}` as RequestId);
+      return { attempt, fingerprint };
+    });
+    for (const { attempt, fingerprint } of begun) {
+      const run = { attempt, fingerprint, end: "lost" as const };
+      controller.ended(watched, run, instant(at + 100));
+      controller.broken(watched, instant(at + 100));
+    }
+    controller.refused(watched.record);
+    controller.tick(instant(at + 100 + SEEN_MS));
+  };
+  const judge = (at: number, id = "r") =>
+    controller.judge({
+      id: id as RequestId,
+      fingerprint: { content: BAD, caller: CALLER },
+      services: [POOL],
+    }, instant(at));
+
+  it("holds a request after the third end, and tells others and operators", () => {
+    end("e1", ["bad", "x"], 0);
+    expect(judge(500).kind).toBe("free");
+    end("e2", ["bad", "y"], 5_000);
+    end("e3", ["bad", "w"], 10_000);
+    expect(judge(10_500).kind).toBe("held");
+    const hold = told.find(({ news }) => news.holds.length > 0);
+    expect(hold?.to).toBe("spread");
+    expect(hold?.news.holds[0]).toMatchObject({ content: BAD, term: 1 });
+    expect(lines.map(({ text }) => text)).toEqual([
+      "Endpoint has ended.",
+      "Endpoint has ended.",
+      "Endpoint has ended.",
+      "Request is held back.",
+    ]);
+    expect(lines[2]?.fields).toMatchObject({
+      endpoint: "e3",
+      requests: 2,
+      quickest: [{ digest: "bad", ends: 3 }, { digest: "w", ends: 1 }],
+    });
+  });
+
+  it("tries one copy of a suspect at a time", () => {
+    end("e1", ["bad"], 0);
+    end("e2", ["bad"], 5_000);
+    const watched = { record: record("e3"), heardAt: undefined };
+    controller.began(watched, {
+      attempt: "t" as AttemptId,
+      fingerprint: { content: BAD, caller: CALLER },
+      path: "/p",
+      sentAt: instant(9_000),
+    }, "first" as RequestId);
+    expect(judge(9_010, "first").kind).toBe("free");
+    expect(judge(9_010, "second").kind).toBe("wait");
+    expect(told.at(-1)).toMatchObject({
+      to: "carriers",
+      news: { tried: [BAD] },
+    });
+    expect(judge(14_100, "second").kind).toBe("free");
+  });
+
+  it("has others wait for a copy that a peer tries", () => {
+    end("e1", ["bad"], 0);
+    end("e2", ["bad"], 5_000);
+    const news = { crashes: [], answered: [], holds: [], tried: [BAD] };
+    controller.learn(news, instant(9_000));
+    expect(judge(9_010).kind).toBe("wait");
+  });
+
+  it("looks once at the port of an endpoint that many requests were lost with", () => {
+    end("e1", Array.from({ length: 60 }, (_, index) => `x${index}`), 0);
+    expect(knocks).toEqual(["e1"]);
+  });
+
+  it("tells of a bounded number of ends where a zone is lost", () => {
+    for (let index = 0; index < 40; index++) {
+      end(`e${index}`, [`x${index}`], 0);
+    }
+    const crashes = told.filter(({ news }) => news.crashes.length > 0);
+    expect(crashes.length).toBe(8);
+    expect(controller.ends).toBe(40);
+  });
+
+  it("names no more requests of an end than a line has room for", () => {
+    end("e1", Array.from({ length: 60 }, (_, index) => `x${index}`), 0);
+    expect(lines[0]?.fields).toMatchObject({ requests: 60 });
+    expect((lines[0]?.fields.quickest as unknown[]).length).toBe(8);
+  });
+
+  it("has its operators end a hold, everywhere", () => {
+    ["e1", "e2", "e3"].forEach((name, index) =>
+      end(name, ["bad"], index * 5_000)
+    );
+    expect(controller.release(BAD, instant(20_000))).toBe(true);
+    expect(judge(20_001).kind).toBe("free");
+    expect(told.at(-1)?.news.holds[0]).toMatchObject({ released: true });
+    expect(controller.release(BAD, instant(20_002))).toBe(false);
+  });
+});
