fix: an endpoint that ends again under its id counts again

Cause, by reading: an endpoint that tells no life and starts again under its id was one that had ended for ten seconds on, so that any loss there counted as an end; and its second end was taken for the first. Change: an endpoint that is heard from after its end lives again; ends of one id and life three seconds apart are two.

--- a/packages/core/src/quarantine/__tests__/crash_ledger.test.ts
+++ b/packages/core/src/quarantine/__tests__/crash_ledger.test.ts
@@ -40,6 +40,14 @@
     expect(ledger.endsOf(BAD)).toBe(1);
   });
 
+  it("count each where an endpoint ends again under its id", () => {
+    const ledger = new CrashLedger();
+    ledger.add(report("e1", "bad"), instant(0));
+    ledger.add(report("e1", "bad"), instant(7_000));
+    ledger.add(report("e1", "a"), instant(7_500));
+    expect(ledger.endsOf(BAD)).toBe(2);
+  });
+
   it("do not speak against a request that was answered after them", () => {
     const ledger = new CrashLedger();
     ledger.add(report("e1", "bad"), instant(0));
--- a/packages/core/src/quarantine/__tests__/crash_watch.test.ts
+++ b/packages/core/src/quarantine/__tests__/crash_watch.test.ts
@@ -145,6 +145,15 @@
       expect(ended(360)).toEqual([]);
     });
 
+    it("where it has started again and a connection breaks", () => {
+      lose("a", 200);
+      watch.refused(RECORD);
+      expect(ended(360)).toEqual(["a"]);
+      endpoint.heardAt = instant(1_000);
+      lose("b", 1_200);
+      expect(ended(1_400)).toEqual([]);
+    });
+
     it("where requests were answered before", () => {
       watch.ended(endpoint, "a" as AttemptId);
       lose("b", 200);
--- a/packages/core/src/quarantine/crash_ledger.ts
+++ b/packages/core/src/quarantine/crash_ledger.ts
@@ -12,6 +12,8 @@
  * the same for so long and is answered by nobody meets the next three.
  */
 const END_LIFETIME_MS = 300_000;
+/** Entries see one end within this time of each other: those of a dark endpoint count from their last word. */
+const SAME_END_MS = 3_000;
 /** Ends that are kept, and requests of each: some two megabytes when both are full. */
 const MOST_ENDS = 128;
 const MOST_VICTIMS = 256;
@@ -29,9 +31,7 @@
 
   /** Takes what an entry saw; several entries see the same end. */
   add(report: CrashReport, now: Instant): void {
-    const key = `${report.endpoint} ${report.life ?? ""}`;
-    const end = this.#ends.get(key) ?? endOf(report, now);
-    this.#ends.set(key, end);
+    const end = this.#find(report, now);
     for (const victim of report.victims) {
       this.#addVictim(end, victim);
     }
@@ -73,6 +73,22 @@
     return findCulprits(open);
   }
 
+  /** The end that others told of, or a new one: an endpoint that tells no life may end again under its id. */
+  #find(report: CrashReport, now: Instant): KnownEnd {
+    const found = endOf(report, now);
+    for (let number = 0;; number++) {
+      const key = `${report.endpoint} ${report.life ?? ""} ${number}`;
+      const known = this.#ends.get(key);
+      if (known === undefined) {
+        this.#ends.set(key, found);
+        return found;
+      }
+      if (Math.abs(known.at - found.at) < SAME_END_MS) {
+        return known;
+      }
+    }
+  }
+
   #addVictim(
     { victims, trials }: KnownEnd,
     { content, caller, exposure, trial }: CrashVictim,
--- a/packages/core/src/quarantine/crash_watch.ts
+++ b/packages/core/src/quarantine/crash_watch.ts
@@ -141,6 +141,7 @@
     const ended: EndedEndpoint[] = [];
     for (const [key, watched] of this.#watched) {
       this.#dropLiving(watched, now);
+      noteReturn(watched);
       if (this.#hasEnded(watched, now)) {
         watched.endedAt ??= now;
         this.#loseSilent(watched, now);
@@ -231,6 +232,17 @@
   );
 }
 
+/** An endpoint that is heard from after its end has started again without telling a new life. */
+function noteReturn(watched: Watched): void {
+  const { endpoint: { heardAt }, endedAt } = watched;
+  const returned = endedAt !== undefined && heardAt !== undefined &&
+    heardAt > endedAt + STRAGGLER_MS;
+  if (returned) {
+    watched.endedAt = undefined;
+    watched.refused = false;
+  }
+}
+
 function takeLost(watched: Watched): EndedEndpoint[] {
   const { endpoint: { record }, lost } = watched;
   if (lost.length === 0) {
