--- a/playground/src/scenario/actions.ts
+++ b/playground/src/scenario/actions.ts
@@ -94,6 +94,11 @@
   "order-delay": ({ world }, line) => {
     world.orderDelayMs = parseTime(line, line.words[1]);
   },
+  poison: ({ world }, line) =>
+    world.poisons.add(word(line, 1, "a body"), {
+      after: parseTime(line, option(line, "after", "100ms")),
+      down: parseTime(line, option(line, "down", "5s")),
+    }),
   "unfence": (stage, line) => {
     endpointOf(stage, line).fenced = false;
   },
--- a/playground/src/scenario/endpoint_way.ts
+++ b/playground/src/scenario/endpoint_way.ts
@@ -94,6 +94,16 @@
       resumeOffset: attempt.resumeOffset,
     });
     this.#checkRuns(open.send);
+    const crashes = this.#tools.world.poisons.strikes(open.send.body, {
+      endpoint,
+      ended: () => {
+        endpoint.ended();
+        end(RESET);
+      },
+    });
+    if (crashes) {
+      return;
+    }
     if (reply.end.kind === "none") {
       return;
     }
--- a/playground/src/scenario/expectations.ts
+++ b/playground/src/scenario/expectations.ts
@@ -26,6 +26,7 @@
   calls: checkCalls,
   entry: checkEntry,
   count: checkCount,
+  poison: checkPoison,
 };
 
 /** `expect NAME[*] FIELD VALUE...`: what callers were told. */
@@ -147,6 +148,14 @@
   return actual === expected ? undefined : `it is ${actual}`;
 }
 
+/** `expect poison BODY sends N ends N`: at most so many, after it had to be known and in all. */
+function checkPoison({ poisons }: World, line: Line): string | undefined {
+  const { sends, ends } = poisons.figures(word(line, 2, "a body"));
+  const tooMany = sends > Number(option(line, "sends", "Infinity")) ||
+    ends > Number(option(line, "ends", "Infinity"));
+  return tooMany ? `${sends} sends, ${ends} ends` : undefined;
+}
+
 /** `expect count PREFIX FIELD VALUE at least|at most N`. */
 function checkCount(world: World, line: Line): string | undefined {
   const prefix = word(line, 2, "a prefix of callers");
--- a/playground/src/scenario/world.ts
+++ b/playground/src/scenario/world.ts
@@ -19,6 +19,7 @@
 import { Exchanges } from "./exchanges.ts";
 import { Network, PLATFORM, type Spot } from "./network.ts";
 import { FakeConfiguration, FakeVmList } from "./platform_fakes.ts";
+import { Poisons } from "./poisons.ts";
 import { Violations } from "./violations.ts";
 import { VirtualEntry } from "./virtual_entry.ts";
 import { VirtualTime } from "./virtual_time.ts";
@@ -38,6 +39,7 @@
   readonly configuration = new FakeConfiguration();
   readonly vmList = new FakeVmList();
   readonly violations = new Violations();
+  readonly poisons = new Poisons(this);
   readonly exchanges: Exchanges;
   readonly endpoints = new Map<string, FakeEndpoint>();
   readonly deploymentName = "scenario";
