fix: entries of the operators' own text hold back chats that crash engines

Attempts are counted for one request (up to three engines, six for a stream that has begun), an engine's end is held against the engine alone, and no entry tells another. Change: the same parts serve; a request is known by service and body and by its customer, an engine's end by its next poll or by the list of VMs, and the entries of a region tell each other by a call of their own. A held request is refused with 503 `held`.

--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -24,7 +24,7 @@
 } from "./messages/index.ts";
 import { Metrics } from "./metrics/index.ts";
 import { PlacementController } from "./placement/index.ts";
-import { RequestController } from "./requests/index.ts";
+import { RequestController, RequestQuarantine } from "./requests/index.ts";
 import { type BalancerName, createBalancer } from "./routing/index.ts";
 
 /** How long a stopping entry goes on refusing with other entries' addresses, until callers know. */
@@ -50,6 +50,7 @@
   readonly #endpoints: EndpointController;
   readonly #actions: ActionController;
   readonly #requests: RequestController;
+  readonly #quarantine: RequestQuarantine;
   readonly #placement: PlacementController;
   #effects: Effect[] = [];
   #stopAt: Instant | undefined;
@@ -88,6 +89,7 @@
       now,
       onLeaving,
     });
+    this.#quarantine = new RequestQuarantine(board, { emit, now });
     this.#requests = new RequestController(board, {
       emit,
       actions: this.#actions,
@@ -95,6 +97,7 @@
       balancer: createBalancer(balancer, random),
       explanations: this.explanations,
       metrics: this.metrics,
+      quarantine: this.#quarantine,
     });
     this.#placement = new PlacementController(board, { emit, now });
     board.endpoints = this.#endpoints;
@@ -181,9 +184,13 @@
         return this.#actions.keepCopy(event.copy, now);
       case "handOverDone":
         return this.#handedOver();
+      case "quarantineNews":
+        return this.#quarantine.learn(event.news, now);
       case "load":
+        this.#quarantine.heard(event.endpoint, now);
         return this.#endpoints.reported(event.endpoint, event.report, now);
       case "loadFailed":
+        this.#quarantine.silent(event.endpoint);
         return this.#endpoints.failed(event.endpoint, now);
       case "orderDone":
         return this.#placement.answered(event.endpoint, event.accepted);
@@ -228,6 +235,7 @@
     this.#membership.tick(now);
     this.#endpoints.tick(now);
     this.#actions.tick(now);
+    this.#quarantine.tick(now);
     this.#requests.tick(now);
     this.#placement.tick(now);
     this.#continueStop(now);
--- a/packages/core/src/messages/events.ts
+++ b/packages/core/src/messages/events.ts
@@ -10,6 +10,7 @@
   RequestId,
   Revision,
 } from "../ids/index.ts";
+import type { QuarantineNews } from "../quarantine/index.ts";
 import type {
   ConfigurationCopy,
   HandOver,
@@ -54,6 +55,7 @@
   | { readonly kind: "outcomeCopy"; readonly copy: OutcomeCopy }
   | { readonly kind: "handOver"; readonly handOver: HandOver }
   | { readonly kind: "handOverDone" }
+  | { readonly kind: "quarantineNews"; readonly news: QuarantineNews }
   | {
     readonly kind: "load";
     readonly endpoint: EndpointId;
@@ -141,6 +143,11 @@
     readonly url: string;
     readonly handOver: HandOver;
   }
+  | {
+    readonly kind: "sendQuarantine";
+    readonly url: string;
+    readonly news: QuarantineNews;
+  }
   | {
     readonly kind: "pollLoad";
     readonly endpoint: EndpointId;
@@ -163,6 +170,7 @@
   | "endpoint"
   | "route"
   | "action"
+  | "quarantine"
   | "order"
   | "stop";
 
--- a/packages/core/src/quarantine/trial_owner.ts
+++ b/packages/core/src/quarantine/trial_owner.ts
@@ -41,6 +41,9 @@
         !tested.has(record.softwareVersion)
       ).map(({ zone }) => zone),
     );
+    if (zones.size === 0) {
+      return false;
+    }
     const [first] = rendezvous(content, carriers(zones), (entry) => entry);
     return first === self.incarnation;
   };
--- a/packages/core/src/requests/attempt_tracker.ts
+++ b/packages/core/src/requests/attempt_tracker.ts
@@ -24,6 +24,7 @@
 import type { Answers } from "./answers.ts";
 import { judgeEnd } from "./judge_end.ts";
 import type { RequestTable } from "./request_table.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { DEFAULT_RETRY, type Router } from "./router.ts";
 import type { Spills } from "./spills.ts";
@@ -44,6 +45,7 @@
   readonly router: Router;
   readonly spills: Spills;
   readonly table: RequestTable;
+  readonly quarantine: RequestQuarantine;
 }
 
 /** Judges and recovers attempts. */
@@ -75,6 +77,7 @@
     const obstacle = this.#obstacle(request, now);
     if (obstacle === undefined) {
       request.attempts.record(id, "sent");
+      this.#with.quarantine.began(request, request.current!, now);
       this.#with.emit({ kind: "proceed", attempt: id });
       return undefined;
     }
@@ -82,13 +85,14 @@
       text: "Withdrew the attempt",
       obstacle,
     });
-    this.#close(request, "unsent");
+    this.#close(request, "unsent", now);
     return request;
   }
 
   /** An attempt's first token came. */
   firstToken(id: AttemptId, now: Instant): void {
     const request = this.#with.table.ofAttempt(id);
+    this.#noteHeard(request, now);
     if (request !== undefined && request.firstTokenAt === undefined) {
       request.firstTokenAt = now;
       this.#record("first_token", request, now - request.arrivedAt);
@@ -98,6 +102,7 @@
   /** Tokens up to `offset` went to the caller. */
   progress(id: AttemptId, offset: number, now: Instant): void {
     const request = this.#with.table.ofAttempt(id);
+    this.#noteHeard(request, now);
     if (request === undefined || offset <= request.offset) {
       return;
     }
@@ -112,6 +117,13 @@
     request.lastTokenAt = now;
   }
 
+  #noteHeard(request: ActiveRequest | undefined, now: Instant): void {
+    const target = request?.current?.target;
+    if (target?.kind === "endpoint") {
+      this.#with.quarantine.heard(target.endpoint, now);
+    }
+  }
+
   /** An attempt ended. Returns a keyed request whose peer was never reached, to be routed anew. */
   ended(
     id: AttemptId,
@@ -128,7 +140,7 @@
     if (failed && attempt.target.kind === "endpoint") {
       this.#with.endpoints.failed(attempt.target.endpoint, now);
     }
-    this.#close(request, state);
+    this.#close(request, state, now);
     this.#with.explanations.note(request.head.id, now, {
       text: "Attempt ended",
       end: end.kind,
@@ -145,12 +157,12 @@
   }
 
   /** Ends the current attempt from this side; the shell drops its connection. */
-  abort(request: ActiveRequest): void {
+  abort(request: ActiveRequest, now: Instant): void {
     const { current } = request;
     if (current !== undefined) {
       const sent = request.attempts.stateOf(current.id) === "sent";
       this.#with.emit({ kind: "abort", attempt: current.id });
-      this.#close(request, sent ? "lost" : "unsent");
+      this.#close(request, sent ? "lost" : "unsent", now);
     }
   }
 
@@ -179,6 +191,9 @@
     if (endpoint === undefined || endpoint.state === "draining") {
       return "endpoint leaves";
     }
+    if (this.#with.quarantine.judge(request, now) !== undefined) {
+      return "held";
+    }
     const { keyOwner } = request;
     const givenUp = keyOwner !== undefined &&
       !this.#with.actions.mayRun(customer.id, keyOwner);
@@ -291,7 +306,9 @@
     const goesOn = request.offset > request.head.resumeOffset;
     const most = goesOn ? MAX_STREAM_ATTEMPTS : MAX_ATTEMPTS;
     const inTime = now < request.deadlineAt && request.attempts.size < most;
-    return safe && !forwardedKey && inTime && this.#isAffordable(request, end);
+    const allowed = safe && !forwardedKey && inTime &&
+      this.#with.quarantine.mayRepeat(request);
+    return allowed && this.#isAffordable(request, end);
   }
 
   /**
@@ -304,8 +321,9 @@
     return end.kind === "unsent" || goesOn || this.#budget.spend();
   }
 
-  #close(request: ActiveRequest, state: AttemptState): void {
+  #close(request: ActiveRequest, state: AttemptState, now: Instant): void {
     const attempt = request.current!;
+    this.#with.quarantine.ended(request, { attempt, state }, now);
     request.attempts.record(attempt.id, state);
     request.current = undefined;
     this.#with.table.endAttempt(attempt.id);
--- a/packages/core/src/requests/index.ts
+++ b/packages/core/src/requests/index.ts
@@ -15,6 +15,7 @@
   otherEntries,
 } from "./entry_list.ts";
 export { judgeEnd } from "./judge_end.ts";
+export { RequestQuarantine } from "./request_quarantine.ts";
 export { RequestController } from "./request_controller.ts";
 export { ACTION_GRACE_MS, CONFIRMING_MS } from "./request_dependencies.ts";
 export { RetryBudget } from "./retry_budget.ts";
--- a/packages/core/src/requests/request_controller.ts
+++ b/packages/core/src/requests/request_controller.ts
@@ -165,7 +165,7 @@
     this.#with.explanations.note(id, now, { text: "Caller gone" });
     request.closed = true;
     if (!request.ownsAction) {
-      this.#tracker.abort(request);
+      this.#tracker.abort(request, now);
       this.#table.remove(request);
       this.#router.pump(now);
     }
@@ -312,7 +312,7 @@
       this.#expireAction(request, now);
       return;
     }
-    this.#tracker.abort(request);
+    this.#tracker.abort(request, now);
     this.#answers.refuse(request, "deadline", {
       detail: "The deadline passed",
       retryAfter: DEFAULT_RETRY,
@@ -337,7 +337,7 @@
       );
     }
     if (now - request.deadlineAt >= ACTION_GRACE_MS) {
-      this.#tracker.abort(request);
+      this.#tracker.abort(request, now);
       this.#answers.refuse(request, "endpoint_failed", {
         detail: "The endpoint never answered",
         now,
--- a/packages/core/src/requests/request_dependencies.ts
+++ b/packages/core/src/requests/request_dependencies.ts
@@ -9,6 +9,7 @@
 import type { Emit } from "../messages/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import type { Balancer } from "../routing/index.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
 
 /** How long a request waits for the text in force to be confirmed. */
 export const CONFIRMING_MS = 2_000;
@@ -23,4 +24,5 @@
   readonly balancer: Balancer;
   readonly explanations: Explanations;
   readonly metrics: Metrics;
+  readonly quarantine: RequestQuarantine;
 }
--- a/packages/core/src/requests/router.ts
+++ b/packages/core/src/requests/router.ts
@@ -24,6 +24,7 @@
 import type { Answers } from "./answers.ts";
 import { doubtfulEndpoints, predictWait, usableEndpoints } from "./capacity.ts";
 import { otherEntries } from "./entry_list.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { RequestTable } from "./request_table.ts";
 import type { ServiceQueue } from "./service_queue.ts";
 import type { Spills } from "./spills.ts";
@@ -46,6 +47,7 @@
   readonly table: RequestTable;
   readonly answers: Answers;
   readonly spills: Spills;
+  readonly quarantine: RequestQuarantine;
 }
 
 /** Routes requests whose body is read. */
@@ -61,7 +63,7 @@
 
   /** Sends a request to where it is answered first, or queues or refuses it. */
   route(request: ActiveRequest, now: Instant): void {
-    if (!this.isStillAllowed(request, now)) {
+    if (!this.isStillAllowed(request, now) || this.#isHeld(request, now)) {
       return;
     }
     const { spills, table } = this.#with;
@@ -89,6 +91,18 @@
     }
   }
 
+  /** Refuses what has ended the endpoints that ran it: sent on, it would end the next. */
+  #isHeld(request: ActiveRequest, now: Instant): boolean {
+    const { answers, quarantine } = this.#with;
+    const retryAfter = quarantine.judge(request, now);
+    if (retryAfter === undefined) {
+      return false;
+    }
+    const detail = "Endpoints ended under this request";
+    answers.refuse(request, "held", { detail, retryAfter, now });
+    return true;
+  }
+
   #tryDoubtful(request: ActiveRequest, now: Instant): void {
     const doubtful = doubtfulEndpoints(this.#board, request.service)
       .filter((endpoint) => !request.tried.has(endpoint.vm.id));
--- a/packages/core/src/verdict/refusal.ts
+++ b/packages/core/src/verdict/refusal.ts
@@ -29,6 +29,7 @@
   | "owner_unreachable"
   | "endpoint_failed"
   | "endpoint_refused"
+  | "held"
   | "answer_not_kept"
   | "caller_gone";
 
@@ -54,6 +55,7 @@
   owner_unreachable: 503,
   endpoint_failed: 502,
   endpoint_refused: 503,
+  held: 503,
   answer_not_kept: 409,
   caller_gone: 499,
 };
--- a/packages/daemon/src/entry/effect_runner.ts
+++ b/packages/daemon/src/entry/effect_runner.ts
@@ -12,6 +12,7 @@
   sendHeartbeat,
 } from "../peers/index.ts";
 import type { PlatformClient } from "../platform/index.ts";
+import { encodeQuarantineNews } from "../quarantine/index.ts";
 
 /** What effects are run with. */
 export interface EffectTools {
@@ -56,6 +57,9 @@
       case "sendHandOver":
         void this.#sendHandOver(effect);
         return;
+      case "sendQuarantine":
+        void this.#sendQuarantine(effect);
+        return;
       case "pollLoad":
         void this.#pollLoad(effect);
         return;
@@ -162,6 +166,17 @@
     tell({ kind: "handOverDone" });
   }
 
+  async #sendQuarantine(
+    { url, news }: EffectOf<"sendQuarantine">,
+  ): Promise<void> {
+    try {
+      const message = JSON.stringify(encodeQuarantineNews(news));
+      await this.#tools.peers.at(url).quarantine.mutate(message);
+    } catch (error) {
+      this.#note("peer", "Ends of endpoints were not told.", { url, error });
+    }
+  }
+
   async #pollLoad({ endpoint, url }: EffectOf<"pollLoad">): Promise<void> {
     const { endpoints, tell } = this.#tools;
     try {
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -22,6 +22,7 @@
   instant,
   listEntries,
   type OutcomeCopy,
+  type QuarantineNews,
   type RequestId,
   type Revision,
   SeededRandomness,
@@ -235,6 +236,10 @@
     return this.#core.answerHandOver(handOver, this.#now());
   }
 
+  quarantine(news: QuarantineNews): void {
+    this.tell({ kind: "quarantineNews", news });
+  }
+
   status(): Status {
     return reportStatus(this.#core.board, this.#now());
   }
--- a/packages/daemon/src/gateway/fleet_schema.ts
+++ b/packages/daemon/src/gateway/fleet_schema.ts
@@ -18,9 +18,13 @@
   encodeHoldNotice,
   encodeQuarantineNews,
   holdNotice,
+  life,
+  list,
+  number,
   quarantineNews,
-} from "./quarantine_schema.ts";
-import { life, list, number, text, whole } from "./schema_parts.ts";
+  text,
+  whole,
+} from "../quarantine/index.ts";
 
 const record = z.tuple([
   text,
--- a/packages/daemon/src/peers/__tests__/peers.test.ts
+++ b/packages/daemon/src/peers/__tests__/peers.test.ts
@@ -1,12 +1,17 @@
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import type { Heartbeat, HeartbeatReply } from "@sassafrasstep/core";
+import type {
+  Heartbeat,
+  HeartbeatReply,
+  QuarantineNews,
+} from "@sassafrasstep/core";
 import fc from "fast-check";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
 import {
   type ControlService,
   createControlServer,
 } from "../../control/index.ts";
+import { encodeQuarantineNews } from "../../quarantine/index.ts";
 import { Credentials, PeerClients, sendHeartbeat } from "../index.ts";
 import {
   handOverSchema,
@@ -50,6 +55,7 @@
 let server: Server;
 let url: string;
 const heard: Heartbeat[] = [];
+const learned: QuarantineNews[] = [];
 
 beforeAll(async () => {
   const service = {
@@ -65,6 +71,7 @@
         leaving: [],
       };
     },
+    quarantine: (news: QuarantineNews) => learned.push(news),
     prometheus: () => "",
     isReady: () => true,
   } as unknown as ControlService;
@@ -155,6 +162,35 @@
       await clients.close();
     });
 
+    describe("of ends of endpoints", () => {
+      const NEWS = {
+        crashes: [],
+        answered: [{ content: "abc", softwareVersion: "" }],
+        tried: ["def"],
+        holds: [],
+      } as unknown as QuarantineNews;
+
+      it("are taken from a peer", async () => {
+        const clients = new PeerClients(new Credentials(SECRET, "demo"));
+        const text = JSON.stringify(encodeQuarantineNews(NEWS));
+        await clients.at(url).quarantine.mutate(text);
+        expect(learned.at(-1)).toEqual(NEWS);
+        await clients.close();
+      });
+
+      it.each(["", "[", "{}", "[[],[],[]]", "[[],[[1,2]],[],[]]"])(
+        "are refused where they are none: %o",
+        async (text) => {
+          const before = learned.length;
+          const clients = new PeerClients(new Credentials(SECRET, "demo"));
+          await expect(clients.at(url).quarantine.mutate(text)).rejects
+            .toThrow();
+          expect(learned).toHaveLength(before);
+          await clients.close();
+        },
+      );
+    });
+
     it("of any shape are taken or refused, and never throw past the check", () => {
       fc.assert(fc.property(fc.jsonValue(), (value) => {
         [heartbeatSchema, handOverSchema, outcomeCopySchema].forEach((schema) =>
--- a/packages/daemon/src/peers/router.ts
+++ b/packages/daemon/src/peers/router.ts
@@ -9,12 +9,14 @@
   Heartbeat,
   HeartbeatReply,
   OutcomeCopy,
+  QuarantineNews,
   RequestId,
   Revision,
   Step,
 } from "@sassafrasstep/core";
 import { initTRPC, TRPCError } from "@trpc/server";
 import type { MetricsReport, Status } from "../control/report.ts";
+import { quarantineNewsText } from "../quarantine/index.ts";
 import {
   handOverSchema,
   heartbeatSchema,
@@ -31,6 +33,7 @@
   configuration(have: Revision): ConfigurationCopy | undefined;
   outcome(copy: OutcomeCopy): void;
   handOver(handOver: HandOver): boolean;
+  quarantine(news: QuarantineNews): void;
   status(): Status;
   explain(request: RequestId): readonly Step[] | undefined;
   metrics(): MetricsReport;
@@ -75,6 +78,9 @@
   handOver: peerProcedure.input(handOverSchema).mutation(({ ctx, input }) =>
     ctx.service.handOver(input)
   ),
+  quarantine: peerProcedure.input(quarantineNewsText).mutation((
+    { ctx, input },
+  ) => ctx.service.quarantine(input)),
   status: peerProcedure.query(({ ctx }) => ctx.service.status()),
   explain: peerProcedure.input(requestIdSchema).query(({ ctx, input }) =>
     ctx.service.explain(input as RequestId) ?? null
--- /dev/null
+++ b/packages/daemon/src/quarantine/index.ts
@@ -0,0 +1,2 @@
+export * from "./quarantine_schema.ts";
+export * from "./schema_parts.ts";
--- a/packages/daemon/src/gateway/quarantine_schema.ts
+++ b/packages/daemon/src/quarantine/quarantine_schema.ts
@@ -7,6 +7,9 @@
 import { z } from "zod";
 import { life, list, number, text, whole } from "./schema_parts.ts";
 
+/** Characters of one message: some ends with all that was there. */
+const MAX_TEXT = 65_536;
+
 const victim = z.tuple([text, text, number, z.boolean()]).transform(
   ([content, caller, exposure, trial]) => ({
     content,
@@ -77,6 +80,26 @@
   holds,
 }));
 
+/** The same as text, as calls between entries take it. */
+export const quarantineNewsText = z.string().max(MAX_TEXT).transform(
+  (text, context): QuarantineNews => {
+    const result = quarantineNews.safeParse(parseJson(text));
+    if (!result.success) {
+      context.addIssue("Expected news of ends and holds");
+      return z.NEVER;
+    }
+    return result.data as unknown as QuarantineNews;
+  },
+);
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
 /** Writes a notice. */
 export function encodeHoldNotice(notice: HoldNotice): unknown[] {
   return [
--- a/playground/src/scenario/world.ts
+++ b/playground/src/scenario/world.ts
@@ -233,6 +233,14 @@
         return this.#sendOutcome(entry, effect);
       case "sendHandOver":
         return this.#sendHandOver(entry, effect);
+      case "sendQuarantine":
+        return this.#callPeer(entry, effect.url, {
+          deliver: (peer) => {
+            peer.tell({ kind: "quarantineNews", news: effect.news });
+            return () => {};
+          },
+          failed: () => {},
+        });
       case "pollLoad":
         return this.#pollLoad(entry, effect);
       case "order":
