refactor: the platform's part of the scenarios' world in a module of its own

world.ts had grown to 450 lines; what entries ask of the platform and of endpoints beside requests stands in platform_way.ts.

--- a/playground/src/scenario/world.ts
+++ b/playground/src/scenario/world.ts
@@ -12,22 +12,19 @@
   type ListedVm,
   parseText,
   type RegionId,
-  type Revision,
   type ZoneId,
 } from "@sassafrasstep/core";
 import { FakeEndpoint } from "./endpoint_fakes.ts";
 import { Exchanges } from "./exchanges.ts";
-import { Network, PLATFORM, type Spot } from "./network.ts";
+import { Network, type Spot } from "./network.ts";
 import { FakeConfiguration, FakeVmList } from "./platform_fakes.ts";
+import { PlatformWay } from "./platform_way.ts";
 import { Poisons } from "./poisons.ts";
 import { Violations } from "./violations.ts";
 import { VirtualEntry } from "./virtual_entry.ts";
 import { VirtualTime } from "./virtual_time.ts";
 
-const WATCH_WAIT_MS = 20_000;
 const PEER_TIMEOUT_MS = 1_500;
-const POLL_TIMEOUT_MS = 1_000;
-const PLATFORM_TIMEOUT_MS = 3_000;
 const HEX = 16;
 const INCARNATION_LENGTH = 12;
 const KEY_RANDOM_LENGTH = 8;
@@ -50,6 +47,7 @@
   loseHandOverReplies = false;
   /** Virtual time at which the script's own time begins. */
   startOfScript = 0;
+  readonly #platform = new PlatformWay(this);
   readonly #keys = new Map<string, string>();
   readonly #calls: { readonly at: number; readonly calls: number }[] = [];
   readonly #entries = new Map<string, VirtualEntry>();
@@ -226,9 +224,9 @@
       case "copyConfiguration":
         return this.#copyConfiguration(entry, effect);
       case "readConfiguration":
-        return this.#readConfiguration(entry, effect);
+        return this.#platform.readConfiguration(entry, effect);
       case "listVms":
-        return this.#listVms(entry);
+        return this.#platform.listVms(entry);
       case "sendOutcome":
         return this.#sendOutcome(entry, effect);
       case "sendHandOver":
@@ -242,9 +240,9 @@
           failed: () => {},
         });
       case "pollLoad":
-        return this.#pollLoad(entry, effect);
+        return this.#platform.pollLoad(entry, effect);
       case "order":
-        return this.#order(entry, effect);
+        return this.#platform.order(entry, effect);
       case "exit":
         return this.killEntry(entry.id);
     }
@@ -306,67 +304,6 @@
     });
   }
 
-  #readConfiguration(
-    entry: VirtualEntry,
-    { after, wait }: Extract<Effect, { kind: "readConfiguration" }>,
-  ): void {
-    const { configuration, network, time } = this;
-    if (!network.reaches(entry, PLATFORM)) {
-      time.after(
-        PLATFORM_TIMEOUT_MS,
-        () => entry.tell({ kind: "configurationFailed" }),
-      );
-      return;
-    }
-    configuration.calls++;
-    let answered = false;
-    let unwatch = (): void => {};
-    const answer = (): void => {
-      if (!answered) {
-        answered = true;
-        unwatch();
-        time.after(1, () => this.#answerConfiguration(entry, { after, wait }));
-      }
-    };
-    const nothingNew = wait && configuration.mode === "normal" &&
-      configuration.revision <= after;
-    if (!nothingNew) {
-      answer();
-      return;
-    }
-    unwatch = configuration.watch(answer);
-    time.after(WATCH_WAIT_MS, answer);
-  }
-
-  #answerConfiguration(
-    entry: VirtualEntry,
-    { after, wait }: { after: Revision; wait: boolean },
-  ): void {
-    const published = this.configuration.read();
-    if (published === undefined || !this.network.reaches(PLATFORM, entry)) {
-      entry.tell({ kind: "configurationFailed" });
-    } else if (wait && published.revision === after) {
-      entry.tell({ kind: "configurationUnchanged" });
-    } else {
-      entry.tell({ kind: "configurationRead", ...published });
-    }
-  }
-
-  #listVms(entry: VirtualEntry): void {
-    const down = this.vmList.down || !this.network.reaches(entry, PLATFORM);
-    this.time.after(down ? PLATFORM_TIMEOUT_MS : 1, () => {
-      if (down) {
-        entry.tell({ kind: "vmListFailed" });
-        return;
-      }
-      const vms = this.vmList.empty ? [] : this.vmList.read(this.time.now);
-      for (const { id } of vms.filter(({ state }) => state === "leaving")) {
-        this.endpoints.get(id)?.noteSign(entry.zone, this.time.now);
-      }
-      entry.tell({ kind: "vmsListed", vms });
-    });
-  }
-
   #sendOutcome(
     entry: VirtualEntry,
     { url, copy }: Extract<Effect, { kind: "sendOutcome" }>,
@@ -408,43 +345,6 @@
     });
   }
 
-  #pollLoad(
-    entry: VirtualEntry,
-    { endpoint: id }: Extract<Effect, { kind: "pollLoad" }>,
-  ): void {
-    const endpoint = this.endpoint(id);
-    if (
-      endpoint === undefined || endpoint.dead ||
-      !this.network.reaches(entry, endpoint)
-    ) {
-      this.time.after(
-        POLL_TIMEOUT_MS,
-        () => entry.tell({ kind: "loadFailed", endpoint: id }),
-      );
-      return;
-    }
-    this.time.after(2, () => {
-      const report = endpoint.report();
-      if (report.draining) {
-        endpoint.noteSign(entry.zone, this.time.now);
-      }
-      entry.tell({ kind: "load", endpoint: id, report });
-    });
-  }
-
-  #order(
-    entry: VirtualEntry,
-    { order }: Extract<Effect, { kind: "order" }>,
-  ): void {
-    const endpoint = this.endpoint(order.endpoint);
-    const reached = endpoint !== undefined && !endpoint.dead &&
-      this.network.reaches(entry, endpoint);
-    this.time.after(this.orderDelayMs, () => {
-      const accepted = reached && endpoint.order(order, this.time.now);
-      entry.tell({ kind: "orderDone", endpoint: order.endpoint, accepted });
-    });
-  }
-
   /** How long an order is on its way. */
   orderDelayMs = 1;
 }
