--- a/playground/src/guards/quarantine_guards.ts
+++ b/playground/src/guards/quarantine_guards.ts
@@ -39,6 +39,11 @@
     file: `${QUARANTINE}/crash_watch.ts`,
     find: 'const planned = endpoint.record.state === "draining" ||',
     replace: "const planned =",
+    also: [{
+      file: `${QUARANTINE}/crash_watch.ts`,
+      find: 'if (endpoint.record.state === "draining") {',
+      replace: "if (endpoint.record.state !== endpoint.record.state) {",
+    }],
   },
   {
     point: POINT,
--- a/playground/src/routes/route_expectations.ts
+++ b/playground/src/routes/route_expectations.ts
@@ -98,6 +98,13 @@
       ? undefined
       : `${found.length} held back: ${found.join()}`;
   },
+  /** `expect later CALL T`: it was told to come back no earlier. */
+  later: (world, line) => {
+    const found = world.calls.get(word(line, 1, "a call"))?.retryAfter ?? 0;
+    return found >= parseTime(line, line.words[2])
+      ? undefined
+      : `told to come back after ${found} ms`;
+  },
   /** `expect ended ENTRY`: its process is over. */
   ended: (world, line) =>
     world.entries.get(word(line, 1, "an entry"))?.alive === false
