--- a/packages/core/src/quarantine/__tests__/crash_ledger.test.ts
+++ b/packages/core/src/quarantine/__tests__/crash_ledger.test.ts
@@ -14,6 +14,8 @@
 
 const BAD = "bad" as ContentDigest;
 
+const QUICK_MS = 100;
+
 function report(endpoint: string, ...contents: string[]): CrashReport {
   return {
     endpoint: endpoint as EndpointId,
@@ -26,7 +28,7 @@
     victims: contents.map((content) => ({
       content: content as ContentDigest,
       caller: "c" as CallerDigest,
-      exposure: milliseconds(100),
+      exposure: milliseconds(QUICK_MS),
       trial: false,
     })),
   };
@@ -57,6 +59,30 @@
     expect(ledger.endsOf(BAD)).toBe(1);
   });
 
+  describe("under a request with a copy from each of two entries", () => {
+    const TIMES = [0, 30_000, 60_000];
+    const culprits = (exposure: number): ContentDigest[] => {
+      const ledger = new CrashLedger();
+      TIMES.forEach((at, index) => {
+        const seen = report(`e${index}`, "bad");
+        const [victim] = seen.victims;
+        const other = { ...victim!, exposure: milliseconds(exposure) };
+        const trial = { ...seen, victims: [{ ...victim!, trial: true }] };
+        ledger.add(trial, instant(at));
+        ledger.add({ ...seen, victims: [other] }, instant(at));
+      });
+      return ledger.culprits(() => false).map(({ content }) => content);
+    };
+
+    it("speak against it where both had just come", () => {
+      expect(culprits(QUICK_MS)).toEqual([BAD]);
+    });
+
+    it("do not where one had run there for long", () => {
+      expect(culprits(20_000)).toEqual([]);
+    });
+  });
+
   it("speak against it for minutes and no longer", () => {
     const ledger = new CrashLedger();
     ledger.add(report("e1", "bad"), instant(0));
