--- a/playground/src/routes/__tests__/quarantine_trials.test.ts
+++ b/playground/src/routes/__tests__/quarantine_trials.test.ts
@@ -4,10 +4,10 @@
  * of those that crash endpoints no more than three sends may follow once they had to be known.
  *
  * Streams of six seconds are the hard case: each copy of a popular body is at every endpoint when that ends,
- * and none has been answered yet. Counted by the copy that was there for the shortest time, popular bodies
- * were held in 6 of 12 drawn trials of six endpoints in one moment beside one crashing request, and stood in
- * the way of holding that one; by the longest, and left out of the comparison where they ran for longer than
- * endpoints live, in none of 6.
+ * and none has been answered yet. Counted by the copy that was there for the shortest time, six popular
+ * bodies were held in 12 drawn trials of six endpoints in one moment beside one crashing request, and stood
+ * in the way of holding that one; by the longest, and left out of the comparison where they ran for longer
+ * than endpoints live, none in 6.
  */
 import { readFileSync } from "node:fs";
 import { describe, expect, it } from "vitest";
