refactor: names of two modules of the quarantine

crash_report.ts held all messages, and crash_reports.ts made one of them: quarantine_messages.ts and report_end.ts.

--- a/packages/core/src/quarantine/__tests__/crash_ledger.test.ts
+++ b/packages/core/src/quarantine/__tests__/crash_ledger.test.ts
@@ -9,7 +9,7 @@
   type ZoneId,
 } from "../../index.ts";
 import { CrashLedger } from "../crash_ledger.ts";
-import type { CrashReport } from "../crash_report.ts";
+import type { CrashReport } from "../quarantine_messages.ts";
 import { ServedMemory } from "../served_memory.ts";
 
 const BAD = "bad" as ContentDigest;
--- a/packages/core/src/quarantine/__tests__/hold_list.test.ts
+++ b/packages/core/src/quarantine/__tests__/hold_list.test.ts
@@ -5,7 +5,7 @@
   instant,
   type ServiceId,
 } from "../../index.ts";
-import type { HoldNotice } from "../crash_report.ts";
+import type { HoldNotice } from "../quarantine_messages.ts";
 import { HoldList, type MayTry } from "../hold_list.ts";
 
 const BAD = "bad" as ContentDigest;
--- a/packages/core/src/quarantine/__tests__/quarantine_controller.test.ts
+++ b/packages/core/src/quarantine/__tests__/quarantine_controller.test.ts
@@ -13,7 +13,7 @@
   type ServiceId,
   type ZoneId,
 } from "../../index.ts";
-import type { QuarantineNews } from "../crash_report.ts";
+import type { QuarantineNews } from "../quarantine_messages.ts";
 import { QuarantineController } from "../quarantine_controller.ts";
 
 const POOL = "pool" as ServiceId;
--- a/packages/core/src/quarantine/crash_ledger.ts
+++ b/packages/core/src/quarantine/crash_ledger.ts
@@ -5,7 +5,7 @@
  */
 import { after, type ContentDigest, type Instant } from "../ids/index.ts";
 import { type Culprit, findCulprits, type KnownEnd } from "./crash_evidence.ts";
-import type { CrashReport, CrashVictim } from "./crash_report.ts";
+import type { CrashReport, CrashVictim } from "./quarantine_messages.ts";
 
 /**
  * Requests that crash endpoints may come minutes apart. An end that is older says little: whoever sends
--- a/packages/core/src/quarantine/hold_keeper.ts
+++ b/packages/core/src/quarantine/hold_keeper.ts
@@ -11,7 +11,7 @@
   type HoldNotice,
   NOTHING_NEW,
   type QuarantineNews,
-} from "./crash_report.ts";
+} from "./quarantine_messages.ts";
 import { type HeldRequest, HoldList } from "./hold_list.ts";
 import { holdLine } from "./quarantine_lines.ts";
 
--- a/packages/core/src/quarantine/hold_list.ts
+++ b/packages/core/src/quarantine/hold_list.ts
@@ -10,7 +10,7 @@
   type Milliseconds,
   milliseconds,
 } from "../ids/index.ts";
-import type { HoldNotice } from "./crash_report.ts";
+import type { HoldNotice } from "./quarantine_messages.ts";
 import type { RequestFingerprint } from "./fingerprint.ts";
 
 /**
--- a/packages/core/src/quarantine/index.ts
+++ b/packages/core/src/quarantine/index.ts
@@ -1,4 +1,4 @@
-export * from "./crash_report.ts";
+export * from "./quarantine_messages.ts";
 export * from "./crash_watch.ts";
 export * from "./fingerprint.ts";
 export * from "./hold_keeper.ts";
--- a/packages/core/src/quarantine/quarantine_controller.ts
+++ b/packages/core/src/quarantine/quarantine_controller.ts
@@ -19,15 +19,7 @@
 } from "../ids/index.ts";
 import type { EndpointRecord } from "../routes/index.ts";
 import { CrashLedger } from "./crash_ledger.ts";
-import type {
-  AnsweredRequest,
-  CrashReport,
-  HoldNotice,
-  QuarantineNews,
-  TriedRequest,
-} from "./crash_report.ts";
-import { NOTHING_NEW } from "./crash_report.ts";
-import { partsOf, reportOf } from "./crash_reports.ts";
+import { partsOf, reportOf } from "./report_end.ts";
 import {
   CrashWatch,
   type EndedEndpoint,
@@ -39,6 +31,14 @@
 import type { HoldList, HoldVerdict } from "./hold_list.ts";
 import { OpenTrials } from "./open_trials.ts";
 import { endFields } from "./quarantine_lines.ts";
+import {
+  type AnsweredRequest,
+  type CrashReport,
+  type HoldNotice,
+  NOTHING_NEW,
+  type QuarantineNews,
+  type TriedRequest,
+} from "./quarantine_messages.ts";
 import { ServedMemory } from "./served_memory.ts";
 import { trialOwner, type TrialSources } from "./trial_owner.ts";
 
--- a/packages/core/src/quarantine/quarantine_lines.ts
+++ b/packages/core/src/quarantine/quarantine_lines.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { ContentDigest } from "../ids/index.ts";
-import type { HoldNotice } from "./crash_report.ts";
+import type { HoldNotice } from "./quarantine_messages.ts";
 import type { EndedEndpoint, LostRun } from "./crash_watch.ts";
 
 /** Requests in one line, those first that were there for the shortest time: what crashes endpoints is quick. */
--- a/packages/core/src/quarantine/crash_reports.ts
+++ b/packages/core/src/quarantine/report_end.ts
@@ -10,7 +10,7 @@
   milliseconds,
 } from "../ids/index.ts";
 import type { EndpointRecord } from "../routes/index.ts";
-import type { CrashReport, CrashVictim } from "./crash_report.ts";
+import type { CrashReport, CrashVictim } from "./quarantine_messages.ts";
 import type { EndedEndpoint, LostRun } from "./crash_watch.ts";
 
 /** Requests of one end that are told: more than an entry has at one endpoint on an ordinary day. */
