refactor: what entries send each other, and what peers hold, in modules of their own

Callers use fleet.mail. No behaviour changes; the one test that fakes the controller names the new path, its assertions are as they were.

--- a/packages/core/src/fleet/fleet_controller.ts
+++ b/packages/core/src/fleet/fleet_controller.ts
@@ -5,29 +5,21 @@
  *
  * @module
  */
-import {
-  after,
-  type Incarnation,
-  type Instant,
-  type Revision,
-  sample,
-} from "../ids/index.ts";
-import type { QuarantineNews } from "../quarantine/index.ts";
+import { after, type Instant, sample } from "../ids/index.ts";
 import { type IndirectProbe, IndirectProbes } from "./indirect_probes.ts";
 import type {
   FleetGossip,
   FleetMessage,
-  FleetMessageBody,
   FleetRecord,
   FleetState,
-  Holdings,
-  WorkReport,
 } from "./fleet_messages.ts";
+import { FleetMail } from "./fleet_mail.ts";
 import type { FleetOptions } from "./fleet_options.ts";
 import { JoinBackoff } from "./join_backoff.ts";
 import { UnreachablePeers } from "./unreachable_peers.ts";
 import { MembershipList } from "./membership_list.ts";
 import type { FleetMember } from "./membership_list.ts";
+import { type CatalogueHolder, PeerHoldings } from "./peer_holdings.ts";
 import { pingPeriod, pingsOf } from "./ping_pace.ts";
 import { ProbeSchedule } from "./probe_schedule.ts";
 import { RegionSummaries } from "./region_summaries.ts";
@@ -42,21 +34,21 @@
 const MEMBERS_FOR_NEWCOMER = 9;
 /** An entry first heard of less than this long ago is told of members that are no news to others. */
 const NEWCOMER_MS = 3_000;
-/** Entries outside the region that are told of a state change at once. */
-const FAR_ANNOUNCEMENTS = 8;
 /** Without this many ticks' gap the loop ran; a longer gap is a pause. */
 const PAUSE_MS = 1_000;
 
 /** Writes what is known of other entries. */
 export class FleetController {
   readonly regions: RegionSummaries;
+  /** What goes to other entries. */
+  readonly mail: FleetMail;
   readonly #options: FleetOptions;
   readonly #members = new MembershipList();
   readonly #probes: ProbeSchedule;
   readonly #indirect = new IndirectProbes();
   readonly #lost: UnreachablePeers;
   readonly #pace: JoinBackoff;
-  readonly #holdings = new Map<Incarnation, Holdings>();
+  readonly #holdings = new PeerHoldings();
   #record: FleetRecord;
   #nextPeriodAt: Instant;
   #lastTickAt: Instant;
@@ -65,6 +57,10 @@
     this.#options = options;
     this.#probes = new ProbeSchedule(options.random);
     this.#record = { ...options.self, version: 1, state: "starting" };
+    this.mail = new FleetMail(options, {
+      record: () => this.#record,
+      live: () => this.live(),
+    });
     this.regions = new RegionSummaries(options.self.region);
     this.#nextPeriodAt = now;
     this.#lastTickAt = now;
@@ -88,15 +84,8 @@
   }
 
   /** Where the newest catalogue is that a live member holds, and its revision. */
-  newestHolder(): { address: string; revision: Revision } | undefined {
-    let best: { address: string; revision: Revision } | undefined;
-    for (const { record: { incarnation, peerAddress } } of this.live()) {
-      const revision = this.#holdings.get(incarnation)?.catalogue;
-      if (revision !== undefined && revision > (best?.revision ?? 0)) {
-        best = { address: peerAddress, revision };
-      }
-    }
-    return best;
+  newestHolder(): CatalogueHolder | undefined {
+    return this.#holdings.newest(this.live());
   }
 
   /** Changes the own state and tells those who name this entry to callers, at once. */
@@ -109,41 +98,10 @@
       state,
       version: this.#record.version + 1,
     };
-    const own = this.#options.self.region;
-    const live = this.live();
-    const near = live.filter(({ record }) => record.region === own);
-    const far = sample(
-      live.filter(({ record }) => record.region !== own),
-      FAR_ANNOUNCEMENTS,
-      this.#options.random,
-    );
-    for (const { record } of [...near, ...far]) {
-      this.#send(record.peerAddress, { kind: "announce" });
-    }
+    this.mail.announce();
     this.#nextPeriodAt = now;
   }
 
-  /** Tells the entries of the region that `isTold` names of this one's work. */
-  sendWork(
-    report: WorkReport,
-    isTold: (record: FleetRecord) => boolean,
-  ): void {
-    const { region, incarnation } = this.#options.self;
-    this.#tell(
-      { kind: "work", incarnation, report },
-      (record) => record.region === region && isTold(record),
-    );
-  }
-
-  /** Tells the entries that `isTold` names of requests that end endpoints. */
-  sendQuarantine(
-    news: QuarantineNews,
-    isTold: (record: FleetRecord) => boolean,
-  ): void {
-    const { incarnation } = this.#options.self;
-    this.#tell({ kind: "quarantine", incarnation, news }, isTold);
-  }
-
   /** Sends what is due and judges who was silent. */
   tick(now: Instant): void {
     this.#noteLoop(now);
@@ -186,7 +144,7 @@
     }
     this.#noteLoop(now);
     this.#members.hear(from, now);
-    this.#holdings.set(from.incarnation, holdings);
+    this.#holdings.note(from.incarnation, holdings);
     this.#probes.heard(from.incarnation);
     switch (message.kind) {
       case "ping":
@@ -266,11 +224,11 @@
     const news = doubted
       ? [{ record: about.record, health: about.health }, ...gossip.news]
       : gossip.news;
-    this.#send(to, { kind: "ping", sequence, ...gossip, news });
+    this.mail.send(to, { kind: "ping", sequence, ...gossip, news });
   }
 
   #answer(to: FleetRecord, sequence: number, now: Instant): void {
-    this.#send(to.peerAddress, {
+    this.mail.send(to.peerAddress, {
       kind: "ack",
       sequence,
       ...this.#gossip(this.#members.get(to.incarnation), now),
@@ -300,7 +258,7 @@
     );
     const { random } = this.#options;
     for (const { record } of sample(others, INDIRECT_PROBES, random)) {
-      this.#send(record.peerAddress, {
+      this.mail.send(record.peerAddress, {
         kind: "indirect",
         sequence,
         target: target.record.peerAddress,
@@ -317,7 +275,10 @@
   #acknowledgeIndirect(sequence: number): void {
     const probe = this.#indirect.take(sequence);
     if (probe !== undefined) {
-      this.#send(probe.to, { kind: "indirect_ack", sequence: probe.sequence });
+      this.mail.send(probe.to, {
+        kind: "indirect_ack",
+        sequence: probe.sequence,
+      });
     }
   }
 
@@ -331,31 +292,8 @@
     for (const { record, since } of this.#members.withHealth("suspect")) {
       if (now - since >= SUSPICION_MS) {
         this.#members.judge(record.incarnation, "dead", now);
-        this.#holdings.delete(record.incarnation);
-      }
-    }
-  }
-
-  /** One message for all: it is written once, however many get it. */
-  #tell(
-    message: FleetMessage,
-    isTold: (record: FleetRecord) => boolean,
-  ): void {
-    for (const { record } of this.live()) {
-      if (isTold(record)) {
-        this.#options.send(record.peerAddress, message);
+        this.#holdings.forget(record.incarnation);
       }
     }
   }
-
-  #send(to: string, message: FleetMessageBody): void {
-    this.#options.send(
-      to,
-      {
-        from: this.#record,
-        holdings: this.#options.holdings(),
-        ...message,
-      } as FleetMessage,
-    );
-  }
 }
--- a/packages/core/src/gateway/__tests__/work_reporter.test.ts
+++ b/packages/core/src/gateway/__tests__/work_reporter.test.ts
@@ -58,18 +58,20 @@
       },
       fleet: {
         live: () => [{ record: { region: REGION } }],
-        sendWork: (
-          report: WorkReport,
-          isTold: (record: FleetRecord) => boolean,
-        ) =>
-          told.push({
-            zones: ["z1", "z2", "z3"].filter((zone) =>
-              isTold({ zone, incarnation: "carrier" } as never)
-            ),
-            report,
-            standby: isTold({ zone: "z1", incarnation: "standby" } as never),
-            busy: isTold({ zone: "z1", incarnation: "busy" } as never),
-          }),
+        mail: {
+          sendWork: (
+            report: WorkReport,
+            isTold: (record: FleetRecord) => boolean,
+          ) =>
+            told.push({
+              zones: ["z1", "z2", "z3"].filter((zone) =>
+                isTold({ zone, incarnation: "carrier" } as never)
+              ),
+              report,
+              standby: isTold({ zone: "z1", incarnation: "standby" } as never),
+              busy: isTold({ zone: "z1", incarnation: "busy" } as never),
+            }),
+        },
       } as never,
       endpoints: {
         all: () => [near, far],
@@ -247,10 +249,10 @@
       arrivals: [],
       picture: 0,
     };
-    fleet.sendWork(report, ({ zone }) => zone === "z1");
+    fleet.mail.sendWork(report, ({ zone }) => zone === "z1");
     expect(sent.length).toBe(2);
     expect(sent[0]).toBe(sent[1]);
-    fleet.sendWork(report, ({ zone }) => zone === "z2");
+    fleet.mail.sendWork(report, ({ zone }) => zone === "z2");
     expect(sent.length).toBe(2);
   });
 });
--- a/packages/core/src/gateway/quarantine_link.ts
+++ b/packages/core/src/gateway/quarantine_link.ts
@@ -47,7 +47,8 @@
   return new QuarantineController({
     self,
     claimTime: milliseconds(CLAIM_MS),
-    tell: (news, to) => fleet.sendQuarantine(news, recipients(sources, to)),
+    tell: (news, to) =>
+      fleet.mail.sendQuarantine(news, recipients(sources, to)),
     knock: ({ id, life, address }) =>
       emit({ kind: "knock", endpoint: id, life, address }),
     endpoints: () => catalogue.endpoints,
--- a/packages/core/src/gateway/work_reporter.ts
+++ b/packages/core/src/gateway/work_reporter.ts
@@ -174,7 +174,7 @@
     const carries = (record: FleetRecord): boolean =>
       serving.has(record, now) ||
       this.#sources.endpoints.hasReport(record.incarnation);
-    fleet.sendWork(
+    fleet.mail.sendWork(
       report,
       (record) => zones.has(record.zone) && (everyone || carries(record)),
     );
