--- a/playground/src/routes/route_types.ts
+++ b/playground/src/routes/route_types.ts
@@ -9,7 +9,8 @@
   Prompt,
   RequestId,
 } from "@sassafrasstep/core";
-import type { Recipient, VirtualGateway } from "./virtual_gateway.ts";
+import type { Recipient } from "./virtual_attempts.ts";
+import type { VirtualGateway } from "./virtual_gateway.ts";
 
 /** A request as its caller sees it. */
 export interface SeenCall {
--- a/playground/src/routes/route_world.ts
+++ b/playground/src/routes/route_world.ts
@@ -4,39 +4,29 @@
  * @module
  */
 import {
-  type CallAnswer,
   type CallerDigest,
   type CallId,
-  type CallTarget,
-  type CatalogueSnapshot,
   type ContentDigest,
   type EntryId,
-  type FleetMessage,
   type GatewayBounds,
   type GatewaySelf,
   instant,
   milliseconds,
   type RegionId,
   type RequestFingerprint,
-  type RequestId,
   SeededRandomness,
   type ZoneId,
 } from "@sassafrasstep/core";
-import { Network, PLATFORM, type Spot } from "../scenario/network.ts";
+import { Network, type Spot } from "../scenario/network.ts";
 import { VirtualTime } from "../scenario/virtual_time.ts";
 import { Crashes } from "./crashes.ts";
-import type { BackendAnswer, FakeBackend, Run } from "./fake_backend.ts";
+import type { FakeBackend, Run } from "./fake_backend.ts";
 import { FakeStore } from "./fake_store.ts";
-import type {
-  CallPlan,
-  SeenCall,
-  ToBackend,
-  ToPeer,
-  WorldLogLine,
-} from "./route_types.ts";
-import { type Recipient, VirtualGateway } from "./virtual_gateway.ts";
+import type { CallPlan, SeenCall, WorldLogLine } from "./route_types.ts";
+import { RouteLinks } from "./route_links.ts";
+import type { Recipient } from "./virtual_attempts.ts";
+import { VirtualGateway } from "./virtual_gateway.ts";
 
-const PREFILL_RATE = 38;
 const BOUNDS: GatewayBounds = {
   repeatRatio: 0.2,
   repeatWindow: milliseconds(10_000),
@@ -56,6 +46,7 @@
   readonly backends = new Map<string, FakeBackend>();
   readonly calls = new Map<string, SeenCall>();
   readonly runs: Run[] = [];
+  readonly links = new RouteLinks(this);
   readonly crashes = new Crashes(this);
   readonly log: WorldLogLine[] = [];
   readonly spots = new Map<string, Spot>();
@@ -92,6 +83,11 @@
     this.#events.set(call, events);
   }
 
+  /** Events of the answer to a request. */
+  eventsOf(call: string): number {
+    return this.#events.get(call) ?? 0;
+  }
+
   /** What a request carries: a body of its own, unless it was said otherwise. */
   bodyOf(call: string): string {
     return this.#bodies.get(call) ?? call;
@@ -131,40 +127,6 @@
     }, this.#callerOf(seen));
   }
 
-  // What entries do.
-
-  datagram(from: VirtualGateway, to: string, message: FleetMessage): void {
-    const target = this.#entryAt(to);
-    const lost = this.loss > 0 && this.random.next() < this.loss;
-    if (target === undefined || lost || !this.#reaches(from, target)) {
-      return;
-    }
-    const copy = structuredClone(message);
-    this.time.after(this.network.delay(from.spot, target.spot), () => {
-      if (target.alive) {
-        target.tell({ kind: "datagram", message: copy });
-      }
-    });
-  }
-
-  copy(
-    from: VirtualGateway,
-    address: string,
-    done: (snapshot: CatalogueSnapshot | undefined) => void,
-  ): void {
-    const target = this.#entryAt(address);
-    const delay = 2 * this.network.delay(from.spot, target?.spot ?? from.spot);
-    this.time.after(delay, () => {
-      const answers = target !== undefined && !target.frozen &&
-        this.#reaches(from, target);
-      done(answers ? target.gateway?.snapshot() : undefined);
-    });
-  }
-
-  reachesStore({ spot }: VirtualGateway): boolean {
-    return this.network.reaches(spot, PLATFORM);
-  }
-
   /** Cuts one entry off from the others. */
   cut(entry: string): void {
     this.cutOff.add(entry);
@@ -176,107 +138,6 @@
     this.network.heal();
   }
 
-  /** Whether a connection comes about. */
-  connects(
-    from: VirtualGateway,
-    target: CallTarget,
-  ): "yes" | "refused" | "silence" {
-    if (target.kind === "peer") {
-      const peer = this.#entryAt(target.address);
-      return peer === undefined || !this.#reaches(from, peer)
-        ? "silence"
-        : peer.alive
-        ? "yes"
-        : "refused";
-    }
-    const backend = this.backendAt(target.address);
-    if (
-      backend === undefined || backend.mode === "dark" ||
-      !this.network.reaches(from.spot, backend.spot)
-    ) {
-      return "silence";
-    }
-    return backend.mode === "refuse" ? "refused" : "yes";
-  }
-
-  /** Whether an entry learns that nothing listens at an endpoint's address. */
-  isClosed(from: VirtualGateway, address: string): boolean {
-    const backend = this.backendAt(address);
-    return backend?.mode === "refuse" &&
-      this.network.reaches(from.spot, backend.spot);
-  }
-
-  toBackend(
-    from: VirtualGateway,
-    { target, head, resumeAfter, recipient }: ToBackend,
-  ): () => void {
-    const backend = this.backendAt(target.address)!;
-    if (backend.id !== target.endpoint) {
-      this.time.after(1, () => recipient.head(answerOf(421, true)));
-      return () => {};
-    }
-    const answer: BackendAnswer = {
-      head: (status, notRun) => recipient.head(answerOf(status, notRun)),
-      event: (id) => recipient.event(id),
-      complete: () => recipient.complete(),
-      lost: () => recipient.broken(),
-    };
-    backend.take({
-      call: head.call,
-      from,
-      streaming: head.prompt !== undefined,
-      events: this.#events.get(head.call) ?? 0,
-      resumeAfter: Number(resumeAfter ?? head.lastEventId ?? 0),
-      prefill: (head.prompt?.promptTokens ?? 0) / PREFILL_RATE,
-      head,
-      target,
-      answer,
-    });
-    return () => backend.cancel(answer);
-  }
-
-  toPeer(
-    from: VirtualGateway,
-    { target, head, resumeAfter, recipient }: ToPeer,
-  ): () => void {
-    const peer = this.#entryAt(target.address)!;
-    const delay = this.network.delay(from.spot, peer.spot);
-    let id: RequestId | undefined;
-    let cancelled = false;
-    const back = (run: () => void): void => {
-      this.time.after(delay, () => {
-        if (!cancelled && this.#reaches(peer, from)) {
-          run();
-        }
-      });
-    };
-    this.time.after(delay, () => {
-      if (!cancelled && peer.alive) {
-        id = peer.arrive({
-          ...head,
-          lastEventId: resumeAfter ?? head.lastEventId,
-          relay: {
-            from: from.gateway!.self.incarnation,
-            sentBefore: target.sentBefore,
-          },
-        }, {
-          head: (answer) => back(() => recipient.head(answer)),
-          event: (event) => back(() => recipient.event(event)),
-          complete: () => back(() => recipient.complete()),
-          broken: () => back(() => recipient.broken()),
-        });
-      }
-    });
-    return () => {
-      cancelled = true;
-      this.time.after(delay, () => {
-        if (id !== undefined && peer.alive) {
-          peer.leave(id);
-        }
-      });
-    };
-  }
-
   /** Entries that one entry names to a caller of a zone. */
   named(
     entry: string,
@@ -327,10 +188,6 @@
     };
   }
 
-  #entryAt(address: string): VirtualGateway | undefined {
-    return this.entries.get(address.split(":")[0]!);
-  }
-
   /** Who answers at an address, `undefined` for nobody. */
   backendAt(address: string): FakeBackend | undefined {
     // The one that came last has the address now.
@@ -338,17 +195,6 @@
       addressOf(backend) === address
     );
   }
-
-  #reaches(from: VirtualGateway, to: VirtualGateway): boolean {
-    return this.network.reaches(
-      this.#spotOf(from),
-      this.#spotOf(to),
-    );
-  }
-
-  #spotOf({ name, spot }: VirtualGateway): Spot {
-    return this.cutOff.has(name) ? { zone: name, region: spot.region } : spot;
-  }
 }
 
 /** What a request is known by. */
@@ -363,14 +209,3 @@
 export function addressOf({ name }: FakeBackend): string {
   return `${name.split("/")[0]}:70`;
 }
-
-function answerOf(status: number, notRun: boolean): CallAnswer {
-  return {
-    status,
-    notRun,
-    genuine: !notRun,
-    load: undefined,
-    retryAfter: undefined,
-    offered: undefined,
-  };
-}
--- /dev/null
+++ b/playground/src/routes/virtual_attempts.ts
@@ -0,0 +1,171 @@
+/**
+ * What one entry under virtual time sends to endpoints and other entries, and what comes back.
+ *
+ * @module
+ */
+import {
+  type AttemptId,
+  type CallAnswer,
+  type CallAttempt,
+  type CallHead,
+  type GatewayEvent,
+  milliseconds,
+  type RequestId,
+} from "@sassafrasstep/core";
+import type { RouteWorld } from "./route_world.ts";
+import type { VirtualGateway } from "./virtual_gateway.ts";
+
+/** Virtual time until a port answers, or is found closed. */
+export const CONNECT_MS = 1;
+/** Virtual time after which nobody is held to answer. */
+const CONNECT_TIMEOUT_MS = 400;
+
+/** Who gets the answer to a request: a caller, or the entry that passed it on. */
+export interface Recipient {
+  head(answer: CallAnswer): void;
+  event(id: number): void;
+  complete(): void;
+  /** The answer broke off, or the entry died. */
+  broken(): void;
+}
+
+interface OpenAttempt {
+  readonly attempt: CallAttempt;
+  cancel: (() => void) | undefined;
+}
+
+/** The attempts of one entry. */
+export class VirtualAttempts {
+  readonly #entry: VirtualGateway;
+  readonly #world: RouteWorld;
+  readonly #recipients: ReadonlyMap<RequestId, Recipient>;
+  readonly #heads: ReadonlyMap<RequestId, CallHead>;
+  readonly #open = new Map<AttemptId, OpenAttempt>();
+
+  constructor(
+    entry: VirtualGateway,
+    { world, recipients, heads }: {
+      world: RouteWorld;
+      recipients: ReadonlyMap<RequestId, Recipient>;
+      heads: ReadonlyMap<RequestId, CallHead>;
+    },
+  ) {
+    this.#entry = entry;
+    this.#world = world;
+    this.#recipients = recipients;
+    this.#heads = heads;
+  }
+
+  /** Takes one back. */
+  abort(id: AttemptId): void {
+    this.#open.get(id)?.cancel?.();
+    this.#open.delete(id);
+  }
+
+  /** The process has ended. */
+  abortAll(): void {
+    this.#open.forEach(({ cancel }) => cancel?.());
+    this.#open.clear();
+  }
+
+  /** Connects, and sends where the gateway still wants that. */
+  send(attempt: CallAttempt): void {
+    const open: OpenAttempt = { attempt, cancel: undefined };
+    this.#open.set(attempt.id, open);
+    const reaches = this.#world.links.connects(this.#entry, attempt.target);
+    const delay = reaches === "yes" || reaches === "refused"
+      ? CONNECT_MS
+      : CONNECT_TIMEOUT_MS;
+    this.#world.time.after(delay, () => {
+      if (!this.#open.has(attempt.id)) {
+        return;
+      }
+      if (reaches === "yes") {
+        this.#commit(open);
+      } else {
+        this.#end(attempt.id, {
+          kind: "unsent",
+          detail: "No connection",
+          refused: reaches === "refused",
+        });
+      }
+    });
+  }
+
+  #commit(open: OpenAttempt): void {
+    const { id, request, target, resumeAfter } = open.attempt;
+    const effects = this.#entry.tell({ kind: "commit", attempt: id });
+    const proceed = effects.find((effect) =>
+      effect.kind === "proceed" && effect.attempt === id
+    );
+    const head = this.#heads.get(request);
+    if (proceed?.kind !== "proceed" || head === undefined) {
+      this.#open.delete(id);
+      return;
+    }
+    const recipient = this.#recipientOf(id);
+    open.cancel = target.kind === "endpoint"
+      ? this.#world.links.toBackend(this.#entry, {
+        target,
+        head,
+        resumeAfter,
+        recipient,
+      })
+      : this.#world.links.toPeer(this.#entry, {
+        target,
+        head: { ...head, timeLeft: milliseconds(proceed.timeLeft) },
+        resumeAfter,
+        recipient,
+      });
+  }
+
+  #recipientOf(id: AttemptId): Recipient {
+    const current = (): boolean => this.#open.has(id);
+    return {
+      head: (answer) => {
+        if (!current()) {
+          return;
+        }
+        const { request } = this.#open.get(id)!.attempt;
+        const effects = this.#entry.tell({
+          kind: "answered",
+          attempt: id,
+          answer,
+        });
+        const forwarded = effects.some((effect) =>
+          effect.kind === "forward" && effect.attempt === id
+        );
+        const goesOn = effects.some((effect) =>
+          effect.kind === "goOn" && effect.attempt === id
+        );
+        if (forwarded) {
+          this.#recipients.get(request)?.head(answer);
+        } else if (!goesOn) {
+          this.#open.delete(id);
+        }
+      },
+      event: (event) => {
+        if (current()) {
+          const { request } = this.#open.get(id)!.attempt;
+          this.#entry.tell({
+            kind: "progress",
+            attempt: id,
+            lastEventId: String(event),
+          });
+          this.#recipients.get(request)?.event(event);
+        }
+      },
+      complete: () => this.#end(id, { kind: "complete" }),
+      broken: () => this.#end(id, { kind: "lost", detail: "Broke off" }),
+    };
+  }
+
+  #end(
+    id: AttemptId,
+    end: Extract<GatewayEvent, { kind: "ended" }>["end"],
+  ): void {
+    if (this.#open.delete(id)) {
+      this.#entry.tell({ kind: "ended", attempt: id, end });
+    }
+  }
+}
--- a/playground/src/routes/virtual_gateway.ts
+++ b/playground/src/routes/virtual_gateway.ts
@@ -4,9 +4,6 @@
  * @module
  */
 import {
-  type AttemptId,
-  type CallAnswer,
-  type CallAttempt,
   type CallHead,
   Gateway,
   type GatewayEffect,
@@ -15,29 +12,16 @@
   type Incarnation,
   type Instant,
   instant,
-  milliseconds,
   type RequestId,
   SeededRandomness,
 } from "@sassafrasstep/core";
 import type { Spot } from "../scenario/network.ts";
 import type { RouteWorld } from "./route_world.ts";
-
-const CONNECT_MS = 1;
-const CONNECT_TIMEOUT_MS = 400;
-
-/** Who gets the answer to a request: a caller, or the entry that passed it on. */
-export interface Recipient {
-  head(answer: CallAnswer): void;
-  event(id: number): void;
-  complete(): void;
-  /** The answer broke off, or the entry died. */
-  broken(): void;
-}
-
-interface OpenAttempt {
-  readonly attempt: CallAttempt;
-  cancel: (() => void) | undefined;
-}
+import {
+  CONNECT_MS,
+  type Recipient,
+  VirtualAttempts,
+} from "./virtual_attempts.ts";
 
 /** One entry. */
 export class VirtualGateway {
@@ -47,7 +31,7 @@
   readonly #seed: number;
   readonly #recipients = new Map<RequestId, Recipient>();
   readonly #heads = new Map<RequestId, CallHead>();
-  readonly #attempts = new Map<AttemptId, OpenAttempt>();
+  readonly #attempts: VirtualAttempts;
   #gateway: Gateway | undefined;
   #life = 0;
   /** When its present life began. */
@@ -65,6 +49,11 @@
     this.spot = spot;
     this.#world = world;
     this.#seed = seed;
+    this.#attempts = new VirtualAttempts(this, {
+      world,
+      recipients: this.#recipients,
+      heads: this.#heads,
+    });
   }
 
   get gateway(): Gateway | undefined {
@@ -96,8 +85,7 @@
   /** Ends without a word. */
   kill(): void {
     this.#gateway = undefined;
-    this.#attempts.forEach(({ cancel }) => cancel?.());
-    this.#attempts.clear();
+    this.#attempts.abortAll();
     const open = [...this.#recipients.values()];
     this.#recipients.clear();
     open.forEach((recipient) => recipient.broken());
@@ -186,21 +174,19 @@
   #run(effect: GatewayEffect): void {
     switch (effect.kind) {
       case "datagram":
-        return this.#world.datagram(this, effect.to, effect.message);
+        return this.#world.links.datagram(this, effect.to, effect.message);
       case "readCatalogue":
         return this.#read(effect);
       case "copyCatalogue":
-        return this.#world.copy(
+        return this.#world.links.copy(
           this,
           effect.address,
           (snapshot) => this.tell({ kind: "catalogueCopied", snapshot }),
         );
       case "send":
-        return this.#send(effect.attempt);
+        return this.#attempts.send(effect.attempt);
       case "abort":
-        this.#attempts.get(effect.attempt)?.cancel?.();
-        this.#attempts.delete(effect.attempt);
-        return;
+        return this.#attempts.abort(effect.attempt);
       case "knock":
         return this.#knock(effect);
       case "refuse":
@@ -225,7 +211,7 @@
     { endpoint, life, address }: Extract<GatewayEffect, { kind: "knock" }>,
   ): void {
     this.#world.time.after(CONNECT_MS, () => {
-      if (this.#world.isClosed(this, address)) {
+      if (this.#world.links.isClosed(this, address)) {
         this.tell({ kind: "portClosed", endpoint, life });
       }
     });
@@ -240,7 +226,7 @@
         this.tell(event);
       }
     };
-    if (this.#world.reachesStore(this)) {
+    if (this.#world.links.reachesStore(this)) {
       this.#world.store.read(this.name, effect, once);
     }
     this.#world.time.after(
@@ -273,95 +259,4 @@
       end(recipient);
     }
   }
-
-  #send(attempt: CallAttempt): void {
-    const open: OpenAttempt = { attempt, cancel: undefined };
-    this.#attempts.set(attempt.id, open);
-    const reaches = this.#world.connects(this, attempt.target);
-    const delay = reaches === "yes" || reaches === "refused"
-      ? CONNECT_MS
-      : CONNECT_TIMEOUT_MS;
-    this.#world.time.after(delay, () => {
-      if (!this.#attempts.has(attempt.id)) {
-        return;
-      }
-      if (reaches === "yes") {
-        this.#commit(open);
-      } else {
-        this.#end(attempt.id, {
-          kind: "unsent",
-          detail: "No connection",
-          refused: reaches === "refused",
-        });
-      }
-    });
-  }
-
-  #commit(open: OpenAttempt): void {
-    const { id, request, target, resumeAfter } = open.attempt;
-    const effects = this.tell({ kind: "commit", attempt: id });
-    const proceed = effects.find((effect) =>
-      effect.kind === "proceed" && effect.attempt === id
-    );
-    const head = this.#heads.get(request);
-    if (proceed?.kind !== "proceed" || head === undefined) {
-      this.#attempts.delete(id);
-      return;
-    }
-    const recipient = this.#recipientOf(id);
-    open.cancel = target.kind === "endpoint"
-      ? this.#world.toBackend(this, { target, head, resumeAfter, recipient })
-      : this.#world.toPeer(this, {
-        target,
-        head: { ...head, timeLeft: milliseconds(proceed.timeLeft) },
-        resumeAfter,
-        recipient,
-      });
-  }
-
-  #recipientOf(id: AttemptId): Recipient {
-    const current = (): boolean => this.#attempts.has(id);
-    return {
-      head: (answer) => {
-        if (!current()) {
-          return;
-        }
-        const { request } = this.#attempts.get(id)!.attempt;
-        const effects = this.tell({ kind: "answered", attempt: id, answer });
-        const forwarded = effects.some((effect) =>
-          effect.kind === "forward" && effect.attempt === id
-        );
-        const goesOn = effects.some((effect) =>
-          effect.kind === "goOn" && effect.attempt === id
-        );
-        if (forwarded) {
-          this.#recipients.get(request)?.head(answer);
-        } else if (!goesOn) {
-          this.#attempts.delete(id);
-        }
-      },
-      event: (event) => {
-        if (current()) {
-          const { request } = this.#attempts.get(id)!.attempt;
-          this.tell({
-            kind: "progress",
-            attempt: id,
-            lastEventId: String(event),
-          });
-          this.#recipients.get(request)?.event(event);
-        }
-      },
-      complete: () => this.#end(id, { kind: "complete" }),
-      broken: () => this.#end(id, { kind: "lost", detail: "Broke off" }),
-    };
-  }
-
-  #end(
-    id: AttemptId,
-    end: Extract<GatewayEvent, { kind: "ended" }>["end"],
-  ): void {
-    if (this.#attempts.delete(id)) {
-      this.tell({ kind: "ended", attempt: id, end });
-    }
-  }
 }
--- a/playground/src/stand_ins/engine.ts
+++ b/playground/src/stand_ins/engine.ts
@@ -10,75 +10,18 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { prefixBlocks } from "@sassafrasstep/daemon";
 import { H3 } from "h3";
+import {
+  DEFAULT_ENGINE,
+  type EngineFaults,
+  type EngineOptions,
+} from "./engine_options.ts";
+import { DEFAULT_TOKENS, readPrompt, swapped, tokenAt } from "./engine_text.ts";
 import { type Generation, GenerationQueue } from "./generation_queue.ts";
 import { PrefixCache } from "./prefix_cache.ts";
 import { readJson, type StandIn, StandInServer } from "./stand_in.ts";
 
-/** Size and speed of an engine. */
-export interface EngineOptions {
-  readonly slots: number;
-  /** Prompt tokens a second in one slot. */
-  readonly prefillRate: number;
-  /** Milliseconds for one token. */
-  readonly decodeMs: number;
-  readonly cacheBlocks: number;
-  readonly model: string;
-  /** Whether orders with an old fencing number are refused. */
-  readonly fenced: boolean;
-  /** Age of the load that is reported. */
-  readonly loadLagMs: number;
-  /** Where a model's weights are loaded from; empty loads at once. */
-  readonly weightStoreUrl: string;
-}
-
-/** Faults of an engine's streams. */
-export interface EngineFaults {
-  /** Break the connection after so many tokens of an answer. */
-  readonly resetAfter?: number;
-  /** End the stream after so many tokens without its end mark. */
-  readonly truncateAfter?: number;
-  /** Send every token twice. */
-  readonly duplicate?: boolean;
-  /** Swap pairs of tokens. */
-  readonly swap?: boolean;
-  /** Mix in frames of another request. */
-  readonly foreign?: boolean;
-  /** Take the request and say nothing. */
-  readonly hang?: boolean;
-  /** Refuse with 503. */
-  readonly refuse?: boolean;
-}
-
-/** Common sizes. */
-export const DEFAULT_ENGINE: EngineOptions = {
-  slots: 4,
-  prefillRate: 4_000,
-  decodeMs: 10,
-  cacheBlocks: 256,
-  model: "guest-8b@v1",
-  fenced: true,
-  loadLagMs: 200,
-  weightStoreUrl: "",
-};
-
 const BLOCK_TOKENS = 64;
 const CHARACTERS_PER_TOKEN = 4;
-const DEFAULT_TOKENS = 32;
-const WORDS = [
-  "the",
-  "host",
-  "will",
-  "be",
-  "with",
-  "you",
-  "soon",
-  "please",
-  "take",
-  "a",
-  "seat",
-  "by",
-  "door",
-];
 const HOLD_WEIGHT = 0.1;
 
 /** The stand-in. */
@@ -332,29 +275,6 @@
   }
 }
 
-/** Token number `offset` of the answer to a prompt: the same on every engine. */
-export function tokenAt(prompt: string, offset: number): string {
-  return ` ${WORDS[(prompt.length + offset * 7) % WORDS.length]}${offset}`;
-}
-
-function swapped(
-  offset: number,
-  { startAt, tokens }: { startAt: number; tokens: number },
-): number {
-  const other = (offset - startAt) % 2 === 0 ? offset + 1 : offset - 1;
-  return other < tokens ? other : offset;
-}
-
-function readPrompt(body: string): { prompt: string; tokens: number } {
-  const json = JSON.parse(body) as {
-    messages: { role: string; content: string }[];
-    max_tokens?: number;
-  };
-  const prompt = json.messages.map(({ role, content }) => `${role}\n${content}`)
-    .join("\n");
-  return { prompt, tokens: json.max_tokens ?? DEFAULT_TOKENS };
-}
-
 async function readBody(message: IncomingMessage): Promise<string> {
   const chunks: Uint8Array[] = [];
   for await (const chunk of message as AsyncIterable<Uint8Array>) {
--- a/playground/src/stand_ins/index.ts
+++ b/playground/src/stand_ins/index.ts
@@ -2,13 +2,13 @@
   type ConfigurationMode,
   ConfigurationService,
 } from "./configuration_service.ts";
+export { Engine } from "./engine.ts";
 export {
   DEFAULT_ENGINE,
-  Engine,
   type EngineFaults,
   type EngineOptions,
-  tokenAt,
-} from "./engine.ts";
+} from "./engine_options.ts";
+export { tokenAt } from "./engine_text.ts";
 export {
   type PlainBehaviour,
   type PlainMode,
--- a/playground/src/stand_ins/main.ts
+++ b/playground/src/stand_ins/main.ts
@@ -5,7 +5,8 @@
  */
 import meow from "meow";
 import { ConfigurationService } from "./configuration_service.ts";
-import { Engine, type EngineOptions } from "./engine.ts";
+import { Engine } from "./engine.ts";
+import type { EngineOptions } from "./engine_options.ts";
 import { type PlainBehaviour, PlainService } from "./plain_service.ts";
 import type { StandIn } from "./stand_in.ts";
 import { VmList } from "./vm_list.ts";
