--- a/packages/core/src/gateway/__tests__/call_trace.test.ts
+++ b/packages/core/src/gateway/__tests__/call_trace.test.ts
@@ -10,6 +10,7 @@
 } from "../../index.ts";
 import type { Route } from "../../routes/index.ts";
 import { Call, type OpenAttempt } from "../call.ts";
+import { CallTrace } from "../call_trace.ts";
 import { fingerprint } from "./quarantine_fixture.ts";
 import { engine } from "./engine_fixture.ts";
 
@@ -45,6 +46,7 @@
     sentAt: undefined,
     heardAt: undefined,
     failed: false,
+    unfinished: 0,
   };
 }
 
@@ -131,3 +133,21 @@
     });
   });
 });
+
+describe("the line of a stream that goes on elsewhere", () => {
+  it("says where it was, why that was left, and what was dropped", () => {
+    const trace = new CallTrace();
+    trace.placed(attempt());
+    trace.interrupted({ ...attempt(), unfinished: 7 }, "Silent");
+    trace.placed({
+      ...attempt(),
+      target: { ...attempt().target, endpoint: "e2" as EndpointId } as never,
+    });
+    expect(trace.interruption()).toEqual({
+      from: "e1",
+      leftFor: "Silent",
+      droppedBytes: 7,
+      endpoint: "e2",
+    });
+  });
+});
--- a/packages/core/src/gateway/call.ts
+++ b/packages/core/src/gateway/call.ts
@@ -41,6 +41,8 @@
   heardAt: Instant | undefined;
   /** Whether its answer says failure. */
   failed: boolean;
+  /** Bytes that it sent of an event that is not whole yet. */
+  unfinished: number;
 }
 
 /** One request. */
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -201,6 +201,7 @@
       sentAt: undefined,
       heardAt: undefined,
       failed: false,
+      unfinished: 0,
     };
     call.attempt = attempt;
     call.trace.placed(attempt);
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -101,6 +101,16 @@
     return this.#placer.queue.size;
   }
 
+  /** Streams that went on elsewhere since the start. */
+  get resumed(): number {
+    return this.#recovery.resumed;
+  }
+
+  /** Requests without a route since the start. */
+  get unrouted(): number {
+    return this.#ends.unrouted.count;
+  }
+
   get lastArrivalAt(): Instant | undefined {
     return this.#lastArrivalAt;
   }
@@ -134,7 +144,7 @@
   ): void {
     const route = table.find(head.host, head.target);
     if (route === undefined) {
-      return this.#ends.refuseHead(head, "no_route");
+      return this.#ends.refuseUnrouted(head, now);
     }
     const time = Math.min(head.timeLeft ?? route.timeout, route.timeout);
     const place = hash32(`split ${head.call}`) / UINT32_RANGE;
@@ -207,7 +217,10 @@
   /** Bytes of an answer's body. */
   progress(
     id: AttemptId,
-    lastEventId: string | undefined,
+    { lastEventId, unfinished }: {
+      lastEventId: string | undefined;
+      unfinished: number;
+    },
     now: Instant,
   ): void {
     const found = this.#attempts.find(id);
@@ -217,6 +230,7 @@
     const { call, attempt } = found;
     const first = attempt.state !== undefined && attempt.state.own.prefill > 0;
     attempt.heardAt = now;
+    attempt.unfinished = unfinished;
     call.trace.heard(now);
     if (attempt.state !== undefined) {
       attempt.state.heardAt = now;
--- a/packages/core/src/gateway/call_ends.ts
+++ b/packages/core/src/gateway/call_ends.ts
@@ -11,7 +11,13 @@
 } from "../ids/index.ts";
 import type { Call } from "./call.ts";
 import type { LossCause } from "./call_trace.ts";
-import type { CallHead, CallRefusalReason, GatewayEmit } from "./messages.ts";
+import { LineTally } from "./line_tally.ts";
+import type {
+  CallHead,
+  CallRefusal,
+  CallRefusalReason,
+  GatewayEmit,
+} from "./messages.ts";
 import { refuse } from "./refusals.ts";
 
 /** Callers come back in a wave if all are told the same time: this part of it is drawn. */
@@ -29,6 +35,8 @@
   readonly #emit: GatewayEmit;
   readonly #random: Randomness;
   readonly #forget: (call: Call) => void;
+  /** Requests that no route takes. */
+  readonly unrouted = new LineTally();
 
   constructor(
     { emit, random, forget }: {
@@ -104,25 +112,37 @@
   }
 
   /** Refuses what has not become a request. */
-  refuseHead({ id, call }: CallHead, reason: CallRefusalReason): void {
-    const refusal = refuse(reason, {
-      verdict: { kind: "not_run" },
-      offered: 0,
-      retryAfter: this.#spread(reason === "stopping" ? SOON_MS : LATER_MS),
-    });
+  refuseHead(head: CallHead, reason: CallRefusalReason): void {
+    const refusal = this.#refuse(head, reason);
     this.#emit({
       kind: "log",
       part: "call",
       text: "Request is refused.",
       fields: {
-        call,
+        call: head.call,
         attempts: 0,
         reason,
         status: refusal.status,
         cause: "refused",
       },
     });
-    this.#emit({ kind: "refuse", request: id, refusal });
+  }
+
+  /**
+   * Refuses a request that no route takes. Callers that probe send them all the time: with a line for
+   * each, a log that is cut short holds little else.
+   */
+  refuseUnrouted(head: CallHead, now: Instant): void {
+    const count = this.unrouted.add(now);
+    if (count > 0) {
+      this.#emit({
+        kind: "log",
+        part: "call",
+        text: "Requests without a route are refused.",
+        fields: { requests: count, call: head.call },
+      });
+    }
+    this.#refuse(head, "no_route");
   }
 
   /** Writes a line about a request. */
@@ -139,6 +159,16 @@
     });
   }
 
+  #refuse({ id }: CallHead, reason: CallRefusalReason): CallRefusal {
+    const refusal = refuse(reason, {
+      verdict: { kind: "not_run" },
+      offered: 0,
+      retryAfter: this.#spread(reason === "stopping" ? SOON_MS : LATER_MS),
+    });
+    this.#emit({ kind: "refuse", request: id, refusal });
+    return refusal;
+  }
+
   #logLoss(
     text: string,
     call: Call,
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -53,6 +53,8 @@
 
 /** Repeats where route, attempts and budget allow it; otherwise the request ends. */
 export class CallRecovery {
+  /** Streams that went on elsewhere since the start. */
+  resumed = 0;
   readonly #tools: RecoveryTools;
 
   constructor(tools: RecoveryTools) {
@@ -101,9 +103,15 @@
   goOn(call: Call, { status }: CallAnswer, now: Instant): void {
     const { id } = call.attempt!;
     if (status !== OK) {
+      call.trace.interrupted(call.attempt!, `Answered ${status}`);
       this.#tools.attempts.leave(call, now);
       return this.#breakOffOrRetry(call, now);
     }
+    this.resumed++;
+    this.#tools.ends.log("Stream goes on elsewhere.", call, {
+      afterEvent: call.lastEventId,
+      ...call.trace.interruption(),
+    });
     this.#tools.emit({ kind: "goOn", attempt: id });
   }
 
@@ -139,10 +147,12 @@
   /** Bytes were written, and no whole answer came. */
   lost(
     call: Call,
-    { state }: OpenAttempt,
+    attempt: OpenAttempt,
     { detail, now }: { detail: string; now: Instant },
   ): void {
+    const { state } = attempt;
     state?.health.note("broken", now);
+    call.trace.interrupted(attempt, detail);
     this.#tools.attempts.close(call, "lost", now);
     if (state !== undefined) {
       this.#tools.quarantine.broken(state, now);
@@ -195,7 +205,11 @@
     const silent = engine
       ? quiet > limit && now - (state.heardAt ?? sentAt) > limit
       : attempt.heardAt === undefined && quiet > limit;
-    if (silent && this.#tryElsewhere(call, now)) {
+    if (!silent) {
+      return;
+    }
+    call.trace.interrupted(attempt, "Silent");
+    if (this.#tryElsewhere(call, now)) {
       this.#tools.ends.log("Endpoint is silent.", call, {
         endpoint: state.record.id,
       });
--- a/packages/core/src/gateway/call_trace.ts
+++ b/packages/core/src/gateway/call_trace.ts
@@ -6,6 +6,7 @@
  */
 import type { Instant } from "../ids/index.ts";
 import type { Call, OpenAttempt } from "./call.ts";
+import type { CallTarget } from "./messages.ts";
 
 /** Why a request was served late or not at all, as far as the entry saw it. */
 export type LossCause =
@@ -34,8 +35,19 @@
   readonly requests: number;
 }
 
+/** An attempt that was left before its answer was whole. */
+interface Interruption {
+  /** Endpoint, or entry of another region. */
+  readonly from: string;
+  /** Why it was left. */
+  readonly leftFor: string;
+  /** Bytes of an event that it did not finish: no caller gets them. */
+  readonly droppedBytes: number;
+}
+
 /** Notes of one request. */
 export class CallTrace {
+  #interruption: Interruption | undefined;
   #placed: Placed | undefined;
   #sentAt: Instant | undefined;
   #firstAt: Instant | undefined;
@@ -46,9 +58,7 @@
   /** An attempt is made; call it before the attempt counts at the endpoint. */
   placed({ target, state }: Pick<OpenAttempt, "target" | "state">): void {
     this.#placed = {
-      endpoint: target.kind === "endpoint"
-        ? target.endpoint
-        : target.incarnation,
+      endpoint: nameOf(target),
       prefill: 0,
       backlog: state?.prefill ?? 0,
       requests: state?.requests ?? 0,
@@ -76,6 +86,20 @@
     this.#events++;
   }
 
+  /** An attempt is left; call it before the next one is made. */
+  interrupted({ target, unfinished }: OpenAttempt, leftFor: string): void {
+    this.#interruption = {
+      from: nameOf(target),
+      leftFor,
+      droppedBytes: unfinished,
+    };
+  }
+
+  /** Fields of the line about a stream that goes on elsewhere. */
+  interruption(): Record<string, unknown> {
+    return { ...this.#interruption, endpoint: this.#placed?.endpoint };
+  }
+
   /** Why a request that ends now, unserved or late, does; `undefined` where it was on time. */
   cause(call: Call, served: boolean, now: Instant): LossCause | undefined {
     const { objective, pauseObjective } = call.route;
@@ -115,3 +139,7 @@
     };
   }
 }
+
+function nameOf(target: CallTarget): string {
+  return target.kind === "endpoint" ? target.endpoint : target.incarnation;
+}
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -280,7 +280,7 @@
       case "answered":
         return this.#calls.answered(event.attempt, event.answer, now);
       case "progress":
-        return this.#calls.progress(event.attempt, event.lastEventId, now);
+        return this.#calls.progress(event.attempt, event, now);
       case "ended":
         return this.#calls.ended(event.attempt, event.end, now);
       case "callerGone":
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -198,6 +198,8 @@
     readonly kind: "progress";
     readonly attempt: AttemptId;
     readonly lastEventId: string | undefined;
+    /** Bytes of an event that is not whole yet. */
+    readonly unfinished: number;
   }
   | {
     readonly kind: "ended";
--- a/packages/daemon/src/gateway/gauges.ts
+++ b/packages/daemon/src/gateway/gauges.ts
@@ -19,6 +19,8 @@
   return {
     requests: calls.active,
     queued: calls.queued,
+    streams_resumed: calls.resumed,
+    requests_unrouted: calls.unrouted,
     members: fleet.live().length,
     endpoint_ends: quarantine.ends,
     requests_held: quarantine.holds.size,
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -255,6 +255,7 @@
       kind: "progress",
       attempt: this.#attempt.id,
       lastEventId: events?.lastId,
+      unfinished: this.#cutter.rest.length,
     });
     if (events !== undefined && !this.#over) {
       this.#writeOut(controller, events.bytes);
--- a/playground/src/routes/virtual_attempts.ts
+++ b/playground/src/routes/virtual_attempts.ts
@@ -151,6 +151,7 @@
             kind: "progress",
             attempt: id,
             lastEventId: String(event),
+            unfinished: 0,
           });
           this.#recipients.get(request)?.event(event);
         }
