test: streams left inside an event, byte by byte over real sockets; red

Callers got events that no endpoint made and streams ended as complete inside an event. Brought about with one entry, real sockets and engines that say scripted bytes: an engine that falls silent (or starts again) after nine bytes of its third event gives the caller 'id: 3\ndatid: 3\ndata: ...', joined out of both runs; twice silent, the bytes of both stand before it. Where the endpoint's answer ends with its connection the torn event was noticed before.

--- /dev/null
+++ b/playground/src/bytes/byte_fleet.ts
@@ -0,0 +1,146 @@
+/**
+ * Entries of this process before engines that say scripted bytes.
+ *
+ * @module
+ */
+import { CALLS, KEYS } from "@sassafrasstep/platform";
+import { eventually, route } from "../platform/platform_fleet.ts";
+import { StandInStore } from "../platform/stand_in_store.ts";
+import type { SeenAnswer } from "./event_text.ts";
+import { freePorts, LocalEntry } from "./local_entry.ts";
+import type { RawEngine } from "./raw_engine.ts";
+import { askStream, type StreamQuestion } from "./stream_caller.ts";
+
+const FIRST_HOST = 31;
+const SERVICE = "pool";
+const ROUTE_TIMEOUT_MS = 10_000;
+
+/** Where an engine or an entry stands: a zone of the same name belongs to each region. */
+export interface ByteFleetPlan {
+  readonly engines: readonly { engine: RawEngine; region?: string }[];
+  /** A region for each entry. */
+  readonly entries?: readonly string[];
+  /** Endpoints that one request may be sent to. */
+  readonly attempts?: number;
+}
+
+/** A running fleet. */
+export class ByteFleet {
+  readonly store = new StandInStore();
+  readonly entries: LocalEntry[] = [];
+  readonly engines: { readonly engine: RawEngine; readonly address: string }[] =
+    [];
+  readonly #plan: ByteFleetPlan;
+
+  constructor(plan: ByteFleetPlan) {
+    this.#plan = plan;
+  }
+
+  /** Starts everything and waits until all serve. */
+  async start(): Promise<void> {
+    const { engines, entries = ["a"], attempts = 3 } = this.#plan;
+    const storeAddress = await this.store.listen();
+    for (const { engine, region = "a" } of engines) {
+      const address = await engine.listen();
+      this.engines.push({ engine, address });
+      this.publish(engine.id, { address, region, born: 1 });
+    }
+    this.store.put(KEYS.document, documentOf(attempts));
+    const hosts = entries.map((_, index) => `127.0.0.${FIRST_HOST + index}`);
+    const [peerPort] = await freePorts(hosts[0]!, 1);
+    const zones = Object.fromEntries(
+      [...new Set(entries)].map((region) => [`${region}-1`, region]),
+    );
+    for (const [index, region] of entries.entries()) {
+      this.entries.push(
+        await LocalEntry.start({
+          name: `entry-${index + 1}`,
+          host: hosts[index]!,
+          zone: `${region}-1`,
+          region,
+          peerPort: peerPort!,
+          seeds: hosts.map((host) => `${host}:1`),
+          zones,
+          storeAddress,
+        }),
+      );
+    }
+    await Promise.all(this.entries.map(({ readiness }) => served(readiness)));
+  }
+
+  /** Tells the entries of an engine. */
+  publish(
+    id: string,
+    { address, region = "a", ...fields }: {
+      address: string;
+      region?: string;
+      readonly [field: string]: unknown;
+    },
+  ): void {
+    this.store.put(`${KEYS.endpoint}${id}`, {
+      service: SERVICE,
+      address,
+      zone: `${region}-1`,
+      version: "v1",
+      slots: 64,
+      state: "ready",
+      cold_remaining_ms: 0,
+      sequence: 1,
+      ...fields,
+    });
+  }
+
+  /** Asks an entry for a stream that may be resumed. */
+  ask(
+    call: string,
+    { entry = 0, ...rest }:
+      & Partial<StreamQuestion>
+      & { readonly entry?: number } = {},
+  ): Promise<SeenAnswer> {
+    return askStream(this.entries[entry]!.callers, {
+      call,
+      path: "/resume/x",
+      ...rest,
+    });
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.entries.map((entry) => entry.stop()));
+    await Promise.all(this.#plan.engines.map(({ engine }) => engine.close()));
+    await this.store.close();
+  }
+}
+
+async function served(readiness: string): Promise<void> {
+  await eventually(async () =>
+    (await fetch(`http://${readiness}${CALLS.ready}`)).status === 200
+  );
+}
+
+function documentOf(attempts: number): object {
+  const common = {
+    kind: "stream",
+    service: SERVICE,
+    timeout_ms: ROUTE_TIMEOUT_MS,
+  };
+  return {
+    version: 3,
+    routes: [
+      route("resume", { ...common, attempts, resumable: true }),
+      route("once", { ...common, attempts: 1 }),
+    ],
+    services: [{
+      name: SERVICE,
+      connection_limit: 200,
+      cold_s: 0,
+      cold_per_s: 0,
+      engine: { slots: 64, cache_tokens: 100_000 },
+    }],
+    limits: {
+      header_bytes: 16_384,
+      body_bytes: 65_536,
+      header_ms: 3_000,
+      idle_ms: 15_000,
+    },
+  };
+}
--- /dev/null
+++ b/playground/src/bytes/local_entry.ts
@@ -0,0 +1,161 @@
+/**
+ * Entries of one process, with the platform's protocol, real sockets and their lines kept.
+ *
+ * @module
+ */
+import { once } from "node:events";
+import { type AddressInfo, createServer } from "node:net";
+import {
+  GatewayEntry,
+  Logger,
+  parseGatewaySettings,
+} from "@sassafrasstep/daemon";
+import {
+  createDirectory,
+  createReadiness,
+  PlatformCallers,
+  PlatformEndpoints,
+  StoreSource,
+} from "@sassafrasstep/platform";
+
+/** One line of a log. */
+export interface Line {
+  readonly text: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** Keeps lines in place of writing them. */
+class LineLogger extends Logger {
+  readonly lines: Line[] = [];
+
+  constructor() {
+    super("silent", {});
+  }
+
+  override info(
+    part: string,
+    text: string,
+    fields: Readonly<Record<string, unknown>> = {},
+  ): void {
+    this.lines.push({ text: `${part}: ${text}`, fields });
+  }
+
+  override warn(
+    part: string,
+    text: string,
+    fields: Readonly<Record<string, unknown>> = {},
+  ): void {
+    this.info(part, text, fields);
+  }
+}
+
+/** Where an entry of this process stands. */
+export interface LocalPlace {
+  readonly name: string;
+  readonly host: string;
+  readonly zone: string;
+  readonly region: string;
+  /** The same on all entries. */
+  readonly peerPort: number;
+  readonly seeds: readonly string[];
+  /** Region of each zone. */
+  readonly zones: Readonly<Record<string, string>>;
+  readonly storeAddress: string;
+}
+
+/** One entry. */
+export class LocalEntry {
+  readonly #logger = new LineLogger();
+  readonly #entry: GatewayEntry;
+  /** Host and port for callers. */
+  readonly callers: string;
+  readonly readiness: string;
+
+  private constructor(text: string, place: LocalPlace, ports: number[]) {
+    const result = parseGatewaySettings(text);
+    if (!result.ok) {
+      throw new Error(`Cannot read settings: ${JSON.stringify(result.faults)}`);
+    }
+    this.callers = `${place.host}:${ports[0]}`;
+    this.readiness = `${place.host}:${ports[2]}`;
+    this.#entry = new GatewayEntry(result.settings, {
+      logger: this.#logger,
+      platform: {
+        callers: new PlatformCallers(),
+        endpoints: new PlatformEndpoints(),
+        source: new StoreSource(place.storeAddress, () => {}),
+        directory: createDirectory,
+        readiness: createReadiness,
+      },
+    });
+  }
+
+  /** Starts one. */
+  static async start(place: LocalPlace): Promise<LocalEntry> {
+    const ports = await freePorts(place.host, PORTS);
+    const entry = new LocalEntry(settingsOf(place, ports), place, ports);
+    await entry.#entry.start();
+    return entry;
+  }
+
+  /** Its lines that say a sentence. */
+  lines(text: string): readonly Line[] {
+    return this.#logger.lines.filter((line) => line.text === text);
+  }
+
+  /** Ends it as planned. */
+  async stop(): Promise<void> {
+    this.#entry.stop();
+    await this.#entry.stopped;
+  }
+}
+
+const PORTS = 4;
+
+function settingsOf(place: LocalPlace, ports: number[]): string {
+  const { host, zones } = place;
+  const [callers, directory, readiness, control] = ports;
+  return `[entry]
+id = ${place.name}
+zone = ${place.zone}
+region = ${place.region}
+[addresses]
+callers = ${host}:${callers}
+directory = ${host}:${directory}
+readiness = ${host}:${readiness}
+control = ${host}:${control}
+peers = ${host}:${place.peerPort}
+[peers]
+seeds = ${place.seeds.join(", ")}
+[zones]
+${
+    Object.entries(zones).map(([zone, region]) => `${zone} = ${region}`).join(
+      "\n",
+    )
+  }
+[store]
+address = ${place.storeAddress}
+[bounds]
+repeat_slack = 10000
+stop_s = 8
+`;
+}
+
+/** Ports of a host that are free just now. */
+export async function freePorts(
+  host: string,
+  count: number,
+): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  const ports: number[] = [];
+  for (const server of servers) {
+    server.listen(0, host);
+    await once(server, "listening");
+    ports.push((server.address() as AddressInfo).port);
+  }
+  for (const server of servers) {
+    server.close();
+    await once(server, "close");
+  }
+  return ports;
+}
--- /dev/null
+++ b/playground/src/bytes/raw_engine.ts
@@ -0,0 +1,233 @@
+/**
+ * An engine on a raw socket: it says the bytes of a script, and stops where the script says.
+ *
+ * @module
+ */
+import { once } from "node:events";
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import { setTimeout as pause } from "node:timers/promises";
+import { HEADERS } from "@sassafrasstep/platform";
+import { eventsOf, type EventStyle } from "./event_text.ts";
+
+/** How the end of a body is told. */
+export type Framing = "chunked" | "length" | "none";
+
+/** How a run stops. */
+export type Stop =
+  /** After its whole body, as its framing has it. */
+  | "whole"
+  /** The framing ends in order, at the byte where the run stops. */
+  | "ended"
+  /** The connection is closed in order. */
+  | "closed"
+  | "reset"
+  /** Nothing more comes, and the connection stays open. */
+  | "silent";
+
+/** What an engine does with a run. */
+export interface RunScript {
+  /** Events of the whole run. */
+  readonly events: number;
+  readonly style?: EventStyle;
+  readonly framing?: Framing;
+  readonly stop?: Stop;
+  /** Bytes of the body before it stops. */
+  readonly stopAt?: number;
+  /** Bytes a write, everything at once where it is not given. */
+  readonly piece?: number;
+  /** Milliseconds between writes. */
+  readonly pace?: number;
+  /** Answers this in place of a stream. */
+  readonly status?: number;
+  /** Whether the status says that it did not run. */
+  readonly notRun?: boolean;
+}
+
+/** A request as the engine got it. */
+export interface RawRequest {
+  readonly call: string;
+  /** Number of the event after which the stream goes on. */
+  readonly after: number;
+  readonly headers: ReadonlyMap<string, string>;
+  readonly at: number;
+}
+
+const OK = 200;
+const HEAD_END = "\r\n\r\n";
+const MISDIRECTED = 421;
+
+/** An engine on loopback. */
+export class RawEngine {
+  readonly id: string;
+  /** Requests that it began to run, in order. */
+  readonly runs: RawRequest[] = [];
+  readonly #script: (request: RawRequest) => RunScript;
+  readonly #sockets = new Set<Socket>();
+  readonly #server: Server = createServer((socket) => this.#accept(socket));
+
+  constructor(id: string, script: (request: RawRequest) => RunScript) {
+    this.id = id;
+    this.#script = script;
+  }
+
+  /** Listens; gives host and port. */
+  async listen(): Promise<string> {
+    this.#server.listen(0, "127.0.0.1");
+    await once(this.#server, "listening");
+    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  /** Ends every connection, as a process that is killed. */
+  drop(): void {
+    this.#sockets.forEach((socket) => socket.resetAndDestroy());
+  }
+
+  async close(): Promise<void> {
+    this.drop();
+    this.#server.close();
+    await once(this.#server, "close");
+  }
+
+  #accept(socket: Socket): void {
+    this.#sockets.add(socket);
+    socket.setNoDelay(true);
+    socket.on("close", () => this.#sockets.delete(socket));
+    socket.on("error", () => {});
+    let text = "";
+    socket.on("data", (bytes) => {
+      text += bytes.toString("latin1");
+      const request = readRequest(text);
+      if (request !== undefined) {
+        text = "";
+        void this.#answer(socket, request);
+      }
+    });
+  }
+
+  async #answer(socket: Socket, request: RawRequest): Promise<void> {
+    const { headers, call, after } = request;
+    if (headers.get(HEADERS.expectedEndpoint) !== this.id) {
+      socket.write(plainAnswer(MISDIRECTED, []));
+      return;
+    }
+    const script = this.#script(request);
+    const { status = OK, notRun = false, events, style } = script;
+    if (!notRun) {
+      this.runs.push(request);
+    }
+    const own = [`${HEADERS.call}: ${call}`];
+    if (status !== OK) {
+      own.push(notRun ? `${HEADERS.notRun}: 1` : `${HEADERS.seal}: s-${call}`);
+      socket.write(plainAnswer(status, own));
+      return;
+    }
+    const body = eventsOf(call, { count: events, after, style });
+    socket.write(streamHead(call, { script, length: body.length }));
+    await say(socket, body, script);
+  }
+}
+
+/** A request whose body is whole, `undefined` before. */
+function readRequest(text: string): RawRequest | undefined {
+  const end = text.indexOf(HEAD_END);
+  if (end < 0) {
+    return undefined;
+  }
+  const headers = new Map(
+    text.slice(0, end).split("\r\n").slice(1).map((line) => {
+      const colon = line.indexOf(":");
+      return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()];
+    }),
+  );
+  const length = Number(headers.get("content-length") ?? 0);
+  if (text.length < end + HEAD_END.length + length) {
+    return undefined;
+  }
+  return {
+    call: headers.get(HEADERS.call) ?? "",
+    after: Number(headers.get(HEADERS.lastEvent) ?? 0),
+    headers,
+    at: performance.now(),
+  };
+}
+
+function plainAnswer(status: number, headers: readonly string[]): string {
+  const lines = [`HTTP/1.1 ${status} x`, ...headers, "content-length: 0"];
+  return lines.join("\r\n") + HEAD_END;
+}
+
+function streamHead(
+  call: string,
+  { script: { framing = "chunked" }, length }: {
+    script: RunScript;
+    length: number;
+  },
+): string {
+  const told = {
+    chunked: "transfer-encoding: chunked",
+    length: `content-length: ${length}`,
+    none: "connection: close",
+  }[framing];
+  return [
+    `HTTP/1.1 ${OK} OK`,
+    `${HEADERS.call}: ${call}`,
+    `${HEADERS.seal}: s-${call}`,
+    "content-type: text/event-stream",
+    told,
+  ].join("\r\n") + HEAD_END;
+}
+
+async function say(
+  socket: Socket,
+  body: string,
+  { framing = "chunked", stop = "whole", stopAt, piece, pace = 0 }: RunScript,
+): Promise<void> {
+  const said = stop === "whole" ? body : body.slice(0, stopAt);
+  const size = Math.max(1, piece ?? said.length);
+  for (let at = 0; at < said.length; at += size) {
+    const part = said.slice(at, at + size);
+    socket.write(
+      framing === "chunked"
+        ? `${part.length.toString(16)}\r\n${part}\r\n`
+        : part,
+      "latin1",
+    );
+    await (pace > 0 ? pause(pace) : nextTurn());
+    if (socket.destroyed) {
+      return;
+    }
+  }
+  endRun(socket, { framing, stop });
+}
+
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+function endRun(
+  socket: Socket,
+  { framing, stop }: { framing: Framing; stop: Stop },
+): void {
+  switch (stop) {
+    case "whole":
+    case "ended":
+      if (framing === "chunked") {
+        socket.write("0\r\n\r\n");
+      } else if (framing === "none") {
+        socket.end();
+      }
+      return;
+    case "closed":
+      socket.end();
+      return;
+    case "reset":
+      socket.resetAndDestroy();
+      return;
+    case "silent":
+  }
+}
--- /dev/null
+++ b/playground/src/bytes/stream_caller.ts
@@ -0,0 +1,79 @@
+/**
+ * A caller that keeps every byte of a stream, and how it ended.
+ *
+ * @module
+ */
+import { request } from "node:http";
+import { HEADERS } from "@sassafrasstep/platform";
+import type { SeenAnswer } from "./event_text.ts";
+
+/** What a caller asks. */
+export interface StreamQuestion {
+  readonly call: string;
+  readonly path: string;
+  readonly host?: string;
+  /** Milliseconds that the caller waits. */
+  readonly time?: number;
+  /** Last event that it has. */
+  readonly after?: number;
+  /** Told of bytes as they come; a promise holds further reading back. */
+  readonly onBytes?: (bytes: number) => Promise<void> | void;
+}
+
+const DEFAULT_TIME_MS = 10_000;
+/** Callers wait a little longer than they say. */
+const PATIENCE_MS = 1_500;
+
+/** Asks, and reads to the end. */
+export function askStream(
+  address: string,
+  {
+    call,
+    path,
+    host = "kiosk.example",
+    time = DEFAULT_TIME_MS,
+    after,
+    onBytes,
+  }: StreamQuestion,
+): Promise<SeenAnswer> {
+  const colon = address.lastIndexOf(":");
+  return new Promise((resolve) => {
+    let status = 0;
+    const parts: Buffer[] = [];
+    const end = (kind: SeenAnswer["end"]): void => {
+      clearTimeout(timer);
+      resolve({ status, body: Buffer.concat(parts).toString(), end: kind });
+      asked.destroy();
+    };
+    const asked = request({
+      host: address.slice(0, colon),
+      port: Number(address.slice(colon + 1)),
+      path,
+      method: "POST",
+      agent: false,
+      headers: {
+        host,
+        [HEADERS.call]: call,
+        [HEADERS.timeLeft]: String(time),
+        [HEADERS.tokens]: "10,100",
+        "content-length": 0,
+        ...(after === undefined ? {} : { [HEADERS.lastEvent]: String(after) }),
+      },
+    }, (answer) => {
+      status = answer.statusCode!;
+      answer.on("data", (bytes: Buffer) => {
+        parts.push(bytes);
+        const held = onBytes?.(bytes.length);
+        if (held !== undefined) {
+          answer.pause();
+          void held.then(() => answer.resume());
+        }
+      });
+      answer.on("end", () => end(answer.complete ? "whole" : "broken"));
+      answer.on("error", () => end("broken"));
+    });
+    asked.on("error", () => end("broken"));
+    asked.end();
+    const timer = setTimeout(() => end("open"), time + PATIENCE_MS);
+  });
+}
