fix: what an attempt half received lives and dies with it

Callers got an event that no endpoint made, 'id: 3\ndatid: 3\ndata: ...', and the rest of the stream after it. The buffer that cuts a stream at its events belonged to the request and every attempt wrote to it. It was emptied where an attempt ended by itself (closed, reset, complete), not where the entry gave one up: silence, another life of the endpoint, a resumed send that was answered with a failure. Then the bytes of an event that was under way stood before the first event of the next attempt, one such piece for each endpoint that was left.

Ruled out: two runs writing at once (one joined event where the stream went on, nothing twice), and reading that was resumed late. The line of a stream that goes on named the same nine dropped bytes that the caller got.

Class: state of an attempt kept by its request, and emptied path by path. Now each attempt makes its own buffer and nothing else can reach it, so there is no path that could forget to empty it; the reset is gone. A request keeps only what its caller has: status and last event.

The cutter's test of its reset is replaced by one that an event kept back goes out once it is whole.

--- a/packages/daemon/src/gateway/__tests__/event_cutter.test.ts
+++ b/packages/daemon/src/gateway/__tests__/event_cutter.test.ts
@@ -34,10 +34,10 @@
     const events = cutter.push(Buffer.from(`${whole}id: 3\nda`));
     expect(events?.bytes.toString()).toBe(whole);
     expect(cutter.rest.toString()).toBe("id: 3\nda");
-    cutter.reset();
-    expect(cutter.push(Buffer.from("id: 3\n\n"))?.bytes.toString()).toBe(
-      "id: 3\n\n",
+    expect(cutter.push(Buffer.from("ta: c\n\n"))?.bytes.toString()).toBe(
+      "id: 3\ndata: c\n\n",
     );
+    expect(cutter.rest.length).toBe(0);
   });
 
   it("knows events that end lines with carriage returns", () => {
--- a/packages/daemon/src/gateway/__tests__/wire_fixture.ts
+++ b/packages/daemon/src/gateway/__tests__/wire_fixture.ts
@@ -23,7 +23,6 @@
   type RequestId,
 } from "@sassafrasstep/core";
 import { Connections } from "../connections.ts";
-import { EventCutter } from "../event_cutter.ts";
 import type { Exchange } from "../exchange.ts";
 import { OutboundCall } from "../outbound_call.ts";
 import type { EndpointProtocol } from "../protocol.ts";
@@ -160,7 +159,6 @@
   const done = new Promise<Seen>((resolve) => finish = resolve);
   const call = new OutboundCall(planned, {
     exchange,
-    cutter: new EventCutter(),
     tools: {
       incarnation: "n1",
       protocol: TEST_PROTOCOL,
--- a/packages/daemon/src/gateway/event_cutter.ts
+++ b/packages/daemon/src/gateway/event_cutter.ts
@@ -17,7 +17,7 @@
   readonly lastId: string | undefined;
 }
 
-/** Keeps the event that is not complete yet. */
+/** Keeps the event that is not complete yet. One answer has one: what it keeps fits no other. */
 export class EventCutter {
   #rest: Buffer = Buffer.alloc(0);
 
@@ -39,11 +39,6 @@
   get rest(): Buffer {
     return this.#rest;
   }
-
-  /** Forgets a torn event, before the stream goes on elsewhere. */
-  reset(): void {
-    this.#rest = Buffer.alloc(0);
-  }
 }
 
 /** The end of the last blank line, 0 where there is none. */
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -24,7 +24,6 @@
 import { CatalogueRunner } from "./catalogue_runner.ts";
 import { Connections } from "./connections.ts";
 import { Datagrams } from "./datagrams.ts";
-import { EventCutter } from "./event_cutter.ts";
 import type { Exchange } from "./exchange.ts";
 import { applyLimits, createIngress, type IngressEvents } from "./ingress.ts";
 import { readGauges } from "./gauges.ts";
@@ -60,12 +59,6 @@
   readonly readiness: (gateway: Gateway) => RequestListener;
 }
 
-/** One request here: the caller's exchange and what its streams keep between attempts. */
-interface OpenCall {
-  readonly exchange: Exchange;
-  readonly cutter: EventCutter;
-}
-
 /** A running entry. */
 export class GatewayEntry {
   readonly #settings: GatewaySettings;
@@ -74,7 +67,7 @@
   readonly #gateway: Gateway;
   readonly #metrics = new GatewayMetrics();
   readonly #connections = new Connections();
-  readonly #calls = new Map<RequestId, OpenCall>();
+  readonly #calls = new Map<RequestId, Exchange>();
   readonly #attempts = new Map<AttemptId, OutboundCall>();
   readonly #outbound: OutboundTools;
   readonly #datagrams: Datagrams;
@@ -212,7 +205,7 @@
         }` as RequestId;
       },
       open: (exchange) => {
-        this.#calls.set(exchange.id, { exchange, cutter: new EventCutter() });
+        this.#calls.set(exchange.id, exchange);
         this.#tell({ kind: "arrived", head: exchange.head });
         this.#hasten();
       },
@@ -280,15 +273,12 @@
   }
 
   #send(attempt: CallAttempt): void {
-    const call = this.#calls.get(attempt.request);
-    if (call === undefined) {
+    const exchange = this.#calls.get(attempt.request);
+    if (exchange === undefined) {
       return;
     }
-    const outbound = new OutboundCall(attempt, {
-      exchange: call.exchange,
-      cutter: call.cutter,
-      tools: this.#outbound,
-    });
+    const tools = this.#outbound;
+    const outbound = new OutboundCall(attempt, { exchange, tools });
     this.#attempts.set(attempt.id, outbound);
     outbound.start();
   }
@@ -303,10 +293,10 @@
   }
 
   #close(request: RequestId, end: (exchange: Exchange) => void): void {
-    const call = this.#calls.get(request);
+    const exchange = this.#calls.get(request);
     this.#calls.delete(request);
-    if (call !== undefined) {
-      end(call.exchange);
+    if (exchange !== undefined) {
+      end(exchange);
     }
   }
 
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -51,7 +51,11 @@
 export class OutboundCall implements Dispatcher.DispatchHandler {
   readonly #attempt: CallAttempt;
   readonly #exchange: Exchange;
-  readonly #cutter: EventCutter;
+  /**
+   * Lives and dies with the attempt: kept for the next one of the request, the bytes of an unfinished event
+   * would stand before that one's first event, and the caller would get an event that no endpoint made.
+   */
+  readonly #cutter = new EventCutter();
   readonly #tools: OutboundTools;
   #connection: Connection | undefined;
   #controller: Dispatcher.DispatchController | undefined;
@@ -66,15 +70,10 @@
 
   constructor(
     attempt: CallAttempt,
-    { exchange, cutter, tools }: {
-      exchange: Exchange;
-      cutter: EventCutter;
-      tools: OutboundTools;
-    },
+    { exchange, tools }: { exchange: Exchange; tools: OutboundTools },
   ) {
     this.#attempt = attempt;
     this.#exchange = exchange;
-    this.#cutter = cutter;
     this.#tools = tools;
   }
 
@@ -307,7 +306,6 @@
   #passRest(): void {
     if (this.#cutter.rest.length > 0) {
       this.#exchange.write(this.#cutter.rest, () => {});
-      this.#cutter.reset();
     }
   }
 
@@ -320,7 +318,6 @@
       this.#controller?.abort(new Error("Attempt was lost"));
       this.#connection?.close();
     }
-    this.#cutter.reset();
     this.#release();
     this.#tools.done(this.#attempt);
     this.#tools.tell({ kind: "ended", attempt: this.#attempt.id, end });
--- a/playground/src/bytes/__tests__/left_mid_event.test.ts
+++ b/playground/src/bytes/__tests__/left_mid_event.test.ts
@@ -64,8 +64,12 @@
       { fields },
     ) => fields.call === call);
 
-  // Callers got an event that no endpoint made: "id: 3\ndatid: 3\ndata: ...". The entry had left an
-  // endpoint that fell silent inside its third event.
+  // Callers got an event that no endpoint made: "id: 3\ndatid: 3\ndata: ...". The entry had given up an
+  // endpoint inside its third event, by its own choice: it had fallen silent, or told another life. The
+  // buffer that cuts a stream at its events belonged to the request and was emptied only where an attempt
+  // ended by itself, so its nine bytes stood before the first event of the next endpoint. Before the mend
+  // the line said droppedBytes 9 and the caller got them all the same, after two such endpoints the bytes
+  // of both.
   describe("whose endpoint is left in the middle of an event", () => {
     it("goes on with whole events after silence", async () => {
       const { end } = await ask("c1", [silent, good]);
