fix: an answer that ends inside an event is lost, however its framing ends

Callers got streams that were told whole and stopped inside an event (83 of 222 bytes). At the end of an answer whose framing ended in order everything that stood in the buffer was passed on and the answer ended as complete; an event that had begun was looked for only where an answer ends with its connection.

Class: wholeness judged by the framing alone, where the content says otherwise. Now an answer of events is whole where its framing ends and no event has begun; else it is lost like a broken connection: it goes on elsewhere where its route allows that, or its caller sees it broken. What is no answer of events (a failure on a route of streams, another content type) is kept until whole like any plain answer, so nothing is cut that has no events, and a torn failure is seen too. An answer passed on as bytes is never gone on with events of another endpoint. An event counts as passed on after its write, not before.

Looked for elsewhere: plain answers are held until their length or their last chunk; one without either ends with its connection, where a reset is told apart from an end (tests of both stand). A body of events without framing that is closed in order after a whole event can't be told from a whole one.

--- a/packages/core/src/gateway/call.ts
+++ b/packages/core/src/gateway/call.ts
@@ -72,6 +72,8 @@
   rejections = 0;
   unsent = 0;
   lastEventId: string | undefined;
+  /** Whether the answer that has begun consists of events. */
+  events = false;
   /** Software of endpoints that it must not go to. */
   avoidedVersions: ReadonlySet<string> = NO_VERSIONS;
   /** Whether it waits for the outcome of another copy's trial. */
@@ -100,6 +102,12 @@
     return mayRepeat(this.route);
   }
 
+  /** Whether what has gone to the caller may be followed by events of another endpoint. */
+  get resumable(): boolean {
+    return this.route.resumable && this.events &&
+      this.lastEventId !== undefined;
+  }
+
   /** Endpoints that may have got the request, through whichever entry. */
   get arrivals(): number {
     return this.sent + (this.head.relay?.sentBefore ?? 0);
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -210,6 +210,7 @@
       return this.#placer.place(call, now);
     }
     call.phase = "answering";
+    call.events = answer.events;
     attempt.failed = failed;
     this.#tools.emit({ kind: "forward", attempt: id });
   }
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -100,9 +100,9 @@
   }
 
   /** An interrupted stream goes on at another endpoint, under the head of its first answer. */
-  goOn(call: Call, { status }: CallAnswer, now: Instant): void {
+  goOn(call: Call, { status, events }: CallAnswer, now: Instant): void {
     const { id } = call.attempt!;
-    if (status !== OK) {
+    if (status !== OK || !events) {
       call.trace.interrupted(call.attempt!, `Answered ${status}`);
       this.#tools.attempts.leave(call, now);
       return this.#breakOffOrRetry(call, now);
@@ -229,8 +229,7 @@
 
   /** A stream that has begun goes on elsewhere where its route allows it, or ends visibly broken. */
   #breakOffOrRetry(call: Call, now: Instant): void {
-    const resumable = call.route.resumable && call.lastEventId !== undefined;
-    if (!resumable || !this.#tryElsewhere(call, now)) {
+    if (!call.resumable || !this.#tryElsewhere(call, now)) {
       this.#tools.ends.breakOff(call, "endpoint_lost", now);
     }
   }
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -133,8 +133,8 @@
   readonly slots: number;
 }
 
-/** The head of an answer. */
-export interface CallAnswer {
+/** The head of an answer, as its sender wrote it. */
+export interface AnswerHead {
   readonly status: number;
   /** Whether the answerer vouches that the request did not run and will not. */
   readonly notRun: boolean;
@@ -146,6 +146,12 @@
   readonly offered: number | undefined;
 }
 
+/** An answer as it is about to be passed on. */
+export interface CallAnswer extends AnswerHead {
+  /** Whether event by event, so that another endpoint may go on after its last one. */
+  readonly events: boolean;
+}
+
 /** Detail of an attempt that found all connections to its endpoint taken: no fault of the endpoint. */
 export const CONNECTION_LIMIT = "Connections are at their limit";
 
--- a/packages/daemon/src/gateway/__tests__/outbound_call.test.ts
+++ b/packages/daemon/src/gateway/__tests__/outbound_call.test.ts
@@ -219,6 +219,47 @@
       expect(endOf(seen)).toBe("lost");
     });
 
+    // Streams were told whole inside an event: the framing had ended there in order.
+    it("is lost where its framing ends inside an event", async () => {
+      endpoint = await listenRaw(
+        say(`${CHUNKED}${chunk(`${FIRST}id: 2\nda`)}0\r\n\r\n`),
+      );
+      const seen = await attempt(endpoint.address, {
+        connections,
+        streaming: true,
+      }).done;
+      expect(seen.body).toBe(FIRST);
+      expect(endOf(seen)).toBe("lost");
+    });
+
+    it("is whole with blank lines after its last event", async () => {
+      endpoint = await listenRaw(
+        say(`${CHUNKED}${chunk(`${FIRST}\n`)}0\r\n\r\n`),
+      );
+      const seen = await attempt(endpoint.address, {
+        connections,
+        streaming: true,
+      }).done;
+      expect(seen.body).toBe(`${FIRST}\n`);
+      expect(endOf(seen)).toBe("complete");
+    });
+
+    it.each([
+      ["a failure", LENGTH.replace("200 OK", "500 Oops")],
+      [
+        "another type",
+        LENGTH.replace("x-call", "content-type: text/plain\r\nx-call"),
+      ],
+    ])("passes %s on to its last byte", async (_name, head) => {
+      endpoint = await listenRaw(say(`${head}hello`));
+      const seen = await attempt(endpoint.address, {
+        connections,
+        streaming: true,
+      }).done;
+      expect(seen.body).toBe("hello");
+      expect(endOf(seen)).toBe("complete");
+    });
+
     it("is given up at once", async () => {
       let closed = false;
       endpoint = await listenRaw((socket) => {
--- a/packages/daemon/src/gateway/event_cutter.ts
+++ b/packages/daemon/src/gateway/event_cutter.ts
@@ -35,10 +35,19 @@
     return { bytes: whole, lastId: lastIdOf(whole) };
   }
 
-  /** Bytes of an event that never became whole. */
+  /** Bytes that are no whole event. */
   get rest(): Buffer {
     return this.#rest;
   }
+
+  /** How many of them belong to an event that has begun. Blank lines after the last one begin none. */
+  get unfinished(): number {
+    return this.#rest.every(isLineEnd) ? 0 : this.#rest.length;
+  }
+}
+
+function isLineEnd(byte: number): boolean {
+  return byte === LINE_FEED || byte === CARRIAGE_RETURN;
 }
 
 /** The end of the last blank line, 0 where there is none. */
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -22,13 +22,19 @@
 import type { Exchange } from "./exchange.ts";
 import { RELAY_HEADER, writeRelay } from "./relay_header.ts";
 import type { EndpointProtocol, RawHeaders } from "./protocol.ts";
-import { decodeHeaders, isFramed, withoutLength } from "./raw_headers.ts";
+import {
+  decodeHeaders,
+  isEventStream,
+  isFramed,
+  withoutLength,
+} from "./raw_headers.ts";
 
 /** Plain answers up to this size are held until they are whole, so that a torn one can be repeated. */
 const MAX_HELD_BYTES = 262_144;
 /** Of an answer that nobody wants so much is read, to keep its connection. */
 const MAX_DISCARDED_BYTES = 16_384;
 const FIRST_FINAL_STATUS = 200;
+const OK = 200;
 /** Connections to one peer. */
 const PEER_CONNECTIONS = 64;
 
@@ -45,7 +51,15 @@
 }
 
 /** What happens to the bytes of the answer. */
-type Mode = "waiting" | "holding" | "passing" | "discarding";
+type Mode =
+  | "waiting"
+  /** Kept until the answer is whole. */
+  | "holding"
+  /** Passed on event by event. */
+  | "events"
+  /** Passed on as they come. */
+  | "bytes"
+  | "discarding";
 
 /** One attempt under way. */
 export class OutboundCall implements Dispatcher.DispatchHandler {
@@ -124,8 +138,10 @@
     this.#headers = decodeHeaders(controller.rawHeaders as Buffer[]);
     this.#framed = isFramed(this.#headers);
     this.#connection!.endsAnswer = !this.#framed;
-    if (this.#attempt.streaming) {
-      this.#takeHead();
+    const events = this.#attempt.streaming && status === OK &&
+      isEventStream(this.#headers);
+    if (events) {
+      this.#takeHead("events");
     } else {
       this.#mode = "holding";
     }
@@ -140,8 +156,11 @@
     }
     this.#bytes += chunk.length;
     switch (this.#mode) {
-      case "passing":
+      case "events":
         return this.#pass(controller, chunk);
+      case "bytes":
+        this.#writeOut(controller, chunk);
+        return this.#tellProgress(undefined);
       case "holding":
         return this.#hold(controller, chunk);
       default:
@@ -155,18 +174,18 @@
     if (this.#over) {
       return;
     }
-    const torn = !this.#framed &&
-      (this.#connection?.failed === true || this.#cutter.rest.length > 0);
-    if (torn) {
+    if (!this.#framed && this.#connection?.failed === true) {
       return this.#end({ kind: "lost", detail: "Answer was cut off" });
     }
-    if (this.#mode === "holding") {
-      this.#takeWhole();
-    } else if (this.#mode === "passing") {
-      this.#passRest();
-      this.#end({ kind: "complete" });
-    } else {
-      this.#finish();
+    switch (this.#mode) {
+      case "holding":
+        return this.#takeWhole();
+      case "events":
+        return this.#endEvents();
+      case "bytes":
+        return this.#end({ kind: "complete" });
+      default:
+        this.#finish();
     }
   }
 
@@ -221,8 +240,8 @@
     }, this);
   }
 
-  /** Asks the gateway what becomes of the answer. */
-  #takeHead(): void {
+  /** Asks the gateway what becomes of the answer, to be passed on in the given way if at all. */
+  #takeHead(mode: "events" | "bytes"): void {
     const { protocol, tell } = this.#tools;
     const { id } = this.#attempt;
     const head = protocol.readHead(
@@ -234,13 +253,14 @@
       // Bytes that belong to another request: nothing more on this connection can be trusted.
       return this.#end({ kind: "lost", detail: "Answer to another request" });
     }
-    const effects = tell({ kind: "answered", attempt: id, answer: head });
+    const answer = { ...head, events: mode === "events" };
+    const effects = tell({ kind: "answered", attempt: id, answer });
     const verdict = effects.find((effect) =>
       (effect.kind === "forward" || effect.kind === "goOn") &&
       effect.attempt === id
     );
-    this.#mode = verdict === undefined ? "discarding" : "passing";
-    if (verdict?.kind === "forward" && this.#attempt.streaming) {
+    this.#mode = verdict === undefined ? "discarding" : mode;
+    if (verdict?.kind === "forward" && mode === "events") {
       this.#exchange.begin(this.#status, {
         reason: this.#reason,
         headers: protocol.answerHeaders(this.#headers),
@@ -250,15 +270,20 @@
 
   #pass(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     const events = this.#cutter.push(chunk);
+    if (events !== undefined) {
+      this.#writeOut(controller, events.bytes);
+    }
+    // Told after the write: an event that counts as passed on and never was would be missing.
+    this.#tellProgress(events?.lastId);
+  }
+
+  #tellProgress(lastEventId: string | undefined): void {
     this.#tools.tell({
       kind: "progress",
       attempt: this.#attempt.id,
-      lastEventId: events?.lastId,
-      unfinished: this.#cutter.rest.length,
+      lastEventId,
+      unfinished: this.#cutter.unfinished,
     });
-    if (events !== undefined && !this.#over) {
-      this.#writeOut(controller, events.bytes);
-    }
   }
 
   #writeOut(controller: Dispatcher.DispatchController, bytes: Buffer): void {
@@ -272,8 +297,8 @@
       this.#held.push(chunk);
       return;
     }
-    this.#takeHead();
-    if (this.#mode !== "passing") {
+    this.#takeHead("bytes");
+    if (this.#mode !== "bytes") {
       return;
     }
     this.#exchange.begin(this.#status, {
@@ -286,11 +311,11 @@
 
   /** A plain answer is whole. */
   #takeWhole(): void {
-    this.#takeHead();
+    this.#takeHead("bytes");
     if (this.#over) {
       return;
     }
-    if (this.#mode !== "passing") {
+    if (this.#mode !== "bytes") {
       return this.#finish();
     }
     this.#exchange.answer(this.#status, {
@@ -303,10 +328,19 @@
     this.#end({ kind: "complete" });
   }
 
-  #passRest(): void {
-    if (this.#cutter.rest.length > 0) {
-      this.#exchange.write(this.#cutter.rest, () => {});
+  /**
+   * An endpoint, or what stands before it, may end the framing in order inside an event. Passed on to its
+   * last byte, the stream would look whole to its caller.
+   */
+  #endEvents(): void {
+    if (this.#cutter.unfinished > 0) {
+      return this.#end({
+        kind: "lost",
+        detail: "Answer ended inside an event",
+      });
     }
+    this.#exchange.write(this.#cutter.rest, () => {});
+    this.#end({ kind: "complete" });
   }
 
   #end(end: CallEnd): void {
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -6,7 +6,7 @@
  */
 import type { IncomingMessage } from "node:http";
 import type {
-  CallAnswer,
+  AnswerHead,
   CallHead,
   CallRefusal,
   CallTarget,
@@ -41,7 +41,7 @@
 }
 
 /** The head of an endpoint's answer. */
-export interface EndpointHead extends CallAnswer {
+export interface EndpointHead extends AnswerHead {
   /** Whether it belongs to the request that was sent. */
   readonly matches: boolean;
 }
--- a/packages/daemon/src/gateway/raw_headers.ts
+++ b/packages/daemon/src/gateway/raw_headers.ts
@@ -19,6 +19,14 @@
   );
 }
 
+/** Whether a body consists of events: every one but what says that it is something else. */
+export function isEventStream(headers: RawHeaders): boolean {
+  const at = headers.findIndex((name, index) =>
+    index % 2 === 0 && /^content-type$/i.test(name)
+  );
+  return at < 0 || /^\s*text\/event-stream/i.test(headers[at + 1]!);
+}
+
 /** For a body whose length is known anew. */
 export function withoutLength(headers: RawHeaders): RawHeaders {
   return headers.filter((_, index) =>
--- a/playground/src/bytes/__tests__/left_mid_event.test.ts
+++ b/playground/src/bytes/__tests__/left_mid_event.test.ts
@@ -113,8 +113,9 @@
     });
   });
 
-  // A stream was ended as complete inside its third event: the framing of the endpoint's answer had ended
-  // there in order, and what stood in the buffer was passed on as the end of the answer.
+  // A stream was ended as complete inside its third event, "told whole after 83 of 222 bytes": the framing
+  // of the endpoint's answer had ended there in order, and what stood in the buffer was passed on as the end
+  // of the answer. Only where an answer ends with its connection was an unfinished event looked for.
   describe("whose framing ends in order inside an event", () => {
     const ended: Script = () => ({
       events: EVENTS,
--- a/playground/src/load/load_caller.ts
+++ b/playground/src/load/load_caller.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import {
-  type CallAnswer,
+  type AnswerHead,
   type CallId,
   instant,
   milliseconds,
@@ -267,7 +267,7 @@
     });
   }
 
-  #head({ status, retryAfter }: CallAnswer): void {
+  #head({ status, retryAfter }: AnswerHead): void {
     this.#status = status;
     this.#retryAfter = retryAfter;
   }
--- a/playground/src/routes/route_links.ts
+++ b/playground/src/routes/route_links.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type {
-  CallAnswer,
+  AnswerHead,
   CallTarget,
   CatalogueSnapshot,
   FleetMessage,
@@ -188,7 +188,7 @@
   }
 }
 
-function answerOf(status: number, notRun: boolean): CallAnswer {
+function answerOf(status: number, notRun: boolean): AnswerHead {
   return {
     status,
     notRun,
--- a/playground/src/routes/virtual_attempts.ts
+++ b/playground/src/routes/virtual_attempts.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import {
+  type AnswerHead,
   type AttemptId,
-  type CallAnswer,
   type CallAttempt,
   type CallHead,
   type GatewayEvent,
@@ -22,7 +22,7 @@
 
 /** Who gets the answer to a request: a caller, or the entry that passed it on. */
 export interface Recipient {
-  head(answer: CallAnswer): void;
+  head(answer: AnswerHead): void;
   event(id: number): void;
   complete(): void;
   /** The answer broke off, or the entry died. */
@@ -126,11 +126,11 @@
         if (!current()) {
           return;
         }
-        const { request } = this.#open.get(id)!.attempt;
+        const { request, streaming: events } = this.#open.get(id)!.attempt;
         const effects = this.#entry.tell({
           kind: "answered",
           attempt: id,
-          answer,
+          answer: { ...answer, events },
         });
         const forwarded = effects.some((effect) =>
           effect.kind === "forward" && effect.attempt === id
