test: streams whose events say no number; red

An endpoint whose events have no id fell silent after two; the entry sent the request to the next one, which can't be told where to go on, and the caller got both events again.

--- a/playground/src/bytes/__tests__/left_mid_event.test.ts
+++ b/playground/src/bytes/__tests__/left_mid_event.test.ts
@@ -2,8 +2,10 @@
 import {
   ByteFleet,
   eventsOf,
+  type EventStyle,
   faultOf,
   type Line,
+  PLAIN_STYLE,
   RawEngine,
   type RawRequest,
   type RunScript,
@@ -16,7 +18,8 @@
 const TORN_BYTES = 9;
 const TORN_AT = eventsOf("c1", { count: 2 }).length + TORN_BYTES;
 
-const wholeOf = (call: string): string => eventsOf(call, { count: EVENTS });
+const wholeOf = (call: string, style: EventStyle): string =>
+  eventsOf(call, { count: EVENTS, style });
 
 type Script = (request: RawRequest) => RunScript;
 
@@ -53,10 +56,13 @@
     call: string,
     plan: readonly Script[],
     question: Partial<StreamQuestion> = {},
+    style: EventStyle = PLAIN_STYLE,
   ): Promise<SeenAnswer> => {
     plans.set(call, plan);
     const answer = await fleet.ask(call, question);
-    expect(faultOf(answer, { whole: wholeOf(call) })).toBe(undefined);
+    expect(faultOf(answer, { whole: wholeOf(call, style), style })).toBe(
+      undefined,
+    );
     return answer;
   };
   const wentOn = (call: string): readonly Line[] =>
@@ -142,4 +148,42 @@
       expect(end).toBe("broken");
     });
   });
+
+  // An endpoint whose events say no number fell silent after two of them. Nobody can tell another endpoint
+  // where to go on; the entry sent it the request all the same, and its caller got both events again.
+  describe("whose events say no number", () => {
+    const style = { ...PLAIN_STYLE, ids: false };
+    const script = (count: number): Script => () => ({
+      events: EVENTS,
+      style,
+      stop: "silent",
+      stopAt: eventsOf("n1", { count, style }).length,
+    });
+
+    it("is broken off where its endpoint falls silent", async () => {
+      const { end } = await ask(
+        "n1",
+        [script(2), good],
+        { time: 3_000 },
+        style,
+      );
+      expect(end).toBe("broken");
+      expect(runsOf("n1")).toHaveLength(1);
+    });
+
+    it("goes on elsewhere where none of them has come", async () => {
+      const { end } = await ask("n2", [script(0), good]);
+      expect(end).toBe("whole");
+    });
+
+    it("goes on elsewhere where its endpoint breaks off before them", async () => {
+      const broken: Script = () => ({
+        events: EVENTS,
+        stop: "reset",
+        stopAt: 0,
+      });
+      const { end } = await ask("n3", [broken, good]);
+      expect(end).toBe("whole");
+    });
+  });
 });
--- a/playground/src/bytes/event_text.ts
+++ b/playground/src/bytes/event_text.ts
@@ -11,6 +11,8 @@
   readonly versions: boolean;
   /** Whether comments stand between events. */
   readonly comments: boolean;
+  /** Whether events say their numbers. */
+  readonly ids: boolean;
 }
 
 /** Events as most engines write them. */
@@ -18,6 +20,7 @@
   lineEnd: "\n",
   versions: false,
   comments: false,
+  ids: true,
 };
 
 const VERSION_EVERY = 3;
@@ -27,9 +30,12 @@
 export function eventOf(
   call: string,
   id: number,
-  { lineEnd, versions, comments }: EventStyle = PLAIN_STYLE,
+  { lineEnd, versions, comments, ids }: EventStyle = PLAIN_STYLE,
 ): string {
-  const lines = [`id: ${id}`, `data: {"call":"${call}","piece":${id}}`, "", ""];
+  const lines = [`data: {"call":"${call}","piece":${id}}`, "", ""];
+  if (ids) {
+    lines.unshift(`id: ${id}`);
+  }
   if (versions && id % VERSION_EVERY === 0) {
     lines.unshift("x-weight-versions: 7");
   }
