fix: a stream goes on elsewhere only from a place that another endpoint can be told

Callers got events twice: an endpoint that fell silent after events without an id was left for another one, which began anew. Whether a stream may go on was asked where an attempt broke, not where the entry left it for silence; and a caller's own last id would have been sent again after events that have none.

Now a request knows its caller's position: at an event with an id, at the beginning, or not known; the one place that leaves an attempt for another asks it. A stream of which no event has gone to the caller goes on as well, where it was broken off before. Comments are no events and change no position.

--- a/packages/core/src/gateway/call.ts
+++ b/packages/core/src/gateway/call.ts
@@ -14,6 +14,7 @@
 import { CallTrace } from "./call_trace.ts";
 import type { EndpointState } from "./endpoint_state.ts";
 import type { CallHead, CallTarget } from "./messages.ts";
+import { StreamPosition } from "./stream_position.ts";
 
 /** Characters of a path in a line. */
 const MOST_PATH_LENGTH = 120;
@@ -71,7 +72,8 @@
   /** Refusals by endpoints, and connections that failed. */
   rejections = 0;
   unsent = 0;
-  lastEventId: string | undefined;
+  /** What its caller has of a stream. */
+  readonly position: StreamPosition;
   /** Whether the answer that has begun consists of events. */
   events = false;
   /** Software of endpoints that it must not go to. */
@@ -95,7 +97,7 @@
     this.services = services;
     this.arrivedAt = arrivedAt;
     this.endsAt = endsAt;
-    this.lastEventId = head.lastEventId;
+    this.position = new StreamPosition(head.lastEventId);
   }
 
   get mayRepeat(): boolean {
@@ -104,8 +106,7 @@
 
   /** Whether what has gone to the caller may be followed by events of another endpoint. */
   get resumable(): boolean {
-    return this.route.resumable && this.events &&
-      this.lastEventId !== undefined;
+    return this.route.resumable && this.events && this.position.known;
   }
 
   /** Endpoints that may have got the request, through whichever entry. */
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -226,7 +226,7 @@
         target,
         streaming: call.route.kind === "stream",
         mostIdle: milliseconds(mostIdle(call, state, now)),
-        resumeAfter: call.lastEventId,
+        resumeAfter: call.position.lastId,
       },
     });
   }
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -30,6 +30,7 @@
   type CallEnd,
   type CallHead,
   type GatewayEmit,
+  type GatewayEvent,
 } from "./messages.ts";
 import type { QuarantineController } from "../quarantine/index.ts";
 import type { RegionController } from "./region_controller.ts";
@@ -218,10 +219,7 @@
   /** Bytes of an answer's body. */
   progress(
     id: AttemptId,
-    { lastEventId, unfinished }: {
-      lastEventId: string | undefined;
-      unfinished: number;
-    },
+    news: Omit<Extract<GatewayEvent, { kind: "progress" }>, "kind" | "attempt">,
     now: Instant,
   ): void {
     const found = this.#attempts.find(id);
@@ -231,13 +229,13 @@
     const { call, attempt } = found;
     const first = attempt.state !== undefined && attempt.state.own.prefill > 0;
     attempt.heardAt = now;
-    attempt.unfinished = unfinished;
+    attempt.unfinished = news.unfinished;
     call.trace.heard(now);
     if (attempt.state !== undefined) {
       attempt.state.heardAt = now;
       attempt.state.firstEvent(id, now);
     }
-    call.lastEventId = lastEventId ?? call.lastEventId;
+    call.position.passed(news);
     if (first) {
       this.#placer.drain(now);
     }
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -109,7 +109,7 @@
     }
     this.resumed++;
     this.#tools.ends.log("Stream goes on elsewhere.", call, {
-      afterEvent: call.lastEventId,
+      afterEvent: call.position.lastId,
       ...call.trace.interruption(),
     });
     this.#tools.emit({ kind: "goOn", attempt: id });
@@ -229,14 +229,16 @@
 
   /** A stream that has begun goes on elsewhere where its route allows it, or ends visibly broken. */
   #breakOffOrRetry(call: Call, now: Instant): void {
-    if (!call.resumable || !this.#tryElsewhere(call, now)) {
+    if (!this.#tryElsewhere(call, now)) {
       this.#tools.ends.breakOff(call, "endpoint_lost", now);
     }
   }
 
   /** Leaves the attempt under way for another endpoint, if there is one and the budget allows it. */
   #tryElsewhere(call: Call, now: Instant): boolean {
-    if (!this.canTryElsewhere(call, now)) {
+    // What its caller has can't be followed by what another endpoint would send: pieces would come twice.
+    const fixed = call.phase === "answering" && !call.resumable;
+    if (fixed || !this.canTryElsewhere(call, now)) {
       return false;
     }
     this.#tools.attempts.leave(call, now);
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -204,6 +204,8 @@
     readonly kind: "progress";
     readonly attempt: AttemptId;
     readonly lastEventId: string | undefined;
+    /** Whether events without an id have gone to the caller after that one. */
+    readonly unnumbered: boolean;
     /** Bytes of an event that is not whole yet. */
     readonly unfinished: number;
   }
--- a/packages/daemon/src/gateway/__tests__/event_cutter.test.ts
+++ b/packages/daemon/src/gateway/__tests__/event_cutter.test.ts
@@ -49,4 +49,19 @@
     expect(feed(["x-note: 4\nid: 9\ndata: a\n\n"]).ids).toEqual(["9"]);
     expect(feed(["data: a\n\n"]).ids).toEqual([undefined]);
   });
+
+  it.each([
+    ["data: a\n\n", true],
+    ["id: 1\ndata: a\n\n", false],
+    ["data: a\nid: 1\n\n", false],
+    ["id: 1\ndata: a\n\ndata: b\n\n", true],
+    ["id: 1\r\ndata: a\r\n\r\ndata: b\r\n\r\n", true],
+    ["data: a\n\nid: 2\ndata: b\n\n", false],
+    ["id: 1\ndata: a\n\n: still there\n\n", false],
+    [": still there\n\n", false],
+  ])("knows events without an id in %j: %s", (text, expected) => {
+    expect(new EventCutter().push(Buffer.from(text))?.unnumbered).toBe(
+      expected,
+    );
+  });
 });
--- a/packages/daemon/src/gateway/event_cutter.ts
+++ b/packages/daemon/src/gateway/event_cutter.ts
@@ -11,10 +11,13 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 
-/** Whole events, and the id of the last of them. */
+/** Whole events. */
 export interface WholeEvents {
   readonly bytes: Buffer;
+  /** Id of the last one that has an id. */
   readonly lastId: string | undefined;
+  /** Whether events with data and without an id follow that one. */
+  readonly unnumbered: boolean;
 }
 
 /** Keeps the event that is not complete yet. One answer has one: what it keeps fits no other. */
@@ -32,7 +35,7 @@
       return undefined;
     }
     const whole = bytes.subarray(0, end);
-    return { bytes: whole, lastId: lastIdOf(whole) };
+    return { bytes: whole, ...positionOf(whole.toString("latin1")) };
   }
 
   /** Bytes that are no whole event. */
@@ -64,14 +67,15 @@
   return 0;
 }
 
-function lastIdOf(events: Buffer): string | undefined {
-  const text = events.toString("latin1");
-  const at = text.startsWith("id:")
-    ? Math.max(0, text.lastIndexOf("\nid:") + 1)
-    : text.lastIndexOf("\nid:") + 1;
-  if (!text.startsWith("id:", at)) {
-    return undefined;
-  }
-  const end = text.indexOf("\n", at);
-  return text.slice(at + "id:".length, end < 0 ? undefined : end).trim();
+const ID_LINE = /^id:(.*)$/gm;
+const DATA_LINE = /^data/m;
+const BLANK_LINE = /\n\r?\n/;
+
+function positionOf(text: string): Omit<WholeEvents, "bytes"> {
+  const last = [...text.matchAll(ID_LINE)].at(-1);
+  const after = last === undefined ? text : text.slice(last.index);
+  const later = last === undefined
+    ? after
+    : after.slice(after.search(BLANK_LINE));
+  return { lastId: last?.[1]!.trim(), unnumbered: DATA_LINE.test(later) };
 }
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -18,7 +18,7 @@
   type Connection,
   type Connections,
 } from "./connections.ts";
-import { EventCutter } from "./event_cutter.ts";
+import { EventCutter, type WholeEvents } from "./event_cutter.ts";
 import type { Exchange } from "./exchange.ts";
 import { RELAY_HEADER, writeRelay } from "./relay_header.ts";
 import type { EndpointProtocol, RawHeaders } from "./protocol.ts";
@@ -160,7 +160,7 @@
         return this.#pass(controller, chunk);
       case "bytes":
         this.#writeOut(controller, chunk);
-        return this.#tellProgress(undefined);
+        return this.#tellProgress();
       case "holding":
         return this.#hold(controller, chunk);
       default:
@@ -274,14 +274,15 @@
       this.#writeOut(controller, events.bytes);
     }
     // Told after the write: an event that counts as passed on and never was would be missing.
-    this.#tellProgress(events?.lastId);
+    this.#tellProgress(events);
   }
 
-  #tellProgress(lastEventId: string | undefined): void {
+  #tellProgress(passed?: WholeEvents): void {
     this.#tools.tell({
       kind: "progress",
       attempt: this.#attempt.id,
-      lastEventId,
+      lastEventId: passed?.lastId,
+      unnumbered: passed?.unnumbered ?? false,
       unfinished: this.#cutter.unfinished,
     });
   }
--- a/playground/src/routes/virtual_attempts.ts
+++ b/playground/src/routes/virtual_attempts.ts
@@ -151,6 +151,7 @@
             kind: "progress",
             attempt: id,
             lastEventId: String(event),
+            unnumbered: false,
             unfinished: 0,
           });
           this.#recipients.get(request)?.event(event);
