--- a/playground/src/platform/stand_in_endpoint.ts
+++ b/playground/src/platform/stand_in_endpoint.ts
@@ -29,7 +29,7 @@
 const UNAVAILABLE = 503;
 const MISDIRECTED = 421;
 const FAILED = 500;
-const EVENT_MS = 5;
+const DEFAULT_PACE_MS = 5;
 
 /** An endpoint on loopback. */
 export class StandInEndpoint {
@@ -41,6 +41,8 @@
   readonly requests: IncomingMessage[] = [];
   /** Events of a stream. */
   events = 5;
+  /** Milliseconds between two of them. */
+  pace = DEFAULT_PACE_MS;
   readonly #server: Server = createServer((message, reply) =>
     this.#take(message, reply)
   );
@@ -62,6 +64,14 @@
     return `answer to ${call}`;
   }
 
+  /** What a caller gets of a stream of so many events. */
+  static streamOf(events: number): string {
+    return Array.from(
+      { length: events },
+      (_, index) => `id: ${index + 1}\ndata: event ${index + 1}\n\n`,
+    ).join("");
+  }
+
   #take(message: IncomingMessage, reply: ServerResponse): void {
     message.resume();
     message.on("end", () => this.#answer(message, reply));
@@ -112,7 +122,7 @@
         reply.end();
       } else {
         reply.write(`id: ${id}\ndata: event ${id}\n\n`);
-        setTimeout(() => say(id + 1), EVENT_MS);
+        setTimeout(() => say(id + 1), this.pace);
       }
     };
     say(first);
