test: what an entry that stood still believes of others, known red

Nine tests of the whole gateway whose timer is the first thing that is served after 0.8 to 3 s without a turn, and one that passes: an engine that stays silent is still left. On the code as it is a stream is sent elsewhere, an endpoint counts as ended and speaks against its requests, a suspect peer is held for dead and one that answered is suspected, a peer's work in flight is forgotten, a platform counts as having been away, and a stopping process ends with callers' requests unread.

--- /dev/null
+++ b/packages/core/src/gateway/__tests__/stalls.test.ts
@@ -0,0 +1,335 @@
+import { beforeEach, describe, expect, it } from "vitest";
+import {
+  type AttemptId,
+  type CallHead,
+  type CallId,
+  type EndpointId,
+  type EntryId,
+  Gateway,
+  type GatewayEffect,
+  type GatewayEvent,
+  type Incarnation,
+  instant,
+  milliseconds,
+  type RegionId,
+  type RequestId,
+  type Revision,
+  type RouteName,
+  SeededRandomness,
+  type ZoneId,
+} from "../../index.ts";
+import type { CatalogueSnapshot, Route } from "../../routes/index.ts";
+import { engine, POOL } from "./engine_fixture.ts";
+import { fingerprint } from "./quarantine_fixture.ts";
+
+const ZONE = "z1" as ZoneId;
+const REGION = "r" as RegionId;
+const PEER = "b1" as Incarnation;
+const ROUTE: Route = {
+  name: "resume" as RouteName,
+  host: "h",
+  pathPrefix: "/r/",
+  kind: "stream",
+  targets: [{ service: POOL.id, weight: 1 }],
+  attempts: 2,
+  timeout: milliseconds(60_000),
+  objective: milliseconds(1_000),
+  pauseObjective: undefined,
+  priority: 1,
+  homes: [],
+  sticky: false,
+  resumable: true,
+};
+const SNAPSHOT: CatalogueSnapshot = {
+  revision: 1 as Revision,
+  document: {
+    version: 1 as Revision,
+    routes: [ROUTE],
+    services: new Map([[POOL.id, POOL]]),
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTime: milliseconds(1),
+      idleTime: milliseconds(1),
+    },
+  },
+  endpoints: [engine("e1").record, engine("e2").record],
+  evacuated: [],
+};
+const HEAD: CallHead = {
+  id: "q" as RequestId,
+  call: "q" as CallId,
+  host: "h",
+  target: "/r/x",
+  timeLeft: undefined,
+  prompt: {
+    model: "m",
+    promptTokens: 100,
+    outputTokens: 100,
+    outputHint: undefined,
+    parts: [],
+  },
+  lastEventId: undefined,
+  bodyBytes: 0,
+  fingerprint: fingerprint("q"),
+  relay: undefined,
+};
+
+// An entry stands still for seconds: it is stopped, its loop is blocked, or its machine gives it short
+// turns. What others sent meanwhile lies in its sockets, and the timer comes before they are read. A clock
+// that ran on says then that nobody was heard for so long, and of 64 streams all ran twice.
+describe("an entry that stood still", () => {
+  let gateway: Gateway;
+  let now: number;
+  let effects: GatewayEffect[];
+
+  const handle = (event: GatewayEvent): GatewayEffect[] => {
+    const news = gateway.handle(event, instant(now));
+    effects.push(...news);
+    return news;
+  };
+  /** Lets it run as its shell would. */
+  const run = (time: number): void => {
+    const end = now + time;
+    while (now < end) {
+      handle({ kind: "tick" });
+      now += gateway.tickPause;
+    }
+  };
+  /** Its timer is the first that it serves after a while without a turn. */
+  const stall = (time: number): void => {
+    now += time;
+    handle({ kind: "tick" });
+  };
+  const kinds = (): string[] => effects.map(({ kind }) => kind);
+  const texts = (): string[] =>
+    effects.flatMap((effect) => effect.kind === "log" ? [effect.text] : []);
+  const from = {
+    id: "b" as EntryId,
+    incarnation: PEER,
+    version: 1,
+    zone: ZONE,
+    region: REGION,
+    callerAddress: "b:2",
+    peerAddress: "b:1",
+    state: "ready" as const,
+    weight: 1,
+  };
+  const holdings = {
+    document: 1 as Revision,
+    catalogue: 1 as Revision,
+  };
+  const hearPeer = (): void => {
+    handle({
+      kind: "datagram",
+      message: { kind: "announce", from, holdings },
+    });
+  };
+  /** A stream is sent and has its first event. */
+  const begin = (): AttemptId => {
+    const [sent] = handle({ kind: "arrived", head: HEAD }).flatMap((effect) =>
+      effect.kind === "send" ? [effect.attempt] : []
+    );
+    const attempt = sent!.id;
+    handle({ kind: "commit", attempt });
+    handle({
+      kind: "answered",
+      attempt,
+      answer: {
+        status: 200,
+        notRun: false,
+        genuine: true,
+        load: undefined,
+        retryAfter: undefined,
+        offered: undefined,
+      },
+    });
+    progress(attempt, "1");
+    return attempt;
+  };
+  const progress = (attempt: AttemptId, lastEventId: string): void => {
+    handle({ kind: "progress", attempt, lastEventId, unfinished: 0 });
+  };
+
+  beforeEach(() => {
+    now = 0;
+    effects = [];
+    gateway = new Gateway({
+      self: {
+        id: "a" as EntryId,
+        incarnation: "a1" as Incarnation,
+        zone: ZONE,
+        region: REGION,
+        callerAddress: "a:2",
+        peerAddress: "a:1",
+        weight: 1,
+        seeds: [],
+        regionByZone: new Map([[ZONE, REGION]]),
+        bounds: {
+          repeatRatio: 0.2,
+          repeatWindow: milliseconds(10_000),
+          repeatSlack: 50,
+          coldOvershoot: 1.5,
+          coldSlack: 3,
+          listLifetime: milliseconds(1_000),
+          stopTime: milliseconds(8_000),
+        },
+      },
+      random: new SeededRandomness(1),
+    }, instant(0));
+    handle({ kind: "tick" });
+    handle({ kind: "catalogueRead", snapshot: SNAPSHOT });
+    run(100);
+  });
+
+  describe("leaves a stream where it is", () => {
+    it("after a long pause", () => {
+      const attempt = begin();
+      run(100);
+      stall(3_000);
+      progress(attempt, "2");
+      expect(kinds()).not.toContain("abort");
+    });
+
+    it("after several pauses in a row", () => {
+      const attempt = begin();
+      for (let pause = 0; pause < 4; pause++) {
+        run(200);
+        stall(2_500);
+        progress(attempt, `${pause + 2}`);
+      }
+      expect(kinds()).not.toContain("abort");
+    });
+
+    it("while it gets a short turn each second", () => {
+      const attempt = begin();
+      for (let turn = 0; turn < 3; turn++) {
+        stall(900);
+        run(50);
+      }
+      progress(attempt, "2");
+      expect(kinds()).not.toContain("abort");
+    });
+
+    it("until it has heard nothing for as long as ever", () => {
+      begin();
+      run(100);
+      stall(3_000);
+      run(1_600);
+      expect(kinds()).toContain("abort");
+      expect(texts()).toContain("Endpoint is silent.");
+    });
+  });
+
+  it("takes no endpoint for ended whose answer it has not read", () => {
+    const attempt = begin();
+    handle({
+      kind: "catalogueChanged",
+      changes: {
+        revision: 2 as Revision,
+        changes: [{ kind: "endpointRemoved", id: endpointOf(effects) }],
+      },
+    });
+    run(100);
+    stall(2_500);
+    progress(attempt, "2");
+    run(100);
+    expect(texts()).not.toContain("Endpoint has ended.");
+  });
+
+  it("counts on what a peer has in flight", () => {
+    hearPeer();
+    handle({
+      kind: "datagram",
+      message: {
+        kind: "work",
+        incarnation: PEER,
+        report: {
+          partial: false,
+          endpoints: [],
+          prefixes: [],
+          arrivals: [],
+          picture: 0,
+        },
+      },
+    });
+    run(100);
+    stall(3_000);
+    expect(gateway.endpoints.hasReport(PEER)).toBe(true);
+    run(2_300);
+    expect(gateway.endpoints.hasReport(PEER)).toBe(false);
+  });
+
+  it("holds no peer for dead whose denial it has not read", () => {
+    hearPeer();
+    const health = (): string =>
+      gateway.fleet.live().length > 0
+        ? "live"
+        : gateway.fleet.possible().length > 0
+        ? "suspect"
+        : "dead";
+    while (health() === "live") {
+      run(25);
+    }
+    stall(3_000);
+    expect(health()).toBe("suspect");
+    run(2_200);
+    expect(health()).toBe("dead");
+  });
+
+  it("suspects no peer whose answer it has not read", () => {
+    hearPeer();
+    while (!kinds().includes("datagram")) {
+      run(25);
+    }
+    run(300);
+    stall(750);
+    expect(gateway.fleet.live().length).toBe(1);
+  });
+
+  it("takes no change for the return of a platform that was away", () => {
+    const id = "e1" as EndpointId;
+    run(1_500);
+    stall(2_500);
+    handle({
+      kind: "catalogueChanged",
+      changes: {
+        revision: 2 as Revision,
+        changes: [{ kind: "endpointRemoved", id }],
+      },
+    });
+    expect(gateway.catalogue.endpoints.has(id)).toBe(false);
+  });
+
+  it("does not end its process before it has read callers' requests", () => {
+    run(100);
+    handle({ kind: "stop" });
+    run(2_000);
+    begin();
+    handle({
+      kind: "ended",
+      attempt: lastAttempt(effects),
+      end: { kind: "complete" },
+    });
+    run(100);
+    stall(1_500);
+    expect(kinds()).not.toContain("exit");
+    run(1_500);
+    expect(kinds()).toContain("exit");
+  });
+});
+
+function attempts(effects: readonly GatewayEffect[]) {
+  return effects.flatMap((effect) =>
+    effect.kind === "send" ? [effect.attempt] : []
+  );
+}
+
+function lastAttempt(effects: readonly GatewayEffect[]): AttemptId {
+  return attempts(effects).at(-1)!.id;
+}
+
+function endpointOf(effects: readonly GatewayEffect[]): EndpointId {
+  const { target } = attempts(effects).at(-1)!;
+  return (target as Extract<typeof target, { kind: "endpoint" }>).endpoint;
+}
