fix: silence is counted while the process listens, no stream runs twice after a pause

Cause: whether an engine has fallen silent was judged by the clock, which runs on while the process is stopped, its loop is blocked or its machine is busy. Node serves timers before sockets, so the first thing after a pause was to find every stream of the entry silent, although its bytes lay in the entry's own sockets.

Instants stay those of the clock, so deadlines, ages and what is told to others are as they were.

--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -3,6 +3,7 @@
   type CallId,
   type EndpointId,
   instant,
+  ListenedTime,
   milliseconds,
   type RequestId,
   type Revision,
@@ -99,6 +100,7 @@
     budget: new RepeatBudget(BOUNDS),
     cold: new ColdAllowance(BOUNDS),
     quarantine: emptyQuarantine(),
+    listened: new ListenedTime(instant(0)),
     entries: () => 1,
     regionEntries: () => 1,
   });
--- a/packages/core/src/gateway/__tests__/stalls.test.ts
+++ b/packages/core/src/gateway/__tests__/stalls.test.ts
@@ -1,6 +1,7 @@
 import { beforeEach, describe, expect, it } from "vitest";
 import {
   type AttemptId,
+  type CallAttempt,
   type CallHead,
   type CallId,
   type EndpointId,
@@ -319,7 +320,7 @@
   });
 });
 
-function attempts(effects: readonly GatewayEffect[]) {
+function attempts(effects: readonly GatewayEffect[]): CallAttempt[] {
   return effects.flatMap((effect) =>
     effect.kind === "send" ? [effect.attempt] : []
   );
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -13,6 +13,7 @@
   type Randomness,
   type RequestId,
 } from "../ids/index.ts";
+import type { ListenedTimeView } from "../listening/index.ts";
 import type { RouteTable } from "../routes/index.ts";
 import { ArrivalHold, type HeldCall } from "./arrival_hold.ts";
 import { Call } from "./call.ts";
@@ -51,6 +52,7 @@
   readonly budget: RepeatBudget;
   readonly cold: ColdAllowance;
   readonly quarantine: QuarantineController;
+  readonly listened: ListenedTimeView;
   /** Entries that may be alive, this one included. */
   readonly entries: () => number;
   /** Live entries of the region, this one included. */
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Instant } from "../ids/index.ts";
+import type { ListenedTimeView } from "../listening/index.ts";
 import type { Call, OpenAttempt } from "./call.ts";
 import { attemptsOf, type CallAttempts } from "./call_attempts.ts";
 import type { CallEnds } from "./call_ends.ts";
@@ -45,6 +46,7 @@
   readonly endpoints: EndpointRegistry;
   readonly budget: RepeatBudget;
   readonly quarantine: QuarantineController;
+  readonly listened: ListenedTimeView;
   /** Entries that may be alive, this one included. */
   readonly entries: () => number;
   /** The request is over, and nobody is told. */
@@ -198,12 +200,14 @@
       return;
     }
     const engine = state.service?.engine !== undefined;
-    const quiet = now - Math.max(attempt.heardAt ?? sentAt, sentAt);
+    // What came while the process stood still lies in its sockets: only time of listening is silence.
+    const { listened } = this.#tools;
+    const quiet = listened.since(attempt.heardAt ?? sentAt, now);
     const limit = engine
       ? SILENT_ENGINE_MS
       : call.route.objective * SILENT_PART;
     const silent = engine
-      ? quiet > limit && now - (state.heardAt ?? sentAt) > limit
+      ? quiet > limit && listened.since(state.heardAt ?? sentAt, now) > limit
       : attempt.heardAt === undefined && quiet > limit;
     if (!silent) {
       return;
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -10,6 +10,7 @@
   type Milliseconds,
   type Randomness,
 } from "../ids/index.ts";
+import { ListenedTime } from "../listening/index.ts";
 import type { CatalogueSnapshot } from "../routes/index.ts";
 import { CallController } from "./call_controller.ts";
 import { CallRouter } from "./call_router.ts";
@@ -53,6 +54,7 @@
   readonly #cold: ColdAllowance;
   readonly #serving: ServingSet;
   readonly #quarantine: QuarantineController;
+  readonly #listened: ListenedTime;
   #effects: GatewayEffect[] = [];
   #lastAt: Instant;
   /** Whether it stands by: callers are not named it, and those that had been are done. */
@@ -64,6 +66,7 @@
   ) {
     this.self = self;
     this.#lastAt = now;
+    this.#listened = new ListenedTime(now);
     const emit = (effect: GatewayEffect): void => {
       this.#effects.push(effect);
     };
@@ -135,6 +138,7 @@
       budget: this.#budget,
       cold,
       quarantine: this.#quarantine,
+      listened: this.#listened,
       entries: () => this.fleet.possible().length + 1,
       regionEntries: () => 1 + this.#endpoints.busyPeers(),
     });
@@ -225,7 +229,7 @@
   }
 
   #noteLoop(now: Instant): void {
-    const gap = now - this.#lastAt;
+    const gap = this.#listened.note(now);
     this.#lastAt = now;
     if (gap < PAUSE_MS) {
       return;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -13,6 +13,7 @@
 export * from "./gateway/index.ts";
 export * from "./ids/index.ts";
 export * from "./lifecycle/index.ts";
+export * from "./listening/index.ts";
 export * from "./membership/index.ts";
 export * from "./messages/index.ts";
 export * from "./metrics/index.ts";
--- /dev/null
+++ b/packages/core/src/listening/index.ts
@@ -0,0 +1,1 @@
+export { ListenedTime, type ListenedTimeView } from "./listened_time.ts";
