fix: a peer's work in flight counts on over a pause of this process

Cause: a peer's report is dropped when it is 2.2 s old, for then the peer has ended or is cut off. After a pause of this process all reports were that old, and the next ones waited in its socket: its engines looked idle, and it sent its callers' prompts to those that its peers had filled.

Change: a report's lifetime is time in which this process listened.

--- a/packages/core/src/gateway/__tests__/endpoint_lives.test.ts
+++ b/packages/core/src/gateway/__tests__/endpoint_lives.test.ts
@@ -6,6 +6,7 @@
   type EndpointRecord,
   type Incarnation,
   instant,
+  ListenedTime,
   milliseconds,
   type RegionId,
   supersedes,
@@ -83,6 +84,7 @@
       region: REGION,
       regionByZone: new Map([["z1" as ZoneId, REGION]]),
       catalogue: catalogue as never,
+      listened: new ListenedTime(instant(0)),
     });
     publish({});
   });
--- a/packages/core/src/gateway/endpoint_registry.ts
+++ b/packages/core/src/gateway/endpoint_registry.ts
@@ -12,6 +12,7 @@
   ServiceId,
   ZoneId,
 } from "../ids/index.ts";
+import type { ListenedTimeView } from "../listening/index.ts";
 import { isSameLife } from "../routes/index.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
 import { EndpointState } from "./endpoint_state.ts";
@@ -32,6 +33,7 @@
   readonly #region: RegionId;
   readonly #regionByZone: ReadonlyMap<ZoneId, RegionId>;
   readonly #catalogue: CatalogueView;
+  readonly #listened: ListenedTimeView;
   readonly #states = new Map<EndpointId, EndpointState>();
   readonly #byService = new Map<ServiceId, EndpointState[]>();
   readonly #reports = new Map<Incarnation, KnownReport>();
@@ -39,15 +41,17 @@
   #generation = -1;
 
   constructor(
-    { region, regionByZone, catalogue }: {
+    { region, regionByZone, catalogue, listened }: {
       region: RegionId;
       regionByZone: ReadonlyMap<ZoneId, RegionId>;
       catalogue: CatalogueView;
+      listened: ListenedTimeView;
     },
   ) {
     this.#region = region;
     this.#regionByZone = regionByZone;
     this.#catalogue = catalogue;
+    this.#listened = listened;
   }
 
   get(id: EndpointId): EndpointState | undefined {
@@ -148,7 +152,8 @@
   /** Forgets reports of peers that fell silent. */
   expire(now: Instant): void {
     for (const [from, { at }] of this.#reports) {
-      if (now - at > REPORT_LIFETIME_MS) {
+      // After a pause the peer's next reports wait to be read: without it its engines would look idle.
+      if (this.#listened.since(at, now) > REPORT_LIFETIME_MS) {
         this.#count(from, -1, now);
         this.#reports.delete(from);
       }
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -81,6 +81,7 @@
       region: self.region,
       regionByZone: self.regionByZone,
       catalogue: this.#catalogue,
+      listened: this.#listened,
     });
     this.#regions = new RegionController({
       region: self.region,
