fix: no peer is suspected for an answer that waits to be read

Cause: a ping without an answer for a second makes its target suspect. Pauses of over a second clear the pings under way; after a shorter one, with the ping a little before it, the timer came before the answer in the socket. Suspects are not named to callers, and the entry sends nothing by way of them.

Change: the two times after which a ping is repeated through others and counts as failed are times in which this process listened.

--- a/packages/core/src/fleet/__tests__/fleet_controller.test.ts
+++ b/packages/core/src/fleet/__tests__/fleet_controller.test.ts
@@ -3,6 +3,7 @@
   type EntryId,
   type Incarnation,
   instant,
+  ListenedTime,
   type RegionId,
   type Revision,
   SeededRandomness,
@@ -53,6 +54,7 @@
         resting: () => this.resting.has(name),
         holds: () => [],
         random: new SeededRandomness(this.#lives),
+        listened: new ListenedTime(instant(this.now)),
         send: (to, message) => this.#send(`${name}:1`, to, message),
         holdings: () => ({ document: 0 as Revision, catalogue: 0 as Revision }),
         summary: () => ({
--- a/packages/core/src/fleet/fleet_controller.ts
+++ b/packages/core/src/fleet/fleet_controller.ts
@@ -55,7 +55,7 @@
 
   constructor(options: FleetOptions, now: Instant) {
     this.#options = options;
-    this.#probes = new ProbeSchedule(options.random);
+    this.#probes = new ProbeSchedule(options.random, options.listened);
     this.#record = { ...options.self, version: 1, state: "starting" };
     this.mail = new FleetMail(options, {
       record: () => this.#record,
--- a/packages/core/src/fleet/fleet_options.ts
+++ b/packages/core/src/fleet/fleet_options.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Instant, Randomness } from "../ids/index.ts";
+import type { ListenedTimeView } from "../listening/index.ts";
 import type { HoldNotice } from "../quarantine/index.ts";
 import type {
   FleetMessage,
@@ -23,6 +24,7 @@
   /** Between pings, in milliseconds. */
   readonly period: number;
   readonly random: Randomness;
+  readonly listened: ListenedTimeView;
   readonly send: (to: string, message: FleetMessage) => void;
   readonly holdings: () => Holdings;
   /** Whether this entry stands by: it has had no requests lately. */
--- a/packages/core/src/fleet/probe_schedule.ts
+++ b/packages/core/src/fleet/probe_schedule.ts
@@ -4,12 +4,12 @@
  * @module
  */
 import {
-  after,
   type Incarnation,
   type Instant,
   type Randomness,
   sample,
 } from "../ids/index.ts";
+import type { ListenedTimeView } from "../listening/index.ts";
 import type { FleetMember } from "./membership_list.ts";
 
 /** A ping that was not answered so long is repeated through others: twice the longest round trip. */
@@ -28,12 +28,14 @@
 /** Goes round the members in a shuffled order, so that each is pinged within two rounds. */
 export class ProbeSchedule {
   readonly #random: Randomness;
+  readonly #listened: ListenedTimeView;
   readonly #open = new Map<number, Probe>();
   #round: Incarnation[] = [];
   #sequence = 0;
 
-  constructor(random: Randomness) {
+  constructor(random: Randomness, listened: ListenedTimeView) {
     this.#random = random;
+    this.#listened = listened;
   }
 
   /** The next members to ping, none twice. */
@@ -93,7 +95,7 @@
   /** Probes that shall now go through others. */
   takeIndirect(now: Instant): Probe[] {
     const due = [...this.#open.values()].filter((probe) =>
-      !probe.indirect && now >= after(probe.sentAt, DIRECT_TIMEOUT_MS)
+      !probe.indirect && this.#hasWaited(probe, DIRECT_TIMEOUT_MS, now)
     );
     due.forEach((probe) => probe.indirect = true);
     return due;
@@ -102,7 +104,7 @@
   /** Probes that failed. */
   takeFailed(now: Instant): Probe[] {
     const failed = [...this.#open.values()].filter((probe) =>
-      now >= after(probe.sentAt, PROBE_TIMEOUT_MS)
+      this.#hasWaited(probe, PROBE_TIMEOUT_MS, now)
     );
     failed.forEach((probe) => this.#open.delete(probe.sequence));
     return failed;
@@ -112,4 +114,9 @@
   clear(): void {
     this.#open.clear();
   }
+
+  /** An answer that came while this process stood still is yet to be read. */
+  #hasWaited({ sentAt }: Probe, time: number, now: Instant): boolean {
+    return this.#listened.since(sentAt, now) >= time;
+  }
 }
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -94,6 +94,7 @@
       seeds: self.seeds,
       period: FLEET_PERIOD_MS,
       random,
+      listened: this.#listened,
       send: (to, message) => emit({ kind: "datagram", to, message }),
       holdings: () => ({
         document: this.#catalogue.document?.version ?? 0 as never,
--- a/playground/src/slopes/probe_fleet.ts
+++ b/playground/src/slopes/probe_fleet.ts
@@ -10,6 +10,7 @@
   type FleetMessage,
   type Incarnation,
   instant,
+  ListenedTime,
   milliseconds,
   type RegionId,
   type Revision,
@@ -159,6 +160,7 @@
       resting: () => false,
       holds: () => [],
       random: new SeededRandomness(index + 1),
+      listened: new ListenedTime(instant(0)),
       send: (to, message) => this.#send({ from: region, to, message }),
       holdings: () => ({ document: 1 as Revision, catalogue: 1 as Revision }),
       summary: () => ({
