fix: no peer is held for dead whose denial waits to be read

Cause: a suspect that has not denied within two seconds is held for dead, by a clock that ran on while this process stood still with the denial in its socket. The fleet was then told of a death, and callers' work was not passed on there.

Change: the time to deny is time in which this process listened.

--- a/packages/core/src/fleet/fleet_controller.ts
+++ b/packages/core/src/fleet/fleet_controller.ts
@@ -290,7 +290,8 @@
 
   #buryUndenied(now: Instant): void {
     for (const { record, since } of this.#members.withHealth("suspect")) {
-      if (now - since >= SUSPICION_MS) {
+      // Its denial may wait to be read here.
+      if (this.#options.listened.since(since, now) >= SUSPICION_MS) {
         this.#members.judge(record.incarnation, "dead", now);
         this.#holdings.forget(record.incarnation);
       }
