fix: a stopping process does not end before it has read callers' requests

Cause: a planned stop ends once callers have sent nothing for 1.2 s, by a clock that ran on while the process stood still; the requests that came meanwhile lay in its sockets and were reset with it. What may not repeat is then in doubt for its caller although it never ran.

Change: that time is time in which the process listened, counted from the stop's beginning where there was no request at all. The time at which the platform would kill the process goes by the clock as before.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -155,6 +155,7 @@
     this.#stop = new StopController({
       emit,
       calls: this.#calls,
+      listened: this.#listened,
       stopTime: self.bounds.stopTime,
     });
   }
--- a/packages/core/src/gateway/stop_controller.ts
+++ b/packages/core/src/gateway/stop_controller.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { after, type Instant, type Milliseconds } from "../ids/index.ts";
+import type { ListenedTimeView } from "../listening/index.ts";
 import type { CallController } from "./call_controller.ts";
 import type { GatewayEmit } from "./messages.ts";
 
@@ -22,20 +23,23 @@
 export class StopController {
   readonly #emit: GatewayEmit;
   readonly #calls: CallController;
+  readonly #listened: ListenedTimeView;
   #stopTime: Milliseconds;
   #begunAt: Instant | undefined;
   #doorsClosed = false;
   #ended = false;
 
   constructor(
-    { emit, calls, stopTime }: {
+    { emit, calls, listened, stopTime }: {
       emit: GatewayEmit;
       calls: CallController;
+      listened: ListenedTimeView;
       stopTime: Milliseconds;
     },
   ) {
     this.#emit = emit;
     this.#calls = calls;
+    this.#listened = listened;
     this.#stopTime = stopTime;
   }
 
@@ -69,8 +73,9 @@
     }
     const overdue = now >= after(this.#begunAt, this.#stopTime - MARGIN_MS);
     const lingered = now >= after(this.#begunAt, LEAST_LINGER_MS);
-    const lastArrival = this.#calls.lastArrivalAt;
-    const quiet = lastArrival === undefined || now - lastArrival >= QUIET_MS;
+    const lastArrival = this.#calls.lastArrivalAt ?? this.#begunAt;
+    // Requests that came during a pause are yet to be read.
+    const quiet = this.#listened.since(lastArrival, now) >= QUIET_MS;
     if (overdue || (lingered && quiet && this.#calls.active === 0)) {
       this.#ended = true;
       this.#emit({
