fix: no endpoint counts as ended whose answer waits to be read

Cause: an endpoint whose record is gone and from which nothing was heard for a second has ended, and the requests that it had speak for being held back. After a pause all had been silent for so long, also those that answered meanwhile: 'Endpoint has ended.' named requests that were served well a moment later. The wait for a sign of life at a closed port had the same fault.

Change: both are times in which the process listened, in both interfaces.

--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -13,6 +13,7 @@
 import { Explanations } from "./explain/index.ts";
 import type { Instant, Randomness, Revision } from "./ids/index.ts";
 import { createLifecycle, LifecycleController } from "./lifecycle/index.ts";
+import { ListenedTime } from "./listening/index.ts";
 import { createMembership, MembershipController } from "./membership/index.ts";
 import type {
   ConfigurationCopy,
@@ -52,6 +53,7 @@
   readonly #requests: RequestController;
   readonly #quarantine: RequestQuarantine;
   readonly #placement: PlacementController;
+  readonly #listened: ListenedTime;
   #effects: Effect[] = [];
   #stopAt: Instant | undefined;
   #handOverAt: Instant | undefined;
@@ -64,6 +66,7 @@
     const emit = (effect: Effect): void => {
       this.#effects.push(effect);
     };
+    this.#listened = new ListenedTime(now);
     const lifecycle = createLifecycle(now);
     const configuration = createConfiguration();
     const membership = createMembership();
@@ -89,7 +92,11 @@
       now,
       onLeaving,
     });
-    this.#quarantine = new RequestQuarantine(board, { emit, now });
+    this.#quarantine = new RequestQuarantine(board, {
+      emit,
+      listened: this.#listened,
+      now,
+    });
     this.#requests = new RequestController(board, {
       emit,
       actions: this.#actions,
@@ -146,6 +153,7 @@
 
   /** A pause is known to all controllers before anything is decided after it. */
   #noteLoop(now: Instant): void {
+    this.#listened.note(now);
     this.#lifecycle.noteLoop(now);
     this.#configuration.noteWake(now);
   }
--- a/packages/core/src/gateway/__tests__/quarantine_fixture.ts
+++ b/packages/core/src/gateway/__tests__/quarantine_fixture.ts
@@ -2,6 +2,8 @@
   type CallerDigest,
   type ContentDigest,
   type Incarnation,
+  instant,
+  ListenedTime,
   milliseconds,
   type RequestFingerprint,
 } from "../../index.ts";
@@ -24,6 +26,7 @@
     self: { incarnation: "i" as Incarnation },
     endpoints: () => new Map(),
     carriers: () => ["i" as Incarnation],
+    listened: new ListenedTime(instant(0)),
     claimTime: milliseconds(200),
     knock: () => {},
     tell: () => {},
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -116,6 +116,7 @@
       catalogue: this.#catalogue,
       fleet: this.fleet,
       serving: this.#serving,
+      listened: this.#listened,
       now: () => this.#lastAt,
     });
     const cold = new ColdAllowance(self.bounds);
--- a/packages/core/src/gateway/quarantine_link.ts
+++ b/packages/core/src/gateway/quarantine_link.ts
@@ -14,6 +14,7 @@
   type NewsRecipients,
   QuarantineController,
 } from "../quarantine/index.ts";
+import type { ListenedTimeView } from "../listening/index.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
 import type { GatewayEmit, GatewaySelf } from "./messages.ts";
 import type { ServingSet } from "./serving_set.ts";
@@ -36,6 +37,7 @@
   readonly catalogue: CatalogueView;
   readonly fleet: FleetController;
   readonly serving: ServingSet;
+  readonly listened: ListenedTimeView;
   readonly now: () => Instant;
 }
 
@@ -43,9 +45,10 @@
 export function createQuarantine(
   sources: QuarantineLinkSources,
 ): QuarantineController {
-  const { self, emit, catalogue, fleet, serving, now } = sources;
+  const { self, emit, catalogue, fleet, serving, listened, now } = sources;
   return new QuarantineController({
     self,
+    listened,
     claimTime: milliseconds(CLAIM_MS),
     tell: (news, to) =>
       fleet.mail.sendQuarantine(news, recipients(sources, to)),
--- a/packages/core/src/quarantine/__tests__/crash_watch.test.ts
+++ b/packages/core/src/quarantine/__tests__/crash_watch.test.ts
@@ -7,6 +7,7 @@
   type EndpointLife,
   type EndpointRecord,
   instant,
+  ListenedTime,
   milliseconds,
   type ServiceId,
   type ZoneId,
@@ -56,7 +57,7 @@
   beforeEach(() => {
     gone = false;
     endpoint = { record: RECORD, heardAt: undefined };
-    watch = new CrashWatch(() => gone);
+    watch = new CrashWatch(() => gone, new ListenedTime(instant(0)));
     begin("a", 0);
     begin("b", 100);
   });
--- a/packages/core/src/quarantine/crash_watch.ts
+++ b/packages/core/src/quarantine/crash_watch.ts
@@ -9,6 +9,7 @@
   type EndpointId,
   type Instant,
 } from "../ids/index.ts";
+import type { ListenedTimeView } from "../listening/index.ts";
 import type { EndpointRecord } from "../routes/index.ts";
 import type { RequestFingerprint } from "./fingerprint.ts";
 
@@ -84,10 +85,15 @@
  */
 export class CrashWatch {
   readonly #isGone: (record: EndpointRecord) => boolean;
+  readonly #listened: ListenedTimeView;
   readonly #watched = new Map<string, Watched>();
 
-  constructor(isGone: (record: EndpointRecord) => boolean) {
+  constructor(
+    isGone: (record: EndpointRecord) => boolean,
+    listened: ListenedTimeView,
+  ) {
     this.#isGone = isGone;
+    this.#listened = listened;
   }
 
   /** A request was sent. */
@@ -108,7 +114,7 @@
     const planned = endpoint.record.state === "draining" ||
       (watched.endedAt === undefined && this.#isGone(endpoint.record));
     if (run !== undefined && !planned) {
-      const lostAt = isSilent(endpoint, run, now)
+      const lostAt = this.#isSilent(endpoint, run, now)
         ? silentSince(endpoint, run)
         : now;
       watched.lost.push({ ...run, lostAt });
@@ -206,21 +212,40 @@
       return false;
     }
     const closed = refused &&
-      lost.some(({ lostAt }) => now - lostAt >= LIFE_WAIT_MS);
+      lost.some(({ lostAt }) =>
+        this.#listened.since(lostAt, now) >= LIFE_WAIT_MS
+      );
     return closed ||
       this.#isGone(endpoint.record) &&
-        (lost.length > 0 || hasSilent(endpoint, open, now));
+        (lost.length > 0 || this.#hasSilent(endpoint, open, now));
   }
 
   /** An endpoint that went dark closes nothing. */
   #loseSilent({ endpoint, open, lost }: Watched, now: Instant): void {
     for (const [attempt, run] of open) {
-      if (isSilent(endpoint, run, now)) {
+      if (this.#isSilent(endpoint, run, now)) {
         open.delete(attempt);
         lost.push({ ...run, lostAt: silentSince(endpoint, run) });
       }
     }
   }
+
+  #hasSilent(
+    endpoint: WatchedEndpoint,
+    open: ReadonlyMap<AttemptId, WatchedRun>,
+    now: Instant,
+  ): boolean {
+    return [...open.values()].some((run) => this.#isSilent(endpoint, run, now));
+  }
+
+  /** What came during a pause is yet to be read: an endpoint that answers would count as ended. */
+  #isSilent(
+    endpoint: WatchedEndpoint,
+    run: WatchedRun,
+    now: Instant,
+  ): boolean {
+    return this.#listened.since(lastHeard(endpoint, run), now) >= SILENT_MS;
+  }
 }
 
 /** When an attempt, or another one at its endpoint, last heard from there. */
@@ -231,22 +256,6 @@
   return Math.max(heardAt ?? -Infinity, sentAt) as Instant;
 }
 
-function hasSilent(
-  endpoint: WatchedEndpoint,
-  open: ReadonlyMap<AttemptId, WatchedRun>,
-  now: Instant,
-): boolean {
-  return [...open.values()].some((run) => isSilent(endpoint, run, now));
-}
-
-function isSilent(
-  endpoint: WatchedEndpoint,
-  run: WatchedRun,
-  now: Instant,
-): boolean {
-  return now - lastHeard(endpoint, run) >= SILENT_MS;
-}
-
 /** When an endpoint ended that closed nothing: after its last word, or some time after the request. */
 function silentSince(
   { heardAt }: WatchedEndpoint,
--- a/packages/core/src/quarantine/quarantine_controller.ts
+++ b/packages/core/src/quarantine/quarantine_controller.ts
@@ -17,6 +17,7 @@
   type Milliseconds,
   type RequestId,
 } from "../ids/index.ts";
+import type { ListenedTimeView } from "../listening/index.ts";
 import type { EndpointRecord } from "../routes/index.ts";
 import { CrashLedger } from "./crash_ledger.ts";
 import { partsOf, reportOf } from "./report_end.ts";
@@ -53,6 +54,7 @@
 
 /** What the controller works with. */
 export interface QuarantineSources extends TrialSources {
+  readonly listened: ListenedTimeView;
   /** Longer than a message takes between any two entries; 0 where a request that waits cannot be kept. */
   readonly claimTime: Milliseconds;
   /** Has the shell see whether something listens at an endpoint's address. */
@@ -102,7 +104,7 @@
     this.#watch = new CrashWatch(({ id, life }) => {
       const present = sources.endpoints().get(id);
       return present === undefined || present.life !== life;
-    });
+    }, sources.listened);
   }
 
   get holds(): HoldList {
--- a/packages/core/src/requests/request_quarantine.ts
+++ b/packages/core/src/requests/request_quarantine.ts
@@ -19,6 +19,7 @@
   type ServiceId,
   sha256,
 } from "../ids/index.ts";
+import type { ListenedTimeView } from "../listening/index.ts";
 import type { Attempt, Emit, MemberRecord } from "../messages/index.ts";
 import {
   NOTHING_NEW,
@@ -61,13 +62,18 @@
 
   constructor(
     board: Blackboard,
-    { emit, now }: { emit: Emit; now: Instant },
+    { emit, listened, now }: {
+      emit: Emit;
+      listened: ListenedTimeView;
+      now: Instant;
+    },
   ) {
     this.#board = board;
     this.#emit = emit;
     this.#now = now;
     this.#controller = new QuarantineController({
       self: board.self,
+      listened,
       claimTime: milliseconds(0),
       endpoints: () => this.#present(),
       carriers: () => [
