test: an answer that came in time is delivered after a pause, known red

A caller's time runs out while the entry is stopped, and the endpoint's answer, which came well within it, lies in the entry's socket. The stand-in endpoint can take its time over a plain answer.

--- a/playground/src/platform/__tests__/stalls.test.ts
+++ b/playground/src/platform/__tests__/stalls.test.ts
@@ -20,6 +20,11 @@
 const SECOND_MS = 1_000;
 const TURNS = 4;
 const TIME_MS = 20_000;
+/** A plain answer comes well within its caller's time, and the entry goes on after that. */
+const ANSWER_MS = 100;
+const SHORT_TIME_MS = 500;
+const BEYOND_MS = 800;
+const TRIES = 3;
 
 // An entry was stopped for 1.7 to 2.4 s while 64 streams went through it, and went on. All bytes of its
 // endpoints lay in its sockets by then, but its timer came first and judged by a clock that had run on:
@@ -39,9 +44,11 @@
         resumable: true,
         timeout_ms: TIME_MS,
       }),
+      route("once", { kind: "non_idempotent", service: "plain", attempts: 1 }),
     ]);
     fleet.endpoints.forEach((endpoint) => {
       endpoint.pace = PACE_MS;
+      endpoint.delay = ANSWER_MS;
     });
     await fleet.start(1);
   });
@@ -107,4 +114,22 @@
         }
       },
     }));
+
+  // The timer came first here too, and said that the caller's time was over: a call that had run was a 504.
+  it("delivers an answer that came while it stood still", async () => {
+    const statuses: number[] = [];
+    for (let at = 0; at < TRIES; at++) {
+      const call = `late-${at}`;
+      const answer = callPlatform(fleet.entries[0]!.callers, {
+        path: "/once/x",
+        call,
+        body: "badge",
+        headers: { [HEADERS.timeLeft]: String(SHORT_TIME_MS) },
+      });
+      await eventually(() => runs().includes(call));
+      await pause(BEYOND_MS);
+      statuses.push((await answer).status);
+    }
+    expect(statuses).toEqual(Array(TRIES).fill(200));
+  });
 });
--- a/playground/src/platform/stand_in_endpoint.ts
+++ b/playground/src/platform/stand_in_endpoint.ts
@@ -43,6 +43,8 @@
   events = 5;
   /** Milliseconds between two of them. */
   pace = DEFAULT_PACE_MS;
+  /** Milliseconds before a plain answer. */
+  delay = 0;
   readonly #server: Server = createServer((message, reply) =>
     this.#take(message, reply)
   );
@@ -102,8 +104,10 @@
       this.#stream(message, { reply, headers });
       return;
     }
-    reply.writeHead(this.fault === "fails" ? FAILED : 200, headers);
-    reply.end(StandInEndpoint.bodyOf(call));
+    setTimeout(() => {
+      reply.writeHead(this.fault === "fails" ? FAILED : 200, headers);
+      reply.end(StandInEndpoint.bodyOf(call));
+    }, this.delay);
   }
 
   #stream(
