fix: an entry's tick comes after what lies in its sockets

Cause: the loop serves timers before sockets. The first tick after a pause ended every request whose time had run out meanwhile, also those whose answer had come in time and was there to be read: 18 of 18 calls got 504, and what may not repeat had run.

Change: afterPoll calls back once the sockets were looked at since its time; the entry's tick is set with it. Time of listening bounds what a pause adds to a silence, this makes each judgement come after what was received, so that the two hold without each other's figures.

--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -21,6 +21,7 @@
 } from "@sassafrasstep/core";
 import type { Logger } from "../logs/index.ts";
 import type { GatewaySettings } from "../settings/index.ts";
+import { afterPoll, type Cancel } from "../timers/index.ts";
 import { CatalogueRunner } from "./catalogue_runner.ts";
 import { Connections } from "./connections.ts";
 import { Datagrams } from "./datagrams.ts";
@@ -81,7 +82,7 @@
   readonly #catalogue: CatalogueRunner;
   readonly #servers: Server[] = [];
   #requests = 0;
-  #timer: NodeJS.Timeout | undefined;
+  #cancelTick: Cancel = () => {};
   /** For how long the timer was set. */
   #pause = milliseconds(0);
   #ended = false;
@@ -174,10 +175,11 @@
   }
 
   #setTimer(): void {
-    clearTimeout(this.#timer);
+    this.#cancelTick();
     this.#pause = this.#gateway.tickPause;
     if (!this.#ended) {
-      this.#timer = setTimeout(() => this.#tick(), this.#pause);
+      // Ticks judge who was silent and whose time is over: what was received comes first.
+      this.#cancelTick = afterPoll(this.#pause, () => this.#tick());
     }
   }
 
@@ -327,7 +329,7 @@
 
   async #exit(): Promise<void> {
     this.#ended = true;
-    clearTimeout(this.#timer);
+    this.#cancelTick();
     for (const server of this.#servers) {
       server.close();
       server.closeIdleConnections();
--- /dev/null
+++ b/packages/daemon/src/timers/index.ts
@@ -0,0 +1,1 @@
+export { afterPoll, type Cancel } from "./after_poll.ts";
