--- a/packages/daemon/src/gateway/__tests__/connections.test.ts
+++ b/packages/daemon/src/gateway/__tests__/connections.test.ts
@@ -75,6 +75,14 @@
     });
   });
 
+  // A process stood still while it connected. The connection stood by then, and the timer came first:
+  // the endpoint counted as not reached, and its request went elsewhere.
+  it("stand although the process stood still meanwhile", async () => {
+    const taken = take();
+    block(500);
+    expect(await taken).not.toBeInstanceOf(ConnectError);
+  });
+
   it("are not found closed by a knock where something listens", async () => {
     let closed = false;
     connections.knock(endpoint.address, () => closed = true);
@@ -83,3 +91,9 @@
     expect(closed).toBe(false);
   });
 });
+
+/** Holds the loop up, as a stopped process or a busy machine does. */
+function block(time: number): void {
+  const end = performance.now() + time;
+  while (performance.now() < end);
+}
--- a/playground/src/platform/__tests__/store_source.test.ts
+++ b/playground/src/platform/__tests__/store_source.test.ts
@@ -1,12 +1,15 @@
+import { createServer } from "node:http";
 import { milliseconds, type Revision } from "@sassafrasstep/core";
 import { KEYS, StoreSource } from "@sassafrasstep/platform";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { StandInStore, type StoreFault } from "../index.ts";
+import { closeAtOnce, listenOnLoopback } from "../loopback.ts";
 
 /** For reads that have to fail: they end with it. */
 const SHORT = milliseconds(100);
 /** For reads that have to succeed: on a busy machine the first one alone takes over 100 ms. */
 const TIMEOUT = milliseconds(10_000);
+const STALL_MS = 1_300;
 const ENDPOINT = {
   service: "s",
   address: "1.2.3.4:5",
@@ -61,6 +64,23 @@
     }
   });
 
+  // The store's answer lay in the socket when the process went on, and the read's timer came first:
+  // "Platform does not answer.", and everything was read anew on another connection.
+  it("takes an answer that came while the process stood still", async () => {
+    const page = JSON.stringify({ items: [], more_pages: false, as_of: 7 });
+    const server = createServer((_message, reply) => {
+      reply.end(page, () => block(STALL_MS));
+    });
+    const reader = new StoreSource(await listenOnLoopback(server), () => {});
+    try {
+      const { revision } = await reader.snapshot(milliseconds(STALL_MS - 300));
+      expect(revision).toBe(7);
+    } finally {
+      await reader.close();
+      await closeAtOnce(server);
+    }
+  });
+
   it("tells of removals and of changes that are forgotten", async () => {
     store.put(`${KEYS.endpoint}i-1`, ENDPOINT);
     store.remove(`${KEYS.endpoint}i-1`);
@@ -132,3 +152,9 @@
     expect(notes.length - lines).toBeLessThan(5);
   });
 });
+
+/** Holds the loop up, as a stopped process or a busy machine does. */
+function block(time: number): void {
+  const end = performance.now() + time;
+  while (performance.now() < end);
+}
