fix: a connection that stands does not time out for a pause of the process

Cause: the timer of a connection came before the word that it stands. After a pause of 400 ms each connection under way was 'Connection timed out', the endpoint counted as not reached, twice in a row as suspect, and the request used one of its tries. A knock at a port was given up in the same way.

Change: both timers come after the sockets were looked at.

--- a/packages/daemon/src/gateway/connections.ts
+++ b/packages/daemon/src/gateway/connections.ts
@@ -6,6 +6,7 @@
 import { connect, type Socket } from "node:net";
 import { CONNECTION_LIMIT, type Instant } from "@sassafrasstep/core";
 import { type buildConnector, Client } from "undici";
+import { afterPoll } from "../timers/index.ts";
 
 /** Within a region a connection stands after a few milliseconds; the first packet may be lost once. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -150,8 +151,8 @@
       port: Number(address.slice(colon + 1)),
     });
     this.opened++;
-    const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
-    socket.once("close", () => clearTimeout(timer));
+    const cancel = afterPoll(CONNECT_TIMEOUT_MS, () => socket.destroy());
+    socket.once("close", cancel);
     socket.once("connect", () => socket.destroy());
     socket.on("error", ({ code }: Error & { code?: string }) => {
       if (code === REFUSED) {
@@ -214,19 +215,20 @@
     this.#count(address, 1);
     this.opened++;
     const timeout = far ? FAR_CONNECT_TIMEOUT_MS : CONNECT_TIMEOUT_MS;
-    const timer = setTimeout(
-      () => socket.destroy(new ConnectError("Connection timed out")),
+    // After a pause of the process the connection may stand without its having been told.
+    const cancel = afterPoll(
       timeout,
+      () => socket.destroy(new ConnectError("Connection timed out")),
     );
     const fail = (error: Error & { code?: string }): void => {
-      clearTimeout(timer);
+      cancel();
       const refused = error.code === REFUSED;
       done(new ConnectError(error.message, { refused }));
     };
     socket.once("error", fail);
     socket.once("close", () => this.#count(address, -1));
     socket.once("connect", () => {
-      clearTimeout(timer);
+      cancel();
       socket.off("error", fail);
       const connection = new Connection(socket, address, now);
       connection.client.on("disconnect", () => this.#drop(connection));
