fix: a read of the platform is not given up for a pause of the process

Cause: a read's time limit was the clock's, and its timer came before the answer in the socket. After a pause the platform 'does not answer': the connection was dropped, removals were not believed for two seconds, and after a second failure everything was read anew, at the moment at which a woken entry most needs to know what holds.

Change: whileListening aborts work after a time in which the process listened; a pause counts for half of the limit at the most, so that a connection that died meanwhile is still left soon.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -26,6 +26,7 @@
   type SettingsResult,
 } from "./settings/index.ts";
 export * from "./gateway/index.ts";
+export { whileListening } from "./timers/index.ts";
 export { Logger } from "./logs/index.ts";
 export {
   type GatewaySettings,
