fix: a caller's idle connection is not closed with a request unread in it

Cause: the server closes a kept connection when its idle time is over, by a timer that comes before the sockets. A caller that used its connection while the process stood still got a reset, and could not know whether its request ran.

Change: closeIdleAfterPoll looks at the connection once more and closes it only where nothing came. Callers', peers', operators' and directory's servers of both interfaces have it.

--- a/packages/daemon/src/callers/caller_server.ts
+++ b/packages/daemon/src/callers/caller_server.ts
@@ -13,6 +13,7 @@
 import { H3, type H3Event } from "h3";
 import { toNodeHandler } from "h3/node";
 import type { Credentials } from "../peers/index.ts";
+import { closeIdleAfterPoll } from "../timers/index.ts";
 import { Caller, type CallerEvents } from "./caller.ts";
 import { readCallerRequest, tokenDigest } from "./request_head.ts";
 
@@ -53,6 +54,7 @@
   );
   server.headersTimeout = HEAD_TIMEOUT_MS;
   server.requestTimeout = REQUEST_TIMEOUT_MS;
+  closeIdleAfterPoll(server);
   // With "Expect: 100-continue" the body is asked for only once the head was admitted.
   server.on(
     "checkContinue",
--- a/packages/daemon/src/control/control_server.ts
+++ b/packages/daemon/src/control/control_server.ts
@@ -13,6 +13,7 @@
   peerRouter,
   type PeerService,
 } from "../peers/index.ts";
+import { closeIdleAfterPoll } from "../timers/index.ts";
 
 const MAX_HEADER_BYTES = 8_192;
 const MAX_BATCH = 1;
@@ -68,5 +69,6 @@
     toNodeHandler(app),
   );
   server.requestTimeout = REQUEST_TIMEOUT_MS;
+  closeIdleAfterPoll(server);
   return server;
 }
--- a/packages/daemon/src/gateway/ingress.ts
+++ b/packages/daemon/src/gateway/ingress.ts
@@ -18,6 +18,7 @@
   RequestFingerprint,
   RequestId,
 } from "@sassafrasstep/core";
+import { closeIdleAfterPoll } from "../timers/index.ts";
 import { Exchange } from "./exchange.ts";
 import { FingerprintBuilder } from "./fingerprints.ts";
 import type { CallerProtocol } from "./protocol.ts";
@@ -61,6 +62,7 @@
   server.timeout = 0;
   server.keepAliveTimeout = DEFAULT_IDLE_MS;
   server.on("clientError", answerMalformed);
+  closeIdleAfterPoll(server);
   return server;
 }
 
--- a/packages/daemon/src/gateway/servers.ts
+++ b/packages/daemon/src/gateway/servers.ts
@@ -11,6 +11,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import { closeIdleAfterPoll } from "../timers/index.ts";
 import type { GatewayService } from "./gateway_router.ts";
 
 /** Path of the procedures. */
@@ -35,7 +36,9 @@
 
 /** A server for a listener. */
 export function createAppServer(listener: RequestListener): Server {
-  return createServer(listener);
+  const server = createServer(listener);
+  closeIdleAfterPoll(server);
+  return server;
 }
 
 /** Lets procedures through to the application, and hands everything else to the other server. */
--- a/packages/daemon/src/timers/index.ts
+++ b/packages/daemon/src/timers/index.ts
@@ -1,2 +1,3 @@
 export { afterPoll, type Cancel } from "./after_poll.ts";
+export { closeIdleAfterPoll } from "./idle_connections.ts";
 export { afterListening, whileListening } from "./while_listening.ts";
