test: a woken entry reads the picture anew, known red

An entry that stood still with a read under way takes its answer, which was written at the beginning of the pause, for the read that it makes at once when it wakes; the next one follows 1.2 s later.

--- a/packages/core/src/gateway/__tests__/stalls.test.ts
+++ b/packages/core/src/gateway/__tests__/stalls.test.ts
@@ -305,6 +305,22 @@
     expect(gateway.catalogue.endpoints.has(id)).toBe(false);
   });
 
+  // Its read of changes had been answered while it stood still. That answer counted as the read that a woken
+  // entry makes at once, and what was evacuated meanwhile was served for another 1.2 s.
+  it("reads the picture anew, whatever an answer from before says", () => {
+    const reads = (): number =>
+      kinds().filter((kind) => kind === "readCatalogue").length;
+    run(1_500);
+    const before = reads();
+    stall(3_000);
+    handle({
+      kind: "catalogueChanged",
+      changes: { revision: 1 as Revision, changes: [] },
+    });
+    run(100);
+    expect(reads()).toBe(before + 1);
+  });
+
   it("does not end its process before it has read callers' requests", () => {
     run(100);
     handle({ kind: "stop" });
