fix: a woken entry reads the picture anew, whatever an answer from before says

Cause: after a pause of over a second the next read is due at once, but one was under way nearly always. Its answer was written when the pause began, and it set the next read 1.2 s later: for so long the entry went by what held seconds ago, and its picture counted as confirmed. Evacuations and drains reach a woken entry later than one that ran.

Change: the answer to a read that was under way is followed by another read.

--- a/packages/core/src/gateway/read_schedule.ts
+++ b/packages/core/src/gateway/read_schedule.ts
@@ -53,6 +53,8 @@
   failures = 0;
   readonly #options: ReadScheduleOptions;
   #reading = false;
+  /** Whether the answer under way may be from before a pause of this process. */
+  #readsAgain = false;
   #readAt: Instant;
   #nextAt: Instant;
   /** When the next answer was to be expected. */
@@ -73,6 +75,7 @@
     const due = !this.#reading && now >= this.#nextAt;
     if (due) {
       this.#reading = true;
+      this.#readsAgain = false;
       this.#readAt = now;
     }
     return due;
@@ -96,7 +99,8 @@
     this.failures = 0;
     this.#answeredAt = now;
     this.#answeredAtRest = resting;
-    this.#nextAt = after(now, resting ? RESTING_READ_PAUSE_MS : READ_PAUSE_MS);
+    const pause = resting ? RESTING_READ_PAUSE_MS : READ_PAUSE_MS;
+    this.#nextAt = after(now, this.#readsAgain ? 0 : pause);
     this.#dueAt = this.#nextAt;
     return returned;
   }
@@ -112,9 +116,10 @@
     this.#nextAt = after(now, pause * (0.5 + random.next()));
   }
 
-  /** Whatever was planned, the next read is due. */
+  /** Whatever was planned, the next read is due; one under way may have been answered long ago. */
   readAtOnce(now: Instant): void {
     this.#nextAt = now;
+    this.#readsAgain = this.#reading;
   }
 
   /** The picture is needed, and may be older than that of an entry that carries. */
