--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -100,16 +100,16 @@
   }
 
   /** An interrupted stream goes on at another endpoint, under the head of its first answer. */
-  goOn(call: Call, { status }: CallAnswer, now: Instant): void {
+  goOn(call: Call, { status, events }: CallAnswer, now: Instant): void {
     const { id } = call.attempt!;
-    if (status !== OK) {
+    if (status !== OK || !events) {
       call.trace.interrupted(call.attempt!, `Answered ${status}`);
       this.#tools.attempts.leave(call, now);
       return this.#breakOffOrRetry(call, now);
     }
     this.resumed++;
     this.#tools.ends.log("Stream goes on elsewhere.", call, {
-      afterEvent: call.lastEventId,
+      afterEvent: call.position.lastId,
       ...call.trace.interruption(),
     });
     this.#tools.emit({ kind: "goOn", attempt: id });
@@ -229,15 +229,16 @@
 
   /** A stream that has begun goes on elsewhere where its route allows it, or ends visibly broken. */
   #breakOffOrRetry(call: Call, now: Instant): void {
-    const resumable = call.route.resumable && call.lastEventId !== undefined;
-    if (!resumable || !this.#tryElsewhere(call, now)) {
+    if (!this.#tryElsewhere(call, now)) {
       this.#tools.ends.breakOff(call, "endpoint_lost", now);
     }
   }
 
   /** Leaves the attempt under way for another endpoint, if there is one and the budget allows it. */
   #tryElsewhere(call: Call, now: Instant): boolean {
-    if (!this.canTryElsewhere(call, now)) {
+    // What its caller has can't be followed by what another endpoint would send: pieces would come twice.
+    const fixed = call.phase === "answering" && !call.resumable;
+    if (fixed || !this.canTryElsewhere(call, now)) {
       return false;
     }
     this.#tools.attempts.leave(call, now);
