--- a/packages/daemon/src/gateway/__tests__/outbound_call.test.ts
+++ b/packages/daemon/src/gateway/__tests__/outbound_call.test.ts
@@ -260,6 +260,61 @@
       expect(endOf(seen)).toBe("complete");
     });
 
+    // An entry died with all its streams, by an assertion of the HTTP client: "assert(!this.paused)". A caller
+    // had no room for more, so reading was held back, and meanwhile the endpoint's connection ended or was
+    // reset under an answer that ends with it. The client then ends its parser, which must not be paused.
+    describe("whose caller has no room while the connection ends", () => {
+      const CLOSING = `${HEAD}connection: close\r\n`;
+      const cases: readonly {
+        name: string;
+        head: string;
+        then: (socket: Socket) => void;
+        end: string;
+      }[] = [
+        {
+          name: "in order after an answer without a length",
+          head: `${CLOSING}\r\n${FIRST}`,
+          then: (socket) => socket.end(),
+          end: "complete",
+        },
+        {
+          name: "by a reset of an answer without a length",
+          head: `${CLOSING}\r\n${FIRST}`,
+          then: (socket) => socket.resetAndDestroy(),
+          end: "lost",
+        },
+        {
+          name: "by a reset of a chunked answer",
+          head: `${CLOSING}transfer-encoding: chunked\r\n\r\n${chunk(FIRST)}`,
+          then: (socket) => socket.resetAndDestroy(),
+          end: "lost",
+        },
+        {
+          name: "in order after a whole chunked answer",
+          head: `${CLOSING}transfer-encoding: chunked\r\n\r\n${chunk(FIRST)}`,
+          then: (socket) => socket.end("0\r\n\r\n"),
+          end: "complete",
+        },
+      ];
+      it.each(cases)("$name: $end", async ({ head, then, end }) => {
+        endpoint = await listenRaw((socket) => {
+          socket.write(head);
+          setTimeout(() => then(socket), 10);
+        });
+        const { seen, done } = attempt(endpoint.address, {
+          connections,
+          streaming: true,
+          slow: true,
+        });
+        await until(() => seen.resume !== undefined);
+        await new Promise((resolve) => setTimeout(resolve, 50));
+        seen.resume!();
+        await done;
+        expect(endOf(seen)).toBe(end);
+        expect(seen.body).toBe(FIRST);
+      }, 5_000);
+    });
+
     it("is given up at once", async () => {
       let closed = false;
       endpoint = await listenRaw((socket) => {
--- a/packages/daemon/src/gateway/__tests__/wire_fixture.ts
+++ b/packages/daemon/src/gateway/__tests__/wire_fixture.ts
@@ -105,21 +105,38 @@
   status: number | undefined;
   body: string;
   ended: boolean;
+  /** The caller has room again. */
+  resume: (() => void) | undefined;
 }
 
 /** Runs one attempt to its end. */
 export function attempt(
   address: string,
-  { connections, streaming = false, body = "", mostIdle = Infinity, judge }: {
+  {
+    connections,
+    streaming = false,
+    slow = false,
+    body = "",
+    mostIdle = Infinity,
+    judge,
+  }: {
     connections: Connections;
     streaming?: boolean;
+    /** Whether the caller has no room for more after the first bytes, until `seen.resume` is called. */
+    slow?: boolean;
     body?: string;
     mostIdle?: number;
     /** What the gateway says to an answer; it is passed on by default. */
     judge?: (event: GatewayEvent) => GatewayEffect[];
   },
 ): { seen: Seen; done: Promise<Seen>; call: OutboundCall } {
-  const seen: Seen = { events: [], status: undefined, body: "", ended: false };
+  const seen: Seen = {
+    events: [],
+    status: undefined,
+    body: "",
+    ended: false,
+    resume: undefined,
+  };
   const head = {
     id: "r1" as RequestId,
     call: "c1" as CallId,
@@ -131,9 +148,11 @@
     method: body === "" ? "GET" : "POST",
     rawHeaders: [],
     begin: (status: number) => seen.status = status,
-    write: (bytes: Buffer) => {
+    write: (bytes: Buffer, resume: () => void) => {
+      const full = slow && seen.body === "";
       seen.body += bytes.toString();
-      return true;
+      seen.resume = full ? resume : seen.resume;
+      return !full;
     },
     answer: (status: number, { body: bytes }: { body: Buffer }) => {
       seen.status = status;
