fix: reading is held back at the socket, so that no connection's end ends the entry

Where a caller had no room, reading was held back by pausing the HTTP client's parser. An answer that ends with its connection ('connection: close', which endpoints say that leave) whose connection ended or was reset meanwhile made the client finish that parser, which asserts that it is not paused: an uncaught exception, the process ended, and all its callers lost their streams.

Now the socket holds back what has arrived, its end included, and the parser is never paused: the client sees a connection on which nothing comes, which is what it is. A reset is told at once, as the loss that it is.

What a chunk of the socket holds (64 KB at most) may still be passed on after the caller's buffer is full.

--- a/packages/daemon/src/gateway/connections.ts
+++ b/packages/daemon/src/gateway/connections.ts
@@ -6,6 +6,7 @@
 import { connect, type Socket } from "node:net";
 import { CONNECTION_LIMIT, type Instant } from "@sassafrasstep/core";
 import { type buildConnector, Client } from "undici";
+import { EndpointSocket } from "./endpoint_socket.ts";
 
 /** Within a region a connection stands after a few milliseconds; the first packet may be lost once. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -45,6 +46,7 @@
 export class Connection {
   readonly client: Client;
   readonly address: string;
+  readonly #socket: EndpointSocket;
   idleSince: Instant;
   /**
    * Set once the socket had an error. An answer without a length ends with its connection; one that
@@ -54,7 +56,8 @@
   /** Whether the answer under way ends with the connection. */
   endsAnswer = false;
 
-  constructor(socket: Socket, address: string, now: Instant) {
+  constructor(socket: EndpointSocket, address: string, now: Instant) {
+    this.#socket = socket;
     this.address = address;
     this.idleSince = now;
     socket.on("error", () => this.failed = true);
@@ -75,6 +78,16 @@
     this.client.on("disconnect", () => this.failed = true);
   }
 
+  /** Reads nothing more, for now. */
+  hold(): void {
+    this.#socket.hold();
+  }
+
+  /** Reads again. */
+  release(): void {
+    this.#socket.release();
+  }
+
   /** Ends the connection. */
   close(): void {
     this.failed = true;
@@ -162,6 +175,7 @@
 
   /** Gives a connection back after a whole answer. */
   giveBack(connection: Connection, now: Instant): void {
+    connection.release();
     if (connection.failed) {
       return;
     }
@@ -204,12 +218,12 @@
     done: (result: Connection | ConnectError) => void,
   ): void {
     const colon = address.lastIndexOf(":");
-    const socket = connect({
+    // Ours stays open when the other side ends, see `isReset`; the client closes it.
+    const socket = new EndpointSocket({ allowHalfOpen: true });
+    socket.connect({
       host: address.slice(0, colon),
       port: Number(address.slice(colon + 1)),
       noDelay: true,
-      // Ours stays open when the other side ends, see `isReset`; the client closes it.
-      allowHalfOpen: true,
     });
     this.#count(address, 1);
     this.opened++;
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -147,22 +147,19 @@
     }
   }
 
-  onResponseData(
-    controller: Dispatcher.DispatchController,
-    chunk: Buffer,
-  ): void {
+  onResponseData(_controller: unknown, chunk: Buffer): void {
     if (this.#over) {
       return;
     }
     this.#bytes += chunk.length;
     switch (this.#mode) {
       case "events":
-        return this.#pass(controller, chunk);
+        return this.#pass(chunk);
       case "bytes":
-        this.#writeOut(controller, chunk);
+        this.#writeOut(chunk);
         return this.#tellProgress();
       case "holding":
-        return this.#hold(controller, chunk);
+        return this.#hold(chunk);
       default:
         if (this.#bytes > MAX_DISCARDED_BYTES) {
           this.abort();
@@ -268,10 +265,10 @@
     }
   }
 
-  #pass(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+  #pass(chunk: Buffer): void {
     const events = this.#cutter.push(chunk);
     if (events !== undefined) {
-      this.#writeOut(controller, events.bytes);
+      this.#writeOut(events.bytes);
     }
     // Told after the write: an event that counts as passed on and never was would be missing.
     this.#tellProgress(events);
@@ -287,13 +284,14 @@
     });
   }
 
-  #writeOut(controller: Dispatcher.DispatchController, bytes: Buffer): void {
-    if (!this.#exchange.write(bytes, () => controller.resume())) {
-      controller.pause();
+  #writeOut(bytes: Buffer): void {
+    const connection = this.#connection!;
+    if (!this.#exchange.write(bytes, () => connection.release())) {
+      connection.hold();
     }
   }
 
-  #hold(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+  #hold(chunk: Buffer): void {
     if (this.#bytes <= MAX_HELD_BYTES) {
       this.#held.push(chunk);
       return;
@@ -306,7 +304,7 @@
       reason: this.#reason,
       headers: this.#tools.protocol.answerHeaders(this.#headers),
     });
-    [...this.#held, chunk].forEach((part) => this.#writeOut(controller, part));
+    [...this.#held, chunk].forEach((part) => this.#writeOut(part));
     this.#held = [];
   }
 
