refactor: the right to write the answer belongs to one attempt

A request had one place for 'read on once the caller has room', written by whichever attempt came last: the drain for a former attempt could reach the next, and an attempt that began while the caller's buffer was full wrote into it all the same. No caller is known to have got wrong bytes by it.

Each attempt opens a writer of its own, which ends the former one's: late bytes and late drains of that change nothing, and with a full buffer the new attempt is held back from its first byte on.

--- a/packages/daemon/src/gateway/__tests__/wire_fixture.ts
+++ b/packages/daemon/src/gateway/__tests__/wire_fixture.ts
@@ -22,6 +22,7 @@
   milliseconds,
   type RequestId,
 } from "@sassafrasstep/core";
+import type { AnswerSource } from "../answer_writer.ts";
 import { Connections } from "../connections.ts";
 import type { Exchange } from "../exchange.ts";
 import { OutboundCall } from "../outbound_call.ts";
@@ -148,12 +149,17 @@
     method: body === "" ? "GET" : "POST",
     rawHeaders: [],
     begin: (status: number) => seen.status = status,
-    write: (bytes: Buffer, resume: () => void) => {
-      const full = slow && seen.body === "";
-      seen.body += bytes.toString();
-      seen.resume = full ? resume : seen.resume;
-      return !full;
-    },
+    openWriter: (source: AnswerSource) => ({
+      write: (bytes: Buffer) => {
+        const full = slow && seen.body === "";
+        seen.body += bytes.toString();
+        if (full) {
+          source.hold();
+          seen.resume = () => source.release();
+        }
+      },
+      close: () => {},
+    }),
     answer: (status: number, { body: bytes }: { body: Buffer }) => {
       seen.status = status;
       seen.body += bytes.toString();
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -11,6 +11,7 @@
   verdictHeader,
 } from "@sassafrasstep/core";
 import { OFFERED_HEADER, VERDICT_HEADER } from "../callers/headers.ts";
+import { type AnswerSource, AnswerWriter } from "./answer_writer.ts";
 import type { CallerProtocol, RawHeaders } from "./protocol.ts";
 
 const NO_CONTENT_STATUSES: ReadonlySet<number> = new Set([204, 304]);
@@ -34,17 +35,14 @@
   /** Status of the answer that has begun, 0 before. */
   status = 0;
   readonly #arrivedAt = performance.now();
-  #resume: (() => void) | undefined;
+  /** Of the attempt that may write at present. */
+  #writer: AnswerWriter | undefined;
 
   constructor(options: ExchangeOptions) {
     this.#options = options;
     this.head = options.head;
     this.body = options.body;
-    options.reply.on("drain", () => {
-      const resume = this.#resume;
-      this.#resume = undefined;
-      resume?.();
-    });
+    options.reply.on("drain", () => this.#writer?.drained());
   }
 
   get id(): RequestId {
@@ -76,17 +74,11 @@
     reply.writeHead(status, reason, all);
   }
 
-  /** Passes bytes on; `resume` is called once more may come, where the result is `false`. */
-  write(chunk: Buffer, resume: () => void): boolean {
-    const { reply } = this.#options;
-    if (reply.destroyed) {
-      return true;
-    }
-    const room = reply.write(chunk);
-    if (!room) {
-      this.#resume = resume;
-    }
-    return room;
+  /** Lets an attempt write from now on, and the one before it no more. */
+  openWriter(source: AnswerSource): AnswerWriter {
+    this.#writer?.close();
+    this.#writer = new AnswerWriter(this.#options.reply, source);
+    return this.#writer;
   }
 
   /** Sends the head now: a stream's first event may be a while. */
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -19,6 +19,7 @@
   type Connections,
 } from "./connections.ts";
 import { EventCutter, type WholeEvents } from "./event_cutter.ts";
+import type { AnswerSource, AnswerWriter } from "./answer_writer.ts";
 import type { Exchange } from "./exchange.ts";
 import { RELAY_HEADER, writeRelay } from "./relay_header.ts";
 import type { EndpointProtocol, RawHeaders } from "./protocol.ts";
@@ -62,7 +63,7 @@
   | "discarding";
 
 /** One attempt under way. */
-export class OutboundCall implements Dispatcher.DispatchHandler {
+export class OutboundCall implements Dispatcher.DispatchHandler, AnswerSource {
   readonly #attempt: CallAttempt;
   readonly #exchange: Exchange;
   /**
@@ -72,13 +73,15 @@
   readonly #cutter = new EventCutter();
   readonly #tools: OutboundTools;
   #connection: Connection | undefined;
+  /** Set while bytes of the answer may go to the caller. */
+  #writer: AnswerWriter | undefined;
   #controller: Dispatcher.DispatchController | undefined;
   #mode: Mode = "waiting";
   #status = 0;
   #reason = "";
   #headers: RawHeaders = [];
   #framed = false;
-  #held: Buffer[] = [];
+  #kept: Buffer[] = [];
   #bytes = 0;
   #over = false;
 
@@ -111,12 +114,20 @@
     if (this.#over) {
       return;
     }
-    this.#over = true;
+    this.#stop();
     this.#controller?.abort(new Error("Attempt was given up"));
     this.#connection?.close();
     this.#tools.done(this.#attempt);
   }
 
+  hold(): void {
+    this.#connection!.hold();
+  }
+
+  release(): void {
+    this.#connection!.release();
+  }
+
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
     if (this.#over) {
@@ -156,10 +167,10 @@
       case "events":
         return this.#pass(chunk);
       case "bytes":
-        this.#writeOut(chunk);
+        this.#writer!.write(chunk);
         return this.#tellProgress();
       case "holding":
-        return this.#hold(chunk);
+        return this.#keep(chunk);
       default:
         if (this.#bytes > MAX_DISCARDED_BYTES) {
           this.abort();
@@ -257,18 +268,22 @@
       effect.attempt === id
     );
     this.#mode = verdict === undefined ? "discarding" : mode;
-    if (verdict?.kind === "forward" && mode === "events") {
+    if (verdict === undefined || mode !== "events") {
+      return;
+    }
+    if (verdict.kind === "forward") {
       this.#exchange.begin(this.#status, {
         reason: this.#reason,
         headers: protocol.answerHeaders(this.#headers),
       });
     }
+    this.#writer = this.#exchange.openWriter(this);
   }
 
   #pass(chunk: Buffer): void {
     const events = this.#cutter.push(chunk);
     if (events !== undefined) {
-      this.#writeOut(events.bytes);
+      this.#writer!.write(events.bytes);
     }
     // Told after the write: an event that counts as passed on and never was would be missing.
     this.#tellProgress(events);
@@ -284,16 +299,9 @@
     });
   }
 
-  #writeOut(bytes: Buffer): void {
-    const connection = this.#connection!;
-    if (!this.#exchange.write(bytes, () => connection.release())) {
-      connection.hold();
-    }
-  }
-
-  #hold(chunk: Buffer): void {
+  #keep(chunk: Buffer): void {
     if (this.#bytes <= MAX_HELD_BYTES) {
-      this.#held.push(chunk);
+      this.#kept.push(chunk);
       return;
     }
     this.#takeHead("bytes");
@@ -304,8 +312,9 @@
       reason: this.#reason,
       headers: this.#tools.protocol.answerHeaders(this.#headers),
     });
-    [...this.#held, chunk].forEach((part) => this.#writeOut(part));
-    this.#held = [];
+    this.#writer = this.#exchange.openWriter(this);
+    [...this.#kept, chunk].forEach((part) => this.#writer!.write(part));
+    this.#kept = [];
   }
 
   /** A plain answer is whole. */
@@ -322,7 +331,7 @@
       headers: withoutLength(
         this.#tools.protocol.answerHeaders(this.#headers),
       ),
-      body: Buffer.concat(this.#held),
+      body: Buffer.concat(this.#kept),
     });
     this.#end({ kind: "complete" });
   }
@@ -338,7 +347,7 @@
         detail: "Answer ended inside an event",
       });
     }
-    this.#exchange.write(this.#cutter.rest, () => {});
+    this.#writer!.write(this.#cutter.rest);
     this.#end({ kind: "complete" });
   }
 
@@ -346,24 +355,29 @@
     if (this.#over) {
       return;
     }
-    this.#over = true;
+    this.#stop();
     if (end.kind === "lost") {
       this.#controller?.abort(new Error("Attempt was lost"));
       this.#connection?.close();
     }
-    this.#release();
+    this.#giveBack();
     this.#tools.done(this.#attempt);
     this.#tools.tell({ kind: "ended", attempt: this.#attempt.id, end });
   }
 
   /** The answer was read and is not wanted. */
   #finish(): void {
-    this.#over = true;
-    this.#release();
+    this.#stop();
+    this.#giveBack();
     this.#tools.done(this.#attempt);
   }
 
-  #release(): void {
+  #stop(): void {
+    this.#over = true;
+    this.#writer?.close();
+  }
+
+  #giveBack(): void {
     if (this.#connection !== undefined) {
       this.#tools.connections.giveBack(this.#connection, this.#tools.now());
     }
