fix: an attempt that is held back for its caller is not judged silent

A caller that stops reading fills the sockets on the way, and the entry stops reading its endpoint. Silence was judged by when bytes last came, whoever's doing it was: after 1.5 s the stream was left and run again elsewhere, the endpoint was noted as broken, and its pause stood in the log as the endpoint's.

The shell tells the gateway when an attempt is held back and when it is read again. That belongs to the attempt and ends with it; a held attempt is never silent, and its silence counts from when it is read again. The line of a request served badly has the time held back ('heldMs'), which is no pause of the endpoint's, and the cause 'slow_caller' where that was most of its time.

--- a/packages/core/src/gateway/__tests__/call_trace.test.ts
+++ b/packages/core/src/gateway/__tests__/call_trace.test.ts
@@ -45,6 +45,7 @@
     madeAt: instant(0),
     sentAt: undefined,
     heardAt: undefined,
+    heldSince: undefined,
     failed: false,
     unfinished: 0,
   };
@@ -113,6 +114,23 @@
     expect(cause(false, 10_000)).toBe("starved");
   });
 
+  it("is no pause while its caller had no room, and the caller where that was most of its time", () => {
+    call.trace.sent(instant(10));
+    call.trace.heard(instant(300));
+    call.trace.held(milliseconds(1_500), instant(1_800));
+    call.trace.heard(instant(1_900));
+    expect(cause(true, 1_900)).toBe(undefined);
+    expect(call.trace.fields(call, instant(1_900))).toMatchObject({
+      pauseMs: 100,
+      heldMs: 1_500,
+    });
+    expect(cause(false, 2_000)).toBe("slow_caller");
+    for (let at = 2_300; at <= 9_900; at += 400) {
+      call.trace.heard(instant(at));
+    }
+    expect(cause(false, 10_000)).toBe("starved");
+  });
+
   it("comes with what was known when it was placed", () => {
     const open = attempt();
     open.state!.begin(
--- a/packages/core/src/gateway/call.ts
+++ b/packages/core/src/gateway/call.ts
@@ -38,8 +38,10 @@
   readonly madeAt: Instant;
   /** When it was allowed to be written. */
   sentAt: Instant | undefined;
-  /** When bytes last came from it. */
+  /** When bytes last came from it, or it was read again after it had been held back. */
   heardAt: Instant | undefined;
+  /** Since when it is not read, because its caller has no room. */
+  heldSince: Instant | undefined;
   /** Whether its answer says failure. */
   failed: boolean;
   /** Bytes that it sent of an event that is not whole yet. */
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -126,6 +126,21 @@
     call.sent += attemptsOf(call, attempt);
   }
 
+  /** An attempt is not read because its caller has no room, or is read again. */
+  noteHeld(
+    { trace }: Call,
+    attempt: OpenAttempt,
+    { held, now }: { held: boolean; now: Instant },
+  ): void {
+    if (held) {
+      attempt.heldSince ??= now;
+    } else if (attempt.heldSince !== undefined) {
+      trace.held(milliseconds(now - attempt.heldSince), now);
+      attempt.heldSince = undefined;
+      attempt.heardAt = now;
+    }
+  }
+
   /** Takes the load that an answer tells. */
   noteLoad({ state }: OpenAttempt, { load }: CallAnswer, now: Instant): void {
     if (state !== undefined) {
@@ -143,6 +158,7 @@
   ): void {
     const { attempt } = call;
     if (attempt !== undefined) {
+      this.noteHeld(call, attempt, { held: false, now });
       call.log.record(attempt.id, state);
       attempt.state?.end(attempt.id, now);
       this.#calls.delete(attempt.id);
@@ -200,6 +216,7 @@
       madeAt: now,
       sentAt: undefined,
       heardAt: undefined,
+      heldSince: undefined,
       failed: false,
       unfinished: 0,
     };
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -241,6 +241,14 @@
     }
   }
 
+  /** Its caller has no room, or has room again. */
+  held(id: AttemptId, held: boolean, now: Instant): void {
+    const found = this.#attempts.find(id);
+    if (found !== undefined) {
+      this.#attempts.noteHeld(found.call, found.attempt, { held, now });
+    }
+  }
+
   /** An attempt is over. */
   ended(id: AttemptId, end: CallEnd, now: Instant): void {
     const found = this.#attempts.find(id);
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -193,10 +193,14 @@
 
   /** Leaves an endpoint from which nothing comes. */
   #checkSilence(call: Call, attempt: OpenAttempt, now: Instant): void {
-    const { state, sentAt } = attempt;
+    const { state, sentAt, heldSince } = attempt;
     if (state === undefined || sentAt === undefined || !call.mayRepeat) {
       return;
     }
+    if (heldSince !== undefined) {
+      // Nothing is heard because nothing is read: a slow caller would have its stream run again.
+      return;
+    }
     const engine = state.service?.engine !== undefined;
     const quiet = now - Math.max(attempt.heardAt ?? sentAt, sentAt);
     const limit = engine
--- a/packages/core/src/gateway/call_trace.ts
+++ b/packages/core/src/gateway/call_trace.ts
@@ -4,10 +4,13 @@
  *
  * @module
  */
-import type { Instant } from "../ids/index.ts";
+import type { Instant, Milliseconds } from "../ids/index.ts";
 import type { Call, OpenAttempt } from "./call.ts";
 import type { CallTarget } from "./messages.ts";
 
+/** A caller that has no room for this part of its stream's time is the one that is slow. */
+const SLOW_PART = 0.5;
+
 /** Why a request was served late or not at all, as far as the entry saw it. */
 export type LossCause =
   /** No place for it in time. */
@@ -18,6 +21,8 @@
   | "paused"
   /** Its events came, too slowly for its time. */
   | "starved"
+  /** Its caller read too slowly. */
+  | "slow_caller"
   /** The endpoint or its connection broke off. */
   | "endpoint_lost"
   /** The endpoint answered with a failure. */
@@ -53,6 +58,7 @@
   #firstAt: Instant | undefined;
   #lastAt: Instant | undefined;
   #longestPause = 0;
+  #heldFor = 0;
   #events = 0;
 
   /** An attempt is made; call it before the attempt counts at the endpoint. */
@@ -86,6 +92,12 @@
     this.#events++;
   }
 
+  /** An attempt was not read for so long, because its caller had no room: no pause of the endpoint's. */
+  held(duration: Milliseconds, now: Instant): void {
+    this.#heldFor += duration;
+    this.#lastAt = now;
+  }
+
   /** An attempt is left; call it before the next one is made. */
   interrupted({ target, unfinished }: OpenAttempt, leftFor: string): void {
     this.#interruption = {
@@ -115,6 +127,9 @@
       const waited = this.#sentAt - call.arrivedAt;
       return waited > start / 2 ? "waited" : "slow_start";
     }
+    if (!served && this.#heldFor > (now - this.#firstAt!) * SLOW_PART) {
+      return "slow_caller";
+    }
     if (pause > (pauseObjective ?? Infinity)) {
       return "paused";
     }
@@ -133,6 +148,7 @@
       sentMs: since(this.#sentAt),
       firstMs: since(this.#firstAt),
       pauseMs: Math.round(this.#longestPause),
+      heldMs: Math.round(this.#heldFor),
       events: this.#events,
       endedMs: since(now),
       relayed: head.relay !== undefined,
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -281,6 +281,8 @@
         return this.#calls.answered(event.attempt, event.answer, now);
       case "progress":
         return this.#calls.progress(event.attempt, event, now);
+      case "held":
+        return this.#calls.held(event.attempt, event.held, now);
       case "ended":
         return this.#calls.ended(event.attempt, event.end, now);
       case "callerGone":
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -209,6 +209,12 @@
     /** Bytes of an event that is not whole yet. */
     readonly unfinished: number;
   }
+  /** Its caller has no room for more, so that it is not read; or it is read again. */
+  | {
+    readonly kind: "held";
+    readonly attempt: AttemptId;
+    readonly held: boolean;
+  }
   | {
     readonly kind: "ended";
     readonly attempt: AttemptId;
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -122,10 +122,12 @@
 
   hold(): void {
     this.#connection!.hold();
+    this.#tellHeld(true);
   }
 
   release(): void {
     this.#connection!.release();
+    this.#tellHeld(false);
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -299,6 +301,10 @@
     });
   }
 
+  #tellHeld(held: boolean): void {
+    this.#tools.tell({ kind: "held", attempt: this.#attempt.id, held });
+  }
+
   #keep(chunk: Buffer): void {
     if (this.#bytes <= MAX_HELD_BYTES) {
       this.#kept.push(chunk);
