fix: a stream is framed by its entry, not with its first endpoint's length

The head of the first endpoint's answer goes to the caller with its length where it told one. When the stream goes on at another endpoint, its part may be longer or shorter (one more version line does it): the caller reads up to the length it was told, so that the stream ends inside an event and counts as whole, and the bytes behind it stand before the next answer on that connection; or it waits for bytes that never come.

Events are passed on one by one, so the entry frames them, in chunks.

--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -276,7 +276,9 @@
     if (verdict.kind === "forward") {
       this.#exchange.begin(this.#status, {
         reason: this.#reason,
-        headers: protocol.answerHeaders(this.#headers),
+        // Another endpoint may go on, whose part has another length: told this one, the caller would take
+        // an answer that ends inside an event for whole.
+        headers: withoutLength(protocol.answerHeaders(this.#headers)),
       });
     }
     this.#writer = this.#exchange.openWriter(this);
