fix: an answer is broken off after what was written, not in the middle of it

Breaking off closed the caller's connection at once, and with it went what a slow caller had not read yet: its last event was torn.

Now the connection ends once everything written has left, without the last chunk, so that the answer is visibly not whole; a caller that reads nothing for five seconds loses its connection as before. The attempt's writer is closed first.

--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -12,6 +12,7 @@
 } from "@sassafrasstep/core";
 import { OFFERED_HEADER, VERDICT_HEADER } from "../callers/headers.ts";
 import { type AnswerSource, AnswerWriter } from "./answer_writer.ts";
+import { breakReply } from "./broken_reply.ts";
 import type { CallerProtocol, RawHeaders } from "./protocol.ts";
 
 const NO_CONTENT_STATUSES: ReadonlySet<number> = new Set([204, 304]);
@@ -108,17 +109,17 @@
     this.#options.reply.end(body);
   }
 
-  /** Ends the connection: the caller must see that the answer is not whole. */
+  /** Ends the connection after what was written: the caller must see that the answer is not whole. */
   breakOff(): void {
-    this.#options.reply.destroy();
+    this.#writer?.close();
+    breakReply(this.#options.reply);
   }
 
   /** An answer of the entry's own. */
   refuse(refusal: CallRefusal): void {
     const { reply, protocol } = this.#options;
     if (reply.destroyed || reply.headersSent) {
-      reply.destroy();
-      return;
+      return this.breakOff();
     }
     const body = Buffer.from(JSON.stringify({
       type: "about:blank",
