--- a/playground/src/bytes/byte_fleet.ts
+++ b/playground/src/bytes/byte_fleet.ts
@@ -8,6 +8,7 @@
 import { StandInStore } from "../platform/stand_in_store.ts";
 import type { SeenAnswer } from "./event_text.ts";
 import { freePorts, LocalEntry } from "./local_entry.ts";
+import { ProcessEntry } from "./process_entry.ts";
 import type { RawEngine } from "./raw_engine.ts";
 import { askStream, type StreamQuestion } from "./stream_caller.ts";
 
@@ -22,12 +23,19 @@
   readonly entries?: readonly string[];
   /** Endpoints that one request may be sent to. */
   readonly attempts?: number;
+  /** Whether each entry is a process of its own. */
+  readonly processes?: boolean;
+  /** Time that a planned stop of an entry may take. */
+  readonly stopSeconds?: number;
 }
 
+/** An entry, in this process or in one of its own. */
+export type ByteEntry = LocalEntry | ProcessEntry;
+
 /** A running fleet. */
 export class ByteFleet {
   readonly store = new StandInStore();
-  readonly entries: LocalEntry[] = [];
+  readonly entries: ByteEntry[] = [];
   readonly engines: { readonly engine: RawEngine; readonly address: string }[] =
     [];
   readonly #plan: ByteFleetPlan;
@@ -38,7 +46,8 @@
 
   /** Starts everything and waits until all serve. */
   async start(): Promise<void> {
-    const { engines, entries = ["a"], attempts = 3 } = this.#plan;
+    const { engines, entries = ["a"], attempts = 3, stopSeconds } = this.#plan;
+    const start = this.#plan.processes ? ProcessEntry.start : LocalEntry.start;
     const storeAddress = await this.store.listen();
     for (const { engine, region = "a" } of engines) {
       const address = await engine.listen();
@@ -53,7 +62,7 @@
     );
     for (const [index, region] of entries.entries()) {
       this.entries.push(
-        await LocalEntry.start({
+        await start({
           name: `entry-${index + 1}`,
           host: hosts[index]!,
           zone: `${region}-1`,
@@ -62,6 +71,7 @@
           seeds: hosts.map((host) => `${host}:1`),
           zones,
           storeAddress,
+          stopSeconds,
         }),
       );
     }
--- a/playground/src/bytes/index.ts
+++ b/playground/src/bytes/index.ts
@@ -1,4 +1,4 @@
-export { ByteFleet, type ByteFleetPlan } from "./byte_fleet.ts";
+export { type ByteEntry, ByteFleet, type ByteFleetPlan } from "./byte_fleet.ts";
 export {
   eventOf,
   eventsOf,
@@ -13,6 +13,7 @@
   LocalEntry,
   type LocalPlace,
 } from "./local_entry.ts";
+export { ProcessEntry } from "./process_entry.ts";
 export {
   type Framing,
   RawEngine,
--- a/playground/src/bytes/local_entry.ts
+++ b/playground/src/bytes/local_entry.ts
@@ -61,6 +61,8 @@
   /** Region of each zone. */
   readonly zones: Readonly<Record<string, string>>;
   readonly storeAddress: string;
+  /** Time that a planned stop may take. */
+  readonly stopSeconds?: number;
 }
 
 /** One entry. */
@@ -110,10 +112,16 @@
   }
 }
 
-const PORTS = 4;
+/** Ports of an entry beside the one for peers. */
+export const PORTS = 4;
+const STOP_SECONDS = 8;
 
-function settingsOf(place: LocalPlace, ports: number[]): string {
-  const { host, zones } = place;
+/** The text of an entry's settings. */
+export function settingsOf(
+  place: LocalPlace,
+  ports: readonly number[],
+): string {
+  const { host, zones, stopSeconds = STOP_SECONDS } = place;
   const [callers, directory, readiness, control] = ports;
   return `[entry]
 id = ${place.name}
@@ -137,7 +145,7 @@
 address = ${place.storeAddress}
 [bounds]
 repeat_slack = 10000
-stop_s = 8
+stop_s = ${stopSeconds}
 `;
 }
 
--- a/playground/src/bytes/raw_engine.ts
+++ b/playground/src/bytes/raw_engine.ts
@@ -27,7 +27,9 @@
   | "closed"
   | "reset"
   /** Nothing more comes, and the connection stays open. */
-  | "silent";
+  | "silent"
+  /** Not even a head comes. */
+  | "never";
 
 /** What an engine does with a run. */
 export interface RunScript {
@@ -126,6 +128,9 @@
       socket.write(plainAnswer(status, own));
       return;
     }
+    if (script.stop === "never") {
+      return;
+    }
     const body = eventsOf(call, { count: events, after, style });
     socket.write(streamHead(call, { script, length: body.length }));
     await say(socket, body, script);
@@ -229,5 +234,6 @@
       socket.resetAndDestroy();
       return;
     case "silent":
+    case "never":
   }
 }
