fix: a planned stop ends with answers that have left, up to a whole event

A stopping entry whose time was up ended its process with requests in it. What a slow caller had not read yet went with it, in the middle of an event, also of answers that counted as complete; callers still without an answer got none, and could not know whether their request had run.

At the end of its time the entry ends each request: a stream that has begun is broken off, the rest is refused with the verdict of its attempts. Then the process waits until what was written has left, up to 0.2 s before it would be killed.

--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -319,6 +319,20 @@
     );
   }
 
+  /** Ends every request: the process ends. What its callers had not been told they would never learn. */
+  endAll(now: Instant): void {
+    const held = this.#hold.takeAll();
+    held.forEach(({ head }) => this.#ends.refuseHead(head, "stopping"));
+    for (const call of [...this.#calls.values()]) {
+      this.#attempts.leave(call, now);
+      if (call.orphaned) {
+        this.#forget(call);
+      } else {
+        this.#ends.fail(call, "stopping", now);
+      }
+    }
+  }
+
   #meter({ head, services, route }: Call, now: Instant): void {
     const [service] = services;
     const { regions } = this.#tools;
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -318,7 +318,8 @@
   }
   /** Take no new connection, and close those that have no request. */
   | { readonly kind: "stopListening" }
-  | { readonly kind: "exit" };
+  /** End the process once answers have left, within this time. */
+  | { readonly kind: "exit"; readonly within: Milliseconds };
 
 /** Where controllers put what the shell must do. */
 export type GatewayEmit = (effect: GatewayEffect) => void;
--- a/packages/core/src/gateway/stop_controller.ts
+++ b/packages/core/src/gateway/stop_controller.ts
@@ -3,7 +3,12 @@
  *
  * @module
  */
-import { after, type Instant, type Milliseconds } from "../ids/index.ts";
+import {
+  after,
+  type Instant,
+  type Milliseconds,
+  milliseconds,
+} from "../ids/index.ts";
 import type { CallController } from "./call_controller.ts";
 import type { GatewayEmit } from "./messages.ts";
 
@@ -15,8 +20,10 @@
 const LEAST_LINGER_MS = 3_500;
 /** Without a new request for so long callers have left. */
 const QUIET_MS = 1_200;
-/** Ends this long before it would be killed. */
+/** Ends what is under way this long before it would be killed: the last bytes have to leave. */
 const MARGIN_MS = 600;
+/** And is gone this long before. */
+const LAST_MARGIN_MS = 200;
 
 /** Ends the process once callers have left and requests in flight are answered. */
 export class StopController {
@@ -73,13 +80,19 @@
     const quiet = lastArrival === undefined || now - lastArrival >= QUIET_MS;
     if (overdue || (lingered && quiet && this.#calls.active === 0)) {
       this.#ended = true;
+      const active = this.#calls.active;
+      this.#calls.endAll(now);
       this.#emit({
         kind: "log",
         part: "stop",
         text: "Stopped.",
-        fields: { requests: this.#calls.active },
+        fields: { requests: active },
+      });
+      const gone = after(this.#begunAt, this.#stopTime - LAST_MARGIN_MS);
+      this.#emit({
+        kind: "exit",
+        within: milliseconds(Math.max(0, gone - now)),
       });
-      this.#emit({ kind: "exit" });
     }
   }
 }
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -63,6 +63,11 @@
     return this.#options.message.rawHeaders;
   }
 
+  /** Calls back once the answer has left, or its connection has ended. */
+  onClosed(listener: () => void): void {
+    this.#options.reply.once("close", listener);
+  }
+
   /** Begins the answer. */
   begin(
     status: number,
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -15,6 +15,7 @@
   type Incarnation,
   type Instant,
   instant,
+  type Milliseconds,
   milliseconds,
   type RequestId,
   SeededRandomness,
@@ -28,6 +29,7 @@
 import { applyLimits, createIngress, type IngressEvents } from "./ingress.ts";
 import { readGauges } from "./gauges.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
+import { OpenAnswers } from "./open_answers.ts";
 import { OutboundCall, type OutboundTools } from "./outbound_call.ts";
 import type {
   CallerProtocol,
@@ -68,6 +70,7 @@
   readonly #metrics = new GatewayMetrics();
   readonly #connections = new Connections();
   readonly #calls = new Map<RequestId, Exchange>();
+  readonly #answers = new OpenAnswers();
   readonly #attempts = new Map<AttemptId, OutboundCall>();
   readonly #outbound: OutboundTools;
   readonly #datagrams: Datagrams;
@@ -206,6 +209,7 @@
       },
       open: (exchange) => {
         this.#calls.set(exchange.id, exchange);
+        this.#answers.add(exchange);
         this.#tell({ kind: "arrived", head: exchange.head });
         this.#hasten();
       },
@@ -268,7 +272,7 @@
       case "stopListening":
         return this.#stopListening();
       case "exit":
-        void this.#exit();
+        void this.#exit(effect.within);
     }
   }
 
@@ -315,7 +319,7 @@
     }
   }
 
-  async #exit(): Promise<void> {
+  async #exit(within: Milliseconds): Promise<void> {
     this.#ended = true;
     clearTimeout(this.#timer);
     for (const server of this.#servers) {
@@ -323,6 +327,7 @@
       server.closeIdleConnections();
     }
     this.#datagrams.close();
+    await this.#answers.left(within);
     this.#connections.closeAll();
     await this.#platform.source.close();
     this.#exited();
