fix: a stream that is turned away on its way elsewhere finds another way

An endpoint that was to go on with a stream and said that it had not run it (full, or another process at its address), or an entry of another region that had no place, ended the stream: the caller saw it break, although attempts were left and other endpoints stood idle. A failure there made it try another.

Now both do, within the route's attempts, the budget of repeats and the two refusals that any request has; without another way it breaks off as before, so that its caller can go elsewhere at once. A region that turned it away is left out for a moment, as for a request that has not begun.

--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -77,16 +77,16 @@
       call.offered += answer.offered ?? 1;
     }
     this.#tools.attempts.close(call, "refused", now);
+    if (declined && !this.#tools.quarantine.isSuspect(call.head.fingerprint)) {
+      this.#tools.router.noteDeclined(call, target.region, now);
+    }
     if (declined && call.phase !== "answering") {
       // No endpoint got it, so that another way is no repeat.
-      if (!this.#tools.quarantine.isSuspect(call.head.fingerprint)) {
-        this.#tools.router.noteDeclined(call, target.region, now);
-      }
       return this.#tools.placer.place(call, now);
     }
     call.rejections++;
     if (call.phase === "answering") {
-      return this.#tools.ends.breakOff(call, "endpoint_lost", now);
+      return this.#turnedAway(call, now);
     }
     if (answer.status === NOT_FOUND) {
       return this.#tools.ends.fail(call, "no_route", now);
@@ -99,6 +99,14 @@
     this.#tools.ends.fail(call, "rejected", now, answer.retryAfter);
   }
 
+  /** The rest of a stream ran nowhere: broken off, its caller would lose time and come back for it. */
+  #turnedAway(call: Call, now: Instant): void {
+    if (call.rejections > MOST_REJECTIONS) {
+      return this.#tools.ends.breakOff(call, "endpoint_lost", now);
+    }
+    this.#breakOffOrRetry(call, now);
+  }
+
   /** An interrupted stream goes on at another endpoint, under the head of its first answer. */
   goOn(call: Call, { status, events }: CallAnswer, now: Instant): void {
     const { id } = call.attempt!;
