test: callers that come back for the rest, keep their connections or ask one behind the other

A caller leaves in the middle of its stream and gets exactly the rest at another entry, its first run is ended; the rest may break off and go on too; a last event that is no number, empty or beyond the end goes to the endpoint as it was said.

--- a/playground/src/bytes/raw_engine.ts
+++ b/playground/src/bytes/raw_engine.ts
@@ -84,6 +84,11 @@
     return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
 
+  /** Connections that are open to it. */
+  get connections(): number {
+    return this.#sockets.size;
+  }
+
   /** Ends every connection, as a process that is killed. */
   drop(): void {
     this.#sockets.forEach((socket) => socket.resetAndDestroy());
--- a/playground/src/bytes/stream_caller.ts
+++ b/playground/src/bytes/stream_caller.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { request } from "node:http";
+import { type Agent, request } from "node:http";
 import { HEADERS } from "@sassafrasstep/platform";
 import type { SeenAnswer } from "./event_text.ts";
 
@@ -14,8 +14,12 @@
   readonly host?: string;
   /** Milliseconds that the caller waits. */
   readonly time?: number;
-  /** Last event that it has. */
-  readonly after?: number;
+  /** Last event that it has, or what it says in its place. */
+  readonly after?: number | string;
+  /** Keeps its connections; none is kept without it. */
+  readonly agent?: Agent;
+  /** Has it leave before the end. */
+  readonly leave?: AbortSignal;
   /** Told of bytes as they come; a promise holds further reading back. */
   readonly onBytes?: (bytes: number) => Promise<void> | void;
 }
@@ -33,6 +37,8 @@
     host = "kiosk.example",
     time = DEFAULT_TIME_MS,
     after,
+    agent,
+    leave,
     onBytes,
   }: StreamQuestion,
 ): Promise<SeenAnswer> {
@@ -43,14 +49,17 @@
     const end = (kind: SeenAnswer["end"]): void => {
       clearTimeout(timer);
       resolve({ status, body: Buffer.concat(parts).toString(), end: kind });
-      asked.destroy();
+      if (kind !== "whole") {
+        asked.destroy();
+      }
     };
     const asked = request({
       host: address.slice(0, colon),
       port: Number(address.slice(colon + 1)),
       path,
       method: "POST",
-      agent: false,
+      agent: agent ?? false,
+      signal: leave,
       headers: {
         host,
         [HEADERS.call]: call,
