--- a/packages/daemon/src/gateway/__tests__/outbound_call.test.ts
+++ b/packages/daemon/src/gateway/__tests__/outbound_call.test.ts
@@ -14,6 +14,9 @@
 const CHUNKED = `${HEAD}transfer-encoding: chunked\r\n\r\n`;
 const UNFRAMED = `${HEAD}connection: close\r\n\r\n`;
 
+/** What one read of a socket brings at most. */
+const SOCKET_BYTES = 65_536;
+
 function say(text: string, then?: (socket: Socket) => void): RawAnswer {
   return (socket) => socket.write(text, () => then?.(socket));
 }
@@ -315,6 +318,42 @@
       }, 5_000);
     });
 
+    it("is not read further than its caller has room, and gives the rest later", async () => {
+      const event = `id: 1\ndata: ${"x".repeat(1_000)}\n\n`;
+      const body = event.repeat(20_000);
+      endpoint = await listenRaw(
+        say(`${HEAD}content-length: ${body.length}\r\n\r\n${body}`),
+      );
+      const { seen, done } = attempt(endpoint.address, {
+        connections,
+        streaming: true,
+        slow: true,
+      });
+      await until(() => seen.resume !== undefined);
+      await new Promise((resolve) => setTimeout(resolve, 100));
+      expect(seen.body.length).toBeLessThan(SOCKET_BYTES);
+      seen.resume!();
+      await done;
+      expect(seen.body === body).toBe(true);
+      expect(endOf(seen)).toBe("complete");
+    });
+
+    it(
+      "leaves a connection that is read, where it is whole before its caller has room",
+      async () => {
+        endpoint = await listenRaw(
+          say(`${CHUNKED}${chunk(FIRST)}0\r\n\r\n`),
+        );
+        const options = { connections, streaming: true };
+        const first = attempt(endpoint.address, { ...options, slow: true });
+        await first.done;
+        const second = await attempt(endpoint.address, options).done;
+        expect(second.body).toBe(FIRST);
+        expect(endpoint.connections).toBe(1);
+      },
+      5_000,
+    );
+
     it("is given up at once", async () => {
       let closed = false;
       endpoint = await listenRaw((socket) => {
