--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from "vitest";
 import {
+  type AttemptId,
   type CallId,
   type EndpointId,
   instant,
@@ -20,9 +21,10 @@
 import type { CallRouter, Way } from "../call_router.ts";
 import { ColdAllowance } from "../cold_allowance.ts";
 import { EndpointState } from "../endpoint_state.ts";
-import type { GatewayBounds, GatewayEffect } from "../messages.ts";
+import type { CallAnswer, GatewayBounds, GatewayEffect } from "../messages.ts";
 import { RepeatBudget } from "../repeat_budget.ts";
 import type { RegionController } from "../region_controller.ts";
+import { engine } from "./engine_fixture.ts";
 import { emptyQuarantine, fingerprint } from "./quarantine_fixture.ts";
 
 const SERVICE = "pool" as ServiceId;
@@ -63,7 +65,7 @@
 };
 
 /** A controller whose router says what the test says, and counts. */
-function build(): {
+function build(route = ROUTE): {
   controller: CallController;
   effects: GatewayEffect[];
   asked: { count: number; way: Way };
@@ -85,10 +87,10 @@
     emit: (effect) => effects.push(effect),
     random: new SeededRandomness(1),
     catalogue: {
-      table: new RouteTable(DOCUMENT),
+      table: new RouteTable({ ...DOCUMENT, routes: [route] }),
       isOld: () => false,
     } as never,
-    endpoints: { all: () => [] } as never,
+    endpoints: { all: () => [], hasStartedAgain: () => false } as never,
     regions: {
       noteArrival: () => {},
       traffic: { add: () => {} },
@@ -188,3 +190,55 @@
     expect(controller.active).toBe(0);
   });
 });
+
+describe("a stream that is held back for its caller", () => {
+  const ANSWER: CallAnswer = {
+    status: 200,
+    notRun: false,
+    genuine: true,
+    load: undefined,
+    retryAfter: undefined,
+    offered: undefined,
+    events: true,
+  };
+
+  // A caller that did not read for 1.5 s had its stream run again elsewhere: nothing was heard from the
+  // endpoint, because nothing was read. What is read again has the full time to say something.
+  it("is not silent, and is once nothing comes after it is read again", () => {
+    const { controller, effects, asked } = build({
+      ...ROUTE,
+      attempts: 2,
+      resumable: true,
+    });
+    asked.way = {
+      kind: "endpoint",
+      placement: {
+        kind: "chosen",
+        state: engine("e1"),
+        prefill: 0,
+        tokens: 0,
+        fetchFrom: undefined,
+      },
+    };
+    const sends = (): number =>
+      effects.filter(({ kind }) => kind === "send").length;
+    arrive(controller, "a", 500);
+    const attempt = "a.1" as AttemptId;
+    controller.commit(attempt, instant(10));
+    controller.answered(attempt, ANSWER, instant(20));
+    const events = { lastEventId: "1", unnumbered: false, unfinished: 0 };
+    controller.progress(attempt, events, instant(30));
+    controller.held(attempt, true, instant(30));
+    for (let at = 100; at < 6_000; at += 25) {
+      controller.tick(instant(at));
+    }
+    controller.held(attempt, false, instant(6_000));
+    controller.tick(instant(6_025));
+    controller.tick(instant(7_400));
+    expect(sends()).toBe(1);
+    for (let at = 7_425; at < 8_000; at += 25) {
+      controller.tick(instant(at));
+    }
+    expect(sends()).toBe(2);
+  });
+});
