--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -243,6 +243,14 @@
     }
   }
 
+  /** Its caller has no room, or has room again. */
+  held(id: AttemptId, held: boolean, now: Instant): void {
+    const found = this.#attempts.find(id);
+    if (found !== undefined) {
+      this.#attempts.noteHeld(found.call, found.attempt, { held, now });
+    }
+  }
+
   /** An attempt is over. */
   ended(id: AttemptId, end: CallEnd, now: Instant): void {
     const found = this.#attempts.find(id);
@@ -313,6 +321,20 @@
     );
   }
 
+  /** Ends every request: the process ends. What its callers had not been told they would never learn. */
+  endAll(now: Instant): void {
+    const held = this.#hold.takeAll();
+    held.forEach(({ head }) => this.#ends.refuseHead(head, "stopping"));
+    for (const call of [...this.#calls.values()]) {
+      this.#attempts.leave(call, now);
+      if (call.orphaned) {
+        this.#forget(call);
+      } else {
+        this.#ends.fail(call, "stopping", now);
+      }
+    }
+  }
+
   #meter({ head, services, route }: Call, now: Instant): void {
     const [service] = services;
     const { regions } = this.#tools;
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -209,6 +209,12 @@
     /** Bytes of an event that is not whole yet. */
     readonly unfinished: number;
   }
+  /** Its caller has no room for more, so that it is not read; or it is read again. */
+  | {
+    readonly kind: "held";
+    readonly attempt: AttemptId;
+    readonly held: boolean;
+  }
   | {
     readonly kind: "ended";
     readonly attempt: AttemptId;
@@ -312,7 +318,8 @@
   }
   /** Take no new connection, and close those that have no request. */
   | { readonly kind: "stopListening" }
-  | { readonly kind: "exit" };
+  /** End the process once answers have left, within this time. */
+  | { readonly kind: "exit"; readonly within: Milliseconds };
 
 /** Where controllers put what the shell must do. */
 export type GatewayEmit = (effect: GatewayEffect) => void;
--- a/packages/daemon/src/gateway/__tests__/outbound_call.test.ts
+++ b/packages/daemon/src/gateway/__tests__/outbound_call.test.ts
@@ -14,6 +14,9 @@
 const CHUNKED = `${HEAD}transfer-encoding: chunked\r\n\r\n`;
 const UNFRAMED = `${HEAD}connection: close\r\n\r\n`;
 
+/** What one read of a socket brings at most. */
+const SOCKET_BYTES = 65_536;
+
 function say(text: string, then?: (socket: Socket) => void): RawAnswer {
   return (socket) => socket.write(text, () => then?.(socket));
 }
@@ -260,6 +263,97 @@
       expect(endOf(seen)).toBe("complete");
     });
 
+    // An entry died with all its streams, by an assertion of the HTTP client: "assert(!this.paused)". A caller
+    // had no room for more, so reading was held back, and meanwhile the endpoint's connection ended or was
+    // reset under an answer that ends with it. The client then ends its parser, which must not be paused.
+    describe("whose caller has no room while the connection ends", () => {
+      const CLOSING = `${HEAD}connection: close\r\n`;
+      const cases: readonly {
+        name: string;
+        head: string;
+        then: (socket: Socket) => void;
+        end: string;
+      }[] = [
+        {
+          name: "in order after an answer without a length",
+          head: `${CLOSING}\r\n${FIRST}`,
+          then: (socket) => socket.end(),
+          end: "complete",
+        },
+        {
+          name: "by a reset of an answer without a length",
+          head: `${CLOSING}\r\n${FIRST}`,
+          then: (socket) => socket.resetAndDestroy(),
+          end: "lost",
+        },
+        {
+          name: "by a reset of a chunked answer",
+          head: `${CLOSING}transfer-encoding: chunked\r\n\r\n${chunk(FIRST)}`,
+          then: (socket) => socket.resetAndDestroy(),
+          end: "lost",
+        },
+        {
+          name: "in order after a whole chunked answer",
+          head: `${CLOSING}transfer-encoding: chunked\r\n\r\n${chunk(FIRST)}`,
+          then: (socket) => socket.end("0\r\n\r\n"),
+          end: "complete",
+        },
+      ];
+      it.each(cases)("$name: $end", async ({ head, then, end }) => {
+        endpoint = await listenRaw((socket) => {
+          socket.write(head);
+          setTimeout(() => then(socket), 10);
+        });
+        const { seen, done } = attempt(endpoint.address, {
+          connections,
+          streaming: true,
+          slow: true,
+        });
+        await until(() => seen.resume !== undefined);
+        await new Promise((resolve) => setTimeout(resolve, 50));
+        seen.resume!();
+        await done;
+        expect(endOf(seen)).toBe(end);
+        expect(seen.body).toBe(FIRST);
+      }, 5_000);
+    });
+
+    it("is not read further than its caller has room, and gives the rest later", async () => {
+      const event = `id: 1\ndata: ${"x".repeat(1_000)}\n\n`;
+      const body = event.repeat(20_000);
+      endpoint = await listenRaw(
+        say(`${HEAD}content-length: ${body.length}\r\n\r\n${body}`),
+      );
+      const { seen, done } = attempt(endpoint.address, {
+        connections,
+        streaming: true,
+        slow: true,
+      });
+      await until(() => seen.resume !== undefined);
+      await new Promise((resolve) => setTimeout(resolve, 100));
+      expect(seen.body.length).toBeLessThan(SOCKET_BYTES);
+      seen.resume!();
+      await done;
+      expect(seen.body === body).toBe(true);
+      expect(endOf(seen)).toBe("complete");
+    });
+
+    it(
+      "leaves a connection that is read, where it is whole before its caller has room",
+      async () => {
+        endpoint = await listenRaw(
+          say(`${CHUNKED}${chunk(FIRST)}0\r\n\r\n`),
+        );
+        const options = { connections, streaming: true };
+        const first = attempt(endpoint.address, { ...options, slow: true });
+        await first.done;
+        const second = await attempt(endpoint.address, options).done;
+        expect(second.body).toBe(FIRST);
+        expect(endpoint.connections).toBe(1);
+      },
+      5_000,
+    );
+
     it("is given up at once", async () => {
       let closed = false;
       endpoint = await listenRaw((socket) => {
--- a/playground/src/bytes/raw_engine.ts
+++ b/playground/src/bytes/raw_engine.ts
@@ -27,7 +27,9 @@
   | "closed"
   | "reset"
   /** Nothing more comes, and the connection stays open. */
-  | "silent";
+  | "silent"
+  /** Not even a head comes. */
+  | "never";
 
 /** What an engine does with a run. */
 export interface RunScript {
@@ -82,6 +84,11 @@
     return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
 
+  /** Connections that are open to it. */
+  get connections(): number {
+    return this.#sockets.size;
+  }
+
   /** Ends every connection, as a process that is killed. */
   drop(): void {
     this.#sockets.forEach((socket) => socket.resetAndDestroy());
@@ -126,6 +133,9 @@
       socket.write(plainAnswer(status, own));
       return;
     }
+    if (script.stop === "never") {
+      return;
+    }
     const body = eventsOf(call, { count: events, after, style });
     socket.write(streamHead(call, { script, length: body.length }));
     await say(socket, body, script);
@@ -229,5 +239,6 @@
       socket.resetAndDestroy();
       return;
     case "silent":
+    case "never":
   }
 }
