fix: an empty id is no place from which a stream can go on

Callers got both events of a stream a second time, told whole: their ids were empty, the endpoint fell silent, and the next one was told an empty last id and began anew. An empty id was taken for a place like any other; by the format it takes the last one back. Now the place after it isn't known until an id follows, and the stream ends visibly broken.

--- a/packages/daemon/src/gateway/__tests__/event_cutter.test.ts
+++ b/packages/daemon/src/gateway/__tests__/event_cutter.test.ts
@@ -68,6 +68,8 @@
     ["data: a\n\nid: 2\ndata: b\n\n", false],
     ["id: 1\ndata: a\n\n: still there\n\n", false],
     [": still there\n\n", false],
+    ["id: 4\ndata: a\n\nid:\ndata: b\n\n", true],
+    ["id:\ndata: a\n\nid: 5\ndata: b\n\n", false],
   ])("knows events without an id in %j: %s", (text, expected) => {
     expect(new EventCutter().push(Buffer.from(text))?.unnumbered).toBe(
       expected,
--- a/packages/daemon/src/gateway/event_cutter.ts
+++ b/packages/daemon/src/gateway/event_cutter.ts
@@ -77,5 +77,9 @@
   const later = last === undefined
     ? after
     : after.slice(after.search(BLANK_LINE));
-  return { lastId: last?.[1]!.trim(), unnumbered: DATA_LINE.test(later) };
+  const id = last?.[1]!.trim();
+  // An empty id takes the last one back: sent on, another endpoint would begin anew.
+  return id === ""
+    ? { lastId: undefined, unnumbered: true }
+    : { lastId: id, unnumbered: DATA_LINE.test(later) };
 }
