fix: an endpoint whose answer comes is not silent, whatever its content

On a route of streams an answer of text that came in pieces for two and a half seconds ran at three endpoints. Since answers without events are kept until they are whole, the gateway heard nothing of their bytes: it left the endpoint as silent, again and again. Class: silence judged by one layer where another one hears. Now the bytes of such an answer are told as those of events are. Failures stay untold: their bytes are no first event, by which an engine's reading is measured. Plain routes are as they were; what they keep is untold there too, and an endpoint may be left in the middle of an answer that comes slowly (open).

--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -294,6 +294,13 @@
   }
 
   #hold(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.#attempt.streaming && this.#status === OK) {
+      // Untold, an endpoint whose bytes come would be left as silent, and the request run again.
+      this.#tellProgress();
+    }
+    if (this.#over) {
+      return;
+    }
     if (this.#bytes <= MAX_HELD_BYTES) {
       this.#held.push(chunk);
       return;
