fix: a refusal to go on with a stream is answered like a failure

A stream whose endpoint fell silent was broken off when the next endpoint turned the resumed send away as full, with two others free; a failure there was answered by a third one. A refusal vouches that nothing ran, so it says no more against another try than a failure does: it now takes the same way, within the route's attempts and the budget, and its line names the status.

--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -76,6 +76,7 @@
       call.sent -= attemptsOf(call, call.attempt!);
       call.offered += answer.offered ?? 1;
     }
+    call.trace.interrupted(call.attempt!, `Refused with ${answer.status}`);
     this.#tools.attempts.close(call, "refused", now);
     if (declined && call.phase !== "answering") {
       // No endpoint got it, so that another way is no repeat.
@@ -86,7 +87,7 @@
     }
     call.rejections++;
     if (call.phase === "answering") {
-      return this.#tools.ends.breakOff(call, "endpoint_lost", now);
+      return this.#breakOffOrRetry(call, now);
     }
     if (answer.status === NOT_FOUND) {
       return this.#tools.ends.fail(call, "no_route", now);
--- a/playground/src/bytes/__tests__/gone_on.test.ts
+++ b/playground/src/bytes/__tests__/gone_on.test.ts
@@ -153,6 +153,14 @@
       end: "whole",
       body: whole,
     });
+    expect(fleet.entries[0]!.lines("call: Stream goes on elsewhere."))
+      .toContainEqual(expect.objectContaining({
+        fields: expect.objectContaining({
+          call: "p5",
+          leftFor: "Refused with 503",
+          droppedBytes: 0,
+        }),
+      }));
   });
 
   it("goes on at a third endpoint where the second says no events", async () => {
