perf: bytes of an event are searched for its end once

With each piece that came, the whole event so far was copied and searched again: 4 MB without a boundary in pieces of 1,460 bytes took 6.7 s of the process, 32 MB in pieces of 64 KB 10.1 s, during which no stream of the entry was served and silence was counted on. Now parts are kept as they came, and only what is new is searched: 9 ms and 32 ms on the same machine. The same bytes and ids come out for each cut of a text with mixed line ends into three parts, before and after.

--- a/packages/daemon/src/gateway/__tests__/event_cutter.test.ts
+++ b/packages/daemon/src/gateway/__tests__/event_cutter.test.ts
@@ -29,6 +29,28 @@
     expect(feed([...whole]).out).toBe(whole);
   });
 
+  it("gives the same bytes and ids as events cut at once, whatever the line ends", () => {
+    const text = "id: 1\r\ndata: a\r\n\r\n: c\n\r\nid: 2\ndata: b\r\n\n\n" +
+      "id: 3\ndata: c\n\n\r\n";
+    for (let at = 0; at < text.length; at++) {
+      for (let then = at; then < text.length; then++) {
+        const cutter = new EventCutter();
+        const out = [
+          text.slice(0, at),
+          text.slice(at, then),
+          text.slice(then),
+        ].map((part) => cutter.push(Buffer.from(part)));
+        const passed = Buffer.concat([
+          ...out.map((events) => events?.bytes ?? Buffer.alloc(0)),
+          cutter.rest,
+        ]).toString();
+        const ids = out.map((events) => events?.lastId).filter(Boolean);
+        expect({ passed, last: ids.at(-1), unfinished: cutter.unfinished })
+          .toEqual({ passed: text, last: "3", unfinished: 0 });
+      }
+    }
+  });
+
   it("keeps a torn event back", () => {
     const cutter = new EventCutter();
     const events = cutter.push(Buffer.from(`${whole}id: 3\nda`));
--- a/packages/daemon/src/gateway/event_cutter.ts
+++ b/packages/daemon/src/gateway/event_cutter.ts
@@ -10,6 +10,8 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+/** Line feed, carriage return, line feed. */
+const LONGEST_BOUNDARY_BYTES = 3;
 
 /** Whole events. */
 export interface WholeEvents {
@@ -22,30 +24,48 @@
 
 /** Keeps the event that is not complete yet. One answer has one: what it keeps fits no other. */
 export class EventCutter {
-  #rest: Buffer = Buffer.alloc(0);
+  #parts: Buffer[] = [];
+  #size = 0;
+  /** Whether they hold more than line ends. */
+  #begun = false;
+  /** The last bytes of the parts: a boundary may begin there. */
+  #tail: Buffer = Buffer.alloc(0);
 
   /** Adds bytes; gives the events that they complete. */
   push(chunk: Buffer): WholeEvents | undefined {
-    const bytes = this.#rest.length === 0
-      ? chunk
-      : Buffer.concat([this.#rest, chunk]);
-    const end = lastBoundary(bytes);
-    this.#rest = bytes.subarray(end);
-    if (end === 0) {
+    // Only what is new is searched: with the whole event each time, long ones would block the process.
+    const searched = Buffer.concat([this.#tail, chunk]);
+    const end = lastBoundary(searched) - this.#tail.length;
+    if (end <= 0) {
+      this.#keep(chunk, searched);
       return undefined;
     }
-    const whole = bytes.subarray(0, end);
+    const whole = Buffer.concat([...this.#parts, chunk.subarray(0, end)]);
+    const rest = chunk.subarray(end);
+    this.#parts = [];
+    this.#size = 0;
+    this.#begun = false;
+    this.#keep(rest, rest);
     return { bytes: whole, ...positionOf(whole.toString("latin1")) };
   }
 
   /** Bytes that are no whole event. */
   get rest(): Buffer {
-    return this.#rest;
+    return Buffer.concat(this.#parts);
   }
 
   /** How many of them belong to an event that has begun. Blank lines after the last one begin none. */
   get unfinished(): number {
-    return this.#rest.every(isLineEnd) ? 0 : this.#rest.length;
+    return this.#begun ? this.#size : 0;
+  }
+
+  #keep(bytes: Buffer, searched: Buffer): void {
+    this.#parts.push(bytes);
+    this.#size += bytes.length;
+    this.#begun ||= !bytes.every(isLineEnd);
+    this.#tail = searched.subarray(
+      Math.max(0, searched.length - LONGEST_BOUNDARY_BYTES + 1),
+    );
   }
 }
 
