--- a/playground/src/bytes/__tests__/gone_on.test.ts
+++ b/playground/src/bytes/__tests__/gone_on.test.ts
@@ -138,6 +138,22 @@
     expect(runsOf("p4")).toHaveLength(1);
   });
 
+  // An event without an end was kept in memory for as long as bytes came. Nothing of it may go to a caller
+  // before it is whole, so its endpoint has to be left at some size.
+  it("leaves an event that goes on and on", async () => {
+    const endless: Script = ({ call }) => ({
+      events: EVENTS,
+      says: [
+        headOf(call),
+        "data: ",
+        ..."x".repeat(64).split("").map((letter) => letter.repeat(65_536)),
+      ],
+    });
+    const answer = await ask("p9", [endless, good], { time: SHORT_TIME_MS });
+    const whole = eventsOf("p9", { count: EVENTS });
+    expect(answer.body).toBe(whole);
+  });
+
   // An endpoint that turns a resumed send away vouches that it did not run it; a failure there was answered
   // by a third endpoint, a refusal broke the stream off.
   it("goes on after a refusal to go on", async () => {
