fix: an endpoint whose event has no end is left

Nothing of an event goes to a caller before it is whole, and nothing bounded what was kept of one: an endpoint that says bytes without a boundary filled the entry's memory, and its caller was refused at its deadline with three endpoints free. Now an event of more than a megabyte is lost like a connection that breaks.

--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -31,6 +31,8 @@
 
 /** Plain answers up to this size are held until they are whole, so that a torn one can be repeated. */
 const MAX_HELD_BYTES = 262_144;
+/** Nothing of an event goes out before it is whole: one without an end would fill the memory. */
+const MAX_EVENT_BYTES = 1_048_576;
 /** Of an answer that nobody wants so much is read, to keep its connection. */
 const MAX_DISCARDED_BYTES = 16_384;
 const FIRST_FINAL_STATUS = 200;
@@ -275,6 +277,9 @@
     }
     // Told after the write: an event that counts as passed on and never was would be missing.
     this.#tellProgress(events);
+    if (this.#cutter.unfinished > MAX_EVENT_BYTES) {
+      this.#end({ kind: "lost", detail: "An event is too long" });
+    }
   }
 
   #tellProgress(passed?: WholeEvents): void {
