fix: a stream does not go on with events that its caller has

An endpoint that took no notice of the last id began anew, and its events went out behind those that the caller had: 1, 2, 1, 2, 3 and so on, told whole. Nobody looked whether what came fits where it was to go on, although the ids say so. Now an answer that shall go on and begins with an id up to the last one is lost before any of it is passed on; the next endpoint is tried, or the caller sees the stream broken. Ids that are no whole numbers tell nothing and pass as before.

--- a/packages/daemon/src/gateway/event_cutter.ts
+++ b/packages/daemon/src/gateway/event_cutter.ts
@@ -16,6 +16,8 @@
 /** Whole events. */
 export interface WholeEvents {
   readonly bytes: Buffer;
+  /** Id of the first one that has an id. */
+  readonly firstId: string | undefined;
   /** Id of the last one that has an id. */
   readonly lastId: string | undefined;
   /** Whether events with data and without an id follow that one. */
@@ -92,14 +94,20 @@
 const BLANK_LINE = /\n\r?\n/;
 
 function positionOf(text: string): Omit<WholeEvents, "bytes"> {
-  const last = [...text.matchAll(ID_LINE)].at(-1);
+  const ids = [...text.matchAll(ID_LINE)];
+  const last = ids.at(-1);
   const after = last === undefined ? text : text.slice(last.index);
   const later = last === undefined
     ? after
     : after.slice(after.search(BLANK_LINE));
-  const id = last?.[1]!.trim();
+  const firstId = idOf(ids[0]);
+  const lastId = idOf(last);
   // An empty id takes the last one back: sent on, another endpoint would begin anew.
-  return id === ""
-    ? { lastId: undefined, unnumbered: true }
-    : { lastId: id, unnumbered: DATA_LINE.test(later) };
+  return lastId === ""
+    ? { firstId, lastId: undefined, unnumbered: true }
+    : { firstId, lastId, unnumbered: DATA_LINE.test(later) };
+}
+
+function idOf(line: RegExpMatchArray | undefined): string | undefined {
+  return line?.[1]!.trim();
 }
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -35,6 +35,7 @@
 const MAX_EVENT_BYTES = 1_048_576;
 /** Of an answer that nobody wants so much is read, to keep its connection. */
 const MAX_DISCARDED_BYTES = 16_384;
+const WHOLE_NUMBER = /^\d{1,15}$/;
 const FIRST_FINAL_STATUS = 200;
 const OK = 200;
 /** Connections to one peer. */
@@ -83,6 +84,8 @@
   #held: Buffer[] = [];
   #bytes = 0;
   #over = false;
+  /** Last event of the caller, until the first one of an answer that goes on behind it. */
+  #goesOnAfter: string | undefined;
 
   constructor(
     attempt: CallAttempt,
@@ -262,6 +265,9 @@
       effect.attempt === id
     );
     this.#mode = verdict === undefined ? "discarding" : mode;
+    this.#goesOnAfter = verdict?.kind === "goOn"
+      ? this.#attempt.resumeAfter
+      : undefined;
     if (verdict?.kind === "forward" && mode === "events") {
       this.#exchange.begin(this.#status, {
         reason: this.#reason,
@@ -272,6 +278,9 @@
 
   #pass(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     const events = this.#cutter.push(chunk);
+    if (this.#repeats(events?.firstId)) {
+      return this.#end({ kind: "lost", detail: "Events began anew" });
+    }
     if (events !== undefined) {
       this.#writeOut(controller, events.bytes);
     }
@@ -282,6 +291,20 @@
     }
   }
 
+  /**
+   * Whether an endpoint that shall go on begins with what the caller has: one that takes no notice of the
+   * last id begins anew, and the caller would get events twice. Ids that are no numbers tell nothing.
+   */
+  #repeats(firstId: string | undefined): boolean {
+    const after = this.#goesOnAfter;
+    if (after === undefined || firstId === undefined) {
+      return false;
+    }
+    this.#goesOnAfter = undefined;
+    return WHOLE_NUMBER.test(after) && WHOLE_NUMBER.test(firstId) &&
+      Number(firstId) <= Number(after);
+  }
+
   #tellProgress(passed?: WholeEvents): void {
     this.#tools.tell({
       kind: "progress",
