--- a/playground/src/guards/route_guards.ts
+++ b/playground/src/guards/route_guards.ts
@@ -233,8 +233,8 @@
     point: "routes: whole answers",
     name: "a torn event is kept back",
     file: `${SHELL}/event_cutter.ts`,
-    find: "const end = lastBoundary(bytes);",
-    replace: "const end = bytes.length;",
+    find: "const end = lastBoundary(searched) - this.#tail.length;",
+    replace: "const end = chunk.length;",
   },
   {
     point: "routes: list of entries",
