test: an endpoint's silence is told as a wait for a place; red

A request that was sent at once to an endpoint that stayed silent, and then to one that served it late, leaves a line with the cause 'waited'. Found reading what an attempt writes and its request keeps.

--- a/packages/core/src/gateway/__tests__/call_trace.test.ts
+++ b/packages/core/src/gateway/__tests__/call_trace.test.ts
@@ -96,6 +96,16 @@
     expect(cause(true, 1_300)).toBe("slow_start");
   });
 
+  // A request that was sent at once to an endpoint that stayed silent, and then to one that served it, was
+  // told as one that had waited for a place: the time of its last send counted as that of its first.
+  it("is the engine's start where the first one was left for another", () => {
+    call.trace.sent(instant(10));
+    call.trace.sent(instant(1_510));
+    expect(cause(false, 2_400)).toBe("slow_start");
+    call.trace.heard(instant(2_000));
+    expect(cause(true, 2_400)).toBe("slow_start");
+  });
+
   it("is a pause, also the one that was still under way", () => {
     call.trace.sent(instant(10));
     call.trace.heard(instant(300));
