fix: an endpoint's silence is not told as a wait for a place

A request that was sent at once to an endpoint that stayed silent, and then to one that served it late, left a line with the cause 'waited': the time of its last send took the place of that of its first. Now the first send counts; 'sentMs' is still that of the last, beside the endpoint it names.

--- a/packages/core/src/gateway/call_trace.ts
+++ b/packages/core/src/gateway/call_trace.ts
@@ -50,6 +50,7 @@
   #interruption: Interruption | undefined;
   #placed: Placed | undefined;
   #sentAt: Instant | undefined;
+  #firstSentAt: Instant | undefined;
   #firstAt: Instant | undefined;
   #lastAt: Instant | undefined;
   #longestPause = 0;
@@ -74,6 +75,7 @@
 
   sent(now: Instant): void {
     this.#sentAt = now;
+    this.#firstSentAt ??= now;
   }
 
   /** Bytes of the answer arrived. */
@@ -107,12 +109,13 @@
       this.#longestPause,
       served || this.#lastAt === undefined ? 0 : now - this.#lastAt,
     );
-    if (this.#sentAt === undefined) {
+    if (this.#firstSentAt === undefined) {
       return "waited";
     }
     const start = (this.#firstAt ?? now) - call.arrivedAt;
     if (start > objective) {
-      const waited = this.#sentAt - call.arrivedAt;
+      // Until the first send: what an endpoint took that was left is no wait for a place.
+      const waited = this.#firstSentAt - call.arrivedAt;
       return waited > start / 2 ? "waited" : "slow_start";
     }
     if (pause > (pauseObjective ?? Infinity)) {
