--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -78,6 +78,7 @@
       call.sent -= attemptsOf(call, call.attempt!);
       call.offered += answer.offered ?? 1;
     }
+    call.trace.interrupted(call.attempt!, `Refused with ${answer.status}`);
     this.#tools.attempts.close(call, "refused", now);
     if (declined && !this.#tools.quarantine.isSuspect(call.head.fingerprint)) {
       this.#tools.router.noteDeclined(call, target.region, now);
