test: the first of two writers that wait for a slow caller is never let go; red

Three ways in which the wait is over (the stream ends, the caller goes, the caller reads), red in each: the test times out after a second.

--- a/packages/daemon/src/callers/__tests__/response_stream.test.ts
+++ b/packages/daemon/src/callers/__tests__/response_stream.test.ts
@@ -21,6 +21,30 @@
     expect(text).toBe("token".repeat(1_000));
   });
 
+  describe("with two writers waiting", () => {
+    // A slow caller's time ran out while an attempt waited for it to read: the error event was written
+    // beside, and only the later of the two writers was woken. The attempt waited for ever, and kept its
+    // caller and all that it held.
+    const ends: [string, (stream: ResponseStream) => unknown][] = [
+      ["ends", (stream) => stream.end()],
+      ["is cancelled", (stream) => stream.body.cancel()],
+      ["is read", (stream) => {
+        const reader = stream.body.getReader();
+        return Promise.all(Array.from({ length: 30 }, () => reader.read()));
+      }],
+    ];
+
+    it.each(ends)("lets go of both when it %s", async (_, end) => {
+      const stream = new ResponseStream();
+      for (let index = 0; index < 15; index++) {
+        await stream.write("token");
+      }
+      const writers = [stream.write("token"), stream.write("error")];
+      void end(stream);
+      await Promise.all(writers);
+    }, 1_000);
+  });
+
   it("lets go of a writer whose reader has gone", async () => {
     const stream = new ResponseStream();
     const writing = (async (): Promise<void> => {
