fix: everybody who waits for a slow caller is let go

Cause: the body of an answer kept one waiting writer. When a slow caller's time ran out, the error event was written while the attempt still waited for the caller to read; the second wait took the place of the first, which nobody ended. Callers saw nothing of it; the entry kept one attempt, its caller and all that they held for each slow caller whose time ran out. Change: all waiting writers are kept and let go together.

--- a/packages/daemon/src/callers/response_stream.ts
+++ b/packages/daemon/src/callers/response_stream.ts
@@ -16,7 +16,8 @@
   readonly body: ReadableStream<Uint8Array>;
   readonly #encoder = new TextEncoder();
   #controller!: ReadableStreamDefaultController<Uint8Array>;
-  #resume: (() => void) | undefined;
+  /** All that wait: one that was forgotten here would keep its attempt and its caller for ever. */
+  readonly #waiting = new Set<() => void>();
   #closed = false;
 
   constructor() {
@@ -37,7 +38,7 @@
     this.#controller.enqueue(this.#encoder.encode(text));
     if ((this.#controller.desiredSize ?? 0) <= 0) {
       await new Promise<void>((resolve) => {
-        this.#resume = resolve;
+        this.#waiting.add(resolve);
       });
     }
   }
@@ -56,7 +57,7 @@
   }
 
   #wake(): void {
-    this.#resume?.();
-    this.#resume = undefined;
+    this.#waiting.forEach((resolve) => resolve());
+    this.#waiting.clear();
   }
 }
