fix: what a stream is doesn't depend on how the network cuts its bytes

Cause: all events of one read were taken before any of their faults was looked at, and a whole answer went before a fault. An end mark that contradicts the tokens, the sender's word that it broke off, or an event that is no frame was overlooked where a good end mark came in the same read, and ended the attempt where it came in the next. Callers got such a stream as whole, or the rest of it from another engine, by chance. Change: a reader of frames that belongs to the attempt gives frames and faults in their order, and events are taken one by one up to the end or the first fault.

--- a/packages/daemon/src/outbound/relay_frames.ts
+++ b/packages/daemon/src/outbound/relay_frames.ts
@@ -3,18 +3,14 @@
  *
  * @module
  */
-import {
-  type Attempt,
-  type AttemptEnd,
-  type CoreEvent,
-  type Frame,
-  parseFrame,
+import type {
+  Attempt,
+  AttemptEnd,
+  CoreEvent,
+  TokenStream,
 } from "@sassafrasstep/core";
-import { createParser } from "eventsource-parser";
 import type { Caller } from "../callers/index.ts";
-
-/** Longest event of a stream. */
-const MAX_EVENT_CHARACTERS = 65_536;
+import { type FrameEvent, FrameReader } from "./frame_reader.ts";
 
 /** What a relay works with. */
 export interface Relay {
@@ -26,38 +22,15 @@
 /** Relays until the end mark, a break or a frame that makes no sense. */
 export async function relayFrames(
   body: AsyncIterable<Uint8Array>,
-  relay: Relay,
+  { attempt, caller, tell }: Relay,
 ): Promise<AttemptEnd> {
-  const { attempt, caller, tell } = relay;
   const { tokens } = caller;
   tokens.begin(attempt.id);
-  const frames: Frame[] = [];
-  let broken: string | undefined;
-  const parser = createParser({
-    maxBufferSize: MAX_EVENT_CHARACTERS,
-    onEvent: ({ event, data }): void => {
-      const frame = event === "error" ? undefined : parseFrame(data);
-      if (frame === undefined) {
-        broken ??= event === "error"
-          ? "The sender broke off"
-          : "An event is not a frame";
-      } else {
-        frames.push(frame);
-      }
-    },
-    onError: (error): void => {
-      broken ??= error.type === "max-buffer-size-exceeded"
-        ? "An event is too long"
-        : undefined;
-    },
-  });
-  const decoder = new TextDecoder();
+  const reader = new FrameReader();
   let first = true;
   for await (const chunk of body) {
-    parser.feed(decoder.decode(chunk, { stream: true }));
     const startAt = tokens.offset;
-    const taken = takeFrames(caller, frames);
-    broken ??= taken.broken;
+    const taken = takeEvents(tokens, reader.feed(chunk));
     if (taken.tokens.length > 0) {
       if (first) {
         first = false;
@@ -66,30 +39,39 @@
       tell({ kind: "progress", attempt: attempt.id, offset: tokens.offset });
       await caller.writeTokens(startAt, taken.tokens);
     }
+    if (taken.broken !== undefined) {
+      return { kind: "lost", detail: taken.broken };
+    }
     if (tokens.isWhole) {
       caller.endTokens();
       return { kind: "streamed" };
     }
-    if (broken !== undefined) {
-      return { kind: "lost", detail: broken };
-    }
   }
   return { kind: "lost", detail: "The stream ended without its end mark" };
 }
 
-function takeFrames(
-  caller: Caller,
-  frames: Frame[],
-): { tokens: string[]; broken: string | undefined } {
-  const taken: string[] = [];
-  let broken: string | undefined;
-  for (const frame of frames.splice(0)) {
-    const accepted = caller.tokens.accept(frame);
+/**
+ * Takes events up to the end or the first that makes no sense, as if each had come by itself: what a
+ * stream is must not depend on how the network cuts its bytes.
+ */
+function takeEvents(
+  stream: TokenStream,
+  events: readonly FrameEvent[],
+): { tokens: readonly string[]; broken: string | undefined } {
+  const tokens: string[] = [];
+  for (const event of events) {
+    const accepted = event.kind === "frame"
+      ? stream.accept(event.frame)
+      : event;
+    if (accepted.kind === "broken") {
+      return { tokens, broken: accepted.detail };
+    }
     if (accepted.kind === "tokens") {
-      taken.push(...accepted.tokens);
-    } else if (accepted.kind === "broken") {
-      broken ??= accepted.detail;
+      tokens.push(...accepted.tokens);
+    }
+    if (stream.isWhole) {
+      break;
     }
   }
-  return { tokens: taken, broken };
+  return { tokens, broken: undefined };
 }
