refactor: what an attempt sends of an answer belongs to the attempt

The tokens held back for a missing one, the end mark and the attempt's id stood in the stream of the request, and each attempt had to empty them. No path was found that left any behind: an attempt is followed by another only once its own loop has returned. Now 'begin' gives an object that lives and dies with the attempt, an earlier one is deaf from then on, and of the request only the number of the next token is left.

--- a/packages/core/src/streams/__tests__/token_stream.test.ts
+++ b/packages/core/src/streams/__tests__/token_stream.test.ts
@@ -21,8 +21,7 @@
   frames: readonly Frame[],
   startAt = 0,
 ): { text: string; whole: boolean; broken: boolean } {
-  const stream = new TokenStream(startAt);
-  stream.begin(ID);
+  const stream = new TokenStream(startAt).begin(ID);
   let text = "";
   let broken = false;
   for (const frame of frames) {
@@ -108,14 +107,65 @@
   describe("a stream that goes on elsewhere", () => {
     it("drops late frames of the attempt before", () => {
       const stream = new TokenStream();
-      stream.begin("r.1");
-      stream.accept(token(0, "r.1"));
-      stream.accept(token(2, "r.1"));
-      stream.begin("r.2");
-      expect(stream.accept(token(1, "r.1")).kind).toBe("foreign");
-      expect(stream.accept({ ...token(1, "r.2"), token: "b1" })).toMatchObject({
+      const first = stream.begin("r.1");
+      first.accept(token(0, "r.1"));
+      first.accept(token(2, "r.1"));
+      const second = stream.begin("r.2");
+      expect(first.accept(token(1, "r.1")).kind).toBe("foreign");
+      expect(second.accept(token(1, "r.1")).kind).toBe("foreign");
+      expect(second.accept({ ...token(1, "r.2"), token: "b1" })).toMatchObject({
         tokens: ["b1"],
       });
+      expect(second.foreign).toBe(1);
+    });
+
+    it("is never ended by an attempt that was left", () => {
+      const stream = new TokenStream();
+      const first = stream.begin("r.1");
+      first.accept({ id: "r.1", offset: 1, token: "", done: true });
+      const second = stream.begin("r.2");
+      second.accept(token(0, "r.2"));
+      expect([first.isWhole, second.isWhole]).toEqual([false, false]);
+    });
+
+    // Attempts send ahead, end and are left at any moment, and go on sending: whatever reaches the caller
+    // is each token once, in order, and from the attempt that went on at that moment.
+    it("takes nothing from an attempt that was left, at any crossing", () => {
+      const step = fc.record({
+        attempt: fc.integer({ min: 0, max: 3 }),
+        offset: fc.integer({ min: 0, max: 5 }),
+        kind: fc.constantFrom("token", "token", "token", "end", "begin"),
+      });
+      fc.assert(fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+        const stream = new TokenStream();
+        const begun = [stream.begin("r.0")];
+        const text: string[] = [];
+        const expected: string[] = [];
+        for (const { attempt, offset, kind } of steps) {
+          if (kind === "begin") {
+            begun.push(stream.begin(`r.${begun.length}`));
+            continue;
+          }
+          const number = Math.min(attempt, begun.length - 1);
+          const current = begun.length - 1;
+          const accepted = begun[number]!.accept({
+            id: `r.${number}`,
+            offset,
+            token: `${number}:${offset}`,
+            ...(kind === "end" ? { done: true } : {}),
+          });
+          const tokens = accepted.kind === "tokens" ? accepted.tokens : [];
+          text.push(...tokens);
+          tokens.forEach(() => expected.push(`${current}:${expected.length}`));
+          if (number !== current && accepted.kind !== "foreign") {
+            return false;
+          }
+          if (begun.some(({ isWhole }, index) => isWhole && index < current)) {
+            return false;
+          }
+        }
+        return text.join() === expected.join() && stream.offset === text.length;
+      }));
     });
   });
 
--- a/packages/core/src/streams/token_stream.ts
+++ b/packages/core/src/streams/token_stream.ts
@@ -32,32 +32,68 @@
   /** Nothing sensible can come of the stream. */
   | { readonly kind: "broken"; readonly detail: string };
 
+/** How many tokens of an answer its caller has, and which attempt goes on. */
+interface Progress {
+  next: number;
+  attempt: AttemptFrames | undefined;
+}
+
 /**
- * One answer's tokens, in order and each once.
+ * One answer's tokens, in order and each once, whichever attempts they come from.
+ *
+ * Nothing but the number of the next token outlives an attempt: what one has sent ahead, its end mark and
+ * its late frames would otherwise stand among those of the next, in an answer that no engine made.
+ */
+export class TokenStream {
+  readonly #progress: Progress;
+
+  constructor(startAt = 0) {
+    this.#progress = { next: startAt, attempt: undefined };
+  }
+
+  /** Number of the next token. */
+  get offset(): number {
+    return this.#progress.next;
+  }
+
+  /** Goes on with another attempt at `offset`; frames of the one before are foreign from now on. */
+  begin(id: string): AttemptFrames {
+    const attempt = new AttemptFrames(id, this.#progress);
+    this.#progress.attempt = attempt;
+    return attempt;
+  }
+}
+
+/**
+ * What one attempt has sent of an answer.
  *
  * A stream that ends without its end mark is not whole, however tidy its last frame looks: an engine
  * that dies between two frames would pass for one that had finished, and a visitor would read half an
  * instruction. `isWhole` is true only after the end mark and every token before it.
  */
-export class TokenStream {
-  #id = "";
+export class AttemptFrames {
+  readonly #id: string;
+  readonly #progress: Progress;
   readonly #held = new Map<number, string>();
-  #next: number;
   #end: number | undefined;
   #duplicates = 0;
   #foreign = 0;
 
-  constructor(startAt = 0) {
-    this.#next = startAt;
+  /** Made by `begin` alone. */
+  constructor(id: string, progress: Progress) {
+    this.#id = id;
+    this.#progress = progress;
   }
 
-  /** Number of the next token. */
-  get offset(): number {
-    return this.#next;
+  /** Whether this attempt, still the one that goes on, has brought the answer to its end. */
+  get isWhole(): boolean {
+    return this.#goesOn && this.#end !== undefined &&
+      this.#progress.next >= this.#end;
   }
 
-  get isWhole(): boolean {
-    return this.#end !== undefined && this.#next >= this.#end;
+  /** Tokens that came before a missing one. */
+  get held(): number {
+    return this.#held.size;
   }
 
   get duplicates(): number {
@@ -68,18 +104,8 @@
     return this.#foreign;
   }
 
-  /**
-   * Goes on with another attempt at `offset`. What an earlier one sent ahead is forgotten, and its
-   * late frames, which carry its own id, are foreign from now on.
-   */
-  begin(id: string): void {
-    this.#id = id;
-    this.#held.clear();
-    this.#end = undefined;
-  }
-
   accept(frame: Frame): Accepted {
-    if (frame.id !== this.#id) {
+    if (frame.id !== this.#id || !this.#goesOn) {
       this.#foreign++;
       return { kind: "foreign" };
     }
@@ -91,10 +117,14 @@
       : this.#acceptToken(frame);
   }
 
+  get #goesOn(): boolean {
+    return this.#progress.attempt === this;
+  }
+
   #acceptEnd(offset: number): Accepted {
     const beyond = [...this.#held.keys()].some((held) => held >= offset);
     if (
-      offset < this.#next || beyond ||
+      offset < this.#progress.next || beyond ||
       (this.#end !== undefined && this.#end !== offset)
     ) {
       return { kind: "broken", detail: "The end mark contradicts the tokens" };
@@ -107,7 +137,7 @@
     if (this.#end !== undefined && offset >= this.#end) {
       return { kind: "broken", detail: "A token came after the end" };
     }
-    if (offset < this.#next || this.#held.has(offset)) {
+    if (offset < this.#progress.next || this.#held.has(offset)) {
       this.#duplicates++;
       return { kind: "tokens", tokens: [], ended: this.isWhole };
     }
@@ -123,10 +153,11 @@
 
   #release(): string[] {
     const tokens: string[] = [];
-    while (this.#held.has(this.#next)) {
-      tokens.push(this.#held.get(this.#next)!);
-      this.#held.delete(this.#next);
-      this.#next++;
+    const progress = this.#progress;
+    while (this.#held.has(progress.next)) {
+      tokens.push(this.#held.get(progress.next)!);
+      this.#held.delete(progress.next);
+      progress.next++;
     }
     return tokens;
   }
--- a/packages/daemon/src/outbound/relay_frames.ts
+++ b/packages/daemon/src/outbound/relay_frames.ts
@@ -6,8 +6,8 @@
 import type {
   Attempt,
   AttemptEnd,
+  AttemptFrames,
   CoreEvent,
-  TokenStream,
 } from "@sassafrasstep/core";
 import type { Caller } from "../callers/index.ts";
 import { type FrameEvent, FrameReader } from "./frame_reader.ts";
@@ -25,12 +25,12 @@
   { attempt, caller, tell }: Relay,
 ): Promise<AttemptEnd> {
   const { tokens } = caller;
-  tokens.begin(attempt.id);
+  const frames = tokens.begin(attempt.id);
   const reader = new FrameReader();
   let first = true;
   for await (const chunk of body) {
     const startAt = tokens.offset;
-    const taken = takeEvents(tokens, reader.feed(chunk));
+    const taken = takeEvents(frames, reader.feed(chunk));
     if (taken.tokens.length > 0) {
       if (first) {
         first = false;
@@ -42,7 +42,7 @@
     if (taken.broken !== undefined) {
       return { kind: "lost", detail: taken.broken };
     }
-    if (tokens.isWhole) {
+    if (frames.isWhole) {
       caller.endTokens();
       return { kind: "streamed" };
     }
@@ -55,13 +55,13 @@
  * stream is must not depend on how the network cuts its bytes.
  */
 function takeEvents(
-  stream: TokenStream,
+  frames: AttemptFrames,
   events: readonly FrameEvent[],
 ): { tokens: readonly string[]; broken: string | undefined } {
   const tokens: string[] = [];
   for (const event of events) {
     const accepted = event.kind === "frame"
-      ? stream.accept(event.frame)
+      ? frames.accept(event.frame)
       : event;
     if (accepted.kind === "broken") {
       return { tokens, broken: accepted.detail };
@@ -69,7 +69,7 @@
     if (accepted.kind === "tokens") {
       tokens.push(...accepted.tokens);
     }
-    if (stream.isWhole) {
+    if (frames.isWhole) {
       break;
     }
   }
--- a/playground/src/slopes/measurements.ts
+++ b/playground/src/slopes/measurements.ts
@@ -281,8 +281,7 @@
 function tokenCpu(): Measurement {
   const points = [100, 1_000, 10_000].map((tokens): Point => {
     const value = cpuOf(50, () => {
-      const stream = new TokenStream();
-      stream.begin("r.1");
+      const stream = new TokenStream().begin("r.1");
       for (let offset = 0; offset < tokens; offset++) {
         stream.accept({ id: "r.1", offset, token: " word" });
       }
