fix: what an engine says instead of the rest of a stream is no answer to the request

Cause: an attempt that ends with an answer instead of a stream was judged by its status alone, also where it had been asked for the rest of an answer that had begun. 4xx, 204 and another kind of 200 completed the request. Callers' streams ended in order in the middle, without an error event, counted as served; a completion that is held until whole was answered by the engine's word on the rest, with 'ran'. A peer's refusal of the rest did the same. Change: once an answer has begun, only a stream completes it. Anything else goes on at another engine as after a broken connection, or ends in the error event.

--- a/packages/core/src/requests/active_request.ts
+++ b/packages/core/src/requests/active_request.ts
@@ -77,6 +77,11 @@
   };
 }
 
+/** Whether a part of the answer is with the caller, or held for it, so that attempts go on after it. */
+export function hasBegun({ head, offset }: ActiveRequest): boolean {
+  return offset > head.resumeOffset;
+}
+
 /** Whether a second run of the request does no harm. */
 export function isRepeatable(service: Service): boolean {
   return service.kind === "model" || service.repeatable;
--- a/packages/core/src/requests/attempt_tracker.ts
+++ b/packages/core/src/requests/attempt_tracker.ts
@@ -18,6 +18,7 @@
 } from "../verdict/index.ts";
 import {
   type ActiveRequest,
+  hasBegun,
   isRepeatable,
   needsConfirmedText,
 } from "./active_request.ts";
@@ -135,7 +136,8 @@
       return undefined;
     }
     const attempt = request.current!;
-    const state = judgeEnd(request.service, end);
+    const begun = hasBegun(request);
+    const state = judgeEnd(request.service, end, { begun });
     const failed = end.kind === "unsent" || end.kind === "lost";
     if (failed && attempt.target.kind === "endpoint") {
       this.#with.endpoints.failed(attempt.target.endpoint, now);
@@ -259,7 +261,10 @@
     return forwardedKey && request.attempts.verdict().kind === "not_run";
   }
 
-  /** Passes a peer's own word on: a key's owner knows best, and a second region is not asked. */
+  /**
+   * Passes a peer's own word on: a key's owner knows best, and a second region is not asked. What it says
+   * of the rest of an answer is no word on the whole.
+   */
   #relay(
     request: ActiveRequest,
     { attempt, end }: { attempt: Attempt; end: AttemptEnd },
@@ -267,7 +272,7 @@
   ): boolean {
     if (
       attempt.target.kind !== "peer" || end.kind !== "answered" ||
-      end.verdict === undefined
+      end.verdict === undefined || hasBegun(request)
     ) {
       return false;
     }
@@ -303,8 +308,7 @@
     const forwardedKey = request.keyOwner !== undefined && !request.ownsAction;
     const safe = request.attempts.verdict().kind === "not_run" ||
       isRepeatable(request.service);
-    const goesOn = request.offset > request.head.resumeOffset;
-    const most = goesOn ? MAX_STREAM_ATTEMPTS : MAX_ATTEMPTS;
+    const most = hasBegun(request) ? MAX_STREAM_ATTEMPTS : MAX_ATTEMPTS;
     const inTime = now < request.deadlineAt && request.attempts.size < most;
     const allowed = safe && !forwardedKey && inTime &&
       this.#with.quarantine.mayRepeat(request);
@@ -317,8 +321,7 @@
    * Every other retry comes out of the budget.
    */
   #isAffordable(request: ActiveRequest, end: AttemptEnd): boolean {
-    const goesOn = request.offset > request.head.resumeOffset;
-    return end.kind === "unsent" || goesOn || this.#budget.spend();
+    return end.kind === "unsent" || hasBegun(request) || this.#budget.spend();
   }
 
   #close(request: ActiveRequest, state: AttemptState, now: Instant): void {
--- a/packages/core/src/requests/judge_end.ts
+++ b/packages/core/src/requests/judge_end.ts
@@ -11,8 +11,17 @@
 /** By the engines' contract, these statuses come before any work was done. */
 const ENGINE_NOT_RUN_STATUSES: readonly number[] = [429, 503];
 
-/** The final state of an attempt. Whatever is not proved is `lost`. */
-export function judgeEnd(service: Service, end: AttemptEnd): AttemptState {
+/**
+ * The final state of an attempt. Whatever is not proved is `lost`.
+ *
+ * Of an answer that has begun only the rest is asked for, as a stream. Whatever else is said then is no
+ * answer to the request: taken for one, the caller's stream would end in the middle and count as served.
+ */
+export function judgeEnd(
+  service: Service,
+  end: AttemptEnd,
+  { begun }: { begun: boolean },
+): AttemptState {
   switch (end.kind) {
     case "unsent":
       return "unsent";
@@ -20,8 +29,10 @@
       return "lost";
     case "streamed":
       return "completed";
-    case "answered":
-      return judgeAnswer(service, end);
+    case "answered": {
+      const state = judgeAnswer(service, end);
+      return begun && state === "completed" ? "lost" : state;
+    }
   }
 }
 
