fix: an endpoint that refuses connections doesn't end the entry

Cause: the look at each new connection (a plain answer without a length that is torn by a reset) was given no connection where none came about, and threw where nobody catches. Found by a test of slow callers whose engine went away: one uncaught error.

--- a/packages/daemon/src/outbound/__tests__/connections.test.ts
+++ b/packages/daemon/src/outbound/__tests__/connections.test.ts
@@ -5,7 +5,11 @@
   type Socket,
 } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
-import { createOneConnection, isConnectError } from "../connections.ts";
+import {
+  createOneConnection,
+  createSharedConnections,
+  isConnectError,
+} from "../connections.ts";
 
 const ANSWER = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 const BODY = "x".repeat(64);
@@ -104,3 +108,17 @@
     });
   });
 });
+
+describe("kept connections", () => {
+  it("tell a refused connection from a lost request", async () => {
+    // A look at each new connection took one that never came about for one that stands, and threw where
+    // nobody caught it: one endpoint that refused connections ended the entry.
+    const { origin } = await startDyingServer(0);
+    await new Promise<void>((resolve) => server.close(() => resolve()));
+    const shared = createSharedConnections();
+    const failed = await shared.request({ origin, path: "/", method: "GET" })
+      .catch((error: unknown) => error);
+    expect(isConnectError(failed)).toBe(true);
+    await shared.destroy();
+  });
+});
--- a/packages/daemon/src/outbound/watched_client.ts
+++ b/packages/daemon/src/outbound/watched_client.ts
@@ -24,7 +24,8 @@
   around(connect: buildConnector.connector): buildConnector.connector {
     return (options, callback) =>
       connect(options, (...result) => {
-        if (result[1] !== null) {
+        // The library passes an error alone, whatever its type says.
+        if (result[0] === null) {
           this.#follow(result[1]);
         }
         callback(...result);
