test: the rest of a stream, asked for by its caller elsewhere or by another entry

A caller that goes on at another entry after each event gets exactly the rest, byte by byte, while engines break in the middle of an event twice in each answer; beyond the end it is refused. An entry that is asked for frames from each offset gives exactly those, or ends with the error event.

--- a/packages/daemon/src/entry/__tests__/entry_fixture.ts
+++ b/packages/daemon/src/entry/__tests__/entry_fixture.ts
@@ -11,7 +11,9 @@
   listenRaw,
   type RawEndpoint,
 } from "../../gateway/__tests__/wire_fixture.ts";
+import { OFFSET_HEADER, REQUEST_HEADER } from "../../callers/index.ts";
 import { Logger } from "../../logs/index.ts";
+import { Credentials, PEER_HEADER } from "../../peers/index.ts";
 import { parseSettings } from "../../settings/index.ts";
 import { Entry } from "../entry.ts";
 
@@ -109,26 +111,25 @@
   #platform!: Server;
   #platformUrl = "";
   #cases = 0;
-  #entry!: Entry;
-  url = "";
+  readonly #entries: Entry[] = [];
+  /** Callers' addresses of the entries. */
+  readonly urls: string[] = [];
 
   /** What the entry has logged. */
   get lines(): readonly Line[] {
     return this.#logger.lines;
   }
 
-  /** Attempts under way at the entry, and other things that only its metrics tell. */
+  /** Metrics of the first entry. */
   get metrics(): string {
-    return this.#entry.prometheus();
+    return this.#entries[0]!.prometheus();
   }
 
-  /** Requests whose answer has not left yet. */
-  get unanswered(): number {
-    return this.#entry.unanswered;
-  }
-
-  /** Starts the platform, so many endpoints of each pool, and an entry that knows all their loads. */
-  async start(pools: Readonly<Record<string, number>>): Promise<void> {
+  /** Starts the platform, so many endpoints of each pool, and entries that know all their loads. */
+  async start(
+    pools: Readonly<Record<string, number>>,
+    { entries = 1 } = {},
+  ): Promise<void> {
     const vms: { id: string }[] = [];
     for (const [pool, count] of Object.entries(pools)) {
       for (let index = 0; index < count; index++) {
@@ -144,17 +145,21 @@
       }
     }
     await this.#startPlatform(JSON.stringify({ vms }));
-    await this.#startEntry();
-    await waitUntil(() => {
-      const { endpoints, phase } = this.#entry.status();
-      const known = endpoints.filter(({ state }) => state === "live");
-      return phase === "ready" && known.length === vms.length;
-    });
+    for (let number = 1; number <= entries; number++) {
+      await this.#startEntry(number);
+    }
+    await waitUntil(() =>
+      this.#entries.every((entry) => {
+        const { endpoints, phase } = entry.status();
+        const known = endpoints.filter(({ state }) => state === "live");
+        return phase === "ready" && known.length === vms.length;
+      })
+    );
   }
 
   async stop(): Promise<void> {
-    this.#entry.stop();
-    await this.#entry.stopped;
+    this.#entries.forEach((entry) => entry.stop());
+    await Promise.all(this.#entries.map(({ stopped }) => stopped));
     await Promise.all(this.#endpoints.map((endpoint) => endpoint.close()));
     this.#platform.closeAllConnections();
     this.#platform.close();
@@ -171,13 +176,15 @@
   /** Asks for a chat completion, and reads the answer to its end or break. */
   async chat(
     script: Script,
-    { stream = true, headers = {} }: {
+    { stream = true, headers = {}, entry = 0 }: {
       stream?: boolean;
       headers?: Record<string, string>;
+      /** Which one is asked. */
+      entry?: number;
     } = {},
   ): Promise<CallerAnswer> {
     const content = this.script(script);
-    return await this.send("/v1/chat/completions", {
+    return await this.#send(`${this.urls[entry]}/v1/chat/completions`, {
       headers,
       body: JSON.stringify({ stream, messages: [{ role: "user", content }] }),
     });
@@ -190,12 +197,15 @@
     headers: Record<string, string> = {},
   ): Promise<CallerAnswer> {
     const body = this.script(script);
-    return await this.send(`/v1/services/${service}/x`, { headers, body });
+    return await this.#send(`${this.urls[0]}/v1/services/${service}/x`, {
+      headers,
+      body,
+    });
   }
 
   /** An idempotency key that this entry owns. */
   async newKey(name: string): Promise<string> {
-    const { body } = await request(`${this.url}/v1/entries`, {
+    const { body } = await request(`${this.urls[0]}/v1/entries`, {
       headers: { authorization: `Bearer ${TOKEN}` },
     });
     const { entries } = await body.json() as {
@@ -204,21 +214,29 @@
     return `${entries[0]!.owner_token}.${name.padEnd(8, "x")}`;
   }
 
-  /** Headers that every caller sends. */
-  get callerHeaders(): Record<string, string> {
+  /** Headers by which an entry passes a request on. */
+  peerHeaders(id: string, startAt: number): Record<string, string> {
+    return {
+      [PEER_HEADER]: new Credentials(SECRET, "wire").prove(),
+      [REQUEST_HEADER]: id,
+      [OFFSET_HEADER]: String(startAt),
+    };
+  }
+
+  get #callerHeaders(): Record<string, string> {
     return {
       authorization: `Bearer ${TOKEN}`,
       "content-type": "application/json",
     };
   }
 
-  async send(
-    path: string,
+  async #send(
+    url: string,
     { headers, body }: { headers: Record<string, string>; body: string },
   ): Promise<CallerAnswer> {
-    const response = await request(`${this.url}${path}`, {
+    const response = await request(url, {
       method: "POST",
-      headers: { ...this.callerHeaders, ...headers },
+      headers: { ...this.#callerHeaders, ...headers },
       body,
     });
     let text = "";
@@ -275,10 +293,10 @@
     this.#platformUrl = `http://127.0.0.1:${port}`;
   }
 
-  async #startEntry(): Promise<void> {
+  async #startEntry(number: number): Promise<void> {
     const parsed = parseSettings(`
 [entry]
-id = n1
+id = n${number}
 deployment = wire
 region = north
 zone = north-a
@@ -293,12 +311,13 @@
     if (!parsed.ok) {
       throw new Error(JSON.stringify(parsed.faults));
     }
-    this.#entry = new Entry(parsed.settings, this.#logger);
-    await this.#entry.start();
-    const listening = this.lines.find(({ text }) =>
+    const entry = new Entry(parsed.settings, this.#logger);
+    this.#entries.push(entry);
+    await entry.start();
+    const listening = this.lines.findLast(({ text }) =>
       text.endsWith("Listening.")
     );
-    this.url = String(listening!.fields["url"]);
+    this.urls.push(String(listening!.fields["localUrl"]));
   }
 }
 
--- /dev/null
+++ b/packages/daemon/src/entry/__tests__/stream_resume.test.ts
@@ -0,0 +1,81 @@
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { EntryFixture, type Script } from "./entry_fixture.ts";
+import {
+  eventsOf,
+  framesOf,
+  judge,
+  responseOf,
+  TOKENS,
+  type Writing,
+} from "./stream_fixture.ts";
+
+const WRITING: Writing = { framing: "closing", newline: "\n", chatty: false };
+const OFFSETS = Array.from(
+  { length: TOKENS.length + 1 },
+  (_, offset) => offset,
+);
+
+/** Closes in the middle of the third event from where it began, and is whole from the third attempt on. */
+const breakTwice: Script = (socket, attempt) => {
+  const { bytes } = responseOf(framesOf(attempt), WRITING);
+  const events = eventsOf(framesOf(attempt), WRITING);
+  const head = bytes.length - Buffer.byteLength(events.join(""));
+  const part = Buffer.byteLength(events.slice(0, 2).join("")) + 10;
+  socket.end(
+    attempt.number > 2 ? bytes : bytes.subarray(0, head + part),
+  );
+};
+
+describe("a stream whose rest is asked for", () => {
+  const fixture = new EntryFixture();
+
+  beforeAll(async () => {
+    await fixture.start({ pool: 3 }, { entries: 2 });
+  });
+  afterAll(async () => {
+    await fixture.stop();
+  });
+
+  describe("by the caller, at another entry", () => {
+    it.each(OFFSETS)("gives exactly what follows event %i", async (offset) => {
+      const before = await fixture.chat(breakTwice);
+      expect(judge(before)).toBe("whole");
+      const ids = [...before.text.matchAll(/^id: (.*)$/gm)].map(([, id]) => id);
+      expect(ids.length).toBe(TOKENS.length);
+      const headers = offset === 0 ? {} : { "last-event-id": ids[offset - 1]! };
+      const rest = await fixture.chat(breakTwice, { headers, entry: 1 });
+      expect(judge(rest, offset)).toBe("whole");
+    });
+
+    it("is refused beyond the end", async () => {
+      const headers = { "last-event-id": `n1-0000-1:${TOKENS.length + 2}` };
+      const rest = await fixture.chat(breakTwice, { headers, entry: 1 });
+      expect(judge(rest, TOKENS.length + 2)).toBe("refused");
+    });
+  });
+
+  describe("by another entry", () => {
+    it.each(OFFSETS)("gives exactly the frames from %i", async (startAt) => {
+      const id = `n9-1234-${startAt}.1`;
+      const headers = fixture.peerHeaders(id, startAt);
+      const answer = await fixture.chat(breakTwice, { headers, stream: false });
+      const frames = framesOf({ id, number: 1, startAt });
+      expect(answer.text).toBe(eventsOf(frames, WRITING).join(""));
+    });
+
+    it("ends in sight where no engine is whole", async () => {
+      const id = "n9-1234-x.1";
+      const never: Script = (socket, attempt) =>
+        breakTwice(socket, { ...attempt, startAt: 0, number: 1 });
+      const answer = await fixture.chat(never, {
+        headers: fixture.peerHeaders(id, 0),
+      });
+      const whole = eventsOf(framesOf({ id, number: 1, startAt: 0 }), WRITING);
+      const part = whole.slice(0, 2).join("");
+      expect(answer.text.startsWith(part)).toBe(true);
+      expect(answer.text.slice(part.length)).toMatch(
+        /^event: error\ndata: [^\n]*\n\n$/,
+      );
+    });
+  });
+});
