feat: a line and a counter where a chat goes on elsewhere

Nothing told that a chat's stream was made by two engines: the lines named endpoints that became suspect, and no request. 'Stream goes on elsewhere.' names request, from, endpoint, afterToken, leftFor, droppedFrames and droppedCharacters, and 'streams_resumed' counts. An attempt that was never sent interrupts nothing and leaves the word of the one before it. No decision is changed.

--- a/packages/core/src/messages/request.ts
+++ b/packages/core/src/messages/request.ts
@@ -68,12 +68,24 @@
   readonly priority: number;
 }
 
+/** What an attempt sent of a stream that no caller gets. */
+export interface DroppedPart {
+  /** Frames that came before a missing one. */
+  readonly frames: number;
+  /** Characters of an event that was not whole. */
+  readonly characters: number;
+}
+
 /** How an attempt ended, as the shell saw it. */
 export type AttemptEnd =
   /** No byte of the request was handed over. */
   | { readonly kind: "unsent"; readonly detail: string }
   /** Bytes were handed over and no whole answer came. */
-  | { readonly kind: "lost"; readonly detail: string }
+  | {
+    readonly kind: "lost";
+    readonly detail: string;
+    readonly dropped?: DroppedPart;
+  }
   /** A whole answer. `verdict` only from a peer. */
   | {
     readonly kind: "answered";
--- a/packages/core/src/requests/active_request.ts
+++ b/packages/core/src/requests/active_request.ts
@@ -8,6 +8,7 @@
 import type { Attempt, BodyFacts, RequestHead } from "../messages/index.ts";
 import type { Customer, RequestClass, Service } from "../text/index.ts";
 import { AttemptLog } from "../verdict/index.ts";
+import type { Interruption } from "./interruption.ts";
 
 /**
  * Where a request stands.
@@ -34,6 +35,8 @@
   phaseSince: Instant;
   facts: BodyFacts | undefined;
   current: Attempt | undefined;
+  /** Why a stream that has begun is to go on elsewhere. */
+  interruption: Interruption | undefined;
   /** Tokens handed to the caller, of the whole stream. */
   offset: number;
   firstTokenAt: Instant | undefined;
@@ -68,6 +71,7 @@
     phaseSince: admission.arrivedAt,
     facts: undefined,
     current: undefined,
+    interruption: undefined,
     offset: admission.head.resumeOffset,
     firstTokenAt: undefined,
     lastTokenAt: undefined,
--- a/packages/core/src/requests/attempt_tracker.ts
+++ b/packages/core/src/requests/attempt_tracker.ts
@@ -23,6 +23,7 @@
   needsConfirmedText,
 } from "./active_request.ts";
 import type { Answers } from "./answers.ts";
+import { describeGoingOn, interruptionOf } from "./interruption.ts";
 import { judgeEnd } from "./judge_end.ts";
 import type { RequestTable } from "./request_table.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
@@ -79,6 +80,7 @@
     if (obstacle === undefined) {
       request.attempts.record(id, "sent");
       this.#with.quarantine.began(request, request.current!, now);
+      this.#tellGoingOn(request);
       this.#with.emit({ kind: "proceed", attempt: id });
       return undefined;
     }
@@ -168,6 +170,22 @@
     }
   }
 
+  /** Leaves a line where a stream goes on: that it was made by two engines is seen nowhere else. */
+  #tellGoingOn(request: ActiveRequest): void {
+    const { interruption, current, offset } = request;
+    if (interruption === undefined || current === undefined) {
+      return;
+    }
+    request.interruption = undefined;
+    this.#with.metrics.count("streams_resumed");
+    this.#with.emit({
+      kind: "log",
+      part: "route",
+      text: "Stream goes on elsewhere.",
+      fields: describeGoingOn(interruption, { ...current, offset }),
+    });
+  }
+
   #obstacle(request: ActiveRequest, now: Instant): string | undefined {
     const { configuration, endpoints, self } = this.#board;
     const { target } = request.current!;
@@ -237,6 +255,10 @@
       return;
     }
     if (this.#mayRetry(request, end, now)) {
+      if (hasBegun(request)) {
+        request.interruption = interruptionOf(attempt, end) ??
+          request.interruption;
+      }
       this.#with.metrics.count("retries");
       this.#with.router.route(request, now);
       return;
--- a/packages/daemon/src/entry/__tests__/stream_recovery.test.ts
+++ b/packages/daemon/src/entry/__tests__/stream_recovery.test.ts
@@ -93,6 +93,50 @@
     );
   });
 
+  it("leaves a line and a count for each time", async () => {
+    // Callers got streams that were put together out of two runs, and no line told that a stream had gone
+    // on elsewhere, after which token, or that a part of an event had come from the engine before.
+    const counted = (): number =>
+      Number(
+        /^sassafrasstep_streams_resumed_total (\d+)$/m.exec(fixture.metrics)
+          ?.[1] ?? 0,
+      );
+    const before = counted();
+    const other = (socket: Socket): unknown =>
+      socket.write(plain(404, "text/plain", "nothing here"));
+    const ahead: Script = (socket, attempt) => {
+      const [first, second, third] = eventsOf(framesOf(attempt), WRITING);
+      socket.end(
+        `HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n${first}${third}${
+          second!.slice(0, 9)
+        }`,
+      );
+    };
+    const answer = await fixture.chat(inTurn(ahead, other, writeWhole));
+    expect(judge(answer)).toBe("whole");
+    const request = answer.header("sassafrasstep-request");
+    const lines = fixture.lines.filter(({ text, fields }) =>
+      text === "route: Stream goes on elsewhere." &&
+      fields["request"] === request
+    ).map(({ fields }) => fields);
+    expect(lines).toMatchObject([
+      {
+        afterToken: 1,
+        leftFor: "The stream ended without its end mark",
+        droppedFrames: 1,
+        droppedCharacters: 9,
+      },
+      {
+        afterToken: 1,
+        leftFor: "Answered 404 instead of a stream",
+        droppedFrames: 0,
+        droppedCharacters: 0,
+      },
+    ]);
+    expect(lines[1]!["from"]).toBe(lines[0]!["endpoint"]);
+    expect(counted() - before).toBe(2);
+  });
+
   describe("that is held until it is whole", () => {
     const breaks: [string, Script][] = [
       ["breaks", breakOff],
--- a/packages/daemon/src/outbound/frame_reader.ts
+++ b/packages/daemon/src/outbound/frame_reader.ts
@@ -28,10 +28,18 @@
     },
   });
   #events: FrameEvent[] = [];
+  readonly #unfinished = new UnfinishedEvent();
+
+  /** Characters of the event that is not whole yet. */
+  get unfinished(): number {
+    return this.#unfinished.characters;
+  }
 
   /** Events that are whole with these bytes, in their order. */
   feed(bytes: Uint8Array): readonly FrameEvent[] {
-    this.#parser.feed(this.#decoder.decode(bytes, { stream: true }));
+    const text = this.#decoder.decode(bytes, { stream: true });
+    this.#unfinished.add(text);
+    this.#parser.feed(text);
     const events = this.#events;
     this.#events = [];
     return events;
@@ -54,3 +62,23 @@
     this.#events.push({ kind: "broken", detail });
   }
 }
+
+/** Counts the characters after the last blank line, which ends an event. */
+class UnfinishedEvent {
+  characters = 0;
+  /** The last characters, which may begin a blank line. */
+  #last = "";
+
+  add(text: string): void {
+    const joined = this.#last + text;
+    const end = Math.max(
+      joined.lastIndexOf("\n\n") + "\n\n".length,
+      joined.lastIndexOf("\n\r\n") + "\n\r\n".length,
+    );
+    const found = joined.includes("\n\n") || joined.includes("\n\r\n");
+    this.characters = found
+      ? joined.length - end
+      : this.characters + text.length;
+    this.#last = joined.slice(-"\n\r".length);
+  }
+}
--- a/packages/daemon/src/outbound/relay_frames.ts
+++ b/packages/daemon/src/outbound/relay_frames.ts
@@ -22,11 +22,28 @@
 /** Relays until the end mark, a break or a frame that makes no sense. */
 export async function relayFrames(
   body: AsyncIterable<Uint8Array>,
-  { attempt, caller, tell }: Relay,
+  relay: Relay,
 ): Promise<AttemptEnd> {
-  const { tokens } = caller;
-  const frames = tokens.begin(attempt.id);
+  const frames = relay.caller.tokens.begin(relay.attempt.id);
   const reader = new FrameReader();
+  const detail = await relayEvents(body, { ...relay, frames, reader })
+    .catch((error: Error) => error.message);
+  if (detail === undefined) {
+    return { kind: "streamed" };
+  }
+  const dropped = { frames: frames.held, characters: reader.unfinished };
+  return { kind: "lost", detail, dropped };
+}
+
+/** What is wrong with the stream, `undefined` where it was whole. */
+async function relayEvents(
+  body: AsyncIterable<Uint8Array>,
+  { attempt, caller, tell, frames, reader }: Relay & {
+    readonly frames: AttemptFrames;
+    readonly reader: FrameReader;
+  },
+): Promise<string | undefined> {
+  const { tokens } = caller;
   let first = true;
   for await (const chunk of body) {
     const startAt = tokens.offset;
@@ -40,14 +57,14 @@
       await caller.writeTokens(startAt, taken.tokens);
     }
     if (taken.broken !== undefined) {
-      return { kind: "lost", detail: taken.broken };
+      return taken.broken;
     }
     if (frames.isWhole) {
       caller.endTokens();
-      return { kind: "streamed" };
+      return undefined;
     }
   }
-  return { kind: "lost", detail: "The stream ended without its end mark" };
+  return "The stream ended without its end mark";
 }
 
 /**
