fix: a pause of the entry fails none of its calls beside the requests

Cause: timeouts of load polls, orders, calls to peers and reads of the platform ran on while the process stood still, and timers are served before sockets: each call under way failed with its answer in the socket. After a pause endpoints that had answered became suspect for two seconds, and requests that ran at them were suspected of having ended them; hand-overs and orders counted as not answered. Change: one timeout for all of them, that begins anew where it was held up and has the sockets read once more before it fails a call. The platform's second timeout, of the client library, is off. Not run: paused processes.

--- a/packages/daemon/src/outbound/endpoint_client.ts
+++ b/packages/daemon/src/outbound/endpoint_client.ts
@@ -5,6 +5,7 @@
  */
 import type { EngineOrder, LoadReport } from "@sassafrasstep/core";
 import { Agent, request } from "undici";
+import { callTimeout } from "../sockets/index.ts";
 import { parseLoadReport } from "./load_report.ts";
 
 const POLL_TIMEOUT_MS = 1_000;
@@ -20,7 +21,7 @@
   async pollLoad(url: string): Promise<LoadReport> {
     const response = await request(`${url}/v1/load`, {
       dispatcher: this.#agent,
-      signal: AbortSignal.timeout(POLL_TIMEOUT_MS),
+      signal: callTimeout(POLL_TIMEOUT_MS),
     });
     const text = (await response.body.text()).slice(0, MAX_REPORT_BYTES);
     const report = response.statusCode === OK
@@ -41,7 +42,7 @@
       headers: { "content-type": "application/json" },
       body: JSON.stringify({ model, fence, expected }),
       dispatcher: this.#agent,
-      signal: AbortSignal.timeout(ORDER_TIMEOUT_MS),
+      signal: callTimeout(ORDER_TIMEOUT_MS),
     });
     await response.body.dump();
     return response.statusCode === OK;
--- a/packages/daemon/src/peers/client.ts
+++ b/packages/daemon/src/peers/client.ts
@@ -11,6 +11,7 @@
 } from "@sassafrasstep/core";
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
 import { Agent, request } from "undici";
+import { callTimeout } from "../sockets/index.ts";
 import { type Credentials, PEER_HEADER } from "./credentials.ts";
 import type { PeerRouter } from "./router.ts";
 import { configurationCopySchema, heartbeatReplySchema } from "./schemas.ts";
@@ -65,7 +66,7 @@
       headers,
       body: body ?? null,
       dispatcher: this.#agent,
-      signal: AbortSignal.timeout(PEER_TIMEOUT_MS),
+      signal: callTimeout(PEER_TIMEOUT_MS),
     });
     return {
       ok: statusCode < FIRST_ERROR_STATUS,
--- a/packages/daemon/src/platform/platform_client.ts
+++ b/packages/daemon/src/platform/platform_client.ts
@@ -12,6 +12,7 @@
 import { type Dispatcher, request } from "undici";
 import VError from "verror";
 import { z } from "zod";
+import { callTimeout } from "../sockets/index.ts";
 
 /** How long a watch waits for a newer revision. */
 export const WATCH_WAIT_MS = 20_000;
@@ -126,10 +127,10 @@
   ): Promise<Dispatcher.ResponseData> {
     const signal = AbortSignal.any([
       this.#stopped.signal,
-      AbortSignal.timeout(timeout),
+      callTimeout(timeout),
     ]);
     try {
-      return await request(url, { signal, headers, headersTimeout: timeout });
+      return await request(url, { signal, headers, headersTimeout: 0 });
     } catch (cause) {
       throw new VError(
         { name: "PlatformError", cause: cause as Error },
