--- a/packages/core/src/__tests__/ready_core.ts
+++ b/packages/core/src/__tests__/ready_core.ts
@@ -160,6 +160,12 @@
     return this.effects.slice(before);
   }
 
+  /** Passes time in which the process stands still, up to its first tick afterwards. */
+  sleep(ms: number): Effect[] {
+    this.#ms += ms;
+    return this.tell({ kind: "tick" });
+  }
+
   tell(event: CoreEvent): Effect[] {
     const effects = this.core.handle(event, instant(this.#ms));
     this.effects.push(...effects);
