fix: peers' silence doesn't count while the entry stood still

Cause: a peer is suspect when nothing was heard of it for eight heartbeats, on a clock that runs on while the process is stopped, and the first tick after a pause comes before the sockets are read. After a pause of eight seconds or more every peer of the zone was suspect until it was heard again: calls with keys of theirs were refused as 'owner_unreachable', none travelled. Change: silence counts from the last word or the wake, whichever is later. Who is forgotten after 600 heartbeats stays as it was. Not run: paused processes.

--- a/packages/core/src/membership/member_table.ts
+++ b/packages/core/src/membership/member_table.ts
@@ -143,8 +143,14 @@
     }
   }
 
-  /** Suspects and forgets who was not heard for long. */
-  age(now: Instant, period: number): void {
+  /**
+   * Suspects and forgets who was not heard for long. The time in which this process stood still proves
+   * nothing: heartbeats that came meanwhile are still in its sockets, and all peers would be suspect.
+   */
+  age(
+    now: Instant,
+    { period, wokeAt }: { period: number; wokeAt: Instant | undefined },
+  ): void {
     const far =
       [...this.#members.values()].filter(({ record }) =>
         record.region !== this.#self.region
@@ -155,7 +161,8 @@
         this.#members.delete(incarnation);
       } else if (
         member.health === "live" &&
-        silence > period * this.#suspectPeriods(member.record, far)
+        now - Math.max(member.heardAt, wokeAt ?? 0) >
+          period * this.#suspectPeriods(member.record, far)
       ) {
         this.#suspect(member);
       }
--- a/packages/core/src/membership/membership_controller.ts
+++ b/packages/core/src/membership/membership_controller.ts
@@ -99,7 +99,8 @@
     }
     this.#nextBeatAt = after(now, this.#period());
     this.#section.beat++;
-    this.#members.age(now, this.#period());
+    const { wokeAt } = this.#board.lifecycle;
+    this.#members.age(now, { period: this.#period(), wokeAt });
     this.#sendBeats(now);
   }
 
