--- a/packages/daemon/src/entry/__tests__/stream_fixture.ts
+++ b/packages/daemon/src/entry/__tests__/stream_fixture.ts
@@ -85,7 +85,7 @@
     ? [...events.map(toChunk), Buffer.from("0\r\n\r\n")]
     : events;
   const bytes = Buffer.concat([head, ...parts]);
-  return { bytes, firstEventEnds: head.length + parts[0]!.length };
+  return { bytes, firstEventEnds: head.length + (parts[0]?.length ?? 0) };
 }
 
 /** Writes bytes in pieces of `size`. */
