test: a stream that stood still is told with its position

The tests of pauses were written beside the change that a gateway is told whether an answer consists of events and whether they say their ids; joined, one of them failed since its stream could not go on.

--- a/packages/core/src/gateway/__tests__/stalls.test.ts
+++ b/packages/core/src/gateway/__tests__/stalls.test.ts
@@ -143,13 +143,20 @@
         load: undefined,
         retryAfter: undefined,
         offered: undefined,
+        events: true,
       },
     });
     progress(attempt, "1");
     return attempt;
   };
   const progress = (attempt: AttemptId, lastEventId: string): void => {
-    handle({ kind: "progress", attempt, lastEventId, unfinished: 0 });
+    handle({
+      kind: "progress",
+      attempt,
+      lastEventId,
+      unnumbered: false,
+      unfinished: 0,
+    });
   };
 
   beforeEach(() => {
