test: late bytes, failures that are made up for, and a last blank line, over real sockets

Four checks could be taken out and no test of the gateway, the platform, routes or of streams over real sockets failed: that an endpoint which is left is also given up by the shell, that a failure which another endpoint makes up for doesn't go to the caller (two places, one for each size), and that a blank line after the last event does. Each taken out now fails one of the four new cases; with all in place they pass.

--- a/playground/src/bytes/__tests__/gone_on.test.ts
+++ b/playground/src/bytes/__tests__/gone_on.test.ts
@@ -237,4 +237,51 @@
     expect(faultOf(answer, { whole })).toBe(undefined);
     expect(runsOf("p8")).toHaveLength(1);
   });
+
+  it("gets nothing of an endpoint that speaks again after it was left", async () => {
+    const parts = [1, 2, 3].map((third) =>
+      eventsOf("p10", { count: 2 * third, after: 2 * (third - 1) })
+    );
+    const late: Script = ({ call }) => ({
+      events: EVENTS,
+      says: [headOf(call) + parts[0]!, parts[1]!, parts[2]!],
+      pace: 1_700,
+    });
+    const slow: Script = () => ({ events: EVENTS, piece: 10, pace: 40 });
+    const answer = await ask("p10", [late, slow]);
+    const whole = eventsOf("p10", { count: EVENTS });
+    expect(faultOf(answer, { whole })).toBe(undefined);
+    expect({ end: answer.end, runs: runsOf("p10").length }).toEqual({
+      end: "whole",
+      runs: 2,
+    });
+  });
+
+  it.each([["small", 10], ["larger than what is kept", LARGE_BYTES]])(
+    "gets nothing of a failure that another endpoint makes up for: %s",
+    async (size, length) => {
+      const call = `p11 ${size}`;
+      const failing: Script = () => ({
+        events: EVENTS,
+        says: [headOf(call, { status: 500, length }), "x".repeat(length)],
+      });
+      const answer = await ask(call, [failing, good]);
+      const whole = eventsOf(call, { count: EVENTS });
+      expect(answer).toEqual({ status: 200, body: whole, end: "whole" });
+    },
+  );
+
+  it("is passed on with a blank line that comes after its last event", async () => {
+    const whole = `${eventsOf("p12", { count: EVENTS })}\n`;
+    const blank: Script = ({ call }) => ({
+      events: EVENTS,
+      says: [
+        headOf(call, { length: whole.length }) + whole.slice(0, -1),
+        "\n",
+      ],
+      pace: 50,
+    });
+    const { body, end } = await ask("p12", [blank]);
+    expect({ body, end }).toEqual({ body: whole, end: "whole" });
+  });
 });
