fix: what is not wanted of an answer is known by its head; bytes that are kept count as heard

Two faults of one class, silence and failure judged by one layer where another one hears. On routes of streams answers that are no events were kept until they were whole since events and other bodies are told apart: a failure whose body never ends kept its caller until its deadline (504), with three endpoints free. And on plain routes nobody told the gateway of bytes that were kept: an answer that came slowly for 2.5 s ran at three endpoints and took 5.6 s.

Now an answer on a route of streams is judged by its head again and passed on from there, as events or as bytes; what isn't wanted is read for a second at the most. Bytes that are kept until whole are told as a sign of life and as nothing else, so that first events and an engine's reading are measured as before.

--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -231,12 +231,16 @@
     const { call, attempt } = found;
     const first = attempt.state !== undefined && attempt.state.own.prefill > 0;
     attempt.heardAt = now;
-    attempt.unfinished = news.unfinished;
-    call.trace.heard(now);
     if (attempt.state !== undefined) {
       attempt.state.heardAt = now;
-      attempt.state.firstEvent(id, now);
     }
+    if (call.phase !== "answering") {
+      // Kept until it is whole, so that nothing has come for the caller yet.
+      return;
+    }
+    attempt.unfinished = news.unfinished;
+    call.trace.heard(now);
+    attempt.state?.firstEvent(id, now);
     call.position.passed(news);
     if (first) {
       this.#placer.drain(now);
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -21,6 +21,7 @@
 import { EventCutter, type WholeEvents } from "./event_cutter.ts";
 import type { AnswerSource, AnswerWriter } from "./answer_writer.ts";
 import type { Exchange } from "./exchange.ts";
+import { afterPoll, type Cancel } from "../timers/index.ts";
 import { RELAY_HEADER, writeRelay } from "./relay_header.ts";
 import type { EndpointProtocol, RawHeaders } from "./protocol.ts";
 import {
@@ -36,6 +37,8 @@
 const MAX_EVENT_BYTES = 1_048_576;
 /** Of an answer that nobody wants so much is read, to keep its connection. */
 const MAX_DISCARDED_BYTES = 16_384;
+/** And for so long: the rest may never come. */
+const MOST_DISCARDING_MS = 1_000;
 const WHOLE_NUMBER = /^\d{1,15}$/;
 const FIRST_FINAL_STATUS = 200;
 const OK = 200;
@@ -87,6 +90,7 @@
   #kept: Buffer[] = [];
   #bytes = 0;
   #over = false;
+  #endDiscarding: Cancel | undefined;
   /** Last event of the caller, until the first one of an answer that goes on behind it. */
   #goesOnAfter: string | undefined;
 
@@ -156,12 +160,14 @@
     this.#headers = decodeHeaders(controller.rawHeaders as Buffer[]);
     this.#framed = isFramed(this.#headers);
     this.#connection!.endsAnswer = !this.#framed;
-    const events = this.#attempt.streaming && status === OK &&
-      isEventStream(this.#headers);
-    if (events) {
-      this.#takeHead("events");
-    } else {
+    if (!this.#attempt.streaming) {
       this.#mode = "holding";
+    } else if (status === OK && isEventStream(this.#headers)) {
+      this.#passOn("events");
+    } else {
+      // What is not wanted is known by its head; kept until whole, a failure whose body never ends would
+      // keep its caller from the next endpoint.
+      this.#passOn("bytes");
     }
   }
 
@@ -174,8 +180,7 @@
       case "events":
         return this.#pass(chunk);
       case "bytes":
-        this.#writer!.write(chunk);
-        return this.#tellProgress();
+        return this.#passBytes(chunk);
       case "holding":
         return this.#keep(chunk);
       default:
@@ -256,7 +261,7 @@
   }
 
   /** Asks the gateway what becomes of the answer, to be passed on in the given way if at all. */
-  #takeHead(mode: "events" | "bytes"): void {
+  #takeHead(mode: "events" | "bytes"): "forward" | "goOn" | undefined {
     const { protocol, tell } = this.#tools;
     const { id } = this.#attempt;
     const head = protocol.readHead(
@@ -266,7 +271,8 @@
     );
     if (!head.matches) {
       // Bytes that belong to another request: nothing more on this connection can be trusted.
-      return this.#end({ kind: "lost", detail: "Answer to another request" });
+      this.#end({ kind: "lost", detail: "Answer to another request" });
+      return undefined;
     }
     const answer = { ...head, events: mode === "events" };
     const effects = tell({ kind: "answered", attempt: id, answer });
@@ -274,23 +280,50 @@
       (effect.kind === "forward" || effect.kind === "goOn") &&
       effect.attempt === id
     );
-    this.#mode = verdict === undefined ? "discarding" : mode;
-    if (verdict === undefined || mode !== "events") {
+    if (verdict?.kind !== "forward" && verdict?.kind !== "goOn") {
+      this.#discard();
+      return undefined;
+    }
+    this.#mode = mode;
+    return verdict.kind;
+  }
+
+  /** Passes an answer on from its head on, if it is wanted. */
+  #passOn(mode: "events" | "bytes"): void {
+    const verdict = this.#takeHead(mode);
+    if (verdict === undefined) {
       return;
     }
-    if (verdict.kind === "goOn") {
+    if (verdict === "goOn") {
       this.#goesOnAfter = this.#attempt.resumeAfter;
-    } else if (verdict.kind === "forward") {
+    } else {
+      const headers = this.#tools.protocol.answerHeaders(this.#headers);
       this.#exchange.begin(this.#status, {
         reason: this.#reason,
         // Another endpoint may go on, whose part has another length: told this one, the caller would take
         // an answer that ends inside an event for whole.
-        headers: withoutLength(protocol.answerHeaders(this.#headers)),
+        headers: mode === "events" ? withoutLength(headers) : headers,
       });
     }
     this.#writer = this.#exchange.openWriter(this);
   }
 
+  /** Reads the rest for the sake of the connection, unless that takes long. */
+  #discard(): void {
+    this.#mode = "discarding";
+    if (!this.#over) {
+      this.#endDiscarding = afterPoll(MOST_DISCARDING_MS, () => this.abort());
+    }
+  }
+
+  #passBytes(chunk: Buffer): void {
+    this.#writer!.write(chunk);
+    // The bytes of a failure are no first event, by which an engine's reading is measured.
+    if (this.#status === OK) {
+      this.#tellProgress();
+    }
+  }
+
   #pass(chunk: Buffer): void {
     const events = this.#cutter.push(chunk);
     if (this.#repeats(events?.firstId)) {
@@ -335,37 +368,23 @@
   }
 
   #keep(chunk: Buffer): void {
-    if (this.#attempt.streaming && this.#status === OK) {
-      // Untold, an endpoint whose bytes come would be left as silent, and the request run again.
-      this.#tellProgress();
-    }
-    if (this.#over) {
-      return;
-    }
+    this.#kept.push(chunk);
     if (this.#bytes <= MAX_HELD_BYTES) {
-      this.#kept.push(chunk);
-      return;
-    }
-    this.#takeHead("bytes");
-    if (this.#mode !== "bytes") {
-      return;
+      // Untold, an endpoint whose bytes come would be left as silent, and the request run again.
+      return this.#tellProgress();
     }
-    this.#exchange.begin(this.#status, {
-      reason: this.#reason,
-      headers: this.#tools.protocol.answerHeaders(this.#headers),
-    });
-    this.#writer = this.#exchange.openWriter(this);
-    [...this.#kept, chunk].forEach((part) => this.#writer!.write(part));
+    this.#passOn("bytes");
+    this.#kept.forEach((part) => this.#writer?.write(part));
     this.#kept = [];
   }
 
   /** A plain answer is whole. */
   #takeWhole(): void {
-    this.#takeHead("bytes");
+    const verdict = this.#takeHead("bytes");
     if (this.#over) {
       return;
     }
-    if (this.#mode !== "bytes") {
+    if (verdict !== "forward") {
       return this.#finish();
     }
     this.#exchange.answer(this.#status, {
@@ -416,6 +435,7 @@
 
   #stop(): void {
     this.#over = true;
+    this.#endDiscarding?.();
     this.#writer?.close();
   }
 
