fix: whoever becomes the one that tends a cold endpoint waits for what was sent before

A cold endpoint got 6 requests in a second where it bears 5.4, and such an endpoint ends again. One entry of its region may send to it, half of what it bears, since two may hold themselves for the one while their views differ. Three entries that start one after another are three: each knows nobody at first and sends its half at once. The tending moved twice within one second, and nobody counted what the one before had sent.

Now an entry that becomes the one, or has only just started, waits for the length of the bound's window. A cold endpoint may get nothing for 1.1 s after its region's entries have changed.

--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -100,7 +100,7 @@
     } as unknown as RegionController,
     router,
     budget: new RepeatBudget(BOUNDS),
-    cold: new ColdAllowance(BOUNDS),
+    cold: new ColdAllowance(BOUNDS, instant(0)),
     quarantine: emptyQuarantine(),
     listened: new ListenedTime(instant(0)),
     entries: () => 1,
--- a/packages/core/src/gateway/__tests__/limits.test.ts
+++ b/packages/core/src/gateway/__tests__/limits.test.ts
@@ -87,7 +87,7 @@
     const region = ["a", "b", "c"] as Incarnation[];
     let sent = 0;
     for (const self of region) {
-      const cold = new ColdAllowance(BOUNDS);
+      const cold = new ColdAllowance(BOUNDS, instant(-10_000));
       while (cold.allows(state, { self, region }, instant(10))) {
         cold.spend(state.record.id, instant(10));
         sent++;
--- a/packages/core/src/gateway/cold_allowance.ts
+++ b/packages/core/src/gateway/cold_allowance.ts
@@ -16,6 +16,17 @@
 const WINDOW_MS = 1_100;
 /** Two entries may both hold themselves for the one, while their views differ. */
 const POSSIBLE_OWNERS = 2;
+/** An entry that has run for less may not know its peers yet. */
+const SETTLING_MS = 3_000;
+
+/** Endpoints that are cold at one time, at the most: each start of one has an id of its own. */
+const MOST_ENDPOINTS = 4_096;
+
+/** The one entry that may send to a cold endpoint, in this entry's view. */
+interface Owner {
+  readonly entry: Incarnation | undefined;
+  readonly since: number;
+}
 
 /**
  * Ten entries that each send a cold endpoint only a few requests crash it together. One notices by
@@ -25,9 +36,12 @@
 export class ColdAllowance {
   #bounds: GatewayBounds;
   readonly #sent = new Map<EndpointId, Instant[]>();
+  readonly #owners = new Map<EndpointId, Owner>();
+  readonly #startedAt: Instant;
 
-  constructor(bounds: GatewayBounds) {
+  constructor(bounds: GatewayBounds, now: Instant) {
     this.#bounds = bounds;
+    this.#startedAt = now;
   }
 
   /** Takes new figures. */
@@ -45,8 +59,10 @@
     },
     now: Instant,
   ): boolean {
-    const [owner] = rendezvous(`cold ${record.id}`, region, (name) => name);
-    if (owner !== self) {
+    const owner = this.#ownerOf(record.id, region, now);
+    // What the former owner sent still counts: entries that start one after another and each become the
+    // owner at once would together send more than two of them may.
+    if (owner.entry !== self || now - owner.since < WINDOW_MS) {
       return false;
     }
     const { coldOvershoot, coldSlack } = this.#bounds;
@@ -58,6 +74,25 @@
   /** Notes a request that is sent. */
   spend(endpoint: EndpointId, now: Instant): void {
     this.#sent.set(endpoint, [...this.#recent(endpoint, now), now]);
+    forgetOldest(this.#sent);
+  }
+
+  #ownerOf(
+    endpoint: EndpointId,
+    region: readonly Incarnation[],
+    now: Instant,
+  ): Owner {
+    const [entry] = rendezvous(`cold ${endpoint}`, region, (name) => name);
+    const known = this.#owners.get(endpoint);
+    if (known !== undefined && known.entry === entry) {
+      return known;
+    }
+    const settled = known === undefined &&
+      now - this.#startedAt >= SETTLING_MS;
+    const owner = { entry, since: settled ? -Infinity : now };
+    this.#owners.set(endpoint, owner);
+    forgetOldest(this.#owners);
+    return owner;
   }
 
   #recent(endpoint: EndpointId, now: Instant): Instant[] {
@@ -66,3 +101,10 @@
     );
   }
 }
+
+function forgetOldest(endpoints: Map<EndpointId, unknown>): void {
+  if (endpoints.size > MOST_ENDPOINTS) {
+    const [oldest] = endpoints.keys();
+    endpoints.delete(oldest!);
+  }
+}
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -119,7 +119,7 @@
       listened: this.#listened,
       now: () => this.#lastAt,
     });
-    const cold = new ColdAllowance(self.bounds);
+    const cold = new ColdAllowance(self.bounds, now);
     this.#cold = cold;
     this.#budget = new RepeatBudget(self.bounds);
     const router = new CallRouter({
