fix: a process that ends takes no more requests, however short its time to stop

Where a stop may take less than the time in which callers are still served, the entry ended all requests and could take new ones while the last answers left.

--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -321,6 +321,7 @@
 
   /** Ends every request: the process ends. What its callers had not been told they would never learn. */
   endAll(now: Instant): void {
+    this.refuseNew();
     const held = this.#hold.takeAll();
     held.forEach(({ head }) => this.#ends.refuseHead(head, "stopping"));
     for (const call of [...this.#calls.values()]) {
