--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -4,6 +4,7 @@
   type CallId,
   type EndpointId,
   instant,
+  ListenedTime,
   milliseconds,
   type RequestId,
   type Revision,
@@ -101,6 +102,7 @@
     budget: new RepeatBudget(BOUNDS),
     cold: new ColdAllowance(BOUNDS),
     quarantine: emptyQuarantine(),
+    listened: new ListenedTime(instant(0)),
     entries: () => 1,
     regionEntries: () => 1,
   });
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Instant } from "../ids/index.ts";
+import type { ListenedTimeView } from "../listening/index.ts";
 import type { Call, OpenAttempt } from "./call.ts";
 import { attemptsOf, type CallAttempts } from "./call_attempts.ts";
 import type { CallEnds } from "./call_ends.ts";
@@ -45,6 +46,7 @@
   readonly endpoints: EndpointRegistry;
   readonly budget: RepeatBudget;
   readonly quarantine: QuarantineController;
+  readonly listened: ListenedTimeView;
   /** Entries that may be alive, this one included. */
   readonly entries: () => number;
   /** The request is over, and nobody is told. */
@@ -76,6 +78,7 @@
       call.sent -= attemptsOf(call, call.attempt!);
       call.offered += answer.offered ?? 1;
     }
+    call.trace.interrupted(call.attempt!, `Refused with ${answer.status}`);
     this.#tools.attempts.close(call, "refused", now);
     if (declined && !this.#tools.quarantine.isSuspect(call.head.fingerprint)) {
       this.#tools.router.noteDeclined(call, target.region, now);
@@ -210,12 +213,14 @@
       return;
     }
     const engine = state.service?.engine !== undefined;
-    const quiet = now - Math.max(attempt.heardAt ?? sentAt, sentAt);
+    // What came while the process stood still lies in its sockets: only time of listening is silence.
+    const { listened } = this.#tools;
+    const quiet = listened.since(attempt.heardAt ?? sentAt, now);
     const limit = engine
       ? SILENT_ENGINE_MS
       : call.route.objective * SILENT_PART;
     const silent = engine
-      ? quiet > limit && now - (state.heardAt ?? sentAt) > limit
+      ? quiet > limit && listened.since(state.heardAt ?? sentAt, now) > limit
       : attempt.heardAt === undefined && quiet > limit;
     if (!silent) {
       return;
--- a/packages/core/src/requests/attempt_tracker.ts
+++ b/packages/core/src/requests/attempt_tracker.ts
@@ -18,10 +18,12 @@
 } from "../verdict/index.ts";
 import {
   type ActiveRequest,
+  hasBegun,
   isRepeatable,
   needsConfirmedText,
 } from "./active_request.ts";
 import type { Answers } from "./answers.ts";
+import { describeGoingOn, interruptionOf } from "./interruption.ts";
 import { judgeEnd } from "./judge_end.ts";
 import type { RequestTable } from "./request_table.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
@@ -78,6 +80,7 @@
     if (obstacle === undefined) {
       request.attempts.record(id, "sent");
       this.#with.quarantine.began(request, request.current!, now);
+      this.#tellGoingOn(request);
       this.#with.emit({ kind: "proceed", attempt: id });
       return undefined;
     }
@@ -135,7 +138,8 @@
       return undefined;
     }
     const attempt = request.current!;
-    const state = judgeEnd(request.service, end);
+    const begun = hasBegun(request);
+    const state = judgeEnd(request.service, end, { begun });
     const failed = end.kind === "unsent" || end.kind === "lost";
     if (failed && attempt.target.kind === "endpoint") {
       this.#with.endpoints.failed(attempt.target.endpoint, now);
@@ -166,6 +170,22 @@
     }
   }
 
+  /** Leaves a line where a stream goes on: that it was made by two engines is seen nowhere else. */
+  #tellGoingOn(request: ActiveRequest): void {
+    const { interruption, current, offset } = request;
+    if (interruption === undefined || current === undefined) {
+      return;
+    }
+    request.interruption = undefined;
+    this.#with.metrics.count("streams_resumed");
+    this.#with.emit({
+      kind: "log",
+      part: "route",
+      text: "Stream goes on elsewhere.",
+      fields: describeGoingOn(interruption, { ...current, offset }),
+    });
+  }
+
   #obstacle(request: ActiveRequest, now: Instant): string | undefined {
     const { configuration, endpoints, self } = this.#board;
     const { target } = request.current!;
@@ -235,6 +255,10 @@
       return;
     }
     if (this.#mayRetry(request, end, now)) {
+      if (hasBegun(request)) {
+        request.interruption = interruptionOf(attempt, end) ??
+          request.interruption;
+      }
       this.#with.metrics.count("retries");
       this.#with.router.route(request, now);
       return;
@@ -259,7 +283,10 @@
     return forwardedKey && request.attempts.verdict().kind === "not_run";
   }
 
-  /** Passes a peer's own word on: a key's owner knows best, and a second region is not asked. */
+  /**
+   * Passes a peer's own word on: a key's owner knows best, and a second region is not asked. What it says
+   * of the rest of an answer is no word on the whole.
+   */
   #relay(
     request: ActiveRequest,
     { attempt, end }: { attempt: Attempt; end: AttemptEnd },
@@ -267,7 +294,7 @@
   ): boolean {
     if (
       attempt.target.kind !== "peer" || end.kind !== "answered" ||
-      end.verdict === undefined
+      end.verdict === undefined || hasBegun(request)
     ) {
       return false;
     }
@@ -303,8 +330,7 @@
     const forwardedKey = request.keyOwner !== undefined && !request.ownsAction;
     const safe = request.attempts.verdict().kind === "not_run" ||
       isRepeatable(request.service);
-    const goesOn = request.offset > request.head.resumeOffset;
-    const most = goesOn ? MAX_STREAM_ATTEMPTS : MAX_ATTEMPTS;
+    const most = hasBegun(request) ? MAX_STREAM_ATTEMPTS : MAX_ATTEMPTS;
     const inTime = now < request.deadlineAt && request.attempts.size < most;
     const allowed = safe && !forwardedKey && inTime &&
       this.#with.quarantine.mayRepeat(request);
@@ -317,8 +343,7 @@
    * Every other retry comes out of the budget.
    */
   #isAffordable(request: ActiveRequest, end: AttemptEnd): boolean {
-    const goesOn = request.offset > request.head.resumeOffset;
-    return end.kind === "unsent" || goesOn || this.#budget.spend();
+    return end.kind === "unsent" || hasBegun(request) || this.#budget.spend();
   }
 
   #close(request: ActiveRequest, state: AttemptState, now: Instant): void {
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -22,6 +22,7 @@
 } from "@sassafrasstep/core";
 import type { Logger } from "../logs/index.ts";
 import type { GatewaySettings } from "../settings/index.ts";
+import { afterPoll, type Cancel } from "../timers/index.ts";
 import { CatalogueRunner } from "./catalogue_runner.ts";
 import { Connections } from "./connections.ts";
 import { Datagrams } from "./datagrams.ts";
@@ -77,7 +78,7 @@
   readonly #catalogue: CatalogueRunner;
   readonly #servers: Server[] = [];
   #requests = 0;
-  #timer: NodeJS.Timeout | undefined;
+  #cancelTick: Cancel = () => {};
   /** For how long the timer was set. */
   #pause = milliseconds(0);
   #ended = false;
@@ -170,10 +171,11 @@
   }
 
   #setTimer(): void {
-    clearTimeout(this.#timer);
+    this.#cancelTick();
     this.#pause = this.#gateway.tickPause;
     if (!this.#ended) {
-      this.#timer = setTimeout(() => this.#tick(), this.#pause);
+      // Ticks judge who was silent and whose time is over: what was received comes first.
+      this.#cancelTick = afterPoll(this.#pause, () => this.#tick());
     }
   }
 
@@ -321,7 +323,7 @@
 
   async #exit(within: Milliseconds): Promise<void> {
     this.#ended = true;
-    clearTimeout(this.#timer);
+    this.#cancelTick();
     for (const server of this.#servers) {
       server.close();
       server.closeIdleConnections();
