test: an entry that thaws in the virtual world ticks before it reads

Why the virtual world never showed what a pause does: an entry that thawed there took what was sent to it first and ticked afterwards, the wrong way round.

--- a/playground/src/routes/virtual_gateway.ts
+++ b/playground/src/routes/virtual_gateway.ts
@@ -107,6 +107,7 @@
     this.#frozenAt = undefined;
     const held = this.#held;
     this.#held = [];
+    this.tell({ kind: "tick" });
     held.forEach((run) => run());
   }
 
