--- a/packages/core/src/__tests__/ready_core.ts
+++ b/packages/core/src/__tests__/ready_core.ts
@@ -160,6 +160,12 @@
     return this.effects.slice(before);
   }
 
+  /** Stands still, and is woken by its timer. */
+  stall(ms: number): Effect[] {
+    this.#ms += ms;
+    return this.tell({ kind: "tick" });
+  }
+
   tell(event: CoreEvent): Effect[] {
     const effects = this.core.handle(event, instant(this.#ms));
     this.effects.push(...effects);
--- a/playground/src/scenario/virtual_entry.ts
+++ b/playground/src/scenario/virtual_entry.ts
@@ -113,6 +113,9 @@
     this.frozen = false;
     const waiting = this.#mailbox;
     this.#mailbox = [];
+    if (!this.dead) {
+      this.#handle({ kind: "tick" });
+    }
     waiting.forEach((run) => this.deliver(run));
   }
 
