fix: no member is suspect whose heartbeats wait to be read

Cause: behind the first interface a member is suspect after eight periods without news, by a clock that ran on while this process stood still. Woken, it knew of no other entry: callers were sent nowhere and nothing was passed on.

Change: a member's silence is time in which this process listened. A member that refuses a connection is suspect at once, as before.

--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -82,6 +82,7 @@
     });
     this.#membership = new MembershipController(board, membership, {
       emit,
+      listened: this.#listened,
       now,
     });
     this.#actions = new ActionController(board, { emit, now });
--- a/packages/core/src/membership/member_table.ts
+++ b/packages/core/src/membership/member_table.ts
@@ -5,6 +5,7 @@
  */
 import type { Member, Self } from "../blackboard/index.ts";
 import type { Incarnation, Instant, Revision } from "../ids/index.ts";
+import type { ListenedTimeView } from "../listening/index.ts";
 import type {
   Demand,
   Emit,
@@ -32,6 +33,7 @@
 export interface MemberTableOptions {
   readonly self: Self;
   readonly emit: Emit;
+  readonly listened: ListenedTimeView;
   /** The section's maps, which this table alone writes. */
   readonly members: Map<Incarnation, Member>;
   readonly gone: Map<Incarnation, Instant>;
@@ -41,12 +43,14 @@
 export class MemberTable {
   readonly #self: Self;
   readonly #emit: Emit;
+  readonly #listened: ListenedTimeView;
   readonly #members: Map<Incarnation, Member>;
   readonly #gone: Map<Incarnation, Instant>;
 
-  constructor({ self, emit, members, gone }: MemberTableOptions) {
+  constructor({ self, emit, listened, members, gone }: MemberTableOptions) {
     this.#self = self;
     this.#emit = emit;
+    this.#listened = listened;
     this.#members = members;
     this.#gone = gone;
   }
@@ -150,7 +154,8 @@
         record.region !== this.#self.region
       ).length;
     for (const [incarnation, member] of this.#members) {
-      const silence = now - member.heardAt;
+      // Heartbeats that came during a pause of this process are yet to be read.
+      const silence = this.#listened.since(member.heardAt, now);
       if (silence > period * FORGET_PERIODS) {
         this.#members.delete(incarnation);
       } else if (
--- a/packages/core/src/membership/membership_controller.ts
+++ b/packages/core/src/membership/membership_controller.ts
@@ -18,6 +18,7 @@
   type Revision,
   type ZoneId,
 } from "../ids/index.ts";
+import type { ListenedTimeView } from "../listening/index.ts";
 import type {
   Emit,
   Heartbeat,
@@ -73,7 +74,11 @@
   constructor(
     board: Blackboard,
     section: MembershipSection,
-    { emit, now }: { emit: Emit; now: Instant },
+    { emit, listened, now }: {
+      emit: Emit;
+      listened: ListenedTimeView;
+      now: Instant;
+    },
   ) {
     this.#board = board;
     this.#section = section;
@@ -81,6 +86,7 @@
     this.#members = new MemberTable({
       self: board.self,
       emit,
+      listened,
       members: section.members,
       gone: section.gone,
     });
