fix: no read of endpoints, peers or the platform is given up for a pause

Cause: behind the first interface polls of load, orders to engines, calls of peers and reads of the platform had time limits of the clock, whose timers come before what lies in the sockets. After a pause every endpoint that had just been polled was suspect, peers did not answer and the platform could not be reached. A peer's picture was missed in the same way behind the second.

Change: all are limited by time in which the process listens, and what is read of a body counts in it.

--- a/packages/daemon/src/gateway/catalogue_runner.ts
+++ b/packages/daemon/src/gateway/catalogue_runner.ts
@@ -8,6 +8,7 @@
   GatewayEffect,
   GatewayEvent,
 } from "@sassafrasstep/core";
+import { whileListening } from "../timers/index.ts";
 import type { SnapshotMessage } from "./gateway_router.ts";
 import type { CatalogueSource } from "./protocol.ts";
 
@@ -55,8 +56,11 @@
     const { createGatewayClient, decodeSnapshot } = await import(
       "./gateway_router.ts"
     );
-    const message = await createGatewayClient(`http://${address}`).catalogue
-      .query(undefined, { signal: AbortSignal.timeout(timeout) });
+    const client = createGatewayClient(`http://${address}`);
+    const message = await whileListening(
+      timeout,
+      (signal) => client.catalogue.query(undefined, { signal }),
+    );
     return message === null
       ? undefined
       : decodeSnapshot(message as unknown as SnapshotMessage);
--- a/packages/daemon/src/outbound/endpoint_client.ts
+++ b/packages/daemon/src/outbound/endpoint_client.ts
@@ -5,6 +5,7 @@
  */
 import type { EngineOrder, LoadReport } from "@sassafrasstep/core";
 import { Agent, request } from "undici";
+import { whileListening } from "../timers/index.ts";
 import { parseLoadReport } from "./load_report.ts";
 
 const POLL_TIMEOUT_MS = 1_000;
@@ -17,10 +18,30 @@
   readonly #agent = new Agent({ connections: 1, pipelining: 1 });
 
   /** An endpoint's load; throws where it does not answer sensibly. */
-  async pollLoad(url: string): Promise<LoadReport> {
+  pollLoad(url: string): Promise<LoadReport> {
+    return whileListening(
+      POLL_TIMEOUT_MS,
+      (signal) => this.#pollLoad(url, signal),
+    );
+  }
+
+  /** Sends an order; whether the engine took it. */
+  order(order: EngineOrder): Promise<boolean> {
+    return whileListening(
+      ORDER_TIMEOUT_MS,
+      (signal) => this.#order(order, signal),
+    );
+  }
+
+  /** Closes every connection. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #pollLoad(url: string, signal: AbortSignal): Promise<LoadReport> {
     const response = await request(`${url}/v1/load`, {
       dispatcher: this.#agent,
-      signal: AbortSignal.timeout(POLL_TIMEOUT_MS),
+      signal,
     });
     const text = (await response.body.text()).slice(0, MAX_REPORT_BYTES);
     const report = response.statusCode === OK
@@ -34,21 +55,18 @@
     return report;
   }
 
-  /** Sends an order; whether the engine took it. */
-  async order({ url, model, fence, expected }: EngineOrder): Promise<boolean> {
+  async #order(
+    { url, model, fence, expected }: EngineOrder,
+    signal: AbortSignal,
+  ): Promise<boolean> {
     const response = await request(`${url}/v1/model`, {
       method: "POST",
       headers: { "content-type": "application/json" },
       body: JSON.stringify({ model, fence, expected }),
       dispatcher: this.#agent,
-      signal: AbortSignal.timeout(ORDER_TIMEOUT_MS),
+      signal,
     });
     await response.body.dump();
     return response.statusCode === OK;
   }
-
-  /** Closes every connection. */
-  async close(): Promise<void> {
-    await this.#agent.destroy();
-  }
 }
--- a/packages/daemon/src/peers/client.ts
+++ b/packages/daemon/src/peers/client.ts
@@ -11,6 +11,7 @@
 } from "@sassafrasstep/core";
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
 import { Agent, request } from "undici";
+import { whileListening } from "../timers/index.ts";
 import { type Credentials, PEER_HEADER } from "./credentials.ts";
 import type { PeerRouter } from "./router.ts";
 import { configurationCopySchema, heartbeatReplySchema } from "./schemas.ts";
@@ -56,22 +57,25 @@
   }
 
   /** Sends without what a browser would add: half a heartbeat's bytes were headers that nobody reads. */
-  async #send(
+  #send(
     url: string,
     { method, headers, body }: PeerRequest,
   ): Promise<PeerResponse> {
-    const { statusCode, body: answer } = await request(url, {
-      method,
-      headers,
-      body: body ?? null,
-      dispatcher: this.#agent,
-      signal: AbortSignal.timeout(PEER_TIMEOUT_MS),
+    return whileListening(PEER_TIMEOUT_MS, async (signal) => {
+      const { statusCode, body: answer } = await request(url, {
+        method,
+        headers,
+        body: body ?? null,
+        dispatcher: this.#agent,
+        signal,
+      });
+      const json = await answer.json();
+      return {
+        ok: statusCode < FIRST_ERROR_STATUS,
+        status: statusCode,
+        json: () => Promise.resolve(json),
+      };
     });
-    return {
-      ok: statusCode < FIRST_ERROR_STATUS,
-      status: statusCode,
-      json: () => answer.json(),
-    };
   }
 
   #create(url: string): TRPCClient<PeerRouter> {
--- a/packages/daemon/src/platform/platform_client.ts
+++ b/packages/daemon/src/platform/platform_client.ts
@@ -12,6 +12,7 @@
 import { type Dispatcher, request } from "undici";
 import VError from "verror";
 import { z } from "zod";
+import { whileListening } from "../timers/index.ts";
 
 /** How long a watch waits for a newer revision. */
 export const WATCH_WAIT_MS = 20_000;
@@ -47,6 +48,12 @@
   readonly vmListUrl: string;
 }
 
+/** An answer of the platform that was read to its end. */
+interface PlatformAnswer
+  extends Pick<Dispatcher.ResponseData, "statusCode" | "headers"> {
+  readonly text: string;
+}
+
 /** Reads the platform. Each failure is an error that names the service. */
 export class PlatformClient {
   readonly #urls: PlatformUrls;
@@ -65,8 +72,10 @@
     const query = wait ? `?after=${after}&wait_ms=${WATCH_WAIT_MS}` : "";
     const url = `${this.#urls.configurationUrl}/v1/text${query}`;
     const timeout = READ_TIMEOUT_MS + (wait ? WATCH_WAIT_MS : 0);
-    const { statusCode, headers, body } = await this.#get(url, { timeout });
-    const text = await readLimited(body, MAX_TEXT_BYTES);
+    const { statusCode, headers, text } = await this.#get(url, {
+      timeout,
+      limit: MAX_TEXT_BYTES,
+    });
     if (statusCode === NOT_MODIFIED) {
       return undefined;
     }
@@ -93,9 +102,9 @@
       : { "if-none-match": this.#listTag };
     const response = await this.#get(url, {
       timeout: READ_TIMEOUT_MS,
+      limit: MAX_VM_LIST_BYTES,
       headers,
     });
-    const text = await readLimited(response.body, MAX_VM_LIST_BYTES);
     if (response.statusCode === NOT_MODIFIED) {
       return undefined;
     }
@@ -106,7 +115,7 @@
         response.statusCode,
       );
     }
-    const { vms } = vmsSchema.parse(JSON.parse(text));
+    const { vms } = vmsSchema.parse(JSON.parse(response.text));
     const { etag } = response.headers;
     this.#listTag = typeof etag === "string" ? etag : undefined;
     return vms;
@@ -117,25 +126,35 @@
     this.#stopped.abort();
   }
 
-  async #get(
+  #get(
     url: string,
-    { timeout, headers = {} }: {
+    { timeout, limit, headers = {} }: {
       timeout: number;
+      /** Bytes of the answer. */
+      limit: number;
       headers?: Record<string, string>;
     },
-  ): Promise<Dispatcher.ResponseData> {
-    const signal = AbortSignal.any([
-      this.#stopped.signal,
-      AbortSignal.timeout(timeout),
-    ]);
-    try {
-      return await request(url, { signal, headers, headersTimeout: timeout });
-    } catch (cause) {
-      throw new VError(
-        { name: "PlatformError", cause: cause as Error },
-        "Cannot reach the platform",
-      );
-    }
+  ): Promise<PlatformAnswer> {
+    return whileListening(timeout, async (listening) => {
+      const signal = AbortSignal.any([this.#stopped.signal, listening]);
+      const { body, ...head } = await reach(url, { signal, headers });
+      return { ...head, text: await readLimited(body, limit) };
+    });
+  }
+}
+
+/** The limit of the call is its signal's: the library's own timer does not look at the socket first. */
+async function reach(
+  url: string,
+  options: { signal: AbortSignal; headers: Record<string, string> },
+): Promise<Dispatcher.ResponseData> {
+  try {
+    return await request(url, { ...options, headersTimeout: 0 });
+  } catch (cause) {
+    throw new VError(
+      { name: "PlatformError", cause: cause as Error },
+      "Cannot reach the platform",
+    );
   }
 }
 
