--- a/playground/src/__tests__/whole_path.test.ts
+++ b/playground/src/__tests__/whole_path.test.ts
@@ -1,6 +1,7 @@
 /**
  * The whole path over real processes, kills and freezes included.
  */
+import { setTimeout as wait } from "node:timers/promises";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
 import { type FleetStandIn, waitFor } from "../index.ts";
 import {
@@ -149,6 +150,33 @@
       expect(await runsOf(key)).toBe(1);
     });
 
+    it("is told an answer that came while its entry was frozen", async () => {
+      // The call's deadline passed meanwhile. The entry's timer came before the printer's answer in its
+      // socket, and the kiosk was told that the badge may have been printed.
+      await setPrinters({ delayMs: 200 });
+      const [owner] = await homeEntries();
+      const entry = entryNamed(owner!);
+      for (let turn = 0; turn < 3; turn++) {
+        const key = kiosk.newKey(owner!.owner_token);
+        const call = kiosk.call(owner!.url, {
+          service: "check-in",
+          path: "/badges",
+          key,
+          body: "{}",
+          deadlineMs: 800,
+        });
+        await waitFor(
+          "the call to be under way",
+          async () => (await fleet.status(entry)).active > 0,
+        );
+        entry.child.signal("SIGSTOP");
+        await wait(1_000);
+        entry.child.signal("SIGCONT");
+        expect((await call).verdict).toBe("ran");
+      }
+      await setPrinters({});
+    });
+
     it.each(["reset_after", "reset_before", "fail"])(
       "gets the verdict %s deserves",
       async (mode) => {
