fix: a call is told the answer that came while its entry stood still

Cause: behind the first interface the loop's timer came before the printer's answer in the socket: a call whose deadline had passed meanwhile 'may have run', although it had run in time and its answer was there.

Change: the tick is set with afterPoll, as that of the other interface.

The test of it stopped the entry as soon as the call was active, which was in two runs of three before the printer had it; then 'not_run' is the truth.

--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -46,6 +46,7 @@
 import { AttemptRunner, EndpointClient } from "../outbound/index.ts";
 import { Credentials, PeerClients } from "../peers/index.ts";
 import { PlatformClient } from "../platform/index.ts";
+import { afterPoll, type Cancel } from "../timers/index.ts";
 import type { Address, Settings } from "../settings/index.ts";
 import { EffectRunner } from "./effect_runner.ts";
 
@@ -72,7 +73,7 @@
   readonly #runner: AttemptRunner;
   readonly #effects: EffectRunner;
   #core!: Core;
-  #timer: NodeJS.Timeout | undefined;
+  #cancelTick: Cancel = () => {};
   #requests = 0;
   #exited!: () => void;
   /** Resolves when a planned stop is complete. */
@@ -139,7 +140,7 @@
     };
     const random = new SeededRandomness(randomInt(SEED_LIMIT));
     this.#core = new Core({ self, random, balancer }, this.#now());
-    this.#timer = setInterval(() => this.tell({ kind: "tick" }), TICK_MS);
+    this.#setTick();
     this.#logger.info("stop", "Listening.", {
       url,
       controlUrl,
@@ -260,6 +261,14 @@
     return this.#core.board.lifecycle.phase === "ready";
   }
 
+  /** Ticks end what is over time: what was received comes first. */
+  #setTick(): void {
+    this.#cancelTick = afterPoll(TICK_MS, () => {
+      this.#setTick();
+      this.tell({ kind: "tick" });
+    });
+  }
+
   #now(): Instant {
     return instant(performance.now());
   }
@@ -312,7 +321,7 @@
   }
 
   async #close(): Promise<void> {
-    clearInterval(this.#timer);
+    this.#cancelTick();
     this.#platform.close();
     await Promise.all([
       closeServer(this.#callerServer),
--- a/playground/src/__tests__/whole_path.test.ts
+++ b/playground/src/__tests__/whole_path.test.ts
@@ -5,6 +5,7 @@
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
 import { type FleetStandIn, waitFor } from "../index.ts";
 import {
+  callsOfPrinters,
   entryNamed,
   expectedText,
   fleet,
@@ -153,24 +154,25 @@
     it("is told an answer that came while its entry was frozen", async () => {
       // The call's deadline passed meanwhile. The entry's timer came before the printer's answer in its
       // socket, and the kiosk was told that the badge may have been printed.
-      await setPrinters({ delayMs: 200 });
+      await setPrinters({ delayMs: 400 });
       const [owner] = await homeEntries();
       const entry = entryNamed(owner!);
       for (let turn = 0; turn < 3; turn++) {
+        const before = await callsOfPrinters();
         const key = kiosk.newKey(owner!.owner_token);
         const call = kiosk.call(owner!.url, {
           service: "check-in",
           path: "/badges",
           key,
           body: "{}",
-          deadlineMs: 800,
+          deadlineMs: 1_000,
         });
         await waitFor(
-          "the call to be under way",
-          async () => (await fleet.status(entry)).active > 0,
+          "the call to be at a printer",
+          async () => await callsOfPrinters() > before,
         );
         entry.child.signal("SIGSTOP");
-        await wait(1_000);
+        await wait(1_100);
         entry.child.signal("SIGCONT");
         expect((await call).verdict).toBe("ran");
       }
--- a/playground/src/__tests__/whole_path_fixture.ts
+++ b/playground/src/__tests__/whole_path_fixture.ts
@@ -45,6 +45,16 @@
   return states.reduce((sum, { runs }) => sum + (runs[key] ?? 0), 0);
 }
 
+/** Calls that reached printers, whether they ran or not. */
+export async function callsOfPrinters(): Promise<number> {
+  const states = await Promise.all(
+    fleet.standInsOf("plain").map(({ id }) =>
+      fleet.readControl<{ calls: number }>(id, "runs")
+    ),
+  );
+  return states.reduce((sum, { calls }) => sum + calls, 0);
+}
+
 /** The answer to the prompt, of so many tokens. */
 export function expectedText(tokens: number): string {
   return Array.from(
