test: bytes that nobody asked for on a kept connection; interim answers; red

A plain answer names no request. An endpoint says another answer, half of one, a timeout of its own or an end after its answer, and the next call takes the connection: it gets its own answer, as the client library reads what lies on a connection before it writes (8 rounds each). Answers that come after the next call is written can't be told from its own by anybody. Red are interim answers (102, 103) before the final one, since answers are watched for resets.

--- a/packages/daemon/src/entry/__tests__/entry_fixture.ts
+++ b/packages/daemon/src/entry/__tests__/entry_fixture.ts
@@ -254,6 +254,8 @@
   }
 
   #answer(socket: Socket, text: string): void {
+    // What a test writes is on its way when the test goes on.
+    socket.setNoDelay(true);
     if (text.startsWith("GET /v1/load")) {
       socket.write(LOAD_ANSWER);
       return;
--- a/packages/daemon/src/entry/__tests__/plain_answers.test.ts
+++ b/packages/daemon/src/entry/__tests__/plain_answers.test.ts
@@ -33,7 +33,7 @@
   const fixture = new EntryFixture();
 
   beforeAll(async () => {
-    await fixture.start({ badges: 1 });
+    await fixture.start({ badges: 1, notes: 1 });
   });
   afterAll(async () => {
     await fixture.stop();
@@ -75,4 +75,78 @@
       });
     });
   }
+
+  describe("on a kept connection", () => {
+    const own = `${HEAD}content-length: 3\r\n\r\nown`;
+    let said: Promise<void> | undefined;
+    const later = async (say: () => unknown): Promise<void> => {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+      say();
+    };
+    const stray = `${HEAD}content-length: 5\r\n\r\nstray`;
+
+    // Bytes that nobody asked for lie on the connection that the next call takes. A plain answer names no
+    // request, so that they would be its answer. (Those that come once the next call is written can't be
+    // told from its answer by anybody.)
+    const befores: [string, Script][] = [
+      ["two answers at once", (socket) => socket.write(own + stray)],
+      ["another answer a moment later", (socket) => {
+        socket.write(own);
+        said = later(() => socket.write(stray));
+      }],
+      ["another answer and an end", (socket) => {
+        socket.write(own);
+        said = later(() => socket.end(stray));
+      }],
+      [
+        "half an answer more",
+        (socket) => socket.write(own + stray.slice(0, 40)),
+      ],
+      ["a timeout of its own", (socket) => {
+        socket.write(own);
+        said = later(() =>
+          socket.end(
+            "HTTP/1.1 408 Request Timeout\r\nconnection: close\r\n\r\n",
+          )
+        );
+      }],
+      [
+        "an interim answer",
+        (socket) => socket.write(`HTTP/1.1 102 Processing\r\n\r\n${own}`),
+      ],
+      ["two interim answers", (socket) =>
+        socket.write(
+          `HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n${own}`,
+        )],
+    ];
+
+    it.each(befores)("is its own call's: %s before it", async (_, before) => {
+      const body = "its own";
+      const whole = `${HEAD}content-length: ${body.length}\r\n\r\n${body}`;
+      for (let round = 0; round < 8; round++) {
+        const first = await fixture.plain("notes", before);
+        expect(first).toMatchObject({ status: 200, text: "own" });
+        await said;
+        const next = await fixture.plain(
+          "notes",
+          (socket) => socket.write(whole),
+        );
+        expect(next).toMatchObject({ status: 200, text: body });
+      }
+    });
+
+    it("is its own call's after one whose time ran out", async () => {
+      const late: Script = (socket) =>
+        setTimeout(() => socket.write(stray), 150);
+      const first = await fixture.plain("notes", late, {
+        "sassafrasstep-deadline-ms": "100",
+      });
+      expect(first.status).toBe(504);
+      const next = await fixture.plain(
+        "notes",
+        (socket) => setTimeout(() => socket.write(own), 100),
+      );
+      expect(next).toMatchObject({ status: 200, text: "own" });
+    });
+  });
 });
