fix: an interim answer before the final one is passed over

Cause: the library's decorator of handlers, by which answers without a length are watched for resets, takes one head an answer and fails at the second. Seen by callers as a refusal 'no_endpoint' where an endpoint says 102 or 103 first; only since the watch for resets, it never ran anywhere else.

--- a/packages/daemon/src/outbound/watched_client.ts
+++ b/packages/daemon/src/outbound/watched_client.ts
@@ -13,6 +13,8 @@
 } from "undici";
 import { isReset } from "../sockets/index.ts";
 
+const FIRST_FINAL_STATUS = 200;
+
 /** What is seen of the connection that a client has now. */
 class SocketWatch {
   /** Whether the answer under way ends with the connection. */
@@ -77,7 +79,12 @@
   override onResponseStart(
     ...args: Parameters<AnswerHandler["onResponseStart"]>
   ): void {
-    this.#watch.endsAnswer = !isFramed(args[2]);
+    const [, status, headers] = args;
+    if (status < FIRST_FINAL_STATUS) {
+      // The library's decorator takes one head an answer, and nobody here wants an interim one.
+      return;
+    }
+    this.#watch.endsAnswer = !isFramed(headers);
     super.onResponseStart(...args);
   }
 
