--- a/packages/daemon/src/entry/__tests__/entry_fixture.ts
+++ b/packages/daemon/src/entry/__tests__/entry_fixture.ts
@@ -196,7 +196,15 @@
     script: Script,
     headers: Record<string, string> = {},
   ): Promise<CallerAnswer> {
-    const body = this.script(script);
+    return await this.plainAgain(service, this.script(script), headers);
+  }
+
+  /** Calls a plain service with a body that a script was set for. */
+  async plainAgain(
+    service: "notes" | "badges",
+    body: string,
+    headers: Record<string, string>,
+  ): Promise<CallerAnswer> {
     return await this.#send(`${this.urls[0]}/v1/services/${service}/x`, {
       headers,
       body,
