fix: an answer that is larger than the entry holds ran, and its endpoint did nothing wrong

Cause: an answer beyond the bound of what is held until whole ended its attempt like a broken connection. A chat that is held and larger than 4 MiB was made again at each engine, made each of them suspect for two seconds and was refused as 'no_endpoint'; a plain call that had run was told as 'may_have_run', to its later sends as well. Change: such an end is one of its own. It is judged by its status, and where it ran the caller gets 'answer_not_kept' with 'ran', as a later send of a key does already. Nobody is asked again.

--- a/packages/core/src/messages/request.ts
+++ b/packages/core/src/messages/request.ts
@@ -93,6 +93,12 @@
     readonly verdict?: Verdict;
     readonly retryAfter?: Milliseconds;
   }
+  /** A whole answer, or a part that shows that it is more than the entry holds. */
+  | {
+    readonly kind: "oversize";
+    readonly status: number;
+    readonly verdict?: Verdict;
+  }
   /** A stream came to its end mark; all tokens went to the caller. */
   | { readonly kind: "streamed" };
 
--- a/packages/core/src/requests/answers.ts
+++ b/packages/core/src/requests/answers.ts
@@ -28,6 +28,8 @@
 import { type ActiveRequest, isRepeatable } from "./active_request.ts";
 import type { RequestTable } from "./request_table.ts";
 
+const UNKEPT_DETAIL = "The call ran, and its answer was too large to keep";
+
 /** What a refusal says besides its reason. Without a verdict, the attempts decide. */
 export interface RefusalDetail
   extends Partial<Pick<Refusal, "retryAfter" | "goTo" | "verdict">> {
@@ -123,6 +125,17 @@
     request.closed = true;
   }
 
+  /** Ends a request that ran and whose answer is more than this entry holds: no endpoint would do better. */
+  answerUnkept(request: ActiveRequest, now: Instant): void {
+    this.settle(request, { kind: "ran_unkept" }, now);
+    const made = this.refusalOf(request, "answer_not_kept", {
+      detail: UNKEPT_DETAIL,
+      verdict: RAN,
+      now,
+    });
+    this.finish(request, { kind: "refused", refusal: made }, now);
+  }
+
   /** Answers with what is known of a used key. */
   answerOutcome(request: ActiveRequest, outcome: Outcome, now: Instant): void {
     if (outcome.kind === "ran") {
@@ -135,8 +148,11 @@
       return;
     }
     if (outcome.kind === "ran_unkept") {
-      const detail = "The call ran, and its answer was too large to keep";
-      this.refuse(request, "answer_not_kept", { detail, verdict: RAN, now });
+      this.refuse(request, "answer_not_kept", {
+        detail: UNKEPT_DETAIL,
+        verdict: RAN,
+        now,
+      });
       return;
     }
     this.refuse(request, "endpoint_failed", {
--- a/packages/core/src/requests/attempt_tracker.ts
+++ b/packages/core/src/requests/attempt_tracker.ts
@@ -237,6 +237,10 @@
       }, now);
       return;
     }
+    if (end.kind === "oversize") {
+      this.#with.answers.answerUnkept(request, now);
+      return;
+    }
     this.#with.metrics.count("verdicts", "ran");
     this.#with.explanations.note(request.head.id, now, {
       text: "Streamed to the end",
--- a/packages/core/src/requests/judge_end.ts
+++ b/packages/core/src/requests/judge_end.ts
@@ -5,7 +5,7 @@
  */
 import type { AttemptEnd } from "../messages/index.ts";
 import type { Service } from "../text/index.ts";
-import type { AttemptState } from "../verdict/index.ts";
+import type { AttemptState, Verdict } from "../verdict/index.ts";
 
 const FIRST_SERVER_ERROR = 500;
 /** By the engines' contract, these statuses come before any work was done. */
@@ -30,25 +30,32 @@
     case "streamed":
       return "completed";
     case "answered": {
-      const state = judgeAnswer(service, end);
+      const state = judgeAnswer(service, {
+        status: end.answer.status,
+        verdict: end.verdict,
+      });
       return begun && state === "completed" ? "lost" : state;
     }
+    case "oversize":
+      return judgeAnswer(service, end);
   }
 }
 
 function judgeAnswer(
   service: Service,
-  end: Extract<AttemptEnd, { kind: "answered" }>,
+  { status, verdict }: {
+    readonly status: number;
+    readonly verdict?: Verdict | undefined;
+  },
 ): AttemptState {
-  if (end.verdict !== undefined) {
+  if (verdict !== undefined) {
     const states = {
       ran: "completed",
       not_run: "refused",
       may_have_run: "lost",
     } as const;
-    return states[end.verdict.kind];
+    return states[verdict.kind];
   }
-  const { status } = end.answer;
   const notRun = service.kind === "plain"
     ? service.notRunStatuses
     : ENGINE_NOT_RUN_STATUSES;
--- a/packages/daemon/src/callers/caller.ts
+++ b/packages/daemon/src/callers/caller.ts
@@ -58,6 +58,15 @@
   closed(caller: Caller): void;
 }
 
+/** A completion is too large to be held until it is whole; its engine did nothing wrong. */
+export class AnswerTooLargeError extends Error {
+  override readonly name = "AnswerTooLargeError";
+
+  constructor() {
+    super("The completion is too large to be answered whole");
+  }
+}
+
 /** One request of one caller. */
 export class Caller {
   readonly request: CallerRequest;
@@ -132,9 +141,7 @@
     if (!this.#streamed) {
       this.#whole += tokens.join("");
       if (this.#whole.length > MAX_WHOLE_CHARACTERS) {
-        throw new RangeError(
-          "The completion is too large to be answered whole",
-        );
+        throw new AnswerTooLargeError();
       }
       return;
     }
--- a/packages/daemon/src/callers/index.ts
+++ b/packages/daemon/src/callers/index.ts
@@ -1,4 +1,5 @@
 export {
+  AnswerTooLargeError,
   Caller,
   type CallerEvents,
   type CallerRequest,
--- a/packages/daemon/src/outbound/attempt_runner.ts
+++ b/packages/daemon/src/outbound/attempt_runner.ts
@@ -190,19 +190,23 @@
   { statusCode, headers, body }: Dispatcher.ResponseData,
   { fromPeer }: { fromPeer: boolean },
 ): Promise<AttemptEnd> {
+  const verdictText = headers[VERDICT_HEADER];
+  const word = fromPeer
+    ? {
+      verdict: parseVerdictHeader(
+        verdictText === undefined ? undefined : String(verdictText),
+      ),
+    }
+    : {};
   const chunks: Uint8Array[] = [];
   let size = 0;
   for await (const chunk of body as AsyncIterable<Uint8Array>) {
     size += chunk.length;
     if (size > MAX_ANSWER_BYTES) {
-      return {
-        kind: "lost",
-        detail: `The answer is larger than ${MAX_ANSWER_BYTES} bytes`,
-      };
+      return { kind: "oversize", status: statusCode, ...word };
     }
     chunks.push(chunk);
   }
-  const verdict = headers[VERDICT_HEADER];
   const retryAfter = readRetryAfter(headers);
   return {
     kind: "answered",
@@ -213,13 +217,7 @@
       ),
       body: Buffer.concat(chunks).toString("base64"),
     },
-    ...(fromPeer
-      ? {
-        verdict: parseVerdictHeader(
-          verdict === undefined ? undefined : String(verdict),
-        ),
-      }
-      : {}),
+    ...word,
     ...(retryAfter === undefined
       ? {}
       : { retryAfter: milliseconds(retryAfter) }),
--- a/packages/daemon/src/outbound/relay_frames.ts
+++ b/packages/daemon/src/outbound/relay_frames.ts
@@ -9,9 +9,11 @@
   AttemptFrames,
   CoreEvent,
 } from "@sassafrasstep/core";
-import type { Caller } from "../callers/index.ts";
+import { AnswerTooLargeError, type Caller } from "../callers/index.ts";
 import { type FrameEvent, FrameReader } from "./frame_reader.ts";
 
+const OK = 200;
+
 /** What a relay works with. */
 export interface Relay {
   readonly attempt: Attempt;
@@ -26,13 +28,19 @@
 ): Promise<AttemptEnd> {
   const frames = relay.caller.tokens.begin(relay.attempt.id);
   const reader = new FrameReader();
-  const detail = await relayEvents(body, { ...relay, frames, reader })
-    .catch((error: Error) => error.message);
-  if (detail === undefined) {
-    return { kind: "streamed" };
+  try {
+    const detail = await relayEvents(body, { ...relay, frames, reader });
+    return detail === undefined ? { kind: "streamed" } : lost(detail);
+  } catch (error) {
+    return error instanceof AnswerTooLargeError
+      ? { kind: "oversize", status: OK }
+      : lost((error as Error).message);
+  }
+
+  function lost(detail: string): AttemptEnd {
+    const dropped = { frames: frames.held, characters: reader.unfinished };
+    return { kind: "lost", detail, dropped };
   }
-  const dropped = { frames: frames.held, characters: reader.unfinished };
-  return { kind: "lost", detail, dropped };
 }
 
 /** What is wrong with the stream, `undefined` where it was whole. */
