fix: a text of the operators that is torn by a reset is not read

Cause: the platform was read over the client library's own connections, which take a reset for the end of an answer without a length. A part of the text, cut at any byte, was read as the whole. What still parses would be in force and go on to peers under the revision of the whole, without the customers and services at its end. (The list of VMs is JSON and fails when torn.) Change: the platform is read over watched connections, as endpoints are; these move to sockets/. A text without a length that is cut by an end in order can't be told from a whole one.

--- a/packages/daemon/src/outbound/connections.ts
+++ b/packages/daemon/src/outbound/connections.ts
@@ -3,14 +3,12 @@
  *
  * @module
  */
+import type { Agent, Client, Dispatcher } from "undici";
 import {
-  Agent,
-  buildConnector,
-  type Client,
-  type Dispatcher,
-  Pool,
-} from "undici";
-import { WatchedClient } from "./watched_client.ts";
+  createConnector,
+  createWatchedAgent,
+  WatchedClient,
+} from "../sockets/index.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const MAX_CONNECTIONS_PER_ORIGIN = 256;
@@ -21,21 +19,13 @@
   bodyTimeout: 0,
   maxHeaderSize: MAX_RESPONSE_HEADER_BYTES,
 } as const;
-// Our side stays open when the other one ends, see `isReset`; the client closes it.
-const CONNECT_OPTIONS = { timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true };
 
 /** Kept connections, one request at a time on each. For calls that may be repeated. */
 export function createSharedConnections(): Agent {
-  return new Agent({
-    factory: (origin) =>
-      new Pool(origin, {
-        connections: MAX_CONNECTIONS_PER_ORIGIN,
-        factory: (url) =>
-          new WatchedClient(url, {
-            ...CLIENT_OPTIONS,
-            connect: buildConnector(CONNECT_OPTIONS),
-          }),
-      }),
+  return createWatchedAgent({
+    ...CLIENT_OPTIONS,
+    connections: MAX_CONNECTIONS_PER_ORIGIN,
+    connectTimeout: CONNECT_TIMEOUT_MS,
   });
 }
 
@@ -50,7 +40,7 @@
   origin: string,
   mayWrite: () => boolean,
 ): Client {
-  const connect = buildConnector(CONNECT_OPTIONS);
+  const connect = createConnector(CONNECT_TIMEOUT_MS);
   let used = false;
   return new WatchedClient(origin, {
     ...CLIENT_OPTIONS,
--- a/packages/daemon/src/platform/platform_client.ts
+++ b/packages/daemon/src/platform/platform_client.ts
@@ -12,11 +12,13 @@
 import { type Dispatcher, request } from "undici";
 import VError from "verror";
 import { z } from "zod";
-import { callTimeout } from "../sockets/index.ts";
+import { callTimeout, createWatchedAgent } from "../sockets/index.ts";
 
 /** How long a watch waits for a newer revision. */
 export const WATCH_WAIT_MS = 20_000;
 const READ_TIMEOUT_MS = 3_000;
+/** A watch, a read of the text and one of the list at the same time. */
+const MAX_CONNECTIONS = 4;
 const MAX_VM_LIST_BYTES = 8_388_608;
 const NOT_MODIFIED = 304;
 const OK = 200;
@@ -52,6 +54,12 @@
 export class PlatformClient {
   readonly #urls: PlatformUrls;
   readonly #stopped = new AbortController();
+  // A torn text would be in force, and with peers, under the revision of the whole.
+  readonly #connections = createWatchedAgent({
+    connections: MAX_CONNECTIONS,
+    connectTimeout: READ_TIMEOUT_MS,
+    headersTimeout: 0,
+  });
   #listTag: string | undefined;
 
   constructor(urls: PlatformUrls) {
@@ -116,6 +124,7 @@
   /** Ends what is waiting. */
   close(): void {
     this.#stopped.abort();
+    void this.#connections.destroy();
   }
 
   async #get(
@@ -130,7 +139,11 @@
       callTimeout(timeout),
     ]);
     try {
-      return await request(url, { signal, headers, headersTimeout: 0 });
+      return await request(url, {
+        signal,
+        headers,
+        dispatcher: this.#connections,
+      });
     } catch (cause) {
       throw new VError(
         { name: "PlatformError", cause: cause as Error },
--- a/packages/daemon/src/sockets/index.ts
+++ b/packages/daemon/src/sockets/index.ts
@@ -1,2 +1,7 @@
 export { callTimeout, CallTimeoutError } from "./call_timeout.ts";
 export { isReset } from "./is_reset.ts";
+export {
+  createConnector,
+  createWatchedAgent,
+  WatchedClient,
+} from "./watched_client.ts";
--- a/packages/daemon/src/outbound/watched_client.ts
+++ b/packages/daemon/src/sockets/watched_client.ts
@@ -6,12 +6,14 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Socket } from "node:net";
 import {
-  type buildConnector,
+  Agent,
+  buildConnector,
   Client,
   DecoratorHandler,
   type Dispatcher,
+  Pool,
 } from "undici";
-import { isReset } from "../sockets/index.ts";
+import { isReset } from "./is_reset.ts";
 
 const FIRST_FINAL_STATUS = 200;
 
@@ -125,6 +127,37 @@
   }
 }
 
+/** Kept connections, one request at a time on each. */
+export function createWatchedAgent(
+  { connections, connectTimeout, ...options }: Client.Options & {
+    /** Connections to one origin. */
+    connections: number;
+    /** In milliseconds. */
+    connectTimeout: number;
+  },
+): Agent {
+  return new Agent({
+    factory: (origin) =>
+      new Pool(origin, {
+        connections,
+        factory: (url) =>
+          new WatchedClient(url, {
+            ...options,
+            pipelining: 1,
+            connect: createConnector(connectTimeout),
+          }),
+      }),
+  });
+}
+
+/** Connects so that a reset can be told from an end. */
+export function createConnector(
+  timeout: number,
+): buildConnector.connector {
+  // Our side stays open when the other one ends, see `isReset`; the client closes it.
+  return buildConnector({ timeout, allowHalfOpen: true });
+}
+
 /** Whether a body says where it ends. */
 function isFramed(headers: IncomingHttpHeaders): boolean {
   return headers["content-length"] !== undefined ||
