--- a/packages/daemon/src/outbound/__tests__/endpoint_client.test.ts
+++ b/packages/daemon/src/outbound/__tests__/endpoint_client.test.ts
@@ -35,8 +35,7 @@
   });
 
   // After a pause of the entry each load poll under way had failed, with its answer in the socket: timers
-  // are served before sockets. The endpoints became suspect, and the requests that ran there were
-  // suspected of having ended them.
+  // are served before sockets. Endpoints that had answered became suspect for two seconds.
   describe("while the entry stands still", () => {
     function answerAndStall(forMs: number): RawAnswer {
       return (socket) => {
