--- a/packages/daemon/src/entry/__tests__/entry_fixture.ts
+++ b/packages/daemon/src/entry/__tests__/entry_fixture.ts
@@ -52,15 +52,19 @@
 name = wire
 objective = tail
 loads_per_minute = 6
+spill_limit = 1
 
 [region north]
 zones = north-a
 
+[region south]
+zones = south-a
+
 [service pool]
 kind = model
 model = small@v1
 pool = pool
-regions = north
+regions = north, south
 class = screen
 deadline_ms = 15000
 queue_limit = 1024
@@ -69,14 +73,14 @@
 kind = plain
 repeatable = yes
 not_run_statuses = 429, 503
-regions = north
+regions = north, south
 deadline_ms = 5000
 
 [service badges]
 kind = plain
 repeatable = no
 not_run_statuses = 429, 503
-regions = north
+regions = north, south
 deadline_ms = 5000
 
 [customer desk]
@@ -128,8 +132,13 @@
   /** Starts the platform, so many endpoints of each pool, and entries that know all their loads. */
   async start(
     pools: Readonly<Record<string, number>>,
-    { entries = 1 } = {},
+    { entries = 1, farUrl }: {
+      entries?: number;
+      /** Puts all endpoints behind another entry, in another region, that tells this as its address. */
+      farUrl?: string;
+    } = {},
   ): Promise<void> {
+    const region = farUrl === undefined ? "north" : "south";
     const vms: { id: string }[] = [];
     for (const [pool, count] of Object.entries(pools)) {
       for (let index = 0; index < count; index++) {
@@ -139,20 +148,27 @@
         this.#endpoints.push(endpoint);
         const url = `http://${endpoint.address}`;
         const id = `${pool}-${index}`;
-        const place = { zone: "north-a", region: "north" };
+        const place = { zone: `${region}-a`, region };
         const vm = { id, role: "endpoint", pool, url, state: "live", ...place };
         vms.push(vm);
       }
     }
     await this.#startPlatform(JSON.stringify({ vms }));
     for (let number = 1; number <= entries; number++) {
-      await this.#startEntry(number);
+      await this.#startEntry({ number });
+    }
+    if (farUrl !== undefined) {
+      await this.#startEntry({ number: entries + 1, farUrl });
     }
     await waitUntil(() =>
-      this.#entries.every((entry) => {
-        const { endpoints, phase } = entry.status();
-        const known = endpoints.filter(({ state }) => state === "live");
-        return phase === "ready" && known.length === vms.length;
+      this.#entries.every((entry, index) => {
+        const { endpoints, phase, members } = entry.status();
+        const known = endpoints.filter(({ state }) => state === "live").length;
+        const isFar = index >= entries;
+        const knowsAll = farUrl === undefined || isFar
+          ? known === vms.length
+          : members.some(({ health }) => health === "live");
+        return phase === "ready" && knowsAll;
       })
     );
   }
@@ -176,7 +192,9 @@
   /** Asks for a chat completion, and reads the answer to its end or break. */
   async chat(
     script: Script,
-    { stream = true, headers = {}, entry = 0 }: {
+    { stream = true, headers = {}, entry = 0, named }: {
+      /** Is told the name that stands in the body, before it is sent. */
+      named?: (name: string) => void;
       stream?: boolean;
       headers?: Record<string, string>;
       /** Which one is asked. */
@@ -184,6 +202,7 @@
     } = {},
   ): Promise<CallerAnswer> {
     const content = this.script(script);
+    named?.(content);
     return await this.#send(`${this.urls[entry]}/v1/chat/completions`, {
       headers,
       body: JSON.stringify({ stream, messages: [{ role: "user", content }] }),
@@ -303,20 +322,34 @@
     this.#platformUrl = `http://127.0.0.1:${port}`;
   }
 
-  async #startEntry(number: number): Promise<void> {
+  async #startEntry(
+    { number, farUrl }: { number: number; farUrl?: string },
+  ): Promise<void> {
+    const region = farUrl === undefined ? "north" : "south";
+    const seeds = this.lines.filter(({ text }) => text.endsWith("Listening."))
+      .map(({ fields }) => fields["localControlUrl"]);
     const parsed = parseSettings(`
 [entry]
 id = n${number}
 deployment = wire
-region = north
-zone = north-a
+region = ${region}
+zone = ${region}-a
 listen = 127.0.0.1:0
 control = 127.0.0.1:0
 secret = ${SECRET}
+${farUrl === undefined ? "" : `advertised_url = ${farUrl}`}
 
 [platform]
 configuration_url = ${this.#platformUrl}
 vm_list_url = ${this.#platformUrl}
+${
+      farUrl === undefined ? "" : `
+[peers]
+seeds = ${seeds.join(", ")}
+`
+    }
+[tuning]
+heartbeat_period_ms = 200
 `);
     if (!parsed.ok) {
       throw new Error(JSON.stringify(parsed.faults));
--- a/packages/daemon/src/entry/__tests__/stream_crossings.test.ts
+++ b/packages/daemon/src/entry/__tests__/stream_crossings.test.ts
@@ -10,9 +10,9 @@
 import {
   framesOf,
   judge,
+  judgeHeld,
   responseOf,
   STOPS,
-  TOKENS,
   writePieces,
   WRITINGS,
 } from "./stream_fixture.ts";
@@ -107,18 +107,6 @@
   return status === PASSED_ON && header("sassafrasstep-verdict") === "ran";
 }
 
-/** The text of a completion that was held until whole, as the stream's judge sees it. */
-function judgeWhole(answer: CallerAnswer): string {
-  if (answer.status !== 200) {
-    return judge(answer);
-  }
-  const { choices } = JSON.parse(answer.text) as {
-    choices: { message: { content: string } }[];
-  };
-  const text = choices[0]!.message.content;
-  return text === TOKENS.join("") ? "whole" : `bad: ${text}`;
-}
-
 describe("streams at any crossing", () => {
   const fixture = new EntryFixture();
 
@@ -159,7 +147,7 @@
         ? "passed on"
         : stream
         ? judge(answer)
-        : judgeWhole(answer);
+        : judgeHeld(answer);
       const kind = verdict.startsWith("bad") ? "bad" : verdict;
       seen.set(kind, (seen.get(kind) ?? 0) + 1);
       if (kind === "bad") {
--- a/packages/daemon/src/entry/__tests__/stream_fixture.ts
+++ b/packages/daemon/src/entry/__tests__/stream_fixture.ts
@@ -131,6 +131,18 @@
   return isError || (rest === "" && broken) ? "broken" : `bad: ${text}`;
 }
 
+/** The same for a completion that was held until whole. */
+export function judgeHeld(answer: CallerAnswer): string {
+  if (answer.status !== 200) {
+    return judge(answer);
+  }
+  const { choices } = JSON.parse(answer.text) as {
+    choices: { message: { content: string } }[];
+  };
+  const text = choices[0]!.message.content;
+  return text === TOKENS.join("") ? "whole" : `bad: ${text}`;
+}
+
 function toChunk(bytes: Buffer): Buffer {
   return Buffer.concat([
     Buffer.from(`${bytes.length.toString(16)}\r\n`),
