--- a/playground/src/guards/main.ts
+++ b/playground/src/guards/main.ts
@@ -49,6 +49,7 @@
   "packages/daemon/src/gateway",
   "packages/daemon/src/peers",
   "packages/daemon/src/callers",
+  "packages/daemon/src/platform",
 ];
 const PARALLEL = 4;
 const RUN_TIMEOUT_MS = 300_000;
