--- a/packages/daemon/src/platform/platform_client.ts
+++ b/packages/daemon/src/platform/platform_client.ts
@@ -12,11 +12,14 @@
 import { type Dispatcher, request } from "undici";
 import VError from "verror";
 import { z } from "zod";
+import { createWatchedAgent } from "../sockets/index.ts";
 import { whileListening } from "../timers/index.ts";
 
 /** How long a watch waits for a newer revision. */
 export const WATCH_WAIT_MS = 20_000;
 const READ_TIMEOUT_MS = 3_000;
+/** A watch, a read of the text and one of the list at the same time. */
+const MAX_CONNECTIONS = 4;
 const MAX_VM_LIST_BYTES = 8_388_608;
 const NOT_MODIFIED = 304;
 const OK = 200;
@@ -58,6 +61,12 @@
 export class PlatformClient {
   readonly #urls: PlatformUrls;
   readonly #stopped = new AbortController();
+  // A torn text would be in force, and with peers, under the revision of the whole.
+  readonly #connections = createWatchedAgent({
+    connections: MAX_CONNECTIONS,
+    connectTimeout: READ_TIMEOUT_MS,
+    headersTimeout: 0,
+  });
   #listTag: string | undefined;
 
   constructor(urls: PlatformUrls) {
@@ -124,6 +133,7 @@
   /** Ends what is waiting. */
   close(): void {
     this.#stopped.abort();
+    void this.#connections.destroy();
   }
 
   #get(
@@ -137,24 +147,23 @@
   ): Promise<PlatformAnswer> {
     return whileListening(timeout, async (listening) => {
       const signal = AbortSignal.any([this.#stopped.signal, listening]);
-      const { body, ...head } = await reach(url, { signal, headers });
+      const { body, ...head } = await this.#reach(url, { signal, headers });
       return { ...head, text: await readLimited(body, limit) };
     });
   }
-}
 
-/** The limit of the call is its signal's: the library's own timer does not look at the socket first. */
-async function reach(
-  url: string,
-  options: { signal: AbortSignal; headers: Record<string, string> },
-): Promise<Dispatcher.ResponseData> {
-  try {
-    return await request(url, { ...options, headersTimeout: 0 });
-  } catch (cause) {
-    throw new VError(
-      { name: "PlatformError", cause: cause as Error },
-      "Cannot reach the platform",
-    );
+  async #reach(
+    url: string,
+    options: { signal: AbortSignal; headers: Record<string, string> },
+  ): Promise<Dispatcher.ResponseData> {
+    try {
+      return await request(url, { ...options, dispatcher: this.#connections });
+    } catch (cause) {
+      throw new VError(
+        { name: "PlatformError", cause: cause as Error },
+        "Cannot reach the platform",
+      );
+    }
   }
 }
 
--- a/packages/daemon/src/sockets/index.ts
+++ b/packages/daemon/src/sockets/index.ts
@@ -1,1 +1,6 @@
 export { isReset } from "./is_reset.ts";
+export {
+  createConnector,
+  createWatchedAgent,
+  WatchedClient,
+} from "./watched_client.ts";
