--- a/playground/src/guards/guards.ts
+++ b/playground/src/guards/guards.ts
@@ -247,8 +247,8 @@
     point: "isolated parts",
     name: "peers' silence doesn't count while the entry stood still",
     file: `${CORE}/membership/member_table.ts`,
-    find: "now - Math.max(member.heardAt, wokeAt ?? 0) >",
-    replace: "silence >",
+    find: "const silence = this.#listened.since(member.heardAt, now);",
+    replace: "const silence = now - member.heardAt;",
   },
   {
     point: "whole answers",
