--- /dev/null
+++ b/packages/daemon/src/clients/index.ts
@@ -0,0 +1,5 @@
+export {
+  createConnector,
+  createWatchedAgent,
+  WatchedClient,
+} from "./watched_client.ts";
--- a/packages/daemon/src/sockets/watched_client.ts
+++ b/packages/daemon/src/clients/watched_client.ts
@@ -13,7 +13,7 @@
   type Dispatcher,
   Pool,
 } from "undici";
-import { isReset } from "./is_reset.ts";
+import { isReset } from "../sockets/index.ts";
 
 const FIRST_FINAL_STATUS = 200;
 
--- a/packages/daemon/src/outbound/connections.ts
+++ b/packages/daemon/src/outbound/connections.ts
@@ -8,7 +8,7 @@
   createConnector,
   createWatchedAgent,
   WatchedClient,
-} from "../sockets/index.ts";
+} from "../clients/index.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const MAX_CONNECTIONS_PER_ORIGIN = 256;
--- a/packages/daemon/src/platform/platform_client.ts
+++ b/packages/daemon/src/platform/platform_client.ts
@@ -12,7 +12,7 @@
 import { type Dispatcher, request } from "undici";
 import VError from "verror";
 import { z } from "zod";
-import { createWatchedAgent } from "../sockets/index.ts";
+import { createWatchedAgent } from "../clients/index.ts";
 import { whileListening } from "../timers/index.ts";
 
 /** How long a watch waits for a newer revision. */
