--- a/playground/src/bytes/process_entry.ts
+++ b/playground/src/bytes/process_entry.ts
@@ -42,6 +42,10 @@
       stdio: ["ignore", "pipe", "inherit"],
     });
     this.#exited = once(this.#process, "exit");
+    // A test run that is ended takes its entries with it.
+    const end = (): void => this.signal("SIGKILL");
+    process.once("exit", end);
+    void this.#exited.then(() => process.off("exit", end));
     createInterface(this.#process.stdout!).on("line", (text) => {
       const { msg, ...fields } = JSON.parse(text);
       this.#lines.push({ text: msg, fields });
