--- a/playground/src/bytes/byte_fleet.ts
+++ b/playground/src/bytes/byte_fleet.ts
@@ -13,7 +13,6 @@
 import { askStream, type StreamQuestion } from "./stream_caller.ts";
 
 const FIRST_HOST = 31;
-const BYTE = 256;
 const SERVICE = "pool";
 const ROUTE_TIMEOUT_MS = 10_000;
 
@@ -56,7 +55,7 @@
       this.publish(engine.id, { address, region, born: 1 });
     }
     this.store.put(KEYS.document, documentOf(attempts));
-    const hosts = entries.map((_, index) => hostOf(index));
+    const hosts = entries.map((_, index) => `127.0.0.${FIRST_HOST + index}`);
     const [peerPort] = await freePorts(hosts[0]!, 1);
     const zones = Object.fromEntries(
       [...new Set(entries)].map((region) => [`${region}-1`, region]),
@@ -122,15 +121,6 @@
   }
 }
 
-/**
- * A loopback address for an entry. Test files run beside each other in processes of their own: on the same
- * addresses, one would take a port that another has just found free.
- */
-function hostOf(index: number): string {
-  const high = 1 + Math.floor(process.pid / BYTE) % (BYTE / 2);
-  return `127.${high}.${process.pid % BYTE}.${FIRST_HOST + index}`;
-}
-
 async function served(readiness: string): Promise<void> {
   await eventually(async () =>
     (await fetch(`http://${readiness}${CALLS.ready}`)).status === 200
