--- a/packages/daemon/src/platform/platform_client.ts
+++ b/packages/daemon/src/platform/platform_client.ts
@@ -12,11 +12,14 @@
 import { type Dispatcher, request } from "undici";
 import VError from "verror";
 import { z } from "zod";
-import { callTimeout } from "../sockets/index.ts";
+import { createWatchedAgent } from "../sockets/index.ts";
+import { whileListening } from "../timers/index.ts";
 
 /** How long a watch waits for a newer revision. */
 export const WATCH_WAIT_MS = 20_000;
 const READ_TIMEOUT_MS = 3_000;
+/** A watch, a read of the text and one of the list at the same time. */
+const MAX_CONNECTIONS = 4;
 const MAX_VM_LIST_BYTES = 8_388_608;
 const NOT_MODIFIED = 304;
 const OK = 200;
@@ -48,10 +51,22 @@
   readonly vmListUrl: string;
 }
 
+/** An answer of the platform that was read to its end. */
+interface PlatformAnswer
+  extends Pick<Dispatcher.ResponseData, "statusCode" | "headers"> {
+  readonly text: string;
+}
+
 /** Reads the platform. Each failure is an error that names the service. */
 export class PlatformClient {
   readonly #urls: PlatformUrls;
   readonly #stopped = new AbortController();
+  // A torn text would be in force, and with peers, under the revision of the whole.
+  readonly #connections = createWatchedAgent({
+    connections: MAX_CONNECTIONS,
+    connectTimeout: READ_TIMEOUT_MS,
+    headersTimeout: 0,
+  });
   #listTag: string | undefined;
 
   constructor(urls: PlatformUrls) {
@@ -66,8 +81,10 @@
     const query = wait ? `?after=${after}&wait_ms=${WATCH_WAIT_MS}` : "";
     const url = `${this.#urls.configurationUrl}/v1/text${query}`;
     const timeout = READ_TIMEOUT_MS + (wait ? WATCH_WAIT_MS : 0);
-    const { statusCode, headers, body } = await this.#get(url, { timeout });
-    const text = await readLimited(body, MAX_TEXT_BYTES);
+    const { statusCode, headers, text } = await this.#get(url, {
+      timeout,
+      limit: MAX_TEXT_BYTES,
+    });
     if (statusCode === NOT_MODIFIED) {
       return undefined;
     }
@@ -94,9 +111,9 @@
       : { "if-none-match": this.#listTag };
     const response = await this.#get(url, {
       timeout: READ_TIMEOUT_MS,
+      limit: MAX_VM_LIST_BYTES,
       headers,
     });
-    const text = await readLimited(response.body, MAX_VM_LIST_BYTES);
     if (response.statusCode === NOT_MODIFIED) {
       return undefined;
     }
@@ -107,7 +124,7 @@
         response.statusCode,
       );
     }
-    const { vms } = vmsSchema.parse(JSON.parse(text));
+    const { vms } = vmsSchema.parse(JSON.parse(response.text));
     const { etag } = response.headers;
     this.#listTag = typeof etag === "string" ? etag : undefined;
     return vms;
@@ -116,21 +133,31 @@
   /** Ends what is waiting. */
   close(): void {
     this.#stopped.abort();
+    void this.#connections.destroy();
   }
 
-  async #get(
+  #get(
     url: string,
-    { timeout, headers = {} }: {
+    { timeout, limit, headers = {} }: {
       timeout: number;
+      /** Bytes of the answer. */
+      limit: number;
       headers?: Record<string, string>;
     },
+  ): Promise<PlatformAnswer> {
+    return whileListening(timeout, async (listening) => {
+      const signal = AbortSignal.any([this.#stopped.signal, listening]);
+      const { body, ...head } = await this.#reach(url, { signal, headers });
+      return { ...head, text: await readLimited(body, limit) };
+    });
+  }
+
+  async #reach(
+    url: string,
+    options: { signal: AbortSignal; headers: Record<string, string> },
   ): Promise<Dispatcher.ResponseData> {
-    const signal = AbortSignal.any([
-      this.#stopped.signal,
-      callTimeout(timeout),
-    ]);
     try {
-      return await request(url, { signal, headers, headersTimeout: 0 });
+      return await request(url, { ...options, dispatcher: this.#connections });
     } catch (cause) {
       throw new VError(
         { name: "PlatformError", cause: cause as Error },
--- /dev/null
+++ b/playground/src/guards/byte_guards.ts
@@ -0,0 +1,179 @@
+/**
+ * The guards of the bytes of streams and answers, seen failing over real sockets.
+ *
+ * @module
+ */
+import type { Guard } from "./guard.ts";
+
+const CORE = "packages/core/src/gateway";
+const SHELL = "packages/daemon/src/gateway";
+const POINT = "bytes";
+
+/** Every guard that is checked. */
+export const BYTE_GUARDS: readonly Guard[] = [
+  {
+    point: POINT,
+    name: "what an attempt half received dies with it",
+    file: `${SHELL}/outbound_call.ts`,
+    find: "readonly #cutter = new EventCutter();",
+    replace: `get #cutter(): EventCutter {
+    const kept = this.#exchange as unknown as { cutter?: EventCutter };
+    return kept.cutter ??= new EventCutter();
+  }`,
+  },
+  {
+    point: POINT,
+    name: "an answer that ends inside an event is not whole",
+    file: `${SHELL}/outbound_call.ts`,
+    find: "if (this.#cutter.unfinished > 0) {",
+    replace: "if (this.#cutter.unfinished < 0) {",
+  },
+  {
+    point: POINT,
+    name: "events whose lines end with carriage returns have an end",
+    file: `${SHELL}/event_cutter.ts`,
+    find:
+      "const before = bytes[index - 1] === CARRIAGE_RETURN ? index - 2 : index - 1;",
+    replace: "const before = index - 1;",
+  },
+  {
+    point: POINT,
+    name: "a stream goes on only from a place that can be told",
+    file: `${CORE}/call_recovery.ts`,
+    find: 'const fixed = call.phase === "answering" && !call.resumable;',
+    replace: "const fixed = false;",
+  },
+  {
+    point: POINT,
+    name: "events without an id make the place unknown",
+    file: `${CORE}/stream_position.ts`,
+    find:
+      "this.#known = !unnumbered && (this.#known || lastEventId !== undefined);",
+    replace: "this.#known = this.#known || unnumbered;",
+  },
+  {
+    point: POINT,
+    name: "another type of body is not cut at events",
+    file: `${SHELL}/outbound_call.ts`,
+    find: "status === OK && isEventStream(this.#headers)",
+    replace: "status === OK",
+  },
+  {
+    point: POINT,
+    name: "an answer without a length that was reset is torn",
+    file: `${SHELL}/connections.ts`,
+    find: "if (this.endsAnswer && isReset(socket)) {",
+    replace: "if (this.endsAnswer && socket.destroyed) {",
+  },
+  {
+    point: POINT,
+    name: "a stream's length is its entry's to tell",
+    file: `${SHELL}/outbound_call.ts`,
+    find: 'headers: mode === "events" ? withoutLength(headers) : headers,',
+    replace: "headers,",
+  },
+  {
+    point: POINT,
+    name: "a stream does not go on with events that its caller has",
+    file: `${SHELL}/outbound_call.ts`,
+    find: "if (this.#repeats(events?.firstId)) {",
+    replace: "if (this.#repeats(undefined)) {",
+  },
+  {
+    point: POINT,
+    name: "an event has an end within bounds",
+    file: `${SHELL}/outbound_call.ts`,
+    find: "if (this.#cutter.unfinished > MAX_EVENT_BYTES) {",
+    replace: "if (this.#cutter.unfinished > Infinity) {",
+  },
+  {
+    point: POINT,
+    name: "an attempt that was left writes nothing more",
+    file: `${SHELL}/answer_writer.ts`,
+    find: "const open = !this.#closed && !this.#reply.destroyed;",
+    replace: "const open = !this.#reply.destroyed;",
+  },
+  {
+    point: POINT,
+    name: "a new attempt waits while the caller has no room",
+    file: `${SHELL}/answer_writer.ts`,
+    find: "if (reply.writableNeedDrain) {",
+    replace: "if (reply.destroyed) {",
+  },
+  {
+    point: POINT,
+    name: "a slow caller makes no endpoint look silent",
+    file: `${CORE}/call_recovery.ts`,
+    find: "if (heldSince !== undefined) {",
+    replace: "if (heldSince === now) {",
+  },
+  {
+    point: POINT,
+    name: "an answer is broken off after what was written",
+    file: `${SHELL}/broken_reply.ts`,
+    find: "if (socket === null || !reply.headersSent) {",
+    replace: "if (socket !== null || !reply.headersSent) {",
+  },
+  {
+    point: "pauses",
+    name: "silence is counted while the process listens",
+    file: `${CORE}/call_recovery.ts`,
+    find: "const quiet = listened.since(attempt.heardAt ?? sentAt, now);",
+    replace: "const quiet = now - (attempt.heardAt ?? sentAt);",
+    also: [{
+      file: `${CORE}/call_recovery.ts`,
+      find: "listened.since(state.heardAt ?? sentAt, now) > limit",
+      replace: "now - (state.heardAt ?? sentAt) > limit",
+    }],
+  },
+  {
+    point: "pauses",
+    name: "a peer's work counts on",
+    file: `${CORE}/endpoint_registry.ts`,
+    find: "if (this.#listened.since(at, now) > REPORT_LIFETIME_MS) {",
+    replace: "if (now - at > REPORT_LIFETIME_MS) {",
+  },
+  {
+    point: "pauses",
+    name: "no peer is suspected for an answer that waits to be read",
+    file: "packages/core/src/fleet/probe_schedule.ts",
+    find: "return this.#listened.since(sentAt, now) >= time;",
+    replace: "return now - sentAt >= time;",
+  },
+  {
+    point: "pauses",
+    name: "no peer is dead whose denial waits to be read",
+    file: "packages/core/src/fleet/fleet_controller.ts",
+    find: "if (this.#options.listened.since(since, now) >= SUSPICION_MS) {",
+    replace: "if (now - since >= SUSPICION_MS) {",
+  },
+  {
+    point: "pauses",
+    name: "no endpoint has ended whose answer waits to be read",
+    file: "packages/core/src/quarantine/crash_watch.ts",
+    find:
+      "return this.#listened.since(lastHeard(endpoint, run), now) >= SILENT_MS;",
+    replace: "return now - lastHeard(endpoint, run) >= SILENT_MS;",
+  },
+  {
+    point: "pauses",
+    name: "a stopping process reads callers' requests before it ends",
+    file: `${CORE}/stop_controller.ts`,
+    find: "const quiet = this.#listened.since(lastArrival, now) >= QUIET_MS;",
+    replace: "const quiet = now - lastArrival >= QUIET_MS;",
+  },
+  {
+    point: "pauses",
+    name: "timers come after what lies in the sockets",
+    file: "packages/daemon/src/timers/after_poll.ts",
+    find: "immediate = setImmediate(run);",
+    replace: "run();",
+  },
+  {
+    point: "pauses",
+    name: "a limit of several turns counts the time of listening",
+    file: "packages/daemon/src/timers/while_listening.ts",
+    find: "left -= Math.min(performance.now() - from, 2 * part);",
+    replace: "left -= performance.now() - from;",
+  },
+];
--- a/playground/src/guards/route_guards.ts
+++ b/playground/src/guards/route_guards.ts
@@ -97,8 +97,15 @@
     point: "routes: cold endpoints",
     name: "one entry sends to a cold endpoint",
     file: `${GATEWAY}/cold_allowance.ts`,
-    find: "if (owner !== self) {",
-    replace: "if (owner === undefined) {",
+    find: "if (owner.entry !== self || now - owner.since < WINDOW_MS) {",
+    replace: "if (now - owner.since < WINDOW_MS) {",
+  },
+  {
+    point: "routes: cold endpoints",
+    name: "whoever becomes the one waits for what was sent before",
+    file: `${GATEWAY}/cold_allowance.ts`,
+    find: "if (owner.entry !== self || now - owner.since < WINDOW_MS) {",
+    replace: "if (owner.entry !== self) {",
   },
   {
     point: "routes: cold endpoints",
@@ -132,8 +139,8 @@
     point: "routes: configuration",
     name: "what changes were forgotten is read anew",
     file: `${GATEWAY}/catalogue_controller.ts`,
-    find: "this.#snapshotWanted = true;\n    this.#nextReadAt = now;",
-    replace: "this.#nextReadAt = now;",
+    find: "this.#snapshotWanted = true;\n    this.#schedule.readAtOnce(now);",
+    replace: "this.#schedule.readAtOnce(now);",
   },
   {
     point: "routes: store outage",
@@ -152,9 +159,9 @@
   {
     point: "routes: streams",
     name: "a stream goes on only where its route allows it",
-    file: `${GATEWAY}/call_recovery.ts`,
-    find: "const resumable = call.route.resumable &&",
-    replace: "const resumable =",
+    file: `${GATEWAY}/call.ts`,
+    find: "return this.route.resumable && this.events && this.position.known;",
+    replace: "return this.events && this.position.known;",
     also: [{
       file: `${GATEWAY}/call_recovery.ts`,
       find: "call.arrivals < call.route.attempts &&",
@@ -165,8 +172,8 @@
     point: "routes: streams",
     name: "streams leave an engine that has gone silent",
     file: `${GATEWAY}/call_recovery.ts`,
-    find: "if (silent && this.#tryElsewhere(call, now)) {",
-    replace: "if (silent && now < 0 && this.#tryElsewhere(call, now)) {",
+    find: "if (!silent) {",
+    replace: "if (!silent || now > 0) {",
   },
   {
     point: "routes: list of entries",
@@ -176,7 +183,7 @@
     replace: "...fleet.possible().map(({ record }) => record)]",
     also: [{
       file: `${FLEET}/fleet_controller.ts`,
-      find: "if (now - since >= SUSPICION_MS) {",
+      find: "if (this.#options.listened.since(since, now) >= SUSPICION_MS) {",
       replace: "if (now - since >= Infinity) {",
     }],
   },
@@ -240,7 +247,7 @@
     point: "routes: list of entries",
     name: "an entry that knows little of the fleet asks more often",
     file: `${FLEET}/fleet_controller.ts`,
-    find: "const joining = this.#pace.isJoining(this.#members.size, now);",
+    find: "const joining = this.isJoining(now);",
     replace: "const joining = false;",
   },
   {
