--- a/playground/src/guards/main.ts
+++ b/playground/src/guards/main.ts
@@ -22,6 +22,7 @@
 import { GUARDS } from "./guards.ts";
 import { QUARANTINE_GUARDS } from "./quarantine_guards.ts";
 import { ROUTE_GUARDS } from "./route_guards.ts";
+import { STALL_GUARDS } from "./stall_guards.ts";
 
 const ROOT = fileURLToPath(new URL("../../../", import.meta.url));
 const PACKAGES = {
@@ -64,9 +65,12 @@
 const only = process.argv.slice(2).filter((argument) =>
   !argument.startsWith("--")
 );
-const chosen = [...GUARDS, ...ROUTE_GUARDS, ...QUARANTINE_GUARDS].filter((
-  guard,
-) =>
+const chosen = [
+  ...GUARDS,
+  ...ROUTE_GUARDS,
+  ...QUARANTINE_GUARDS,
+  ...STALL_GUARDS,
+].filter((guard) =>
   only.length === 0 ||
   only.some((text) => `${guard.point} ${guard.name}`.includes(text))
 );
--- /dev/null
+++ b/playground/src/guards/stall_guards.ts
@@ -0,0 +1,89 @@
+/**
+ * The guards against taking others for silent after a pause of our own.
+ *
+ * @module
+ */
+import type { Guard } from "./guard.ts";
+
+const CORE = "packages/core/src";
+const GATEWAY = "packages/daemon/src/gateway";
+const POINT = "our own pauses";
+
+/** Every guard that is checked. */
+export const STALL_GUARDS: readonly Guard[] = [
+  {
+    point: POINT,
+    name: "no stream is left for what waits to be read",
+    file: `${CORE}/gateway/call_recovery.ts`,
+    find: "listened.since(attempt.heardAt ?? sentAt, now)",
+    replace: "now - (attempt.heardAt ?? sentAt)",
+    also: [{
+      file: `${CORE}/gateway/call_recovery.ts`,
+      find: "listened.since(state.heardAt ?? sentAt, now)",
+      replace: "now - (state.heardAt ?? sentAt)",
+    }],
+  },
+  {
+    point: POINT,
+    name: "a peer's work counts on",
+    file: `${CORE}/gateway/endpoint_registry.ts`,
+    find: "this.#listened.since(at, now)",
+    replace: "now - at",
+  },
+  {
+    point: POINT,
+    name: "no peer is suspected for an unread answer",
+    file: `${CORE}/fleet/probe_schedule.ts`,
+    find: "this.#listened.since(sentAt, now)",
+    replace: "now - sentAt",
+  },
+  {
+    point: POINT,
+    name: "no peer is held for dead for an unread denial",
+    file: `${CORE}/fleet/fleet_controller.ts`,
+    find: "this.#options.listened.since(since, now)",
+    replace: "now - since",
+  },
+  {
+    point: POINT,
+    name: "no endpoint counts as ended for an unread answer",
+    file: `${CORE}/quarantine/crash_watch.ts`,
+    find: "this.#listened.since(lastHeard(endpoint, run), now)",
+    replace: "now - lastHeard(endpoint, run)",
+  },
+  {
+    point: POINT,
+    name: "a stop waits for unread requests",
+    file: `${CORE}/gateway/stop_controller.ts`,
+    find: "this.#listened.since(lastArrival, now)",
+    replace: "now - lastArrival",
+  },
+  {
+    point: POINT,
+    name: "a woken entry reads the picture anew",
+    file: `${CORE}/gateway/read_schedule.ts`,
+    find: "this.#readsAgain ? 0 : pause",
+    replace: "pause",
+  },
+  {
+    point: POINT,
+    name: "no member is suspect for unread heartbeats",
+    file: `${CORE}/membership/member_table.ts`,
+    find: "this.#listened.since(member.heardAt, now)",
+    replace: "now - member.heardAt",
+  },
+  {
+    point: POINT,
+    name: "timers come after the sockets",
+    file: "packages/daemon/src/timers/after_poll.ts",
+    find: "immediate = setImmediate(run);",
+    replace: "run();",
+  },
+  {
+    point: POINT,
+    name: "no connection is closed with a request unread in it",
+    file: `${GATEWAY}/ingress.ts`,
+    find: "  closeIdleAfterPoll(server);\n",
+    replace: "",
+  },
+];
