fix: a comment comes once; a stream without an event is not whole for its connection's end

A comment that stood before a torn event had gone to the caller at once, and the next endpoint, told the last event's number, began with it again: comments now leave with the event that they stand before, or with the end. And an answer without framing that was closed in order before its first event was told whole after 0 of 237 bytes; it is lost now, but for a caller that asked for what follows an event.

What is kept of comments counts for the bound of an event.

--- a/packages/daemon/src/gateway/event_cutter.ts
+++ b/packages/daemon/src/gateway/event_cutter.ts
@@ -32,6 +32,11 @@
   #begun = false;
   /** The last bytes of the parts: a boundary may begin there. */
   #tail: Buffer = Buffer.alloc(0);
+  /**
+   * Comments that stand before the event to come. Passed on ahead of it, they would come again from the
+   * next endpoint where the event is torn.
+   */
+  #comments: Buffer = Buffer.alloc(0);
 
   /** Adds bytes; gives the events that they complete. */
   push(chunk: Buffer): WholeEvents | undefined {
@@ -42,18 +47,27 @@
       this.#keep(chunk, searched);
       return undefined;
     }
-    const whole = Buffer.concat([...this.#parts, chunk.subarray(0, end)]);
+    const whole = Buffer.concat([
+      this.#comments,
+      ...this.#parts,
+      chunk.subarray(0, end),
+    ]);
     const rest = chunk.subarray(end);
     this.#parts = [];
     this.#size = 0;
     this.#begun = false;
     this.#keep(rest, rest);
-    return { bytes: whole, ...positionOf(whole.toString("latin1")) };
+    return this.#takeEvents(whole);
   }
 
-  /** Bytes that are no whole event. */
+  /** Bytes that are no whole event, and comments before the next one. */
   get rest(): Buffer {
-    return Buffer.concat(this.#parts);
+    return Buffer.concat([this.#comments, ...this.#parts]);
+  }
+
+  /** How many bytes are kept. */
+  get size(): number {
+    return this.#comments.length + this.#size;
   }
 
   /** How many of them belong to an event that has begun. Blank lines after the last one begin none. */
@@ -61,6 +75,16 @@
     return this.#begun ? this.#size : 0;
   }
 
+  /** Keeps the comments behind the last event. */
+  #takeEvents(whole: Buffer): WholeEvents | undefined {
+    const text = whole.toString("latin1");
+    const end = endOfEvents(text);
+    this.#comments = whole.subarray(end);
+    return end === 0
+      ? undefined
+      : { bytes: whole.subarray(0, end), ...positionOf(text.slice(0, end)) };
+  }
+
   #keep(bytes: Buffer, searched: Buffer): void {
     this.#parts.push(bytes);
     this.#size += bytes.length;
@@ -89,10 +113,21 @@
   return 0;
 }
 
+const FIELD_LINE = /^[^:\r\n]/gm;
 const ID_LINE = /^id:(.*)$/gm;
 const DATA_LINE = /^data/m;
 const BLANK_LINE = /\n\r?\n/;
 
+/** The end of the last event that is more than a comment, 0 where there is none. */
+function endOfEvents(text: string): number {
+  const last = [...text.matchAll(FIELD_LINE)].at(-1);
+  if (last === undefined) {
+    return 0;
+  }
+  const boundary = BLANK_LINE.exec(text.slice(last.index))!;
+  return last.index + boundary.index + boundary[0].length;
+}
+
 function positionOf(text: string): Omit<WholeEvents, "bytes"> {
   const ids = [...text.matchAll(ID_LINE)];
   const last = ids.at(-1);
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -90,6 +90,8 @@
   #kept: Buffer[] = [];
   #bytes = 0;
   #over = false;
+  /** Whether no event has come. */
+  #isEmpty = true;
   #endDiscarding: Cancel | undefined;
   /** Last event of the caller, until the first one of an answer that goes on behind it. */
   #goesOnAfter: string | undefined;
@@ -330,11 +332,12 @@
       return this.#end({ kind: "lost", detail: "Events began anew" });
     }
     if (events !== undefined) {
+      this.#isEmpty = false;
       this.#writer!.write(events.bytes);
     }
     // Told after the write: an event that counts as passed on and never was would be missing.
     this.#tellProgress(events);
-    if (this.#cutter.unfinished > MAX_EVENT_BYTES) {
+    if (this.#cutter.size > MAX_EVENT_BYTES) {
       this.#end({ kind: "lost", detail: "An event is too long" });
     }
   }
@@ -408,6 +411,11 @@
         detail: "Answer ended inside an event",
       });
     }
+    const { resumeAfter } = this.#attempt;
+    if (this.#isEmpty && !this.#framed && resumeAfter === undefined) {
+      // Its connection alone tells that it is whole, and a process that ends closes it in the same way.
+      return this.#end({ kind: "lost", detail: "No event came" });
+    }
     this.#writer!.write(this.#cutter.rest);
     this.#end({ kind: "complete" });
   }
--- a/playground/src/guards/byte_guards.ts
+++ b/playground/src/guards/byte_guards.ts
@@ -83,8 +83,8 @@
     point: POINT,
     name: "an event has an end within bounds",
     file: `${SHELL}/outbound_call.ts`,
-    find: "if (this.#cutter.unfinished > MAX_EVENT_BYTES) {",
-    replace: "if (this.#cutter.unfinished > Infinity) {",
+    find: "if (this.#cutter.size > MAX_EVENT_BYTES) {",
+    replace: "if (this.#cutter.size > Infinity) {",
   },
   {
     point: POINT,
