refactor: what may be passed on of an answer of events, in a module of its own

The cutter, what an answer goes on behind, and whether any event came are one object that an attempt makes when its answer of events begins; it judges, the attempt writes and tells.

--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -18,7 +18,8 @@
   type Connection,
   type Connections,
 } from "./connections.ts";
-import { EventCutter, type WholeEvents } from "./event_cutter.ts";
+import type { WholeEvents } from "./event_cutter.ts";
+import { EventPassage } from "./event_passage.ts";
 import type { AnswerSource, AnswerWriter } from "./answer_writer.ts";
 import type { Exchange } from "./exchange.ts";
 import { afterPoll, type Cancel } from "../timers/index.ts";
@@ -33,13 +34,10 @@
 
 /** Plain answers up to this size are held until they are whole, so that a torn one can be repeated. */
 const MAX_HELD_BYTES = 262_144;
-/** Nothing of an event goes out before it is whole: one without an end would fill the memory. */
-const MAX_EVENT_BYTES = 1_048_576;
 /** Of an answer that nobody wants so much is read, to keep its connection. */
 const MAX_DISCARDED_BYTES = 16_384;
 /** And for so long: the rest may never come. */
 const MOST_DISCARDING_MS = 1_000;
-const WHOLE_NUMBER = /^\d{1,15}$/;
 const FIRST_FINAL_STATUS = 200;
 const OK = 200;
 /** Connections to one peer. */
@@ -72,13 +70,10 @@
 export class OutboundCall implements Dispatcher.DispatchHandler, AnswerSource {
   readonly #attempt: CallAttempt;
   readonly #exchange: Exchange;
-  /**
-   * Lives and dies with the attempt: kept for the next one of the request, the bytes of an unfinished event
-   * would stand before that one's first event, and the caller would get an event that no endpoint made.
-   */
-  readonly #cutter = new EventCutter();
   readonly #tools: OutboundTools;
   #connection: Connection | undefined;
+  /** Set for an answer of events. */
+  #passage: EventPassage | undefined;
   /** Set while bytes of the answer may go to the caller. */
   #writer: AnswerWriter | undefined;
   #controller: Dispatcher.DispatchController | undefined;
@@ -90,11 +85,7 @@
   #kept: Buffer[] = [];
   #bytes = 0;
   #over = false;
-  /** Whether no event has come. */
-  #isEmpty = true;
   #endDiscarding: Cancel | undefined;
-  /** Last event of the caller, until the first one of an answer that goes on behind it. */
-  #goesOnAfter: string | undefined;
 
   constructor(
     attempt: CallAttempt,
@@ -180,7 +171,7 @@
     this.#bytes += chunk.length;
     switch (this.#mode) {
       case "events":
-        return this.#pass(chunk);
+        return this.#passEvents(chunk);
       case "bytes":
         return this.#passBytes(chunk);
       case "holding":
@@ -296,9 +287,13 @@
     if (verdict === undefined) {
       return;
     }
-    if (verdict === "goOn") {
-      this.#goesOnAfter = this.#attempt.resumeAfter;
-    } else {
+    const goesOn = verdict === "goOn";
+    if (mode === "events") {
+      this.#passage = new EventPassage(
+        goesOn ? this.#attempt.resumeAfter : undefined,
+      );
+    }
+    if (!goesOn) {
       const headers = this.#tools.protocol.answerHeaders(this.#headers);
       this.#exchange.begin(this.#status, {
         reason: this.#reason,
@@ -326,34 +321,16 @@
     }
   }
 
-  #pass(chunk: Buffer): void {
-    const events = this.#cutter.push(chunk);
-    if (this.#repeats(events?.firstId)) {
-      return this.#end({ kind: "lost", detail: "Events began anew" });
-    }
+  #passEvents(chunk: Buffer): void {
+    const { events, fault } = this.#passage!.take(chunk);
     if (events !== undefined) {
-      this.#isEmpty = false;
       this.#writer!.write(events.bytes);
     }
     // Told after the write: an event that counts as passed on and never was would be missing.
     this.#tellProgress(events);
-    if (this.#cutter.size > MAX_EVENT_BYTES) {
-      this.#end({ kind: "lost", detail: "An event is too long" });
-    }
-  }
-
-  /**
-   * Whether an endpoint that shall go on begins with what the caller has: one that takes no notice of the
-   * last id begins anew, and the caller would get events twice. Ids that are no numbers tell nothing.
-   */
-  #repeats(firstId: string | undefined): boolean {
-    const after = this.#goesOnAfter;
-    if (after === undefined || firstId === undefined) {
-      return false;
+    if (fault !== undefined) {
+      this.#end({ kind: "lost", detail: fault });
     }
-    this.#goesOnAfter = undefined;
-    return WHOLE_NUMBER.test(after) && WHOLE_NUMBER.test(firstId) &&
-      Number(firstId) <= Number(after);
   }
 
   #tellProgress(passed?: WholeEvents): void {
@@ -362,7 +339,7 @@
       attempt: this.#attempt.id,
       lastEventId: passed?.lastId,
       unnumbered: passed?.unnumbered ?? false,
-      unfinished: this.#cutter.unfinished,
+      unfinished: this.#passage?.unfinished ?? 0,
     });
   }
 
@@ -400,23 +377,13 @@
     this.#end({ kind: "complete" });
   }
 
-  /**
-   * An endpoint, or what stands before it, may end the framing in order inside an event. Passed on to its
-   * last byte, the stream would look whole to its caller.
-   */
   #endEvents(): void {
-    if (this.#cutter.unfinished > 0) {
-      return this.#end({
-        kind: "lost",
-        detail: "Answer ended inside an event",
-      });
-    }
-    const { resumeAfter } = this.#attempt;
-    if (this.#isEmpty && !this.#framed && resumeAfter === undefined) {
-      // Its connection alone tells that it is whole, and a process that ends closes it in the same way.
-      return this.#end({ kind: "lost", detail: "No event came" });
+    const resumed = this.#attempt.resumeAfter !== undefined;
+    const end = this.#passage!.end({ framed: this.#framed, resumed });
+    if (end.kind === "torn") {
+      return this.#end({ kind: "lost", detail: end.fault });
     }
-    this.#writer!.write(this.#cutter.rest);
+    this.#writer!.write(end.rest);
     this.#end({ kind: "complete" });
   }
 
--- a/playground/src/guards/byte_guards.ts
+++ b/playground/src/guards/byte_guards.ts
@@ -15,16 +15,14 @@
     point: POINT,
     name: "what an attempt half received dies with it",
     file: `${SHELL}/outbound_call.ts`,
-    find: "readonly #cutter = new EventCutter();",
-    replace: `get #cutter(): EventCutter {
-    const kept = this.#exchange as unknown as { cutter?: EventCutter };
-    return kept.cutter ??= new EventCutter();
-  }`,
+    find: "this.#passage = new EventPassage(",
+    replace:
+      "const kept = this.#exchange as unknown as { passage?: EventPassage };\n      this.#passage = kept.passage ??= new EventPassage(",
   },
   {
     point: POINT,
     name: "an answer that ends inside an event is not whole",
-    file: `${SHELL}/outbound_call.ts`,
+    file: `${SHELL}/event_passage.ts`,
     find: "if (this.#cutter.unfinished > 0) {",
     replace: "if (this.#cutter.unfinished < 0) {",
   },
@@ -75,16 +73,16 @@
   {
     point: POINT,
     name: "a stream does not go on with events that its caller has",
-    file: `${SHELL}/outbound_call.ts`,
+    file: `${SHELL}/event_passage.ts`,
     find: "if (this.#repeats(events?.firstId)) {",
     replace: "if (this.#repeats(undefined)) {",
   },
   {
     point: POINT,
     name: "an event has an end within bounds",
-    file: `${SHELL}/outbound_call.ts`,
-    find: "if (this.#cutter.size > MAX_EVENT_BYTES) {",
-    replace: "if (this.#cutter.size > Infinity) {",
+    file: `${SHELL}/event_passage.ts`,
+    find: "this.#cutter.size > MAX_EVENT_BYTES",
+    replace: "this.#cutter.size > Infinity",
   },
   {
     point: POINT,
