--- a/playground/src/bytes/byte_fleet.ts
+++ b/playground/src/bytes/byte_fleet.ts
@@ -7,7 +7,8 @@
 import { eventually, route } from "../platform/platform_fleet.ts";
 import { StandInStore } from "../platform/stand_in_store.ts";
 import type { SeenAnswer } from "./event_text.ts";
-import { freePorts, LocalEntry } from "./local_entry.ts";
+import { type ByteEntry, freePorts, type LocalPlace } from "./entry_place.ts";
+import { LocalEntry } from "./local_entry.ts";
 import type { RawEngine } from "./raw_engine.ts";
 import { askStream, type StreamQuestion } from "./stream_caller.ts";
 
@@ -16,36 +17,43 @@
 const ROUTE_TIMEOUT_MS = 10_000;
 
 /** Where an engine or an entry stands: a zone of the same name belongs to each region. */
-export interface ByteFleetPlan {
+export interface ByteFleetPlan<Entry extends ByteEntry = LocalEntry> {
   readonly engines: readonly { engine: RawEngine; region?: string }[];
   /** A region for each entry. */
   readonly entries?: readonly string[];
   /** Endpoints that one request may be sent to. */
   readonly attempts?: number;
+  /** Milliseconds of the routes' timeouts. */
+  readonly timeout?: number;
+  /** Starts an entry, in this process where it is not given. */
+  readonly start?: (place: LocalPlace) => Promise<Entry>;
 }
 
 /** A running fleet. */
-export class ByteFleet {
+export class ByteFleet<Entry extends ByteEntry = LocalEntry> {
   readonly store = new StandInStore();
-  readonly entries: LocalEntry[] = [];
+  readonly entries: Entry[] = [];
   readonly engines: { readonly engine: RawEngine; readonly address: string }[] =
     [];
-  readonly #plan: ByteFleetPlan;
+  readonly #plan: ByteFleetPlan<Entry>;
+  #version = 1;
 
-  constructor(plan: ByteFleetPlan) {
+  constructor(plan: ByteFleetPlan<Entry>) {
     this.#plan = plan;
   }
 
   /** Starts everything and waits until all serve. */
   async start(): Promise<void> {
-    const { engines, entries = ["a"], attempts = 3 } = this.#plan;
+    const { engines, entries = ["a"] } = this.#plan;
+    const startEntry = this.#plan.start ??
+      (LocalEntry.start as unknown as (place: LocalPlace) => Promise<Entry>);
     const storeAddress = await this.store.listen();
     for (const { engine, region = "a" } of engines) {
       const address = await engine.listen();
       this.engines.push({ engine, address });
       this.publish(engine.id, { address, region, born: 1 });
     }
-    this.store.put(KEYS.document, documentOf(attempts));
+    this.publishDocument();
     const hosts = entries.map((_, index) => `127.0.0.${FIRST_HOST + index}`);
     const [peerPort] = await freePorts(hosts[0]!, 1);
     const zones = Object.fromEntries(
@@ -53,7 +61,7 @@
     );
     for (const [index, region] of entries.entries()) {
       this.entries.push(
-        await LocalEntry.start({
+        await startEntry({
           name: `entry-${index + 1}`,
           host: hosts[index]!,
           zone: `${region}-1`,
@@ -68,6 +76,16 @@
     await Promise.all(this.entries.map(({ readiness }) => served(readiness)));
   }
 
+  /** Publishes a newer document, with the given fields of the resumable route. */
+  publishDocument(fields: object = {}): void {
+    this.#version += 2;
+    const { attempts = 3, timeout = ROUTE_TIMEOUT_MS } = this.#plan;
+    this.store.put(
+      KEYS.document,
+      documentOf(this.#version, { attempts, timeout, fields }),
+    );
+  }
+
   /** Tells the entries of an engine. */
   publish(
     id: string,
@@ -90,6 +108,11 @@
     });
   }
 
+  /** The record of an engine goes from the store. */
+  withdraw(id: string): void {
+    this.store.remove(`${KEYS.endpoint}${id}`);
+  }
+
   /** Asks an entry for a stream that may be resumed. */
   ask(
     call: string,
@@ -117,16 +140,23 @@
   );
 }
 
-function documentOf(attempts: number): object {
+function documentOf(
+  version: number,
+  { attempts, timeout, fields }: {
+    attempts: number;
+    timeout: number;
+    fields: object;
+  },
+): object {
   const common = {
     kind: "stream",
     service: SERVICE,
-    timeout_ms: ROUTE_TIMEOUT_MS,
+    timeout_ms: timeout,
   };
   return {
-    version: 3,
+    version,
     routes: [
-      route("resume", { ...common, attempts, resumable: true }),
+      route("resume", { ...common, attempts, resumable: true, ...fields }),
       route("once", { ...common, attempts: 1 }),
     ],
     services: [{
--- a/playground/src/bytes/event_text.ts
+++ b/playground/src/bytes/event_text.ts
@@ -11,6 +11,8 @@
   readonly versions: boolean;
   /** Whether comments stand between events. */
   readonly comments: boolean;
+  /** Bytes that each event is longer by. */
+  readonly padding?: number;
 }
 
 /** Events as most engines write them. */
@@ -27,9 +29,15 @@
 export function eventOf(
   call: string,
   id: number,
-  { lineEnd, versions, comments }: EventStyle = PLAIN_STYLE,
+  { lineEnd, versions, comments, padding = 0 }: EventStyle = PLAIN_STYLE,
 ): string {
-  const lines = [`id: ${id}`, `data: {"call":"${call}","piece":${id}}`, "", ""];
+  const filler = ".".repeat(padding);
+  const lines = [
+    `id: ${id}`,
+    `data: {"call":"${call}","piece":${id}}${filler}`,
+    "",
+    "",
+  ];
   if (versions && id % VERSION_EVERY === 0) {
     lines.unshift("x-weight-versions: 7");
   }
@@ -58,8 +66,8 @@
 export interface SeenAnswer {
   readonly status: number;
   readonly body: string;
-  /** How the answer ended: told whole, visibly broken, or not within the caller's time. */
-  readonly end: "whole" | "broken" | "open";
+  /** How the answer ended: told whole, visibly broken, not within the caller's time, or left by its caller. */
+  readonly end: "whole" | "broken" | "open" | "left";
 }
 
 /** What is wrong with an answer, `undefined` for nothing. */
@@ -75,6 +83,9 @@
       ? undefined
       : `told whole after ${body.length} of ${whole.length} bytes`;
   }
+  if (end === "left") {
+    return undefined;
+  }
   const { lineEnd } = style;
   const boundary = body === "" || body.endsWith(`${lineEnd}${lineEnd}`);
   return boundary ? undefined : `ends inside an event: ${tailOf(body)}`;
--- a/playground/src/bytes/index.ts
+++ b/playground/src/bytes/index.ts
@@ -7,12 +7,9 @@
   PLAIN_STYLE,
   type SeenAnswer,
 } from "./event_text.ts";
-export {
-  freePorts,
-  type Line,
-  LocalEntry,
-  type LocalPlace,
-} from "./local_entry.ts";
+export { type ByteEntry, freePorts, type LocalPlace } from "./entry_place.ts";
+export { type Line, LocalEntry } from "./local_entry.ts";
+export { ProcessEntry } from "./process_entry.ts";
 export {
   type Framing,
   RawEngine,
--- a/playground/src/bytes/local_entry.ts
+++ b/playground/src/bytes/local_entry.ts
@@ -3,8 +3,6 @@
  *
  * @module
  */
-import { once } from "node:events";
-import { type AddressInfo, createServer } from "node:net";
 import {
   GatewayEntry,
   Logger,
@@ -17,6 +15,13 @@
   PlatformEndpoints,
   StoreSource,
 } from "@sassafrasstep/platform";
+import {
+  type ByteEntry,
+  freePorts,
+  type LocalPlace,
+  PORTS,
+  settingsOf,
+} from "./entry_place.ts";
 
 /** One line of a log. */
 export interface Line {
@@ -49,27 +54,14 @@
   }
 }
 
-/** Where an entry of this process stands. */
-export interface LocalPlace {
-  readonly name: string;
-  readonly host: string;
-  readonly zone: string;
-  readonly region: string;
-  /** The same on all entries. */
-  readonly peerPort: number;
-  readonly seeds: readonly string[];
-  /** Region of each zone. */
-  readonly zones: Readonly<Record<string, string>>;
-  readonly storeAddress: string;
-}
-
 /** One entry. */
-export class LocalEntry {
+export class LocalEntry implements ByteEntry {
   readonly #logger = new LineLogger();
   readonly #entry: GatewayEntry;
   /** Host and port for callers. */
   readonly callers: string;
   readonly readiness: string;
+  readonly control: string;
 
   private constructor(text: string, place: LocalPlace, ports: number[]) {
     const result = parseGatewaySettings(text);
@@ -78,6 +70,7 @@
     }
     this.callers = `${place.host}:${ports[0]}`;
     this.readiness = `${place.host}:${ports[2]}`;
+    this.control = `${place.host}:${ports[3]}`;
     this.#entry = new GatewayEntry(result.settings, {
       logger: this.#logger,
       platform: {
@@ -98,9 +91,11 @@
     return entry;
   }
 
-  /** Its lines that say a sentence. */
-  lines(text: string): readonly Line[] {
-    return this.#logger.lines.filter((line) => line.text === text);
+  /** Its lines, those that say a sentence where one is given. */
+  lines(text?: string): readonly Line[] {
+    return this.#logger.lines.filter((line) =>
+      text === undefined || line.text === text
+    );
   }
 
   /** Ends it as planned. */
@@ -109,53 +104,3 @@
     await this.#entry.stopped;
   }
 }
-
-const PORTS = 4;
-
-function settingsOf(place: LocalPlace, ports: number[]): string {
-  const { host, zones } = place;
-  const [callers, directory, readiness, control] = ports;
-  return `[entry]
-id = ${place.name}
-zone = ${place.zone}
-region = ${place.region}
-[addresses]
-callers = ${host}:${callers}
-directory = ${host}:${directory}
-readiness = ${host}:${readiness}
-control = ${host}:${control}
-peers = ${host}:${place.peerPort}
-[peers]
-seeds = ${place.seeds.join(", ")}
-[zones]
-${
-    Object.entries(zones).map(([zone, region]) => `${zone} = ${region}`).join(
-      "\n",
-    )
-  }
-[store]
-address = ${place.storeAddress}
-[bounds]
-repeat_slack = 10000
-stop_s = 8
-`;
-}
-
-/** Ports of a host that are free just now. */
-export async function freePorts(
-  host: string,
-  count: number,
-): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports: number[] = [];
-  for (const server of servers) {
-    server.listen(0, host);
-    await once(server, "listening");
-    ports.push((server.address() as AddressInfo).port);
-  }
-  for (const server of servers) {
-    server.close();
-    await once(server, "close");
-  }
-  return ports;
-}
--- a/playground/src/bytes/raw_engine.ts
+++ b/playground/src/bytes/raw_engine.ts
@@ -27,7 +27,9 @@
   | "closed"
   | "reset"
   /** Nothing more comes, and the connection stays open. */
-  | "silent";
+  | "silent"
+  /** Nothing more comes for a while, and then the rest. */
+  | "late";
 
 /** What an engine does with a run. */
 export interface RunScript {
@@ -46,6 +48,8 @@
   readonly status?: number;
   /** Whether the status says that it did not run. */
   readonly notRun?: boolean;
+  /** Called once everything before the stop is written. */
+  readonly onStop?: () => void;
 }
 
 /** A request as the engine got it. */
@@ -60,12 +64,15 @@
 const OK = 200;
 const HEAD_END = "\r\n\r\n";
 const MISDIRECTED = 421;
+const LATE_MS = 2_200;
 
 /** An engine on loopback. */
 export class RawEngine {
   readonly id: string;
   /** Requests that it began to run, in order. */
   readonly runs: RawRequest[] = [];
+  /** Calls whose answers have begun and neither ended nor lost their connection. */
+  readonly open = new Set<string>();
   readonly #script: (request: RawRequest) => RunScript;
   readonly #sockets = new Set<Socket>();
   readonly #server: Server = createServer((socket) => this.#accept(socket));
@@ -75,9 +82,9 @@
     this.#script = script;
   }
 
-  /** Listens; gives host and port. */
-  async listen(): Promise<string> {
-    this.#server.listen(0, "127.0.0.1");
+  /** Listens, on a free port where none is given; gives host and port. */
+  async listen(port = 0): Promise<string> {
+    this.#server.listen(port, "127.0.0.1");
     await once(this.#server, "listening");
     return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
@@ -87,10 +94,17 @@
     this.#sockets.forEach((socket) => socket.resetAndDestroy());
   }
 
+  /** Takes no more connections; those that are open stay. */
+  refuse(): void {
+    this.#server.close();
+  }
+
   async close(): Promise<void> {
     this.drop();
-    this.#server.close();
-    await once(this.#server, "close");
+    if (this.#server.listening) {
+      this.#server.close();
+      await once(this.#server, "close");
+    }
   }
 
   #accept(socket: Socket): void {
@@ -127,8 +141,12 @@
       return;
     }
     const body = eventsOf(call, { count: events, after, style });
+    this.open.add(call);
+    socket.on("close", () => this.open.delete(call));
     socket.write(streamHead(call, { script, length: body.length }));
-    await say(socket, body, script);
+    if (await say(socket, body, script)) {
+      this.open.delete(call);
+    }
   }
 }
 
@@ -182,12 +200,31 @@
   ].join("\r\n") + HEAD_END;
 }
 
+/** Whether the answer came to the end that its framing tells. */
 async function say(
   socket: Socket,
   body: string,
-  { framing = "chunked", stop = "whole", stopAt, piece, pace = 0 }: RunScript,
+  script: RunScript,
+): Promise<boolean> {
+  const { framing = "chunked", stop = "whole", stopAt, onStop } = script;
+  await write(socket, stop === "whole" ? body : body.slice(0, stopAt), script);
+  onStop?.();
+  if (stop === "late") {
+    await pause(LATE_MS);
+    await write(socket, body.slice(stopAt), script);
+  }
+  if (!socket.destroyed) {
+    endRun(socket, { framing, stop });
+  }
+  return stop === "whole" || stop === "late" ||
+    (stop === "ended" && framing === "chunked");
+}
+
+async function write(
+  socket: Socket,
+  said: string,
+  { framing = "chunked", piece, pace = 0 }: RunScript,
 ): Promise<void> {
-  const said = stop === "whole" ? body : body.slice(0, stopAt);
   const size = Math.max(1, piece ?? said.length);
   for (let at = 0; at < said.length; at += size) {
     const part = said.slice(at, at + size);
@@ -198,11 +235,18 @@
       "latin1",
     );
     await (pace > 0 ? pause(pace) : nextTurn());
+    await room(socket);
     if (socket.destroyed) {
       return;
     }
   }
-  endRun(socket, { framing, stop });
+}
+
+/** Waits until the other side has read what was written. */
+async function room(socket: Socket): Promise<void> {
+  while (socket.writableNeedDrain && !socket.destroyed) {
+    await pause(1);
+  }
 }
 
 function nextTurn(): Promise<void> {
@@ -215,6 +259,7 @@
 ): void {
   switch (stop) {
     case "whole":
+    case "late":
     case "ended":
       if (framing === "chunked") {
         socket.write("0\r\n\r\n");
--- a/playground/src/bytes/stream_caller.ts
+++ b/playground/src/bytes/stream_caller.ts
@@ -16,6 +16,8 @@
   readonly time?: number;
   /** Last event that it has. */
   readonly after?: number;
+  /** Bytes after which the caller leaves. */
+  readonly leaveAfter?: number;
   /** Told of bytes as they come; a promise holds further reading back. */
   readonly onBytes?: (bytes: number) => Promise<void> | void;
 }
@@ -33,12 +35,14 @@
     host = "kiosk.example",
     time = DEFAULT_TIME_MS,
     after,
+    leaveAfter = Infinity,
     onBytes,
   }: StreamQuestion,
 ): Promise<SeenAnswer> {
   const colon = address.lastIndexOf(":");
   return new Promise((resolve) => {
     let status = 0;
+    let length = 0;
     const parts: Buffer[] = [];
     const end = (kind: SeenAnswer["end"]): void => {
       clearTimeout(timer);
@@ -63,6 +67,10 @@
       status = answer.statusCode!;
       answer.on("data", (bytes: Buffer) => {
         parts.push(bytes);
+        length += bytes.length;
+        if (length >= leaveAfter) {
+          return end("left");
+        }
         const held = onBytes?.(bytes.length);
         if (held !== undefined) {
           answer.pause();
--- /dev/null
+++ b/soak/src/caller_run.ts
@@ -0,0 +1,93 @@
+/**
+ * One caller of a wave: it asks, and may go on by itself at other entries.
+ *
+ * @module
+ */
+import { setTimeout as pause } from "node:timers/promises";
+import {
+  askStream,
+  type RawRequest,
+  type SeenAnswer,
+} from "@sassafrasstep/playground/bytes";
+import type { CasePlan } from "./plan.ts";
+import type { SeenCall } from "./promises.ts";
+
+const OK = 200;
+
+/** Asks, and keeps what it sees. */
+export class CallerRun {
+  readonly #plan: CasePlan;
+  readonly #runsOf: (call: string) => RawRequest[];
+
+  constructor(plan: CasePlan, runsOf: (call: string) => RawRequest[]) {
+    this.#plan = plan;
+    this.#runsOf = runsOf;
+  }
+
+  /** Plays it at entries that are known by their addresses. */
+  async play(addresses: readonly string[]): Promise<SeenCall[]> {
+    const { call, entry, again, path } = this.#plan;
+    const seen: SeenCall[] = [];
+    let after = 0;
+    for (const [index, place] of [entry, ...again].entries()) {
+      const name = index === 0 ? call : `${call}-${index}`;
+      const last = await this.#ask(addresses[place]!, { name, after });
+      seen.push(last);
+      after = lastEventOf(last);
+      const { end, status } = last.answer;
+      const goesOn = end === "broken" && path === "resume" &&
+        (status === OK || status === 0);
+      if (!goesOn) {
+        break;
+      }
+    }
+    return seen;
+  }
+
+  async #ask(
+    address: string,
+    { name, after }: { name: string; after: number },
+  ): Promise<SeenCall> {
+    const { path, timeMs, caller } = this.#plan;
+    const answer: SeenAnswer = await askStream(address, {
+      call: name,
+      path: `/${path}/${name}`,
+      time: timeMs,
+      after: after === 0 ? undefined : after,
+      leaveAfter: caller.kind === "leaves" ? caller.after : undefined,
+      onBytes: this.#reading(),
+    });
+    return {
+      plan: this.#plan,
+      call: name,
+      after,
+      answer,
+      endedAt: performance.now(),
+      runs: this.#runsOf(name),
+    };
+  }
+
+  /** How the caller reads: a slow one holds back once. */
+  #reading(): ((bytes: number) => Promise<void> | void) | undefined {
+    const { caller } = this.#plan;
+    if (caller.kind !== "slow") {
+      return undefined;
+    }
+    let bytes = 0;
+    let held = false;
+    return (more) => {
+      bytes += more;
+      if (held || bytes < caller.after) {
+        return;
+      }
+      held = true;
+      return pause(caller.holdMs);
+    };
+  }
+}
+
+/** Number of the last event that the caller has whole. */
+function lastEventOf({ after, answer }: SeenCall): number {
+  const ids = [...answer.body.matchAll(/^id: (\d+)\r?\ndata: .*\r?\n\r?\n/gm)];
+  return Number(ids.at(-1)?.[1] ?? after);
+}
--- /dev/null
+++ b/soak/src/index.ts
@@ -0,0 +1,9 @@
+export {
+  type CasePlan,
+  planWave,
+  WAVE_KINDS,
+  type WaveKind,
+  type WavePlan,
+} from "./plan.ts";
+export { type Broken, brokenPromise, type SeenCall } from "./promises.ts";
+export { playWave, type WaveResult } from "./wave.ts";
--- /dev/null
+++ b/soak/src/plan.ts
@@ -0,0 +1,283 @@
+/**
+ * What a seed plays: waves of streams, each with what its runs, its caller and the entries do.
+ *
+ * @module
+ */
+import type {
+  EventStyle,
+  Framing,
+  Stop,
+} from "@sassafrasstep/playground/bytes";
+import { Draw } from "./draw.ts";
+
+/** What is done to an engine, or to all, once a run has come to its stop. */
+export type Disturbance =
+  /** Another life of the engine is told in the store. */
+  | "born"
+  /** Its record goes from the store. */
+  | "removed"
+  /** Its port is closed, and connections that are open stay. */
+  | "refused"
+  /** The route allows fewer endpoints. */
+  | "route";
+
+/** What one run of a stream does. */
+export interface RunPlan {
+  readonly stop: Stop;
+  readonly framing: Framing;
+  /** Part of its bytes after which it stops. */
+  readonly part: number;
+  /** Whether it stops at the end of an event. */
+  readonly aligned: boolean;
+  readonly piece: number;
+  readonly pace: number;
+  readonly status?: number;
+  readonly notRun?: boolean;
+  readonly disturbance?: Disturbance;
+}
+
+/** What the caller of a stream does. */
+export type CallerPlan =
+  | { readonly kind: "reads" }
+  /** Reads nothing for a while, once bytes have come. */
+  | { readonly kind: "slow"; readonly holdMs: number; readonly after: number }
+  | { readonly kind: "leaves"; readonly after: number };
+
+/** One stream. */
+export interface CasePlan {
+  readonly call: string;
+  readonly path: "resume" | "once";
+  readonly entry: number;
+  readonly startMs: number;
+  readonly timeMs: number;
+  readonly events: number;
+  readonly style: EventStyle;
+  readonly caller: CallerPlan;
+  /** Entries at which the caller goes on by itself, in turn. */
+  readonly again: readonly number[];
+  /** First run, second and so on; the last one also for all further. */
+  readonly runs: readonly RunPlan[];
+}
+
+/** What is done to an entry's process. */
+export interface EntryEvent {
+  readonly atMs: number;
+  readonly entry: number;
+  readonly kind: "pause" | "kill" | "stop";
+  /** Length of a pause. */
+  readonly forMs: number;
+}
+
+/** What a wave is about. */
+export type WaveKind =
+  /** Ways that streams stop, that attempts are left. */
+  | "stops"
+  /** The whole machine stands still while streams are under way. */
+  | "stalls"
+  /** Processes of entries are paused. */
+  | "pauses"
+  /** Processes of entries are paused, killed and stopped. */
+  | "ends";
+
+/** Streams that are under way together. */
+export interface WavePlan {
+  readonly seed: number;
+  readonly wave: number;
+  readonly kind: WaveKind;
+  /** A region for each entry and each engine. */
+  readonly entries: readonly string[];
+  readonly engines: readonly string[];
+  readonly cases: readonly CasePlan[];
+  readonly entryEvents: readonly EntryEvent[];
+  /** When this process stands still, and for how long. */
+  readonly stalls: readonly { readonly atMs: number; readonly forMs: number }[];
+}
+
+/** Kinds of waves in their order; a seed plays them over and over. */
+export const WAVE_KINDS: readonly WaveKind[] = [
+  "stops",
+  "stalls",
+  "pauses",
+  "ends",
+];
+/** Endpoints that a resumable stream may be sent to. */
+export const ATTEMPTS = 4;
+/** Timeout of the routes. */
+export const TIMEOUT_MS = 12_000;
+
+const NEAR = ["a", "a", "a", "a", "b", "b", "b", "b"];
+const FAR = ["b", "b", "b", "b", "b"];
+const PADDING = 16_000;
+
+/** The plan of one wave. */
+export function planWave(
+  seed: number,
+  { wave, entries: count }: { wave: number; entries: number },
+): WavePlan {
+  const draw = new Draw(seed, wave);
+  const kind = WAVE_KINDS[wave % WAVE_KINDS.length]!;
+  const entries = Array.from(
+    { length: count },
+    (_, index) => index < count / 2 ? "a" : "b",
+  );
+  const engines = draw.chance(0.4) ? FAR : NEAR;
+  const caseCount = kind === "stops" ? 24 : 20;
+  const cases = Array.from(
+    { length: caseCount },
+    (_, index) =>
+      planCase(`s${seed}w${wave}c${index}`, {
+        draw,
+        entries: count,
+        lively: kind === "stops",
+      }),
+  );
+  const entryEvents = kind === "pauses" || kind === "ends"
+    ? planEntryEvents(draw, { count, ending: kind === "ends" })
+    : [];
+  const stalls = kind === "stalls"
+    ? [600, 3_400].map((atMs) => ({
+      atMs: atMs + draw.between(0, 400),
+      forMs: draw.between(1_600, 2_400),
+    }))
+    : [];
+  return { seed, wave, kind, entries, engines, cases, entryEvents, stalls };
+}
+
+function planCase(
+  call: string,
+  { draw, entries, lively }: { draw: Draw; entries: number; lively: boolean },
+): CasePlan {
+  const style: EventStyle = {
+    lineEnd: draw.pick(["\n", "\r\n"]),
+    versions: draw.chance(0.3),
+    comments: draw.chance(0.3),
+  };
+  const path = draw.chance(0.75) ? "resume" : "once";
+  const entry = draw.between(0, entries - 1);
+  const again = draw.chance(0.5)
+    ? [draw.between(0, entries - 1), draw.between(0, entries - 1)]
+    : [];
+  if (!lively) {
+    return planLongCase(call, { draw, style, path, entry, again });
+  }
+  const events = draw.between(4, 16);
+  const runs = Array.from(
+    { length: draw.pick([0, 1, 1, 2, 2, 3]) },
+    (_, index) => planRun(draw, index),
+  );
+  return {
+    call,
+    path,
+    entry,
+    again,
+    events,
+    style,
+    startMs: draw.between(0, 300),
+    timeMs: draw.chance(0.1) ? draw.between(900, 2_500) : TIMEOUT_MS,
+    caller: planCaller(draw, events),
+    runs: [...runs, wholeRun(draw, 0)],
+  };
+}
+
+/** A stream that nothing happens to but what happens to entries and machine. */
+function planLongCase(
+  call: string,
+  { draw, ...rest }:
+    & { draw: Draw }
+    & Pick<CasePlan, "style" | "path" | "entry" | "again">,
+): CasePlan {
+  const large = draw.chance(0.1);
+  const style = large ? { ...rest.style, padding: PADDING } : rest.style;
+  const events = large ? 500 : draw.between(30, 60);
+  const run = wholeRun(draw, 1);
+  return {
+    ...rest,
+    call,
+    style,
+    events,
+    startMs: draw.between(0, 500),
+    timeMs: TIMEOUT_MS,
+    caller: large
+      ? { kind: "slow", holdMs: draw.between(1_700, 2_600), after: 200_000 }
+      : { kind: "reads" },
+    runs: [large ? { ...run, pace: 1, piece: 64_000 } : run],
+  };
+}
+
+function planCaller(draw: Draw, events: number): CallerPlan {
+  const after = draw.between(1, events * 30);
+  const roll = draw.part();
+  if (roll < 0.1) {
+    return { kind: "leaves", after };
+  }
+  return roll < 0.25
+    ? { kind: "slow", holdMs: draw.between(200, 2_500), after }
+    : { kind: "reads" };
+}
+
+function wholeRun(draw: Draw, least: number): RunPlan {
+  return {
+    stop: "whole",
+    framing: draw.pick(["chunked", "chunked", "length", "none"]),
+    part: 1,
+    aligned: false,
+    piece: draw.pick([1, 7, 20, 60, 100_000]) * (least > 0 ? 3 : 1),
+    pace: least > 0 ? draw.between(20, 90) : draw.pick([0, 0, 1, 5]),
+  };
+}
+
+const REFUSALS = [
+  { status: 500 },
+  { status: 503, notRun: true },
+  { status: 421, notRun: true },
+];
+
+/** A run that stops; a later one may also be refused, or fail. */
+function planRun(draw: Draw, index: number): RunPlan {
+  const base = wholeRun(draw, 0);
+  if (index > 0 && draw.chance(0.35)) {
+    return { ...base, ...draw.pick(REFUSALS) };
+  }
+  const stop = draw.pick<Stop>([
+    "ended",
+    "closed",
+    "reset",
+    "silent",
+    "silent",
+    "late",
+  ]);
+  const stopped = {
+    ...base,
+    stop,
+    part: draw.part(),
+    aligned: draw.chance(0.2),
+    pace: draw.pick([0, 0, 1]),
+  };
+  return stop === "silent" && draw.chance(0.3)
+    ? {
+      ...stopped,
+      disturbance: draw.pick<Disturbance>([
+        "born",
+        "born",
+        "removed",
+        "refused",
+        "route",
+      ]),
+    }
+    : stopped;
+}
+
+function planEntryEvents(
+  draw: Draw,
+  { count, ending }: { count: number; ending: boolean },
+): EntryEvent[] {
+  const first = draw.between(0, count - 1);
+  return Array.from({ length: ending ? 3 : 2 }, (_, index) => ({
+    atMs: 700 + draw.between(0, 1_200) + index * 300,
+    entry: (first + index) % count,
+    kind: ending && index !== 1
+      ? draw.pick<EntryEvent["kind"]>(["kill", "stop"])
+      : "pause",
+    forMs: draw.between(1_000, 4_000),
+  }));
+}
--- /dev/null
+++ b/soak/src/promises.ts
@@ -0,0 +1,90 @@
+/**
+ * What callers and engines must have seen of a wave, whatever happened.
+ *
+ * @module
+ */
+import {
+  eventsOf,
+  faultOf,
+  type RawRequest,
+  type SeenAnswer,
+} from "@sassafrasstep/playground/bytes";
+import { ATTEMPTS, type CasePlan, type WavePlan } from "./plan.ts";
+import { looksWhole } from "./script.ts";
+
+/** One request of a caller, and what became of it. */
+export interface SeenCall {
+  readonly plan: CasePlan;
+  readonly call: string;
+  /** Last event that the caller had when it asked. */
+  readonly after: number;
+  readonly answer: SeenAnswer;
+  readonly endedAt: number;
+  readonly runs: readonly RawRequest[];
+}
+
+/** A promise that was not kept. */
+export interface Broken {
+  readonly call: string;
+  readonly what: string;
+}
+
+const OK = 200;
+/** Statuses that say that the request did not run. */
+const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** An entry may have sent a request on before it hears that its caller is gone. */
+const LATE_RUN_MS = 500;
+
+/** The first promise that a request's end breaks. */
+export function brokenPromise(
+  seen: SeenCall,
+  { kind }: Pick<WavePlan, "kind">,
+): string | undefined {
+  return bodyFault(seen) ?? endFault(seen) ?? runsFault(seen) ??
+    (kind === "stalls" || kind === "pauses" ? stallFault(seen) : undefined);
+}
+
+function bodyFault(
+  { plan, call, after, answer }: SeenCall,
+): string | undefined {
+  if (answer.status !== OK) {
+    return undefined;
+  }
+  const { style, events } = plan;
+  const whole = eventsOf(call, { count: events, after, style });
+  const fault = faultOf(answer, { whole, style });
+  // A body without framing that is closed in order after an event can't be told from a whole one. This
+  // exact case alone is left out.
+  const untold = answer.end === "whole" && whole.startsWith(answer.body) &&
+    plan.runs.some((run) => looksWhole(answer.body, run, style));
+  return untold ? undefined : fault;
+}
+
+function endFault({ answer }: SeenCall): string | undefined {
+  return answer.end === "open" ? "did not end at its timeout" : undefined;
+}
+
+function runsFault(
+  { plan, answer, runs, endedAt }: SeenCall,
+): string | undefined {
+  const most = plan.path === "resume" ? ATTEMPTS : 1;
+  if (runs.length > most) {
+    return `ran ${runs.length} times for ${most}`;
+  }
+  if (NOT_RUN.has(answer.status) && runs.length > 0) {
+    return `answered ${answer.status} and ran`;
+  }
+  return runs.some(({ at }) => at > endedAt + LATE_RUN_MS)
+    ? "ran after its end"
+    : undefined;
+}
+
+/** Engines and callers do nothing wrong here, so that our own pauses are all that there is. */
+function stallFault({ answer, runs }: SeenCall): string | undefined {
+  if (runs.length > 1) {
+    return `ran ${runs.length} times because of a pause`;
+  }
+  return answer.status === OK && answer.end !== "whole"
+    ? `was broken off because of a pause`
+    : undefined;
+}
--- /dev/null
+++ b/soak/src/wave.ts
@@ -0,0 +1,226 @@
+/**
+ * Plays one wave with engines, entries and callers over real sockets.
+ *
+ * @module
+ */
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as pause } from "node:timers/promises";
+import {
+  ByteFleet,
+  LocalEntry,
+  type LocalPlace,
+  ProcessEntry,
+  RawEngine,
+  type RawRequest,
+  type RunScript,
+} from "@sassafrasstep/playground/bytes";
+import { CallerRun } from "./caller_run.ts";
+import { openRequests } from "./open_requests.ts";
+import {
+  ATTEMPTS,
+  type Disturbance,
+  TIMEOUT_MS,
+  type WavePlan,
+} from "./plan.ts";
+import { type Broken, brokenPromise, type SeenCall } from "./promises.ts";
+import { scriptOf } from "./script.ts";
+
+/** What came of a wave. */
+export interface WaveResult {
+  readonly plan: WavePlan;
+  readonly broken: readonly Broken[];
+  /** Where logs and plan lie, `undefined` where nothing was broken. */
+  readonly folder: string | undefined;
+  readonly seen: readonly SeenCall[];
+}
+
+type SoakEntry = LocalEntry | ProcessEntry;
+
+/** Plays a wave; its files are kept where a promise was broken. */
+export async function playWave(plan: WavePlan): Promise<WaveResult> {
+  const folder = mkdtempSync(join(tmpdir(), "soak-"));
+  const wave = new Wave(plan, folder);
+  try {
+    await wave.start();
+    const seen = await wave.play();
+    const broken = [
+      ...judge(plan, seen),
+      ...(await wave.leftOpen()).map((what) => ({ call: "at the end", what })),
+    ];
+    if (broken.length > 0) {
+      wave.writeFiles({ broken, seen });
+    }
+    return {
+      plan,
+      broken,
+      seen,
+      folder: broken.length > 0 ? folder : undefined,
+    };
+  } finally {
+    await wave.close();
+    if (!wave.keepsFiles) {
+      rmSync(folder, { recursive: true });
+    }
+  }
+}
+
+function judge(plan: WavePlan, seen: readonly SeenCall[]): Broken[] {
+  return seen.flatMap((call) => {
+    const what = brokenPromise(call, plan);
+    return what === undefined ? [] : [{ call: call.call, what }];
+  });
+}
+
+class Wave {
+  readonly #plan: WavePlan;
+  readonly #folder: string;
+  readonly #engines: RawEngine[];
+  readonly #fleet: ByteFleet<SoakEntry>;
+  readonly #arrivals = new Map<string, number>();
+  readonly #lives = new Map<string, number>();
+  keepsFiles = false;
+
+  constructor(plan: WavePlan, folder: string) {
+    this.#plan = plan;
+    this.#folder = folder;
+    this.#engines = plan.engines.map((_, index) => {
+      const id = `i-${index + 1}`;
+      return new RawEngine(id, (request) => this.#script(id, request));
+    });
+    const processes = plan.kind === "pauses" || plan.kind === "ends";
+    this.#fleet = new ByteFleet<SoakEntry>({
+      engines: this.#engines.map((engine, index) => ({
+        engine,
+        region: plan.engines[index]!,
+      })),
+      entries: plan.entries,
+      attempts: ATTEMPTS,
+      timeout: TIMEOUT_MS,
+      start: (place: LocalPlace) =>
+        processes ? ProcessEntry.start(place, folder) : LocalEntry.start(place),
+    });
+  }
+
+  async start(): Promise<void> {
+    await this.#fleet.start();
+  }
+
+  async play(): Promise<SeenCall[]> {
+    const { cases, entryEvents, stalls } = this.#plan;
+    const seen = await Promise.all([
+      ...cases.map((plan) => this.#ask(plan)),
+      ...entryEvents.map((event) => this.#disturbEntry(event)),
+      ...stalls.map((stall) => standStill(stall)),
+    ]);
+    return seen.flat();
+  }
+
+  async #ask(plan: WavePlan["cases"][number]): Promise<SeenCall[]> {
+    await pause(plan.startMs);
+    const run = new CallerRun(plan, (call) => this.#runsOf(call));
+    return run.play(this.#fleet.entries.map(({ callers }) => callers));
+  }
+
+  #runsOf(call: string): RawRequest[] {
+    return this.#engines.flatMap(({ runs }) => runs)
+      .filter((run) => run.call === call);
+  }
+
+  /** The script of the next run of a call. */
+  #script(engine: string, request: RawRequest): RunScript {
+    const { call } = request;
+    // A caller that goes on by itself asks under a further id.
+    const [name] = call.split("-");
+    const plan = this.#plan.cases.find((each) => each.call === name)!;
+    const arrival = this.#arrivals.get(name!) ?? 0;
+    this.#arrivals.set(name!, arrival + 1);
+    const run = plan.runs[Math.min(arrival, plan.runs.length - 1)]!;
+    const { disturbance } = run;
+    const onStop = disturbance === undefined
+      ? undefined
+      : (): void => this.#disturb(engine, disturbance);
+    return scriptOf(plan, run, { ...request, onStop });
+  }
+
+  #disturb(id: string, disturbance: Disturbance): void {
+    const index = this.#engines.findIndex((engine) => engine.id === id);
+    const { address } = this.#fleet.engines[index]!;
+    const region = this.#plan.engines[index]!;
+    switch (disturbance) {
+      case "born": {
+        const born = (this.#lives.get(id) ?? 1) + 1;
+        this.#lives.set(id, born);
+        return this.#fleet.publish(id, { address, region, born });
+      }
+      case "removed":
+        return this.#fleet.withdraw(id);
+      case "refused":
+        return this.#engines[index]!.refuse();
+      case "route":
+        return this.#fleet.publishDocument({ attempts: ATTEMPTS - 1 });
+    }
+  }
+
+  async #disturbEntry(
+    { atMs, entry, kind, forMs }: WavePlan["entryEvents"][number],
+  ): Promise<[]> {
+    const target = this.#fleet.entries[entry] as ProcessEntry;
+    await pause(atMs);
+    switch (kind) {
+      case "kill":
+        target.signal("SIGKILL");
+        break;
+      case "stop":
+        target.signal("SIGTERM");
+        break;
+      case "pause":
+        target.signal("SIGSTOP");
+        await pause(forMs);
+        target.signal("SIGCONT");
+    }
+    return [];
+  }
+
+  /** Requests that outlive all their callers. */
+  async leftOpen(): Promise<string[]> {
+    return await openRequests({
+      engines: this.#engines,
+      entries: this.#fleet.entries.filter((entry) =>
+        !(entry instanceof ProcessEntry) || entry.running
+      ),
+    });
+  }
+
+  writeFiles(result: Pick<WaveResult, "broken" | "seen">): void {
+    this.keepsFiles = true;
+    const write = (name: string, value: unknown): void =>
+      writeFileSync(
+        join(this.#folder, name),
+        JSON.stringify(value, undefined, 1),
+      );
+    write("plan.json", this.#plan);
+    write("result.json", result);
+    for (const [index, entry] of this.#fleet.entries.entries()) {
+      if (entry instanceof LocalEntry) {
+        write(`entry-${index + 1}.json`, entry.lines());
+      }
+    }
+  }
+
+  async close(): Promise<void> {
+    await this.#fleet.close();
+  }
+}
+
+const STILL = new Int32Array(new SharedArrayBuffer(4));
+
+/** Holds this process with all its entries and engines, as a machine that is busy. */
+async function standStill(
+  { atMs, forMs }: WavePlan["stalls"][number],
+): Promise<[]> {
+  await pause(atMs);
+  Atomics.wait(STILL, 0, 0, forMs);
+  return [];
+}
