--- a/playground/src/bytes/event_text.ts
+++ b/playground/src/bytes/event_text.ts
@@ -11,6 +11,8 @@
   readonly versions: boolean;
   /** Whether comments stand between events. */
   readonly comments: boolean;
+  /** Whether events say their numbers. */
+  readonly ids: boolean;
   /** Bytes that each event is longer by. */
   readonly padding?: number;
 }
@@ -20,6 +22,7 @@
   lineEnd: "\n",
   versions: false,
   comments: false,
+  ids: true,
 };
 
 const VERSION_EVERY = 3;
@@ -29,15 +32,13 @@
 export function eventOf(
   call: string,
   id: number,
-  { lineEnd, versions, comments, padding = 0 }: EventStyle = PLAIN_STYLE,
+  { lineEnd, versions, comments, ids, padding = 0 }: EventStyle = PLAIN_STYLE,
 ): string {
   const filler = ".".repeat(padding);
-  const lines = [
-    `id: ${id}`,
-    `data: {"call":"${call}","piece":${id}}${filler}`,
-    "",
-    "",
-  ];
+  const lines = [`data: {"call":"${call}","piece":${id}}${filler}`, "", ""];
+  if (ids) {
+    lines.unshift(`id: ${id}`);
+  }
   if (versions && id % VERSION_EVERY === 0) {
     lines.unshift("x-weight-versions: 7");
   }
--- a/soak/src/plan.ts
+++ b/soak/src/plan.ts
@@ -152,6 +152,7 @@
     lineEnd: draw.pick(["\n", "\r\n"]),
     versions: draw.chance(0.3),
     comments: draw.chance(0.3),
+    ids: draw.chance(0.9),
   };
   const path = draw.chance(0.75) ? "resume" : "once";
   const entry = draw.between(0, entries - 1);
@@ -174,8 +175,8 @@
     events,
     style,
     startMs: draw.between(0, 300),
-    // A stream that may not go on elsewhere waits for its timeout where its engine falls silent.
-    timeMs: path === "once" || draw.chance(0.1)
+    // A stream that can't go on elsewhere waits for its timeout where its engine falls silent.
+    timeMs: path === "once" || !style.ids || draw.chance(0.1)
       ? draw.between(900, 2_500)
       : TIMEOUT_MS,
     caller: planCaller(draw, events),
