--- a/playground/src/bytes/stream_caller.ts
+++ b/playground/src/bytes/stream_caller.ts
@@ -14,6 +14,8 @@
   readonly host?: string;
   /** Milliseconds that the caller waits. */
   readonly time?: number;
+  /** Milliseconds that it waits longer than it says. */
+  readonly patience?: number;
   /** Last event that it has. */
   readonly after?: number;
   /** Bytes after which the caller leaves. */
@@ -23,8 +25,7 @@
 }
 
 const DEFAULT_TIME_MS = 10_000;
-/** Callers wait a little longer than they say. */
-const PATIENCE_MS = 1_500;
+const DEFAULT_PATIENCE_MS = 1_500;
 
 /** Asks, and reads to the end. */
 export function askStream(
@@ -34,6 +35,7 @@
     path,
     host = "kiosk.example",
     time = DEFAULT_TIME_MS,
+    patience = DEFAULT_PATIENCE_MS,
     after,
     leaveAfter = Infinity,
     onBytes,
@@ -82,6 +84,6 @@
     });
     asked.on("error", () => end("broken"));
     asked.end();
-    const timer = setTimeout(() => end("open"), time + PATIENCE_MS);
+    const timer = setTimeout(() => end("open"), time + patience);
   });
 }
--- a/soak/src/caller_run.ts
+++ b/soak/src/caller_run.ts
@@ -13,6 +13,8 @@
 import type { SeenCall } from "./promises.ts";
 
 const OK = 200;
+/** Callers stay until each pause of an entry has passed, so that it shows when they were told of an end. */
+const PATIENCE_MS = 8_000;
 /** Less time than this is not worth another question. */
 const LEAST_TIME_MS = 4_000;
 
@@ -57,6 +59,7 @@
       call: name,
       path: `/${path}/${name}`,
       time: timeMs,
+      patience: PATIENCE_MS,
       after: after === 0 ? undefined : after,
       leaveAfter: caller.kind === "leaves" ? caller.after : undefined,
       onBytes: this.#reading(),
--- a/soak/src/plan.ts
+++ b/soak/src/plan.ts
@@ -20,7 +20,11 @@
   /** Its port is closed, and connections that are open stay. */
   | "refused"
   /** The route allows fewer endpoints. */
-  | "route";
+  | "fewer"
+  /** The route's streams may not be resumed any more. */
+  | "unresumable"
+  /** The route stands elsewhere. */
+  | "moved";
 
 /** What one run of a stream does. */
 export interface RunPlan {
@@ -129,7 +133,7 @@
       planCase(`s${seed}w${wave}c${index}`, {
         draw,
         entries: count,
-        lively: kind === "stops",
+        lively: kind === "stops" || (kind === "ends" && draw.chance(0.4)),
       }),
   );
   const entryEvents = kind === "pauses" || kind === "ends"
@@ -269,7 +273,9 @@
         "born",
         "removed",
         "refused",
-        "route",
+        "fewer",
+        "unresumable",
+        "moved",
       ]),
     }
     : stopped;
--- a/soak/src/promises.ts
+++ b/soak/src/promises.ts
@@ -26,6 +26,13 @@
   readonly runs: readonly RawRequest[];
 }
 
+/** What was done to the entries of a wave, by their addresses for callers. */
+export interface EntryHistory {
+  readonly killed: Set<string>;
+  /** When each paused entry went on. */
+  readonly wentOnAt: Map<string, number>;
+}
+
 /** A promise that was not kept. */
 export interface Broken {
   readonly call: string;
@@ -35,21 +42,26 @@
 const OK = 200;
 /** Statuses that say that the request did not run. */
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Between the timeout and the end that a caller sees. */
+const LATE_END_MS = 1_500;
 /** An entry may have sent a request on before it hears that its caller is gone. */
 const LATE_RUN_MS = 500;
 
 /** The first promise that a request's end breaks. */
 export function brokenPromise(
   seen: SeenCall,
-  { kind, killed }: Pick<WavePlan, "kind"> & { killed: ReadonlySet<string> },
+  { kind, history }: Pick<WavePlan, "kind"> & {
+    history: Readonly<EntryHistory>;
+  },
 ): string | undefined {
-  return bodyFault(seen, killed) ?? endFault(seen) ?? runsFault(seen) ??
+  return bodyFault(seen, history) ?? endFault(seen, history) ??
+    runsFault(seen) ??
     (kind === "stalls" || kind === "pauses" ? stallFault(seen) : undefined);
 }
 
 function bodyFault(
   { plan, call, after, answer, address }: SeenCall,
-  killed: ReadonlySet<string>,
+  { killed }: Readonly<EntryHistory>,
 ): string | undefined {
   if (answer.status !== OK) {
     return undefined;
@@ -68,8 +80,21 @@
   return untold || cut ? undefined : fault;
 }
 
-function endFault({ answer }: SeenCall): string | undefined {
-  return answer.end === "open" ? "did not end at its timeout" : undefined;
+/** A process that is paused, or a caller that doesn't read, can't hear of the end before it goes on. */
+function endFault(
+  { plan, answer, address, askedAt, endedAt }: SeenCall,
+  { wentOnAt }: Readonly<EntryHistory>,
+): string | undefined {
+  const held = plan.caller.kind === "slow" ? plan.caller.holdMs : 0;
+  const due = Math.max(
+    askedAt + plan.timeMs,
+    wentOnAt.get(address) ?? 0,
+  ) + held + LATE_END_MS;
+  return answer.end === "open" || endedAt > due
+    ? `ended ${
+      Math.round(endedAt - askedAt)
+    } ms after it was asked for ${plan.timeMs}`
+    : undefined;
 }
 
 function runsFault(
--- a/soak/src/wave.ts
+++ b/soak/src/wave.ts
@@ -24,7 +24,12 @@
   TIMEOUT_MS,
   type WavePlan,
 } from "./plan.ts";
-import { type Broken, brokenPromise, type SeenCall } from "./promises.ts";
+import {
+  type Broken,
+  brokenPromise,
+  type EntryHistory,
+  type SeenCall,
+} from "./promises.ts";
 import { scriptOf } from "./script.ts";
 
 /** What came of a wave. */
@@ -46,7 +51,7 @@
     await wave.start();
     const seen = await wave.play();
     const broken = [
-      ...judge(seen, { kind: plan.kind, killed: wave.killed }),
+      ...judge(seen, { kind: plan.kind, history: wave.history }),
       ...(await wave.leftOpen()).map((what) => ({ call: "at the end", what })),
     ];
     if (broken.length > 0) {
@@ -83,8 +88,7 @@
   readonly #fleet: ByteFleet<SoakEntry>;
   readonly #arrivals = new Map<string, number>();
   readonly #lives = new Map<string, number>();
-  /** Addresses of entries that were killed. */
-  readonly killed = new Set<string>();
+  readonly history: EntryHistory = { killed: new Set(), wentOnAt: new Map() };
   keepsFiles = false;
 
   constructor(plan: WavePlan, folder: string) {
@@ -163,8 +167,12 @@
         return this.#fleet.withdraw(id);
       case "refused":
         return this.#engines[index]!.refuse();
-      case "route":
+      case "fewer":
         return this.#fleet.publishDocument({ attempts: ATTEMPTS - 1 });
+      case "unresumable":
+        return this.#fleet.publishDocument({ resumable: false });
+      case "moved":
+        return this.#fleet.publishDocument({ path_prefix: "/elsewhere/" });
     }
   }
 
@@ -175,7 +183,7 @@
     await pause(atMs);
     switch (kind) {
       case "kill":
-        this.killed.add(target.callers);
+        this.history.killed.add(target.callers);
         target.signal("SIGKILL");
         break;
       case "stop":
@@ -185,6 +193,7 @@
         target.signal("SIGSTOP");
         await pause(forMs);
         target.signal("SIGCONT");
+        this.history.wentOnAt.set(target.callers, performance.now());
     }
     return [];
   }
