--- a/playground/src/guards/main.ts
+++ b/playground/src/guards/main.ts
@@ -5,43 +5,15 @@
  * @module
  */
 import { execFile } from "node:child_process";
-import {
-  cpSync,
-  mkdirSync,
-  mkdtempSync,
-  readdirSync,
-  readFileSync,
-  rmSync,
-  symlinkSync,
-  writeFileSync,
-} from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { fileURLToPath } from "node:url";
-import type { Edit, Guard } from "./guard.ts";
+import type { Guard } from "./guard.ts";
 import { GUARDS } from "./guards.ts";
+import { checkTexts, copyProject, ROOT, takeOut } from "./project_copy.ts";
 import { QUARANTINE_GUARDS } from "./quarantine_guards.ts";
 import { ROUTE_GUARDS } from "./route_guards.ts";
 
-const ROOT = fileURLToPath(new URL("../../../", import.meta.url));
-const PACKAGES = {
-  core: "packages/core",
-  daemon: "packages/daemon",
-  cli: "packages/cli",
-  platform: "platform",
-  playground: "playground",
-};
-const COPIED = [
-  "packages",
-  "platform",
-  "playground",
-  "examples",
-  "package.json",
-  "tsconfig.base.json",
-  "vitest.config.ts",
-  "vitest.setup.ts",
-  "vitest.known_red.ts",
-];
 const TESTS = [
   "packages/core",
   "playground/src/scenario",
@@ -109,52 +81,13 @@
   const folder = mkdtempSync(join(tmpdir(), "sassafrasstep-guard-"));
   try {
     copyProject(folder);
-    [guard, ...guard.also ?? []].forEach((edit) => takeOut(edit, folder));
+    takeOut(guard, folder);
     return await runTests(folder);
   } finally {
     rmSync(folder, { recursive: true, force: true });
   }
 }
 
-function copyProject(folder: string): void {
-  for (const name of COPIED) {
-    const filter = (path: string): boolean =>
-      !path.includes("/dist") && !path.includes("/node_modules");
-    cpSync(join(ROOT, name), join(folder, name), { recursive: true, filter });
-  }
-  const modules = join(folder, "node_modules");
-  mkdirSync(join(modules, "@sassafrasstep"), { recursive: true });
-  for (const name of readdirSync(join(ROOT, "node_modules"))) {
-    if (name !== "@sassafrasstep") {
-      symlinkSync(join(ROOT, "node_modules", name), join(modules, name));
-    }
-  }
-  for (const [name, path] of Object.entries(PACKAGES)) {
-    symlinkSync(join(folder, path), join(modules, "@sassafrasstep", name));
-  }
-}
-
-/** Fails early where the code has moved on and the table has not. */
-function checkTexts(guards: readonly Guard[]): void {
-  for (const guard of guards) {
-    for (const { file, find } of [guard, ...guard.also ?? []]) {
-      const count = readFileSync(join(ROOT, file), "utf8").split(find).length -
-        1;
-      if (count !== 1) {
-        throw new Error(
-          `Cannot take out "${guard.name}": "${find}" stands ${count} times in ${file}`,
-        );
-      }
-    }
-  }
-}
-
-function takeOut({ file, find, replace }: Edit, folder: string): void {
-  const path = join(folder, file);
-  const text = readFileSync(path, "utf8");
-  writeFileSync(path, text.replace(find, () => replace));
-}
-
 async function runTests(folder: string): Promise<string[]> {
   const vitest = join(ROOT, "node_modules/vitest/vitest.mjs");
   const args = [
--- /dev/null
+++ b/playground/src/guards/project_copy.ts
@@ -0,0 +1,82 @@
+/**
+ * Copies of the project in which guards are taken out.
+ *
+ * @module
+ */
+import {
+  cpSync,
+  mkdirSync,
+  readdirSync,
+  readFileSync,
+  symlinkSync,
+  writeFileSync,
+} from "node:fs";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import type { Guard } from "./guard.ts";
+
+/** Root of the project. */
+export const ROOT = fileURLToPath(new URL("../../../", import.meta.url));
+const PACKAGES = {
+  core: "packages/core",
+  daemon: "packages/daemon",
+  cli: "packages/cli",
+  platform: "platform",
+  playground: "playground",
+  soak: "soak",
+};
+const COPIED = [
+  "packages",
+  "platform",
+  "playground",
+  "soak",
+  "examples",
+  "package.json",
+  "tsconfig.base.json",
+  "tsconfig.json",
+  "vitest.config.ts",
+  "vitest.setup.ts",
+  "vitest.known_red.ts",
+];
+/** Copies it, with links to its modules. */
+export function copyProject(folder: string): void {
+  for (const name of COPIED) {
+    const filter = (path: string): boolean =>
+      !path.includes("/dist") && !path.includes("/node_modules");
+    cpSync(join(ROOT, name), join(folder, name), { recursive: true, filter });
+  }
+  const modules = join(folder, "node_modules");
+  mkdirSync(join(modules, "@sassafrasstep"), { recursive: true });
+  for (const name of readdirSync(join(ROOT, "node_modules"))) {
+    if (name !== "@sassafrasstep") {
+      symlinkSync(join(ROOT, "node_modules", name), join(modules, name));
+    }
+  }
+  for (const [name, path] of Object.entries(PACKAGES)) {
+    symlinkSync(join(folder, path), join(modules, "@sassafrasstep", name));
+  }
+}
+
+/** Fails early where the code has moved on and the table has not. */
+export function checkTexts(guards: readonly Guard[]): void {
+  for (const guard of guards) {
+    for (const { file, find } of [guard, ...guard.also ?? []]) {
+      const count = readFileSync(join(ROOT, file), "utf8").split(find).length -
+        1;
+      if (count !== 1) {
+        throw new Error(
+          `Cannot take out "${guard.name}": "${find}" stands ${count} times in ${file}`,
+        );
+      }
+    }
+  }
+}
+
+/** Takes a guard out of a copy. */
+export function takeOut(guard: Guard, folder: string): void {
+  for (const { file, find, replace } of [guard, ...guard.also ?? []]) {
+    const path = join(folder, file);
+    const text = readFileSync(path, "utf8");
+    writeFileSync(path, text.replace(find, () => replace));
+  }
+}
--- /dev/null
+++ b/soak/src/guard_list.ts
@@ -0,0 +1,97 @@
+/**
+ * The guards that keep streams whole, and that the soak must miss.
+ *
+ * @module
+ */
+import type { Guard } from "@sassafrasstep/playground/guards";
+
+const GATEWAY = "packages/core/src/gateway";
+const SHELL = "packages/daemon/src/gateway";
+const POINT = "streams byte by byte";
+
+/** Every guard that is checked. */
+export const SOAK_GUARDS: readonly Guard[] = [
+  {
+    point: POINT,
+    name: "what an attempt half received lives and dies with it",
+    file: `${SHELL}/outbound_call.ts`,
+    find: "  readonly #cutter = new EventCutter();",
+    replace:
+      "  get #cutter(): EventCutter { return cutterOf(this.#exchange); }",
+    also: [{
+      file: `${SHELL}/outbound_call.ts`,
+      find: "/** One attempt under way. */",
+      replace: `const CUTTERS = new WeakMap<Exchange, EventCutter>();
+function cutterOf(exchange: Exchange): EventCutter {
+  const cutter = CUTTERS.get(exchange) ?? new EventCutter();
+  CUTTERS.set(exchange, cutter);
+  return cutter;
+}
+/** One attempt under way. */`,
+    }],
+  },
+  {
+    point: POINT,
+    name: "an answer that ends inside an event is lost",
+    file: `${SHELL}/outbound_call.ts`,
+    find: "if (this.#cutter.unfinished > 0) {",
+    replace: "if (this.#cutter.unfinished < 0) {",
+  },
+  {
+    point: POINT,
+    name: "a stream goes on only from a known position",
+    file: `${GATEWAY}/call.ts`,
+    find: "this.route.resumable && this.events && this.position.known;",
+    replace: "this.route.resumable && this.events;",
+  },
+  {
+    point: POINT,
+    name: "a stream goes on only where its route allows it",
+    file: `${GATEWAY}/call.ts`,
+    find: "this.route.resumable && this.events && this.position.known;",
+    replace: "this.events && this.position.known;",
+    also: [{
+      file: `${GATEWAY}/call_recovery.ts`,
+      find: "call.arrivals < call.route.attempts &&",
+      replace: "",
+    }],
+  },
+  {
+    point: POINT,
+    name: "an attempt that was left says nothing more",
+    file: `${SHELL}/outbound_call.ts`,
+    find: `  abort(): void {
+    if (this.#over) {`,
+    replace: `  abort(): void {
+    if (this.#attempt.id !== undefined) {`,
+  },
+  {
+    point: POINT,
+    name: "a torn event is kept back",
+    file: `${SHELL}/event_cutter.ts`,
+    find: "const end = lastBoundary(bytes);",
+    replace: "const end = bytes.length;",
+  },
+  {
+    point: POINT,
+    name: "a torn answer without a length is told from a whole one",
+    file: `${SHELL}/connections.ts`,
+    find: "if (this.endsAnswer && isReset(socket)) {",
+    replace: "if (this.endsAnswer && socket.errored) {",
+  },
+  {
+    point: POINT,
+    name: "a kept connection is not used while bytes of an answer may come",
+    file: `${SHELL}/outbound_call.ts`,
+    find: `    this.#controller?.abort(new Error("Attempt was given up"));
+    this.#connection?.close();`,
+    replace: "    this.#release();",
+  },
+  {
+    point: POINT,
+    name: "503 is given for what did not run alone",
+    file: `${GATEWAY}/refusals.ts`,
+    find: 'const notRun = verdict.kind === "not_run";',
+    replace: "const notRun = verdict.kind !== undefined;",
+  },
+];
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -6,4 +6,5 @@
   type WavePlan,
 } from "./plan.ts";
 export { type Broken, brokenPromise, type SeenCall } from "./promises.ts";
+export { type Regression, REGRESSIONS } from "./regressions.ts";
 export { playWave, type WaveResult } from "./wave.ts";
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -6,7 +6,13 @@
  * @module
  */
 import meow from "meow";
-import { planWave, playWave, WAVE_KINDS, type WaveResult } from "./index.ts";
+import {
+  planWave,
+  playWave,
+  REGRESSIONS,
+  WAVE_KINDS,
+  type WaveResult,
+} from "./index.ts";
 
 const MS_PER_MINUTE = 60_000;
 
@@ -16,8 +22,11 @@
     $ npm run soak -- --seed N --minutes M   play waves of a seed for some minutes
     $ npm run soak -- --seeds A-B            play one wave of each kind for many seeds
     $ npm run soak -- --replay SEED:WAVE     play one wave again
+    $ npm run soak -- --regressions          play all waves that ever failed
 
   Options
+    --kinds A,B  kinds of waves, all where it is not given
+    --first      end at the first broken promise
     --entries K  entries of a wave, default 4
 `,
   {
@@ -27,17 +36,26 @@
       minutes: { type: "number", default: 1 },
       seeds: { type: "string" },
       replay: { type: "string" },
+      regressions: { type: "boolean", default: false },
       entries: { type: "number", default: 4 },
+      kinds: { type: "string", default: WAVE_KINDS.join() },
+      first: { type: "boolean", default: false },
     },
   },
 );
 
-const { seed, minutes, seeds, replay, entries } = cli.flags;
+const { seed, minutes, seeds, replay, entries, first: atFirst } = cli.flags;
+const kinds = new Set(cli.flags.kinds.split(","));
 const failed: string[] = [];
 const began = performance.now();
 let waves = 0;
 for (const [each, wave] of places()) {
-  await play(each, wave);
+  if (kinds.has(WAVE_KINDS[wave % WAVE_KINDS.length]!)) {
+    await play(each, wave);
+  }
+  if (atFirst && failed.length > 0) {
+    break;
+  }
 }
 console.log(`${waves} waves, ${failed.length} failed ${failed.join(" ")}`);
 process.exitCode = failed.length === 0 ? 0 : 1;
@@ -47,6 +65,8 @@
   if (replay !== undefined) {
     const [each, wave] = replay.split(":").map(Number);
     yield [each!, wave ?? 0];
+  } else if (cli.flags.regressions) {
+    yield* REGRESSIONS.map(({ seed, wave }): [number, number] => [seed, wave]);
   } else if (seeds !== undefined) {
     const [first, last] = seeds.split("-").map(Number);
     for (let each = first!; each <= (last ?? first!); each++) {
