--- a/packages/core/src/fleet/fleet_controller.ts
+++ b/packages/core/src/fleet/fleet_controller.ts
@@ -55,7 +55,7 @@
 
   constructor(options: FleetOptions, now: Instant) {
     this.#options = options;
-    this.#probes = new ProbeSchedule(options.random);
+    this.#probes = new ProbeSchedule(options.random, options.listened);
     this.#record = { ...options.self, version: 1, state: "starting" };
     this.mail = new FleetMail(options, {
       record: () => this.#record,
@@ -290,7 +290,8 @@
 
   #buryUndenied(now: Instant): void {
     for (const { record, since } of this.#members.withHealth("suspect")) {
-      if (now - since >= SUSPICION_MS) {
+      // Its denial may wait to be read here.
+      if (this.#options.listened.since(since, now) >= SUSPICION_MS) {
         this.#members.judge(record.incarnation, "dead", now);
         this.#holdings.forget(record.incarnation);
       }
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -13,6 +13,7 @@
   type Randomness,
   type RequestId,
 } from "../ids/index.ts";
+import type { ListenedTimeView } from "../listening/index.ts";
 import type { RouteTable } from "../routes/index.ts";
 import { ArrivalHold, type HeldCall } from "./arrival_hold.ts";
 import { Call } from "./call.ts";
@@ -52,6 +53,7 @@
   readonly budget: RepeatBudget;
   readonly cold: ColdAllowance;
   readonly quarantine: QuarantineController;
+  readonly listened: ListenedTimeView;
   /** Entries that may be alive, this one included. */
   readonly entries: () => number;
   /** Live entries of the region, this one included. */
@@ -241,6 +243,14 @@
     }
   }
 
+  /** Its caller has no room, or has room again. */
+  held(id: AttemptId, held: boolean, now: Instant): void {
+    const found = this.#attempts.find(id);
+    if (found !== undefined) {
+      this.#attempts.noteHeld(found.call, found.attempt, { held, now });
+    }
+  }
+
   /** An attempt is over. */
   ended(id: AttemptId, end: CallEnd, now: Instant): void {
     const found = this.#attempts.find(id);
@@ -311,6 +321,20 @@
     );
   }
 
+  /** Ends every request: the process ends. What its callers had not been told they would never learn. */
+  endAll(now: Instant): void {
+    const held = this.#hold.takeAll();
+    held.forEach(({ head }) => this.#ends.refuseHead(head, "stopping"));
+    for (const call of [...this.#calls.values()]) {
+      this.#attempts.leave(call, now);
+      if (call.orphaned) {
+        this.#forget(call);
+      } else {
+        this.#ends.fail(call, "stopping", now);
+      }
+    }
+  }
+
   #meter({ head, services, route }: Call, now: Instant): void {
     const [service] = services;
     const { regions } = this.#tools;
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Instant } from "../ids/index.ts";
+import type { ListenedTimeView } from "../listening/index.ts";
 import type { Call, OpenAttempt } from "./call.ts";
 import { attemptsOf, type CallAttempts } from "./call_attempts.ts";
 import type { CallEnds } from "./call_ends.ts";
@@ -45,6 +46,7 @@
   readonly endpoints: EndpointRegistry;
   readonly budget: RepeatBudget;
   readonly quarantine: QuarantineController;
+  readonly listened: ListenedTimeView;
   /** Entries that may be alive, this one included. */
   readonly entries: () => number;
   /** The request is over, and nobody is told. */
@@ -77,16 +79,16 @@
       call.offered += answer.offered ?? 1;
     }
     this.#tools.attempts.close(call, "refused", now);
+    if (declined && !this.#tools.quarantine.isSuspect(call.head.fingerprint)) {
+      this.#tools.router.noteDeclined(call, target.region, now);
+    }
     if (declined && call.phase !== "answering") {
       // No endpoint got it, so that another way is no repeat.
-      if (!this.#tools.quarantine.isSuspect(call.head.fingerprint)) {
-        this.#tools.router.noteDeclined(call, target.region, now);
-      }
       return this.#tools.placer.place(call, now);
     }
     call.rejections++;
     if (call.phase === "answering") {
-      return this.#tools.ends.breakOff(call, "endpoint_lost", now);
+      return this.#turnedAway(call, now);
     }
     if (answer.status === NOT_FOUND) {
       return this.#tools.ends.fail(call, "no_route", now);
@@ -99,6 +101,14 @@
     this.#tools.ends.fail(call, "rejected", now, answer.retryAfter);
   }
 
+  /** The rest of a stream ran nowhere: broken off, its caller would lose time and come back for it. */
+  #turnedAway(call: Call, now: Instant): void {
+    if (call.rejections > MOST_REJECTIONS) {
+      return this.#tools.ends.breakOff(call, "endpoint_lost", now);
+    }
+    this.#breakOffOrRetry(call, now);
+  }
+
   /** An interrupted stream goes on at another endpoint, under the head of its first answer. */
   goOn(call: Call, { status, events }: CallAnswer, now: Instant): void {
     const { id } = call.attempt!;
@@ -193,17 +203,23 @@
 
   /** Leaves an endpoint from which nothing comes. */
   #checkSilence(call: Call, attempt: OpenAttempt, now: Instant): void {
-    const { state, sentAt } = attempt;
+    const { state, sentAt, heldSince } = attempt;
     if (state === undefined || sentAt === undefined || !call.mayRepeat) {
       return;
     }
+    if (heldSince !== undefined) {
+      // Nothing is heard because nothing is read: a slow caller would have its stream run again.
+      return;
+    }
     const engine = state.service?.engine !== undefined;
-    const quiet = now - Math.max(attempt.heardAt ?? sentAt, sentAt);
+    // What came while the process stood still lies in its sockets: only time of listening is silence.
+    const { listened } = this.#tools;
+    const quiet = listened.since(attempt.heardAt ?? sentAt, now);
     const limit = engine
       ? SILENT_ENGINE_MS
       : call.route.objective * SILENT_PART;
     const silent = engine
-      ? quiet > limit && now - (state.heardAt ?? sentAt) > limit
+      ? quiet > limit && listened.since(state.heardAt ?? sentAt, now) > limit
       : attempt.heardAt === undefined && quiet > limit;
     if (!silent) {
       return;
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -10,6 +10,7 @@
   type Milliseconds,
   type Randomness,
 } from "../ids/index.ts";
+import { ListenedTime } from "../listening/index.ts";
 import type { CatalogueSnapshot } from "../routes/index.ts";
 import { CallController } from "./call_controller.ts";
 import { CallRouter } from "./call_router.ts";
@@ -53,6 +54,7 @@
   readonly #cold: ColdAllowance;
   readonly #serving: ServingSet;
   readonly #quarantine: QuarantineController;
+  readonly #listened: ListenedTime;
   #effects: GatewayEffect[] = [];
   #lastAt: Instant;
   /** Whether it stands by: callers are not named it, and those that had been are done. */
@@ -64,6 +66,7 @@
   ) {
     this.self = self;
     this.#lastAt = now;
+    this.#listened = new ListenedTime(now);
     const emit = (effect: GatewayEffect): void => {
       this.#effects.push(effect);
     };
@@ -78,6 +81,7 @@
       region: self.region,
       regionByZone: self.regionByZone,
       catalogue: this.#catalogue,
+      listened: this.#listened,
     });
     this.#regions = new RegionController({
       region: self.region,
@@ -90,6 +94,7 @@
       seeds: self.seeds,
       period: FLEET_PERIOD_MS,
       random,
+      listened: this.#listened,
       send: (to, message) => emit({ kind: "datagram", to, message }),
       holdings: () => ({
         document: this.#catalogue.document?.version ?? 0 as never,
@@ -111,6 +116,7 @@
       catalogue: this.#catalogue,
       fleet: this.fleet,
       serving: this.#serving,
+      listened: this.#listened,
       now: () => this.#lastAt,
     });
     const cold = new ColdAllowance(self.bounds);
@@ -135,6 +141,7 @@
       budget: this.#budget,
       cold,
       quarantine: this.#quarantine,
+      listened: this.#listened,
       entries: () => this.fleet.possible().length + 1,
       regionEntries: () => 1 + this.#endpoints.busyPeers(),
     });
@@ -149,6 +156,7 @@
     this.#stop = new StopController({
       emit,
       calls: this.#calls,
+      listened: this.#listened,
       stopTime: self.bounds.stopTime,
     });
   }
@@ -225,7 +233,7 @@
   }
 
   #noteLoop(now: Instant): void {
-    const gap = now - this.#lastAt;
+    const gap = this.#listened.note(now);
     this.#lastAt = now;
     if (gap < PAUSE_MS) {
       return;
@@ -281,6 +289,8 @@
         return this.#calls.answered(event.attempt, event.answer, now);
       case "progress":
         return this.#calls.progress(event.attempt, event, now);
+      case "held":
+        return this.#calls.held(event.attempt, event.held, now);
       case "ended":
         return this.#calls.ended(event.attempt, event.end, now);
       case "callerGone":
--- a/packages/daemon/src/gateway/connections.ts
+++ b/packages/daemon/src/gateway/connections.ts
@@ -6,6 +6,8 @@
 import { connect, type Socket } from "node:net";
 import { CONNECTION_LIMIT, type Instant } from "@sassafrasstep/core";
 import { type buildConnector, Client } from "undici";
+import { EndpointSocket } from "./endpoint_socket.ts";
+import { afterPoll } from "../timers/index.ts";
 
 /** Within a region a connection stands after a few milliseconds; the first packet may be lost once. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -45,6 +47,7 @@
 export class Connection {
   readonly client: Client;
   readonly address: string;
+  readonly #socket: EndpointSocket;
   idleSince: Instant;
   /**
    * Set once the socket had an error. An answer without a length ends with its connection; one that
@@ -54,7 +57,8 @@
   /** Whether the answer under way ends with the connection. */
   endsAnswer = false;
 
-  constructor(socket: Socket, address: string, now: Instant) {
+  constructor(socket: EndpointSocket, address: string, now: Instant) {
+    this.#socket = socket;
     this.address = address;
     this.idleSince = now;
     socket.on("error", () => this.failed = true);
@@ -75,6 +79,16 @@
     this.client.on("disconnect", () => this.failed = true);
   }
 
+  /** Reads nothing more, for now. */
+  hold(): void {
+    this.#socket.hold();
+  }
+
+  /** Reads again. */
+  release(): void {
+    this.#socket.release();
+  }
+
   /** Ends the connection. */
   close(): void {
     this.failed = true;
@@ -150,8 +164,8 @@
       port: Number(address.slice(colon + 1)),
     });
     this.opened++;
-    const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
-    socket.once("close", () => clearTimeout(timer));
+    const cancel = afterPoll(CONNECT_TIMEOUT_MS, () => socket.destroy());
+    socket.once("close", cancel);
     socket.once("connect", () => socket.destroy());
     socket.on("error", ({ code }: Error & { code?: string }) => {
       if (code === REFUSED) {
@@ -162,6 +176,7 @@
 
   /** Gives a connection back after a whole answer. */
   giveBack(connection: Connection, now: Instant): void {
+    connection.release();
     if (connection.failed) {
       return;
     }
@@ -204,29 +219,30 @@
     done: (result: Connection | ConnectError) => void,
   ): void {
     const colon = address.lastIndexOf(":");
-    const socket = connect({
+    // Ours stays open when the other side ends, see `isReset`; the client closes it.
+    const socket = new EndpointSocket({ allowHalfOpen: true });
+    socket.connect({
       host: address.slice(0, colon),
       port: Number(address.slice(colon + 1)),
       noDelay: true,
-      // Ours stays open when the other side ends, see `isReset`; the client closes it.
-      allowHalfOpen: true,
     });
     this.#count(address, 1);
     this.opened++;
     const timeout = far ? FAR_CONNECT_TIMEOUT_MS : CONNECT_TIMEOUT_MS;
-    const timer = setTimeout(
-      () => socket.destroy(new ConnectError("Connection timed out")),
+    // After a pause of the process the connection may stand without its having been told.
+    const cancel = afterPoll(
       timeout,
+      () => socket.destroy(new ConnectError("Connection timed out")),
     );
     const fail = (error: Error & { code?: string }): void => {
-      clearTimeout(timer);
+      cancel();
       const refused = error.code === REFUSED;
       done(new ConnectError(error.message, { refused }));
     };
     socket.once("error", fail);
     socket.once("close", () => this.#count(address, -1));
     socket.once("connect", () => {
-      clearTimeout(timer);
+      cancel();
       socket.off("error", fail);
       const connection = new Connection(socket, address, now);
       connection.client.on("disconnect", () => this.#drop(connection));
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -15,12 +15,14 @@
   type Incarnation,
   type Instant,
   instant,
+  type Milliseconds,
   milliseconds,
   type RequestId,
   SeededRandomness,
 } from "@sassafrasstep/core";
 import type { Logger } from "../logs/index.ts";
 import type { GatewaySettings } from "../settings/index.ts";
+import { afterPoll, type Cancel } from "../timers/index.ts";
 import { CatalogueRunner } from "./catalogue_runner.ts";
 import { Connections } from "./connections.ts";
 import { Datagrams } from "./datagrams.ts";
@@ -28,6 +30,7 @@
 import { applyLimits, createIngress, type IngressEvents } from "./ingress.ts";
 import { readGauges } from "./gauges.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
+import { OpenAnswers } from "./open_answers.ts";
 import { OutboundCall, type OutboundTools } from "./outbound_call.ts";
 import type {
   CallerProtocol,
@@ -68,13 +71,14 @@
   readonly #metrics = new GatewayMetrics();
   readonly #connections = new Connections();
   readonly #calls = new Map<RequestId, Exchange>();
+  readonly #answers = new OpenAnswers();
   readonly #attempts = new Map<AttemptId, OutboundCall>();
   readonly #outbound: OutboundTools;
   readonly #datagrams: Datagrams;
   readonly #catalogue: CatalogueRunner;
   readonly #servers: Server[] = [];
   #requests = 0;
-  #timer: NodeJS.Timeout | undefined;
+  #cancelTick: Cancel = () => {};
   /** For how long the timer was set. */
   #pause = milliseconds(0);
   #ended = false;
@@ -167,10 +171,11 @@
   }
 
   #setTimer(): void {
-    clearTimeout(this.#timer);
+    this.#cancelTick();
     this.#pause = this.#gateway.tickPause;
     if (!this.#ended) {
-      this.#timer = setTimeout(() => this.#tick(), this.#pause);
+      // Ticks judge who was silent and whose time is over: what was received comes first.
+      this.#cancelTick = afterPoll(this.#pause, () => this.#tick());
     }
   }
 
@@ -206,6 +211,7 @@
       },
       open: (exchange) => {
         this.#calls.set(exchange.id, exchange);
+        this.#answers.add(exchange);
         this.#tell({ kind: "arrived", head: exchange.head });
         this.#hasten();
       },
@@ -268,7 +274,7 @@
       case "stopListening":
         return this.#stopListening();
       case "exit":
-        void this.#exit();
+        void this.#exit(effect.within);
     }
   }
 
@@ -315,14 +321,15 @@
     }
   }
 
-  async #exit(): Promise<void> {
+  async #exit(within: Milliseconds): Promise<void> {
     this.#ended = true;
-    clearTimeout(this.#timer);
+    this.#cancelTick();
     for (const server of this.#servers) {
       server.close();
       server.closeIdleConnections();
     }
     this.#datagrams.close();
+    await this.#answers.left(within);
     this.#connections.closeAll();
     await this.#platform.source.close();
     this.#exited();
--- a/playground/src/bytes/byte_fleet.ts
+++ b/playground/src/bytes/byte_fleet.ts
@@ -7,8 +7,8 @@
 import { eventually, route } from "../platform/platform_fleet.ts";
 import { StandInStore } from "../platform/stand_in_store.ts";
 import type { SeenAnswer } from "./event_text.ts";
-import { type ByteEntry, freePorts, type LocalPlace } from "./entry_place.ts";
-import { LocalEntry } from "./local_entry.ts";
+import { freePorts, LocalEntry } from "./local_entry.ts";
+import { ProcessEntry } from "./process_entry.ts";
 import type { RawEngine } from "./raw_engine.ts";
 import { askStream, type StreamQuestion } from "./stream_caller.ts";
 
@@ -17,7 +17,7 @@
 const ROUTE_TIMEOUT_MS = 10_000;
 
 /** Where an engine or an entry stands: a zone of the same name belongs to each region. */
-export interface ByteFleetPlan<Entry extends ByteEntry = LocalEntry> {
+export interface ByteFleetPlan {
   readonly engines: readonly { engine: RawEngine; region?: string }[];
   /** A region for each entry. */
   readonly entries?: readonly string[];
@@ -25,28 +25,32 @@
   readonly attempts?: number;
   /** Milliseconds of the routes' timeouts. */
   readonly timeout?: number;
-  /** Starts an entry, in this process where it is not given. */
-  readonly start?: (place: LocalPlace) => Promise<Entry>;
+  /** Whether each entry is a process of its own. */
+  readonly processes?: boolean;
+  /** Time that a planned stop of an entry may take. */
+  readonly stopSeconds?: number;
 }
 
+/** An entry, in this process or in one of its own. */
+export type ByteEntry = LocalEntry | ProcessEntry;
+
 /** A running fleet. */
-export class ByteFleet<Entry extends ByteEntry = LocalEntry> {
+export class ByteFleet {
   readonly store = new StandInStore();
-  readonly entries: Entry[] = [];
+  readonly entries: ByteEntry[] = [];
   readonly engines: { readonly engine: RawEngine; readonly address: string }[] =
     [];
-  readonly #plan: ByteFleetPlan<Entry>;
+  readonly #plan: ByteFleetPlan;
   #version = 1;
 
-  constructor(plan: ByteFleetPlan<Entry>) {
+  constructor(plan: ByteFleetPlan) {
     this.#plan = plan;
   }
 
   /** Starts everything and waits until all serve. */
   async start(): Promise<void> {
-    const { engines, entries = ["a"] } = this.#plan;
-    const startEntry = this.#plan.start ??
-      (LocalEntry.start as unknown as (place: LocalPlace) => Promise<Entry>);
+    const { engines, entries = ["a"], stopSeconds } = this.#plan;
+    const start = this.#plan.processes ? ProcessEntry.start : LocalEntry.start;
     const storeAddress = await this.store.listen();
     for (const { engine, region = "a" } of engines) {
       const address = await engine.listen();
@@ -61,7 +65,7 @@
     );
     for (const [index, region] of entries.entries()) {
       this.entries.push(
-        await startEntry({
+        await start({
           name: `entry-${index + 1}`,
           host: hosts[index]!,
           zone: `${region}-1`,
@@ -70,6 +74,7 @@
           seeds: hosts.map((host) => `${host}:1`),
           zones,
           storeAddress,
+          stopSeconds,
         }),
       );
     }
--- a/playground/src/bytes/index.ts
+++ b/playground/src/bytes/index.ts
@@ -1,4 +1,4 @@
-export { ByteFleet, type ByteFleetPlan } from "./byte_fleet.ts";
+export { type ByteEntry, ByteFleet, type ByteFleetPlan } from "./byte_fleet.ts";
 export {
   eventOf,
   eventsOf,
@@ -7,8 +7,12 @@
   PLAIN_STYLE,
   type SeenAnswer,
 } from "./event_text.ts";
-export { type ByteEntry, freePorts, type LocalPlace } from "./entry_place.ts";
-export { type Line, LocalEntry } from "./local_entry.ts";
+export {
+  freePorts,
+  type Line,
+  LocalEntry,
+  type LocalPlace,
+} from "./local_entry.ts";
 export { ProcessEntry } from "./process_entry.ts";
 export {
   type Framing,
--- a/playground/src/bytes/local_entry.ts
+++ b/playground/src/bytes/local_entry.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import { once } from "node:events";
+import { type AddressInfo, createServer } from "node:net";
 import {
   GatewayEntry,
   Logger,
@@ -15,13 +17,6 @@
   PlatformEndpoints,
   StoreSource,
 } from "@sassafrasstep/platform";
-import {
-  type ByteEntry,
-  freePorts,
-  type LocalPlace,
-  PORTS,
-  settingsOf,
-} from "./entry_place.ts";
 
 /** One line of a log. */
 export interface Line {
@@ -54,8 +49,24 @@
   }
 }
 
+/** Where an entry of this process stands. */
+export interface LocalPlace {
+  readonly name: string;
+  readonly host: string;
+  readonly zone: string;
+  readonly region: string;
+  /** The same on all entries. */
+  readonly peerPort: number;
+  readonly seeds: readonly string[];
+  /** Region of each zone. */
+  readonly zones: Readonly<Record<string, string>>;
+  readonly storeAddress: string;
+  /** Time that a planned stop may take. */
+  readonly stopSeconds?: number;
+}
+
 /** One entry. */
-export class LocalEntry implements ByteEntry {
+export class LocalEntry {
   readonly #logger = new LineLogger();
   readonly #entry: GatewayEntry;
   /** Host and port for callers. */
@@ -104,3 +115,59 @@
     await this.#entry.stopped;
   }
 }
+
+/** Ports of an entry beside the one for peers. */
+export const PORTS = 4;
+const STOP_SECONDS = 8;
+
+/** The text of an entry's settings. */
+export function settingsOf(
+  place: LocalPlace,
+  ports: readonly number[],
+): string {
+  const { host, zones, stopSeconds = STOP_SECONDS } = place;
+  const [callers, directory, readiness, control] = ports;
+  return `[entry]
+id = ${place.name}
+zone = ${place.zone}
+region = ${place.region}
+[addresses]
+callers = ${host}:${callers}
+directory = ${host}:${directory}
+readiness = ${host}:${readiness}
+control = ${host}:${control}
+peers = ${host}:${place.peerPort}
+[peers]
+seeds = ${place.seeds.join(", ")}
+[zones]
+${
+    Object.entries(zones).map(([zone, region]) => `${zone} = ${region}`).join(
+      "\n",
+    )
+  }
+[store]
+address = ${place.storeAddress}
+[bounds]
+repeat_slack = 10000
+stop_s = ${stopSeconds}
+`;
+}
+
+/** Ports of a host that are free just now. */
+export async function freePorts(
+  host: string,
+  count: number,
+): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  const ports: number[] = [];
+  for (const server of servers) {
+    server.listen(0, host);
+    await once(server, "listening");
+    ports.push((server.address() as AddressInfo).port);
+  }
+  for (const server of servers) {
+    server.close();
+    await once(server, "close");
+  }
+  return ports;
+}
--- a/playground/src/bytes/process_entry.ts
+++ b/playground/src/bytes/process_entry.ts
@@ -1,72 +1,86 @@
 /**
- * Entries as processes of their own, so that they can be paused, killed and stopped.
+ * Entries in processes of their own, which can be killed, stopped and paused.
  *
  * @module
  */
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { openSync, writeFileSync } from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
 import { SETTINGS_VARIABLE } from "@sassafrasstep/platform";
 import {
-  type ByteEntry,
   freePorts,
+  type Line,
   type LocalPlace,
   PORTS,
   settingsOf,
-} from "./entry_place.ts";
+} from "./local_entry.ts";
 
 const PROGRAM = fileURLToPath(
   new URL("../../../platform/dist/main.js", import.meta.url),
 );
 
-/** One entry's process, its log beside its settings. */
-export class ProcessEntry implements ByteEntry {
+/** One entry. */
+export class ProcessEntry {
   readonly callers: string;
   readonly readiness: string;
   readonly control: string;
+  readonly #folder = mkdtempSync(join(tmpdir(), "entry-"));
+  readonly #lines: Line[] = [];
   readonly #process: ChildProcess;
+  readonly #exited: Promise<unknown>;
 
-  private constructor({ host }: LocalPlace, ports: readonly number[], {
-    process,
-  }: { process: ChildProcess }) {
-    this.callers = `${host}:${ports[0]}`;
-    this.readiness = `${host}:${ports[2]}`;
-    this.control = `${host}:${ports[3]}`;
-    this.#process = process;
-  }
-
-  /** Starts one whose files stand in a folder. */
-  static async start(place: LocalPlace, folder: string): Promise<ProcessEntry> {
-    const ports = await freePorts(place.host, PORTS);
-    const settings = join(folder, `${place.name}.ini`);
+  private constructor(place: LocalPlace, ports: readonly number[]) {
+    this.callers = `${place.host}:${ports[0]}`;
+    this.readiness = `${place.host}:${ports[2]}`;
+    this.control = `${place.host}:${ports[3]}`;
+    const settings = join(this.#folder, "entry.ini");
     writeFileSync(settings, settingsOf(place, ports));
-    const log = openSync(join(folder, `${place.name}.log`), "a");
-    const process_ = spawn(process.execPath, [PROGRAM], {
+    this.#process = spawn(process.execPath, [PROGRAM], {
       env: { [SETTINGS_VARIABLE]: settings },
-      stdio: ["ignore", log, log],
+      stdio: ["ignore", "pipe", "inherit"],
+    });
+    this.#exited = once(this.#process, "exit");
+    createInterface(this.#process.stdout!).on("line", (text) => {
+      const { msg, ...fields } = JSON.parse(text);
+      this.#lines.push({ text: msg, fields });
     });
-    return new ProcessEntry(place, ports, { process: process_ });
+  }
+
+  /** Starts one. */
+  static async start(place: LocalPlace): Promise<ProcessEntry> {
+    return new ProcessEntry(place, await freePorts(place.host, PORTS));
+  }
+
+  /** Its lines, those that say a sentence where one is given. */
+  lines(text?: string): readonly Line[] {
+    return this.#lines.filter((line) =>
+      text === undefined || line.text === text
+    );
   }
 
   get running(): boolean {
     return this.#process.exitCode === null && this.#process.signalCode === null;
   }
 
-  /** Sends its process a signal, if it still runs. */
-  signal(name: "SIGSTOP" | "SIGCONT" | "SIGTERM" | "SIGKILL"): void {
-    if (this.running) {
-      this.#process.kill(name);
-    }
+  /** Sends it a signal. */
+  signal(name: NodeJS.Signals): void {
+    this.#process.kill(name);
+  }
+
+  /** Resolves with its exit code, or the signal that ended it. */
+  async ended(): Promise<number | NodeJS.Signals | null> {
+    await this.#exited;
+    return this.#process.exitCode ?? this.#process.signalCode;
   }
 
-  /** Ends it, whatever it does. */
+  /** Ends it, in whatever state it is. */
   async stop(): Promise<void> {
-    if (this.running) {
-      const ended = once(this.#process, "exit");
-      this.signal("SIGKILL");
-      await ended;
-    }
+    this.signal("SIGKILL");
+    await this.#exited;
+    rmSync(this.#folder, { recursive: true });
   }
 }
--- a/playground/src/bytes/raw_engine.ts
+++ b/playground/src/bytes/raw_engine.ts
@@ -29,7 +29,9 @@
   /** Nothing more comes, and the connection stays open. */
   | "silent"
   /** Nothing more comes for a while, and then the rest. */
-  | "late";
+  | "late"
+  /** Not even a head comes. */
+  | "never";
 
 /** What an engine does with a run. */
 export interface RunScript {
@@ -89,6 +91,11 @@
     return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
 
+  /** Connections that are open to it. */
+  get connections(): number {
+    return this.#sockets.size;
+  }
+
   /** Ends every connection, as a process that is killed. */
   drop(): void {
     this.#sockets.forEach((socket) => socket.resetAndDestroy());
@@ -140,6 +147,9 @@
       socket.write(plainAnswer(status, own));
       return;
     }
+    if (script.stop === "never") {
+      return;
+    }
     const body = eventsOf(call, { count: events, after, style });
     this.open.add(call);
     socket.on("close", () => this.open.delete(call));
@@ -274,5 +284,6 @@
       socket.resetAndDestroy();
       return;
     case "silent":
+    case "never":
   }
 }
--- a/playground/src/bytes/stream_caller.ts
+++ b/playground/src/bytes/stream_caller.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { request } from "node:http";
+import { type Agent, request } from "node:http";
 import { HEADERS } from "@sassafrasstep/platform";
 import type { SeenAnswer } from "./event_text.ts";
 
@@ -16,10 +16,12 @@
   readonly time?: number;
   /** Milliseconds that it waits longer than it says. */
   readonly patience?: number;
-  /** Last event that it has. */
-  readonly after?: number;
-  /** Bytes after which the caller leaves. */
-  readonly leaveAfter?: number;
+  /** Last event that it has, or what it says in its place. */
+  readonly after?: number | string;
+  /** Keeps its connections; none is kept without it. */
+  readonly agent?: Agent;
+  /** Has it leave before the end. */
+  readonly leave?: AbortSignal;
   /** Told of bytes as they come; a promise holds further reading back. */
   readonly onBytes?: (bytes: number) => Promise<void> | void;
 }
@@ -37,26 +39,30 @@
     time = DEFAULT_TIME_MS,
     patience = DEFAULT_PATIENCE_MS,
     after,
-    leaveAfter = Infinity,
+    agent,
+    leave,
     onBytes,
   }: StreamQuestion,
 ): Promise<SeenAnswer> {
   const colon = address.lastIndexOf(":");
   return new Promise((resolve) => {
     let status = 0;
-    let length = 0;
     const parts: Buffer[] = [];
     const end = (kind: SeenAnswer["end"]): void => {
       clearTimeout(timer);
       resolve({ status, body: Buffer.concat(parts).toString(), end: kind });
-      asked.destroy();
+      if (kind !== "whole") {
+        asked.destroy();
+      }
     };
+    const fail = (): void => end(leave?.aborted ? "left" : "broken");
     const asked = request({
       host: address.slice(0, colon),
       port: Number(address.slice(colon + 1)),
       path,
       method: "POST",
-      agent: false,
+      agent: agent ?? false,
+      signal: leave,
       headers: {
         host,
         [HEADERS.call]: call,
@@ -69,10 +75,6 @@
       status = answer.statusCode!;
       answer.on("data", (bytes: Buffer) => {
         parts.push(bytes);
-        length += bytes.length;
-        if (length >= leaveAfter) {
-          return end("left");
-        }
         const held = onBytes?.(bytes.length);
         if (held !== undefined) {
           answer.pause();
@@ -80,9 +82,9 @@
         }
       });
       answer.on("end", () => end(answer.complete ? "whole" : "broken"));
-      answer.on("error", () => end("broken"));
+      answer.on("error", fail);
     });
-    asked.on("error", () => end("broken"));
+    asked.on("error", fail);
     asked.end();
     const timer = setTimeout(() => end("open"), time + patience);
   });
--- a/soak/src/caller_run.ts
+++ b/soak/src/caller_run.ts
@@ -53,7 +53,8 @@
     address: string,
     { name, after }: { name: string; after: number },
   ): Promise<SeenCall> {
-    const { path, timeMs, caller } = this.#plan;
+    const { path, timeMs } = this.#plan;
+    const leaving = new AbortController();
     const askedAt = performance.now();
     const answer: SeenAnswer = await askStream(address, {
       call: name,
@@ -61,8 +62,8 @@
       time: timeMs,
       patience: PATIENCE_MS,
       after: after === 0 ? undefined : after,
-      leaveAfter: caller.kind === "leaves" ? caller.after : undefined,
-      onBytes: this.#reading(),
+      leave: leaving.signal,
+      onBytes: this.#reading(() => leaving.abort()),
     });
     return {
       plan: this.#plan,
@@ -76,10 +77,12 @@
     };
   }
 
-  /** How the caller reads: a slow one holds back once. */
-  #reading(): ((bytes: number) => Promise<void> | void) | undefined {
+  /** How the caller reads: a slow one holds back once, and one may leave. */
+  #reading(
+    leave: () => void,
+  ): ((bytes: number) => Promise<void> | void) | undefined {
     const { caller } = this.#plan;
-    if (caller.kind !== "slow") {
+    if (caller.kind === "reads") {
       return undefined;
     }
     let bytes = 0;
@@ -90,6 +93,9 @@
         return;
       }
       held = true;
+      if (caller.kind === "leaves") {
+        return leave();
+      }
       return pause(caller.holdMs);
     };
   }
--- a/soak/src/wave.ts
+++ b/soak/src/wave.ts
@@ -9,8 +9,6 @@
 import { setTimeout as pause } from "node:timers/promises";
 import {
   ByteFleet,
-  LocalEntry,
-  type LocalPlace,
   ProcessEntry,
   RawEngine,
   type RawRequest,
@@ -41,8 +39,6 @@
   readonly seen: readonly SeenCall[];
 }
 
-type SoakEntry = LocalEntry | ProcessEntry;
-
 /** Plays a wave; its files are kept where a promise was broken. */
 export async function playWave(plan: WavePlan): Promise<WaveResult> {
   const folder = mkdtempSync(join(tmpdir(), "soak-"));
@@ -85,7 +81,7 @@
   readonly #plan: WavePlan;
   readonly #folder: string;
   readonly #engines: RawEngine[];
-  readonly #fleet: ByteFleet<SoakEntry>;
+  readonly #fleet: ByteFleet;
   readonly #arrivals = new Map<string, number>();
   readonly #lives = new Map<string, number>();
   readonly history: EntryHistory = { killed: new Set(), wentOnAt: new Map() };
@@ -98,8 +94,7 @@
       const id = `i-${index + 1}`;
       return new RawEngine(id, (request) => this.#script(id, request));
     });
-    const processes = plan.kind === "pauses" || plan.kind === "ends";
-    this.#fleet = new ByteFleet<SoakEntry>({
+    this.#fleet = new ByteFleet({
       engines: this.#engines.map((engine, index) => ({
         engine,
         region: plan.engines[index]!,
@@ -107,8 +102,7 @@
       entries: plan.entries,
       attempts: ATTEMPTS,
       timeout: TIMEOUT_MS,
-      start: (place: LocalPlace) =>
-        processes ? ProcessEntry.start(place, folder) : LocalEntry.start(place),
+      processes: plan.kind === "pauses" || plan.kind === "ends",
     });
   }
 
@@ -218,9 +212,7 @@
     write("plan.json", this.#plan);
     write("result.json", result);
     for (const [index, entry] of this.#fleet.entries.entries()) {
-      if (entry instanceof LocalEntry) {
-        write(`entry-${index + 1}.json`, entry.lines());
-      }
+      write(`entry-${index + 1}.json`, entry.lines());
     }
   }
 
