--- a/packages/daemon/src/gateway/__tests__/event_cutter.test.ts
+++ b/packages/daemon/src/gateway/__tests__/event_cutter.test.ts
@@ -29,6 +29,28 @@
     expect(feed([...whole]).out).toBe(whole);
   });
 
+  it("gives the same bytes and ids as events cut at once, whatever the line ends", () => {
+    const text = "id: 1\r\ndata: a\r\n\r\n: c\n\r\nid: 2\ndata: b\r\n\n\n" +
+      "id: 3\ndata: c\n\n\r\n";
+    for (let at = 0; at < text.length; at++) {
+      for (let then = at; then < text.length; then++) {
+        const cutter = new EventCutter();
+        const out = [
+          text.slice(0, at),
+          text.slice(at, then),
+          text.slice(then),
+        ].map((part) => cutter.push(Buffer.from(part)));
+        const passed = Buffer.concat([
+          ...out.map((events) => events?.bytes ?? Buffer.alloc(0)),
+          cutter.rest,
+        ]).toString();
+        const ids = out.map((events) => events?.lastId).filter(Boolean);
+        expect({ passed, last: ids.at(-1), unfinished: cutter.unfinished })
+          .toEqual({ passed: text, last: "3", unfinished: 0 });
+      }
+    }
+  });
+
   it("keeps a torn event back", () => {
     const cutter = new EventCutter();
     const events = cutter.push(Buffer.from(`${whole}id: 3\nda`));
@@ -40,6 +62,15 @@
     expect(cutter.rest.length).toBe(0);
   });
 
+  it("takes a blank line that comes by itself for no event", () => {
+    const cutter = new EventCutter();
+    cutter.push(Buffer.from(whole));
+    cutter.push(Buffer.from("\n"));
+    expect(cutter.unfinished).toBe(0);
+    cutter.push(Buffer.from("i"));
+    expect(cutter.unfinished).toBeGreaterThan(0);
+  });
+
   it("knows events that end lines with carriage returns", () => {
     const text = "id: 7\r\ndata: a\r\n\r\n";
     expect(feed([text])).toEqual({ out: text, ids: ["7"] });
@@ -59,6 +90,8 @@
     ["data: a\n\nid: 2\ndata: b\n\n", false],
     ["id: 1\ndata: a\n\n: still there\n\n", false],
     [": still there\n\n", false],
+    ["id: 4\ndata: a\n\nid:\ndata: b\n\n", true],
+    ["id:\ndata: a\n\nid: 5\ndata: b\n\n", false],
   ])("knows events without an id in %j: %s", (text, expected) => {
     expect(new EventCutter().push(Buffer.from(text))?.unnumbered).toBe(
       expected,
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -32,8 +32,11 @@
 
 /** Plain answers up to this size are held until they are whole, so that a torn one can be repeated. */
 const MAX_HELD_BYTES = 262_144;
+/** Nothing of an event goes out before it is whole: one without an end would fill the memory. */
+const MAX_EVENT_BYTES = 1_048_576;
 /** Of an answer that nobody wants so much is read, to keep its connection. */
 const MAX_DISCARDED_BYTES = 16_384;
+const WHOLE_NUMBER = /^\d{1,15}$/;
 const FIRST_FINAL_STATUS = 200;
 const OK = 200;
 /** Connections to one peer. */
@@ -84,6 +87,8 @@
   #kept: Buffer[] = [];
   #bytes = 0;
   #over = false;
+  /** Last event of the caller, until the first one of an answer that goes on behind it. */
+  #goesOnAfter: string | undefined;
 
   constructor(
     attempt: CallAttempt,
@@ -273,7 +278,9 @@
     if (verdict === undefined || mode !== "events") {
       return;
     }
-    if (verdict.kind === "forward") {
+    if (verdict.kind === "goOn") {
+      this.#goesOnAfter = this.#attempt.resumeAfter;
+    } else if (verdict.kind === "forward") {
       this.#exchange.begin(this.#status, {
         reason: this.#reason,
         // Another endpoint may go on, whose part has another length: told this one, the caller would take
@@ -286,11 +293,31 @@
 
   #pass(chunk: Buffer): void {
     const events = this.#cutter.push(chunk);
+    if (this.#repeats(events?.firstId)) {
+      return this.#end({ kind: "lost", detail: "Events began anew" });
+    }
     if (events !== undefined) {
       this.#writer!.write(events.bytes);
     }
     // Told after the write: an event that counts as passed on and never was would be missing.
     this.#tellProgress(events);
+    if (this.#cutter.unfinished > MAX_EVENT_BYTES) {
+      this.#end({ kind: "lost", detail: "An event is too long" });
+    }
+  }
+
+  /**
+   * Whether an endpoint that shall go on begins with what the caller has: one that takes no notice of the
+   * last id begins anew, and the caller would get events twice. Ids that are no numbers tell nothing.
+   */
+  #repeats(firstId: string | undefined): boolean {
+    const after = this.#goesOnAfter;
+    if (after === undefined || firstId === undefined) {
+      return false;
+    }
+    this.#goesOnAfter = undefined;
+    return WHOLE_NUMBER.test(after) && WHOLE_NUMBER.test(firstId) &&
+      Number(firstId) <= Number(after);
   }
 
   #tellProgress(passed?: WholeEvents): void {
@@ -308,6 +335,13 @@
   }
 
   #keep(chunk: Buffer): void {
+    if (this.#attempt.streaming && this.#status === OK) {
+      // Untold, an endpoint whose bytes come would be left as silent, and the request run again.
+      this.#tellProgress();
+    }
+    if (this.#over) {
+      return;
+    }
     if (this.#bytes <= MAX_HELD_BYTES) {
       this.#kept.push(chunk);
       return;
--- a/playground/src/bytes/byte_fleet.ts
+++ b/playground/src/bytes/byte_fleet.ts
@@ -163,6 +163,8 @@
     routes: [
       route("resume", { ...common, attempts, resumable: true, ...fields }),
       route("once", { ...common, attempts: 1 }),
+      route("fixed", { ...common, attempts }),
+      route("plain", { ...common, attempts, kind: "idempotent" }),
     ],
     services: [{
       name: SERVICE,
--- a/playground/src/bytes/raw_engine.ts
+++ b/playground/src/bytes/raw_engine.ts
@@ -52,6 +52,8 @@
   readonly notRun?: boolean;
   /** Called once everything before the stop is written. */
   readonly onStop?: () => void;
+  /** Says exactly these bytes, head and all, in place of a stream, and stops after them. */
+  readonly says?: readonly string[];
 }
 
 /** A request as the engine got it. */
@@ -150,6 +152,13 @@
     if (script.stop === "never") {
       return;
     }
+    if (script.says !== undefined) {
+      await sayParts(socket, script.says, script.pace);
+      return endRun(socket, {
+        framing: "length",
+        stop: script.stop ?? "silent",
+      });
+    }
     const body = eventsOf(call, { count: events, after, style });
     this.open.add(call);
     socket.on("close", () => this.open.delete(call));
@@ -259,6 +268,17 @@
   }
 }
 
+async function sayParts(
+  socket: Socket,
+  parts: readonly string[],
+  pace = 0,
+): Promise<void> {
+  for (const part of parts) {
+    socket.write(part, "latin1");
+    await pause(pace);
+  }
+}
+
 function nextTurn(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
 }
