--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -58,7 +58,8 @@
   }
 }
 console.log(`${waves} waves, ${failed.length} failed ${failed.join(" ")}`);
-process.exitCode = failed.length === 0 ? 0 : 1;
+// Sockets that were reset at the last moment can keep the runtime from ever ending by itself.
+process.exit(failed.length === 0 ? 0 : 1);
 
 /** Seeds and numbers of the waves to play. */
 function* places(): Generator<[number, number]> {
--- a/soak/src/plan.ts
+++ b/soak/src/plan.ts
@@ -92,6 +92,8 @@
   /** A region for each entry and each engine. */
   readonly entries: readonly string[];
   readonly engines: readonly string[];
+  /** Whether each entry is a process of its own. */
+  readonly processes: boolean;
   readonly cases: readonly CasePlan[];
   readonly entryEvents: readonly EntryEvent[];
   /** When this process stands still, and for how long. */
@@ -145,7 +147,19 @@
       forMs: draw.between(1_600, 2_400),
     }))
     : [];
-  return { seed, wave, kind, entries, engines, cases, entryEvents, stalls };
+  const processes = entryEvents.length > 0 ||
+    (kind === "stalls" && draw.chance(0.5));
+  return {
+    seed,
+    wave,
+    kind,
+    entries,
+    engines,
+    processes,
+    cases,
+    entryEvents,
+    stalls,
+  };
 }
 
 function planCase(
--- a/soak/src/wave.ts
+++ b/soak/src/wave.ts
@@ -30,6 +30,10 @@
 } from "./promises.ts";
 import { scriptOf } from "./script.ts";
 
+const STILL = new Int32Array(new SharedArrayBuffer(4));
+/** Engines go on so much later than entries after the machine stood still. */
+const LATER_MS = 50;
+
 /** What came of a wave. */
 export interface WaveResult {
   readonly plan: WavePlan;
@@ -102,7 +106,7 @@
       entries: plan.entries,
       attempts: ATTEMPTS,
       timeout: TIMEOUT_MS,
-      processes: plan.kind === "pauses" || plan.kind === "ends",
+      processes: plan.processes,
     });
   }
 
@@ -115,7 +119,7 @@
     const seen = await Promise.all([
       ...cases.map((plan) => this.#ask(plan)),
       ...entryEvents.map((event) => this.#disturbEntry(event)),
-      ...stalls.map((stall) => standStill(stall)),
+      ...stalls.map((stall) => this.#standStill(stall)),
     ]);
     return seen.flat();
   }
@@ -170,6 +174,26 @@
     }
   }
 
+  /** Holds everything at once, as a machine that is busy; processes of entries go on first. */
+  async #standStill(
+    { atMs, forMs }: WavePlan["stalls"][number],
+  ): Promise<[]> {
+    await pause(atMs);
+    this.#signalAll("SIGSTOP");
+    Atomics.wait(STILL, 0, 0, forMs);
+    this.#signalAll("SIGCONT");
+    Atomics.wait(STILL, 0, 0, LATER_MS);
+    return [];
+  }
+
+  #signalAll(name: NodeJS.Signals): void {
+    for (const entry of this.#fleet.entries) {
+      if (entry instanceof ProcessEntry) {
+        entry.signal(name);
+      }
+    }
+  }
+
   async #disturbEntry(
     { atMs, entry, kind, forMs }: WavePlan["entryEvents"][number],
   ): Promise<[]> {
@@ -220,14 +244,3 @@
     await this.#fleet.close();
   }
 }
-
-const STILL = new Int32Array(new SharedArrayBuffer(4));
-
-/** Holds this process with all its entries and engines, as a machine that is busy. */
-async function standStill(
-  { atMs, forMs }: WavePlan["stalls"][number],
-): Promise<[]> {
-  await pause(atMs);
-  Atomics.wait(STILL, 0, 0, forMs);
-  return [];
-}
