--- a/playground/src/guards/guard_list.ts
+++ b/playground/src/guards/guard_list.ts
@@ -10,6 +10,7 @@
 import { GUARDS } from "./guards.ts";
 import { QUARANTINE_GUARDS } from "./quarantine_guards.ts";
 import { ROUTE_GUARDS } from "./route_guards.ts";
+import { STALL_GUARDS } from "./stall_guards.ts";
 
 /** Every guard that is checked. */
 export const ALL_GUARDS: readonly Guard[] = [
@@ -17,6 +18,7 @@
   ...ROUTE_GUARDS,
   ...QUARANTINE_GUARDS,
   ...BYTE_GUARDS,
+  ...STALL_GUARDS,
 ];
 
 /** All that is taken out with a guard. */
--- a/playground/src/guards/guards.ts
+++ b/playground/src/guards/guards.ts
@@ -243,13 +243,6 @@
     find: "this.endsAnswer && isReset(socket)",
     replace: "this.endsAnswer && socket.errored !== null",
   },
-  {
-    point: "isolated parts",
-    name: "peers' silence doesn't count while the entry stood still",
-    file: `${CORE}/membership/member_table.ts`,
-    find: "const silence = this.#listened.since(member.heardAt, now);",
-    replace: "const silence = now - member.heardAt;",
-  },
   {
     point: "whole answers",
     name: "doubled frames are dropped",
