--- a/playground/src/bytes/byte_fleet.ts
+++ b/playground/src/bytes/byte_fleet.ts
@@ -13,6 +13,8 @@
 import { askStream, type StreamQuestion } from "./stream_caller.ts";
 
 const FIRST_HOST = 31;
+/** Each process has loopback addresses of its own: a port that is free is not taken by another one's fleet. */
+const NET = `127.${1 + (process.pid >> 8) % 250}.${process.pid % 256}`;
 const SERVICE = "pool";
 const ROUTE_TIMEOUT_MS = 10_000;
 
@@ -23,6 +25,8 @@
   readonly entries?: readonly string[];
   /** Endpoints that one request may be sent to. */
   readonly attempts?: number;
+  /** Milliseconds of the routes' timeouts. */
+  readonly timeout?: number;
   /** Whether each entry is a process of its own. */
   readonly processes?: boolean;
   /** Time that a planned stop of an entry may take. */
@@ -39,6 +43,7 @@
   readonly engines: { readonly engine: RawEngine; readonly address: string }[] =
     [];
   readonly #plan: ByteFleetPlan;
+  #version = 1;
 
   constructor(plan: ByteFleetPlan) {
     this.#plan = plan;
@@ -46,7 +51,7 @@
 
   /** Starts everything and waits until all serve. */
   async start(): Promise<void> {
-    const { engines, entries = ["a"], attempts = 3, stopSeconds } = this.#plan;
+    const { engines, entries = ["a"], stopSeconds } = this.#plan;
     const start = this.#plan.processes ? ProcessEntry.start : LocalEntry.start;
     const storeAddress = await this.store.listen();
     for (const { engine, region = "a" } of engines) {
@@ -54,9 +59,9 @@
       this.engines.push({ engine, address });
       this.publish(engine.id, { address, region, born: 1 });
     }
-    this.store.put(KEYS.document, documentOf(attempts));
-    const hosts = entries.map((_, index) => `127.0.0.${FIRST_HOST + index}`);
-    const [peerPort] = await freePorts(hosts[0]!, 1);
+    this.publishDocument();
+    const hosts = entries.map((_, index) => `${NET}.${FIRST_HOST + index}`);
+    const [peerPort] = freePorts(1);
     const zones = Object.fromEntries(
       [...new Set(entries)].map((region) => [`${region}-1`, region]),
     );
@@ -78,6 +83,16 @@
     await Promise.all(this.entries.map(({ readiness }) => served(readiness)));
   }
 
+  /** Publishes a newer document, with the given fields of the resumable route. */
+  publishDocument(fields: object = {}): void {
+    this.#version += 2;
+    const { attempts = 3, timeout = ROUTE_TIMEOUT_MS } = this.#plan;
+    this.store.put(
+      KEYS.document,
+      documentOf(this.#version, { attempts, timeout, fields }),
+    );
+  }
+
   /** Tells the entries of an engine. */
   publish(
     id: string,
@@ -100,6 +115,11 @@
     });
   }
 
+  /** The record of an engine goes from the store. */
+  withdraw(id: string): void {
+    this.store.remove(`${KEYS.endpoint}${id}`);
+  }
+
   /** Asks an entry for a stream that may be resumed. */
   ask(
     call: string,
@@ -127,16 +147,23 @@
   );
 }
 
-function documentOf(attempts: number): object {
+function documentOf(
+  version: number,
+  { attempts, timeout, fields }: {
+    attempts: number;
+    timeout: number;
+    fields: object;
+  },
+): object {
   const common = {
     kind: "stream",
     service: SERVICE,
-    timeout_ms: ROUTE_TIMEOUT_MS,
+    timeout_ms: timeout,
   };
   return {
-    version: 3,
+    version,
     routes: [
-      route("resume", { ...common, attempts, resumable: true }),
+      route("resume", { ...common, attempts, resumable: true, ...fields }),
       route("once", { ...common, attempts: 1 }),
       route("fixed", { ...common, attempts }),
       route("plain", { ...common, attempts, kind: "idempotent" }),
--- a/playground/src/bytes/event_text.ts
+++ b/playground/src/bytes/event_text.ts
@@ -13,6 +13,8 @@
   readonly comments: boolean;
   /** Whether events say their numbers. */
   readonly ids: boolean;
+  /** Bytes that each event is longer by. */
+  readonly padding?: number;
 }
 
 /** Events as most engines write them. */
@@ -30,9 +32,10 @@
 export function eventOf(
   call: string,
   id: number,
-  { lineEnd, versions, comments, ids }: EventStyle = PLAIN_STYLE,
+  { lineEnd, versions, comments, ids, padding = 0 }: EventStyle = PLAIN_STYLE,
 ): string {
-  const lines = [`data: {"call":"${call}","piece":${id}}`, "", ""];
+  const filler = ".".repeat(padding);
+  const lines = [`data: {"call":"${call}","piece":${id}}${filler}`, "", ""];
   if (ids) {
     lines.unshift(`id: ${id}`);
   }
@@ -64,8 +67,8 @@
 export interface SeenAnswer {
   readonly status: number;
   readonly body: string;
-  /** How the answer ended: told whole, visibly broken, or not within the caller's time. */
-  readonly end: "whole" | "broken" | "open";
+  /** How the answer ended: told whole, visibly broken, not within the caller's time, or left by its caller. */
+  readonly end: "whole" | "broken" | "open" | "left";
 }
 
 /** What is wrong with an answer, `undefined` for nothing. */
@@ -81,6 +84,9 @@
       ? undefined
       : `told whole after ${body.length} of ${whole.length} bytes`;
   }
+  if (end === "left") {
+    return undefined;
+  }
   const { lineEnd } = style;
   const boundary = body === "" || body.endsWith(`${lineEnd}${lineEnd}`);
   return boundary ? undefined : `ends inside an event: ${tailOf(body)}`;
--- a/playground/src/bytes/local_entry.ts
+++ b/playground/src/bytes/local_entry.ts
@@ -3,8 +3,6 @@
  *
  * @module
  */
-import { once } from "node:events";
-import { type AddressInfo, createServer } from "node:net";
 import {
   GatewayEntry,
   Logger,
@@ -72,6 +70,7 @@
   /** Host and port for callers. */
   readonly callers: string;
   readonly readiness: string;
+  readonly control: string;
 
   private constructor(text: string, place: LocalPlace, ports: number[]) {
     const result = parseGatewaySettings(text);
@@ -80,6 +79,7 @@
     }
     this.callers = `${place.host}:${ports[0]}`;
     this.readiness = `${place.host}:${ports[2]}`;
+    this.control = `${place.host}:${ports[3]}`;
     this.#entry = new GatewayEntry(result.settings, {
       logger: this.#logger,
       platform: {
@@ -94,15 +94,17 @@
 
   /** Starts one. */
   static async start(place: LocalPlace): Promise<LocalEntry> {
-    const ports = await freePorts(place.host, PORTS);
+    const ports = freePorts(PORTS);
     const entry = new LocalEntry(settingsOf(place, ports), place, ports);
     await entry.#entry.start();
     return entry;
   }
 
-  /** Its lines that say a sentence. */
-  lines(text: string): readonly Line[] {
-    return this.#logger.lines.filter((line) => line.text === text);
+  /** Its lines, those that say a sentence where one is given. */
+  lines(text?: string): readonly Line[] {
+    return this.#logger.lines.filter((line) =>
+      text === undefined || line.text === text
+    );
   }
 
   /** Ends it as planned. */
@@ -149,21 +151,15 @@
 `;
 }
 
-/** Ports of a host that are free just now. */
-export async function freePorts(
-  host: string,
-  count: number,
-): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports: number[] = [];
-  for (const server of servers) {
-    server.listen(0, host);
-    await once(server, "listening");
-    ports.push((server.address() as AddressInfo).port);
-  }
-  for (const server of servers) {
-    server.close();
-    await once(server, "close");
-  }
-  return ports;
+/** Below the ports that the system hands out, so that no connection takes one before its entry does. */
+const FIRST_PORT = 10_000;
+const PORT_COUNT = 20_000;
+let portsGiven = 0;
+
+/** Ports that are free on the hosts of this process. */
+export function freePorts(count: number): number[] {
+  return Array.from(
+    { length: count },
+    () => FIRST_PORT + portsGiven++ % PORT_COUNT,
+  );
 }
--- a/playground/src/bytes/process_entry.ts
+++ b/playground/src/bytes/process_entry.ts
@@ -27,6 +27,7 @@
 export class ProcessEntry {
   readonly callers: string;
   readonly readiness: string;
+  readonly control: string;
   readonly #folder = mkdtempSync(join(tmpdir(), "entry-"));
   readonly #lines: Line[] = [];
   readonly #process: ChildProcess;
@@ -35,6 +36,7 @@
   private constructor(place: LocalPlace, ports: readonly number[]) {
     this.callers = `${place.host}:${ports[0]}`;
     this.readiness = `${place.host}:${ports[2]}`;
+    this.control = `${place.host}:${ports[3]}`;
     const settings = join(this.#folder, "entry.ini");
     writeFileSync(settings, settingsOf(place, ports));
     this.#process = spawn(process.execPath, [PROGRAM], {
@@ -53,13 +55,19 @@
   }
 
   /** Starts one. */
-  static async start(place: LocalPlace): Promise<ProcessEntry> {
-    return new ProcessEntry(place, await freePorts(place.host, PORTS));
+  static start(place: LocalPlace): Promise<ProcessEntry> {
+    return Promise.resolve(new ProcessEntry(place, freePorts(PORTS)));
   }
 
-  /** Its lines that say a sentence. */
-  lines(text: string): readonly Line[] {
-    return this.#lines.filter((line) => line.text === text);
+  /** Its lines, those that say a sentence where one is given. */
+  lines(text?: string): readonly Line[] {
+    return this.#lines.filter((line) =>
+      text === undefined || line.text === text
+    );
+  }
+
+  get running(): boolean {
+    return this.#process.exitCode === null && this.#process.signalCode === null;
   }
 
   /** Sends it a signal. */
--- a/playground/src/bytes/stream_caller.ts
+++ b/playground/src/bytes/stream_caller.ts
@@ -14,6 +14,8 @@
   readonly host?: string;
   /** Milliseconds that the caller waits. */
   readonly time?: number;
+  /** Milliseconds that it waits longer than it says. */
+  readonly patience?: number;
   /** Last event that it has, or what it says in its place. */
   readonly after?: number | string;
   /** Keeps its connections; none is kept without it. */
@@ -25,8 +27,7 @@
 }
 
 const DEFAULT_TIME_MS = 10_000;
-/** Callers wait a little longer than they say. */
-const PATIENCE_MS = 1_500;
+const DEFAULT_PATIENCE_MS = 1_500;
 
 /** Asks, and reads to the end. */
 export function askStream(
@@ -36,6 +37,7 @@
     path,
     host = "kiosk.example",
     time = DEFAULT_TIME_MS,
+    patience = DEFAULT_PATIENCE_MS,
     after,
     agent,
     leave,
@@ -53,6 +55,7 @@
         asked.destroy();
       }
     };
+    const fail = (): void => end(leave?.aborted ? "left" : "broken");
     const asked = request({
       host: address.slice(0, colon),
       port: Number(address.slice(colon + 1)),
@@ -79,10 +82,10 @@
         }
       });
       answer.on("end", () => end(answer.complete ? "whole" : "broken"));
-      answer.on("error", () => end("broken"));
+      answer.on("error", fail);
     });
-    asked.on("error", () => end("broken"));
+    asked.on("error", fail);
     asked.end();
-    const timer = setTimeout(() => end("open"), time + PATIENCE_MS);
+    const timer = setTimeout(() => end("open"), time + patience);
   });
 }
--- a/playground/src/guards/main.ts
+++ b/playground/src/guards/main.ts
@@ -7,22 +7,13 @@
  * @module
  */
 import { execFile } from "node:child_process";
-import {
-  cpSync,
-  mkdirSync,
-  mkdtempSync,
-  readdirSync,
-  readFileSync,
-  rmSync,
-  symlinkSync,
-  writeFileSync,
-} from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { fileURLToPath } from "node:url";
-import type { Edit, Guard } from "./guard.ts";
-import { ALL_GUARDS, editsOf, faultOfText } from "./guard_list.ts";
+import type { Guard } from "./guard.ts";
+import { ALL_GUARDS, faultOfText } from "./guard_list.ts";
 import { readOptions } from "./options.ts";
+import { copyProject, ROOT, takeOut } from "./project_copy.ts";
 import {
   type Finding,
   formatPage,
@@ -30,25 +21,6 @@
   formatTable,
 } from "./report.ts";
 
-const ROOT = fileURLToPath(new URL("../../../", import.meta.url));
-const PACKAGES = {
-  core: "packages/core",
-  daemon: "packages/daemon",
-  cli: "packages/cli",
-  platform: "platform",
-  playground: "playground",
-};
-const COPIED = [
-  "packages",
-  "platform",
-  "playground",
-  "examples",
-  "package.json",
-  "tsconfig.base.json",
-  "vitest.config.ts",
-  "vitest.setup.ts",
-  "vitest.known_red.ts",
-];
 const TESTS = [
   "packages/core",
   "playground/src/scenario",
@@ -128,37 +100,13 @@
   const folder = mkdtempSync(join(tmpdir(), "sassafrasstep-guard-"));
   try {
     copyProject(folder);
-    editsOf(guard).forEach((edit) => takeOut(edit, folder));
+    takeOut(guard, folder);
     return await runTests(folder);
   } finally {
     rmSync(folder, { recursive: true, force: true });
   }
 }
 
-function copyProject(folder: string): void {
-  for (const name of COPIED) {
-    const filter = (path: string): boolean =>
-      !path.includes("/dist") && !path.includes("/node_modules");
-    cpSync(join(ROOT, name), join(folder, name), { recursive: true, filter });
-  }
-  const modules = join(folder, "node_modules");
-  mkdirSync(join(modules, "@sassafrasstep"), { recursive: true });
-  for (const name of readdirSync(join(ROOT, "node_modules"))) {
-    if (name !== "@sassafrasstep") {
-      symlinkSync(join(ROOT, "node_modules", name), join(modules, name));
-    }
-  }
-  for (const [name, path] of Object.entries(PACKAGES)) {
-    symlinkSync(join(folder, path), join(modules, "@sassafrasstep", name));
-  }
-}
-
-function takeOut({ file, find, replace }: Edit, folder: string): void {
-  const path = join(folder, file);
-  const text = readFileSync(path, "utf8");
-  writeFileSync(path, text.replace(find, () => replace));
-}
-
 async function runTests(folder: string): Promise<string[]> {
   const vitest = join(ROOT, "node_modules/vitest/vitest.mjs");
   const args = [
--- /dev/null
+++ b/soak/src/__tests__/waves.test.ts
@@ -0,0 +1,27 @@
+import { describe, expect, it } from "vitest";
+import { planWave, playWave, type Regression, REGRESSIONS } from "../index.ts";
+
+const SEED = 4;
+const ENTRIES = 4;
+const isQuick = ({ quick }: Regression): boolean => quick;
+
+describe("a soak", () => {
+  it("plans the same for the same seed", () => {
+    const plans = [SEED, SEED, SEED + 1].map((seed) =>
+      planWave(seed, { wave: 0, entries: ENTRIES })
+    );
+    expect(plans[0]).toEqual(plans[1]);
+    expect(plans[0]).not.toEqual(plans[2]);
+  });
+
+  // Each of these waves broke a promise once, for the cause that stands in its name.
+  describe("keeps its promises", () => {
+    for (const { seed, wave, cause } of REGRESSIONS.filter(isQuick)) {
+      it(`in wave ${wave} of seed ${seed}: ${cause}`, async () => {
+        const plan = planWave(seed, { wave, entries: ENTRIES });
+        const { broken, folder } = await playWave(plan);
+        expect(broken, `Its files: ${folder}`).toEqual([]);
+      });
+    }
+  });
+});
--- /dev/null
+++ b/soak/src/guard_list.ts
@@ -0,0 +1,132 @@
+/**
+ * The guards that keep streams whole, and that the soak must miss.
+ *
+ * @module
+ */
+import type { Guard } from "@sassafrasstep/playground/guards";
+
+const GATEWAY = "packages/core/src/gateway";
+const SHELL = "packages/daemon/src/gateway";
+const POINT = "streams byte by byte";
+
+/** Every guard that is checked. */
+export const SOAK_GUARDS: readonly Guard[] = [
+  {
+    point: POINT,
+    name: "what an attempt half received lives and dies with it",
+    file: `${SHELL}/outbound_call.ts`,
+    find: "  readonly #cutter = new EventCutter();",
+    replace:
+      "  get #cutter(): EventCutter { return cutterOf(this.#exchange); }",
+    also: [{
+      file: `${SHELL}/outbound_call.ts`,
+      find: "/** One attempt under way. */",
+      replace: `const CUTTERS = new WeakMap<Exchange, EventCutter>();
+function cutterOf(exchange: Exchange): EventCutter {
+  const cutter = CUTTERS.get(exchange) ?? new EventCutter();
+  CUTTERS.set(exchange, cutter);
+  return cutter;
+}
+/** One attempt under way. */`,
+    }],
+  },
+  {
+    point: POINT,
+    name: "an answer that ends inside an event is lost",
+    file: `${SHELL}/outbound_call.ts`,
+    find: "if (this.#cutter.unfinished > 0) {",
+    replace: "if (this.#cutter.unfinished < 0) {",
+  },
+  {
+    point: POINT,
+    name: "a stream goes on only from a known position",
+    file: `${GATEWAY}/call.ts`,
+    find: "this.route.resumable && this.events && this.position.known;",
+    replace: "this.route.resumable && this.events;",
+  },
+  {
+    point: POINT,
+    name: "a stream goes on only where its route allows it",
+    file: `${GATEWAY}/call.ts`,
+    find: "this.route.resumable && this.events && this.position.known;",
+    replace: "this.events && this.position.known;",
+    also: [{
+      file: `${GATEWAY}/call_recovery.ts`,
+      find: "call.arrivals < call.route.attempts &&",
+      replace: "",
+    }],
+  },
+  {
+    point: POINT,
+    name: "an attempt that was left says nothing more",
+    file: `${SHELL}/outbound_call.ts`,
+    find: `  abort(): void {
+    if (this.#over) {`,
+    replace: `  abort(): void {
+    if (this.#attempt.id !== undefined) {`,
+  },
+  {
+    point: POINT,
+    name: "a torn event is kept back",
+    file: `${SHELL}/event_cutter.ts`,
+    find: "const end = lastBoundary(searched) - this.#tail.length;",
+    replace: "const end = Math.max(chunk.length, lastBoundary(searched));",
+  },
+  {
+    point: POINT,
+    name: "a torn answer without a length is told from a whole one",
+    file: `${SHELL}/connections.ts`,
+    find: "if (this.endsAnswer && isReset(socket)) {",
+    replace: "if (this.endsAnswer && socket.errored && isReset(socket)) {",
+  },
+  {
+    point: POINT,
+    name: "a kept connection is not used while bytes of an answer may come",
+    file: `${SHELL}/outbound_call.ts`,
+    find: `    this.#controller?.abort(new Error("Attempt was given up"));
+    this.#connection?.close();`,
+    replace: "    this.#giveBack();",
+  },
+  {
+    point: POINT,
+    name: "silence is counted while the process listens",
+    file: "packages/core/src/listening/listened_time.ts",
+    find: "listened -= time;",
+    replace: "listened -= 0 * time;",
+  },
+  {
+    point: POINT,
+    name: "what lies in the sockets is read before timers are served",
+    file: "packages/daemon/src/timers/after_poll.ts",
+    find: "immediate = setImmediate(run);",
+    replace: "run();",
+  },
+  {
+    point: POINT,
+    name: "an attempt that is held back for its caller is not silent",
+    file: `${GATEWAY}/call_recovery.ts`,
+    find: "if (heldSince !== undefined) {",
+    replace: "if (heldSince !== undefined && now < 0) {",
+  },
+  {
+    point: POINT,
+    name: "an answer is broken off after what was written",
+    file: `${SHELL}/broken_reply.ts`,
+    find: "if (socket === null || !reply.headersSent) {",
+    replace: "if (socket === null || reply.headersSent) {",
+  },
+  {
+    point: POINT,
+    name: "a stream is framed by its entry",
+    file: `${SHELL}/outbound_call.ts`,
+    find: "headers: withoutLength(protocol.answerHeaders(this.#headers)),",
+    replace: "headers: protocol.answerHeaders(this.#headers),",
+  },
+  {
+    point: POINT,
+    name: "503 is given for what did not run alone",
+    file: `${GATEWAY}/refusals.ts`,
+    find: 'const notRun = verdict.kind === "not_run";',
+    replace: "const notRun = verdict.kind !== undefined;",
+  },
+];
--- /dev/null
+++ b/soak/src/index.ts
@@ -0,0 +1,10 @@
+export {
+  type CasePlan,
+  planWave,
+  WAVE_KINDS,
+  type WaveKind,
+  type WavePlan,
+} from "./plan.ts";
+export { type Broken, brokenPromise, type SeenCall } from "./promises.ts";
+export { type Regression, REGRESSIONS } from "./regressions.ts";
+export { playWave, type WaveResult } from "./wave.ts";
