--- a/playground/src/routes/run_routes.ts
+++ b/playground/src/routes/run_routes.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import { runSteps } from "../scenario/run_steps.ts";
 import { parseScript, settingOf } from "../scenario/script.ts";
 import { act, type RouteStage } from "./route_actions.ts";
 import { checkRoutes, findViolations } from "./route_expectations.ts";
@@ -43,16 +44,12 @@
   [...world.entries.keys()].forEach((name) => world.startEntry(name));
   world.time.runUntil(START_MS);
   world.startOfScript = START_MS;
-  const failures: string[] = [];
-  for (const step of script.steps) {
-    world.time.runUntil(START_MS + step.at);
-    if (step.words[0] === "expect") {
-      const wrong = checkRoutes(world, step);
-      wrong === undefined || failures.push(wrong);
-    } else {
-      act(stage, step);
-    }
-  }
+  const failures = runSteps(script.steps, {
+    time: world.time,
+    startAt: START_MS,
+    act: (step) => act(stage, step),
+    check: (step) => checkRoutes(world, step),
+  });
   world.time.runUntil(world.time.now + TAIL_MS);
   return {
     title: script.title,
--- a/playground/src/scenario/run_scenario.ts
+++ b/playground/src/scenario/run_scenario.ts
@@ -17,6 +17,7 @@
   settingOf,
   word,
 } from "./script.ts";
+import { runSteps } from "./run_steps.ts";
 import { ScenarioText } from "./scenario_text.ts";
 import { World } from "./world.ts";
 
@@ -49,17 +50,18 @@
   prepare(stage, setting);
   world.time.runUntil(START_MS);
   world.startOfScript = START_MS;
-  const failures: string[] = [];
-  for (const step of script.steps) {
-    world.time.runUntil(START_MS + step.at);
-    world.noteCalls();
-    if (step.words[0] === "expect") {
-      const wrong = checkExpectation(world, step);
-      wrong === undefined || failures.push(wrong);
-    } else {
+  const failures = runSteps(script.steps, {
+    time: world.time,
+    startAt: START_MS,
+    act: (step) => {
+      world.noteCalls();
       act(stage, step);
-    }
-  }
+    },
+    check: (step) => {
+      world.noteCalls();
+      return checkExpectation(world, step);
+    },
+  });
   world.time.runUntil(world.time.now + TAIL_MS);
   return {
     title: script.title,
