--- a/soak/src/plan.ts
+++ b/soak/src/plan.ts
@@ -82,7 +82,9 @@
   /** Processes of entries are paused. */
   | "pauses"
   /** Processes of entries are paused, killed and stopped. */
-  | "ends";
+  | "ends"
+  /** Callers read nothing for seconds, of streams that fill all that stands between. */
+  | "slow";
 
 /** Streams that are under way together. */
 export interface WavePlan {
@@ -106,6 +108,7 @@
   "stalls",
   "pauses",
   "ends",
+  "slow",
 ];
 /** Endpoints that a resumable stream may be sent to. */
 export const ATTEMPTS = 4;
@@ -128,11 +131,11 @@
     (_, index) => index < count / 2 ? "a" : "b",
   );
   const engines = draw.chance(0.4) ? FAR : NEAR;
-  const caseCount = kind === "stops" ? 24 : 20;
+  const caseCount = { stops: 24, stalls: 20, pauses: 20, ends: 20, slow: 6 };
   const cases = Array.from(
-    { length: caseCount },
+    { length: caseCount[kind] },
     (_, index) =>
-      planCase(`s${seed}w${wave}c${index}`, {
+      (kind === "slow" ? planSlowCase : planCase)(`s${seed}w${wave}c${index}`, {
         draw,
         entries: count,
         lively: kind === "stops" || (kind === "ends" && draw.chance(0.4)),
@@ -230,6 +233,41 @@
   };
 }
 
+/** A stream of more bytes than sockets and buffers hold. */
+function planSlowCase(
+  call: string,
+  { draw, entries }: { draw: Draw; entries: number },
+): CasePlan {
+  const run = { ...wholeRun(draw), piece: 100_000, pace: 0 };
+  const cut: RunPlan = {
+    ...run,
+    stop: draw.pick<Stop>(["closed", "reset"]),
+    part: 0.3 + draw.part() / 2,
+  };
+  return {
+    call,
+    path: draw.pick(["resume", "once"]),
+    entry: draw.between(0, entries - 1),
+    again: [],
+    events: 160,
+    style: {
+      lineEnd: "\n",
+      versions: false,
+      comments: false,
+      ids: true,
+      padding: 100_000,
+    },
+    startMs: draw.between(0, 200),
+    timeMs: TIMEOUT_MS,
+    caller: {
+      kind: "slow",
+      holdMs: draw.between(2_200, 3_500),
+      after: draw.between(1, 2_000_000),
+    },
+    runs: draw.chance(0.5) ? [run] : [cut, run],
+  };
+}
+
 function planCaller(draw: Draw, events: number): CallerPlan {
   const after = draw.between(1, events * 30);
   const roll = draw.part();
--- a/soak/src/promises.ts
+++ b/soak/src/promises.ts
@@ -56,7 +56,7 @@
 ): string | undefined {
   return bodyFault(seen, history) ?? endFault(seen, history) ??
     runsFault(seen) ??
-    (kind === "stalls" || kind === "pauses" ? stallFault(seen) : undefined);
+    (onlyPaused(seen, kind) ? stallFault(seen) : undefined);
 }
 
 function bodyFault(
@@ -112,7 +112,12 @@
     : undefined;
 }
 
-/** Engines and callers do nothing wrong here, so that our own pauses are all that there is. */
+/** Whether nothing happened to a stream but pauses, of ours or of its caller. */
+function onlyPaused({ plan }: SeenCall, kind: WavePlan["kind"]): boolean {
+  return kind === "stalls" || kind === "pauses" ||
+    (kind === "slow" && plan.runs.length === 1);
+}
+
 function stallFault({ answer, runs }: SeenCall): string | undefined {
   if (runs.length > 1) {
     return `ran ${runs.length} times because of a pause`;
