--- a/soak/src/guard_list.ts
+++ b/soak/src/guard_list.ts
@@ -9,10 +9,20 @@
 const SHELL = "packages/daemon/src/gateway";
 const POINT = "streams byte by byte";
 
+/** A guard, and the kinds of waves that are played without it. */
+export interface SoakGuard extends Guard {
+  readonly kinds: string;
+}
+
+const FAULTS = "stops,ends";
+const PAUSES = "stalls,pauses";
+const SLOW = "slow";
+
 /** Every guard that is checked. */
-export const SOAK_GUARDS: readonly Guard[] = [
+export const SOAK_GUARDS: readonly SoakGuard[] = [
   {
     point: POINT,
+    kinds: FAULTS,
     name: "what an attempt half received lives and dies with it",
     file: `${SHELL}/outbound_call.ts`,
     find: "  readonly #cutter = new EventCutter();",
@@ -32,6 +42,7 @@
   },
   {
     point: POINT,
+    kinds: FAULTS,
     name: "an answer that ends inside an event is lost",
     file: `${SHELL}/outbound_call.ts`,
     find: "if (this.#cutter.unfinished > 0) {",
@@ -39,6 +50,7 @@
   },
   {
     point: POINT,
+    kinds: FAULTS,
     name: "a stream goes on only from a known position",
     file: `${GATEWAY}/call.ts`,
     find: "this.route.resumable && this.events && this.position.known;",
@@ -46,6 +58,7 @@
   },
   {
     point: POINT,
+    kinds: FAULTS,
     name: "a stream goes on only where its route allows it",
     file: `${GATEWAY}/call.ts`,
     find: "this.route.resumable && this.events && this.position.known;",
@@ -58,6 +71,7 @@
   },
   {
     point: POINT,
+    kinds: FAULTS,
     name: "an attempt that was left says nothing more",
     file: `${SHELL}/outbound_call.ts`,
     find: `  abort(): void {
@@ -67,6 +81,7 @@
   },
   {
     point: POINT,
+    kinds: FAULTS,
     name: "a torn event is kept back",
     file: `${SHELL}/event_cutter.ts`,
     find: "const end = lastBoundary(searched) - this.#tail.length;",
@@ -74,6 +89,7 @@
   },
   {
     point: POINT,
+    kinds: FAULTS,
     name: "a torn answer without a length is told from a whole one",
     file: `${SHELL}/connections.ts`,
     find: "if (this.endsAnswer && isReset(socket)) {",
@@ -81,6 +97,7 @@
   },
   {
     point: POINT,
+    kinds: FAULTS,
     name: "a kept connection is not used while bytes of an answer may come",
     file: `${SHELL}/outbound_call.ts`,
     find: `    this.#controller?.abort(new Error("Attempt was given up"));
@@ -89,6 +106,7 @@
   },
   {
     point: POINT,
+    kinds: PAUSES,
     name: "silence is counted while the process listens",
     file: "packages/core/src/listening/listened_time.ts",
     find: "listened -= time;",
@@ -96,6 +114,7 @@
   },
   {
     point: POINT,
+    kinds: PAUSES,
     name: "what lies in the sockets is read before timers are served",
     file: "packages/daemon/src/timers/after_poll.ts",
     find: "immediate = setImmediate(run);",
@@ -103,6 +122,7 @@
   },
   {
     point: POINT,
+    kinds: SLOW,
     name: "an attempt that is held back for its caller is not silent",
     file: `${GATEWAY}/call_recovery.ts`,
     find: "if (heldSince !== undefined) {",
@@ -110,6 +130,7 @@
   },
   {
     point: POINT,
+    kinds: SLOW,
     name: "an answer is broken off after what was written",
     file: `${SHELL}/broken_reply.ts`,
     find: "if (socket === null || !reply.headersSent) {",
@@ -117,6 +138,7 @@
   },
   {
     point: POINT,
+    kinds: FAULTS,
     name: "a stream is framed by its entry",
     file: `${SHELL}/outbound_call.ts`,
     find: "headers: withoutLength(protocol.answerHeaders(this.#headers)),",
@@ -124,6 +146,7 @@
   },
   {
     point: POINT,
+    kinds: FAULTS,
     name: "503 is given for what did not run alone",
     file: `${GATEWAY}/refusals.ts`,
     find: 'const notRun = verdict.kind === "not_run";',
--- a/soak/src/guards_main.ts
+++ b/soak/src/guards_main.ts
@@ -12,11 +12,10 @@
 import {
   copyProject,
   faultOfText,
-  type Guard,
   ROOT,
   takeOut,
 } from "@sassafrasstep/playground/guards";
-import { SOAK_GUARDS } from "./guard_list.ts";
+import { SOAK_GUARDS, type SoakGuard } from "./guard_list.ts";
 
 const SEEDS = "1-10";
 const PARALLEL = 3;
@@ -46,7 +45,7 @@
 }
 
 /** The first broken promise, `undefined` where there was none. */
-async function soakWithout(guard: Guard): Promise<string | undefined> {
+async function soakWithout(guard: SoakGuard): Promise<string | undefined> {
   const folder = mkdtempSync(join(tmpdir(), "sassafrasstep-soak-guard-"));
   try {
     copyProject(folder);
@@ -54,7 +53,8 @@
     const tsc = join(ROOT, "node_modules/.bin/tsc");
     await run(tsc, ["-b"], { cwd: folder });
     const main = join(folder, "soak/dist/main.js");
-    const args = [main, "--seeds", SEEDS, "--first"];
+    const { kinds } = guard;
+    const args = [main, "--seeds", SEEDS, "--first", "--kinds", kinds];
     const output = await run(process.execPath, args, {
       cwd: folder,
       maxBuffer: MAX_OUTPUT_BYTES,
