--- a/soak/src/guard_list.ts
+++ b/soak/src/guard_list.ts
@@ -85,7 +85,13 @@
     name: "a torn event is kept back",
     file: `${SHELL}/event_cutter.ts`,
     find: "const end = lastBoundary(searched) - this.#tail.length;",
-    replace: "const end = Math.max(chunk.length, lastBoundary(searched));",
+    replace:
+      "const end = Math.max(chunk.length, lastBoundary(searched) - 9e9);",
+    also: [{
+      file: `${SHELL}/event_cutter.ts`,
+      find: "const end = endOfEvents(text);",
+      replace: "const end = Math.max(text.length, endOfEvents(text));",
+    }],
   },
   {
     point: POINT,
--- a/soak/src/guards_main.ts
+++ b/soak/src/guards_main.ts
@@ -71,6 +71,9 @@
 
 function readFailure(output: string): string | undefined {
   const lines = output.split("\n");
+  if (output !== "" && !output.includes(" waves, ")) {
+    return `did not run to its end: ${lines.at(-2)}`;
+  }
   const at = lines.findIndex((line) => line.startsWith("First broken promise"));
   const wave = lines[at - 1]?.match(/seed \d+ wave \d+ \w+/)?.[0];
   return at < 0 ? undefined : `${wave}: ${lines[at]}`;
