--- a/soak/src/promises.ts
+++ b/soak/src/promises.ts
@@ -44,6 +44,8 @@
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Between the timeout and the end that a caller sees. */
 const LATE_END_MS = 1_500;
+/** One of so many undisturbed streams has to end whole, at the least. */
+const LEAST_SERVED_PART = 2;
 /** An entry may have sent a request on before it hears that its caller is gone. */
 const LATE_RUN_MS = 500;
 
@@ -56,7 +58,7 @@
 ): string | undefined {
   return bodyFault(seen, history) ?? endFault(seen, history) ??
     runsFault(seen) ??
-    (kind === "stalls" || kind === "pauses" ? stallFault(seen) : undefined);
+    (onlyPaused(seen, kind) ? stallFault(seen) : undefined);
 }
 
 function bodyFault(
@@ -112,12 +114,43 @@
     : undefined;
 }
 
-/** Engines and callers do nothing wrong here, so that our own pauses are all that there is. */
+/** Whether nothing happened to a stream but pauses, of ours or of its caller. */
+function onlyPaused({ plan }: SeenCall, kind: WavePlan["kind"]): boolean {
+  return kind === "stalls" || kind === "pauses" ||
+    (kind === "slow" && plan.runs.length === 1);
+}
+
 function stallFault({ answer, runs }: SeenCall): string | undefined {
   if (runs.length > 1) {
     return `ran ${runs.length} times because of a pause`;
   }
-  return answer.status === OK && answer.end !== "whole"
-    ? `was broken off because of a pause`
+  const answered = answer.status === OK && answer.end === "whole";
+  return answered || NOT_RUN.has(answer.status)
+    ? undefined
+    : `ended ${answer.end} with status ${answer.status} because of a pause`;
+}
+
+/**
+ * Whether hardly any of the streams that nothing disturbs is served: where every stream breaks visibly, each
+ * of them by itself keeps its promises.
+ */
+export function unservedWave(
+  seen: readonly SeenCall[],
+  kind: WavePlan["kind"],
+): Broken | undefined {
+  const undisturbed = seen.filter(({ plan: { caller, runs } }) =>
+    caller.kind === "reads" && runs[0]!.stop === "whole" &&
+    (runs[0]!.status ?? OK) === OK
+  );
+  const whole =
+    undisturbed.filter(({ answer }) =>
+      answer.status === OK && answer.end === "whole"
+    ).length;
+  const few = whole * LEAST_SERVED_PART < undisturbed.length;
+  return kind !== "ends" && undisturbed.length > 0 && few
+    ? {
+      call: undisturbed[0]!.call,
+      what: `${whole} of ${undisturbed.length} undisturbed streams ended whole`,
+    }
     : undefined;
 }
--- a/soak/src/wave.ts
+++ b/soak/src/wave.ts
@@ -27,6 +27,7 @@
   brokenPromise,
   type EntryHistory,
   type SeenCall,
+  unservedWave,
 } from "./promises.ts";
 import { scriptOf } from "./script.ts";
 
@@ -75,10 +76,12 @@
   seen: readonly SeenCall[],
   wave: Parameters<typeof brokenPromise>[1],
 ): Broken[] {
-  return seen.flatMap((call) => {
+  const broken = seen.flatMap((call) => {
     const what = brokenPromise(call, wave);
     return what === undefined ? [] : [{ call: call.call, what }];
   });
+  const unserved = unservedWave(seen, wave.kind);
+  return unserved === undefined ? broken : [...broken, unserved];
 }
 
 class Wave {
