perf: the guard suite runs the quick tests of a guard's side first

Four guards took three minutes, since each run played all tests over real sockets with two workers: 127 would take over an hour. Now the tests of decisions on the guard's side of the product are run first, and the slow ones only where none of them fails.

--- a/playground/src/guards/main.ts
+++ b/playground/src/guards/main.ts
@@ -20,21 +20,8 @@
   formatSummary,
   formatTable,
 } from "./report.ts";
+import { testSetsOf } from "./test_sets.ts";
 
-const TESTS = [
-  "packages/core",
-  "playground/src/scenario",
-  "playground/src/routes",
-  "packages/daemon/src/gateway",
-  "packages/daemon/src/peers",
-  "packages/daemon/src/callers",
-  "packages/daemon/src/platform",
-  "packages/daemon/src/entry",
-  "packages/daemon/src/timers",
-  "packages/daemon/src/outbound",
-  "playground/src/bytes",
-  "platform",
-];
 const PARALLEL = 4;
 const RUN_TIMEOUT_MS = 300_000;
 const MAX_OUTPUT_BYTES = 67_108_864;
@@ -101,13 +88,22 @@
   try {
     copyProject(folder);
     takeOut(guard, folder);
-    return await runTests(folder);
+    for (const tests of testSetsOf(guard)) {
+      const failed = await runTests(folder, tests);
+      if (failed.length > 0) {
+        return failed;
+      }
+    }
+    return [];
   } finally {
     rmSync(folder, { recursive: true, force: true });
   }
 }
 
-async function runTests(folder: string): Promise<string[]> {
+async function runTests(
+  folder: string,
+  tests: readonly string[],
+): Promise<string[]> {
   const vitest = join(ROOT, "node_modules/vitest/vitest.mjs");
   const args = [
     vitest,
@@ -115,9 +111,9 @@
     "--root",
     folder,
     "--reporter=json",
-    "--maxWorkers=2",
+    "--maxWorkers=3",
     `--bail=${MOST_FAILURES}`,
-    ...TESTS,
+    ...tests,
   ];
   const output = await new Promise<string>((resolve) => {
     const options = {
--- /dev/null
+++ b/playground/src/guards/test_sets.ts
@@ -0,0 +1,51 @@
+/**
+ * Which tests are run without a guard.
+ *
+ * @module
+ */
+import type { Guard } from "./guard.ts";
+
+/** Paths of the gateway's side. What isn't below them belongs to the operators' text. */
+const GATEWAY_PATHS = [
+  "packages/core/src/gateway/",
+  "packages/core/src/fleet/",
+  "packages/core/src/quarantine/",
+  "packages/core/src/routes/",
+  "packages/daemon/src/gateway/",
+  "platform/",
+];
+const GATEWAY_SETS = [
+  [
+    "packages/core",
+    "playground/src/routes/__tests__/routes.test.ts",
+    "packages/daemon/src/gateway",
+    "platform",
+  ],
+  [
+    "playground/src/bytes",
+    "playground/src/routes/__tests__/quarantine_trials.test.ts",
+    "packages/daemon/src/timers",
+  ],
+];
+const OPERATORS_SETS = [
+  [
+    "packages/core",
+    "playground/src/scenario",
+    "packages/daemon/src/callers",
+    "packages/daemon/src/peers",
+    "packages/daemon/src/timers",
+  ],
+  [
+    "packages/daemon/src/outbound",
+    "packages/daemon/src/entry",
+    "packages/daemon/src/platform",
+    "packages/daemon/src/gateway",
+  ],
+];
+
+/** Sets of tests, the quick ones first: the next set is run only where none of the ones before fails. */
+export function testSetsOf({ file }: Guard): readonly (readonly string[])[] {
+  return GATEWAY_PATHS.some((path) => file.startsWith(path))
+    ? GATEWAY_SETS
+    : OPERATORS_SETS;
+}
