test: connections that carried no request; red

An attempt that is given up while it connects gives its connection back without a request on it. Closing such a connection, or the end of its endpoint, does not end the socket: it counts as open for good.

--- a/packages/daemon/src/gateway/__tests__/connections.test.ts
+++ b/packages/daemon/src/gateway/__tests__/connections.test.ts
@@ -60,6 +60,32 @@
     expect(await take()).not.toBe(first);
   });
 
+  // An attempt was given up while it connected, and its connection was kept without a request on it. The
+  // client has not seen its socket yet, so neither its endpoint's end nor closing it ended the socket:
+  // it counted as open for good, and once all that may be open were such ones, the endpoint got nothing
+  // any more, with "no connection is free" as the reason.
+  describe("that carried no request", () => {
+    it("make room when they are closed", async () => {
+      const unused = await take({ limit: 1 }) as Connection;
+      connections.giveBack(unused, NOW);
+      const later = instant(NOW + 1_000);
+      const other = await take({ limit: 1, mostIdle: 500, now: later });
+      expect(other).not.toBeInstanceOf(ConnectError);
+      expect(unused.failed).toBe(true);
+      await expect.poll(() => endpoint.open()).toBe(1);
+    });
+
+    it("end with the endpoint's side", async () => {
+      const unused = await take() as Connection;
+      connections.giveBack(unused, NOW);
+      await expect.poll(() => endpoint.open()).toBe(1);
+      endpoint.endAll();
+      await expect.poll(() => unused.failed).toBe(true);
+      await expect.poll(() => endpoint.open()).toBe(0);
+      expect(await take()).not.toBe(unused);
+    });
+  });
+
   describe("to an address where nothing listens", () => {
     beforeEach(() => endpoint.close());
 
--- a/packages/daemon/src/gateway/__tests__/wire_fixture.ts
+++ b/packages/daemon/src/gateway/__tests__/wire_fixture.ts
@@ -36,6 +36,10 @@
   readonly address: string;
   readonly requests: string[];
   connections: number;
+  /** Connections that are open. */
+  open(): number;
+  /** Ends its side of each. */
+  endAll(): void;
   close(): Promise<void>;
 }
 
@@ -46,6 +50,7 @@
   const server: Server = createServer((socket) => {
     endpoint.connections++;
     sockets.add(socket);
+    socket.on("close", () => sockets.delete(socket));
     socket.on("error", () => {});
     socket.on("data", (bytes) => {
       const text = bytes.toString("latin1");
@@ -60,6 +65,8 @@
     address: `127.0.0.1:${port}`,
     requests,
     connections: 0,
+    open: () => sockets.size,
+    endAll: () => sockets.forEach((socket) => socket.end()),
     close: async () => {
       sockets.forEach((socket) => socket.destroy());
       server.close();
