--- a/packages/daemon/src/gateway/__tests__/event_cutter.test.ts
+++ b/packages/daemon/src/gateway/__tests__/event_cutter.test.ts
@@ -109,4 +109,21 @@
       expected,
     );
   });
+
+  // Comments are kept until an event follows them. All of them were joined and searched with each new
+  // one: an endpoint that sent 1 MB of them kept the process from everything else for seconds.
+  it("takes many comments in a time that grows with their number", () => {
+    const timeOf = (count: number): number => {
+      const cutter = new EventCutter();
+      const comment = Buffer.from(": a comment of a few words\n\n");
+      const from = performance.now();
+      for (let index = 0; index < count; index++) {
+        cutter.push(comment);
+      }
+      return performance.now() - from;
+    };
+    timeOf(1_000);
+    const few = Math.min(timeOf(2_000), timeOf(2_000));
+    expect(timeOf(16_000)).toBeLessThan(few * 8 * 4);
+  });
 });
