fix: a connection that carried no request closes

An attempt that is given up while it connects gives its connection back unused. The HTTP client asks for the socket with its first request, so until then neither its idle time nor closing it reached the socket, and the end of the endpoint left ours half open. The socket counted as open for good. Once all that may be open at an address were such ones, its requests ended as not sent, and callers were told that no endpoint was there while it stood idle.

Closing such a connection ends its socket, and so does the end of the other side; whatever closed leaves the kept ones. A connection whose client has the socket is closed by the client as before.

--- a/packages/daemon/src/gateway/connections.ts
+++ b/packages/daemon/src/gateway/connections.ts
@@ -57,6 +57,8 @@
   failed = false;
   /** Whether the answer under way ends with the connection. */
   endsAnswer = false;
+  /** Whether the client has its socket: it asks for it with its first request. */
+  #handedOut = false;
 
   constructor(socket: EndpointSocket, address: string, now: Instant) {
     this.#socket = socket;
@@ -64,7 +66,10 @@
     this.idleSince = now;
     socket.on("error", () => this.failed = true);
     socket.on("end", () => {
-      if (this.endsAnswer && isReset(socket)) {
+      if (!this.#handedOut) {
+        // Its side stays open for the client's sake, which does not know of it yet: it would never close.
+        this.close();
+      } else if (this.endsAnswer && isReset(socket)) {
         this.failed = true;
       }
     });
@@ -75,7 +80,7 @@
       keepAliveTimeout: IDLE_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       maxHeaderSize: MAX_RESPONSE_HEADER_BYTES,
-      connect: oneSocket(socket),
+      connect: oneSocket(socket, () => this.#handedOut = true),
     });
     this.client.on("disconnect", () => this.failed = true);
   }
@@ -94,6 +99,9 @@
   close(): void {
     this.failed = true;
     this.client.destroy().catch(ignoreClosed);
+    if (!this.#handedOut) {
+      this.#socket.destroy();
+    }
   }
 }
 
@@ -101,11 +109,15 @@
  * Hands the socket out once: a client that connects anew by itself would send a request twice without
  * anybody having decided it.
  */
-function oneSocket(socket: Socket): buildConnector.connector {
+function oneSocket(
+  socket: Socket,
+  handedOut: () => void,
+): buildConnector.connector {
   let taken = false;
   return (_options, callback): void => {
     const first = !taken && !socket.destroyed;
     taken = true;
+    handedOut();
     queueMicrotask(() =>
       first
         ? callback(null, socket)
@@ -233,7 +245,7 @@
       cancel();
       socket.off("error", fail);
       const connection = new Connection(socket, address, now);
-      connection.client.on("disconnect", () => this.#drop(connection));
+      socket.once("close", () => this.#drop(connection));
       done(connection);
     });
   }
