fix: comments that are kept are not searched again

Comments before an event are kept until it is whole. Each further one was joined with all that were kept and the whole was searched: 16 000 of them took 3.7 s, in which the process served nobody. An endpoint that writes only comments for long, or much of them at once, did that to all callers of its entry.

Only what is new is searched; a comment holds no field, so the position does not depend on it. The test takes the least of several times, since the machine's other work would else decide it.

--- a/packages/daemon/src/gateway/__tests__/event_cutter.test.ts
+++ b/packages/daemon/src/gateway/__tests__/event_cutter.test.ts
@@ -122,8 +122,9 @@
       }
       return performance.now() - from;
     };
-    timeOf(1_000);
-    const few = Math.min(timeOf(2_000), timeOf(2_000));
-    expect(timeOf(16_000)).toBeLessThan(few * 8 * 4);
+    // The least of several: other work of the machine only ever adds to a time.
+    const least = (count: number): number =>
+      Math.min(...Array.from({ length: 4 }, () => timeOf(count)));
+    expect(least(16_000)).toBeLessThan(least(2_000) * 8 * 4);
   });
 });
--- a/packages/daemon/src/gateway/event_cutter.ts
+++ b/packages/daemon/src/gateway/event_cutter.ts
@@ -36,7 +36,8 @@
    * Comments that stand before the event to come. Passed on ahead of it, they would come again from the
    * next endpoint where the event is torn.
    */
-  #comments: Buffer = Buffer.alloc(0);
+  #comments: Buffer[] = [];
+  #commentBytes = 0;
 
   /** Adds bytes; gives the events that they complete. */
   push(chunk: Buffer): WholeEvents | undefined {
@@ -47,11 +48,7 @@
       this.#keep(chunk, searched);
       return undefined;
     }
-    const whole = Buffer.concat([
-      this.#comments,
-      ...this.#parts,
-      chunk.subarray(0, end),
-    ]);
+    const whole = Buffer.concat([...this.#parts, chunk.subarray(0, end)]);
     const rest = chunk.subarray(end);
     this.#parts = [];
     this.#size = 0;
@@ -62,12 +59,12 @@
 
   /** Bytes that are no whole event, and comments before the next one. */
   get rest(): Buffer {
-    return Buffer.concat([this.#comments, ...this.#parts]);
+    return Buffer.concat([...this.#comments, ...this.#parts]);
   }
 
   /** How many bytes are kept. */
   get size(): number {
-    return this.#comments.length + this.#size;
+    return this.#commentBytes + this.#size;
   }
 
   /** How many of them belong to an event that has begun. Blank lines after the last one begin none. */
@@ -79,10 +76,21 @@
   #takeEvents(whole: Buffer): WholeEvents | undefined {
     const text = whole.toString("latin1");
     const end = endOfEvents(text);
-    this.#comments = whole.subarray(end);
-    return end === 0
-      ? undefined
-      : { bytes: whole.subarray(0, end), ...positionOf(text.slice(0, end)) };
+    if (end === 0) {
+      // Searched anew with each one that follows, many comments would block the process.
+      this.#keepComments(whole);
+      return undefined;
+    }
+    const bytes = Buffer.concat([...this.#comments, whole.subarray(0, end)]);
+    this.#comments = [];
+    this.#commentBytes = 0;
+    this.#keepComments(whole.subarray(end));
+    return { bytes, ...positionOf(text.slice(0, end)) };
+  }
+
+  #keepComments(bytes: Buffer): void {
+    this.#comments.push(bytes);
+    this.#commentBytes += bytes.length;
   }
 
   #keep(bytes: Buffer, searched: Buffer): void {
