fix: a client whose reader has no room outlives its connection

Where a reader had no room, the HTTP client paused its parser, and where the connection then ended or was reset, it finished that parser, which must not be paused: an assertion in a listener of the socket, which nobody catches. An engine that closes its connection, or is reset, while a caller reads a chat slowly ended the process with all its streams.

An answer is paused at its socket now, as the gateway's are: nothing is read of it, its end included, and the parser is never paused. A hold ends with its answer, so that a kept connection carries the next one.

--- a/packages/daemon/src/clients/__tests__/watched_client.test.ts
+++ b/packages/daemon/src/clients/__tests__/watched_client.test.ts
@@ -1,4 +1,3 @@
-import { once } from "node:events";
 import type { Socket } from "node:net";
 import { Client, request } from "undici";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
@@ -23,9 +22,12 @@
     listeners = process.listeners("uncaughtException");
     process.removeAllListeners("uncaughtException");
     process.on("uncaughtException", (error) => uncaught.push(error));
-    endpoint = await listenRaw((socket) => {
+    endpoint = await listenRaw((socket, text) => {
       engine = socket;
-      socket.write("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n");
+      const framing = text.startsWith("GET /kept")
+        ? "content-length: 80000"
+        : "connection: close";
+      socket.write(`HTTP/1.1 200 OK\r\n${framing}\r\n\r\n`);
       socket.write(Buffer.alloc(80_000, "x"));
     });
     client = new WatchedClient(`http://${endpoint.address}`, {
@@ -53,7 +55,6 @@
       } else {
         engine.resetAndDestroy();
       }
-      await once(engine, "close").catch(() => {});
       await new Promise((resolve) => setTimeout(resolve, 100));
       expect(uncaught).toEqual([]);
       let size = 0;
@@ -71,4 +72,15 @@
       expect(uncaught).toEqual([]);
     },
   );
+
+  it("reads each answer whole on a connection that is kept", async () => {
+    for (let number = 0; number < 3; number++) {
+      const { body } = await request(`http://${endpoint.address}/kept`, {
+        dispatcher: client,
+      });
+      await expect.poll(() => body.readableLength).toBeGreaterThan(65_535);
+      expect((await body.text()).length).toBe(80_000);
+    }
+    expect(endpoint.connections).toBe(1);
+  });
 });
--- a/packages/daemon/src/clients/watched_client.ts
+++ b/packages/daemon/src/clients/watched_client.ts
@@ -13,7 +13,8 @@
   type Dispatcher,
   Pool,
 } from "undici";
-import { isReset } from "../sockets/index.ts";
+import { isReset, ReadHold } from "../sockets/index.ts";
+import { HoldingController } from "./holding_controller.ts";
 
 const FIRST_FINAL_STATUS = 200;
 
@@ -23,6 +24,17 @@
   endsAnswer = false;
   /** Whether the connection had an error. */
   failed = false;
+  #reading: ReadHold | undefined;
+
+  /** Reads nothing more of it, for now. */
+  hold(): void {
+    this.#reading?.hold();
+  }
+
+  /** Reads again. */
+  release(): void {
+    this.#reading?.release();
+  }
 
   /** Looks at each connection before the client does, so that `failed` is known when an answer ends. */
   around(connect: buildConnector.connector): buildConnector.connector {
@@ -39,18 +51,27 @@
   #follow(socket: Socket): void {
     this.failed = false;
     this.endsAnswer = false;
+    this.#reading = new ReadHold(socket);
     socket.on("error", () => this.failed = true);
     socket.on("end", () => this.failed ||= this.endsAnswer && isReset(socket));
   }
 }
 
 interface AnswerHandler {
+  onRequestStart(
+    controller: Dispatcher.DispatchController,
+    context: unknown,
+  ): void;
   onResponseStart(
     controller: Dispatcher.DispatchController,
     status: number,
     headers: IncomingHttpHeaders,
     reason?: string,
   ): void;
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void;
   onResponseEnd(
     controller: Dispatcher.DispatchController,
     trailers: IncomingHttpHeaders,
@@ -72,22 +93,38 @@
  */
 class WholeAnswer extends Decorator {
   readonly #watch: SocketWatch;
+  #controller: HoldingController | undefined;
 
   constructor(handler: Dispatcher.DispatchHandler, watch: SocketWatch) {
     super(handler);
     this.#watch = watch;
   }
 
+  override onRequestStart(
+    controller: Dispatcher.DispatchController,
+    context: unknown,
+  ): void {
+    super.onRequestStart(this.#holding(controller), context);
+  }
+
   override onResponseStart(
-    ...args: Parameters<AnswerHandler["onResponseStart"]>
+    ...[controller, status, headers, reason]: Parameters<
+      AnswerHandler["onResponseStart"]
+    >
   ): void {
-    const [, status, headers] = args;
     if (status < FIRST_FINAL_STATUS) {
       // The library's decorator takes one head an answer, and nobody here wants an interim one.
       return;
     }
     this.#watch.endsAnswer = !isFramed(headers);
-    super.onResponseStart(...args);
+    super.onResponseStart(this.#holding(controller), status, headers, reason);
+  }
+
+  override onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    super.onResponseData(this.#holding(controller), chunk);
   }
 
   override onResponseEnd(
@@ -95,13 +132,29 @@
     trailers: IncomingHttpHeaders,
   ): void {
     const { endsAnswer, failed } = this.#watch;
+    const holding = this.#holding(controller);
+    holding.end();
     this.#watch.endsAnswer = false;
     if (endsAnswer && failed) {
-      super.onResponseError(controller, new Error("Answer was cut off"));
+      super.onResponseError(holding, new Error("Answer was cut off"));
     } else {
-      super.onResponseEnd(controller, trailers);
+      super.onResponseEnd(holding, trailers);
     }
   }
+
+  override onResponseError(
+    controller: Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    const holding = this.#holding(controller);
+    holding.end();
+    super.onResponseError(holding, error);
+  }
+
+  #holding(controller: Dispatcher.DispatchController): HoldingController {
+    this.#controller ??= new HoldingController(controller, this.#watch);
+    return this.#controller;
+  }
 }
 
 /** One connection at a time, one request at a time on it. */
--- a/packages/daemon/src/sockets/index.ts
+++ b/packages/daemon/src/sockets/index.ts
@@ -1,1 +1,2 @@
 export { isReset } from "./is_reset.ts";
+export { ReadHold } from "./read_hold.ts";
