--- a/packages/core/src/gateway/__tests__/stalls.test.ts
+++ b/packages/core/src/gateway/__tests__/stalls.test.ts
@@ -245,6 +245,28 @@
     expect(texts()).not.toContain("Endpoint has ended.");
   });
 
+  // The record of a running endpoint was away for a while, as the platform's hiccups have it, and its one
+  // stream was not read because its caller had no room. Nothing was heard because nothing was read, and
+  // the request counted as one that ends endpoints.
+  it("takes no endpoint for ended that it does not read", () => {
+    const attempt = begin();
+    handle({ kind: "held", attempt, held: true });
+    handle({
+      kind: "catalogueChanged",
+      changes: {
+        revision: 2 as Revision,
+        changes: [{ kind: "endpointRemoved", id: endpointOf(effects) }],
+      },
+    });
+    run(2_000);
+    expect(texts()).not.toContain("Endpoint has ended.");
+    handle({ kind: "held", attempt, held: false });
+    run(500);
+    expect(texts()).not.toContain("Endpoint has ended.");
+    run(1_000);
+    expect(texts()).toContain("Endpoint has ended.");
+  });
+
   it("counts on what a peer has in flight", () => {
     hearPeer();
     handle({
