fix: an endpoint whose streams are held back does not count as ended

An endpoint without a record of which nothing is heard counts as ended, and its requests as what may have ended it. A stream that is not read, because its caller has no room, is not heard of either: where the record was away for a moment, an endpoint that ran counted as ended after a second, and a request seen at several such ends is refused as held.

The watch knows which runs are held back. Their silence says nothing, and is counted anew once they are read again, as it is where an endpoint is left for its silence.

--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -132,9 +132,15 @@
     attempt: OpenAttempt,
     { held, now }: { held: boolean; now: Instant },
   ): void {
-    if (held) {
-      attempt.heldSince ??= now;
-    } else if (attempt.heldSince !== undefined) {
+    if (held === (attempt.heldSince !== undefined)) {
+      return;
+    }
+    if (attempt.state !== undefined) {
+      this.#tools.quarantine.held(attempt.state, attempt.id, { held, now });
+    }
+    if (attempt.heldSince === undefined) {
+      attempt.heldSince = now;
+    } else {
       trace.held(milliseconds(now - attempt.heldSince), now);
       attempt.heldSince = undefined;
       attempt.heardAt = now;
--- a/packages/core/src/quarantine/crash_watch.ts
+++ b/packages/core/src/quarantine/crash_watch.ts
@@ -50,6 +50,10 @@
   readonly sentAt: Instant;
   /** Whether it was sent by itself, as it had been at several ends. */
   readonly trial: boolean;
+  /** Whether its answer is not read, because its caller has no room. */
+  readonly held?: boolean;
+  /** When it was read again after that. */
+  readonly readAgainAt?: Instant;
 }
 
 /** A request that was at an endpoint when that ended. */
@@ -101,6 +105,20 @@
     this.#of(endpoint).open.set(run.attempt, run);
   }
 
+  /** An answer is not read because its caller has no room, or is read again. */
+  held(
+    endpoint: WatchedEndpoint,
+    attempt: AttemptId,
+    { held, now }: { held: boolean; now: Instant },
+  ): void {
+    const { open } = this.#of(endpoint);
+    const run = open.get(attempt);
+    if (run !== undefined) {
+      const readAgain = held ? {} : { readAgainAt: now };
+      open.set(attempt, { ...run, held, ...readAgain });
+    }
+  }
+
   /** A request was answered, or left while its endpoint answers others. */
   ended(endpoint: WatchedEndpoint, attempt: AttemptId): void {
     this.#of(endpoint).open.delete(attempt);
@@ -238,22 +256,30 @@
     return [...open.values()].some((run) => this.#isSilent(endpoint, run, now));
   }
 
-  /** What came during a pause is yet to be read: an endpoint that answers would count as ended. */
+  /**
+   * What came during a pause, or is held back for its caller, is yet to be read: an endpoint that answers
+   * would count as ended.
+   */
   #isSilent(
     endpoint: WatchedEndpoint,
     run: WatchedRun,
     now: Instant,
   ): boolean {
-    return this.#listened.since(lastHeard(endpoint, run), now) >= SILENT_MS;
+    return run.held !== true &&
+      this.#listened.since(lastHeard(endpoint, run), now) >= SILENT_MS;
   }
 }
 
 /** When an attempt, or another one at its endpoint, last heard from there. */
 function lastHeard(
   { heardAt }: WatchedEndpoint,
-  { sentAt }: WatchedRun,
+  { sentAt, readAgainAt }: WatchedRun,
 ): Instant {
-  return Math.max(heardAt ?? -Infinity, sentAt) as Instant;
+  return Math.max(
+    heardAt ?? -Infinity,
+    sentAt,
+    readAgainAt ?? -Infinity,
+  ) as Instant;
 }
 
 /** When an endpoint ended that closed nothing: after its last word, or some time after the request. */
--- a/packages/core/src/quarantine/quarantine_controller.ts
+++ b/packages/core/src/quarantine/quarantine_controller.ts
@@ -160,6 +160,15 @@
     this.#sources.tell({ ...NOTHING_NEW, tried: [tried] }, "carriers");
   }
 
+  /** An answer is not read because its caller has no room, or is read again. */
+  held(
+    endpoint: WatchedEndpoint,
+    attempt: AttemptId,
+    change: { held: boolean; now: Instant },
+  ): void {
+    this.#watch.held(endpoint, attempt, change);
+  }
+
   /** A request's time at an endpoint is over. */
   ended(
     endpoint: WatchedEndpoint,
