--- /dev/null
+++ b/packages/core/src/gateway/__tests__/gateway_fixture.ts
@@ -0,0 +1,39 @@
+import {
+  type EntryId,
+  Gateway,
+  type Incarnation,
+  instant,
+  milliseconds,
+  type RegionId,
+  SeededRandomness,
+  type ZoneId,
+} from "../../index.ts";
+
+/** One entry of a zone, started at instant 0. */
+export function startGateway(
+  { zone, region }: { zone: ZoneId; region: RegionId },
+): Gateway {
+  return new Gateway({
+    self: {
+      id: "a" as EntryId,
+      incarnation: "a1" as Incarnation,
+      zone,
+      region,
+      callerAddress: "a:2",
+      peerAddress: "a:1",
+      weight: 1,
+      seeds: [],
+      regionByZone: new Map([[zone, region]]),
+      bounds: {
+        repeatRatio: 0.2,
+        repeatWindow: milliseconds(10_000),
+        repeatSlack: 50,
+        coldOvershoot: 1.5,
+        coldSlack: 3,
+        listLifetime: milliseconds(1_000),
+        stopTime: milliseconds(8_000),
+      },
+    },
+    random: new SeededRandomness(1),
+  }, instant(0));
+}
--- a/packages/core/src/gateway/__tests__/rest.test.ts
+++ b/packages/core/src/gateway/__tests__/rest.test.ts
@@ -1,16 +1,14 @@
 import { beforeEach, describe, expect, it } from "vitest";
 import {
   type CallHead,
-  type EntryId,
-  Gateway,
+  type Gateway,
   type GatewayEffect,
   type Incarnation,
   instant,
-  milliseconds,
   type RegionId,
-  SeededRandomness,
   type ZoneId,
 } from "../../index.ts";
+import { startGateway } from "./gateway_fixture.ts";
 
 const ZONE = "z" as ZoneId;
 const REGION = "r" as RegionId;
@@ -99,29 +97,7 @@
     reads = [];
     refused = [];
     answers = true;
-    gateway = new Gateway({
-      self: {
-        id: "a" as EntryId,
-        incarnation: "a1" as Incarnation,
-        zone: ZONE,
-        region: REGION,
-        callerAddress: "a:2",
-        peerAddress: "a:1",
-        weight: 1,
-        seeds: [],
-        regionByZone: new Map([[ZONE, REGION]]),
-        bounds: {
-          repeatRatio: 0.2,
-          repeatWindow: milliseconds(10_000),
-          repeatSlack: 50,
-          coldOvershoot: 1.5,
-          coldSlack: 3,
-          listLifetime: milliseconds(1_000),
-          stopTime: milliseconds(8_000),
-        },
-      },
-      random: new SeededRandomness(1),
-    }, instant(0));
+    gateway = startGateway({ zone: ZONE, region: REGION });
     for (let index = 0; index < 20; index++) {
       handle({
         kind: "datagram",
--- a/packages/core/src/gateway/__tests__/stalls.test.ts
+++ b/packages/core/src/gateway/__tests__/stalls.test.ts
@@ -6,7 +6,7 @@
   type CallId,
   type EndpointId,
   type EntryId,
-  Gateway,
+  type Gateway,
   type GatewayEffect,
   type GatewayEvent,
   type Incarnation,
@@ -16,11 +16,11 @@
   type RequestId,
   type Revision,
   type RouteName,
-  SeededRandomness,
   type ZoneId,
 } from "../../index.ts";
 import type { CatalogueSnapshot, Route } from "../../routes/index.ts";
 import { engine, POOL } from "./engine_fixture.ts";
+import { startGateway } from "./gateway_fixture.ts";
 import { fingerprint } from "./quarantine_fixture.ts";
 
 const ZONE = "z1" as ZoneId;
@@ -162,29 +162,7 @@
   beforeEach(() => {
     now = 0;
     effects = [];
-    gateway = new Gateway({
-      self: {
-        id: "a" as EntryId,
-        incarnation: "a1" as Incarnation,
-        zone: ZONE,
-        region: REGION,
-        callerAddress: "a:2",
-        peerAddress: "a:1",
-        weight: 1,
-        seeds: [],
-        regionByZone: new Map([[ZONE, REGION]]),
-        bounds: {
-          repeatRatio: 0.2,
-          repeatWindow: milliseconds(10_000),
-          repeatSlack: 50,
-          coldOvershoot: 1.5,
-          coldSlack: 3,
-          listLifetime: milliseconds(1_000),
-          stopTime: milliseconds(8_000),
-        },
-      },
-      random: new SeededRandomness(1),
-    }, instant(0));
+    gateway = startGateway({ zone: ZONE, region: REGION });
     handle({ kind: "tick" });
     handle({ kind: "catalogueRead", snapshot: SNAPSHOT });
     run(100);
