--- /dev/null
+++ b/packages/core/src/gateway/__tests__/resume_fixture.ts
@@ -0,0 +1,70 @@
+import {
+  type CallHead,
+  type CallId,
+  type Incarnation,
+  milliseconds,
+  type RegionId,
+  type RequestId,
+  type Revision,
+  type RouteName,
+  type ZoneId,
+} from "../../index.ts";
+import type { CatalogueSnapshot, Route } from "../../routes/index.ts";
+import { engine, POOL } from "./engine_fixture.ts";
+import { fingerprint } from "./quarantine_fixture.ts";
+
+/** The zone and region of all that stands here. */
+export const ZONE = "z1" as ZoneId;
+export const REGION = "r" as RegionId;
+export const PEER = "b1" as Incarnation;
+const ROUTE: Route = {
+  name: "resume" as RouteName,
+  host: "h",
+  pathPrefix: "/r/",
+  kind: "stream",
+  targets: [{ service: POOL.id, weight: 1 }],
+  attempts: 2,
+  timeout: milliseconds(60_000),
+  objective: milliseconds(1_000),
+  pauseObjective: undefined,
+  priority: 1,
+  homes: [],
+  sticky: false,
+  resumable: true,
+};
+/** A published picture with one route of streams before two engines. */
+export const SNAPSHOT: CatalogueSnapshot = {
+  revision: 1 as Revision,
+  document: {
+    version: 1 as Revision,
+    routes: [ROUTE],
+    services: new Map([[POOL.id, POOL]]),
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTime: milliseconds(1),
+      idleTime: milliseconds(1),
+    },
+  },
+  endpoints: [engine("e1").record, engine("e2").record],
+  evacuated: [],
+};
+/** A request on that route. */
+export const HEAD: CallHead = {
+  id: "q" as RequestId,
+  call: "q" as CallId,
+  host: "h",
+  target: "/r/x",
+  timeLeft: undefined,
+  prompt: {
+    model: "m",
+    promptTokens: 100,
+    outputTokens: 100,
+    outputHint: undefined,
+    parts: [],
+  },
+  lastEventId: undefined,
+  bodyBytes: 0,
+  fingerprint: fingerprint("q"),
+  relay: undefined,
+};
--- a/packages/core/src/gateway/__tests__/stalls.test.ts
+++ b/packages/core/src/gateway/__tests__/stalls.test.ts
@@ -2,79 +2,16 @@
 import {
   type AttemptId,
   type CallAttempt,
-  type CallHead,
-  type CallId,
   type EndpointId,
   type EntryId,
   type Gateway,
   type GatewayEffect,
   type GatewayEvent,
-  type Incarnation,
   instant,
-  milliseconds,
-  type RegionId,
-  type RequestId,
   type Revision,
-  type RouteName,
-  type ZoneId,
 } from "../../index.ts";
-import type { CatalogueSnapshot, Route } from "../../routes/index.ts";
-import { engine, POOL } from "./engine_fixture.ts";
 import { startGateway } from "./gateway_fixture.ts";
-import { fingerprint } from "./quarantine_fixture.ts";
-
-const ZONE = "z1" as ZoneId;
-const REGION = "r" as RegionId;
-const PEER = "b1" as Incarnation;
-const ROUTE: Route = {
-  name: "resume" as RouteName,
-  host: "h",
-  pathPrefix: "/r/",
-  kind: "stream",
-  targets: [{ service: POOL.id, weight: 1 }],
-  attempts: 2,
-  timeout: milliseconds(60_000),
-  objective: milliseconds(1_000),
-  pauseObjective: undefined,
-  priority: 1,
-  homes: [],
-  sticky: false,
-  resumable: true,
-};
-const SNAPSHOT: CatalogueSnapshot = {
-  revision: 1 as Revision,
-  document: {
-    version: 1 as Revision,
-    routes: [ROUTE],
-    services: new Map([[POOL.id, POOL]]),
-    limits: {
-      headerBytes: 1,
-      bodyBytes: 1,
-      headerTime: milliseconds(1),
-      idleTime: milliseconds(1),
-    },
-  },
-  endpoints: [engine("e1").record, engine("e2").record],
-  evacuated: [],
-};
-const HEAD: CallHead = {
-  id: "q" as RequestId,
-  call: "q" as CallId,
-  host: "h",
-  target: "/r/x",
-  timeLeft: undefined,
-  prompt: {
-    model: "m",
-    promptTokens: 100,
-    outputTokens: 100,
-    outputHint: undefined,
-    parts: [],
-  },
-  lastEventId: undefined,
-  bodyBytes: 0,
-  fingerprint: fingerprint("q"),
-  relay: undefined,
-};
+import { HEAD, PEER, REGION, SNAPSHOT, ZONE } from "./resume_fixture.ts";
 
 // An entry stands still for seconds: it is stopped, its loop is blocked, or its machine gives it short
 // turns. What others sent meanwhile lies in its sockets, and the timer comes before they are read. A clock
