--- a/packages/daemon/src/entry/__tests__/entry_fixture.ts
+++ b/packages/daemon/src/entry/__tests__/entry_fixture.ts
@@ -12,10 +12,10 @@
   type RawEndpoint,
 } from "../../gateway/__tests__/wire_fixture.ts";
 import { OFFSET_HEADER, REQUEST_HEADER } from "../../callers/index.ts";
-import { Logger } from "../../logs/index.ts";
 import { Credentials, PEER_HEADER } from "../../peers/index.ts";
 import { parseSettings } from "../../settings/index.ts";
 import { Entry } from "../entry.ts";
+import { KeptLines, type Line } from "./kept_lines.ts";
 
 /** One attempt as an endpoint sees it. */
 export interface SeenAttempt {
@@ -30,12 +30,6 @@
 /** Answers one attempt. */
 export type Script = (socket: Socket, attempt: SeenAttempt) => unknown;
 
-/** A log line of the entry. */
-export interface Line {
-  readonly text: string;
-  readonly fields: Readonly<Record<string, unknown>>;
-}
-
 const TOKEN = "fixture-token";
 const SECRET = "fixture-secret-0123456789";
 const REPORT = JSON.stringify({
@@ -90,23 +84,6 @@
 requests_per_s = 100000
 `;
 
-/** Keeps the lines that an entry logs. */
-class KeptLines extends Logger {
-  readonly lines: Line[] = [];
-
-  constructor() {
-    super("silent", {});
-  }
-
-  override info(
-    part: Parameters<Logger["info"]>[0],
-    text: string,
-    fields: Readonly<Record<string, unknown>> = {},
-  ): void {
-    this.lines.push({ text: `${part}: ${text}`, fields });
-  }
-}
-
 /** Endpoints of each kind, and one entry or more before them. */
 export class EntryFixture {
   readonly #scripts = new Map<string, Script>();
