fix: a read whose bytes keep coming is not late

Entries on slow links never held a document of 3,000 routes: a read of the store, and a copy from a peer, was limited as a whole (1 s, or 1 s beyond its wait), and an answer that is large for its link takes longer. It was given up and begun anew, again and again ("Platform does not answer.", detail "Timed out").

Now the limit is one of silence: it starts anew with each piece that comes; 15 s bound the whole. The same for copies from peers, which go through the same client with a body read by pieces.

--- a/packages/daemon/src/gateway/catalogue_runner.ts
+++ b/packages/daemon/src/gateway/catalogue_runner.ts
@@ -8,7 +8,7 @@
   GatewayEffect,
   GatewayEvent,
 } from "@sassafrasstep/core";
-import { whileListening } from "../timers/index.ts";
+import { whileHearing } from "../timers/index.ts";
 import type { SnapshotMessage } from "./gateway_router.ts";
 import type { CatalogueSource } from "./protocol.ts";
 
@@ -56,10 +56,11 @@
     const { createGatewayClient, decodeSnapshot } = await import(
       "./gateway_router.ts"
     );
-    const client = createGatewayClient(`http://${address}`);
-    const message = await whileListening(
+    const message = await whileHearing(
       timeout,
-      (signal) => client.catalogue.query(undefined, { signal }),
+      (signal, heard) =>
+        createGatewayClient(`http://${address}`, heard)
+          .catalogue.query(undefined, { signal }),
     );
     return message === null
       ? undefined
--- a/packages/daemon/src/gateway/gateway_router.ts
+++ b/packages/daemon/src/gateway/gateway_router.ts
@@ -11,6 +11,7 @@
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
 import { initTRPC } from "@trpc/server";
 import { z } from "zod";
+import { readJson } from "../sockets/index.ts";
 import type { GatewayStatus } from "./status.ts";
 
 /** The entry, as seen by its peers and operators. */
@@ -41,10 +42,25 @@
 /** Type of the procedures, for clients. */
 export type GatewayRouter = typeof gatewayRouter;
 
-/** A client of an entry's control address, or of its address for peers. */
-export function createGatewayClient(url: string): TRPCClient<GatewayRouter> {
+/**
+ * A client of an entry's control address, or of its address for peers. `heard` is called whenever bytes of
+ * an answer have come.
+ */
+export function createGatewayClient(
+  url: string,
+  heard: () => void = () => {},
+): TRPCClient<GatewayRouter> {
   return createTRPCClient<GatewayRouter>({
-    links: [httpLink({ url: `${url}/trpc` })],
+    links: [
+      httpLink({
+        url: `${url}/trpc`,
+        fetch: async (input, init) => {
+          const { body, ok } = await fetch(input, init as RequestInit);
+          heard();
+          return { ok, json: () => readJson(body ?? [], heard) };
+        },
+      }),
+    ],
   });
 }
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -26,7 +26,8 @@
   type SettingsResult,
 } from "./settings/index.ts";
 export * from "./gateway/index.ts";
-export { whileListening } from "./timers/index.ts";
+export { readJson } from "./sockets/index.ts";
+export { whileHearing, whileListening } from "./timers/index.ts";
 export { Logger } from "./logs/index.ts";
 export {
   type GatewaySettings,
--- a/packages/daemon/src/timers/index.ts
+++ b/packages/daemon/src/timers/index.ts
@@ -1,3 +1,7 @@
 export { afterPoll, type Cancel } from "./after_poll.ts";
 export { closeIdleAfterPoll } from "./idle_connections.ts";
-export { afterListening, whileListening } from "./while_listening.ts";
+export {
+  afterListening,
+  whileHearing,
+  whileListening,
+} from "./while_listening.ts";
