--- /dev/null
+++ b/packages/core/src/customers/currency_exchange.ts
@@ -0,0 +1,140 @@
+/**
+ * Learns from other entries how current the document is.
+ *
+ * A few entries of a region read the platform often; the others ask them. Only durations travel: an answer's
+ * age is added to the time since its question was *sent*, by the asker's own clock, so that no time that
+ * either spent on a link, in a queue or standing still is left out. What comes unasked proves nothing.
+ *
+ * @module
+ */
+import {
+  after,
+  type Instant,
+  instant,
+  type Milliseconds,
+  milliseconds,
+  type Revision,
+} from "../ids/index.ts";
+import type { Currency, CurrencyMark } from "./currency.ts";
+import type {
+  CurrencyAnswer,
+  CurrencyMessage,
+  CurrencyQuestion,
+} from "./currency_messages.ts";
+
+/** Older knowledge is asked about; at rest, when hardly anything is decided from it, later. */
+const ASK_AGE_MS = 1_100;
+const RESTING_ASK_AGE_MS = 1_700;
+/** Between two questions: the longest way there and back, and some. */
+const ASK_PAUSE_MS = 300;
+/** Answers to older questions are not waited for. */
+const MOST_OPEN = 8;
+
+/** What the exchange works with. */
+export interface ExchangeSources {
+  readonly currency: Currency;
+  /** Whether entries live on each other's word at all. */
+  readonly active: () => boolean;
+  readonly resting: () => boolean;
+  readonly self: {
+    readonly incarnation: CurrencyAnswer["incarnation"];
+    readonly peerAddress: string;
+  };
+  readonly holds: () => { version: Revision; revision: Revision };
+  /** Whom to ask: those that read for others first, then, from the second try on, anybody. */
+  readonly source: (tries: number, now: Instant) => string | undefined;
+  readonly send: (to: string, message: CurrencyMessage) => void;
+  /** Another entry holds a picture, and knew its document to be the newest at an instant. */
+  readonly told: (
+    news: Pick<CurrencyAnswer, "version" | "revision"> & {
+      readonly at: Instant;
+      readonly from: string;
+    },
+    now: Instant,
+  ) => void;
+}
+
+interface Question {
+  readonly mark: CurrencyMark;
+  readonly to: string;
+}
+
+/** Asks and answers. */
+export class CurrencyExchange {
+  readonly #sources: ExchangeSources;
+  readonly #open = new Map<number, Question>();
+  #sequence = 0;
+  #tries = 0;
+  #nextAt = instant(0);
+
+  constructor(sources: ExchangeSources) {
+    this.#sources = sources;
+  }
+
+  tick(now: Instant): void {
+    const { currency, active, resting } = this.#sources;
+    const due = resting() ? RESTING_ASK_AGE_MS : ASK_AGE_MS;
+    if (active() && now >= this.#nextAt && currency.age(now) >= due) {
+      this.#ask(now);
+    }
+  }
+
+  receive(message: CurrencyMessage, now: Instant): void {
+    if (message.kind === "question") {
+      this.#answer(message, now);
+    } else {
+      this.#learn(message, now);
+    }
+  }
+
+  #ask(now: Instant): void {
+    const { currency, self, send, source } = this.#sources;
+    const to = source(this.#tries, now);
+    this.#nextAt = after(now, ASK_PAUSE_MS);
+    if (to === undefined) {
+      return;
+    }
+    this.#tries++;
+    this.#sequence++;
+    this.#open.set(this.#sequence, { mark: currency.mark(now), to });
+    if (this.#open.size > MOST_OPEN) {
+      this.#open.delete(this.#open.keys().next().value!);
+    }
+    send(to, {
+      kind: "question",
+      from: self.peerAddress,
+      sequence: this.#sequence,
+    });
+  }
+
+  #answer({ from, sequence }: CurrencyQuestion, now: Instant): void {
+    const { currency, holds, self, send } = this.#sources;
+    const age = currency.age(now);
+    if (age < Infinity) {
+      const { incarnation } = self;
+      send(from, { kind: "answer", incarnation, sequence, ...holds(), age });
+    }
+  }
+
+  #learn(
+    { sequence, version, revision, age }: CurrencyAnswer,
+    now: Instant,
+  ): void {
+    const question = this.#open.get(sequence);
+    if (question === undefined) {
+      return;
+    }
+    this.#open.delete(sequence);
+    const { currency, told } = this.#sources;
+    const at = question.mark - age as CurrencyMark;
+    currency.prove({ version, at });
+    if (currency.age(now) < ASK_AGE_MS) {
+      this.#tries = 0;
+    }
+    const passed: Milliseconds = milliseconds(currency.mark(now) - at);
+    told(
+      { version, revision, at: instant(now - passed), from: question.to },
+      now,
+    );
+  }
+}
--- /dev/null
+++ b/packages/core/src/customers/customer_limits.ts
@@ -0,0 +1,446 @@
+/**
+ * Customers' limits over all entries without shared state.
+ *
+ * Each entry keeps a copy of each customer's bucket and takes from it what it lets in. One entry a region
+ * adds up what its entries let in, tells each of them what the others did, and exchanges sums with the
+ * keepers of other regions. While all hear each other a customer may spend its whole limit anywhere;
+ * nobody divides a limit that is smaller than a request. Who does not hear the others uses no more than the
+ * part that it used before, so that the parts of two halves add up to the whole.
+ *
+ * @module
+ */
+import {
+  type CustomerId,
+  type Incarnation,
+  type Instant,
+  type Milliseconds,
+  milliseconds,
+  type Randomness,
+  type RegionId,
+} from "../ids/index.ts";
+import type { Customer, CustomerLimit } from "./customer.ts";
+import { FadingSum } from "./fading_sum.ts";
+import { LimitBucket } from "./limit_bucket.ts";
+import { HEARD_MS, SpendingKeeper } from "./spending_keeper.ts";
+import type {
+  CustomerTotal,
+  SpendingMessage,
+  SpendingReport,
+  SpendingTotals,
+} from "./spending_messages.ts";
+
+/** Between two messages while some customer is near its limit, and otherwise. */
+const NEAR_PERIOD_MS = 100;
+const CALM_PERIOD_MS = 200;
+/** Below this part of its burst a customer is near its limit. */
+const NEAR_PART = 0.5;
+/** All sums are told again this often: a lost datagram is made up for. */
+const WHOLE_PERIOD_MS = 2_000;
+/** An entry that let nothing in for so long is told nothing more. */
+const ACTIVE_MS = 2_000;
+/** Part of the burst that a process begins with: it may be the second start of all within a window. */
+const START_PART = 0.25;
+/** Own use by which an entry that hears nobody knows its part. */
+const SHARE_LIFETIME_MS = 8_000;
+/** Those that were turned away return spread over this part more than they were told. */
+const RETURN_SPREAD = 0.25;
+
+/** Nobody is told to stay away for longer: limits change. */
+const MOST_RETURN_MS = 5_000;
+
+/** What becomes of a request. */
+export type LimitVerdict =
+  | { readonly kind: "admitted" }
+  /** Beyond the limit; it fits after this time. */
+  | { readonly kind: "over"; readonly wait: Milliseconds }
+  /** What others let in is not known yet, and will be in a moment. */
+  | { readonly kind: "unheard" };
+
+/** What the limits work with. */
+export interface LimitSources {
+  readonly self: {
+    readonly incarnation: Incarnation;
+    readonly region: RegionId;
+  };
+  readonly regions: readonly RegionId[];
+  readonly random: Randomness;
+  /**
+   * The entry that adds up for a region. `undefined` where none is known, and for the own region where most
+   * of its entries are not heard: cut off, each of them would think itself the keeper.
+   */
+  readonly keeperOf: (region: RegionId, now: Instant) =>
+    | Incarnation
+    | undefined;
+  /** What the document in force allows a customer. */
+  readonly limitOf: (customer: CustomerId) => CustomerLimit | undefined;
+  /** Entries that may be alive, this one included. */
+  readonly entries: () => number;
+  readonly send: (to: Incarnation, message: SpendingMessage) => void;
+}
+
+interface Account {
+  readonly bucket: LimitBucket;
+  /** What others let in, fading. */
+  readonly others: FadingSum;
+  readonly own: FadingSum;
+  /** Part of the limit that the keeper told. */
+  part: number;
+  /** This entry's part of all use, as it was when others were last heard. */
+  ownPart: number;
+  /** Whether another entry's level was taken over, or enough was heard to know one. */
+  settled: boolean;
+}
+
+/** The keeper as this entry hears it. */
+interface HeardKeeper {
+  readonly incarnation: Incarnation;
+  /** What it told last. */
+  readonly totals: Map<CustomerId, CustomerTotal>;
+  heardAt: Instant | undefined;
+  near: boolean;
+}
+
+/** One entry's limits, and for a while its region's sums. */
+export class CustomerLimits {
+  readonly #sources: LimitSources;
+  readonly #accounts = new Map<CustomerId, Account>();
+  /** Units let in since the start. */
+  readonly #spent = new Map<CustomerId, number>();
+  readonly #changed = new Set<CustomerId>();
+  readonly #keeping: SpendingKeeper;
+  #keeper: HeardKeeper | undefined;
+  /** When this entry last told its own sums, and as a keeper those of all. */
+  #reportedAt = -Infinity;
+  #totalsAt = -Infinity;
+  #wholeAt = -Infinity;
+  #spentAt = -Infinity;
+  #told = false;
+
+  constructor(sources: LimitSources) {
+    this.#sources = sources;
+    this.#keeping = new SpendingKeeper(sources.self.region, sources.regions);
+  }
+
+  /** Lets a request in, or says when it would be. `hurried`: nothing more is waited for. */
+  take(
+    { id, limit }: Pick<Customer, "id" | "limit">,
+    { cost, hurried }: { cost: number; hurried: boolean },
+    now: Instant,
+  ): LimitVerdict {
+    if (limit === undefined) {
+      return { kind: "admitted" };
+    }
+    this.#spentAt = now;
+    this.#follow(now);
+    const account = this.#account(id, limit, now);
+    if (!this.#hears(now) && !hurried) {
+      this.#report(now, NEAR_PERIOD_MS);
+      return { kind: "unheard" };
+    }
+    const part = this.#part(id, account, now);
+    account.bucket.refill(part, now);
+    if (!account.bucket.take(cost)) {
+      return { kind: "over", wait: this.#wait(account, { cost, part }, now) };
+    }
+    this.#spend(id, cost, now);
+    return { kind: "admitted" };
+  }
+
+  /** A request that was let in did not run. */
+  giveBack(customer: CustomerId, cost: number, now: Instant): void {
+    this.#accounts.get(customer)?.bucket.charge(-cost);
+    this.#spend(customer, -cost, now);
+  }
+
+  /** Takes what another entry tells. */
+  receive(message: SpendingMessage, now: Instant): void {
+    this.#follow(now);
+    if (message.kind === "report") {
+      this.#learnReport(message, now);
+      this.tick(now);
+    } else if (message.region === this.#sources.self.region) {
+      this.#learnOwnTotals(message, now);
+    } else if (this.#keeps) {
+      this.#charge(this.#keeping.learnTotals(message, now), now);
+      message.totals.forEach((total) => this.#settle(total, now));
+    }
+  }
+
+  /** Tells what is due. */
+  tick(now: Instant): void {
+    const active = now - this.#spentAt <= ACTIVE_MS;
+    if (!active && !this.#keeps) {
+      return;
+    }
+    this.#follow(now);
+    if (!this.#keeps) {
+      this.#report(now, this.#period);
+    } else if (now - this.#totalsAt >= this.#period) {
+      this.#tellTotals(now);
+    }
+  }
+
+  get #keeps(): boolean {
+    return this.#keeper?.incarnation === this.#sources.self.incarnation;
+  }
+
+  get #period(): number {
+    const near = this.#keeper?.near === true || this.#isNear();
+    return near ? NEAR_PERIOD_MS : CALM_PERIOD_MS;
+  }
+
+  /** Whether what others let in is known. */
+  #hears(now: Instant): boolean {
+    const heardAt = this.#keeper?.heardAt;
+    return this.#keeps || heardAt !== undefined && now - heardAt <= HEARD_MS;
+  }
+
+  /** Looks who adds up at present. */
+  #follow(now: Instant): void {
+    const { keeperOf, self } = this.#sources;
+    const incarnation = keeperOf(self.region, now);
+    if (incarnation !== this.#keeper?.incarnation) {
+      this.#keeper = incarnation === undefined ? undefined : {
+        incarnation,
+        totals: new Map(),
+        heardAt: undefined,
+        near: false,
+      };
+      this.#wholeAt = -Infinity;
+      this.#reportedAt = -Infinity;
+    }
+  }
+
+  #account(id: CustomerId, limit: CustomerLimit, now: Instant): Account {
+    const known = this.#accounts.get(id);
+    if (known !== undefined) {
+      known.bucket.rebound(limit);
+      return known;
+    }
+    const part = this.#firstPart(id, now);
+    const level = limit.burst * START_PART * part;
+    const account = {
+      bucket: new LimitBucket(limit, { level, now }),
+      others: new FadingSum(SHARE_LIFETIME_MS),
+      own: new FadingSum(SHARE_LIFETIME_MS),
+      part,
+      ownPart: 1 / Math.max(1, this.#sources.entries()),
+      settled: false,
+    };
+    this.#accounts.set(id, account);
+    const told = this.#hears(now) ? this.#keeper!.totals.get(id) : undefined;
+    if (told !== undefined) {
+      this.#settle(told, now);
+    }
+    return account;
+  }
+
+  /** The account of a customer whose use is told, `undefined` where it has no limit here. */
+  #accountOf(id: CustomerId, now: Instant): Account | undefined {
+    const limit = this.#keeps ? this.#sources.limitOf(id) : undefined;
+    return limit === undefined
+      ? this.#accounts.get(id)
+      : this.#account(id, limit, now);
+  }
+
+  #firstPart(id: CustomerId, now: Instant): number {
+    if (this.#keeps) {
+      return this.#keeping.heardPart(id, now);
+    }
+    const hears = this.#hears(now);
+    return hears ? 1 : 1 / Math.max(1, this.#sources.entries());
+  }
+
+  #part(id: CustomerId, account: Account, now: Instant): number {
+    if (this.#keeps) {
+      return this.#keeping.heardPart(id, now);
+    }
+    if (this.#hears(now)) {
+      return account.part;
+    }
+    return account.ownPart;
+  }
+
+  #wait(
+    { bucket }: Account,
+    { cost, part }: { cost: number; part: number },
+    now: Instant,
+  ): Milliseconds {
+    const wait = bucket.waitFor(cost, Math.max(part, Number.EPSILON), now);
+    const spread = 1 + RETURN_SPREAD * this.#sources.random.next();
+    return milliseconds(Math.min(wait * spread, MOST_RETURN_MS));
+  }
+
+  #spend(customer: CustomerId, cost: number, now: Instant): void {
+    this.#spent.set(customer, (this.#spent.get(customer) ?? 0) + cost);
+    this.#changed.add(customer);
+    this.#accounts.get(customer)?.own.add(cost, now);
+    if (this.#keeps) {
+      this.#noteOwn(now);
+    }
+  }
+
+  /** A keeper counts itself as one of its region's entries. */
+  #noteOwn(now: Instant): void {
+    this.#keeping.learnReport(this.#nextReport(now, false), now);
+  }
+
+  #learnReport(report: SpendingReport, now: Instant): void {
+    if (!this.#keeps) {
+      return;
+    }
+    const since = now - HEARD_MS as Instant;
+    const heard = this.#keeping.hearsEntry(report.incarnation, since);
+    this.#charge(this.#keeping.learnReport(report, now), now);
+    if (!heard) {
+      this.#sendTotals(report.incarnation, now);
+    }
+  }
+
+  #learnOwnTotals(
+    { incarnation, near, totals }: SpendingTotals,
+    now: Instant,
+  ): void {
+    const keeper = this.#keeper;
+    if (keeper === undefined || keeper.incarnation !== incarnation) {
+      return;
+    }
+    const begins = !this.#hears(now);
+    if (begins) {
+      this.#accounts.forEach((account) => account.settled = false);
+    }
+    keeper.heardAt = now;
+    keeper.near = near;
+    const news = new Map<CustomerId, number>();
+    for (const total of totals) {
+      const before = keeper.totals.get(total.customer)?.sum;
+      keeper.totals.set(total.customer, total);
+      if (before !== undefined || !begins) {
+        news.set(total.customer, total.sum - (before ?? 0));
+      }
+    }
+    this.#charge(news, now);
+    totals.forEach((total) => this.#settle(total, now));
+  }
+
+  /** Takes over another entry's level where this one has just begun; and its keeper's part. */
+  #settle({ customer, level, part }: CustomerTotal, now: Instant): void {
+    const account = this.#accounts.get(customer);
+    if (account === undefined) {
+      return;
+    }
+    if (!this.#keeps) {
+      account.part = part;
+      account.ownPart = partOf(account, now) ?? account.ownPart;
+    }
+    if (!account.settled) {
+      account.settled = true;
+      account.bucket.refill(part, now);
+      account.bucket.adopt(level);
+    }
+  }
+
+  /** Takes what others let in off the buckets. */
+  #charge(news: ReadonlyMap<CustomerId, number>, now: Instant): void {
+    for (const [customer, sum] of news) {
+      const account = this.#accountOf(customer, now);
+      if (account !== undefined) {
+        account.bucket.refill(this.#part(customer, account, now), now);
+        account.bucket.charge(sum);
+        account.others.add(sum, now);
+      }
+    }
+  }
+
+  #report(now: Instant, period: number): void {
+    const keeper = this.#keeper;
+    if (keeper === undefined || now - this.#reportedAt < period) {
+      return;
+    }
+    const whole = keeper.heardAt === undefined ||
+      now - this.#wholeAt >= WHOLE_PERIOD_MS;
+    this.#sources.send(keeper.incarnation, this.#nextReport(now, whole));
+  }
+
+  #nextReport(now: Instant, whole: boolean): SpendingReport {
+    const customers = whole ? this.#spent.keys() : this.#changed;
+    const spent = [...customers].map((customer) => ({
+      customer,
+      sum: Math.round(this.#spent.get(customer)!),
+    }));
+    const first = !this.#told;
+    this.#told = this.#told || this.#keeps || this.#hears(now);
+    this.#changed.clear();
+    this.#reportedAt = now;
+    this.#wholeAt = whole ? now : this.#wholeAt;
+    const { incarnation } = this.#sources.self;
+    return { kind: "report", incarnation, first, spent };
+  }
+
+  /** A keeper tells the entries that let something in, and the keepers of other regions. */
+  #tellTotals(now: Instant): void {
+    this.#totalsAt = now;
+    this.#keeping.tick(now);
+    this.#keeper!.near = this.#isNear();
+    const since = now - ACTIVE_MS as Instant;
+    for (const entry of this.#keeping.tellersSince(since)) {
+      if (entry !== this.#sources.self.incarnation) {
+        this.#sendTotals(entry, now);
+      }
+    }
+    this.#tellKeepers(now);
+  }
+
+  #tellKeepers(now: Instant): void {
+    const { self, regions, keeperOf, send } = this.#sources;
+    for (const region of regions) {
+      const keeper = region === self.region ? undefined : keeperOf(region, now);
+      if (keeper !== undefined) {
+        send(
+          keeper,
+          this.#totals((id) => this.#keeping.sumOfRegion(id), now),
+        );
+      }
+    }
+  }
+
+  #sendTotals(entry: Incarnation, now: Instant): void {
+    this.#sources.send(
+      entry,
+      this.#totals((id) => this.#keeping.sumForEntry(id, entry), now),
+    );
+  }
+
+  #totals(
+    sumOf: (customer: CustomerId) => number,
+    now: Instant,
+  ): SpendingTotals {
+    const { incarnation, region } = this.#sources.self;
+    const totals = [...this.#keeping.customers()].map((customer) => ({
+      customer,
+      sum: Math.round(sumOf(customer)),
+      level: Math.round(this.#levelOf(customer, now)),
+      part: this.#keeping.heardPart(customer, now),
+    }));
+    const near = this.#keeper!.near;
+    return { kind: "totals", incarnation, region, near, totals };
+  }
+
+  #levelOf(customer: CustomerId, now: Instant): number {
+    const account = this.#accounts.get(customer);
+    account?.bucket.refill(this.#part(customer, account, now), now);
+    return account?.bucket.level ?? 0;
+  }
+
+  #isNear(): boolean {
+    return [...this.#accounts.values()].some(({ bucket }) =>
+      bucket.level < bucket.most * NEAR_PART
+    );
+  }
+}
+
+/** Own part of all use, `undefined` where there was none. */
+function partOf({ own, others }: Account, now: Instant): number | undefined {
+  const all = own.of(now) + others.of(now);
+  return all > 0 ? own.of(now) / all : undefined;
+}
--- /dev/null
+++ b/packages/core/src/customers/judge_key.ts
@@ -0,0 +1,76 @@
+/**
+ * What a request's key is worth at this moment.
+ *
+ * @module
+ */
+import type {
+  CustomerId,
+  Instant,
+  KeyDigest,
+  Milliseconds,
+} from "../ids/index.ts";
+import type { CurrencyView } from "./currency.ts";
+import type { Customer } from "./customer.ts";
+import type { CustomerDirectory } from "./customer_directory.ts";
+
+/** Whose a request is. */
+export type KeyVerdict =
+  | { readonly kind: "accepted"; readonly customer: Customer | undefined }
+  /** No document holds the key: asking again is of no use. */
+  | { readonly kind: "unknown" }
+  /** What is held is too old to say. */
+  | { readonly kind: "doubtful" };
+
+/** What a request says of its customer. */
+export interface KeyFacts {
+  /** Whether its route needs none. */
+  readonly public: boolean;
+  readonly key: KeyDigest | undefined;
+  /** As the entry found that the caller reached, `undefined` at that entry. */
+  readonly relayed: { readonly customer: CustomerId | undefined } | undefined;
+  readonly arrivedAt: Instant;
+}
+
+/** What it is judged by. */
+export interface KeyGrounds {
+  readonly customers: CustomerDirectory;
+  readonly currency: CurrencyView;
+  /** Age from which on a key may have been taken away; `undefined` where no bound was promised. */
+  readonly bound: Milliseconds | undefined;
+}
+
+/**
+ * Judges a key where its caller reached the fleet; from there on only the customer's name travels.
+ *
+ * An entry that lags must not turn away a key that was just added, and one that was cut off must not
+ * accept one that is gone: both are in doubt until the document is known to be current.
+ */
+export function judgeKey(
+  { key, relayed, arrivedAt, ...facts }: KeyFacts,
+  { customers, currency, bound }: KeyGrounds,
+  now: Instant,
+): KeyVerdict {
+  if (relayed !== undefined) {
+    const { customer } = relayed;
+    return {
+      kind: "accepted",
+      customer: customer && named(customer, customers),
+    };
+  }
+  if (facts.public || !customers.required) {
+    return { kind: "accepted", customer: undefined };
+  }
+  const customer = key === undefined ? undefined : customers.find(key);
+  if (customer === undefined) {
+    const certain = currency.isProvenSince(arrivedAt, now);
+    return { kind: certain ? "unknown" : "doubtful" };
+  }
+  const fresh = bound === undefined || currency.isWithin(bound, now);
+  return fresh ? { kind: "accepted", customer } : { kind: "doubtful" };
+}
+
+/** A customer that this entry does not know yet, or no more: its first entry has checked its homes. */
+function named(id: CustomerId, customers: CustomerDirectory): Customer {
+  return customers.get(id) ??
+    { id, keyDigests: [], rank: undefined, homes: [], limit: undefined };
+}
--- a/packages/core/src/fleet/fleet_controller.ts
+++ b/packages/core/src/fleet/fleet_controller.ts
@@ -5,7 +5,13 @@
  *
  * @module
  */
-import { after, type Instant, sample } from "../ids/index.ts";
+import {
+  after,
+  type Incarnation,
+  type Instant,
+  type RegionId,
+  sample,
+} from "../ids/index.ts";
 import { type IndirectProbe, IndirectProbes } from "./indirect_probes.ts";
 import type {
   FleetGossip,
@@ -83,6 +89,27 @@
     return [...this.#members.all()].filter(({ health }) => health !== "dead");
   }
 
+  /** Where an entry is reached, `undefined` where it is not known to live. */
+  addressOf(incarnation: Incarnation): string | undefined {
+    const member = this.#members.get(incarnation);
+    return member?.health === "live" ? member.record.peerAddress : undefined;
+  }
+
+  /** Part of a region's entries that answer, of those that were known within a minute. */
+  heardPart(region: RegionId): number {
+    const known = new Set<string>();
+    const heard = new Set<string>();
+    for (const { record, health } of this.#members.all()) {
+      if (record.region === region) {
+        known.add(record.peerAddress);
+        if (health === "live") {
+          heard.add(record.peerAddress);
+        }
+      }
+    }
+    return known.size === 0 ? 1 : heard.size / known.size;
+  }
+
   /** Where the newest catalogue is that a live member holds, and its revision. */
   newestHolder(): CatalogueHolder | undefined {
     return this.#holdings.newest(this.live());
@@ -135,7 +162,7 @@
 
   /** Takes a datagram of a peer. */
   receive(message: FleetMessage, now: Instant): void {
-    if (message.kind === "work" || message.kind === "quarantine") {
+    if (!("from" in message)) {
       return;
     }
     const { from, holdings } = message;
--- a/packages/core/src/fleet/fleet_mail.ts
+++ b/packages/core/src/fleet/fleet_mail.ts
@@ -56,6 +56,14 @@
     this.#tell({ kind: "quarantine", incarnation, news }, isTold);
   }
 
+  /** Sends one message that names no record. */
+  sendBare(
+    to: string,
+    message: Extract<FleetMessage, { kind: "currency" | "spending" }>,
+  ): void {
+    this.#options.send(to, message);
+  }
+
   /** Tells those who name this entry to callers of its state, and some others. */
   announce(): void {
     const own = this.#options.self.region;
--- a/packages/core/src/fleet/fleet_messages.ts
+++ b/packages/core/src/fleet/fleet_messages.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { CurrencyMessage, SpendingMessage } from "../customers/index.ts";
 import type {
   EndpointId,
   EndpointLife,
@@ -17,7 +18,12 @@
 import type { HoldNotice, QuarantineNews } from "../quarantine/index.ts";
 
 /** Whether an entry takes new requests. */
-export type FleetState = "starting" | "ready" | "stopping";
+export type FleetState =
+  | "starting"
+  | "ready"
+  /** What it holds is so old that callers had better go elsewhere; it serves what it may. */
+  | "outdated"
+  | "stopping";
 
 /** All that an entry says of itself. Only the entry itself makes a new version. */
 export interface FleetRecord {
@@ -170,7 +176,11 @@
     readonly kind: "quarantine";
     readonly incarnation: Incarnation;
     readonly news: QuarantineNews;
-  };
+  }
+  /** How current the document is that an entry holds. */
+  | { readonly kind: "currency"; readonly message: CurrencyMessage }
+  /** What customers use. */
+  | { readonly kind: "spending"; readonly message: SpendingMessage };
 
 type Body<Message> = Message extends { readonly from: FleetRecord }
   ? Omit<Message, "from" | "holdings">
--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -42,12 +42,14 @@
   priority: 1,
   homes: [],
   sticky: false,
+  public: false,
   resumable: false,
 };
 const DOCUMENT: RoutingDocument = {
   version: 1 as Revision,
   routes: [ROUTE],
   services: new Map(),
+  customers: new Map(),
   limits: {
     headerBytes: 1,
     bodyBytes: 1,
@@ -63,6 +65,7 @@
   coldSlack: 1,
   listLifetime: milliseconds(1_000),
   stopTime: milliseconds(8_000),
+  keyLifetime: undefined,
 };
 
 /** A controller whose router says what the test says, and counts. */
@@ -102,6 +105,8 @@
     budget: new RepeatBudget(BOUNDS),
     cold: new ColdAllowance(BOUNDS, instant(0)),
     quarantine: emptyQuarantine(),
+    limits: {} as never,
+    keyLifetime: () => undefined,
     listened: new ListenedTime(instant(0)),
     entries: () => 1,
     regionEntries: () => 1,
@@ -210,6 +215,7 @@
     const { controller, effects, asked } = build({
       ...ROUTE,
       attempts: 2,
+      public: false,
       resumable: true,
     });
     asked.way = {
--- a/packages/core/src/gateway/__tests__/rest.test.ts
+++ b/packages/core/src/gateway/__tests__/rest.test.ts
@@ -71,6 +71,7 @@
           version: 1 as never,
           routes: [],
           services: new Map(),
+          customers: new Map(),
           limits: {} as never,
         },
         endpoints: [],
--- a/packages/core/src/gateway/__tests__/resume_fixture.ts
+++ b/packages/core/src/gateway/__tests__/resume_fixture.ts
@@ -30,6 +30,7 @@
   priority: 1,
   homes: [],
   sticky: false,
+  public: false,
   resumable: true,
 };
 /** A published picture with one route of streams before two engines. */
@@ -39,6 +40,7 @@
     version: 1 as Revision,
     routes: [ROUTE],
     services: new Map([[POOL.id, POOL]]),
+    customers: new Map(),
     limits: {
       headerBytes: 1,
       bodyBytes: 1,
--- a/packages/core/src/gateway/arrival_hold.ts
+++ b/packages/core/src/gateway/arrival_hold.ts
@@ -37,15 +37,12 @@
   }
 
   add(head: CallHead, now: Instant): void {
-    const time = Math.min(
-      MOST_HOLD_MS,
-      (head.timeLeft ?? Infinity) * HOLD_PART,
-    );
-    this.#held.set(head.id, {
-      head,
-      arrivedAt: now,
-      until: after(now, time),
-    });
+    this.keep(heldFrom(head, now));
+  }
+
+  /** Holds what was held before, no longer than it would have been. */
+  keep(held: HeldCall): void {
+    this.#held.set(held.head.id, held);
   }
 
   /** The caller has left; whether it was held. */
@@ -69,3 +66,12 @@
     return overdue;
   }
 }
+
+/** A request that arrives now. */
+export function heldFrom(head: CallHead, now: Instant): HeldCall {
+  const time = Math.min(
+    MOST_HOLD_MS,
+    (head.timeLeft ?? Infinity) * HOLD_PART,
+  );
+  return { head, arrivedAt: now, until: after(now, time) };
+}
--- a/packages/core/src/gateway/call.ts
+++ b/packages/core/src/gateway/call.ts
@@ -7,9 +7,11 @@
   AttemptId,
   EndpointId,
   Instant,
+  RegionId,
   ServiceId,
 } from "../ids/index.ts";
-import { mayRepeat, type Route } from "../routes/index.ts";
+import { type Customer, mayServeCustomer } from "../customers/index.ts";
+import { mayRepeat, mayServe, type Route } from "../routes/index.ts";
 import { AttemptLog } from "../verdict/index.ts";
 import { CallTrace } from "./call_trace.ts";
 import type { EndpointState } from "./endpoint_state.ts";
@@ -52,6 +54,8 @@
 export class Call {
   readonly head: CallHead;
   readonly route: Route;
+  /** Whose it is; `undefined` where it needs no key. */
+  readonly customer: Customer | undefined;
   /** Services of the route, the one that the weights chose first. */
   readonly services: readonly ServiceId[];
   readonly arrivedAt: Instant;
@@ -82,13 +86,16 @@
   avoidedVersions: ReadonlySet<string> = NO_VERSIONS;
   /** Whether it waits for the outcome of another copy's trial. */
   awaitsTrial = false;
+  /** Units that it took of its customer's limit, here. */
+  charged = 0;
   /** The caller has left; the attempt goes on because its call may not be repeated. */
   orphaned = false;
 
   constructor(
     head: CallHead,
-    { route, services, arrivedAt, endsAt }: {
+    { route, customer, services, arrivedAt, endsAt }: {
       route: Route;
+      customer: Customer | undefined;
       services: readonly ServiceId[];
       arrivedAt: Instant;
       endsAt: Instant;
@@ -96,6 +103,7 @@
   ) {
     this.head = head;
     this.route = route;
+    this.customer = customer;
     this.services = services;
     this.arrivedAt = arrivedAt;
     this.endsAt = endsAt;
@@ -106,6 +114,17 @@
     return mayRepeat(this.route);
   }
 
+  /** 0 first. A customer's rank goes before its routes'. */
+  get rank(): number {
+    return this.customer?.rank ?? this.route.priority;
+  }
+
+  /** Whether it may be served in a region: homes of route and customer both bind. */
+  mayServe(region: RegionId): boolean {
+    return mayServe(this.route, region) &&
+      mayServeCustomer(this.customer, region);
+  }
+
   /** Whether what has gone to the caller may be followed by events of another endpoint. */
   get resumable(): boolean {
     return this.route.resumable && this.events && this.position.known;
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -249,6 +249,7 @@
         target,
         streaming: call.route.kind === "stream",
         mostIdle: milliseconds(mostIdle(call, state, now)),
+        customer: call.customer?.id,
         resumeAfter: call.position.lastId,
       },
     });
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -3,19 +3,26 @@
  *
  * @module
  */
+import {
+  costOf,
+  type Customer,
+  type CustomerLimits,
+  judgeKey,
+} from "../customers/index.ts";
 import type { PrefixNews } from "../fleet/index.ts";
 import {
   after,
   type AttemptId,
   hash32,
   type Instant,
+  type Milliseconds,
   milliseconds,
   type Randomness,
   type RequestId,
 } from "../ids/index.ts";
 import type { ListenedTimeView } from "../listening/index.ts";
-import type { RouteTable } from "../routes/index.ts";
-import { ArrivalHold, type HeldCall } from "./arrival_hold.ts";
+import type { Route, RouteTable } from "../routes/index.ts";
+import { ArrivalHold, type HeldCall, heldFrom } from "./arrival_hold.ts";
 import { Call } from "./call.ts";
 import { CallAttempts } from "./call_attempts.ts";
 import { CallEnds } from "./call_ends.ts";
@@ -39,6 +46,8 @@
 
 /** A caller's call that may not repeat goes on without it for so long. */
 const ORPHAN_MS = 5_000;
+/** What others let in is waited for so long: twice the way to the region's keeper, and a tick. */
+const UNHEARD_MS = 150;
 const UINT32_RANGE = 2 ** 32;
 const FIRST_SERVER_ERROR = 500;
 
@@ -53,6 +62,9 @@
   readonly budget: RepeatBudget;
   readonly cold: ColdAllowance;
   readonly quarantine: QuarantineController;
+  readonly limits: CustomerLimits;
+  /** Age of the document from which on keys are in doubt, `undefined` where they never are. */
+  readonly keyLifetime: () => Milliseconds | undefined;
   readonly listened: ListenedTimeView;
   /** Entries that may be alive, this one included. */
   readonly entries: () => number;
@@ -71,6 +83,8 @@
   #lastArrivalAt: Instant | undefined;
   #refusesNew = false;
   readonly #hold = new ArrivalHold();
+  /** Whose key or limit cannot be judged at this moment. */
+  readonly #doubtful = new ArrivalHold();
 
   constructor(tools: CallTools) {
     this.#tools = tools;
@@ -80,6 +94,7 @@
       emit: tools.emit,
       random: tools.random,
       forget,
+      spared: (call, now) => this.#giveBack(call, now),
     });
     const parts = { ...tools, attempts: this.#attempts, ends: this.#ends };
     this.#placer = new CallPlacer(parts);
@@ -97,7 +112,7 @@
 
   /** Requests that have no final answer. */
   get active(): number {
-    return this.#calls.size + this.#hold.size;
+    return this.#calls.size + this.#hold.size + this.#doubtful.size;
   }
 
   get queued(): number {
@@ -132,7 +147,7 @@
     const { catalogue } = this.#tools;
     const { table, failing } = catalogue;
     if (table !== undefined && !catalogue.isOld(now)) {
-      return this.#open(table, { head, arrivedAt: now }, now);
+      return this.#open(table, heldFrom(head, now), now);
     }
     if (failing) {
       return this.#ends.refuseHead(head, "no_document");
@@ -140,24 +155,84 @@
     this.#hold.add(head, now);
   }
 
-  #open(
-    table: RouteTable,
-    { head, arrivedAt }: Pick<HeldCall, "head" | "arrivedAt">,
-    now: Instant,
-  ): void {
+  #open(table: RouteTable, held: HeldCall, now: Instant): void {
+    const { head, arrivedAt } = held;
     const route = table.find(head.host, head.target);
     if (route === undefined) {
       return this.#ends.refuseUnrouted(head, now);
     }
+    const { catalogue, keyLifetime } = this.#tools;
+    const facts = { key: head.key, relayed: head.relay, arrivedAt };
+    const verdict = judgeKey({ ...facts, public: route.public }, {
+      customers: table.customers,
+      currency: catalogue.currency,
+      bound: keyLifetime(),
+    }, now);
+    switch (verdict.kind) {
+      case "unknown":
+        return this.#ends.refuseHead(head, "unknown_key");
+      case "doubtful":
+        return this.#doubtKey(held, now);
+      case "accepted":
+        return this.#admit(held, { route, customer: verdict.customer }, now);
+    }
+  }
+
+  /** Waits for the read that will tell, unless there is none to wait for. */
+  #doubtKey(held: HeldCall, now: Instant): void {
+    if (now < held.until && this.#tools.catalogue.noteDoubt(now)) {
+      return this.#doubtful.keep(held);
+    }
+    this.#ends.refuseHead(held.head, "key_in_doubt");
+  }
+
+  /** Lets a request in, as far as its customer's limit goes. One that was passed on was let in before. */
+  #admit(
+    held: HeldCall,
+    { route, customer }: { route: Route; customer: Customer | undefined },
+    now: Instant,
+  ): void {
+    const { head, arrivedAt } = held;
+    const limit = head.relay === undefined ? customer?.limit : undefined;
+    const cost = limit === undefined ? 0 : costOf(limit, head.prompt);
+    if (limit !== undefined) {
+      const hurried = now - arrivedAt >= UNHEARD_MS;
+      const verdict = this.#tools.limits.take(
+        customer!,
+        { cost, hurried },
+        now,
+      );
+      if (verdict.kind === "unheard") {
+        return this.#doubtful.keep(held);
+      }
+      if (verdict.kind === "over") {
+        const facts = { wait: verdict.wait, customer: customer!.id };
+        return this.#ends.refuseHead(head, "over_limit", facts);
+      }
+    }
+    this.#begin(held, { route, customer, cost }, now);
+  }
+
+  #begin(
+    { head, arrivedAt }: HeldCall,
+    { route, customer, cost }: {
+      route: Route;
+      customer: Customer | undefined;
+      cost: number;
+    },
+    now: Instant,
+  ): void {
     const time = Math.min(head.timeLeft ?? route.timeout, route.timeout);
     const place = hash32(`split ${head.call}`) / UINT32_RANGE;
     const call = new Call(head, {
       route,
+      customer,
       services: orderServices(route.targets, place),
       arrivedAt,
       endsAt: after(arrivedAt, time),
     });
     this.#calls.set(head.id, call);
+    call.charged = cost;
     this.#meter(call, now);
     this.#placer.place(call, now);
   }
@@ -276,7 +351,8 @@
   /** The caller has closed its connection. */
   callerGone(id: RequestId, now: Instant): void {
     const call = this.#calls.get(id);
-    if (this.#hold.remove(id) || call === undefined) {
+    const held = this.#hold.remove(id) || this.#doubtful.remove(id);
+    if (held || call === undefined) {
       return;
     }
     const running = call.attempt?.sentAt !== undefined;
@@ -308,6 +384,7 @@
 
   /** Goes on with what was held, once the picture is there, or will not be. */
   releaseHeld(now: Instant): void {
+    this.#judgeDoubtful(now);
     if (this.#hold.size === 0) {
       return;
     }
@@ -325,10 +402,28 @@
     );
   }
 
+  /** What others let in was told. */
+  noteSpending(now: Instant): void {
+    this.#judgeDoubtful(now);
+  }
+
+  #judgeDoubtful(now: Instant): void {
+    const { table } = this.#tools.catalogue;
+    if (this.#doubtful.size > 0 && table !== undefined) {
+      this.#doubtful.takeAll().forEach((held) => this.#open(table, held, now));
+    }
+  }
+
+  #giveBack({ customer, charged }: Call, now: Instant): void {
+    if (customer !== undefined && charged > 0) {
+      this.#tools.limits.giveBack(customer.id, charged, now);
+    }
+  }
+
   /** Ends every request: the process ends. What its callers had not been told they would never learn. */
   endAll(now: Instant): void {
     this.refuseNew();
-    const held = this.#hold.takeAll();
+    const held = [...this.#hold.takeAll(), ...this.#doubtful.takeAll()];
     held.forEach(({ head }) => this.#ends.refuseHead(head, "stopping"));
     for (const call of [...this.#calls.values()]) {
       this.#attempts.leave(call, now);
--- a/packages/core/src/gateway/call_ends.ts
+++ b/packages/core/src/gateway/call_ends.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {
+  type CustomerId,
   type Instant,
   type Milliseconds,
   milliseconds,
@@ -35,13 +36,16 @@
   readonly #emit: GatewayEmit;
   readonly #random: Randomness;
   readonly #forget: (call: Call) => void;
+  readonly #spared: (call: Call, now: Instant) => void;
   /** Requests that no route takes. */
   readonly unrouted = new LineTally();
 
   constructor(
-    { emit, random, forget }: {
+    { emit, random, forget, spared }: {
       emit: GatewayEmit;
       random: Randomness;
+      /** The request has not run, and never will. */
+      spared: (call: Call, now: Instant) => void;
       /** The request is over. */
       forget: (call: Call) => void;
     },
@@ -49,6 +53,7 @@
     this.#emit = emit;
     this.#random = random;
     this.#forget = forget;
+    this.#spared = spared;
   }
 
   /** The whole answer has gone to the caller. */
@@ -68,6 +73,7 @@
   left(call: Call, now: Instant): void {
     const cause = call.trace.cause(call, false, now) ?? "starved";
     this.#logLoss("Caller left.", call, { cause, now });
+    this.#spare(call, now);
     this.#forget(call);
   }
 
@@ -89,6 +95,7 @@
       return this.breakOff(call, causeOf(reason), now);
     }
     const verdict = call.log.verdict();
+    this.#spare(call, now);
     const refusal = refuse(reason, {
       verdict,
       offered: call.offered,
@@ -102,9 +109,7 @@
       verdict: verdict.kind,
       status: refusal.status,
       cause: causeOf(reason),
-      retryAfterMs: refusal.retryAfter === undefined
-        ? undefined
-        : Math.round(refusal.retryAfter),
+      retryAfterMs: rounded(refusal.retryAfter),
       ...call.trace.fields(call, now),
     });
     this.#emit({ kind: "refuse", request: call.head.id, refusal });
@@ -112,8 +117,12 @@
   }
 
   /** Refuses what has not become a request. */
-  refuseHead(head: CallHead, reason: CallRefusalReason): void {
-    const refusal = this.#refuse(head, reason);
+  refuseHead(
+    head: CallHead,
+    reason: CallRefusalReason,
+    { wait, customer }: { wait?: Milliseconds; customer?: CustomerId } = {},
+  ): void {
+    const refusal = this.#refuse(head, reason, wait);
     this.#emit({
       kind: "log",
       part: "call",
@@ -122,8 +131,10 @@
         call: head.call,
         attempts: 0,
         reason,
+        customer,
         status: refusal.status,
         cause: "refused",
+        retryAfterMs: rounded(refusal.retryAfter),
       },
     });
   }
@@ -148,27 +159,44 @@
   /** Writes a line about a request. */
   log(
     text: string,
-    { head, route, attempts }: Call,
+    { head, route, customer, attempts }: Call,
     fields: Readonly<Record<string, unknown>>,
   ): void {
     this.#emit({
       kind: "log",
       part: "call",
       text,
-      fields: { call: head.call, route: route.name, attempts, ...fields },
+      fields: {
+        call: head.call,
+        route: route.name,
+        customer: customer?.id,
+        attempts,
+        ...fields,
+      },
     });
   }
 
-  #refuse({ id }: CallHead, reason: CallRefusalReason): CallRefusal {
+  #refuse(
+    { id }: CallHead,
+    reason: CallRefusalReason,
+    wait?: Milliseconds,
+  ): CallRefusal {
     const refusal = refuse(reason, {
       verdict: { kind: "not_run" },
       offered: 0,
-      retryAfter: this.#spread(reason === "stopping" ? SOON_MS : LATER_MS),
+      retryAfter: wait ??
+        this.#spread(reason === "stopping" ? SOON_MS : LATER_MS),
     });
     this.#emit({ kind: "refuse", request: id, refusal });
     return refusal;
   }
 
+  #spare(call: Call, now: Instant): void {
+    if (call.log.verdict().kind === "not_run") {
+      this.#spared(call, now);
+    }
+  }
+
   #logLoss(
     text: string,
     call: Call,
@@ -183,6 +211,10 @@
   }
 }
 
+function rounded(time: Milliseconds | undefined): number | undefined {
+  return time === undefined ? undefined : Math.round(time);
+}
+
 /** The cause behind a refusal: where an endpoint got the request, it is the endpoint's end. */
 function causeOf(reason: CallRefusalReason): LossCause {
   switch (reason) {
--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -87,8 +87,8 @@
       if (this.#judge(call, now) !== "free") {
         continue;
       }
-      const { route, services, head } = call;
-      const kind = `${services[0]} ${route.priority} ${isShort(head.prompt)}`;
+      const { rank, services, head } = call;
+      const kind = `${services[0]} ${rank} ${isShort(head.prompt)}`;
       if (blocked.has(kind)) {
         continue;
       }
@@ -179,13 +179,13 @@
   }
 
   /** Time until what waits already, and goes first, will have been read. */
-  #expectedWait({ route }: Call): number {
+  #expectedWait({ rank }: Call): number {
     const engines =
       [...this.#tools.endpoints.all()].filter(({ service }) =>
         service?.engine !== undefined
       ).length;
     // The region's other entries have as much waiting: callers choose among them by chance.
-    const waiting = this.queue.tokensAhead(route.priority) *
+    const waiting = this.queue.tokensAhead(rank) *
       this.#tools.regionEntries();
     return waiting * this.#tools.regions.readPart /
       (DEFAULT_PREFILL_RATE * Math.max(1, engines));
--- a/packages/core/src/gateway/call_queue.ts
+++ b/packages/core/src/gateway/call_queue.ts
@@ -34,8 +34,8 @@
    */
   tokensAhead(priority: number): number {
     let tokens = 0;
-    for (const { head, route } of this.#calls.values()) {
-      tokens += route.priority <= priority ? head.prompt?.promptTokens ?? 0 : 0;
+    for (const { head, rank } of this.#calls.values()) {
+      tokens += rank <= priority ? head.prompt?.promptTokens ?? 0 : 0;
     }
     return tokens;
   }
@@ -55,7 +55,7 @@
       Number(call.isLate(after(now, startTime(call, readPart))));
     return [...this.#calls.values()].sort((left, right) =>
       late(left) - late(right) ||
-      left.route.priority - right.route.priority ||
+      left.rank - right.rank ||
       turnOf(left) - turnOf(right)
     );
   }
--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -14,7 +14,6 @@
   type RegionId,
   sample,
 } from "../ids/index.ts";
-import { mayServe } from "../routes/index.ts";
 import type { Call } from "./call.ts";
 import type { ColdAllowance } from "./cold_allowance.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
@@ -93,7 +92,7 @@
   /** The next way of a request. `wait` is how long requests already wait here. */
   next(call: Call, wait: number, now: Instant): Way {
     const { self } = this.#sources;
-    const home = mayServe(call.route, self.region);
+    const home = call.mayServe(self.region);
     const mayTravel = call.head.relay === undefined;
     const elsewhere = home && mayTravel
       ? this.#bySubject(call, now)
@@ -164,7 +163,7 @@
     const { endpoints } = this.#sources;
     const published = call.head.relay === undefined && call.offered === 0 &&
       call.services.some((service) =>
-        endpoints.isPublished(service, (region) => mayServe(call.route, region))
+        endpoints.isPublished(service, (region) => call.mayServe(region))
       );
     return published
       ? { kind: "wait", wait: milliseconds(RETURN_WAIT_MS) }
@@ -211,7 +210,7 @@
         prompt,
         holder,
         zone: self.zone,
-        urgent: call.route.priority === 0,
+        urgent: call.rank === 0,
         biasOf: this.#biasOf,
       };
       const found = place(work, fresh, now);
@@ -277,7 +276,7 @@
     const { fleet, regions, self } = this.#sources;
     const [service] = call.services;
     return regions.others(service!, fleet, now).filter(({ region }) =>
-      mayServe(call.route, region) && region !== self.region &&
+      call.mayServe(region) && region !== self.region &&
       now - (this.#declined.get(`${region} ${service}`) ?? -Infinity) >=
         DECLINED_MS
     );
@@ -331,6 +330,6 @@
   if (call.isLate(now)) {
     return LATE_URGENCY;
   }
-  const rank = Math.min(call.route.priority, URGENCY_BY_RANK.length - 1);
+  const rank = Math.min(call.rank, URGENCY_BY_RANK.length - 1);
   return URGENCY_BY_RANK[rank]!;
 }
--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -14,6 +14,7 @@
   type Revision,
   type ZoneId,
 } from "../ids/index.ts";
+import { Currency, type CurrencyMark } from "../customers/index.ts";
 import {
   type CatalogueChange,
   type CatalogueChanges,
@@ -38,6 +39,16 @@
  */
 const RETURN_GRACE_MS = 2_200;
 
+/** What another entry says of the picture that it holds. */
+export interface ToldPicture {
+  readonly version: Revision;
+  readonly revision: Revision;
+  /** When its document was known to be the newest. */
+  readonly at: Instant;
+  /** Where it can be copied. */
+  readonly from: string;
+}
+
 /** Writes the catalogue. */
 export class CatalogueController implements CatalogueView {
   revision = 0 as Revision;
@@ -45,10 +56,12 @@
   generation = 0;
   confirmedAt: Instant | undefined;
   reachable = false;
+  readonly currency = new Currency();
   readonly endpoints = new Map<EndpointId, EndpointRecord>();
   readonly evacuated = new Set<ZoneId>();
   readonly #emit: GatewayEmit;
   readonly #schedule: ReadSchedule;
+  readonly #isResting: () => boolean;
   readonly #newestHolder: () =>
     | { address: string; revision: Revision }
     | undefined;
@@ -61,6 +74,9 @@
   #failedAt: Instant | undefined;
   #returnedAt: Instant | undefined;
   #nextCopyAt: Instant;
+  /** When the read under way was sent, and whether its answer tells the present state. */
+  #readMark: CurrencyMark | undefined;
+  #verifies = false;
 
   constructor(
     { emit, newestHolder, now, ...schedule }: ReadScheduleOptions & {
@@ -72,10 +88,16 @@
   ) {
     this.#emit = emit;
     this.#newestHolder = newestHolder;
+    this.#isResting = schedule.resting;
     this.#schedule = new ReadSchedule(schedule, now);
     this.#nextCopyAt = now;
   }
 
+  /** Whether requests name customers, by keys that may be taken away. */
+  get keyed(): boolean {
+    return this.table?.customers.required ?? false;
+  }
+
   get document(): RoutingDocument | undefined {
     return this.table?.document;
   }
@@ -133,6 +155,35 @@
     this.#answered(now);
     this.#snapshotWanted = false;
     this.#replace(snapshot, now);
+    this.#prove();
+  }
+
+  /** The platform holds nothing newer. */
+  confirmed(now: Instant): void {
+    this.#answered(now);
+    this.#prove();
+  }
+
+  /** Another entry tells what it holds, and when its document was known to be the newest. */
+  told({ version, revision, at, from }: ToldPicture, now: Instant): void {
+    const newer = this.#isResting()
+      ? version > (this.document?.version ?? 0)
+      : revision > this.revision;
+    if (revision === this.revision) {
+      this.#schedule.noteConfirmed(at, now);
+    } else if (newer && this.failing) {
+      this.#copyFrom(from, now);
+    } else if (newer) {
+      this.#schedule.readAtOnce(now);
+    }
+  }
+
+  noteDoubt(now: Instant): boolean {
+    if (!this.failing) {
+      this.#schedule.noteDoubt(now);
+      this.tick(now);
+    }
+    return !this.failing;
   }
 
   /** Takes changes from the platform. */
@@ -143,6 +194,9 @@
     if (changes.length > 0) {
       this.generation++;
     }
+    if (this.#verifies) {
+      this.#prove();
+    }
   }
 
   /** The platform has forgotten the changes since our revision. */
@@ -192,8 +246,11 @@
   #read(now: Instant): void {
     const changesOnly = !this.#snapshotWanted;
     const wait = changesOnly ? this.#schedule.wait(now) : 0;
+    this.#readMark = this.currency.mark(now);
+    this.#verifies = this.keyed;
     this.#emit({
       kind: "readCatalogue",
+      verified: this.#verifies,
       after: changesOnly ? this.revision : undefined,
       wait: milliseconds(wait),
       timeout: milliseconds(READ_TIMEOUT_MS + wait),
@@ -222,15 +279,29 @@
     }
     const holder = this.#newestHolder();
     if (holder !== undefined && holder.revision > this.revision) {
+      this.#copyFrom(holder.address, now);
+    }
+  }
+
+  #copyFrom(address: string, now: Instant): void {
+    if (now >= this.#nextCopyAt) {
       this.#nextCopyAt = after(now, COPY_PAUSE_MS);
       this.#emit({
         kind: "copyCatalogue",
-        address: holder.address,
+        address,
         timeout: milliseconds(COPY_TIMEOUT_MS),
       });
     }
   }
 
+  /** What was just read was the present state when its read was sent. */
+  #prove(): void {
+    if (this.#readMark !== undefined && this.document !== undefined) {
+      const { version } = this.document;
+      this.currency.prove({ version, at: this.#readMark });
+    }
+  }
+
   #replace(snapshot: CatalogueSnapshot, now: Instant): void {
     const { revision, document, endpoints, evacuated } = snapshot;
     if (document !== undefined) {
@@ -270,6 +341,7 @@
   #adopt(document: RoutingDocument): void {
     if (document.version > (this.document?.version ?? 0)) {
       this.table = new RouteTable(document);
+      this.currency.hold(document.version);
       this.#log("Document is in force.", {
         version: document.version,
         routes: document.routes.length,
--- a/packages/core/src/gateway/catalogue_view.ts
+++ b/packages/core/src/gateway/catalogue_view.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { CurrencyView } from "../customers/index.ts";
 import type { EndpointId, Instant, Revision, ZoneId } from "../ids/index.ts";
 import type {
   EndpointRecord,
@@ -15,6 +16,8 @@
   readonly revision: Revision;
   readonly document: RoutingDocument | undefined;
   readonly table: RouteTable | undefined;
+  /** How current the document is known to be. */
+  readonly currency: CurrencyView;
   readonly endpoints: ReadonlyMap<EndpointId, EndpointRecord>;
   readonly evacuated: ReadonlySet<ZoneId>;
   /** Grows with each change of the above. */
@@ -28,4 +31,6 @@
   readonly picture: number;
   /** Whether it was read so long ago that a request has to wait for the read under way. */
   isOld(now: Instant): boolean;
+  /** A request came that only a newer document can judge: reads soon, and says whether that is of use. */
+  noteDoubt(now: Instant): boolean;
 }
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -4,10 +4,12 @@
  *
  * @module
  */
+import type { CurrencyExchange, CustomerLimits } from "../customers/index.ts";
 import { FleetController } from "../fleet/index.ts";
 import {
   type Instant,
   type Milliseconds,
+  milliseconds,
   type Randomness,
 } from "../ids/index.ts";
 import { ListenedTime } from "../listening/index.ts";
@@ -16,6 +18,11 @@
 import { CallRouter } from "./call_router.ts";
 import { CatalogueController } from "./catalogue_controller.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
+import {
+  createExchange,
+  createLimits,
+  CustomerDuties,
+} from "./customer_link.ts";
 import { ColdAllowance } from "./cold_allowance.ts";
 import { EndpointRegistry } from "./endpoint_registry.ts";
 import {
@@ -23,7 +30,12 @@
   type DirectoryQuestion,
   nameEntries,
 } from "./entry_directory.ts";
-import type { GatewayEffect, GatewayEvent, GatewaySelf } from "./messages.ts";
+import type {
+  GatewayBounds,
+  GatewayEffect,
+  GatewayEvent,
+  GatewaySelf,
+} from "./messages.ts";
 import { RegionController } from "./region_controller.ts";
 import type { QuarantineController } from "../quarantine/index.ts";
 import { createQuarantine } from "./quarantine_link.ts";
@@ -40,6 +52,11 @@
 /** Without a request for so long an entry that is not named stands by: lists last a second, some three. */
 const REST_AFTER_MS = 4_000;
 
+/** A key opens nothing this much before it may not: the time since a request was sent is not known. */
+const KEY_MARGIN_MS = 250;
+/** Part of the time that the document may be old after which callers are better served elsewhere. */
+const OUTDATED_PART = 0.6;
+
 /** One entry's decisions. */
 export class Gateway {
   readonly self: GatewaySelf;
@@ -55,6 +72,9 @@
   readonly #serving: ServingSet;
   readonly #quarantine: QuarantineController;
   readonly #listened: ListenedTime;
+  readonly #exchange: CurrencyExchange;
+  readonly #limits: CustomerLimits;
+  #bounds: GatewayBounds;
   #effects: GatewayEffect[] = [];
   #lastAt: Instant;
   /** Whether it stands by: callers are not named it, and those that had been are done. */
@@ -65,6 +85,7 @@
     now: Instant,
   ) {
     this.self = self;
+    this.#bounds = self.bounds;
     this.#lastAt = now;
     this.#listened = new ListenedTime(now);
     const emit = (effect: GatewayEffect): void => {
@@ -76,6 +97,8 @@
       now,
       newestHolder: () => this.fleet.newestHolder(),
       resting: () => this.#resting,
+      confirming: (at) =>
+        !this.#catalogue.keyed ? "no" : duties.reads(at) ? "reads" : "asks",
     });
     this.#endpoints = new EndpointRegistry({
       region: self.region,
@@ -104,6 +127,16 @@
       resting: () => this.#resting,
       holds: (at) => this.#quarantine.holds.next(at),
     }, now);
+    const duties = new CustomerDuties({ self, fleet: this.fleet });
+    const link = {
+      self,
+      random,
+      fleet: this.fleet,
+      catalogue: this.#catalogue,
+      resting: () => this.#resting,
+    };
+    this.#exchange = createExchange(link, duties);
+    this.#limits = createLimits(link, duties);
     this.#serving = new ServingSet({
       self,
       fleet: this.fleet,
@@ -141,6 +174,8 @@
       budget: this.#budget,
       cold,
       quarantine: this.#quarantine,
+      limits: this.#limits,
+      keyLifetime: () => this.#keyLifetime(),
       listened: this.#listened,
       entries: () => this.fleet.possible().length + 1,
       regionEntries: () => 1 + this.#endpoints.busyPeers(),
@@ -254,7 +289,10 @@
       case "stop":
         this.fleet.changeState("stopping", now);
         return this.#stop.begin(now);
+      case "slept":
+        return this.#catalogue.currency.slept(event.time);
       case "rebound":
+        this.#bounds = event.bounds;
         this.#budget.rebound(event.bounds);
         this.#cold.rebound(event.bounds);
         return this.#stop.rebound(event.bounds.stopTime);
@@ -266,6 +304,9 @@
       case "catalogueChanged":
         this.#catalogue.changed(event.changes, now);
         return this.#followCatalogue(now);
+      case "catalogueConfirmed":
+        this.#catalogue.confirmed(now);
+        return this.#followCatalogue(now);
       case "catalogueCompacted":
         return this.#catalogue.compacted(now);
       case "catalogueFailed":
@@ -327,6 +368,9 @@
     this.fleet.tick(now);
     this.#regions.tick(this.fleet, now);
     this.#quarantine.tick(now);
+    this.#exchange.tick(now);
+    this.#limits.tick(now);
+    this.#judgeCurrency(now);
     this.#calls.tick(now);
     this.#reporter.tick(this.#calls.takePrefixNews(), now);
     this.#stop.tick(now);
@@ -341,6 +385,26 @@
     }
   }
 
+  /** Time that the document may be old, less what clocks and steps of ours may hide. */
+  #keyLifetime(): Milliseconds | undefined {
+    const lifetime = this.#bounds.keyLifetime;
+    return lifetime === undefined
+      ? undefined
+      : milliseconds(Math.max(0, lifetime - KEY_MARGIN_MS));
+  }
+
+  /** Sends callers elsewhere before their keys are in doubt here. */
+  #judgeCurrency(now: Instant): void {
+    const { state } = this.fleet.record;
+    const lifetime = this.#bounds.keyLifetime;
+    const { currency, keyed } = this.#catalogue;
+    const old = keyed && lifetime !== undefined &&
+      !currency.isWithin(milliseconds(lifetime * OUTDATED_PART), now);
+    if (state === (old ? "ready" : "outdated")) {
+      this.fleet.changeState(old ? "outdated" : "ready", now);
+    }
+  }
+
   #receive(
     message: Extract<GatewayEvent, { kind: "datagram" }>["message"],
     now: Instant,
@@ -350,6 +414,12 @@
       this.#quarantine.learn(message.news, message.incarnation, now);
     } else if (message.kind === "ping" || message.kind === "ack") {
       this.#quarantine.learnHolds(message.holds, now);
+    } else if (message.kind === "currency") {
+      this.#exchange.receive(message.message, now);
+      this.#followCatalogue(now);
+    } else if (message.kind === "spending") {
+      this.#limits.receive(message.message, now);
+      this.#calls.noteSpending(now);
     } else if (message.kind === "work") {
       this.#endpoints.learn(message.incarnation, message.report, now);
       if (this.#resting) {
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -9,10 +9,12 @@
   AttemptId,
   CallId,
   ContentDigest,
+  CustomerId,
   EndpointId,
   EndpointLife,
   EntryId,
   Incarnation,
+  KeyDigest,
   Milliseconds,
   RegionId,
   RequestId,
@@ -45,6 +47,8 @@
   readonly repeatRatio: number;
   readonly repeatWindow: Milliseconds;
   readonly repeatSlack: number;
+  /** Time after which a key that was taken away opens nothing, `undefined` where none is promised. */
+  readonly keyLifetime: Milliseconds | undefined;
   /** A cold endpoint bears its rate times this, and `coldSlack`, in one second. */
   readonly coldOvershoot: number;
   readonly coldSlack: number;
@@ -76,6 +80,8 @@
   /** How long the caller will wait, `undefined` where it does not say. */
   readonly timeLeft: Milliseconds | undefined;
   readonly prompt: Prompt | undefined;
+  /** Of the key by which the caller names its customer. */
+  readonly key: KeyDigest | undefined;
   /** Last event that the caller has of an interrupted stream. */
   readonly lastEventId: string | undefined;
   readonly bodyBytes: number;
@@ -90,6 +96,8 @@
   readonly from: Incarnation;
   /** Endpoints that may have got the request before. */
   readonly sentBefore: number;
+  /** Whose request it is, as its first entry found: only that one sees the key. */
+  readonly customer: CustomerId | undefined;
 }
 
 /** Where an attempt goes. */
@@ -122,6 +130,8 @@
   readonly streaming: boolean;
   /** A connection that was idle for longer may be dead, and the request may not repeat. */
   readonly mostIdle: Milliseconds;
+  /** Whose request it is. */
+  readonly customer: CustomerId | undefined;
   /** Event after which a stream goes on. */
   readonly resumeAfter: string | undefined;
 }
@@ -184,6 +194,10 @@
     readonly kind: "catalogueChanged";
     readonly changes: CatalogueChanges;
   }
+  /** A verified read found nothing newer than the revision in force. */
+  | { readonly kind: "catalogueConfirmed" }
+  /** The machine was suspended for so long, and the process's clock did not run. */
+  | { readonly kind: "slept"; readonly time: Milliseconds }
   /** Changes since the revision in force are no longer to be had. */
   | { readonly kind: "catalogueCompacted" }
   | { readonly kind: "catalogueFailed"; readonly detail: string }
@@ -234,6 +248,12 @@
 export type CallRefusalReason =
   | "no_document"
   | "no_route"
+  /** It names no customer, or by a key that none has. */
+  | "unknown_key"
+  /** It cannot be told whether its key still holds. */
+  | "key_in_doubt"
+  /** Its customer has had as much as it may. */
+  | "over_limit"
   | "no_endpoint"
   | "overloaded"
   | "rejected"
@@ -301,6 +321,8 @@
   /** Read everything, or what changed after a revision, waiting for that. */
   | {
     readonly kind: "readCatalogue";
+    /** Whether the answer has to tell the present state, and to name each change up to it. */
+    readonly verified: boolean;
     readonly after: Revision | undefined;
     readonly wait: Milliseconds;
     readonly timeout: Milliseconds;
--- a/packages/core/src/gateway/read_schedule.ts
+++ b/packages/core/src/gateway/read_schedule.ts
@@ -30,6 +30,16 @@
  * stand by read every third: what they decide is to which regions callers go.
  */
 const OLD_MS = 3_000;
+/**
+ * Between two reads of an entry that reads for others, where what is held must be known to be current: these
+ * do not wait for a change, since a wait tells nothing of the time that it took.
+ */
+const CONFIRM_PAUSE_MS = 600;
+/** Without word from those for so long an entry reads for itself; at rest it decides nothing from it. */
+const UNCONFIRMED_MS = 2_200;
+const RESTING_UNCONFIRMED_MS = 2_600;
+/** Between reads that requests with an unknown key ask for. */
+const DOUBT_PAUSE_MS = 250;
 /** Longest that one read waits for a change. */
 const READ_WAIT_MS = 1_500;
 /** Endpoints write every second or so: a longer silence was the platform's, not theirs. */
@@ -45,6 +55,11 @@
   readonly random: Randomness;
   /** Whether this entry stands by. */
   readonly resting: () => boolean;
+  /**
+   * Whether what is held must be known to be current: then a few entries read for all, this one among them
+   * or not.
+   */
+  readonly confirming: (now: Instant) => "no" | "reads" | "asks";
 }
 
 /** Keeps the time of the next read. */
@@ -60,6 +75,8 @@
   /** When the next answer was to be expected. */
   #dueAt: Instant;
   #answeredAt: Instant | undefined;
+  /** Until when another entry is known to have held the same. */
+  #confirmedAt: Instant | undefined;
   /** Whether the last answer came while this entry stood by. */
   #answeredAtRest = false;
 
@@ -87,7 +104,8 @@
    * waiting for it.
    */
   wait(now: Instant): Milliseconds {
-    const waits = this.failures === 0 && !this.isOld(now);
+    const waits = this.failures === 0 && !this.isOld(now) &&
+      this.#options.confirming(now) === "no";
     return milliseconds(waits ? READ_WAIT_MS : 0);
   }
 
@@ -99,8 +117,7 @@
     this.failures = 0;
     this.#answeredAt = now;
     this.#answeredAtRest = resting;
-    const pause = resting ? RESTING_READ_PAUSE_MS : READ_PAUSE_MS;
-    this.#nextAt = after(now, this.#readsAgain ? 0 : pause);
+    this.#nextAt = after(now, this.#readsAgain ? 0 : this.#pause(now));
     this.#dueAt = this.#nextAt;
     return returned;
   }
@@ -110,12 +127,31 @@
     const { random, resting } = this.#options;
     this.#reading = false;
     this.failures++;
-    const pause = resting()
+    const confirmed = now - (this.#confirmedAt ?? -Infinity) < UNCONFIRMED_MS;
+    const pause = resting() || confirmed
       ? RESTING_RETRY_MS
       : Math.min(MOST_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.failures - 1));
     this.#nextAt = after(now, pause * (0.5 + random.next()));
   }
 
+  /** Another entry holds the same, and knew it to be current at an instant. */
+  noteConfirmed(at: Instant, now: Instant): void {
+    const known = this.#confirmedAt ?? -Infinity;
+    this.#confirmedAt = instant(Math.max(known, at));
+    if (this.#options.confirming(now) === "asks") {
+      this.#answeredAt = instant(Math.max(this.#answeredAt ?? at, at));
+      this.#nextAt = instant(
+        Math.max(this.#nextAt, this.#confirmedAt + this.#pause(now)),
+      );
+      this.#dueAt = this.#nextAt;
+    }
+  }
+
+  /** A request came that only a newer picture can judge. */
+  noteDoubt(now: Instant): void {
+    this.#hasten(DOUBT_PAUSE_MS, now);
+  }
+
   /** Whatever was planned, the next read is due; one under way may have been answered long ago. */
   readAtOnce(now: Instant): void {
     this.#nextAt = now;
@@ -146,6 +182,18 @@
     return now - this.#dueAt >= ASK_PEER_AFTER_MS;
   }
 
+  #pause(now: Instant): number {
+    const resting = this.#options.resting();
+    switch (this.#options.confirming(now)) {
+      case "no":
+        return resting ? RESTING_READ_PAUSE_MS : READ_PAUSE_MS;
+      case "reads":
+        return CONFIRM_PAUSE_MS;
+      case "asks":
+        return resting ? RESTING_UNCONFIRMED_MS : UNCONFIRMED_MS;
+    }
+  }
+
   /** Reads so long after the last answer, if it would be later. */
   #hasten(pause: number, now: Instant): void {
     const soon = after(this.#answeredAt ?? now, pause);
--- a/packages/core/src/gateway/refusals.ts
+++ b/packages/core/src/gateway/refusals.ts
@@ -7,11 +7,20 @@
 import type { Verdict } from "../verdict/index.ts";
 import type { CallRefusal, CallRefusalReason } from "./messages.ts";
 
+const UNAUTHORIZED = 401;
 const NOT_FOUND = 404;
+const TOO_MANY = 429;
 const BAD_GATEWAY = 502;
 const UNAVAILABLE = 503;
 const GATEWAY_TIMEOUT = 504;
 
+/** What a caller has to change, rather than to wait for. */
+const NOT_RUN_STATUSES: Readonly<Partial<Record<CallRefusalReason, number>>> = {
+  no_route: NOT_FOUND,
+  unknown_key: UNAUTHORIZED,
+  over_limit: TOO_MANY,
+};
+
 /**
  * A refusal with the status that its verdict allows.
  *
@@ -27,10 +36,8 @@
   },
 ): CallRefusal {
   const notRun = verdict.kind === "not_run";
-  const status = reason === "no_route" && notRun
-    ? NOT_FOUND
-    : notRun
-    ? UNAVAILABLE
+  const status = notRun
+    ? NOT_RUN_STATUSES[reason] ?? UNAVAILABLE
     : reason === "deadline"
     ? GATEWAY_TIMEOUT
     : BAD_GATEWAY;
@@ -39,6 +46,8 @@
     status,
     verdict,
     offered,
-    retryAfter: status === UNAVAILABLE ? retryAfter : undefined,
+    retryAfter: status === UNAVAILABLE || status === TOO_MANY
+      ? retryAfter
+      : undefined,
   };
 }
--- a/packages/core/src/gateway/serving_set.ts
+++ b/packages/core/src/gateway/serving_set.ts
@@ -79,8 +79,7 @@
       return known;
     }
     const { fleet, regions } = this.#sources;
-    const ready = [fleet.record, ...fleet.live().map(({ record }) => record)]
-      .filter((record) => record.state === "ready" && record.region === region);
+    const ready = takersOf(region, fleet);
     const records = servingByZone(
       ready,
       regions.requestRate(region, fleet, now),
@@ -124,8 +123,21 @@
   });
 }
 
+/** Entries of a region that take requests: those that hold what is current, or else those that do not. */
+export function takersOf(
+  region: RegionId,
+  fleet: FleetController,
+): FleetRecord[] {
+  const present = [fleet.record, ...fleet.live().map(({ record }) => record)]
+    .filter((record) => record.region === region);
+  const ready = present.filter(({ state }) => state === "ready");
+  return ready.length > 0
+    ? ready
+    : present.filter(({ state }) => state === "outdated");
+}
+
 /** The strong first; a name keeps its place over restarts. */
-function ranked(records: readonly FleetRecord[]): FleetRecord[] {
+export function ranked(records: readonly FleetRecord[]): FleetRecord[] {
   return records
     .map((record) => ({ record, place: hash32(`serving ${record.id}`) }))
     .sort((left, right) =>
--- a/packages/core/src/ids/hash.ts
+++ b/packages/core/src/ids/hash.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { createHash } from "node:crypto";
+import type { KeyDigest } from "./ids.ts";
 
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
@@ -29,6 +30,15 @@
   return createHash("sha256").update(input).digest("hex");
 }
 
+/** Characters of a key's digest: 132 bits. */
+const KEY_DIGEST_LENGTH = 22;
+
+/** What stands for a key wherever it is kept or compared. */
+export function keyDigest(key: string): KeyDigest {
+  return createHash("sha256").update(key).digest("base64url")
+    .slice(0, KEY_DIGEST_LENGTH) as KeyDigest;
+}
+
 /** Orders candidates by rendezvous hash for `key`, best first. Equal inputs give equal orders everywhere. */
 export function rendezvous<Item>(
   key: string,
--- a/packages/core/src/ids/ids.ts
+++ b/packages/core/src/ids/ids.ts
@@ -25,6 +25,8 @@
 export type ZoneId = Branded<string, "ZoneId">;
 /** Name of a customer in the operators' text. */
 export type CustomerId = Branded<string, "CustomerId">;
+/** Digest of a key by which a customer names itself. Never the key. */
+export type KeyDigest = Branded<string, "KeyDigest">;
 /** Name of a service in the operators' text. */
 export type ServiceId = Branded<string, "ServiceId">;
 /** One request as received by one entry. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./blackboard/index.ts";
 export * from "./configuration/index.ts";
 export * from "./core.ts";
+export * from "./customers/index.ts";
 export * from "./endpoints/index.ts";
 export * from "./explain/index.ts";
 export * from "./fleet/index.ts";
--- a/packages/core/src/membership/heartbeat_content.ts
+++ b/packages/core/src/membership/heartbeat_content.ts
@@ -85,7 +85,7 @@
     return [...this.#board.requests.demand(now)]
       .filter(([customer, rate]) =>
         rate >
-          (customers?.get(customer)?.requestsPerSecond ?? Infinity) *
+          (customers?.get(customer)?.limit?.perSecond ?? Infinity) *
             TOLD_PART_OF_LIMIT
       )
       .sort((left, right) => right[1] - left[1])
--- a/packages/core/src/requests/active_request.ts
+++ b/packages/core/src/requests/active_request.ts
@@ -6,7 +6,7 @@
 import type { KeyOwner } from "../actions/index.ts";
 import type { Instant } from "../ids/index.ts";
 import type { Attempt, BodyFacts, RequestHead } from "../messages/index.ts";
-import type { Customer, RequestClass, Service } from "../text/index.ts";
+import type { HomedCustomer, RequestClass, Service } from "../text/index.ts";
 import { AttemptLog } from "../verdict/index.ts";
 import type { Interruption } from "./interruption.ts";
 
@@ -23,7 +23,7 @@
 /** A request that was admitted. */
 export interface ActiveRequest {
   readonly head: RequestHead;
-  readonly customer: Customer;
+  readonly customer: HomedCustomer;
   readonly service: Service;
   readonly requestClass: RequestClass;
   readonly keyOwner: KeyOwner | undefined;
--- a/packages/core/src/requests/admission.ts
+++ b/packages/core/src/requests/admission.ts
@@ -13,8 +13,8 @@
 } from "../ids/index.ts";
 import type { RequestHead } from "../messages/index.ts";
 import type {
-  Customer,
   Deployment,
+  HomedCustomer,
   RequestClass,
   Service,
 } from "../text/index.ts";
@@ -81,7 +81,7 @@
   board: Blackboard,
   { head, customer, deployment }: {
     head: RequestHead;
-    customer: Customer;
+    customer: HomedCustomer;
     deployment: Deployment;
   },
   now: Instant,
@@ -118,7 +118,7 @@
   board: Blackboard,
   { head, customer, service }: {
     head: RequestHead;
-    customer: Customer;
+    customer: HomedCustomer;
     service: Service;
   },
   now: Instant,
--- a/packages/core/src/requests/customer_limits.ts
+++ b/packages/core/src/requests/demand_parts.ts
@@ -9,65 +9,64 @@
   type CustomerId,
   type Instant,
   type Milliseconds,
-  milliseconds,
 } from "../ids/index.ts";
+import {
+  type CustomerLimit,
+  FadingSum,
+  LimitBucket,
+} from "../customers/index.ts";
 import type { Demand } from "../messages/index.ts";
-import type { Customer } from "../text/index.ts";
+import type { HomedCustomer } from "../text/index.ts";
 
 /** Time constant of the demand average. */
 const DEMAND_WINDOW_MS = 5_000;
-/** A bucket holds this many seconds of the customer's rate. */
-const BURST_SECONDS = 1;
 /** A customer whose whole demand stays below this share of its limit is not divided at all. */
 const UNDIVIDED_SHARE = 0.5;
-/** A bucket unused for so long is full again and need not be kept. */
+/** An account unused for so long is full again and need not be kept. */
 const IDLE_MS = 60_000;
 
-interface Bucket {
-  tokens: number;
-  refilledAt: Instant;
-  /** Requests a second, averaged. */
-  demand: number;
+interface Account {
+  readonly bucket: LimitBucket;
+  /** Requests, fading. */
+  readonly asked: FadingSum;
+  askedAt: Instant;
 }
 
 /** One entry's limits. */
-export class CustomerLimits {
+export class DemandParts {
   readonly #board: Blackboard;
-  readonly #buckets = new Map<CustomerId, Bucket>();
+  readonly #accounts = new Map<CustomerId, Account>();
 
   constructor(board: Blackboard) {
     this.#board = board;
   }
 
   /** Takes one request of a customer's part; otherwise the time until there is one. */
-  take(customer: Customer, now: Instant): Milliseconds | undefined {
-    const bucket = this.#buckets.get(customer.id) ?? newBucket(customer, now);
-    this.#buckets.set(customer.id, bucket);
-    const elapsed = Math.max(0, now - bucket.refilledAt);
-    bucket.refilledAt = now;
-    bucket.demand = decay(bucket.demand, elapsed) + 1_000 / DEMAND_WINDOW_MS;
-    const rate = customer.requestsPerSecond *
-      this.#share(customer, bucket.demand);
-    bucket.tokens = Math.min(
-      Math.max(1, rate * BURST_SECONDS),
-      bucket.tokens + (elapsed / 1_000) * rate,
-    );
-    if (bucket.tokens >= 1) {
-      bucket.tokens--;
+  take(customer: HomedCustomer, now: Instant): Milliseconds | undefined {
+    const { limit } = customer;
+    if (limit === undefined) {
       return undefined;
     }
-    return milliseconds(Math.ceil(((1 - bucket.tokens) / rate) * 1_000));
+    const account = this.#accounts.get(customer.id) ?? newAccount(limit, now);
+    this.#accounts.set(customer.id, account);
+    account.askedAt = now;
+    account.asked.add(1, now);
+    account.bucket.rebound(limit);
+    const part = this.#share({ customer, limit }, rateOf(account, now));
+    account.bucket.refill(part, now);
+    return account.bucket.take(1)
+      ? undefined
+      : account.bucket.waitFor(1, part, now);
   }
 
   /** Requests a second by customer, for heartbeats. */
   demand(now: Instant): Map<CustomerId, number> {
     const rates = new Map<CustomerId, number>();
-    for (const [customer, bucket] of this.#buckets) {
-      const idle = now - bucket.refilledAt;
-      if (idle > IDLE_MS) {
-        this.#buckets.delete(customer);
+    for (const [customer, account] of this.#accounts) {
+      if (now - account.askedAt > IDLE_MS) {
+        this.#accounts.delete(customer);
       } else {
-        rates.set(customer, decay(bucket.demand, idle));
+        rates.set(customer, rateOf(account, now));
       }
     }
     return rates;
@@ -80,7 +79,10 @@
    * halves of a split region would let twice the limit through. A member that is not heard therefore
    * counts as taking its equal part.
    */
-  #share(customer: Customer, own: number): number {
+  #share(
+    { customer, limit }: { customer: HomedCustomer; limit: CustomerLimit },
+    own: number,
+  ): number {
     const members = [...this.#board.membership.members.values()].filter((
       member,
     ) => this.#mayServe(member, customer));
@@ -99,29 +101,28 @@
         : 0;
     }
     const whole = own + others;
-    return whole < customer.requestsPerSecond * UNDIVIDED_SHARE
-      ? 1
-      : own / whole;
+    return whole < limit.perSecond * UNDIVIDED_SHARE ? 1 : own / whole;
   }
 
-  #mayServe(member: Member, customer: Customer): boolean {
+  #mayServe(member: Member, customer: HomedCustomer): boolean {
     return !customer.bound || member.record.region === customer.home;
   }
 }
 
-function demandOf(demand: readonly Demand[], customer: Customer): number {
+function demandOf(demand: readonly Demand[], customer: HomedCustomer): number {
   return demand.find((item) => item.customer === customer.id)
     ?.requestsPerSecond ?? 0;
 }
 
-function newBucket(customer: Customer, now: Instant): Bucket {
+function newAccount(limit: CustomerLimit, now: Instant): Account {
   return {
-    tokens: customer.requestsPerSecond * BURST_SECONDS,
-    refilledAt: now,
-    demand: 0,
+    bucket: new LimitBucket(limit, { level: limit.burst, now }),
+    asked: new FadingSum(DEMAND_WINDOW_MS),
+    askedAt: now,
   };
 }
 
-function decay(rate: number, elapsed: number): number {
-  return rate * Math.exp(-elapsed / DEMAND_WINDOW_MS);
+/** Requests a second. */
+function rateOf({ asked }: Account, now: Instant): number {
+  return asked.of(now) * 1_000 / DEMAND_WINDOW_MS;
 }
--- a/packages/core/src/requests/entry_list.ts
+++ b/packages/core/src/requests/entry_list.ts
@@ -13,7 +13,7 @@
   rendezvous,
 } from "../ids/index.ts";
 import type { MemberRecord } from "../messages/index.ts";
-import type { Customer, Service } from "../text/index.ts";
+import type { HomedCustomer, Service } from "../text/index.ts";
 
 /** How long callers may go by one answer. */
 export const ENTRY_LIST_HOLD_MS = 10_000;
@@ -49,7 +49,10 @@
  */
 export function listEntries(
   board: Blackboard,
-  { customer, service }: { customer: Customer; service: Service | undefined },
+  { customer, service }: {
+    customer: HomedCustomer;
+    service: Service | undefined;
+  },
   now: Instant,
 ): EntryList {
   const regions = regionsFor(customer, service);
@@ -82,7 +85,7 @@
 }
 
 function regionsFor(
-  customer: Customer,
+  customer: HomedCustomer,
   service: Service | undefined,
 ): readonly RegionId[] | undefined {
   if (service === undefined) {
--- a/packages/core/src/requests/index.ts
+++ b/packages/core/src/requests/index.ts
@@ -7,7 +7,6 @@
 } from "./admission.ts";
 export { MAX_ATTEMPTS } from "./attempt_tracker.ts";
 export { predictWait, usableEndpoints } from "./capacity.ts";
-export { CustomerLimits } from "./customer_limits.ts";
 export {
   type EntryList,
   type ListedEntry,
--- a/packages/core/src/requests/request_controller.ts
+++ b/packages/core/src/requests/request_controller.ts
@@ -32,7 +32,7 @@
 import { Answers } from "./answers.ts";
 import { AttemptTracker } from "./attempt_tracker.ts";
 import { predictWait, usableEndpoints } from "./capacity.ts";
-import { CustomerLimits } from "./customer_limits.ts";
+import { DemandParts } from "./demand_parts.ts";
 import { otherEntries } from "./entry_list.ts";
 import { KeyRouter } from "./key_router.ts";
 import {
@@ -50,7 +50,7 @@
   readonly #board: Blackboard;
   readonly #with: RequestDependencies;
   readonly #table = new RequestTable();
-  readonly #limits: CustomerLimits;
+  readonly #limits: DemandParts;
   readonly #spills: Spills;
   readonly #answers: Answers;
   readonly #router: Router;
@@ -60,7 +60,7 @@
   constructor(board: Blackboard, dependencies: RequestDependencies) {
     this.#board = board;
     this.#with = dependencies;
-    this.#limits = new CustomerLimits(board);
+    this.#limits = new DemandParts(board);
     this.#spills = new Spills(board);
     const table = this.#table;
     const spills = this.#spills;
--- a/packages/core/src/routes/route.ts
+++ b/packages/core/src/routes/route.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
+import type { Customer } from "../customers/index.ts";
 import type {
+  CustomerId,
   Milliseconds,
   RegionId,
   Revision,
@@ -44,6 +46,8 @@
   readonly homes: readonly RegionId[];
   /** Whether requests share prompt prefixes, so that the choice of an engine should keep to them. */
   readonly sticky: boolean;
+  /** Whether its requests need no key, and belong to no customer. */
+  readonly public: boolean;
   /** Whether an interrupted stream may go on at another endpoint. */
   readonly resumable: boolean;
 }
@@ -86,6 +90,8 @@
   readonly version: Revision;
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<ServiceId, RoutedService>;
+  /** Empty where requests are from nobody in particular. */
+  readonly customers: ReadonlyMap<CustomerId, Customer>;
   readonly limits: CallerLimits;
 }
 
--- a/packages/core/src/routes/route_table.ts
+++ b/packages/core/src/routes/route_table.ts
@@ -3,15 +3,18 @@
  *
  * @module
  */
+import { CustomerDirectory } from "../customers/index.ts";
 import type { Route, RoutingDocument } from "./route.ts";
 
 /** Index of a document's routes by host and path prefix. */
 export class RouteTable {
   readonly document: RoutingDocument;
+  readonly customers: CustomerDirectory;
   readonly #hosts = new Map<string, Map<string, Route>>();
 
   constructor(document: RoutingDocument) {
     this.document = document;
+    this.customers = new CustomerDirectory(document.customers);
     for (const route of document.routes) {
       const prefixes = this.#hosts.get(route.host) ?? new Map();
       prefixes.set(route.pathPrefix, route);
--- a/packages/core/src/text/__tests__/parse.test.ts
+++ b/packages/core/src/text/__tests__/parse.test.ts
@@ -50,7 +50,7 @@
         : undefined;
       expect(customer).toMatchObject({
         bound: true,
-        requestsPerSecond: 50,
+        limit: { unit: "requests", perSecond: 50 },
         classes: ["screen", "summary"],
       });
     });
--- a/packages/core/src/text/check_references.ts
+++ b/packages/core/src/text/check_references.ts
@@ -180,7 +180,7 @@
         "a region with at least one service",
       );
     }
-    for (const digest of customer.tokenDigests) {
+    for (const digest of customer.keyDigests) {
       const owner = ownerByDigest.get(digest);
       if (owner !== undefined) {
         report(
--- a/packages/core/src/text/deployment.ts
+++ b/packages/core/src/text/deployment.ts
@@ -11,6 +11,7 @@
   ServiceId,
   ZoneId,
 } from "../ids/index.ts";
+import type { Customer } from "../customers/index.ts";
 import type { Route } from "../routes/index.ts";
 
 /** What the deployment weighs most. */
@@ -60,15 +61,11 @@
 /** Any service of the text. */
 export type Service = ModelService | PlainService;
 
-/** A customer. The text holds digests of tokens, never tokens. */
-export interface Customer {
-  readonly id: CustomerId;
+/** A customer of the text, whose keys are the tokens that its callers show. */
+export interface HomedCustomer extends Customer {
   readonly home: RegionId;
   /** Whether requests and data must stay in the home region. */
   readonly bound: boolean;
-  readonly tokenDigests: readonly string[];
-  /** Requests a second over the whole fleet. */
-  readonly requestsPerSecond: number;
   readonly classes: readonly RequestClass[];
 }
 
@@ -82,8 +79,8 @@
   readonly loadsPerMinute: number;
   readonly regions: ReadonlyMap<RegionId, Region>;
   readonly services: ReadonlyMap<ServiceId, Service>;
-  readonly customers: ReadonlyMap<CustomerId, Customer>;
+  readonly customers: ReadonlyMap<CustomerId, HomedCustomer>;
   /** Hosts and paths that are passed through to services as they are. */
   readonly routes: ReadonlyMap<RouteName, Route>;
-  readonly customerByDigest: ReadonlyMap<string, Customer>;
+  readonly customerByDigest: ReadonlyMap<string, HomedCustomer>;
 }
--- a/packages/core/src/text/diff.ts
+++ b/packages/core/src/text/diff.ts
@@ -66,10 +66,11 @@
 function diffItem(subject: string, before: object, next: object): Change[] {
   const keys = Object.keys({ ...before, ...next }) as (keyof typeof before)[];
   return keys.filter((key) =>
+    !(String(key) === "homes" && "home" in next) &&
     JSON.stringify(before[key]) !== JSON.stringify(next[key])
   ).map((key) => {
     const name = String(key);
-    const change = name === "tokenDigests"
+    const change = name === "keyDigests"
       ? "token digests changed"
       : `${name}: ${shown(before[key])} -> ${shown(next[key])}`;
     return name === "home"
@@ -79,8 +80,10 @@
 }
 
 function shown(value: unknown): string {
-  const nested = Array.isArray(value) && typeof value[0] === "object";
-  return nested ? JSON.stringify(value) : String(value);
+  const plain = Array.isArray(value) && typeof value[0] !== "object";
+  return typeof value === "object" && !plain
+    ? JSON.stringify(value)
+    : String(value);
 }
 
 const HOME_WARNING =
--- a/packages/core/src/text/parse.ts
+++ b/packages/core/src/text/parse.ts
@@ -8,6 +8,7 @@
 import type { z } from "zod";
 import type {
   CustomerId,
+  KeyDigest,
   RegionId,
   RouteName,
   ServiceId,
@@ -16,7 +17,12 @@
 import { milliseconds } from "../ids/index.ts";
 import type { Route } from "../routes/index.ts";
 import { checkReferences } from "./check_references.ts";
-import type { Customer, Deployment, Region, Service } from "./deployment.ts";
+import type {
+  Deployment,
+  HomedCustomer,
+  Region,
+  Service,
+} from "./deployment.ts";
 import { clip, type LineFault, LineIndex } from "./lines.ts";
 import {
   customerSchema,
@@ -28,6 +34,8 @@
   routeSchema,
 } from "./schema.ts";
 
+/** A customer of the text may ask for so many seconds of its rate at once. */
+const BURST_SECONDS = 1;
 /** The configuration service holds values up to a megabyte. */
 export const MAX_TEXT_BYTES = 1_048_576;
 
@@ -71,7 +79,7 @@
   readonly #text: string;
   readonly #regions = new Map<RegionId, Region>();
   readonly #services = new Map<ServiceId, Service>();
-  readonly #customers = new Map<CustomerId, Customer>();
+  readonly #customers = new Map<CustomerId, HomedCustomer>();
   readonly #routes = new Map<RouteName, Route>();
   #head: z.infer<typeof deploymentSchema> | undefined;
 
@@ -110,9 +118,9 @@
   }
 
   #build(head: z.infer<typeof deploymentSchema>): Deployment {
-    const customerByDigest = new Map<string, Customer>();
+    const customerByDigest = new Map<string, HomedCustomer>();
     for (const customer of this.#customers.values()) {
-      customer.tokenDigests.forEach((digest) =>
+      customer.keyDigests.forEach((digest) =>
         customerByDigest.set(digest, customer)
       );
     }
@@ -245,6 +253,7 @@
           : milliseconds(found.pause_ms),
         priority: found.priority,
         homes: found.homes as RegionId[],
+        public: true,
         sticky: found.sticky,
         resumable: found.resumable,
       });
@@ -261,8 +270,15 @@
         id,
         home: found.home as RegionId,
         bound: found.bound,
-        tokenDigests: found.token_sha256,
-        requestsPerSecond: found.requests_per_s,
+        keyDigests: found.token_sha256 as KeyDigest[],
+        rank: undefined,
+        homes: found.bound ? [found.home as RegionId] : [],
+        limit: {
+          unit: "requests",
+          perSecond: found.requests_per_s,
+          burst: found.requests_per_s * BURST_SECONDS,
+          plainTokens: 0,
+        },
         classes: found.classes,
       });
     }
--- /dev/null
+++ b/packages/daemon/src/customers/index.ts
@@ -0,0 +1,6 @@
+export {
+  currencyMessage,
+  encodeCurrency,
+  encodeSpending,
+  spendingMessage,
+} from "./customer_schema.ts";
--- a/packages/daemon/src/gateway/catalogue_runner.ts
+++ b/packages/daemon/src/gateway/catalogue_runner.ts
@@ -3,10 +3,13 @@
  *
  * @module
  */
-import type {
-  CatalogueSnapshot,
-  GatewayEffect,
-  GatewayEvent,
+import {
+  type CatalogueSnapshot,
+  type GatewayEffect,
+  type GatewayEvent,
+  type Milliseconds,
+  milliseconds,
+  type Revision,
 } from "@sassafrasstep/core";
 import { whileHearing } from "../timers/index.ts";
 import type { SnapshotMessage } from "./gateway_router.ts";
@@ -68,15 +71,39 @@
   }
 
   async #read(
-    { after, wait, timeout }: EffectOf<"readCatalogue">,
+    { after, wait, timeout, verified }: EffectOf<"readCatalogue">,
   ): Promise<GatewayEvent> {
     if (after === undefined) {
       const snapshot = await this.#source.snapshot(timeout);
       return { kind: "catalogueRead", snapshot };
     }
+    if (verified) {
+      return await this.#verify(after, timeout);
+    }
     const answer = await this.#source.changes(after, { wait, timeout });
     return answer.kind === "compacted"
       ? { kind: "catalogueCompacted" }
       : { kind: "catalogueChanged", changes: answer.changes };
   }
+
+  /**
+   * Reads up to the present state. History may be dropped while a wait for changes says that there were
+   * none; so the newest revision is asked for, and changes count only where they lead there one by one.
+   */
+  async #verify(
+    after: Revision,
+    timeout: Milliseconds,
+  ): Promise<GatewayEvent> {
+    const newest = await this.#source.newest(timeout);
+    if (newest === after) {
+      return { kind: "catalogueConfirmed" };
+    }
+    const wait = milliseconds(0);
+    const answer = await this.#source.changes(after, { wait, timeout });
+    const whole = answer.kind === "changes" && answer.complete &&
+      answer.changes.revision >= newest;
+    return whole
+      ? { kind: "catalogueChanged", changes: answer.changes }
+      : { kind: "catalogueCompacted" };
+  }
 }
--- a/packages/daemon/src/gateway/fleet_schema.ts
+++ b/packages/daemon/src/gateway/fleet_schema.ts
@@ -14,6 +14,12 @@
   WorkReport,
 } from "@sassafrasstep/core";
 import { z } from "zod";
+import {
+  currencyMessage,
+  encodeCurrency,
+  encodeSpending,
+  spendingMessage,
+} from "../customers/index.ts";
 import {
   encodeHoldNotice,
   encodeQuarantineNews,
@@ -34,7 +40,7 @@
   text,
   text,
   text,
-  z.enum(["starting", "ready", "stopping"]),
+  z.enum(["starting", "ready", "outdated", "stopping"]),
   number,
 ]).transform((
   [
@@ -170,6 +176,12 @@
   quarantine: z.tuple([text, quarantineNews]).transform(
     ([incarnation, news]) => ({ kind: "quarantine", incarnation, news }),
   ),
+  currency: z.tuple([currencyMessage]).transform(
+    ([message]) => ({ kind: "currency", message }),
+  ),
+  spending: z.tuple([spendingMessage]).transform(
+    ([message]) => ({ kind: "spending", message }),
+  ),
 } as const;
 
 /** Reads a datagram, `undefined` where it is none of ours. */
@@ -200,6 +212,12 @@
   if (message.kind === "quarantine") {
     return [message.incarnation, encodeQuarantineNews(message.news)];
   }
+  if (message.kind === "currency") {
+    return [encodeCurrency(message.message)];
+  }
+  if (message.kind === "spending") {
+    return [encodeSpending(message.message)];
+  }
   const base = [encodeRecord(message.from), encodeHoldings(message.holdings)];
   switch (message.kind) {
     case "ping":
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -22,7 +22,7 @@
 } from "@sassafrasstep/core";
 import type { Logger } from "../logs/index.ts";
 import type { GatewaySettings } from "../settings/index.ts";
-import { afterPoll, type Cancel } from "../timers/index.ts";
+import { afterPoll, type Cancel, Suspensions } from "../timers/index.ts";
 import { CatalogueRunner } from "./catalogue_runner.ts";
 import { Connections } from "./connections.ts";
 import { Datagrams } from "./datagrams.ts";
@@ -76,6 +76,7 @@
   readonly #outbound: OutboundTools;
   readonly #datagrams: Datagrams;
   readonly #catalogue: CatalogueRunner;
+  readonly #suspensions = new Suspensions();
   readonly #servers: Server[] = [];
   #requests = 0;
   #cancelTick: Cancel = () => {};
@@ -191,6 +192,10 @@
   }
 
   #tell(event: GatewayEvent): readonly GatewayEffect[] {
+    const slept = this.#suspensions.take();
+    if (slept > 0) {
+      this.#gateway.handle({ kind: "slept", time: slept }, this.#now());
+    }
     const effects = this.#gateway.handle(event, this.#now());
     for (const effect of effects) {
       this.#run(effect);
--- a/packages/daemon/src/gateway/gateway_router.ts
+++ b/packages/daemon/src/gateway/gateway_router.ts
@@ -5,6 +5,7 @@
  */
 import type {
   CatalogueSnapshot,
+  Customer,
   RoutedService,
   RoutingDocument,
 } from "@sassafrasstep/core";
@@ -64,13 +65,16 @@
   });
 }
 
-/** A snapshot as JSON: the services' map as a list. */
+/** A snapshot as JSON: maps as lists. */
 export type SnapshotMessage =
   & Omit<CatalogueSnapshot, "document">
   & {
     readonly document:
-      | Omit<RoutingDocument, "services">
-        & { readonly services: readonly RoutedService[] }
+      | Omit<RoutingDocument, "services" | "customers">
+        & {
+          readonly services: readonly RoutedService[];
+          readonly customers: readonly Customer[];
+        }
       | undefined;
   };
 
@@ -78,9 +82,11 @@
   const { document } = snapshot;
   return {
     ...snapshot,
-    document: document === undefined
-      ? undefined
-      : { ...document, services: [...document.services.values()] },
+    document: document === undefined ? undefined : {
+      ...document,
+      services: [...document.services.values()],
+      customers: [...document.customers.values()],
+    },
   };
 }
 
@@ -94,6 +100,9 @@
       services: new Map(
         document.services.map((service) => [service.id, service]),
       ),
+      customers: new Map(
+        document.customers.map((customer) => [customer.id, customer]),
+      ),
     },
   };
 }
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -233,15 +233,17 @@
   }
 
   #write({ client }: Connection, timeLeft: Milliseconds): void {
-    const { target, resumeAfter } = this.#attempt;
+    const { target, customer, resumeAfter } = this.#attempt;
     const { protocol, incarnation } = this.#tools;
     const headers = protocol.requestHeaders(this.#exchange.rawHeaders, {
       target,
+      customer,
       timeLeft,
       resumeAfter,
     });
     if (target.kind === "peer") {
-      const facts = { from: incarnation, sentBefore: target.sentBefore };
+      const { sentBefore } = target;
+      const facts = { from: incarnation, sentBefore, customer };
       const { fingerprint } = this.#exchange.head;
       headers.push(RELAY_HEADER, writeRelay(facts, fingerprint));
     }
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -12,6 +12,7 @@
   CallTarget,
   CatalogueChanges,
   CatalogueSnapshot,
+  CustomerId,
   Milliseconds,
   Revision,
 } from "@sassafrasstep/core";
@@ -36,6 +37,8 @@
 /** What an attempt adds to the caller's headers. */
 export interface AttemptFacts {
   readonly target: CallTarget;
+  /** Whose request it is; endpoints get this name and no other. */
+  readonly customer: CustomerId | undefined;
   readonly timeLeft: Milliseconds;
   readonly resumeAfter: string | undefined;
 }
@@ -61,7 +64,12 @@
 
 /** Changes since a revision, or word that they are forgotten. */
 export type ChangesAnswer =
-  | { readonly kind: "changes"; readonly changes: CatalogueChanges }
+  | {
+    readonly kind: "changes";
+    readonly changes: CatalogueChanges;
+    /** Whether each revision up to the answer's is among them. */
+    readonly complete: boolean;
+  }
   | { readonly kind: "compacted" };
 
 /** Where the published picture is read. */
@@ -72,5 +80,7 @@
     after: Revision,
     limits: { wait: Milliseconds; timeout: Milliseconds },
   ): Promise<ChangesAnswer>;
+  /** The newest revision at present; unlike a wait for changes it cannot miss one. */
+  newest(timeout: Milliseconds): Promise<Revision>;
   close(): Promise<void>;
 }
--- a/packages/daemon/src/gateway/relay_header.ts
+++ b/packages/daemon/src/gateway/relay_header.ts
@@ -6,12 +6,13 @@
 import type {
   CallerDigest,
   ContentDigest,
+  CustomerId,
   Incarnation,
   RelayFacts,
   RequestFingerprint,
 } from "@sassafrasstep/core";
 
-/** Names the entry, how many endpoints may have got the request, and what it is known by. */
+/** Names the entry, how many endpoints may have got the request, what it is known by, and its customer. */
 export const RELAY_HEADER = "sassafrasstep-relay";
 
 /** A relayed request's facts. */
@@ -23,28 +24,43 @@
 
 /** The header's text. */
 export function writeRelay(
-  { from, sentBefore }: RelayFacts,
+  { from, sentBefore, customer }: RelayFacts,
   { content, caller }: RequestFingerprint,
 ): string {
-  return [from, sentBefore, content, caller].join(";");
+  return [from, sentBefore, content, caller, customer ?? ""].map(
+    (item) => encodeURIComponent(item),
+  ).join(";");
 }
 
 /** Reads the header, `undefined` where it is none of an entry's. */
 export function readRelay(
   text: string | string[] | undefined,
 ): RelayedFacts | undefined {
-  const [from, sent, content, caller] = typeof text === "string"
-    ? text.split(";")
+  const [from, sent, content, caller, customer] = typeof text === "string"
+    ? text.split(";").map(decode)
     : [];
   const sentBefore = Number(sent);
   if (!Number.isInteger(sentBefore) || !from || !content || !caller) {
     return undefined;
   }
   return {
-    relay: { from: from as Incarnation, sentBefore },
+    relay: {
+      from: from as Incarnation,
+      sentBefore,
+      customer: customer ? customer as CustomerId : undefined,
+    },
     fingerprint: {
       content: content as ContentDigest,
       caller: caller as CallerDigest,
     },
   };
 }
+
+/** An item as it was before it was written; one that is malformed is missing. */
+function decode(item: string): string {
+  try {
+    return decodeURIComponent(item);
+  } catch {
+    return "";
+  }
+}
--- a/packages/daemon/src/settings/gateway_settings.ts
+++ b/packages/daemon/src/settings/gateway_settings.ts
@@ -81,6 +81,9 @@
     cold_slack: decimalOr(1, MOST_COUNT),
     list_lifetime_s: decimalOr(5, MOST_SECONDS),
     stop_s: decimalOr(8, MOST_SECONDS),
+    /** After it a key that was taken away opens nothing; enforced at any entry only where strict. */
+    key_lifetime_ms: decimalOr(0, MOST_SECONDS * MS_PER_SECOND),
+    strict_keys: z.enum(["true", "false", ""]).or(z.boolean()).default(""),
   }),
 });
 
@@ -126,6 +129,9 @@
     coldSlack: bounds.cold_slack,
     listLifetime: seconds(bounds.list_lifetime_s),
     stopTime: seconds(bounds.stop_s),
+    keyLifetime: String(bounds.strict_keys) === "true"
+      ? bounds.key_lifetime_ms as Milliseconds
+      : undefined,
   };
 }
 
--- a/packages/daemon/src/timers/index.ts
+++ b/packages/daemon/src/timers/index.ts
@@ -1,5 +1,6 @@
 export { afterPoll, type Cancel } from "./after_poll.ts";
 export { closeIdleAfterPoll } from "./idle_connections.ts";
+export { Suspensions } from "./suspensions.ts";
 export {
   afterListening,
   whileHearing,
--- /dev/null
+++ b/playground/src/guards/customer_guards.ts
@@ -0,0 +1,137 @@
+/**
+ * The guards of customers' keys and limits.
+ *
+ * @module
+ */
+import type { Guard } from "./guard.ts";
+
+const CUSTOMERS = "packages/core/src/customers";
+const GATEWAY = "packages/core/src/gateway";
+const PLATFORM = "platform/src";
+const KEYS = "routes: customers' keys";
+const LIMITS = "routes: customers' limits";
+
+/** Every guard that is checked. */
+export const CUSTOMER_GUARDS: readonly Guard[] = [
+  {
+    point: KEYS,
+    name: "a key is accepted from a document that is known to be current",
+    file: `${CUSTOMERS}/judge_key.ts`,
+    find: "const fresh = bound === undefined ||",
+    replace: "const fresh = bound !== undefined ||",
+  },
+  {
+    point: KEYS,
+    name:
+      "an unknown key is refused for good by a picture that is newer than its request",
+    file: `${CUSTOMERS}/judge_key.ts`,
+    find: 'return { kind: certain ? "unknown" : "doubtful" };',
+    replace: 'return { kind: certain || now > 0 ? "unknown" : "doubtful" };',
+  },
+  {
+    point: KEYS,
+    name: "a lease runs from the sending of the read",
+    file: `${GATEWAY}/catalogue_controller.ts`,
+    find: "this.currency.prove({ version, at: this.#readMark });",
+    replace: "this.currency.prove({ version, at: Infinity as never });",
+  },
+  {
+    point: KEYS,
+    name:
+      "what another entry knows is as old as its answer and the time since the question",
+    file: `${CUSTOMERS}/currency_exchange.ts`,
+    find: "const at = question.mark - age as CurrencyMark;",
+    replace: "const at = currency.mark(now) as CurrencyMark;",
+  },
+  {
+    point: KEYS,
+    name: "a lease runs on while the machine is suspended",
+    file: `${CUSTOMERS}/currency.ts`,
+    find: "this.#slept += time;",
+    replace: "this.#slept += 0 * time;",
+  },
+  {
+    point: KEYS,
+    name:
+      "changes prove something only where each up to the newest revision is named",
+    file: `${GATEWAY}/catalogue_controller.ts`,
+    find: "this.#verifies = this.keyed;",
+    replace: "this.#verifies = this.#readMark === undefined;",
+    also: [{
+      file: `${GATEWAY}/catalogue_controller.ts`,
+      find: "    if (this.#verifies) {",
+      replace: "    if (this.keyed) {",
+    }],
+  },
+  {
+    point: KEYS,
+    name: "a document that another entry has proves nothing for an older one",
+    file: `${CUSTOMERS}/currency.ts`,
+    find: "if (proof.version > this.#version) {",
+    replace: "if (proof.version > Infinity) {",
+  },
+  {
+    point: KEYS,
+    name: "the key ends with the entry that the caller reached",
+    file: `${PLATFORM}/names.ts`,
+    find: "  HEADERS.key,\n  HEADERS.customer,\n",
+    replace: "  HEADERS.customer,\n",
+  },
+  {
+    point: KEYS,
+    name: "a caller's own name of a customer goes no further",
+    file: `${PLATFORM}/names.ts`,
+    find: "  HEADERS.key,\n  HEADERS.customer,\n",
+    replace: "  HEADERS.key,\n",
+  },
+  {
+    point: KEYS,
+    name: "homes of a customer bind beside those of a route",
+    file: `${GATEWAY}/call.ts`,
+    find: "mayServeCustomer(this.customer, region);",
+    replace: "(this.customer === undefined || region.length > 0);",
+  },
+  {
+    point: KEYS,
+    name: "a request that is passed on keeps its customer",
+    file: `${CUSTOMERS}/judge_key.ts`,
+    find: "customer && named(customer, customers)",
+    replace: "customer && undefined",
+  },
+  {
+    point: LIMITS,
+    name: "what others let in is taken off",
+    file: `${CUSTOMERS}/customer_limits.ts`,
+    find: "account.bucket.charge(sum);",
+    replace: "account.bucket.charge(0 * sum);",
+  },
+  {
+    point: LIMITS,
+    name: "each side of a cut keeps the part that was agreed",
+    file: `${CUSTOMERS}/spending_keeper.ts`,
+    find: "if (heard.length === this.#regions.length) {",
+    replace: "if (heard.length >= 0) {",
+  },
+  {
+    point: LIMITS,
+    name: "a process begins with a small part of the burst",
+    file: `${CUSTOMERS}/customer_limits.ts`,
+    find: "const level = limit.burst * START_PART * part;",
+    replace: "const level = limit.burst;",
+  },
+  {
+    point: LIMITS,
+    name: "what a refused request took comes back",
+    file: `${GATEWAY}/call_controller.ts`,
+    find: "this.#tools.limits.giveBack(customer.id, charged, now);",
+    replace: "",
+  },
+  {
+    point: LIMITS,
+    name: "one that was passed on is not counted twice",
+    file: `${GATEWAY}/call_controller.ts`,
+    find:
+      "const limit = head.relay === undefined ? customer?.limit : undefined;",
+    replace: "const limit = customer?.limit;",
+  },
+];
--- a/playground/src/guards/guard_list.ts
+++ b/playground/src/guards/guard_list.ts
@@ -6,6 +6,7 @@
 import { existsSync, readFileSync } from "node:fs";
 import { join } from "node:path";
 import { BYTE_GUARDS } from "./byte_guards.ts";
+import { CUSTOMER_GUARDS } from "./customer_guards.ts";
 import type { Edit, Guard } from "./guard.ts";
 import { GUARDS } from "./guards.ts";
 import { QUARANTINE_GUARDS } from "./quarantine_guards.ts";
@@ -19,6 +20,7 @@
   ...QUARANTINE_GUARDS,
   ...BYTE_GUARDS,
   ...STALL_GUARDS,
+  ...CUSTOMER_GUARDS,
 ];
 
 /** All that is taken out with a guard. */
--- a/playground/src/guards/guards.ts
+++ b/playground/src/guards/guards.ts
@@ -330,7 +330,7 @@
   {
     point: "limits",
     name: "an unheard member counts as taking its part",
-    file: `${CORE}/requests/customer_limits.ts`,
+    file: `${CORE}/requests/demand_parts.ts`,
     find: 'if (members.some((member) => member.health === "suspect")) {',
     replace: "if (Date.now() < 0) {",
   },
--- a/playground/src/guards/route_guards.ts
+++ b/playground/src/guards/route_guards.ts
@@ -76,7 +76,7 @@
     point: "routes: residency",
     name: "only homes serve",
     file: `${GATEWAY}/call_router.ts`,
-    find: "const home = mayServe(call.route, self.region);",
+    find: "const home = call.mayServe(self.region);",
     replace: "const home = true;",
   },
   {
@@ -282,8 +282,8 @@
     point: "routes: overload",
     name: "a wait is counted by what goes before",
     file: `${GATEWAY}/call_queue.ts`,
-    find: "tokens += route.priority <= priority ?",
-    replace: "tokens += route.priority <= priority + 99 ?",
+    find: "tokens += rank <= priority ?",
+    replace: "tokens += rank <= priority + 99 ?",
   },
   {
     point: "routes: overload",
--- a/playground/src/guards/stall_guards.ts
+++ b/playground/src/guards/stall_guards.ts
@@ -62,8 +62,8 @@
     point: POINT,
     name: "a woken entry reads the picture anew",
     file: `${CORE}/gateway/read_schedule.ts`,
-    find: "this.#readsAgain ? 0 : pause",
-    replace: "pause",
+    find: "this.#readsAgain ? 0 : this.#pause(now)",
+    replace: "this.#pause(now)",
   },
   {
     point: POINT,
--- a/playground/src/load/load_caller.ts
+++ b/playground/src/load/load_caller.ts
@@ -220,6 +220,7 @@
       target: `${route.pathPrefix}x`,
       timeLeft: milliseconds(Math.max(1, left)),
       prompt: drawn.prompt,
+      key: undefined,
       lastEventId: undefined,
       bodyBytes: 0,
       fingerprint: fingerprintOf(name, this.#attempt.drawn.kind.name),
--- a/playground/src/routes/fake_backend.ts
+++ b/playground/src/routes/fake_backend.ts
@@ -48,6 +48,7 @@
   readonly streaming: boolean;
   readonly events: number;
   readonly resumeAfter: number;
+  readonly customer: string | undefined;
   readonly prefill: number;
   readonly head: CallHead;
   readonly target: Extract<CallTarget, { kind: "endpoint" }>;
@@ -72,6 +73,8 @@
   readonly call: string;
   readonly backend: string;
   readonly at: number;
+  /** Whose request it was, as the endpoint was told. */
+  readonly customer: string | undefined;
 }
 
 /** One endpoint. */
@@ -176,6 +179,7 @@
           call: request.call,
           backend: this.name,
           at: this.time.now,
+          customer: request.customer,
         });
         if (!this.#crashUnder(request)) {
           this.run(request);
--- a/playground/src/routes/fake_store.ts
+++ b/playground/src/routes/fake_store.ts
@@ -6,9 +6,11 @@
 import type {
   CatalogueChange,
   CatalogueSnapshot,
+  Customer,
   EndpointId,
   EndpointRecord,
   GatewayEvent,
+  KeyDigest,
   Revision,
   Route,
   RoutedService,
@@ -19,7 +21,13 @@
 import type { VirtualTime } from "../scenario/virtual_time.ts";
 
 /** How the store treats a reader. */
-export type StoreMode = "up" | "silent" | "busy" | "stale";
+export type StoreMode =
+  | "up"
+  | "silent"
+  | "busy"
+  | "stale"
+  /** Names no changes, and then drops them. */
+  | "deaf";
 
 const ANSWER_MS = 4;
 const HEADER_BYTES = 16_384;
@@ -36,6 +44,7 @@
 export class FakeStore {
   readonly routes = new Map<string, Route>();
   readonly services = new Map<string, RoutedService>();
+  readonly customers = new Map<string, Customer>();
   /** Mode for all readers, and for single ones. */
   mode: StoreMode = "up";
   readonly modes = new Map<string, StoreMode>();
@@ -46,6 +55,8 @@
   readonly #log: { revision: number; change: CatalogueChange }[] = [];
   #watches: Watch[] = [];
   #document: RoutingDocument | undefined;
+  /** When each key was last taken away. */
+  readonly takenAt = new Map<KeyDigest, number>();
   #revision = 1;
   #oldest = 0;
 
@@ -61,6 +72,9 @@
       services: new Map(
         [...this.services.values()].map((service) => [service.id, service]),
       ),
+      customers: new Map(
+        [...this.customers.values()].map((customer) => [customer.id, customer]),
+      ),
       limits: {
         headerBytes: HEADER_BYTES,
         bodyBytes: BODY_BYTES,
@@ -68,10 +82,23 @@
         idleTime: milliseconds(IDLE_MS),
       },
     };
+    this.#noteKeys(document);
     this.#document = document;
     this.#note({ kind: "document", document });
   }
 
+  #noteKeys(document: RoutingDocument): void {
+    const keysOf = (of: RoutingDocument | undefined): KeyDigest[] =>
+      [...of?.customers.values() ?? []].flatMap(({ keyDigests }) => keyDigests);
+    const present = new Set(keysOf(document));
+    for (const key of keysOf(this.#document)) {
+      if (!present.has(key)) {
+        this.takenAt.set(key, this.#time.now);
+      }
+    }
+    present.forEach((key) => this.takenAt.delete(key));
+  }
+
   put(record: EndpointRecord): void {
     this.#endpoints.set(record.id, record);
     this.#note({ kind: "endpoint", record });
@@ -101,7 +128,11 @@
   /** Answers one read, or leaves it without an answer. */
   read(
     reader: string,
-    { after, wait }: { after: number | undefined; wait: number },
+    { after, wait, verified }: {
+      after: number | undefined;
+      wait: number;
+      verified: boolean;
+    },
     answer: (event: GatewayEvent) => void,
   ): void {
     this.reads++;
@@ -116,12 +147,29 @@
         answer({ kind: "catalogueRead", snapshot: this.#snapshot() });
       } else if (after < this.#oldest) {
         answer({ kind: "catalogueCompacted" });
+      } else if (mode === "deaf") {
+        answer(this.#deaf({ after, verified }));
+      } else if (verified && after === this.#revision) {
+        answer({ kind: "catalogueConfirmed" });
       } else {
         this.#watch({ after, answer }, wait);
       }
     });
   }
 
+  /** What a reader makes of an answer that names no change, though there were some. */
+  #deaf(
+    { after, verified }: { after: number; verified: boolean },
+  ): GatewayEvent {
+    if (verified) {
+      return after === this.#revision
+        ? { kind: "catalogueConfirmed" }
+        : { kind: "catalogueCompacted" };
+    }
+    const revision = after as Revision;
+    return { kind: "catalogueChanged", changes: { revision, changes: [] } };
+  }
+
   #watch(watch: Watch, wait: number): void {
     if (this.#revision > watch.after) {
       return this.#answer(watch);
--- a/playground/src/routes/route_actions.ts
+++ b/playground/src/routes/route_actions.ts
@@ -14,7 +14,12 @@
 import { type EndKind, presentAt } from "./crashes.ts";
 import type { BackendMode, FakeBackend } from "./fake_backend.ts";
 import type { StoreMode } from "./fake_store.ts";
-import { addBackend, readRoute, recordOf } from "./route_setting.ts";
+import {
+  addBackend,
+  readCustomer,
+  readRoute,
+  recordOf,
+} from "./route_setting.ts";
 import type { RouteWorld } from "./route_world.ts";
 
 /** State that actions keep beside the world. */
@@ -55,6 +60,12 @@
     world.store.publishDocument(Number(word(line, 1, "a version"))),
   route: ({ world }, line) =>
     void world.store.routes.set(word(line, 1, "a name"), readRoute(line)),
+  customer: ({ world }, line) =>
+    void world.store.customers.set(word(line, 1, "a name"), readCustomer(line)),
+  uncustomer: ({ world }, line) =>
+    void world.store.customers.delete(word(line, 1, "a name")),
+  sleep: ({ world }, line) =>
+    entryOf(world, line).sleep(parseTime(line, word(line, 2, "a time"))),
   unroute: ({ world }, line) =>
     void world.store.routes.delete(word(line, 1, "a name")),
   backend: ({ world }, line) => addBackend(world, line),
@@ -99,7 +110,7 @@
   action(stage, line);
 }
 
-/** `call NAME ROUTE via ENTRY [time T] [prompt N] [shared ID:N] [events N] [body B] [from CALLER]` */
+/** `call NAME ROUTE via ENTRY [time T] [prompt N] [shared ID:N] [events N] [body B] [from CALLER] [key K]` */
 function call(world: RouteWorld, line: Line): void {
   send(world, line, { name: word(line, 1, "a name"), index: 0 });
 }
@@ -137,6 +148,7 @@
     events: Number(option(line, "events", "5")),
     body: option(line, "body", name),
     caller: callers[index % callers.length]!,
+    key: option(line, "key", "") || undefined,
   });
 }
 
--- a/playground/src/routes/route_expectations.ts
+++ b/playground/src/routes/route_expectations.ts
@@ -3,7 +3,12 @@
  *
  * @module
  */
-import { mayRepeat, mayServe, type RegionId } from "@sassafrasstep/core";
+import {
+  keyDigest,
+  mayRepeat,
+  mayServe,
+  type RegionId,
+} from "@sassafrasstep/core";
 import {
   type Line,
   option,
@@ -15,6 +20,7 @@
 import type { SeenCall } from "./route_types.ts";
 import type { RouteWorld } from "./route_world.ts";
 
+const KEY_LIFETIME_MS = 5_000;
 const BURST_WINDOW_MS = 1_000;
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -133,6 +139,7 @@
     ...checkHome(world, call),
     ...checkOrder(call),
     ...checkAttempts(world, call),
+    ...checkKey(world, call),
   ]);
   return [...calls, ...checkPoisons(world)];
 }
@@ -161,6 +168,7 @@
   return [
     compare(line, "status", String(call.status ?? "none")),
     compare(line, "runs", String(runs.length)),
+    compare(line, "customer", runs.at(-1)?.customer ?? "none"),
     compare(line, "by", runs.at(-1)?.backend ?? "none"),
     compare(line, "events", String(call.events.length)),
     wanted === undefined ? undefined : differs("state", state, wanted),
@@ -233,6 +241,23 @@
   });
 }
 
+/** A key that was taken away opens nothing after its time, and endpoints are told its customer alone. */
+function checkKey(
+  world: RouteWorld,
+  { name, key, sentAt }: SeenCall,
+): string[] {
+  if (key === undefined) {
+    return [];
+  }
+  const takenAt = world.store.takenAt.get(keyDigest(key)) ?? Infinity;
+  const runs = world.runs.filter(({ call }) => call === name);
+  return runs.length > 0 && sentAt > takenAt + KEY_LIFETIME_MS
+    ? [`Call ${name} ran ${sentAt - takenAt} ms after its key was taken away`]
+    : runs.some(({ customer }) => customer === undefined || customer === key)
+    ? [`Call ${name} ran without its customer's name`]
+    : [];
+}
+
 function checkOrder({ name, events }: SeenCall): string[] {
   return events.every((id, index) => id === index + 1)
     ? []
--- a/playground/src/routes/route_links.ts
+++ b/playground/src/routes/route_links.ts
@@ -100,7 +100,7 @@
   /** Hands a request to an endpoint; what is returned takes it back. */
   toBackend(
     from: VirtualGateway,
-    { target, head, resumeAfter, recipient }: ToBackend,
+    { target, head, customer, resumeAfter, recipient }: ToBackend,
   ): () => void {
     const backend = this.#world.backendAt(target.address)!;
     if (backend.id !== target.endpoint) {
@@ -119,6 +119,7 @@
       streaming: head.prompt !== undefined,
       events: this.#world.eventsOf(head.call),
       resumeAfter: Number(resumeAfter ?? head.lastEventId ?? 0),
+      customer,
       prefill: (head.prompt?.promptTokens ?? 0) / PREFILL_RATE,
       head,
       target,
@@ -130,7 +131,7 @@
   /** Passes a request on to an entry; what is returned takes it back. */
   toPeer(
     from: VirtualGateway,
-    { target, head, resumeAfter, recipient }: ToPeer,
+    { target, head, customer, resumeAfter, recipient }: ToPeer,
   ): () => void {
     const peer = this.#entryAt(target.address)!;
     const delay = this.#world.network.delay(from.spot, peer.spot);
@@ -148,9 +149,11 @@
         id = peer.arrive({
           ...head,
           lastEventId: resumeAfter ?? head.lastEventId,
+          key: undefined,
           relay: {
             from: from.gateway!.self.incarnation,
             sentBefore: target.sentBefore,
+            customer,
           },
         }, {
           head: (answer) => back(() => recipient.head(answer)),
--- a/playground/src/routes/route_setting.ts
+++ b/playground/src/routes/route_setting.ts
@@ -4,8 +4,11 @@
  * @module
  */
 import {
+  type Customer,
+  type CustomerId,
   type EndpointLife,
   type EndpointRecord,
+  keyDigest,
   type Milliseconds,
   milliseconds,
   type RegionId,
@@ -49,10 +52,13 @@
     case "route":
       world.store.routes.set(name, readRoute(line));
       return;
+    case "customer":
+      world.store.customers.set(name, readCustomer(line));
+      return;
     default:
       throw new ScriptError(
         line,
-        "region, entry, service, backend, route or at",
+        "region, entry, service, backend, route, customer or at",
       );
   }
 }
@@ -73,11 +79,32 @@
     pauseObjective: readPause(line),
     priority: Number(option(line, "priority", "1")),
     homes: homes === "" ? [] : homes.split(",") as RegionId[],
+    public: line.words.includes("public"),
     sticky: false,
     resumable: line.words.includes("resumable"),
   };
 }
 
+/** `customer NAME keys K,K [rank N] [homes R,R] [limit N] [burst N]`, the limit in requests a second */
+export function readCustomer(line: Line): Customer {
+  const list = (key: string): string[] =>
+    option(line, key, "").split(",").filter((item) => item !== "");
+  const rank = option(line, "rank", "");
+  const limit = Number(option(line, "limit", "0"));
+  return {
+    id: word(line, 1, "a name") as CustomerId,
+    keyDigests: list("keys").map(keyDigest),
+    rank: rank === "" ? undefined : Number(rank),
+    homes: list("homes") as RegionId[],
+    limit: limit === 0 ? undefined : {
+      unit: "requests",
+      perSecond: limit,
+      burst: Number(option(line, "burst", String(limit))),
+      plainTokens: 0,
+    },
+  };
+}
+
 function readPause(line: Line): Milliseconds | undefined {
   const text = option(line, "pause", "");
   return text === "" ? undefined : milliseconds(parseTime(line, text));
--- a/playground/src/routes/route_types.ts
+++ b/playground/src/routes/route_types.ts
@@ -6,6 +6,7 @@
 import type {
   CallHead,
   CallTarget,
+  CustomerId,
   Prompt,
   RequestId,
 } from "@sassafrasstep/core";
@@ -16,6 +17,7 @@
 export interface SeenCall {
   readonly name: string;
   readonly route: string;
+  readonly key: string | undefined;
   readonly entry: VirtualGateway;
   readonly sentAt: number;
   id: RequestId | undefined;
@@ -37,12 +39,15 @@
   /** Two requests with the same one are alike. */
   readonly body: string;
   readonly caller: string;
+  /** Of its customer, `undefined` where it names none. */
+  readonly key: string | undefined;
 }
 
 /** An attempt on its way. */
 export interface ToBackend {
   readonly target: Extract<CallTarget, { kind: "endpoint" }>;
   readonly head: CallHead;
+  readonly customer: CustomerId | undefined;
   readonly resumeAfter: string | undefined;
   readonly recipient: Recipient;
 }
@@ -51,6 +56,7 @@
 export interface ToPeer {
   readonly target: Extract<CallTarget, { kind: "peer" }>;
   readonly head: CallHead;
+  readonly customer: CustomerId | undefined;
   readonly resumeAfter: string | undefined;
   readonly recipient: Recipient;
 }
--- a/playground/src/routes/route_world.ts
+++ b/playground/src/routes/route_world.ts
@@ -11,6 +11,7 @@
   type GatewayBounds,
   type GatewaySelf,
   instant,
+  keyDigest,
   milliseconds,
   type RegionId,
   type RequestFingerprint,
@@ -35,6 +36,7 @@
   coldSlack: 3,
   listLifetime: milliseconds(5_000),
   stopTime: milliseconds(8_000),
+  keyLifetime: milliseconds(5_000),
 };
 
 /** The world of one scenario. */
@@ -100,6 +102,7 @@
     const seen: SeenCall = {
       name: plan.name,
       route: plan.route,
+      key: plan.key,
       entry,
       sentAt: this.time.now,
       id: undefined,
@@ -120,6 +123,7 @@
         ? undefined
         : milliseconds(plan.timeLeft),
       prompt: plan.prompt,
+      key: plan.key === undefined ? undefined : keyDigest(plan.key),
       lastEventId: undefined,
       bodyBytes: 0,
       fingerprint: fingerprintOf(plan.body, plan.caller),
--- a/playground/src/routes/virtual_attempts.ts
+++ b/playground/src/routes/virtual_attempts.ts
@@ -93,7 +93,7 @@
   }
 
   #commit(open: OpenAttempt): void {
-    const { id, request, target, resumeAfter } = open.attempt;
+    const { id, request, target, customer, resumeAfter } = open.attempt;
     const effects = this.#entry.tell({ kind: "commit", attempt: id });
     const proceed = effects.find((effect) =>
       effect.kind === "proceed" && effect.attempt === id
@@ -108,12 +108,14 @@
       ? this.#world.links.toBackend(this.#entry, {
         target,
         head,
+        customer,
         resumeAfter,
         recipient,
       })
       : this.#world.links.toPeer(this.#entry, {
         target,
         head: { ...head, timeLeft: milliseconds(proceed.timeLeft) },
+        customer,
         resumeAfter,
         recipient,
       });
--- a/playground/src/routes/virtual_gateway.ts
+++ b/playground/src/routes/virtual_gateway.ts
@@ -12,6 +12,7 @@
   type Incarnation,
   type Instant,
   instant,
+  milliseconds,
   type RequestId,
   SeededRandomness,
 } from "@sassafrasstep/core";
@@ -34,6 +35,8 @@
   readonly #attempts: VirtualAttempts;
   #gateway: Gateway | undefined;
   #life = 0;
+  /** Time that its clock did not count. */
+  #slept = 0;
   /** When its present life began. */
   startedAt = 0;
   #nextTickAt = 0;
@@ -111,6 +114,18 @@
     held.forEach((run) => run());
   }
 
+  /** The machine is suspended, and the process's own clock with it. */
+  sleep(time: number): void {
+    this.freeze();
+    this.#world.time.after(time, () => {
+      this.#slept += time;
+      this.#frozenAt = undefined;
+      this.tell({ kind: "slept", time: milliseconds(time) });
+      this.#frozenAt = this.#world.time.now;
+      this.thaw();
+    });
+  }
+
   /** A request arrives with its whole body. */
   arrive(head: Omit<CallHead, "id">, recipient: Recipient): RequestId {
     this.#requests++;
@@ -141,7 +156,7 @@
   }
 
   #now(): Instant {
-    return instant(this.#world.time.now);
+    return instant(this.#world.time.now - this.#slept);
   }
 
   #tick(life: number): void {
