--- a/playground/src/platform/platform_fleet.ts
+++ b/playground/src/platform/platform_fleet.ts
@@ -46,6 +46,14 @@
   #storeAddress = "";
   #peerPort = 0;
   #version = 1;
+  /** All that the entries wrote. */
+  output = "";
+  readonly #bounds: string;
+
+  /** `bounds`: further lines of the entries' settings. */
+  constructor({ bounds = "" }: { bounds?: string } = {}) {
+    this.#bounds = bounds;
+  }
 
   /** Starts the store, and endpoints for a plain service and for engines. */
   async prepare(): Promise<void> {
@@ -64,11 +72,15 @@
     this.publishDocument(ROUTES);
   }
 
-  publishDocument(routes: readonly object[]): void {
+  publishDocument(
+    routes: readonly object[],
+    tenants: readonly object[] = [],
+  ): void {
     this.#version += 2;
     this.store.put(KEYS.document, {
       version: this.#version,
       routes,
+      tenants,
       services: SERVICES,
       limits: {
         header_bytes: 16_384,
@@ -158,7 +170,7 @@
 [bounds]
 repeat_slack = 100
 stop_s = 8
-`,
+${this.#bounds}`,
     );
     return {
       name,
@@ -168,12 +180,18 @@
       readiness: readiness!,
       control: control!,
       settings,
-      process: spawn(process.execPath, [PROGRAM], {
-        env: { [SETTINGS_VARIABLE]: settings },
-        stdio: ["ignore", "ignore", "inherit"],
-      }),
+      process: this.#spawn(settings),
     };
   }
+
+  #spawn(settings: string): ChildProcess {
+    const child = spawn(process.execPath, [PROGRAM], {
+      env: { [SETTINGS_VARIABLE]: settings },
+      stdio: ["ignore", "pipe", "inherit"],
+    });
+    child.stdout.on("data", (bytes: Buffer) => this.output += bytes);
+    return child;
+  }
 }
 
 /** Waits until a condition holds. */
