perf: what changed comes with the answer how current a document is; refused keys are remembered

Who reads for others now tells up to six changes with its answer, where none is a document; the asker follows them as if it had read them. Readers read every 800 ms, others retry a failing store every 2 s and not every half second, and one that stands by leaves changes of endpoints to its first use. A key that was refused once is refused again by a document not older than 2 s, of 1,024 keys; one that is added is found in the document as before.

--- /dev/null
+++ b/packages/core/src/customers/__tests__/judge_key.test.ts
@@ -0,0 +1,89 @@
+import { describe, expect, it } from "vitest";
+import {
+  type CustomerId,
+  instant,
+  keyDigest,
+  milliseconds,
+  type Revision,
+} from "../../ids/index.ts";
+import {
+  Currency,
+  type Customer,
+  CustomerDirectory,
+  judgeKey,
+  RefusedKeys,
+} from "../index.ts";
+
+const CLINIC: Customer = {
+  id: "clinic" as CustomerId,
+  keyDigests: [keyDigest("k1")],
+  rank: undefined,
+  homes: [],
+  limit: undefined,
+};
+const BOUND = milliseconds(5_000);
+
+function build(provenAt: number): {
+  judge: (key: string | undefined, at: number, arrivedAt?: number) => string;
+} {
+  const currency = new Currency();
+  currency.hold(1 as Revision);
+  currency.prove({
+    version: 1 as Revision,
+    at: currency.mark(instant(provenAt)),
+  });
+  const grounds = {
+    customers: new CustomerDirectory(new Map([[CLINIC.id, CLINIC]])),
+    currency,
+    refused: new RefusedKeys(),
+    bound: BOUND,
+  };
+  return {
+    judge: (key, at, arrivedAt = at) =>
+      judgeKey(
+        {
+          public: false,
+          key: key === undefined ? undefined : keyDigest(key),
+          relayed: undefined,
+          arrivedAt: instant(arrivedAt),
+        },
+        grounds,
+        instant(at),
+      ).kind,
+  };
+}
+
+describe("a key", () => {
+  it("is accepted as long as the document is known to be current", () => {
+    const { judge } = build(1_000);
+    expect(judge("k1", 6_000)).toBe("accepted");
+    expect(judge("k1", 6_001)).toBe("doubtful");
+  });
+
+  it("is unknown only by a picture that is newer than its request", () => {
+    const { judge } = build(1_000);
+    expect(judge("k2", 1_001)).toBe("doubtful");
+    expect(judge("k2", 1_050, 990)).toBe("unknown");
+  });
+
+  // 5,200 requests came under keys that were gone, each to an entry that read the platform for it: 5,800 reads
+  // on a day where 2,100 did before.
+  it("that was refused just now is refused again without a read", () => {
+    const { judge } = build(1_000);
+    expect(judge("k2", 1_050, 990)).toBe("unknown");
+    expect(judge("k2", 2_900)).toBe("unknown");
+    expect(judge("k2", 3_100)).toBe("doubtful");
+    expect(judge("k3", 2_900)).toBe("doubtful");
+  });
+});
+
+describe("refused keys", () => {
+  it("are forgotten where there are very many", () => {
+    const refused = new RefusedKeys();
+    for (let index = 0; index < 2_000; index++) {
+      refused.note(keyDigest(`k${index}`));
+    }
+    expect(refused.has(keyDigest("k0"))).toBe(false);
+    expect(refused.has(keyDigest("k1999"))).toBe(true);
+  });
+});
--- a/packages/core/src/customers/index.ts
+++ b/packages/core/src/customers/index.ts
@@ -6,6 +6,7 @@
 } from "./currency.ts";
 export * from "./customer.ts";
 export { CustomerDirectory } from "./customer_directory.ts";
+export { RefusedKeys } from "./refused_keys.ts";
 export { judgeKey, type KeyVerdict } from "./judge_key.ts";
 export {
   CustomerLimits,
@@ -21,9 +22,3 @@
   SpendingReport,
   SpendingTotals,
 } from "./spending_messages.ts";
-export { CurrencyExchange, type ExchangeSources } from "./currency_exchange.ts";
-export type {
-  CurrencyAnswer,
-  CurrencyMessage,
-  CurrencyQuestion,
-} from "./currency_messages.ts";
--- a/packages/core/src/customers/judge_key.ts
+++ b/packages/core/src/customers/judge_key.ts
@@ -3,15 +3,23 @@
  *
  * @module
  */
-import type {
-  CustomerId,
-  Instant,
-  KeyDigest,
-  Milliseconds,
+import {
+  type CustomerId,
+  type Instant,
+  type KeyDigest,
+  type Milliseconds,
+  milliseconds,
 } from "../ids/index.ts";
 import type { CurrencyView } from "./currency.ts";
 import type { Customer } from "./customer.ts";
 import type { CustomerDirectory } from "./customer_directory.ts";
+import type { RefusedKeys } from "./refused_keys.ts";
+
+/**
+ * Age of the document by which a key is refused again: callers whose key is gone go on sending, and a read for
+ * each of them was three quarters of what the platform was asked.
+ */
+const REFUSED_AGE = milliseconds(2_000);
 
 /** Whose a request is. */
 export type KeyVerdict =
@@ -35,6 +43,8 @@
 export interface KeyGrounds {
   readonly customers: CustomerDirectory;
   readonly currency: CurrencyView;
+  /** Keys that no document held when they were last asked for. */
+  readonly refused: RefusedKeys;
   /** Age from which on a key may have been taken away; `undefined` where no bound was promised. */
   readonly bound: Milliseconds | undefined;
 }
@@ -47,7 +57,7 @@
  */
 export function judgeKey(
   { key, relayed, arrivedAt, ...facts }: KeyFacts,
-  { customers, currency, bound }: KeyGrounds,
+  { customers, currency, refused, bound }: KeyGrounds,
   now: Instant,
 ): KeyVerdict {
   if (relayed !== undefined) {
@@ -62,8 +72,13 @@
   }
   const customer = key === undefined ? undefined : customers.find(key);
   if (customer === undefined) {
-    const certain = currency.isProvenSince(arrivedAt, now);
-    return { kind: certain ? "unknown" : "doubtful" };
+    const certain = currency.isProvenSince(arrivedAt, now) ||
+      refused.has(key) && currency.isWithin(REFUSED_AGE, now);
+    if (!certain) {
+      return { kind: "doubtful" };
+    }
+    refused.note(key);
+    return { kind: "unknown" };
   }
   const fresh = bound === undefined || currency.isWithin(bound, now);
   return fresh ? { kind: "accepted", customer } : { kind: "doubtful" };
--- a/packages/core/src/fleet/fleet_messages.ts
+++ b/packages/core/src/fleet/fleet_messages.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { CurrencyMessage, SpendingMessage } from "../customers/index.ts";
+import type { SpendingMessage } from "../customers/index.ts";
 import type {
   EndpointId,
   EndpointLife,
@@ -16,6 +16,7 @@
   ZoneId,
 } from "../ids/index.ts";
 import type { HoldNotice, QuarantineNews } from "../quarantine/index.ts";
+import type { CurrencyMessage } from "../routes/index.ts";
 
 /** Whether an entry takes new requests. */
 export type FleetState =
--- a/packages/core/src/customers/__tests__/currency_exchange.test.ts
+++ b/packages/core/src/gateway/__tests__/currency_exchange.test.ts
@@ -5,7 +5,9 @@
   milliseconds,
   type Revision,
 } from "../../ids/index.ts";
-import { Currency, CurrencyExchange, type CurrencyMessage } from "../index.ts";
+import { Currency } from "../../customers/index.ts";
+import type { CurrencyMessage } from "../../routes/index.ts";
+import { CurrencyExchange } from "../currency_exchange.ts";
 
 const VERSION = 7 as Revision;
 
@@ -23,6 +25,7 @@
     resting: () => false,
     self: { incarnation: "e1" as Incarnation, peerAddress: "1.2.3.4:5" },
     holds: () => ({ version: VERSION, revision: VERSION }),
+    newsSince: () => undefined,
     source: () => "1.2.3.5:5",
     send: (_to, message) => sent.push(message),
     told: () => {},
@@ -38,6 +41,7 @@
     version,
     revision: version,
     age: milliseconds(age),
+    news: undefined,
   };
 }
 
@@ -81,7 +85,12 @@
 
   it("is said by who knows, and by nobody else", () => {
     const { currency, exchange, sent } = build();
-    const question = { kind: "question", from: "1.2.3.6:5", sequence: 3 };
+    const question = {
+      kind: "question",
+      from: "1.2.3.6:5",
+      sequence: 3,
+      revision: 0,
+    };
     exchange.receive(question as CurrencyMessage, instant(500));
     expect(sent).toEqual([]);
     currency.prove({ version: VERSION, at: currency.mark(instant(400)) });
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -8,6 +8,7 @@
   type Customer,
   type CustomerLimits,
   judgeKey,
+  RefusedKeys,
 } from "../customers/index.ts";
 import type { PrefixNews } from "../fleet/index.ts";
 import {
@@ -82,6 +83,7 @@
   readonly #recovery: CallRecovery;
   #lastArrivalAt: Instant | undefined;
   #refusesNew = false;
+  readonly #refusedKeys = new RefusedKeys();
   readonly #hold = new ArrivalHold();
   /** Whose key or limit cannot be judged at this moment. */
   readonly #doubtful = new ArrivalHold();
@@ -166,6 +168,7 @@
     const verdict = judgeKey({ ...facts, public: route.public }, {
       customers: table.customers,
       currency: catalogue.currency,
+      refused: this.#refusedKeys,
       bound: keyLifetime(),
     }, now);
     switch (verdict.kind) {
--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -20,12 +20,14 @@
   type CatalogueChanges,
   type CatalogueSnapshot,
   type EndpointRecord,
+  type PictureNews,
   RouteTable,
   type RoutingDocument,
   supersedes,
 } from "../routes/index.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
 import type { GatewayEmit } from "./messages.ts";
+import { RecentChanges } from "./recent_changes.ts";
 import { ReadSchedule, type ReadScheduleOptions } from "./read_schedule.ts";
 
 /** Beyond its wait a read may take so long: a slow service, and a silent connection. */
@@ -43,6 +45,8 @@
 export interface ToldPicture {
   readonly version: Revision;
   readonly revision: Revision;
+  /** What led there from the own revision, where it is little. */
+  readonly news: PictureNews | undefined;
   /** When its document was known to be the newest. */
   readonly at: Instant;
   /** Where it can be copied. */
@@ -57,6 +61,8 @@
   confirmedAt: Instant | undefined;
   reachable = false;
   readonly currency = new Currency();
+  /** For peers that are behind by a few changes. */
+  readonly recent = new RecentChanges();
   readonly endpoints = new Map<EndpointId, EndpointRecord>();
   readonly evacuated = new Set<ZoneId>();
   readonly #emit: GatewayEmit;
@@ -165,15 +171,19 @@
   }
 
   /** Another entry tells what it holds, and when its document was known to be the newest. */
-  told({ version, revision, at, from }: ToldPicture, now: Instant): void {
-    const newer = this.#isResting()
-      ? version > (this.document?.version ?? 0)
-      : revision > this.revision;
+  told({ version, revision, news, at, from }: ToldPicture, now: Instant): void {
+    if (news !== undefined && revision > this.revision) {
+      this.#follow(news, now);
+      this.generation++;
+    }
+    const sameDocument = version === this.document?.version;
     if (revision === this.revision) {
       this.#schedule.noteConfirmed(at, now);
-    } else if (newer && this.failing) {
+    } else if (this.#isResting() && sameDocument) {
+      this.#schedule.noteBehind();
+    } else if (revision > this.revision && this.failing) {
       this.#copyFrom(from, now);
-    } else if (newer) {
+    } else if (revision > this.revision) {
       this.#schedule.readAtOnce(now);
     }
   }
@@ -189,8 +199,7 @@
   /** Takes changes from the platform. */
   changed({ revision, changes }: CatalogueChanges, now: Instant): void {
     this.#answered(now);
-    changes.forEach((change) => this.#apply(change, now));
-    this.#rise(revision);
+    this.#follow({ revision, changes }, now);
     if (changes.length > 0) {
       this.generation++;
     }
@@ -199,6 +208,12 @@
     }
   }
 
+  #follow({ revision, changes }: CatalogueChanges, now: Instant): void {
+    this.recent.note({ from: this.revision, to: revision, changes });
+    changes.forEach((change) => this.#apply(change, now));
+    this.#rise(revision);
+  }
+
   /** The platform has forgotten the changes since our revision. */
   compacted(now: Instant): void {
     this.#answered(now);
@@ -307,6 +322,7 @@
     if (document !== undefined) {
       this.#adopt(document);
     }
+    this.recent.clear();
     const present = new Set(endpoints.map(({ id }) => id));
     endpoints.forEach((record) => this.#put(record));
     for (const id of this.endpoints.keys()) {
--- a/packages/core/src/customers/currency_exchange.ts
+++ b/packages/core/src/gateway/currency_exchange.ts
@@ -15,12 +15,13 @@
   milliseconds,
   type Revision,
 } from "../ids/index.ts";
-import type { Currency, CurrencyMark } from "./currency.ts";
+import type { Currency, CurrencyMark } from "../customers/index.ts";
 import type {
   CurrencyAnswer,
   CurrencyMessage,
   CurrencyQuestion,
-} from "./currency_messages.ts";
+  PictureNews,
+} from "../routes/index.ts";
 
 /** Older knowledge is asked about; at rest, when hardly anything is decided from it, later. */
 const ASK_AGE_MS = 1_100;
@@ -41,12 +42,14 @@
     readonly peerAddress: string;
   };
   readonly holds: () => { version: Revision; revision: Revision };
+  /** What changed since a revision, as far as it is remembered and small. */
+  readonly newsSince: (revision: Revision) => PictureNews | undefined;
   /** Whom to ask: those that read for others first, then, from the second try on, anybody. */
   readonly source: (tries: number, now: Instant) => string | undefined;
   readonly send: (to: string, message: CurrencyMessage) => void;
   /** Another entry holds a picture, and knew its document to be the newest at an instant. */
   readonly told: (
-    news: Pick<CurrencyAnswer, "version" | "revision"> & {
+    picture: Pick<CurrencyAnswer, "version" | "revision" | "news"> & {
       readonly at: Instant;
       readonly from: string;
     },
@@ -88,7 +91,7 @@
   }
 
   #ask(now: Instant): void {
-    const { currency, self, send, source } = this.#sources;
+    const { currency, holds, self, send, source } = this.#sources;
     const to = source(this.#tries, now);
     this.#nextAt = after(now, ASK_PAUSE_MS);
     if (to === undefined) {
@@ -104,20 +107,32 @@
       kind: "question",
       from: self.peerAddress,
       sequence: this.#sequence,
+      revision: holds().revision,
     });
   }
 
-  #answer({ from, sequence }: CurrencyQuestion, now: Instant): void {
-    const { currency, holds, self, send } = this.#sources;
+  #answer(
+    { from, sequence, revision }: CurrencyQuestion,
+    now: Instant,
+  ): void {
+    const { currency, holds, newsSince, self, send } = this.#sources;
     const age = currency.age(now);
     if (age < Infinity) {
       const { incarnation } = self;
-      send(from, { kind: "answer", incarnation, sequence, ...holds(), age });
+      const news = newsSince(revision);
+      send(from, {
+        kind: "answer",
+        incarnation,
+        sequence,
+        ...holds(),
+        age,
+        news,
+      });
     }
   }
 
   #learn(
-    { sequence, version, revision, age }: CurrencyAnswer,
+    { sequence, version, revision, age, news }: CurrencyAnswer,
     now: Instant,
   ): void {
     const question = this.#open.get(sequence);
@@ -133,7 +148,13 @@
     }
     const passed: Milliseconds = milliseconds(currency.mark(now) - at);
     told(
-      { version, revision, at: instant(now - passed), from: question.to },
+      {
+        version,
+        revision,
+        news,
+        at: instant(now - passed),
+        from: question.to,
+      },
       now,
     );
   }
--- a/packages/core/src/gateway/customer_link.ts
+++ b/packages/core/src/gateway/customer_link.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { CurrencyExchange, CustomerLimits } from "../customers/index.ts";
+import { CustomerLimits } from "../customers/index.ts";
 import type { FleetController, FleetRecord } from "../fleet/index.ts";
 import {
   type CustomerId,
@@ -14,6 +14,7 @@
   sample,
 } from "../ids/index.ts";
 import type { CatalogueController } from "./catalogue_controller.ts";
+import { CurrencyExchange } from "./currency_exchange.ts";
 import type { GatewaySelf } from "./messages.ts";
 import { ranked, takersOf } from "./serving_set.ts";
 
@@ -109,6 +110,7 @@
       version: catalogue.document?.version ?? 0 as never,
       revision: catalogue.revision,
     }),
+    newsSince: (revision) => catalogue.recent.since(revision),
     source: (tries, now) => {
       const live = fleet.live().map(({ record }) => record);
       const readers = duties.readers(now).filter(({ incarnation }) =>
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { CurrencyExchange, CustomerLimits } from "../customers/index.ts";
+import type { CustomerLimits } from "../customers/index.ts";
 import { FleetController } from "../fleet/index.ts";
 import {
   type Instant,
@@ -24,6 +24,7 @@
   CustomerDuties,
 } from "./customer_link.ts";
 import { ColdAllowance } from "./cold_allowance.ts";
+import type { CurrencyExchange } from "./currency_exchange.ts";
 import { EndpointRegistry } from "./endpoint_registry.ts";
 import {
   type DirectoryAnswer,
--- a/packages/core/src/gateway/read_schedule.ts
+++ b/packages/core/src/gateway/read_schedule.ts
@@ -34,7 +34,7 @@
  * Between two reads of an entry that reads for others, where what is held must be known to be current: these
  * do not wait for a change, since a wait tells nothing of the time that it took.
  */
-const CONFIRM_PAUSE_MS = 600;
+const CONFIRM_PAUSE_MS = 800;
 /** Without word from those for so long an entry reads for itself; at rest it decides nothing from it. */
 const UNCONFIRMED_MS = 2_200;
 const RESTING_UNCONFIRMED_MS = 2_600;
@@ -127,8 +127,8 @@
     const { random, resting } = this.#options;
     this.#reading = false;
     this.failures++;
-    const confirmed = now - (this.#confirmedAt ?? -Infinity) < UNCONFIRMED_MS;
-    const pause = resting() || confirmed
+    const asks = this.#options.confirming(now) === "asks";
+    const pause = resting() || asks
       ? RESTING_RETRY_MS
       : Math.min(MOST_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.failures - 1));
     this.#nextAt = after(now, pause * (0.5 + random.next()));
@@ -147,6 +147,12 @@
     }
   }
 
+  /** Endpoints changed, and this entry stands by: it reads as seldom as any that does, and at its first use. */
+  noteBehind(): void {
+    const at = after(this.#answeredAt ?? this.#readAt, RESTING_READ_PAUSE_MS);
+    this.#nextAt = instant(Math.max(this.#nextAt, at));
+  }
+
   /** A request came that only a newer picture can judge. */
   noteDoubt(now: Instant): void {
     this.#hasten(DOUBT_PAUSE_MS, now);
--- a/packages/core/src/customers/currency_messages.ts
+++ b/packages/core/src/routes/currency_messages.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Incarnation, Milliseconds, Revision } from "../ids/index.ts";
+import type { CatalogueChange } from "./endpoint_record.ts";
 
 /** Asks; to be answered at once. */
 export interface CurrencyQuestion {
@@ -11,6 +12,14 @@
   /** Host and port to answer to. */
   readonly from: string;
   readonly sequence: number;
+  /** Of the picture that the asker holds. */
+  readonly revision: Revision;
+}
+
+/** Changes that lead from the asker's revision to another, none of them the document. */
+export interface PictureNews {
+  readonly revision: Revision;
+  readonly changes: readonly CatalogueChange[];
 }
 
 /** What the asked one holds. */
@@ -24,6 +33,8 @@
   readonly revision: Revision;
   /** Since that document was known to be the newest. */
   readonly age: Milliseconds;
+  /** `undefined` where there are none, or too many: then the asker reads for itself. */
+  readonly news: PictureNews | undefined;
 }
 
 /** Datagrams about currency. */
--- a/packages/core/src/routes/index.ts
+++ b/packages/core/src/routes/index.ts
@@ -1,3 +1,9 @@
 export * from "./endpoint_record.ts";
 export * from "./route.ts";
 export * from "./route_table.ts";
+export type {
+  CurrencyAnswer,
+  CurrencyMessage,
+  CurrencyQuestion,
+  PictureNews,
+} from "./currency_messages.ts";
--- a/packages/daemon/src/customers/customer_schema.ts
+++ b/packages/daemon/src/customers/customer_schema.ts
@@ -3,28 +3,99 @@
  *
  * @module
  */
-import type { CurrencyMessage, SpendingMessage } from "@sassafrasstep/core";
+import type {
+  CatalogueChange,
+  CurrencyMessage,
+  EndpointRecord,
+  PictureNews,
+  SpendingMessage,
+} from "@sassafrasstep/core";
 import { z } from "zod";
-import { list, number, text, whole } from "../quarantine/index.ts";
+import { life, list, number, text, whole } from "../quarantine/index.ts";
 
 /** Four places tell parts of a limit apart as far as matters. */
 const PART_SCALE = 10_000;
 
 const part = whole.transform((value) => value / PART_SCALE);
 
+const endpoint = z.tuple([
+  text,
+  text,
+  text,
+  text,
+  text,
+  whole,
+  z.enum(["ready", "draining"]),
+  number,
+  number.nullable(),
+  life,
+  whole,
+]).transform((
+  [
+    id,
+    service,
+    address,
+    zone,
+    softwareVersion,
+    slots,
+    state,
+    coldFor,
+    leavesIn,
+    life,
+    sequence,
+  ],
+) => ({
+  id,
+  service,
+  address,
+  zone,
+  softwareVersion,
+  slots,
+  state,
+  coldFor,
+  leavesIn: leavesIn ?? undefined,
+  life,
+  sequence,
+}));
+
+const change = z.union([
+  z.tuple([z.literal("endpoint"), endpoint]).transform(
+    ([kind, record]) => ({ kind, record }),
+  ),
+  z.tuple([z.literal("endpointRemoved"), text]).transform(
+    ([kind, id]) => ({ kind, id }),
+  ),
+  z.tuple([z.enum(["evacuated", "evacuationEnded"]), text]).transform(
+    ([kind, zone]) => ({ kind, zone }),
+  ),
+]);
+
+const pictureNews = z.tuple([whole, list(change)]).transform(
+  ([revision, changes]) => ({ revision, changes }),
+);
+
 /** Questions and answers how current a document is. */
 export const currencyMessage = z.union([
-  z.tuple([z.literal("question"), text, whole]).transform(
-    ([kind, from, sequence]) => ({ kind, from, sequence }),
+  z.tuple([z.literal("question"), text, whole, whole]).transform(
+    ([kind, from, sequence, revision]) => ({ kind, from, sequence, revision }),
   ),
-  z.tuple([z.literal("answer"), text, whole, whole, whole, number]).transform(
-    ([kind, incarnation, sequence, version, revision, age]) => ({
+  z.tuple([
+    z.literal("answer"),
+    text,
+    whole,
+    whole,
+    whole,
+    number,
+    pictureNews.nullable(),
+  ]).transform(
+    ([kind, incarnation, sequence, version, revision, age, news]) => ({
       kind,
       incarnation,
       sequence,
       version,
       revision,
       age,
+      news: news ?? undefined,
     }),
   ),
 ]);
@@ -65,7 +136,7 @@
 /** Writes a question or an answer. */
 export function encodeCurrency(message: CurrencyMessage): unknown[] {
   return message.kind === "question"
-    ? [message.kind, message.from, message.sequence]
+    ? [message.kind, message.from, message.sequence, message.revision]
     : [
       message.kind,
       message.incarnation,
@@ -74,9 +145,44 @@
       message.revision,
       // Never younger than it is.
       Math.ceil(message.age),
+      message.news === undefined ? null : encodeNews(message.news),
     ];
 }
 
+function encodeNews({ revision, changes }: PictureNews): unknown[] {
+  return [revision, changes.map(encodeChange)];
+}
+
+function encodeChange(change: CatalogueChange): unknown[] {
+  switch (change.kind) {
+    case "endpoint":
+      return [change.kind, encodeEndpoint(change.record)];
+    case "endpointRemoved":
+      return [change.kind, change.id];
+    case "evacuated":
+    case "evacuationEnded":
+      return [change.kind, change.zone];
+    case "document":
+      throw new Error("Cannot write a document into a datagram");
+  }
+}
+
+function encodeEndpoint(record: EndpointRecord): unknown[] {
+  return [
+    record.id,
+    record.service,
+    record.address,
+    record.zone,
+    record.softwareVersion,
+    record.slots,
+    record.state,
+    record.coldFor,
+    record.leavesIn ?? null,
+    record.life ?? 0,
+    record.sequence,
+  ];
+}
+
 /** Writes sums. */
 export function encodeSpending(message: SpendingMessage): unknown[] {
   if (message.kind === "report") {
--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -81,6 +81,37 @@
   arrivals: [{ service: "pool", work: 350, requests: 3 }],
   picture: 4_021_337_777,
 };
+const answer = {
+  kind: "answer",
+  incarnation: "0a1b2c3d4e5f",
+  sequence: 3,
+  version: 17,
+  revision: 1234,
+  age: 612,
+  news: {
+    revision: 1234,
+    changes: [
+      {
+        kind: "endpoint",
+        record: {
+          id: "i-7f3a91c2",
+          service: "pool",
+          address: "10.1.64.8:8080",
+          zone: "z1",
+          softwareVersion: "v1",
+          slots: 24,
+          state: "draining",
+          coldFor: 0,
+          leavesIn: 2_500,
+          life: undefined,
+          sequence: 4,
+        },
+      },
+      { kind: "endpointRemoved", id: "i-7f3a91c3" },
+      { kind: "evacuated", zone: "z1" },
+    ],
+  },
+};
 const messages = [
   { kind: "ping", ...base, ...gossip },
   { kind: "ack", ...base, ...gossip },
@@ -88,6 +119,36 @@
   { kind: "indirect_ack", ...base, sequence: 4 },
   { kind: "announce", ...base },
   { kind: "work", incarnation: record.incarnation, report },
+  {
+    kind: "currency",
+    message: {
+      kind: "question",
+      from: "10.1.0.9:7660",
+      sequence: 3,
+      revision: 9,
+    },
+  },
+  { kind: "currency", message: { ...answer, news: undefined } },
+  { kind: "currency", message: answer },
+  {
+    kind: "spending",
+    message: {
+      kind: "report",
+      incarnation: "0a1b2c3d4e5f",
+      first: true,
+      spent: [{ customer: "clinic", sum: -7 }],
+    },
+  },
+  {
+    kind: "spending",
+    message: {
+      kind: "totals",
+      incarnation: "0a1b2c3d4e5f",
+      region: "r1",
+      near: false,
+      totals: [{ customer: "clinic", sum: 91_000, level: -400, part: 0.25 }],
+    },
+  },
   { kind: "quarantine", incarnation: record.incarnation, news },
 ] as unknown as FleetMessage[];
 
--- a/playground/src/guards/customer_guards.ts
+++ b/playground/src/guards/customer_guards.ts
@@ -25,8 +25,8 @@
     name:
       "an unknown key is refused for good by a picture that is newer than its request",
     file: `${CUSTOMERS}/judge_key.ts`,
-    find: 'return { kind: certain ? "unknown" : "doubtful" };',
-    replace: 'return { kind: certain || now > 0 ? "unknown" : "doubtful" };',
+    find: "if (!certain) {",
+    replace: "if (!certain && now < 0) {",
   },
   {
     point: KEYS,
@@ -39,7 +39,7 @@
     point: KEYS,
     name:
       "what another entry knows is as old as its answer and the time since the question",
-    file: `${CUSTOMERS}/currency_exchange.ts`,
+    file: `${GATEWAY}/currency_exchange.ts`,
     find: "const at = question.mark - age as CurrencyMark;",
     replace: "const at = currency.mark(now) as CurrencyMark;",
   },
@@ -139,4 +139,12 @@
       "const limit = head.relay === undefined ? customer?.limit : undefined;",
     replace: "const limit = customer?.limit;",
   },
+  {
+    point: LIMITS,
+    name:
+      "a customer's waiting requests follow each other at the pace of its limit",
+    file: `${GATEWAY}/call_queue.ts`,
+    find: "return { call, turn: turn + before };",
+    replace: "return { call, turn: turn + 0 * before };",
+  },
 ];
