feat: a customer's waiting requests follow each other at the pace of its limit

Among waiting requests of one rank the one that came first went first, so that a customer's burst, within its limit, stood before all that others sent in the seconds after it. Now each customer's requests are a virtual clock apart: what it has waiting before a request, by its own limit's pace, is added to that one's turn. Weighed: equal turns of customers whatever their limits (starves the large ones that pay for more), and the order as it was.

Customers without a limit, and deployments without customers, wait as before. Three cases, and a guard that is seen by the first of them.

--- a/packages/core/src/gateway/__tests__/call_queue.test.ts
+++ b/packages/core/src/gateway/__tests__/call_queue.test.ts
@@ -1,12 +1,19 @@
 import { describe, expect, it } from "vitest";
-import { instant, milliseconds, type RequestId } from "../../index.ts";
+import type { Customer } from "../../customers/index.ts";
+import {
+  type CustomerId,
+  instant,
+  milliseconds,
+  type RequestId,
+} from "../../index.ts";
 import type { Route } from "../../routes/index.ts";
 import { Call } from "../call.ts";
 import { CallQueue } from "../call_queue.ts";
 
 function waiting(
   id: string,
-  { at = 0, priority = 1, tokens = 3_500, unread = tokens }: {
+  { at = 0, priority = 1, tokens = 3_500, unread = tokens, customer }: {
+    customer?: string;
     at?: number;
     priority?: number;
     tokens?: number;
@@ -25,6 +32,7 @@
     { id: id as RequestId, prompt } as unknown as Call["head"],
     {
       route,
+      customer: customer === undefined ? undefined : customerOf(customer),
       services: [],
       arrivedAt: instant(at),
       endsAt: instant(at + 10_000),
@@ -34,6 +42,16 @@
   return call;
 }
 
+function customerOf(name: string): Customer {
+  return {
+    id: name as CustomerId,
+    keyDigests: [],
+    rank: undefined,
+    homes: [],
+    limit: { unit: "tokens", perSecond: 35_000, burst: 35_000, plainTokens: 1 },
+  };
+}
+
 function order(calls: readonly Call[], now: number, readPart = 1): string[] {
   const queue = new CallQueue();
   calls.forEach((call) => queue.add(call));
@@ -80,6 +98,34 @@
   });
 });
 
+describe("customers of one rank", () => {
+  // One customer's burst of 40 questions, within its limit, stood before everything that came in the next four
+  // seconds: the others' requests were late for it alone.
+  it("do not wait for a loud one's whole burst", () => {
+    const loud = Array.from(
+      { length: 20 },
+      (_, index) => waiting(`loud-${index}`, { at: index, customer: "loud" }),
+    );
+    const calm = waiting("calm", { at: 300, customer: "calm" });
+    const found = order([...loud, calm], 350);
+    expect(found.indexOf("calm")).toBeLessThan(5);
+    expect(found[0]).toBe("loud-0");
+  });
+
+  it("are served in order of arrival where none is loud", () => {
+    const calls = ["a", "b", "c"].map((name, index) =>
+      waiting(name, { at: index * 10, customer: name })
+    );
+    expect(order(calls, 100)).toEqual(["a", "b", "c"]);
+  });
+
+  it("are told apart by their rank before that", () => {
+    const urgent = waiting("urgent", { at: 90, priority: 0, customer: "loud" });
+    const calm = waiting("calm", { at: 0, customer: "calm" });
+    expect(order([calm, urgent], 100)).toEqual(["urgent", "calm"]);
+  });
+});
+
 describe("tokens that go before a request", () => {
   it("are those of its own rank and of more urgent ones", () => {
     const queue = new CallQueue();
--- a/packages/core/src/gateway/call_queue.ts
+++ b/packages/core/src/gateway/call_queue.ts
@@ -3,10 +3,17 @@
  *
  * @module
  */
-import { after, type Instant, type RequestId } from "../ids/index.ts";
+import { costOf } from "../customers/index.ts";
+import {
+  after,
+  type CustomerId,
+  type Instant,
+  type RequestId,
+} from "../ids/index.ts";
 import type { Call } from "./call.ts";
 import { DEFAULT_PREFILL_RATE, readingTime } from "./prompt_cost.ts";
 
+const MS_PER_SECOND = 1_000;
 /** Until the first event of a prompt that is read at once: connection, steps, the way back. */
 const START_OVERHEAD_MS = 50;
 /** Milliseconds that a request steps back for each that an engine reads for it. */
@@ -53,15 +60,50 @@
   ordered(readPart: number, now: Instant): Call[] {
     const late = (call: Call): number =>
       Number(call.isLate(after(now, startTime(call, readPart))));
-    return [...this.#calls.values()].sort((left, right) =>
-      late(left) - late(right) ||
-      left.rank - right.rank ||
-      turnOf(left) - turnOf(right)
+    const places = fairTurns([...this.#calls.values()]).map((place) => ({
+      ...place,
+      late: late(place.call),
+    }));
+    places.sort((left, right) =>
+      left.late - right.late ||
+      left.call.rank - right.call.rank ||
+      left.turn - right.turn
     );
+    return places.map(({ call }) => call);
   }
 }
 
-/** When its turn comes among equals. */
+/** A request and when its turn comes among equals. */
+interface Place {
+  readonly call: Call;
+  readonly turn: number;
+}
+
+/**
+ * Turns in which each customer's requests follow each other at the pace of its limit: one that sends many at
+ * once, within its limit, waits for itself, and those of the others of its rank pass (a virtual clock for
+ * each customer).
+ */
+function fairTurns(calls: readonly Call[]): Place[] {
+  const places = calls.map((call) => ({ call, turn: turnOf(call) }));
+  places.sort((left, right) => left.turn - right.turn);
+  const ahead = new Map<CustomerId, number>();
+  return places.map(({ call, turn }) => {
+    const { customer, head } = call;
+    if (customer?.limit === undefined) {
+      return { call, turn };
+    }
+    const before = ahead.get(customer.id) ?? 0;
+    const cost = costOf(customer.limit, head.prompt);
+    ahead.set(
+      customer.id,
+      before + cost * MS_PER_SECOND / customer.limit.perSecond,
+    );
+    return { call, turn: turn + before };
+  });
+}
+
+/** When its turn would come if all were of one customer. */
 function turnOf({ arrivedAt, unread }: Call): number {
   return arrivedAt + COST_WEIGHT * unread / DEFAULT_PREFILL_RATE;
 }
