perf: one call reads what another entry told of

An entry that hears of a newer revision asked the store for the newest one and then for the changes. Who told it has proven its document by a read of its own, at a time that counts for both; so the changes alone are read, and have to lead there one by one, else everything is read anew.

--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -26,7 +26,7 @@
   supersedes,
 } from "../routes/index.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
-import type { GatewayEmit } from "./messages.ts";
+import type { GatewayEmit, ReadProof } from "./messages.ts";
 import { RecentChanges } from "./recent_changes.ts";
 import { ReadSchedule, type ReadScheduleOptions } from "./read_schedule.ts";
 
@@ -83,6 +83,8 @@
   /** When the read under way was sent, and whether its answer tells the present state. */
   #readMark: CurrencyMark | undefined;
   #verifies = false;
+  /** A newer revision that another entry told. */
+  #toldRevision: Revision | undefined;
 
   constructor(
     { emit, newestHolder, now, ...schedule }: ReadScheduleOptions & {
@@ -184,6 +186,7 @@
     } else if (revision > this.revision && this.failing) {
       this.#copyFrom(from, now);
     } else if (revision > this.revision) {
+      this.#toldRevision = revision;
       this.#schedule.readAtOnce(now);
     }
   }
@@ -262,10 +265,12 @@
     const changesOnly = !this.#snapshotWanted;
     const wait = changesOnly ? this.#schedule.wait(now) : 0;
     this.#readMark = this.currency.mark(now);
-    this.#verifies = this.keyed;
+    const proof = this.#proofFor();
+    this.#verifies = proof.kind === "newest";
+    this.#toldRevision = undefined;
     this.#emit({
       kind: "readCatalogue",
-      verified: this.#verifies,
+      proof,
       after: changesOnly ? this.revision : undefined,
       wait: milliseconds(wait),
       timeout: milliseconds(READ_TIMEOUT_MS + wait),
@@ -309,6 +314,17 @@
     }
   }
 
+  /** What is told to be newer was proven by who told it, so that one call brings what leads there. */
+  #proofFor(): ReadProof {
+    if (!this.keyed) {
+      return { kind: "none" };
+    }
+    const revision = this.#toldRevision;
+    return revision !== undefined && revision > this.revision
+      ? { kind: "reaches", revision }
+      : { kind: "newest" };
+  }
+
   /** What was just read was the present state when its read was sent. */
   #prove(): void {
     if (this.#readMark !== undefined && this.document !== undefined) {
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -284,6 +284,15 @@
   | "region"
   | "stop";
 
+/** What the answer to a read has to show of the changes that it names. */
+export type ReadProof =
+  /** Nothing. */
+  | { readonly kind: "none" }
+  /** That they lead, one by one, to the newest revision at present. */
+  | { readonly kind: "newest" }
+  /** That they lead, one by one, to a revision that another entry told. */
+  | { readonly kind: "reaches"; readonly revision: Revision };
+
 /** Something for the shell to do. */
 export type GatewayEffect =
   | { readonly kind: "send"; readonly attempt: CallAttempt }
@@ -321,8 +330,7 @@
   /** Read everything, or what changed after a revision, waiting for that. */
   | {
     readonly kind: "readCatalogue";
-    /** Whether the answer has to tell the present state, and to name each change up to it. */
-    readonly verified: boolean;
+    readonly proof: ReadProof;
     readonly after: Revision | undefined;
     readonly wait: Milliseconds;
     readonly timeout: Milliseconds;
--- a/packages/daemon/src/gateway/catalogue_runner.ts
+++ b/packages/daemon/src/gateway/catalogue_runner.ts
@@ -9,6 +9,7 @@
   type GatewayEvent,
   type Milliseconds,
   milliseconds,
+  type ReadProof,
   type Revision,
 } from "@sassafrasstep/core";
 import { whileHearing } from "../timers/index.ts";
@@ -71,14 +72,14 @@
   }
 
   async #read(
-    { after, wait, timeout, verified }: EffectOf<"readCatalogue">,
+    { after, wait, timeout, proof }: EffectOf<"readCatalogue">,
   ): Promise<GatewayEvent> {
     if (after === undefined) {
       const snapshot = await this.#source.snapshot(timeout);
       return { kind: "catalogueRead", snapshot };
     }
-    if (verified) {
-      return await this.#verify(after, timeout);
+    if (proof.kind !== "none") {
+      return await this.#verify(after, { timeout, proof });
     }
     const answer = await this.#source.changes(after, { wait, timeout });
     return answer.kind === "compacted"
@@ -88,13 +89,19 @@
 
   /**
    * Reads up to the present state. History may be dropped while a wait for changes says that there were
-   * none; so the newest revision is asked for, and changes count only where they lead there one by one.
+   * none; so the newest revision is asked for, where no other entry told it, and changes count only where
+   * they lead there one by one.
    */
   async #verify(
     after: Revision,
-    timeout: Milliseconds,
+    { timeout, proof }: {
+      timeout: Milliseconds;
+      proof: Exclude<ReadProof, { kind: "none" }>;
+    },
   ): Promise<GatewayEvent> {
-    const newest = await this.#source.newest(timeout);
+    const newest = proof.kind === "reaches"
+      ? proof.revision
+      : await this.#source.newest(timeout);
     if (newest === after) {
       return { kind: "catalogueConfirmed" };
     }
--- a/playground/src/guards/customer_guards.ts
+++ b/playground/src/guards/customer_guards.ts
@@ -55,8 +55,8 @@
     name:
       "changes prove something only where each up to the newest revision is named",
     file: `${GATEWAY}/catalogue_controller.ts`,
-    find: "this.#verifies = this.keyed;",
-    replace: "this.#verifies = this.#readMark === undefined;",
+    find: "const proof = this.#proofFor();",
+    replace: 'const proof: ReadProof = { kind: "none" };',
     also: [{
       file: `${GATEWAY}/catalogue_controller.ts`,
       find: "    if (this.#verifies) {",
--- a/playground/src/routes/fake_store.ts
+++ b/playground/src/routes/fake_store.ts
@@ -11,6 +11,7 @@
   EndpointRecord,
   GatewayEvent,
   KeyDigest,
+  ReadProof,
   Revision,
   Route,
   RoutedService,
@@ -128,10 +129,10 @@
   /** Answers one read, or leaves it without an answer. */
   read(
     reader: string,
-    { after, wait, verified }: {
+    { after, wait, proof }: {
       after: number | undefined;
       wait: number;
-      verified: boolean;
+      proof: ReadProof;
     },
     answer: (event: GatewayEvent) => void,
   ): void {
@@ -148,8 +149,8 @@
       } else if (after < this.#oldest) {
         answer({ kind: "catalogueCompacted" });
       } else if (mode === "deaf") {
-        answer(this.#deaf({ after, verified }));
-      } else if (verified && after === this.#revision) {
+        answer(this.#deaf({ after, proof }));
+      } else if (proof.kind === "newest" && after === this.#revision) {
         answer({ kind: "catalogueConfirmed" });
       } else {
         this.#watch({ after, answer }, wait);
@@ -159,9 +160,9 @@
 
   /** What a reader makes of an answer that names no change, though there were some. */
   #deaf(
-    { after, verified }: { after: number; verified: boolean },
+    { after, proof }: { after: number; proof: ReadProof },
   ): GatewayEvent {
-    if (verified) {
+    if (proof.kind !== "none") {
       return after === this.#revision
         ? { kind: "catalogueConfirmed" }
         : { kind: "catalogueCompacted" };
