--- a/packages/cli/src/commands/__tests__/loss_commands.test.ts
+++ b/packages/cli/src/commands/__tests__/loss_commands.test.ts
@@ -41,6 +41,20 @@
     ]);
   });
 
+  it("are counted by customer, with what they were lost to", () => {
+    const { customers } = sumLosses([
+      line({ customer: "clinic", cause: "refused", reason: "over_limit" }),
+      line({ customer: "clinic" }),
+      line({ customer: "clinic" }),
+      line({ customer: "lawyers" }),
+      line({}),
+    ]);
+    expect(customers).toEqual([
+      { customer: "clinic", count: 3, causes: ["starved 2", "over_limit 1"] },
+      { customer: "lawyers", count: 1, causes: ["starved 1"] },
+    ]);
+  });
+
   it("are counted by region and second", () => {
     const { regions, seconds } = sumLosses([
       line({ time: 1_100 }),
--- a/packages/cli/src/commands/loss_commands.ts
+++ b/packages/cli/src/commands/loss_commands.ts
@@ -14,6 +14,8 @@
 interface LossLine {
   readonly time: number;
   readonly region: string;
+  /** Empty where the request was nobody's. */
+  readonly customer: string;
   readonly route: string;
   readonly cause: string;
   readonly reason: string;
@@ -33,11 +35,21 @@
   readonly examples: readonly string[];
 }
 
+/** Losses of one customer. */
+export interface CustomerRow {
+  readonly customer: string;
+  readonly count: number;
+  /** Causes, and the reason of a refusal, the most first. */
+  readonly causes: readonly string[];
+}
+
 /** What `losses` adds up. */
 export interface LossReport {
   readonly lines: number;
   readonly rows: readonly LossRow[];
   readonly regions: Readonly<Record<string, number>>;
+  /** Customers with the most losses first; requests of nobody are not among them. */
+  readonly customers: readonly CustomerRow[];
   /** Second of the entries' clocks with the most losses first. */
   readonly seconds: readonly {
     readonly second: string;
@@ -71,6 +83,7 @@
         [region, items],
       ) => [region, items.length]),
     ),
+    customers: customerRows(losses),
     seconds: [...seconds].map(([second, items]) => ({
       second,
       count: items.length,
@@ -93,6 +106,7 @@
   return {
     time: Number(fields["time"] ?? 0),
     region: textOf("region"),
+    customer: textOf("customer"),
     route: textOf("route"),
     cause: fields["cause"],
     reason: textOf("reason"),
@@ -143,12 +157,30 @@
   };
 }
 
+function customerRows(losses: readonly LossLine[]): CustomerRow[] {
+  const named = losses.filter(({ customer }) => customer !== "");
+  const groups = group(named, ({ customer }) => customer);
+  return [...groups].map(([customer, items]) => ({
+    customer,
+    count: items.length,
+    causes: causesOf(items),
+  })).sort((left, right) => right.count - left.count);
+}
+
+function causesOf(losses: readonly LossLine[]): string[] {
+  const groups = group(losses, ({ cause, reason }) => reason || cause);
+  return [...groups].sort(([, left], [, right]) => right.length - left.length)
+    .map(([cause, items]) => `${cause} ${items.length}`);
+}
+
 function secondOf(time: number): string {
   return new Date(Math.floor(time / MS_PER_SECOND) * MS_PER_SECOND)
     .toISOString().slice(0, 19);
 }
 
-function describe({ lines, rows, regions, seconds }: LossReport): string {
+function describe(
+  { lines, rows, regions, customers, seconds }: LossReport,
+): string {
   const head = `${lines} requests served late or not at all: ${
     Object.entries(regions).map(([region, count]) => `${region} ${count}`)
       .join(", ")
@@ -169,6 +201,14 @@
         row.examples.join(" "),
       ]),
     ),
+    formatTable(
+      ["CUSTOMER", "COUNT", "CAUSES"],
+      customers.map(({ customer, count, causes }) => [
+        customer,
+        count,
+        causes.slice(0, EXAMPLES).join(", "),
+      ]),
+    ),
     `worst seconds: ${worst.join(", ")}`,
   ].join("\n\n");
 }
