--- a/packages/core/src/customers/customer_limits.ts
+++ b/packages/core/src/customers/customer_limits.ts
@@ -19,8 +19,8 @@
   type RegionId,
 } from "../ids/index.ts";
 import type { Customer, CustomerLimit } from "./customer.ts";
-import { FadingSum } from "./fading_sum.ts";
-import { LimitBucket } from "./limit_bucket.ts";
+import { LimitAccounts } from "./limit_accounts.ts";
+import type { LimitBucket } from "./limit_bucket.ts";
 import { HEARD_MS, SpendingKeeper } from "./spending_keeper.ts";
 import type {
   CustomerTotal,
@@ -32,14 +32,10 @@
 /** Between two messages while some customer is near its limit, and otherwise. */
 const NEAR_PERIOD_MS = 100;
 const CALM_PERIOD_MS = 200;
-/** Below this part of its burst a customer is near its limit. */
-const NEAR_PART = 0.5;
 /** All sums are told again this often: a lost datagram is made up for. */
 const WHOLE_PERIOD_MS = 2_000;
 /** An entry that let nothing in for so long is told nothing more. */
 const ACTIVE_MS = 2_000;
-/** Own use by which an entry that hears nobody knows its part. */
-const SHARE_LIFETIME_MS = 8_000;
 /** Those that were turned away return spread over this part more than they were told. */
 const RETURN_SPREAD = 0.25;
 
@@ -78,19 +74,6 @@
   readonly send: (to: Incarnation, message: SpendingMessage) => void;
 }
 
-interface Account {
-  readonly bucket: LimitBucket;
-  /** What others let in, fading. */
-  readonly others: FadingSum;
-  readonly own: FadingSum;
-  /** Part of the limit that the keeper told. */
-  part: number;
-  /** This entry's part of all use, as it was when others were last heard. */
-  ownPart: number;
-  /** Whether another entry's level was taken over, or enough was heard to know one. */
-  settled: boolean;
-}
-
 /** The keeper as this entry hears it. */
 interface HeardKeeper {
   readonly incarnation: Incarnation;
@@ -103,7 +86,7 @@
 /** One entry's limits, and for a while its region's sums. */
 export class CustomerLimits {
   readonly #sources: LimitSources;
-  readonly #accounts = new Map<CustomerId, Account>();
+  readonly #accounts: LimitAccounts;
   /** Units let in since the start. */
   readonly #spent = new Map<CustomerId, number>();
   readonly #changed = new Set<CustomerId>();
@@ -119,6 +102,15 @@
   constructor(sources: LimitSources) {
     this.#sources = sources;
     this.#keeping = new SpendingKeeper(sources.self.region, sources.regions);
+    this.#accounts = new LimitAccounts({
+      entries: sources.entries,
+      // A keeper has an account of every customer that is told of; others of those that ask them.
+      limitOf: (id) => this.#keeps ? sources.limitOf(id) : undefined,
+      hears: (now) => this.#hears(now),
+      keptPart: (id, now) =>
+        this.#keeps ? this.#keeping.heardPart(id, now) : undefined,
+      told: (id) => this.#keeper?.totals.get(id),
+    });
   }
 
   /** Lets a request in, or says when it would be. `hurried`: nothing more is waited for. */
@@ -132,15 +124,17 @@
     }
     this.#spentAt = now;
     this.#follow(now);
-    const account = this.#account(id, limit, now);
+    const account = this.#accounts.open({ id, limit }, now);
     if (!this.#hears(now) && !hurried) {
       this.#report(now, NEAR_PERIOD_MS);
       return { kind: "unheard" };
     }
-    const part = this.#part(id, account, now);
-    account.bucket.refill(part, now);
+    const part = this.#accounts.refill(account, now);
     if (!account.bucket.take(cost)) {
-      return { kind: "over", wait: this.#wait(account, { cost, part }, now) };
+      return {
+        kind: "over",
+        wait: this.#wait(account.bucket, { cost, part }, now),
+      };
     }
     this.#spend(id, cost, now);
     return { kind: "admitted" };
@@ -148,7 +142,7 @@
 
   /** A request that was let in did not run. */
   giveBack(customer: CustomerId, cost: number, now: Instant): void {
-    this.#accounts.get(customer)?.bucket.charge(-cost);
+    this.#accounts.find(customer)?.bucket.charge(-cost);
     this.#spend(customer, -cost, now);
   }
 
@@ -161,8 +155,8 @@
     } else if (message.region === this.#sources.self.region) {
       this.#learnOwnTotals(message, now);
     } else if (this.#keeps) {
-      this.#charge(this.#keeping.learnTotals(message, now), now);
-      message.totals.forEach((total) => this.#settle(total, now));
+      this.#accounts.charge(this.#keeping.learnTotals(message, now), now);
+      message.totals.forEach((total) => this.#accounts.settle(total, now));
     }
   }
 
@@ -184,7 +178,7 @@
   }
 
   get #period(): number {
-    const near = this.#keeper?.near === true || this.#isNear();
+    const near = this.#keeper?.near === true || this.#accounts.isNear();
     return near ? NEAR_PERIOD_MS : CALM_PERIOD_MS;
   }
 
@@ -210,59 +204,8 @@
     }
   }
 
-  #account(id: CustomerId, limit: CustomerLimit, now: Instant): Account {
-    const known = this.#accounts.get(id);
-    if (known !== undefined) {
-      known.bucket.rebound(limit);
-      return known;
-    }
-    const part = this.#firstPart(id, now);
-    // The part that is known to be its own: this may be the second start of all within a window.
-    const level = limit.burst * part;
-    const account = {
-      bucket: new LimitBucket(limit, { level, now }),
-      others: new FadingSum(SHARE_LIFETIME_MS),
-      own: new FadingSum(SHARE_LIFETIME_MS),
-      part,
-      ownPart: 1 / Math.max(1, this.#sources.entries()),
-      settled: false,
-    };
-    this.#accounts.set(id, account);
-    const told = this.#hears(now) ? this.#keeper!.totals.get(id) : undefined;
-    if (told !== undefined) {
-      this.#settle(told, now);
-    }
-    return account;
-  }
-
-  /** The account of a customer whose use is told, `undefined` where it has no limit here. */
-  #accountOf(id: CustomerId, now: Instant): Account | undefined {
-    const limit = this.#keeps ? this.#sources.limitOf(id) : undefined;
-    return limit === undefined
-      ? this.#accounts.get(id)
-      : this.#account(id, limit, now);
-  }
-
-  #firstPart(id: CustomerId, now: Instant): number {
-    if (this.#keeps) {
-      return this.#keeping.heardPart(id, now);
-    }
-    const hears = this.#hears(now);
-    return hears ? 1 : 1 / Math.max(1, this.#sources.entries());
-  }
-
-  #part(id: CustomerId, account: Account, now: Instant): number {
-    if (this.#keeps) {
-      return this.#keeping.heardPart(id, now);
-    }
-    if (this.#hears(now)) {
-      return account.part;
-    }
-    return account.ownPart;
-  }
-
   #wait(
-    { bucket }: Account,
+    bucket: LimitBucket,
     { cost, part }: { cost: number; part: number },
     now: Instant,
   ): Milliseconds {
@@ -274,7 +217,7 @@
   #spend(customer: CustomerId, cost: number, now: Instant): void {
     this.#spent.set(customer, (this.#spent.get(customer) ?? 0) + cost);
     this.#changed.add(customer);
-    this.#accounts.get(customer)?.own.add(cost, now);
+    this.#accounts.find(customer)?.own.add(cost, now);
     if (this.#keeps) {
       this.#noteOwn(now);
     }
@@ -291,7 +234,7 @@
     }
     const since = now - HEARD_MS as Instant;
     const heard = this.#keeping.hearsEntry(report.incarnation, since);
-    this.#charge(this.#keeping.learnReport(report, now), now);
+    this.#accounts.charge(this.#keeping.learnReport(report, now), now);
     if (!heard) {
       this.#sendTotals(report.incarnation, now);
     }
@@ -307,7 +250,7 @@
     }
     const begins = !this.#hears(now);
     if (begins) {
-      this.#accounts.forEach((account) => account.settled = false);
+      this.#accounts.unsettle();
     }
     keeper.heardAt = now;
     keeper.near = near;
@@ -319,37 +262,8 @@
         news.set(total.customer, total.sum - (before ?? 0));
       }
     }
-    this.#charge(news, now);
-    totals.forEach((total) => this.#settle(total, now));
-  }
-
-  /** Takes over another entry's level where this one has just begun; and its keeper's part. */
-  #settle({ customer, level, part }: CustomerTotal, now: Instant): void {
-    const account = this.#accounts.get(customer);
-    if (account === undefined) {
-      return;
-    }
-    if (!this.#keeps) {
-      account.part = part;
-      account.ownPart = partOf(account, now) ?? account.ownPart;
-    }
-    if (!account.settled) {
-      account.settled = true;
-      account.bucket.refill(part, now);
-      account.bucket.adopt(level);
-    }
-  }
-
-  /** Takes what others let in off the buckets. */
-  #charge(news: ReadonlyMap<CustomerId, number>, now: Instant): void {
-    for (const [customer, sum] of news) {
-      const account = this.#accountOf(customer, now);
-      if (account !== undefined) {
-        account.bucket.refill(this.#part(customer, account, now), now);
-        account.bucket.charge(sum);
-        account.others.add(sum, now);
-      }
-    }
+    this.#accounts.charge(news, now);
+    totals.forEach((total) => this.#accounts.settle(total, now));
   }
 
   #report(now: Instant, period: number): void {
@@ -384,7 +298,7 @@
     }
     this.#totalsAt = now;
     this.#keeping.tick(now);
-    this.#keeper!.near = this.#isNear();
+    this.#keeper!.near = this.#accounts.isNear();
     const since = now - ACTIVE_MS as Instant;
     for (const entry of this.#keeping.tellersSince(since)) {
       if (entry !== this.#sources.self.incarnation) {
@@ -422,28 +336,10 @@
     const totals = [...this.#keeping.customers()].map((customer) => ({
       customer,
       sum: Math.round(sumOf(customer)),
-      level: Math.round(this.#levelOf(customer, now)),
+      level: Math.round(this.#accounts.levelOf(customer, now)),
       part: this.#keeping.heardPart(customer, now),
     }));
     const near = this.#keeper!.near;
     return { kind: "totals", incarnation, region, near, totals };
   }
-
-  #levelOf(customer: CustomerId, now: Instant): number {
-    const account = this.#accounts.get(customer);
-    account?.bucket.refill(this.#part(customer, account, now), now);
-    return account?.bucket.level ?? 0;
-  }
-
-  #isNear(): boolean {
-    return [...this.#accounts.values()].some(({ bucket }) =>
-      bucket.level < bucket.most * NEAR_PART
-    );
-  }
-}
-
-/** Own part of all use, `undefined` where there was none. */
-function partOf({ own, others }: Account, now: Instant): number | undefined {
-  const all = own.of(now) + others.of(now);
-  return all > 0 ? own.of(now) / all : undefined;
 }
--- a/packages/core/src/customers/judge_key.ts
+++ b/packages/core/src/customers/judge_key.ts
@@ -17,7 +17,7 @@
 
 /**
  * Age of the document by which a key is refused again: callers whose key is gone go on sending, and a read for
- * each of them was three quarters of what the platform was asked.
+ * each of their requests would be most of what the platform is asked.
  */
 const REFUSED_AGE = milliseconds(2_000);
 
--- a/playground/src/guards/customer_guards.ts
+++ b/playground/src/guards/customer_guards.ts
@@ -101,7 +101,7 @@
   {
     point: LIMITS,
     name: "what others let in is taken off",
-    file: `${CUSTOMERS}/customer_limits.ts`,
+    file: `${CUSTOMERS}/limit_accounts.ts`,
     find: "account.bucket.charge(sum);",
     replace: "account.bucket.charge(0 * sum);",
   },
@@ -115,7 +115,7 @@
   {
     point: LIMITS,
     name: "a process that hears nobody begins with its own part of the burst",
-    file: `${CUSTOMERS}/customer_limits.ts`,
+    file: `${CUSTOMERS}/limit_accounts.ts`,
     find: "const level = limit.burst * part;",
     replace: "const level = limit.burst;",
     also: [{
