--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -3,13 +3,7 @@
  *
  * @module
  */
-import {
-  costOf,
-  type Customer,
-  type CustomerLimits,
-  judgeKey,
-  RefusedKeys,
-} from "../customers/index.ts";
+import type { CustomerLimits } from "../customers/index.ts";
 import type { PrefixNews } from "../fleet/index.ts";
 import {
   after,
@@ -22,9 +16,9 @@
   type RequestId,
 } from "../ids/index.ts";
 import type { ListenedTimeView } from "../listening/index.ts";
-import type { Route, RouteTable } from "../routes/index.ts";
-import { ArrivalHold, type HeldCall, heldFrom } from "./arrival_hold.ts";
+import { ArrivalHold, heldFrom } from "./arrival_hold.ts";
 import { Call } from "./call.ts";
+import { type AdmittedCall, CallAdmission } from "./call_admission.ts";
 import { CallAttempts } from "./call_attempts.ts";
 import { CallEnds } from "./call_ends.ts";
 import { CallPlacer, LEAST_TIME_MS } from "./call_placer.ts";
@@ -47,8 +41,6 @@
 
 /** A caller's call that may not repeat goes on without it for so long. */
 const ORPHAN_MS = 5_000;
-/** What others let in is waited for so long: twice the way to the region's keeper, and a tick. */
-const UNHEARD_MS = 150;
 const UINT32_RANGE = 2 ** 32;
 const FIRST_SERVER_ERROR = 500;
 
@@ -83,10 +75,8 @@
   readonly #recovery: CallRecovery;
   #lastArrivalAt: Instant | undefined;
   #refusesNew = false;
-  readonly #refusedKeys = new RefusedKeys();
   readonly #hold = new ArrivalHold();
-  /** Whose key or limit cannot be judged at this moment. */
-  readonly #doubtful = new ArrivalHold();
+  readonly #admission: CallAdmission;
 
   constructor(tools: CallTools) {
     this.#tools = tools;
@@ -96,7 +86,12 @@
       emit: tools.emit,
       random: tools.random,
       forget,
-      spared: (call, now) => this.#giveBack(call, now),
+      spared: (call, now) => this.#admission.giveBack(call, now),
+    });
+    this.#admission = new CallAdmission({
+      ...tools,
+      ends: this.#ends,
+      begin: (admitted, now) => this.#begin(admitted, now),
     });
     const parts = { ...tools, attempts: this.#attempts, ends: this.#ends };
     this.#placer = new CallPlacer(parts);
@@ -114,7 +109,7 @@
 
   /** Requests that have no final answer. */
   get active(): number {
-    return this.#calls.size + this.#hold.size + this.#doubtful.size;
+    return this.#calls.size + this.#hold.size + this.#admission.size;
   }
 
   get queued(): number {
@@ -149,7 +144,7 @@
     const { catalogue } = this.#tools;
     const { table, failing } = catalogue;
     if (table !== undefined && !catalogue.isOld(now)) {
-      return this.#open(table, heldFrom(head, now), now);
+      return this.#admission.judge(table, heldFrom(head, now), now);
     }
     if (failing) {
       return this.#ends.refuseHead(head, "no_document");
@@ -157,72 +152,8 @@
     this.#hold.add(head, now);
   }
 
-  #open(table: RouteTable, held: HeldCall, now: Instant): void {
-    const { head, arrivedAt } = held;
-    const route = table.find(head.host, head.target);
-    if (route === undefined) {
-      return this.#ends.refuseUnrouted(head, now);
-    }
-    const { catalogue, keyLifetime } = this.#tools;
-    const facts = { key: head.key, relayed: head.relay, arrivedAt };
-    const verdict = judgeKey({ ...facts, public: route.public }, {
-      customers: table.customers,
-      currency: catalogue.currency,
-      refused: this.#refusedKeys,
-      bound: keyLifetime(),
-    }, now);
-    switch (verdict.kind) {
-      case "unknown":
-        return this.#ends.refuseHead(head, "unknown_key");
-      case "doubtful":
-        return this.#doubtKey(held, now);
-      case "accepted":
-        return this.#admit(held, { route, customer: verdict.customer }, now);
-    }
-  }
-
-  /** Waits for the read that will tell, unless there is none to wait for. */
-  #doubtKey(held: HeldCall, now: Instant): void {
-    if (now < held.until && this.#tools.catalogue.noteDoubt(now)) {
-      return this.#doubtful.keep(held);
-    }
-    this.#ends.refuseHead(held.head, "key_in_doubt");
-  }
-
-  /** Lets a request in, as far as its customer's limit goes. One that was passed on was let in before. */
-  #admit(
-    held: HeldCall,
-    { route, customer }: { route: Route; customer: Customer | undefined },
-    now: Instant,
-  ): void {
-    const { head, arrivedAt } = held;
-    const limit = head.relay === undefined ? customer?.limit : undefined;
-    const cost = limit === undefined ? 0 : costOf(limit, head.prompt);
-    if (limit !== undefined) {
-      const hurried = now - arrivedAt >= UNHEARD_MS;
-      const verdict = this.#tools.limits.take(
-        customer!,
-        { cost, hurried },
-        now,
-      );
-      if (verdict.kind === "unheard") {
-        return this.#doubtful.keep(held);
-      }
-      if (verdict.kind === "over") {
-        const facts = { wait: verdict.wait, customer: customer!.id };
-        return this.#ends.refuseHead(head, "over_limit", facts);
-      }
-    }
-    this.#begin(held, { route, customer, cost }, now);
-  }
-
   #begin(
-    { head, arrivedAt }: HeldCall,
-    { route, customer, cost }: {
-      route: Route;
-      customer: Customer | undefined;
-      cost: number;
-    },
+    { head, arrivedAt, route, customer, cost }: AdmittedCall,
     now: Instant,
   ): void {
     const time = Math.min(head.timeLeft ?? route.timeout, route.timeout);
@@ -354,7 +285,7 @@
   /** The caller has closed its connection. */
   callerGone(id: RequestId, now: Instant): void {
     const call = this.#calls.get(id);
-    const held = this.#hold.remove(id) || this.#doubtful.remove(id);
+    const held = this.#hold.remove(id) || this.#admission.remove(id);
     if (held || call === undefined) {
       return;
     }
@@ -387,7 +318,7 @@
 
   /** Goes on with what was held, once the picture is there, or will not be. */
   releaseHeld(now: Instant): void {
-    this.#judgeDoubtful(now);
+    this.#admission.judgeAgain(now);
     if (this.#hold.size === 0) {
       return;
     }
@@ -401,32 +332,19 @@
     over.forEach((held) =>
       table === undefined
         ? this.#ends.refuseHead(held.head, "no_document")
-        : this.#open(table, held, now)
+        : this.#admission.judge(table, held, now)
     );
   }
 
   /** What others let in was told. */
   noteSpending(now: Instant): void {
-    this.#judgeDoubtful(now);
-  }
-
-  #judgeDoubtful(now: Instant): void {
-    const { table } = this.#tools.catalogue;
-    if (this.#doubtful.size > 0 && table !== undefined) {
-      this.#doubtful.takeAll().forEach((held) => this.#open(table, held, now));
-    }
-  }
-
-  #giveBack({ customer, charged }: Call, now: Instant): void {
-    if (customer !== undefined && charged > 0) {
-      this.#tools.limits.giveBack(customer.id, charged, now);
-    }
+    this.#admission.judgeAgain(now);
   }
 
   /** Ends every request: the process ends. What its callers had not been told they would never learn. */
   endAll(now: Instant): void {
     this.refuseNew();
-    const held = [...this.#hold.takeAll(), ...this.#doubtful.takeAll()];
+    const held = [...this.#hold.takeAll(), ...this.#admission.takeAll()];
     held.forEach(({ head }) => this.#ends.refuseHead(head, "stopping"));
     for (const call of [...this.#calls.values()]) {
       this.#attempts.leave(call, now);
--- a/playground/src/guards/customer_guards.ts
+++ b/playground/src/guards/customer_guards.ts
@@ -127,14 +127,14 @@
   {
     point: LIMITS,
     name: "what a refused request took comes back",
-    file: `${GATEWAY}/call_controller.ts`,
+    file: `${GATEWAY}/call_admission.ts`,
     find: "this.#tools.limits.giveBack(customer.id, charged, now);",
     replace: "",
   },
   {
     point: LIMITS,
     name: "one that was passed on is not counted twice",
-    file: `${GATEWAY}/call_controller.ts`,
+    file: `${GATEWAY}/call_admission.ts`,
     find:
       "const limit = head.relay === undefined ? customer?.limit : undefined;",
     replace: "const limit = customer?.limit;",
