--- a/playground/src/guards/test_sets.ts
+++ b/playground/src/guards/test_sets.ts
@@ -24,6 +24,7 @@
   ],
   [
     "playground/src/bytes",
+    "playground/src/load",
     "playground/src/routes/__tests__/quarantine_trials.test.ts",
     "playground/src/routes/__tests__/key_lease.test.ts",
     "packages/daemon/src/timers",
