fix: a region that is cut off is known to be a fifth of a second sooner

Until a silence counts, both use the whole limit; it counted after 800 ms, four times the calm period of sums. The script stands as a test: 791,200 with 800 ms.

What it costs: two lost datagrams in a row of a keeper at rest, which tells every 250 ms, make its region use the agreed parts for a moment, which refuses only who is near its limit.

--- a/packages/core/src/customers/__tests__/customer_limits.test.ts
+++ b/packages/core/src/customers/__tests__/customer_limits.test.ts
@@ -70,6 +70,22 @@
     expect(model.most(WINDOW_MS)).toBeLessThan(bound());
   });
 
+  // Two cuts of a region within a window, a loud customer on both sides: each time both used the whole limit
+  // until they knew, 800 ms after the last word, and 791,200 tokens ran where 785,000 may.
+  it("holds where a region is cut off twice within a window", () => {
+    const model = build(979);
+    model.run(8_000, ask(model, 0.6));
+    model.cut("a", 1);
+    model.run(2_701, ask(model, 4));
+    model.cut("a", 0);
+    model.run(826, ask(model, 0.3));
+    model.cut("a", 1);
+    model.run(2_676, ask(model, 2));
+    model.cut("c", 0);
+    model.run(1_226, ask(model, 2));
+    expect(model.most(WINDOW_MS)).toBeLessThan(bound());
+  });
+
   // A process that begins with a full bucket gives a burst again: twice after two kills of everybody.
   it("gives no second burst after everybody was killed twice", () => {
     const model = build();
@@ -152,7 +168,7 @@
           expect(model.most(WINDOW_MS)).toBeLessThan(bound());
         },
       ),
-      { numRuns: 60 },
+      { numRuns: Number(process.env.LIMIT_RUNS ?? 60) },
     );
   });
 });
--- a/packages/core/src/customers/spending_keeper.ts
+++ b/packages/core/src/customers/spending_keeper.ts
@@ -18,7 +18,7 @@
 /** Shares of a limit go by the use of this time: all regions have seen most of it. */
 const SHARE_LIFETIME_MS = 8_000;
 /** A region that is silent for longer counts as cut off, and keeps its part of each limit. */
-export const HEARD_MS = 800;
+export const HEARD_MS = 600;
 /** An entry that is silent for so long is forgotten; what it spent stays counted. */
 const FORGET_MS = 60_000;
 
