feat: limits that endpoints state are decoded, logged and counted

Nothing told whether an entry knows that an endpoint has a limit, so the hypotheses on why limits were exceeded could not be told apart. The head of each answer is now read for the stated rate; a line says when an endpoint states, changes or lifts it (endpoint, rate, the one before, the answer's call and status), another what is ignored and why; the status and two gauges show the same. Values that make no sense are ignored and leave what is known in force.

--- /dev/null
+++ b/packages/core/src/endpoint_terms/index.ts
@@ -0,0 +1,2 @@
+export { EndpointLimits } from "./endpoint_limits.ts";
+export type { Stated, StatingAnswer } from "./stated.ts";
--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -3,6 +3,7 @@
   type AttemptId,
   type CallId,
   type EndpointId,
+  EndpointLimits,
   instant,
   ListenedTime,
   milliseconds,
@@ -105,6 +106,7 @@
     budget: new RepeatBudget(BOUNDS),
     cold: new ColdAllowance(BOUNDS, instant(0)),
     quarantine: emptyQuarantine(),
+    endpointLimits: new EndpointLimits({ log: () => {} }),
     limits: {} as never,
     keyLifetime: () => undefined,
     listened: new ListenedTime(instant(0)),
@@ -205,6 +207,7 @@
     genuine: true,
     load: undefined,
     retryAfter: undefined,
+    limit: undefined,
     offered: undefined,
     events: true,
   };
--- a/packages/core/src/gateway/__tests__/stalls.test.ts
+++ b/packages/core/src/gateway/__tests__/stalls.test.ts
@@ -79,6 +79,7 @@
         genuine: true,
         load: undefined,
         retryAfter: undefined,
+        limit: undefined,
         offered: undefined,
         events: true,
       },
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { EndpointLimits } from "../endpoint_terms/index.ts";
 import type { PrefixNews } from "../fleet/index.ts";
 import { type AttemptId, type Instant, milliseconds } from "../ids/index.ts";
 import type { Call, OpenAttempt } from "./call.ts";
@@ -16,6 +17,9 @@
 import type { RegionController } from "./region_controller.ts";
 import type { RepeatBudget } from "./repeat_budget.ts";
 
+/** Another process answers at the address of the endpoint that was meant. */
+export const MISDIRECTED = 421;
+
 /** What attempts are made with. */
 export interface AttemptTools {
   readonly emit: GatewayEmit;
@@ -24,6 +28,7 @@
   readonly budget: RepeatBudget;
   readonly cold: ColdAllowance;
   readonly quarantine: QuarantineController;
+  readonly endpointLimits: EndpointLimits;
 }
 
 /** A request with its attempt under way. */
@@ -147,12 +152,24 @@
     }
   }
 
-  /** Takes the load that an answer tells. */
-  noteLoad({ state }: OpenAttempt, { load }: CallAnswer, now: Instant): void {
-    if (state !== undefined) {
-      state.heardAt = now;
-      state.load = load ?? state.load;
-      state.loadAt = load === undefined ? state.loadAt : now;
+  /** Takes what the head of an answer says of its endpoint. */
+  noteHead(
+    { head }: Call,
+    { state }: OpenAttempt,
+    { answer, now }: { answer: CallAnswer; now: Instant },
+  ): void {
+    if (state === undefined) {
+      return;
+    }
+    const { load, status } = answer;
+    state.heardAt = now;
+    state.load = load ?? state.load;
+    state.loadAt = load === undefined ? state.loadAt : now;
+    if (status !== MISDIRECTED) {
+      this.#tools.endpointLimits.hear(state.record, {
+        stated: answer.limit,
+        answer: { call: head.call, status },
+      }, now);
     }
   }
 
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { CustomerLimits } from "../customers/index.ts";
+import type { EndpointLimits } from "../endpoint_terms/index.ts";
 import type { PrefixNews } from "../fleet/index.ts";
 import {
   after,
@@ -55,6 +56,7 @@
   readonly budget: RepeatBudget;
   readonly cold: ColdAllowance;
   readonly quarantine: QuarantineController;
+  readonly endpointLimits: EndpointLimits;
   readonly limits: CustomerLimits;
   /** Age of the document from which on keys are in doubt, `undefined` where they never are. */
   readonly keyLifetime: () => Milliseconds | undefined;
@@ -206,7 +208,7 @@
     }
     const { call, attempt } = found;
     attempt.heardAt = now;
-    this.#attempts.noteLoad(attempt, answer, now);
+    this.#attempts.noteHead(call, attempt, { answer, now });
     if (answer.notRun) {
       return this.#recovery.rejected(call, answer, now);
     }
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -6,7 +6,7 @@
 import type { Instant } from "../ids/index.ts";
 import type { ListenedTimeView } from "../listening/index.ts";
 import type { Call, OpenAttempt } from "./call.ts";
-import { attemptsOf, type CallAttempts } from "./call_attempts.ts";
+import { attemptsOf, type CallAttempts, MISDIRECTED } from "./call_attempts.ts";
 import type { CallEnds } from "./call_ends.ts";
 import type { CallPlacer } from "./call_placer.ts";
 import { type CallRouter, MOST_ATTEMPTS } from "./call_router.ts";
@@ -34,7 +34,6 @@
 const SILENT_ENGINE_MS = 1_500;
 const OK = 200;
 const NOT_FOUND = 404;
-const MISDIRECTED = 421;
 
 /** What recovery works with. */
 export interface RecoveryTools {
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { CustomerLimits } from "../customers/index.ts";
+import { EndpointLimits } from "../endpoint_terms/index.ts";
 import { FleetController } from "../fleet/index.ts";
 import {
   type Instant,
@@ -75,6 +76,7 @@
   readonly #listened: ListenedTime;
   readonly #exchange: CurrencyExchange;
   readonly #limits: CustomerLimits;
+  readonly endpointLimits: EndpointLimits;
   #bounds: GatewayBounds;
   #effects: GatewayEffect[] = [];
   #lastAt: Instant;
@@ -156,6 +158,10 @@
     const cold = new ColdAllowance(self.bounds, now);
     this.#cold = cold;
     this.#budget = new RepeatBudget(self.bounds);
+    this.endpointLimits = new EndpointLimits({
+      log: (text, fields) =>
+        emit({ kind: "log", part: "endpoint", text, fields }),
+    });
     const router = new CallRouter({
       self,
       fleet: this.fleet,
@@ -175,6 +181,7 @@
       budget: this.#budget,
       cold,
       quarantine: this.#quarantine,
+      endpointLimits: this.endpointLimits,
       limits: this.#limits,
       keyLifetime: () => this.#keyLifetime(),
       listened: this.#listened,
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { Stated } from "../endpoint_terms/index.ts";
 import type { FleetMessage, PromptPart } from "../fleet/index.ts";
 import type {
   AttemptId,
@@ -152,6 +153,8 @@
   readonly genuine: boolean;
   readonly load: ToldLoad | undefined;
   readonly retryAfter: Milliseconds | undefined;
+  /** Requests a second that the endpoint takes from all entries together, `undefined` where it states none. */
+  readonly limit: Stated | undefined;
   /** Endpoints that an entry on the way offered it to before it refused, `undefined` where none says. */
   readonly offered: number | undefined;
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./configuration/index.ts";
 export * from "./core.ts";
 export * from "./customers/index.ts";
+export * from "./endpoint_terms/index.ts";
 export * from "./endpoints/index.ts";
 export * from "./explain/index.ts";
 export * from "./fleet/index.ts";
--- a/packages/daemon/src/gateway/gauges.ts
+++ b/packages/daemon/src/gateway/gauges.ts
@@ -9,7 +9,7 @@
 
 /** Gauges by name. */
 export function readGauges(
-  { catalogue, calls, fleet, quarantine }: Gateway,
+  { catalogue, calls, fleet, quarantine, endpointLimits }: Gateway,
   { connections, datagrams }: {
     connections: Pick<Connections, "opened">;
     datagrams: Pick<Datagrams, "counts">;
@@ -24,6 +24,8 @@
     members: fleet.live().length,
     endpoint_ends: quarantine.ends,
     requests_held: quarantine.holds.size,
+    endpoint_limits: endpointLimits.size,
+    endpoint_limits_ignored: endpointLimits.ignored,
     document_version: catalogue.document?.version ?? 0,
     store_reachable: catalogue.reachable ? 1 : 0,
     store_age_ms: Math.round(catalogueAge(catalogue, now) ?? -1),
--- a/packages/daemon/src/gateway/status.ts
+++ b/packages/daemon/src/gateway/status.ts
@@ -59,6 +59,8 @@
   readonly requests: number;
   readonly prefillTokens: number;
   readonly failureRate: number;
+  /** Requests a second that it takes from all entries together. */
+  readonly limitPerSecond?: number | undefined;
 }
 
 /** Collects the status. */
@@ -89,6 +91,7 @@
       requests: state.requests,
       prefillTokens: state.prefill,
       failureRate: state.health.failureRate,
+      limitPerSecond: gateway.endpointLimits.limitOf(state.record),
     })),
     shares: regions.shares.map(({ region, share }) => ({ region, share })),
     held: gateway.quarantine.holds.list(now).map(heldLine),
--- a/playground/src/routes/route_links.ts
+++ b/playground/src/routes/route_links.ts
@@ -198,6 +198,7 @@
     genuine: !notRun,
     load: undefined,
     retryAfter: undefined,
+    limit: undefined,
     offered: undefined,
   };
 }
--- a/playground/src/routes/virtual_gateway.ts
+++ b/playground/src/routes/virtual_gateway.ts
@@ -261,6 +261,7 @@
         genuine: false,
         load: undefined,
         retryAfter: refusal.retryAfter,
+        limit: undefined,
         offered: refusal.offered,
       });
       to.complete();
