--- a/playground/src/platform/platform_fleet.ts
+++ b/playground/src/platform/platform_fleet.ts
@@ -49,17 +49,24 @@
   /** All that the entries wrote. */
   output = "";
   readonly #bounds: string;
+  readonly #endpoints: EndpointPlan;
 
-  /** `bounds`: further lines of the entries' settings. */
-  constructor({ bounds = "" }: { bounds?: string } = {}) {
+  /** `bounds`: further lines of the entries' settings. `endpoints`: their ids and services. */
+  constructor(
+    { bounds = "", endpoints = ENDPOINTS }: {
+      bounds?: string;
+      endpoints?: EndpointPlan;
+    } = {},
+  ) {
     this.#bounds = bounds;
+    this.#endpoints = endpoints;
   }
 
   /** Starts the store, and endpoints for a plain service and for engines. */
   async prepare(): Promise<void> {
     this.#storeAddress = await this.store.listen();
     this.#peerPort = await freeUdpPort();
-    for (const [id, service] of ENDPOINTS) {
+    for (const [id, service] of this.#endpoints) {
       const endpoint = new StandInEndpoint(id);
       this.endpoints.push(endpoint);
       this.publishEndpoint(id, {
@@ -228,6 +235,8 @@
   return port;
 }
 
+type EndpointPlan = readonly (readonly [id: string, service: string])[];
+
 const ENDPOINTS = [
   ["i-p1", "plain"],
   ["i-p2", "plain"],
--- a/playground/src/platform/stand_in_endpoint.ts
+++ b/playground/src/platform/stand_in_endpoint.ts
@@ -39,6 +39,10 @@
   readonly runs: string[] = [];
   /** Heads of all requests. */
   readonly requests: IncomingMessage[] = [];
+  /** When each of them came, in milliseconds of the process's clock. */
+  readonly arrivals: number[] = [];
+  /** What it says of itself in the head of each answer. */
+  stated: Readonly<Record<string, string | string[]>> = {};
   /** Events of a stream. */
   events = 5;
   /** Milliseconds between two of them. */
@@ -81,6 +85,7 @@
 
   #answer(message: IncomingMessage, reply: ServerResponse): void {
     this.requests.push(message);
+    this.arrivals.push(performance.now());
     const expected = message.headers[HEADERS.expectedEndpoint];
     if (expected !== this.id) {
       reply.writeHead(MISDIRECTED, { [HEADERS.endpoint]: this.id }).end();
@@ -88,7 +93,8 @@
     }
     const call = String(message.headers[HEADERS.call]);
     if (this.fault === "full") {
-      reply.writeHead(UNAVAILABLE, { [HEADERS.notRun]: "1" }).end();
+      const headers = { ...this.stated, [HEADERS.notRun]: "1" };
+      reply.writeHead(UNAVAILABLE, headers).end();
       return;
     }
     if (this.fault === "silent") {
@@ -99,7 +105,11 @@
       message.socket.resetAndDestroy();
       return;
     }
-    const headers = { [HEADERS.call]: call, [HEADERS.seal]: `seal-${call}` };
+    const headers = {
+      ...this.stated,
+      [HEADERS.call]: call,
+      [HEADERS.seal]: `seal-${call}`,
+    };
     if (message.headers[HEADERS.tokens] !== undefined) {
       this.#stream(message, { reply, headers });
       return;
@@ -114,7 +124,7 @@
     message: IncomingMessage,
     { reply, headers }: {
       reply: ServerResponse;
-      headers: Record<string, string>;
+      headers: Record<string, string | string[]>;
     },
   ): void {
     reply.writeHead(200, { ...headers, "content-type": "text/event-stream" });
