--- a/packages/cli/src/commands/gateway_commands.ts
+++ b/packages/cli/src/commands/gateway_commands.ts
@@ -83,6 +83,9 @@
         endpoint.state,
         ...endpoint.usable ? [] : ["not usable"],
         ...endpoint.cold ? ["cold"] : [],
+        ...endpoint.limitPerSecond === undefined
+          ? []
+          : [`${endpoint.limitPerSecond} requests/s`],
       ].join(", "),
       endpoint.requests,
       endpoint.prefillTokens,
--- /dev/null
+++ b/packages/core/src/endpoint_terms/__tests__/limit_model.ts
@@ -0,0 +1,208 @@
+import {
+  type EndpointId,
+  EndpointLimits,
+  type Incarnation,
+  instant,
+  type LimitMessage,
+  SeededRandomness,
+} from "../../index.ts";
+
+const STEP_MS = 5;
+const ANSWER_MS = 5;
+const ENDPOINT = "e" as EndpointId;
+
+/** Something that happens to the modelled region. */
+export type LimitEvent =
+  | { readonly kind: "limit"; readonly perSecond: number | undefined }
+  /** The entries come to hold another one for the issuer, each after its own time. */
+  | { readonly kind: "issuer"; readonly entry: number; readonly lag: number }
+  | { readonly kind: "pause"; readonly entry: number; readonly time: number }
+  | { readonly kind: "restart"; readonly entry: number }
+  | { readonly kind: "life" };
+
+interface Entry {
+  limits: EndpointLimits;
+  incarnation: Incarnation;
+  issuer: number;
+  issuerLater: { entry: number; at: number } | undefined;
+  pausedUntil: number;
+  readonly mail: { at: number; message: LimitMessage }[];
+  readonly answers: { at: number; perSecond: number | undefined }[];
+}
+
+/** Entries that share one endpoint, under virtual time. */
+export class LimitModel {
+  readonly arrivals: number[] = [];
+  readonly limits: { at: number; perSecond: number | undefined }[] = [
+    { at: 0, perSecond: undefined },
+  ];
+  readonly #random: SeededRandomness;
+  readonly #loss: number;
+  readonly #every: number;
+  readonly #entries: Entry[] = [];
+  #now = 0;
+  #life = 1;
+  #starts = 0;
+
+  /** Each entry has a request every so many milliseconds. */
+  constructor(
+    { entries, every, loss, seed }: {
+      entries: number;
+      every: number;
+      loss: number;
+      seed: number;
+    },
+  ) {
+    this.#random = new SeededRandomness(seed);
+    this.#loss = loss;
+    this.#every = every;
+    for (let index = 0; index < entries; index++) {
+      this.#entries.push(this.#start(index, 0));
+    }
+  }
+
+  /** What the endpoint allows at present. */
+  get limit(): number | undefined {
+    return this.limits.at(-1)!.perSecond;
+  }
+
+  apply(event: LimitEvent): void {
+    const entry = "entry" in event
+      ? this.#entries[event.entry % this.#entries.length]!
+      : undefined;
+    switch (event.kind) {
+      case "limit":
+        this.limits.push({ at: this.#now, perSecond: event.perSecond });
+        return;
+      case "issuer":
+        for (const other of this.#entries) {
+          const at = this.#now + event.lag * this.#random.next();
+          const index = event.entry % this.#entries.length;
+          other.issuerLater = { entry: index, at };
+        }
+        return;
+      case "pause":
+        entry!.pausedUntil = this.#now + event.time;
+        return;
+      case "restart": {
+        const index = event.entry % this.#entries.length;
+        this.#entries[index] = this.#start(index, entry!.issuer);
+        return;
+      }
+      case "life":
+        // Another life states its limit anew: it is another endpoint.
+        this.#life++;
+        this.limits.push({ at: this.#now, perSecond: this.limit });
+    }
+  }
+
+  run(time: number): void {
+    const until = this.#now + time;
+    while (this.#now < until) {
+      this.#now += STEP_MS;
+      this.#entries.forEach((entry, index) => this.#step(entry, index));
+    }
+  }
+
+  #start(index: number, issuer: number): Entry {
+    const incarnation = `${index}.${this.#starts++}` as Incarnation;
+    const entry: Entry = {
+      incarnation,
+      issuer,
+      issuerLater: undefined,
+      pausedUntil: 0,
+      mail: [],
+      answers: [],
+      limits: new EndpointLimits({
+        incarnation,
+        issuerOf: () => this.#entries[entry.issuer]!.incarnation,
+        peers: () =>
+          this.#entries.filter((other) => other !== entry)
+            .map((other) => other.incarnation),
+        heardPart: () => 1,
+        isPublished: () => true,
+        send: (to, message) => this.#send(to, message),
+        log: () => {},
+      }, instant(this.#now)),
+    };
+    return entry;
+  }
+
+  #send(to: Incarnation, message: LimitMessage): void {
+    const receiver = this.#entries.find(({ incarnation }) =>
+      incarnation === to
+    );
+    if (this.#random.next() >= this.#loss) {
+      const at = this.#now + 1 + 20 * this.#random.next();
+      receiver?.mail.push({ at, message });
+    }
+  }
+
+  #step(entry: Entry, index: number): void {
+    if (this.#now < entry.pausedUntil) {
+      return;
+    }
+    const now = instant(this.#now);
+    if (entry.pausedUntil > 0) {
+      this.#wake(entry);
+    }
+    if (entry.issuerLater !== undefined && now >= entry.issuerLater.at) {
+      entry.issuer = entry.issuerLater.entry;
+      entry.issuerLater = undefined;
+    }
+    takeDue(entry.mail, now).forEach(({ message }) =>
+      entry.limits.receive(message, now)
+    );
+    takeDue(entry.answers, now).forEach(({ perSecond }) =>
+      this.#hear(entry, perSecond)
+    );
+    entry.limits.tick(now);
+    const phase = index * STEP_MS;
+    if ((this.#now + phase) % this.#every < STEP_MS) {
+      this.#demand(entry);
+    }
+  }
+
+  #wake(entry: Entry): void {
+    entry.pausedUntil = 0;
+    entry.limits.woke();
+  }
+
+  #hear({ limits }: Entry, perSecond: number | undefined): void {
+    limits.hear(this.#record(), {
+      stated: perSecond === undefined
+        ? undefined
+        : { kind: "value", value: perSecond },
+      answer: { call: "c", status: 200 },
+    }, instant(this.#now));
+  }
+
+  /** One request: to the endpoint with leave, elsewhere without. */
+  #demand(entry: Entry): void {
+    const now = instant(this.#now);
+    const record = this.#record();
+    if (!entry.limits.allows(record, now)) {
+      return;
+    }
+    const permit = entry.limits.take(record, now);
+    if (entry.limits.covers(record, permit, now)) {
+      this.arrivals.push(this.#now);
+      const at = this.#now + ANSWER_MS;
+      entry.answers.push({ at, perSecond: this.limit });
+    }
+  }
+
+  #record(): Parameters<EndpointLimits["limitOf"]>[0] {
+    return { id: ENDPOINT, life: this.#life } as never;
+  }
+}
+
+function takeDue<Item extends { readonly at: number }>(
+  items: Item[],
+  now: number,
+): Item[] {
+  const due = items.filter(({ at }) => at <= now);
+  const left = items.filter(({ at }) => at > now);
+  items.splice(0, items.length, ...left);
+  return due;
+}
--- a/packages/core/src/endpoint_terms/endpoint_limits.ts
+++ b/packages/core/src/endpoint_terms/endpoint_limits.ts
@@ -1,123 +1,416 @@
 /**
  * Limits that endpoints state in their answers: requests a second from all entries together.
  *
+ * One entry of the region issues permits at that rate, the same entry in all views; the others ask it for
+ * one when they have use for it. So the limit is used wherever there are requests, and nobody divides a
+ * limit that is smaller than one request a second. Without a permit an endpoint gets nothing.
+ *
  * @module
  */
-import type { EndpointId, EndpointLife, Instant } from "../ids/index.ts";
-import { type EndpointRecord, isSameLife } from "../routes/index.ts";
+import {
+  after,
+  type EndpointId,
+  type Incarnation,
+  type Instant,
+} from "../ids/index.ts";
+import type { EndpointRecord } from "../routes/index.ts";
+import {
+  type KnownLimit,
+  KnownLimits,
+  knownOf,
+  noticeOf,
+} from "./known_limits.ts";
+import type { LimitMessage } from "./limit_messages.ts";
+import { PermitIssuer, TAKEOVER_MS } from "./permit_issuer.ts";
 import type { Stated, StatingAnswer, TermsLog } from "./stated.ts";
 
-/** Endpoints whose words are remembered; each start of one may have an id of its own. */
-const MOST_ENDPOINTS = 4_096;
+const MS_PER_SECOND = 1_000;
+/** A permit that is not used for so long, and for the time of one request at the limit, is void. */
+const PERMIT_MS = 1_000;
+/** A question for a permit, or its answer, may be lost: it is asked again. */
+const ASK_PERIOD_MS = 100;
+/** The issuer is looked for again this often. */
+const ISSUER_LIFETIME_MS = 100;
+/** Between two rounds in which an issuer tells entries that have not heard of a change. */
+const TELL_PERIOD_MS = 250;
+/** Datagrams get lost: each entry is told of a change so many times. */
+const TELLS = 2;
+/** An endpoint is asked at least so often, or it could not say that its limit ends. */
+const LEAST_PER_SECOND = 1 / 30;
+const MS_PER_MINUTE = 60_000;
+/** Notices in one datagram. */
+const MOST_NOTICES = 20;
+
+/** An entry that has run for less may not know who issued permits before it. */
+const SETTLING_MS = 3_000;
+/** Texts that were ignored and are remembered, so that each is logged once. */
+const MOST_TEXTS = 1_024;
+
+/** Leave to send one request to a limited endpoint. */
+export interface Permit {
+  readonly until: Instant;
+  /** The limit that it was issued under: a lower one voids it. */
+  readonly perSecond: number;
+}
+
+/** What limits are kept by. */
+export interface EndpointLimitSources {
+  readonly incarnation: Incarnation;
+  /** The entry of the region that issues the permits of an endpoint. */
+  readonly issuerOf: (endpoint: EndpointId) => Incarnation;
+  /** Other live entries of the region. */
+  readonly peers: () => readonly Incarnation[];
+  /** Part of the region's entries that this one hears, itself included. */
+  readonly heardPart: () => number;
+  /** Whether an endpoint is published. */
+  readonly isPublished: (endpoint: EndpointId) => boolean;
+  readonly send: (to: Incarnation, message: LimitMessage) => void;
+  readonly log: TermsLog;
+}
 
-interface KnownLimit {
-  readonly life: EndpointLife | undefined;
-  /** `undefined` once it is lifted. */
-  perSecond: number | undefined;
-  statedAt: Instant;
-  /** The last text that was ignored. */
-  ignored: string | undefined;
+interface Issuer {
+  readonly entry: Incarnation;
+  /** Whether another one may have issued before it. */
+  readonly takesOver: boolean;
+  readonly foundAt: Instant;
 }
 
-/** What is known of endpoints' limits. */
+/** One entry's permits, and those that it issues. */
 export class EndpointLimits {
-  readonly #log: TermsLog;
-  readonly #limits = new Map<EndpointId, KnownLimit>();
+  readonly #sources: EndpointLimitSources;
+  readonly #known = new KnownLimits();
+  readonly #permits = new Map<EndpointId, Permit[]>();
+  readonly #askedAt = new Map<EndpointId, Instant>();
+  readonly #issuers = new Map<EndpointId, Issuer>();
+  readonly #issued = new Map<EndpointId, PermitIssuer>();
+  readonly #ignoredTexts = new Map<EndpointId, string>();
+  /** How often each entry was told of what is known at present. */
+  readonly #told = new Map<Incarnation, number>();
+  #tellAt: Instant | undefined;
   /** Values that were ignored since the start. */
   ignored = 0;
+  /** Requests that found no permit when they were about to be sent. */
+  withheld = 0;
 
-  constructor({ log }: { log: TermsLog }) {
-    this.#log = log;
+  readonly #startedAt: Instant;
+
+  constructor(sources: EndpointLimitSources, now: Instant) {
+    this.#sources = sources;
+    this.#startedAt = now;
   }
 
   /** Endpoints that have a limit at present. */
   get size(): number {
-    return [...this.#limits.values()].filter(({ perSecond }) =>
+    return [...this.#known.all()].filter(({ perSecond }) =>
       perSecond !== undefined
     ).length;
   }
 
+  /** Whether others wait for permits of this entry. */
+  get isAsked(): boolean {
+    return [...this.#issued.values()].some(({ isAsked }) => isAsked);
+  }
+
   /** Requests a second, `undefined` for an endpoint without a limit. */
-  limitOf({ id, life }: EndpointRecord): number | undefined {
-    const known = this.#limits.get(id);
-    return known !== undefined && isSameLife(known, { life })
-      ? known.perSecond
-      : undefined;
+  limitOf(record: EndpointRecord): number | undefined {
+    return this.#known.of(record);
   }
 
   /** Takes what the head of an answer states; an answer without a limit lifts it. */
   hear(
     record: EndpointRecord,
-    { stated, answer }: {
-      stated: Stated | undefined;
-      answer: StatingAnswer;
-    },
+    { stated, answer }: { stated: Stated | undefined; answer: StatingAnswer },
     now: Instant,
   ): void {
     if (stated?.kind === "invalid") {
-      return this.#ignore(record, { stated, answer }, now);
+      return this.#ignore(record, { stated, answer });
     }
+    const { id: endpoint, life } = record;
     const before = this.limitOf(record);
-    const perSecond = stated?.value;
-    if (perSecond === undefined && before === undefined) {
-      return;
-    }
-    const known = this.#open(record, now);
-    known.perSecond = perSecond;
-    known.statedAt = now;
-    if (perSecond !== before) {
-      const text = perSecond === undefined
-        ? "Endpoint lifted its limit."
-        : "Endpoint stated a limit.";
-      this.#log(text, {
-        endpoint: record.id,
-        service: record.service,
-        perSecond,
-        before,
+    const perSecond = stated === undefined
+      ? undefined
+      : Math.max(LEAST_PER_SECOND, stated.value);
+    const news = { endpoint, life, perSecond, statedAt: now };
+    if (this.#known.learn(news)) {
+      this.#logChange(news, before, {
         ...answer,
+        service: record.service,
+        now,
       });
+      this.#spread(news, undefined, now);
     }
   }
 
-  #ignore(
+  /** Whether a request may be placed at an endpoint; where it may not, a permit is asked for. */
+  allows(record: EndpointRecord, now: Instant): boolean {
+    if (this.isFree(record, now)) {
+      return true;
+    }
+    this.#ask(record.id, now);
+    return this.#hasPermit(record, now);
+  }
+
+  /** Whether an endpoint has no limit, or a permit of it is at hand. */
+  isFree(record: EndpointRecord, now: Instant): boolean {
+    return this.limitOf(record) === undefined || this.#hasPermit(record, now);
+  }
+
+  /** Takes a permit, `undefined` where there is none or none is needed. */
+  take(record: EndpointRecord, now: Instant): Permit | undefined {
+    return this.limitOf(record) !== undefined && this.allows(record, now)
+      ? this.#permits.get(record.id)!.shift()
+      : undefined;
+  }
+
+  /** Whether a request may be written to an endpoint now, with the permit that it was placed with. */
+  covers(
     record: EndpointRecord,
+    permit: Permit | undefined,
+    now: Instant,
+  ): boolean {
+    const covered = this.limitOf(record) === undefined ||
+      permit !== undefined && this.#isValid(record, permit, now) ||
+      this.take(record, now) !== undefined;
+    this.withheld += covered ? 0 : 1;
+    return covered;
+  }
+
+  /** A request was not written: another one may use its permit. */
+  giveBack({ id }: EndpointRecord, permit: Permit): void {
+    this.#permits.set(id, [permit, ...this.#permits.get(id) ?? []]);
+  }
+
+  /** Takes what another entry tells. Returns whether it brought permits. */
+  receive({ kind, incarnation, notices }: LimitMessage, now: Instant): boolean {
+    for (const notice of notices) {
+      const news = knownOf(notice, now);
+      const before = this.#known.of({ id: news.endpoint, life: news.life });
+      if (this.#known.learn(news)) {
+        this.#logChange(news, before, { toldBy: incarnation, now });
+        this.#spread(news, incarnation, now);
+      }
+      if (kind === "ask") {
+        this.#correct(news, incarnation, now);
+        this.#issue(news.endpoint, now, incarnation);
+      } else if (kind === "grant") {
+        this.#addPermit(news.endpoint, now);
+      }
+    }
+    return kind === "grant";
+  }
+
+  /** Issues what is due. */
+  tick(now: Instant): void {
+    if (this.#known.size === 0) {
+      return;
+    }
+    for (const { endpoint, perSecond } of this.#known.all()) {
+      if (perSecond !== undefined) {
+        this.#issue(endpoint, now);
+      }
+    }
+    this.#tellOthers(now);
+    this.#forgetGone(now);
+  }
+
+  /** The process stood still: another entry may issue in its place. */
+  woke(): void {
+    this.#permits.clear();
+    this.#issued.clear();
+    for (const [endpoint, issuer] of this.#issuers) {
+      this.#issuers.set(endpoint, { ...issuer, takesOver: true });
+    }
+  }
+
+  #hasPermit(record: EndpointRecord, now: Instant): boolean {
+    const valid = (this.#permits.get(record.id) ?? []).filter((permit) =>
+      this.#isValid(record, permit, now)
+    );
+    this.#permits.set(record.id, valid);
+    return valid.length > 0;
+  }
+
+  #isValid(
+    record: EndpointRecord,
+    { until, perSecond }: Permit,
+    now: Instant,
+  ): boolean {
+    return now < until && perSecond <= (this.limitOf(record) ?? Infinity);
+  }
+
+  #addPermit(endpoint: EndpointId, now: Instant): void {
+    this.#askedAt.delete(endpoint);
+    const perSecond = this.#known.get(endpoint)?.perSecond;
+    if (perSecond !== undefined) {
+      const until = after(now, PERMIT_MS + MS_PER_SECOND / perSecond);
+      const permits = this.#permits.get(endpoint) ?? [];
+      this.#permits.set(endpoint, [...permits, { until, perSecond }]);
+    }
+  }
+
+  #ask(endpoint: EndpointId, now: Instant): void {
+    const { incarnation, send } = this.#sources;
+    const issuer = this.#findIssuer(endpoint, now).entry;
+    if (issuer === incarnation) {
+      return this.#issue(endpoint, now, incarnation);
+    }
+    const askedAt = this.#askedAt.get(endpoint) ?? -Infinity;
+    if (now - askedAt >= ASK_PERIOD_MS) {
+      this.#askedAt.set(endpoint, now);
+      const notices = [noticeOf(this.#known.get(endpoint)!, now)];
+      send(issuer, { kind: "ask", incarnation, notices });
+    }
+  }
+
+  /** Hands out the permits of an endpoint, if this entry is the one to do so. */
+  #issue(endpoint: EndpointId, now: Instant, asker?: Incarnation): void {
+    const { incarnation, heardPart, send } = this.#sources;
+    const known = this.#known.get(endpoint);
+    const { entry, takesOver } = this.#findIssuer(endpoint, now);
+    if (entry !== incarnation || known?.perSecond === undefined) {
+      this.#issued.delete(endpoint);
+      return;
+    }
+    const issued = this.#issued.get(endpoint) ??
+      new PermitIssuer({ takesOver }, now);
+    this.#issued.set(endpoint, issued);
+    if (asker !== undefined) {
+      issued.ask(asker, now);
+    }
+    if (!issued.isAsked) {
+      return;
+    }
+    for (const to of issued.issue(known.perSecond * heardPart(), now)) {
+      if (to === incarnation) {
+        this.#addPermit(endpoint, now);
+      } else {
+        const notices = [noticeOf(known, now)];
+        send(to, { kind: "grant", incarnation, notices });
+      }
+    }
+  }
+
+  #findIssuer(endpoint: EndpointId, now: Instant): Issuer {
+    const known = this.#issuers.get(endpoint);
+    if (known !== undefined && now - known.foundAt < ISSUER_LIFETIME_MS) {
+      return known;
+    }
+    const entry = this.#sources.issuerOf(endpoint);
+    const statedAt = this.#known.get(endpoint)?.statedAt ?? now;
+    const isFirst = known === undefined && now - statedAt < TAKEOVER_MS &&
+      now - this.#startedAt >= SETTLING_MS;
+    const takesOver = known?.entry === entry ? known.takesOver : !isFirst;
+    const issuer = { entry, takesOver, foundAt: now };
+    this.#issuers.set(endpoint, issuer);
+    return issuer;
+  }
+
+  /** Tells of a change: the issuer of the endpoint, who tells all others. */
+  #spread(
+    news: KnownLimit,
+    toldBy: Incarnation | undefined,
+    now: Instant,
+  ): void {
+    const { incarnation, send } = this.#sources;
+    const issuer = this.#findIssuer(news.endpoint, now).entry;
+    if (issuer === incarnation) {
+      this.#told.clear();
+      this.#tellAt = undefined;
+      this.#tellOthers(now);
+    } else if (toldBy === undefined) {
+      const notices = [noticeOf(news, now)];
+      send(issuer, { kind: "notice", incarnation, notices });
+    }
+  }
+
+  /** Tells an entry that asks by a limit that is not in force any more. */
+  #correct(asked: KnownLimit, asker: Incarnation, now: Instant): void {
+    const known = this.#known.get(asked.endpoint);
+    if (known !== undefined && known.perSecond !== asked.perSecond) {
+      const { incarnation, send } = this.#sources;
+      const notices = [noticeOf(known, now)];
+      send(asker, { kind: "notice", incarnation, notices });
+    }
+  }
+
+  /** An issuer tells the entries of the region, and each that is new, of its endpoints' limits. */
+  #tellOthers(now: Instant): void {
+    if (this.#tellAt !== undefined && now - this.#tellAt < TELL_PERIOD_MS) {
+      return;
+    }
+    const { incarnation, peers, send } = this.#sources;
+    this.#tellAt = now;
+    const untold = peers().filter((peer) =>
+      (this.#told.get(peer) ?? 0) < TELLS
+    );
+    const own = [...this.#known.all()].filter(({ endpoint }) =>
+      this.#findIssuer(endpoint, now).entry === incarnation
+    );
+    for (const peer of own.length === 0 ? [] : untold) {
+      this.#told.set(peer, (this.#told.get(peer) ?? 0) + 1);
+      for (let first = 0; first < own.length; first += MOST_NOTICES) {
+        const notices = own.slice(first, first + MOST_NOTICES)
+          .map((known) => noticeOf(known, now));
+        send(peer, { kind: "notice", incarnation, notices });
+      }
+    }
+  }
+
+  /** Endpoints that are gone, and limits that ended a while ago. */
+  #forgetGone(now: Instant): void {
+    const { isPublished } = this.#sources;
+    for (const { endpoint, perSecond, statedAt } of this.#known.all()) {
+      const over = perSecond === undefined || !isPublished(endpoint);
+      if (over && now - statedAt > MS_PER_MINUTE) {
+        this.#known.forget(endpoint);
+        this.#permits.delete(endpoint);
+        this.#askedAt.delete(endpoint);
+        this.#issuers.delete(endpoint);
+        this.#issued.delete(endpoint);
+      }
+    }
+  }
+
+  #logChange(
+    { endpoint, perSecond, statedAt }: KnownLimit,
+    before: number | undefined,
+    { now, ...source }: { now: Instant } & Readonly<Record<string, unknown>>,
+  ): void {
+    const text = perSecond === undefined
+      ? "Endpoint lifted its limit."
+      : before === undefined
+      ? "Endpoint stated a limit."
+      : "Endpoint changed its limit.";
+    this.#sources.log(text, {
+      endpoint,
+      perSecond,
+      before,
+      ageMs: Math.round(now - statedAt),
+      issuer: this.#issuers.get(endpoint)?.entry,
+      ...source,
+    });
+  }
+
+  #ignore(
+    { id }: EndpointRecord,
     { stated: { text, reason }, answer }: {
       stated: Extract<Stated, { kind: "invalid" }>;
       answer: StatingAnswer;
     },
-    now: Instant,
   ): void {
-    const known = this.#open(record, now);
     this.ignored++;
-    if (known.ignored !== text) {
-      known.ignored = text;
-      this.#log("Limit of an endpoint is ignored.", {
-        endpoint: record.id,
+    if (this.#ignoredTexts.get(id) !== text) {
+      if (this.#ignoredTexts.size >= MOST_TEXTS) {
+        this.#ignoredTexts.clear();
+      }
+      this.#ignoredTexts.set(id, text);
+      this.#sources.log("Limit of an endpoint is ignored.", {
+        endpoint: id,
         text,
         reason,
-        inForce: known.perSecond,
+        inForce: this.#known.get(id)?.perSecond,
         ...answer,
       });
     }
   }
-
-  #open({ id, life }: EndpointRecord, now: Instant): KnownLimit {
-    const known = this.#limits.get(id);
-    if (known !== undefined && isSameLife(known, { life })) {
-      return known;
-    }
-    const opened = {
-      life,
-      perSecond: undefined,
-      statedAt: now,
-      ignored: undefined,
-    };
-    this.#limits.delete(id);
-    this.#limits.set(id, opened);
-    if (this.#limits.size > MOST_ENDPOINTS) {
-      const [oldest] = this.#limits.keys();
-      this.#limits.delete(oldest!);
-    }
-    return opened;
-  }
 }
--- a/packages/core/src/endpoint_terms/index.ts
+++ b/packages/core/src/endpoint_terms/index.ts
@@ -1,2 +1,7 @@
-export { EndpointLimits } from "./endpoint_limits.ts";
-export type { Stated, StatingAnswer } from "./stated.ts";
+export {
+  EndpointLimits,
+  type EndpointLimitSources,
+  type Permit,
+} from "./endpoint_limits.ts";
+export type { LimitMessage, LimitNotice } from "./limit_messages.ts";
+export type { Stated, StatingAnswer, TermsLog } from "./stated.ts";
--- a/packages/core/src/fleet/fleet_controller.ts
+++ b/packages/core/src/fleet/fleet_controller.ts
@@ -97,6 +97,17 @@
 
   /** Part of a region's entries that answer, of those that were known within a minute. */
   heardPart(region: RegionId): number {
+    const { known, heard } = this.#countHeard(region);
+    return known === 0 ? 1 : heard / known;
+  }
+
+  /** The same part with this entry counted as one that is known and heard. */
+  heardPartWithSelf(region: RegionId): number {
+    const { known, heard } = this.#countHeard(region);
+    return (heard + 1) / (known + 1);
+  }
+
+  #countHeard(region: RegionId): { known: number; heard: number } {
     const known = new Set<string>();
     const heard = new Set<string>();
     for (const { record, health } of this.#members.all()) {
@@ -107,7 +118,7 @@
         }
       }
     }
-    return known.size === 0 ? 1 : heard.size / known.size;
+    return { known: known.size, heard: heard.size };
   }
 
   /** Where the newest catalogue is that a live member holds, and its revision. */
--- a/packages/core/src/fleet/fleet_mail.ts
+++ b/packages/core/src/fleet/fleet_mail.ts
@@ -59,7 +59,10 @@
   /** Sends one message that names no record. */
   sendBare(
     to: string,
-    message: Extract<FleetMessage, { kind: "currency" | "spending" }>,
+    message: Extract<
+      FleetMessage,
+      { kind: "currency" | "spending" | "limits" }
+    >,
   ): void {
     this.#options.send(to, message);
   }
--- a/packages/core/src/fleet/fleet_messages.ts
+++ b/packages/core/src/fleet/fleet_messages.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { SpendingMessage } from "../customers/index.ts";
+import type { LimitMessage } from "../endpoint_terms/index.ts";
 import type {
   EndpointId,
   EndpointLife,
@@ -181,7 +182,9 @@
   /** How current the document is that an entry holds. */
   | { readonly kind: "currency"; readonly message: CurrencyMessage }
   /** What customers use. */
-  | { readonly kind: "spending"; readonly message: SpendingMessage };
+  | { readonly kind: "spending"; readonly message: SpendingMessage }
+  /** Limits that endpoints stated, and permits to send to them. */
+  | { readonly kind: "limits"; readonly message: LimitMessage };
 
 type Body<Message> = Message extends { readonly from: FleetRecord }
   ? Omit<Message, "from" | "holdings">
--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -3,7 +3,6 @@
   type AttemptId,
   type CallId,
   type EndpointId,
-  EndpointLimits,
   instant,
   ListenedTime,
   milliseconds,
@@ -26,6 +25,7 @@
 import type { CallAnswer, GatewayBounds, GatewayEffect } from "../messages.ts";
 import { RepeatBudget } from "../repeat_budget.ts";
 import type { RegionController } from "../region_controller.ts";
+import { unlimited } from "./endpoint_limits_fixture.ts";
 import { engine } from "./engine_fixture.ts";
 import { emptyQuarantine, fingerprint } from "./quarantine_fixture.ts";
 
@@ -77,7 +77,7 @@
 } {
   const asked: { count: number; way: Way } = {
     count: 0,
-    way: { kind: "wait", wait: milliseconds(1) },
+    way: { kind: "wait", wait: milliseconds(1), limited: false },
   };
   const effects: GatewayEffect[] = [];
   const router = {
@@ -106,7 +106,7 @@
     budget: new RepeatBudget(BOUNDS),
     cold: new ColdAllowance(BOUNDS, instant(0)),
     quarantine: emptyQuarantine(),
-    endpointLimits: new EndpointLimits({ log: () => {} }),
+    endpointLimits: unlimited(),
     limits: {} as never,
     keyLifetime: () => undefined,
     listened: new ListenedTime(instant(0)),
--- a/packages/core/src/gateway/call.ts
+++ b/packages/core/src/gateway/call.ts
@@ -11,6 +11,7 @@
   ServiceId,
 } from "../ids/index.ts";
 import { type Customer, mayServeCustomer } from "../customers/index.ts";
+import type { Permit } from "../endpoint_terms/index.ts";
 import { mayRepeat, mayServe, type Route } from "../routes/index.ts";
 import { AttemptLog } from "../verdict/index.ts";
 import { CallTrace } from "./call_trace.ts";
@@ -38,6 +39,8 @@
   /** `undefined` for an attempt by way of a peer. */
   readonly state: EndpointState | undefined;
   readonly madeAt: Instant;
+  /** For an endpoint with a limit. */
+  readonly permit: Permit | undefined;
   /** When it was allowed to be written. */
   sentAt: Instant | undefined;
   /** When bytes last came from it, or it was read again after it had been held back. */
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -182,6 +182,10 @@
     const { attempt } = call;
     if (attempt !== undefined) {
       this.noteHeld(call, attempt, { held: false, now });
+      const { permit, sentAt } = attempt;
+      if (permit !== undefined && sentAt === undefined) {
+        this.#tools.endpointLimits.giveBack(attempt.state!.record, permit);
+      }
       call.log.record(attempt.id, state);
       attempt.state?.end(attempt.id, now);
       this.#calls.delete(attempt.id);
@@ -237,6 +241,9 @@
       target,
       state,
       madeAt: now,
+      permit: state === undefined
+        ? undefined
+        : this.#tools.endpointLimits.take(state.record, now),
       sentAt: undefined,
       heardAt: undefined,
       heldSince: undefined,
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -18,7 +18,7 @@
 } from "../ids/index.ts";
 import type { ListenedTimeView } from "../listening/index.ts";
 import { ArrivalHold, heldFrom } from "./arrival_hold.ts";
-import { Call } from "./call.ts";
+import { Call, type OpenAttempt } from "./call.ts";
 import { type AdmittedCall, CallAdmission } from "./call_admission.ts";
 import { CallAttempts } from "./call_attempts.ts";
 import { CallEnds } from "./call_ends.ts";
@@ -192,6 +192,11 @@
     if (!this.#placer.maySend(call, now)) {
       return;
     }
+    if (!this.#isCovered(attempt, now)) {
+      this.#attempts.close(call, "unsent", now);
+      this.#placer.place(call, now);
+      return;
+    }
     this.#attempts.noteSent(call, attempt, now);
     this.#tools.emit({
       kind: "proceed",
@@ -200,6 +205,12 @@
     });
   }
 
+  /** The last look at an endpoint's limit: no request reaches it by another way. */
+  #isCovered({ state, permit }: OpenAttempt, now: Instant): boolean {
+    return state === undefined ||
+      this.#tools.endpointLimits.covers(state.record, permit, now);
+  }
+
   /** The head of an answer. */
   answered(id: AttemptId, answer: CallAnswer, now: Instant): void {
     const found = this.#attempts.find(id);
@@ -338,6 +349,11 @@
     );
   }
 
+  /** Permits of limited endpoints have come. */
+  notePermits(now: Instant): void {
+    this.#placer.drain(now);
+  }
+
   /** What others let in was told. */
   noteSpending(now: Instant): void {
     this.#admission.judgeAgain(now);
--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -13,7 +13,12 @@
 import type { CallAttempts } from "./call_attempts.ts";
 import type { CallEnds } from "./call_ends.ts";
 import { CallQueue } from "./call_queue.ts";
-import { type CallRouter, MOST_ATTEMPTS, type Way } from "./call_router.ts";
+import {
+  type Ahead,
+  type CallRouter,
+  MOST_ATTEMPTS,
+  type Way,
+} from "./call_router.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
 import { isShort } from "./placement.ts";
 import { DEFAULT_PREFILL_RATE } from "./prompt_cost.ts";
@@ -65,10 +70,10 @@
     if (this.#judge(call, now) !== "free") {
       return;
     }
-    const wait = this.#expectedWait(call);
-    const way = this.#tools.router.next(call, wait, now);
+    const ahead = this.#ahead(call);
+    const way = this.#tools.router.next(call, ahead, now);
     if (way.kind === "wait") {
-      this.#await(call, { wait: way.wait + wait, now });
+      this.#await(call, { way, ahead, now });
     } else {
       this.#take(call, way, now);
     }
@@ -92,8 +97,8 @@
       if (blocked.has(kind)) {
         continue;
       }
-      const waited = now - call.arrivedAt;
-      const way = this.#tools.router.next(call, waited, now);
+      const ahead = { wait: now - call.arrivedAt, turns: 0 };
+      const way = this.#tools.router.next(call, ahead, now);
       if (way.kind === "wait") {
         blocked.add(kind);
       } else {
@@ -166,11 +171,19 @@
   }
 
   /** Waits for a place, unless that would take too long: then the caller learns it at once. */
-  #await(call: Call, { wait, now }: { wait: number; now: Instant }): void {
-    const known = call.offered === 0;
-    const left = call.endsAt - now;
-    if (known && wait > waitLimit(left)) {
-      return this.#tools.ends.fail(call, "overloaded", now, milliseconds(wait));
+  #await(
+    call: Call,
+    { way: { wait, limited }, ahead, now }: {
+      way: Extract<Way, { kind: "wait" }>;
+      ahead: Ahead;
+      now: Instant;
+    },
+  ): void {
+    const time = limited ? Math.max(wait, ahead.wait) : wait + ahead.wait;
+    const known = call.offered === 0 || limited;
+    if (known && time > waitLimit(call.endsAt - now)) {
+      const reason = limited ? "endpoints_limited" : "overloaded";
+      return this.#tools.ends.fail(call, reason, now, milliseconds(time));
     }
     if (call.phase === "trying") {
       call.phase = "waiting";
@@ -178,6 +191,14 @@
     this.queue.add(call);
   }
 
+  #ahead(call: Call): Ahead {
+    const { services, rank } = call;
+    // The region's entries take turns with what they have waiting.
+    const turns = (1 + this.queue.callsAhead(services[0]!, rank)) *
+      this.#tools.regionEntries();
+    return { wait: this.#expectedWait(call), turns };
+  }
+
   /** Time until what waits already, and goes first, will have been read. */
   #expectedWait({ rank }: Call): number {
     const engines =
--- a/packages/core/src/gateway/call_queue.ts
+++ b/packages/core/src/gateway/call_queue.ts
@@ -9,6 +9,7 @@
   type CustomerId,
   type Instant,
   type RequestId,
+  type ServiceId,
 } from "../ids/index.ts";
 import type { Call } from "./call.ts";
 import { DEFAULT_PREFILL_RATE, readingTime } from "./prompt_cost.ts";
@@ -47,6 +48,15 @@
     return tokens;
   }
 
+  /** Requests for a service that wait and get a place before one of a rank. */
+  callsAhead(service: ServiceId, priority: number): number {
+    let calls = 0;
+    for (const { services, rank } of this.#calls.values()) {
+      calls += services[0] === service && rank <= priority ? 1 : 0;
+    }
+    return calls;
+  }
+
   /**
    * Requests that can still be on time first, by rank and arrival. Under overload a queue in order of
    * arrival makes every request late; so the ones that will be late get what the others leave. What an
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -32,6 +32,7 @@
  * from which no stream hears anything for so long has gone silent without closing its connections.
  */
 const SILENT_ENGINE_MS = 1_500;
+const NOTHING_AHEAD = { wait: 0, turns: 0 };
 const OK = 200;
 const NOT_FOUND = 404;
 
@@ -238,7 +239,9 @@
     const allowed = call.endsAt - now >= LEAST_REPEAT_TIME_MS &&
       call.arrivals < call.route.attempts && call.attempts < MOST_ATTEMPTS &&
       !this.#tools.quarantine.isSuspect(call.head.fingerprint);
-    const way = allowed ? this.#tools.router.next(call, 0, now) : undefined;
+    const way = allowed
+      ? this.#tools.router.next(call, NOTHING_AHEAD, now)
+      : undefined;
     const possible = way?.kind === "endpoint" || way?.kind === "peer";
     return possible && this.#spendRepeat(call, now);
   }
--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { EndpointLimits } from "../endpoint_terms/index.ts";
 import type { FleetController } from "../fleet/index.ts";
 import {
   hash32,
@@ -25,9 +26,10 @@
   place,
   type Placement,
   sharedParts,
+  type Work,
 } from "./placement.ts";
 import type { RegionController, RegionView } from "./region_controller.ts";
-import { servingByZone, type ServingSet } from "./serving_set.ts";
+import { carriersOf, type ServingSet } from "./serving_set.ts";
 import { type SubjectRegion, subjectRegion } from "./subject_region.ts";
 
 /** A wait longer than this is worth the way to another region and back. */
@@ -57,12 +59,30 @@
     readonly region: RegionId;
     readonly address: string;
   }
-  | { readonly kind: "wait"; readonly wait: Milliseconds }
+  | {
+    readonly kind: "wait";
+    readonly wait: Milliseconds;
+    /** Whether limits that the region's endpoints stated are in the way. */
+    readonly limited: boolean;
+  }
   | { readonly kind: "none" };
 
+/** A place in the own region. */
+type LocalPlace =
+  | Exclude<Placement, { kind: "busy" }>
+  | Omit<Extract<Way, { kind: "wait" }>, "kind"> & { readonly kind: "busy" };
+
 /** A chosen endpoint. */
 export type Chosen = Extract<Placement, { kind: "chosen" }>;
 
+/** What waits already where a request looks for a way. */
+export interface Ahead {
+  /** Milliseconds until what goes first will have been read. */
+  readonly wait: number;
+  /** Turns of the region's entries until a request's own, where endpoints take a limited rate. */
+  readonly turns: number;
+}
+
 /** What the router reads. */
 export interface RouterSources {
   readonly self: GatewaySelf;
@@ -71,6 +91,7 @@
   readonly regions: RegionController;
   readonly serving: ServingSet;
   readonly cold: ColdAllowance;
+  readonly endpointLimits: EndpointLimits;
   readonly random: Randomness;
 }
 
@@ -89,8 +110,8 @@
     return BIAS_MS * hash32(`${incarnation} ${record.id}`) / UINT32_RANGE;
   };
 
-  /** The next way of a request. `wait` is how long requests already wait here. */
-  next(call: Call, wait: number, now: Instant): Way {
+  /** The next way of a request. */
+  next(call: Call, ahead: Ahead, now: Instant): Way {
     const { self } = this.#sources;
     const home = call.mayServe(self.region);
     const mayTravel = call.head.relay === undefined;
@@ -100,7 +121,9 @@
     if (elsewhere !== undefined) {
       return elsewhere;
     }
-    const local = home ? this.#local(call, now) : { kind: "none" as const };
+    const local = home
+      ? this.#local(call, { ahead, now })
+      : { kind: "none" as const };
     if (local.kind === "chosen") {
       return { kind: "endpoint", placement: local };
     }
@@ -108,11 +131,12 @@
       return (mayTravel && this.#peer(call, Infinity, now)) ||
         this.#awaitReturn(call);
     }
-    const expected = Math.max(wait, local.wait);
+    const expected = Math.max(ahead.wait, local.wait);
     const travel = mayTravel && expected > TRAVEL_GAIN_MS
       ? this.#peer(call, expected, now)
       : undefined;
-    return travel ?? { kind: "wait", wait: local.wait };
+    const { wait, limited } = local;
+    return travel ?? { kind: "wait", wait, limited };
   }
 
   /** The way to the region that reads the request's subject, where that is worth it. */
@@ -166,7 +190,11 @@
         endpoints.isPublished(service, (region) => call.mayServe(region))
       );
     return published
-      ? { kind: "wait", wait: milliseconds(RETURN_WAIT_MS) }
+      ? {
+        kind: "wait",
+        wait: milliseconds(RETURN_WAIT_MS),
+        limited: false,
+      }
       : { kind: "none" };
   }
 
@@ -194,10 +222,13 @@
     };
   }
 
-  #local(call: Call, now: Instant): Placement {
+  #local(
+    call: Call,
+    { ahead, now }: { ahead: Ahead; now: Instant },
+  ): LocalPlace {
     const { self, endpoints } = this.#sources;
     const { prompt } = call.head;
-    let busy: Placement = { kind: "none" };
+    let busy: LocalPlace = { kind: "none" };
     for (const service of call.services) {
       const usable = endpoints.of(service).filter((state) =>
         endpoints.accepts(state, now) && this.#coldAllows(state, now) &&
@@ -213,7 +244,7 @@
         urgent: call.rank === 0,
         biasOf: this.#biasOf,
       };
-      const found = place(work, fresh, now);
+      const found = this.#placeWithin(work, fresh, { ahead, now });
       if (found.kind === "chosen") {
         return found;
       }
@@ -222,6 +253,38 @@
     return busy;
   }
 
+  /** A place within the limits that endpoints stated. */
+  #placeWithin(
+    work: Work,
+    states: readonly EndpointState[],
+    { ahead, now }: { ahead: Ahead; now: Instant },
+  ): LocalPlace {
+    const { endpointLimits } = this.#sources;
+    const best = place(work, states, now);
+    if (
+      best.kind !== "chosen" || endpointLimits.allows(best.state.record, now)
+    ) {
+      return best.kind === "busy" ? { ...best, limited: false } : best;
+    }
+    const free = states.filter(({ record }) =>
+      endpointLimits.isFree(record, now)
+    );
+    // Permits are asked for where they will be used; only where nothing else is left any will do.
+    const allowed = free.length > 0
+      ? free
+      : states.filter(({ record }) => endpointLimits.allows(record, now));
+    if (allowed.length > 0) {
+      const found = place(work, allowed, now);
+      return found.kind === "busy" ? { ...found, limited: false } : found;
+    }
+    const perSecond = states.reduce(
+      (sum, { record }) => sum + (endpointLimits.limitOf(record) ?? 0),
+      0,
+    );
+    const wait = Math.max(1, ahead.turns * MS_PER_SECOND / perSecond);
+    return { kind: "busy", wait: milliseconds(wait), limited: true };
+  }
+
   #coldAllows(state: EndpointState, now: Instant): boolean {
     if (!state.isCold(now)) {
       return true;
@@ -247,11 +310,7 @@
    */
   #carriers(): Incarnation[] {
     const { self, fleet } = this.#sources;
-    const possible = [
-      fleet.record,
-      ...fleet.possible().map(({ record }) => record),
-    ].filter(({ region }) => region === self.region);
-    return servingByZone(possible, 0).map(({ incarnation }) => incarnation);
+    return carriersOf(self.region, fleet).map(({ incarnation }) => incarnation);
   }
 
   /** An entry of the region where the request is served soonest, if that is sooner than waiting. */
--- /dev/null
+++ b/packages/core/src/gateway/endpoint_limits_link.ts
@@ -0,0 +1,61 @@
+/**
+ * What the limits of endpoints see of the entry: who issues permits, whom to tell.
+ *
+ * @module
+ */
+import { EndpointLimits } from "../endpoint_terms/index.ts";
+import type { FleetController } from "../fleet/index.ts";
+import {
+  type EndpointId,
+  type Incarnation,
+  type Instant,
+  rendezvous,
+} from "../ids/index.ts";
+import type { CatalogueView } from "./catalogue_view.ts";
+import type { GatewayEmit, GatewaySelf } from "./messages.ts";
+import { carriersOf } from "./serving_set.ts";
+
+/** What the link is made of. */
+export interface EndpointLimitsLink {
+  readonly self: GatewaySelf;
+  readonly emit: GatewayEmit;
+  readonly fleet: FleetController;
+  readonly catalogue: CatalogueView;
+}
+
+/** Makes the endpoints' limits of an entry. */
+export function createEndpointLimits(
+  link: EndpointLimitsLink,
+  now: Instant,
+): EndpointLimits {
+  const { self, emit, fleet, catalogue } = link;
+  return new EndpointLimits({
+    incarnation: self.incarnation,
+    issuerOf: (endpoint) => issuerOf(endpoint, link),
+    peers: () =>
+      fleet.live().filter(({ record }) => record.region === self.region)
+        .map(({ record }) => record.incarnation),
+    heardPart: () => fleet.heardPartWithSelf(self.region),
+    isPublished: (endpoint) => catalogue.endpoints.has(endpoint),
+    send: (to, message) => {
+      const address = fleet.addressOf(to);
+      if (address !== undefined) {
+        fleet.mail.sendBare(address, { kind: "limits", message });
+      }
+    },
+    log: (text, fields) =>
+      emit({ kind: "log", part: "endpoint", text, fields }),
+  }, now);
+}
+
+/** The same entry in all views that agree on who may be alive and stays. */
+function issuerOf(
+  endpoint: EndpointId,
+  { self, fleet }: EndpointLimitsLink,
+): Incarnation {
+  const staying = carriersOf(self.region, fleet).filter(({ state }) =>
+    state === "ready" || state === "outdated"
+  );
+  const [issuer] = rendezvous(`limit ${endpoint}`, staying, ({ id }) => id);
+  return (issuer ?? fleet.record).incarnation;
+}
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { CustomerLimits } from "../customers/index.ts";
-import { EndpointLimits } from "../endpoint_terms/index.ts";
+import type { EndpointLimits } from "../endpoint_terms/index.ts";
 import { FleetController } from "../fleet/index.ts";
 import {
   type Instant,
@@ -26,6 +26,7 @@
 } from "./customer_link.ts";
 import { ColdAllowance } from "./cold_allowance.ts";
 import type { CurrencyExchange } from "./currency_exchange.ts";
+import { createEndpointLimits } from "./endpoint_limits_link.ts";
 import { EndpointRegistry } from "./endpoint_registry.ts";
 import {
   type DirectoryAnswer,
@@ -113,6 +114,7 @@
       region: self.region,
       catalogue: this.#catalogue,
       endpoints: this.#endpoints,
+      limitOf: (record) => this.endpointLimits.limitOf(record),
       now,
     });
     this.fleet = new FleetController({
@@ -158,10 +160,12 @@
     const cold = new ColdAllowance(self.bounds, now);
     this.#cold = cold;
     this.#budget = new RepeatBudget(self.bounds);
-    this.endpointLimits = new EndpointLimits({
-      log: (text, fields) =>
-        emit({ kind: "log", part: "endpoint", text, fields }),
-    });
+    this.endpointLimits = createEndpointLimits({
+      self,
+      emit,
+      fleet: this.fleet,
+      catalogue: this.#catalogue,
+    }, now);
     const router = new CallRouter({
       self,
       fleet: this.fleet,
@@ -169,6 +173,7 @@
       regions: this.#regions,
       serving: this.#serving,
       cold,
+      endpointLimits: this.endpointLimits,
       random,
     });
     this.#calls = new CallController({
@@ -216,7 +221,7 @@
   /** Time until the next tick is due, unless something happens before. */
   get tickPause(): Milliseconds {
     return tickPause({
-      active: this.#calls.active > 0,
+      active: this.#calls.active > 0 || this.endpointLimits.isAsked,
       joining: this.fleet.isJoining(this.#lastAt),
     });
   }
@@ -288,6 +293,7 @@
       fields: { gapMs: Math.round(gap) },
     });
     this.#catalogue.woke(now);
+    this.endpointLimits.woke();
   }
 
   #apply(event: GatewayEvent, now: Instant): void {
@@ -378,6 +384,7 @@
     this.#quarantine.tick(now);
     this.#exchange.tick(now);
     this.#limits.tick(now);
+    this.endpointLimits.tick(now);
     this.#judgeCurrency(now);
     this.#calls.tick(now);
     this.#reporter.tick(this.#calls.takePrefixNews(), now);
@@ -428,6 +435,10 @@
     } else if (message.kind === "spending") {
       this.#limits.receive(message.message, now);
       this.#calls.noteSpending(now);
+    } else if (message.kind === "limits") {
+      if (this.endpointLimits.receive(message.message, now)) {
+        this.#calls.notePermits(now);
+      }
     } else if (message.kind === "work") {
       this.#endpoints.learn(message.incarnation, message.report, now);
       if (this.#resting) {
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -259,6 +259,8 @@
   | "over_limit"
   | "no_endpoint"
   | "overloaded"
+  /** The endpoints that could serve it take no more than the limits that they stated. */
+  | "endpoints_limited"
   | "rejected"
   | "deadline"
   | "endpoint_failed"
--- a/packages/core/src/gateway/region_controller.ts
+++ b/packages/core/src/gateway/region_controller.ts
@@ -19,7 +19,9 @@
 } from "../ids/index.ts";
 import { ArrivalMeter } from "./arrival_meter.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
+import type { EndpointRecord } from "../routes/index.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
+import type { EndpointState } from "./endpoint_state.ts";
 import type { Prompt } from "./messages.ts";
 import { engineWork } from "./prompt_cost.ts";
 import { RouteTraffic } from "./route_traffic.ts";
@@ -54,22 +56,26 @@
   readonly #region: RegionId;
   readonly #catalogue: CatalogueView;
   readonly #endpoints: EndpointRegistry;
+  readonly #limitOf: (record: EndpointRecord) => number | undefined;
   #readPart = FIRST_READ_PART;
   #shares: RegionShare[] = [];
   #requestRate = 0;
   #nextDecisionAt: Instant;
 
   constructor(
-    { region, catalogue, endpoints, now }: {
+    { region, catalogue, endpoints, limitOf, now }: {
       region: RegionId;
       catalogue: CatalogueView;
       endpoints: EndpointRegistry;
+      /** Requests a second that an endpoint takes, `undefined` where it states no limit. */
+      limitOf: (record: EndpointRecord) => number | undefined;
       now: Instant;
     },
   ) {
     this.#region = region;
     this.#catalogue = catalogue;
     this.#endpoints = endpoints;
+    this.#limitOf = limitOf;
     this.#nextDecisionAt = now;
   }
 
@@ -160,9 +166,14 @@
       (sum, state) => sum + state.prefill / state.prefillRate,
       0,
     );
+    const mean = requests === 0 ? 0 : work / requests;
+    const endpoints = usable.reduce(
+      (sum, state) => sum + this.#partInUse(state, mean),
+      0,
+    );
     return {
       service,
-      endpoints: usable.length,
+      endpoints: Math.round(endpoints),
       work: Math.round(work),
       requests,
       backlog: milliseconds(
@@ -171,6 +182,12 @@
     };
   }
 
+  /** Part of an endpoint that its stated limit leaves, for requests of so many milliseconds of work. */
+  #partInUse({ record }: EndpointState, work: number): number {
+    const limit = this.#limitOf(record);
+    return limit === undefined ? 1 : Math.min(1, limit * work / MS_PER_SECOND);
+  }
+
   /** Requests a second that the entries of a region get together, as far as is known. */
   requestRate(region: RegionId, fleet: FleetController, now: Instant): number {
     if (region === this.#region) {
--- a/packages/core/src/gateway/serving_set.ts
+++ b/packages/core/src/gateway/serving_set.ts
@@ -123,6 +123,18 @@
   });
 }
 
+/** Entries of the own region that carry at any load, by all that may be alive. */
+export function carriersOf(
+  region: RegionId,
+  fleet: FleetController,
+): FleetRecord[] {
+  const possible = [
+    fleet.record,
+    ...fleet.possible().map(({ record }) => record),
+  ].filter((record) => record.region === region);
+  return servingByZone(possible, 0);
+}
+
 /** Entries of a region that take requests: those that hold what is current, or else those that do not. */
 export function takersOf(
   region: RegionId,
--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -149,6 +149,17 @@
       totals: [{ customer: "clinic", sum: 91_000, level: -400, part: 0.25 }],
     },
   },
+  {
+    kind: "limits",
+    message: {
+      kind: "grant",
+      incarnation: "0a1b2c3d4e5f",
+      notices: [
+        { endpoint: "i-7f3a91c2", life: undefined, perSecond: 1.2, age: 40 },
+        { endpoint: "i-2c917f3a", life: 7, perSecond: undefined, age: 0 },
+      ],
+    },
+  },
   { kind: "quarantine", incarnation: record.incarnation, news },
 ] as unknown as FleetMessage[];
 
--- a/packages/daemon/src/gateway/fleet_schema.ts
+++ b/packages/daemon/src/gateway/fleet_schema.ts
@@ -14,6 +14,7 @@
   WorkReport,
 } from "@sassafrasstep/core";
 import { z } from "zod";
+import { encodeLimits, limitMessage } from "./limit_schema.ts";
 import {
   currencyMessage,
   encodeCurrency,
@@ -182,6 +183,9 @@
   spending: z.tuple([spendingMessage]).transform(
     ([message]) => ({ kind: "spending", message }),
   ),
+  limits: z.tuple([limitMessage]).transform(
+    ([message]) => ({ kind: "limits", message }),
+  ),
 } as const;
 
 /** Reads a datagram, `undefined` where it is none of ours. */
@@ -218,6 +222,9 @@
   if (message.kind === "spending") {
     return [encodeSpending(message.message)];
   }
+  if (message.kind === "limits") {
+    return [encodeLimits(message.message)];
+  }
   const base = [encodeRecord(message.from), encodeHoldings(message.holdings)];
   switch (message.kind) {
     case "ping":
--- a/packages/daemon/src/gateway/gauges.ts
+++ b/packages/daemon/src/gateway/gauges.ts
@@ -25,6 +25,7 @@
     endpoint_ends: quarantine.ends,
     requests_held: quarantine.holds.size,
     endpoint_limits: endpointLimits.size,
+    endpoint_limits_withheld: endpointLimits.withheld,
     endpoint_limits_ignored: endpointLimits.ignored,
     document_version: catalogue.document?.version ?? 0,
     store_reachable: catalogue.reachable ? 1 : 0,
--- /dev/null
+++ b/playground/src/guards/terms_guards.ts
@@ -0,0 +1,82 @@
+/**
+ * The guards of what endpoints state about themselves.
+ *
+ * @module
+ */
+import type { Guard } from "./guard.ts";
+
+const TERMS = "packages/core/src/endpoint_terms";
+const GATEWAY = "packages/core/src/gateway";
+const LIMITS = "routes: endpoints' limits";
+
+/** Every guard that is checked. */
+export const TERMS_GUARDS: readonly Guard[] = [
+  {
+    point: LIMITS,
+    name: "no request is written to a limited endpoint without a permit",
+    file: `${GATEWAY}/call_controller.ts`,
+    find: "this.#tools.endpointLimits.covers(state.record, permit, now);",
+    replace: "true;",
+    also: [{
+      file: `${GATEWAY}/call_router.ts`,
+      find: "endpointLimits.allows(best.state.record, now)",
+      replace: "true",
+    }],
+  },
+  {
+    point: LIMITS,
+    name: "permits are issued at the stated rate",
+    file: `${TERMS}/permit_issuer.ts`,
+    find: "const most = LEAST_BURST + perSecond * BURST_S;",
+    replace: "const most = 10 + LEAST_BURST + perSecond * 4 * BURST_S;",
+  },
+  {
+    point: LIMITS,
+    name: "an issuer that takes over waits for the former one to know",
+    file: `${TERMS}/permit_issuer.ts`,
+    find: "this.#at = takesOver ? after(now, TAKEOVER_MS) : now;",
+    replace: "this.#at = now;",
+    also: [{
+      file: `${TERMS}/permit_issuer.ts`,
+      find: "this.#level = takesOver ? 0 : LEAST_BURST;",
+      replace: "this.#level = LEAST_BURST + 8;",
+    }],
+  },
+  {
+    point: LIMITS,
+    name: "permits end after a while",
+    file: `${TERMS}/endpoint_limits.ts`,
+    find: "return now < until && perSecond",
+    replace: "return until > 0 && now > 0 && perSecond",
+  },
+  {
+    point: LIMITS,
+    name: "an issuer that hears a part of its region issues that part",
+    file: `${TERMS}/endpoint_limits.ts`,
+    find: "issued.issue(known.perSecond * heardPart(), now)",
+    replace: "issued.issue(known.perSecond * Math.ceil(heardPart()), now)",
+  },
+  {
+    point: LIMITS,
+    name: "an answer without a limit lifts it",
+    file: `${TERMS}/endpoint_limits.ts`,
+    find:
+      "if (this.#known.learn(news)) {\n      this.#logChange(news, before, {\n        ...answer,",
+    replace:
+      "if (perSecond !== undefined && this.#known.learn(news)) {\n      this.#logChange(news, before, {\n        ...answer,",
+  },
+  {
+    point: LIMITS,
+    name: "a value that makes no sense leaves the limit in force",
+    file: `${TERMS}/endpoint_limits.ts`,
+    find: "return this.#ignore(record, { stated, answer });",
+    replace: "stated = undefined;",
+  },
+  {
+    point: LIMITS,
+    name: "an endpoint is asked now and then, however low its limit is",
+    file: `${TERMS}/endpoint_limits.ts`,
+    find: "Math.max(LEAST_PER_SECOND, stated.value)",
+    replace: "stated.value",
+  },
+];
--- a/playground/src/platform/__tests__/endpoint_limits.test.ts
+++ b/playground/src/platform/__tests__/endpoint_limits.test.ts
@@ -1,8 +1,8 @@
 import { HEADERS } from "@sassafrasstep/platform";
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from "vitest";
+import { mostWithin } from "../../client/most_within.ts";
 import {
   type LoadResult,
-  mostWithin,
   PlatformFleet,
   type StandInEndpoint,
   SteadyLoad,
--- a/playground/src/platform/index.ts
+++ b/playground/src/platform/index.ts
@@ -7,5 +7,5 @@
   ROUTES,
 } from "./platform_fleet.ts";
 export { StandInEndpoint } from "./stand_in_endpoint.ts";
-export { type LoadResult, mostWithin, SteadyLoad } from "./steady_load.ts";
+export { type LoadResult, SteadyLoad } from "./steady_load.ts";
 export { StandInStore, type StoreFault } from "./stand_in_store.ts";
--- a/playground/src/routes/fake_backend.ts
+++ b/playground/src/routes/fake_backend.ts
@@ -3,7 +3,12 @@
  *
  * @module
  */
-import type { CallHead, CallTarget, EndpointId } from "@sassafrasstep/core";
+import type {
+  AnswerHead,
+  CallHead,
+  CallTarget,
+  EndpointId,
+} from "@sassafrasstep/core";
 import type { Spot } from "../scenario/network.ts";
 import type { VirtualGateway } from "./virtual_gateway.ts";
 import type { VirtualTime } from "../scenario/virtual_time.ts";
@@ -89,6 +94,8 @@
   mode: BackendMode = "answer";
   /** Its present life, where it tells one. */
   life: number | undefined;
+  /** Limits that it stated, in requests a second, and since when. */
+  readonly limits: { at: number; perSecond: number | undefined }[] = [];
   /** Times of requests that arrived. */
   readonly arrivals: number[] = [];
   protected readonly time: VirtualTime;
@@ -120,6 +127,14 @@
     this.#tools = tools;
   }
 
+  /** What it states of itself in each answer. */
+  get stated(): Pick<AnswerHead, "limit"> {
+    const value = this.limits.at(-1)?.perSecond;
+    return {
+      limit: value === undefined ? undefined : { kind: "value", value },
+    };
+  }
+
   /** Another endpoint of the same kind, at the same address. */
   successor({ name, id }: { name: string; id: string }): FakeBackend {
     const { service, spot, slots, work, version } = this;
--- a/playground/src/routes/route_actions.ts
+++ b/playground/src/routes/route_actions.ts
@@ -41,6 +41,12 @@
   mode: ({ world }, line) => {
     backendOf(world, line).mode = word(line, 2, "a mode") as BackendMode;
   },
+  /** `limit NAME N|none`: it states so many requests a second in its answers, or no limit any more. */
+  limit: ({ world }, line) => {
+    const text = word(line, 2, "a rate");
+    const perSecond = text === "none" ? undefined : Number(text);
+    backendOf(world, line).limits.push({ at: world.time.now, perSecond });
+  },
   kill: ({ world }, line) => entryOf(world, line).kill(),
   start: ({ world }, line) => world.startEntry(word(line, 1, "an entry")),
   stop: ({ world }, line) => entryOf(world, line).stop(),
--- a/playground/src/routes/route_expectations.ts
+++ b/playground/src/routes/route_expectations.ts
@@ -16,12 +16,19 @@
   ScriptError,
   word,
 } from "../scenario/script.ts";
+import { mostWithin } from "../client/most_within.ts";
 import { checkPoisons } from "./crashes.ts";
+import type { FakeBackend } from "./fake_backend.ts";
 import type { SeenCall } from "./route_types.ts";
 import type { RouteWorld } from "./route_world.ts";
 
 const KEY_LIFETIME_MS = 5_000;
 const BURST_WINDOW_MS = 1_000;
+/** An endpoint bears its limit times this, and the slack, in any such window. */
+const LIMIT_WINDOW_MS = 4_000;
+const LIMIT_OVERSHOOT = 1.5;
+const LIMIT_SLACK = 5;
+const LIMIT_SETTLE_MS = 2_000;
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 type Check = (world: RouteWorld, line: Line) => string | undefined;
@@ -31,6 +38,19 @@
   call: (world, line) => checkCall(world, line),
   /** `expect load NAME served N` or `refused N`: at least so many. */
   load: (world, line) => checkLoad(world, line),
+  /** `expect refused NAME N within T`: so many of a load were refused in that time, with one to come back. */
+  refused: (world, line) => {
+    const prefix = `${word(line, 1, "a load")}-`;
+    const time = parseTime(line, option(line, "within", ""));
+    const found = [...world.calls.values()].filter((
+      { name, status, retryAfter, sentAt, endedAt },
+    ) =>
+      name.startsWith(prefix) && status === 503 && (retryAfter ?? 0) > 0 &&
+      (endedAt ?? Infinity) - sentAt <= time
+    ).length;
+    const least = Number(word(line, 2, "a number"));
+    return found >= least ? undefined : `${found} refused, at least ${least}`;
+  },
   /** `expect names ENTRY ZONE HOST LIST` */
   names: (world, line) => {
     const found = world.named(word(line, 1, "an entry"), {
@@ -56,14 +76,16 @@
   rate: (world, line) => {
     const backend = world.backends.get(word(line, 1, "a backend"))!;
     const most = Number(word(line, 2, "a number"));
-    const from = world.startOfScript +
-      parseTime(line, option(line, "from", ""));
-    const to = world.startOfScript + parseTime(line, option(line, "to", ""));
-    const found = largestBurst(
-      backend.arrivals.filter((at) => at >= from && at < to),
-    );
+    const found = largestBurst(backend.arrivals.filter(within(world, line)));
     return found <= most ? undefined : `${found} in a second`;
   },
+  /** `expect used BACKEND N from T to T`: at least so many requests in that span. */
+  used: (world, line) => {
+    const backend = world.backends.get(word(line, 1, "a backend"))!;
+    const found = backend.arrivals.filter(within(world, line)).length;
+    const least = Number(word(line, 2, "a number"));
+    return found >= least ? undefined : `${found} came, at least ${least}`;
+  },
   /** `expect quiet BACKEND since T`: nothing arrived later. */
   quiet: (world, line) => {
     const backend = world.backends.get(word(line, 1, "a backend"))!;
@@ -131,6 +153,16 @@
     : `Line ${line.number} "${line.words.join(" ")}": ${wrong}`;
 }
 
+/** Whether an instant lies in the span `from T to T`. */
+function within(
+  { startOfScript }: RouteWorld,
+  line: Line,
+): (at: number) => boolean {
+  const from = startOfScript + parseTime(line, option(line, "from", ""));
+  const to = startOfScript + parseTime(line, option(line, "to", ""));
+  return (at) => at >= from && at < to;
+}
+
 /** What must hold whatever happens. */
 export function findViolations(world: RouteWorld): string[] {
   const calls = [...world.calls.values()].flatMap((call) => [
@@ -141,7 +173,32 @@
     ...checkAttempts(world, call),
     ...checkKey(world, call),
   ]);
-  return [...calls, ...checkPoisons(world)];
+  const limits = [...world.backends.values()].flatMap((backend) =>
+    checkLimits(backend, world.time.now)
+  );
+  return [...calls, ...checkPoisons(world), ...limits];
+}
+
+/** A limit that an endpoint stated holds for all entries together, once they had the time to learn of it. */
+function checkLimits(
+  { name, arrivals, limits }: FakeBackend,
+  now: number,
+): string[] {
+  return limits.flatMap(({ at, perSecond }, index) => {
+    if (perSecond === undefined) {
+      return [];
+    }
+    const end = limits[index + 1]?.at ?? now;
+    const kept = arrivals.filter((arrival) =>
+      arrival >= at + LIMIT_SETTLE_MS && arrival < end
+    );
+    const most = mostWithin(kept, LIMIT_WINDOW_MS);
+    const allowed = LIMIT_OVERSHOOT * perSecond * LIMIT_WINDOW_MS / 1_000 +
+      LIMIT_SLACK;
+    return most <= allowed
+      ? []
+      : [`Endpoint ${name} got ${most} within its limit of ${perSecond}`];
+  });
 }
 
 /** Calls that an entry refused because what they carry is held back. */
@@ -271,8 +328,5 @@
 }
 
 function largestBurst(arrivals: readonly number[]): number {
-  return arrivals.reduce((most, start, index) => {
-    const end = arrivals.findIndex((at) => at >= start + BURST_WINDOW_MS);
-    return Math.max(most, (end < 0 ? arrivals.length : end) - index);
-  }, 0);
+  return mostWithin(arrivals, BURST_WINDOW_MS);
 }
--- a/playground/src/routes/route_links.ts
+++ b/playground/src/routes/route_links.ts
@@ -108,7 +108,8 @@
       return () => {};
     }
     const answer: BackendAnswer = {
-      head: (status, notRun) => recipient.head(answerOf(status, notRun)),
+      head: (status, notRun) =>
+        recipient.head({ ...answerOf(status, notRun), ...backend.stated }),
       event: (id) => recipient.event(id),
       complete: () => recipient.complete(),
       lost: () => recipient.broken(),
