feat: endpoints that say that they leave or want rest are decoded and logged

Whether an entry knows that an endpoint leaves, or has asked for rest, could not be told from its lines, so the hypotheses on why such endpoints go on getting requests could not be told apart. The head of each answer is read for both; a line says when an endpoint leaves (with the state of its record) or wants rest (for how long, the answer's call and status), another what is ignored and why; gauges count them. What endpoints state is bundled as their terms, limits among them. Nothing is decided by it yet.

--- a/packages/core/src/endpoint_terms/index.ts
+++ b/packages/core/src/endpoint_terms/index.ts
@@ -1,7 +1,10 @@
+export { type Departure, EndpointDepartures } from "./endpoint_departures.ts";
 export {
   EndpointLimits,
   type EndpointLimitSources,
   type Permit,
 } from "./endpoint_limits.ts";
+export { EndpointRests } from "./endpoint_rests.ts";
+export type { EndpointTerms } from "./endpoint_terms.ts";
 export type { LimitMessage, LimitNotice } from "./limit_messages.ts";
 export type { Stated, StatingAnswer, TermsLog } from "./stated.ts";
--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -25,7 +25,7 @@
 import type { CallAnswer, GatewayBounds, GatewayEffect } from "../messages.ts";
 import { RepeatBudget } from "../repeat_budget.ts";
 import type { RegionController } from "../region_controller.ts";
-import { unlimited } from "./endpoint_limits_fixture.ts";
+import { noTerms } from "./endpoint_terms_fixture.ts";
 import { engine } from "./engine_fixture.ts";
 import { emptyQuarantine, fingerprint } from "./quarantine_fixture.ts";
 
@@ -106,7 +106,7 @@
     budget: new RepeatBudget(BOUNDS),
     cold: new ColdAllowance(BOUNDS, instant(0)),
     quarantine: emptyQuarantine(),
-    endpointLimits: unlimited(),
+    terms: noTerms(),
     limits: {} as never,
     keyLifetime: () => undefined,
     listened: new ListenedTime(instant(0)),
@@ -208,6 +208,8 @@
     load: undefined,
     retryAfter: undefined,
     limit: undefined,
+    leaving: false,
+    rest: undefined,
     offered: undefined,
     events: true,
   };
--- /dev/null
+++ b/packages/core/src/gateway/__tests__/endpoint_terms_fixture.ts
@@ -0,0 +1,26 @@
+import {
+  EndpointDepartures,
+  EndpointLimits,
+  EndpointRests,
+  type EndpointTerms,
+  type Incarnation,
+  instant,
+} from "../../index.ts";
+
+/** Terms of endpoints that state nothing. */
+export function noTerms(): EndpointTerms {
+  const log = (): void => {};
+  return {
+    limits: new EndpointLimits({
+      incarnation: "a1" as Incarnation,
+      issuerOf: () => "a1" as Incarnation,
+      peers: () => [],
+      heardPart: () => 1,
+      isPublished: () => true,
+      send: () => {},
+      log,
+    }, instant(0)),
+    departures: new EndpointDepartures({ log }),
+    rests: new EndpointRests({ log }),
+  };
+}
--- a/packages/core/src/gateway/__tests__/stalls.test.ts
+++ b/packages/core/src/gateway/__tests__/stalls.test.ts
@@ -80,6 +80,8 @@
         load: undefined,
         retryAfter: undefined,
         limit: undefined,
+        leaving: false,
+        rest: undefined,
         offered: undefined,
         events: true,
       },
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { EndpointLimits } from "../endpoint_terms/index.ts";
+import type { EndpointTerms } from "../endpoint_terms/index.ts";
 import type { PrefixNews } from "../fleet/index.ts";
 import { type AttemptId, type Instant, milliseconds } from "../ids/index.ts";
 import type { Call, OpenAttempt } from "./call.ts";
@@ -28,7 +28,7 @@
   readonly budget: RepeatBudget;
   readonly cold: ColdAllowance;
   readonly quarantine: QuarantineController;
-  readonly endpointLimits: EndpointLimits;
+  readonly terms: EndpointTerms;
 }
 
 /** A request with its attempt under way. */
@@ -165,11 +165,18 @@
     state.heardAt = now;
     state.load = load ?? state.load;
     state.loadAt = load === undefined ? state.loadAt : now;
-    if (status !== MISDIRECTED) {
-      this.#tools.endpointLimits.hear(state.record, {
-        stated: answer.limit,
-        answer: { call: head.call, status },
-      }, now);
+    if (status === MISDIRECTED) {
+      return;
+    }
+    const { record } = state;
+    const { terms } = this.#tools;
+    const stating = { call: head.call, status };
+    terms.limits.hear(record, { stated: answer.limit, answer: stating }, now);
+    if (answer.leaving) {
+      terms.departures.hear(record, stating, now);
+    }
+    if (answer.rest !== undefined) {
+      terms.rests.hear(record, { stated: answer.rest, answer: stating }, now);
     }
   }
 
@@ -184,7 +191,7 @@
       this.noteHeld(call, attempt, { held: false, now });
       const { permit, sentAt } = attempt;
       if (permit !== undefined && sentAt === undefined) {
-        this.#tools.endpointLimits.giveBack(attempt.state!.record, permit);
+        this.#tools.terms.limits.giveBack(attempt.state!.record, permit);
       }
       call.log.record(attempt.id, state);
       attempt.state?.end(attempt.id, now);
@@ -243,7 +250,7 @@
       madeAt: now,
       permit: state === undefined
         ? undefined
-        : this.#tools.endpointLimits.take(state.record, now),
+        : this.#tools.terms.limits.take(state.record, now),
       sentAt: undefined,
       heardAt: undefined,
       heldSince: undefined,
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { CustomerLimits } from "../customers/index.ts";
-import type { EndpointLimits } from "../endpoint_terms/index.ts";
+import type { EndpointTerms } from "../endpoint_terms/index.ts";
 import type { PrefixNews } from "../fleet/index.ts";
 import {
   after,
@@ -56,7 +56,7 @@
   readonly budget: RepeatBudget;
   readonly cold: ColdAllowance;
   readonly quarantine: QuarantineController;
-  readonly endpointLimits: EndpointLimits;
+  readonly terms: EndpointTerms;
   readonly limits: CustomerLimits;
   /** Age of the document from which on keys are in doubt, `undefined` where they never are. */
   readonly keyLifetime: () => Milliseconds | undefined;
@@ -208,7 +208,7 @@
   /** The last look at an endpoint's limit: no request reaches it by another way. */
   #isCovered({ state, permit }: OpenAttempt, now: Instant): boolean {
     return state === undefined ||
-      this.#tools.endpointLimits.covers(state.record, permit, now);
+      this.#tools.terms.limits.covers(state.record, permit, now);
   }
 
   /** The head of an answer. */
--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { EndpointLimits } from "../endpoint_terms/index.ts";
+import type { EndpointTerms } from "../endpoint_terms/index.ts";
 import type { FleetController } from "../fleet/index.ts";
 import {
   hash32,
@@ -91,7 +91,7 @@
   readonly regions: RegionController;
   readonly serving: ServingSet;
   readonly cold: ColdAllowance;
-  readonly endpointLimits: EndpointLimits;
+  readonly terms: EndpointTerms;
   readonly random: Randomness;
 }
 
@@ -259,26 +259,24 @@
     states: readonly EndpointState[],
     { ahead, now }: { ahead: Ahead; now: Instant },
   ): LocalPlace {
-    const { endpointLimits } = this.#sources;
+    const { limits } = this.#sources.terms;
     const best = place(work, states, now);
     if (
-      best.kind !== "chosen" || endpointLimits.allows(best.state.record, now)
+      best.kind !== "chosen" || limits.allows(best.state.record, now)
     ) {
       return best.kind === "busy" ? { ...best, limited: false } : best;
     }
-    const free = states.filter(({ record }) =>
-      endpointLimits.isFree(record, now)
-    );
+    const free = states.filter(({ record }) => limits.isFree(record, now));
     // Permits are asked for where they will be used; only where nothing else is left any will do.
     const allowed = free.length > 0
       ? free
-      : states.filter(({ record }) => endpointLimits.allows(record, now));
+      : states.filter(({ record }) => limits.allows(record, now));
     if (allowed.length > 0) {
       const found = place(work, allowed, now);
       return found.kind === "busy" ? { ...found, limited: false } : found;
     }
     const perSecond = states.reduce(
-      (sum, { record }) => sum + (endpointLimits.limitOf(record) ?? 0),
+      (sum, { record }) => sum + (limits.limitOf(record) ?? 0),
       0,
     );
     const wait = Math.max(1, ahead.turns * MS_PER_SECOND / perSecond);
--- a/packages/core/src/gateway/endpoint_limits_link.ts
+++ b/packages/core/src/gateway/endpoint_terms_link.ts
@@ -1,9 +1,15 @@
 /**
- * What the limits of endpoints see of the entry: who issues permits, whom to tell.
+ * What the terms of endpoints see of the entry: who issues permits, whom to tell.
  *
  * @module
  */
-import { EndpointLimits } from "../endpoint_terms/index.ts";
+import {
+  EndpointDepartures,
+  EndpointLimits,
+  EndpointRests,
+  type EndpointTerms,
+  type TermsLog,
+} from "../endpoint_terms/index.ts";
 import type { FleetController } from "../fleet/index.ts";
 import {
   type EndpointId,
@@ -16,19 +22,33 @@
 import { carriersOf } from "./serving_set.ts";
 
 /** What the link is made of. */
-export interface EndpointLimitsLink {
+export interface EndpointTermsLink {
   readonly self: GatewaySelf;
   readonly emit: GatewayEmit;
   readonly fleet: FleetController;
   readonly catalogue: CatalogueView;
 }
 
-/** Makes the endpoints' limits of an entry. */
-export function createEndpointLimits(
-  link: EndpointLimitsLink,
+/** Makes the terms of endpoints that an entry knows. */
+export function createEndpointTerms(
+  link: EndpointTermsLink,
+  now: Instant,
+): EndpointTerms {
+  const log: TermsLog = (text, fields) =>
+    link.emit({ kind: "log", part: "endpoint", text, fields });
+  return {
+    limits: createLimits(link, log, now),
+    departures: new EndpointDepartures({ log }),
+    rests: new EndpointRests({ log }),
+  };
+}
+
+function createLimits(
+  link: EndpointTermsLink,
+  log: TermsLog,
   now: Instant,
 ): EndpointLimits {
-  const { self, emit, fleet, catalogue } = link;
+  const { self, fleet, catalogue } = link;
   return new EndpointLimits({
     incarnation: self.incarnation,
     issuerOf: (endpoint) => issuerOf(endpoint, link),
@@ -43,15 +63,14 @@
         fleet.mail.sendBare(address, { kind: "limits", message });
       }
     },
-    log: (text, fields) =>
-      emit({ kind: "log", part: "endpoint", text, fields }),
+    log,
   }, now);
 }
 
 /** The same entry in all views that agree on who may be alive and stays. */
 function issuerOf(
   endpoint: EndpointId,
-  { self, fleet }: EndpointLimitsLink,
+  { self, fleet }: EndpointTermsLink,
 ): Incarnation {
   const staying = carriersOf(self.region, fleet).filter(({ state }) =>
     state === "ready" || state === "outdated"
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { CustomerLimits } from "../customers/index.ts";
-import type { EndpointLimits } from "../endpoint_terms/index.ts";
+import type { EndpointTerms } from "../endpoint_terms/index.ts";
 import { FleetController } from "../fleet/index.ts";
 import {
   type Instant,
@@ -26,7 +26,7 @@
 } from "./customer_link.ts";
 import { ColdAllowance } from "./cold_allowance.ts";
 import type { CurrencyExchange } from "./currency_exchange.ts";
-import { createEndpointLimits } from "./endpoint_limits_link.ts";
+import { createEndpointTerms } from "./endpoint_terms_link.ts";
 import { EndpointRegistry } from "./endpoint_registry.ts";
 import {
   type DirectoryAnswer,
@@ -77,7 +77,7 @@
   readonly #listened: ListenedTime;
   readonly #exchange: CurrencyExchange;
   readonly #limits: CustomerLimits;
-  readonly endpointLimits: EndpointLimits;
+  readonly terms: EndpointTerms;
   #bounds: GatewayBounds;
   #effects: GatewayEffect[] = [];
   #lastAt: Instant;
@@ -114,7 +114,7 @@
       region: self.region,
       catalogue: this.#catalogue,
       endpoints: this.#endpoints,
-      limitOf: (record) => this.endpointLimits.limitOf(record),
+      limitOf: (record) => this.terms.limits.limitOf(record),
       now,
     });
     this.fleet = new FleetController({
@@ -160,7 +160,7 @@
     const cold = new ColdAllowance(self.bounds, now);
     this.#cold = cold;
     this.#budget = new RepeatBudget(self.bounds);
-    this.endpointLimits = createEndpointLimits({
+    this.terms = createEndpointTerms({
       self,
       emit,
       fleet: this.fleet,
@@ -173,7 +173,7 @@
       regions: this.#regions,
       serving: this.#serving,
       cold,
-      endpointLimits: this.endpointLimits,
+      terms: this.terms,
       random,
     });
     this.#calls = new CallController({
@@ -186,7 +186,7 @@
       budget: this.#budget,
       cold,
       quarantine: this.#quarantine,
-      endpointLimits: this.endpointLimits,
+      terms: this.terms,
       limits: this.#limits,
       keyLifetime: () => this.#keyLifetime(),
       listened: this.#listened,
@@ -221,7 +221,7 @@
   /** Time until the next tick is due, unless something happens before. */
   get tickPause(): Milliseconds {
     return tickPause({
-      active: this.#calls.active > 0 || this.endpointLimits.isAsked,
+      active: this.#calls.active > 0 || this.terms.limits.isAsked,
       joining: this.fleet.isJoining(this.#lastAt),
     });
   }
@@ -293,7 +293,7 @@
       fields: { gapMs: Math.round(gap) },
     });
     this.#catalogue.woke(now);
-    this.endpointLimits.woke();
+    this.terms.limits.woke();
   }
 
   #apply(event: GatewayEvent, now: Instant): void {
@@ -384,7 +384,7 @@
     this.#quarantine.tick(now);
     this.#exchange.tick(now);
     this.#limits.tick(now);
-    this.endpointLimits.tick(now);
+    this.terms.limits.tick(now);
     this.#judgeCurrency(now);
     this.#calls.tick(now);
     this.#reporter.tick(this.#calls.takePrefixNews(), now);
@@ -436,7 +436,7 @@
       this.#limits.receive(message.message, now);
       this.#calls.noteSpending(now);
     } else if (message.kind === "limits") {
-      if (this.endpointLimits.receive(message.message, now)) {
+      if (this.terms.limits.receive(message.message, now)) {
         this.#calls.notePermits(now);
       }
     } else if (message.kind === "work") {
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -155,6 +155,10 @@
   readonly retryAfter: Milliseconds | undefined;
   /** Requests a second that the endpoint takes from all entries together, `undefined` where it states none. */
   readonly limit: Stated | undefined;
+  /** Whether the endpoint says that it leaves. */
+  readonly leaving: boolean;
+  /** Seconds for which an endpoint that turned the request away wants nothing, `undefined` where it states none. */
+  readonly rest: Stated | undefined;
   /** Endpoints that an entry on the way offered it to before it refused, `undefined` where none says. */
   readonly offered: number | undefined;
 }
--- a/packages/daemon/src/gateway/gauges.ts
+++ b/packages/daemon/src/gateway/gauges.ts
@@ -9,7 +9,7 @@
 
 /** Gauges by name. */
 export function readGauges(
-  { catalogue, calls, fleet, quarantine, endpointLimits }: Gateway,
+  { catalogue, calls, fleet, quarantine, terms }: Gateway,
   { connections, datagrams }: {
     connections: Pick<Connections, "opened">;
     datagrams: Pick<Datagrams, "counts">;
@@ -24,9 +24,12 @@
     members: fleet.live().length,
     endpoint_ends: quarantine.ends,
     requests_held: quarantine.holds.size,
-    endpoint_limits: endpointLimits.size,
-    endpoint_limits_withheld: endpointLimits.withheld,
-    endpoint_limits_ignored: endpointLimits.ignored,
+    endpoint_limits: terms.limits.size,
+    endpoint_limits_withheld: terms.limits.withheld,
+    endpoint_limits_ignored: terms.limits.ignored,
+    endpoints_leaving: terms.departures.size,
+    endpoints_resting: terms.rests.resting(now),
+    endpoint_rests_ignored: terms.rests.ignored,
     document_version: catalogue.document?.version ?? 0,
     store_reachable: catalogue.reachable ? 1 : 0,
     store_age_ms: Math.round(catalogueAge(catalogue, now) ?? -1),
--- a/packages/daemon/src/gateway/status.ts
+++ b/packages/daemon/src/gateway/status.ts
@@ -91,7 +91,7 @@
       requests: state.requests,
       prefillTokens: state.prefill,
       failureRate: state.health.failureRate,
-      limitPerSecond: gateway.endpointLimits.limitOf(state.record),
+      limitPerSecond: gateway.terms.limits.limitOf(state.record),
     })),
     shares: regions.shares.map(({ region, share }) => ({ region, share })),
     held: gateway.quarantine.holds.list(now).map(heldLine),
--- a/playground/src/guards/terms_guards.ts
+++ b/playground/src/guards/terms_guards.ts
@@ -15,11 +15,11 @@
     point: LIMITS,
     name: "no request is written to a limited endpoint without a permit",
     file: `${GATEWAY}/call_controller.ts`,
-    find: "this.#tools.endpointLimits.covers(state.record, permit, now);",
+    find: "this.#tools.terms.limits.covers(state.record, permit, now);",
     replace: "true;",
     also: [{
       file: `${GATEWAY}/call_router.ts`,
-      find: "endpointLimits.allows(best.state.record, now)",
+      find: "limits.allows(best.state.record, now)",
       replace: "true",
     }],
   },
--- a/playground/src/routes/route_links.ts
+++ b/playground/src/routes/route_links.ts
@@ -200,6 +200,8 @@
     load: undefined,
     retryAfter: undefined,
     limit: undefined,
+    leaving: false,
+    rest: undefined,
     offered: undefined,
   };
 }
--- a/playground/src/routes/virtual_gateway.ts
+++ b/playground/src/routes/virtual_gateway.ts
@@ -262,6 +262,8 @@
         load: undefined,
         retryAfter: refusal.retryAfter,
         limit: undefined,
+        leaving: false,
+        rest: undefined,
         offered: refusal.offered,
       });
       to.complete();
