fix: an entry that starts anew learns of departures that it is to tell others

An entry that had just started sent requests to an endpoint that the others knew to leave. Cause: one entry tells newcomers of an endpoint, and where that entry is the newcomer nobody told it. Found by the model of drawn sequences, shrunk to two steps: one entry is told, the teller restarts. Now each entry tells a newcomer also of the endpoints that it is the teller of. 300 drawn sequences hold; without the change the fifth failed.

--- a/packages/core/src/endpoint_terms/endpoint_departures.ts
+++ b/packages/core/src/endpoint_terms/endpoint_departures.ts
@@ -99,12 +99,19 @@
     }
     const { incarnation, tellerOf, peers } = this.#sources;
     const due = this.#told.takeDue(peers(), now);
-    const own = due.length === 0
+    const known = due.length === 0
       ? []
-      : this.#published().filter(({ endpoint }) =>
-        tellerOf(endpoint) === incarnation
+      : this.#published().map((departure) => ({
+        departure,
+        teller: tellerOf(departure.endpoint),
+      }));
+    for (const peer of due) {
+      // A teller that has just started knows nothing of what it is to tell.
+      const told = known.filter(({ teller }) =>
+        teller === incarnation || teller === peer
       );
-    due.forEach((peer) => this.#tell(peer, own));
+      this.#tell(peer, told.map(({ departure }) => departure));
+    }
   }
 
   #tell(peer: Incarnation, departures: readonly Departure[]): void {
--- a/playground/src/guards/terms_guards.ts
+++ b/playground/src/guards/terms_guards.ts
@@ -96,7 +96,7 @@
     replace: "peers();",
     also: [{
       file: `${TERMS}/endpoint_departures.ts`,
-      find: "due.forEach((peer) => this.#tell(peer, own));",
+      find: "this.#tell(peer, told.map(({ departure }) => departure));",
       replace: "",
     }],
   },
