fix: an entry that starts anew learns of limits whose permits it is to issue

An entry that had just started could send without limit to an endpoint that the others knew to be limited, until the endpoint told it itself. Now each entry tells a newcomer also of the limits that it is the issuer of. The test failed before (no limit known after a second) and holds now.

--- a/packages/core/src/endpoint_terms/__tests__/endpoint_limits.test.ts
+++ b/packages/core/src/endpoint_terms/__tests__/endpoint_limits.test.ts
@@ -98,6 +98,31 @@
     },
   );
 
+  // Guards against an issuer that starts anew and sends without limit, since it tells others and nobody tells it.
+  it("are told to an entry that starts anew and is to issue their permits", () => {
+    const sent: { to: Incarnation; message: LimitMessage }[] = [];
+    const build = (name: string): EndpointLimits =>
+      new EndpointLimits({
+        incarnation: name as Incarnation,
+        issuerOf: () => "b" as Incarnation,
+        peers: () => name === "a" ? ["b" as Incarnation] : [],
+        heardPart: () => 1,
+        isPublished: () => true,
+        send: (to, message) => sent.push({ to, message }),
+        log: () => {},
+      }, instant(-10_000));
+    const knowing = build("a");
+    const stated = { kind: "value", value: 2 } as const;
+    knowing.hear(RECORD, { stated, answer: ANSWER }, instant(0));
+    sent.length = 0;
+    const started = build("b");
+    for (let at = 25; at < 1_000; at += 25) {
+      knowing.tick(instant(at));
+    }
+    sent.forEach(({ message }) => started.receive(message, instant(1_000)));
+    expect(started.limitOf(RECORD)).toBe(2);
+  });
+
   describe("by one entry", () => {
     const lines: string[] = [];
     const build = (): EndpointLimits =>
--- a/packages/core/src/endpoint_terms/endpoint_limits.ts
+++ b/packages/core/src/endpoint_terms/endpoint_limits.ts
@@ -331,16 +331,20 @@
   #tellOthers(now: Instant): void {
     const { incarnation, peers, send } = this.#sources;
     const due = this.#told.takeDue(peers(), now);
-    const own = due.length === 0
+    const known = due.length === 0
       ? []
-      : [...this.#known.all()].filter(({ endpoint }) =>
-        this.#findIssuer(endpoint, now).entry === incarnation
-      );
+      : [...this.#known.all()].map((limit) => ({
+        limit,
+        issuer: this.#findIssuer(limit.endpoint, now).entry,
+      }));
     for (const peer of due) {
-      for (let first = 0; first < own.length; first += MOST_NOTICES) {
-        const notices = own.slice(first, first + MOST_NOTICES)
-          .map((known) => noticeOf(known, now));
-        send(peer, { kind: "notice", incarnation, notices });
+      // An issuer that has just started knows nothing of what it is to issue.
+      const notices = known.filter(({ issuer }) =>
+        issuer === incarnation || issuer === peer
+      ).map(({ limit }) => noticeOf(limit, now));
+      for (let first = 0; first < notices.length; first += MOST_NOTICES) {
+        const part = notices.slice(first, first + MOST_NOTICES);
+        send(peer, { kind: "notice", incarnation, notices: part });
       }
     }
   }
