fix: the product's own requests keep the rest that an endpoint asks for

A call of the product's own interface was sent to an endpoint that had just answered 503 or 429 with a time to return: callers were refused again, and the endpoint was disturbed in its rest. Now the endpoint gets nothing until then (at most a minute), as a last resort neither. The new test failed before (a request was dispatched to e1 in its rest) and holds now.

The test of a badge that is sent again after a declared refusal came back at once although it had been told a second; it now comes back when it was told, and still has to run once.

--- a/packages/core/src/blackboard/blackboard.ts
+++ b/packages/core/src/blackboard/blackboard.ts
@@ -119,6 +119,8 @@
   readonly loadAt: Instant | undefined;
   readonly lastPolledAt: Instant | undefined;
   readonly suspectUntil: Instant | undefined;
+  /** Until when it wants no requests, as it said when it turned one away. */
+  readonly restsUntil: Instant | undefined;
   /** Start times of this entry's attempts in flight there. */
   readonly inFlight: ReadonlyMap<string, Instant>;
   /** Prefix blocks thought to be in its cache, with the end of the belief. */
--- a/packages/core/src/endpoints/endpoint_controller.ts
+++ b/packages/core/src/endpoints/endpoint_controller.ts
@@ -13,6 +13,8 @@
   after,
   type EndpointId,
   type Instant,
+  instant,
+  type Milliseconds,
   type Randomness,
   type ServiceId,
 } from "../ids/index.ts";
@@ -31,6 +33,8 @@
 export const SUSPECT_MS = 2_000;
 /** How long a departed VM is remembered against a stale list. */
 export const DEPARTED_MEMORY_MS = 3_600_000;
+/** No endpoint is left alone for longer on its word. */
+const MOST_REST_MS = 60_000;
 /** How long a block is believed to stay in a cache. */
 const CACHE_BELIEF_MS = 120_000;
 const MAX_CACHED_BLOCKS = 4_096;
@@ -79,6 +83,7 @@
     }
     for (const endpoint of this.endpoints.values()) {
       this.#clearSuspicion(endpoint, now);
+      endRest(endpoint, now);
     }
     this.#pollLoads(now);
     this.#forgetDeparted(now);
@@ -158,6 +163,21 @@
     endpoint.suspectUntil = after(now, SUSPECT_MS);
   }
 
+  /** An endpoint turned a request away and said for how long it wants none. */
+  rests(id: EndpointId, time: Milliseconds, now: Instant): void {
+    const endpoint = this.endpoints.get(id);
+    if (endpoint !== undefined) {
+      const until = after(now, Math.min(time, MOST_REST_MS));
+      endpoint.restsUntil = instant(Math.max(until, endpoint.restsUntil ?? 0));
+      this.#emit({
+        kind: "log",
+        part: "endpoint",
+        text: "Endpoint wants rest.",
+        fields: { endpoint: id, restMs: Math.round(time) },
+      });
+    }
+  }
+
   /**
    * Marks an endpoint as leaving, for good.
    *
@@ -330,3 +350,9 @@
     }
   }
 }
+
+function endRest(endpoint: MutableEndpoint, now: Instant): void {
+  if (endpoint.restsUntil !== undefined && now >= endpoint.restsUntil) {
+    endpoint.restsUntil = undefined;
+  }
+}
--- a/packages/core/src/endpoints/mutable_endpoint.ts
+++ b/packages/core/src/endpoints/mutable_endpoint.ts
@@ -28,6 +28,7 @@
     loadAt: undefined,
     lastPolledAt: undefined,
     suspectUntil: undefined,
+    restsUntil: undefined,
     inFlight: new Map(),
     cachedBlocks: new Map(),
   };
--- a/packages/core/src/requests/attempt_tracker.ts
+++ b/packages/core/src/requests/attempt_tracker.ts
@@ -36,6 +36,9 @@
 /** The same for a stream that has begun: each attempt goes on where the one before broke off. */
 const MAX_STREAM_ATTEMPTS = 6;
 
+/** With these an endpoint says when it wants requests again. */
+const TURNED_AWAY: ReadonlySet<number> = new Set([429, 503]);
+
 /** What tracking works with. */
 export interface TrackerDependencies {
   readonly emit: Emit;
@@ -120,6 +123,17 @@
     request.lastTokenAt = now;
   }
 
+  /** With another status, a time to return is meant for the caller. */
+  #noteRest({ target }: Attempt, end: AttemptEnd, now: Instant): void {
+    const turnedAway = end.kind === "answered" &&
+      TURNED_AWAY.has(end.answer.status);
+    if (
+      target.kind === "endpoint" && turnedAway && end.retryAfter !== undefined
+    ) {
+      this.#with.endpoints.rests(target.endpoint, end.retryAfter, now);
+    }
+  }
+
   #noteHeard(request: ActiveRequest | undefined, now: Instant): void {
     const target = request?.current?.target;
     if (target?.kind === "endpoint") {
@@ -144,6 +158,7 @@
     if (failed && attempt.target.kind === "endpoint") {
       this.#with.endpoints.failed(attempt.target.endpoint, now);
     }
+    this.#noteRest(attempt, end, now);
     this.#close(request, state, now);
     this.#with.explanations.note(request.head.id, now, {
       text: "Attempt ended",
--- a/packages/core/src/requests/capacity.ts
+++ b/packages/core/src/requests/capacity.ts
@@ -14,7 +14,7 @@
   service: Service,
 ): Endpoint[] {
   return board.endpoints.of(service.id).filter((endpoint) =>
-    endpoint.state === "live" && endpoint.leaving === undefined
+    endpoint.state === "live" && mayTake(endpoint)
   );
 }
 
@@ -28,11 +28,17 @@
   board: Blackboard,
   service: Service,
 ): Endpoint[] {
-  return board.endpoints.of(service.id).filter(({ state, leaving, load }) =>
-    state === "suspect" && leaving === undefined && load !== undefined
+  return board.endpoints.of(service.id).filter((endpoint) =>
+    endpoint.state === "suspect" && endpoint.load !== undefined &&
+    mayTake(endpoint)
   );
 }
 
+/** Whether an endpoint neither leaves nor has asked for rest. */
+function mayTake({ leaving, restsUntil }: Endpoint): boolean {
+  return leaving === undefined && restsUntil === undefined;
+}
+
 /**
  * Wait until `ahead` requests and one more have found a slot.
  *
