--- a/playground/src/bytes/index.ts
+++ b/playground/src/bytes/index.ts
@@ -19,6 +19,8 @@
   RawEngine,
   type RawRequest,
   type RunScript,
+  type StatedTerms,
   type Stop,
 } from "./raw_engine.ts";
+export { mostWithin } from "../client/most_within.ts";
 export { askStream, type StreamQuestion } from "./stream_caller.ts";
--- a/playground/src/bytes/raw_engine.ts
+++ b/playground/src/bytes/raw_engine.ts
@@ -68,8 +68,19 @@
 const OK = 200;
 const HEAD_END = "\r\n\r\n";
 const MISDIRECTED = 421;
+const UNAVAILABLE = 503;
 const LATE_MS = 2_200;
 
+/** What an engine states about itself in the heads of its answers. */
+export interface StatedTerms {
+  /** Requests a second. */
+  readonly limit?: number;
+  readonly leaving?: boolean;
+  /** Seconds of rest that it asks for while it turns requests away, and for how long it does. */
+  readonly restS?: number;
+  readonly forMs?: number;
+}
+
 /** An engine on loopback. */
 export class RawEngine {
   readonly id: string;
@@ -77,6 +88,14 @@
   readonly runs: RawRequest[] = [];
   /** Calls whose answers have begun and neither ended nor lost their connection. */
   readonly open = new Set<string>();
+  /** When each request came. */
+  readonly arrivals: number[] = [];
+  /** Requests that it turned away to rest. */
+  refusals = 0;
+  /** When an answer first stated its terms. */
+  statedAt: number | undefined;
+  #terms: StatedTerms = {};
+  #tiredUntil = -Infinity;
   readonly #script: (request: RawRequest) => RunScript;
   readonly #sockets = new Set<Socket>();
   readonly #server: Server = createServer((socket) => this.#accept(socket));
@@ -98,6 +117,12 @@
     return this.#sockets.size;
   }
 
+  /** States something from now on. */
+  state(terms: StatedTerms): void {
+    this.#terms = terms;
+    this.#tiredUntil = performance.now() + (terms.forMs ?? 0);
+  }
+
   /** Ends every connection, as a process that is killed. */
   drop(): void {
     this.#sockets.forEach((socket) => socket.resetAndDestroy());
@@ -138,12 +163,21 @@
       socket.write(plainAnswer(MISDIRECTED, []));
       return;
     }
+    this.arrivals.push(performance.now());
+    const stated = this.#statedLines();
+    if (performance.now() < this.#tiredUntil) {
+      this.refusals++;
+      const rest = `${HEADERS.retryAfter}: ${this.#terms.restS}`;
+      const lines = [...stated, `${HEADERS.notRun}: 1`, rest];
+      socket.write(plainAnswer(UNAVAILABLE, lines));
+      return;
+    }
     const script = this.#script(request);
     const { status = OK, notRun = false, events, style } = script;
     if (!notRun) {
       this.runs.push(request);
     }
-    const own = [`${HEADERS.call}: ${call}`];
+    const own = [...stated, `${HEADERS.call}: ${call}`];
     if (status !== OK) {
       own.push(notRun ? `${HEADERS.notRun}: 1` : `${HEADERS.seal}: s-${call}`);
       socket.write(plainAnswer(status, own));
@@ -161,11 +195,24 @@
     }
     const body = eventsOf(call, { count: events, after, style });
     this.open.add(call);
-    socket.on("close", () => this.open.delete(call));
-    socket.write(streamHead(call, { script, length: body.length }));
+    const closed = (): void => void this.open.delete(call);
+    socket.once("close", closed);
+    socket.write(streamHead(call, { script, length: body.length, stated }));
     if (await say(socket, body, script)) {
       this.open.delete(call);
+      socket.off("close", closed);
+    }
+  }
+
+  #statedLines(): string[] {
+    const { limit, leaving } = this.#terms;
+    if (Object.keys(this.#terms).length > 0) {
+      this.statedAt ??= performance.now();
     }
+    return [
+      ...limit === undefined ? [] : [`${HEADERS.limit}: ${limit}`],
+      ...leaving === true ? [`${HEADERS.leaving}: 1`] : [],
+    ];
   }
 }
 
@@ -200,9 +247,10 @@
 
 function streamHead(
   call: string,
-  { script: { framing = "chunked" }, length }: {
+  { script: { framing = "chunked" }, length, stated }: {
     script: RunScript;
     length: number;
+    stated: readonly string[];
   },
 ): string {
   const told = {
@@ -215,6 +263,7 @@
     `${HEADERS.call}: ${call}`,
     `${HEADERS.seal}: s-${call}`,
     "content-type: text/event-stream",
+    ...stated,
     told,
   ].join("\r\n") + HEAD_END;
 }
--- a/soak/src/__tests__/waves.test.ts
+++ b/soak/src/__tests__/waves.test.ts
@@ -1,5 +1,11 @@
 import { describe, expect, it } from "vitest";
-import { planWave, playWave, type Regression, REGRESSIONS } from "../index.ts";
+import {
+  planWave,
+  playWave,
+  type Regression,
+  REGRESSIONS,
+  WAVE_KINDS,
+} from "../index.ts";
 
 const SEED = 4;
 const ENTRIES = 4;
@@ -14,6 +20,14 @@
     expect(plans[0]).not.toEqual(plans[2]);
   });
 
+  // Guards against requests beyond what engines state, while entries are paused, killed and stopped.
+  it("keeps the limits, departures and rests that engines state", async () => {
+    const wave = WAVE_KINDS.indexOf("terms");
+    const plan = planWave(SEED, { wave, entries: ENTRIES });
+    const { broken, folder } = await playWave(plan);
+    expect(broken, `Its files: ${folder}`).toEqual([]);
+  });
+
   // Each of these waves broke a promise once, for the cause that stands in its name.
   describe("keeps its promises", () => {
     for (const { seed, wave, cause } of REGRESSIONS.filter(isQuick)) {
--- a/soak/src/plan.ts
+++ b/soak/src/plan.ts
@@ -10,6 +10,7 @@
   type Stop,
 } from "@sassafrasstep/playground/bytes";
 import { Draw } from "./draw.ts";
+import { type EngineTerms, planTerms } from "./terms.ts";
 
 /** What is done to an engine, or to all, once a run has come to its stop. */
 export type Disturbance =
@@ -84,7 +85,9 @@
   /** Processes of entries are paused, killed and stopped. */
   | "ends"
   /** Callers read nothing for seconds, of streams that fill all that stands between. */
-  | "slow";
+  | "slow"
+  /** Engines state limits, leave and want rest while entries are paused and killed. */
+  | "terms";
 
 /** Streams that are under way together. */
 export interface WavePlan {
@@ -98,6 +101,7 @@
   readonly processes: boolean;
   readonly cases: readonly CasePlan[];
   readonly entryEvents: readonly EntryEvent[];
+  readonly terms: readonly EngineTerms[];
   /** When this process stands still, and for how long. */
   readonly stalls: readonly { readonly atMs: number; readonly forMs: number }[];
 }
@@ -109,6 +113,7 @@
   "pauses",
   "ends",
   "slow",
+  "terms",
 ];
 /** Endpoints that a resumable stream may be sent to. */
 export const ATTEMPTS = 4;
@@ -118,6 +123,10 @@
 const NEAR = ["a", "a", "a", "a", "b", "b", "b", "b"];
 const FAR = ["b", "b", "b", "b", "b"];
 const PADDING = 16_000;
+/** Requests of a wave of terms, and the time over which they come. */
+const TERMS_CASES = 240;
+const TERMS_MS = 8_000;
+const TERMS_TIME_MS = 3_000;
 
 /** The plan of one wave. */
 export function planWave(
@@ -131,19 +140,28 @@
     (_, index) => index < count / 2 ? "a" : "b",
   );
   const engines = draw.chance(0.4) ? FAR : NEAR;
-  const caseCount = { stops: 24, stalls: 20, pauses: 20, ends: 20, slow: 6 };
+  const caseCount = {
+    stops: 24,
+    stalls: 20,
+    pauses: 20,
+    ends: 20,
+    slow: 6,
+    terms: TERMS_CASES,
+  };
   const cases = Array.from(
     { length: caseCount[kind] },
     (_, index) =>
-      (kind === "slow" ? planSlowCase : planCase)(`s${seed}w${wave}c${index}`, {
+      PLANNERS[kind](`s${seed}w${wave}c${index}`, {
         draw,
         entries: count,
         lively: kind === "stops" || (kind === "ends" && draw.chance(0.4)),
       }),
   );
-  const entryEvents = kind === "pauses" || kind === "ends"
-    ? planEntryEvents(draw, { count, ending: kind === "ends" })
+  const ending = kind === "ends" || kind === "terms";
+  const entryEvents = kind === "pauses" || ending
+    ? planEntryEvents(draw, { count, ending })
     : [];
+  const terms = kind === "terms" ? planTerms(draw, engines) : [];
   const stalls = kind === "stalls"
     ? [600, 3_400].map((atMs) => ({
       atMs: atMs + draw.between(0, 400),
@@ -161,6 +179,7 @@
     processes,
     cases,
     entryEvents,
+    terms,
     stalls,
   };
 }
@@ -268,6 +287,34 @@
   };
 }
 
+/** A short stream of a steady load. */
+function planTermsCase(
+  call: string,
+  { draw, entries }: { draw: Draw; entries: number },
+): CasePlan {
+  return {
+    call,
+    path: draw.pick(["resume", "once"]),
+    entry: draw.between(0, entries - 1),
+    again: [],
+    events: draw.between(2, 8),
+    style: { lineEnd: "\n", versions: false, comments: false, ids: true },
+    startMs: draw.between(0, TERMS_MS),
+    timeMs: TERMS_TIME_MS,
+    caller: { kind: "reads" },
+    runs: [{ ...wholeRun(draw), piece: 20, pace: 5 }],
+  };
+}
+
+const PLANNERS = {
+  stops: planCase,
+  stalls: planCase,
+  pauses: planCase,
+  ends: planCase,
+  slow: planSlowCase,
+  terms: planTermsCase,
+} as const;
+
 function planCaller(draw: Draw, events: number): CallerPlan {
   const after = draw.between(1, events * 30);
   const roll = draw.part();
--- a/soak/src/promises.ts
+++ b/soak/src/promises.ts
@@ -147,7 +147,8 @@
       answer.status === OK && answer.end === "whole"
     ).length;
   const few = whole * LEAST_SERVED_PART < undisturbed.length;
-  return kind !== "ends" && undisturbed.length > 0 && few
+  const endsEntries = kind === "ends" || kind === "terms";
+  return !endsEntries && undisturbed.length > 0 && few
     ? {
       call: undisturbed[0]!.call,
       what: `${whole} of ${undisturbed.length} undisturbed streams ended whole`,
--- a/soak/src/wave.ts
+++ b/soak/src/wave.ts
@@ -30,6 +30,7 @@
   unservedWave,
 } from "./promises.ts";
 import { scriptOf } from "./script.ts";
+import { brokenTerms, type EngineTerms, stateTerms } from "./terms.ts";
 
 const STILL = new Int32Array(new SharedArrayBuffer(4));
 /** Engines go on so much later than entries after the machine stood still. */
@@ -53,6 +54,7 @@
     const seen = await wave.play();
     const broken = [
       ...judge(seen, { kind: plan.kind, history: wave.history }),
+      ...wave.brokenTerms(),
       ...(await wave.leftOpen()).map((what) => ({ call: "at the end", what })),
     ];
     if (broken.length > 0) {
@@ -118,10 +120,11 @@
   }
 
   async play(): Promise<SeenCall[]> {
-    const { cases, entryEvents, stalls } = this.#plan;
+    const { cases, entryEvents, terms, stalls } = this.#plan;
     const seen = await Promise.all([
       ...cases.map((plan) => this.#ask(plan)),
       ...entryEvents.map((event) => this.#disturbEntry(event)),
+      ...terms.map((each) => this.#stateTerms(each)),
       ...stalls.map((stall) => this.#standStill(stall)),
     ]);
     return seen.flat();
@@ -219,6 +222,20 @@
     return [];
   }
 
+  async #stateTerms(terms: EngineTerms): Promise<[]> {
+    await stateTerms(this.#engines[terms.engine]!, terms);
+    return [];
+  }
+
+  /** What engines got against what they stated. */
+  brokenTerms(): Broken[] {
+    return this.#plan.terms.flatMap((terms) => {
+      const engine = this.#engines[terms.engine]!;
+      const what = brokenTerms(engine, terms);
+      return what === undefined ? [] : [{ call: engine.id, what }];
+    });
+  }
+
   /** Requests that outlive all their callers. */
   async leftOpen(): Promise<string[]> {
     return await openRequests({
