--- a/playground/src/guards/test_sets.ts
+++ b/playground/src/guards/test_sets.ts
@@ -8,6 +8,7 @@
 /** Paths of the gateway's side. What isn't below them belongs to the operators' text. */
 const GATEWAY_PATHS = [
   "packages/core/src/customers/",
+  "packages/core/src/endpoint_terms/",
   "packages/core/src/gateway/",
   "packages/core/src/fleet/",
   "packages/core/src/quarantine/",
