refactor: places of the own region, issuers and ignored values in modules of their own

Finding the issuer of an endpoint's permits, and counting values that make no sense (which limits and rests each did), are modules of their own; so are the checks of scenarios on what endpoints state, and the tests over real processes share their endpoints.

--- a/packages/core/src/endpoint_terms/endpoint_limits.ts
+++ b/packages/core/src/endpoint_terms/endpoint_limits.ts
@@ -14,6 +14,8 @@
   type Instant,
 } from "../ids/index.ts";
 import type { EndpointRecord } from "../routes/index.ts";
+import { IgnoredValues } from "./ignored_values.ts";
+import { type Issuer, IssuerView } from "./issuer_view.ts";
 import {
   type KnownLimit,
   KnownLimits,
@@ -21,7 +23,7 @@
   noticeOf,
 } from "./known_limits.ts";
 import type { LimitMessage } from "./limit_messages.ts";
-import { PermitIssuer, TAKEOVER_MS } from "./permit_issuer.ts";
+import { PermitIssuer } from "./permit_issuer.ts";
 import type { Stated, StatingAnswer, TermsLog } from "./stated.ts";
 import { ToldPeers } from "./told_peers.ts";
 
@@ -30,19 +32,12 @@
 const PERMIT_MS = 1_000;
 /** A question for a permit, or its answer, may be lost: it is asked again. */
 const ASK_PERIOD_MS = 100;
-/** The issuer is looked for again this often. */
-const ISSUER_LIFETIME_MS = 100;
 /** An endpoint is asked at least so often, or it could not say that its limit ends. */
 const LEAST_PER_SECOND = 1 / 30;
 const MS_PER_MINUTE = 60_000;
 /** Notices in one datagram. */
 const MOST_NOTICES = 20;
 
-/** An entry that has run for less may not know who issued permits before it. */
-const SETTLING_MS = 3_000;
-/** Texts that were ignored and are remembered, so that each is logged once. */
-const MOST_TEXTS = 1_024;
-
 /** Leave to send one request to a limited endpoint. */
 export interface Permit {
   readonly until: Instant;
@@ -65,33 +60,31 @@
   readonly log: TermsLog;
 }
 
-interface Issuer {
-  readonly entry: Incarnation;
-  /** Whether another one may have issued before it. */
-  readonly takesOver: boolean;
-  readonly foundAt: Instant;
-}
-
 /** One entry's permits, and those that it issues. */
 export class EndpointLimits {
   readonly #sources: EndpointLimitSources;
   readonly #known = new KnownLimits();
   readonly #permits = new Map<EndpointId, Permit[]>();
   readonly #askedAt = new Map<EndpointId, Instant>();
-  readonly #issuers = new Map<EndpointId, Issuer>();
+  readonly #issuers: IssuerView;
   readonly #issued = new Map<EndpointId, PermitIssuer>();
-  readonly #ignoredTexts = new Map<EndpointId, string>();
+  readonly #ignored: IgnoredValues;
   readonly #told = new ToldPeers();
-  /** Values that were ignored since the start. */
-  ignored = 0;
   /** Requests that found no permit when they were about to be sent. */
   withheld = 0;
 
-  readonly #startedAt: Instant;
-
   constructor(sources: EndpointLimitSources, now: Instant) {
     this.#sources = sources;
-    this.#startedAt = now;
+    this.#issuers = new IssuerView(sources.issuerOf, now);
+    this.#ignored = new IgnoredValues(
+      "Limit of an endpoint is ignored.",
+      sources.log,
+    );
+  }
+
+  /** Values that were ignored since the start. */
+  get ignored(): number {
+    return this.#ignored.count;
   }
 
   /** Endpoints that have a limit at present. */
@@ -118,7 +111,8 @@
     now: Instant,
   ): void {
     if (stated?.kind === "invalid") {
-      return this.#ignore(record, { stated, answer });
+      const inForce = this.limitOf(record);
+      return this.#ignored.note(record, { stated, answer, inForce });
     }
     const { id: endpoint, life } = record;
     const before = this.limitOf(record);
@@ -212,9 +206,7 @@
   woke(): void {
     this.#permits.clear();
     this.#issued.clear();
-    for (const [endpoint, issuer] of this.#issuers) {
-      this.#issuers.set(endpoint, { ...issuer, takesOver: true });
-    }
+    this.#issuers.woke();
   }
 
   #hasPermit(record: EndpointRecord, now: Instant): boolean {
@@ -286,18 +278,8 @@
   }
 
   #findIssuer(endpoint: EndpointId, now: Instant): Issuer {
-    const known = this.#issuers.get(endpoint);
-    if (known !== undefined && now - known.foundAt < ISSUER_LIFETIME_MS) {
-      return known;
-    }
-    const entry = this.#sources.issuerOf(endpoint);
     const statedAt = this.#known.get(endpoint)?.statedAt ?? now;
-    const isFirst = known === undefined && now - statedAt < TAKEOVER_MS &&
-      now - this.#startedAt >= SETTLING_MS;
-    const takesOver = known?.entry === entry ? known.takesOver : !isFirst;
-    const issuer = { entry, takesOver, foundAt: now };
-    this.#issuers.set(endpoint, issuer);
-    return issuer;
+    return this.#issuers.find(endpoint, statedAt, now);
   }
 
   /** Tells of a change: the issuer of the endpoint, who tells all others. */
@@ -358,7 +340,7 @@
         this.#known.forget(endpoint);
         this.#permits.delete(endpoint);
         this.#askedAt.delete(endpoint);
-        this.#issuers.delete(endpoint);
+        this.#issuers.forget(endpoint);
         this.#issued.delete(endpoint);
       }
     }
@@ -379,31 +361,8 @@
       perSecond,
       before,
       ageMs: Math.round(now - statedAt),
-      issuer: this.#issuers.get(endpoint)?.entry,
+      issuer: this.#findIssuer(endpoint, now).entry,
       ...source,
     });
   }
-
-  #ignore(
-    { id }: EndpointRecord,
-    { stated: { text, reason }, answer }: {
-      stated: Extract<Stated, { kind: "invalid" }>;
-      answer: StatingAnswer;
-    },
-  ): void {
-    this.ignored++;
-    if (this.#ignoredTexts.get(id) !== text) {
-      if (this.#ignoredTexts.size >= MOST_TEXTS) {
-        this.#ignoredTexts.clear();
-      }
-      this.#ignoredTexts.set(id, text);
-      this.#sources.log("Limit of an endpoint is ignored.", {
-        endpoint: id,
-        text,
-        reason,
-        inForce: this.#known.get(id)?.perSecond,
-        ...answer,
-      });
-    }
-  }
 }
--- a/packages/core/src/endpoint_terms/endpoint_rests.ts
+++ b/packages/core/src/endpoint_terms/endpoint_rests.ts
@@ -16,6 +16,7 @@
   milliseconds,
 } from "../ids/index.ts";
 import { type EndpointRecord, isSameLife } from "../routes/index.ts";
+import { IgnoredValues } from "./ignored_values.ts";
 import type { Stated, StatingAnswer, TermsLog } from "./stated.ts";
 
 const MS_PER_SECOND = 1_000;
@@ -39,12 +40,16 @@
 export class EndpointRests {
   readonly #log: TermsLog;
   readonly #rests = new Map<EndpointId, Rest>();
-  readonly #ignoredTexts = new Map<EndpointId, string>();
-  /** Values that were ignored since the start. */
-  ignored = 0;
+  readonly #ignored: IgnoredValues;
 
   constructor({ log }: { log: TermsLog }) {
     this.#log = log;
+    this.#ignored = new IgnoredValues("Rest of an endpoint is ignored.", log);
+  }
+
+  /** Values that were ignored since the start. */
+  get ignored(): number {
+    return this.#ignored.count;
   }
 
   /** Endpoints that rest at present. */
@@ -67,7 +72,7 @@
     now: Instant,
   ): void {
     if (stated.kind === "invalid") {
-      return this.#ignore(record, { stated, answer });
+      return this.#ignored.note(record, { stated, answer });
     }
     const time = Math.min(MOST_REST_MS, stated.value * MS_PER_SECOND);
     const until = after(now, time);
@@ -83,7 +88,10 @@
       nextAt: until,
       spacing: FIRST_SPACING_MS,
     });
-    forgetOldest(this.#rests);
+    if (this.#rests.size > MOST_ENDPOINTS) {
+      const [oldest] = this.#rests.keys();
+      this.#rests.delete(oldest!);
+    }
     this.#log("Endpoint wants rest.", {
       endpoint: id,
       service,
@@ -119,27 +127,4 @@
     const rest = this.#rests.get(id);
     return rest !== undefined && isSameLife(rest, { life }) ? rest : undefined;
   }
-
-  #ignore(
-    { id }: EndpointRecord,
-    { stated: { text, reason }, answer }: {
-      stated: Extract<Stated, { kind: "invalid" }>;
-      answer: StatingAnswer;
-    },
-  ): void {
-    this.ignored++;
-    if (this.#ignoredTexts.get(id) !== text) {
-      this.#ignoredTexts.set(id, text);
-      forgetOldest(this.#ignoredTexts);
-      const fields = { endpoint: id, text, reason, ...answer };
-      this.#log("Rest of an endpoint is ignored.", fields);
-    }
-  }
-}
-
-function forgetOldest(endpoints: Map<EndpointId, unknown>): void {
-  if (endpoints.size > MOST_ENDPOINTS) {
-    const [oldest] = endpoints.keys();
-    endpoints.delete(oldest!);
-  }
 }
--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -14,12 +14,8 @@
 import type { CallAttempts } from "./call_attempts.ts";
 import type { CallEnds } from "./call_ends.ts";
 import { CallQueue } from "./call_queue.ts";
-import {
-  type Ahead,
-  type CallRouter,
-  MOST_ATTEMPTS,
-  type Way,
-} from "./call_router.ts";
+import { type CallRouter, MOST_ATTEMPTS, type Way } from "./call_router.ts";
+import type { Ahead } from "./local_places.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
 import { isShort } from "./placement.ts";
 import { DEFAULT_PREFILL_RATE } from "./prompt_cost.ts";
--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -3,10 +3,7 @@
  *
  * @module
  */
-import type { EndpointTerms } from "../endpoint_terms/index.ts";
-import type { FleetController } from "../fleet/index.ts";
 import {
-  hash32,
   type Incarnation,
   type Instant,
   type Milliseconds,
@@ -16,20 +13,18 @@
   sample,
 } from "../ids/index.ts";
 import type { Call } from "./call.ts";
-import type { ColdAllowance } from "./cold_allowance.ts";
-import type { EndpointRegistry } from "./endpoint_registry.ts";
 import type { EndpointState } from "./endpoint_state.ts";
-import type { CallTarget, GatewaySelf } from "./messages.ts";
 import {
-  findHolder,
-  LEAST_FETCH_TOKENS,
-  place,
-  type Placement,
-  sharedParts,
-  type Work,
-} from "./placement.ts";
+  type Ahead,
+  type Chosen,
+  LocalPlaces,
+  type PlaceSources,
+  type WaitReason,
+} from "./local_places.ts";
+import type { CallTarget } from "./messages.ts";
+import { findHolder, LEAST_FETCH_TOKENS, sharedParts } from "./placement.ts";
 import type { RegionController, RegionView } from "./region_controller.ts";
-import { carriersOf, type ServingSet } from "./serving_set.ts";
+import type { ServingSet } from "./serving_set.ts";
 import { type SubjectRegion, subjectRegion } from "./subject_region.ts";
 
 /** A wait longer than this is worth the way to another region and back. */
@@ -42,9 +37,6 @@
 const LATE_URGENCY = 8;
 /** Part of an endpoint's connections that the region's entries use together. */
 const CONNECTION_PART = 0.8;
-/** Entries that choose in the same moment see the same picture; this much sets them apart. */
-const BIAS_MS = 15;
-const UINT32_RANGE = 2 ** 32;
 /** A region that turned a request away gets none of its service for so long: its summary is as old. */
 const DECLINED_MS = 400;
 /** Wait for endpoints that are there and can't be used at present, until something is known. */
@@ -66,39 +58,10 @@
   }
   | { readonly kind: "none" };
 
-/** A place in the own region. */
-type LocalPlace =
-  | Exclude<Placement, { kind: "busy" }>
-  | Omit<Extract<Way, { kind: "wait" }>, "kind"> & { readonly kind: "busy" };
-
-/** A chosen endpoint. */
-export type Chosen = Extract<Placement, { kind: "chosen" }>;
-
-/** Why a request has to wait. */
-export type WaitReason =
-  | "busy"
-  /** The region's endpoints take no more than the limits that they stated. */
-  | "limited"
-  /** The region's endpoints want nothing for a while. */
-  | "resting";
-
-/** What waits already where a request looks for a way. */
-export interface Ahead {
-  /** Milliseconds until what goes first will have been read. */
-  readonly wait: number;
-  /** Turns of the region's entries until a request's own, where endpoints take a limited rate. */
-  readonly turns: number;
-}
-
 /** What the router reads. */
-export interface RouterSources {
-  readonly self: GatewaySelf;
-  readonly fleet: FleetController;
-  readonly endpoints: EndpointRegistry;
+export interface RouterSources extends PlaceSources {
   readonly regions: RegionController;
   readonly serving: ServingSet;
-  readonly cold: ColdAllowance;
-  readonly terms: EndpointTerms;
   readonly random: Randomness;
 }
 
@@ -108,15 +71,13 @@
   /** When a region last turned a request of a service away. */
   readonly #declined = new Map<string, Instant>();
 
+  readonly #places: LocalPlaces;
+
   constructor(sources: RouterSources) {
     this.#sources = sources;
+    this.#places = new LocalPlaces(sources);
   }
 
-  readonly #biasOf = ({ record }: EndpointState): number => {
-    const { incarnation } = this.#sources.self;
-    return BIAS_MS * hash32(`${incarnation} ${record.id}`) / UINT32_RANGE;
-  };
-
   /** The next way of a request. */
   next(call: Call, ahead: Ahead, now: Instant): Way {
     const { self } = this.#sources;
@@ -129,7 +90,7 @@
       return elsewhere;
     }
     const local = home
-      ? this.#local(call, { ahead, now })
+      ? this.#places.find(call, { ahead, now })
       : { kind: "none" as const };
     if (local.kind === "chosen") {
       return { kind: "endpoint", placement: local };
@@ -209,7 +170,7 @@
   stillFits(call: Call, state: EndpointState, now: Instant): boolean {
     const { endpoints } = this.#sources;
     return endpoints.isOpen(state) && endpoints.restOf(state, now) === 0 &&
-      this.#coldAllows(state, now) &&
+      this.#places.coldAllows(state, now) &&
       call.services.includes(state.record.service);
   }
 
@@ -230,92 +191,6 @@
     };
   }
 
-  #local(
-    call: Call,
-    { ahead, now }: { ahead: Ahead; now: Instant },
-  ): LocalPlace {
-    const { self, endpoints } = this.#sources;
-    const { prompt } = call.head;
-    let busy: LocalPlace = { kind: "none" };
-    for (const service of call.services) {
-      const usable = endpoints.of(service).filter((state) =>
-        endpoints.accepts(state, now) && this.#coldAllows(state, now) &&
-        !call.avoidedVersions.has(state.record.softwareVersion)
-      );
-      const fresh = untried(call, usable);
-      const holder = findHolder(prompt, usable);
-      call.unread = (prompt?.promptTokens ?? 0) - (holder?.tokens ?? 0);
-      const work = {
-        prompt,
-        holder,
-        zone: self.zone,
-        urgent: call.rank === 0,
-        biasOf: this.#biasOf,
-      };
-      const found = this.#placeWithin(work, fresh, { ahead, now });
-      if (found.kind === "chosen") {
-        return found;
-      }
-      busy = busy.kind === "none" ? found : busy;
-    }
-    return busy.kind === "none" ? this.#firstBack(call, now) : busy;
-  }
-
-  /** The endpoint of the region that is the first to take requests again after its rest. */
-  #firstBack({ services }: Call, now: Instant): LocalPlace {
-    const { endpoints } = this.#sources;
-    const waits = services.flatMap((service) => endpoints.of(service))
-      .filter((state) => endpoints.isOpen(state))
-      .map((state) => endpoints.restOf(state, now))
-      .filter((wait) => wait > 0);
-    return waits.length === 0 ? { kind: "none" } : {
-      kind: "busy",
-      wait: milliseconds(Math.min(...waits)),
-      reason: "resting",
-    };
-  }
-
-  /** A place within the limits that endpoints stated. */
-  #placeWithin(
-    work: Work,
-    states: readonly EndpointState[],
-    { ahead, now }: { ahead: Ahead; now: Instant },
-  ): LocalPlace {
-    const { limits } = this.#sources.terms;
-    const best = place(work, states, now);
-    if (
-      best.kind !== "chosen" || limits.allows(best.state.record, now)
-    ) {
-      return best.kind === "busy" ? { ...best, reason: "busy" } : best;
-    }
-    const free = states.filter(({ record }) => limits.isFree(record, now));
-    // Permits are asked for where they will be used; only where nothing else is left any will do.
-    const allowed = free.length > 0
-      ? free
-      : states.filter(({ record }) => limits.allows(record, now));
-    if (allowed.length > 0) {
-      const found = place(work, allowed, now);
-      return found.kind === "busy" ? { ...found, reason: "busy" } : found;
-    }
-    const perSecond = states.reduce(
-      (sum, { record }) => sum + (limits.limitOf(record) ?? 0),
-      0,
-    );
-    const wait = Math.max(1, ahead.turns * MS_PER_SECOND / perSecond);
-    return { kind: "busy", wait: milliseconds(wait), reason: "limited" };
-  }
-
-  #coldAllows(state: EndpointState, now: Instant): boolean {
-    if (!state.isCold(now)) {
-      return true;
-    }
-    const { self, cold } = this.#sources;
-    return cold.allows(state, {
-      self: self.incarnation,
-      region: this.#carriers(),
-    }, now);
-  }
-
   /** Other entries of the own region that may be alive. */
   #region(): Incarnation[] {
     const { self, fleet } = this.#sources;
@@ -324,15 +199,6 @@
       .map(({ record }) => record.incarnation);
   }
 
-  /**
-   * Entries of the region that carry at any load, by all that may be alive: one that stands by has no
-   * requests for the endpoints it tends.
-   */
-  #carriers(): Incarnation[] {
-    const { self, fleet } = this.#sources;
-    return carriersOf(self.region, fleet).map(({ incarnation }) => incarnation);
-  }
-
   /** An entry of the region where the request is served soonest, if that is sooner than waiting. */
   #peer(call: Call, localWait: number, now: Instant): Way | undefined {
     const open = this.#open(call, now);
@@ -375,20 +241,6 @@
 /** Attempts of one request, failed connections included. */
 export const MOST_ATTEMPTS = 6;
 
-/**
- * Endpoints that a request was not at yet. Where there are none, those that could not be reached: one
- * that answers again takes it, and without this the request that tests it is refused for having tried.
- */
-function untried(
-  { tried, unreached }: Call,
-  states: readonly EndpointState[],
-): readonly EndpointState[] {
-  const fresh = states.filter(({ record }) => !tried.has(record.id));
-  return fresh.length > 0
-    ? fresh
-    : states.filter(({ record }) => unreached.has(record.id));
-}
-
 /** Part of a region's capacity that is asked for. */
 function utilization({ load }: RegionView): number {
   return load === undefined || load.endpoints === 0
--- a/playground/src/guards/terms_guards.ts
+++ b/playground/src/guards/terms_guards.ts
@@ -20,7 +20,7 @@
     find: "this.#tools.terms.limits.covers(state.record, permit, now);",
     replace: "true;",
     also: [{
-      file: `${GATEWAY}/call_router.ts`,
+      file: `${GATEWAY}/local_places.ts`,
       find: "limits.allows(best.state.record, now)",
       replace: "true",
     }],
@@ -71,7 +71,7 @@
     point: LIMITS,
     name: "a value that makes no sense leaves the limit in force",
     file: `${TERMS}/endpoint_limits.ts`,
-    find: "return this.#ignore(record, { stated, answer });",
+    find: "return this.#ignored.note(record, { stated, answer, inForce });",
     replace: "stated = undefined;",
   },
   {
--- a/playground/src/platform/__tests__/endpoint_leaving.test.ts
+++ b/playground/src/platform/__tests__/endpoint_leaving.test.ts
@@ -1,6 +1,11 @@
 import { HEADERS } from "@sassafrasstep/platform";
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from "vitest";
-import { PlatformFleet, StandInEndpoint, SteadyLoad } from "../index.ts";
+import {
+  PlatformFleet,
+  StandInEndpoint,
+  SteadyLoad,
+  THREE_OF_EACH,
+} from "../index.ts";
 
 const ENTRIES = 4;
 const EVERY_MS = 25;
@@ -13,18 +18,8 @@
 
 // Guards against requests to endpoints that said in their answers that they leave, while the store says ready.
 describe("endpoints that say that they leave", () => {
-  const fleet = new PlatformFleet({
-    endpoints: [
-      ["i-p1", "plain"],
-      ["i-p2", "plain"],
-      ["i-p3", "plain"],
-      ["i-e1", "pool"],
-      ["i-e2", "pool"],
-      ["i-e3", "pool"],
-    ],
-  });
-  const of = (kind: string): StandInEndpoint[] =>
-    fleet.endpoints.filter(({ id }) => id.startsWith(`i-${kind}`));
+  const fleet = new PlatformFleet({ endpoints: THREE_OF_EACH });
+  const of = fleet.endpointsOf.bind(fleet);
   const arrivalsSince = (
     endpoints: readonly StandInEndpoint[],
     from: number,
--- a/playground/src/platform/__tests__/endpoint_limits.test.ts
+++ b/playground/src/platform/__tests__/endpoint_limits.test.ts
@@ -6,6 +6,7 @@
   PlatformFleet,
   type StandInEndpoint,
   SteadyLoad,
+  THREE_OF_EACH,
 } from "../index.ts";
 
 const ENTRIES = 4;
@@ -25,18 +26,8 @@
 
 // Guards against endpoints that are given more than the limit that they state, by all entries together.
 describe("endpoints that state a limit", () => {
-  const fleet = new PlatformFleet({
-    endpoints: [
-      ["i-p1", "plain"],
-      ["i-p2", "plain"],
-      ["i-p3", "plain"],
-      ["i-e1", "pool"],
-      ["i-e2", "pool"],
-      ["i-e3", "pool"],
-    ],
-  });
-  const of = (kind: "p" | "e"): StandInEndpoint[] =>
-    fleet.endpoints.filter(({ id }) => id.startsWith(`i-${kind}`));
+  const fleet = new PlatformFleet({ endpoints: THREE_OF_EACH });
+  const of = fleet.endpointsOf.bind(fleet);
   const state = (endpoints: readonly StandInEndpoint[], limit?: string): void =>
     endpoints.forEach((endpoint) =>
       endpoint.stated = limit === undefined ? {} : { [HEADERS.limit]: limit }
@@ -86,7 +77,7 @@
     (name, path, kind) => {
       it("get no more where one of three states it, lowers it and lifts it", async () => {
         const load = begin(`one-${name}`, path);
-        const limited = await busiest(load, of(kind as "p" | "e"));
+        const limited = await busiest(load, of(kind));
         state([limited], "4");
         const first = await measure(load, [limited]);
         state([limited], "1.2");
@@ -103,7 +94,7 @@
       });
 
       it("get no more where all state it, and the rest is refused at once", async () => {
-        const endpoints = of(kind as "p" | "e");
+        const endpoints = of(kind);
         state(endpoints, "2.2");
         const load = begin(`all-${name}`, path);
         const { most, sums } = await measure(load, endpoints);
--- a/playground/src/platform/__tests__/endpoint_rest.test.ts
+++ b/playground/src/platform/__tests__/endpoint_rest.test.ts
@@ -1,6 +1,11 @@
 import { HEADERS } from "@sassafrasstep/platform";
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from "vitest";
-import { PlatformFleet, type StandInEndpoint, SteadyLoad } from "../index.ts";
+import {
+  PlatformFleet,
+  type StandInEndpoint,
+  SteadyLoad,
+  THREE_OF_EACH,
+} from "../index.ts";
 
 const EVERY_MS = 33;
 /** A plain answer takes so long that no endpoint can serve all. */
@@ -17,18 +22,8 @@
 
 // Guards against requests to endpoints that turned one away and asked for rest, and against leaving them idle.
 describe("endpoints that want rest", () => {
-  const fleet = new PlatformFleet({
-    endpoints: [
-      ["i-p1", "plain"],
-      ["i-p2", "plain"],
-      ["i-p3", "plain"],
-      ["i-e1", "pool"],
-      ["i-e2", "pool"],
-      ["i-e3", "pool"],
-    ],
-  });
-  const of = (kind: string): StandInEndpoint[] =>
-    fleet.endpoints.filter(({ id }) => id.startsWith(`i-${kind}`));
+  const fleet = new PlatformFleet({ endpoints: THREE_OF_EACH });
+  const of = fleet.endpointsOf.bind(fleet);
   const tire = (endpoint: StandInEndpoint): void => {
     endpoint.fault = "full";
     endpoint.stated = { [HEADERS.retryAfter]: String(REST_S) };
--- a/playground/src/platform/index.ts
+++ b/playground/src/platform/index.ts
@@ -5,6 +5,7 @@
   PlatformFleet,
   route,
   ROUTES,
+  THREE_OF_EACH,
 } from "./platform_fleet.ts";
 export { StandInEndpoint } from "./stand_in_endpoint.ts";
 export { type LoadResult, SteadyLoad } from "./steady_load.ts";
--- a/playground/src/platform/platform_fleet.ts
+++ b/playground/src/platform/platform_fleet.ts
@@ -134,6 +134,11 @@
     return addresses.sort();
   }
 
+  /** Endpoints whose ids begin so after `i-`. */
+  endpointsOf(kind: string): StandInEndpoint[] {
+    return this.endpoints.filter(({ id }) => id.startsWith(`i-${kind}`));
+  }
+
   async close(): Promise<void> {
     for (const { process } of this.entries) {
       if (process.exitCode === null && process.signalCode === null) {
@@ -244,6 +249,16 @@
   ["i-e2", "pool"],
 ] as const;
 
+/** Three endpoints of each service. */
+export const THREE_OF_EACH: EndpointPlan = [
+  ["i-p1", "plain"],
+  ["i-p2", "plain"],
+  ["i-p3", "plain"],
+  ["i-e1", "pool"],
+  ["i-e2", "pool"],
+  ["i-e3", "pool"],
+];
+
 const SERVICES = [
   { name: "plain", connection_limit: 100, cold_s: 0, cold_per_s: 0 },
   {
--- a/playground/src/routes/route_expectations.ts
+++ b/playground/src/routes/route_expectations.ts
@@ -18,20 +18,12 @@
 } from "../scenario/script.ts";
 import { mostWithin } from "../client/most_within.ts";
 import { checkPoisons } from "./crashes.ts";
-import type { FakeBackend } from "./fake_backend.ts";
 import type { SeenCall } from "./route_types.ts";
 import type { RouteWorld } from "./route_world.ts";
+import { checkTerms } from "./terms_expectations.ts";
 
 const KEY_LIFETIME_MS = 5_000;
 const BURST_WINDOW_MS = 1_000;
-/** An endpoint bears its limit times this, and the slack, in any such window. */
-const LIMIT_WINDOW_MS = 4_000;
-const LIMIT_OVERSHOOT = 1.5;
-const LIMIT_SLACK = 5;
-const LIMIT_SETTLE_MS = 2_000;
-/** What was on its way when an answer was given may still arrive for so long. */
-const CROSSING_MS = 500;
-const MOST_IN_REST = 2;
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 type Check = (world: RouteWorld, line: Line) => string | undefined;
@@ -177,62 +169,10 @@
     ...checkAttempts(world, call),
     ...checkKey(world, call),
   ]);
-  const limits = [...world.backends.values()].flatMap((backend) =>
-    checkLimits(backend, world.time.now)
+  const terms = [...world.backends.values()].flatMap((backend) =>
+    checkTerms(backend, world.time.now)
   );
-  const leaving = [...world.backends.values()].flatMap(checkLeaving);
-  const rests = [...world.backends.values()].flatMap(checkRests);
-  return [...calls, ...checkPoisons(world), ...limits, ...leaving, ...rests];
-}
-
-/** An entry that an endpoint asked for rest sends it next to nothing until its end. */
-function checkRests(
-  { name, arrivals, senders, rests }: FakeBackend,
-): string[] {
-  const most = rests.reduce((found, { entry, from, to }) => {
-    const disturbing = arrivals.filter((at, index) =>
-      senders[index] === entry && at > from + CROSSING_MS && at < to
-    );
-    return Math.max(found, disturbing.length);
-  }, 0);
-  return most <= MOST_IN_REST
-    ? []
-    : [`Endpoint ${name} got ${most} requests of one entry in its rest`];
-}
-
-/** An entry that was told by an endpoint that it leaves sends it nothing more. */
-function checkLeaving(
-  { name, arrivals, senders, toldLeaving }: FakeBackend,
-): string[] {
-  const late =
-    arrivals.filter((at, index) =>
-      at > (toldLeaving.get(senders[index]!) ?? Infinity) + CROSSING_MS
-    ).length;
-  return late === 0 ? [] : [
-    `Endpoint ${name} got ${late} requests from entries told that it leaves`,
-  ];
-}
-
-/** A limit that an endpoint stated holds for all entries together, once they had the time to learn of it. */
-function checkLimits(
-  { name, arrivals, limits }: FakeBackend,
-  now: number,
-): string[] {
-  return limits.flatMap(({ at, perSecond }, index) => {
-    if (perSecond === undefined) {
-      return [];
-    }
-    const end = limits[index + 1]?.at ?? now;
-    const kept = arrivals.filter((arrival) =>
-      arrival >= at + LIMIT_SETTLE_MS && arrival < end
-    );
-    const most = mostWithin(kept, LIMIT_WINDOW_MS);
-    const allowed = LIMIT_OVERSHOOT * perSecond * LIMIT_WINDOW_MS / 1_000 +
-      LIMIT_SLACK;
-    return most <= allowed
-      ? []
-      : [`Endpoint ${name} got ${most} within its limit of ${perSecond}`];
-  });
+  return [...calls, ...checkPoisons(world), ...terms];
 }
 
 /** Calls that an entry refused because what they carry is held back. */
