fix: what limits leave of another region's endpoints is used

Requests for an endpoint of another region were refused while it had permits left: 1 of 7 was used in seconds 2 to 9 at a limit of 1 a second. Cause: a region told its load with a limited endpoint counted as the part that its limit leaves, and a small part was rounded to no endpoint at all, so that other regions sent nothing.

--- a/packages/core/src/gateway/region_controller.ts
+++ b/packages/core/src/gateway/region_controller.ts
@@ -167,13 +167,14 @@
       0,
     );
     const mean = requests === 0 ? 0 : work / requests;
-    const endpoints = usable.reduce(
+    const inUse = usable.reduce(
       (sum, state) => sum + this.#partInUse(state, mean),
       0,
     );
     return {
       service,
-      endpoints: Math.round(endpoints),
+      // None at all would keep other regions from what limits leave.
+      endpoints: Math.min(usable.length, Math.max(1, Math.round(inUse))),
       work: Math.round(work),
       requests,
       backlog: milliseconds(
