test: streams that break off or are turned away meet the terms of engines in the soak

The waves of terms had whole streams alone, so that repeats and resumed streams did not meet limits, departures and rest over real sockets.

--- a/soak/src/plan.ts
+++ b/soak/src/plan.ts
@@ -302,10 +302,23 @@
     startMs: draw.between(0, TERMS_MS),
     timeMs: TERMS_TIME_MS,
     caller: { kind: "reads" },
-    runs: [{ ...wholeRun(draw), piece: 20, pace: 5 }],
+    runs: planTermsRuns(draw),
   };
 }
 
+/** Some break off or are turned away first, so that repeats and resumed streams meet the terms too. */
+function planTermsRuns(draw: Draw): RunPlan[] {
+  const whole = { ...wholeRun(draw), piece: 20, pace: 5 };
+  const roll = draw.part();
+  if (roll < 0.2) {
+    const stop = draw.pick<Stop>(["closed", "reset"]);
+    return [{ ...whole, framing: "chunked", stop, part: draw.part() }, whole];
+  }
+  return roll < 0.3
+    ? [{ ...whole, status: 503, notRun: true }, whole]
+    : [whole];
+}
+
 const PLANNERS = {
   stops: planCase,
   stalls: planCase,
