refactor: announcer and coordinator of an endpoint's terms, in place of teller and tender

The field's words for the entry that tells others of a departure and for the one that a region's entries agree on for an endpoint.

--- a/packages/core/src/endpoint_terms/__tests__/endpoint_departures.test.ts
+++ b/packages/core/src/endpoint_terms/__tests__/endpoint_departures.test.ts
@@ -31,7 +31,7 @@
       incarnation,
       departures: new EndpointDepartures({
         incarnation,
-        tellerOf: (endpoint) =>
+        announcerOf: (endpoint) =>
           this.entries[ENDPOINTS.indexOf(endpoint) % this.entries.length]!
             .incarnation,
         peers: () =>
--- a/packages/core/src/endpoint_terms/endpoint_departures.ts
+++ b/packages/core/src/endpoint_terms/endpoint_departures.ts
@@ -38,7 +38,7 @@
 export interface DepartureSources {
   readonly incarnation: Incarnation;
   /** The entry of the region that tells others of an endpoint. */
-  readonly tellerOf: (endpoint: EndpointId) => Incarnation;
+  readonly announcerOf: (endpoint: EndpointId) => Incarnation;
   /** Other live entries of the region. */
   readonly peers: () => readonly Incarnation[];
   /** Whether an endpoint is published. */
@@ -97,18 +97,18 @@
     if (this.#departures.size === 0) {
       return;
     }
-    const { incarnation, tellerOf, peers } = this.#sources;
+    const { incarnation, announcerOf, peers } = this.#sources;
     const due = this.#told.takeDue(peers(), now);
     const known = due.length === 0
       ? []
       : this.#published().map((departure) => ({
         departure,
-        teller: tellerOf(departure.endpoint),
+        announcer: announcerOf(departure.endpoint),
       }));
     for (const peer of due) {
-      // A teller that has just started knows nothing of what it is to tell.
-      const told = known.filter(({ teller }) =>
-        teller === incarnation || teller === peer
+      // An announcer that has just started knows nothing of what it is to tell.
+      const told = known.filter(({ announcer }) =>
+        announcer === incarnation || announcer === peer
       );
       this.#tell(peer, told.map(({ departure }) => departure));
     }
--- a/packages/core/src/gateway/__tests__/endpoint_terms_fixture.ts
+++ b/packages/core/src/gateway/__tests__/endpoint_terms_fixture.ts
@@ -22,7 +22,7 @@
     }, instant(0)),
     departures: new EndpointDepartures({
       incarnation: "a1" as Incarnation,
-      tellerOf: () => "a1" as Incarnation,
+      announcerOf: () => "a1" as Incarnation,
       peers: () => [],
       isPublished: () => true,
       send: () => {},
--- a/packages/core/src/gateway/endpoint_terms_link.ts
+++ b/packages/core/src/gateway/endpoint_terms_link.ts
@@ -51,7 +51,7 @@
   const { self, fleet, catalogue } = link;
   return new EndpointLimits({
     incarnation: self.incarnation,
-    issuerOf: (endpoint) => tenderOf(endpoint, link),
+    issuerOf: (endpoint) => coordinatorOf(endpoint, link),
     peers: () => peersOf(link),
     heardPart: () => fleet.heardPartWithSelf(self.region),
     isPublished: (endpoint) => catalogue.endpoints.has(endpoint),
@@ -67,7 +67,7 @@
   const { self, catalogue } = link;
   return new EndpointDepartures({
     incarnation: self.incarnation,
-    tellerOf: (endpoint) => tenderOf(endpoint, link),
+    announcerOf: (endpoint) => coordinatorOf(endpoint, link),
     peers: () => peersOf(link),
     isPublished: (endpoint) => catalogue.endpoints.has(endpoint),
     send: (to, message) => sendTo(link, to, { kind: "departures", message }),
@@ -92,14 +92,18 @@
   }
 }
 
-/** The entry that tends the terms of an endpoint, the same in all views that agree on who may be alive and stays. */
-function tenderOf(
+/** The entry that coordinates the terms of an endpoint, the same in all views that agree on who may be alive and stays. */
+function coordinatorOf(
   endpoint: EndpointId,
   { self, fleet }: EndpointTermsLink,
 ): Incarnation {
   const staying = carriersOf(self.region, fleet).filter(({ state }) =>
     state === "ready" || state === "outdated"
   );
-  const [tender] = rendezvous(`terms ${endpoint}`, staying, ({ id }) => id);
-  return (tender ?? fleet.record).incarnation;
+  const [coordinator] = rendezvous(
+    `terms ${endpoint}`,
+    staying,
+    ({ id }) => id,
+  );
+  return (coordinator ?? fleet.record).incarnation;
 }
