feat: entries say at which epoch and revision the store answered, and what they read anew

After the store was restored from a copy all entries missed a change, and none of their lines could tell the three hypotheses of the incident apart. Lines: when the epoch changes, with the revision that is held; when changes since it are not available; what a whole read brought, at which revision and beside which one that is held, how many records in it are older; the version in force where requests without a route are refused. The stand-in store can be restored from a copy.

Nothing is decided by the epoch yet.

--- a/packages/core/src/gateway/call_admission.ts
+++ b/packages/core/src/gateway/call_admission.ts
@@ -68,7 +68,8 @@
     const { catalogue, ends, keyLifetime } = this.#tools;
     const route = table.find(head.host, head.target);
     if (route === undefined) {
-      return ends.refuseUnrouted(head, now);
+      const { version } = table.document;
+      return ends.refuseUnrouted({ head, version }, now);
     }
     const facts = { key: head.key, relayed: head.relay, arrivedAt };
     const verdict = judgeKey({ ...facts, public: route.public }, {
--- a/packages/core/src/gateway/call_ends.ts
+++ b/packages/core/src/gateway/call_ends.ts
@@ -9,6 +9,7 @@
   type Milliseconds,
   milliseconds,
   type Randomness,
+  type Revision,
 } from "../ids/index.ts";
 import type { Call } from "./call.ts";
 import type { LossCause } from "./call_trace.ts";
@@ -140,14 +141,17 @@
    * Refuses a request that no route takes. Callers that probe send them all the time: with a line for
    * each, a log that is cut short holds little else.
    */
-  refuseUnrouted(head: CallHead, now: Instant): void {
+  refuseUnrouted(
+    { head, version }: { head: CallHead; version: Revision },
+    now: Instant,
+  ): void {
     const count = this.unrouted.add(now);
     if (count > 0) {
       this.#emit({
         kind: "log",
         part: "call",
         text: "Requests without a route are refused.",
-        fields: { requests: count, call: head.call },
+        fields: { requests: count, call: head.call, version },
       });
     }
     this.#refuse(head, "no_route");
--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -6,6 +6,7 @@
  */
 import {
   after,
+  type CatalogueEpoch,
   type EndpointId,
   hash32,
   type Instant,
@@ -56,6 +57,9 @@
 /** Writes the catalogue. */
 export class CatalogueController implements CatalogueView {
   revision = 0 as Revision;
+  epoch: CatalogueEpoch | undefined;
+  wholeReads = 0;
+  historyMisses = 0;
   table: RouteTable | undefined;
   generation = 0;
   confirmedAt: Instant | undefined;
@@ -161,14 +165,17 @@
   /** Takes a whole picture from the platform. */
   read(snapshot: CatalogueSnapshot, now: Instant): void {
     this.#answered(now);
+    this.#noteEpoch(snapshot.epoch);
+    this.#noteWhole(snapshot);
     this.#snapshotWanted = false;
     this.#replace(snapshot, now);
     this.#prove();
   }
 
   /** The platform holds nothing newer. */
-  confirmed(now: Instant): void {
+  confirmed(epoch: CatalogueEpoch | undefined, now: Instant): void {
     this.#answered(now);
+    this.#noteEpoch(epoch);
     this.#prove();
   }
 
@@ -200,8 +207,9 @@
   }
 
   /** Takes changes from the platform. */
-  changed({ revision, changes }: CatalogueChanges, now: Instant): void {
+  changed({ epoch, revision, changes }: CatalogueChanges, now: Instant): void {
     this.#answered(now);
+    this.#noteEpoch(epoch);
     this.#follow({ revision, changes }, now);
     if (changes.length > 0) {
       this.generation++;
@@ -218,8 +226,13 @@
   }
 
   /** The platform has forgotten the changes since our revision. */
-  compacted(now: Instant): void {
+  compacted(epoch: CatalogueEpoch | undefined, now: Instant): void {
     this.#answered(now);
+    this.#noteEpoch(epoch);
+    this.historyMisses++;
+    this.#log("Changes are not available, reading everything.", {
+      after: this.revision,
+    });
     this.#snapshotWanted = true;
     this.#schedule.readAtOnce(now);
   }
@@ -277,6 +290,41 @@
     });
   }
 
+  /** Tells from what the answers of the platform count. */
+  #noteEpoch(epoch: CatalogueEpoch | undefined): void {
+    if (epoch === undefined || epoch === this.epoch) {
+      return;
+    }
+    if (this.epoch !== undefined) {
+      this.#log("Platform's revisions began anew.", {
+        from: this.epoch,
+        to: epoch,
+        revision: this.revision,
+      });
+    }
+    this.epoch = epoch;
+  }
+
+  /** Tells what a whole read brought, and what of it is older than what is held. */
+  #noteWhole({ revision, document, endpoints }: CatalogueSnapshot): void {
+    this.wholeReads++;
+    if (this.wholeReads === 1) {
+      return;
+    }
+    const older = endpoints.filter((record) => {
+      const known = this.endpoints.get(record.id);
+      return known !== undefined && !supersedes(record, known);
+    });
+    this.#log("Read everything.", {
+      revision,
+      held: this.revision,
+      version: document?.version,
+      heldVersion: this.document?.version,
+      endpoints: endpoints.length,
+      olderEndpoints: older.length,
+    });
+  }
+
   #answered(now: Instant): void {
     if (this.#schedule.answered(now)) {
       this.#returnedAt = now;
--- a/packages/core/src/gateway/catalogue_view.ts
+++ b/packages/core/src/gateway/catalogue_view.ts
@@ -4,7 +4,13 @@
  * @module
  */
 import type { CurrencyView } from "../customers/index.ts";
-import type { EndpointId, Instant, Revision, ZoneId } from "../ids/index.ts";
+import type {
+  CatalogueEpoch,
+  EndpointId,
+  Instant,
+  Revision,
+  ZoneId,
+} from "../ids/index.ts";
 import type {
   EndpointRecord,
   RouteTable,
@@ -14,6 +20,11 @@
 /** The section of the board. */
 export interface CatalogueView {
   readonly revision: Revision;
+  /** Whose revision it is, `undefined` before the platform has stated it. */
+  readonly epoch: CatalogueEpoch | undefined;
+  /** Whole reads, and reads of changes that the platform no longer had, since the start. */
+  readonly wholeReads: number;
+  readonly historyMisses: number;
   readonly document: RoutingDocument | undefined;
   readonly table: RouteTable | undefined;
   /** How current the document is known to be. */
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -321,10 +321,10 @@
         this.#catalogue.changed(event.changes, now);
         return this.#followCatalogue(now);
       case "catalogueConfirmed":
-        this.#catalogue.confirmed(now);
+        this.#catalogue.confirmed(event.epoch, now);
         return this.#followCatalogue(now);
       case "catalogueCompacted":
-        return this.#catalogue.compacted(now);
+        return this.#catalogue.compacted(event.epoch, now);
       case "catalogueFailed":
         return this.#catalogue.failed(event.detail, now);
       case "catalogueCopied":
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -9,6 +9,7 @@
 import type {
   AttemptId,
   CallId,
+  CatalogueEpoch,
   ContentDigest,
   CustomerId,
   EndpointId,
@@ -202,11 +203,17 @@
     readonly changes: CatalogueChanges;
   }
   /** A verified read found nothing newer than the revision in force. */
-  | { readonly kind: "catalogueConfirmed" }
+  | {
+    readonly kind: "catalogueConfirmed";
+    readonly epoch?: CatalogueEpoch | undefined;
+  }
   /** The machine was suspended for so long, and the process's clock did not run. */
   | { readonly kind: "slept"; readonly time: Milliseconds }
   /** Changes since the revision in force are no longer to be had. */
-  | { readonly kind: "catalogueCompacted" }
+  | {
+    readonly kind: "catalogueCompacted";
+    readonly epoch?: CatalogueEpoch | undefined;
+  }
   | { readonly kind: "catalogueFailed"; readonly detail: string }
   | {
     readonly kind: "catalogueCopied";
--- a/packages/core/src/ids/ids.ts
+++ b/packages/core/src/ids/ids.ts
@@ -50,6 +50,11 @@
 
 /** Revision of the operators' text, counted by the configuration service. */
 export type Revision = Branded<number, "Revision">;
+/**
+ * One life of the counter of catalogue revisions. It rises each time the catalogue is restored from a copy:
+ * revisions after that one are given out again.
+ */
+export type CatalogueEpoch = Branded<number, "CatalogueEpoch">;
 /** Idempotency key as the caller sent it. */
 export type IdempotencyKey = Branded<string, "IdempotencyKey">;
 
--- a/packages/core/src/routes/endpoint_record.ts
+++ b/packages/core/src/routes/endpoint_record.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type {
+  CatalogueEpoch,
   EndpointId,
   EndpointLife,
   Milliseconds,
@@ -69,6 +70,8 @@
 
 /** The whole published picture as of one revision. */
 export interface CatalogueSnapshot {
+  /** Whose revision it is, `undefined` where the source does not state it. */
+  readonly epoch?: CatalogueEpoch | undefined;
   readonly revision: Revision;
   /** `undefined` before the operators' first document. */
   readonly document: RoutingDocument | undefined;
@@ -78,6 +81,8 @@
 
 /** Changes up to a revision, in order. */
 export interface CatalogueChanges {
+  /** Whose revision it is, `undefined` where the source does not state it. */
+  readonly epoch?: CatalogueEpoch | undefined;
   readonly revision: Revision;
   readonly changes: readonly CatalogueChange[];
 }
--- a/packages/daemon/src/gateway/catalogue_runner.ts
+++ b/packages/daemon/src/gateway/catalogue_runner.ts
@@ -83,7 +83,7 @@
     }
     const answer = await this.#source.changes(after, { wait, timeout });
     return answer.kind === "compacted"
-      ? { kind: "catalogueCompacted" }
+      ? { kind: "catalogueCompacted", epoch: answer.epoch }
       : { kind: "catalogueChanged", changes: answer.changes };
   }
 
@@ -99,18 +99,20 @@
       proof: Exclude<ReadProof, { kind: "none" }>;
     },
   ): Promise<GatewayEvent> {
-    const newest = proof.kind === "reaches"
-      ? proof.revision
+    const { epoch, revision: newest } = proof.kind === "reaches"
+      ? { epoch: undefined, revision: proof.revision }
       : await this.#source.newest(timeout);
     if (newest === after) {
-      return { kind: "catalogueConfirmed" };
+      return { kind: "catalogueConfirmed", epoch };
     }
     const wait = milliseconds(0);
     const answer = await this.#source.changes(after, { wait, timeout });
     const whole = answer.kind === "changes" && answer.complete &&
       answer.changes.revision >= newest;
-    return whole
-      ? { kind: "catalogueChanged", changes: answer.changes }
-      : { kind: "catalogueCompacted" };
+    if (whole) {
+      return { kind: "catalogueChanged", changes: answer.changes };
+    }
+    const stated = answer.kind === "changes" ? answer.changes : answer;
+    return { kind: "catalogueCompacted", epoch: stated.epoch };
   }
 }
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -11,6 +11,7 @@
   CallRefusal,
   CallTarget,
   CatalogueChanges,
+  CatalogueEpoch,
   CatalogueSnapshot,
   CustomerId,
   Milliseconds,
@@ -70,7 +71,16 @@
     /** Whether each revision up to the answer's is among them. */
     readonly complete: boolean;
   }
-  | { readonly kind: "compacted" };
+  | {
+    readonly kind: "compacted";
+    readonly epoch?: CatalogueEpoch | undefined;
+  };
+
+/** A place in the history of the published picture. */
+export interface StatedPosition {
+  readonly epoch?: CatalogueEpoch | undefined;
+  readonly revision: Revision;
+}
 
 /** Where the published picture is read. */
 export interface CatalogueSource {
@@ -80,7 +90,7 @@
     after: Revision,
     limits: { wait: Milliseconds; timeout: Milliseconds },
   ): Promise<ChangesAnswer>;
-  /** The newest revision at present; unlike a wait for changes it cannot miss one. */
-  newest(timeout: Milliseconds): Promise<Revision>;
+  /** The newest position at present; unlike a wait for changes it cannot miss one. */
+  newest(timeout: Milliseconds): Promise<StatedPosition>;
   close(): Promise<void>;
 }
--- a/packages/daemon/src/gateway/status.ts
+++ b/packages/daemon/src/gateway/status.ts
@@ -19,6 +19,8 @@
   readonly state: string;
   readonly documentVersion: number;
   readonly catalogueRevision: number;
+  /** Whose revision it is, where the platform states it. */
+  readonly catalogueEpoch?: number | undefined;
   /** Since the platform last answered. */
   readonly catalogueAgeMs?: number | undefined;
   readonly requests: number;
@@ -76,6 +78,7 @@
     state: fleet.record.state,
     documentVersion: catalogue.document?.version ?? 0,
     catalogueRevision: catalogue.revision,
+    catalogueEpoch: catalogue.epoch,
     catalogueAgeMs: catalogueAge(catalogue, now),
     requests: calls.active,
     queued: calls.queued,
--- a/playground/src/platform/__tests__/store_source.test.ts
+++ b/playground/src/platform/__tests__/store_source.test.ts
@@ -109,6 +109,7 @@
     store.compact();
     expect(await source.changes(1 as Revision, limits)).toEqual({
       kind: "compacted",
+      epoch: 1,
     });
   });
 
@@ -158,6 +159,25 @@
     });
   });
 
+  it("tells the epoch of each answer, also where history is gone", async () => {
+    const copy = store.copy();
+    store.put(`${KEYS.endpoint}i-1`, ENDPOINT);
+    const limits = { wait: milliseconds(0), timeout: TIMEOUT };
+    expect(await source.snapshot(TIMEOUT)).toMatchObject({
+      epoch: 1,
+      revision: 1,
+    });
+    store.restore(copy);
+    expect(await source.newest(TIMEOUT)).toEqual({ epoch: 2, revision: 0 });
+    expect(await source.changes(0 as Revision, limits)).toMatchObject({
+      changes: { epoch: 2, revision: 0 },
+    });
+    expect(await source.changes(1 as Revision, limits)).toEqual({
+      kind: "compacted",
+      epoch: 2,
+    });
+  });
+
   it("writes a line for each such key once, and few for thousands", async () => {
     for (let index = 0; index < 1_200; index++) {
       store.putRaw(`${KEYS.endpoint}foreign-${index}`, "bm8=");
--- a/playground/src/platform/platform_fleet.ts
+++ b/playground/src/platform/platform_fleet.ts
@@ -42,6 +42,7 @@
   readonly store = new StandInStore();
   readonly endpoints: StandInEndpoint[] = [];
   readonly entries: PlatformEntry[] = [];
+  readonly #addresses = new Map<string, string>();
   readonly #folder = mkdtempSync(join(tmpdir(), "fleet-"));
   #storeAddress = "";
   #peerPort = 0;
@@ -67,11 +68,9 @@
     this.#storeAddress = await this.store.listen();
     this.#peerPort = await freeUdpPort();
     for (const [id, service] of this.#endpoints) {
-      const endpoint = new StandInEndpoint(id);
-      this.endpoints.push(endpoint);
       this.publishEndpoint(id, {
         service,
-        address: await endpoint.listen(),
+        address: await this.adopt(new StandInEndpoint(id)),
         state: "ready",
         sequence: 1,
       });
@@ -79,6 +78,27 @@
     this.publishDocument(ROUTES);
   }
 
+  /** Starts an endpoint that the store does not name yet. */
+  async adopt(endpoint: StandInEndpoint): Promise<string> {
+    this.endpoints.push(endpoint);
+    const address = await endpoint.listen();
+    this.#addresses.set(endpoint.id, address);
+    return address;
+  }
+
+  addressOf(id: string): string {
+    return this.#addresses.get(id)!;
+  }
+
+  endpoint(id: string): StandInEndpoint {
+    return this.endpoints.find((endpoint) => endpoint.id === id)!;
+  }
+
+  /** Key of an endpoint's record. */
+  keyOf(id: string): string {
+    return `${KEYS.endpoint}${id}`;
+  }
+
   publishDocument(
     routes: readonly object[],
     tenants: readonly object[] = [],
@@ -99,7 +119,7 @@
   }
 
   publishEndpoint(id: string, fields: object): void {
-    this.store.put(`${KEYS.endpoint}${id}`, {
+    this.store.put(this.keyOf(id), {
       zone: "a-1",
       version: "v1",
       slots: 8,
--- a/playground/src/platform/stand_in_store.ts
+++ b/playground/src/platform/stand_in_store.ts
@@ -9,7 +9,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { CALLS } from "@sassafrasstep/platform";
+import { CALLS, HEADERS } from "@sassafrasstep/platform";
 import { closeAtOnce, listenOnLoopback } from "./loopback.ts";
 
 /** How the store treats a call. */
@@ -42,6 +42,18 @@
   readonly tombstone?: true;
 }
 
+/** A watch that waits for a change. */
+interface Waiting {
+  readonly wake: () => void;
+  readonly cut: () => void;
+}
+
+/** What the store held at a moment. */
+export interface StoreCopy {
+  readonly items: readonly Item[];
+  readonly revision: number;
+}
+
 /** A store on loopback. */
 export class StandInStore {
   fault: StoreFault = "none";
@@ -50,7 +62,8 @@
   #history: Item[] = [];
   #oldest = 0;
   #revision = 0;
-  readonly #waiting = new Set<() => void>();
+  #epoch = 1;
+  readonly #waiting = new Set<Waiting>();
   readonly #server: Server = createServer((message, reply) =>
     this.#take(message, reply)
   );
@@ -82,6 +95,29 @@
     this.#note({ key, revision: this.#revision, tombstone: true });
   }
 
+  /** Where its counter stands. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  copy(): StoreCopy {
+    return { items: [...this.#items.values()], revision: this.#revision };
+  }
+
+  /**
+   * Comes back from a copy: what was written since is lost, its revisions are given out again, and changes
+   * up to the copy are no longer to be had. Watches that wait are cut.
+   */
+  restore({ items, revision }: StoreCopy): void {
+    this.#epoch++;
+    this.#revision = revision;
+    this.#items.clear();
+    items.forEach((item) => this.#items.set(item.key, item));
+    this.compact();
+    this.#waiting.forEach(({ cut }) => cut());
+    this.#waiting.clear();
+  }
+
   /** Forgets which changes led here. */
   compact(): void {
     this.#oldest = this.#revision;
@@ -92,7 +128,7 @@
     this.#history.push(item);
     const waiting = [...this.#waiting];
     this.#waiting.clear();
-    waiting.forEach((wake) => wake());
+    waiting.forEach(({ wake }) => wake());
   }
 
   #take(message: IncomingMessage, reply: ServerResponse): void {
@@ -102,7 +138,7 @@
       case "silent":
         return;
       case "busy":
-        reply.writeHead(BUSY).end();
+        reply.writeHead(BUSY, this.#headers()).end();
         return;
       case "reset":
         message.socket.resetAndDestroy();
@@ -125,8 +161,8 @@
       return this.#range(prefix, searchParams.get("after") ?? "", reply);
     }
     const after = Number(searchParams.get("after"));
-    if (after < this.#oldest) {
-      reply.writeHead(GONE).end();
+    if (after < this.#oldest || after > this.#revision) {
+      reply.writeHead(GONE, this.#headers()).end();
       return;
     }
     this.#watch({ prefix, after }, {
@@ -135,6 +171,10 @@
     });
   }
 
+  #headers(): Record<string, string> {
+    return { [HEADERS.storeEpoch]: String(this.#epoch) };
+  }
+
   #range(prefix: string, after: string, reply: ServerResponse): void {
     const items = [...this.#items.values()]
       .filter(({ key }) => key.startsWith(prefix) && key > after)
@@ -155,19 +195,28 @@
     if (events.length > 0 || wait <= 0) {
       return this.#say(reply, { events });
     }
-    const again = (): void => {
-      clearTimeout(timer);
-      this.#watch({ prefix, after }, { wait: 0, reply });
+    const waiting: Waiting = {
+      wake: () => {
+        clearTimeout(timer);
+        this.#watch({ prefix, after }, { wait: 0, reply });
+      },
+      cut: () => {
+        clearTimeout(timer);
+        reply.destroy();
+      },
     };
     const timer = setTimeout(() => {
-      this.#waiting.delete(again);
-      again();
+      this.#waiting.delete(waiting);
+      waiting.wake();
     }, wait);
-    this.#waiting.add(again);
+    this.#waiting.add(waiting);
   }
 
   #say(reply: ServerResponse, body: object): void {
-    reply.writeHead(OK, { "content-type": "application/json" });
+    reply.writeHead(OK, {
+      ...this.#headers(),
+      "content-type": "application/json",
+    });
     const text = JSON.stringify({ ...body, as_of: this.#revision });
     if (this.fault === "trickles") {
       this.#trickle(reply, text);
