--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -28,6 +28,7 @@
 } from "../routes/index.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
 import type { GatewayEmit, ReadProof } from "./messages.ts";
+import { EndpointRecords } from "./endpoint_records.ts";
 import { RecentChanges } from "./recent_changes.ts";
 import { ReadSchedule, type ReadScheduleOptions } from "./read_schedule.ts";
 
@@ -67,7 +68,6 @@
   readonly currency = new Currency();
   /** For peers that are behind by a few changes. */
   readonly recent = new RecentChanges();
-  readonly endpoints = new Map<EndpointId, EndpointRecord>();
   readonly evacuated = new Set<ZoneId>();
   readonly #emit: GatewayEmit;
   readonly #schedule: ReadSchedule;
@@ -75,8 +75,7 @@
   readonly #newestHolder: () =>
     | { address: string; revision: Revision }
     | undefined;
-  /** Endpoints whose record is missing, with the time until which that is not believed. */
-  readonly #missing = new Map<EndpointId, Instant>();
+  readonly #records = new EndpointRecords();
   #picture = 0;
   /** The generation that it was made of. */
   #pictureOf = -1;
@@ -110,6 +109,10 @@
     return this.table?.customers.required ?? false;
   }
 
+  get endpoints(): ReadonlyMap<EndpointId, EndpointRecord> {
+    return this.#records.all;
+  }
+
   get document(): RoutingDocument | undefined {
     return this.table?.document;
   }
@@ -120,7 +123,9 @@
 
   /** Starts reads that are due. */
   tick(now: Instant): void {
-    this.#dropMissing(now);
+    if (this.#records.expire(now)) {
+      this.generation++;
+    }
     if (this.#schedule.begin(now)) {
       this.#read(now);
     }
@@ -259,17 +264,12 @@
     }
   }
 
-  /**
-   * The picture for a peer. An endpoint that is only kept for a while, its record missing, is not in it:
-   * the peer would take it for published and, reading on from our revision, never learn that it is gone.
-   */
+  /** The picture for a peer. */
   snapshot(): CatalogueSnapshot | undefined {
     return this.document === undefined ? undefined : {
       revision: this.revision,
       document: this.document,
-      endpoints: [...this.endpoints.values()].filter(({ id }) =>
-        !this.#missing.has(id)
-      ),
+      endpoints: this.#records.published,
       evacuated: [...this.evacuated],
     };
   }
@@ -387,13 +387,7 @@
       this.#adopt(document);
     }
     this.recent.clear();
-    const present = new Set(endpoints.map(({ id }) => id));
-    endpoints.forEach((record) => this.#put(record));
-    for (const id of this.endpoints.keys()) {
-      if (!present.has(id)) {
-        this.#remove(id, now);
-      }
-    }
+    this.#records.replace(endpoints, this.#graceEnd(now));
     this.evacuated.clear();
     evacuated.forEach((zone) => this.evacuated.add(zone));
     this.#rise(revision);
@@ -405,9 +399,9 @@
       case "document":
         return this.#adopt(change.document);
       case "endpoint":
-        return this.#put(change.record);
+        return this.#records.put(change.record);
       case "endpointRemoved":
-        return this.#remove(change.id, now);
+        return this.#records.remove(change.id, this.#graceEnd(now));
       case "evacuated":
         this.evacuated.add(change.zone);
         return this.#log("Zone is evacuated.", { zone: change.zone });
@@ -429,24 +423,6 @@
     }
   }
 
-  #put(record: EndpointRecord): void {
-    const known = this.endpoints.get(record.id);
-    this.#missing.delete(record.id);
-    if (known === undefined || supersedes(record, known)) {
-      this.endpoints.set(record.id, record);
-    }
-  }
-
-  #remove(id: EndpointId, now: Instant): void {
-    const graceEnd = this.#graceEnd(now);
-    if (graceEnd === undefined || !this.endpoints.has(id)) {
-      this.#missing.delete(id);
-      this.endpoints.delete(id);
-    } else if (!this.#missing.has(id)) {
-      this.#missing.set(id, graceEnd);
-    }
-  }
-
   /** Until when a missing record may be the platform's fault, `undefined` in calm times. */
   #graceEnd(now: Instant): Instant | undefined {
     if (this.failing && this.#failedAt !== undefined) {
@@ -458,16 +434,6 @@
     return end !== undefined && now < end ? end : undefined;
   }
 
-  #dropMissing(now: Instant): void {
-    for (const [id, until] of this.#missing) {
-      if (now >= until) {
-        this.#missing.delete(id);
-        this.endpoints.delete(id);
-        this.generation++;
-      }
-    }
-  }
-
   #rise(revision: Revision): void {
     this.revision = Math.max(this.revision, revision) as Revision;
   }
