fix: an entry reads on from where a restored store stands, not from the highest revision it ever held

Callers got 404 on routes, and leaving endpoints got requests, seconds after the store had acknowledged the change, at all entries at once and until the next change of the same record.

Cause: a revision was compared although the counter had begun another life. An entry read everything anew after the return, but kept the maximum of its own and the store's revision as the place to read on from. While the counter was behind, each read of changes was turned away (410) and followed by a whole read; when it had caught up, what was written under revisions up to the one held was missed. After an absence in which no read fails even the whole read was missing.

Change: a place in the history is an epoch and a revision. An answer of another epoch than the one held is not applied; everything is read anew, once, spread by size, and that position is taken as it is. Answers that were sent for before a peer's picture of a newer epoch came are dropped. An answer without an epoch counts as of the one before, and a revision that is lower than the one held then says that the counter went back. A line names both positions.

On the code before, store_restored.scenario fails at all three of its checks ("n1 holds version 4, published 7"). No loop of 410 and whole reads: one whole read an entry at a return in the scenario's lines. 534 tests of routes, core and daemon pass.

--- a/packages/cli/src/commands/gateway_commands.ts
+++ b/packages/cli/src/commands/gateway_commands.ts
@@ -68,11 +68,7 @@
         ? "never confirmed"
         : `${Math.round(status.catalogueAgeMs)} ms old`
     }`,
-    `picture   revision ${status.catalogueRevision}${
-      status.catalogueEpoch === undefined
-        ? ""
-        : ` of epoch ${status.catalogueEpoch}`
-    }`,
+    `picture   revision ${status.catalogueRevision} of epoch ${status.catalogueEpoch}`,
     `requests  ${status.requests}, of them waiting ${status.queued}`,
     `callers   sent elsewhere: ${shares === "" ? "none" : shares}`,
   ].join("\n");
--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -19,17 +19,22 @@
 import {
   type CatalogueChange,
   type CatalogueChanges,
+  type CataloguePosition,
   type CatalogueSnapshot,
   type EndpointRecord,
+  isAfter,
+  isSamePosition,
+  NO_POSITION,
   type PictureNews,
   RouteTable,
   type RoutingDocument,
-  supersedes,
 } from "../routes/index.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
 import type { GatewayEmit, ReadProof } from "./messages.ts";
 import { EndpointRecords } from "./endpoint_records.ts";
+import { type AnswerStanding, EpochTracker } from "./epoch_tracker.ts";
 import { RecentChanges } from "./recent_changes.ts";
+import { ReturnGrace } from "./return_grace.ts";
 import { ReadSchedule, type ReadScheduleOptions } from "./read_schedule.ts";
 
 /** Beyond its wait a read may take so long: a slow service, and a silent connection. */
@@ -37,11 +42,8 @@
 /** Between two copies from peers. */
 const COPY_PAUSE_MS = 1_200;
 const COPY_TIMEOUT_MS = 1_000;
-/**
- * Endpoints' records run out while the platform is down, and are back within two seconds of its
- * return. Dropping them at once would leave nothing to serve from.
- */
-const RETURN_GRACE_MS = 2_200;
+/** For each record: large catalogues are not read by all entries in the same moment. */
+const RESTORED_READ_SPREAD_MS = 0.1;
 
 /** What another entry says of the picture that it holds. */
 export interface ToldPicture {
@@ -57,8 +59,7 @@
 
 /** Writes the catalogue. */
 export class CatalogueController implements CatalogueView {
-  revision = 0 as Revision;
-  epoch: CatalogueEpoch | undefined;
+  position = NO_POSITION;
   wholeReads = 0;
   historyMisses = 0;
   table: RouteTable | undefined;
@@ -76,12 +77,17 @@
     | { address: string; revision: Revision }
     | undefined;
   readonly #records = new EndpointRecords();
+  readonly #epochs = new EpochTracker();
   #picture = 0;
   /** The generation that it was made of. */
   #pictureOf = -1;
   #snapshotWanted = true;
-  #failedAt: Instant | undefined;
-  #returnedAt: Instant | undefined;
+  /** Whether the whole read that is wanted is of another epoch than what is held. */
+  #restored = false;
+  readonly #grace: ReturnGrace;
+  /** Of the read under way. */
+  #sentAt: Instant;
+  #timeout = milliseconds(0);
   #nextCopyAt: Instant;
   /** When the read under way was sent, and whether its answer tells the present state. */
   #readMark: CurrencyMark | undefined;
@@ -102,6 +108,8 @@
     this.#isResting = schedule.resting;
     this.#schedule = new ReadSchedule(schedule, now);
     this.#nextCopyAt = now;
+    this.#grace = new ReturnGrace(now);
+    this.#sentAt = now;
   }
 
   /** Whether requests name customers, by keys that may be taken away. */
@@ -169,35 +177,46 @@
 
   /** Takes a whole picture from the platform. */
   read(snapshot: CatalogueSnapshot, now: Instant): void {
-    this.#answered(now);
-    this.#noteEpoch(snapshot.epoch);
-    this.#noteWhole(snapshot);
+    const standing = this.#answered(snapshot.epoch, { whole: true }, now);
+    const behind = isAfter(this.position, this.#positionOf(snapshot));
+    if (standing === "late" || (behind && this.#hasMoved)) {
+      return this.#schedule.readAtOnce(now);
+    }
+    this.wholeReads++;
+    if (standing === "restored" || this.#restored || behind) {
+      this.#restore(snapshot, now);
+    } else {
+      this.#replace(snapshot, now);
+    }
     this.#snapshotWanted = false;
-    this.#replace(snapshot, now);
+    this.#restored = false;
     this.#prove();
   }
 
   /** The platform holds nothing newer. */
   confirmed(epoch: CatalogueEpoch | undefined, now: Instant): void {
-    this.#answered(now);
-    this.#noteEpoch(epoch);
-    this.#prove();
+    const standing = this.#answered(epoch, { whole: false }, now);
+    if (standing === "current") {
+      this.#prove();
+    } else {
+      this.#readAnew(standing, now);
+    }
   }
 
   /** Another entry tells what it holds, and when its document was known to be the newest. */
   told({ version, revision, news, at, from }: ToldPicture, now: Instant): void {
-    if (news !== undefined && revision > this.revision) {
+    if (news !== undefined && revision > this.position.revision) {
       this.#follow(news, now);
       this.generation++;
     }
     const sameDocument = version === this.document?.version;
-    if (revision === this.revision) {
+    if (revision === this.position.revision) {
       this.#schedule.noteConfirmed(at, now);
     } else if (this.#isResting() && sameDocument) {
       this.#schedule.noteBehind();
-    } else if (revision > this.revision && this.failing) {
+    } else if (revision > this.position.revision && this.failing) {
       this.#copyFrom(from, now);
-    } else if (revision > this.revision) {
+    } else if (revision > this.position.revision) {
       this.#toldRevision = revision;
       this.#schedule.readAtOnce(now);
     }
@@ -212,11 +231,16 @@
   }
 
   /** Takes changes from the platform. */
-  changed({ epoch, revision, changes }: CatalogueChanges, now: Instant): void {
-    this.#answered(now);
-    this.#noteEpoch(epoch);
-    this.#follow({ revision, changes }, now);
-    if (changes.length > 0) {
+  changed(news: CatalogueChanges, now: Instant): void {
+    const standing = this.#answered(news.epoch, { whole: false }, now);
+    if (standing !== "current") {
+      return this.#readAnew(standing, now);
+    }
+    if (news.revision < this.position.revision) {
+      return this.#readAnew(this.#hasMoved ? "late" : "restored", now);
+    }
+    this.#follow(news, now);
+    if (news.changes.length > 0) {
       this.generation++;
     }
     if (this.#verifies) {
@@ -225,18 +249,20 @@
   }
 
   #follow({ revision, changes }: CatalogueChanges, now: Instant): void {
-    this.recent.note({ from: this.revision, to: revision, changes });
+    this.recent.note({ from: this.position.revision, to: revision, changes });
     changes.forEach((change) => this.#apply(change, now));
-    this.#rise(revision);
+    this.position = { ...this.position, revision };
   }
 
   /** The platform has forgotten the changes since our revision. */
   compacted(epoch: CatalogueEpoch | undefined, now: Instant): void {
-    this.#answered(now);
-    this.#noteEpoch(epoch);
+    const standing = this.#answered(epoch, { whole: false }, now);
+    if (standing !== "current") {
+      return this.#readAnew(standing, now);
+    }
     this.historyMisses++;
     this.#log("Changes are not available, reading everything.", {
-      after: this.revision,
+      after: this.position.revision,
     });
     this.#snapshotWanted = true;
     this.#schedule.readAtOnce(now);
@@ -245,8 +271,10 @@
   /** The platform did not answer. */
   failed(detail: string, now: Instant): void {
     this.#schedule.failed(now);
-    this.#failedAt = now;
-    // Its counter may be behind ours after an outage, or our watch hung: read everything anew.
+    // A read that runs into its limit may have hung since before the platform returned.
+    const timedOut = now - this.#sentAt >= this.#timeout;
+    this.#grace.noteBefore(timedOut ? this.#sentAt : now);
+    // A watch may have hung and missed changes.
     this.#snapshotWanted = this.#snapshotWanted || this.#schedule.failures > 1;
     if (this.reachable) {
       this.reachable = false;
@@ -256,10 +284,10 @@
 
   /** Takes a peer's picture if it is newer than ours. */
   copied(snapshot: CatalogueSnapshot | undefined, now: Instant): void {
-    if (snapshot !== undefined && snapshot.revision > this.revision) {
+    if (snapshot !== undefined && snapshot.revision > this.position.revision) {
       this.#replace(snapshot, now);
       this.#log("Took the catalogue from a peer.", {
-        revision: this.revision,
+        revision: this.position.revision,
       });
     }
   }
@@ -267,7 +295,7 @@
   /** The picture for a peer. */
   snapshot(): CatalogueSnapshot | undefined {
     return this.document === undefined ? undefined : {
-      revision: this.revision,
+      ...this.position,
       document: this.document,
       endpoints: this.#records.published,
       evacuated: [...this.evacuated],
@@ -278,62 +306,90 @@
     const changesOnly = !this.#snapshotWanted;
     const wait = changesOnly ? this.#schedule.wait(now) : 0;
     this.#readMark = this.currency.mark(now);
+    this.#epochs.ask(this.position);
     const proof = this.#proofFor();
     this.#verifies = proof.kind === "newest";
     this.#toldRevision = undefined;
+    this.#sentAt = now;
+    this.#timeout = milliseconds(READ_TIMEOUT_MS + wait);
     this.#emit({
       kind: "readCatalogue",
       proof,
-      after: changesOnly ? this.revision : undefined,
+      after: changesOnly ? this.position.revision : undefined,
       wait: milliseconds(wait),
-      timeout: milliseconds(READ_TIMEOUT_MS + wait),
+      timeout: this.#timeout,
     });
   }
 
-  /** Tells from what the answers of the platform count. */
-  #noteEpoch(epoch: CatalogueEpoch | undefined): void {
-    if (epoch === undefined || epoch === this.epoch) {
-      return;
-    }
-    if (this.epoch !== undefined) {
-      this.#log("Platform's revisions began anew.", {
-        from: this.epoch,
-        to: epoch,
-        revision: this.revision,
-      });
-    }
-    this.epoch = epoch;
+  /** Whether what is held has moved on since the last read was sent. */
+  get #hasMoved(): boolean {
+    return !isSamePosition(this.#epochs.asked, this.position);
   }
 
-  /** Tells what a whole read brought, and what of it is older than what is held. */
-  #noteWhole({ revision, document, endpoints }: CatalogueSnapshot): void {
-    this.wholeReads++;
-    if (this.wholeReads === 1) {
-      return;
-    }
-    const older = endpoints.filter((record) => {
-      const known = this.endpoints.get(record.id);
-      return known !== undefined && !supersedes(record, known);
-    });
-    this.#log("Read everything.", {
+  /** Peers compare epochs, so that the highest one is kept, also where the platform states a lower one. */
+  #positionOf(
+    { epoch, revision }: Pick<CatalogueSnapshot, "epoch" | "revision">,
+  ): CataloguePosition {
+    const held = this.position.epoch;
+    return {
+      epoch: Math.max(held, epoch ?? held) as CatalogueEpoch,
       revision,
-      held: this.revision,
-      version: document?.version,
-      heldVersion: this.document?.version,
-      endpoints: endpoints.length,
-      olderEndpoints: older.length,
-    });
+    };
   }
 
-  #answered(now: Instant): void {
-    if (this.#schedule.answered(now)) {
-      this.#returnedAt = now;
+  /** An answer cannot be applied to what is held. */
+  #readAnew(standing: "restored" | "late", now: Instant): void {
+    if (standing === "late") {
+      return this.#schedule.readAtOnce(now);
     }
+    this.#snapshotWanted = true;
+    this.#restored = true;
+    const spread = this.endpoints.size * RESTORED_READ_SPREAD_MS;
+    this.#schedule.readWithin(milliseconds(spread), now);
+  }
+
+  /**
+   * Takes a whole picture of another epoch. What is held counts from revisions that are given out again:
+   * reading on from there, changes up to it would be missed, for good.
+   */
+  #restore(snapshot: CatalogueSnapshot, now: Instant): void {
+    const from = this.position;
+    const heldVersion = this.document?.version;
+    this.#replace(snapshot, now);
+    this.#log("Platform was restored, read everything anew.", {
+      fromEpoch: from.epoch,
+      fromRevision: from.revision,
+      toEpoch: this.position.epoch,
+      toRevision: this.position.revision,
+      version: snapshot.document?.version,
+      heldVersion,
+      endpoints: snapshot.endpoints.length,
+      keptEndpoints: this.endpoints.size - this.#records.published.length,
+      keptMs: (this.#grace.keptUntil(now) ?? now) - now,
+    });
+  }
+
+  #answered(
+    epoch: CatalogueEpoch | undefined,
+    { whole }: { whole: boolean },
+    now: Instant,
+  ): AnswerStanding {
+    const returned = this.#schedule.answered(now);
     this.confirmedAt = now;
     if (!this.reachable) {
       this.reachable = true;
-      this.#log("Platform answers.", { revision: this.revision });
+      this.#log("Platform answers.", { ...this.position });
+    }
+    const standing = this.#epochs.judge(epoch, { held: this.position, whole });
+    if (standing === "restored") {
+      this.#grace.noteRestore(now);
+    } else if (returned) {
+      this.#grace.noteReturn(now);
     }
+    if (standing === "current" && !this.#restored) {
+      this.#grace.noteBefore(now);
+    }
+    return standing;
   }
 
   /**
@@ -346,7 +402,7 @@
       return;
     }
     const holder = this.#newestHolder();
-    if (holder !== undefined && holder.revision > this.revision) {
+    if (holder !== undefined && holder.revision > this.position.revision) {
       this.#copyFrom(holder.address, now);
     }
   }
@@ -368,7 +424,7 @@
       return { kind: "none" };
     }
     const revision = this.#toldRevision;
-    return revision !== undefined && revision > this.revision
+    return revision !== undefined && revision > this.position.revision
       ? { kind: "reaches", revision }
       : { kind: "newest" };
   }
@@ -382,15 +438,15 @@
   }
 
   #replace(snapshot: CatalogueSnapshot, now: Instant): void {
-    const { revision, document, endpoints, evacuated } = snapshot;
+    const { document, endpoints, evacuated } = snapshot;
     if (document !== undefined) {
       this.#adopt(document);
     }
     this.recent.clear();
-    this.#records.replace(endpoints, this.#graceEnd(now));
+    this.#records.replace(endpoints, this.#keptUntil(now));
     this.evacuated.clear();
     evacuated.forEach((zone) => this.evacuated.add(zone));
-    this.#rise(revision);
+    this.position = this.#positionOf(snapshot);
     this.generation++;
   }
 
@@ -401,7 +457,7 @@
       case "endpoint":
         return this.#records.put(change.record);
       case "endpointRemoved":
-        return this.#records.remove(change.id, this.#graceEnd(now));
+        return this.#records.remove(change.id, this.#keptUntil(now));
       case "evacuated":
         this.evacuated.add(change.zone);
         return this.#log("Zone is evacuated.", { zone: change.zone });
@@ -424,18 +480,10 @@
   }
 
   /** Until when a missing record may be the platform's fault, `undefined` in calm times. */
-  #graceEnd(now: Instant): Instant | undefined {
-    if (this.failing && this.#failedAt !== undefined) {
-      return after(now, RETURN_GRACE_MS);
-    }
-    const end = this.#returnedAt === undefined
-      ? undefined
-      : after(this.#returnedAt, RETURN_GRACE_MS);
-    return end !== undefined && now < end ? end : undefined;
-  }
-
-  #rise(revision: Revision): void {
-    this.revision = Math.max(this.revision, revision) as Revision;
+  #keptUntil(now: Instant): Instant | undefined {
+    return this.failing
+      ? this.#grace.keptWhileAway(now)
+      : this.#grace.keptUntil(now);
   }
 
   #log(text: string, fields: Readonly<Record<string, unknown>>): void {
--- a/packages/core/src/gateway/catalogue_view.ts
+++ b/packages/core/src/gateway/catalogue_view.ts
@@ -4,14 +4,9 @@
  * @module
  */
 import type { CurrencyView } from "../customers/index.ts";
+import type { EndpointId, Instant, ZoneId } from "../ids/index.ts";
 import type {
-  CatalogueEpoch,
-  EndpointId,
-  Instant,
-  Revision,
-  ZoneId,
-} from "../ids/index.ts";
-import type {
+  CataloguePosition,
   EndpointRecord,
   RouteTable,
   RoutingDocument,
@@ -19,9 +14,7 @@
 
 /** The section of the board. */
 export interface CatalogueView {
-  readonly revision: Revision;
-  /** Whose revision it is, `undefined` before the platform has stated it. */
-  readonly epoch: CatalogueEpoch | undefined;
+  readonly position: CataloguePosition;
   /** Whole reads, and reads of changes that the platform no longer had, since the start. */
   readonly wholeReads: number;
   readonly historyMisses: number;
--- a/packages/core/src/gateway/customer_link.ts
+++ b/packages/core/src/gateway/customer_link.ts
@@ -108,7 +108,7 @@
     active: () => catalogue.keyed,
     holds: () => ({
       version: catalogue.document?.version ?? 0 as never,
-      revision: catalogue.revision,
+      revision: catalogue.position.revision,
     }),
     newsSince: (revision) => catalogue.recent.since(revision),
     source: (tries, now) => {
--- a/packages/core/src/gateway/read_schedule.ts
+++ b/packages/core/src/gateway/read_schedule.ts
@@ -164,6 +164,12 @@
     this.#readsAgain = this.#reading;
   }
 
+  /** The next read is due at an instant that is drawn from so long a time. */
+  readWithin(spread: Milliseconds, now: Instant): void {
+    this.readAtOnce(now);
+    this.#nextAt = after(now, spread * this.#options.random.next());
+  }
+
   /** The picture is needed, and may be older than that of an entry that carries. */
   noteUse(now: Instant): void {
     this.#hasten(READ_PAUSE_MS, now);
--- a/packages/core/src/routes/index.ts
+++ b/packages/core/src/routes/index.ts
@@ -1,3 +1,4 @@
+export * from "./catalogue_position.ts";
 export * from "./endpoint_record.ts";
 export * from "./route.ts";
 export * from "./route_table.ts";
--- a/packages/daemon/src/gateway/status.ts
+++ b/packages/daemon/src/gateway/status.ts
@@ -19,8 +19,8 @@
   readonly state: string;
   readonly documentVersion: number;
   readonly catalogueRevision: number;
-  /** Whose revision it is, where the platform states it. */
-  readonly catalogueEpoch?: number | undefined;
+  /** Of that revision: it rises each time the platform is restored from a copy. */
+  readonly catalogueEpoch: number;
   /** Since the platform last answered. */
   readonly catalogueAgeMs?: number | undefined;
   readonly requests: number;
@@ -77,8 +77,8 @@
     zone: self.zone,
     state: fleet.record.state,
     documentVersion: catalogue.document?.version ?? 0,
-    catalogueRevision: catalogue.revision,
-    catalogueEpoch: catalogue.epoch,
+    catalogueRevision: catalogue.position.revision,
+    catalogueEpoch: catalogue.position.epoch,
     catalogueAgeMs: catalogueAge(catalogue, now),
     requests: calls.active,
     queued: calls.queued,
--- a/playground/src/routes/fake_store.ts
+++ b/playground/src/routes/fake_store.ts
@@ -5,7 +5,9 @@
  */
 import type {
   CatalogueChange,
+  CatalogueEpoch,
   CatalogueSnapshot,
+  CatalogueView,
   Customer,
   EndpointId,
   EndpointRecord,
@@ -41,6 +43,14 @@
   readonly answer: (event: GatewayEvent) => void;
 }
 
+/** What the store held at a moment. */
+interface StoreCopy {
+  readonly revision: number;
+  readonly document: RoutingDocument | undefined;
+  readonly endpoints: readonly EndpointRecord[];
+  readonly evacuated: readonly ZoneId[];
+}
+
 /** A store under virtual time. */
 export class FakeStore {
   readonly routes = new Map<string, Route>();
@@ -60,6 +70,8 @@
   readonly takenAt = new Map<KeyDigest, number>();
   #revision = 1;
   #oldest = 0;
+  #epoch = 1;
+  #copy: StoreCopy | undefined;
 
   constructor(time: VirtualTime) {
     this.#time = time;
@@ -93,7 +105,7 @@
       [...of?.customers.values() ?? []].flatMap(({ keyDigests }) => keyDigests);
     const present = new Set(keysOf(document));
     for (const key of keysOf(this.#document)) {
-      if (!present.has(key)) {
+      if (!present.has(key) && !this.takenAt.has(key)) {
         this.takenAt.set(key, this.#time.now);
       }
     }
@@ -126,6 +138,46 @@
     this.#log.length = 0;
   }
 
+  /** What an entry holds otherwise than it is here, `undefined` where all is in force. */
+  missingAt(
+    { document, endpoints, evacuated }: CatalogueView,
+  ): string | undefined {
+    const version = this.#document?.version ?? 0;
+    if ((document?.version ?? 0) < version) {
+      return `version ${document?.version}, published ${version}`;
+    }
+    const held = statesOf(endpoints.values());
+    const published = statesOf(this.#endpoints.values());
+    if (held !== published) {
+      return `endpoints ${held}, published ${published}`;
+    }
+    const zones = [...evacuated].sort().join();
+    const emptied = [...this.#evacuated].sort().join();
+    return zones === emptied ? undefined : `zones ${zones}, not ${emptied}`;
+  }
+
+  /** Takes a copy, which `restore` comes back from. */
+  copy(): void {
+    this.#copy = this.#snapshot();
+  }
+
+  /** What was written since the copy is lost, its revisions are given out again, and watches are cut. */
+  restore(): void {
+    const { revision, document, endpoints, evacuated } = this.#copy!;
+    this.#epoch++;
+    this.#revision = revision;
+    this.#document = document;
+    this.#endpoints.clear();
+    endpoints.forEach((record) => this.#endpoints.set(record.id, record));
+    this.#evacuated.clear();
+    evacuated.forEach((zone) => this.#evacuated.add(zone));
+    this.compact();
+    const cut = this.#watches;
+    this.#watches = [];
+    const detail = "Watch was cut";
+    cut.forEach(({ answer }) => answer({ kind: "catalogueFailed", detail }));
+  }
+
   /** Answers one read, or leaves it without an answer. */
   read(
     reader: string,
@@ -146,12 +198,12 @@
         answer({ kind: "catalogueFailed", detail: "Store is busy" });
       } else if (after === undefined) {
         answer({ kind: "catalogueRead", snapshot: this.#snapshot() });
-      } else if (after < this.#oldest) {
-        answer({ kind: "catalogueCompacted" });
+      } else if (after < this.#oldest || after > this.#revision) {
+        answer({ kind: "catalogueCompacted", ...this.#stated });
       } else if (mode === "deaf") {
         answer(this.#deaf({ after, proof }));
       } else if (proof.kind === "newest" && after === this.#revision) {
-        answer({ kind: "catalogueConfirmed" });
+        answer({ kind: "catalogueConfirmed", ...this.#stated });
       } else {
         this.#watch({ after, answer }, wait);
       }
@@ -164,11 +216,14 @@
   ): GatewayEvent {
     if (proof.kind !== "none") {
       return after === this.#revision
-        ? { kind: "catalogueConfirmed" }
-        : { kind: "catalogueCompacted" };
+        ? { kind: "catalogueConfirmed", ...this.#stated }
+        : { kind: "catalogueCompacted", ...this.#stated };
     }
     const revision = after as Revision;
-    return { kind: "catalogueChanged", changes: { revision, changes: [] } };
+    return {
+      kind: "catalogueChanged",
+      changes: { ...this.#stated, revision, changes: [] },
+    };
   }
 
   #watch(watch: Watch, wait: number): void {
@@ -188,6 +243,7 @@
     answer({
       kind: "catalogueChanged",
       changes: {
+        ...this.#stated,
         revision: this.#revision as Revision,
         changes: this.#log.filter(({ revision }) => revision > after)
           .map(({ change }) => change),
@@ -195,8 +251,13 @@
     });
   }
 
+  get #stated(): { epoch: CatalogueEpoch } {
+    return { epoch: this.#epoch as CatalogueEpoch };
+  }
+
   #snapshot(): CatalogueSnapshot {
     return {
+      ...this.#stated,
       revision: this.#revision as Revision,
       document: this.#document,
       endpoints: [...this.#endpoints.values()],
@@ -214,3 +275,7 @@
     }
   }
 }
+
+function statesOf(records: Iterable<EndpointRecord>): string {
+  return [...records].map(({ id, state }) => `${id} ${state}`).sort().join();
+}
--- a/playground/src/routes/route_actions.ts
+++ b/playground/src/routes/route_actions.ts
@@ -68,6 +68,9 @@
   lose: ({ world }, line) => world.loss = Number(word(line, 1, "a part")),
   store: ({ world }, line) => storeMode(world, line),
   compact: ({ world }) => world.store.compact(),
+  /** `copy_store`, and `restore_store`: it comes back as it was then, with another epoch. */
+  copy_store: ({ world }) => world.store.copy(),
+  restore_store: ({ world }) => world.store.restore(),
   publish: (stage) => {
     stage.version += 3;
     stage.world.store.publishDocument(stage.version);
--- a/playground/src/routes/route_expectations.ts
+++ b/playground/src/routes/route_expectations.ts
@@ -60,6 +60,17 @@
     const found = String(gateway?.catalogue.document?.version ?? 0);
     return differs("version", found, word(line, 2, "a version"));
   },
+  /** `expect in_force ENTRY,...`: each holds what the store holds. */
+  in_force: (world, line) => {
+    for (const name of word(line, 1, "entries").split(",")) {
+      const gateway = world.entries.get(name)!.gateway!;
+      const missing = world.store.missingAt(gateway.catalogue);
+      if (missing !== undefined) {
+        return `${name} holds ${missing}`;
+      }
+    }
+    return undefined;
+  },
   /** `expect burst BACKEND N`: at most so many requests in any second. */
   burst: (world, line) => {
     const backend = world.backends.get(word(line, 1, "a backend"))!;
