fix: what entries tell each other is compared by epoch and revision

An entry that the store turned away over a restore went on by its old picture for as long as the others held lower revisions of the new epoch: routes that were taken away were served there, and a customer's key that was taken away was only stopped by its lease. And an entry that had read everything anew could be turned back by the picture of one that had not, whose revision was higher.

What another entry holds of an earlier epoch is older, however high its revision; of a later one, everything is read anew, or copied where the platform does not answer, and then read once more when it does. Changes since a revision are told within an epoch only. A ping is 4 bytes longer with an epoch of one digit.

--- a/packages/core/src/fleet/__tests__/fleet_controller.test.ts
+++ b/packages/core/src/fleet/__tests__/fleet_controller.test.ts
@@ -4,6 +4,7 @@
   type Incarnation,
   instant,
   ListenedTime,
+  NO_POSITION,
   type RegionId,
   type Revision,
   SeededRandomness,
@@ -56,7 +57,7 @@
         random: new SeededRandomness(this.#lives),
         listened: new ListenedTime(instant(this.now)),
         send: (to, message) => this.#send(`${name}:1`, to, message),
-        holdings: () => ({ document: 0 as Revision, catalogue: 0 as Revision }),
+        holdings: () => ({ document: 0 as Revision, catalogue: NO_POSITION }),
         summary: () => ({
           region: "r" as RegionId,
           age: 0 as never,
--- a/packages/core/src/fleet/fleet_messages.ts
+++ b/packages/core/src/fleet/fleet_messages.ts
@@ -20,7 +20,7 @@
   ZoneId,
 } from "../ids/index.ts";
 import type { HoldNotice, QuarantineNews } from "../quarantine/index.ts";
-import type { CurrencyMessage } from "../routes/index.ts";
+import type { CataloguePosition, CurrencyMessage } from "../routes/index.ts";
 
 /** Whether an entry takes new requests. */
 export type FleetState =
@@ -85,12 +85,12 @@
   readonly share: number;
 }
 
-/** Revisions that an entry holds. */
+/** What an entry holds. */
 export interface Holdings {
-  /** Of the operators' document. */
+  /** Version of the operators' document. */
   readonly document: Revision;
   /** Of everything published. */
-  readonly catalogue: Revision;
+  readonly catalogue: CataloguePosition;
 }
 
 /** What one entry has in flight at one endpoint. */
--- a/packages/core/src/fleet/peer_holdings.ts
+++ b/packages/core/src/fleet/peer_holdings.ts
@@ -3,14 +3,19 @@
  *
  * @module
  */
-import type { Incarnation, Revision } from "../ids/index.ts";
+import type { Incarnation } from "../ids/index.ts";
+import {
+  type CataloguePosition,
+  isAfter,
+  NO_POSITION,
+} from "../routes/index.ts";
 import type { Holdings } from "./fleet_messages.ts";
 import type { FleetMember } from "./membership_list.ts";
 
 /** An entry that has a catalogue. */
 export interface CatalogueHolder {
   readonly address: string;
-  readonly revision: Revision;
+  readonly position: CataloguePosition;
 }
 
 /** Holdings by entry. */
@@ -29,9 +34,12 @@
   newest(members: readonly FleetMember[]): CatalogueHolder | undefined {
     let best: CatalogueHolder | undefined;
     for (const { record: { incarnation, peerAddress } } of members) {
-      const revision = this.#holdings.get(incarnation)?.catalogue;
-      if (revision !== undefined && revision > (best?.revision ?? 0)) {
-        best = { address: peerAddress, revision };
+      const position = this.#holdings.get(incarnation)?.catalogue;
+      if (
+        position !== undefined &&
+        isAfter(position, best?.position ?? NO_POSITION)
+      ) {
+        best = { address: peerAddress, position };
       }
     }
     return best;
--- a/packages/core/src/gateway/__tests__/currency_exchange.test.ts
+++ b/packages/core/src/gateway/__tests__/currency_exchange.test.ts
@@ -1,16 +1,21 @@
 import { describe, expect, it } from "vitest";
 import {
+  type CatalogueEpoch,
   type Incarnation,
   instant,
   milliseconds,
   type Revision,
 } from "../../ids/index.ts";
 import { Currency } from "../../customers/index.ts";
-import type { CurrencyMessage } from "../../routes/index.ts";
+import type { CataloguePosition, CurrencyMessage } from "../../routes/index.ts";
 import { CurrencyExchange } from "../currency_exchange.ts";
 
 const VERSION = 7 as Revision;
 
+function at(revision: number): CataloguePosition {
+  return { epoch: 1 as CatalogueEpoch, revision: revision as Revision };
+}
+
 function build(): {
   currency: Currency;
   exchange: CurrencyExchange;
@@ -24,7 +29,7 @@
     active: () => true,
     resting: () => false,
     self: { incarnation: "e1" as Incarnation, peerAddress: "1.2.3.4:5" },
-    holds: () => ({ version: VERSION, revision: VERSION }),
+    holds: () => ({ version: VERSION, position: at(VERSION) }),
     newsSince: () => undefined,
     source: () => "1.2.3.5:5",
     send: (_to, message) => sent.push(message),
@@ -39,7 +44,7 @@
     incarnation: "e2" as Incarnation,
     sequence: 1,
     version,
-    revision: version,
+    position: at(version),
     age: milliseconds(age),
     news: undefined,
   };
@@ -89,7 +94,7 @@
       kind: "question",
       from: "1.2.3.6:5",
       sequence: 3,
-      revision: 0,
+      position: at(0),
     };
     exchange.receive(question as CurrencyMessage, instant(500));
     expect(sent).toEqual([]);
--- a/packages/core/src/gateway/__tests__/rest.test.ts
+++ b/packages/core/src/gateway/__tests__/rest.test.ts
@@ -52,7 +52,7 @@
       state: "ready",
       weight: 2,
     },
-    holdings: { document: 1, catalogue: 1 },
+    holdings: { document: 1, catalogue: { epoch: 0, revision: 1 } },
     news: [],
     regions: [],
     holds: [],
--- a/packages/core/src/gateway/__tests__/stalls.test.ts
+++ b/packages/core/src/gateway/__tests__/stalls.test.ts
@@ -8,6 +8,7 @@
   type GatewayEffect,
   type GatewayEvent,
   instant,
+  NO_POSITION,
   type Revision,
 } from "../../index.ts";
 import { startGateway } from "./gateway_fixture.ts";
@@ -55,7 +56,7 @@
   };
   const holdings = {
     document: 1 as Revision,
-    catalogue: 1 as Revision,
+    catalogue: { ...NO_POSITION, revision: 1 as Revision },
   };
   const hearPeer = (): void => {
     handle({
--- a/packages/core/src/gateway/__tests__/work_reporter.test.ts
+++ b/packages/core/src/gateway/__tests__/work_reporter.test.ts
@@ -6,6 +6,7 @@
   type FleetRecord,
   instant,
   ListenedTime,
+  NO_POSITION,
   type PrefixNews,
   type RegionId,
   type WorkReport,
@@ -227,13 +228,13 @@
       random: { next: () => 0.5 } as never,
       listened: new ListenedTime(instant(0)),
       send: (_to, message) => sent.push(message),
-      holdings: () => ({ document: 0, catalogue: 0 }) as never,
+      holdings: () => ({ document: 0, catalogue: NO_POSITION }) as never,
       summary: () => ({}) as never,
     }, instant(0));
     for (const name of ["b", "c"]) {
       fleet.receive({
         kind: "announce",
-        holdings: { document: 0, catalogue: 0 } as never,
+        holdings: { document: 0, catalogue: NO_POSITION } as never,
         from: {
           ...(self as object),
           id: name,
--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -48,7 +48,7 @@
 /** What another entry says of the picture that it holds. */
 export interface ToldPicture {
   readonly version: Revision;
-  readonly revision: Revision;
+  readonly position: CataloguePosition;
   /** What led there from the own revision, where it is little. */
   readonly news: PictureNews | undefined;
   /** When its document was known to be the newest. */
@@ -68,13 +68,13 @@
   reachable = false;
   readonly currency = new Currency();
   /** For peers that are behind by a few changes. */
-  readonly recent = new RecentChanges();
+  readonly #recent = new RecentChanges();
   readonly evacuated = new Set<ZoneId>();
   readonly #emit: GatewayEmit;
   readonly #schedule: ReadSchedule;
   readonly #isResting: () => boolean;
   readonly #newestHolder: () =>
-    | { address: string; revision: Revision }
+    | { address: string; position: CataloguePosition }
     | undefined;
   readonly #records = new EndpointRecords();
   readonly #epochs = new EpochTracker();
@@ -92,14 +92,16 @@
   /** When the read under way was sent, and whether its answer tells the present state. */
   #readMark: CurrencyMark | undefined;
   #verifies = false;
-  /** A newer revision that another entry told. */
+  /** A newer revision of the epoch held that another entry told. */
   #toldRevision: Revision | undefined;
 
   constructor(
     { emit, newestHolder, now, ...schedule }: ReadScheduleOptions & {
       emit: GatewayEmit;
       /** Peer with the newest catalogue. */
-      newestHolder: () => { address: string; revision: Revision } | undefined;
+      newestHolder: () =>
+        | { address: string; position: CataloguePosition }
+        | undefined;
       now: Instant;
     },
   ) {
@@ -203,25 +205,57 @@
     }
   }
 
-  /** Another entry tells what it holds, and when its document was known to be the newest. */
-  told({ version, revision, news, at, from }: ToldPicture, now: Instant): void {
+  /**
+   * Another entry tells what it holds, and when its document was known to be the newest. What it holds of an
+   * earlier epoch is older, however high its revision is.
+   */
+  told(picture: ToldPicture, now: Instant): void {
+    const { epoch } = picture.position;
+    if (epoch > this.position.epoch) {
+      this.#toldRestored(picture, now);
+    } else if (epoch === this.position.epoch) {
+      this.#toldSameEpoch(picture, now);
+    }
+  }
+
+  #toldSameEpoch(
+    { version, position: { revision }, news, at, from }: ToldPicture,
+    now: Instant,
+  ): void {
     if (news !== undefined && revision > this.position.revision) {
       this.#follow(news, now);
       this.generation++;
     }
+    const held = this.position.revision;
     const sameDocument = version === this.document?.version;
-    if (revision === this.position.revision) {
+    if (revision === held) {
       this.#schedule.noteConfirmed(at, now);
     } else if (this.#isResting() && sameDocument) {
       this.#schedule.noteBehind();
-    } else if (revision > this.position.revision && this.failing) {
+    } else if (revision > held && this.failing) {
       this.#copyFrom(from, now);
-    } else if (revision > this.position.revision) {
+    } else if (revision > held) {
       this.#toldRevision = revision;
       this.#schedule.readAtOnce(now);
     }
   }
 
+  /** The platform was restored, which this entry has not read yet. */
+  #toldRestored({ from }: ToldPicture, now: Instant): void {
+    if (this.failing) {
+      this.#copyFrom(from, now);
+    } else if (!this.#snapshotWanted) {
+      this.#readEverything(now);
+    }
+  }
+
+  /** What changed since a position, for a peer that holds it. */
+  newsSince({ epoch, revision }: CataloguePosition): PictureNews | undefined {
+    return epoch === this.position.epoch
+      ? this.#recent.since(revision)
+      : undefined;
+  }
+
   noteDoubt(now: Instant): boolean {
     if (!this.failing) {
       this.#schedule.noteDoubt(now);
@@ -249,7 +283,7 @@
   }
 
   #follow({ revision, changes }: CatalogueChanges, now: Instant): void {
-    this.recent.note({ from: this.position.revision, to: revision, changes });
+    this.#recent.note({ from: this.position.revision, to: revision, changes });
     changes.forEach((change) => this.#apply(change, now));
     this.position = { ...this.position, revision };
   }
@@ -284,12 +318,18 @@
 
   /** Takes a peer's picture if it is newer than ours. */
   copied(snapshot: CatalogueSnapshot | undefined, now: Instant): void {
-    if (snapshot !== undefined && snapshot.revision > this.position.revision) {
-      this.#replace(snapshot, now);
-      this.#log("Took the catalogue from a peer.", {
-        revision: this.position.revision,
-      });
+    if (
+      snapshot === undefined ||
+      !isAfter(this.#positionOf(snapshot), this.position)
+    ) {
+      return;
     }
+    const from = this.position;
+    this.#replace(snapshot, now);
+    this.#epochs.adopt(this.position);
+    // What the platform lacks of it is for an own read to tell.
+    this.#snapshotWanted ||= this.position.epoch !== from.epoch;
+    this.#log("Took the catalogue from a peer.", { ...this.position });
   }
 
   /** The picture for a peer. */
@@ -342,8 +382,13 @@
     if (standing === "late") {
       return this.#schedule.readAtOnce(now);
     }
-    this.#snapshotWanted = true;
     this.#restored = true;
+    this.#readEverything(now);
+  }
+
+  /** All entries do so at a restore. */
+  #readEverything(now: Instant): void {
+    this.#snapshotWanted = true;
     const spread = this.endpoints.size * RESTORED_READ_SPREAD_MS;
     this.#schedule.readWithin(milliseconds(spread), now);
   }
@@ -402,7 +447,7 @@
       return;
     }
     const holder = this.#newestHolder();
-    if (holder !== undefined && holder.revision > this.position.revision) {
+    if (holder !== undefined && isAfter(holder.position, this.position)) {
       this.#copyFrom(holder.address, now);
     }
   }
@@ -442,7 +487,7 @@
     if (document !== undefined) {
       this.#adopt(document);
     }
-    this.recent.clear();
+    this.#recent.clear();
     this.#records.replace(endpoints, this.#keptUntil(now));
     this.evacuated.clear();
     evacuated.forEach((zone) => this.evacuated.add(zone));
--- a/packages/core/src/gateway/currency_exchange.ts
+++ b/packages/core/src/gateway/currency_exchange.ts
@@ -17,6 +17,7 @@
 } from "../ids/index.ts";
 import type { Currency, CurrencyMark } from "../customers/index.ts";
 import type {
+  CataloguePosition,
   CurrencyAnswer,
   CurrencyMessage,
   CurrencyQuestion,
@@ -41,15 +42,15 @@
     readonly incarnation: CurrencyAnswer["incarnation"];
     readonly peerAddress: string;
   };
-  readonly holds: () => { version: Revision; revision: Revision };
-  /** What changed since a revision, as far as it is remembered and small. */
-  readonly newsSince: (revision: Revision) => PictureNews | undefined;
+  readonly holds: () => { version: Revision; position: CataloguePosition };
+  /** What changed since a position, as far as it is remembered and small. */
+  readonly newsSince: (position: CataloguePosition) => PictureNews | undefined;
   /** Whom to ask: those that read for others first, then, from the second try on, anybody. */
   readonly source: (tries: number, now: Instant) => string | undefined;
   readonly send: (to: string, message: CurrencyMessage) => void;
   /** Another entry holds a picture, and knew its document to be the newest at an instant. */
   readonly told: (
-    picture: Pick<CurrencyAnswer, "version" | "revision" | "news"> & {
+    picture: Pick<CurrencyAnswer, "version" | "position" | "news"> & {
       readonly at: Instant;
       readonly from: string;
     },
@@ -107,19 +108,19 @@
       kind: "question",
       from: self.peerAddress,
       sequence: this.#sequence,
-      revision: holds().revision,
+      position: holds().position,
     });
   }
 
   #answer(
-    { from, sequence, revision }: CurrencyQuestion,
+    { from, sequence, position }: CurrencyQuestion,
     now: Instant,
   ): void {
     const { currency, holds, newsSince, self, send } = this.#sources;
     const age = currency.age(now);
     if (age < Infinity) {
       const { incarnation } = self;
-      const news = newsSince(revision);
+      const news = newsSince(position);
       send(from, {
         kind: "answer",
         incarnation,
@@ -132,7 +133,7 @@
   }
 
   #learn(
-    { sequence, version, revision, age, news }: CurrencyAnswer,
+    { sequence, version, position, age, news }: CurrencyAnswer,
     now: Instant,
   ): void {
     const question = this.#open.get(sequence);
@@ -150,7 +151,7 @@
     told(
       {
         version,
-        revision,
+        position,
         news,
         at: instant(now - passed),
         from: question.to,
--- a/packages/core/src/gateway/customer_link.ts
+++ b/packages/core/src/gateway/customer_link.ts
@@ -108,9 +108,9 @@
     active: () => catalogue.keyed,
     holds: () => ({
       version: catalogue.document?.version ?? 0 as never,
-      revision: catalogue.position.revision,
+      position: catalogue.position,
     }),
-    newsSince: (revision) => catalogue.recent.since(revision),
+    newsSince: (position) => catalogue.newsSince(position),
     source: (tries, now) => {
       const live = fleet.live().map(({ record }) => record);
       const readers = duties.readers(now).filter(({ incarnation }) =>
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -128,7 +128,7 @@
       send: (to, message) => emit({ kind: "datagram", to, message }),
       holdings: () => ({
         document: this.#catalogue.document?.version ?? 0 as never,
-        catalogue: this.#catalogue.position.revision,
+        catalogue: this.#catalogue.position,
       }),
       summary: (at) => this.#regions.summary(at),
       resting: () => this.#resting,
--- a/packages/core/src/routes/currency_messages.ts
+++ b/packages/core/src/routes/currency_messages.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Incarnation, Milliseconds, Revision } from "../ids/index.ts";
+import type { CataloguePosition } from "./catalogue_position.ts";
 import type { CatalogueChange } from "./endpoint_record.ts";
 
 /** Asks; to be answered at once. */
@@ -13,10 +14,10 @@
   readonly from: string;
   readonly sequence: number;
   /** Of the picture that the asker holds. */
-  readonly revision: Revision;
+  readonly position: CataloguePosition;
 }
 
-/** Changes that lead from the asker's revision to another, none of them the document. */
+/** Changes that lead from the asker's revision to another of the same epoch, none of them the document. */
 export interface PictureNews {
   readonly revision: Revision;
   readonly changes: readonly CatalogueChange[];
@@ -30,7 +31,7 @@
   /** Of the document that it holds. */
   readonly version: Revision;
   /** Of its whole picture. */
-  readonly revision: Revision;
+  readonly position: CataloguePosition;
   /** Since that document was known to be the newest. */
   readonly age: Milliseconds;
   /** `undefined` where there are none, or too many: then the asker reads for itself. */
--- a/packages/daemon/src/customers/customer_schema.ts
+++ b/packages/daemon/src/customers/customer_schema.ts
@@ -11,7 +11,15 @@
   SpendingMessage,
 } from "@sassafrasstep/core";
 import { z } from "zod";
-import { life, list, number, text, whole } from "../quarantine/index.ts";
+import {
+  encodePosition,
+  life,
+  list,
+  number,
+  position,
+  text,
+  whole,
+} from "../quarantine/index.ts";
 
 /** Four places tell parts of a limit apart as far as matters. */
 const PART_SCALE = 10_000;
@@ -76,24 +84,24 @@
 
 /** Questions and answers how current a document is. */
 export const currencyMessage = z.union([
-  z.tuple([z.literal("question"), text, whole, whole]).transform(
-    ([kind, from, sequence, revision]) => ({ kind, from, sequence, revision }),
+  z.tuple([z.literal("question"), text, whole, position]).transform(
+    ([kind, from, sequence, position]) => ({ kind, from, sequence, position }),
   ),
   z.tuple([
     z.literal("answer"),
     text,
     whole,
     whole,
-    whole,
+    position,
     number,
     pictureNews.nullable(),
   ]).transform(
-    ([kind, incarnation, sequence, version, revision, age, news]) => ({
+    ([kind, incarnation, sequence, version, position, age, news]) => ({
       kind,
       incarnation,
       sequence,
       version,
-      revision,
+      position,
       age,
       news: news ?? undefined,
     }),
@@ -136,13 +144,18 @@
 /** Writes a question or an answer. */
 export function encodeCurrency(message: CurrencyMessage): unknown[] {
   return message.kind === "question"
-    ? [message.kind, message.from, message.sequence, message.revision]
+    ? [
+      message.kind,
+      message.from,
+      message.sequence,
+      encodePosition(message.position),
+    ]
     : [
       message.kind,
       message.incarnation,
       message.sequence,
       message.version,
-      message.revision,
+      encodePosition(message.position),
       // Never younger than it is.
       Math.ceil(message.age),
       message.news === undefined ? null : encodeNews(message.news),
--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -23,7 +23,10 @@
   remaining: 1_200_000,
   released: false,
 };
-const base = { from: record, holdings: { document: 7, catalogue: 1234 } };
+const base = {
+  from: record,
+  holdings: { document: 7, catalogue: { epoch: 2, revision: 1234 } },
+};
 const gossip = {
   sequence: 12,
   news: [
@@ -86,7 +89,7 @@
   incarnation: "0a1b2c3d4e5f",
   sequence: 3,
   version: 17,
-  revision: 1234,
+  position: { epoch: 2, revision: 1234 },
   age: 612,
   news: {
     revision: 1234,
@@ -125,7 +128,7 @@
       kind: "question",
       from: "10.1.0.9:7660",
       sequence: 3,
-      revision: 9,
+      position: { epoch: 2, revision: 9 },
     },
   },
   { kind: "currency", message: { ...answer, news: undefined } },
--- a/packages/daemon/src/gateway/fleet_schema.ts
+++ b/packages/daemon/src/gateway/fleet_schema.ts
@@ -28,11 +28,13 @@
 } from "../customers/index.ts";
 import {
   encodeHoldNotice,
+  encodePosition,
   encodeQuarantineNews,
   holdNotice,
   life,
   list,
   number,
+  position,
   quarantineNews,
   text,
   whole,
@@ -71,7 +73,7 @@
   state,
   weight,
 }));
-const holdings = z.tuple([whole, whole]).transform(
+const holdings = z.tuple([whole, position]).transform(
   ([document, catalogue]) => ({ document, catalogue }),
 );
 const news = z.tuple([record, z.enum(["live", "suspect", "dead"])]).transform(
@@ -265,7 +267,7 @@
 }
 
 function encodeHoldings({ document, catalogue }: Holdings): unknown[] {
-  return [document, catalogue];
+  return [document, encodePosition(catalogue)];
 }
 
 function encodeGossip({ news, regions, holds }: FleetGossip): unknown[] {
--- a/packages/daemon/src/quarantine/schema_parts.ts
+++ b/packages/daemon/src/quarantine/schema_parts.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { CataloguePosition } from "@sassafrasstep/core";
 import { z } from "zod";
 
 const MAX_ITEMS = 1_024;
@@ -16,3 +17,15 @@
 export function list<Item extends z.ZodType>(item: Item): z.ZodArray<Item> {
   return z.array(item).max(MAX_ITEMS);
 }
+
+/** A place in the history of the published picture. */
+export const position = z.tuple([whole, whole]).transform(
+  ([epoch, revision]) => ({ epoch, revision }),
+);
+
+/** Writes a position. */
+export function encodePosition(
+  { epoch, revision }: CataloguePosition,
+): unknown[] {
+  return [epoch, revision];
+}
--- a/playground/src/slopes/probe_fleet.ts
+++ b/playground/src/slopes/probe_fleet.ts
@@ -12,6 +12,7 @@
   instant,
   ListenedTime,
   milliseconds,
+  NO_POSITION,
   type RegionId,
   type Revision,
   SeededRandomness,
@@ -162,7 +163,7 @@
       random: new SeededRandomness(index + 1),
       listened: new ListenedTime(instant(0)),
       send: (to, message) => this.#send({ from: region, to, message }),
-      holdings: () => ({ document: 1 as Revision, catalogue: 1 as Revision }),
+      holdings: () => ({ document: 1 as Revision, catalogue: NO_POSITION }),
       summary: () => ({
         region: region as RegionId,
         age: milliseconds(0),
