fix: what a copy of the store brings back or lacks is not believed at once

After a restore requests reached an endpoint that had gone (78 to 93 in 4 s) and one in a zone whose evacuation the copy did not know (22 and 23): a whole read was taken for the present state, but a copy is the state of before.

Change, with the side that is safe in each case: - a record of an endpoint that was seen to go is not used until the endpoint writes again, or for 5 s, by when the store has removed the records of those that are silent (three heartbeats). An endpoint that was never known is used at once; - a zone stays evacuated for 10 s although the copy lacks it, unless operators take it back: wrongly left alone it costs capacity, wrongly used requests. A zone that the copy still has is evacuated; - a record that the endpoint wrote later holds against the copy's, as does a newer document within a process's life (both as before). Peers are told neither of what is kept nor of what is withheld.

--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -32,6 +32,7 @@
 import type { CatalogueView } from "./catalogue_view.ts";
 import type { GatewayEmit, ReadProof } from "./messages.ts";
 import { EndpointRecords } from "./endpoint_records.ts";
+import { Evacuations } from "./evacuations.ts";
 import { type AnswerStanding, EpochTracker } from "./epoch_tracker.ts";
 import { RecentChanges } from "./recent_changes.ts";
 import { ReturnGrace } from "./return_grace.ts";
@@ -42,6 +43,16 @@
 /** Between two copies from peers. */
 const COPY_PAUSE_MS = 1_200;
 const COPY_TIMEOUT_MS = 1_000;
+/**
+ * An endpoint that is gone, and whose record a copy brought back, may be used after this: by then the
+ * platform has removed the records of all that no longer write.
+ */
+const DEPARTED_WITHHELD_MS = 5_000;
+/**
+ * A zone stays evacuated for so long although a copy lacks it. Operators write again what was lost; until
+ * then a zone that is wrongly left alone costs capacity, one that is wrongly used costs requests.
+ */
+const EVACUATION_KEPT_MS = 10_000;
 /** For each record: large catalogues are not read by all entries in the same moment. */
 const RESTORED_READ_SPREAD_MS = 0.1;
 
@@ -69,7 +80,6 @@
   readonly currency = new Currency();
   /** For peers that are behind by a few changes. */
   readonly #recent = new RecentChanges();
-  readonly evacuated = new Set<ZoneId>();
   readonly #emit: GatewayEmit;
   readonly #schedule: ReadSchedule;
   readonly #isResting: () => boolean;
@@ -77,6 +87,7 @@
     | { address: string; position: CataloguePosition }
     | undefined;
   readonly #records = new EndpointRecords();
+  readonly #evacuations = new Evacuations();
   readonly #epochs = new EpochTracker();
   #picture = 0;
   /** The generation that it was made of. */
@@ -123,6 +134,10 @@
     return this.#records.all;
   }
 
+  get evacuated(): ReadonlySet<ZoneId> {
+    return this.#evacuations.zones;
+  }
+
   get document(): RoutingDocument | undefined {
     return this.table?.document;
   }
@@ -133,7 +148,8 @@
 
   /** Starts reads that are due. */
   tick(now: Instant): void {
-    if (this.#records.expire(now)) {
+    const endpoints = this.#records.expire(now);
+    if (this.#evacuations.expire(now) || endpoints) {
       this.generation++;
     }
     if (this.#schedule.begin(now)) {
@@ -324,11 +340,14 @@
     ) {
       return;
     }
-    const from = this.position;
-    this.#replace(snapshot, now);
+    if (this.#positionOf(snapshot).epoch === this.position.epoch) {
+      this.#replace(snapshot, now);
+    } else {
+      this.#replaceRestored(snapshot, now);
+      // What the platform lacks of it is for an own read to tell.
+      this.#snapshotWanted = true;
+    }
     this.#epochs.adopt(this.position);
-    // What the platform lacks of it is for an own read to tell.
-    this.#snapshotWanted ||= this.position.epoch !== from.epoch;
     this.#log("Took the catalogue from a peer.", { ...this.position });
   }
 
@@ -338,7 +357,7 @@
       ...this.position,
       document: this.document,
       endpoints: this.#records.published,
-      evacuated: [...this.evacuated],
+      evacuated: this.#evacuations.published,
     };
   }
 
@@ -400,7 +419,7 @@
   #restore(snapshot: CatalogueSnapshot, now: Instant): void {
     const from = this.position;
     const heldVersion = this.document?.version;
-    this.#replace(snapshot, now);
+    this.#replaceRestored(snapshot, now);
     this.#log("Platform was restored, read everything anew.", {
       fromEpoch: from.epoch,
       fromRevision: from.revision,
@@ -409,8 +428,10 @@
       version: snapshot.document?.version,
       heldVersion,
       endpoints: snapshot.endpoints.length,
-      keptEndpoints: this.endpoints.size - this.#records.published.length,
+      keptEndpoints: this.#records.kept,
       keptMs: (this.#grace.keptUntil(now) ?? now) - now,
+      withheldEndpoints: this.#records.withheld,
+      keptZones: this.#evacuations.kept,
     });
   }
 
@@ -483,14 +504,31 @@
   }
 
   #replace(snapshot: CatalogueSnapshot, now: Instant): void {
-    const { document, endpoints, evacuated } = snapshot;
-    if (document !== undefined) {
-      this.#adopt(document);
+    const { endpoints, evacuated } = snapshot;
+    this.#records.replace(endpoints, this.#keptUntil(now));
+    this.#evacuations.replace(evacuated);
+    this.#hold(snapshot);
+  }
+
+  /**
+   * Takes a whole picture of another epoch, in which what the platform had acknowledged may be missing, and
+   * what was over may stand again.
+   */
+  #replaceRestored(snapshot: CatalogueSnapshot, now: Instant): void {
+    const { endpoints, evacuated } = snapshot;
+    this.#records.restore(endpoints, {
+      keptUntil: this.#keptUntil(now),
+      believedAt: after(now, DEPARTED_WITHHELD_MS),
+    });
+    this.#evacuations.replace(evacuated, after(now, EVACUATION_KEPT_MS));
+    this.#hold(snapshot);
+  }
+
+  #hold(snapshot: CatalogueSnapshot): void {
+    if (snapshot.document !== undefined) {
+      this.#adopt(snapshot.document);
     }
     this.#recent.clear();
-    this.#records.replace(endpoints, this.#keptUntil(now));
-    this.evacuated.clear();
-    evacuated.forEach((zone) => this.evacuated.add(zone));
     this.position = this.#positionOf(snapshot);
     this.generation++;
   }
@@ -504,10 +542,10 @@
       case "endpointRemoved":
         return this.#records.remove(change.id, this.#keptUntil(now));
       case "evacuated":
-        this.evacuated.add(change.zone);
+        this.#evacuations.begin(change.zone);
         return this.#log("Zone is evacuated.", { zone: change.zone });
       case "evacuationEnded":
-        this.evacuated.delete(change.zone);
+        this.#evacuations.end(change.zone);
         return this.#log("Zone is taken back.", { zone: change.zone });
     }
   }
