--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -1,6 +1,5 @@
 /**
- * The published picture as this entry holds it: document, endpoints, evacuations. Read from the
- * platform, or from a peer where the platform does not answer.
+ * Reads the published picture from the platform, or from a peer where the platform does not answer.
  *
  * @module
  */
@@ -8,7 +7,6 @@
   after,
   type CatalogueEpoch,
   type EndpointId,
-  hash32,
   type Instant,
   type Milliseconds,
   milliseconds,
@@ -17,24 +15,20 @@
 } from "../ids/index.ts";
 import { Currency, type CurrencyMark } from "../customers/index.ts";
 import {
-  type CatalogueChange,
   type CatalogueChanges,
   type CataloguePosition,
   type CatalogueSnapshot,
   type EndpointRecord,
   isAfter,
   isSamePosition,
-  NO_POSITION,
   type PictureNews,
-  RouteTable,
+  type RouteTable,
   type RoutingDocument,
 } from "../routes/index.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
+import { HeldCatalogue } from "./held_catalogue.ts";
 import type { GatewayEmit, ReadProof } from "./messages.ts";
-import { EndpointRecords } from "./endpoint_records.ts";
-import { Evacuations } from "./evacuations.ts";
 import { type AnswerStanding, EpochTracker } from "./epoch_tracker.ts";
-import { RecentChanges } from "./recent_changes.ts";
 import { ReturnGrace } from "./return_grace.ts";
 import { ReadSchedule, type ReadScheduleOptions } from "./read_schedule.ts";
 
@@ -43,16 +37,6 @@
 /** Between two copies from peers. */
 const COPY_PAUSE_MS = 1_200;
 const COPY_TIMEOUT_MS = 1_000;
-/**
- * An endpoint that is gone, and whose record a copy brought back, may be used after this: by then the
- * platform has removed the records of all that no longer write.
- */
-const DEPARTED_WITHHELD_MS = 5_000;
-/**
- * A zone stays evacuated for so long although a copy lacks it. Operators write again what was lost; until
- * then a zone that is wrongly left alone costs capacity, one that is wrongly used costs requests.
- */
-const EVACUATION_KEPT_MS = 10_000;
 /** For each record: large catalogues are not read by all entries in the same moment. */
 const RESTORED_READ_SPREAD_MS = 0.1;
 
@@ -70,28 +54,25 @@
 
 /** Writes the catalogue. */
 export class CatalogueController implements CatalogueView {
-  position = NO_POSITION;
   wholeReads = 0;
   historyMisses = 0;
-  table: RouteTable | undefined;
-  generation = 0;
   confirmedAt: Instant | undefined;
   reachable = false;
   readonly currency = new Currency();
-  /** For peers that are behind by a few changes. */
-  readonly #recent = new RecentChanges();
   readonly #emit: GatewayEmit;
   readonly #schedule: ReadSchedule;
   readonly #isResting: () => boolean;
   readonly #newestHolder: () =>
     | { address: string; position: CataloguePosition }
     | undefined;
-  readonly #records = new EndpointRecords();
-  readonly #evacuations = new Evacuations();
+  readonly #held = new HeldCatalogue({
+    adopted: ({ version, routes }) => {
+      this.currency.hold(version);
+      this.#log("Document is in force.", { version, routes: routes.length });
+    },
+    log: (text, fields) => this.#log(text, fields),
+  });
   readonly #epochs = new EpochTracker();
-  #picture = 0;
-  /** The generation that it was made of. */
-  #pictureOf = -1;
   #snapshotWanted = true;
   /** Whether the whole read that is wanted is of another epoch than what is held. */
   #restored = false;
@@ -130,16 +111,32 @@
     return this.table?.customers.required ?? false;
   }
 
+  get position(): CataloguePosition {
+    return this.#held.position;
+  }
+
+  get table(): RouteTable | undefined {
+    return this.#held.table;
+  }
+
+  get generation(): number {
+    return this.#held.generation;
+  }
+
+  get document(): RoutingDocument | undefined {
+    return this.#held.document;
+  }
+
   get endpoints(): ReadonlyMap<EndpointId, EndpointRecord> {
-    return this.#records.all;
+    return this.#held.endpoints;
   }
 
   get evacuated(): ReadonlySet<ZoneId> {
-    return this.#evacuations.zones;
+    return this.#held.evacuated;
   }
 
-  get document(): RoutingDocument | undefined {
-    return this.table?.document;
+  get picture(): number {
+    return this.#held.picture;
   }
 
   get failing(): boolean {
@@ -148,10 +145,7 @@
 
   /** Starts reads that are due. */
   tick(now: Instant): void {
-    const endpoints = this.#records.expire(now);
-    if (this.#evacuations.expire(now) || endpoints) {
-      this.generation++;
-    }
+    this.#held.expire(now);
     if (this.#schedule.begin(now)) {
       this.#read(now);
     }
@@ -163,19 +157,6 @@
     this.#schedule.readAtOnce(now);
   }
 
-  /** Of all that decisions are made from; records that only beat do not change it. */
-  get picture(): number {
-    if (this.#pictureOf !== this.generation) {
-      this.#pictureOf = this.generation;
-      const endpoints = [...this.endpoints.values()]
-        .map(({ id, life, state }) => `${id} ${life} ${state}`).sort();
-      const zones = [...this.evacuated].sort();
-      const version = this.document?.version ?? 0;
-      this.#picture = hash32([version, ...zones, ...endpoints].join(";"));
-    }
-    return this.#picture;
-  }
-
   isOld(now: Instant): boolean {
     return this.table !== undefined && this.#schedule.isOld(now);
   }
@@ -196,29 +177,33 @@
   /** Takes a whole picture from the platform. */
   read(snapshot: CatalogueSnapshot, now: Instant): void {
     const standing = this.#answered(snapshot.epoch, { whole: true }, now);
-    const behind = isAfter(this.position, this.#positionOf(snapshot));
+    const behind = isAfter(this.position, this.#held.positionOf(snapshot));
     if (standing === "late" || (behind && this.#hasMoved)) {
       return this.#schedule.readAtOnce(now);
     }
     this.wholeReads++;
-    if (standing === "restored" || this.#restored || behind) {
+    if (standing === "restored" || behind) {
+      this.#noteRestore(now);
+    }
+    if (this.#restored) {
       this.#restore(snapshot, now);
     } else {
-      this.#replace(snapshot, now);
+      this.#held.replace(snapshot, this.#keptUntil(now));
     }
     this.#snapshotWanted = false;
     this.#restored = false;
+    this.#noteCurrent(now);
     this.#prove();
   }
 
   /** The platform holds nothing newer. */
   confirmed(epoch: CatalogueEpoch | undefined, now: Instant): void {
     const standing = this.#answered(epoch, { whole: false }, now);
-    if (standing === "current") {
-      this.#prove();
-    } else {
-      this.#readAnew(standing, now);
+    if (standing !== "current") {
+      return this.#readAnew(standing, now);
     }
+    this.#noteCurrent(now);
+    this.#prove();
   }
 
   /**
@@ -239,8 +224,7 @@
     now: Instant,
   ): void {
     if (news !== undefined && revision > this.position.revision) {
-      this.#follow(news, now);
-      this.generation++;
+      this.#held.follow(news, this.#keptUntil(now));
     }
     const held = this.position.revision;
     const sameDocument = version === this.document?.version;
@@ -266,10 +250,13 @@
   }
 
   /** What changed since a position, for a peer that holds it. */
-  newsSince({ epoch, revision }: CataloguePosition): PictureNews | undefined {
-    return epoch === this.position.epoch
-      ? this.#recent.since(revision)
-      : undefined;
+  newsSince(position: CataloguePosition): PictureNews | undefined {
+    return this.#held.newsSince(position);
+  }
+
+  /** The picture for a peer. */
+  snapshot(): CatalogueSnapshot | undefined {
+    return this.#held.snapshot();
   }
 
   noteDoubt(now: Instant): boolean {
@@ -289,21 +276,13 @@
     if (news.revision < this.position.revision) {
       return this.#readAnew(this.#hasMoved ? "late" : "restored", now);
     }
-    this.#follow(news, now);
-    if (news.changes.length > 0) {
-      this.generation++;
-    }
+    this.#held.follow(news, this.#keptUntil(now));
+    this.#noteCurrent(now);
     if (this.#verifies) {
       this.#prove();
     }
   }
 
-  #follow({ revision, changes }: CatalogueChanges, now: Instant): void {
-    this.#recent.note({ from: this.position.revision, to: revision, changes });
-    changes.forEach((change) => this.#apply(change, now));
-    this.position = { ...this.position, revision };
-  }
-
   /** The platform has forgotten the changes since our revision. */
   compacted(epoch: CatalogueEpoch | undefined, now: Instant): void {
     const standing = this.#answered(epoch, { whole: false }, now);
@@ -334,16 +313,15 @@
 
   /** Takes a peer's picture if it is newer than ours. */
   copied(snapshot: CatalogueSnapshot | undefined, now: Instant): void {
-    if (
-      snapshot === undefined ||
-      !isAfter(this.#positionOf(snapshot), this.position)
-    ) {
+    const position = snapshot && this.#held.positionOf(snapshot);
+    if (position === undefined || !isAfter(position, this.position)) {
       return;
     }
-    if (this.#positionOf(snapshot).epoch === this.position.epoch) {
-      this.#replace(snapshot, now);
+    const keptUntil = this.#keptUntil(now);
+    if (position.epoch === this.position.epoch) {
+      this.#held.replace(snapshot!, keptUntil);
     } else {
-      this.#replaceRestored(snapshot, now);
+      this.#held.restore(snapshot!, { keptUntil, now });
       // What the platform lacks of it is for an own read to tell.
       this.#snapshotWanted = true;
     }
@@ -351,16 +329,6 @@
     this.#log("Took the catalogue from a peer.", { ...this.position });
   }
 
-  /** The picture for a peer. */
-  snapshot(): CatalogueSnapshot | undefined {
-    return this.document === undefined ? undefined : {
-      ...this.position,
-      document: this.document,
-      endpoints: this.#records.published,
-      evacuated: this.#evacuations.published,
-    };
-  }
-
   #read(now: Instant): void {
     const changesOnly = !this.#snapshotWanted;
     const wait = changesOnly ? this.#schedule.wait(now) : 0;
@@ -385,26 +353,30 @@
     return !isSamePosition(this.#epochs.asked, this.position);
   }
 
-  /** Peers compare epochs, so that the highest one is kept, also where the platform states a lower one. */
-  #positionOf(
-    { epoch, revision }: Pick<CatalogueSnapshot, "epoch" | "revision">,
-  ): CataloguePosition {
-    const held = this.position.epoch;
-    return {
-      epoch: Math.max(held, epoch ?? held) as CatalogueEpoch,
-      revision,
-    };
-  }
-
   /** An answer cannot be applied to what is held. */
   #readAnew(standing: "restored" | "late", now: Instant): void {
     if (standing === "late") {
       return this.#schedule.readAtOnce(now);
     }
-    this.#restored = true;
+    this.#noteRestore(now);
     this.#readEverything(now);
   }
 
+  /** What was read next after the platform counts anew takes the place of what is held. */
+  #noteRestore(now: Instant): void {
+    if (!this.#restored) {
+      this.#restored = true;
+      this.#grace.noteRestore(now);
+    }
+  }
+
+  /** What is held is of the platform's present epoch. */
+  #noteCurrent(now: Instant): void {
+    if (!this.#restored) {
+      this.#grace.noteBefore(now);
+    }
+  }
+
   /** All entries do so at a restore. */
   #readEverything(now: Instant): void {
     this.#snapshotWanted = true;
@@ -412,26 +384,20 @@
     this.#schedule.readWithin(milliseconds(spread), now);
   }
 
-  /**
-   * Takes a whole picture of another epoch. What is held counts from revisions that are given out again:
-   * reading on from there, changes up to it would be missed, for good.
-   */
   #restore(snapshot: CatalogueSnapshot, now: Instant): void {
-    const from = this.position;
-    const heldVersion = this.document?.version;
-    this.#replaceRestored(snapshot, now);
+    const { position: from, document } = this.#held;
+    const keptUntil = this.#keptUntil(now);
+    this.#held.restore(snapshot, { keptUntil, now });
     this.#log("Platform was restored, read everything anew.", {
       fromEpoch: from.epoch,
       fromRevision: from.revision,
       toEpoch: this.position.epoch,
       toRevision: this.position.revision,
       version: snapshot.document?.version,
-      heldVersion,
+      heldVersion: document?.version,
       endpoints: snapshot.endpoints.length,
-      keptEndpoints: this.#records.kept,
-      keptMs: (this.#grace.keptUntil(now) ?? now) - now,
-      withheldEndpoints: this.#records.withheld,
-      keptZones: this.#evacuations.kept,
+      ...this.#held.doubted,
+      keptMs: (keptUntil ?? now) - now,
     });
   }
 
@@ -447,14 +413,9 @@
       this.#log("Platform answers.", { ...this.position });
     }
     const standing = this.#epochs.judge(epoch, { held: this.position, whole });
-    if (standing === "restored") {
-      this.#grace.noteRestore(now);
-    } else if (returned) {
+    if (returned) {
       this.#grace.noteReturn(now);
     }
-    if (standing === "current" && !this.#restored) {
-      this.#grace.noteBefore(now);
-    }
     return standing;
   }
 
@@ -503,65 +464,6 @@
     }
   }
 
-  #replace(snapshot: CatalogueSnapshot, now: Instant): void {
-    const { endpoints, evacuated } = snapshot;
-    this.#records.replace(endpoints, this.#keptUntil(now));
-    this.#evacuations.replace(evacuated);
-    this.#hold(snapshot);
-  }
-
-  /**
-   * Takes a whole picture of another epoch, in which what the platform had acknowledged may be missing, and
-   * what was over may stand again.
-   */
-  #replaceRestored(snapshot: CatalogueSnapshot, now: Instant): void {
-    const { endpoints, evacuated } = snapshot;
-    this.#records.restore(endpoints, {
-      keptUntil: this.#keptUntil(now),
-      believedAt: after(now, DEPARTED_WITHHELD_MS),
-    });
-    this.#evacuations.replace(evacuated, after(now, EVACUATION_KEPT_MS));
-    this.#hold(snapshot);
-  }
-
-  #hold(snapshot: CatalogueSnapshot): void {
-    if (snapshot.document !== undefined) {
-      this.#adopt(snapshot.document);
-    }
-    this.#recent.clear();
-    this.position = this.#positionOf(snapshot);
-    this.generation++;
-  }
-
-  #apply(change: CatalogueChange, now: Instant): void {
-    switch (change.kind) {
-      case "document":
-        return this.#adopt(change.document);
-      case "endpoint":
-        return this.#records.put(change.record);
-      case "endpointRemoved":
-        return this.#records.remove(change.id, this.#keptUntil(now));
-      case "evacuated":
-        this.#evacuations.begin(change.zone);
-        return this.#log("Zone is evacuated.", { zone: change.zone });
-      case "evacuationEnded":
-        this.#evacuations.end(change.zone);
-        return this.#log("Zone is taken back.", { zone: change.zone });
-    }
-  }
-
-  /** A document never goes back within a process's life, whatever a stale read says. */
-  #adopt(document: RoutingDocument): void {
-    if (document.version > (this.document?.version ?? 0)) {
-      this.table = new RouteTable(document);
-      this.currency.hold(document.version);
-      this.#log("Document is in force.", {
-        version: document.version,
-        routes: document.routes.length,
-      });
-    }
-  }
-
   /** Until when a missing record may be the platform's fault, `undefined` in calm times. */
   #keptUntil(now: Instant): Instant | undefined {
     return this.failing
