fix: a key that was taken away stays so where the store comes back with the document of before

Requests with a key that was taken away were served again up to the bound of its lifetime after a restore, at entries in touch, and for as long as the copy's document stood at an entry that started anew.

Cause: a read renewed the lease of the document that an entry holds whatever the store showed. After a restore the store's newest document is not the newest one that it has acknowledged.

Cost: with a lifetime of 5 s entries of a deployment with keys call themselves outdated for about a second after a restore.

--- a/packages/core/src/customers/currency.ts
+++ b/packages/core/src/customers/currency.ts
@@ -37,6 +37,8 @@
   #provenAt = -Infinity;
   /** Proof for a version that this entry does not hold yet. */
   #ahead: CurrencyProof | undefined;
+  /** Readings of before prove nothing any more. */
+  #validFrom = -Infinity;
 
   /** The machine was suspended, and the clock stood still. */
   slept(time: Milliseconds): void {
@@ -48,6 +50,14 @@
     return now + this.#slept as CurrencyMark;
   }
 
+  /**
+   * The platform was restored from a copy, as was just noticed. For so long its newest document may not be
+   * the newest one that it has acknowledged.
+   */
+  doubt(time: Milliseconds, now: Instant): void {
+    this.#validFrom = Math.max(this.#validFrom, this.mark(now) + time);
+  }
+
   /** This entry holds a document; it never goes back to an older one. */
   hold(version: Revision): void {
     this.#version = version;
@@ -58,6 +68,9 @@
 
   /** A version was the newest at a moment: so what this entry holds, if it is no older, was too. */
   prove(proof: CurrencyProof): void {
+    if (proof.at < this.#validFrom) {
+      return;
+    }
     if (proof.version > this.#version) {
       this.#ahead = proof.at > (this.#ahead?.at ?? -Infinity)
         ? proof
--- a/packages/core/src/fleet/fleet_controller.ts
+++ b/packages/core/src/fleet/fleet_controller.ts
@@ -25,7 +25,11 @@
 import { UnreachablePeers } from "./unreachable_peers.ts";
 import { MembershipList } from "./membership_list.ts";
 import type { FleetMember } from "./membership_list.ts";
-import { type CatalogueHolder, PeerHoldings } from "./peer_holdings.ts";
+import {
+  type CatalogueHolder,
+  type DocumentHolder,
+  PeerHoldings,
+} from "./peer_holdings.ts";
 import { pingPeriod, pingsOf } from "./ping_pace.ts";
 import { ProbeSchedule } from "./probe_schedule.ts";
 import { RegionSummaries } from "./region_summaries.ts";
@@ -126,6 +130,11 @@
     return this.#holdings.newest(this.live());
   }
 
+  /** Where the newest document of the operators is that a live member holds, and its version. */
+  newestDocument(): DocumentHolder | undefined {
+    return this.#holdings.newestDocument(this.live());
+  }
+
   /** Changes the own state and tells those who name this entry to callers, at once. */
   changeState(state: FleetState, now: Instant): void {
     if (state === this.#record.state) {
--- a/packages/core/src/fleet/peer_holdings.ts
+++ b/packages/core/src/fleet/peer_holdings.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Incarnation } from "../ids/index.ts";
+import type { Incarnation, Revision } from "../ids/index.ts";
 import {
   type CataloguePosition,
   isAfter,
@@ -18,6 +18,12 @@
   readonly position: CataloguePosition;
 }
 
+/** An entry that has a document of the operators. */
+export interface DocumentHolder {
+  readonly address: string;
+  readonly version: Revision;
+}
+
 /** Holdings by entry. */
 export class PeerHoldings {
   readonly #holdings = new Map<Incarnation, Holdings>();
@@ -44,4 +50,16 @@
     }
     return best;
   }
+
+  /** Which of some members has the newest document. */
+  newestDocument(members: readonly FleetMember[]): DocumentHolder | undefined {
+    let best: DocumentHolder | undefined;
+    for (const { record: { incarnation, peerAddress } } of members) {
+      const version = this.#holdings.get(incarnation)?.document;
+      if (version !== undefined && version > (best?.version ?? 0)) {
+        best = { address: peerAddress, version };
+      }
+    }
+    return best;
+  }
 }
--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -13,6 +13,7 @@
   type Revision,
   type ZoneId,
 } from "../ids/index.ts";
+import type { DocumentHolder } from "../fleet/index.ts";
 import { Currency, type CurrencyMark } from "../customers/index.ts";
 import {
   type CatalogueChanges,
@@ -21,6 +22,7 @@
   type EndpointRecord,
   isAfter,
   isSamePosition,
+  NO_POSITION,
   type PictureNews,
   type RouteTable,
   type RoutingDocument,
@@ -29,6 +31,7 @@
 import { HeldCatalogue } from "./held_catalogue.ts";
 import type { GatewayEmit, ReadProof } from "./messages.ts";
 import { type AnswerStanding, EpochTracker } from "./epoch_tracker.ts";
+import { PublishedDocument } from "./published_document.ts";
 import { ReturnGrace } from "./return_grace.ts";
 import { ReadSchedule, type ReadScheduleOptions } from "./read_schedule.ts";
 
@@ -37,6 +40,8 @@
 /** Between two copies from peers. */
 const COPY_PAUSE_MS = 1_200;
 const COPY_TIMEOUT_MS = 1_000;
+/** Within this operators write again what a copy lacks: a key that it still has may have been taken away. */
+const REWRITE_MS = 2_200;
 /** For each record: large catalogues are not read by all entries in the same moment. */
 const RESTORED_READ_SPREAD_MS = 0.1;
 
@@ -77,6 +82,7 @@
   /** Whether the whole read that is wanted is of another epoch than what is held. */
   #restored = false;
   readonly #grace: ReturnGrace;
+  readonly #documents: PublishedDocument;
   /** Of the read under way. */
   #sentAt: Instant;
   #timeout = milliseconds(0);
@@ -84,19 +90,26 @@
   /** When the read under way was sent, and whether its answer tells the present state. */
   #readMark: CurrencyMark | undefined;
   #verifies = false;
+  /** A later epoch than the one held that another entry told. */
+  #toldEpoch = NO_POSITION.epoch;
   /** A newer revision of the epoch held that another entry told. */
   #toldRevision: Revision | undefined;
 
   constructor(
-    { emit, newestHolder, now, ...schedule }: ReadScheduleOptions & {
-      emit: GatewayEmit;
-      /** Peer with the newest catalogue. */
-      newestHolder: () =>
-        | { address: string; position: CataloguePosition }
-        | undefined;
-      now: Instant;
-    },
+    { emit, newestHolder, newestDocument, now, ...schedule }:
+      & ReadScheduleOptions
+      & {
+        emit: GatewayEmit;
+        /** Peer with the newest catalogue. */
+        newestHolder: () =>
+          | { address: string; position: CataloguePosition }
+          | undefined;
+        /** Peer with the newest document. */
+        newestDocument: () => DocumentHolder | undefined;
+        now: Instant;
+      },
   ) {
+    this.#documents = new PublishedDocument(newestDocument);
     this.#emit = emit;
     this.#newestHolder = newestHolder;
     this.#isResting = schedule.resting;
@@ -193,7 +206,7 @@
     this.#snapshotWanted = false;
     this.#restored = false;
     this.#noteCurrent(now);
-    this.#prove();
+    this.#judgeDocument(now);
   }
 
   /** The platform holds nothing newer. */
@@ -203,7 +216,7 @@
       return this.#readAnew(standing, now);
     }
     this.#noteCurrent(now);
-    this.#prove();
+    this.#judgeDocument(now);
   }
 
   /**
@@ -241,7 +254,11 @@
   }
 
   /** The platform was restored, which this entry has not read yet. */
-  #toldRestored({ from }: ToldPicture, now: Instant): void {
+  #toldRestored({ from, position }: ToldPicture, now: Instant): void {
+    if (position.epoch > this.#toldEpoch) {
+      this.#toldEpoch = position.epoch;
+      this.currency.doubt(milliseconds(REWRITE_MS), now);
+    }
     if (this.failing) {
       this.#copyFrom(from, now);
     } else if (!this.#snapshotWanted) {
@@ -278,9 +295,7 @@
     }
     this.#held.follow(news, this.#keptUntil(now));
     this.#noteCurrent(now);
-    if (this.#verifies) {
-      this.#prove();
-    }
+    this.#judgeDocument(now, this.#verifies);
   }
 
   /** The platform has forgotten the changes since our revision. */
@@ -313,6 +328,9 @@
 
   /** Takes a peer's picture if it is newer than ours. */
   copied(snapshot: CatalogueSnapshot | undefined, now: Instant): void {
+    if (snapshot?.document !== undefined) {
+      this.#held.adopt(snapshot.document);
+    }
     const position = snapshot && this.#held.positionOf(snapshot);
     if (position === undefined || !isAfter(position, this.position)) {
       return;
@@ -322,6 +340,7 @@
       this.#held.replace(snapshot!, keptUntil);
     } else {
       this.#held.restore(snapshot!, { keptUntil, now });
+      this.currency.doubt(milliseconds(REWRITE_MS), now);
       // What the platform lacks of it is for an own read to tell.
       this.#snapshotWanted = true;
     }
@@ -334,6 +353,7 @@
     const wait = changesOnly ? this.#schedule.wait(now) : 0;
     this.#readMark = this.currency.mark(now);
     this.#epochs.ask(this.position);
+    this.#documents.ask(this.document?.version ?? 0 as Revision);
     const proof = this.#proofFor();
     this.#verifies = proof.kind === "newest";
     this.#toldRevision = undefined;
@@ -367,6 +387,7 @@
     if (!this.#restored) {
       this.#restored = true;
       this.#grace.noteRestore(now);
+      this.currency.doubt(milliseconds(REWRITE_MS), now);
     }
   }
 
@@ -456,10 +477,24 @@
       : { kind: "newest" };
   }
 
-  /** What was just read was the present state when its read was sent. */
-  #prove(): void {
-    if (this.#readMark !== undefined && this.document !== undefined) {
-      const { version } = this.document;
+  /**
+   * What was just read was the present state when its read was sent: so what is held is current, unless the
+   * platform lacks a document that it had acknowledged. Then a peer may hold it.
+   */
+  #judgeDocument(now: Instant, verified = true): void {
+    const { document, published } = this.#held;
+    const lacking = this.#documents.isLacking(published, now);
+    const holder = this.#documents.newerThan(
+      document?.version ?? 0 as Revision,
+    );
+    if (lacking && holder !== undefined) {
+      this.#copyFrom(holder.address, now);
+    }
+    if (
+      verified && !lacking && this.#readMark !== undefined &&
+      document !== undefined
+    ) {
+      const { version } = document;
       this.currency.prove({ version, at: this.#readMark });
     }
   }
--- a/packages/core/src/gateway/currency_exchange.ts
+++ b/packages/core/src/gateway/currency_exchange.ts
@@ -143,10 +143,6 @@
     this.#open.delete(sequence);
     const { currency, told } = this.#sources;
     const at = question.mark - age as CurrencyMark;
-    currency.prove({ version, at });
-    if (currency.age(now) < ASK_AGE_MS) {
-      this.#tries = 0;
-    }
     const passed: Milliseconds = milliseconds(currency.mark(now) - at);
     told(
       {
@@ -158,5 +154,10 @@
       },
       now,
     );
+    // After `told`: what it says of the epoch may have put such proofs in doubt.
+    currency.prove({ version, at });
+    if (currency.age(now) < ASK_AGE_MS) {
+      this.#tries = 0;
+    }
   }
 }
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -100,6 +100,7 @@
       random,
       now,
       newestHolder: () => this.fleet.newestHolder(),
+      newestDocument: () => this.fleet.newestDocument(),
       resting: () => this.#resting,
       confirming: (at) =>
         !this.#catalogue.keyed ? "no" : duties.reads(at) ? "reads" : "asks",
--- a/packages/core/src/gateway/held_catalogue.ts
+++ b/packages/core/src/gateway/held_catalogue.ts
@@ -10,6 +10,7 @@
   type EndpointId,
   hash32,
   type Instant,
+  type Revision,
   type ZoneId,
 } from "../ids/index.ts";
 import {
@@ -53,6 +54,8 @@
   table: RouteTable | undefined;
   /** Grows with each change. */
   generation = 0;
+  /** Version of the document that the platform has, which may be older than the one held. */
+  published = 0 as Revision;
   readonly #sources: HeldCatalogueSources;
   readonly #records = new EndpointRecords();
   readonly #evacuations = new Evacuations();
@@ -131,6 +134,14 @@
     };
   }
 
+  /** A document never goes back within a process's life, whatever a stale read says. */
+  adopt(document: RoutingDocument): void {
+    if (document.version > (this.document?.version ?? 0)) {
+      this.table = new RouteTable(document);
+      this.#sources.adopted(document);
+    }
+  }
+
   /** Ends what was to hold for a while. */
   expire(now: Instant): void {
     const endpoints = this.#records.expire(now);
@@ -178,8 +189,9 @@
   }
 
   #hold(snapshot: CatalogueSnapshot): void {
+    this.published = snapshot.document?.version ?? 0 as Revision;
     if (snapshot.document !== undefined) {
-      this.#adopt(snapshot.document);
+      this.adopt(snapshot.document);
     }
     this.#recent.clear();
     this.position = this.positionOf(snapshot);
@@ -189,7 +201,8 @@
   #apply(change: CatalogueChange, keptUntil: Instant | undefined): void {
     switch (change.kind) {
       case "document":
-        return this.#adopt(change.document);
+        this.published = change.document.version;
+        return this.adopt(change.document);
       case "endpoint":
         return this.#records.put(change.record);
       case "endpointRemoved":
@@ -202,12 +215,4 @@
         return this.#sources.log("Zone is taken back.", { zone: change.zone });
     }
   }
-
-  /** A document never goes back within a process's life, whatever a stale read says. */
-  #adopt(document: RoutingDocument): void {
-    if (document.version > (this.document?.version ?? 0)) {
-      this.table = new RouteTable(document);
-      this.#sources.adopted(document);
-    }
-  }
 }
--- a/playground/src/routes/__tests__/key_lease.test.ts
+++ b/playground/src/routes/__tests__/key_lease.test.ts
@@ -7,6 +7,9 @@
 const ENTRIES = ["n1", "n2", "s1", "w1"];
 const STORE_MODES = ["busy", "silent", "deaf", "stale", "up"];
 const MOST_TIME_MS = 9_000;
+/** Age of the copy that the store comes back from, and until operators write again what it lacks. */
+const COPY_AGE_MS = 3_000;
+const REWRITTEN_MS = 1_800;
 
 function loadSetting(name: string): string {
   return readFileSync(new URL(`${name}.setting`, FOLDER), "utf8");
@@ -26,6 +29,7 @@
     "region",
     "compact",
     "lose",
+    "restore",
   ),
   entry: fc.constantFrom(...ENTRIES),
   mode: fc.constantFrom(...STORE_MODES),
@@ -57,6 +61,14 @@
       return [`at ${at}ms isolate ${entry}`, `at ${end}ms heal`];
     case "compact":
       return [`at ${at}ms compact`];
+    case "restore":
+      return [
+        `at ${Math.max(at, end - COPY_AGE_MS)}ms copy_store`,
+        ...everywhere ? [`at ${end - 200}ms store ${mode}`] : [],
+        `at ${end}ms restore_store`,
+        `at ${end}ms store up`,
+        `at ${end + REWRITTEN_MS}ms publish`,
+      ];
     case "lose":
       return [`at ${at}ms lose 0.2`, `at ${end}ms lose 0`];
   }
