--- a/playground/src/platform/__tests__/store_source.test.ts
+++ b/playground/src/platform/__tests__/store_source.test.ts
@@ -1,6 +1,6 @@
 import { createServer } from "node:http";
 import { milliseconds, type Revision } from "@sassafrasstep/core";
-import { KEYS, StoreSource } from "@sassafrasstep/platform";
+import { HEADERS, KEYS, StoreSource } from "@sassafrasstep/platform";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { StandInStore, type StoreFault } from "../index.ts";
 import { closeAtOnce, listenOnLoopback } from "../loopback.ts";
@@ -178,6 +178,47 @@
     });
   });
 
+  // Guards against a picture that is pieced together from before and after a restore.
+  it("reads all pages of one epoch where the store is restored between two", async () => {
+    const page = (epoch: number, key: string, more_pages: boolean): string =>
+      JSON.stringify({
+        epoch,
+        items: [{ key: `${KEYS.evacuation}${key}`, value: "e30=" }],
+        more_pages,
+        as_of: 9 - epoch,
+      });
+    const pages = [
+      page(1, "a-1", true),
+      page(2, "b-2", false),
+      page(2, "a-2", true),
+      page(2, "b-2", false),
+    ];
+    const asked: string[] = [];
+    const server = createServer(({ url }, reply) => {
+      asked.push(new URL(url!, "http://store").searchParams.get("after") ?? "");
+      const text = pages.shift()!;
+      const { epoch } = JSON.parse(text) as { epoch: number };
+      reply.setHeader(HEADERS.storeEpoch, String(epoch)).end(text);
+    });
+    const reader = new StoreSource(await listenOnLoopback(server), () => {});
+    try {
+      expect(await reader.snapshot(TIMEOUT)).toMatchObject({
+        epoch: 2,
+        revision: 7,
+        evacuated: ["a-2", "b-2"],
+      });
+      expect(asked).toEqual([
+        "",
+        `${KEYS.evacuation}a-1`,
+        "",
+        `${KEYS.evacuation}a-2`,
+      ]);
+    } finally {
+      await reader.close();
+      await closeAtOnce(server);
+    }
+  });
+
   it("writes a line for each such key once, and few for thousands", async () => {
     for (let index = 0; index < 1_200; index++) {
       store.putRaw(`${KEYS.endpoint}foreign-${index}`, "bm8=");
