fix: an answer to a former process's question does not date a document

Questions on how current a document is were counted from 1 in each process. An answer that was under way while an entry ended and started anew at its address met a question of the same number, and was dated by the time at which that one was sent: the document counted as younger than it was by as much. Numbers are now drawn at the start.

--- a/packages/core/src/gateway/__tests__/currency_exchange.test.ts
+++ b/packages/core/src/gateway/__tests__/currency_exchange.test.ts
@@ -7,7 +7,12 @@
   type Revision,
 } from "../../ids/index.ts";
 import { Currency } from "../../customers/index.ts";
-import type { CataloguePosition, CurrencyMessage } from "../../routes/index.ts";
+import type {
+  CataloguePosition,
+  CurrencyAnswer,
+  CurrencyMessage,
+  CurrencyQuestion,
+} from "../../routes/index.ts";
 import { CurrencyExchange } from "../currency_exchange.ts";
 
 const VERSION = 7 as Revision;
@@ -16,7 +21,8 @@
   return { epoch: 1 as CatalogueEpoch, revision: revision as Revision };
 }
 
-function build(): {
+/** `drawn`: what the random source gives. */
+function build(drawn = 0): {
   currency: Currency;
   exchange: CurrencyExchange;
   sent: CurrencyMessage[];
@@ -26,6 +32,7 @@
   const sent: CurrencyMessage[] = [];
   const exchange = new CurrencyExchange({
     currency,
+    random: { next: () => drawn },
     active: () => true,
     resting: () => false,
     self: { incarnation: "e1" as Incarnation, peerAddress: "1.2.3.4:5" },
@@ -38,7 +45,7 @@
   return { currency, exchange, sent };
 }
 
-function answer(version: Revision, age: number): CurrencyMessage {
+function answer(version: Revision, age: number): CurrencyAnswer {
   return {
     kind: "answer",
     incarnation: "e2" as Incarnation,
@@ -78,6 +85,17 @@
     expect(currency.age(instant(5_000))).toBe(4_000);
   });
 
+  // Guards against a document that is taken for younger than it is, by an answer to a former process here.
+  it("proves nothing to a process that starts anew at the address", () => {
+    const { currency, exchange, sent } = build(0.5);
+    exchange.tick(instant(1_000));
+    exchange.receive(answer(VERSION, 0), instant(1_100));
+    expect(currency.age(instant(1_100))).toBe(Infinity);
+    const [{ sequence }] = sent as [CurrencyQuestion];
+    exchange.receive({ ...answer(VERSION, 0), sequence }, instant(1_200));
+    expect(currency.age(instant(1_200))).toBe(200);
+  });
+
   it("proves a newer document only once that is held", () => {
     const { currency, exchange } = build();
     const newer = VERSION + 3 as Revision;
--- a/packages/core/src/gateway/currency_exchange.ts
+++ b/packages/core/src/gateway/currency_exchange.ts
@@ -13,6 +13,7 @@
   instant,
   type Milliseconds,
   milliseconds,
+  type Randomness,
   type Revision,
 } from "../ids/index.ts";
 import type { Currency, CurrencyMark } from "../customers/index.ts";
@@ -29,12 +30,15 @@
 const RESTING_ASK_AGE_MS = 1_700;
 /** Between two questions: the longest way there and back, and some. */
 const ASK_PAUSE_MS = 300;
+/** Questions are counted from a drawn number: an answer to a former process at this address proves nothing. */
+const MOST_FIRST_SEQUENCE = 1_000_000;
 /** Answers to older questions are not waited for. */
 const MOST_OPEN = 8;
 
 /** What the exchange works with. */
 export interface ExchangeSources {
   readonly currency: Currency;
+  readonly random: Randomness;
   /** Whether entries live on each other's word at all. */
   readonly active: () => boolean;
   readonly resting: () => boolean;
@@ -67,12 +71,13 @@
 export class CurrencyExchange {
   readonly #sources: ExchangeSources;
   readonly #open = new Map<number, Question>();
-  #sequence = 0;
+  #sequence: number;
   #tries = 0;
   #nextAt = instant(0);
 
   constructor(sources: ExchangeSources) {
     this.#sources = sources;
+    this.#sequence = Math.floor(sources.random.next() * MOST_FIRST_SEQUENCE);
   }
 
   tick(now: Instant): void {
--- a/packages/core/src/gateway/customer_link.ts
+++ b/packages/core/src/gateway/customer_link.ts
@@ -103,6 +103,7 @@
 ): CurrencyExchange {
   return new CurrencyExchange({
     self,
+    random,
     currency: catalogue.currency,
     resting,
     active: () => catalogue.keyed,
