test: one endpoint cannot serve all requests of the restored store's test

Once in 10 runs on the mended code the endpoint that had joined got none of 60 requests. Traced: all three entries held it as ready and usable, and the other one got 59; endpoints that answer at once look alike, and either may get all. An answer now takes 150 ms, as in the other tests of endpoints; what is asserted is the same.

--- a/playground/src/platform/__tests__/store_restored.test.ts
+++ b/playground/src/platform/__tests__/store_restored.test.ts
@@ -17,6 +17,8 @@
 /** Within this an acknowledged change is in force. */
 const BOUND_MS = 4_000;
 const MEASURED_MS = 1_500;
+/** An answer takes so long that one endpoint cannot serve all. */
+const ANSWER_MS = 150;
 const ADDED = "/again-added/x";
 
 interface Absence {
@@ -57,6 +59,7 @@
         await fleet.prepare();
         await fleet.start(ENTRIES);
         await fleet.adopt(joined);
+        fleet.endpoints.forEach((endpoint) => endpoint.delay = ANSWER_MS);
       });
       afterAll(() => fleet.close());
 
