feat: entries read the whole picture again every minute or so

Reads of changes go on from what is held, so that a change that was missed once, for whatever reason, was missed until the same key was written again: for a document, an evacuation or a removal that may be never. The restored store was the second such reason, a history that is dropped silently the first.

Every 60 s, drawn from half to one and a half of it (every 300 s at rest), an entry reads everything, and no more than 0.5% of its time goes into that, where pictures are large and links slow. Reads of changes bring each endpoint's record every second or so: a whole read a minute adds about a fiftieth to their bytes, and one call to some fifty.

--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -195,6 +195,7 @@
       return this.#schedule.readAtOnce(now);
     }
     this.wholeReads++;
+    this.#schedule.noteWhole(now);
     if (standing === "restored" || behind) {
       this.#noteRestore(now);
     }
@@ -349,7 +350,8 @@
   }
 
   #read(now: Instant): void {
-    const changesOnly = !this.#snapshotWanted;
+    const changesOnly = !this.#snapshotWanted &&
+      !this.#schedule.isWholeDue(now);
     const wait = changesOnly ? this.#schedule.wait(now) : 0;
     this.#readMark = this.currency.mark(now);
     this.#epochs.ask(this.position);
@@ -418,7 +420,7 @@
       heldVersion: document?.version,
       endpoints: snapshot.endpoints.length,
       ...this.#held.doubted,
-      keptMs: (keptUntil ?? now) - now,
+      keptMs: Math.round((keptUntil ?? now) - now),
     });
   }
 
--- a/packages/core/src/gateway/read_schedule.ts
+++ b/packages/core/src/gateway/read_schedule.ts
@@ -47,6 +47,15 @@
 /** After a failed read; doubles up to the most. */
 const FIRST_RETRY_MS = 200;
 const MOST_RETRY_MS = 500;
+/**
+ * Between two whole reads. Reads of changes go on from what is held, so that a change that was missed once
+ * would be missed for good.
+ */
+const WHOLE_READ_PERIOD_MS = 60_000;
+/** The same for an entry that stands by. */
+const RESTING_WHOLE_READ_PERIOD_MS = 300_000;
+/** And no more than this part of the time is spent in them, where pictures are large and links slow. */
+const WHOLE_READ_PART = 0.005;
 /** Time by which an answer is overdue when a peer is asked. */
 const ASK_PEER_AFTER_MS = 800;
 
@@ -72,6 +81,9 @@
   #readsAgain = false;
   #readAt: Instant;
   #nextAt: Instant;
+  /** When the last whole read ended, and how long after it the next one is due. */
+  #wholeAt: Instant | undefined;
+  #wholePause = 0;
   /** When the next answer was to be expected. */
   #dueAt: Instant;
   #answeredAt: Instant | undefined;
@@ -122,6 +134,24 @@
     return returned;
   }
 
+  /** The answer to a whole read has come. */
+  noteWhole(now: Instant): void {
+    const { random, resting } = this.#options;
+    const period = resting()
+      ? RESTING_WHOLE_READ_PERIOD_MS
+      : WHOLE_READ_PERIOD_MS;
+    const least = (now - this.#readAt) / WHOLE_READ_PART;
+    this.#wholeAt = now;
+    // Drawn, so that entries that started together do not go on doing so.
+    this.#wholePause = Math.max(period, least) * (0.5 + random.next());
+  }
+
+  /** Whether everything is to be read again, whatever was read of changes. */
+  isWholeDue(now: Instant): boolean {
+    return this.#wholeAt !== undefined &&
+      now - this.#wholeAt >= this.#wholePause;
+  }
+
   /** No answer has come. */
   failed(now: Instant): void {
     const { random, resting } = this.#options;
--- a/playground/src/routes/fake_store.ts
+++ b/playground/src/routes/fake_store.ts
@@ -72,6 +72,7 @@
   #oldest = 0;
   #epoch = 1;
   #copy: StoreCopy | undefined;
+  #hidden = false;
 
   constructor(time: VirtualTime) {
     this.#time = time;
@@ -156,6 +157,11 @@
     return zones === emptied ? undefined : `zones ${zones}, not ${emptied}`;
   }
 
+  /** The next change is in the picture, and no read of changes names it. */
+  hideNext(): void {
+    this.#hidden = true;
+  }
+
   /** Takes a copy, which `restore` comes back from. */
   copy(): void {
     this.#copy = this.#snapshot();
@@ -267,7 +273,10 @@
 
   #note(change: CatalogueChange): void {
     this.#revision++;
-    this.#log.push({ revision: this.#revision, change });
+    if (!this.#hidden) {
+      this.#log.push({ revision: this.#revision, change });
+    }
+    this.#hidden = false;
     const waiting = this.#watches;
     this.#watches = [];
     for (const watch of waiting) {
--- a/playground/src/routes/route_actions.ts
+++ b/playground/src/routes/route_actions.ts
@@ -68,6 +68,8 @@
   lose: ({ world }, line) => world.loss = Number(word(line, 1, "a part")),
   store: ({ world }, line) => storeMode(world, line),
   compact: ({ world }) => world.store.compact(),
+  /** `hide_next`: the next change is in the picture, and no read of changes names it. */
+  hide_next: ({ world }) => world.store.hideNext(),
   /** `copy_store`, and `restore_store`: it comes back as it was then, with another epoch. */
   copy_store: ({ world }) => world.store.copy(),
   restore_store: ({ world }) => world.store.restore(),
