--- a/packages/core/src/gateway/held_catalogue.ts
+++ b/packages/core/src/gateway/held_catalogue.ts
@@ -29,10 +29,10 @@
 import { RecentChanges } from "./recent_changes.ts";
 
 /**
- * An endpoint that is gone, and whose record a copy brought back, may be used after this: by then the
- * platform has removed the records of all that no longer write.
+ * An endpoint that is gone, and whose record a copy brought back, may be used after this. One that lives
+ * writes within seconds and is used then; the records of the others are removed by the platform well before.
  */
-const DEPARTED_WITHHELD_MS = 5_000;
+const DEPARTED_WITHHELD_MS = 10_000;
 /**
  * A zone stays evacuated for so long although a copy lacks it. Operators write again what was lost; until
  * then a zone that is wrongly left alone costs capacity, one that is wrongly used costs requests.
