test: the soak's store comes back from a copy while entries are paused, killed and stopped

A further kind of wave: a copy, up to 8 records written and one engine gone after it, the store silent, busy or reset for up to 2 s, back from the copy, and after up to 2 s of calm one engine leaves and one is gone.

--- a/soak/src/__tests__/waves.test.ts
+++ b/soak/src/__tests__/waves.test.ts
@@ -28,6 +28,14 @@
     expect(broken, `Its files: ${folder}`).toEqual([]);
   });
 
+  // Guards against requests to engines that left, after the store came back from a copy.
+  it("keeps what a restored store has acknowledged", async () => {
+    const wave = WAVE_KINDS.indexOf("restores");
+    const plan = planWave(SEED + 1, { wave, entries: ENTRIES });
+    const { broken, folder } = await playWave(plan);
+    expect(broken, `Its files: ${folder}`).toEqual([]);
+  });
+
   // Each of these waves broke a promise once, for the cause that stands in its name.
   describe("keeps its promises", () => {
     for (const { seed, wave, cause } of REGRESSIONS.filter(isQuick)) {
--- a/soak/src/plan.ts
+++ b/soak/src/plan.ts
@@ -10,6 +10,7 @@
   type Stop,
 } from "@sassafrasstep/playground/bytes";
 import { Draw } from "./draw.ts";
+import { planRestore, type StoreRestore } from "./restores.ts";
 import { type EngineTerms, planTerms } from "./terms.ts";
 
 /** What is done to an engine, or to all, once a run has come to its stop. */
@@ -87,7 +88,9 @@
   /** Callers read nothing for seconds, of streams that fill all that stands between. */
   | "slow"
   /** Engines state limits, leave and want rest while entries are paused and killed. */
-  | "terms";
+  | "terms"
+  /** The store comes back from a copy while entries are paused and killed. */
+  | "restores";
 
 /** Streams that are under way together. */
 export interface WavePlan {
@@ -102,6 +105,7 @@
   readonly cases: readonly CasePlan[];
   readonly entryEvents: readonly EntryEvent[];
   readonly terms: readonly EngineTerms[];
+  readonly restore: StoreRestore | undefined;
   /** When this process stands still, and for how long. */
   readonly stalls: readonly { readonly atMs: number; readonly forMs: number }[];
 }
@@ -114,6 +118,7 @@
   "ends",
   "slow",
   "terms",
+  "restores",
 ];
 /** Endpoints that a resumable stream may be sent to. */
 export const ATTEMPTS = 4;
@@ -127,6 +132,9 @@
 const TERMS_CASES = 240;
 const TERMS_MS = 8_000;
 const TERMS_TIME_MS = 3_000;
+/** The same of a wave of restores: it ends later than the last change has to be in force. */
+const RESTORES_CASES = 300;
+const RESTORES_MS = 13_000;
 
 /** The plan of one wave. */
 export function planWave(
@@ -147,6 +155,7 @@
     ends: 20,
     slow: 6,
     terms: TERMS_CASES,
+    restores: RESTORES_CASES,
   };
   const cases = Array.from(
     { length: caseCount[kind] },
@@ -157,11 +166,12 @@
         lively: kind === "stops" || (kind === "ends" && draw.chance(0.4)),
       }),
   );
-  const ending = kind === "ends" || kind === "terms";
+  const ending = kind === "ends" || kind === "terms" || kind === "restores";
   const entryEvents = kind === "pauses" || ending
     ? planEntryEvents(draw, { count, ending })
     : [];
   const terms = kind === "terms" ? planTerms(draw, engines) : [];
+  const restore = kind === "restores" ? planRestore(draw, engines) : undefined;
   const stalls = kind === "stalls"
     ? [600, 3_400].map((atMs) => ({
       atMs: atMs + draw.between(0, 400),
@@ -180,6 +190,7 @@
     cases,
     entryEvents,
     terms,
+    restore,
     stalls,
   };
 }
@@ -290,7 +301,11 @@
 /** A short stream of a steady load. */
 function planTermsCase(
   call: string,
-  { draw, entries }: { draw: Draw; entries: number },
+  { draw, entries, within = TERMS_MS }: {
+    draw: Draw;
+    entries: number;
+    within?: number;
+  },
 ): CasePlan {
   return {
     call,
@@ -299,13 +314,21 @@
     again: [],
     events: draw.between(2, 8),
     style: { lineEnd: "\n", versions: false, comments: false, ids: true },
-    startMs: draw.between(0, TERMS_MS),
+    startMs: draw.between(0, within),
     timeMs: TERMS_TIME_MS,
     caller: { kind: "reads" },
     runs: planTermsRuns(draw),
   };
 }
 
+/** The same, over a longer time. */
+function planRestoresCase(
+  call: string,
+  options: { draw: Draw; entries: number },
+): CasePlan {
+  return planTermsCase(call, { ...options, within: RESTORES_MS });
+}
+
 /** Some break off or are turned away first, so that repeats and resumed streams meet the terms too. */
 function planTermsRuns(draw: Draw): RunPlan[] {
   const whole = { ...wholeRun(draw), piece: 20, pace: 5 };
@@ -326,6 +349,7 @@
   ends: planCase,
   slow: planSlowCase,
   terms: planTermsCase,
+  restores: planRestoresCase,
 } as const;
 
 function planCaller(draw: Draw, events: number): CallerPlan {
--- a/soak/src/promises.ts
+++ b/soak/src/promises.ts
@@ -147,7 +147,8 @@
       answer.status === OK && answer.end === "whole"
     ).length;
   const few = whole * LEAST_SERVED_PART < undisturbed.length;
-  const endsEntries = kind === "ends" || kind === "terms";
+  const endsEntries = kind === "ends" || kind === "terms" ||
+    kind === "restores";
   return !endsEntries && undisturbed.length > 0 && few
     ? {
       call: undisturbed[0]!.call,
--- a/soak/src/wave.ts
+++ b/soak/src/wave.ts
@@ -29,6 +29,7 @@
   type SeenCall,
   unservedWave,
 } from "./promises.ts";
+import { brokenRestore, playRestore, type SeenRestore } from "./restores.ts";
 import { scriptOf } from "./script.ts";
 import { brokenTerms, type EngineTerms, stateTerms } from "./terms.ts";
 
@@ -55,6 +56,7 @@
     const broken = [
       ...judge(seen, { kind: plan.kind, history: wave.history }),
       ...wave.brokenTerms(),
+      ...wave.brokenRestore(),
       ...(await wave.leftOpen()).map((what) => ({ call: "at the end", what })),
     ];
     if (broken.length > 0) {
@@ -95,6 +97,7 @@
   readonly #lives = new Map<string, number>();
   readonly history: EntryHistory = { killed: new Set(), wentOnAt: new Map() };
   keepsFiles = false;
+  #restore: SeenRestore | undefined;
 
   constructor(plan: WavePlan, folder: string) {
     this.#plan = plan;
@@ -120,12 +123,13 @@
   }
 
   async play(): Promise<SeenCall[]> {
-    const { cases, entryEvents, terms, stalls } = this.#plan;
+    const { cases, entryEvents, terms, restore, stalls } = this.#plan;
     const seen = await Promise.all([
       ...cases.map((plan) => this.#ask(plan)),
       ...entryEvents.map((event) => this.#disturbEntry(event)),
       ...terms.map((each) => this.#stateTerms(each)),
       ...stalls.map((stall) => this.#standStill(stall)),
+      ...restore === undefined ? [] : [this.#restoreStore(restore)],
     ]);
     return seen.flat();
   }
@@ -227,6 +231,31 @@
     return [];
   }
 
+  async #restoreStore(
+    restore: NonNullable<WavePlan["restore"]>,
+  ): Promise<[]> {
+    const { store, engines } = this.#fleet;
+    this.#restore = await playRestore({
+      store,
+      engines: this.#engines,
+      publish: (index, fields) => {
+        const { engine: { id }, address } = engines[index]!;
+        const region = this.#plan.engines[index]!;
+        this.#fleet.publish(id, { address, region, born: 1, ...fields });
+      },
+      withdraw: (index) => this.#fleet.withdraw(engines[index]!.engine.id),
+    }, restore);
+    return [];
+  }
+
+  /** What engines got against what the store had acknowledged around its restore. */
+  brokenRestore(): Broken[] {
+    return this.#restore === undefined
+      ? []
+      : brokenRestore(this.#restore, this.#engines)
+        .map(({ engine, what }) => ({ call: engine, what }));
+  }
+
   /** What engines got against what they stated. */
   brokenTerms(): Broken[] {
     return this.#plan.terms.flatMap((terms) => {
