test: restores in a row, in a storm of changes, in long calm and without a usable epoch

Over real sockets, three entries: two restores in a row cost no more than two whole reads an entry; a storm of a version every 50 ms over a restore ends with the last version in force everywhere; 8 s of calm after a restore cost under 24 calls of three entries, where a loop of refused and whole reads would be 40; and where the store's answers state no epoch, no number or a lower one than before, its counter alone tells that everything has to be read. The guards of a restored catalogue are listed (14), those that moved are found again.

--- a/playground/src/guards/customer_guards.ts
+++ b/playground/src/guards/customer_guards.ts
@@ -59,8 +59,8 @@
     replace: 'const proof: ReadProof = { kind: "none" };',
     also: [{
       file: `${GATEWAY}/catalogue_controller.ts`,
-      find: "    if (this.#verifies) {",
-      replace: "    if (this.keyed) {",
+      find: "this.#judgeDocument(now, this.#verifies);",
+      replace: "this.#judgeDocument(now, this.keyed);",
     }],
   },
   {
--- /dev/null
+++ b/playground/src/guards/epoch_guards.ts
@@ -0,0 +1,120 @@
+/**
+ * The guards of a catalogue that is restored from a copy.
+ *
+ * @module
+ */
+import type { Guard } from "./guard.ts";
+
+const GATEWAY = "packages/core/src/gateway";
+const CONTROLLER = `${GATEWAY}/catalogue_controller.ts`;
+const HELD = `${GATEWAY}/held_catalogue.ts`;
+const RESTORED = "routes: restored store";
+
+/** Every guard that is checked. */
+export const EPOCH_GUARDS: readonly Guard[] = [
+  {
+    point: RESTORED,
+    name: "an entry reads on from where a restored store stands",
+    file: HELD,
+    find: "      epoch: Math.max(held, epoch ?? held) as CatalogueEpoch,\n" +
+      "      revision,",
+    replace: "      epoch: Math.max(held, epoch ?? held) as CatalogueEpoch,\n" +
+      "      revision: Math.max(revision, this.position.revision) as Revision,",
+  },
+  {
+    point: RESTORED,
+    name: "an answer of another epoch is not applied to what is held",
+    file: `${GATEWAY}/epoch_tracker.ts`,
+    find: "if (stated === undefined || stated === this.#stated) {",
+    replace: "if (stated === undefined || stated !== Infinity) {",
+  },
+  {
+    point: RESTORED,
+    name: "what was sent for before a peer's newer picture came is late",
+    file: `${GATEWAY}/epoch_tracker.ts`,
+    find: "if (moved && !(whole && stated === held.epoch)) {",
+    replace: "if (moved && whole && stated === Infinity) {",
+  },
+  {
+    point: RESTORED,
+    name: "positions of two epochs are ordered by the epoch",
+    file: "packages/core/src/routes/catalogue_position.ts",
+    find: "    : left.epoch > right.epoch;",
+    replace: "    : left.revision > right.revision;",
+  },
+  {
+    point: RESTORED,
+    name: "what a peer holds of an earlier epoch is not followed",
+    file: CONTROLLER,
+    find: "} else if (epoch === this.position.epoch) {",
+    replace: "} else {",
+  },
+  {
+    point: RESTORED,
+    name: "changes are told within an epoch only",
+    file: HELD,
+    find: "return epoch === this.position.epoch\n",
+    replace: "return epoch !== Infinity\n",
+  },
+  {
+    point: RESTORED,
+    name: "endpoints that a copy lacks are used for a while",
+    file: CONTROLLER,
+    find: "      this.#grace.noteRestore(now);",
+    replace: "      this.#grace.noteBefore(now);",
+  },
+  {
+    point: RESTORED,
+    name: "a gone endpoint that a copy brings back is withheld",
+    file: `${GATEWAY}/endpoint_records.ts`,
+    find: "return last !== undefined && !this.all.has(record.id) &&",
+    replace: "return last !== undefined && this.all.has(record.id) &&",
+  },
+  {
+    point: RESTORED,
+    name: "a zone that a copy lacks stays evacuated",
+    file: HELD,
+    find: "after(now, EVACUATION_KEPT_MS),",
+    replace: "after(now, 0 * EVACUATION_KEPT_MS),",
+  },
+  {
+    point: RESTORED,
+    name: "readings renew no lease until all was written again",
+    file: "packages/core/src/customers/currency.ts",
+    find: "if (proof.at < this.#validFrom) {",
+    replace: "if (proof.at < -this.#validFrom) {",
+  },
+  {
+    point: RESTORED,
+    name: "a read that shows an older document than was known renews no lease",
+    file: `${GATEWAY}/published_document.ts`,
+    find: "if (published >= this.#known) {",
+    replace: "if (published >= 0 * this.#known) {",
+  },
+  {
+    point: RESTORED,
+    name: "a document that the store lacks is copied from a peer",
+    file: CONTROLLER,
+    find: "if (lacking && holder !== undefined) {",
+    replace: "if (lacking && holder === undefined) {",
+    also: [{
+      file: CONTROLLER,
+      find: "      this.#copyFrom(holder.address, now);\n    }\n    if (",
+      replace: "    }\n    if (",
+    }],
+  },
+  {
+    point: RESTORED,
+    name: "a question's answer is not taken for another process's",
+    file: `${GATEWAY}/currency_exchange.ts`,
+    find: "sources.random.next() * MOST_FIRST_SEQUENCE",
+    replace: "sources.random.next() * 0 * MOST_FIRST_SEQUENCE",
+  },
+  {
+    point: RESTORED,
+    name: "everything is read again every minute or so",
+    file: `${GATEWAY}/read_schedule.ts`,
+    find: "now - this.#wholeAt >= this.#wholePause;",
+    replace: "now - this.#wholeAt === Infinity;",
+  },
+];
--- a/playground/src/guards/guard_list.ts
+++ b/playground/src/guards/guard_list.ts
@@ -7,6 +7,7 @@
 import { join } from "node:path";
 import { BYTE_GUARDS } from "./byte_guards.ts";
 import { CUSTOMER_GUARDS } from "./customer_guards.ts";
+import { EPOCH_GUARDS } from "./epoch_guards.ts";
 import { TERMS_GUARDS } from "./terms_guards.ts";
 import type { Edit, Guard } from "./guard.ts";
 import { GUARDS } from "./guards.ts";
@@ -23,6 +24,7 @@
   ...STALL_GUARDS,
   ...CUSTOMER_GUARDS,
   ...TERMS_GUARDS,
+  ...EPOCH_GUARDS,
 ];
 
 /** All that is taken out with a guard. */
--- a/playground/src/guards/route_guards.ts
+++ b/playground/src/guards/route_guards.ts
@@ -117,7 +117,7 @@
   {
     point: "routes: configuration",
     name: "a document never goes back",
-    file: `${GATEWAY}/catalogue_controller.ts`,
+    file: `${GATEWAY}/held_catalogue.ts`,
     find: "if (document.version > (this.document?.version ?? 0)) {",
     replace: "if (document.version > 0) {",
   },
@@ -145,16 +145,16 @@
   {
     point: "routes: store outage",
     name: "a missing record is doubted for a while after an outage",
-    file: `${GATEWAY}/catalogue_controller.ts`,
-    find: "if (graceEnd === undefined || !this.endpoints.has(id)) {",
-    replace: "if (graceEnd !== null || !this.endpoints.has(id)) {",
+    file: `${GATEWAY}/endpoint_records.ts`,
+    find: "if (keptUntil === undefined || !this.all.has(id)) {",
+    replace: "if (keptUntil !== null || !this.all.has(id)) {",
   },
   {
     point: "routes: store outage",
     name: "a peer's picture holds only what is published",
-    file: `${GATEWAY}/catalogue_controller.ts`,
-    find: "!this.#missing.has(id)\n      ),",
-    replace: "id !== undefined\n      ),",
+    file: `${GATEWAY}/endpoint_records.ts`,
+    find: "filter(({ id }) => !this.#missing.has(id));",
+    replace: "filter(({ id }) => id !== undefined);",
   },
   {
     point: "routes: streams",
--- a/playground/src/guards/test_sets.ts
+++ b/playground/src/guards/test_sets.ts
@@ -28,6 +28,7 @@
     "playground/src/load",
     "playground/src/routes/__tests__/quarantine_trials.test.ts",
     "playground/src/routes/__tests__/key_lease.test.ts",
+    "playground/src/routes/__tests__/restored_store_model.test.ts",
     "packages/daemon/src/timers",
   ],
 ];
--- a/playground/src/platform/index.ts
+++ b/playground/src/platform/index.ts
@@ -9,4 +9,8 @@
 } from "./platform_fleet.ts";
 export { StandInEndpoint } from "./stand_in_endpoint.ts";
 export { type LoadResult, SteadyLoad } from "./steady_load.ts";
-export { StandInStore, type StoreFault } from "./stand_in_store.ts";
+export {
+  StandInStore,
+  type StoreCopy,
+  type StoreFault,
+} from "./stand_in_store.ts";
--- a/playground/src/platform/stand_in_store.ts
+++ b/playground/src/platform/stand_in_store.ts
@@ -58,6 +58,10 @@
 export class StandInStore {
   fault: StoreFault = "none";
   calls = 0;
+  /** Calls that ask for everything, page by page. */
+  wholeReads = 0;
+  /** What its answers state of its epoch. */
+  statedEpoch: (epoch: number) => string | undefined = String;
   readonly #items = new Map<string, Item>();
   #history: Item[] = [];
   #oldest = 0;
@@ -172,10 +176,12 @@
   }
 
   #headers(): Record<string, string> {
-    return { [HEADERS.storeEpoch]: String(this.#epoch) };
+    const text = this.statedEpoch(this.#epoch);
+    return text === undefined ? {} : { [HEADERS.storeEpoch]: text };
   }
 
   #range(prefix: string, after: string, reply: ServerResponse): void {
+    this.wholeReads += prefix === "" && after === "" ? 1 : 0;
     const items = [...this.#items.values()]
       .filter(({ key }) => key.startsWith(prefix) && key > after)
       .sort((left, right) => left.key < right.key ? -1 : 1);
