--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import {
-  after,
   type CatalogueEpoch,
   type EndpointId,
   type Instant,
@@ -13,8 +12,8 @@
   type Revision,
   type ZoneId,
 } from "../ids/index.ts";
-import type { DocumentHolder } from "../fleet/index.ts";
-import { Currency, type CurrencyMark } from "../customers/index.ts";
+import type { CatalogueHolder, DocumentHolder } from "../fleet/index.ts";
+import { Currency } from "../customers/index.ts";
 import {
   type CatalogueChanges,
   type CataloguePosition,
@@ -29,19 +28,15 @@
 } from "../routes/index.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
 import { HeldCatalogue } from "./held_catalogue.ts";
-import type { GatewayEmit, ReadProof } from "./messages.ts";
+import type { GatewayEmit } from "./messages.ts";
+import { PeerCopies } from "./peer_copies.ts";
+import { ReadProofs } from "./read_proofs.ts";
 import { type AnswerStanding, EpochTracker } from "./epoch_tracker.ts";
-import { PublishedDocument } from "./published_document.ts";
 import { ReturnGrace } from "./return_grace.ts";
 import { ReadSchedule, type ReadScheduleOptions } from "./read_schedule.ts";
 
 /** Beyond its wait a read may take so long: a slow service, and a silent connection. */
 const READ_TIMEOUT_MS = 1_000;
-/** Between two copies from peers. */
-const COPY_PAUSE_MS = 1_200;
-const COPY_TIMEOUT_MS = 1_000;
-/** Within this operators write again what a copy lacks: a key that it still has may have been taken away. */
-const REWRITE_MS = 2_200;
 /** For each record: large catalogues are not read by all entries in the same moment. */
 const RESTORED_READ_SPREAD_MS = 0.1;
 
@@ -67,9 +62,6 @@
   readonly #emit: GatewayEmit;
   readonly #schedule: ReadSchedule;
   readonly #isResting: () => boolean;
-  readonly #newestHolder: () =>
-    | { address: string; position: CataloguePosition }
-    | undefined;
   readonly #held = new HeldCatalogue({
     adopted: ({ version, routes }) => {
       this.currency.hold(version);
@@ -82,40 +74,31 @@
   /** Whether the whole read that is wanted is of another epoch than what is held. */
   #restored = false;
   readonly #grace: ReturnGrace;
-  readonly #documents: PublishedDocument;
+  readonly #proofs: ReadProofs;
+  readonly #copies: PeerCopies;
   /** Of the read under way. */
   #sentAt: Instant;
   #timeout = milliseconds(0);
-  #nextCopyAt: Instant;
-  /** When the read under way was sent, and whether its answer tells the present state. */
-  #readMark: CurrencyMark | undefined;
-  #verifies = false;
   /** A later epoch than the one held that another entry told. */
   #toldEpoch = NO_POSITION.epoch;
-  /** A newer revision of the epoch held that another entry told. */
-  #toldRevision: Revision | undefined;
-
   constructor(
     { emit, newestHolder, newestDocument, now, ...schedule }:
       & ReadScheduleOptions
       & {
         emit: GatewayEmit;
         /** Peer with the newest catalogue. */
-        newestHolder: () =>
-          | { address: string; position: CataloguePosition }
-          | undefined;
+        newestHolder: () => CatalogueHolder | undefined;
         /** Peer with the newest document. */
         newestDocument: () => DocumentHolder | undefined;
         now: Instant;
       },
   ) {
-    this.#documents = new PublishedDocument(newestDocument);
     this.#emit = emit;
-    this.#newestHolder = newestHolder;
     this.#isResting = schedule.resting;
     this.#schedule = new ReadSchedule(schedule, now);
-    this.#nextCopyAt = now;
     this.#grace = new ReturnGrace(now);
+    this.#proofs = new ReadProofs({ currency: this.currency, newestDocument });
+    this.#copies = new PeerCopies({ emit, newestHolder }, now);
     this.#sentAt = now;
   }
 
@@ -162,7 +145,9 @@
     if (this.#schedule.begin(now)) {
       this.#read(now);
     }
-    this.#askPeer(now);
+    if (this.#schedule.isOverdue(now)) {
+      this.#copies.askForNewer(this.position, now);
+    }
   }
 
   /** A woken process must not go on with what was true before: it reads at once. */
@@ -206,18 +191,16 @@
     }
     this.#snapshotWanted = false;
     this.#restored = false;
-    this.#noteCurrent(now);
-    this.#judgeDocument(now);
+    this.#noteCurrent({ whole: true }, now);
   }
 
-  /** The platform holds nothing newer. */
+  /** A verified read found nothing newer. */
   confirmed(epoch: CatalogueEpoch | undefined, now: Instant): void {
     const standing = this.#answered(epoch, { whole: false }, now);
     if (standing !== "current") {
       return this.#readAnew(standing, now);
     }
-    this.#noteCurrent(now);
-    this.#judgeDocument(now);
+    this.#noteCurrent({ whole: true }, now);
   }
 
   /**
@@ -247,9 +230,9 @@
     } else if (this.#isResting() && sameDocument) {
       this.#schedule.noteBehind();
     } else if (revision > held && this.failing) {
-      this.#copyFrom(from, now);
+      this.#copies.ask(from, now);
     } else if (revision > held) {
-      this.#toldRevision = revision;
+      this.#proofs.noteTold(revision);
       this.#schedule.readAtOnce(now);
     }
   }
@@ -258,10 +241,10 @@
   #toldRestored({ from, position }: ToldPicture, now: Instant): void {
     if (position.epoch > this.#toldEpoch) {
       this.#toldEpoch = position.epoch;
-      this.currency.doubt(milliseconds(REWRITE_MS), now);
+      this.#proofs.noteRestore(now);
     }
     if (this.failing) {
-      this.#copyFrom(from, now);
+      this.#copies.ask(from, now);
     } else if (!this.#snapshotWanted) {
       this.#readEverything(now);
     }
@@ -295,8 +278,7 @@
       return this.#readAnew(this.#hasMoved ? "late" : "restored", now);
     }
     this.#held.follow(news, this.#keptUntil(now));
-    this.#noteCurrent(now);
-    this.#judgeDocument(now, this.#verifies);
+    this.#noteCurrent({ whole: false }, now);
   }
 
   /** The platform has forgotten the changes since our revision. */
@@ -329,19 +311,22 @@
 
   /** Takes a peer's picture if it is newer than ours. */
   copied(snapshot: CatalogueSnapshot | undefined, now: Instant): void {
-    if (snapshot?.document !== undefined) {
+    if (snapshot === undefined) {
+      return;
+    }
+    if (snapshot.document !== undefined) {
       this.#held.adopt(snapshot.document);
     }
-    const position = snapshot && this.#held.positionOf(snapshot);
-    if (position === undefined || !isAfter(position, this.position)) {
+    const { epoch = this.position.epoch, revision } = snapshot;
+    if (!isAfter({ epoch, revision }, this.position)) {
       return;
     }
     const keptUntil = this.#keptUntil(now);
-    if (position.epoch === this.position.epoch) {
-      this.#held.replace(snapshot!, keptUntil);
+    if (epoch === this.position.epoch) {
+      this.#held.replace(snapshot, keptUntil);
     } else {
-      this.#held.restore(snapshot!, { keptUntil, now });
-      this.currency.doubt(milliseconds(REWRITE_MS), now);
+      this.#held.restore(snapshot, { keptUntil, now });
+      this.#proofs.noteRestore(now);
       // What the platform lacks of it is for an own read to tell.
       this.#snapshotWanted = true;
     }
@@ -353,12 +338,8 @@
     const changesOnly = !this.#snapshotWanted &&
       !this.#schedule.isWholeDue(now);
     const wait = changesOnly ? this.#schedule.wait(now) : 0;
-    this.#readMark = this.currency.mark(now);
     this.#epochs.ask(this.position);
-    this.#documents.ask(this.document?.version ?? 0 as Revision);
-    const proof = this.#proofFor();
-    this.#verifies = proof.kind === "newest";
-    this.#toldRevision = undefined;
+    const proof = this.#proofs.ask(this.#held, { keyed: this.keyed, now });
     this.#sentAt = now;
     this.#timeout = milliseconds(READ_TIMEOUT_MS + wait);
     this.#emit({
@@ -389,15 +370,19 @@
     if (!this.#restored) {
       this.#restored = true;
       this.#grace.noteRestore(now);
-      this.currency.doubt(milliseconds(REWRITE_MS), now);
+      this.#proofs.noteRestore(now);
     }
   }
 
   /** What is held is of the platform's present epoch. */
-  #noteCurrent(now: Instant): void {
+  #noteCurrent({ whole }: { whole: boolean }, now: Instant): void {
     if (!this.#restored) {
       this.#grace.noteBefore(now);
     }
+    const holder = this.#proofs.judge(this.#held, { whole, now });
+    if (holder !== undefined) {
+      this.#copies.ask(holder.address, now);
+    }
   }
 
   /** All entries do so at a restore. */
@@ -442,65 +427,6 @@
     return standing;
   }
 
-  /**
-   * An entry that cannot read the platform serves on from old records: to endpoints that have left,
-   * by a document that was replaced. One notices by refusals of endpoints long gone. A peer with a
-   * newer picture passes it on.
-   */
-  #askPeer(now: Instant): void {
-    if (!this.#schedule.isOverdue(now) || now < this.#nextCopyAt) {
-      return;
-    }
-    const holder = this.#newestHolder();
-    if (holder !== undefined && isAfter(holder.position, this.position)) {
-      this.#copyFrom(holder.address, now);
-    }
-  }
-
-  #copyFrom(address: string, now: Instant): void {
-    if (now >= this.#nextCopyAt) {
-      this.#nextCopyAt = after(now, COPY_PAUSE_MS);
-      this.#emit({
-        kind: "copyCatalogue",
-        address,
-        timeout: milliseconds(COPY_TIMEOUT_MS),
-      });
-    }
-  }
-
-  /** What is told to be newer was proven by who told it, so that one call brings what leads there. */
-  #proofFor(): ReadProof {
-    if (!this.keyed) {
-      return { kind: "none" };
-    }
-    const revision = this.#toldRevision;
-    return revision !== undefined && revision > this.position.revision
-      ? { kind: "reaches", revision }
-      : { kind: "newest" };
-  }
-
-  /**
-   * What was just read was the present state when its read was sent: so what is held is current, unless the
-   * platform lacks a document that it had acknowledged. Then a peer may hold it.
-   */
-  #judgeDocument(now: Instant, verified = true): void {
-    const { document, published } = this.#held;
-    const lacking = this.#documents.isLacking(published, now);
-    const holder = this.#documents.newerThan(
-      document?.version ?? 0 as Revision,
-    );
-    if (lacking && holder !== undefined) {
-      this.#copyFrom(holder.address, now);
-    }
-    if (
-      verified && !lacking && this.#readMark !== undefined &&
-      document !== undefined
-    ) {
-      const { version } = document;
-      this.currency.prove({ version, at: this.#readMark });
-    }
-  }
-
   /** Until when a missing record may be the platform's fault, `undefined` in calm times. */
   #keptUntil(now: Instant): Instant | undefined {
     return this.failing
--- a/packages/core/src/gateway/held_catalogue.ts
+++ b/packages/core/src/gateway/held_catalogue.ts
@@ -138,6 +138,7 @@
   adopt(document: RoutingDocument): void {
     if (document.version > (this.document?.version ?? 0)) {
       this.table = new RouteTable(document);
+      this.generation++;
       this.#sources.adopted(document);
     }
   }
--- a/playground/src/guards/customer_guards.ts
+++ b/playground/src/guards/customer_guards.ts
@@ -31,9 +31,9 @@
   {
     point: KEYS,
     name: "a lease runs from the sending of the read",
-    file: `${GATEWAY}/catalogue_controller.ts`,
-    find: "this.currency.prove({ version, at: this.#readMark });",
-    replace: "this.currency.prove({ version, at: Infinity as never });",
+    file: `${GATEWAY}/read_proofs.ts`,
+    find: "this.#currency.prove({ version, at: this.#mark });",
+    replace: "this.#currency.prove({ version, at: Infinity as never });",
   },
   {
     point: KEYS,
@@ -54,13 +54,14 @@
     point: KEYS,
     name:
       "changes prove something only where each up to the newest revision is named",
-    file: `${GATEWAY}/catalogue_controller.ts`,
-    find: "const proof = this.#proofFor();",
-    replace: 'const proof: ReadProof = { kind: "none" };',
+    file: `${GATEWAY}/read_proofs.ts`,
+    find: 'return reaches ? { kind: "reaches", revision: told } : ' +
+      '{ kind: "newest" };',
+    replace: 'return { kind: "none" };',
     also: [{
-      file: `${GATEWAY}/catalogue_controller.ts`,
-      find: "this.#judgeDocument(now, this.#verifies);",
-      replace: "this.#judgeDocument(now, this.keyed);",
+      file: `${GATEWAY}/read_proofs.ts`,
+      find: "this.#verifies = keyed && !reaches;",
+      replace: "this.#verifies = keyed;",
     }],
   },
   {
--- a/playground/src/guards/epoch_guards.ts
+++ b/playground/src/guards/epoch_guards.ts
@@ -95,13 +95,8 @@
     point: RESTORED,
     name: "a document that the store lacks is copied from a peer",
     file: CONTROLLER,
-    find: "if (lacking && holder !== undefined) {",
-    replace: "if (lacking && holder === undefined) {",
-    also: [{
-      file: CONTROLLER,
-      find: "      this.#copyFrom(holder.address, now);\n    }\n    if (",
-      replace: "    }\n    if (",
-    }],
+    find: "this.#copies.ask(holder.address, now);",
+    replace: "void holder.address;",
   },
   {
     point: RESTORED,
