test: on the product's own interface a text under a revision given out again is missed (red)

The same cause elsewhere: entries hold the operators' text by the highest revision of the configuration service that they ever saw. Taking the service's text as it is would be no mend: a text carries no version of its own, so that the copy's older one would come into force again. What is missing is an epoch in that service's contract.

--- a/playground/src/scenario/actions.ts
+++ b/playground/src/scenario/actions.ts
@@ -83,6 +83,9 @@
     world.configuration.mode = word(line, 1, "a mode") as FakeMode;
     world.configuration.wake();
   },
+  /** `restore-platform N`: its configuration service is back with revision N as the newest. */
+  "restore-platform": ({ world }, line) =>
+    world.configuration.restore(Number(word(line, 1, "a revision"))),
   "vm-list": setVmList,
   publish,
   "lose-hand-over-replies": ({ world }) => {
--- a/playground/src/scenario/expectations.ts
+++ b/playground/src/scenario/expectations.ts
@@ -22,6 +22,7 @@
   runs: checkRuns,
   endpoint: checkEndpoint,
   revision: checkRevision,
+  newest: checkNewest,
   rejected: checkRejected,
   calls: checkCalls,
   entry: checkEntry,
@@ -114,6 +115,18 @@
     ).join(", ");
 }
 
+/** `expect newest all`: the text that the configuration service holds is in force. */
+function checkNewest(world: World, line: Line): string | undefined {
+  const name = word(line, 2, "an entry or all");
+  const wrong = world.entries().filter(({ id, dead, core }) =>
+    !dead && (name === "all" || id === name) &&
+    core.board.configuration.text !== world.configuration.newest
+  );
+  return wrong.length === 0
+    ? undefined
+    : `${wrong.map(({ id }) => id).join()} hold another text`;
+}
+
 /** `expect rejected all N`: every entry has rejected revision N. */
 function checkRejected(world: World, line: Line): string | undefined {
   const expected = word(line, 3, "a revision");
--- a/playground/src/scenario/platform_fakes.ts
+++ b/playground/src/scenario/platform_fakes.ts
@@ -30,6 +30,12 @@
     this.wake();
   }
 
+  /** Comes back from a copy: later revisions are lost, and given out again. */
+  restore(revision: number): void {
+    this.#texts.length = revision;
+    this.wake();
+  }
+
   /** What a read gets now, `undefined` in an outage. */
   read(): { revision: Revision; text: string } | undefined {
     if (this.mode === "outage" || this.#texts.length === 0) {
