--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -365,7 +365,7 @@
     this.#readEverything(now);
   }
 
-  /** What was read next after the platform counts anew takes the place of what is held. */
+  /** The next whole read is of another epoch than what is held. */
   #noteRestore(now: Instant): void {
     if (!this.#restored) {
       this.#restored = true;
--- a/playground/src/guards/project_copy.ts
+++ b/playground/src/guards/project_copy.ts
@@ -5,6 +5,7 @@
  */
 import {
   cpSync,
+  existsSync,
   mkdirSync,
   readdirSync,
   readFileSync,
@@ -32,6 +33,8 @@
   "playground",
   "soak",
   "examples",
+  // Without the list, a test that is known to be red would fail in each copy.
+  "KNOWN-RED.txt",
   "package.json",
   "tsconfig.base.json",
   "tsconfig.json",
@@ -41,7 +44,7 @@
 ];
 /** Copies it, with links to its modules. */
 export function copyProject(folder: string): void {
-  for (const name of COPIED) {
+  for (const name of COPIED.filter((each) => existsSync(join(ROOT, each)))) {
     const filter = (path: string): boolean =>
       !path.includes("/dist") && !path.includes("/node_modules");
     cpSync(join(ROOT, name), join(folder, name), { recursive: true, filter });
