fix: a request that waits for a read waits on where that read only tells that all is old

An entry that stands by reads seldom, and a request that comes to it waits for a read where its picture is over 3 s old. An answer that the history is dropped, or of another epoch, counted as such a read: the request was judged by the old picture, while the whole read was on its way. After a restore that is every first request to an entry that stood by. Such an answer now leaves the picture as old as it was. Both cases of the new test fail on the code before ("no_route" by the old document); 640 tests of the gateway's core and of routes pass.

--- a/packages/core/src/gateway/__tests__/rest.test.ts
+++ b/packages/core/src/gateway/__tests__/rest.test.ts
@@ -184,6 +184,26 @@
     expect(refused).toEqual(["no_route"]);
   });
 
+  // Guards against a request that is judged by a picture of seconds ago, as its read only told that all is old.
+  it.each([
+    ["dropped", { kind: "catalogueCompacted" }],
+    ["of another epoch", {
+      kind: "catalogueChanged",
+      changes: { epoch: 3 as never, revision: 1 as never, changes: [] },
+    }],
+  ])("has it wait on where the history is %s", (_name, event) => {
+    run(20_000);
+    run(reads.at(-1)! + 5_000);
+    answers = false;
+    arrive();
+    handle(event as Parameters<Gateway["handle"]>[0]);
+    run(now + 100);
+    expect(refused).toEqual([]);
+    answer();
+    run(now + 50);
+    expect(refused).toEqual(["no_route"]);
+  });
+
   /**
    * Symptom: every request of a region waits for most of a second when the platform falls silent.
    * Sequence: entries that carry have a read under way that waits for changes; none comes.
--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -291,6 +291,7 @@
     this.#log("Changes are not available, reading everything.", {
       after: this.position.revision,
     });
+    this.#schedule.noteNothingRead();
     this.#snapshotWanted = true;
     this.#schedule.readAtOnce(now);
   }
@@ -358,6 +359,7 @@
 
   /** An answer cannot be applied to what is held. */
   #readAnew(standing: "restored" | "late", now: Instant): void {
+    this.#schedule.noteNothingRead();
     if (standing === "late") {
       return this.#schedule.readAtOnce(now);
     }
--- a/packages/core/src/gateway/read_schedule.ts
+++ b/packages/core/src/gateway/read_schedule.ts
@@ -91,6 +91,11 @@
   #confirmedAt: Instant | undefined;
   /** Whether the last answer came while this entry stood by. */
   #answeredAtRest = false;
+  /** The same two of the answer before. */
+  #former: {
+    readonly answeredAt: Instant | undefined;
+    readonly answeredAtRest: boolean;
+  } = { answeredAt: undefined, answeredAtRest: false };
 
   constructor(options: ReadScheduleOptions, now: Instant) {
     this.#options = options;
@@ -127,6 +132,10 @@
     const returned = this.failures > 0 || now - this.#readAt > SILENT_READ_MS;
     this.#reading = false;
     this.failures = 0;
+    this.#former = {
+      answeredAt: this.#answeredAt,
+      answeredAtRest: this.#answeredAtRest,
+    };
     this.#answeredAt = now;
     this.#answeredAtRest = resting;
     this.#nextAt = after(now, this.#readsAgain ? 0 : this.#pause(now));
@@ -134,6 +143,12 @@
     return returned;
   }
 
+  /** The answer that has just come brought nothing: the picture is as old as it was. */
+  noteNothingRead(): void {
+    this.#answeredAt = this.#former.answeredAt;
+    this.#answeredAtRest = this.#former.answeredAtRest;
+  }
+
   /** The answer to a whole read has come. */
   noteWhole(now: Instant): void {
     const { random, resting } = this.#options;
