--- a/playground/src/platform/platform_fleet.ts
+++ b/playground/src/platform/platform_fleet.ts
@@ -14,7 +14,7 @@
 import { fileURLToPath } from "node:url";
 import { CALLS, KEYS, SETTINGS_VARIABLE } from "@sassafrasstep/platform";
 import { StandInEndpoint } from "./stand_in_endpoint.ts";
-import { StandInStore } from "./stand_in_store.ts";
+import { StandInStore, type StoreGate } from "./stand_in_store.ts";
 
 const PROGRAM = fileURLToPath(
   new URL("../../../platform/dist/main.js", import.meta.url),
@@ -45,6 +45,8 @@
   readonly #addresses = new Map<string, string>();
   readonly #folder = mkdtempSync(join(tmpdir(), "fleet-"));
   #storeAddress = "";
+  /** By the index of the entry that reads the store there. */
+  readonly gates = new Map<number, StoreGate>();
   #peerPort = 0;
   #version = 1;
   /** All that the entries wrote. */
@@ -128,14 +130,28 @@
     });
   }
 
-  /** Starts entries and waits until all serve. */
-  async start(count: number): Promise<void> {
+  /** Starts entries and waits until all serve; those of `gated` read the store at an address of their own. */
+  async start(
+    count: number,
+    { gated = [] }: { gated?: readonly number[] } = {},
+  ): Promise<void> {
+    for (const index of gated) {
+      this.gates.set(index, await this.store.openGate());
+    }
     for (let index = 0; index < count; index++) {
       this.entries.push(await this.#entry(index));
     }
     await Promise.all(this.entries.map((entry) => this.ready(entry)));
   }
 
+  /** Ends an entry without a word and starts it anew. */
+  async startAnew(entry: PlatformEntry): Promise<void> {
+    entry.process.kill("SIGKILL");
+    await once(entry.process, "exit");
+    entry.process = this.#spawn(entry.settings);
+    await this.ready(entry);
+  }
+
   /** Waits until an entry serves. */
   async ready({ readiness }: PlatformEntry): Promise<void> {
     await eventually(async () => {
@@ -198,7 +214,7 @@
 [zones]
 a-1 = a
 [store]
-address = ${this.#storeAddress}
+address = ${this.gates.get(index)?.address ?? this.#storeAddress}
 [bounds]
 repeat_slack = 100
 stop_s = 8
--- a/playground/src/platform/stand_in_store.ts
+++ b/playground/src/platform/stand_in_store.ts
@@ -54,6 +54,12 @@
   readonly revision: number;
 }
 
+/** An address of the store, which may fail those who use it alone. */
+export interface StoreGate {
+  readonly address: string;
+  fault: StoreFault;
+}
+
 /** A store on loopback. */
 export class StandInStore {
   fault: StoreFault = "none";
@@ -68,16 +74,29 @@
   #revision = 0;
   #epoch = 1;
   readonly #waiting = new Set<Waiting>();
+  readonly #gates: Server[] = [];
   readonly #server: Server = createServer((message, reply) =>
-    this.#take(message, reply)
+    this.#take(this.fault, { message, reply })
   );
 
   listen(): Promise<string> {
     return listenOnLoopback(this.#server);
   }
 
-  close(): Promise<void> {
-    return closeAtOnce(this.#server);
+  /** Opens an address with a fault of its own, beside the one of all. */
+  async openGate(): Promise<StoreGate> {
+    const server = createServer((message, reply) => {
+      const fault = gate.fault === "none" ? this.fault : gate.fault;
+      this.#take(fault, { message, reply });
+    });
+    this.#gates.push(server);
+    const address = await listenOnLoopback(server);
+    const gate: StoreGate = { address, fault: "none" };
+    return gate;
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([this.#server, ...this.#gates].map(closeAtOnce));
   }
 
   /** Writes a value as JSON. */
@@ -135,10 +154,13 @@
     waiting.forEach(({ wake }) => wake());
   }
 
-  #take(message: IncomingMessage, reply: ServerResponse): void {
+  #take(
+    fault: StoreFault,
+    { message, reply }: { message: IncomingMessage; reply: ServerResponse },
+  ): void {
     this.calls++;
     const url = new URL(message.url ?? "/", "http://store");
-    switch (this.fault) {
+    switch (fault) {
       case "silent":
         return;
       case "busy":
