--- a/playground/src/platform/__tests__/store_restored_entries.test.ts
+++ b/playground/src/platform/__tests__/store_restored_entries.test.ts
@@ -72,13 +72,12 @@
     store.restore(copy);
     store.fault = "none";
     await fleet.startAnew(entries[ANEW]!);
-    await wait(1_200);
-    publish([KEPT]);
-    beat();
-    await wait(1_000);
+    await wait(2_200);
     entries[PAUSED]!.process.kill("SIGCONT");
     const taken = await statuses(TAKEN);
     expect(taken.filter((status) => status === 200)).toEqual([]);
+    publish([KEPT]);
+    beat();
     gate.fault = "none";
     await wait(LIFETIME_MS);
     const kept = await statuses(KEPT);
