--- a/playground/src/platform/__tests__/store_restored.test.ts
+++ b/playground/src/platform/__tests__/store_restored.test.ts
@@ -47,14 +47,6 @@
       const fleet = new PlatformFleet({ endpoints: THREE_OF_EACH });
       const joined = new StandInEndpoint("i-p4");
       const [leaving, removed] = ["i-p1", "i-p2"] as const;
-      const publish = (id: string, fields: object): void =>
-        fleet.publishEndpoint(id, {
-          service: "plain",
-          address: fleet.addressOf(id),
-          state: "ready",
-          ...fields,
-        });
-
       beforeAll(async () => {
         await fleet.prepare();
         await fleet.start(ENTRIES);
@@ -65,8 +57,8 @@
 
       it("has its later changes in force within the bound", async () => {
         const copy = fleet.store.copy();
-        for (let beat = 0; beat < lost; beat++) {
-          publish("i-p3", { sequence: 2 + beat });
+        for (let beats = 0; beats < lost; beats++) {
+          fleet.beat("i-p3");
         }
         await wait(SETTLE_MS);
         fleet.store.fault = fault;
@@ -75,16 +67,16 @@
         fleet.store.fault = "none";
         await wait(calmMs);
 
-        publish(leaving, { state: "draining", sequence: 2 });
+        fleet.beat(leaving, { state: "draining" });
         fleet.store.remove(fleet.keyOf(removed));
-        publish(joined.id, { sequence: 1 });
+        fleet.beat(joined.id);
         fleet.publishDocument([
           ...ROUTES,
           route("again-added", { kind: "idempotent", service: "plain" }),
         ]);
         await wait(SETTLE_MS);
-        for (let beat = 0; beat < lost; beat++) {
-          publish("i-p3", { sequence: 2 + lost + beat });
+        for (let beats = 0; beats < lost; beats++) {
+          fleet.beat("i-p3");
         }
         await wait(BOUND_MS - SETTLE_MS);
 
--- a/playground/src/platform/__tests__/store_restored_entries.test.ts
+++ b/playground/src/platform/__tests__/store_restored_entries.test.ts
@@ -1,8 +1,7 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { createGatewayClient } from "@sassafrasstep/daemon";
-import { HEADERS } from "@sassafrasstep/platform";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
-import { callPlatform, PlatformFleet, ROUTES } from "../index.ts";
+import { PlatformFleet, ROUTES, statusesOf } from "../index.ts";
 
 const LIFETIME_MS = 4_000;
 const EVERY_MS = 25;
@@ -18,31 +17,10 @@
   const fleet = new PlatformFleet({
     bounds: `key_lifetime_ms = ${LIFETIME_MS}\nstrict_keys = true\n`,
   });
-  let sequence = 1;
   const publish = (keys: readonly string[]): void =>
     fleet.publishDocument(ROUTES, [
       { name: "clinic", keys, priority: 1, home_regions: [] },
     ]);
-  const beat = (): void =>
-    fleet.publishEndpoint("i-p1", {
-      service: "plain",
-      address: fleet.addressOf("i-p1"),
-      state: "ready",
-      sequence: ++sequence,
-    });
-  const statuses = (key: string): Promise<number[]> =>
-    Promise.all(
-      Array.from({ length: REQUESTS }, async (_, index) => {
-        await wait(index * EVERY_MS);
-        const { callers } = fleet.entries[index % ENTRIES]!;
-        const { status } = await callPlatform(callers, {
-          path: "/again/x",
-          call: `${key}-${index}`,
-          headers: { [HEADERS.key]: key },
-        });
-        return status;
-      }),
-    );
   const positions = (): Promise<string[]> =>
     Promise.all(fleet.entries.map(async ({ control }) => {
       const client = createGatewayClient(`http://${control}`);
@@ -61,8 +39,8 @@
     const { store, entries, gates } = fleet;
     const gate = gates.get(TURNED_AWAY)!;
     const copy = store.copy();
-    beat();
-    beat();
+    fleet.beat("i-p1");
+    fleet.beat("i-p1");
     publish([KEPT]);
     await wait(1_500);
     gate.fault = "busy";
@@ -74,13 +52,14 @@
     await fleet.startAnew(entries[ANEW]!);
     await wait(2_200);
     entries[PAUSED]!.process.kill("SIGCONT");
-    const taken = await statuses(TAKEN);
+    const load = { entries, requests: REQUESTS, every: EVERY_MS };
+    const taken = await statusesOf(TAKEN, load);
     expect(taken.filter((status) => status === 200)).toEqual([]);
     publish([KEPT]);
-    beat();
+    fleet.beat("i-p1");
     gate.fault = "none";
     await wait(LIFETIME_MS);
-    const kept = await statuses(KEPT);
+    const kept = await statusesOf(KEPT, load);
     expect(kept.filter((status) => status !== 200)).toEqual([]);
     expect(new Set(await positions()).size).toBe(1);
   });
--- a/playground/src/platform/__tests__/store_restored_keys.test.ts
+++ b/playground/src/platform/__tests__/store_restored_keys.test.ts
@@ -1,7 +1,6 @@
 import { setTimeout as wait } from "node:timers/promises";
-import { HEADERS } from "@sassafrasstep/platform";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
-import { callPlatform, PlatformFleet, ROUTES } from "../index.ts";
+import { PlatformFleet, ROUTES, statusesOf } from "../index.ts";
 
 const LIFETIME_MS = 4_000;
 const ENTRIES = 3;
@@ -24,28 +23,6 @@
       fleet.publishDocument(ROUTES, [
         { name: "clinic", keys, priority: 1, home_regions: [] },
       ]);
-    const beat = (sequence: number): void =>
-      fleet.publishEndpoint("i-p1", {
-        service: "plain",
-        address: fleet.addressOf("i-p1"),
-        state: "ready",
-        sequence,
-      });
-    /** Statuses of requests with a key, sent at a steady rate. */
-    const statuses = (key: string): Promise<number[]> =>
-      Promise.all(
-        Array.from({ length: REQUESTS }, async (_, index) => {
-          await wait(index * EVERY_MS);
-          const { callers } = fleet.entries[index % ENTRIES]!;
-          const { status } = await callPlatform(callers, {
-            path: "/again/x",
-            call: `${key}-${index}`,
-            headers: { [HEADERS.key]: key },
-          });
-          return status;
-        }),
-      );
-
     beforeAll(async () => {
       await fleet.prepare();
       publish([KEPT, TAKEN]);
@@ -55,8 +32,8 @@
 
     it("opens nothing after its lifetime, and other keys do", async () => {
       const copy = fleet.store.copy();
-      for (let sequence = 2; sequence < 2 + lost; sequence++) {
-        beat(sequence);
+      for (let beats = 0; beats < lost; beats++) {
+        fleet.beat("i-p1");
       }
       await wait(SETTLE_MS);
       fleet.store.fault = "silent";
@@ -65,9 +42,11 @@
       fleet.store.fault = "none";
       publish([KEPT]);
       await wait(LIFETIME_MS);
+      const { entries } = fleet;
+      const load = { entries, requests: REQUESTS, every: EVERY_MS };
       const [taken, kept] = await Promise.all([
-        statuses(TAKEN),
-        statuses(KEPT),
+        statusesOf(TAKEN, load),
+        statusesOf(KEPT, load),
       ]);
       expect(taken.filter((status) => status === 200)).toEqual([]);
       expect(kept.filter((status) => status !== 200)).toEqual([]);
--- a/playground/src/platform/__tests__/store_restored_series.test.ts
+++ b/playground/src/platform/__tests__/store_restored_series.test.ts
@@ -14,7 +14,6 @@
   const fleet = new PlatformFleet();
   const { store } = fleet;
   let version = 3;
-  let sequence = 1;
 
   const publish = (): void => {
     version += 2;
@@ -25,13 +24,7 @@
   };
   const beat = (times = 1): void => {
     for (let beats = 0; beats < times; beats++) {
-      sequence++;
-      fleet.publishEndpoint("i-p1", {
-        service: "plain",
-        address: fleet.addressOf("i-p1"),
-        state: "ready",
-        sequence,
-      });
+      fleet.beat("i-p1");
     }
   };
   const statuses = (): Promise<GatewayStatus[]> =>
--- a/playground/src/platform/index.ts
+++ b/playground/src/platform/index.ts
@@ -1,3 +1,4 @@
+export { statusesOf } from "./keyed_requests.ts";
 export { callPlatform, type PlatformAnswer } from "./platform_caller.ts";
 export {
   eventually,
--- a/playground/src/platform/platform_fleet.ts
+++ b/playground/src/platform/platform_fleet.ts
@@ -43,6 +43,7 @@
   readonly endpoints: StandInEndpoint[] = [];
   readonly entries: PlatformEntry[] = [];
   readonly #addresses = new Map<string, string>();
+  readonly #sequences = new Map<string, number>();
   readonly #folder = mkdtempSync(join(tmpdir(), "fleet-"));
   #storeAddress = "";
   /** By the index of the entry that reads the store there. */
@@ -96,6 +97,19 @@
     return this.endpoints.find((endpoint) => endpoint.id === id)!;
   }
 
+  /** A plain endpoint writes its record again. */
+  beat(id: string, fields: object = {}): void {
+    const sequence = (this.#sequences.get(id) ?? 1) + 1;
+    this.#sequences.set(id, sequence);
+    this.publishEndpoint(id, {
+      service: "plain",
+      address: this.addressOf(id),
+      state: "ready",
+      sequence,
+      ...fields,
+    });
+  }
+
   /** Key of an endpoint's record. */
   keyOf(id: string): string {
     return `${KEYS.endpoint}${id}`;
