--- a/soak/src/script.ts
+++ b/soak/src/script.ts
@@ -9,7 +9,8 @@
   type RawRequest,
   type RunScript,
 } from "@sassafrasstep/playground/bytes";
-import type { CasePlan, RunPlan } from "./plan.ts";
+import type { CasePlan } from "./plan.ts";
+import type { RunPlan } from "./plan_runs.ts";
 
 /** The run's script; `onStop` is called where the plan disturbs something. */
 export function scriptOf(
--- a/soak/src/wave.ts
+++ b/soak/src/wave.ts
@@ -16,12 +16,8 @@
 } from "@sassafrasstep/playground/bytes";
 import { CallerRun } from "./caller_run.ts";
 import { openRequests } from "./open_requests.ts";
-import {
-  ATTEMPTS,
-  type Disturbance,
-  TIMEOUT_MS,
-  type WavePlan,
-} from "./plan.ts";
+import { ATTEMPTS, TIMEOUT_MS, type WavePlan } from "./plan.ts";
+import type { Disturbance } from "./plan_runs.ts";
 import {
   type Broken,
   brokenPromise,
