test: an entry that does not serve in time is told with what it wrote

Twice a fleet of stand-ins was not up within 20 s, and nothing told why. The other, beside thirteen files of tests, is not traced.

--- a/playground/src/bytes/byte_fleet.ts
+++ b/playground/src/bytes/byte_fleet.ts
@@ -80,7 +80,7 @@
         }),
       );
     }
-    await Promise.all(this.entries.map(({ readiness }) => served(readiness)));
+    await Promise.all(this.entries.map(served));
   }
 
   /** Publishes a newer document, with the given fields of the resumable route. */
@@ -141,10 +141,16 @@
   }
 }
 
-async function served(readiness: string): Promise<void> {
-  await eventually(async () =>
-    (await fetch(`http://${readiness}${CALLS.ready}`)).status === 200
-  );
+/** Waits until an entry serves; what it wrote tells why it does not. */
+async function served(entry: ByteEntry): Promise<void> {
+  try {
+    await eventually(async () =>
+      (await fetch(`http://${entry.readiness}${CALLS.ready}`)).status === 200
+    );
+  } catch (cause) {
+    const lines = entry.lines().map(({ text }) => text).join(" ");
+    throw new Error(`Entry does not serve, it wrote "${lines}"`, { cause });
+  }
 }
 
 function documentOf(
--- a/playground/src/platform/platform_fleet.ts
+++ b/playground/src/platform/platform_fleet.ts
@@ -168,10 +168,16 @@
 
   /** Waits until an entry serves. */
   async ready({ readiness }: PlatformEntry): Promise<void> {
-    await eventually(async () => {
-      const { status } = await fetch(`http://${readiness}${CALLS.ready}`);
-      return status === 200;
-    });
+    try {
+      await eventually(async () => {
+        const { status } = await fetch(`http://${readiness}${CALLS.ready}`);
+        return status === 200;
+      });
+    } catch (cause) {
+      throw new Error(`Entry does not serve, all wrote:\n${this.output}`, {
+        cause,
+      });
+    }
   }
 
   /** Entries that one entry names. */
