--- a/playground/src/guards/epoch_guards.ts
+++ b/playground/src/guards/epoch_guards.ts
@@ -82,7 +82,7 @@
     name: "readings renew no lease until all was written again",
     file: "packages/core/src/customers/currency.ts",
     find: "if (proof.at < this.#validFrom) {",
-    replace: "if (proof.at < -this.#validFrom) {",
+    replace: "if (proof.at < 0 * this.#validFrom) {",
   },
   {
     point: RESTORED,
