log: a text of the configuration service that is ignored is named

The entry on the list says that a text is in force nowhere after the configuration service gave a revision out again. No line said whether entries read such a text, or under which revision.

So the text is read, and lost by the comparison of its revision.

--- a/packages/core/src/configuration/configuration_controller.ts
+++ b/packages/core/src/configuration/configuration_controller.ts
@@ -48,6 +48,8 @@
   readonly #random: Randomness;
   /** The text adopted before the current one, so that peers that still hold it can be sent a patch. */
   #previous: { readonly revision: Revision; readonly text: string } | undefined;
+  /** The text that was last ignored, which is logged once. */
+  #ignoredText: string | undefined;
   #isReading = false;
   #nextReadAt: Instant;
   #lastWatchAt: Instant | undefined;
@@ -198,6 +200,7 @@
   #adoptIfNewer(revision: Revision, text: string, now: Instant): void {
     const highestChecked = this.#highestCheckedRevision();
     if (!Number.isSafeInteger(revision) || revision <= highestChecked) {
+      this.#logIgnored(revision, text);
       return;
     }
     const result = parseConfiguration(text);
@@ -229,6 +232,19 @@
     this.#requestMissingRevision(now);
   }
 
+  #logIgnored(revision: Revision, text: string): void {
+    const held = this.#section.revision;
+    if (text !== this.#section.text && text !== this.#ignoredText) {
+      this.#ignoredText = text;
+      this.#emit({
+        kind: "log",
+        part: "config",
+        text: "Ignored a text, its revision is not newer.",
+        fields: { revision, held },
+      });
+    }
+  }
+
   #reject(revision: Revision, faults: readonly TextFault[]): void {
     this.#section.rejected = { revision, faults };
     this.#emit({
--- a/playground/src/scenario/run_scenario.ts
+++ b/playground/src/scenario/run_scenario.ts
@@ -19,7 +19,7 @@
 } from "./script.ts";
 import { runSteps } from "./run_steps.ts";
 import { ScenarioText } from "./scenario_text.ts";
-import { World } from "./world.ts";
+import { type LogListener, World } from "./world.ts";
 
 /** Result of a run. `failures` is empty if all expectations and invariants held. */
 export interface ScenarioOutcome {
@@ -36,6 +36,7 @@
   readonly seed?: number;
   /** Loads the text of the setting that `use NAME` includes. */
   readonly loadSetting?: (name: string) => string;
+  readonly onLog?: LogListener;
 }
 
 /**
@@ -44,11 +45,11 @@
  */
 export function runScenario(
   text: string,
-  { seed = 1, loadSetting = () => "" }: ScenarioOptions = {},
+  { seed = 1, loadSetting = () => "", onLog }: ScenarioOptions = {},
 ): ScenarioOutcome {
   const script = parseScript(text);
   const context: ScenarioContext = {
-    world: new World(seed),
+    world: new World(seed, onLog),
     text: new ScenarioText(),
   };
   const { world } = context;
--- a/playground/src/scenario/world.ts
+++ b/playground/src/scenario/world.ts
@@ -29,6 +29,13 @@
 const INCARNATION_LENGTH = 12;
 const KEY_RANDOM_LENGTH = 8;
 
+/** Receives a line that an entry logs, with the milliseconds since the script's time 0. */
+export type LogListener = (
+  entry: string,
+  line: Extract<Effect, { kind: "log" }>,
+  at: number,
+) => void;
+
 /** State of one scenario run. */
 export class World {
   readonly time = new VirtualTime();
@@ -57,8 +64,11 @@
   readonly #thawedAt = new Map<string, number>();
   #seed: number;
 
-  constructor(seed = 1) {
+  readonly #onLog: LogListener;
+
+  constructor(seed = 1, onLog: LogListener = () => {}) {
     this.#seed = seed;
+    this.#onLog = onLog;
     this.requests = new RequestTransport(this);
   }
 
@@ -263,6 +273,12 @@
         return this.#platformTransport.order(entry, effect);
       case "exit":
         return this.killEntry(entry.id);
+      case "log":
+        return this.#onLog(
+          entry.id,
+          effect,
+          this.time.now - this.startOfScript,
+        );
     }
   }
 
