fix: a text is in force although a restored configuration service assigned its revision before

Callers saw: an old limit (an old home, an old token as well) for as long as the operators published no more texts than the restore had lost.

Cause: a revision is compared although its counter has begun another life. Two entries read the new text under revision 3 (41.8 s, 66.6 s) and ignore it while they hold another text under 3; the entries that watch never read it, since a watch compares revisions, and its end put off their next read of the whole text.

Change: another text under a known revision, read twice, begins an epoch. The epoch is the upper part of the revision that entries compare, tell each other and give engines as a fencing number, so all of these go on rising and no message changed (an entry of the build before parses a copy with the new field, which it drops). Digests of the latest 32 texts tell an outdated answer from a restore and go along with whole copies. While the service is behind, the entry that watches reads whole texts within its budget.

The same cause elsewhere: fencing numbers of orders to engines; patches between entries that hold different texts under one revision, which were requested again without a pause.

--- a/packages/cli/src/commands/fleet_commands.ts
+++ b/packages/cli/src/commands/fleet_commands.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { formatRevision } from "@sassafrasstep/core";
 import type { MetricsReport, Status } from "@sassafrasstep/daemon";
 import {
   type CommandResult,
@@ -120,7 +121,7 @@
     status.id,
     status.zone,
     status.phase,
-    status.revision,
+    formatRevision(status.revision),
     status.whyNotNewer,
     `${
       status.members.filter(({ health }) => health === "live").length
@@ -180,7 +181,9 @@
     problems.push(`Entry "${status.id}": ${status.whyNotNewer}`);
   } else if (status.revision < newestRevision) {
     problems.push(
-      `Entry "${status.id}" holds revision ${status.revision}, not ${newestRevision}`,
+      `Entry "${status.id}" holds revision ${
+        formatRevision(status.revision)
+      }, not ${formatRevision(newestRevision)}`,
     );
   }
   for (
--- a/packages/core/src/blackboard/blackboard.ts
+++ b/packages/core/src/blackboard/blackboard.ts
@@ -14,6 +14,7 @@
   RegionId,
   Revision,
   ServiceId,
+  ServiceRevision,
   ZoneId,
 } from "../ids/index.ts";
 import type {
@@ -72,6 +73,8 @@
   /** Whether requests that must not use an outdated configuration wait for a confirmation. */
   readonly unconfirmed: boolean;
   readonly platformReachable: boolean;
+  /** Revision that the configuration service returned last, if it is older than the one in force. */
+  readonly servedOlder: ServiceRevision | undefined;
   readonly platformReads: number;
 }
 
--- a/packages/core/src/configuration/configuration_controller.ts
+++ b/packages/core/src/configuration/configuration_controller.ts
@@ -11,10 +11,10 @@
   Writable,
 } from "../blackboard/index.ts";
 import {
-  after,
   type Instant,
   type Randomness,
   type Revision,
+  type ServiceRevision,
 } from "../ids/index.ts";
 import type { ConfigurationCopy, Emit } from "../messages/index.ts";
 import {
@@ -26,34 +26,34 @@
 import {
   CONFIRMATION_WAIT_MS,
   COPY_TIMEOUT_MS,
-  FALLBACK_READ_PERIOD_MS,
-  INITIAL_READ_PERIOD_MS,
-  MIN_WATCH_INTERVAL_MS,
   nameMismatchFault,
-  READ_RETRY_DELAY_MS,
-  REJECTED_READ_SPREAD_MS,
 } from "./configuration_section.ts";
-import { findNewestPeer } from "./newest_peer.ts";
 import {
-  isWatcher,
-  liveZoneMembers,
-  watchInterval,
-} from "./watcher_election.ts";
+  epochOf,
+  formatRevision,
+  revisionFields,
+  serviceRevisionOf,
+} from "./fleet_revision.ts";
+import { findNewestPeer } from "./newest_peer.ts";
+import { RestoreDetector, type ServiceReading } from "./restore_detector.ts";
+import { ServiceReads } from "./service_reads.ts";
+import { digestText } from "./text_history.ts";
 
 /** Maintains the `configuration` section of the blackboard. */
 export class ConfigurationController {
   readonly #board: Blackboard;
   readonly #section: Writable<ConfigurationView>;
   readonly #emit: Emit;
-  readonly #random: Randomness;
   /** The text adopted before the current one, so that peers that still hold it can be sent a patch. */
   #previous: { readonly revision: Revision; readonly text: string } | undefined;
+  readonly #reads: ServiceReads;
+  readonly #detector = new RestoreDetector();
   /** The text that was last ignored, which is logged once. */
   #ignoredText: string | undefined;
-  #isReading = false;
-  #nextReadAt: Instant;
-  #lastWatchAt: Instant | undefined;
-  #adoptedAt: Instant | undefined;
+  /** Whether the last patch of a peer did not fit, because both hold different texts under its base. */
+  #needsWholeCopy = false;
+  /** The revision rejected by a peer for which the next read was last brought forward. */
+  #peerRejection: Revision | undefined;
   #copyRequestedAt: Instant | undefined;
   #unconfirmedSince: Instant | undefined;
   #handledWakeAt: Instant | undefined;
@@ -66,8 +66,7 @@
     this.#board = board;
     this.#section = section;
     this.#emit = emit;
-    this.#random = random;
-    this.#nextReadAt = now;
+    this.#reads = new ServiceReads(board, { random, now });
   }
 
   /** Starts the reads and peer copies that are due. */
@@ -78,12 +77,21 @@
   }
 
   /** Handles a text that the configuration service returned. */
-  handleText(revision: Revision, text: string, now: Instant): void {
+  handleText(revision: ServiceRevision, text: string, now: Instant): void {
     this.#finishRead(now);
     this.#section.platformReachable = true;
-    this.#adoptIfNewer(revision, text, now);
-    // An older revision comes from a stale service and confirms nothing.
-    if (revision >= this.#section.revision) {
+    const newest = this.#highestCheckedRevision();
+    const reading = this.#detector.read({ revision, text, newest }, now);
+    this.#section.servedOlder = reading.kind === "older" ? revision : undefined;
+    const isNewest = reading.kind === "current" || reading.kind === "newer";
+    this.#reads.recordDoubt(isNewest ? undefined : reading.kind, now);
+    if (reading.kind === "newer") {
+      this.#adoptFromService(reading, text, now);
+    } else if (!isNewest) {
+      this.#logIgnored(revision, text);
+    }
+    // An older text comes from a stale service and confirms nothing.
+    if (isNewest || text === this.#section.text) {
       this.#confirm(now);
     }
   }
@@ -97,12 +105,8 @@
 
   /** Handles a read that the configuration service did not answer. */
   handleReadFailure(now: Instant): void {
-    this.#isReading = false;
+    this.#reads.fail(now);
     this.#section.platformReachable = false;
-    this.#nextReadAt = after(
-      now,
-      READ_RETRY_DELAY_MS * (1 + this.#random.next()),
-    );
   }
 
   /**
@@ -119,8 +123,12 @@
     this.#copyRequestedAt = undefined;
     const text = copy === undefined ? undefined : this.#resolveText(copy);
     if (copy !== undefined && text !== undefined) {
+      this.#detector.history.merge(
+        copy.kind === "whole" ? copy.history ?? [] : [],
+      );
       this.#adoptIfNewer(copy.revision, text, now);
     }
+    this.#needsWholeCopy = copy !== undefined && text === undefined;
     this.#requestMissingRevision(now);
     if (answered && (copy === undefined || text !== undefined)) {
       this.#confirm(now);
@@ -139,9 +147,12 @@
    * by their own periodic read, up to a minute and a half later, and `status` would report them as healthy.
    */
   handlePeerRejection(revision: Revision, now: Instant): void {
-    if (revision > this.#highestCheckedRevision()) {
-      const readAt = after(now, REJECTED_READ_SPREAD_MS * this.#random.next());
-      this.#nextReadAt = readAt < this.#nextReadAt ? readAt : this.#nextReadAt;
+    if (
+      revision > this.#highestCheckedRevision() &&
+      revision !== this.#peerRejection
+    ) {
+      this.#peerRejection = revision;
+      this.#reads.bringForward(now);
     }
   }
 
@@ -151,15 +162,16 @@
     if (peerRevision >= revision) {
       return undefined;
     }
-    if (this.#previous?.revision === peerRevision) {
+    if (this.#canPatch(peerRevision)) {
       return {
         kind: "patch",
         revision,
         base: peerRevision,
-        patch: createTextPatch(this.#previous.text, text),
+        patch: createTextPatch(this.#previous!.text, text),
       };
     }
-    return { kind: "whole", revision, text };
+    const history = this.#detector.history.upTo(revision);
+    return { kind: "whole", revision, text, history };
   }
 
   /**
@@ -175,8 +187,7 @@
     this.#handledWakeAt = resumedAt;
     this.#section.unconfirmed = true;
     this.#unconfirmedSince = now;
-    this.#isReading = false;
-    this.#nextReadAt = now;
+    this.#reads.restart(now);
     this.#copyRequestedAt = undefined;
     this.#requestCopyFromAnyPeer(now);
   }
@@ -185,9 +196,39 @@
     if (copy.kind === "whole") {
       return copy.text;
     }
-    return copy.base === this.#section.revision
-      ? applyPatch(this.#section.text, copy.patch)
+    const { revision, text } = this.#section;
+    const base = copy.base === revision
+      ? text
+      : copy.base === 0
+      ? ""
       : undefined;
+    return base === undefined ? undefined : applyPatch(base, copy.patch);
+  }
+
+  /** Whether the text before the current one is what a peer with `peerRevision` holds. */
+  #canPatch(peerRevision: Revision): boolean {
+    // Entries may hold different texts under the last revision before a restore of the service.
+    return peerRevision !== 0 && this.#previous?.revision === peerRevision &&
+      epochOf(peerRevision) === epochOf(this.#section.revision);
+  }
+
+  #adoptFromService(
+    { revision, restored }: Extract<ServiceReading, { kind: "newer" }>,
+    text: string,
+    now: Instant,
+  ): void {
+    if (restored) {
+      this.#emit({
+        kind: "log",
+        part: "config",
+        text: "Configuration service was restored, a new epoch begins.",
+        fields: {
+          ...revisionFields(revision),
+          held: formatRevision(this.#section.revision),
+        },
+      });
+    }
+    this.#adoptIfNewer(revision, text, now);
   }
 
   /**
@@ -200,9 +241,9 @@
   #adoptIfNewer(revision: Revision, text: string, now: Instant): void {
     const highestChecked = this.#highestCheckedRevision();
     if (!Number.isSafeInteger(revision) || revision <= highestChecked) {
-      this.#logIgnored(revision, text);
       return;
     }
+    this.#detector.history.add({ revision, digest: digestText(text) });
     const result = parseConfiguration(text);
     if (!result.ok) {
       this.#reject(revision, result.faults);
@@ -222,18 +263,19 @@
     this.#section.text = text;
     this.#section.deployment = result.deployment;
     this.#section.rejected = undefined;
-    this.#adoptedAt = this.#previous.revision === 0 ? undefined : now;
+    this.#section.servedOlder = undefined;
+    this.#reads.recordAdoption(now, { first: this.#previous.revision === 0 });
     this.#emit({
       kind: "log",
       part: "config",
       text: "Adopted a revision.",
-      fields: { revision },
+      fields: revisionFields(revision),
     });
     this.#requestMissingRevision(now);
   }
 
-  #logIgnored(revision: Revision, text: string): void {
-    const held = this.#section.revision;
+  #logIgnored(revision: ServiceRevision, text: string): void {
+    const held = formatRevision(this.#section.revision);
     if (text !== this.#section.text && text !== this.#ignoredText) {
       this.#ignoredText = text;
       this.#emit({
@@ -251,7 +293,7 @@
       kind: "log",
       part: "config",
       text: "Rejected a revision.",
-      fields: { revision, faults },
+      fields: { ...revisionFields(revision), faults },
     });
   }
 
@@ -262,12 +304,8 @@
   }
 
   #finishRead(now: Instant): void {
-    this.#isReading = false;
+    this.#reads.finish(now);
     this.#section.platformReads++;
-    this.#nextReadAt = after(
-      now,
-      FALLBACK_READ_PERIOD_MS * (0.5 + this.#random.next()),
-    );
   }
 
   #endConfirmationWait(now: Instant): void {
@@ -332,49 +370,22 @@
       kind: "copyConfiguration",
       from: incarnation,
       url: controlUrl,
-      have: this.#section.revision,
+      have: this.#needsWholeCopy ? 0 as Revision : this.#section.revision,
     });
   }
 
   #startRead(now: Instant): void {
-    if (this.#isReading) {
-      return;
-    }
     const urgent = this.#section.deployment === undefined ||
       this.#unconfirmedSince !== undefined;
-    const watch = !urgent && this.#canWatch(now);
-    if (!watch && now < this.#nextReadAt) {
+    const started = this.#reads.start(now, { urgent });
+    if (started === undefined) {
       return;
     }
-    this.#isReading = true;
-    if (urgent) {
-      this.#nextReadAt = after(now, INITIAL_READ_PERIOD_MS);
-    }
-    this.#lastWatchAt = watch ? now : this.#lastWatchAt;
     this.#emit({
       kind: "readConfiguration",
       // Excludes a rejected revision: the service would return its whole text immediately on every read.
-      after: this.#highestCheckedRevision(),
-      wait: watch,
+      after: serviceRevisionOf(this.#highestCheckedRevision()),
+      wait: started === "watch",
     });
   }
-
-  #canWatch(now: Instant): boolean {
-    // A plain read comes first after a failure, because a watch would report the recovery only when it ends.
-    if (!this.#section.platformReachable) {
-      return false;
-    }
-    const { self } = this.#board;
-    const zoneMembers = liveZoneMembers(this.#board);
-    const interval = watchInterval(
-      this.#section.text.length,
-      zoneMembers.length,
-    );
-    const adoptedRecently = this.#adoptedAt !== undefined &&
-      now - this.#adoptedAt < interval;
-    const watchedRecently = this.#lastWatchAt !== undefined &&
-      now - this.#lastWatchAt < MIN_WATCH_INTERVAL_MS;
-    return !adoptedRecently && !watchedRecently &&
-      isWatcher(self.incarnation, this.#section.revision, zoneMembers);
-  }
 }
--- a/packages/core/src/configuration/configuration_section.ts
+++ b/packages/core/src/configuration/configuration_section.ts
@@ -13,6 +13,8 @@
 export const REJECTED_READ_SPREAD_MS = 2_000;
 /** Period of reads while an entry has no text yet, or waits for a confirmation after a pause. */
 export const INITIAL_READ_PERIOD_MS = 500;
+/** Least period of a watcher's reads while the service is older than the text in force. */
+export const OUTDATED_READ_PERIOD_MS = 2_000;
 /** Least delay after a failed read. */
 export const READ_RETRY_DELAY_MS = 2_000;
 /** Least time between two watches of an entry, in case the service answers each of them immediately. */
@@ -33,6 +35,7 @@
     confirmedAt: undefined,
     unconfirmed: false,
     platformReachable: false,
+    servedOlder: undefined,
     platformReads: 0,
   };
 }
--- a/packages/core/src/configuration/index.ts
+++ b/packages/core/src/configuration/index.ts
@@ -7,4 +7,6 @@
   INITIAL_READ_PERIOD_MS,
   READ_RETRY_DELAY_MS,
 } from "./configuration_section.ts";
+export * from "./fleet_revision.ts";
+export { MAX_KNOWN_TEXTS } from "./text_history.ts";
 export * from "./watcher_election.ts";
--- a/packages/core/src/ids/ids.ts
+++ b/packages/core/src/ids/ids.ts
@@ -48,7 +48,9 @@
 /** Digest that identifies the sender of a request, as far as entries can tell. */
 export type CallerDigest = Branded<string, "CallerDigest">;
 
-/** Revision of the operators' configuration, assigned by the configuration service. */
+/** Revision that the configuration service assigned. After a restore of the service, it is assigned again. */
+export type ServiceRevision = Branded<number, "ServiceRevision">;
+/** Revision of the operators' configuration or of the catalogue, as entries compare it. */
 export type Revision = Branded<number, "Revision">;
 /**
  * Epoch of the catalogue's revision counter. It increases each time the catalogue is restored from a backup,
--- a/packages/core/src/lifecycle/lifecycle_controller.ts
+++ b/packages/core/src/lifecycle/lifecycle_controller.ts
@@ -8,6 +8,7 @@
   LifecycleView,
   Writable,
 } from "../blackboard/index.ts";
+import { revisionFields } from "../configuration/index.ts";
 import type { Instant } from "../ids/index.ts";
 import type { Emit } from "../messages/index.ts";
 
@@ -72,7 +73,7 @@
         kind: "log",
         part: "stop",
         text: "Entry is ready.",
-        fields: { revision: configuration.revision },
+        fields: revisionFields(configuration.revision),
       });
     }
   }
--- a/packages/core/src/messages/events.ts
+++ b/packages/core/src/messages/events.ts
@@ -9,6 +9,7 @@
   Incarnation,
   RequestId,
   Revision,
+  ServiceRevision,
 } from "../ids/index.ts";
 import type { QuarantineUpdate } from "../quarantine/index.ts";
 import type {
@@ -33,7 +34,7 @@
   | { readonly kind: "stop" }
   | {
     readonly kind: "configurationRead";
-    readonly revision: Revision;
+    readonly revision: ServiceRevision;
     readonly text: string;
   }
   | { readonly kind: "configurationUnchanged" }
@@ -129,7 +130,7 @@
   /** Read the configuration service: with `wait`, wait for a revision after `after`, otherwise answer at once. */
   | {
     readonly kind: "readConfiguration";
-    readonly after: Revision;
+    readonly after: ServiceRevision;
     readonly wait: boolean;
   }
   | { readonly kind: "listVms" }
--- a/packages/core/src/messages/peer.ts
+++ b/packages/core/src/messages/peer.ts
@@ -115,12 +115,20 @@
   readonly leaving: readonly LeavingNotice[];
 }
 
+/** A text that was adopted or rejected under a revision. */
+export interface KnownText {
+  readonly revision: Revision;
+  readonly digest: string;
+}
+
 /** The operators' configuration, as a whole or as a patch to a revision that the requesting entry holds. */
 export type ConfigurationCopy =
   | {
     readonly kind: "whole";
     readonly revision: Revision;
     readonly text: string;
+    /** Texts that came before, by which an outdated answer of the configuration service is recognized. */
+    readonly history?: readonly KnownText[];
   }
   | {
     readonly kind: "patch";
--- a/packages/daemon/src/control/report.ts
+++ b/packages/daemon/src/control/report.ts
@@ -3,13 +3,14 @@
  *
  * @module
  */
-import type {
-  Blackboard,
-  CounterValue,
-  HistogramSummary,
-  Instant,
-  Metrics,
-  TextFault,
+import {
+  type Blackboard,
+  type CounterValue,
+  formatRevision,
+  type HistogramSummary,
+  type Instant,
+  type Metrics,
+  type TextFault,
 } from "@sassafrasstep/core";
 
 /** Status of a peer, as known to this entry. */
@@ -105,17 +106,32 @@
 }
 
 function whyNotNewer({ configuration }: Blackboard): string {
-  const { rejected, missingRevision, platformReachable, deployment } =
-    configuration;
+  const {
+    rejected,
+    missingRevision,
+    platformReachable,
+    deployment,
+    servedOlder,
+    revision,
+  } = configuration;
   if (rejected !== undefined) {
-    return `revision ${rejected.revision} was rejected with ${rejected.faults.length} faults`;
+    return `revision ${
+      formatRevision(rejected.revision)
+    } was rejected with ${rejected.faults.length} faults`;
   }
   if (missingRevision !== undefined) {
-    return `revision ${missingRevision} is held by a peer and not fetched yet`;
+    return `revision ${
+      formatRevision(missingRevision)
+    } is held by a peer and not fetched yet`;
   }
   if (deployment === undefined) {
     return "no text was read yet";
   }
+  if (servedOlder !== undefined) {
+    return `the configuration service returns revision ${servedOlder}, older than ${
+      formatRevision(revision)
+    } in force`;
+  }
   return platformReachable
     ? ""
     : "the configuration service does not answer, newer revisions may exist";
--- a/packages/daemon/src/peers/schemas.ts
+++ b/packages/daemon/src/peers/schemas.ts
@@ -3,13 +3,14 @@
  *
  * @module
  */
-import type {
-  ConfigurationCopy,
-  Heartbeat,
-  HeartbeatReply,
-  KeyHandOver,
-  OutcomeCopy,
-  Revision,
+import {
+  type ConfigurationCopy,
+  type Heartbeat,
+  type HeartbeatReply,
+  type KeyHandOver,
+  MAX_KNOWN_TEXTS,
+  type OutcomeCopy,
+  type Revision,
 } from "@sassafrasstep/core";
 import { z } from "zod";
 import {
@@ -114,7 +115,13 @@
   lines: z.array(z.string()),
 });
 const configurationCopy = z.discriminatedUnion("kind", [
-  z.object({ kind: z.literal("whole"), revision: count, text: z.string() }),
+  z.object({
+    kind: z.literal("whole"),
+    revision: count,
+    text: z.string(),
+    history: z.array(z.object({ revision: count, digest: id }))
+      .max(MAX_KNOWN_TEXTS).optional(),
+  }),
   z.object({
     kind: z.literal("patch"),
     revision: count,
--- a/packages/daemon/src/platform/platform_client.ts
+++ b/packages/daemon/src/platform/platform_client.ts
@@ -6,8 +6,9 @@
 import {
   type ListedVm,
   MAX_CONFIGURATION_BYTES,
+  MAX_SERVICE_REVISIONS,
   type RegionId,
-  type Revision,
+  type ServiceRevision,
 } from "@sassafrasstep/core";
 import { type Dispatcher, request } from "undici";
 import VError from "verror";
@@ -41,7 +42,7 @@
 
 /** A configuration with its revision. */
 export interface PublishedConfiguration {
-  readonly revision: Revision;
+  readonly revision: ServiceRevision;
   readonly text: string;
 }
 
@@ -76,7 +77,7 @@
 
   /** Reads the configuration; returns `undefined` if a watch ended without a revision newer than `after`. */
   async readConfiguration(
-    after: Revision,
+    after: ServiceRevision,
     { wait }: { wait: boolean },
   ): Promise<PublishedConfiguration | undefined> {
     const query = wait ? `?after=${after}&wait_ms=${WATCH_WAIT_MS}` : "";
@@ -90,7 +91,7 @@
       return undefined;
     }
     const revision = Number(headers["x-revision"]);
-    if (statusCode !== OK || !Number.isSafeInteger(revision) || revision < 1) {
+    if (statusCode !== OK || !isServiceRevision(revision)) {
       throw new VError(
         { name: "PlatformError" },
         'Cannot read the configuration: status %d, revision "%s"',
@@ -98,7 +99,7 @@
         headers["x-revision"],
       );
     }
-    return { revision: revision as Revision, text };
+    return { revision: revision as ServiceRevision, text };
   }
 
   /**
@@ -168,6 +169,11 @@
   }
 }
 
+function isServiceRevision(revision: number): boolean {
+  return Number.isSafeInteger(revision) && revision >= 1 &&
+    revision < MAX_SERVICE_REVISIONS;
+}
+
 async function readLimited(
   body: AsyncIterable<Uint8Array>,
   limit: number,
--- a/playground/src/__tests__/cut_fleet.test.ts
+++ b/playground/src/__tests__/cut_fleet.test.ts
@@ -14,6 +14,8 @@
 
 const fleet = new Fleet(readBlueprint("mfuko"), { relayed: true });
 const family = new Client("demo-wanjiku-family");
+/** Time in which a change is in force everywhere. */
+const CHANGE_TIMEOUT_MS = 20_000;
 const OVERSIZED_PROMPT_BYTES = 1_100_000;
 
 /** Sends raw text and returns everything received until the connection closes or is idle. */
@@ -276,4 +278,58 @@
       await fleet.waitUntilReady();
     });
   });
+
+  describe("a configuration service that was restored", () => {
+    // Guards against a text that is in force nowhere because its revision was assigned before the restore.
+    it("has its texts in force under revisions that it assigns again", async () => {
+      const lost = await fleet.publishConfiguration(
+        textWithRate(fleet.blueprint.configurationText, 71),
+      );
+      await waitFor(
+        "the revision in all entries",
+        async () =>
+          (await readRevisions()).every((current) => current === lost),
+      );
+      await fleet.putControl("configuration", "restore", {
+        revision: lost - 1,
+      });
+      await waitFor(
+        "an entry to report the older service",
+        async () =>
+          (await runStatusCommand()).text.includes(
+            `returns revision ${lost - 1}, older than ${lost} in force`,
+          ),
+      );
+      const reassigned = await fleet.publishConfiguration(
+        textWithRate(fleet.blueprint.configurationText, 72),
+      );
+      expect(reassigned).toBe(lost);
+      await waitFor(
+        "the text in all entries",
+        async () =>
+          (await readRevisions()).every((current) => current > reassigned),
+        CHANGE_TIMEOUT_MS,
+      );
+      const { code, text } = await runStatusCommand();
+      expect(text).toContain(`${reassigned} of epoch 1`);
+      expect(code).toBe(0);
+      const next = await fleet.publishConfiguration(
+        textWithRate(fleet.blueprint.configurationText, 73),
+      );
+      await waitFor(
+        "the next text in all entries",
+        async () =>
+          (await runStatusCommand()).text.split(`${next} of epoch 1`).length >
+            fleet.entries.length,
+        CHANGE_TIMEOUT_MS,
+      );
+    });
+  });
 });
+
+function textWithRate(text: string, requestsPerSecond: number): string {
+  return text.replace(
+    "requests_per_s = 50",
+    `requests_per_s = ${requestsPerSecond}`,
+  );
+}
--- a/playground/src/scenario/platform_fakes.ts
+++ b/playground/src/scenario/platform_fakes.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { ListedVm, Revision } from "@sassafrasstep/core";
+import type { ListedVm, ServiceRevision } from "@sassafrasstep/core";
 
 /**
  * How the fake configuration service behaves: `stale` always serves revision 1, `backwards` an older
@@ -40,12 +40,15 @@
   }
 
   /** The result of a read now; `undefined` during an outage or before the first publication. */
-  read(): { revision: Revision; text: string } | undefined {
+  read(): { revision: ServiceRevision; text: string } | undefined {
     if (this.mode === "outage" || this.#texts.length === 0) {
       return undefined;
     }
     const revision = this.#servedRevision();
-    return { revision: revision as Revision, text: this.#texts[revision - 1]! };
+    return {
+      revision: revision as ServiceRevision,
+      text: this.#texts[revision - 1]!,
+    };
   }
 
   watch(wake: () => void): () => void {
--- a/playground/src/scenario/platform_way.ts
+++ b/playground/src/scenario/platform_way.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { Effect, Revision } from "@sassafrasstep/core";
+import type { Effect, ServiceRevision } from "@sassafrasstep/core";
 import { PLATFORM } from "./network.ts";
 import type { VirtualEntry } from "./virtual_entry.ts";
 import type { World } from "./world.ts";
@@ -56,7 +56,7 @@
 
   #answerConfiguration(
     entry: VirtualEntry,
-    { after, wait }: { after: Revision; wait: boolean },
+    { after, wait }: { after: ServiceRevision; wait: boolean },
   ): void {
     const published = this.#world.configuration.read();
     if (
--- a/playground/src/slopes/fleet_spread.ts
+++ b/playground/src/slopes/fleet_spread.ts
@@ -13,8 +13,8 @@
   instant,
   milliseconds,
   type RegionId,
-  type Revision,
   SeededRandomness,
+  type ServiceRevision,
   type ZoneId,
 } from "@sassafrasstep/core";
 import { encodeHeartbeat, encodeHeartbeatReply } from "@sassafrasstep/daemon";
@@ -311,7 +311,7 @@
   }
 
   #readConfiguration(
-    { after, wait }: { after: Revision; wait: boolean },
+    { after, wait }: { after: ServiceRevision; wait: boolean },
     dispatch: (event: CoreEvent) => void,
   ): void {
     this.#configuration.calls++;
--- a/playground/src/slopes/measured_core.ts
+++ b/playground/src/slopes/measured_core.ts
@@ -13,8 +13,8 @@
   type RegionId,
   type RequestHead,
   type RequestId,
-  type Revision,
   SeededRandomness,
+  type ServiceRevision,
   sha256,
   type ZoneId,
 } from "@sassafrasstep/core";
@@ -88,7 +88,7 @@
     "requests_per_s = 900000",
   );
   core.handle(
-    { kind: "configurationRead", revision: 1 as Revision, text },
+    { kind: "configurationRead", revision: 1 as ServiceRevision, text },
     instant(START_MS),
   );
   return core;
--- a/playground/src/slopes/measurements.ts
+++ b/playground/src/slopes/measurements.ts
@@ -8,7 +8,7 @@
   instant,
   parseConfiguration,
   type RequestId,
-  type Revision,
+  type ServiceRevision,
   sha256,
   TokenStream,
 } from "@sassafrasstep/core";
@@ -223,7 +223,7 @@
     core.handle(
       {
         kind: "configurationRead",
-        revision: 2 as Revision,
+        revision: 2 as ServiceRevision,
         text: makeConfigurationText({ ...TARGET_FLEET_SIZE, customers }),
       },
       instant(START_MS),
--- a/playground/src/stand_ins/configuration_service.ts
+++ b/playground/src/stand_ins/configuration_service.ts
@@ -2,7 +2,8 @@
  * Stand-in for the platform's configuration service, which entries read and watch but never write.
  *
  * Control: `PUT /control/text` publishes, `PUT /control/mode` sets `normal`, `outage` or `stale`
- * (serves the previous revision), `GET /control/calls` returns the number of calls.
+ * (serves the previous revision), `PUT /control/restore` goes back to a revision as a restored backup does,
+ * `GET /control/calls` returns the number of calls.
  *
  * @module
  */
@@ -38,6 +39,10 @@
       this.setMode((await readJson<{ mode: ConfigurationMode }>(req)).mode);
       return { mode: this.#mode };
     });
+    app.put("/control/restore", async ({ req }) => {
+      this.restore((await readJson<{ revision: number }>(req)).revision);
+      return {};
+    });
     app.get(
       "/control/calls",
       () => ({ calls: this.#calls, waiting: this.#watchers.size }),
@@ -66,6 +71,14 @@
     return revision;
   }
 
+  /** Restores a backup: later revisions are lost, and their numbers are assigned again. */
+  restore(revision: number): void {
+    this.#published = this.#published.filter((published) =>
+      published.revision <= revision
+    );
+    this.#wakeWatchers();
+  }
+
   setMode(mode: ConfigurationMode): void {
     this.#mode = mode;
     this.#wakeWatchers();
