fix: refuse at once where all endpoints of another region rest or leave

Cause: a region's summary says how many endpoints accept work, not why there are none. The entry took the published records for endpoints that are usable in a moment, as suspects and cold ones are. Evidence: lines of refused requests; 70 at each near entry have no attempt, reason overloaded and 2,025 ms, while the far entry says endpoints_resting with 3.8 to 4.3 s after 25 ms.

Change: a summary also says for how long a service is closed. Where each region that may serve a request is closed, it is refused at once with that time, or as no_endpoint where all leave. The time stands in the place of the backlog, which a service without endpoints does not have, so entries of the build before read what they read until now and nothing gets longer.

--- a/packages/core/src/fleet/fleet_messages.ts
+++ b/packages/core/src/fleet/fleet_messages.ts
@@ -9,16 +9,17 @@
   DepartureMessage,
   LimitMessage,
 } from "../endpoint_terms/index.ts";
-import type {
-  EndpointId,
-  EndpointLife,
-  EntryId,
-  Incarnation,
-  Milliseconds,
-  RegionId,
-  Revision,
-  ServiceId,
-  ZoneId,
+import {
+  type EndpointId,
+  type EndpointLife,
+  type EntryId,
+  type Incarnation,
+  type Milliseconds,
+  milliseconds,
+  type RegionId,
+  type Revision,
+  type ServiceId,
+  type ZoneId,
 } from "../ids/index.ts";
 import type { HoldNotice, QuarantineUpdate } from "../quarantine/index.ts";
 import type { CataloguePosition, FreshnessMessage } from "../routes/index.ts";
@@ -68,8 +69,16 @@
   readonly requests: number;
   /** Queued work, in milliseconds per endpoint. */
   readonly backlog: Milliseconds;
+  /**
+   * Time until the first endpoint accepts work again, where all have asked for a time without requests;
+   * `NO_RETURN_MS` where all are leaving. `undefined` where that is not known, or while endpoints accept work.
+   */
+  readonly closedFor?: Milliseconds | undefined;
 }
 
+/** Value of `closedFor` where no endpoint is going to accept work again. */
+export const NO_RETURN_MS = milliseconds(3_600_000);
+
 /** A region's load, and the shares of its callers that it directs to other regions. */
 export interface RegionSummary {
   readonly region: RegionId;
--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -12,7 +12,9 @@
   type Randomness,
   type RegionId,
   sample,
+  type ServiceId,
 } from "../ids/index.ts";
+import { NO_RETURN_MS } from "../fleet/index.ts";
 import type { Call } from "./call.ts";
 import type { EndpointState } from "./endpoint_state.ts";
 import {
@@ -105,7 +107,7 @@
     }
     if (local.kind === "none") {
       return (mayRelay && this.#bestPeer(call, Infinity, now)) ||
-        this.#waitForEndpoints(call);
+        this.#waitForEndpoints(call, now);
     }
     const expected = Math.max(ahead.wait, local.wait);
     const remote = mayRelay && expected > RELAY_COST_MS
@@ -160,26 +162,46 @@
    * Waits where endpoints are published but cannot be used at present: suspects that may answer again, or cold
    * ones that another entry warms up. Callers that are refused at once retry only once, and are refused again for
    * the same reason: on one day 959 of 1,450 refusals were of this kind. A relayed request is declined instead,
-   * because its first entry has more alternatives.
+   * because its first entry has more alternatives. Where all regions with endpoints have said that theirs want no
+   * requests for a time, the request is refused with that time.
    */
-  #waitForEndpoints(call: Call): RoutingDecision {
-    const { endpoints } = this.#sources;
-    const published = call.head.relay === undefined && call.offered === 0 &&
-      call.services.some((service) =>
-        endpoints.hasAvailableEndpoint(
-          service,
-          (region) => call.mayServe(region),
-        )
-      );
-    return published
-      ? {
+  #waitForEndpoints(call: Call, now: Instant): RoutingDecision {
+    if (call.head.relay !== undefined || call.offered > 0) {
+      return { kind: "none" };
+    }
+    const openings = call.services.flatMap((service) =>
+      this.#earliestOpening(call, service, now) ?? []
+    );
+    const wait = Math.min(...openings);
+    if (wait === 0) {
+      return {
         kind: "wait",
         wait: milliseconds(UNAVAILABLE_WAIT_MS),
         reason: "busy",
-      }
+      };
+    }
+    return wait < NO_RETURN_MS
+      ? { kind: "wait", wait: milliseconds(wait), reason: "resting" }
       : { kind: "none" };
   }
 
+  /** Time until a region that may serve the request accepts work, `undefined` if none has an endpoint. */
+  #earliestOpening(
+    call: Call,
+    service: ServiceId,
+    now: Instant,
+  ): Milliseconds | undefined {
+    const { endpoints, regions, fleet, self } = this.#sources;
+    return endpoints.earliestOpening(service, (region) => {
+      if (!call.mayServe(region)) {
+        return undefined;
+      }
+      return region === self.region
+        ? milliseconds(0)
+        : regions.closedFor(service, { region, fleet }, now);
+    });
+  }
+
   /** Returns whether an endpoint may still get a request that was assigned to it. */
   isStillEligible(call: Call, state: EndpointState, now: Instant): boolean {
     const { endpoints } = this.#sources;
--- a/packages/core/src/gateway/endpoint_registry.ts
+++ b/packages/core/src/gateway/endpoint_registry.ts
@@ -3,15 +3,21 @@
  *
  * @module
  */
-import type { EndpointWork, PrefixUpdate, WorkReport } from "../fleet/index.ts";
-import type {
-  EndpointId,
-  Incarnation,
-  Instant,
-  Milliseconds,
-  RegionId,
-  ServiceId,
-  ZoneId,
+import {
+  type EndpointWork,
+  NO_RETURN_MS,
+  type PrefixUpdate,
+  type WorkReport,
+} from "../fleet/index.ts";
+import {
+  type EndpointId,
+  type Incarnation,
+  type Instant,
+  type Milliseconds,
+  milliseconds,
+  type RegionId,
+  type ServiceId,
+  type ZoneId,
 } from "../ids/index.ts";
 import type { StallAdjustedClockView } from "../listening/index.ts";
 import { type EndpointRecord, isSameLife } from "../routes/index.ts";
@@ -105,25 +111,52 @@
   }
 
   /**
-   * Whether any endpoint of a service, in a region that `isAllowed` accepts, is neither leaving nor
-   * evacuated.
+   * Time until a region with an endpoint of a service that is neither leaving nor evacuated may accept work.
+   * `closedFor` returns that of one region, `undefined` for a region that is not allowed. Returns `undefined` if
+   * there is no such endpoint.
    */
-  hasAvailableEndpoint(
+  earliestOpening(
     service: ServiceId,
-    isAllowed: (region: RegionId) => boolean,
-  ): boolean {
+    closedFor: (region: RegionId) => Milliseconds | undefined,
+  ): Milliseconds | undefined {
     const { endpoints, evacuatedZones } = this.#catalogue;
+    const checked = new Set<RegionId>();
+    let earliest: Milliseconds | undefined;
     for (const record of endpoints.values()) {
       const region = this.#regionByZone.get(record.zone);
       if (
-        record.service === service && this.#isServing(record) &&
-        !evacuatedZones.has(record.zone) && region !== undefined &&
-        isAllowed(region)
+        record.service !== service || !this.#isServing(record) ||
+        evacuatedZones.has(record.zone) || region === undefined ||
+        checked.has(region)
       ) {
-        return true;
+        continue;
+      }
+      checked.add(region);
+      const closed = closedFor(region);
+      if (closed === 0) {
+        return closed;
       }
+      earliest = closed !== undefined && closed < (earliest ?? Infinity)
+        ? closed
+        : earliest;
+    }
+    return earliest;
+  }
+
+  /**
+   * Time until the first endpoint of a service in this region accepts work, where all have asked this entry for a
+   * time without requests or are leaving. `undefined` where some accept work or may do so at any moment.
+   */
+  closedFor(service: ServiceId, now: Instant): Milliseconds | undefined {
+    const states = this.ofService(service);
+    const inService = states.filter((state) => this.isInService(state));
+    if (inService.length === 0) {
+      return states.length === 0 ? undefined : NO_RETURN_MS;
     }
-    return false;
+    const wait = Math.min(
+      ...inService.map((state) => this.backoffOf(state, now)),
+    );
+    return wait > 0 ? milliseconds(Math.ceil(wait)) : undefined;
   }
 
   /** Whether neither the endpoint's record nor its own answers say that it is leaving. */
--- a/packages/core/src/gateway/region_controller.ts
+++ b/packages/core/src/gateway/region_controller.ts
@@ -3,16 +3,18 @@
  *
  * @module
  */
-import type {
-  FleetController,
-  RegionShare,
-  RegionSummary,
-  ServiceArrivals,
-  ServiceLoad,
+import {
+  type FleetController,
+  NO_RETURN_MS,
+  type RegionShare,
+  type RegionSummary,
+  type ServiceArrivals,
+  type ServiceLoad,
 } from "../fleet/index.ts";
 import {
   after,
   type Instant,
+  type Milliseconds,
   milliseconds,
   type RegionId,
   type ServiceId,
@@ -187,9 +189,28 @@
       backlog: milliseconds(
         usable.length === 0 ? 0 : Math.round(backlog / usable.length),
       ),
+      closedFor: usable.length === 0
+        ? this.#endpoints.closedFor(service, now)
+        : undefined,
     };
   }
 
+  /** Time until another region accepts work for a service, according to its latest summary; 0 if not known. */
+  closedFor(
+    service: ServiceId,
+    { region, fleet }: { region: RegionId; fleet: FleetController },
+    now: Instant,
+  ): Milliseconds {
+    const summary = fleet.regionSummaries.fresh(now).find((item) =>
+      item.region === region
+    );
+    const closedFor = summary?.loads.find((load) => load.service === service)
+      ?.closedFor;
+    return closedFor === undefined || closedFor >= NO_RETURN_MS
+      ? closedFor ?? milliseconds(0)
+      : milliseconds(Math.max(0, closedFor - summary!.age));
+  }
+
   /**
    * Fraction of an endpoint that its stated limit makes usable, for requests of `work` milliseconds each.
    */
--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -204,6 +204,29 @@
     expect(decodeFleetMessage(encodeFleetMessage(message))).toEqual(message);
   });
 
+  // Guards against a time until endpoints accept work again that entries of an earlier version take for a backlog.
+  it("state the time until a service opens only where it has no endpoint", () => {
+    const encode = (load: object): unknown => {
+      const summary = {
+        region: "r1",
+        age: 0,
+        loads: [{ service: "pool", work: 0, requests: 0, ...load }],
+        shares: [],
+      };
+      const message = { kind: "ping", ...base, ...gossip, regions: [summary] };
+      const decoded = decodeFleetMessage(
+        encodeFleetMessage(message as unknown as FleetMessage),
+      );
+      return decoded?.kind === "ping" ? decoded.regions[0]!.loads[0] : decoded;
+    };
+    expect(encode({ endpoints: 0, backlog: 0, closedFor: 2_400 }))
+      .toMatchObject({ backlog: 0, closedFor: 2_400 });
+    expect(encode({ endpoints: 0, backlog: 0 }))
+      .toMatchObject({ backlog: 0, closedFor: undefined });
+    expect(encode({ endpoints: 2, backlog: 30, closedFor: 2_400 }))
+      .toMatchObject({ backlog: 30, closedFor: undefined });
+  });
+
   it("take less than 60 % of JSON with field names", () => {
     for (const message of messages.slice(0, 2).concat(messages.slice(-1))) {
       const named = JSON.stringify(message).length;
--- a/packages/daemon/src/gateway/fleet_schema.ts
+++ b/packages/daemon/src/gateway/fleet_schema.ts
@@ -88,12 +88,15 @@
   number,
   number,
 ]).transform(
+  // Without endpoints there is no backlog. Its place then holds the time until there is an endpoint, which entries of
+  // an earlier version ignore.
   ([service, endpoints, work, requests, backlog]) => ({
     service,
     endpoints,
     work,
     requests,
-    backlog,
+    backlog: endpoints === 0 ? 0 : backlog,
+    closedFor: endpoints === 0 && backlog > 0 ? backlog : undefined,
   }),
 );
 const shareSchema = z.tuple([shortText, number]).transform(
@@ -302,13 +305,15 @@
   return [
     region,
     Math.round(age),
-    loads.map(({ service, endpoints, work, requests, backlog }) => [
-      service,
-      endpoints,
-      work,
-      requests,
-      backlog,
-    ]),
+    loads.map(
+      ({ service, endpoints, work, requests, backlog, closedFor }) => [
+        service,
+        endpoints,
+        work,
+        requests,
+        endpoints === 0 ? closedFor ?? 0 : backlog,
+      ],
+    ),
     shares.map(({ region, share }) => [region, Number(share.toFixed(3))]),
   ];
 }
