--- a/playground/src/guards/terms_guards.ts
+++ b/playground/src/guards/terms_guards.ts
@@ -102,6 +102,13 @@
       replace: "",
     }],
   },
+  {
+    point: BACKOFF,
+    name: "a region says for how long its endpoints take no requests",
+    file: `${GATEWAY}/region_controller.ts`,
+    find: "? this.#endpoints.closedFor(service, now)",
+    replace: "? undefined",
+  },
   {
     point: BACKOFF,
     name: "an endpoint that asked for rest gets none of what is placed",
