--- a/playground/src/scenario/platform_fakes.ts
+++ b/playground/src/scenario/platform_fakes.ts
@@ -17,6 +17,13 @@
   calls = 0;
   readonly #texts: string[] = [];
   readonly #watchers = new Set<() => void>();
+  /** Revisions under which a text was returned, over all restores. */
+  readonly #returned = new Set<number>();
+  /**
+   * Whether readers can know the newest text for newer than those before: its revision is above all that were
+   * returned before it was published, or one of them. Otherwise it looks like an outdated answer.
+   */
+  isNewestProvable = true;
   #backwardsReads = 0;
 
   get revision(): number {
@@ -30,6 +37,8 @@
 
   publish(text: string): void {
     this.#texts.push(text);
+    this.isNewestProvable = this.#returned.has(this.revision) ||
+      this.revision > Math.max(0, ...this.#returned);
     this.wakeWatchers();
   }
 
@@ -45,6 +54,7 @@
       return undefined;
     }
     const revision = this.#servedRevision();
+    this.#returned.add(revision);
     return {
       revision: revision as ServiceRevision,
       text: this.#texts[revision - 1]!,
