--- a/playground/src/guards/route_guards.ts
+++ b/playground/src/guards/route_guards.ts
@@ -342,8 +342,8 @@
     point: "routes: refusals",
     name: "published endpoints are waited for",
     file: `${GATEWAY}/call_router.ts`,
-    find: "if (wait === 0) {",
-    replace: "if (wait < 0) {",
+    find: "if (call.head.relay !== undefined || call.offered > 0) {",
+    replace: "if (call.offered >= 0) {",
   },
   {
     point: "routes: refusals",
