test: entries of the playground listen on ports that no connection takes

One of 14 copies of keys_path.test.ts at once did not start its fleet: "listen EADDRINUSE 127.0.0.13:38919" in the third entry's output. The port was free when it was chosen, and taken before the entry listened: it was one of those that the system gives to connections. (Peers' port is still one the system gives.)

--- a/playground/src/platform/platform_fleet.ts
+++ b/playground/src/platform/platform_fleet.ts
@@ -4,11 +4,11 @@
  * @module
  */
 import { type ChildProcess, spawn } from "node:child_process";
+import { randomInt } from "node:crypto";
 import { createSocket } from "node:dgram";
 import { once } from "node:events";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -23,6 +23,12 @@
 const PROGRAM = fileURLToPath(
   new URL("../../../platform/dist/main.js", import.meta.url),
 );
+/**
+ * Entries listen on ports below those that the system assigns to connections. Otherwise a connection could take an
+ * entry's port before the entry listens, and the entry would not start.
+ */
+const FIRST_PORT = 20_000;
+const PORT_COUNT = 12_000;
 const READY_POLL_MS = 20;
 const READY_TIMEOUT_MS = 20_000;
 /** Last octet of the first entry's address. Each entry has its own, so that all can use the same port for peers. */
@@ -287,13 +293,24 @@
 }
 
 async function freePort(host: string): Promise<number> {
+  let port: number;
+  do {
+    port = FIRST_PORT + randomInt(PORT_COUNT);
+  } while (!await isPortFree(host, port));
+  return port;
+}
+
+async function isPortFree(host: string, port: number): Promise<boolean> {
   const server = createServer();
-  server.listen(0, host);
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
+  try {
+    server.listen(port, host);
+    await once(server, "listening");
+  } catch {
+    return false;
+  }
   server.close();
   await once(server, "close");
-  return port;
+  return true;
 }
 
 async function freeUdpPort(): Promise<number> {
