fix: units are claimed for limits in requests only

A limit in tokens holds few requests, so that nearly each was claimed.

Change: limits in tokens are counted as before; claims are for limits in requests. Parts are an eighth at least, and for 5 s after an unanswered claim single requests do not wait. What each entry may use of a limit while the aggregator changes stays for both.

--- a/packages/core/src/customers/customer_limits.ts
+++ b/packages/core/src/customers/customer_limits.ts
@@ -4,9 +4,9 @@
  * Each entry keeps its own copy of each customer's token bucket and deducts what it admits. One entry per region, the
  * aggregator, adds up what the entries of its region admit, sends each of them the usage of the others, and
  * exchanges sums with the aggregators of other regions. While all are connected, a customer may use its whole
- * limit at any entry; the limit is not divided, since a share could be smaller than a single request. What exceeds
- * an entry's equal part of the units left is claimed at the aggregator first, because a burst that reaches all
- * entries at once would otherwise be admitted by each of them. Entries that lose contact with the others are
+ * limit at any entry; the limit is not divided, since a share could be smaller than a single request. Of a limit in
+ * requests, what exceeds an entry's part of the units left is claimed at the aggregator first, because a burst that
+ * reaches all entries at once would otherwise be admitted by each of them. Entries that lose contact with the others are
  * restricted to the share that they used before, so that the shares of both sides of a network partition add up
  * to the whole limit.
  *
@@ -19,7 +19,7 @@
   type Milliseconds,
   milliseconds,
 } from "../ids/index.ts";
-import type { Customer } from "./customer.ts";
+import type { Customer, CustomerLimit } from "./customer.ts";
 import type { CustomerLimitSources } from "./customer_limit_sources.ts";
 import { type LimitAccount, LimitAccounts } from "./limit_accounts.ts";
 import { LimitClaims } from "./limit_claims.ts";
@@ -107,10 +107,9 @@
       return { kind: "unheard" };
     }
     const share = this.#accounts.refill(account, now);
-    const isSole = this.#isAggregator || !this.#hasCurrentTotals(now);
-    const taken = isSole
-      ? this.#takeUnclaimed(account, cost, now)
-      : this.#takeWithClaim(account, { cost, hurried }, now);
+    const taken = this.#claimsUnits(limit, now)
+      ? this.#takeWithClaim(account, { cost, hurried }, now)
+      : this.#takeUnclaimed(account, cost, now);
     if (taken === "unheard") {
       return { kind: "unheard" };
     }
@@ -165,6 +164,9 @@
    * that waited for the last answer were checked again.
    */
   sendClaim(now: Instant): void {
+    if (!this.#claims.isActive) {
+      return;
+    }
     this.#claims.settle(now).forEach((id) => this.#spending.reportAgain(id));
     const claim = this.#claims.open(now);
     const aggregator = this.#aggregator;
@@ -219,6 +221,15 @@
     }
   }
 
+  /**
+   * Whether units are claimed. A limit in tokens holds few requests, so that most would wait for a round trip, which
+   * takes longest while entries are busy.
+   */
+  #claimsUnits({ unit }: CustomerLimit, now: Instant): boolean {
+    return unit === "requests" && !this.#isAggregator &&
+      this.#hasCurrentTotals(now);
+  }
+
   #takeUnclaimed(account: LimitAccount, cost: number, now: Instant): boolean {
     const taken = account.bucket.take(cost);
     if (taken) {
@@ -240,8 +251,9 @@
     if (this.#claims.use(id, cost)) {
       return this.#takeUnclaimed(account, cost, now);
     }
-    // A request larger than any part is admitted in the end if no answer comes.
-    const isFirst = hurried && account.unconfirmed === 0;
+    // Without an answer, one request is admitted until the next totals. It may be larger than any part.
+    const isFirst = account.unconfirmed === 0 &&
+      (hurried || this.#claims.isSlow(now));
     if (isFirst || this.#accounts.fitsUnconfirmed(account, cost)) {
       account.unconfirmed += cost;
       return this.#takeUnclaimed(account, cost, now);
--- a/packages/core/src/customers/limit_accounts.ts
+++ b/packages/core/src/customers/limit_accounts.ts
@@ -14,6 +14,12 @@
 /** A customer whose bucket is below this fraction of its burst is near its limit. */
 const NEAR_LIMIT_FRACTION = 0.5;
 
+/**
+ * Largest number of parts. In a large fleet, equal parts of all entries would be smaller than most requests, each of
+ * which would wait for a round trip.
+ */
+const MAX_PARTS = 8;
+
 /** One customer's usage and bucket. */
 export interface LimitAccount {
   readonly id: CustomerId;
@@ -149,15 +155,15 @@
   }
 
   /**
-   * Whether a request fits into this entry's equal part of the units that are left. All entries together can use
-   * such parts before they hear of each other, without exceeding the limit.
+   * Whether a request fits into this entry's part of the units that are left. As many entries as there are parts
+   * can use theirs before they hear of each other, without exceeding the limit.
    */
   fitsUnconfirmed(
     { bucket, unconfirmed }: LimitAccount,
     cost: number,
   ): boolean {
     const entries = Math.max(1, this.#sources.possibleEntries());
-    return unconfirmed + cost <= bucket.level / entries;
+    return unconfirmed + cost <= bucket.level / Math.min(entries, MAX_PARTS);
   }
 
   /** Takes over levels again from the next totals. Called after a period without totals. */
--- a/packages/core/src/customers/limit_claims.ts
+++ b/packages/core/src/customers/limit_claims.ts
@@ -11,6 +11,8 @@
 /** Unanswered claims in a row after which none are sent for a while: an earlier version does not answer them. */
 const MAX_UNANSWERED_CLAIMS = 3;
 const PAUSE_AFTER_UNANSWERED_MS = 5_000;
+/** Time after an unanswered claim in which single requests do not wait for the next. */
+const SLOW_AFTER_UNANSWERED_MS = 5_000;
 
 /** A claim that has been sent. */
 export interface OpenClaim {
@@ -27,6 +29,7 @@
   #lastNumber = 0;
   #unanswered = 0;
   #pausedUntil = -Infinity;
+  #slowUntil = -Infinity;
 
   /** Adds a request to the next claim. While one is open, requests wait for its answer instead. */
   want(customer: CustomerId, cost: number): void {
@@ -35,11 +38,21 @@
     }
   }
 
+  /** Whether there is anything to claim, to wait for or to settle. */
+  get isActive(): boolean {
+    return this.isOpen || this.#wanted.size > 0 || this.#granted.size > 0;
+  }
+
   /** Whether a claim waits for its answer. */
   get isOpen(): boolean {
     return this.#open !== undefined;
   }
 
+  /** Whether a claim was not answered in time lately, so that requests would wait in vain. */
+  isSlow(now: Instant): boolean {
+    return now < this.#slowUntil;
+  }
+
   /** Opens a claim for the wanted units. Returns `undefined` if there are none, or if claims are not answered. */
   open(now: Instant): OpenClaim | undefined {
     const units = [...this.#wanted].map(([customer, units]) => ({
@@ -99,6 +112,7 @@
       return [];
     }
     this.#open = undefined;
+    this.#slowUntil = now + SLOW_AFTER_UNANSWERED_MS;
     this.#unanswered++;
     if (this.#unanswered >= MAX_UNANSWERED_CLAIMS) {
       this.#unanswered = 0;
