--- a/packages/core/src/customers/customer_limits.ts
+++ b/packages/core/src/customers/customer_limits.ts
@@ -4,11 +4,9 @@
  * Each entry keeps its own copy of each customer's token bucket and deducts what it admits. One entry per region, the
  * aggregator, adds up what the entries of its region admit, sends each of them the usage of the others, and
  * exchanges sums with the aggregators of other regions. While all are connected, a customer may use its whole
- * limit at any entry; the limit is not divided, since a share could be smaller than a single request. Of a limit in
- * requests, what exceeds an entry's part of the units left is claimed at the aggregator first, because a burst that
- * reaches all entries at once would otherwise be admitted by each of them. Entries that lose contact with the others are
- * restricted to the share that they used before, so that the shares of both sides of a network partition add up
- * to the whole limit.
+ * limit at any entry; the limit is not divided, since a share could be smaller than a single request. Entries that
+ * lose contact with the others are restricted to the share that they used before, so that the shares of both
+ * sides of a network partition add up to the whole limit.
  *
  * @module
  */
@@ -18,18 +16,18 @@
   type Instant,
   type Milliseconds,
   milliseconds,
+  type Randomness,
+  type RegionId,
 } from "../ids/index.ts";
 import type { Customer, CustomerLimit } from "./customer.ts";
-import type { CustomerLimitSources } from "./customer_limit_sources.ts";
-import { type LimitAccount, LimitAccounts } from "./limit_accounts.ts";
-import { LimitClaims } from "./limit_claims.ts";
+import { LimitAccounts } from "./limit_accounts.ts";
 import type { LimitBucket } from "./limit_bucket.ts";
-import { OwnSpending } from "./own_spending.ts";
-import { IDLE_TIMEOUT_MS, RegionAggregation } from "./region_aggregation.ts";
-import { SILENCE_TIMEOUT_MS } from "./spending_aggregator.ts";
+import {
+  SILENCE_TIMEOUT_MS,
+  SpendingAggregator,
+} from "./spending_aggregator.ts";
 import type {
   CustomerTotal,
-  SpendingAnswer,
   SpendingMessage,
   SpendingReport,
   SpendingTotals,
@@ -38,6 +36,10 @@
 /** Time between two messages: shorter while any customer is near its limit, longer otherwise. */
 const NEAR_LIMIT_PERIOD_MS = 100;
 const DEFAULT_PERIOD_MS = 200;
+/** An entry reports all sums again this often, not only changed ones, which makes up for lost datagrams. */
+const FULL_REPORT_PERIOD_MS = 2_000;
+/** An entry without requests for this long sends no reports, and one without reports is sent no totals. */
+const IDLE_TIMEOUT_MS = 2_000;
 /** Retry delays are extended by up to this fraction at random, so that refused requests do not return together. */
 const RETRY_JITTER = 0.25;
 
@@ -52,11 +54,34 @@
   /** The usage at other entries is not known yet, but will be shortly. */
   | { readonly kind: "unheard" };
 
+/** Dependencies of the limits. */
+export interface CustomerLimitSources {
+  readonly self: {
+    readonly incarnation: Incarnation;
+    readonly region: RegionId;
+  };
+  readonly regions: readonly RegionId[];
+  readonly random: Randomness;
+  /**
+   * Returns the aggregator of a region, `undefined` if none is known. Also `undefined` for the own region while
+   * this entry is disconnected from most of its entries: otherwise each disconnected entry would consider itself
+   * the aggregator.
+   */
+  readonly aggregatorOf: (region: RegionId, now: Instant) =>
+    | Incarnation
+    | undefined;
+  /** Whether any customer has a limit. */
+  readonly hasLimits: () => boolean;
+  /** A customer's limit according to the document in force. */
+  readonly limitOf: (customer: CustomerId) => CustomerLimit | undefined;
+  /** Number of entries that may be alive, including this one. */
+  readonly possibleEntries: () => number;
+  readonly send: (to: Incarnation, message: SpendingMessage) => void;
+}
+
 /** What this entry has received from the aggregator of its region. */
 interface AggregatorState {
   readonly incarnation: Incarnation;
-  /** Whether this entry has reported to it, so that it knows that the entry follows it. */
-  notified: boolean;
   /** The latest total of each customer. */
   readonly totals: Map<CustomerId, CustomerTotal>;
   lastTotalsAt: Instant | undefined;
@@ -67,15 +92,25 @@
 export class CustomerLimits {
   readonly #sources: CustomerLimitSources;
   readonly #accounts: LimitAccounts;
-  readonly #spending: OwnSpending;
-  readonly #claims = new LimitClaims();
-  readonly #aggregation: RegionAggregation;
+  /** Units admitted since this process started. */
+  readonly #spent = new Map<CustomerId, number>();
+  readonly #unreported = new Set<CustomerId>();
+  readonly #spendingAggregator: SpendingAggregator;
   #aggregator: AggregatorState | undefined;
+  /** When this entry last created a report of its own sums. */
+  #reportedAt = -Infinity;
+  /** When this entry last sent totals as the aggregator. */
+  #totalsSentAt = -Infinity;
+  #fullReportAt = -Infinity;
   #lastRequestAt = -Infinity;
+  #hasReported = false;
 
   constructor(sources: CustomerLimitSources) {
     this.#sources = sources;
-    this.#spending = new OwnSpending(sources.self.incarnation);
+    this.#spendingAggregator = new SpendingAggregator(
+      sources.self.region,
+      sources.regions,
+    );
     this.#accounts = new LimitAccounts({
       possibleEntries: sources.possibleEntries,
       // An aggregator keeps an account for each reported customer, other entries only for those they serve.
@@ -83,11 +118,10 @@
       hasCurrentTotals: (now) => this.#hasCurrentTotals(now),
       aggregatedShare: (id, now) =>
         this.#isAggregator
-          ? this.#aggregation.reachableShare(id, now)
+          ? this.#spendingAggregator.reachableShare(id, now)
           : undefined,
       lastTotal: (id) => this.#aggregator?.totals.get(id),
     });
-    this.#aggregation = new RegionAggregation(sources, this.#accounts);
   }
 
   /** Admits a request, or returns why not. With `hurried`, decides without waiting for usage from other entries. */
@@ -107,16 +141,14 @@
       return { kind: "unheard" };
     }
     const share = this.#accounts.refill(account, now);
-    const taken = this.#claimsUnits(limit, now)
-      ? this.#takeWithClaim(account, { cost, hurried }, now)
-      : this.#takeUnclaimed(account, cost, now);
-    if (taken === "unheard") {
-      return { kind: "unheard" };
+    if (!account.bucket.take(cost)) {
+      return {
+        kind: "over",
+        wait: this.#retryDelay(account.bucket, { cost, share }, now),
+      };
     }
-    return taken ? { kind: "admitted" } : {
-      kind: "over",
-      wait: this.#retryDelay(account.bucket, { cost, share }, now),
-    };
+    this.#recordSpending(id, cost, now);
+    return { kind: "admitted" };
   }
 
   /** Refunds the cost of an admitted request that did not run. */
@@ -128,17 +160,17 @@
   /** Handles a message from another entry. */
   receive(message: SpendingMessage, now: Instant): void {
     this.#updateAggregator(now);
-    if (message.kind === "report" || message.kind === "claim") {
-      if (this.#isAggregator) {
-        this.#aggregation.receiveReport(message, now);
-      }
+    if (message.kind === "report") {
+      this.#receiveReport(message, now);
       this.tick(now);
-    } else if (message.kind === "answer") {
-      this.#receiveAnswer(message, now);
     } else if (message.region === this.#sources.self.region) {
       this.#receiveOwnTotals(message, now);
     } else if (this.#isAggregator) {
-      this.#aggregation.receiveTotals(message, now);
+      this.#accounts.charge(
+        this.#spendingAggregator.applyTotals(message, now),
+        now,
+      );
+      message.totals.forEach((total) => this.#accounts.applyTotal(total, now));
     }
   }
 
@@ -148,48 +180,19 @@
       return;
     }
     this.#updateAggregator(now);
-    this.sendClaim(now);
     if (this.#isAggregator) {
-      this.#aggregation.sendTotalsIfDue(now, this.#period);
-    } else if (
-      now - this.#lastRequestAt <= IDLE_TIMEOUT_MS ||
-      this.#aggregator?.notified === false
-    ) {
+      this.#sendTotalsIfDue(now);
+    } else if (now - this.#lastRequestAt <= IDLE_TIMEOUT_MS) {
       this.#reportIfDue(now, this.#period);
     }
   }
 
-  /**
-   * Claims the units for which requests wait, all in one message. Called at the end of a turn, after the requests
-   * that waited for the last answer were checked again.
-   */
-  sendClaim(now: Instant): void {
-    if (!this.#claims.isActive) {
-      return;
-    }
-    this.#claims.settle(now).forEach((id) => this.#spending.reportAgain(id));
-    const claim = this.#claims.open(now);
-    const aggregator = this.#aggregator;
-    if (claim === undefined || aggregator === undefined) {
-      return;
-    }
-    const { number, units: claimed } = claim;
-    const customers = claimed.map(({ customer }) => customer);
-    this.#sources.send(aggregator.incarnation, {
-      ...this.#spending.reportOf(customers),
-      kind: "claim",
-      number,
-      claimed,
-    });
-  }
-
   get #isAggregator(): boolean {
     return this.#aggregator?.incarnation === this.#sources.self.incarnation;
   }
 
   get #period(): number {
     const near = this.#aggregator?.near === true ||
-      this.#isAggregator && this.#aggregation.isNearLimit ||
       this.#accounts.isAnyNearLimit();
     return near ? NEAR_LIMIT_PERIOD_MS : DEFAULT_PERIOD_MS;
   }
@@ -208,61 +211,13 @@
     if (incarnation !== this.#aggregator?.incarnation) {
       this.#aggregator = incarnation === undefined ? undefined : {
         incarnation,
-        notified: false,
         totals: new Map(),
         lastTotalsAt: undefined,
         near: false,
       };
-      this.#spending.restart();
-      this.#claims.abandon();
-      if (this.#isAggregator) {
-        this.#aggregation.begin(now);
-      }
-    }
-  }
-
-  /**
-   * Whether units are claimed. A limit in tokens holds few requests, so that most would wait for a round trip, which
-   * takes longest while entries are busy.
-   */
-  #claimsUnits({ unit }: CustomerLimit, now: Instant): boolean {
-    return unit === "requests" && !this.#isAggregator &&
-      this.#hasCurrentTotals(now);
-  }
-
-  #takeUnclaimed(account: LimitAccount, cost: number, now: Instant): boolean {
-    const taken = account.bucket.take(cost);
-    if (taken) {
-      this.#recordSpending(account.id, cost, now);
+      this.#fullReportAt = -Infinity;
+      this.#reportedAt = -Infinity;
     }
-    return taken;
-  }
-
-  /** Admits a request out of granted units or of this entry's part; otherwise it waits for a claim. */
-  #takeWithClaim(
-    account: LimitAccount,
-    { cost, hurried }: { cost: number; hurried: boolean },
-    now: Instant,
-  ): boolean | "unheard" {
-    const { id, bucket } = account;
-    if (bucket.level <= 0) {
-      return false;
-    }
-    if (this.#claims.use(id, cost)) {
-      return this.#takeUnclaimed(account, cost, now);
-    }
-    // Without an answer, one request is admitted until the next totals. It may be larger than any part.
-    const isFirst = account.unconfirmed === 0 &&
-      (hurried || this.#claims.isSlow(now));
-    if (isFirst || this.#accounts.fitsUnconfirmed(account, cost)) {
-      account.unconfirmed += cost;
-      return this.#takeUnclaimed(account, cost, now);
-    }
-    if (hurried) {
-      return false;
-    }
-    this.#claims.want(id, cost);
-    return "unheard";
   }
 
   #retryDelay(
@@ -276,26 +231,34 @@
   }
 
   #recordSpending(customer: CustomerId, cost: number, now: Instant): void {
-    this.#spending.add(customer, cost);
+    this.#spent.set(customer, (this.#spent.get(customer) ?? 0) + cost);
+    this.#unreported.add(customer);
     this.#accounts.find(customer)?.ownUsage.add(cost, now);
     if (this.#isAggregator) {
-      this.#aggregation.countOwn(this.#createReport(now, false), now);
+      this.#recordOwnReport(now);
     }
   }
 
-  /** Handles the answer to a claim, after which the waiting requests are checked again. */
-  #receiveAnswer(answer: SpendingAnswer, now: Instant): void {
-    const { incarnation, number, granted, totals } = answer;
-    // After a silence the totals of all customers are needed first.
-    const isUsable = this.#hasCurrentTotals(now) &&
-      incarnation === this.#aggregator?.incarnation;
-    if (!isUsable || !this.#claims.grant(number, granted)) {
+  /** Applies this entry's own report, since the aggregator counts itself among its region's entries. */
+  #recordOwnReport(now: Instant): void {
+    this.#spendingAggregator.applyReport(this.#createReport(now, false), now);
+  }
+
+  #receiveReport(report: SpendingReport, now: Instant): void {
+    if (!this.#isAggregator) {
       return;
     }
-    this.#receiveOwnTotals({ ...answer, kind: "totals" }, now);
-    for (const total of totals) {
-      const grant = granted.find(({ customer }) => customer === total.customer);
-      this.#accounts.applyAnswer(total, grant?.units ?? 0, now);
+    const since = now - SILENCE_TIMEOUT_MS as Instant;
+    const hasReportedRecently = this.#spendingAggregator.hasReportSince(
+      report.incarnation,
+      since,
+    );
+    this.#accounts.charge(
+      this.#spendingAggregator.applyReport(report, now),
+      now,
+    );
+    if (!hasReportedRecently) {
+      this.#sendTotals(report.incarnation, now);
     }
   }
 
@@ -327,22 +290,89 @@
 
   #reportIfDue(now: Instant, period: number): void {
     const aggregator = this.#aggregator;
-    // A report that crosses the answer to a claim would return the granted units before they are used.
-    if (
-      aggregator !== undefined && !this.#claims.isOpen &&
-      this.#spending.isReportDue(now, period)
-    ) {
-      const full = aggregator.lastTotalsAt === undefined ||
-        this.#spending.isFullReportDue(now);
-      this.#sources.send(aggregator.incarnation, this.#createReport(now, full));
+    if (aggregator === undefined || now - this.#reportedAt < period) {
+      return;
     }
+    const isFull = aggregator.lastTotalsAt === undefined ||
+      now - this.#fullReportAt >= FULL_REPORT_PERIOD_MS;
+    this.#sources.send(aggregator.incarnation, this.#createReport(now, isFull));
   }
 
-  #createReport(now: Instant, full: boolean): SpendingReport {
-    if (this.#aggregator !== undefined) {
-      this.#aggregator.notified = true;
+  #createReport(now: Instant, isFull: boolean): SpendingReport {
+    const customers = isFull ? this.#spent.keys() : this.#unreported;
+    const spent = [...customers].map((customer) => ({
+      customer,
+      sum: Math.round(this.#spent.get(customer)!),
+    }));
+    const first = !this.#hasReported;
+    this.#hasReported = this.#hasReported || this.#isAggregator ||
+      this.#hasCurrentTotals(now);
+    this.#unreported.clear();
+    this.#reportedAt = now;
+    this.#fullReportAt = isFull ? now : this.#fullReportAt;
+    const { incarnation } = this.#sources.self;
+    return { kind: "report", incarnation, first, spent };
+  }
+
+  /** Sends totals to the recently active entries of the region and to the aggregators of other regions. */
+  #sendTotalsIfDue(now: Instant): void {
+    if (now - this.#totalsSentAt < this.#period) {
+      return;
+    }
+    this.#totalsSentAt = now;
+    this.#spendingAggregator.tick(now);
+    this.#aggregator!.near = this.#accounts.isAnyNearLimit();
+    const since = now - IDLE_TIMEOUT_MS as Instant;
+    for (const entry of this.#spendingAggregator.reportersSince(since)) {
+      if (entry !== this.#sources.self.incarnation) {
+        this.#sendTotals(entry, now);
+      }
     }
-    const counted = this.#isAggregator || this.#hasCurrentTotals(now);
-    return this.#spending.createReport({ full, counted }, now);
+    this.#sendTotalsToOtherRegions(now);
+  }
+
+  #sendTotalsToOtherRegions(now: Instant): void {
+    const { self, regions, aggregatorOf, send } = this.#sources;
+    for (const region of regions) {
+      const aggregator = region === self.region
+        ? undefined
+        : aggregatorOf(region, now);
+      if (aggregator !== undefined) {
+        send(
+          aggregator,
+          this.#createTotals(
+            (id) => this.#spendingAggregator.sumForRegion(id),
+            now,
+          ),
+        );
+      }
+    }
+  }
+
+  #sendTotals(entry: Incarnation, now: Instant): void {
+    this.#sources.send(
+      entry,
+      this.#createTotals(
+        (id) => this.#spendingAggregator.sumForEntry(id, entry),
+        now,
+      ),
+    );
+  }
+
+  #createTotals(
+    sumOf: (customer: CustomerId) => number,
+    now: Instant,
+  ): SpendingTotals {
+    const { incarnation, region } = this.#sources.self;
+    const totals = [...this.#spendingAggregator.customers()].map((
+      customer,
+    ) => ({
+      customer,
+      sum: Math.round(sumOf(customer)),
+      level: Math.round(this.#accounts.levelOf(customer, now)),
+      part: this.#spendingAggregator.reachableShare(customer, now),
+    }));
+    const near = this.#aggregator!.near;
+    return { kind: "totals", incarnation, region, near, totals };
   }
 }
--- a/packages/core/src/customers/index.ts
+++ b/packages/core/src/customers/index.ts
@@ -8,15 +8,16 @@
 export { CustomerDirectory } from "./customer_directory.ts";
 export { RefusedKeys } from "./refused_keys.ts";
 export { checkKey, type KeyVerdict } from "./check_key.ts";
-export { CustomerLimits, type LimitVerdict } from "./customer_limits.ts";
-export type { CustomerLimitSources } from "./customer_limit_sources.ts";
+export {
+  CustomerLimits,
+  type CustomerLimitSources,
+  type LimitVerdict,
+} from "./customer_limits.ts";
 export { DecayingSum } from "./decaying_sum.ts";
 export { LimitBucket } from "./limit_bucket.ts";
 export type {
   CustomerSum,
   CustomerTotal,
-  SpendingAnswer,
-  SpendingClaim,
   SpendingMessage,
   SpendingReport,
   SpendingTotals,
--- a/packages/core/src/customers/limit_accounts.ts
+++ b/packages/core/src/customers/limit_accounts.ts
@@ -14,12 +14,6 @@
 /** A customer whose bucket is below this fraction of its burst is near its limit. */
 const NEAR_LIMIT_FRACTION = 0.5;
 
-/**
- * Largest number of parts. In a large fleet, equal parts of all entries would be smaller than most requests, each of
- * which would wait for a round trip.
- */
-const MAX_PARTS = 8;
-
 /** One customer's usage and bucket. */
 export interface LimitAccount {
   readonly id: CustomerId;
@@ -32,8 +26,6 @@
   share: number;
   /** This entry's share of all usage when totals were last received. */
   ownShare: number;
-  /** Units admitted here without a claim since the aggregator's total was last received. */
-  unconfirmed: number;
   /** Whether the level was taken over from an aggregator. */
   levelAdopted: boolean;
 }
@@ -92,7 +84,6 @@
       ownUsage: new DecayingSum(USAGE_TIME_CONSTANT_MS),
       share,
       ownShare: equalShare,
-      unconfirmed: 0,
       levelAdopted: false,
     };
     this.#accounts.set(id, account);
@@ -131,7 +122,6 @@
     if (account === undefined) {
       return;
     }
-    account.unconfirmed = 0;
     if (this.#sources.aggregatedShare(customer, now) === undefined) {
       account.share = part;
       account.ownShare = ownShareOf(account, now) ?? account.ownShare;
@@ -143,29 +133,6 @@
     }
   }
 
-  /** Sets a customer's level to that before the units granted to this entry, which the aggregator has deducted. */
-  applyAnswer(
-    { customer, level, part }: CustomerTotal,
-    granted: number,
-    now: Instant,
-  ): void {
-    const account = this.#accounts.get(customer);
-    account?.bucket.refill(part, now);
-    account?.bucket.setLevel(level + granted);
-  }
-
-  /**
-   * Whether a request fits into this entry's part of the units that are left. As many entries as there are parts
-   * can use theirs before they hear of each other, without exceeding the limit.
-   */
-  fitsUnconfirmed(
-    { bucket, unconfirmed }: LimitAccount,
-    cost: number,
-  ): boolean {
-    const entries = Math.max(1, this.#sources.possibleEntries());
-    return unconfirmed + cost <= bucket.level / Math.min(entries, MAX_PARTS);
-  }
-
   /** Takes over levels again from the next totals. Called after a period without totals. */
   resetAdoptedLevels(): void {
     this.#accounts.forEach((account) => account.levelAdopted = false);
--- a/packages/core/src/customers/spending_aggregator.ts
+++ b/packages/core/src/customers/spending_aggregator.ts
@@ -13,11 +13,7 @@
   RegionId,
 } from "../ids/index.ts";
 import { DecayingSum } from "./decaying_sum.ts";
-import type {
-  CustomerUnits,
-  SpendingReport,
-  SpendingTotals,
-} from "./spending_messages.ts";
+import type { SpendingReport, SpendingTotals } from "./spending_messages.ts";
 
 /** Decay of the usage that determines each region's share. Long enough that all regions know most of that usage. */
 const SHARE_TIME_CONSTANT_MS = 8_000;
@@ -74,7 +70,7 @@
 
   /** Applies an entry's report. Returns the increases by customer. */
   applyReport(
-    { incarnation, first, spent }: Omit<SpendingReport, "kind">,
+    { incarnation, first, spent }: SpendingReport,
     now: Instant,
   ): Map<CustomerId, number> {
     const known = this.#entries.get(incarnation);
@@ -85,27 +81,6 @@
     return this.#add(reporter, spent, { counts, region: this.#region, now });
   }
 
-  /** Counts units as used by an entry. Its next report replaces them by what it used. */
-  applyGrants(
-    incarnation: Incarnation,
-    granted: readonly CustomerUnits[],
-    now: Instant,
-  ): Map<CustomerId, number> {
-    const reporter = this.#entries.get(incarnation);
-    if (reporter === undefined) {
-      return new Map();
-    }
-    const sums = granted.map(({ customer, units }) => ({
-      customer,
-      sum: (reporter.reported.get(customer) ?? 0) + units,
-    }));
-    return this.#add(reporter, sums, {
-      counts: true,
-      region: this.#region,
-      now,
-    });
-  }
-
   /** Applies the sums that another region's aggregator sent. Returns the increases by customer. */
   applyTotals(
     { incarnation, region, totals }: SpendingTotals,
--- a/packages/core/src/customers/spending_messages.ts
+++ b/packages/core/src/customers/spending_messages.ts
@@ -15,26 +15,6 @@
   readonly spent: readonly CustomerSum[];
 }
 
-/** A report with units that the sender uses once the aggregator has granted them. */
-export interface SpendingClaim extends Omit<SpendingReport, "kind"> {
-  readonly kind: "claim";
-  readonly number: number;
-  readonly claimed: readonly CustomerUnits[];
-}
-
-/** Answer to a claim: the totals of the claimed customers after what was granted. */
-export interface SpendingAnswer extends Omit<SpendingTotals, "kind"> {
-  readonly kind: "answer";
-  readonly number: number;
-  readonly granted: readonly CustomerUnits[];
-}
-
-/** Units that a claim or a grant covers. */
-export interface CustomerUnits {
-  readonly customer: CustomerId;
-  readonly units: number;
-}
-
 /** Usage known to an aggregator, sent to an entry of its region or to the aggregator of another region. */
 export interface SpendingTotals {
   readonly kind: "totals";
@@ -60,8 +40,4 @@
 }
 
 /** Any message about customers' usage, sent as a datagram. */
-export type SpendingMessage =
-  | SpendingReport
-  | SpendingTotals
-  | SpendingClaim
-  | SpendingAnswer;
+export type SpendingMessage = SpendingReport | SpendingTotals;
--- a/packages/core/src/gateway/customer_roles.ts
+++ b/packages/core/src/gateway/customer_roles.ts
@@ -162,10 +162,6 @@
     hasLimits: () => catalogue.table?.customers.hasLimits ?? false,
     limitOf: (id: CustomerId) => catalogue.table?.customers.get(id)?.limit,
     possibleEntries: () => fleet.possiblyLiveMembers().length + 1,
-    possiblePeers: () =>
-      fleet.possiblyLiveMembers().filter(({ record }) =>
-        record.region === self.region
-      ).length,
     send: (to, message) => {
       const address = fleet.peerAddressOf(to);
       if (address !== undefined) {
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -233,7 +233,6 @@
   handle(event: GatewayEvent, now: Instant): GatewayEffect[] {
     this.#detectPause(now);
     this.#apply(event, now);
-    this.#customerLimits.sendClaim(now);
     const effects = this.#effects;
     this.#effects = [];
     return effects;
--- a/packages/daemon/src/customers/customer_schema.ts
+++ b/packages/daemon/src/customers/customer_schema.ts
@@ -8,11 +8,7 @@
   CatalogueDelta,
   EndpointRecord,
   FreshnessMessage,
-  SpendingAnswer,
-  SpendingClaim,
   SpendingMessage,
-  SpendingReport,
-  SpendingTotals,
 } from "@sassafrasstep/core";
 import { z } from "zod";
 import {
@@ -120,76 +116,37 @@
   ),
 ]);
 
-const customerSums = boundedArray(
-  z.tuple([shortText, z.number()])
-    .transform(([customer, sum]) => ({ customer, sum })),
-);
-const customerUnits = boundedArray(
-  z.tuple([shortText, z.number().nonnegative()])
-    .transform(([customer, units]) => ({ customer, units })),
-);
-const customerTotals = boundedArray(
-  z.tuple([shortText, z.number(), z.number(), fraction]).transform((
-    [customer, sum, level, part],
-  ) => ({ customer, sum, level, part })),
-);
-
-/** Schema of what entries exchange about customers' usage. */
+/** Schema of reports and totals of what customers spend. */
 export const spendingMessageSchema = z.union([
-  z.tuple([z.literal("report"), shortText, z.boolean(), customerSums])
-    .transform(([kind, incarnation, first, spent]) => ({
-      kind,
-      incarnation,
-      first,
-      spent,
-    })),
   z.tuple([
-    z.literal("claim"),
+    z.literal("report"),
     shortText,
     z.boolean(),
-    customerSums,
-    nonNegativeInteger,
-    customerUnits,
-  ]).transform(([kind, incarnation, first, spent, number, claimed]) => ({
+    boundedArray(z.tuple([shortText, z.number()])),
+  ]).transform(([kind, incarnation, first, spent]) => ({
     kind,
     incarnation,
     first,
-    spent,
-    number,
-    claimed,
+    spent: spent.map(([customer, sum]) => ({ customer, sum })),
   })),
   z.tuple([
     z.literal("totals"),
     shortText,
     shortText,
     z.boolean(),
-    customerTotals,
+    boundedArray(z.tuple([shortText, z.number(), z.number(), fraction])),
   ]).transform(([kind, incarnation, region, near, totals]) => ({
     kind,
     incarnation,
     region,
     near,
-    totals,
+    totals: totals.map(([customer, sum, level, part]) => ({
+      customer,
+      sum,
+      level,
+      part,
+    })),
   })),
-  z.tuple([
-    z.literal("answer"),
-    shortText,
-    shortText,
-    z.boolean(),
-    customerTotals,
-    nonNegativeInteger,
-    customerUnits,
-  ]).transform(
-    ([kind, incarnation, region, near, totals, number, granted]) => ({
-      kind,
-      incarnation,
-      region,
-      near,
-      totals,
-      number,
-      granted,
-    }),
-  ),
 ]);
 
 /** Encodes a question about freshness, or an answer. */
@@ -249,38 +206,14 @@
   ];
 }
 
-/** Encodes what entries exchange about customers' usage. */
+/** Encodes a report or totals of what customers spend. */
 export function encodeSpendingMessage(message: SpendingMessage): unknown[] {
-  switch (message.kind) {
-    case "report":
-      return encodeReport(message);
-    case "claim":
-      return [
-        ...encodeReport(message),
-        message.number,
-        message.claimed.map(({ customer, units }) => [customer, units]),
-      ];
-    case "totals":
-      return encodeTotals(message);
-    case "answer":
-      return [
-        ...encodeTotals(message),
-        message.number,
-        message.granted.map(({ customer, units }) => [customer, units]),
-      ];
+  if (message.kind === "report") {
+    const { kind, incarnation, first, spent } = message;
+    const sums = spent.map(({ customer, sum }) => [customer, sum]);
+    return [kind, incarnation, first, sums];
   }
-}
-
-function encodeReport(
-  { kind, incarnation, first, spent }: SpendingReport | SpendingClaim,
-): unknown[] {
-  const sums = spent.map(({ customer, sum }) => [customer, sum]);
-  return [kind, incarnation, first, sums];
-}
-
-function encodeTotals(
-  { kind, incarnation, region, near, totals }: SpendingTotals | SpendingAnswer,
-): unknown[] {
+  const { kind, incarnation, region, near, totals } = message;
   const sums = totals.map(({ customer, sum, level, part }) => [
     customer,
     sum,
--- a/playground/src/guards/customer_guards.ts
+++ b/playground/src/guards/customer_guards.ts
@@ -101,20 +101,6 @@
     find: "customer && resolveRelayedCustomer(customer, customers)",
     replace: "customer && undefined",
   },
-  {
-    point: LIMITS,
-    name: "what exceeds an entry's part of the units left is claimed",
-    file: `${CUSTOMERS}/customer_limits.ts`,
-    find: "if (isFirst || this.#accounts.fitsUnconfirmed(account, cost)) {",
-    replace: "if (isFirst || cost >= 0) {",
-  },
-  {
-    point: LIMITS,
-    name: "a new aggregator uses what entries have reported to it",
-    file: `${CUSTOMERS}/region_aggregation.ts`,
-    find: "if (now - this.#since >= TAKEOVER_TIMEOUT_MS) {",
-    replace: "if (now >= this.#since) {",
-  },
   {
     point: LIMITS,
     name: "what others let in is taken off",
