--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -161,9 +161,8 @@
   /**
    * Waits where endpoints are published but cannot be used at present: suspects that may answer again, or cold
    * ones that another entry warms up. Callers that are refused at once retry only once, and are refused again for
-   * the same reason: on one day 959 of 1,450 refusals were of this kind. A relayed request is declined instead,
-   * because its first entry has more alternatives. Where all regions with endpoints have said that theirs want no
-   * requests for a time, the request is refused with that time.
+   * the same reason. A relayed request is declined instead, because its first entry has more alternatives. Where all
+   * regions with endpoints have said that theirs want no requests for a time, the request is refused with that time.
    */
   #waitForEndpoints(call: Call, now: Instant): RoutingDecision {
     if (call.head.relay !== undefined || call.offered > 0) {
