feat: demand, outlook, contention and optional decisions, as interfaces

Cause: decisions about what a whole region has waiting need figures that no entry has, and endpoints on shared machines report how slowed down they are, which is dropped.

Change: types, stores and datagrams for an entry's demand by service, rank and customer (`demand/`), for the outlook of regions (`outlook/`, not sent yet) and for an endpoint's pace (`pace/`, recorded, not used yet). The fourth figure of the load header is read; one that is no number above zero is ignored. `features/` tells which optional decisions are in use: a checked setting each under [features], by default where endpoints report contention (and customers have limits, for their shares). Status shows them. No decision reads any of it yet, and nothing is sent where no feature is on. Both datagrams are kinds of their own, since entries of an earlier build drop a known kind with more items.

--- a/packages/cli/src/commands/gateway_commands.ts
+++ b/packages/cli/src/commands/gateway_commands.ts
@@ -76,6 +76,7 @@
     `picture   revision ${status.catalogueRevision} of epoch ${status.catalogueEpoch}`,
     `requests  ${status.requests}, of them waiting ${status.queued}`,
     `callers   sent elsewhere: ${shares === "" ? "none" : shares}`,
+    `features  ${(status.features ?? []).join(", ") || "none"}`,
   ].join("\n");
 }
 
--- /dev/null
+++ b/packages/core/src/demand/demand_messages.ts
@@ -0,0 +1,47 @@
+/**
+ * What one entry has waiting and running, as told to the other entries of its region.
+ *
+ * @module
+ */
+import type { CustomerId, ServiceId } from "../ids/index.ts";
+
+/** Waiting requests of one service, rank and customer. */
+export interface WaitingGroup {
+  readonly service: ServiceId;
+  /** Rank of the requests, 0 first. */
+  readonly rank: number;
+  /** Whether the requests can no longer meet their objective. */
+  readonly late: boolean;
+  /** `undefined` for requests without a customer. */
+  readonly customer: CustomerId | undefined;
+  readonly requests: number;
+  /** Prompt tokens that engines would have to prefill. */
+  readonly tokens: number;
+}
+
+/** Requests of one service and customer in flight at endpoints of the region. */
+export interface RunningGroup {
+  readonly service: ServiceId;
+  readonly customer: CustomerId | undefined;
+  readonly requests: number;
+  /** Prompt tokens of requests without a first event. */
+  readonly tokens: number;
+}
+
+/** Requests of one service that were sent to endpoints within the last second. */
+export interface PlacedGroup {
+  readonly service: ServiceId;
+  readonly requests: number;
+  /** Prompt tokens that engines had to prefill. */
+  readonly tokens: number;
+}
+
+/** The demand at one entry. */
+export interface DemandReport {
+  readonly waiting: readonly WaitingGroup[];
+  readonly running: readonly RunningGroup[];
+  readonly placed: readonly PlacedGroup[];
+}
+
+/** A report without any demand. */
+export const NO_DEMAND: DemandReport = { waiting: [], running: [], placed: [] };
--- /dev/null
+++ b/packages/core/src/features/index.ts
@@ -0,0 +1,1 @@
+export * from "./features.ts";
--- a/packages/core/src/fleet/fleet_messages.ts
+++ b/packages/core/src/fleet/fleet_messages.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { SpendingMessage } from "../customers/index.ts";
+import type { DemandReport } from "../demand/index.ts";
 import type {
   DepartureMessage,
   LimitMessage,
@@ -21,6 +22,7 @@
   type ServiceId,
   type ZoneId,
 } from "../ids/index.ts";
+import type { RegionOutlook } from "../outlook/index.ts";
 import type { HoldNotice, QuarantineUpdate } from "../quarantine/index.ts";
 import type { CataloguePosition, FreshnessMessage } from "../routes/index.ts";
 
@@ -199,7 +201,15 @@
   /** Limits that endpoints stated, and permits to send to these endpoints. */
   | { readonly kind: "limits"; readonly message: LimitMessage }
   /** Endpoints that are about to shut down. */
-  | { readonly kind: "departures"; readonly message: DepartureMessage };
+  | { readonly kind: "departures"; readonly message: DepartureMessage }
+  /** What waits and runs at an entry of the region. */
+  | {
+    readonly kind: "demand";
+    readonly incarnation: Incarnation;
+    readonly report: DemandReport;
+  }
+  /** How soon another region would begin a request. */
+  | { readonly kind: "outlook"; readonly outlook: RegionOutlook };
 
 type MessageBody<Message> = Message extends { readonly from: EntryRecord }
   ? Omit<Message, "from" | "holdings">
--- a/packages/core/src/fleet/fleet_sender.ts
+++ b/packages/core/src/fleet/fleet_sender.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { DemandReport } from "../demand/index.ts";
 import { sample } from "../ids/index.ts";
 import type { QuarantineUpdate } from "../quarantine/index.ts";
 import type {
@@ -18,7 +19,12 @@
 const REMOTE_ANNOUNCEMENTS = 8;
 
 /** Kinds of messages that don't carry the sender's full record. */
-type RecordlessKind = "currency" | "spending" | "limits" | "departures";
+type RecordlessKind =
+  | "currency"
+  | "spending"
+  | "limits"
+  | "departures"
+  | "outlook";
 
 /** The sender's record and the possible recipients. */
 export interface SenderSources {
@@ -50,6 +56,18 @@
     );
   }
 
+  /** Sends this entry's demand to the matching entries of its region. */
+  sendDemand(
+    report: DemandReport,
+    isRecipient: (record: EntryRecord) => boolean,
+  ): void {
+    const { region, incarnation } = this.#options.self;
+    this.#sendToMatching(
+      { kind: "demand", incarnation, report },
+      (record) => record.region === region && isRecipient(record),
+    );
+  }
+
   /** Sends quarantine updates to the matching entries of all regions. */
   sendQuarantine(
     news: QuarantineUpdate,
--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -24,6 +24,7 @@
 import { EndpointState } from "../endpoint_state.ts";
 import type { CallAnswer, GatewayBounds, GatewayEffect } from "../messages.ts";
 import { RetryBudget } from "../retry_budget.ts";
+import { PlacementMeter } from "../placement_meter.ts";
 import type { RegionController } from "../region_controller.ts";
 import { emptyTerms } from "./endpoint_terms_fixture.ts";
 import { createEngine } from "./engine_fixture.ts";
@@ -102,6 +103,7 @@
       recordPrefill: () => {},
       prefillFraction: 0,
     } as unknown as RegionController,
+    placements: new PlacementMeter(),
     router,
     budget: new RetryBudget(BOUNDS),
     cold: new ColdAllowance(BOUNDS, instant(0)),
--- a/packages/core/src/gateway/__tests__/gateway_fixture.ts
+++ b/packages/core/src/gateway/__tests__/gateway_fixture.ts
@@ -1,4 +1,5 @@
 import {
+  AUTOMATIC_FEATURES,
   type EntryId,
   Gateway,
   type Incarnation,
@@ -23,6 +24,7 @@
       peerAddress: "a:1",
       weight: 1,
       seeds: [],
+      features: AUTOMATIC_FEATURES,
       regionByZone: new Map([[zone, region]]),
       bounds: {
         retryRatio: 0.2,
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -18,6 +18,8 @@
   AttemptOutcome,
   QuarantineController,
 } from "../quarantine/index.ts";
+import type { EndpointRegistry } from "./endpoint_registry.ts";
+import type { PlacementMeter } from "./placement_meter.ts";
 import type { RegionController } from "./region_controller.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 
@@ -30,7 +32,10 @@
 /** Dependencies of `CallAttempts`. */
 export interface AttemptDependencies {
   readonly emit: GatewayEmit;
+  readonly endpoints: EndpointRegistry;
   readonly regions: RegionController;
+  /** Requests sent to endpoints, for the region's demand. */
+  readonly placements: PlacementMeter;
   readonly router: CallRouter;
   readonly budget: RetryBudget;
   readonly cold: ColdAllowance;
@@ -78,6 +83,7 @@
     call.trace.notePrefill(prefill);
     state.addAttempt(attempt.id, { prefill, tokens }, now);
     state.health.noteRequestSent(now);
+    this.#deps.placements.add(state.record.service, prefill, now);
     const { prompt } = call.head;
     if (prompt !== undefined && state.service?.engine !== undefined) {
       const parts = sharedParts(prompt);
@@ -182,6 +188,9 @@
     state.heardAt = now;
     state.reportedLoad = load ?? state.reportedLoad;
     state.reportedLoadAt = load === undefined ? state.reportedLoadAt : now;
+    if (load?.contention !== undefined) {
+      this.#deps.endpoints.recordContention(state, load.contention, now);
+    }
     if (status === MISDIRECTED_REQUEST) {
       return;
     }
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { CustomerLimits } from "../customers/index.ts";
+import type { DemandReport } from "../demand/index.ts";
 import type { EndpointTerms } from "../endpoint_terms/index.ts";
 import type { PrefixUpdate } from "../fleet/index.ts";
 import {
@@ -25,6 +26,7 @@
 import { CallPlacer, MIN_SEND_TIME_MS } from "./call_placer.ts";
 import { CallRecovery } from "./call_recovery.ts";
 import { type CallRouter } from "./call_router.ts";
+import { measureDemand } from "./call_demand.ts";
 import { orderServices } from "./service_order.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
 import type { ColdAllowance } from "./cold_allowance.ts";
@@ -36,6 +38,7 @@
   type GatewayEmit,
   type GatewayEvent,
 } from "./messages.ts";
+import type { PlacementMeter } from "./placement_meter.ts";
 import type { QuarantineController } from "../quarantine/index.ts";
 import type { RegionController } from "./region_controller.ts";
 import type { RetryBudget } from "./retry_budget.ts";
@@ -51,6 +54,7 @@
   readonly catalogue: CatalogueView;
   readonly endpoints: EndpointRegistry;
   readonly regions: RegionController;
+  readonly placements: PlacementMeter;
   readonly router: CallRouter;
   readonly budget: RetryBudget;
   readonly cold: ColdAllowance;
@@ -131,6 +135,11 @@
     return this.#outcomes.unrouted.count;
   }
 
+  /** What waits and runs here, for the other entries of the region. */
+  measureDemand(now: Instant): DemandReport {
+    return measureDemand(this.#calls.values(), this.#deps, now);
+  }
+
   get lastArrivalAt(): Instant | undefined {
     return this.#lastArrivalAt;
   }
--- a/packages/core/src/gateway/call_queue.ts
+++ b/packages/core/src/gateway/call_queue.ts
@@ -70,7 +70,7 @@
    */
   ordered(prefillFraction: number, now: Instant): Call[] {
     const late = (call: Call): number =>
-      Number(call.isLate(after(now, startTime(call, prefillFraction))));
+      Number(isLateToStart(call, prefillFraction, now));
     const queued = withVirtualTimes([...this.#calls.values()]).map((item) => ({
       ...item,
       late: late(item.call),
@@ -84,6 +84,15 @@
   }
 }
 
+/** Whether a request's first event would be late if it was sent now. */
+export function isLateToStart(
+  call: Call,
+  prefillFraction: number,
+  now: Instant,
+): boolean {
+  return call.isLate(after(now, startTime(call, prefillFraction)));
+}
+
 /** A waiting request and its virtual time, by which requests of one rank are ordered. */
 interface QueuedCall {
   readonly call: Call;
--- a/packages/core/src/gateway/endpoint_registry.ts
+++ b/packages/core/src/gateway/endpoint_registry.ts
@@ -48,6 +48,7 @@
   readonly #reports = new Map<Incarnation, ReceivedReport>();
   #evacuated: ReadonlySet<ZoneId> = new Set();
   #generation = -1;
+  #reportsContention = false;
 
   constructor(
     { region, regionByZone, catalogue, clock, isLeaving, backoffOf }: {
@@ -77,6 +78,21 @@
     return this.#states.values();
   }
 
+  /** Whether an endpoint has reported contention since this entry started. */
+  get reportsContention(): boolean {
+    return this.#reportsContention;
+  }
+
+  /** Records the contention that an endpoint reported for its machine. */
+  recordContention(
+    { pace }: EndpointState,
+    contention: number,
+    now: Instant,
+  ): void {
+    this.#reportsContention = true;
+    pace.recordContention(contention, now);
+  }
+
   /** Endpoints of a service in this region, including those that are leaving. */
   ofService(service: ServiceId): readonly EndpointState[] {
     return this.#byService.get(service) ?? [];
--- a/packages/core/src/gateway/endpoint_state.ts
+++ b/packages/core/src/gateway/endpoint_state.ts
@@ -7,6 +7,7 @@
 import type { EndpointWork } from "../fleet/index.ts";
 import { after, type AttemptId, type Instant, instant } from "../ids/index.ts";
 import type { EndpointRecord, RoutedService } from "../routes/index.ts";
+import { EndpointPace } from "../pace/index.ts";
 import { EndpointHealth } from "./endpoint_health.ts";
 import type { ReportedLoad } from "./messages.ts";
 import { PrefixCacheModel } from "./prefix_cache_model.ts";
@@ -61,6 +62,7 @@
   record: EndpointRecord;
   service: RoutedService | undefined;
   readonly health = new EndpointHealth();
+  readonly pace = new EndpointPace();
   readonly prefixes: PrefixCacheModel;
   /** The load that the endpoint reported with its last answer. */
   reportedLoad: ReportedLoad | undefined;
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -5,7 +5,9 @@
  * @module
  */
 import type { CustomerLimits } from "../customers/index.ts";
+import { DemandReporter, RegionDemand } from "../demand/index.ts";
 import type { EndpointTerms } from "../endpoint_terms/index.ts";
+import { Features } from "../features/index.ts";
 import { FleetController } from "../fleet/index.ts";
 import {
   type Instant,
@@ -14,6 +16,7 @@
   type Randomness,
 } from "../ids/index.ts";
 import { StallAdjustedClock } from "../listening/index.ts";
+import { RegionOutlooks } from "../outlook/index.ts";
 import type { CatalogueSnapshot } from "../routes/index.ts";
 import { CallController } from "./call_controller.ts";
 import { CallRouter } from "./call_router.ts";
@@ -39,6 +42,7 @@
   GatewayEvent,
   GatewayIdentity,
 } from "./messages.ts";
+import { PlacementMeter } from "./placement_meter.ts";
 import { RegionController } from "./region_controller.ts";
 import type { QuarantineController } from "../quarantine/index.ts";
 import { createQuarantine } from "./create_quarantine.ts";
@@ -87,6 +91,13 @@
   readonly #freshnessExchange: FreshnessExchange;
   readonly #customerLimits: CustomerLimits;
   readonly endpointTerms: EndpointTerms;
+  /** Optional decisions in use. */
+  readonly features: Features;
+  /** What waits and runs at the entries of the region. */
+  readonly demand: RegionDemand;
+  /** Outlooks of other regions. */
+  readonly outlooks: RegionOutlooks;
+  readonly #demandReporter: DemandReporter;
   #bounds: GatewayBounds;
   #effects: GatewayEffect[] = [];
   #lastEventAt: Instant;
@@ -134,6 +145,12 @@
       limitOf: (record) => this.endpointTerms.limits.limitOf(record),
       now,
     });
+    this.features = new Features(self.features, () => ({
+      reportsContention: this.#endpoints.reportsContention,
+      hasCustomerLimits: this.#catalogue.table?.customers.hasLimits ?? false,
+    }));
+    this.demand = new RegionDemand(this.#clock);
+    this.outlooks = new RegionOutlooks(self.region);
     this.fleet = new FleetController({
       self,
       seeds: self.seeds,
@@ -202,6 +219,7 @@
       catalogue: this.#catalogue,
       endpoints: this.#endpoints,
       regions: this.#regions,
+      placements: new PlacementMeter(),
       router,
       budget: this.#retryBudget,
       cold: coldAllowance,
@@ -221,6 +239,20 @@
       serving: this.#serving,
       catalogueHash: () => this.#catalogue.contentHash,
     });
+    this.#demandReporter = new DemandReporter({
+      demand: this.demand,
+      isWanted: () =>
+        this.features.isOn("fairShares") ||
+        this.features.isOn("regionAdmission"),
+      measure: (at) => this.#calls.measureDemand(at),
+      send: (report, at) =>
+        this.fleet.sender.sendDemand(
+          report,
+          (record) =>
+            this.#serving.has(record, at) ||
+            this.#endpoints.hasReport(record.incarnation),
+        ),
+    });
     this.#stopController = new StopController({
       emit,
       calls: this.#calls,
@@ -409,6 +441,7 @@
     this.endpointTerms.departures.tick(now);
     this.#updateOutdatedState(now);
     this.#calls.tick(now);
+    this.#demandReporter.tick(now);
     this.#workReporter.tick(this.#calls.takeSentPrefixes(), now);
     this.#stopController.tick(now);
   }
@@ -466,6 +499,10 @@
       }
     } else if (message.kind === "departures") {
       this.endpointTerms.departures.receive(message.message);
+    } else if (message.kind === "demand") {
+      this.demand.receive(message.incarnation, message.report, now);
+    } else if (message.kind === "outlook") {
+      this.outlooks.update(message.outlook, now);
     } else if (message.kind === "work") {
       this.#endpoints.receiveReport(message.incarnation, message.report, now);
       if (this.#isStandby) {
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { StatedValue } from "../endpoint_terms/index.ts";
+import type { FeatureSettings } from "../features/index.ts";
 import type { FleetMessage, PromptPart } from "../fleet/index.ts";
 import type {
   AttemptId,
@@ -41,6 +42,8 @@
   /** The region of each availability zone. */
   readonly regionByZone: ReadonlyMap<ZoneId, RegionId>;
   readonly bounds: GatewayBounds;
+  /** Which optional decisions are in use. */
+  readonly features: FeatureSettings;
 }
 
 /** Limits and guarantees of the deployment, from the settings. */
@@ -146,6 +149,8 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** How long work takes on the endpoint's machine at present, as a percentage of the usual time. */
+  readonly contention: number | undefined;
 }
 
 /** The status and the parsed headers of an answer. */
--- /dev/null
+++ b/packages/core/src/outlook/index.ts
@@ -0,0 +1,2 @@
+export * from "./outlook_messages.ts";
+export * from "./region_outlooks.ts";
--- /dev/null
+++ b/packages/core/src/outlook/region_outlooks.ts
@@ -0,0 +1,63 @@
+/**
+ * The newest outlook of each other region.
+ *
+ * @module
+ */
+import {
+  type Instant,
+  instant,
+  milliseconds,
+  type RegionId,
+  type ServiceId,
+} from "../ids/index.ts";
+import type { RegionOutlook, ServiceOutlook } from "./outlook_messages.ts";
+
+/** Older outlooks are ignored: a queue can fill within a second. */
+export const OUTLOOK_LIFETIME_MS = 1_500;
+
+interface KnownOutlook {
+  readonly outlook: RegionOutlook;
+  readonly estimatedAt: Instant;
+}
+
+/** Keeps the outlooks of other regions until they are too old. */
+export class RegionOutlooks {
+  readonly #ownRegion: RegionId;
+  readonly #outlooks = new Map<RegionId, KnownOutlook>();
+
+  constructor(ownRegion: RegionId) {
+    this.#ownRegion = ownRegion;
+  }
+
+  /** Keeps an outlook if it is newer than the one known of its region. */
+  update(outlook: RegionOutlook, now: Instant): void {
+    const estimatedAt = instant(now - outlook.age);
+    const known = this.#outlooks.get(outlook.region);
+    const isNewer = known === undefined || estimatedAt > known.estimatedAt;
+    if (outlook.region !== this.#ownRegion && isNewer) {
+      this.#outlooks.set(outlook.region, { outlook, estimatedAt });
+    }
+  }
+
+  /** The outlook of a service in another region, `undefined` if none is known or it is too old. */
+  of(
+    region: RegionId,
+    service: ServiceId,
+    now: Instant,
+  ): ServiceOutlook | undefined {
+    const known = this.#outlooks.get(region);
+    return known === undefined || now - known.estimatedAt > OUTLOOK_LIFETIME_MS
+      ? undefined
+      : known.outlook.services.find((item) => item.service === service);
+  }
+
+  /** Outlooks that have not expired, with their present age. */
+  fresh(now: Instant): RegionOutlook[] {
+    return [...this.#outlooks.values()]
+      .filter(({ estimatedAt }) => now - estimatedAt <= OUTLOOK_LIFETIME_MS)
+      .map(({ outlook, estimatedAt }) => ({
+        ...outlook,
+        age: milliseconds(now - estimatedAt),
+      }));
+  }
+}
--- /dev/null
+++ b/packages/core/src/pace/index.ts
@@ -0,0 +1,1 @@
+export * from "./endpoint_pace.ts";
--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -173,6 +173,46 @@
       ],
     },
   },
+  {
+    kind: "demand",
+    incarnation: record.incarnation,
+    report: {
+      waiting: [
+        {
+          service: "pool",
+          rank: 2,
+          late: true,
+          customer: "clinic",
+          requests: 3,
+          tokens: 21_400,
+        },
+        {
+          service: "pool",
+          rank: 0,
+          late: false,
+          customer: undefined,
+          requests: 1,
+          tokens: 0,
+        },
+      ],
+      running: [
+        { service: "pool", customer: "clinic", requests: 2, tokens: 900 },
+      ],
+      placed: [{ service: "pool", requests: 14, tokens: 38_000 }],
+    },
+  },
+  {
+    kind: "outlook",
+    outlook: {
+      region: "r1",
+      age: 80,
+      services: [{
+        service: "pool",
+        startDelays: [40, 40, 620],
+        spareTokensPerSecond: 120_000,
+      }],
+    },
+  },
   { kind: "quarantine", incarnation: record.incarnation, news },
 ] as unknown as FleetMessage[];
 
--- /dev/null
+++ b/packages/daemon/src/gateway/demand_schema.ts
@@ -0,0 +1,112 @@
+/**
+ * Schemas of datagrams about the demand at entries and the outlook of regions, encoded as arrays with fixed
+ * positions.
+ *
+ * @module
+ */
+import type { DemandReport, RegionOutlook } from "@sassafrasstep/core";
+import { z } from "zod";
+import {
+  boundedArray,
+  nonNegativeInteger,
+  number,
+  shortText,
+} from "../quarantine/index.ts";
+
+/** Stands for a request without a customer: ids of customers are not empty. */
+const NO_CUSTOMER = "";
+
+const customer = z.string().max(128).transform((id) =>
+  id === NO_CUSTOMER ? undefined : id
+);
+
+/** Schema of a demand report. */
+export const demandReportSchema = z.tuple([
+  boundedArray(
+    z.tuple([
+      shortText,
+      nonNegativeInteger,
+      z.boolean(),
+      customer,
+      nonNegativeInteger,
+      nonNegativeInteger,
+    ]).transform(([service, rank, late, customer, requests, tokens]) => ({
+      service,
+      rank,
+      late,
+      customer,
+      requests,
+      tokens,
+    })),
+  ),
+  boundedArray(
+    z.tuple([shortText, customer, nonNegativeInteger, nonNegativeInteger])
+      .transform(([service, customer, requests, tokens]) => ({
+        service,
+        customer,
+        requests,
+        tokens,
+      })),
+  ),
+  boundedArray(
+    z.tuple([shortText, nonNegativeInteger, nonNegativeInteger]).transform(
+      ([service, requests, tokens]) => ({ service, requests, tokens }),
+    ),
+  ),
+]).transform(([waiting, running, placed]) => ({ waiting, running, placed }));
+
+/** Schema of a region's outlook. */
+export const outlookSchema = z.tuple([
+  shortText,
+  number,
+  boundedArray(
+    z.tuple([shortText, boundedArray(nonNegativeInteger), nonNegativeInteger])
+      .transform(([service, startDelays, spareTokensPerSecond]) => ({
+        service,
+        startDelays,
+        spareTokensPerSecond,
+      })),
+  ),
+]).transform(([region, age, services]) => ({ region, age, services }));
+
+/** Encodes a demand report. */
+export function encodeDemandReport(
+  { waiting, running, placed }: DemandReport,
+): unknown[] {
+  return [
+    waiting.map(({ service, rank, late, customer, requests, tokens }) => [
+      service,
+      rank,
+      late,
+      customer ?? NO_CUSTOMER,
+      requests,
+      Math.round(tokens),
+    ]),
+    running.map(({ service, customer, requests, tokens }) => [
+      service,
+      customer ?? NO_CUSTOMER,
+      requests,
+      Math.round(tokens),
+    ]),
+    placed.map(({ service, requests, tokens }) => [
+      service,
+      requests,
+      Math.round(tokens),
+    ]),
+  ];
+}
+
+/** Encodes a region's outlook. */
+export function encodeOutlook(
+  { region, age, services }: RegionOutlook,
+): unknown[] {
+  return [
+    region,
+    Math.round(age),
+    services.map(({ service, startDelays, spareTokensPerSecond }) => [
+      service,
+      startDelays.map((delay) => Math.round(delay)),
+      Math.round(spareTokensPerSecond),
+    ]),
+  ];
+}
--- a/packages/daemon/src/gateway/fleet_schema.ts
+++ b/packages/daemon/src/gateway/fleet_schema.ts
@@ -20,6 +20,12 @@
   encodeLimits,
   limitMessageSchema,
 } from "./terms_schema.ts";
+import {
+  demandReportSchema,
+  encodeDemandReport,
+  encodeOutlook,
+  outlookSchema,
+} from "./demand_schema.ts";
 import {
   encodeFreshnessMessage,
   encodeSpendingMessage,
@@ -217,6 +223,12 @@
   departures: z.tuple([departureMessageSchema]).transform(
     ([message]) => ({ kind: "departures", message }),
   ),
+  demand: z.tuple([shortText, demandReportSchema]).transform(
+    ([incarnation, report]) => ({ kind: "demand", incarnation, report }),
+  ),
+  outlook: z.tuple([outlookSchema]).transform(
+    ([outlook]) => ({ kind: "outlook", outlook }),
+  ),
 } as const;
 
 /** Decodes a datagram; returns `undefined` if it is not a valid message. */
@@ -259,6 +271,12 @@
   if (message.kind === "departures") {
     return [encodeDepartures(message.message)];
   }
+  if (message.kind === "demand") {
+    return [message.incarnation, encodeDemandReport(message.report)];
+  }
+  if (message.kind === "outlook") {
+    return [encodeOutlook(message.outlook)];
+  }
   const base = [encodeRecord(message.from), encodeHoldings(message.holdings)];
   switch (message.kind) {
     case "ping":
--- a/packages/daemon/src/gateway/status.ts
+++ b/packages/daemon/src/gateway/status.ts
@@ -28,6 +28,8 @@
   readonly members: readonly MemberStatus[];
   readonly endpoints: readonly EndpointStatus[];
   readonly shares: readonly { region: string; share: number }[];
+  /** Optional decisions in use. */
+  readonly features?: readonly string[] | undefined;
   /** Quarantined requests: they are sent to no endpoint because some endpoints crashed while running them. */
   readonly held: readonly HeldRequestStatus[];
 }
@@ -100,6 +102,7 @@
       limitPerSecond: gateway.endpointTerms.limits.limitOf(state.record),
     })),
     shares: regions.shares.map(({ region, share }) => ({ region, share })),
+    features: gateway.features.active,
     held: gateway.quarantine.holds.list(now).map(heldRequestStatus),
   };
 }
--- a/packages/daemon/src/settings/__tests__/gateway_settings.test.ts
+++ b/packages/daemon/src/settings/__tests__/gateway_settings.test.ts
@@ -1,3 +1,4 @@
+import { AUTOMATIC_FEATURES } from "@sassafrasstep/core";
 import { describe, expect, it } from "vitest";
 import { parseGatewaySettings } from "../index.ts";
 
@@ -66,6 +67,19 @@
     expect(result.ok && result.settings.self.weight).toBe(0.5);
   });
 
+  it("leave optional decisions to what the deployment holds, unless they are set", () => {
+    const featuresOf = (text: string): unknown => {
+      const result = parseGatewaySettings(text);
+      return result.ok && result.settings.self.features;
+    };
+    expect(featuresOf(TEXT)).toEqual(AUTOMATIC_FEATURES);
+    const text = `${TEXT}\n[features]\nendpoint_pace = off\nfair_shares =\n`;
+    expect(featuresOf(text)).toEqual({
+      ...AUTOMATIC_FEATURES,
+      endpointPace: "off",
+    });
+  });
+
   // Guards against a deployment whose entries do not start because of faulty settings. A VM's share of a core
   // was 0.48600000000000004, and numbers were validated by their digits.
   it.each([
@@ -99,6 +113,18 @@
     ["region = a\n", "", "entry.region", "nothing"],
     ["repeat_ratio", "repeat_ration", "bounds.repeat_ration", "unknown name"],
     ["[store]", "[stores]", "store", "unknown name"],
+    [
+      "[store]",
+      "[features]\nfair_shares = maybe\n[store]",
+      "features.fair_shares",
+      '"maybe"',
+    ],
+    [
+      "[store]",
+      "[features]\nfair_share = on\n[store]",
+      "features.fair_share",
+      "unknown name",
+    ],
   ])("report the fault if %s is replaced by %s", (from, to, place, word) => {
     const found = faults(TEXT.replace(from, to)).join("\n");
     expect(found).toContain(place);
--- a/packages/daemon/src/settings/gateway_settings.ts
+++ b/packages/daemon/src/settings/gateway_settings.ts
@@ -5,6 +5,8 @@
  */
 import type {
   EntryId,
+  FeatureSetting,
+  FeatureSettings,
   GatewayBounds,
   GatewayIdentity,
   LineFault,
@@ -49,6 +51,8 @@
 const MAX_WEIGHT = 4_096;
 const MAX_SECONDS = 3_600;
 const MAX_COUNT = 1_000_000;
+const FEATURE_SCHEMA = z.enum(["auto", "on", "off", ""]).default("auto")
+  .transform((setting): FeatureSetting => setting === "" ? "auto" : setting);
 const PLACE_NAME_SCHEMA = z.string().min(1, "a name").max(
   63,
   "63 characters at most",
@@ -90,6 +94,13 @@
     key_lifetime_ms: decimalWithDefault(0, MAX_SECONDS * MS_PER_SECOND),
     strict_keys: z.enum(["true", "false", ""]).or(z.boolean()).default(""),
   }),
+  /** Optional decisions; `auto` uses each where the deployment calls for it. */
+  features: z.strictObject({
+    endpoint_pace: FEATURE_SCHEMA,
+    fair_shares: FEATURE_SCHEMA,
+    region_admission: FEATURE_SCHEMA,
+    early_relay: FEATURE_SCHEMA,
+  }).prefault({}),
 });
 
 type Data = z.infer<typeof schema>;
@@ -101,7 +112,7 @@
 }
 
 function resolve(data: Data): GatewaySettings {
-  const { entry, addresses, peers, zones, store, bounds } = data;
+  const { entry, addresses, peers, zones, store, bounds, features } = data;
   return {
     addresses,
     storeAddress: formatAddress(store.address),
@@ -121,10 +132,20 @@
         Object.entries(zones) as [ZoneId, RegionId][],
       ),
       bounds: resolveBounds(bounds),
+      features: resolveFeatures(features),
     },
   };
 }
 
+function resolveFeatures(features: Data["features"]): FeatureSettings {
+  return {
+    endpointPace: features.endpoint_pace,
+    fairShares: features.fair_shares,
+    regionAdmission: features.region_admission,
+    earlyRelay: features.early_relay,
+  };
+}
+
 function resolveBounds(bounds: Data["bounds"]): GatewayBounds {
   return {
     retryRatio: bounds.repeat_ratio,
--- a/playground/src/routes/route_world.ts
+++ b/playground/src/routes/route_world.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {
+  AUTOMATIC_FEATURES,
   type CallerDigest,
   type CallId,
   type ContentDigest,
@@ -185,6 +186,7 @@
       peerAddress: `${name}:90`,
       weight: 1,
       seeds: [...this.entries.keys()].slice(0, 2).map((seed) => `${seed}:90`),
+      features: AUTOMATIC_FEATURES,
       regionByZone: new Map(
         [...this.spots.values()].map((
           { zone, region },
