feat: loads have customers, some of which send many times their usual

Cause: requests of a load had no customer, so no load showed how customers share a region's capacity.

Change: `customer` and `customers` in a load's setting give keys, limits and shares of the traffic, the step `hot` multiplies what one sends, and `feature` sets an optional decision of the entries. Summaries have the worst tenth of the customers, of all and of those within their usual. Limits of a setting's customers may be in tokens. Loads without customers draw the same requests as before.

--- a/playground/src/load/load_caller.ts
+++ b/playground/src/load/load_caller.ts
@@ -138,6 +138,7 @@
     this.#onOutcome({
       kind: kind.name,
       region: this.#region,
+      customer: drawn.customer?.id,
       at: startedAt - this.#world.startOfScript,
       value,
       earnedValue: end === "on_time" ? value : end === "late" ? lateValue : 0,
@@ -235,7 +236,7 @@
       target: `${route.pathPrefix}x`,
       timeLeft: milliseconds(Math.max(1, leftMs)),
       prompt: drawn.prompt,
-      key: undefined,
+      key: drawn.customer?.key,
       lastEventId: undefined,
       bodyBytes: 0,
       fingerprint: fingerprintOf(name, this.#attempt.drawn.kind.name),
--- a/playground/src/load/load_report.ts
+++ b/playground/src/load/load_report.ts
@@ -3,11 +3,16 @@
  *
  * @module
  */
+import type { CustomerId } from "@sassafrasstep/core";
 import type { LoadOutcome, RequestEnd } from "./load_types.ts";
 import type { LoadResult } from "./load_run.ts";
 
 const WINDOW_MS = 2_000;
 const WORST_WINDOWS = 2;
+/** Stands for requests without a customer: names of customers are not empty. */
+const NO_CUSTOMER = "";
+/** Share of the customers that count as the worst served. */
+const WORST_CUSTOMER_SHARE = 0.1;
 const ENDS: readonly RequestEnd[] = [
   "on_time",
   "late",
@@ -26,11 +31,16 @@
   readonly firstP95: number;
 }
 
-/** The summary of one run, in total and by kind and region. */
+/** The summary of one run, in total and by kind, region and customer. */
 export interface LoadReport {
   readonly all: LoadSummary;
   readonly kinds: Readonly<Record<string, LoadSummary>>;
   readonly regions: Readonly<Record<string, LoadSummary>>;
+  readonly customers: Readonly<Record<string, LoadSummary>>;
+  /** Mean earned share of the worst served tenth of the customers, 0 in a load without customers. */
+  readonly worstCustomers: number;
+  /** The same of the customers that sent no more than their usual. */
+  readonly worstUsualCustomers: number;
   /** Mean earned share of the `WORST_WINDOWS` windows that earned least. */
   readonly worstWindows: number;
   /** Prompt tokens that engines prefilled, and that they found cached, in thousands. */
@@ -39,7 +49,9 @@
 }
 
 /** Summarizes a load's result. */
-export function reportLoad({ outcomes, engines }: LoadResult): LoadReport {
+export function reportLoad(
+  { outcomes, hotCustomers, engines }: LoadResult,
+): LoadReport {
   const summarizeBy = (key: (outcome: LoadOutcome) => string) =>
     Object.fromEntries(
       [...new Set(outcomes.map(key))].sort().map((
@@ -53,12 +65,23 @@
     summarizeBy(({ at }) => String(Math.floor(at / WINDOW_MS))),
   ).map(({ earned }) => earned).sort((left, right) => left - right);
   const worstWindows = windows.slice(0, WORST_WINDOWS);
+  const customers = summarizeBy(
+    ({ customer }) => customer ?? NO_CUSTOMER,
+  );
+  delete customers[NO_CUSTOMER];
   const total = (count: (engine: (typeof engines)[number]) => number): number =>
     Math.round(engines.reduce((sum, engine) => sum + count(engine), 0) / 1_000);
   return {
     all: summarize(outcomes),
     kinds: summarizeBy(({ kind }) => kind),
     regions: summarizeBy(({ region }) => region),
+    customers,
+    worstCustomers: meanOfWorst(Object.values(customers)),
+    worstUsualCustomers: meanOfWorst(
+      Object.entries(customers).filter(([name]) =>
+        !hotCustomers.has(name as CustomerId)
+      ).map(([, summary]) => summary),
+    ),
     worstWindows: worstWindows.reduce((sum, earned) => sum + earned, 0) /
       Math.max(1, worstWindows.length),
     readThousands: total(({ counts }) => counts.prefilledTokens),
@@ -66,6 +89,13 @@
   };
 }
 
+function meanOfWorst(customers: readonly LoadSummary[]): number {
+  const count = Math.ceil(customers.length * WORST_CUSTOMER_SHARE);
+  const worst = customers.map(({ earned }) => earned)
+    .sort((left, right) => left - right).slice(0, count);
+  return worst.reduce((sum, earned) => sum + earned, 0) / Math.max(1, count);
+}
+
 function summarize(outcomes: readonly LoadOutcome[]): LoadSummary {
   const offered = outcomes.reduce((sum, { value }) => sum + value, 0);
   const earned = outcomes.reduce(
--- a/playground/src/load/load_run.ts
+++ b/playground/src/load/load_run.ts
@@ -1,11 +1,16 @@
 /**
  * Runs a load: complete gateways of several regions in front of modelled engines, with callers that follow
  * the protocol. A load file uses the language of the scenarios and adds `kind`, `engine`, `engines`,
- * `entries`, `callers`, `traffic`, `crash` and `end`.
+ * `entries`, `callers`, `customers`, `feature`, `traffic`, `hot`, `crash` and `end`.
  *
  * @module
  */
-import { SeededRandomness } from "@sassafrasstep/core";
+import {
+  type CustomerId,
+  FEATURE_NAMES,
+  type FeatureSetting,
+  SeededRandomness,
+} from "@sassafrasstep/core";
 import { act, type RouteStage } from "../routes/route_actions.ts";
 import { recordOf, setUp } from "../routes/route_setting.ts";
 import { RouteWorld } from "../routes/route_world.ts";
@@ -21,6 +26,7 @@
 } from "../scenario/script.ts";
 import { EngineModel, type EngineParameters } from "./engine_model.ts";
 import { LoadCaller } from "./load_caller.ts";
+import { LoadCustomers } from "./load_customers.ts";
 import { drawRequest } from "./load_draw.ts";
 import type { LoadKind, LoadOutcome } from "./load_types.ts";
 
@@ -57,6 +63,8 @@
 export interface LoadResult {
   readonly title: string;
   readonly outcomes: readonly LoadOutcome[];
+  /** Customers that sent more than their usual at some time. */
+  readonly hotCustomers: ReadonlySet<CustomerId>;
   readonly engines: readonly EngineModel[];
   readonly world: RouteWorld;
 }
@@ -73,6 +81,7 @@
   readonly callers: Map<string, LoadCaller[]>;
   readonly rates: Map<string, number>;
   readonly random: SeededRandomness;
+  readonly customers: LoadCustomers;
   callersPerZone: number;
   sent: number;
 }
@@ -93,6 +102,7 @@
     callers: new Map(),
     rates: new Map(),
     random: new SeededRandomness(seed * TRAFFIC_SEED_FACTOR),
+    customers: new LoadCustomers(),
     callersPerZone: DEFAULT_CALLERS_PER_ZONE,
     sent: 0,
   };
@@ -110,7 +120,8 @@
   const engines = [...world.backends.values()].filter((backend) =>
     backend instanceof EngineModel
   );
-  return { title: script.title, outcomes, engines, world };
+  const hotCustomers = state.customers.hot;
+  return { title: script.title, outcomes, hotCustomers, engines, world };
 }
 
 function applySetting(state: LoadState, line: Line): void {
@@ -124,6 +135,12 @@
       return addEntries(state.world, line);
     case "engines":
       return addEngines(state.world, line);
+    case "customer":
+      return state.customers.add(state.world, line);
+    case "customers":
+      return state.customers.addMany(state.world, line);
+    case "feature":
+      return setFeature(state.world, line);
     case "callers":
       state.callersPerZone = Number(word(line, 1, "a number"));
       return;
@@ -132,6 +149,16 @@
   }
 }
 
+/** `feature NAME auto|on|off`: whether entries use an optional decision. */
+function setFeature(world: RouteWorld, line: Line): void {
+  const name = FEATURE_NAMES.find((feature) => feature === line.words[1]);
+  if (name === undefined) {
+    throw new ScriptError(line, "an optional decision");
+  }
+  const setting = word(line, 2, "auto, on or off") as FeatureSetting;
+  world.features = { ...world.features, [name]: setting };
+}
+
 /** `entries PREFIX COUNT ZONE`: adds COUNT entries in one zone. */
 function addEntries(world: RouteWorld, line: Line): void {
   const [, prefix, count, zone] = line.words;
@@ -232,6 +259,8 @@
 
 function applyStep(state: LoadState, step: TimedLine): void {
   switch (step.words[0]) {
+    case "hot":
+      return state.customers.setFactor(step);
     case "traffic":
       return setTraffic(state, step);
     case "engine":
@@ -260,7 +289,7 @@
 
 /** Schedules a burst of one to five requests after an exponentially distributed gap, and then the next one. */
 function scheduleBurst(state: LoadState, region: string): void {
-  const rate = state.rates.get(region) ?? 0;
+  const rate = (state.rates.get(region) ?? 0) * state.customers.trafficFactor;
   if (rate <= 0) {
     return;
   }
@@ -277,10 +306,11 @@
 }
 
 function sendRequest(state: LoadState, region: string): void {
-  const { random, kinds, callers } = state;
+  const { random, kinds, callers, customers } = state;
   state.sent++;
   const name = `c${state.sent}`;
   const list = callers.get(region)!;
   const caller = list[Math.floor(random.next() * list.length)]!;
-  caller.send(drawRequest(kinds, name, random), name);
+  const drawn = drawRequest(kinds, name, random);
+  caller.send({ ...drawn, customer: customers.draw(random) }, name);
 }
--- a/playground/src/load/load_types.ts
+++ b/playground/src/load/load_types.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import type { Prompt } from "@sassafrasstep/core";
+import type { CustomerId, Prompt } from "@sassafrasstep/core";
+import type { LoadCustomer } from "./load_customers.ts";
 
 /** A kind of request, with the distributions from which requests are drawn. */
 export interface LoadKind {
@@ -36,6 +37,8 @@
   readonly prompt: Prompt;
   readonly answerTokens: number;
   readonly value: number;
+  /** The customer that sends the request, `undefined` in a load without customers. */
+  readonly customer?: LoadCustomer | undefined;
 }
 
 /** How a request ended from its caller's point of view; `left` when the caller gave up. */
@@ -45,6 +48,8 @@
 export interface LoadOutcome {
   readonly kind: string;
   readonly region: string;
+  /** The customer that sent the request, `undefined` in a load without customers. */
+  readonly customer: CustomerId | undefined;
   /** Time of the first attempt, in milliseconds since the start of the load's steps. */
   readonly at: number;
   readonly value: number;
--- a/playground/src/load/main.ts
+++ b/playground/src/load/main.ts
@@ -44,6 +44,25 @@
   return readFileSync(new URL(`${name}.setting`, FOLDER), "utf8");
 }
 
+/** Earned share of the worst customers, and of each in the order of their names. */
+function describeCustomers(
+  reports: readonly LoadReport[],
+  mean: (metric: (report: LoadReport) => number) => string,
+): string[] {
+  const names = Object.keys(reports[0]!.customers);
+  return names.length === 0 ? [] : [
+    `  worst tenth of customers ${
+      mean(({ worstCustomers }) => worstCustomers)
+    }, of those within their usual ${
+      mean(({ worstUsualCustomers }) => worstUsualCustomers)
+    }; ${
+      names.map((name) =>
+        `${name} ${mean(({ customers }) => customers[name]?.earned ?? 0)}`
+      ).join(", ")
+    }`,
+  ];
+}
+
 function describe(name: string, reports: readonly LoadReport[]): string {
   const mean = (metric: (report: LoadReport) => number): string =>
     (reports.reduce((sum, report) => sum + metric(report), 0) / reports.length)
@@ -53,6 +72,7 @@
     `${name}: earned ${mean(({ all }) => all.earned)} (${
       reports.map(({ all }) => all.earned.toFixed(3)).join(", ")
     }), worst windows ${mean(({ worstWindows }) => worstWindows)}`,
+    ...describeCustomers(reports, mean),
     ...kinds.map((kind) => {
       const formatShare = (
         end: "on_time" | "late" | "refused" | "failed" | "left",
--- a/playground/src/routes/route_setting.ts
+++ b/playground/src/routes/route_setting.ts
@@ -85,7 +85,10 @@
   };
 }
 
-/** `customer NAME keys K,K [rank N] [homes R,R] [limit N] [burst N]`, with the limit in requests per second */
+/**
+ * `customer NAME keys K,K [rank N] [homes R,R] [limit N] [burst N] [tokens]`, with the limit in requests per second, or
+ * in tokens per second
+ */
 export function readCustomer(line: Line): Customer {
   const list = (key: string): string[] =>
     option(line, key, "").split(",").filter((item) => item !== "");
@@ -97,7 +100,7 @@
     rank: rank === "" ? undefined : Number(rank),
     homes: list("homes") as RegionId[],
     limit: limit === 0 ? undefined : {
-      unit: "requests",
+      unit: line.words.includes("tokens") ? "tokens" : "requests",
       perSecond: limit,
       burst: Number(option(line, "burst", String(limit))),
       plainTokens: 0,
--- a/playground/src/routes/route_world.ts
+++ b/playground/src/routes/route_world.ts
@@ -9,6 +9,7 @@
   type CallId,
   type ContentDigest,
   type EntryId,
+  type FeatureSettings,
   type GatewayBounds,
   type GatewayIdentity,
   instant,
@@ -58,6 +59,8 @@
   readonly isolatedEntries = new Set<string>();
   /** When the steps of the scenario began, in virtual milliseconds. */
   startOfScript = 0;
+  /** Which optional decisions the entries use; applies to entries that start later. */
+  features: FeatureSettings = AUTOMATIC_FEATURES;
   /** Fraction of datagrams that is lost. */
   datagramLossRate = 0;
   readonly #seed: number;
@@ -186,7 +189,7 @@
       peerAddress: `${name}:90`,
       weight: 1,
       seeds: [...this.entries.keys()].slice(0, 2).map((seed) => `${seed}:90`),
-      features: AUTOMATIC_FEATURES,
+      features: this.features,
       regionByZone: new Map(
         [...this.spots.values()].map((
           { zone, region },
