feat: customers share a region's endpoints by max-min fairness

Cause: each entry orders its own queue by a virtual clock per limit that forgets what it has sent. With many entries each holds a few requests of a customer, so one that sends many times its usual is served like all others together, at the cost of customers within their usual.

Change: reports of an entry's demand count what it placed by customer. From all reports, each weighted by the part of its last second that is still recent, `FairShares` works out the level at which the capacity of a service is used up: weighted max-min of limits, in prompt tokens to prefill and a cost per request. A customer's virtual clock is ahead by what it got beyond, and the queue orders requests of one rank and lateness by it. A request whose customer is over its share leaves an endpoint, for 250 ms at most, to those of others that wait in the region and don't fit into its room. The wait that decides on a refusal counts the part that goes before the customer. All of it while requests wait and only with the feature; else the order is that of before.

call_controller.test.ts: its dependencies get the new one, switched off.

--- a/packages/core/src/demand/demand_messages.ts
+++ b/packages/core/src/demand/demand_messages.ts
@@ -28,9 +28,14 @@
   readonly tokens: number;
 }
 
-/** Requests of one service that were sent to endpoints within the last second. */
+/** Requests of one service and customer that were sent to endpoints within the last second. */
 export interface PlacedGroup {
   readonly service: ServiceId;
+  /**
+   * `undefined` for requests without a customer, and for those of all customers together that have no group of their
+   * own.
+   */
+  readonly customer?: CustomerId | undefined;
   readonly requests: number;
   /** Prompt tokens that engines had to prefill. */
   readonly tokens: number;
--- a/packages/core/src/demand/demand_tally.ts
+++ b/packages/core/src/demand/demand_tally.ts
@@ -4,7 +4,11 @@
  * @module
  */
 import type { CustomerId, ServiceId } from "../ids/index.ts";
-import type { RunningGroup, WaitingGroup } from "./demand_messages.ts";
+import type {
+  PlacedGroup,
+  RunningGroup,
+  WaitingGroup,
+} from "./demand_messages.ts";
 
 /** Groups in one report, so that it fits into one datagram. The groups with the fewest tokens are left out. */
 export const MAX_GROUPS = 32;
@@ -31,6 +35,36 @@
   );
 }
 
+/**
+ * Bounds the groups of placed requests. The smallest of each service are added up without their customer, so that the
+ * sum of a service stays.
+ */
+export function boundPlaced(groups: readonly PlacedGroup[]): PlacedGroup[] {
+  if (groups.length <= MAX_GROUPS) {
+    return [...groups];
+  }
+  const bySize = [...groups].sort((left, right) =>
+    right.tokens - left.tokens || right.requests - left.requests
+  );
+  const services = new Set(groups.map(({ service }) => service));
+  const kept = Math.max(0, MAX_GROUPS - services.size);
+  const rest = new Map<ServiceId, { requests: number; tokens: number }>();
+  for (const { service, requests, tokens } of bySize.slice(kept)) {
+    const sum = rest.get(service) ?? { requests: 0, tokens: 0 };
+    sum.requests += requests;
+    sum.tokens += tokens;
+    rest.set(service, sum);
+  }
+  return [
+    ...bySize.slice(0, kept),
+    ...[...rest].map(([service, sum]) => ({
+      service,
+      customer: undefined,
+      ...sum,
+    })),
+  ];
+}
+
 interface CountedItem {
   readonly service: ServiceId;
   readonly customer: CustomerId | undefined;
--- a/packages/core/src/demand/region_demand.ts
+++ b/packages/core/src/demand/region_demand.ts
@@ -3,7 +3,12 @@
  *
  * @module
  */
-import type { Incarnation, Instant, ServiceId } from "../ids/index.ts";
+import type {
+  Incarnation,
+  Instant,
+  Milliseconds,
+  ServiceId,
+} from "../ids/index.ts";
 import type { StallAdjustedClockView } from "../listening/index.ts";
 import {
   type DemandReport,
@@ -79,6 +84,15 @@
     }
   }
 
+  /** Reports of the peers, with the time since each was received. */
+  *peerReports(
+    now: Instant,
+  ): Iterable<{ report: DemandReport; age: Milliseconds }> {
+    for (const { report, receivedAt } of this.#peers.values()) {
+      yield { report, age: this.#clock.since(receivedAt, now) };
+    }
+  }
+
   /** What waits in the region and is served before a request at the given position, or together with it. */
   waitingAhead(position: QueuePosition): DemandTotals {
     return sum(
--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -1,4 +1,6 @@
 import { describe, expect, it } from "vitest";
+import { RegionDemand } from "../../demand/index.ts";
+import { FairShares } from "../../fair_shares/index.ts";
 import {
   type AttemptId,
   type CallId,
@@ -104,6 +106,12 @@
       prefillFraction: 0,
     } as unknown as RegionController,
     placements: new PlacementMeter(),
+    shares: new FairShares({
+      demand: new RegionDemand(new StallAdjustedClock(instant(0))),
+      isOn: () => false,
+      limitOf: () => undefined,
+      placedHere: () => [],
+    }),
     router,
     budget: new RetryBudget(BOUNDS),
     cold: new ColdAllowance(BOUNDS, instant(0)),
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { EndpointTerms } from "../endpoint_terms/index.ts";
+import type { FairShares } from "../fair_shares/index.ts";
 import type { PrefixUpdate } from "../fleet/index.ts";
 import { type AttemptId, type Instant, milliseconds } from "../ids/index.ts";
 import type { Call, OpenAttempt } from "./call.ts";
@@ -36,6 +37,7 @@
   readonly regions: RegionController;
   /** Requests sent to endpoints, for the region's demand. */
   readonly placements: PlacementMeter;
+  readonly shares: FairShares;
   readonly router: CallRouter;
   readonly budget: RetryBudget;
   readonly cold: ColdAllowance;
@@ -83,7 +85,10 @@
     call.trace.notePrefill(prefill);
     state.addAttempt(attempt.id, { prefill, tokens }, now);
     state.health.noteRequestSent(now);
-    this.#deps.placements.add(state.record.service, prefill, now);
+    const { service } = state.record;
+    const customer = call.customer?.id;
+    this.#deps.placements.add(service, { customer, prefill }, now);
+    this.#deps.shares.recordPlaced(service, { customer, tokens: prefill });
     const { prompt } = call.head;
     if (prompt !== undefined && state.service?.engine !== undefined) {
       const parts = sharedParts(prompt);
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -6,6 +6,7 @@
 import type { CustomerLimits } from "../customers/index.ts";
 import type { DemandReport } from "../demand/index.ts";
 import type { EndpointTerms } from "../endpoint_terms/index.ts";
+import type { FairShares } from "../fair_shares/index.ts";
 import type { PrefixUpdate } from "../fleet/index.ts";
 import {
   after,
@@ -55,6 +56,7 @@
   readonly endpoints: EndpointRegistry;
   readonly regions: RegionController;
   readonly placements: PlacementMeter;
+  readonly shares: FairShares;
   readonly router: CallRouter;
   readonly budget: RetryBudget;
   readonly cold: ColdAllowance;
--- a/packages/core/src/gateway/call_demand.ts
+++ b/packages/core/src/gateway/call_demand.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {
+  boundPlaced,
   type DemandReport,
   groupRunning,
   groupWaiting,
@@ -48,6 +49,6 @@
   return {
     waiting: groupWaiting(waiting),
     running: groupRunning(running),
-    placed: placements.lastSecond(now),
+    placed: boundPlaced(placements.lastSecond(now)),
   };
 }
--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -22,6 +22,8 @@
 import type { QueueAhead } from "./local_placement.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
 import { isShortPrompt } from "./endpoint_placement.ts";
+import { spareRoom } from "./spare_room.ts";
+import { type FairShares, MAX_YIELD_MS } from "../fair_shares/index.ts";
 import { DEFAULT_PREFILL_TOKENS_PER_MS } from "./prompt_cost.ts";
 import type {
   QuarantineController,
@@ -52,6 +54,7 @@
   readonly router: CallRouter;
   readonly endpoints: EndpointRegistry;
   readonly regions: RegionController;
+  readonly shares: FairShares;
   readonly quarantine: QuarantineController;
   /** Number of entries in the region that carry requests, including this one. */
   readonly regionEntries: () => number;
@@ -59,11 +62,12 @@
 
 /** Places each request, or queues it. */
 export class CallPlacer {
-  readonly queue = new CallQueue();
+  readonly queue: CallQueue;
   readonly #deps: PlacerDependencies;
 
   constructor(deps: PlacerDependencies) {
     this.#deps = deps;
+    this.queue = new CallQueue(deps.shares);
   }
 
   /** Sends a request now, queues it, or refuses it. */
@@ -74,9 +78,11 @@
     if (this.#checkQuarantine(call, now) !== "free") {
       return;
     }
-    const ahead = this.#queueAhead(call);
+    const ahead = this.#queueAhead(call, now);
     const decision = this.#deps.router.next(call, ahead, now);
-    if (decision.kind === "wait") {
+    if (this.#mustYield(call, decision, now)) {
+      this.queue.add(call);
+    } else if (decision.kind === "wait") {
       this.#enqueue(call, { decision, ahead, now });
     } else {
       this.#dispatch(call, decision, now);
@@ -103,6 +109,9 @@
       }
       const ahead = { wait: now - call.arrivedAt, turns: 0 };
       const decision = this.#deps.router.next(call, ahead, now);
+      if (this.#mustYield(call, decision, now)) {
+        continue;
+      }
       if (decision.kind === "wait" && !isRestTooLong(decision)) {
         blocked.add(kind);
       } else if (decision.kind === "wait") {
@@ -226,23 +235,52 @@
     this.#deps.outcomes.fail(call, "endpoints_resting", now, wait);
   }
 
-  #queueAhead(call: Call): QueueAhead {
+  #queueAhead(call: Call, now: Instant): QueueAhead {
     const { services, rank } = call;
     // Entries of the region take turns, and each is assumed to have as much waiting as this one.
     const turns = (1 + this.queue.callsAhead(services[0]!, rank)) *
       this.#deps.regionEntries();
-    return { wait: this.#expectedWait(call), turns };
+    return { wait: this.#expectedWait(call, now), turns };
+  }
+
+  /** Whether a request that could be sent has to leave the endpoint to other customers for a moment. */
+  #mustYield(call: Call, { kind }: RoutingDecision, now: Instant): boolean {
+    const { shares, endpoints } = this.#deps;
+    const [service] = call.services;
+    if (
+      kind !== "endpoint" || call.attempts > 0 ||
+      now - call.arrivedAt >= MAX_YIELD_MS
+    ) {
+      return false;
+    }
+    return shares.mustYield(
+      {
+        service: service!,
+        rank: call.rank,
+        late: false,
+        customer: call.customer?.id,
+      },
+      () =>
+        spareRoom(
+          endpoints.ofService(service!).filter((state) =>
+            endpoints.accepts(state, now)
+          ),
+        ),
+      now,
+    );
   }
 
   /** Expected milliseconds until the prompts of queued requests that go first have been read. */
-  #expectedWait({ rank }: Call): number {
+  #expectedWait({ rank, services, customer }: Call, now: Instant): number {
     const engines =
       [...this.#deps.endpoints.all()].filter(({ service }) =>
         service?.engine !== undefined
       ).length;
     // Callers choose among the region's entries at random, so that each has about as much waiting.
+    const position = { service: services[0]!, rank, late: false };
     const waiting = this.queue.tokensAhead(rank) *
-      this.#deps.regionEntries();
+      this.#deps.regionEntries() *
+      this.#deps.shares.partAheadOf(position, customer?.id, now);
     return waiting * this.#deps.regions.prefillFraction /
       (DEFAULT_PREFILL_TOKENS_PER_MS * Math.max(1, engines));
   }
--- a/packages/core/src/gateway/call_queue.ts
+++ b/packages/core/src/gateway/call_queue.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { costOf } from "../customers/index.ts";
+import type { FairShares } from "../fair_shares/index.ts";
 import {
   after,
   type CustomerId,
@@ -23,6 +24,12 @@
 /** Holds the waiting requests. */
 export class CallQueue {
   readonly #calls = new Map<RequestId, Call>();
+  readonly #shares: FairShares | undefined;
+
+  /** Orders requests of one rank by `shares` while there is contention in the region. */
+  constructor(shares?: FairShares) {
+    this.#shares = shares;
+  }
 
   get size(): number {
     return this.#calls.size;
@@ -71,19 +78,54 @@
   ordered(prefillFraction: number, now: Instant): Call[] {
     const late = (call: Call): number =>
       Number(isLateToStart(call, prefillFraction, now));
+    if (this.#shares?.isContended(now) === true) {
+      return this.#orderedByShares(this.#shares, prefillFraction, now);
+    }
     const queued = withVirtualTimes([...this.#calls.values()]).map((item) => ({
       ...item,
       late: late(item.call),
     }));
-    queued.sort((left, right) =>
-      left.late - right.late ||
-      left.call.rank - right.call.rank ||
-      left.virtualTime - right.virtualTime
-    );
-    return queued.map(({ call }) => call);
+    return sortByTurn(queued);
+  }
+
+  /**
+   * The order within a rank is that of the region: the virtual clock of a customer counts what it has at all entries.
+   */
+  #orderedByShares(
+    shares: FairShares,
+    prefillFraction: number,
+    now: Instant,
+  ): Call[] {
+    const queued = [...this.#calls.values()].map((call) => ({
+      call,
+      service: call.services[0]!,
+      rank: call.rank,
+      late: isLateToStart(call, prefillFraction, now),
+      customer: call.customer?.id,
+      virtualArrival: virtualArrival(call),
+      tokens: call.uncachedTokens,
+    })).sort((left, right) => left.virtualArrival - right.virtualArrival);
+    const times = shares.startTimes(queued, now);
+    return sortByTurn(queued.map(({ call, late }, index) => ({
+      call,
+      late: Number(late),
+      virtualTime: times[index]!,
+    })));
   }
 }
 
+/** Requests in the order of service. */
+function sortByTurn(
+  queued: (QueuedCall & { readonly late: number })[],
+): Call[] {
+  queued.sort((left, right) =>
+    left.late - right.late ||
+    left.call.rank - right.call.rank ||
+    left.virtualTime - right.virtualTime
+  );
+  return queued.map(({ call }) => call);
+}
+
 /** Whether a request's first event would be late if it was sent now. */
 export function isLateToStart(
   call: Call,
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import type { CustomerLimits } from "../customers/index.ts";
 import { DemandReporter, RegionDemand } from "../demand/index.ts";
 import type { EndpointTerms } from "../endpoint_terms/index.ts";
+import { FairShares } from "../fair_shares/index.ts";
 import { Features } from "../features/index.ts";
 import { FleetController } from "../fleet/index.ts";
 import {
@@ -95,6 +96,8 @@
   readonly features: Features;
   /** What waits and runs at the entries of the region. */
   readonly demand: RegionDemand;
+  /** Customers' shares of the region's endpoints. */
+  readonly shares: FairShares;
   /** Outlooks of other regions. */
   readonly outlooks: RegionOutlooks;
   readonly #demandReporter: DemandReporter;
@@ -150,6 +153,13 @@
       hasCustomerLimits: this.#catalogue.table?.customers.hasLimits ?? false,
     }));
     this.demand = new RegionDemand(this.#clock);
+    const placements = new PlacementMeter();
+    this.shares = new FairShares({
+      demand: this.demand,
+      isOn: () => this.features.isOn("fairShares"),
+      limitOf: (id) => this.#catalogue.table?.customers.get(id)?.limit,
+      placedHere: (at) => placements.lastSecond(at),
+    });
     this.outlooks = new RegionOutlooks(self.region);
     this.fleet = new FleetController({
       self,
@@ -219,7 +229,8 @@
       catalogue: this.#catalogue,
       endpoints: this.#endpoints,
       regions: this.#regions,
-      placements: new PlacementMeter(),
+      placements,
+      shares: this.shares,
       router,
       budget: this.#retryBudget,
       cold: coldAllowance,
--- a/packages/core/src/gateway/placement_meter.ts
+++ b/packages/core/src/gateway/placement_meter.ts
@@ -4,25 +4,61 @@
  * @module
  */
 import type { PlacedGroup } from "../demand/index.ts";
-import type { Instant, ServiceId } from "../ids/index.ts";
+import type { CustomerId, Instant, ServiceId } from "../ids/index.ts";
 import { ArrivalMeter } from "./arrival_meter.ts";
 
-/** Sums of placed requests and of the prompt tokens that engines had to prefill for them, by service. */
+/** Requests of one customer, and the prompt tokens that engines had to prefill for them. */
+interface PlacementSums {
+  readonly customer: CustomerId | undefined;
+  readonly requests: ArrivalMeter;
+  readonly tokens: ArrivalMeter;
+}
+
+/** Sums of placed requests and of the prompt tokens that engines had to prefill for them, by service and customer. */
 export class PlacementMeter {
-  readonly #requests = new ArrivalMeter();
-  readonly #tokens = new ArrivalMeter();
+  readonly #customers = new Map<CustomerId | undefined, PlacementSums>();
 
-  add(service: ServiceId, prefill: number, now: Instant): void {
-    this.#requests.add(service, 1, now);
-    this.#tokens.add(service, prefill, now);
+  add(
+    service: ServiceId,
+    { customer, prefill }: {
+      customer: CustomerId | undefined;
+      prefill: number;
+    },
+    now: Instant,
+  ): void {
+    let sums = this.#customers.get(customer);
+    if (sums === undefined) {
+      sums = {
+        customer,
+        requests: new ArrivalMeter(),
+        tokens: new ArrivalMeter(),
+      };
+      this.#customers.set(customer, sums);
+    }
+    sums.requests.add(service, 1, now);
+    sums.tokens.add(service, prefill, now);
   }
 
-  /** What was placed within the last second. */
+  /** What was placed within the last second. Forgets customers without requests in it. */
   lastSecond(now: Instant): PlacedGroup[] {
-    return [...this.#requests.services()].map((service) => ({
-      service,
-      requests: this.#requests.lastSecond(service, now),
-      tokens: Math.round(this.#tokens.lastSecond(service, now)),
-    })).filter(({ requests }) => requests > 0);
+    const groups: PlacedGroup[] = [];
+    for (const { customer, requests, tokens } of this.#customers.values()) {
+      const count = groups.length;
+      for (const service of requests.services()) {
+        const placed = requests.lastSecond(service, now);
+        if (placed > 0) {
+          groups.push({
+            service,
+            customer,
+            requests: placed,
+            tokens: Math.round(tokens.lastSecond(service, now)),
+          });
+        }
+      }
+      if (groups.length === count) {
+        this.#customers.delete(customer);
+      }
+    }
+    return groups;
   }
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./endpoint_terms/index.ts";
 export * from "./endpoints/index.ts";
 export * from "./explain/index.ts";
+export * from "./fair_shares/index.ts";
 export * from "./features/index.ts";
 export * from "./fleet/index.ts";
 export * from "./gateway/index.ts";
--- a/packages/daemon/src/gateway/demand_schema.ts
+++ b/packages/daemon/src/gateway/demand_schema.ts
@@ -49,9 +49,13 @@
       })),
   ),
   boundedArray(
-    z.tuple([shortText, nonNegativeInteger, nonNegativeInteger]).transform(
-      ([service, requests, tokens]) => ({ service, requests, tokens }),
-    ),
+    z.tuple([shortText, customer, nonNegativeInteger, nonNegativeInteger])
+      .transform(([service, customer, requests, tokens]) => ({
+        service,
+        customer,
+        requests,
+        tokens,
+      })),
   ),
 ]).transform(([waiting, running, placed]) => ({ waiting, running, placed }));
 
@@ -88,8 +92,9 @@
       requests,
       Math.round(tokens),
     ]),
-    placed.map(({ service, requests, tokens }) => [
+    placed.map(({ service, customer, requests, tokens }) => [
       service,
+      customer ?? NO_CUSTOMER,
       requests,
       Math.round(tokens),
     ]),
