perf: lists of members are made when the fleet changes, not for each request

Cause: whether this entry may send to a cold endpoint asked for the entries that serve at any load.

Change: the membership list counts its changes and keeps its lists until the next one. A datagram that only shows that a member is alive changes nothing but the time when it was heard. `FleetController.derive` keeps what a function makes of the members and this entry's own record. The owner of a cold endpoint is chosen again when the candidates changed.

--- a/packages/core/src/fleet/fleet_controller.ts
+++ b/packages/core/src/fleet/fleet_controller.ts
@@ -22,6 +22,7 @@
 import { FleetSender } from "./fleet_sender.ts";
 import type { FleetOptions } from "./fleet_options.ts";
 import { JoinPhase } from "./join_phase.ts";
+import { MembershipCache } from "./membership_cache.ts";
 import { UnreachablePeers } from "./unreachable_peers.ts";
 import { MembershipList } from "./membership_list.ts";
 import type { FleetMember } from "./membership_list.ts";
@@ -47,6 +48,12 @@
 /** A longer gap between two ticks or messages counts as a pause of this process. */
 const PAUSE_THRESHOLD_MS = 1_000;
 
+/** Derives something about a region from the fleet's members, and from nothing else. */
+export type MembershipDerivation<Value> = (
+  region: RegionId,
+  fleet: FleetController,
+) => Value;
+
 /** Tracks the other entries of the fleet and whether they are alive. */
 export class FleetController {
   readonly regionSummaries: RegionSummaries;
@@ -59,7 +66,10 @@
   readonly #unreachablePeers: UnreachablePeers;
   readonly #joinPhase: JoinPhase;
   readonly #holdings = new PeerHoldings();
+  readonly #derived = new MembershipCache<FleetController>();
   #record: EntryRecord;
+  /** Increases with each change of this entry's own record. */
+  #recordVersion = 0;
   #nextPeriodAt: Instant;
   #lastTickAt: Instant;
 
@@ -87,7 +97,7 @@
   }
 
   /** Members that are considered live. */
-  liveMembers(): FleetMember[] {
+  liveMembers(): readonly FleetMember[] {
     return this.#members.withHealth("live");
   }
 
@@ -95,8 +105,22 @@
    * Members that are not known to be dead. Shares of a limit are computed with these, so that all shares
    * together do not exceed it.
    */
-  possiblyLiveMembers(): FleetMember[] {
-    return [...this.#members.all()].filter(({ health }) => health !== "dead");
+  possiblyLiveMembers(): readonly FleetMember[] {
+    return this.#members.possiblyLive();
+  }
+
+  /**
+   * What a function derives from the members and this entry's own record, for one region. It is computed again only
+   * after one of them has changed.
+   */
+  derive<Value>(
+    derivation: MembershipDerivation<Value>,
+    region: RegionId,
+  ): Value {
+    return this.#derived.get(
+      { derivation, region, fleet: this },
+      this.#members.version + this.#recordVersion,
+    );
   }
 
   /** Peer address of a live member, `undefined` if the member is unknown or not live. */
@@ -149,11 +173,11 @@
     if (state === this.#record.state) {
       return;
     }
-    this.#record = {
+    this.#setRecord({
       ...this.#record,
       state,
       version: this.#record.version + 1,
-    };
+    });
     this.sender.announce();
     this.#nextPeriodAt = now;
   }
@@ -247,14 +271,17 @@
   /** Refutes another entry's suspicion of this one: a higher version overrides it wherever it has spread. */
   #refute(health: string, version: number): void {
     if (health !== "live" && version >= this.#record.version) {
-      this.#record = { ...this.#record, version: version + 1 };
+      this.#setRecord({ ...this.#record, version: version + 1 });
     }
   }
 
+  #setRecord(record: EntryRecord): void {
+    this.#record = record;
+    this.#recordVersion++;
+  }
+
   #pingNext(joining: boolean, now: Instant): void {
-    const candidates = [...this.#members.all()].filter(({ health }) =>
-      health !== "dead"
-    );
+    const candidates = this.#members.possiblyLive();
     const pings = pingsPerPeriod({ joining, members: candidates.length });
     for (const member of this.#probeSchedule.next(candidates, pings)) {
       const sequence = this.#probeSchedule.open(member, now);
--- a/packages/core/src/fleet/fleet_sender.ts
+++ b/packages/core/src/fleet/fleet_sender.ts
@@ -25,7 +25,7 @@
   /** This entry's current record. */
   readonly record: () => EntryRecord;
   /** Live members. */
-  readonly live: () => FleetMember[];
+  readonly live: () => readonly FleetMember[];
 }
 
 /** Builds outgoing messages and selects their recipients. */
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -1,4 +1,8 @@
-export { FleetController, SUSPICION_TIMEOUT_MS } from "./fleet_controller.ts";
+export {
+  FleetController,
+  type MembershipDerivation,
+  SUSPICION_TIMEOUT_MS,
+} from "./fleet_controller.ts";
 export * from "./fleet_messages.ts";
 export type { FleetIdentity, FleetOptions } from "./fleet_options.ts";
 export type { FleetMember } from "./membership_list.ts";
--- a/packages/core/src/fleet/membership_list.ts
+++ b/packages/core/src/fleet/membership_list.ts
@@ -26,6 +26,7 @@
 }
 
 interface GossipedMember extends FleetMember {
+  heardAt: Instant;
   /** Number of messages that have carried the current record and health. */
   sendCount: number;
 }
@@ -39,12 +40,20 @@
 /** Keeps a record and a health for each incarnation. */
 export class MembershipList {
   readonly #members = new Map<Incarnation, GossipedMember>();
+  readonly #byHealth = new Map<MemberHealth, readonly FleetMember[]>();
+  #possiblyLive: readonly FleetMember[] | undefined;
   #introductionCursor = 0;
+  #version = 0;
 
   get size(): number {
     return this.#members.size;
   }
 
+  /** Increases whenever a member, its record or its health changes, so that lists made from them can be kept. */
+  get version(): number {
+    return this.#version;
+  }
+
   get(incarnation: Incarnation): FleetMember | undefined {
     return this.#members.get(incarnation);
   }
@@ -53,10 +62,23 @@
     return this.#members.values();
   }
 
-  withHealth(health: MemberHealth): FleetMember[] {
-    return [...this.#members.values()].filter((member) =>
-      member.health === health
+  withHealth(health: MemberHealth): readonly FleetMember[] {
+    let members = this.#byHealth.get(health);
+    if (members === undefined) {
+      members = [...this.#members.values()].filter((member) =>
+        member.health === health
+      );
+      this.#byHealth.set(health, members);
+    }
+    return members;
+  }
+
+  /** Members that are not known to be dead. */
+  possiblyLive(): readonly FleetMember[] {
+    this.#possiblyLive ??= [...this.#members.values()].filter(({ health }) =>
+      health !== "dead"
     );
+    return this.#possiblyLive;
   }
 
   /**
@@ -67,6 +89,10 @@
    */
   recordHeard(record: EntryRecord, now: Instant): void {
     const known = this.#members.get(record.incarnation);
+    if (known?.health === "live" && known.record.version === record.version) {
+      known.heardAt = now;
+      return;
+    }
     if (known?.health === "dead" && this.#hasLiveMemberAt(record)) {
       return;
     }
@@ -74,15 +100,14 @@
       this.#markPredecessorsDead(record, now);
     }
     const newer = known === undefined || record.version >= known.record.version;
-    const unchanged = known?.health === "live" &&
-      known.record.version === record.version;
     this.#members.set(record.incarnation, {
       record: newer ? record : known.record,
       health: "live",
       since: known?.health === "live" ? known.since : now,
       heardAt: now,
-      sendCount: unchanged ? known.sendCount : 0,
+      sendCount: 0,
     });
+    this.#noteChange();
   }
 
   /** Applies an update from another entry. Returns whether it changed anything. */
@@ -120,6 +145,7 @@
     for (const [incarnation, { health, since }] of this.#members) {
       if (health === "dead" && now - since > DEAD_RETENTION_MS) {
         this.#members.delete(incarnation);
+        this.#noteChange();
       }
     }
   }
@@ -166,6 +192,13 @@
       heardAt: known?.heardAt ?? now,
       sendCount: 0,
     });
+    this.#noteChange();
+  }
+
+  #noteChange(): void {
+    this.#version++;
+    this.#byHealth.clear();
+    this.#possiblyLive = undefined;
   }
 
   /** Marks former incarnations at a record's address as dead: two processes cannot listen there. */
--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -14,7 +14,7 @@
   sample,
   type ServiceId,
 } from "../ids/index.ts";
-import { NO_RETURN_MS } from "../fleet/index.ts";
+import { type FleetController, NO_RETURN_MS } from "../fleet/index.ts";
 import type { Call } from "./call.ts";
 import type { EndpointState } from "./endpoint_state.ts";
 import {
@@ -216,7 +216,8 @@
     { state, fetchFrom }: ChosenEndpoint,
     now: Instant,
   ): CallTarget {
-    const entries = 1 + this.#regionPeers().length;
+    const { fleet, self } = this.#sources;
+    const entries = 1 + fleet.derive(countPossiblyLive, self.region);
     const connections = (state.service?.connectionLimit ?? entries) *
       CONNECTION_FRACTION / entries;
     return {
@@ -231,14 +232,6 @@
     };
   }
 
-  /** Other entries of this region that may be alive. */
-  #regionPeers(): Incarnation[] {
-    const { self, fleet } = this.#sources;
-    return fleet.possiblyLiveMembers()
-      .filter(({ record }) => record.region === self.region)
-      .map(({ record }) => record.incarnation);
-  }
-
   /**
    * Returns a relay to the least utilized region that has capacity and is expected to serve the request sooner than
    * `localWait`. If `localWait` is `Infinity`, every region with endpoints for the request qualifies.
@@ -292,6 +285,13 @@
 /** Attempts of one request, including those whose connection failed. */
 export const MAX_ATTEMPTS = 6;
 
+/** Number of other entries of a region that may be alive. */
+function countPossiblyLive(region: RegionId, fleet: FleetController): number {
+  return fleet.possiblyLiveMembers().filter(({ record }) =>
+    record.region === region
+  ).length;
+}
+
 /** Requested fraction of a region's capacity. */
 function utilization({ load }: RegionView): number {
   return load === undefined || load.endpoints === 0
--- a/packages/core/src/gateway/cold_allowance.ts
+++ b/packages/core/src/gateway/cold_allowance.ts
@@ -31,6 +31,8 @@
 interface Owner {
   readonly entry: Incarnation | undefined;
   readonly since: number;
+  /** The entries that it was chosen from. */
+  candidates: readonly Incarnation[];
 }
 
 /**
@@ -62,7 +64,7 @@
     { record, service }: EndpointState,
     { self, candidates }: {
       self: Incarnation;
-      /** Entries of the region that may be alive, including this one. */
+      /** Entries of the region that may be alive, including this one. The same array as long as they are the same. */
       candidates: readonly Incarnation[];
     },
     now: Instant,
@@ -90,18 +92,22 @@
     candidates: readonly Incarnation[],
     now: Instant,
   ): Owner {
+    const known = this.#owners.get(endpoint);
+    if (known?.candidates === candidates) {
+      return known;
+    }
     const [entry] = rendezvous(
       `cold ${endpoint}`,
       candidates,
       (incarnation) => incarnation,
     );
-    const known = this.#owners.get(endpoint);
     if (known !== undefined && known.entry === entry) {
+      known.candidates = candidates;
       return known;
     }
     const settled = known === undefined &&
       now - this.#startedAt >= OWNER_SETTLING_MS;
-    const owner = { entry, since: settled ? -Infinity : now };
+    const owner = { entry, since: settled ? -Infinity : now, candidates };
     this.#owners.set(endpoint, owner);
     evictOldest(this.#owners);
     return owner;
--- a/packages/core/src/gateway/endpoint_terms_factory.ts
+++ b/packages/core/src/gateway/endpoint_terms_factory.ts
@@ -12,11 +12,16 @@
   type EndpointLog,
   type EndpointTerms,
 } from "../endpoint_terms/index.ts";
-import type { FleetController, FleetMessage } from "../fleet/index.ts";
+import type {
+  EntryRecord,
+  FleetController,
+  FleetMessage,
+} from "../fleet/index.ts";
 import {
   type EndpointId,
   type Incarnation,
   type Instant,
+  type RegionId,
   rendezvous,
 } from "../ids/index.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
@@ -78,10 +83,17 @@
 }
 
 /** Other live entries of the region. */
-function peersOf({ self, fleet }: EndpointTermsSources): Incarnation[] {
-  return fleet.liveMembers().filter(({ record }) =>
-    record.region === self.region
-  )
+function peersOf(
+  { self, fleet }: EndpointTermsSources,
+): readonly Incarnation[] {
+  return fleet.derive(livePeers, self.region);
+}
+
+function livePeers(
+  region: RegionId,
+  fleet: FleetController,
+): readonly Incarnation[] {
+  return fleet.liveMembers().filter(({ record }) => record.region === region)
     .map(({ record }) => record.incarnation);
 }
 
@@ -104,9 +116,7 @@
   endpoint: EndpointId,
   { self, fleet }: EndpointTermsSources,
 ): Incarnation {
-  const candidates = minimumServingOf(self.region, fleet).filter(({ state }) =>
-    state === "ready" || state === "outdated"
-  );
+  const candidates = fleet.derive(possibleCoordinators, self.region);
   const [coordinator] = rendezvous(
     `terms ${endpoint}`,
     candidates,
@@ -114,3 +124,12 @@
   );
   return (coordinator ?? fleet.record).incarnation;
 }
+
+function possibleCoordinators(
+  region: RegionId,
+  fleet: FleetController,
+): readonly EntryRecord[] {
+  return minimumServingOf(region, fleet).filter(({ state }) =>
+    state === "ready" || state === "outdated"
+  );
+}
--- a/packages/core/src/gateway/entry_directory.ts
+++ b/packages/core/src/gateway/entry_directory.ts
@@ -79,11 +79,8 @@
   now: Instant,
 ): DirectoryAnswer | undefined {
   const allowed = allowedRegions({ catalogue, regions }, question, now);
-  const ready = new Set(
-    [fleet.record, ...fleet.liveMembers().map(({ record }) => record)]
-      .filter(({ state }) => state === "ready").map(({ region }) => region),
-  );
-  const present = [...ready].filter(allowed);
+  const ready = fleet.derive(readyRegions, self.region);
+  const present = ready.filter(allowed);
   const steered = question.region === self.region &&
     hasEngines(catalogue, question);
   const shares = steered ? regions.shares : [];
@@ -102,6 +99,18 @@
   };
 }
 
+/** Regions with a ready entry, which may be this one. */
+function readyRegions(
+  _region: RegionId,
+  fleet: FleetController,
+): readonly RegionId[] {
+  const ready = [
+    fleet.record,
+    ...fleet.liveMembers().map(({ record }) => record),
+  ].filter(({ state }) => state === "ready");
+  return [...new Set(ready.map(({ region }) => region))];
+}
+
 /**
  * Regions whose entries a caller of a host may use.
  *
--- a/packages/core/src/gateway/local_placement.ts
+++ b/packages/core/src/gateway/local_placement.ts
@@ -11,6 +11,7 @@
   type Instant,
   type Milliseconds,
   milliseconds,
+  type RegionId,
 } from "../ids/index.ts";
 import type { Call } from "./call.ts";
 import type { ColdAllowance } from "./cold_allowance.ts";
@@ -176,23 +177,21 @@
     if (!state.isCold(now)) {
       return true;
     }
-    const { self, cold } = this.#sources;
+    const { self, fleet, cold } = this.#sources;
     return cold.allows(state, {
       self: self.incarnation,
-      candidates: this.#minimumServing(),
+      // A standby entry would have no requests for a cold endpoint that it is responsible for.
+      candidates: fleet.derive(minimumServingIncarnations, self.region),
     }, now);
   }
+}
 
-  /**
-   * Entries of the region that serve callers at any load, chosen from all that may be alive. A standby
-   * entry would have no requests for a cold endpoint that it is responsible for.
-   */
-  #minimumServing(): Incarnation[] {
-    const { self, fleet } = this.#sources;
-    return minimumServingOf(self.region, fleet).map(({ incarnation }) =>
-      incarnation
-    );
-  }
+/** Entries of a region that serve callers at any load, chosen from all that may be alive. */
+function minimumServingIncarnations(
+  region: RegionId,
+  fleet: FleetController,
+): readonly Incarnation[] {
+  return minimumServingOf(region, fleet).map(({ incarnation }) => incarnation);
 }
 
 /**
--- a/packages/core/src/gateway/region_controller.ts
+++ b/packages/core/src/gateway/region_controller.ts
@@ -245,10 +245,7 @@
     fleet: FleetController,
     now: Instant,
   ): RegionView[] {
-    const reachable = new Set(
-      fleet.liveMembers().filter(({ record }) => record.state === "ready")
-        .map(({ record }) => record.region),
-    );
+    const reachable = fleet.derive(readyRegions, this.#region);
     return fleet.regionSummaries.fresh(now)
       .filter(({ region }) => reachable.has(region))
       .map(({ region, loads }) => ({
@@ -268,10 +265,7 @@
     const services = [...this.#catalogue.document?.services.values() ?? []]
       .filter(({ engine }) => engine !== undefined)
       .map(({ id }) => id);
-    const reachable = new Set(
-      fleet.liveMembers().filter(({ record }) => record.state === "ready")
-        .map(({ record }) => record.region),
-    );
+    const reachable = fleet.derive(readyRegions, this.#region);
     const summaries = [
       this.summary(now),
       ...fleet.regionSummaries.fresh(now).filter(({ region }) =>
@@ -291,6 +285,17 @@
   }
 }
 
+/** Regions in which another entry is ready. */
+function readyRegions(
+  _region: RegionId,
+  fleet: FleetController,
+): ReadonlySet<RegionId> {
+  return new Set(
+    fleet.liveMembers().filter(({ record }) => record.state === "ready")
+      .map(({ record }) => record.region),
+  );
+}
+
 function sumRequests({ loads }: RegionSummary): number {
   return loads.reduce((sum, { requests }) => sum + requests, 0);
 }
--- a/packages/core/src/gateway/serving_set.ts
+++ b/packages/core/src/gateway/serving_set.ts
@@ -132,7 +132,14 @@
 export function minimumServingOf(
   region: RegionId,
   fleet: FleetController,
-): EntryRecord[] {
+): readonly EntryRecord[] {
+  return fleet.derive(selectMinimumServing, region);
+}
+
+function selectMinimumServing(
+  region: RegionId,
+  fleet: FleetController,
+): readonly EntryRecord[] {
   const candidates = [
     fleet.record,
     ...fleet.possiblyLiveMembers().map(({ record }) => record),
@@ -144,7 +151,14 @@
 export function acceptingEntriesOf(
   region: RegionId,
   fleet: FleetController,
-): EntryRecord[] {
+): readonly EntryRecord[] {
+  return fleet.derive(selectAccepting, region);
+}
+
+function selectAccepting(
+  region: RegionId,
+  fleet: FleetController,
+): readonly EntryRecord[] {
   const present = [
     fleet.record,
     ...fleet.liveMembers().map(({ record }) => record),
