perf: a placement doesn't derive anew what the last one knew

Cause: each placement of each waiting request counted the region's load from all endpoints and all reports, hashed the entry's bias for each endpoint, cut the prompt's shared parts once for each endpoint, and the queue was sorted twice with new objects. The choice of serving entries grouped and ranked a region's entries ten times a second, and each tick made a report of each endpoint to see whether its prefill had changed.

Change: the router uses a load of at most 10 ms of age; the bias is kept by endpoint; the queue's items are made and sorted once (twice only where a customer has a limit); ranks are kept until the fleet changes; changed prefill is read from the endpoint itself. The order of the queue, the costs and the choices are the same.

--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -236,10 +236,10 @@
 
   /** Expected milliseconds until the prompts of queued requests that go first have been read. */
   #expectedWait({ rank }: Call): number {
-    const engines =
-      [...this.#deps.endpoints.all()].filter(({ service }) =>
-        service?.engine !== undefined
-      ).length;
+    let engines = 0;
+    for (const { service } of this.#deps.endpoints.all()) {
+      engines += service?.engine === undefined ? 0 : 1;
+    }
     // Callers choose among the region's entries at random, so that each has about as much waiting.
     const waiting = this.queue.tokensAhead(rank) *
       this.#deps.regionEntries();
--- a/packages/core/src/gateway/call_queue.ts
+++ b/packages/core/src/gateway/call_queue.ts
@@ -69,15 +69,22 @@
    * In order of arrival, less of the value of the reviews in that peak was served.
    */
   ordered(prefillFraction: number, now: Instant): Call[] {
-    const late = (call: Call): number =>
-      Number(call.isLate(after(now, startTime(call, prefillFraction))));
-    const queued = withVirtualTimes([...this.#calls.values()]).map((item) => ({
-      ...item,
-      late: late(item.call),
-    }));
+    const queued: QueuedCall[] = [];
+    for (const call of this.#calls.values()) {
+      const sentInTime = !call.isLate(
+        after(now, startTime(call, prefillFraction)),
+      );
+      queued.push({
+        call,
+        rank: call.rank,
+        late: sentInTime ? 0 : 1,
+        virtualTime: virtualArrival(call),
+      });
+    }
+    spaceOutCustomers(queued);
     queued.sort((left, right) =>
       left.late - right.late ||
-      left.call.rank - right.call.rank ||
+      left.rank - right.rank ||
       left.virtualTime - right.virtualTime
     );
     return queued.map(({ call }) => call);
@@ -87,34 +94,35 @@
 /** A waiting request and its virtual time, by which requests of one rank are ordered. */
 interface QueuedCall {
   readonly call: Call;
-  readonly virtualTime: number;
+  readonly rank: number;
+  /** 1 if the request can't meet its objective any more, otherwise 0. */
+  readonly late: number;
+  virtualTime: number;
 }
 
 /**
- * Assigns virtual times that space out each customer's requests at the rate of its limit (one virtual clock per
+ * Moves virtual times so that they space out each customer's requests at the rate of its limit (one virtual clock per
  * customer). A customer that sends a burst within its limit queues behind itself, and requests of other
  * customers of the same rank overtake it.
  */
-function withVirtualTimes(calls: readonly Call[]): QueuedCall[] {
-  const queued = calls.map((call) => ({
-    call,
-    virtualTime: virtualArrival(call),
-  }));
+function spaceOutCustomers(queued: QueuedCall[]): void {
+  if (queued.every(({ call }) => call.customer?.limit === undefined)) {
+    return;
+  }
   queued.sort((left, right) => left.virtualTime - right.virtualTime);
   const offsets = new Map<CustomerId, number>();
-  return queued.map(({ call, virtualTime }) => {
-    const { customer, head } = call;
-    if (customer?.limit === undefined) {
-      return { call, virtualTime };
+  for (const item of queued) {
+    const { customer, head } = item.call;
+    if (customer?.limit !== undefined) {
+      const offset = offsets.get(customer.id) ?? 0;
+      const cost = costOf(customer.limit, head.prompt);
+      offsets.set(
+        customer.id,
+        offset + cost * MS_PER_SECOND / customer.limit.perSecond,
+      );
+      item.virtualTime += offset;
     }
-    const offset = offsets.get(customer.id) ?? 0;
-    const cost = costOf(customer.limit, head.prompt);
-    offsets.set(
-      customer.id,
-      offset + cost * MS_PER_SECOND / customer.limit.perSecond,
-    );
-    return { call, virtualTime: virtualTime + offset };
-  });
+  }
 }
 
 /** Virtual time of a request before its customer's other requests are taken into account. */
--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -127,11 +127,14 @@
     const subject = parts[parts.length - 1];
     const tokens = parts.reduce((sum, part) => sum + part.tokens, 0);
     const first = call.attempts === 0 && subject !== undefined;
-    if (!first || tokens - this.#cachedTokens(call, now) < MIN_FETCH_TOKENS) {
+    if (
+      !first || tokens < MIN_FETCH_TOKENS ||
+      tokens - this.#cachedTokens(call, now) < MIN_FETCH_TOKENS
+    ) {
       return undefined;
     }
     const { self, regions } = this.#sources;
-    const load = regions.load(call.services[0]!, now);
+    const load = regions.recentLoad(call.services[0]!, now);
     const own = subjectView({ region: self.region, load });
     const others = this.#openRegions(call, now).map(subjectView);
     const region = own.engines === 0
--- a/packages/core/src/gateway/cold_allowance.ts
+++ b/packages/core/src/gateway/cold_allowance.ts
@@ -77,7 +77,7 @@
     }
     const { coldOvershoot, coldSlack } = this.#bounds;
     const bound = (service?.coldRate ?? 0) * coldOvershoot + coldSlack;
-    return this.#recentSends(record.id, now).length <
+    return this.#countRecentSends(record.id, now) <
       Math.floor(bound / MAX_CONCURRENT_OWNERS);
   }
 
@@ -113,6 +113,12 @@
     return owner;
   }
 
+  #countRecentSends(endpoint: EndpointId, now: Instant): number {
+    return this.#sent.has(endpoint)
+      ? this.#recentSends(endpoint, now).length
+      : 0;
+  }
+
   #recentSends(endpoint: EndpointId, now: Instant): Instant[] {
     return (this.#sent.get(endpoint) ?? []).filter((at) =>
       now - at < RATE_WINDOW_MS
--- a/packages/core/src/gateway/endpoint_placement.ts
+++ b/packages/core/src/gateway/endpoint_placement.ts
@@ -103,9 +103,11 @@
   let best: Placement = { kind: "none" };
   let bestCost = Infinity;
   let wait = Infinity;
+  const { prompt } = request;
+  const parts = prompt === undefined ? [] : sharedParts(prompt);
+  const tokens = memoryTokens(prompt);
   for (const state of candidates) {
-    const { prefill, fetchFrom } = prefillAt(request, state);
-    const tokens = memoryTokens(request.prompt);
+    const { prefill, fetchFrom } = prefillAt(request, parts, state);
     const need = { prefill, tokens, urgent: request.urgent };
     if (!hasCapacity(state, need, now)) {
       wait = Math.min(wait, waitAt(state, now));
@@ -152,12 +154,13 @@
  */
 function prefillAt(
   { prompt, holder }: PlacementRequest,
+  parts: Prompt["parts"],
   state: EndpointState,
 ): { prefill: number; fetchFrom: EndpointState | undefined } {
   if (prompt === undefined || state.service?.engine === undefined) {
     return { prefill: 0, fetchFrom: undefined };
   }
-  const cached = state.prefixes.cachedTokens(sharedParts(prompt));
+  const cached = state.prefixes.cachedTokens(parts);
   const saved = holder === undefined || holder.state === state
     ? 0
     : holder.tokens - cached;
--- a/packages/core/src/gateway/endpoint_registry.ts
+++ b/packages/core/src/gateway/endpoint_registry.ts
@@ -204,9 +204,11 @@
 
   /** Number of peers in the region that have requests. */
   busyPeerCount(): number {
-    return [...this.#reports.values()].filter(({ report }) =>
-      report.arrivals.length > 0 || report.endpoints.length > 0
-    ).length;
+    let busy = 0;
+    for (const { report } of this.#reports.values()) {
+      busy += report.arrivals.length > 0 || report.endpoints.length > 0 ? 1 : 0;
+    }
+    return busy;
   }
 
   /** Drops the reports of peers that have fallen silent. */
--- a/packages/core/src/gateway/local_placement.ts
+++ b/packages/core/src/gateway/local_placement.ts
@@ -77,14 +77,21 @@
 /** Finds places for requests in this region. */
 export class LocalPlacement {
   readonly #sources: LocalPlacementSources;
+  readonly #biases = new WeakMap<EndpointState, number>();
 
   constructor(sources: LocalPlacementSources) {
     this.#sources = sources;
   }
 
-  readonly #biasOf = ({ record }: EndpointState): number => {
-    const { incarnation } = this.#sources.self;
-    return MAX_BIAS_MS * hash32(`${incarnation} ${record.id}`) / UINT32_RANGE;
+  readonly #biasOf = (state: EndpointState): number => {
+    let bias = this.#biases.get(state);
+    if (bias === undefined) {
+      const { incarnation } = this.#sources.self;
+      const hash = hash32(`${incarnation} ${state.record.id}`);
+      bias = MAX_BIAS_MS * hash / UINT32_RANGE;
+      this.#biases.set(state, bias);
+    }
+    return bias;
   };
 
   /** Finds the best place for a request, or the reason why it has to wait. */
@@ -96,10 +103,15 @@
     const { prompt } = call.head;
     let busy: LocalPlace = { kind: "none" };
     for (const service of call.services) {
-      const usable = endpoints.ofService(service).filter((state) =>
-        endpoints.accepts(state, now) && this.allowsWhileCold(state, now) &&
-        !call.avoidedVersions.has(state.record.softwareVersion)
-      );
+      const usable: EndpointState[] = [];
+      for (const state of endpoints.ofService(service)) {
+        if (
+          endpoints.accepts(state, now) && this.allowsWhileCold(state, now) &&
+          !call.avoidedVersions.has(state.record.softwareVersion)
+        ) {
+          usable.push(state);
+        }
+      }
       const untriedStates = untried(call, usable);
       const holder = findPrefixHolder(prompt, usable);
       call.uncachedTokens = (prompt?.promptTokens ?? 0) - (holder?.tokens ?? 0);
@@ -203,6 +215,9 @@
   { triedEndpoints, unreachedEndpoints }: Call,
   states: readonly EndpointState[],
 ): readonly EndpointState[] {
+  if (triedEndpoints.size === 0) {
+    return states;
+  }
   const untriedStates = states.filter(({ record }) =>
     !triedEndpoints.has(record.id)
   );
--- a/packages/core/src/gateway/region_controller.ts
+++ b/packages/core/src/gateway/region_controller.ts
@@ -32,6 +32,8 @@
 /** Time between two steering decisions: half of the time between the summaries of other regions. */
 const STEERING_PERIOD_MS = 250;
 const MS_PER_SECOND = 1_000;
+/** Decisions about single requests use a load of at most this age. It takes all endpoints and reports to compute. */
+const RECENT_LOAD_MS = 10;
 /** Work of a request to a plain service, in endpoint milliseconds. */
 const PLAIN_REQUEST_WORK_MS = 50;
 /** Initial fraction of a prompt that has to be prefilled, and the weight of the newest measurement. */
@@ -60,6 +62,10 @@
   readonly #endpoints: EndpointRegistry;
   readonly #limitOf: (record: EndpointRecord) => number | undefined;
   #prefillFraction = INITIAL_PREFILL_FRACTION;
+  readonly #recentLoads = new Map<
+    ServiceId,
+    { readonly at: Instant; readonly load: ServiceLoad }
+  >();
   #shares: RegionShare[] = [];
   #requestRate = 0;
   #nextDecisionAt: Instant;
@@ -195,6 +201,17 @@
     };
   }
 
+  /** This region's load for one service, which may be a few milliseconds old. */
+  recentLoad(service: ServiceId, now: Instant): ServiceLoad {
+    const known = this.#recentLoads.get(service);
+    if (known !== undefined && now - known.at < RECENT_LOAD_MS) {
+      return known.load;
+    }
+    const load = this.load(service, now);
+    this.#recentLoads.set(service, { at: now, load });
+    return load;
+  }
+
   /** Time until another region accepts work for a service, according to its latest summary; 0 if not known. */
   closedFor(
     service: ServiceId,
--- a/packages/core/src/gateway/serving_set.ts
+++ b/packages/core/src/gateway/serving_set.ts
@@ -80,9 +80,8 @@
       return cached;
     }
     const { fleet, regions } = this.#sources;
-    const ready = acceptingEntriesOf(region, fleet);
-    const records = servingByZone(
-      ready,
+    const records = servingOfZones(
+      fleet.derive(rankAccepting, region),
       regions.requestRate(region, fleet, now),
     );
     const incarnations = new Set(
@@ -102,25 +101,52 @@
   ready: readonly EntryRecord[],
   requests: number,
 ): EntryRecord[] {
+  return servingOfZones(rankByZone(ready), requests);
+}
+
+/** The serving entries of each zone, out of the ready entries of each in order of rank. */
+function servingOfZones(
+  zones: readonly (readonly EntryRecord[])[],
+  requests: number,
+): EntryRecord[] {
+  return zones.flatMap((ranked) =>
+    servingByRank(ranked, ZONE_LOAD_MARGIN * requests / zones.length)
+  );
+}
+
+/** Accepting entries of a region in order of rank, in a list for each zone. */
+function rankAccepting(
+  region: RegionId,
+  fleet: FleetController,
+): readonly (readonly EntryRecord[])[] {
+  return rankByZone(acceptingEntriesOf(region, fleet));
+}
+
+function rankByZone(records: readonly EntryRecord[]): EntryRecord[][] {
   const zones = new Map<ZoneId, EntryRecord[]>();
-  for (const record of ready) {
+  for (const record of records) {
     const list = zones.get(record.zone) ?? [];
     list.push(record);
     zones.set(record.zone, list);
   }
-  return [...zones.values()].flatMap((records) =>
-    servingInZone(records, ZONE_LOAD_MARGIN * requests / zones.size)
-  );
+  return [...zones.values()].map(rankEntries);
 }
 
 /** The serving entries of one zone that receives `requests` per second, in order of rank. */
 export function servingInZone(
   ready: readonly EntryRecord[],
   requests: number,
+): EntryRecord[] {
+  return servingByRank(rankEntries(ready), requests);
+}
+
+function servingByRank(
+  ranked: readonly EntryRecord[],
+  requests: number,
 ): EntryRecord[] {
   const requiredWeight = requests / REQUESTS_PER_CORE;
   let selectedWeight = 0;
-  return rankEntries(ready).filter(({ weight }, index) => {
+  return ranked.filter(({ weight }, index) => {
     const needed = index < MIN_SERVING_PER_ZONE ||
       selectedWeight < requiredWeight;
     selectedWeight += weight;
--- a/packages/core/src/gateway/work_reporter.ts
+++ b/packages/core/src/gateway/work_reporter.ts
@@ -12,6 +12,7 @@
 } from "../fleet/index.ts";
 import type { EndpointId, Instant, ZoneId } from "../ids/index.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
+import type { EndpointState } from "./endpoint_state.ts";
 import type { GatewayIdentity } from "./messages.ts";
 import { MIN_FETCH_TOKENS } from "./endpoint_placement.ts";
 import type { RegionController } from "./region_controller.ts";
@@ -129,9 +130,12 @@
   }
 
   #reportChanges(now: Instant): void {
-    const changed = [...this.#sources.endpoints.all()].filter((state) =>
-      this.#hasPrefillChanged(state.report())
-    );
+    const changed: EndpointState[] = [];
+    for (const state of this.#sources.endpoints.all()) {
+      if (this.#hasPrefillChanged(state)) {
+        changed.push(state);
+      }
+    }
     if (changed.length > 0) {
       this.#changeReportAt = now;
       this.#emptyReports = 0;
@@ -147,8 +151,8 @@
   }
 
   /** Only changes of prefill are urgent; the rest follows with the next full report. */
-  #hasPrefillChanged({ endpoint, prefill }: EndpointWork): boolean {
-    const lastPrefill = this.#lastReported.get(endpoint)?.prefill ?? 0;
+  #hasPrefillChanged({ record, own: { prefill } }: EndpointState): boolean {
+    const lastPrefill = this.#lastReported.get(record.id)?.prefill ?? 0;
     return Math.abs(prefill - lastPrefill) >= MIN_CHANGE_TOKENS ||
       (prefill === 0) !== (lastPrefill === 0) &&
         lastPrefill >= MIN_CHANGE_TOKENS;
