--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { type FairShares, MAX_YIELD_MS } from "../fair_shares/index.ts";
 import {
   type Instant,
   type Milliseconds,
@@ -23,7 +24,6 @@
 import type { EndpointRegistry } from "./endpoint_registry.ts";
 import { isShortPrompt } from "./endpoint_placement.ts";
 import { spareRoom } from "./spare_room.ts";
-import { type FairShares, MAX_YIELD_MS } from "../fair_shares/index.ts";
 import { DEFAULT_PREFILL_TOKENS_PER_MS } from "./prompt_cost.ts";
 import type {
   QuarantineController,
@@ -272,14 +272,17 @@
 
   /** Expected milliseconds until the prompts of queued requests that go first have been read. */
   #expectedWait({ rank, services, customer }: Call, now: Instant): number {
-    const engines =
-      [...this.#deps.endpoints.all()].filter(({ service }) =>
-        service?.engine !== undefined
-      ).length;
+    const tokens = this.queue.tokensAhead(rank);
+    if (tokens === 0) {
+      return 0;
+    }
+    let engines = 0;
+    for (const { service } of this.#deps.endpoints.all()) {
+      engines += service?.engine === undefined ? 0 : 1;
+    }
     // Callers choose among the region's entries at random, so that each has about as much waiting.
     const position = { service: services[0]!, rank, late: false };
-    const waiting = this.queue.tokensAhead(rank) *
-      this.#deps.regionEntries() *
+    const waiting = tokens * this.#deps.regionEntries() *
       this.#deps.shares.partAheadOf(position, customer?.id, now);
     return waiting * this.#deps.regions.prefillFraction /
       (DEFAULT_PREFILL_TOKENS_PER_MS * Math.max(1, engines));
