--- a/packages/core/src/fair_shares/fair_shares.ts
+++ b/packages/core/src/fair_shares/fair_shares.ts
@@ -176,8 +176,8 @@
   }
 
   /**
-   * Whether a request that could be sent leaves the endpoint to others: its customer has had more than its share, and
-   * more requests of customers within theirs wait in the region than its endpoints have room for.
+   * Whether a request that could be sent leaves the endpoint to others: its customer has had its share, and more
+   * requests of customers that ask for less than theirs wait in the region than its endpoints have room for.
    */
   mustYield(
     request: QueuePosition & { customer: Sharer },
@@ -188,9 +188,10 @@
       return false;
     }
     const shares = this.#services.get(request.service);
-    const isOver = (customer: Sharer): boolean =>
-      this.#paidUntil(shares!, customer) - CLOCK_TOLERANCE_MS > now;
-    if (shares === undefined || !isOver(request.customer)) {
+    if (
+      shares === undefined ||
+      this.#paidUntil(shares, request.customer) + CLOCK_TOLERANCE_MS < now
+    ) {
       return false;
     }
     let requests = 0;
@@ -198,7 +199,7 @@
     for (
       const [customer, waiting] of shares.classes.get(classOf(request)) ?? []
     ) {
-      if (customer !== request.customer && !isOver(customer)) {
+      if (customer !== request.customer && isWithinShare(shares, customer)) {
         requests += waiting.requests;
         tokens += waiting.tokens;
       }
@@ -414,6 +415,16 @@
   }
 }
 
+/** Whether a customer gets all that it asks for at the fair level. */
+function isWithinShare(
+  { accounts, level }: ServiceShares,
+  customer: Sharer,
+): boolean {
+  const account = accounts.get(customer);
+  return account === undefined ||
+    account.placed + account.waiting <= account.weight * level;
+}
+
 /** Requests that are ordered among each other by customer. */
 function classOf({ rank, late }: QueuePosition): string {
   return `${late ? 1 : 0} ${rank}`;
