feat: what a customer has over its share waits for others' requests

Cause: a request yielded for a time since it arrived, so a customer with a queue of seconds yielded with nothing of it, and its requests took each place that another entry's waiting requests were to have. Yielding counted the own queue too, of which those that fit had just been tried.

Change: endpoints are left to others while they had no room at some moment within 250 ms; after that long with room all the while one request takes it. A request that yields waits behind what its customer has waiting in the region, or is refused at once with that time. Once one yields, those of its customer and kind behind it aren't tried in the same pass.

--- a/packages/core/src/fair_shares/__tests__/fair_shares.test.ts
+++ b/packages/core/src/fair_shares/__tests__/fair_shares.test.ts
@@ -17,6 +17,7 @@
 } from "../../ids/index.ts";
 import {
   FairShares,
+  MAX_YIELD_MS,
   SHARE_WINDOW_MS,
   type WaitingRequest,
   workOf,
@@ -103,10 +104,13 @@
   } = {},
 ): FairShares {
   return region({
-    own: { waiting: [waiting(LOUD), waiting(CALM, { requests: calmWaits })] },
+    own: { waiting: [waiting(LOUD)] },
     peer: {
       placed: [placed(LOUD, 60), placed(CALM, 4)],
-      waiting: [waiting(LOUD, { requests: 30 })],
+      waiting: [
+        waiting(LOUD, { requests: 30 }),
+        waiting(CALM, { requests: calmWaits }),
+      ],
     },
     ...options,
   }).shares;
@@ -226,20 +230,67 @@
       expect(yields(shares, LOUD, { requests: 3, tokens: 2_000 })).toBe(true);
     });
 
+    /** Guards against endpoints that idle since those that wait elsewhere can't use them. */
+    it("for a bounded time while they have room without a break", () => {
+      const shares = contended();
+      const yieldsAt = (ms: number): boolean =>
+        shares.mustYield(
+          { ...POSITION, customer: LOUD },
+          () => NO_ROOM,
+          instant(NOW + ms),
+        );
+      const times = [0, 25, 50, 75, 100, 125, 150, 175, 200, 225];
+      expect(times.every(yieldsAt)).toBe(true);
+      expect(yieldsAt(MAX_YIELD_MS)).toBe(false);
+      expect(yieldsAt(MAX_YIELD_MS + 25)).toBe(true);
+    });
+
+    it("for longer where they had no room meanwhile", () => {
+      const shares = contended();
+      for (let ms = 0; ms <= 2 * MAX_YIELD_MS; ms += 25) {
+        const at = instant(NOW + ms);
+        expect(
+          shares.mustYield({ ...POSITION, customer: LOUD }, () => NO_ROOM, at),
+        ).toBe(true);
+        shares.noteBusy(SERVICE);
+      }
+    });
+
     /** Guards against a customer that waits although nobody else has requests. */
     it("not where only the customer itself has requests", () => {
-      const shares = contended({ own: { waiting: [waiting(LOUD)] } });
+      const { shares } = region({
+        own: { waiting: [waiting(LOUD)] },
+        peer: {
+          placed: [placed(LOUD, 60)],
+          waiting: [waiting(LOUD, { requests: 30 })],
+        },
+      });
       expect(yields(shares, LOUD)).toBe(false);
     });
 
     it("not for requests of another rank, or that are late", () => {
-      const shares = contended({
-        own: {
-          waiting: [waiting(CALM, { rank: 2 }), waiting(CALM, { late: true })],
+      const { shares } = region({
+        own: { waiting: [waiting(LOUD)] },
+        peer: {
+          placed: [placed(LOUD, 60)],
+          waiting: [
+            waiting(LOUD, { requests: 30 }),
+            waiting(CALM, { rank: 2 }),
+            waiting(CALM, { late: true }),
+          ],
         },
       });
       expect(yields(shares, LOUD)).toBe(false);
     });
+
+    /** Guards against yielding to requests of this entry that were tried before and found no room that fits them. */
+    it("not where the others wait at this entry", () => {
+      const shares = contended({
+        own: { waiting: [waiting(CALM, { requests: 3 })] },
+        calmWaits: 0,
+      });
+      expect(yields(shares, LOUD)).toBe(false);
+    });
   });
 
   describe("tell what is served before a new request", () => {
@@ -286,6 +337,14 @@
     });
   });
 
+  it("delay a customer's new request by what waits of it in the region", () => {
+    const shares = contended();
+    expect(shares.delayOf(POSITION, OTHER, NOW)).toBe(0);
+    const delay = shares.delayOf(POSITION, LOUD, NOW);
+    expect(delay).toBeGreaterThan(400);
+    expect(delay).toBeLessThan(1_500);
+  });
+
   /** Guards against false decisions right after a restart of all entries, when nobody knows what was placed. */
   it("are worked out with an assumed capacity while nothing was placed", () => {
     const { shares } = region({
--- a/packages/core/src/fair_shares/fair_shares.ts
+++ b/packages/core/src/fair_shares/fair_shares.ts
@@ -30,8 +30,13 @@
  * known with this delay, and a burst as short as that needs no correction.
  */
 const CLOCK_TOLERANCE_MS = 200;
-/** Longest time for which a request leaves an endpoint to others that wait for one at other entries. */
+/**
+ * Longest time for which endpoints with room are left to others that wait at other entries. If they have room all the
+ * while, those others can't use it.
+ */
 export const MAX_YIELD_MS = 250;
+/** Requests are tried at least this often. After a longer gap it isn't known whether endpoints had room all the while. */
+const MAX_TRIAL_GAP_MS = 100;
 /**
  * Work of a request besides its prefill, in prompt tokens: an answer of 200 tokens takes as much of an engine's time.
  */
@@ -71,12 +76,10 @@
   weight: number;
 }
 
-/** Waiting requests of one customer in one class. */
+/** Waiting requests of one customer in one class, in the region and at other entries. */
 interface WaitingTotals {
-  requests: number;
-  tokens: number;
-  /** Part of the work that waits at other entries. */
-  peerWork: number;
+  readonly region: { requests: number; tokens: number };
+  readonly peers: { requests: number; tokens: number };
 }
 
 /** Requests of one service. */
@@ -88,11 +91,18 @@
   level: number;
 }
 
+/** Since when room at endpoints was left to others without a break. */
+interface YieldPeriod {
+  readonly since: Instant;
+  lastAt: Instant;
+}
+
 /** Gives each customer its share of a region's endpoints. */
 export class FairShares {
   readonly #sources: FairShareSources;
   readonly #services = new Map<ServiceId, ServiceShares>();
   #refreshedAt: Instant | undefined;
+  readonly #yieldPeriods = new Map<ServiceId, YieldPeriod>();
   #yielded = 0;
 
   constructor(sources: FairShareSources) {
@@ -162,8 +172,8 @@
       }
       const queue = own.get(keyOf(request))!;
       const work = workOf({ requests: 1, tokens });
-      const peerWork =
-        shares.classes.get(classOf(request))?.get(customer)?.peerWork ?? 0;
+      const waiting = shares.classes.get(classOf(request))?.get(customer);
+      const peerWork = waiting === undefined ? 0 : workOf(waiting.peers);
       // Where in its customer's queue of the whole region a request is: as far as in that of this entry.
       const region = 1 + peerWork / queue.work;
       const ahead = (queue.ahead + work / 2) * region - work / 2;
@@ -177,7 +187,8 @@
 
   /**
    * Whether a request that could be sent leaves the endpoint to others: its customer has had its share, and more
-   * requests of customers that ask for less than theirs wait in the region than its endpoints have room for.
+   * requests of customers that ask for less than theirs wait at other entries than endpoints have room for. After
+   * `MAX_YIELD_MS` in which endpoints had room without a break, one request takes it.
    */
   mustYield(
     request: QueuePosition & { customer: Sharer },
@@ -200,19 +211,48 @@
       const [customer, waiting] of shares.classes.get(classOf(request)) ?? []
     ) {
       if (customer !== request.customer && isWithinShare(shares, customer)) {
-        requests += waiting.requests;
-        tokens += waiting.tokens;
+        requests += waiting.peers.requests;
+        tokens += waiting.peers.tokens;
       }
     }
     if (requests === 0) {
       return false;
     }
     const room = roomOf();
-    const yields = requests >= room.requests || tokens >= room.tokens;
+    const yields = (requests >= room.requests || tokens >= room.tokens) &&
+      this.#mayYield(request.service, now);
     this.#yielded += Number(yields);
     return yields;
   }
 
+  /** Notes that endpoints of a service had no room for a request. */
+  noteBusy(service: ServiceId): void {
+    this.#yieldPeriods.delete(service);
+  }
+
+  /** Milliseconds until a new request of a customer is served in virtual time, behind what waits of its customer. */
+  delayOf(position: QueuePosition, customer: Sharer, now: Instant): number {
+    this.#refresh(now);
+    const shares = this.#services.get(position.service);
+    return shares === undefined || shares.level === Infinity
+      ? 0
+      : this.#startOf(shares, { position, customer }, now) - now;
+  }
+
+  #mayYield(service: ServiceId, now: Instant): boolean {
+    const period = this.#yieldPeriods.get(service);
+    if (period === undefined || now - period.lastAt > MAX_TRIAL_GAP_MS) {
+      this.#yieldPeriods.set(service, { since: now, lastAt: now });
+      return true;
+    }
+    period.lastAt = now;
+    if (now - period.since < MAX_YIELD_MS) {
+      return true;
+    }
+    this.#yieldPeriods.delete(service);
+    return false;
+  }
+
   /**
    * What waits in the region and is served before a new request of a customer, or together with it. At most what
    * `RegionDemand.waitingAhead` returns, which is what is returned while there is no contention.
@@ -241,7 +281,7 @@
       for (const [other, totals] of waiting) {
         const isWhole = name !== ownClass || other === customer;
         add(
-          totals,
+          totals.region,
           isWhole
             ? 1
             : this.#partBefore(shares!, { customer: other, totals }, startsAt),
@@ -260,7 +300,7 @@
     const shares = this.#services.get(position.service);
     for (const [name, waiting] of shares?.classes ?? []) {
       if (name === classOf(position) || isClassAhead(name, position)) {
-        waiting.forEach(({ tokens }) => all += tokens);
+        waiting.forEach(({ region }) => all += region.tokens);
       }
     }
     return all === 0
@@ -278,7 +318,7 @@
     return shares.level === Infinity
       ? Infinity
       : Math.max(now, this.#paidUntil(shares, customer)) +
-        MS_PER_SECOND * (waiting === undefined ? 0 : workOf(waiting)) /
+        MS_PER_SECOND * (waiting === undefined ? 0 : workOf(waiting.region)) /
           this.#rateOf(shares, customer);
   }
 
@@ -293,7 +333,7 @@
     }
     const served = (time - this.#paidUntil(shares, customer)) *
       this.#rateOf(shares, customer) / MS_PER_SECOND;
-    return Math.min(1, Math.max(0, served / workOf(totals)));
+    return Math.min(1, Math.max(0, served / workOf(totals.region)));
   }
 
   /** Work a second that a customer may have. */
@@ -343,13 +383,13 @@
       const account = this.#accountOf(service, customer);
       const requests = group.requests * part;
       const tokens = group.tokens * part;
-      const work = workOf({ requests, tokens });
-      account.waiting += work;
+      account.waiting += workOf({ requests, tokens });
       account.requests += requests;
-      const totals = this.#waitingOf(group, customer);
-      totals.requests += requests;
-      totals.tokens += tokens;
-      totals.peerWork += isPeer ? work : 0;
+      const { region, peers } = this.#waitingOf(group, customer);
+      region.requests += requests;
+      region.tokens += tokens;
+      peers.requests += isPeer ? requests : 0;
+      peers.tokens += isPeer ? tokens : 0;
     }
   }
 
@@ -373,7 +413,10 @@
     }
     let totals = waiting.get(customer);
     if (totals === undefined) {
-      totals = { requests: 0, tokens: 0, peerWork: 0 };
+      totals = {
+        region: { requests: 0, tokens: 0 },
+        peers: { requests: 0, tokens: 0 },
+      };
       waiting.set(customer, totals);
     }
     return totals;
--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type FairShares, MAX_YIELD_MS } from "../fair_shares/index.ts";
+import type { FairShares } from "../fair_shares/index.ts";
 import {
   type Instant,
   type Milliseconds,
@@ -81,7 +81,7 @@
     const ahead = this.#queueAhead(call, now);
     const decision = this.#deps.router.next(call, ahead, now);
     if (this.#mustYield(call, decision, now)) {
-      this.queue.add(call);
+      this.#yieldTurn(call, now);
     } else if (decision.kind === "wait") {
       this.#enqueue(call, { decision, ahead, now });
     } else {
@@ -104,14 +104,19 @@
       }
       const { rank, services, head } = call;
       const kind = `${services[0]} ${rank} ${isShortPrompt(head.prompt)}`;
-      if (blocked.has(kind)) {
+      const sender = `${kind} ${call.customer?.id ?? ""}`;
+      if (blocked.has(kind) || blocked.has(sender)) {
         continue;
       }
       const ahead = { wait: now - call.arrivedAt, turns: 0 };
       const decision = this.#deps.router.next(call, ahead, now);
       if (this.#mustYield(call, decision, now)) {
+        blocked.add(sender);
         continue;
       }
+      if (decision.kind === "wait") {
+        this.#deps.shares.noteBusy(services[0]!);
+      }
       if (decision.kind === "wait" && !isRestTooLong(decision)) {
         blocked.add(kind);
       } else if (decision.kind === "wait") {
@@ -243,14 +248,25 @@
     return { wait: this.#expectedWait(call, now), turns };
   }
 
+  /** Queues a request behind those of its customer, or refuses it at once if its turn comes too late. */
+  #yieldTurn(call: Call, now: Instant): void {
+    const { services, rank, customer } = call;
+    const position = { service: services[0]!, rank, late: false };
+    const wait = milliseconds(
+      this.#deps.shares.delayOf(position, customer?.id, now),
+    );
+    this.#enqueue(call, {
+      decision: { kind: "wait", wait, reason: "busy" },
+      ahead: { wait: 0, turns: 0 },
+      now,
+    });
+  }
+
   /** Whether a request that could be sent has to leave the endpoint to other customers for a moment. */
   #mustYield(call: Call, { kind }: RoutingDecision, now: Instant): boolean {
     const { shares, endpoints } = this.#deps;
     const [service] = call.services;
-    if (
-      kind !== "endpoint" || call.attempts > 0 ||
-      now - call.arrivedAt >= MAX_YIELD_MS
-    ) {
+    if (kind !== "endpoint" || call.attempts > 0) {
       return false;
     }
     return shares.mustYield(
