perf: waiting requests are tried again at a first event, not at each event

Cause: each event of a stream tried all waiting requests again while the stream's engine had any prompt of this entry to read. Only the event that shows a prompt as read makes room; the others found what the one before had found.

Change: `noteFirstEvent` says whether the endpoint has less to prefill, and only then are waiting requests placed. Room that appears with time alone is found at the tick, 25 ms at the latest.

--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -258,8 +258,6 @@
       return;
     }
     const { call, attempt } = found;
-    const hadPrefill = attempt.state !== undefined &&
-      attempt.state.own.prefill > 0;
     attempt.heardAt = now;
     if (attempt.state !== undefined) {
       attempt.state.heardAt = now;
@@ -270,9 +268,9 @@
     }
     attempt.partialEventBytes = update.unfinished;
     call.trace.noteBytes(now);
-    attempt.state?.noteFirstEvent(id, now);
+    const hasRoom = attempt.state?.noteFirstEvent(id, now) === true;
     call.position.advance(update);
-    if (hadPrefill) {
+    if (hasRoom) {
       this.#placer.drain(now);
     }
   }
--- a/packages/core/src/gateway/endpoint_state.ts
+++ b/packages/core/src/gateway/endpoint_state.ts
@@ -187,16 +187,20 @@
     this.#updatePrefill(now);
   }
 
-  /** Notes an attempt's first event, which shows that its prompt has been prefilled. */
-  noteFirstEvent(attempt: AttemptId, now: Instant): void {
+  /**
+   * Notes an attempt's first event, which shows that its prompt has been prefilled. Returns whether the endpoint has
+   * less to prefill now.
+   */
+  noteFirstEvent(attempt: AttemptId, now: Instant): boolean {
     const attemptLoad = this.#attempts.get(attempt);
     if (attemptLoad === undefined || attemptLoad.prefill === 0) {
-      return;
+      return false;
     }
     this.#measurePrefillRate(attemptLoad, now);
     this.own.prefill -= attemptLoad.prefill;
     attemptLoad.prefill = 0;
     this.#updatePrefill(now);
+    return true;
   }
 
   /** Removes an attempt that has ended. */
