perf: frequent datagrams are decoded by hand

Cause: checking each work report, ping and acknowledgement by schema took a twentieth of an entry's processor time.

Change: the kinds that entries send all the time (work, ping, ack, indirect, indirect_ack, announce) are checked by a decoder of their own, with the same acceptance; the others keep their schemas.

--- /dev/null
+++ b/packages/daemon/src/gateway/fleet_decoder.ts
@@ -0,0 +1,268 @@
+/**
+ * Decodes the kinds of datagrams that entries send all the time. Checking them by schema took more processor time
+ * than everything that is done with them.
+ *
+ * @module
+ */
+import type {
+  EntryRecord,
+  FleetGossip,
+  FleetMessage,
+  HeldVersions,
+  RegionSummary,
+  WorkReport,
+} from "@sassafrasstep/core";
+import { MAX_ITEMS, MAX_TEXT_CHARACTERS } from "../quarantine/index.ts";
+
+const STATES: ReadonlySet<unknown> = new Set<EntryRecord["state"]>([
+  "starting",
+  "ready",
+  "outdated",
+  "stopping",
+]);
+const HEALTHS: ReadonlySet<unknown> = new Set(["live", "suspect", "dead"]);
+
+/**
+ * Decodes the items after the kind of a message. Returns `undefined` for a kind that is decoded by schema, and throws
+ * if the items are not valid.
+ */
+export function decodeFrequent(
+  kind: unknown,
+  body: readonly unknown[],
+): FleetMessage | undefined {
+  switch (kind) {
+    case "work":
+      expectLength(body, 2);
+      return {
+        kind,
+        incarnation: text(body[0]) as never,
+        report: decodeReport(body[1]),
+      };
+    case "ping":
+    case "ack":
+      expectLength(body, 6);
+      return {
+        kind,
+        ...decodeBase(body),
+        sequence: integer(body[2]),
+        ...decodeGossip(body),
+      };
+    case "indirect":
+      expectLength(body, 4);
+      return {
+        kind,
+        ...decodeBase(body),
+        sequence: integer(body[2]),
+        target: text(body[3]),
+      };
+    case "indirect_ack":
+      expectLength(body, 3);
+      return { kind, ...decodeBase(body), sequence: integer(body[2]) };
+    case "announce":
+      expectLength(body, 2);
+      return { kind, ...decodeBase(body) };
+    default:
+      return undefined;
+  }
+}
+
+function decodeBase(
+  body: readonly unknown[],
+): { from: EntryRecord; holdings: HeldVersions } {
+  return { from: decodeRecord(body[0]), holdings: decodeHoldings(body[1]) };
+}
+
+function decodeRecord(value: unknown): EntryRecord {
+  const items = tuple(value, 9);
+  return {
+    id: text(items[0]),
+    incarnation: text(items[1]),
+    version: integer(items[2]),
+    zone: text(items[3]),
+    region: text(items[4]),
+    callerAddress: text(items[5]),
+    peerAddress: text(items[6]),
+    state: oneOf(STATES, items[7]),
+    weight: finite(items[8]),
+  } as unknown as EntryRecord;
+}
+
+function decodeHoldings(value: unknown): HeldVersions {
+  const [document, position] = tuple(value, 2);
+  const [epoch, revision] = tuple(position, 2);
+  return {
+    document: integer(document),
+    catalogue: { epoch: integer(epoch), revision: integer(revision) },
+  } as unknown as HeldVersions;
+}
+
+function decodeGossip(body: readonly unknown[]): FleetGossip {
+  return {
+    news: list(body[3], decodeUpdate),
+    regions: list(body[4], decodeSummary),
+    holds: list(body[5], decodeHold),
+  };
+}
+
+function decodeUpdate(value: unknown): FleetGossip["news"][number] {
+  const [record, health] = tuple(value, 2);
+  return {
+    record: decodeRecord(record),
+    health: oneOf(HEALTHS, health) as never,
+  };
+}
+
+function decodeSummary(value: unknown): RegionSummary {
+  const items = tuple(value, 4);
+  return {
+    region: text(items[0]),
+    age: finite(items[1]),
+    loads: list(items[2], decodeLoad),
+    shares: list(items[3], (share) => {
+      const [region, part] = tuple(share, 2);
+      return { region: text(region), share: finite(part) };
+    }),
+  } as unknown as RegionSummary;
+}
+
+/**
+ * Without endpoints there is no backlog. Its place then holds the time until there is an endpoint, which entries of an
+ * earlier version ignore.
+ */
+function decodeLoad(value: unknown): RegionSummary["loads"][number] {
+  const items = tuple(value, 5);
+  const endpoints = integer(items[1]);
+  const backlog = finite(items[4]);
+  return {
+    service: text(items[0]),
+    endpoints,
+    work: finite(items[2]),
+    requests: finite(items[3]),
+    backlog: endpoints === 0 ? 0 : backlog,
+    closedFor: endpoints === 0 && backlog > 0 ? backlog : undefined,
+  } as unknown as RegionSummary["loads"][number];
+}
+
+function decodeHold(value: unknown): FleetGossip["holds"][number] {
+  const items = tuple(value, 8);
+  const caller = text(items[1]);
+  return {
+    content: text(items[0]),
+    caller: caller === "" ? undefined : caller,
+    service: text(items[2]),
+    versions: list(items[3], text),
+    mended: list(items[4], text),
+    term: integer(items[5]),
+    remaining: finite(items[6]),
+    released: flag(items[7]),
+  } as unknown as FleetGossip["holds"][number];
+}
+
+function decodeReport(value: unknown): WorkReport {
+  const items = tuple(value, 5);
+  return {
+    partial: flag(items[0]),
+    endpoints: list(items[1], decodeWork),
+    prefixes: list(items[2], decodePrefix),
+    arrivals: list(items[3], (arrival) => {
+      const [service, work, requests] = tuple(arrival, 3);
+      return {
+        service: text(service) as never,
+        work: finite(work),
+        requests: finite(requests),
+      };
+    }),
+    picture: integer(items[4]),
+  };
+}
+
+function decodeWork(value: unknown): WorkReport["endpoints"][number] {
+  const items = tuple(value, 5);
+  return {
+    endpoint: text(items[0]),
+    life: life(items[1]),
+    prefill: finite(items[2]),
+    requests: finite(items[3]),
+    tokens: finite(items[4]),
+  } as unknown as WorkReport["endpoints"][number];
+}
+
+function decodePrefix(value: unknown): WorkReport["prefixes"][number] {
+  const items = tuple(value, 3);
+  return {
+    endpoint: text(items[0]),
+    life: life(items[1]),
+    parts: list(items[2], (part) => {
+      const [id, tokens] = tuple(part, 2);
+      return { id: text(id), tokens: finite(tokens) };
+    }),
+  } as unknown as WorkReport["prefixes"][number];
+}
+
+function tuple(value: unknown, length: number): readonly unknown[] {
+  if (!Array.isArray(value)) {
+    throw new TypeError("Cannot decode datagram: expected an array");
+  }
+  expectLength(value, length);
+  return value;
+}
+
+function expectLength(items: readonly unknown[], length: number): void {
+  if (items.length !== length) {
+    throw new TypeError(`Cannot decode datagram: expected ${length} items`);
+  }
+}
+
+function list<Item>(
+  value: unknown,
+  decode: (item: unknown) => Item,
+): Item[] {
+  if (!Array.isArray(value) || value.length > MAX_ITEMS) {
+    throw new TypeError("Cannot decode datagram: expected a list");
+  }
+  const items: Item[] = [];
+  for (const item of value) {
+    items.push(decode(item));
+  }
+  return items;
+}
+
+function text(value: unknown): string {
+  if (typeof value !== "string" || value.length > MAX_TEXT_CHARACTERS) {
+    throw new TypeError("Cannot decode datagram: expected a short text");
+  }
+  return value;
+}
+
+function finite(value: unknown): number {
+  if (!Number.isFinite(value)) {
+    throw new TypeError("Cannot decode datagram: expected a number");
+  }
+  return value as number;
+}
+
+function integer(value: unknown): number {
+  if (!Number.isSafeInteger(value) || (value as number) < 0) {
+    throw new TypeError("Cannot decode datagram: expected an integer");
+  }
+  return value as number;
+}
+
+/** 0 stands for an endpoint that does not report its life. */
+function life(value: unknown): number | undefined {
+  return integer(value) || undefined;
+}
+
+function flag(value: unknown): boolean {
+  if (typeof value !== "boolean") {
+    throw new TypeError("Cannot decode datagram: expected a boolean");
+  }
+  return value;
+}
+
+function oneOf(values: ReadonlySet<unknown>, value: unknown): string {
+  if (!values.has(value)) {
+    throw new TypeError("Cannot decode datagram: expected a known name");
+  }
+  return value as string;
+}
--- a/packages/daemon/src/gateway/fleet_schema.ts
+++ b/packages/daemon/src/gateway/fleet_schema.ts
@@ -14,6 +14,7 @@
   WorkReport,
 } from "@sassafrasstep/core";
 import { z } from "zod";
+import { decodeFrequent } from "./fleet_decoder.ts";
 import {
   departureMessageSchema,
   encodeDepartures,
@@ -27,181 +28,15 @@
   spendingMessageSchema,
 } from "../customers/index.ts";
 import {
-  boundedArray,
-  cataloguePosition,
   encodeHoldNotice,
   encodePosition,
   encodeQuarantineNews,
-  endpointLife,
-  holdNoticeSchema,
-  nonNegativeInteger,
-  number,
   quarantineNewsSchema,
   shortText,
 } from "../quarantine/index.ts";
 
-const recordSchema = z.tuple([
-  shortText,
-  shortText,
-  nonNegativeInteger,
-  shortText,
-  shortText,
-  shortText,
-  shortText,
-  z.enum(["starting", "ready", "outdated", "stopping"]),
-  number,
-]).transform((
-  [
-    id,
-    incarnation,
-    version,
-    zone,
-    region,
-    callerAddress,
-    peerAddress,
-    state,
-    weight,
-  ],
-) => ({
-  id,
-  incarnation,
-  version,
-  zone,
-  region,
-  callerAddress,
-  peerAddress,
-  state,
-  weight,
-}));
-const holdingsSchema = z.tuple([nonNegativeInteger, cataloguePosition])
-  .transform(
-    ([document, catalogue]) => ({ document, catalogue }),
-  );
-const newsSchema = z.tuple([recordSchema, z.enum(["live", "suspect", "dead"])])
-  .transform(
-    ([record, health]) => ({ record, health }),
-  );
-const loadSchema = z.tuple([
-  shortText,
-  nonNegativeInteger,
-  number,
-  number,
-  number,
-]).transform(
-  // Without endpoints there is no backlog. Its place then holds the time until there is an endpoint, which entries of
-  // an earlier version ignore.
-  ([service, endpoints, work, requests, backlog]) => ({
-    service,
-    endpoints,
-    work,
-    requests,
-    backlog: endpoints === 0 ? 0 : backlog,
-    closedFor: endpoints === 0 && backlog > 0 ? backlog : undefined,
-  }),
-);
-const shareSchema = z.tuple([shortText, number]).transform(
-  ([region, share]) => ({ region, share }),
-);
-const summarySchema = z.tuple([
-  shortText,
-  number,
-  boundedArray(loadSchema),
-  boundedArray(shareSchema),
-]).transform(
-  ([region, age, loads, shares]) => ({ region, age, loads, shares }),
-);
-const prefixPartSchema = z.tuple([shortText, number]).transform(
-  ([id, tokens]) => ({ id, tokens }),
-);
-const reportSchema = z.tuple([
-  z.boolean(),
-  boundedArray(
-    z.tuple([shortText, endpointLife, number, number, number]).transform(
-      ([endpoint, life, prefill, requests, tokens]) => ({
-        endpoint,
-        life,
-        prefill,
-        requests,
-        tokens,
-      }),
-    ),
-  ),
-  boundedArray(
-    z.tuple([shortText, endpointLife, boundedArray(prefixPartSchema)])
-      .transform(
-        ([endpoint, life, parts]) => ({ endpoint, life, parts }),
-      ),
-  ),
-  boundedArray(
-    z.tuple([shortText, number, number]).transform(
-      ([service, work, requests]) => ({ service, work, requests }),
-    ),
-  ),
-  nonNegativeInteger,
-]).transform(([partial, endpoints, prefixes, arrivals, picture]) => ({
-  partial,
-  endpoints,
-  prefixes,
-  arrivals,
-  picture,
-}));
-
-const baseItems = [recordSchema, holdingsSchema] as const;
-const probeSchema = z.tuple([
-  ...baseItems,
-  nonNegativeInteger,
-  boundedArray(newsSchema),
-  boundedArray(summarySchema),
-  boundedArray(holdNoticeSchema),
-]);
-
-/** Schemas of the items after the kind, for each kind of message. */
+/** Schemas of the items after the kind, for the kinds of message that `decodeFrequent` leaves out. */
 const BODY_SCHEMAS = {
-  ping: probeSchema.transform((
-    [from, holdings, sequence, news, regions, holds],
-  ) => ({
-    kind: "ping",
-    from,
-    holdings,
-    sequence,
-    news,
-    regions,
-    holds,
-  })),
-  ack: probeSchema.transform((
-    [from, holdings, sequence, news, regions, holds],
-  ) => ({
-    kind: "ack",
-    from,
-    holdings,
-    sequence,
-    news,
-    regions,
-    holds,
-  })),
-  indirect: z.tuple([...baseItems, nonNegativeInteger, shortText]).transform(
-    ([from, holdings, sequence, target]) => ({
-      kind: "indirect",
-      from,
-      holdings,
-      sequence,
-      target,
-    }),
-  ),
-  indirect_ack: z.tuple([...baseItems, nonNegativeInteger]).transform(
-    ([from, holdings, sequence]) => ({
-      kind: "indirect_ack",
-      from,
-      holdings,
-      sequence,
-    }),
-  ),
-  announce: z.tuple([...baseItems]).transform(
-    ([from, holdings]) => ({ kind: "announce", from, holdings }),
-  ),
-  work: z.tuple([shortText, reportSchema]).transform(
-    ([incarnation, report]) => ({ kind: "work", incarnation, report }),
-  ),
   quarantine: z.tuple([shortText, quarantineNewsSchema]).transform(
     ([incarnation, news]) => ({ kind: "quarantine", incarnation, news }),
   ),
@@ -223,8 +58,12 @@
 export function decodeFleetMessage(bytes: Buffer): FleetMessage | undefined {
   try {
     const [kind, ...body] = JSON.parse(bytes.toString("utf8"));
+    const frequent = decodeFrequent(kind, body);
+    if (frequent !== undefined) {
+      return frequent;
+    }
     const schema = Object.hasOwn(BODY_SCHEMAS, kind)
-      ? BODY_SCHEMAS[kind as FleetMessage["kind"]]
+      ? BODY_SCHEMAS[kind as keyof typeof BODY_SCHEMAS]
       : undefined;
     const result = schema?.safeParse(body);
     return result?.success === true
--- a/packages/daemon/src/quarantine/schema_parts.ts
+++ b/packages/daemon/src/quarantine/schema_parts.ts
@@ -6,8 +6,11 @@
 import type { CataloguePosition } from "@sassafrasstep/core";
 import { z } from "zod";
 
-const MAX_ITEMS = 1_024;
-export const shortText = z.string().max(256);
+/** Maximum number of items of an array in a datagram. */
+export const MAX_ITEMS = 1_024;
+/** Maximum length of a text in a datagram. */
+export const MAX_TEXT_CHARACTERS = 256;
+export const shortText = z.string().max(MAX_TEXT_CHARACTERS);
 export const number = z.number();
 export const nonNegativeInteger = z.number().int().nonnegative();
 /** Life of an endpoint; 0 stands for an endpoint that does not report its life. */
