test: modelled engines of uneven pace, on machines that other work slows down

Cause: every engine of the modelled loads has the same figures and a constant pace. Decisions about endpoints' pace and about moving work between regions early can't be compared on them.

Change: engines of a load may have figures of their own (slots, cache, read, step) and a shared machine (contention SHARE:FACTOR:PERIOD): drawn anew about every PERIOD by the load's seed, it takes FACTOR times as long for a SHARE of the time. Such an engine reports its load and contention with each answer; one without the option reports none, as before. Plain endpoints of scenarios have the same option. The load uneven_engines has three regions of which one is at 2.8 times its mean and then rests while the next is busy, on nine engines of 32 places whose memory the subjects nearly fill. Adding engines has a module of its own.

--- a/playground/src/load/__tests__/engine_model.test.ts
+++ b/playground/src/load/__tests__/engine_model.test.ts
@@ -1,7 +1,16 @@
-import type { CallHead, CallTarget, EndpointId } from "@sassafrasstep/core";
+import {
+  type CallHead,
+  type CallTarget,
+  type EndpointId,
+  SeededRandomness,
+} from "@sassafrasstep/core";
 import { beforeEach, describe, expect, it } from "vitest";
 import type { BackendRequest } from "../../routes/fake_backend.ts";
 import { VirtualTime } from "../../scenario/virtual_time.ts";
+import {
+  type ContentionParameters,
+  SharedMachine,
+} from "../../routes/shared_machine.ts";
 import { EngineModel, type EngineParameters } from "../engine_model.ts";
 
 /** Round values, so that expected times are easy to calculate. */
@@ -27,15 +36,23 @@
   ended: "complete" | "lost" | undefined;
 }
 
+/** A machine that is slowed down to half its pace at all times. */
+const SLOWED_DOWN: ContentionParameters = {
+  share: 1,
+  factor: 2,
+  periodMs: 600,
+};
+
 describe("a modelled engine", () => {
   let time: VirtualTime;
   let firstEngine: EngineModel;
   let secondEngine: EngineModel;
+  let slowedEngine: EngineModel;
 
   beforeEach(() => {
     time = new VirtualTime();
     const engines: EngineModel[] = [];
-    const build = (name: string): EngineModel =>
+    const build = (name: string, machine?: SharedMachine): EngineModel =>
       new EngineModel({
         name,
         id: name,
@@ -43,6 +60,7 @@
         spot: { zone: "z", region: "r" },
         slots: PARAMETERS.slots,
         work: 0,
+        machine,
       }, {
         time,
         runs: [],
@@ -52,7 +70,11 @@
       });
     firstEngine = build("one");
     secondEngine = build("two");
-    engines.push(firstEngine, secondEngine);
+    slowedEngine = build(
+      "three",
+      new SharedMachine(SLOWED_DOWN, new SeededRandomness(1)),
+    );
+    engines.push(firstEngine, secondEngine, slowedEngine);
   });
 
   function send(
@@ -179,4 +201,25 @@
     expect(recorded.ended).toBe("lost");
     expect(firstEngine.cache.cachedTokens([SHARED])).toBe(0);
   });
+
+  it("takes longer for each step while other work slows its machine down", () => {
+    const recorded = send(slowedEngine, { ownTokens: 2_000 });
+    time.runUntil(1_000);
+    // Without contention the first events come at 60 and 65 ms, of which 10 ms are the start delay.
+    expect(recorded.events.slice(0, 2).map(({ at }) => at)).toEqual([110, 120]);
+  });
+
+  it("reports its load if its machine is shared, and nothing otherwise", () => {
+    send(slowedEngine, { ownTokens: 2_000 });
+    send(slowedEngine, { ownTokens: 2_001 });
+    send(slowedEngine, { ownTokens: 2_002 });
+    time.runUntil(70);
+    expect(slowedEngine.answerFields.load).toEqual({
+      running: 2,
+      waiting: 1,
+      slots: 2,
+      contention: 200,
+    });
+    expect(firstEngine.answerFields.load).toBeUndefined();
+  });
 });
--- a/playground/src/load/__tests__/load.test.ts
+++ b/playground/src/load/__tests__/load.test.ts
@@ -119,6 +119,32 @@
     });
   });
 
+  describe("two regions that are busy by turns, on engines of uneven pace", () => {
+    it("has engines with figures of their own that report contention", () => {
+      const text = readFileSync(new URL("uneven_engines.load", FOLDER), "utf8");
+      const end = text.replace(/^at (?!0s).*$/gm, "").concat("at 1s end\n");
+      const { engines, outcomes } = runLoad(end, { seed: 1, loadSetting });
+      expect(outcomes.length).toBeGreaterThan(10);
+      expect(engines.map(({ name, figures }) => [name, figures.slowdown]))
+        .toEqual([
+          ["en1", 1],
+          ["en2", 1],
+          ["en3", 1],
+          ["en4", 1.3],
+          ["es1", 1],
+          ["es2", 1],
+          ["es3", 1.3],
+          ["ew1", 1],
+          ["ew2", 1.3],
+        ]);
+      for (const engine of engines) {
+        expect(engine.figures.slots).toBe(32);
+        expect(engine.figures.prefillTokensPerMs).toBe(81.9);
+        expect([100, 250]).toContain(engine.answerFields.load?.contention);
+      }
+    });
+  });
+
   it("gives the same result for the same seed", () => {
     const text = readFileSync(new URL("moving_peak.load", FOLDER), "utf8");
     const first = reportLoad(runLoad(text, { seed: 5, loadSetting }));
--- a/playground/src/load/engine_model.ts
+++ b/playground/src/load/engine_model.ts
@@ -34,7 +34,7 @@
   /** Fixed time of a prefix fetch from another engine, and its time per thousand tokens, in milliseconds. */
   readonly fetchMs: number;
   readonly fetchMsPerThousandTokens: number;
-  /** Factor on the duration of each step; 1 is the nominal speed. */
+  /** Lasting factor on the duration of each step; 1 is the nominal speed. */
   readonly slowdown: number;
 }
 
@@ -99,6 +99,13 @@
     jobs.forEach((answer) => answer.lost("reset"));
   }
 
+  protected override get requestCounts(): {
+    running: number;
+    waiting: number;
+  } {
+    return { running: this.#running.length, waiting: this.#waiting.length };
+  }
+
   protected override run(request: BackendRequest): void {
     const { head, target, events, answer } = request;
     this.#order++;
@@ -162,7 +169,7 @@
       0,
     );
     const { figures } = this;
-    const stepDurationMs = figures.slowdown *
+    const stepDurationMs = figures.slowdown * this.slowdown *
       (figures.stepMs + figures.stepMsPerRequest * this.#running.length +
         figures.stepMsPerThousandContextTokens * contextTokens / 1_000 +
         chunk.tokens / figures.prefillTokensPerMs +
--- a/playground/src/load/load_run.ts
+++ b/playground/src/load/load_run.ts
@@ -5,23 +5,23 @@
  *
  * @module
  */
-import { SeededRandomness } from "@sassafrasstep/core";
+import { type FeatureSettings, SeededRandomness } from "@sassafrasstep/core";
 import { act, type RouteStage } from "../routes/route_actions.ts";
-import { recordOf, setUp } from "../routes/route_setting.ts";
+import { setUp } from "../routes/route_setting.ts";
 import { RouteWorld } from "../routes/route_world.ts";
 import {
   type Line,
   option,
   parseScript,
   parseTime,
-  ScriptError,
   settingOf,
   type TimedLine,
   word,
 } from "../scenario/script.ts";
-import { EngineModel, type EngineParameters } from "./engine_model.ts";
+import { EngineModel } from "./engine_model.ts";
 import { LoadCaller } from "./load_caller.ts";
 import { drawRequest } from "./load_draw.ts";
+import { addEngine, addEngines } from "./load_engines.ts";
 import type { LoadKind, LoadOutcome } from "./load_types.ts";
 
 /** Start of the load's steps, when all entries have discovered each other. */
@@ -36,23 +36,6 @@
 /** Factor that makes the seed of the traffic differ from that of the entries. */
 const TRAFFIC_SEED_FACTOR = 7_919;
 
-/** A large engine according to its data sheet, with a network of 180 Gbit/s. */
-const LARGE_ENGINE: EngineParameters = {
-  slots: 64,
-  cacheTokens: 347_388,
-  stepMs: 2.6,
-  stepMsPerRequest: 0.12,
-  stepMsPerThousandContextTokens: 0.003_84,
-  prefillTokensPerMs: 48.2,
-  maxPrefillTokensPerStep: 2_048,
-  msPerMillionTokenPairs: 0.248,
-  tokensPerEvent: 9,
-  startDelayMs: 14,
-  fetchMs: 4,
-  fetchMsPerThousandTokens: 0.82,
-  slowdown: 1,
-};
-
 /** The outcomes of a load and the state after its run. */
 export interface LoadResult {
   readonly title: string;
@@ -65,6 +48,8 @@
 export interface LoadOptions {
   readonly seed: number;
   readonly loadSetting: (name: string) => string;
+  /** Settings of optional decisions; `auto` unless given. */
+  readonly features?: Partial<FeatureSettings>;
 }
 
 /** The state of a running load. */
@@ -80,10 +65,11 @@
 /** Runs a load until the requests that it sent have ended. */
 export function runLoad(
   text: string,
-  { seed, loadSetting }: LoadOptions,
+  { seed, loadSetting, features }: LoadOptions,
 ): LoadResult {
   const script = parseScript(text);
   const world = new RouteWorld(seed);
+  world.features = { ...world.features, ...features };
   const outcomes: LoadOutcome[] = [];
   const state: LoadState = {
     world,
@@ -140,17 +126,6 @@
   }
 }
 
-/** `engines PREFIX COUNT ZONE SERVICE`: adds COUNT engines in one zone. */
-function addEngines(world: RouteWorld, line: Line): void {
-  const [, prefix, count, ...rest] = line.words;
-  for (let index = 1; index <= Number(count); index++) {
-    addEngine(world, {
-      ...line,
-      words: ["engine", `${prefix}${index}`, ...rest],
-    });
-  }
-}
-
 /**
  * `kind NAME ROUTE weight W prompt N:SPREAD answer N:SPREAD limit N worth W late W deadline T [shared A:N,A:N]`:
  * adds a kind of request.
@@ -182,35 +157,6 @@
   };
 }
 
-/** `engine NAME ZONE SERVICE [slow X] [cold T]`: adds an engine and publishes it immediately. */
-function addEngine(world: RouteWorld, line: Line): void {
-  const name = word(line, 1, "a name");
-  const spot = world.spots.get(word(line, 2, "a zone"));
-  if (spot === undefined) {
-    throw new ScriptError(line, "a zone of a region above");
-  }
-  const slowdown = Number(option(line, "slow", "1"));
-  const engine = new EngineModel({
-    name,
-    id: `i-${name}`,
-    service: word(line, 3, "a service"),
-    spot,
-    slots: LARGE_ENGINE.slots,
-    work: 0,
-  }, {
-    time: world.time,
-    runs: world.runs,
-    figures: { ...LARGE_ENGINE, slowdown },
-    engineAt: (address) => {
-      const backend = world.backendAt(address);
-      return backend instanceof EngineModel ? backend : undefined;
-    },
-  });
-  world.backends.set(name, engine);
-  const coldFor = parseTime(line, option(line, "cold", "0ms"));
-  world.store.put(recordOf(engine, { sequence: 1, coldFor }));
-}
-
 function addCallers(
   { world, callers, callersPerZone }: LoadState,
   outcomes: LoadOutcome[],
--- a/playground/src/routes/fake_backend.ts
+++ b/playground/src/routes/fake_backend.ts
@@ -9,8 +9,10 @@
   CallTarget,
   EndpointId,
   Incarnation,
+  ReportedLoad,
 } from "@sassafrasstep/core";
 import type { Spot } from "../scenario/network.ts";
+import type { SharedMachine } from "./shared_machine.ts";
 import type { VirtualGateway } from "./virtual_gateway.ts";
 import type { VirtualTime } from "../scenario/virtual_time.ts";
 
@@ -93,6 +95,8 @@
   readonly slots: number;
   readonly work: number;
   readonly version: string;
+  /** Its machine if that is shared with other work; the endpoint then reports its load. */
+  readonly machine: SharedMachine | undefined;
   mode: BackendMode = "answer";
   /** Its current life as its record states it, `undefined` if the record states none. */
   life: number | undefined;
@@ -121,7 +125,7 @@
   #busyUntil = 0;
 
   constructor(
-    { name, id, service, spot, slots, work, version = "v1" }: {
+    { name, id, service, spot, slots, work, version = "v1", machine }: {
       name: string;
       id: string;
       service: string;
@@ -129,6 +133,7 @@
       slots: number;
       work: number;
       version?: string;
+      machine?: SharedMachine | undefined;
     },
     dependencies: { time: VirtualTime; runs: Run[]; crashes?: CrashPolicy },
   ) {
@@ -139,14 +144,20 @@
     this.slots = slots;
     this.work = work;
     this.version = version;
+    this.machine = machine;
     this.time = dependencies.time;
     this.#dependencies = dependencies;
   }
 
-  /** The limit, departure and backoff that each of its answers states. */
-  get answerFields(): Pick<AnswerHead, "limit" | "leaving" | "rest"> {
+  /** The load, limit, departure and backoff that each of its answers states. */
+  get answerFields(): Pick<AnswerHead, "load" | "limit" | "leaving" | "rest"> {
     const value = this.limits.at(-1)?.perSecond;
     return {
+      load: this.machine === undefined ? undefined : {
+        ...this.requestCounts,
+        slots: this.slots,
+        contention: this.machine.contention(this.time.now),
+      },
       rest: this.isOverloaded
         ? { kind: "value", value: this.overload!.backoffS }
         : undefined,
@@ -159,6 +170,17 @@
     return this.overload !== undefined && this.time.now < this.overload.until;
   }
 
+  /** Requests that it runs and that it has queued. */
+  protected get requestCounts(): Pick<ReportedLoad, "running" | "waiting"> {
+    const running = Math.min(this.slots, this.#open.size);
+    return { running, waiting: this.#open.size - running };
+  }
+
+  /** Duration of its work at present, relative to the usual one. */
+  protected get slowdown(): number {
+    return this.machine?.slowdown(this.time.now) ?? 1;
+  }
+
   /** Records what an entry learns from an answer of this endpoint. */
   recordAnswer(entry: Incarnation): void {
     if (this.isOverloaded) {
@@ -173,9 +195,9 @@
 
   /** Creates another endpoint with the same properties at the same address. */
   createReplacement({ name, id }: { name: string; id: string }): FakeBackend {
-    const { service, spot, slots, work, version } = this;
+    const { service, spot, slots, work, version, machine } = this;
     return new FakeBackend(
-      { name, id, service, spot, slots, work, version },
+      { name, id, service, spot, slots, work, version, machine },
       this.#dependencies,
     );
   }
@@ -279,8 +301,9 @@
   protected run(request: BackendRequest): void {
     const { answer } = request;
     const start = Math.max(this.time.now, this.#busyUntil);
-    this.#busyUntil = start + request.prefill;
-    const readyAfterMs = this.#busyUntil - this.time.now + this.work;
+    this.#busyUntil = start + request.prefill * this.slowdown;
+    const readyAfterMs = this.#busyUntil - this.time.now +
+      this.work * this.slowdown;
     if (this.mode === "reset_after") {
       return this.#runUnlessCancelled(
         readyAfterMs,
--- a/playground/src/routes/route_setting.ts
+++ b/playground/src/routes/route_setting.ts
@@ -28,6 +28,7 @@
 } from "../scenario/script.ts";
 import { FakeBackend } from "./fake_backend.ts";
 import { addressOf, type RouteWorld } from "./route_world.ts";
+import { readContention } from "./shared_machine.ts";
 
 const DEFAULT_ENGINE_SLOTS = 64;
 const DEFAULT_CACHE_TOKENS = 240_000;
@@ -132,8 +133,8 @@
 }
 
 /**
- * `backend NAME ZONE SERVICE [slots N] [work T] [cold T] [id ID] [life N] [version V]`: adds an endpoint
- * and publishes its record.
+ * `backend NAME ZONE SERVICE [slots N] [work T] [cold T] [id ID] [life N] [version V]
+ * [contention SHARE:FACTOR:PERIOD]`: adds an endpoint and publishes its record.
  */
 export function addBackend(world: RouteWorld, line: Line): void {
   const name = word(line, 1, "a name");
@@ -145,6 +146,7 @@
     slots: Number(option(line, "slots", "8")),
     work: parseTime(line, option(line, "work", "20ms")),
     version: option(line, "version", "v1"),
+    machine: world.createMachine(readContention(line)),
   }, { time: world.time, runs: world.runs, crashes: world.crashes });
   const life = Number(option(line, "life", "0"));
   backend.life = life === 0 ? undefined : life;
--- a/playground/src/routes/route_world.ts
+++ b/playground/src/routes/route_world.ts
@@ -9,6 +9,7 @@
   type CallId,
   type ContentDigest,
   type EntryId,
+  type FeatureSettings,
   type GatewayBounds,
   type GatewayIdentity,
   instant,
@@ -26,6 +27,7 @@
 import { FakeStore } from "./fake_store.ts";
 import type { CallPlan, ObservedCall, WorldLogLine } from "./route_types.ts";
 import { RouteLinks } from "./route_links.ts";
+import { type ContentionParameters, SharedMachine } from "./shared_machine.ts";
 import type { Recipient } from "./virtual_attempts.ts";
 import { VirtualGateway } from "./virtual_gateway.ts";
 
@@ -40,6 +42,9 @@
   keyLifetime: milliseconds(5_000),
 };
 
+/** Factor that makes the seeds of shared machines differ from those of entries and traffic. */
+const MACHINE_SEED_FACTOR = 104_729;
+
 /** The world of one scenario. */
 export class RouteWorld {
   readonly time = new VirtualTime();
@@ -60,9 +65,12 @@
   startOfScript = 0;
   /** Fraction of datagrams that is lost. */
   datagramLossRate = 0;
+  /** The optional decisions of entries that start from now on. */
+  features: FeatureSettings = AUTOMATIC_FEATURES;
   readonly #seed: number;
   readonly #eventCounts = new Map<string, number>();
   readonly #bodies = new Map<string, string>();
+  #machines = 0;
 
   constructor(seed: number) {
     this.#seed = seed;
@@ -76,6 +84,18 @@
     return entry;
   }
 
+  /** Adds a machine that other work slows down; `undefined` without contention. */
+  createMachine(
+    contention: ContentionParameters | undefined,
+  ): SharedMachine | undefined {
+    if (contention === undefined) {
+      return undefined;
+    }
+    this.#machines++;
+    const seed = this.#seed * MACHINE_SEED_FACTOR + this.#machines;
+    return new SharedMachine(contention, new SeededRandomness(seed));
+  }
+
   startEntry(name: string): void {
     const entry = this.entries.get(name)!;
     entry.start(this.#identityOf(entry));
@@ -186,7 +206,7 @@
       peerAddress: `${name}:90`,
       weight: 1,
       seeds: [...this.entries.keys()].slice(0, 2).map((seed) => `${seed}:90`),
-      features: AUTOMATIC_FEATURES,
+      features: this.features,
       regionByZone: new Map(
         [...this.spots.values()].map((
           { zone, region },
