--- a/packages/core/src/gateway/cold_allowance.ts
+++ b/packages/core/src/gateway/cold_allowance.ts
@@ -31,6 +31,8 @@
 interface Owner {
   readonly entry: Incarnation | undefined;
   readonly since: number;
+  /** The entries that it was chosen from. */
+  candidates: readonly Incarnation[];
 }
 
 /**
@@ -62,7 +64,7 @@
     { record, service }: EndpointState,
     { self, candidates }: {
       self: Incarnation;
-      /** Entries of the region that may be alive, including this one. */
+      /** Entries of the region that may be alive, including this one. The same array as long as they are the same. */
       candidates: readonly Incarnation[];
     },
     now: Instant,
@@ -75,7 +77,7 @@
     }
     const { coldOvershoot, coldSlack } = this.#bounds;
     const bound = (service?.coldRate ?? 0) * coldOvershoot + coldSlack;
-    return this.#recentSends(record.id, now).length <
+    return this.#countRecentSends(record.id, now) <
       Math.floor(bound / MAX_CONCURRENT_OWNERS);
   }
 
@@ -90,23 +92,33 @@
     candidates: readonly Incarnation[],
     now: Instant,
   ): Owner {
+    const known = this.#owners.get(endpoint);
+    if (known?.candidates === candidates) {
+      return known;
+    }
     const [entry] = rendezvous(
       `cold ${endpoint}`,
       candidates,
       (incarnation) => incarnation,
     );
-    const known = this.#owners.get(endpoint);
     if (known !== undefined && known.entry === entry) {
+      known.candidates = candidates;
       return known;
     }
     const settled = known === undefined &&
       now - this.#startedAt >= OWNER_SETTLING_MS;
-    const owner = { entry, since: settled ? -Infinity : now };
+    const owner = { entry, since: settled ? -Infinity : now, candidates };
     this.#owners.set(endpoint, owner);
     evictOldest(this.#owners);
     return owner;
   }
 
+  #countRecentSends(endpoint: EndpointId, now: Instant): number {
+    return this.#sent.has(endpoint)
+      ? this.#recentSends(endpoint, now).length
+      : 0;
+  }
+
   #recentSends(endpoint: EndpointId, now: Instant): Instant[] {
     return (this.#sent.get(endpoint) ?? []).filter((at) =>
       now - at < RATE_WINDOW_MS
