--- a/packages/core/src/customers/customer_limits.ts
+++ b/packages/core/src/customers/customer_limits.ts
@@ -36,14 +36,10 @@
 /** Time between two messages: shorter while any customer is near its limit, longer otherwise. */
 const NEAR_LIMIT_PERIOD_MS = 100;
 const DEFAULT_PERIOD_MS = 200;
-/** Least time between two messages while a burst begins, which the others have to hear of at once. */
-const PROMPT_PERIOD_MS = 25;
 /** An entry reports all sums again this often, not only changed ones, which makes up for lost datagrams. */
 const FULL_REPORT_PERIOD_MS = 2_000;
 /** An entry without requests for this long sends no reports, and one without reports is sent no totals. */
 const IDLE_TIMEOUT_MS = 2_000;
-/** Entries that start together agree on their aggregator within this time. */
-const SETTLING_TIME_MS = 3_000;
 /** Retry delays are extended by up to this fraction at random, so that refused requests do not return together. */
 const RETRY_JITTER = 0.25;
 
@@ -86,8 +82,6 @@
 /** What this entry has received from the aggregator of its region. */
 interface AggregatorState {
   readonly incarnation: Incarnation;
-  /** When it became the aggregator. */
-  readonly since: Instant;
   /** The latest total of each customer. */
   readonly totals: Map<CustomerId, CustomerTotal>;
   lastTotalsAt: Instant | undefined;
@@ -126,8 +120,6 @@
         this.#isAggregator
           ? this.#spendingAggregator.reachableShare(id, now)
           : undefined,
-      isSettling: (now) =>
-        this.#isAggregator && now - this.#aggregator!.since < SETTLING_TIME_MS,
       lastTotal: (id) => this.#aggregator?.totals.get(id),
     });
   }
@@ -149,27 +141,19 @@
       return { kind: "unheard" };
     }
     const share = this.#accounts.refill(account, now);
-    const unheardWait = this.#accounts.waitForOthers(account, cost, now);
-    if (unheardWait !== undefined && account.bucket.level > 0) {
-      this.#reportIfDue(now, PROMPT_PERIOD_MS);
-      return { kind: "over", wait: this.#withJitter(unheardWait) };
-    }
     if (!account.bucket.take(cost)) {
       return {
         kind: "over",
         wait: this.#retryDelay(account.bucket, { cost, share }, now),
       };
     }
-    account.unheard.add(cost);
     this.#recordSpending(id, cost, now);
     return { kind: "admitted" };
   }
 
   /** Refunds the cost of an admitted request that did not run. */
   refund(customer: CustomerId, cost: number, now: Instant): void {
-    const account = this.#accounts.find(customer);
-    account?.bucket.charge(-cost);
-    account?.unheard.remove(cost);
+    this.#accounts.find(customer)?.bucket.charge(-cost);
     this.#recordSpending(customer, -cost, now);
   }
 
@@ -227,7 +211,6 @@
     if (incarnation !== this.#aggregator?.incarnation) {
       this.#aggregator = incarnation === undefined ? undefined : {
         incarnation,
-        since: now,
         totals: new Map(),
         lastTotalsAt: undefined,
         near: false,
@@ -243,10 +226,6 @@
     now: Instant,
   ): Milliseconds {
     const wait = bucket.waitFor(cost, Math.max(share, Number.EPSILON), now);
-    return this.#withJitter(wait);
-  }
-
-  #withJitter(wait: Milliseconds): Milliseconds {
     const jitter = 1 + RETRY_JITTER * this.#sources.random.next();
     return milliseconds(Math.min(wait * jitter, MAX_RETRY_DELAY_MS));
   }
@@ -274,14 +253,10 @@
       report.incarnation,
       since,
     );
-    const increases = this.#spendingAggregator.applyReport(report, now);
-    const comfortable = [...increases.keys()].filter((id) =>
-      !this.#accounts.isNearLimit(id)
+    this.#accounts.charge(
+      this.#spendingAggregator.applyReport(report, now),
+      now,
     );
-    this.#accounts.charge(increases, now);
-    if (comfortable.some((id) => this.#accounts.isNearLimit(id))) {
-      this.#sendTotalsIfDue(now, PROMPT_PERIOD_MS);
-    }
     if (!hasReportedRecently) {
       this.#sendTotals(report.incarnation, now);
     }
@@ -340,8 +315,8 @@
   }
 
   /** Sends totals to the recently active entries of the region and to the aggregators of other regions. */
-  #sendTotalsIfDue(now: Instant, period = this.#period): void {
-    if (now - this.#totalsSentAt < period) {
+  #sendTotalsIfDue(now: Instant): void {
+    if (now - this.#totalsSentAt < this.#period) {
       return;
     }
     this.#totalsSentAt = now;
--- a/packages/core/src/customers/limit_accounts.ts
+++ b/packages/core/src/customers/limit_accounts.ts
@@ -3,11 +3,10 @@
  *
  * @module
  */
-import type { CustomerId, Instant, Milliseconds } from "../ids/index.ts";
+import type { CustomerId, Instant } from "../ids/index.ts";
 import type { CustomerLimit } from "./customer.ts";
 import { DecayingSum } from "./decaying_sum.ts";
 import { LimitBucket } from "./limit_bucket.ts";
-import { UnheardSpending } from "./unheard_spending.ts";
 import type { CustomerTotal } from "./spending_messages.ts";
 
 /** Decay of own and others' usage, which determine the share of an entry without current totals. */
@@ -23,8 +22,6 @@
   readonly othersUsage: DecayingSum;
   /** Units recently admitted by this entry. */
   readonly ownUsage: DecayingSum;
-  /** Units admitted by this entry while others may be admitting the same units. */
-  readonly unheard: UnheardSpending;
   /** Share of the limit that the aggregator reported. */
   share: number;
   /** This entry's share of all usage when totals were last received. */
@@ -46,8 +43,6 @@
     id: CustomerId,
     now: Instant,
   ) => number | undefined;
-  /** Whether this entry became the aggregator so recently that others may count themselves as it, too. */
-  readonly isSettling: (now: Instant) => boolean;
   /** The aggregator's latest total for a customer. */
   readonly lastTotal: (id: CustomerId) => CustomerTotal | undefined;
 }
@@ -81,14 +76,12 @@
       (hasCurrentTotals(now) ? 1 : equalShare);
     // Starts with only the share known to belong to this entry: after several restarts of all entries within a
     // window, full buckets would admit a whole burst each time.
-    const level = limit.burst *
-      (this.#sources.isSettling(now) ? Math.min(share, equalShare) : share);
+    const level = limit.burst * share;
     const account = {
       id,
       bucket: new LimitBucket(limit, { level, now }),
       othersUsage: new DecayingSum(USAGE_TIME_CONSTANT_MS),
       ownUsage: new DecayingSum(USAGE_TIME_CONSTANT_MS),
-      unheard: new UnheardSpending(),
       share,
       ownShare: equalShare,
       levelAdopted: false,
@@ -108,33 +101,6 @@
     return share;
   }
 
-  /**
-   * Time until this entry may admit a request that costs `cost`, `undefined` if it may now: until it hears of the
-   * others it uses only its part of the units left.
-   */
-  waitForOthers(
-    account: LimitAccount,
-    cost: number,
-    now: Instant,
-  ): Milliseconds | undefined {
-    // Without current totals the bucket itself holds no more than this entry's share.
-    if (!this.#sources.hasCurrentTotals(now)) {
-      return undefined;
-    }
-    account.unheard.begin(
-      () => account.bucket.level * this.#unheardShareOf(account, now),
-      now,
-    );
-    return account.unheard.waitFor(cost, now);
-  }
-
-  /** Whether a customer is near its limit. */
-  isNearLimit(id: CustomerId): boolean {
-    const bucket = this.#accounts.get(id)?.bucket;
-    return bucket !== undefined &&
-      bucket.level < bucket.capacity * NEAR_LIMIT_FRACTION;
-  }
-
   /** Deducts units that other entries admitted. */
   charge(increases: ReadonlyMap<CustomerId, number>, now: Instant): void {
     for (const [id, sum] of increases) {
@@ -156,18 +122,14 @@
     if (account === undefined) {
       return;
     }
-    const isAggregator =
-      this.#sources.aggregatedShare(customer, now) !== undefined;
-    if (!isAggregator) {
+    if (this.#sources.aggregatedShare(customer, now) === undefined) {
       account.share = part;
       account.ownShare = ownShareOf(account, now) ?? account.ownShare;
     }
     if (!account.levelAdopted) {
       account.levelAdopted = true;
       account.bucket.refill(part, now);
-      account.bucket.setLevel(
-        isAggregator ? mergedLevel(account, level, now) : level,
-      );
+      account.bucket.setLevel(level);
     }
   }
 
@@ -188,20 +150,9 @@
 
   /** Whether any customer is near its limit. */
   isAnyNearLimit(): boolean {
-    return [...this.#accounts.keys()].some((id) => this.isNearLimit(id));
-  }
-
-  /** Share of the units left that this entry may use before it hears of the others: an equal or its usual one. */
-  #unheardShareOf(account: LimitAccount, now: Instant): number {
-    const { possibleEntries, lastTotal } = this.#sources;
-    const equalShare = 1 / Math.max(1, possibleEntries());
-    // Others' usage from before the first total is not part of the sums, and the own share would seem larger.
-    const isOthersUsageKnown = account.othersUsage.valueAt(now) > 0 ||
-      (lastTotal(account.id)?.sum ?? 0) === 0;
-    const usualShare = isOthersUsageKnown
-      ? ownShareOf(account, now)
-      : undefined;
-    return Math.max(usualShare ?? 0, equalShare);
+    return [...this.#accounts.values()].some(({ bucket }) =>
+      bucket.level < bucket.capacity * NEAR_LIMIT_FRACTION
+    );
   }
 
   #shareOf(account: LimitAccount, now: Instant): number {
@@ -211,19 +162,6 @@
   }
 }
 
-/**
- * An aggregator's level, given another region's: that may be from before the usage that was counted here, but need
- * not be.
- */
-function mergedLevel(
-  { bucket, ownUsage, othersUsage }: LimitAccount,
-  level: number,
-  now: Instant,
-): number {
-  const counted = ownUsage.valueAt(now) + othersUsage.valueAt(now);
-  return Math.max(Math.min(level, bucket.level), level - counted);
-}
-
 /** This entry's share of all recent usage, `undefined` if there was none. */
 function ownShareOf(
   { ownUsage, othersUsage }: LimitAccount,
