perf: an entry copies the catalogue without loading the procedure libraries

Cause: each entry that starts copies the catalogue from a peer. The client loaded the tRPC client, whose check for form data makes Node load its own HTTP client; the peer loaded h3, the tRPC server and Node's web requests. In a profile of a small twin with a restart of everybody this was a tenth of all processor time.

Change: the procedure `catalogue` has a client and a server of its own, with the same path and the same answer, so that entries of both versions copy from each other. All other procedures stay with the libraries, which load on first use.

--- a/packages/daemon/src/gateway/catalogue_reader.ts
+++ b/packages/daemon/src/gateway/catalogue_reader.ts
@@ -13,7 +13,7 @@
   type Revision,
 } from "@sassafrasstep/core";
 import { withIdleTimeout } from "../timers/index.ts";
-import type { SnapshotMessage } from "./gateway_router.ts";
+import { copyCatalogue } from "./snapshot_message.ts";
 import type { CatalogueSource } from "./protocol.ts";
 
 type EffectOf<Kind extends GatewayEffect["kind"]> = Extract<
@@ -53,22 +53,13 @@
     );
   }
 
-  /** Loads the client library on first use, for the reason given in `control_app.ts`. */
-  async #copy(
+  #copy(
     { address, timeout }: EffectOf<"copyCatalogue">,
   ): Promise<CatalogueSnapshot | undefined> {
-    const { createGatewayClient, decodeSnapshot } = await import(
-      "./gateway_router.ts"
-    );
-    const message = await withIdleTimeout(
+    return withIdleTimeout(
       timeout,
-      (signal, onData) =>
-        createGatewayClient(`http://${address}`, onData)
-          .catalogue.query(undefined, { signal }),
+      (signal, onData) => copyCatalogue(address, { signal, onData }),
     );
-    return message === null
-      ? undefined
-      : decodeSnapshot(message as unknown as SnapshotMessage);
   }
 
   async #read(
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -40,6 +40,7 @@
 import {
   type ControlService,
   createAppServer,
+  createCatalogueHandler,
   lazyControlApp,
   listenOn,
   routeProcedures,
@@ -128,7 +129,12 @@
     const callers = createIngress(this.#ingressOptions(), { relays: false });
     const peers = routeProcedures(
       createIngress(this.#ingressOptions(), { relays: true }),
-      control,
+      {
+        catalogue: createCatalogueHandler({
+          snapshot: () => this.#gateway.snapshot(),
+        }),
+        controlApp: control,
+      },
     );
     const { directory, readiness } = this.#platform;
     this.#servers.push(
--- a/packages/daemon/src/gateway/gateway_router.ts
+++ b/packages/daemon/src/gateway/gateway_router.ts
@@ -3,16 +3,12 @@
  *
  * @module
  */
-import type {
-  CatalogueSnapshot,
-  Customer,
-  RoutedService,
-  RoutingDocument,
-} from "@sassafrasstep/core";
+import type { CatalogueSnapshot } from "@sassafrasstep/core";
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
 import { initTRPC } from "@trpc/server";
 import { z } from "zod";
 import { readJson } from "../sockets/index.ts";
+import { encodeSnapshot } from "./snapshot_message.ts";
 import type { GatewayStatus } from "./status.ts";
 
 /** Operations of an entry that the procedures expose. */
@@ -64,45 +60,3 @@
     ],
   });
 }
-
-/** A catalogue snapshot as JSON, with maps converted to arrays. */
-export type SnapshotMessage =
-  & Omit<CatalogueSnapshot, "document">
-  & {
-    readonly document:
-      | Omit<RoutingDocument, "services" | "customers">
-        & {
-          readonly services: readonly RoutedService[];
-          readonly customers: readonly Customer[];
-        }
-      | undefined;
-  };
-
-function encodeSnapshot(snapshot: CatalogueSnapshot): SnapshotMessage {
-  const { document } = snapshot;
-  return {
-    ...snapshot,
-    document: document === undefined ? undefined : {
-      ...document,
-      services: [...document.services.values()],
-      customers: [...document.customers.values()],
-    },
-  };
-}
-
-/** Decodes a snapshot received from a peer. */
-export function decodeSnapshot(message: SnapshotMessage): CatalogueSnapshot {
-  const { document } = message;
-  return {
-    ...message,
-    document: document === undefined ? undefined : {
-      ...document,
-      services: new Map(
-        document.services.map((service) => [service.id, service]),
-      ),
-      customers: new Map(
-        document.customers.map((customer) => [customer.id, customer]),
-      ),
-    },
-  };
-}
--- a/packages/daemon/src/gateway/servers.ts
+++ b/packages/daemon/src/gateway/servers.ts
@@ -13,9 +13,11 @@
 import type { AddressInfo } from "node:net";
 import { closeIdleAfterPoll } from "../timers/index.ts";
 import type { GatewayService } from "./gateway_router.ts";
+import { CATALOGUE_PATH, formatCatalogueAnswer } from "./snapshot_message.ts";
 
 /** Path prefix of the tRPC procedures. */
 export const TRPC_PATH = "/trpc";
+const OK = 200;
 
 /** Operations that the control address serves, including those of the procedures. */
 export interface ControlService extends GatewayService {
@@ -41,10 +43,29 @@
   return server;
 }
 
-/** Routes procedure calls to the control application and all other requests to the server's own listener. */
+/** Answers the procedure that peers call, as the control application does. */
+export function createCatalogueHandler(
+  service: Pick<ControlService, "snapshot">,
+): RequestListener {
+  return (_message, reply): void => {
+    const body = Buffer.from(formatCatalogueAnswer(service.snapshot()));
+    reply.writeHead(OK, {
+      "content-type": "application/json",
+      "content-length": body.length,
+    });
+    reply.end(body);
+  };
+}
+
+/** Routes procedure calls to their handlers and all other requests to the server's own listener. */
 export function routeProcedures(
   server: Server,
-  controlApp: RequestListener,
+  { catalogue, controlApp }: {
+    /** Handler of requests for the catalogue. */
+    catalogue: RequestListener;
+    /** Handler of all other procedures. */
+    controlApp: RequestListener;
+  },
 ): Server {
   const [originalListener] = server.listeners("request") as RequestListener[];
   server.removeAllListeners("request");
@@ -54,8 +75,14 @@
       message: IncomingMessage,
       reply: ServerResponse & { req: IncomingMessage },
     ) => {
-      const isProcedure = message.url?.startsWith(`${TRPC_PATH}/`) === true;
-      (isProcedure ? controlApp : originalListener!)(message, reply);
+      const { method, url } = message;
+      if (method === "GET" && url === CATALOGUE_PATH) {
+        catalogue(message, reply);
+      } else if (url?.startsWith(`${TRPC_PATH}/`) === true) {
+        controlApp(message, reply);
+      } else {
+        originalListener!(message, reply);
+      }
     },
   );
   return server;
--- /dev/null
+++ b/packages/daemon/src/gateway/snapshot_message.ts
@@ -0,0 +1,100 @@
+/**
+ * Format in which entries copy the catalogue from each other: the answer of the tRPC procedure `catalogue`.
+ *
+ * Client and server of this procedure are written out here. The libraries for procedures, and the parts of Node that
+ * they load, took more processor time than the rest of a start, and each entry copies the catalogue when it starts.
+ *
+ * @module
+ */
+import type {
+  CatalogueSnapshot,
+  Customer,
+  RoutedService,
+  RoutingDocument,
+} from "@sassafrasstep/core";
+import { Client } from "undici";
+import { readJson } from "../sockets/index.ts";
+
+/** Path of the procedure. */
+export const CATALOGUE_PATH = "/trpc/catalogue";
+const OK = 200;
+
+/** A catalogue snapshot as JSON, with maps converted to arrays. */
+export type SnapshotMessage =
+  & Omit<CatalogueSnapshot, "document">
+  & {
+    readonly document:
+      | Omit<RoutingDocument, "services" | "customers">
+        & {
+          readonly services: readonly RoutedService[];
+          readonly customers: readonly Customer[];
+        }
+      | undefined;
+  };
+
+/** Encodes a snapshot for a peer. */
+export function encodeSnapshot(snapshot: CatalogueSnapshot): SnapshotMessage {
+  const { document } = snapshot;
+  return {
+    ...snapshot,
+    document: document === undefined ? undefined : {
+      ...document,
+      services: [...document.services.values()],
+      customers: [...document.customers.values()],
+    },
+  };
+}
+
+/** Decodes a snapshot received from a peer. */
+export function decodeSnapshot(message: SnapshotMessage): CatalogueSnapshot {
+  const { document } = message;
+  return {
+    ...message,
+    document: document === undefined ? undefined : {
+      ...document,
+      services: new Map(
+        document.services.map((service) => [service.id, service]),
+      ),
+      customers: new Map(
+        document.customers.map((customer) => [customer.id, customer]),
+      ),
+    },
+  };
+}
+
+/** The procedure's answer as JSON text. */
+export function formatCatalogueAnswer(
+  snapshot: CatalogueSnapshot | undefined,
+): string {
+  const data = snapshot === undefined ? null : encodeSnapshot(snapshot);
+  return JSON.stringify({ result: { data } });
+}
+
+/** Copies the catalogue of the peer at an address; `undefined` if it has none. */
+export async function copyCatalogue(
+  address: string,
+  { signal, onData }: {
+    signal: AbortSignal;
+    /** Called whenever bytes of the answer arrive. */
+    onData: () => void;
+  },
+): Promise<CatalogueSnapshot | undefined> {
+  const client = new Client(`http://${address}`);
+  try {
+    const { statusCode, body } = await client.request({
+      path: CATALOGUE_PATH,
+      method: "GET",
+      signal,
+    });
+    onData();
+    if (statusCode !== OK) {
+      throw new Error(`Cannot copy catalogue: status "${statusCode}"`);
+    }
+    const { result } = await readJson(body, onData) as {
+      result: { data: SnapshotMessage | null };
+    };
+    return result.data === null ? undefined : decodeSnapshot(result.data);
+  } finally {
+    await client.destroy();
+  }
+}
