feat: operators see customers over their share

Change: gauges `customers_over_share` and `turns_yielded`, and a log line each ten seconds at most while a customer is over its share. Tests of the queue's order with shares on and off, of the bound of placed groups in a report and of the meter by customer; the schema's test has customers in placed groups, as the datagram has a further item there.

--- a/packages/core/src/demand/__tests__/region_demand.test.ts
+++ b/packages/core/src/demand/__tests__/region_demand.test.ts
@@ -7,6 +7,7 @@
 } from "../../ids/index.ts";
 import { instant } from "../../ids/index.ts";
 import {
+  boundPlaced,
   DEMAND_LIFETIME_MS,
   DEMAND_PERIOD_MS,
   type DemandReport,
@@ -14,6 +15,7 @@
   groupWaiting,
   MAX_GROUPS,
   NO_DEMAND,
+  type PlacedGroup,
   RegionDemand,
 } from "../index.ts";
 
@@ -43,6 +45,38 @@
   };
 }
 
+describe("placed requests in a report", () => {
+  const placed = (service: string, index: number): PlacedGroup => ({
+    service: service as ServiceId,
+    customer: `c${index}` as CustomerId,
+    requests: 1,
+    tokens: index,
+  });
+
+  /** Guards against datagrams that are too large, and against a region that seems to do less with more customers. */
+  it("are bounded, with the sum of each service kept", () => {
+    const groups = Array.from(
+      { length: 100 },
+      (_, index) => placed(index % 2 === 0 ? "pool" : "other", index),
+    );
+    const bounded = boundPlaced(groups);
+    expect(bounded).toHaveLength(MAX_GROUPS);
+    const sum = (items: readonly PlacedGroup[], service: string) =>
+      items.filter((item) => item.service === service)
+        .reduce((total, { tokens }) => total + tokens, 0);
+    expect(sum(bounded, "pool")).toBe(sum(groups, "pool"));
+    expect(sum(bounded, "other")).toBe(sum(groups, "other"));
+    expect(bounded[0]?.customer).toBe("c99");
+  });
+
+  it("are added up over customers for a service", () => {
+    const demand = new RegionDemand(CLOCK);
+    const own = [placed("pool", 3), placed("pool", 4), placed("other", 5)];
+    demand.setOwn({ ...NO_DEMAND, placed: own });
+    expect(demand.placedPerSecond(SERVICE)).toEqual({ requests: 2, tokens: 7 });
+  });
+});
+
 describe("the demand of a region", () => {
   it("adds up what goes before a request at all entries", () => {
     const demand = new RegionDemand(CLOCK);
--- a/packages/core/src/gateway/__tests__/call_queue.test.ts
+++ b/packages/core/src/gateway/__tests__/call_queue.test.ts
@@ -2,9 +2,14 @@
 import type { Customer } from "../../customers/index.ts";
 import {
   type CustomerId,
+  FairShares,
+  type Incarnation,
   instant,
   milliseconds,
+  RegionDemand,
   type RequestId,
+  type ServiceId,
+  StallAdjustedClock,
 } from "../../index.ts";
 import type { Route } from "../../routes/index.ts";
 import { Call } from "../call.ts";
@@ -33,7 +38,7 @@
     {
       route,
       customer: customer === undefined ? undefined : customerOf(customer),
-      services: [],
+      services: ["pool" as ServiceId],
       arrivedAt: instant(at),
       endsAt: instant(at + 10_000),
     },
@@ -131,6 +136,59 @@
   });
 });
 
+describe("customers that share a region's endpoints", () => {
+  const SERVICE = "pool" as ServiceId;
+  const LOUD = "loud" as CustomerId;
+  const NOW = instant(1_000);
+
+  /** A region in which one customer had most of what was placed within the last second. */
+  function shared(isOn: boolean): FairShares {
+    const demand = new RegionDemand(new StallAdjustedClock(instant(0)));
+    demand.receive("b1" as Incarnation, {
+      waiting: [{
+        service: SERVICE,
+        rank: 1,
+        late: false,
+        customer: LOUD,
+        requests: 90,
+        tokens: 90_000,
+      }],
+      running: [],
+      placed: [
+        { service: SERVICE, customer: LOUD, requests: 60, tokens: 60_000 },
+      ],
+    }, NOW);
+    return new FairShares({
+      demand,
+      isOn: () => isOn,
+      limitOf: () => undefined,
+      placedHere: () => [],
+    });
+  }
+
+  const CALLS = [
+    waiting("loud", { at: 600, customer: LOUD }),
+    waiting("calm", { at: 900, customer: "calm" }),
+    waiting("urgent", { at: 950, priority: 0, customer: LOUD }),
+    waiting("late", { at: -500, customer: "calm" }),
+  ];
+
+  function orderBy(shares: FairShares | undefined): string[] {
+    const queue = new CallQueue(shares);
+    CALLS.forEach((call) => queue.add(call));
+    return queue.ordered(0, NOW).map(({ head }) => head.id);
+  }
+
+  it("are served by their shares, after lateness and rank", () => {
+    expect(orderBy(shared(true))).toEqual(["urgent", "calm", "loud", "late"]);
+  });
+
+  it("are served in the order of the entry alone while the feature is off", () => {
+    expect(orderBy(shared(false))).toEqual(orderBy(undefined));
+    expect(orderBy(undefined)).toEqual(["urgent", "loud", "calm", "late"]);
+  });
+});
+
 describe("tokens that are read before those of a request", () => {
   it("are those of its own rank and of more urgent ones", () => {
     const queue = new CallQueue();
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -50,6 +50,7 @@
 import { RetryBudget } from "./retry_budget.ts";
 import { ServingSet } from "./serving_set.ts";
 import { tickInterval } from "./tick_interval.ts";
+import { ShareLog } from "./share_log.ts";
 import { StopController } from "./stop_controller.ts";
 import { WorkReporter } from "./work_reporter.ts";
 
@@ -101,6 +102,7 @@
   /** Outlooks of other regions. */
   readonly outlooks: RegionOutlooks;
   readonly #demandReporter: DemandReporter;
+  readonly #shareLog: ShareLog;
   #bounds: GatewayBounds;
   #effects: GatewayEffect[] = [];
   #lastEventAt: Instant;
@@ -160,6 +162,7 @@
       limitOf: (id) => this.#catalogue.table?.customers.get(id)?.limit,
       placedHere: (at) => placements.lastSecond(at),
     });
+    this.#shareLog = new ShareLog({ shares: this.shares, emit });
     this.outlooks = new RegionOutlooks(self.region);
     this.fleet = new FleetController({
       self,
@@ -453,6 +456,7 @@
     this.#updateOutdatedState(now);
     this.#calls.tick(now);
     this.#demandReporter.tick(now);
+    this.#shareLog.tick(now);
     this.#workReporter.tick(this.#calls.takeSentPrefixes(), now);
     this.#stopController.tick(now);
   }
--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -198,7 +198,10 @@
       running: [
         { service: "pool", customer: "clinic", requests: 2, tokens: 900 },
       ],
-      placed: [{ service: "pool", requests: 14, tokens: 38_000 }],
+      placed: [
+        { service: "pool", customer: "clinic", requests: 9, tokens: 30_000 },
+        { service: "pool", customer: undefined, requests: 5, tokens: 8_000 },
+      ],
     },
   },
   {
--- a/packages/daemon/src/gateway/gauges.ts
+++ b/packages/daemon/src/gateway/gauges.ts
@@ -9,7 +9,7 @@
 
 /** Reads all gauges, by metric name without the prefix. */
 export function readGauges(
-  { catalogue, calls, fleet, quarantine, endpointTerms }: Gateway,
+  { catalogue, calls, fleet, quarantine, endpointTerms, shares }: Gateway,
   { connections, datagrams }: {
     connections: Pick<ConnectionPool, "opened">;
     datagrams: Pick<DatagramSocket, "counts">;
@@ -24,6 +24,8 @@
     members: fleet.liveMembers().length,
     endpoint_ends: quarantine.crashes,
     requests_held: quarantine.holds.size,
+    customers_over_share: shares.overShare(now),
+    turns_yielded: shares.yielded,
     endpoint_limits: endpointTerms.limits.size,
     endpoint_limits_withheld: endpointTerms.limits.withheld,
     endpoint_limits_ignored: endpointTerms.limits.ignored,
