--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -1,10 +1,12 @@
 import { describe, expect, it } from "vitest";
-import { RegionDemand } from "../../demand/index.ts";
+import { type DemandReport, RegionDemand } from "../../demand/index.ts";
 import { FairShares } from "../../fair_shares/index.ts";
 import {
   type AttemptId,
   type CallId,
+  type CustomerId,
   type EndpointId,
+  type Incarnation,
   instant,
   milliseconds,
   type RequestId,
@@ -72,8 +74,22 @@
   keyLifetime: undefined,
 };
 
+/** Shares of a region's customers, switched off or given the demand of a peer. */
+function sharesOf(peer?: DemandReport): FairShares {
+  const demand = new RegionDemand(new StallAdjustedClock(instant(0)));
+  if (peer !== undefined) {
+    demand.receive("b1" as Incarnation, peer, instant(0));
+  }
+  return new FairShares({
+    demand,
+    isOn: () => peer !== undefined,
+    limitOf: () => undefined,
+    placedHere: () => [],
+  });
+}
+
 /** Builds a controller with a stub router that returns the given decision and counts its calls. */
-function build(route = ROUTE): {
+function build(route = ROUTE, shares = sharesOf()): {
   controller: CallController;
   effects: GatewayEffect[];
   asked: { count: number; decision: RoutingDecision };
@@ -98,7 +114,11 @@
       table: new RouteTable({ ...DOCUMENT, routes: [route] }),
       isStale: () => false,
     } as never,
-    endpoints: { all: () => [], hasRestarted: () => false } as never,
+    endpoints: {
+      all: () => [],
+      ofService: () => [],
+      hasRestarted: () => false,
+    } as never,
     regions: {
       recordArrival: () => {},
       traffic: { add: () => {} },
@@ -106,12 +126,7 @@
       prefillFraction: 0,
     } as unknown as RegionController,
     placements: new PlacementMeter(),
-    shares: new FairShares({
-      demand: new RegionDemand(new StallAdjustedClock(instant(0))),
-      isOn: () => false,
-      limitOf: () => undefined,
-      placedHere: () => [],
-    }),
+    shares,
     router,
     budget: new RetryBudget(BOUNDS),
     cold: new ColdAllowance(BOUNDS, instant(0)),
@@ -210,6 +225,79 @@
   });
 });
 
+describe("a request whose customer had its share", () => {
+  /** What a peer reports: most was placed for the customer of the requests here, which have none. */
+  function peerDemand({ ownWaits, othersWait }: {
+    ownWaits: number;
+    othersWait: number;
+  }): DemandReport {
+    const group = (customer: string | undefined, requests: number) => ({
+      service: SERVICE,
+      rank: 1,
+      late: false,
+      customer: customer as CustomerId | undefined,
+      requests,
+      tokens: requests * 1_000,
+    });
+    return {
+      waiting: [group(undefined, ownWaits), group("calm", othersWait)]
+        .filter(({ requests }) => requests > 0),
+      running: [],
+      placed: [group(undefined, 60)],
+    };
+  }
+
+  function arriveWithRoom(peer: DemandReport | undefined): {
+    controller: CallController;
+    kinds: () => string[];
+  } {
+    const { controller, effects, asked } = build(ROUTE, sharesOf(peer));
+    asked.decision = {
+      kind: "endpoint",
+      placement: {
+        kind: "chosen",
+        state: createEngine("e1"),
+        prefill: 0,
+        tokens: 0,
+        fetchFrom: undefined,
+      },
+    };
+    arrive(controller, "a", 500);
+    return { controller, kinds: () => effects.map(({ kind }) => kind) };
+  }
+
+  /** Guards against a loud customer's request that overtakes those which wait for an endpoint at other entries. */
+  it("waits while others wait at other entries, for a bounded time", () => {
+    const { controller, kinds } = arriveWithRoom(
+      peerDemand({ ownWaits: 20, othersWait: 5 }),
+    );
+    expect(controller.queued).toBe(1);
+    for (let at = 25; at <= 200; at += 25) {
+      controller.tick(instant(at));
+    }
+    expect(kinds()).not.toContain("send");
+    for (let at = 225; at <= 500; at += 25) {
+      controller.tick(instant(at));
+    }
+    expect(kinds()).toContain("send");
+  });
+
+  it("is sent at once where nobody else waits, or the feature is off", () => {
+    const alone = arriveWithRoom(peerDemand({ ownWaits: 20, othersWait: 0 }));
+    expect(alone.kinds()).toContain("send");
+    expect(arriveWithRoom(undefined).kinds()).toContain("send");
+  });
+
+  /** Guards against requests that are held until their callers give up. */
+  it("is refused at once if its turn comes too late", () => {
+    const { controller, kinds } = arriveWithRoom(
+      peerDemand({ ownWaits: 400, othersWait: 5 }),
+    );
+    expect(controller.queued).toBe(0);
+    expect(kinds()).toContain("refuse");
+  });
+});
+
 describe("a stream under backpressure from its caller", () => {
   const ANSWER: CallAnswer = {
     status: 200,
