refactor: shares of one service and yield periods are modules of their own

Change: `service_shares.ts` has the sums of one service and the level, `yield_periods.ts` the bound of yielding, `fair_shares.ts` the decisions. A customer without an account has the mean weight; before, it had a weight of 1, so that a second request of a customer new to the region was moved back by minutes until shares were worked out again.

--- a/packages/core/src/fair_shares/__tests__/fair_shares.test.ts
+++ b/packages/core/src/fair_shares/__tests__/fair_shares.test.ts
@@ -387,6 +387,19 @@
     expect(Number.isFinite(times[0])).toBe(true);
   });
 
+  /** Guards against a customer's first requests in a peak waiting as if it had next to no weight. */
+  it("give a customer that no report has the mean weight", () => {
+    const shares = contended({
+      limits: { [LOUD]: 30_000, [CALM]: 30_000, [OTHER]: 30_000 },
+    });
+    const times = shares.startTimes(
+      [request(OTHER, 9_900), request(OTHER, 9_900)],
+      NOW,
+    );
+    expect(times[1]! - times[0]!).toBeGreaterThan(0);
+    expect(times[1]! - times[0]!).toBeLessThan(1_000);
+  });
+
   /** Guards against an entry that sends a customer's whole queue before it hears of the next report. */
   it("count what this entry has just placed", () => {
     const shares = contended();
--- a/packages/core/src/fair_shares/fair_shares.ts
+++ b/packages/core/src/fair_shares/fair_shares.ts
@@ -17,12 +17,15 @@
   RegionDemand,
 } from "../demand/index.ts";
 import type { CustomerId, Instant, ServiceId } from "../ids/index.ts";
-import { customerWeights, type Sharer } from "./customer_weights.ts";
-import { fairLevel } from "./fair_level.ts";
+import type { Sharer } from "./customer_weights.ts";
+import {
+  classOf,
+  ServiceShares,
+  SHARE_WINDOW_MS,
+  workOf,
+} from "./service_shares.ts";
+import { YieldPeriods } from "./yield_periods.ts";
 
-const MS_PER_SECOND = 1_000;
-/** Work that counts against a share: what was placed within this time. The same as that of `PlacedGroup`. */
-export const SHARE_WINDOW_MS = 1_000;
 /**
  * Shares are worked out again after this time at the earliest while requests are placed or queued, and after a time in
  * proportion to the groups of all reports, so that large regions take the same part of an entry's processor.
@@ -34,24 +37,6 @@
  * known with this delay, and a burst as short as that needs no correction.
  */
 const CLOCK_TOLERANCE_MS = 200;
-/**
- * Longest time for which endpoints with room are left to others that wait at other entries. If they have room all the
- * while, those others can't use it.
- */
-export const MAX_YIELD_MS = 250;
-/** Requests are tried at least this often. After a longer gap it isn't known whether endpoints had room all the while. */
-const MAX_TRIAL_GAP_MS = 100;
-/**
- * Work of a request besides its prefill, in prompt tokens: an answer of 200 tokens takes as much of an engine's time.
- */
-const REQUEST_WORK_TOKENS = 1_000;
-/** Capacity that is assumed while less was placed, as after a restart of all entries: that of one engine. */
-const MIN_CAPACITY_TOKENS = 35_000;
-
-/** Work of some requests in prompt tokens. */
-export function workOf({ requests, tokens }: DemandTotals): number {
-  return tokens + requests * REQUEST_WORK_TOKENS;
-}
 
 /** A request in the queue of this entry. */
 export interface WaitingRequest extends QueuePosition {
@@ -71,44 +56,13 @@
   readonly placedHere: (now: Instant) => readonly PlacedGroup[];
 }
 
-/** What one customer has of a service in the region. */
-interface Account {
-  /** Work that was placed within `SHARE_WINDOW_MS`. */
-  placed: number;
-  requests: number;
-  waiting: number;
-  weight: number;
-}
-
-/** Waiting requests of one customer in one class, in the region and at other entries. */
-interface WaitingTotals {
-  readonly region: { requests: number; tokens: number };
-  readonly peers: { requests: number; tokens: number };
-}
-
-/** Requests of one service. */
-interface ServiceShares {
-  readonly accounts: Map<Sharer, Account>;
-  /** Waiting requests by class, which are rank and lateness, and customer. */
-  readonly classes: Map<string, Map<Sharer, WaitingTotals>>;
-  /** Work per second and unit of weight that each customer may have, `Infinity` while there is enough for all. */
-  level: number;
-}
-
-/** Since when room at endpoints was left to others without a break. */
-interface YieldPeriod {
-  readonly since: Instant;
-  lastAt: Instant;
-}
-
 /** Gives each customer its share of a region's endpoints. */
 export class FairShares {
   readonly #sources: FairShareSources;
   readonly #services = new Map<ServiceId, ServiceShares>();
+  readonly #yieldPeriods = new YieldPeriods();
   #refreshedAt: Instant | undefined;
   #refreshPeriodMs = MIN_REFRESH_PERIOD_MS;
-  #groups = 0;
-  readonly #yieldPeriods = new Map<ServiceId, YieldPeriod>();
   #yielded = 0;
 
   constructor(sources: FairShareSources) {
@@ -126,20 +80,13 @@
       return false;
     }
     this.#refresh(now);
-    return [...this.#services.values()].some(({ level }) => level < Infinity);
+    return [...this.#services.values()].some((shares) => shares.isContended);
   }
 
   /** Customers that had more than their share within the last second. */
   overShare(now: Instant): number {
-    if (!this.isContended(now)) {
-      return 0;
-    }
-    return [...this.#services.values()].reduce(
-      (sum, shares) =>
-        sum +
-        [...shares.accounts.keys()].filter((customer) =>
-          this.#paidUntil(shares, customer) > now
-        ).length,
+    return !this.isContended(now) ? 0 : [...this.#services.values()].reduce(
+      (sum, shares) => sum + shares.overShare(now),
       0,
     );
   }
@@ -149,10 +96,8 @@
     service: ServiceId,
     { customer, tokens }: { customer: Sharer; tokens: number },
   ): void {
-    const account = this.#services.get(service)?.accounts.get(customer);
-    if (account !== undefined) {
-      account.placed += workOf({ requests: 1, tokens });
-    }
+    const work = workOf({ requests: 1, tokens });
+    this.#services.get(service)?.recordPlaced(customer, work);
   }
 
   /**
@@ -173,21 +118,20 @@
     return requests.map((request) => {
       const { service, customer, virtualArrival, tokens } = request;
       const shares = this.#services.get(service);
-      if (shares === undefined || shares.level === Infinity) {
+      if (shares?.isContended !== true) {
         return virtualArrival;
       }
       const queue = own.get(keyOf(request))!;
       const work = workOf({ requests: 1, tokens });
-      const waiting = shares.classes.get(classOf(request))?.get(customer);
+      const waiting = shares.waitingWith(request).get(customer);
       const peerWork = waiting === undefined ? 0 : workOf(waiting.peers);
       // Where in its customer's queue of the whole region a request is: as far as in that of this entry.
       const region = 1 + peerWork / queue.work;
       const ahead = (queue.ahead + work / 2) * region - work / 2;
       queue.ahead += work;
-      return Math.max(
-        virtualArrival,
-        this.#paidUntil(shares, customer) - CLOCK_TOLERANCE_MS,
-      ) + MS_PER_SECOND * ahead / this.#rateOf(shares, customer);
+      const paidUntil = shares.paidUntil(customer) - CLOCK_TOLERANCE_MS;
+      return Math.max(virtualArrival, paidUntil) +
+        shares.timeFor(customer, ahead);
     });
   }
 
@@ -201,24 +145,22 @@
     roomOf: () => DemandTotals,
     now: Instant,
   ): boolean {
-    if (!this.isContended(now)) {
-      return false;
-    }
-    const shares = this.#services.get(request.service);
+    const { service, customer } = request;
+    const shares = this.isContended(now)
+      ? this.#services.get(service)
+      : undefined;
     if (
       shares === undefined ||
-      this.#paidUntil(shares, request.customer) + CLOCK_TOLERANCE_MS < now
+      shares.paidUntil(customer) + CLOCK_TOLERANCE_MS < now
     ) {
       return false;
     }
     let requests = 0;
     let tokens = 0;
-    for (
-      const [customer, waiting] of shares.classes.get(classOf(request)) ?? []
-    ) {
-      if (customer !== request.customer && isWithinShare(shares, customer)) {
-        requests += waiting.peers.requests;
-        tokens += waiting.peers.tokens;
+    for (const [other, { peers }] of shares.waitingWith(request)) {
+      if (other !== customer && shares.isWithinShare(other)) {
+        requests += peers.requests;
+        tokens += peers.tokens;
       }
     }
     if (requests === 0) {
@@ -226,37 +168,23 @@
     }
     const room = roomOf();
     const yields = (requests >= room.requests || tokens >= room.tokens) &&
-      this.#mayYield(request.service, now);
+      this.#yieldPeriods.mayYield(service, now);
     this.#yielded += Number(yields);
     return yields;
   }
 
   /** Notes that endpoints of a service had no room for a request. */
   noteBusy(service: ServiceId): void {
-    this.#yieldPeriods.delete(service);
+    this.#yieldPeriods.noteBusy(service);
   }
 
   /** Milliseconds until a new request of a customer is served in virtual time, behind what waits of its customer. */
   delayOf(position: QueuePosition, customer: Sharer, now: Instant): number {
     this.#refresh(now);
     const shares = this.#services.get(position.service);
-    return shares === undefined || shares.level === Infinity
-      ? 0
-      : this.#startOf(shares, { position, customer }, now) - now;
-  }
-
-  #mayYield(service: ServiceId, now: Instant): boolean {
-    const period = this.#yieldPeriods.get(service);
-    if (period === undefined || now - period.lastAt > MAX_TRIAL_GAP_MS) {
-      this.#yieldPeriods.set(service, { since: now, lastAt: now });
-      return true;
-    }
-    period.lastAt = now;
-    if (now - period.since < MAX_YIELD_MS) {
-      return true;
-    }
-    this.#yieldPeriods.delete(service);
-    return false;
+    return shares?.isContended === true
+      ? startOf(shares, { ...position, customer }, now) - now
+      : 0;
   }
 
   /**
@@ -270,90 +198,58 @@
   ): DemandTotals {
     this.#refresh(now);
     const shares = this.#services.get(position.service);
-    let requests = 0;
-    let tokens = 0;
-    const add = (totals: DemandTotals, part: number): void => {
-      requests += totals.requests * part;
-      tokens += totals.tokens * part;
-    };
-    const ownClass = classOf(position);
-    const startsAt = shares === undefined
-      ? now
-      : this.#startOf(shares, { position, customer }, now);
-    for (const [name, waiting] of shares?.classes ?? []) {
-      if (name !== ownClass && !isClassAhead(name, position)) {
-        continue;
-      }
-      for (const [other, totals] of waiting) {
-        const isWhole = name !== ownClass || other === customer;
-        add(
-          totals.region,
-          isWhole
-            ? 1
-            : this.#partBefore(shares!, { customer: other, totals }, startsAt),
-        );
-      }
+    if (shares === undefined) {
+      return { requests: 0, tokens: 0 };
     }
-    return { requests, tokens };
+    const startsAt = shares.isContended
+      ? startOf(shares, { ...position, customer }, now)
+      : Infinity;
+    return this.#sumAhead(
+      shares,
+      position,
+      (other, waiting) =>
+        other === customer || startsAt === Infinity ? 1 : Math.min(
+          1,
+          Math.max(
+            0,
+            shares.workIn(other, startsAt - shares.paidUntil(other)),
+          ) /
+            workOf(waiting),
+        ),
+    );
   }
 
   /** Part of what `RegionDemand.waitingAhead` returns that is served before a new request of a customer. */
   partAheadOf(position: QueuePosition, customer: Sharer, now: Instant): number {
-    if (!this.isContended(now)) {
-      return 1;
-    }
-    let all = 0;
-    const shares = this.#services.get(position.service);
-    for (const [name, waiting] of shares?.classes ?? []) {
-      if (name === classOf(position) || isClassAhead(name, position)) {
-        waiting.forEach(({ region }) => all += region.tokens);
-      }
-    }
+    const shares = this.isContended(now)
+      ? this.#services.get(position.service)
+      : undefined;
+    const all = shares === undefined
+      ? 0
+      : this.#sumAhead(shares, position, () => 1).tokens;
     return all === 0
       ? 1
       : this.waitingAheadOf(position, customer, now).tokens / all;
   }
 
-  /** When a new request of a customer is served in virtual time: behind what waits of its customer. */
-  #startOf(
+  /** Sum of the classes before a request's own, and of a part of each customer's requests in its own. */
+  #sumAhead(
     shares: ServiceShares,
-    { position, customer }: { position: QueuePosition; customer: Sharer },
-    now: Instant,
-  ): number {
-    const waiting = shares.classes.get(classOf(position))?.get(customer);
-    return shares.level === Infinity
-      ? Infinity
-      : Math.max(now, this.#paidUntil(shares, customer)) +
-        MS_PER_SECOND * (waiting === undefined ? 0 : workOf(waiting.region)) /
-          this.#rateOf(shares, customer);
-  }
-
-  /** Part of a customer's waiting requests that is served before a virtual time. */
-  #partBefore(
-    shares: ServiceShares,
-    { customer, totals }: { customer: Sharer; totals: WaitingTotals },
-    time: number,
-  ): number {
-    if (time === Infinity) {
-      return 1;
+    position: QueuePosition,
+    partOf: (customer: Sharer, waiting: DemandTotals) => number,
+  ): DemandTotals {
+    let requests = 0;
+    let tokens = 0;
+    for (const { region } of shares.waitingBefore(position)) {
+      requests += region.requests;
+      tokens += region.tokens;
     }
-    const served = (time - this.#paidUntil(shares, customer)) *
-      this.#rateOf(shares, customer) / MS_PER_SECOND;
-    return Math.min(1, Math.max(0, served / workOf(totals.region)));
-  }
-
-  /** Work a second that a customer may have. */
-  #rateOf({ accounts, level }: ServiceShares, customer: Sharer): number {
-    return level * (accounts.get(customer)?.weight ?? 1);
-  }
-
-  /** Until when a customer has had its share: after the present if it had more than that. */
-  #paidUntil(shares: ServiceShares, customer: Sharer): number {
-    const placed = shares.accounts.get(customer)?.placed ?? 0;
-    const since = this.#refreshedAt! - SHARE_WINDOW_MS;
-    return placed === 0 || shares.level === Infinity
-      ? since
-      : since + MS_PER_SECOND * placed / this.#rateOf(shares, customer);
+    for (const [customer, { region }] of shares.waitingWith(position)) {
+      const part = partOf(customer, region);
+      requests += region.requests * part;
+      tokens += region.tokens * part;
+    }
+    return { requests, tokens };
   }
 
   #refresh(now: Instant): void {
@@ -365,128 +261,60 @@
     }
     this.#refreshedAt = now;
     this.#services.clear();
-    this.#groups = 0;
-    const { demand, placedHere } = this.#sources;
-    this.#add({ ...demand.own, placed: placedHere(now) }, 1, false);
+    const { demand, placedHere, limitOf } = this.#sources;
+    const own = { ...demand.own, placed: placedHere(now) };
+    let groups = this.#add(own, { part: 1, isPeer: false, now });
     for (const { report, age } of demand.peerReports(now)) {
       // Part of a peer's last second that is still in this one. What it did since is not known.
-      this.#add(report, Math.max(0, 1 - age / SHARE_WINDOW_MS), true);
+      const part = Math.max(0, 1 - age / SHARE_WINDOW_MS);
+      groups += this.#add(report, { part, isPeer: true, now });
     }
-    this.#services.forEach((shares) => this.#setLevel(shares));
+    this.#services.forEach((shares) => shares.settle(limitOf));
     this.#refreshPeriodMs = Math.max(
       MIN_REFRESH_PERIOD_MS,
-      this.#groups * REFRESH_MS_PER_GROUP,
+      groups * REFRESH_MS_PER_GROUP,
     );
   }
 
+  /** Adds a part of a report. Returns the number of its groups. */
   #add(
     { waiting, placed }: Pick<DemandReport, "waiting" | "placed">,
-    part: number,
-    isPeer: boolean,
-  ): void {
-    this.#groups += placed.length + waiting.length;
-    for (const { service, customer, requests, tokens } of placed) {
-      const account = this.#accountOf(service, customer);
-      account.placed += workOf({ requests, tokens }) * part;
-      account.requests += requests * part;
+    { part, isPeer, now }: { part: number; isPeer: boolean; now: Instant },
+  ): number {
+    const partOf = ({ requests, tokens }: DemandTotals): DemandTotals => ({
+      requests: requests * part,
+      tokens: tokens * part,
+    });
+    for (const group of placed) {
+      this.#sharesOf(group.service, now)
+        .addPlaced(group.customer, partOf(group));
     }
     for (const group of waiting) {
-      const { service, customer } = group;
-      const account = this.#accountOf(service, customer);
-      const requests = group.requests * part;
-      const tokens = group.tokens * part;
-      account.waiting += workOf({ requests, tokens });
-      account.requests += requests;
-      const { region, peers } = this.#waitingOf(group, customer);
-      region.requests += requests;
-      region.tokens += tokens;
-      peers.requests += isPeer ? requests : 0;
-      peers.tokens += isPeer ? tokens : 0;
+      this.#sharesOf(group.service, now)
+        .addWaiting(group, partOf(group), isPeer);
     }
+    return placed.length + waiting.length;
   }
 
-  #accountOf(service: ServiceId, customer: Sharer): Account {
-    const { accounts } = this.#sharesOf(service);
-    let account = accounts.get(customer);
-    if (account === undefined) {
-      account = { placed: 0, requests: 0, waiting: 0, weight: 1 };
-      accounts.set(customer, account);
-    }
-    return account;
-  }
-
-  #waitingOf(position: QueuePosition, customer: Sharer): WaitingTotals {
-    const { classes } = this.#sharesOf(position.service);
-    const name = classOf(position);
-    let waiting = classes.get(name);
-    if (waiting === undefined) {
-      waiting = new Map();
-      classes.set(name, waiting);
-    }
-    let totals = waiting.get(customer);
-    if (totals === undefined) {
-      totals = {
-        region: { requests: 0, tokens: 0 },
-        peers: { requests: 0, tokens: 0 },
-      };
-      waiting.set(customer, totals);
-    }
-    return totals;
-  }
-
-  #sharesOf(service: ServiceId): ServiceShares {
+  #sharesOf(service: ServiceId, now: Instant): ServiceShares {
     let shares = this.#services.get(service);
     if (shares === undefined) {
-      shares = { accounts: new Map(), classes: new Map(), level: Infinity };
+      shares = new ServiceShares(now);
       this.#services.set(service, shares);
     }
     return shares;
   }
-
-  #setLevel(shares: ServiceShares): void {
-    const accounts = [...shares.accounts.values()];
-    const sum = (value: (account: Account) => number): number =>
-      accounts.reduce((total, account) => total + value(account), 0);
-    const waiting = sum((account) => account.waiting);
-    if (waiting === 0) {
-      return;
-    }
-    const placed = sum((account) => account.placed);
-    const weights = customerWeights(shares.accounts.keys(), {
-      limitOf: this.#sources.limitOf,
-      workPerRequest: (placed + waiting) /
-        Math.max(1, sum(({ requests }) => requests)),
-    });
-    for (const [customer, account] of shares.accounts) {
-      account.weight = weights.get(customer)!;
-    }
-    shares.level = fairLevel(
-      accounts.map((account) => ({
-        demand: account.placed + account.waiting,
-        weight: account.weight,
-      })),
-      Math.max(placed, MIN_CAPACITY_TOKENS),
-    );
-  }
-}
-
-/** Whether a customer gets all that it asks for at the fair level. */
-function isWithinShare(
-  { accounts, level }: ServiceShares,
-  customer: Sharer,
-): boolean {
-  const account = accounts.get(customer);
-  return account === undefined ||
-    account.placed + account.waiting <= account.weight * level;
-}
-
-/** Requests that are ordered among each other by customer. */
-function classOf({ rank, late }: QueuePosition): string {
-  return `${late ? 1 : 0} ${rank}`;
 }
 
-/** Whether all requests of a class are served before a request at the given position. */
-function isClassAhead(name: string, position: QueuePosition): boolean {
-  const [late, rank] = name.split(" ").map(Number);
-  return late === Number(position.late) ? rank! < position.rank : position.late;
+/** When a new request of a customer is served in virtual time: behind what waits of its customer. */
+function startOf(
+  shares: ServiceShares,
+  request: QueuePosition & { customer: Sharer },
+  now: Instant,
+): number {
+  const { customer } = request;
+  const waiting = shares.waitingWith(request).get(customer);
+  const ahead = waiting === undefined ? 0 : workOf(waiting.region);
+  return Math.max(now, shares.paidUntil(customer)) +
+    shares.timeFor(customer, ahead);
 }
