feat: endpoints are chosen by their pace at present

Cause: endpoints share machines and differ in speed, and placement knew an average prefill rate only.

Change: the pace of an endpoint is the contention it reported, which fades towards the service's average within a learned span, times a lasting factor learned from its answers. It scales prefill and its limits, and the queue of plain endpoints. Contention decides between the two cheapest endpoints only. Reports of demand pass on what other entries would not expect.

--- a/packages/core/src/demand/demand_messages.ts
+++ b/packages/core/src/demand/demand_messages.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { CustomerId, ServiceId } from "../ids/index.ts";
+import type { CustomerId, EndpointId, ServiceId } from "../ids/index.ts";
 
 /** Waiting requests of one service, rank and customer. */
 export interface WaitingGroup {
@@ -36,12 +36,28 @@
   readonly tokens: number;
 }
 
+/** The contention that an endpoint reported with an answer to the entry. */
+export interface ReportedPace {
+  readonly endpoint: EndpointId;
+  /** Duration of work on the endpoint's machine, as a percentage of the usual one. */
+  readonly contention: number;
+  /** Milliseconds since the answer. */
+  readonly age: number;
+}
+
 /** The demand at one entry. */
 export interface DemandReport {
   readonly waiting: readonly WaitingGroup[];
   readonly running: readonly RunningGroup[];
   readonly placed: readonly PlacedGroup[];
+  /** Contention that other entries would not expect, and that they were not told of yet. */
+  readonly paces: readonly ReportedPace[];
 }
 
 /** A report without any demand. */
-export const NO_DEMAND: DemandReport = { waiting: [], running: [], placed: [] };
+export const NO_DEMAND: DemandReport = {
+  waiting: [],
+  running: [],
+  placed: [],
+  paces: [],
+};
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -178,7 +178,7 @@
   /** Records what the head of an answer states about its endpoint. */
   noteAnswerHead(
     { head }: Call,
-    { state }: OpenAttempt,
+    { state, id, sentAt }: OpenAttempt,
     { answer, now }: { answer: CallAnswer; now: Instant },
   ): void {
     if (state === undefined) {
@@ -194,6 +194,9 @@
     if (status === MISDIRECTED_REQUEST) {
       return;
     }
+    if (sentAt !== undefined && !answer.notRun && status < FIRST_SERVER_ERROR) {
+      state.noteAnswer(id, sentAt, now);
+    }
     const { record } = state;
     const { terms } = this.#deps;
     const context = { call: head.call, status };
--- a/packages/core/src/gateway/call_demand.ts
+++ b/packages/core/src/gateway/call_demand.ts
@@ -49,5 +49,6 @@
     waiting: groupWaiting(waiting),
     running: groupRunning(running),
     placed: placements.lastSecond(now),
+    paces: [],
   };
 }
--- a/packages/core/src/gateway/endpoint_placement.ts
+++ b/packages/core/src/gateway/endpoint_placement.ts
@@ -94,33 +94,60 @@
   | { readonly kind: "busy"; readonly wait: Milliseconds }
   | { readonly kind: "none" };
 
-/** Chooses the cheapest of the endpoints that accept new work. */
+/**
+ * Chooses the cheapest of the endpoints that accept new work.
+ *
+ * Contention only decides between the two that would be cheapest without it. If each entry chose the calmest machine,
+ * all of them would send their requests there before they hear of each other's, and a false report would draw all
+ * work.
+ */
 export function chooseEndpoint(
   request: PlacementRequest,
   candidates: readonly EndpointState[],
   now: Instant,
 ): Placement {
-  let best: Placement = { kind: "none" };
-  let bestCost = Infinity;
+  const tokens = memoryTokens(request.prompt);
+  let best: Candidate | undefined;
+  let second: Candidate | undefined;
   let wait = Infinity;
   for (const state of candidates) {
+    const contention = state.pace.contention(now);
     const { prefill, fetchFrom } = prefillAt(request, state);
-    const tokens = memoryTokens(request.prompt);
-    const need = { prefill, tokens, urgent: request.urgent };
+    const need = { prefill, tokens, urgent: request.urgent, contention };
     if (!hasCapacity(state, need, now)) {
-      wait = Math.min(wait, waitAt(state, now));
+      wait = Math.min(wait, waitAt(state, contention, now));
       continue;
     }
-    const cost = costAt(state, prefill, request) + request.biasOf(state) +
+    const work = workAt(state, prefill);
+    const other = distanceAt(state, request) + request.biasOf(state) +
       (fetchFrom === undefined ? 0 : FETCH_COST_MS);
-    if (cost < bestCost) {
-      bestCost = cost;
-      best = { kind: "chosen", state, prefill, tokens, fetchFrom };
+    const usualCost = work + other;
+    if (usualCost < (second?.usualCost ?? Infinity)) {
+      const cost = work * contention + other;
+      const candidate = { state, prefill, fetchFrom, usualCost, cost };
+      [best, second] = usualCost < (best?.usualCost ?? Infinity)
+        ? [candidate, best]
+        : [best, candidate];
     }
   }
-  return best.kind === "none" && wait < Infinity
-    ? { kind: "busy", wait: milliseconds(wait) }
-    : best;
+  if (best === undefined) {
+    return wait < Infinity
+      ? { kind: "busy", wait: milliseconds(wait) }
+      : { kind: "none" };
+  }
+  const { state, prefill, fetchFrom } =
+    second !== undefined && second.cost < best.cost ? second : best;
+  return { kind: "chosen", state, prefill, tokens, fetchFrom };
+}
+
+/** An endpoint with capacity for a request, and what the request costs there. */
+interface Candidate {
+  readonly state: EndpointState;
+  readonly prefill: number;
+  readonly fetchFrom: EndpointState | undefined;
+  /** Cost without regard to contention. */
+  readonly usualCost: number;
+  readonly cost: number;
 }
 
 /**
@@ -185,10 +212,11 @@
 
 function hasCapacity(
   state: EndpointState,
-  { prefill, tokens, urgent }: {
+  { prefill, tokens, urgent, contention }: {
     prefill: number;
     tokens: number;
     urgent: boolean;
+    contention: number;
   },
   now: Instant,
 ): boolean {
@@ -206,8 +234,9 @@
     return false;
   }
   const short = prefill <= SHORT_PROMPT_TOKENS;
+  const rate = state.usualPrefillRate / contention;
   const stretch = state.prefillDuration(now) +
-    (state.prefill + prefill) / state.prefillRate;
+    (state.prefill + prefill) / rate;
   const exceedsStretch = state.prefill > 0 && stretch > MAX_PREFILL_STRETCH_MS;
   const exceedsShare = !idle && !urgent &&
     state.prefillShare(now) > MAX_PREFILL_SHARE;
@@ -217,31 +246,39 @@
     return false;
   }
   const extra = short ? SHORT_PROMPT_EXTRA_BACKLOG_MS : 0;
-  const limit = (MAX_PREFILL_BACKLOG_MS + extra) * state.prefillRate;
+  const limit = (MAX_PREFILL_BACKLOG_MS + extra) * rate;
   return state.prefill === 0 || state.prefill + prefill <= limit;
 }
 
-function costAt(
-  state: EndpointState,
-  prefill: number,
-  request: PlacementRequest,
-): number {
+/** The part of the cost that grows with contention. */
+function workAt(state: EndpointState, prefill: number): number {
+  const { pace } = state;
+  if (state.service?.engine === undefined) {
+    const queueCost = (state.requests / Math.max(1, state.slots)) *
+      CROSS_ZONE_COST_MS * pace.lasting;
+    return queueCost + (pace.unitTime ?? 0);
+  }
   const prefillCost = (state.prefill + prefill * PREFILL_COST_WEIGHT) /
-    state.prefillRate;
-  const concurrencyCost = state.service?.engine === undefined
-    ? (state.requests / Math.max(1, state.slots)) * CROSS_ZONE_COST_MS
-    : state.requests * BATCH_COST_MS;
-  const zoneCost = state.record.zone === request.zone ? 0 : CROSS_ZONE_COST_MS;
-  return prefillCost + concurrencyCost + zoneCost +
-    state.health.failureRate * FAILURE_COST_MS;
+    state.usualPrefillRate;
+  return prefillCost + state.requests * BATCH_COST_MS * pace.lasting;
+}
+
+/** The part of the cost that doesn't depend on the endpoint's pace. */
+function distanceAt(state: EndpointState, { zone }: PlacementRequest): number {
+  const zoneCost = state.record.zone === zone ? 0 : CROSS_ZONE_COST_MS;
+  return zoneCost + state.health.failureRate * FAILURE_COST_MS;
 }
 
 /**
  * Time until the endpoint's pending prefill is done and its prefill share is low enough for more, at least
  * one millisecond.
  */
-function waitAt(state: EndpointState, now: Instant): number {
-  const prefillTime = state.prefill / state.prefillRate;
+function waitAt(
+  state: EndpointState,
+  contention: number,
+  now: Instant,
+): number {
+  const prefillTime = state.prefill * contention / state.usualPrefillRate;
   return Math.max(
     1,
     prefillTime + state.timeUntilPrefillShare(MAX_PREFILL_SHARE, now),
--- a/packages/core/src/gateway/endpoint_registry.ts
+++ b/packages/core/src/gateway/endpoint_registry.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { ReportedPace } from "../demand/index.ts";
 import {
   type EndpointWork,
   NO_RETURN_MS,
@@ -20,6 +21,7 @@
   type ZoneId,
 } from "../ids/index.ts";
 import type { StallAdjustedClockView } from "../listening/index.ts";
+import { ServicePace } from "../pace/index.ts";
 import { type EndpointRecord, isSameLife } from "../routes/index.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
 import { EndpointState } from "./endpoint_state.ts";
@@ -45,10 +47,12 @@
   readonly #backoffOf: (record: EndpointRecord, now: Instant) => Milliseconds;
   readonly #states = new Map<EndpointId, EndpointState>();
   readonly #byService = new Map<ServiceId, EndpointState[]>();
+  readonly #paces = new Map<ServiceId, ServicePace>();
   readonly #reports = new Map<Incarnation, ReceivedReport>();
   #evacuated: ReadonlySet<ZoneId> = new Set();
   #generation = -1;
   #reportsContention = false;
+  #usesPace = false;
 
   constructor(
     { region, regionByZone, catalogue, clock, isLeaving, backoffOf }: {
@@ -93,6 +97,49 @@
     pace.recordContention(contention, now);
   }
 
+  /** Records the contention that endpoints reported to a peer. */
+  receivePaces(paces: readonly ReportedPace[], now: Instant): void {
+    for (const { endpoint, ...reported } of paces) {
+      const state = this.#states.get(endpoint);
+      if (state !== undefined) {
+        this.#reportsContention = true;
+        state.pace.receiveContention(reported, now);
+      }
+    }
+  }
+
+  /** Returns the contention that peers should know of, that with the largest effect first, at most `limit`. */
+  takeUntoldPaces(limit: number, now: Instant): ReportedPace[] {
+    const untold: { state: EndpointState; difference: number }[] = [];
+    for (const state of this.#states.values()) {
+      const difference = state.pace.untoldDifference(now);
+      if (difference > 0) {
+        untold.push({ state, difference });
+      }
+    }
+    return untold.sort((left, right) => right.difference - left.difference)
+      .slice(0, limit)
+      .map(({ state }) => ({
+        endpoint: state.record.id,
+        ...state.pace.tell(now)!,
+      }));
+  }
+
+  /** Sets whether decisions use the pace of endpoints. */
+  usePace(isUsed: boolean): void {
+    if (isUsed !== this.#usesPace) {
+      this.#usesPace = isUsed;
+      for (const pace of this.#paces.values()) {
+        pace.isEnabled = isUsed;
+      }
+    }
+  }
+
+  /** The usual pace of each service's endpoints in this region. */
+  get paces(): ReadonlyMap<ServiceId, ServicePace> {
+    return this.#paces;
+  }
+
   /** Endpoints of a service in this region, including those that are leaving. */
   ofService(service: ServiceId): readonly EndpointState[] {
     return this.#byService.get(service) ?? [];
@@ -243,7 +290,12 @@
     const known = this.#states.get(id);
     if (known === undefined || !isSameLife(known.record, record)) {
       // After a restart the endpoint has no cached prefixes and nothing in flight.
-      const state = new EndpointState(record, service, now);
+      const state = new EndpointState(
+        record,
+        service,
+        now,
+        this.#paceOf(record.service),
+      );
       this.#states.set(id, state);
       this.#addPeerWork(state);
     } else {
@@ -252,6 +304,16 @@
     }
   }
 
+  #paceOf(service: ServiceId): ServicePace {
+    let pace = this.#paces.get(service);
+    if (pace === undefined) {
+      pace = new ServicePace();
+      pace.isEnabled = this.#usesPace;
+      this.#paces.set(service, pace);
+    }
+    return pace;
+  }
+
   /** Removes endpoints that have departed, except those where this entry still has requests in flight. */
   #removeGone(): void {
     for (const [id, state] of this.#states) {
@@ -283,6 +345,11 @@
       list.push(state);
       this.#byService.set(service, list);
     }
+    for (const service of this.#paces.keys()) {
+      if (!this.#byService.has(service)) {
+        this.#paces.delete(service);
+      }
+    }
   }
 
   #applyReport(from: Incarnation, sign: 1 | -1, now: Instant): void {
--- a/packages/core/src/gateway/endpoint_state.ts
+++ b/packages/core/src/gateway/endpoint_state.ts
@@ -7,7 +7,7 @@
 import type { EndpointWork } from "../fleet/index.ts";
 import { after, type AttemptId, type Instant, instant } from "../ids/index.ts";
 import type { EndpointRecord, RoutedService } from "../routes/index.ts";
-import { EndpointPace } from "../pace/index.ts";
+import { EndpointPace, type ServicePace } from "../pace/index.ts";
 import { EndpointHealth } from "./endpoint_health.ts";
 import type { ReportedLoad } from "./messages.ts";
 import { PrefixCacheModel } from "./prefix_cache_model.ts";
@@ -45,7 +45,8 @@
   readonly tokens: number;
   readonly sentAt: Instant;
   /**
-   * Whether the endpoint had no other prefill when the attempt was sent, so that its rate can be measured.
+   * Whether the endpoint had no other prefill, or a plain endpoint a free slot, when the attempt was sent, so that its
+   * rate can be measured.
    */
   readonly alone: boolean;
 }
@@ -62,7 +63,7 @@
   record: EndpointRecord;
   service: RoutedService | undefined;
   readonly health = new EndpointHealth();
-  readonly pace = new EndpointPace();
+  readonly pace: EndpointPace;
   readonly prefixes: PrefixCacheModel;
   /** The load that the endpoint reported with its last answer. */
   reportedLoad: ReportedLoad | undefined;
@@ -86,9 +87,11 @@
     record: EndpointRecord,
     service: RoutedService | undefined,
     now: Instant,
+    servicePace?: ServicePace,
   ) {
     this.record = record;
     this.service = service;
+    this.pace = new EndpointPace(servicePace);
     this.prefixes = new PrefixCacheModel(service?.engine?.cacheTokens ?? 0);
     this.#coldUntil = after(now, record.coldFor);
   }
@@ -135,6 +138,20 @@
     return this.own.tokens + this.peers.tokens;
   }
 
+  /** Prompt tokens that the endpoint prefills per millisecond without contention. */
+  get usualPrefillRate(): number {
+    const { unitTime } = this.pace;
+    return unitTime === undefined ? this.prefillRate : Math.min(
+      MAX_TOKENS_PER_MS,
+      Math.max(MIN_TOKENS_PER_MS, 1 / unitTime),
+    );
+  }
+
+  /** Prompt tokens that the endpoint prefills per millisecond at present. */
+  prefillRateAt(now: Instant): number {
+    return this.usualPrefillRate / this.pace.contention(now);
+  }
+
   /** Whether prefill is paused so that the running streams progress faster. */
   isPrefillPaused(now: Instant): boolean {
     return this.#prefillPausedUntil !== undefined &&
@@ -181,7 +198,9 @@
     { prefill, tokens }: { prefill: number; tokens: number },
     now: Instant,
   ): void {
-    const alone = this.prefill === 0;
+    const alone = this.service?.engine === undefined
+      ? this.requests < this.slots
+      : this.prefill === 0;
     this.#attempts.set(attempt, { prefill, tokens, sentAt: now, alone });
     this.own.prefill += prefill;
     this.own.requests++;
@@ -201,6 +220,15 @@
     this.#updatePrefill(now);
   }
 
+  /** Notes a plain endpoint's answer to an attempt that was sent to it at `sentAt`. */
+  noteAnswer(attempt: AttemptId, sentAt: Instant, now: Instant): void {
+    const isMeasurable = this.service?.engine === undefined &&
+      this.#attempts.get(attempt)?.alone === true;
+    if (isMeasurable) {
+      this.pace.recordWork({ units: 1, duration: now - sentAt }, now);
+    }
+  }
+
   /** Removes an attempt that has ended. */
   removeAttempt(attempt: AttemptId, now: Instant): void {
     const attemptLoad = this.#attempts.get(attempt);
@@ -247,6 +275,7 @@
     if (!alone || prefill < MIN_MEASURED_TOKENS || elapsed <= 0) {
       return;
     }
+    this.pace.recordWork({ units: prefill, duration: elapsed }, now);
     const rate = Math.min(
       MAX_TOKENS_PER_MS,
       Math.max(MIN_TOKENS_PER_MS, prefill / elapsed),
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -73,6 +73,12 @@
  */
 const OUTDATED_SHARE = 0.6;
 
+/**
+ * Endpoints whose contention one report of demand tells. Those with the largest effect go first, and what is left out
+ * follows with the next report.
+ */
+const MAX_TOLD_PACES = 16;
+
 /** Makes the decisions of one entry. */
 export class Gateway {
   readonly self: GatewayIdentity;
@@ -243,11 +249,17 @@
       demand: this.demand,
       isWanted: () =>
         this.features.isOn("fairShares") ||
-        this.features.isOn("regionAdmission"),
+        this.features.isOn("regionAdmission") ||
+        this.features.isOn("endpointPace"),
       measure: (at) => this.#calls.measureDemand(at),
       send: (report, at) =>
         this.fleet.sender.sendDemand(
-          report,
+          this.features.isOn("endpointPace")
+            ? {
+              ...report,
+              paces: this.#endpoints.takeUntoldPaces(MAX_TOLD_PACES, at),
+            }
+            : report,
           (record) =>
             this.#serving.has(record, at) ||
             this.#endpoints.hasReport(record.incarnation),
@@ -432,6 +444,7 @@
     this.#catalogue.tick(now);
     this.#applyCatalogue(now);
     this.#endpoints.expire(now);
+    this.#endpoints.usePace(this.features.isOn("endpointPace"));
     this.fleet.tick(now);
     this.#regions.tick(this.fleet, now);
     this.#quarantine.tick(now);
@@ -501,6 +514,7 @@
       this.endpointTerms.departures.receive(message.message);
     } else if (message.kind === "demand") {
       this.demand.receive(message.incarnation, message.report, now);
+      this.#endpoints.receivePaces(message.report.paces, now);
     } else if (message.kind === "outlook") {
       this.outlooks.update(message.outlook, now);
     } else if (message.kind === "work") {
--- a/packages/core/src/gateway/region_controller.ts
+++ b/packages/core/src/gateway/region_controller.ts
@@ -169,7 +169,7 @@
       requests += reported?.requests ?? 0;
     }
     const backlog = usable.reduce(
-      (sum, state) => sum + state.prefill / state.prefillRate,
+      (sum, state) => sum + state.prefill / state.prefillRateAt(now),
       0,
     );
     const meanWork = requests === 0 ? 0 : work / requests;
--- a/packages/core/src/pace/endpoint_pace.ts
+++ b/packages/core/src/pace/endpoint_pace.ts
@@ -1,38 +1,153 @@
 /**
- * How fast an endpoint is at present, compared with its usual speed.
+ * How fast an endpoint is at present, compared with its service's other endpoints.
  *
  * @module
  */
-import type { Instant } from "../ids/index.ts";
+import { after, type Instant } from "../ids/index.ts";
+import { contentionFactor, type ContentionReport } from "./contention_model.ts";
+import { ServicePace } from "./service_pace.ts";
 
-/** Reported contention of a machine that is as fast as usual. */
-export const USUAL_CONTENTION = 100;
+/** Weight of the newest measurement in the lasting pace. A few queued answers must not make an endpoint look slow. */
+const LASTING_WEIGHT = 0.1;
+/** Largest ratio of one measurement to the usual, and bounds of the lasting pace. */
+const MAX_MEASURED_RATIO = 3;
+const MIN_LASTING = 0.6;
+const MAX_LASTING = 2;
+/**
+ * Peers are told of a figure that differs by this much from what they expect by themselves: smaller differences change
+ * no choice.
+ */
+const MIN_TOLD_DIFFERENCE = 0.3;
+/** Age at which a peer's figure is taken as false. */
+const MAX_TOLD_AGE_MS = 5_000;
+
+/** Work that an endpoint did for one request, and how long it took. */
+export interface MeasuredWork {
+  /** Units of work: prompt tokens, or 1 for a whole plain request. */
+  readonly units: number;
+  readonly duration: number;
+}
 
 /** The pace of one endpoint. */
 export class EndpointPace {
-  #contention: number | undefined;
-  #reportedAt: Instant | undefined;
+  readonly #service: ServicePace;
+  /** The newest report, from the endpoint itself or a peer. */
+  #report: ContentionReport | undefined;
+  /** The newest report that the endpoint made to this entry. */
+  #own: ContentionReport | undefined;
+  /** What all entries of the region know, from this entry or a peer. */
+  #told: ContentionReport | undefined;
+  #lasting = 1;
 
-  /** Whether the endpoint has reported contention. */
-  get isReported(): boolean {
-    return this.#contention !== undefined;
+  constructor(service = new ServicePace()) {
+    this.#service = service;
   }
 
-  /** The contention last reported, and when, `undefined` if none was. */
-  get reported(): { contention: number; at: Instant } | undefined {
-    return this.#contention === undefined || this.#reportedAt === undefined
-      ? undefined
-      : { contention: this.#contention, at: this.#reportedAt };
+  /** Whether decisions use the pace. */
+  get isInUse(): boolean {
+    return this.#service.isInUse;
   }
 
   /** Records how long work takes on the endpoint's machine, as a percentage of the usual time. */
   recordContention(contention: number, now: Instant): void {
-    this.#contention = contention;
-    this.#reportedAt = now;
+    const report = { factor: contentionFactor(contention), at: now };
+    this.#service.contention.learn(report, this.#own);
+    this.#own = report;
+    this.#report = report;
+  }
+
+  /** Records what the endpoint reported to a peer `age` milliseconds ago. */
+  receiveContention(
+    { contention, age }: { contention: number; age: number },
+    now: Instant,
+  ): void {
+    if (!(age >= 0 && age <= MAX_TOLD_AGE_MS && contention > 0)) {
+      return;
+    }
+    this.#service.contention.noteReported();
+    const report = { factor: contentionFactor(contention), at: after(now, -age) };
+    if (report.at > (this.#told?.at ?? -Infinity)) {
+      this.#told = report;
+    }
+    if (report.at > (this.#report?.at ?? -Infinity)) {
+      this.#report = report;
+    }
+  }
+
+  /** The difference between what the endpoint reported to this entry and what peers expect, 0 if it isn't worth telling. */
+  untoldDifference(now: Instant): number {
+    const { contention } = this.#service;
+    const own = this.#own;
+    if (
+      own === undefined || own.at <= (this.#told?.at ?? -Infinity) ||
+      now - own.at >= contention.span
+    ) {
+      return 0;
+    }
+    const difference = Math.abs(
+      contention.expected(own, now) - contention.expected(this.#told, now),
+    );
+    return difference >= MIN_TOLD_DIFFERENCE ? difference : 0;
+  }
+
+  /** Returns the newest report to this entry, to tell peers. */
+  tell(now: Instant): { contention: number; age: number } | undefined {
+    this.#told = this.#own;
+    return this.#own === undefined ? undefined : {
+      contention: Math.round(this.#own.factor * 100),
+      age: now - this.#own.at,
+    };
+  }
+
+  /** Expected factor on the duration of work that the machine's contention makes at present. */
+  contention(now: Instant): number {
+    return this.#service.isInUse
+      ? this.#service.contention.expected(this.#report, now)
+      : 1;
+  }
+
+  /** The endpoint's own lasting factor on the duration of work, without contention. */
+  get lasting(): number {
+    return this.#service.isInUse ? this.#lasting : 1;
+  }
+
+  /** Expected duration of work on the endpoint, relative to the usual one. */
+  slowdown(now: Instant): number {
+    return this.lasting * this.contention(now);
+  }
+
+  /** Expected milliseconds for a unit of work without contention, `undefined` if not measured or not in use. */
+  get unitTime(): number | undefined {
+    const { isInUse, unitTime } = this.#service;
+    return isInUse && unitTime !== undefined
+      ? unitTime * this.#lasting
+      : undefined;
   }
 
-  /** Expected duration of work on the endpoint, relative to its usual one. */
-  slowdown(_now: Instant): number {
-    return 1;
+  /** Learns from an answer, if the machine's contention at that time is known. */
+  recordWork({ units, duration }: MeasuredWork, now: Instant): void {
+    const own = this.#own;
+    if (
+      own === undefined || !(duration > 0) || !(units > 0) ||
+      now - own.at >= this.#service.contention.span / 2
+    ) {
+      return;
+    }
+    const unitTime = duration / units / own.factor;
+    const usual = this.#service.unitTime;
+    if (usual !== undefined) {
+      const ratio = Math.max(
+        1 / MAX_MEASURED_RATIO,
+        Math.min(MAX_MEASURED_RATIO, unitTime / usual),
+      );
+      this.#lasting = Math.max(
+        MIN_LASTING,
+        Math.min(
+          MAX_LASTING,
+          this.#lasting * (ratio / this.#lasting) ** LASTING_WEIGHT,
+        ),
+      );
+    }
+    this.#service.learn(unitTime);
   }
 }
--- a/packages/core/src/pace/index.ts
+++ b/packages/core/src/pace/index.ts
@@ -1,1 +1,3 @@
+export * from "./contention_model.ts";
 export * from "./endpoint_pace.ts";
+export * from "./service_pace.ts";
--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -199,6 +199,7 @@
         { service: "pool", customer: "clinic", requests: 2, tokens: 900 },
       ],
       placed: [{ service: "pool", requests: 14, tokens: 38_000 }],
+      paces: [{ endpoint: "i-7f3a91c2", contention: 250, age: 120 }],
     },
   },
   {
--- a/packages/daemon/src/gateway/demand_schema.ts
+++ b/packages/daemon/src/gateway/demand_schema.ts
@@ -53,7 +53,17 @@
       ([service, requests, tokens]) => ({ service, requests, tokens }),
     ),
   ),
-]).transform(([waiting, running, placed]) => ({ waiting, running, placed }));
+  boundedArray(
+    z.tuple([shortText, nonNegativeInteger, nonNegativeInteger]).transform(
+      ([endpoint, contention, age]) => ({ endpoint, contention, age }),
+    ),
+  ),
+]).transform(([waiting, running, placed, paces]) => ({
+  waiting,
+  running,
+  placed,
+  paces,
+}));
 
 /** Schema of a region's outlook. */
 export const outlookSchema = z.tuple([
@@ -71,7 +81,7 @@
 
 /** Encodes a demand report. */
 export function encodeDemandReport(
-  { waiting, running, placed }: DemandReport,
+  { waiting, running, placed, paces }: DemandReport,
 ): unknown[] {
   return [
     waiting.map(({ service, rank, late, customer, requests, tokens }) => [
@@ -93,6 +103,11 @@
       requests,
       Math.round(tokens),
     ]),
+    paces.map(({ endpoint, contention, age }) => [
+      endpoint,
+      Math.round(contention),
+      Math.round(age),
+    ]),
   ];
 }
 
