--- a/packages/core/src/gateway/endpoint_placement.ts
+++ b/packages/core/src/gateway/endpoint_placement.ts
@@ -234,7 +234,7 @@
     return false;
   }
   const short = prefill <= SHORT_PROMPT_TOKENS;
-  const rate = state.usualPrefillRate / contention;
+  const rate = state.prefillRate / contention;
   const stretch = state.prefillDuration(now) +
     (state.prefill + prefill) / rate;
   const exceedsStretch = state.prefill > 0 && stretch > MAX_PREFILL_STRETCH_MS;
@@ -256,11 +256,11 @@
   if (state.service?.engine === undefined) {
     const queueCost = (state.requests / Math.max(1, state.slots)) *
       CROSS_ZONE_COST_MS * pace.lasting;
-    return queueCost + (pace.unitTime ?? 0);
+    return queueCost + pace.answerTime;
   }
   const prefillCost = (state.prefill + prefill * PREFILL_COST_WEIGHT) /
-    state.usualPrefillRate;
-  return prefillCost + state.requests * BATCH_COST_MS * pace.lasting;
+    state.prefillRate;
+  return prefillCost + state.requests * BATCH_COST_MS;
 }
 
 /** The part of the cost that doesn't depend on the endpoint's pace. */
@@ -278,7 +278,7 @@
   contention: number,
   now: Instant,
 ): number {
-  const prefillTime = state.prefill * contention / state.usualPrefillRate;
+  const prefillTime = state.prefill * contention / state.prefillRate;
   return Math.max(
     1,
     prefillTime + state.timeUntilPrefillShare(MAX_PREFILL_SHARE, now),
--- a/packages/core/src/gateway/endpoint_state.ts
+++ b/packages/core/src/gateway/endpoint_state.ts
@@ -70,6 +70,7 @@
   reportedLoadAt: Instant | undefined;
   /** When the last bytes from the endpoint arrived. */
   heardAt: Instant | undefined;
+  /** Prompt tokens that the endpoint usually prefills per millisecond. */
   prefillRate = DEFAULT_PREFILL_TOKENS_PER_MS;
   readonly own: LoadTotals = { prefill: 0, requests: 0, tokens: 0 };
   readonly peers: LoadTotals = { prefill: 0, requests: 0, tokens: 0 };
@@ -138,18 +139,9 @@
     return this.own.tokens + this.peers.tokens;
   }
 
-  /** Prompt tokens that the endpoint prefills per millisecond without contention. */
-  get usualPrefillRate(): number {
-    const { unitTime } = this.pace;
-    return unitTime === undefined ? this.prefillRate : Math.min(
-      MAX_TOKENS_PER_MS,
-      Math.max(MIN_TOKENS_PER_MS, 1 / unitTime),
-    );
-  }
-
   /** Prompt tokens that the endpoint prefills per millisecond at present. */
   prefillRateAt(now: Instant): number {
-    return this.usualPrefillRate / this.pace.contention(now);
+    return this.prefillRate / this.pace.contention(now);
   }
 
   /** Whether prefill is paused so that the running streams progress faster. */
@@ -225,7 +217,7 @@
     const isMeasurable = this.service?.engine === undefined &&
       this.#attempts.get(attempt)?.alone === true;
     if (isMeasurable) {
-      this.pace.recordWork({ units: 1, duration: now - sentAt }, now);
+      this.pace.recordAnswer(now - sentAt, now);
     }
   }
 
@@ -275,10 +267,12 @@
     if (!alone || prefill < MIN_MEASURED_TOKENS || elapsed <= 0) {
       return;
     }
-    this.pace.recordWork({ units: prefill, duration: elapsed }, now);
     const rate = Math.min(
       MAX_TOKENS_PER_MS,
-      Math.max(MIN_TOKENS_PER_MS, prefill / elapsed),
+      Math.max(
+        MIN_TOKENS_PER_MS,
+        prefill * this.pace.measuredContention(now) / elapsed,
+      ),
     );
     this.prefillRate += PREFILL_RATE_WEIGHT * (rate - this.prefillRate);
   }
--- a/packages/core/src/pace/contention_model.ts
+++ b/packages/core/src/pace/contention_model.ts
@@ -14,7 +14,7 @@
  * the figure counts.
  */
 const MIN_FACTOR = 0.7;
-const MAX_FACTOR = 4;
+const MAX_FACTOR = 3;
 /** Weight of the newest report in the averages. */
 const AVERAGE_WEIGHT = 0.02;
 /** Span assumed until enough pairs of reports show how fast the figures change. */
@@ -68,7 +68,10 @@
   }
 
   /** Learns from a report and the one that the same endpoint made before. */
-  learn(report: ContentionReport, previous: ContentionReport | undefined): void {
+  learn(
+    report: ContentionReport,
+    previous: ContentionReport | undefined,
+  ): void {
     this.#isReported = true;
     const deviation = report.factor - this.#average;
     this.#average += AVERAGE_WEIGHT * deviation;
--- a/packages/core/src/pace/endpoint_pace.ts
+++ b/packages/core/src/pace/endpoint_pace.ts
@@ -18,16 +18,11 @@
  * no choice.
  */
 const MIN_TOLD_DIFFERENCE = 0.3;
+/** Largest age, as a fraction of the span, of a report that a measured duration is corrected by. */
+const MAX_MEASURED_AGE = 0.25;
 /** Age at which a peer's figure is taken as false. */
 const MAX_TOLD_AGE_MS = 5_000;
 
-/** Work that an endpoint did for one request, and how long it took. */
-export interface MeasuredWork {
-  /** Units of work: prompt tokens, or 1 for a whole plain request. */
-  readonly units: number;
-  readonly duration: number;
-}
-
 /** The pace of one endpoint. */
 export class EndpointPace {
   readonly #service: ServicePace;
@@ -65,7 +60,10 @@
       return;
     }
     this.#service.contention.noteReported();
-    const report = { factor: contentionFactor(contention), at: after(now, -age) };
+    const report = {
+      factor: contentionFactor(contention),
+      at: after(now, -age),
+    };
     if (report.at > (this.#told?.at ?? -Infinity)) {
       this.#told = report;
     }
@@ -99,46 +97,49 @@
     };
   }
 
-  /** Expected factor on the duration of work that the machine's contention makes at present. */
+  /** Expected duration of work at present, relative to the endpoint's usual one. */
   contention(now: Instant): number {
-    return this.#service.isInUse
-      ? this.#service.contention.expected(this.#report, now)
+    const { isInUse, contention } = this.#service;
+    return isInUse
+      ? contention.expected(this.#report, now) / contention.average
       : 1;
   }
 
-  /** The endpoint's own lasting factor on the duration of work, without contention. */
-  get lasting(): number {
-    return this.#service.isInUse ? this.#lasting : 1;
+  /**
+   * The same for work whose answer has just reported the machine's contention, which measured durations are corrected
+   * by.
+   */
+  measuredContention(now: Instant): number {
+    const { isInUse, contention } = this.#service;
+    const own = this.#own;
+    return isInUse && own !== undefined &&
+        now - own.at < contention.span * MAX_MEASURED_AGE
+      ? own.factor / contention.average
+      : 1;
   }
 
-  /** Expected duration of work on the endpoint, relative to the usual one. */
-  slowdown(now: Instant): number {
-    return this.lasting * this.contention(now);
+  /** The lasting factor on the duration of a plain endpoint's answers. */
+  get lasting(): number {
+    return this.#service.isInUse ? this.#lasting : 1;
   }
 
-  /** Expected milliseconds for a unit of work without contention, `undefined` if not measured or not in use. */
-  get unitTime(): number | undefined {
-    const { isInUse, unitTime } = this.#service;
-    return isInUse && unitTime !== undefined
-      ? unitTime * this.#lasting
-      : undefined;
+  /** Usual milliseconds until a plain endpoint's answer, 0 if not measured or not in use. */
+  get answerTime(): number {
+    const { isInUse, answerTime } = this.#service;
+    return isInUse && answerTime !== undefined ? answerTime * this.#lasting : 0;
   }
 
-  /** Learns from an answer, if the machine's contention at that time is known. */
-  recordWork({ units, duration }: MeasuredWork, now: Instant): void {
-    const own = this.#own;
-    if (
-      own === undefined || !(duration > 0) || !(units > 0) ||
-      now - own.at >= this.#service.contention.span / 2
-    ) {
+  /** Learns from a whole answer of a plain endpoint. */
+  recordAnswer(duration: number, now: Instant): void {
+    if (!(duration > 0)) {
       return;
     }
-    const unitTime = duration / units / own.factor;
-    const usual = this.#service.unitTime;
+    const corrected = duration / this.measuredContention(now);
+    const usual = this.#service.answerTime;
     if (usual !== undefined) {
       const ratio = Math.max(
         1 / MAX_MEASURED_RATIO,
-        Math.min(MAX_MEASURED_RATIO, unitTime / usual),
+        Math.min(MAX_MEASURED_RATIO, corrected / usual),
       );
       this.#lasting = Math.max(
         MIN_LASTING,
@@ -148,6 +149,6 @@
         ),
       );
     }
-    this.#service.learn(unitTime);
+    this.#service.learn(corrected);
   }
 }
--- a/packages/core/src/pace/service_pace.ts
+++ b/packages/core/src/pace/service_pace.ts
@@ -5,7 +5,7 @@
  */
 import { ContentionModel } from "./contention_model.ts";
 
-/** Weight of the newest measurement in the average duration of a unit of work. */
+/** Weight of the newest measurement in the average time of an answer. */
 const AVERAGE_WEIGHT = 0.05;
 /** Measurements that are averaged with equal weight at the start. */
 const INITIAL_MEASUREMENTS = 1 / AVERAGE_WEIGHT;
@@ -17,7 +17,7 @@
   readonly contention = new ContentionModel();
   /** Whether decisions use the pace of this service's endpoints. */
   isEnabled = false;
-  #unitTime: number | undefined;
+  #answerTime: number | undefined;
   #measurements = 0;
 
   /** Whether the pace counts: it is enabled, and endpoints report contention. */
@@ -25,19 +25,16 @@
     return this.isEnabled && this.contention.isReported;
   }
 
-  /**
-   * Usual milliseconds for a unit of work (a prompt token, or a whole plain request) without contention, `undefined`
-   * until measured.
-   */
-  get unitTime(): number | undefined {
-    return this.#unitTime;
+  /** Usual milliseconds until a plain endpoint's answer at average contention, `undefined` until measured. */
+  get answerTime(): number | undefined {
+    return this.#answerTime;
   }
 
   /** Adds a measurement of any of the endpoints, corrected for contention. */
-  learn(unitTime: number): void {
+  learn(answerTime: number): void {
     this.#measurements++;
-    if (this.#unitTime === undefined) {
-      this.#unitTime = unitTime;
+    if (this.#answerTime === undefined) {
+      this.#answerTime = answerTime;
       return;
     }
     const weight = Math.max(
@@ -46,8 +43,8 @@
     );
     const ratio = Math.max(
       1 / MAX_DEVIATION,
-      Math.min(MAX_DEVIATION, unitTime / this.#unitTime),
+      Math.min(MAX_DEVIATION, answerTime / this.#answerTime),
     );
-    this.#unitTime *= ratio ** weight;
+    this.#answerTime *= ratio ** weight;
   }
 }
