--- a/packages/core/src/gateway/endpoint_placement.ts
+++ b/packages/core/src/gateway/endpoint_placement.ts
@@ -106,13 +106,15 @@
   candidates: readonly EndpointState[],
   now: Instant,
 ): Placement {
-  const tokens = memoryTokens(request.prompt);
   let best: Candidate | undefined;
   let second: Candidate | undefined;
   let wait = Infinity;
+  const { prompt } = request;
+  const parts = prompt === undefined ? [] : sharedParts(prompt);
+  const tokens = memoryTokens(prompt);
   for (const state of candidates) {
     const contention = state.pace.contention(now);
-    const { prefill, fetchFrom } = prefillAt(request, state);
+    const { prefill, fetchFrom } = prefillAt(request, parts, state);
     const need = { prefill, tokens, urgent: request.urgent, contention };
     if (!hasCapacity(state, need, now)) {
       wait = Math.min(wait, waitAt(state, contention, now));
@@ -179,12 +181,13 @@
  */
 function prefillAt(
   { prompt, holder }: PlacementRequest,
+  parts: Prompt["parts"],
   state: EndpointState,
 ): { prefill: number; fetchFrom: EndpointState | undefined } {
   if (prompt === undefined || state.service?.engine === undefined) {
     return { prefill: 0, fetchFrom: undefined };
   }
-  const cached = state.prefixes.cachedTokens(sharedParts(prompt));
+  const cached = state.prefixes.cachedTokens(parts);
   const saved = holder === undefined || holder.state === state
     ? 0
     : holder.tokens - cached;
