feat: operators see the pace of endpoints

Cause: a choice by pace could be seen in no log line, gauge or status.

Change: a line when the pace comes into use, gauges of slow endpoints and of contention told and received, and the slowdown of each endpoint in the status.

--- a/packages/cli/src/commands/gateway_commands.ts
+++ b/packages/cli/src/commands/gateway_commands.ts
@@ -13,6 +13,8 @@
 
 /** Age above which the catalogue of an entry is reported as a problem. */
 const STALE_CATALOGUE_MS = 10_000;
+/** Endpoints whose work takes this many times as long as usual are marked. */
+const MIN_SHOWN_SLOWDOWN = 1.5;
 const MS_PER_SECOND = 1_000;
 
 /** Shows what one entry knows: document, members, endpoints, held requests, and the regions callers are sent to. */
@@ -94,6 +96,9 @@
         ...endpoint.limitPerSecond === undefined
           ? []
           : [`${endpoint.limitPerSecond} requests/s`],
+        ...(endpoint.slowdown ?? 1) < MIN_SHOWN_SLOWDOWN
+          ? []
+          : [`slower by ${endpoint.slowdown}`],
       ].join(", "),
       endpoint.requests,
       endpoint.prefillTokens,
--- a/packages/core/src/gateway/endpoint_registry.ts
+++ b/packages/core/src/gateway/endpoint_registry.ts
@@ -32,6 +32,18 @@
  */
 const REPORT_LIFETIME_MS = 2_200;
 
+/** Factor on the duration of work from which an endpoint counts as slow, for operators. */
+const SLOW_ENDPOINT = 1.5;
+
+/** What is known about the pace of the endpoints, for operators. */
+export interface PaceFigures {
+  /** Endpoints that are slower than usual at present. */
+  readonly slow: number;
+  /** Reports of contention passed on to peers, and received from them, since the start. */
+  readonly told: number;
+  readonly received: number;
+}
+
 interface ReceivedReport {
   readonly report: WorkReport;
   readonly receivedAt: Instant;
@@ -53,6 +65,8 @@
   #generation = -1;
   #reportsContention = false;
   #usesPace = false;
+  #toldPaces = 0;
+  #receivedPaces = 0;
 
   constructor(
     { region, regionByZone, catalogue, clock, isLeaving, backoffOf }: {
@@ -103,6 +117,7 @@
       const state = this.#states.get(endpoint);
       if (state !== undefined) {
         this.#reportsContention = true;
+        this.#receivedPaces++;
         state.pace.receiveContention(reported, now);
       }
     }
@@ -117,27 +132,35 @@
         untold.push({ state, difference });
       }
     }
-    return untold.sort((left, right) => right.difference - left.difference)
-      .slice(0, limit)
-      .map(({ state }) => ({
-        endpoint: state.record.id,
-        ...state.pace.tell(now)!,
-      }));
-  }
-
-  /** Sets whether decisions use the pace of endpoints. */
-  usePace(isUsed: boolean): void {
-    if (isUsed !== this.#usesPace) {
-      this.#usesPace = isUsed;
-      for (const pace of this.#paces.values()) {
-        pace.isEnabled = isUsed;
-      }
+    const told = untold.sort((left, right) =>
+      right.difference - left.difference
+    ).slice(0, limit);
+    this.#toldPaces += told.length;
+    return told.map(({ state }) => ({
+      endpoint: state.record.id,
+      ...state.pace.tell(now)!,
+    }));
+  }
+
+  /** Sets whether decisions use the pace of endpoints. Returns whether that is a change. */
+  usePace(isUsed: boolean): boolean {
+    if (isUsed === this.#usesPace) {
+      return false;
     }
+    this.#usesPace = isUsed;
+    for (const pace of this.#paces.values()) {
+      pace.isEnabled = isUsed;
+    }
+    return true;
   }
 
-  /** The usual pace of each service's endpoints in this region. */
-  get paces(): ReadonlyMap<ServiceId, ServicePace> {
-    return this.#paces;
+  /** What is known about the pace of the endpoints, for operators. */
+  paceFigures(now: Instant): PaceFigures {
+    let slow = 0;
+    for (const { pace } of this.#states.values()) {
+      slow += pace.slowdown(now) >= SLOW_ENDPOINT ? 1 : 0;
+    }
+    return { slow, told: this.#toldPaces, received: this.#receivedPaces };
   }
 
   /** Endpoints of a service in this region, including those that are leaving. */
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -444,7 +444,7 @@
     this.#catalogue.tick(now);
     this.#applyCatalogue(now);
     this.#endpoints.expire(now);
-    this.#endpoints.usePace(this.features.isOn("endpointPace"));
+    this.#updatePaceUse();
     this.fleet.tick(now);
     this.#regions.tick(this.fleet, now);
     this.#quarantine.tick(now);
@@ -459,6 +459,20 @@
     this.#stopController.tick(now);
   }
 
+  #updatePaceUse(): void {
+    const isOn = this.features.isOn("endpointPace");
+    if (this.#endpoints.usePace(isOn)) {
+      this.#effects.push({
+        kind: "log",
+        part: "endpoint",
+        text: isOn
+          ? "Endpoints are chosen by their pace."
+          : "Endpoints are chosen by their usual rates.",
+        fields: {},
+      });
+    }
+  }
+
   #applyCatalogue(now: Instant): void {
     this.#endpoints.syncWithCatalogue(now);
     this.#calls.retryPending(now);
--- a/packages/core/src/pace/endpoint_pace.ts
+++ b/packages/core/src/pace/endpoint_pace.ts
@@ -123,6 +123,11 @@
     return this.#service.isInUse ? this.#lasting : 1;
   }
 
+  /** Expected duration of work at present, relative to the service's usual one. */
+  slowdown(now: Instant): number {
+    return this.lasting * this.contention(now);
+  }
+
   /** Usual milliseconds until a plain endpoint's answer, 0 if not measured or not in use. */
   get answerTime(): number {
     const { isInUse, answerTime } = this.#service;
--- a/packages/daemon/src/gateway/gauges.ts
+++ b/packages/daemon/src/gateway/gauges.ts
@@ -9,13 +9,14 @@
 
 /** Reads all gauges, by metric name without the prefix. */
 export function readGauges(
-  { catalogue, calls, fleet, quarantine, endpointTerms }: Gateway,
+  { catalogue, calls, endpoints, fleet, quarantine, endpointTerms }: Gateway,
   { connections, datagrams }: {
     connections: Pick<ConnectionPool, "opened">;
     datagrams: Pick<DatagramSocket, "counts">;
   },
   now: Instant,
 ): Record<string, number> {
+  const pace = endpoints.paceFigures(now);
   return {
     requests: calls.active,
     queued: calls.queued,
@@ -30,6 +31,9 @@
     endpoints_leaving: endpointTerms.departures.size,
     endpoints_resting: endpointTerms.backoffs.activeCount(now),
     endpoint_rests_ignored: endpointTerms.backoffs.ignored,
+    endpoints_slow: pace.slow,
+    endpoint_paces_told: pace.told,
+    endpoint_paces_received: pace.received,
     document_version: catalogue.document?.version ?? 0,
     catalogue_epoch: catalogue.position.epoch,
     catalogue_revision: catalogue.position.revision,
--- a/packages/daemon/src/gateway/status.ts
+++ b/packages/daemon/src/gateway/status.ts
@@ -67,6 +67,8 @@
   readonly leaving?: boolean | undefined;
   /** Requests per second that the endpoint accepts from all entries together. */
   readonly limitPerSecond?: number | undefined;
+  /** Duration of work at present, relative to the usual one, 1 where the pace is not in use. */
+  readonly slowdown?: number | undefined;
 }
 
 /** Collects the status of an entry. */
@@ -100,6 +102,7 @@
       failureRate: state.health.failureRate,
       leaving: gateway.endpointTerms.departures.has(state.record),
       limitPerSecond: gateway.endpointTerms.limits.limitOf(state.record),
+      slowdown: roundSlowdown(state.pace.slowdown(now)),
     })),
     shares: regions.shares.map(({ region, share }) => ({ region, share })),
     features: gateway.features.active,
@@ -107,6 +110,10 @@
   };
 }
 
+function roundSlowdown(slowdown: number): number {
+  return Math.round(slowdown * 100) / 100;
+}
+
 function heldRequestStatus(
   { content, caller, service, versions, term, remaining }: HoldNotice,
 ): HeldRequestStatus {
