--- a/packages/core/src/gateway/__tests__/pace_placement.test.ts
+++ b/packages/core/src/gateway/__tests__/pace_placement.test.ts
@@ -21,6 +21,7 @@
   type ModelledEngine,
   PaceModel,
   type PaceModelOptions,
+  type PaceResult,
   type ReportKind,
 } from "./pace_model.ts";
 
@@ -38,7 +39,9 @@
   MAX_PREFILL_BACKLOG_MS * DEFAULT_PREFILL_TOKENS_PER_MS * 0.9,
 );
 
-function engines(reports: fc.Arbitrary<ReportKind>) {
+function engines(
+  reports: fc.Arbitrary<ReportKind>,
+): fc.Arbitrary<ModelledEngine[]> {
   return fc.array(
     fc.record<ModelledEngine>({
       reports,
@@ -58,7 +61,7 @@
   seed: fc.nat(),
 });
 
-function run(options: PaceModelOptions) {
+function run(options: PaceModelOptions): PaceResult {
   return new PaceModel(options).run(RUN_MS);
 }
 
