feat: a region passes on at most 40 figures of contention a second

Cause: with hundreds of endpoints and dozens of entries in a region each report would carry its 16 figures, up to 44 KB/s that each entry receives.

Change: an entry's part of a region's 40 a second, about 24 bytes each, unspent ones kept for one report. Those with the largest effect go first.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -5,7 +5,11 @@
  * @module
  */
 import type { CustomerLimits } from "../customers/index.ts";
-import { DemandReporter, RegionDemand } from "../demand/index.ts";
+import {
+  DemandReporter,
+  RegionDemand,
+  type ReportedPace,
+} from "../demand/index.ts";
 import type { EndpointTerms } from "../endpoint_terms/index.ts";
 import { Features } from "../features/index.ts";
 import { FleetController } from "../fleet/index.ts";
@@ -17,6 +21,7 @@
 } from "../ids/index.ts";
 import { StallAdjustedClock } from "../listening/index.ts";
 import { RegionOutlooks } from "../outlook/index.ts";
+import { ReportAllowance } from "../pace/index.ts";
 import type { CatalogueSnapshot } from "../routes/index.ts";
 import { CallController } from "./call_controller.ts";
 import { CallRouter } from "./call_router.ts";
@@ -73,12 +78,6 @@
  */
 const OUTDATED_SHARE = 0.6;
 
-/**
- * Endpoints whose contention one report of demand tells. Those with the largest effect go first, and what is left out
- * follows with the next report.
- */
-const MAX_TOLD_PACES = 16;
-
 /** Makes the decisions of one entry. */
 export class Gateway {
   readonly self: GatewayIdentity;
@@ -104,6 +103,7 @@
   /** Outlooks of other regions. */
   readonly outlooks: RegionOutlooks;
   readonly #demandReporter: DemandReporter;
+  readonly #paceAllowance = new ReportAllowance();
   #bounds: GatewayBounds;
   #effects: GatewayEffect[] = [];
   #lastEventAt: Instant;
@@ -255,10 +255,7 @@
       send: (report, at) =>
         this.fleet.sender.sendDemand(
           this.features.isOn("endpointPace")
-            ? {
-              ...report,
-              paces: this.#endpoints.takeUntoldPaces(MAX_TOLD_PACES, at),
-            }
+            ? { ...report, paces: this.#takeUntoldPaces(at) }
             : report,
           (record) =>
             this.#serving.has(record, at) ||
@@ -459,6 +456,13 @@
     this.#stopController.tick(now);
   }
 
+  #takeUntoldPaces(now: Instant): ReportedPace[] {
+    const limit = this.#paceAllowance.available(this.demand.entries, now);
+    const paces = this.#endpoints.takeUntoldPaces(limit, now);
+    this.#paceAllowance.spend(paces.length);
+    return paces;
+  }
+
   #updatePaceUse(): void {
     const isOn = this.features.isOn("endpointPace");
     if (this.#endpoints.usePace(isOn)) {
