--- a/playground/src/load/__tests__/load.test.ts
+++ b/playground/src/load/__tests__/load.test.ts
@@ -145,6 +145,23 @@
     });
   });
 
+  // Guards against engines that are given the same work while other work slows their machines down.
+  it("earns more where engines are chosen by their pace", () => {
+    const text = readFileSync(new URL("uneven_engines.load", FOLDER), "utf8");
+    const earned = (endpointPace: "on" | "off"): number =>
+      [2, 3].reduce((sum, seed) => {
+        const features = {
+          endpointPace,
+          fairShares: "off",
+          regionAdmission: "off",
+          earlyRelay: "off",
+        } as const;
+        const result = runLoad(text, { seed, loadSetting, features });
+        return sum + reportLoad(result).all.earned / 2;
+      }, 0);
+    expect(earned("on")).toBeGreaterThan(earned("off") + 0.01);
+  }, 60_000);
+
   it("gives the same result for the same seed", () => {
     const text = readFileSync(new URL("moving_peak.load", FOLDER), "utf8");
     const first = reportLoad(runLoad(text, { seed: 5, loadSetting }));
