fix: very short answers teach nothing about a plain endpoint's pace

Cause: an answer of a few milliseconds is mostly network.

Change: answers under 10 ms aren't measured.

--- a/packages/core/src/pace/__tests__/endpoint_pace.test.ts
+++ b/packages/core/src/pace/__tests__/endpoint_pace.test.ts
@@ -45,6 +45,15 @@
     expect(pace.lasting / other.lasting).toBeCloseTo(1, 1);
   });
 
+  it("is not learned from answers that are too short to say anything", () => {
+    const now = instant(0);
+    pace.recordContention(100, now);
+    [1, 2, 9].forEach((duration) => pace.recordAnswer(duration, now));
+    expect(pace.answerTime).toBe(0);
+    pace.recordAnswer(50, now);
+    expect(pace.answerTime).toBe(50);
+  });
+
   // Guards against answers of one endpoint that take forever, which would keep all later work away.
   it("is bounded, however long answers take", () => {
     const other = new EndpointPace(service);
--- a/packages/core/src/pace/endpoint_pace.ts
+++ b/packages/core/src/pace/endpoint_pace.ts
@@ -9,6 +9,8 @@
 
 /** Weight of the newest measurement in the lasting pace. A few queued answers must not make an endpoint look slow. */
 const LASTING_WEIGHT = 0.1;
+/** Shorter answers say more about the network than about the endpoint. */
+const MIN_MEASURED_ANSWER_MS = 10;
 /** Largest ratio of one measurement to the usual, and bounds of the lasting pace. */
 const MAX_MEASURED_RATIO = 3;
 const MIN_LASTING = 0.6;
@@ -136,7 +138,7 @@
 
   /** Learns from a whole answer of a plain endpoint. */
   recordAnswer(duration: number, now: Instant): void {
-    if (!(duration > 0)) {
+    if (!(duration >= MIN_MEASURED_ANSWER_MS)) {
       return;
     }
     const corrected = duration / this.measuredContention(now);
