merge: endpoints are chosen by their pace at present

Both parts extend the demand report: what was placed by customer, and the contention that peers would not expect by themselves.

--- a/packages/core/src/gateway/call_demand.ts
+++ b/packages/core/src/gateway/call_demand.ts
@@ -50,5 +50,6 @@
     waiting: groupWaiting(waiting),
     running: groupRunning(running),
     placed: boundPlaced(placements.lastSecond(now)),
+    paces: [],
   };
 }
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -5,7 +5,11 @@
  * @module
  */
 import type { CustomerLimits } from "../customers/index.ts";
-import { DemandReporter, RegionDemand } from "../demand/index.ts";
+import {
+  DemandReporter,
+  RegionDemand,
+  type ReportedPace,
+} from "../demand/index.ts";
 import type { EndpointTerms } from "../endpoint_terms/index.ts";
 import { FairShares } from "../fair_shares/index.ts";
 import { Features } from "../features/index.ts";
@@ -18,6 +22,7 @@
 } from "../ids/index.ts";
 import { StallAdjustedClock } from "../listening/index.ts";
 import { RegionOutlooks } from "../outlook/index.ts";
+import { ReportAllowance } from "../pace/index.ts";
 import type { CatalogueSnapshot } from "../routes/index.ts";
 import { CallController } from "./call_controller.ts";
 import { CallRouter } from "./call_router.ts";
@@ -103,6 +108,7 @@
   readonly outlooks: RegionOutlooks;
   readonly #demandReporter: DemandReporter;
   readonly #shareLog: ShareLog;
+  readonly #paceAllowance = new ReportAllowance();
   #bounds: GatewayBounds;
   #effects: GatewayEffect[] = [];
   #lastEventAt: Instant;
@@ -257,11 +263,14 @@
       demand: this.demand,
       isWanted: () =>
         this.features.isOn("fairShares") ||
-        this.features.isOn("regionAdmission"),
+        this.features.isOn("regionAdmission") ||
+        this.features.isOn("endpointPace"),
       measure: (at) => this.#calls.measureDemand(at),
       send: (report, at) =>
         this.fleet.sender.sendDemand(
-          report,
+          this.features.isOn("endpointPace")
+            ? { ...report, paces: this.#takeUntoldPaces(at) }
+            : report,
           (record) =>
             this.#serving.has(record, at) ||
             this.#endpoints.hasReport(record.incarnation),
@@ -446,6 +455,7 @@
     this.#catalogue.tick(now);
     this.#applyCatalogue(now);
     this.#endpoints.expire(now);
+    this.#updatePaceUse();
     this.fleet.tick(now);
     this.#regions.tick(this.fleet, now);
     this.#quarantine.tick(now);
@@ -461,6 +471,27 @@
     this.#stopController.tick(now);
   }
 
+  #takeUntoldPaces(now: Instant): ReportedPace[] {
+    const limit = this.#paceAllowance.available(this.demand.entries, now);
+    const paces = this.#endpoints.takeUntoldPaces(limit, now);
+    this.#paceAllowance.spend(paces.length);
+    return paces;
+  }
+
+  #updatePaceUse(): void {
+    const isOn = this.features.isOn("endpointPace");
+    if (this.#endpoints.usePace(isOn)) {
+      this.#effects.push({
+        kind: "log",
+        part: "endpoint",
+        text: isOn
+          ? "Endpoints are chosen by their pace."
+          : "Endpoints are chosen by their usual rates.",
+        fields: {},
+      });
+    }
+  }
+
   #applyCatalogue(now: Instant): void {
     this.#endpoints.syncWithCatalogue(now);
     this.#calls.retryPending(now);
@@ -516,6 +547,7 @@
       this.endpointTerms.departures.receive(message.message);
     } else if (message.kind === "demand") {
       this.demand.receive(message.incarnation, message.report, now);
+      this.#endpoints.receivePaces(message.report.paces, now);
     } else if (message.kind === "outlook") {
       this.outlooks.update(message.outlook, now);
     } else if (message.kind === "work") {
--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -202,6 +202,7 @@
         { service: "pool", customer: "clinic", requests: 9, tokens: 30_000 },
         { service: "pool", customer: undefined, requests: 5, tokens: 8_000 },
       ],
+      paces: [{ endpoint: "i-7f3a91c2", contention: 250, age: 120 }],
     },
   },
   {
