perf: the bundle leaves out the histograms of the other kind of entry

Cause: `hdr-histogram-js`, which the deployed entry never calls, set up a compressor, WebAssembly and Node's tables of languages at each start: a tenth of what a start spends after Node's own.

Change: an alias of the bundle puts a stub in its place, as one does for the parts of undici.

--- a/deploy/rolldown.config.mjs
+++ b/deploy/rolldown.config.mjs
@@ -42,7 +42,8 @@
   resolve: {
     conditionNames: ["source", "node", "import", "default"],
     alias: {
-      undici$: fileURLToPath(new URL("undici.mjs", import.meta.url)),
+      undici$: pathOf("undici.mjs"),
+      "hdr-histogram-js$": pathOf("no_histogram.mjs"),
     },
   },
   plugins: [{ name: "compile-ahead", writeBundle: compileAhead }],
