perf: the bundle leaves out undici's HTTP/2

Cause: undici's client loads its HTTP/2 part, and that loads Node's, at each start. Entries speak HTTP/1.1 only, and undici uses that part only for a TLS connection that agrees on HTTP/2.

Change: an alias of the bundle puts a stub in its place.

--- a/deploy/rolldown.config.mjs
+++ b/deploy/rolldown.config.mjs
@@ -44,6 +44,7 @@
     alias: {
       undici$: pathOf("undici.mjs"),
       "hdr-histogram-js$": pathOf("no_histogram.mjs"),
+      "./client-h2.js$": pathOf("no_http2.cjs"),
     },
   },
   plugins: [{ name: "compile-ahead", writeBundle: compileAhead }],
