--- a/packages/core/src/gateway/call_queue.ts
+++ b/packages/core/src/gateway/call_queue.ts
@@ -71,13 +71,10 @@
   ordered(prefillFraction: number, now: Instant): Call[] {
     const queued: QueuedCall[] = [];
     for (const call of this.#calls.values()) {
-      const sentInTime = !call.isLate(
-        after(now, startTime(call, prefillFraction)),
-      );
       queued.push({
         call,
         rank: call.rank,
-        late: sentInTime ? 0 : 1,
+        late: isLateToStart(call, prefillFraction, now) ? 1 : 0,
         virtualTime: virtualArrival(call),
       });
     }
@@ -91,6 +88,15 @@
   }
 }
 
+/** Whether a request's first event would be late if it was sent now. */
+export function isLateToStart(
+  call: Call,
+  prefillFraction: number,
+  now: Instant,
+): boolean {
+  return call.isLate(after(now, startTime(call, prefillFraction)));
+}
+
 /** A waiting request and its virtual time, by which requests of one rank are ordered. */
 interface QueuedCall {
   readonly call: Call;
