perf: a candidate's prefill share is computed only where it decides

Cause: for each endpoint of each placement the share of its time spent on prefill (an exponential) was computed for short prompts too, which are exempt from it, and the wait for room even where another endpoint had been found.

Change: both are computed where they are used. The choices are the same.

--- a/packages/core/src/gateway/endpoint_placement.ts
+++ b/packages/core/src/gateway/endpoint_placement.ts
@@ -110,7 +110,9 @@
     const { prefill, fetchFrom } = prefillAt(request, parts, state);
     const need = { prefill, tokens, urgent: request.urgent };
     if (!hasCapacity(state, need, now)) {
-      wait = Math.min(wait, waitAt(state, now));
+      if (best.kind === "none") {
+        wait = Math.min(wait, waitAt(state, now));
+      }
       continue;
     }
     const cost = costAt(state, prefill, request) + request.biasOf(state) +
@@ -209,15 +211,16 @@
     return false;
   }
   const short = prefill <= SHORT_PROMPT_TOKENS;
-  const stretch = state.prefillDuration(now) +
-    (state.prefill + prefill) / state.prefillRate;
-  const exceedsStretch = state.prefill > 0 && stretch > MAX_PREFILL_STRETCH_MS;
-  const exceedsShare = !idle && !urgent &&
-    state.prefillShare(now) > MAX_PREFILL_SHARE;
-  if (
-    !short && (exceedsStretch || exceedsShare || state.isPrefillPaused(now))
-  ) {
-    return false;
+  if (!short) {
+    const stretch = state.prefillDuration(now) +
+      (state.prefill + prefill) / state.prefillRate;
+    const exceedsStretch = state.prefill > 0 &&
+      stretch > MAX_PREFILL_STRETCH_MS;
+    const exceedsShare = !idle && !urgent &&
+      state.prefillShare(now) > MAX_PREFILL_SHARE;
+    if (exceedsStretch || exceedsShare || state.isPrefillPaused(now)) {
+      return false;
+    }
   }
   const extra = short ? SHORT_PROMPT_EXTRA_BACKLOG_MS : 0;
   const limit = (MAX_PREFILL_BACKLOG_MS + extra) * state.prefillRate;
