perf: a subject's region is looked for only where there is another region

Cause: each placement of a request with a shared subject counted what the region's engines hold of it and the region's load before it asked whether any other region may take the request at all.

Change: the other regions are listed first. The choice is the same.

--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -127,8 +127,12 @@
     const subject = parts[parts.length - 1];
     const tokens = parts.reduce((sum, part) => sum + part.tokens, 0);
     const first = call.attempts === 0 && subject !== undefined;
+    if (!first || tokens < MIN_FETCH_TOKENS) {
+      return undefined;
+    }
+    const others = this.#openRegions(call, now).map(subjectView);
     if (
-      !first || tokens < MIN_FETCH_TOKENS ||
+      others.every(({ engines }) => engines === 0) ||
       tokens - this.#cachedTokens(call, now) < MIN_FETCH_TOKENS
     ) {
       return undefined;
@@ -136,7 +140,6 @@
     const { self, regions } = this.#sources;
     const load = regions.recentLoad(call.services[0]!, now);
     const own = subjectView({ region: self.region, load });
-    const others = this.#openRegions(call, now).map(subjectView);
     const region = own.engines === 0
       ? undefined
       : chooseSubjectRegion(subject.id, own, others);
