perf: loads of services, crash analysis and demand reports at their real cost

Change: arrivals at peers are added up when a report comes or goes; crashes are weighed only where a request was tried at one of them and was present at enough of them, as only such a request may be held; demand reports are decoded by hand with the acceptance of their schema, which moves into the test's fixture.

Measured: packages/core/src/gateway, quarantine and packages/daemon/src/gateway, 358 passed, 0 failed.

--- a/packages/core/src/gateway/endpoint_registry.ts
+++ b/packages/core/src/gateway/endpoint_registry.ts
@@ -44,6 +44,14 @@
   readonly received: number;
 }
 
+/** Work and requests that arrived within the last second. */
+interface ArrivalTotals {
+  work: number;
+  requests: number;
+}
+
+const NO_ARRIVALS: Readonly<ArrivalTotals> = { work: 0, requests: 0 };
+
 interface ReceivedReport {
   readonly report: WorkReport;
   readonly receivedAt: Instant;
@@ -61,6 +69,8 @@
   readonly #byService = new Map<ServiceId, EndpointState[]>();
   readonly #paces = new Map<ServiceId, ServicePace>();
   readonly #reports = new Map<Incarnation, ReceivedReport>();
+  /** Sums of the arrivals in `#reports`, by service. */
+  readonly #peerArrivals = new Map<ServiceId, ArrivalTotals>();
   #evacuated: ReadonlySet<ZoneId> = new Set();
   #generation = -1;
   #reportsContention = false;
@@ -278,9 +288,9 @@
     report.prefixes.forEach((update) => this.#notePrefix(update));
   }
 
-  /** The peers' reports that still count. */
-  reports(): Iterable<ReceivedReport> {
-    return this.#reports.values();
+  /** What arrived for a service at this entry's peers within the last second. */
+  peerArrivals(service: ServiceId): Readonly<ArrivalTotals> {
+    return this.#peerArrivals.get(service) ?? NO_ARRIVALS;
   }
 
   /** Whether a peer has reported work recently, so that it serves callers or did so a moment ago. */
@@ -382,6 +392,12 @@
     for (const work of known?.report.endpoints ?? []) {
       this.#stateOfLife(work)?.applyPeerWork(work, sign, now);
     }
+    for (const { service, work, requests } of known?.report.arrivals ?? []) {
+      const totals = this.#peerArrivals.get(service) ?? { ...NO_ARRIVALS };
+      totals.work += sign * work;
+      totals.requests += sign * requests;
+      this.#peerArrivals.set(service, totals);
+    }
   }
 
   /** Adds the work that peers reported for an endpoint before its record was read. */
--- a/packages/core/src/gateway/region_controller.ts
+++ b/packages/core/src/gateway/region_controller.ts
@@ -167,13 +167,9 @@
     const usable = this.#endpoints.ofService(service).filter((state) =>
       this.#endpoints.accepts(state, now)
     );
-    let work = this.arrivals.lastSecond(service, now);
-    let requests = this.#requests.lastSecond(service, now);
-    for (const { report } of this.#endpoints.reports()) {
-      const reported = report.arrivals.find((item) => item.service === service);
-      work += reported?.work ?? 0;
-      requests += reported?.requests ?? 0;
-    }
+    const peers = this.#endpoints.peerArrivals(service);
+    const work = this.arrivals.lastSecond(service, now) + peers.work;
+    const requests = this.#requests.lastSecond(service, now) + peers.requests;
     const backlog = usable.reduce(
       (sum, state) => sum + state.prefill / state.prefillRateAt(now),
       0,
--- a/packages/core/src/quarantine/crash_analysis.ts
+++ b/packages/core/src/quarantine/crash_analysis.ts
@@ -135,11 +135,19 @@
   readonly score: number;
 }
 
+/** Suspects among the requests that were tried, the only ones that may be held. */
 function findSuspects(crashes: readonly ObservedCrash[]): Suspect[] {
+  const candidates = findCandidates(crashes);
+  const relevant = crashes.filter(({ requests }) =>
+    [...candidates].some((content) => requests.has(content))
+  );
   const crashesByContent = new Map<ContentDigest, WeightedCrash[]>();
-  for (const crash of [...crashes].sort((left, right) => left.at - right.at)) {
+  for (const crash of relevant.sort((left, right) => left.at - right.at)) {
     const weights = weighRequests(crash, estimateCrashRate(crash, crashes));
     for (const content of weights.keys()) {
+      if (!candidates.has(content)) {
+        continue;
+      }
       const known = crashesByContent.get(content) ?? [];
       known.push({ crash, weights });
       crashesByContent.set(content, known);
@@ -154,6 +162,22 @@
   }));
 }
 
+/**
+ * Requests that were present at enough crashes, at one of them as a trial. Weighing all requests at each crash would
+ * take much of an entry's time while many endpoints crash.
+ */
+function findCandidates(
+  crashes: readonly ObservedCrash[],
+): ReadonlySet<ContentDigest> {
+  const tried = new Set(crashes.flatMap(({ trials }) => [...trials]));
+  return new Set(
+    [...tried].filter((content) =>
+      crashes.filter(({ requests }) => requests.has(content)).length >=
+        MIN_CRASHES
+    ),
+  );
+}
+
 /**
  * Whether a request was present at a crash as a trial. Crashes of a burst may be chance, a crash during a
  * later trial is not.
--- a/packages/daemon/src/gateway/__tests__/fleet_decoder.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_decoder.test.ts
@@ -45,7 +45,15 @@
   few(fc.tuple(text, amount, amount)),
   count,
 );
+const group = fc.tuple(text, text, count, count);
+const demand = fc.tuple(
+  few(fc.tuple(text, count, fc.boolean(), text, count, count)),
+  few(group),
+  few(group),
+  few(fc.tuple(text, count, count)),
+);
 const message: fc.Arbitrary<unknown[]> = fc.oneof(
+  fc.tuple(fc.constant("demand"), text, demand),
   fc.tuple(fc.constant("work"), text, report),
   fc.tuple(
     fc.constantFrom("ping", "ack"),
--- a/packages/daemon/src/gateway/__tests__/frequent_schema_fixture.ts
+++ b/packages/daemon/src/gateway/__tests__/frequent_schema_fixture.ts
@@ -127,6 +127,56 @@
   boundedArray(holdNoticeSchema),
 ]);
 
+const customer = shortText.transform((id) => id === "" ? undefined : id);
+
+const demandReportSchema = z.tuple([
+  boundedArray(
+    z.tuple([
+      shortText,
+      nonNegativeInteger,
+      z.boolean(),
+      customer,
+      nonNegativeInteger,
+      nonNegativeInteger,
+    ]).transform(([service, rank, late, customer, requests, tokens]) => ({
+      service,
+      rank,
+      late,
+      customer,
+      requests,
+      tokens,
+    })),
+  ),
+  boundedArray(
+    z.tuple([shortText, customer, nonNegativeInteger, nonNegativeInteger])
+      .transform(([service, customer, requests, tokens]) => ({
+        service,
+        customer,
+        requests,
+        tokens,
+      })),
+  ),
+  boundedArray(
+    z.tuple([shortText, customer, nonNegativeInteger, nonNegativeInteger])
+      .transform(([service, customer, requests, tokens]) => ({
+        service,
+        customer,
+        requests,
+        tokens,
+      })),
+  ),
+  boundedArray(
+    z.tuple([shortText, nonNegativeInteger, nonNegativeInteger]).transform(
+      ([endpoint, contention, age]) => ({ endpoint, contention, age }),
+    ),
+  ),
+]).transform(([waiting, running, placed, paces]) => ({
+  waiting,
+  running,
+  placed,
+  paces,
+}));
+
 /** Schemas of the items after the kind. */
 export const FREQUENT_SCHEMAS = {
   ping: probeSchema.transform((
@@ -171,6 +221,9 @@
   announce: z.tuple([...baseItems]).transform(
     ([from, holdings]) => ({ kind: "announce", from, holdings }),
   ),
+  demand: z.tuple([shortText, demandReportSchema]).transform(
+    ([incarnation, report]) => ({ kind: "demand", incarnation, report }),
+  ),
   work: z.tuple([shortText, reportSchema]).transform(
     ([incarnation, report]) => ({ kind: "work", incarnation, report }),
   ),
--- a/packages/daemon/src/gateway/demand_schema.ts
+++ b/packages/daemon/src/gateway/demand_schema.ts
@@ -16,59 +16,6 @@
 /** Stands for a request without a customer: ids of customers are not empty. */
 const NO_CUSTOMER = "";
 
-const customer = z.string().max(128).transform((id) =>
-  id === NO_CUSTOMER ? undefined : id
-);
-
-/** Schema of a demand report. */
-export const demandReportSchema = z.tuple([
-  boundedArray(
-    z.tuple([
-      shortText,
-      nonNegativeInteger,
-      z.boolean(),
-      customer,
-      nonNegativeInteger,
-      nonNegativeInteger,
-    ]).transform(([service, rank, late, customer, requests, tokens]) => ({
-      service,
-      rank,
-      late,
-      customer,
-      requests,
-      tokens,
-    })),
-  ),
-  boundedArray(
-    z.tuple([shortText, customer, nonNegativeInteger, nonNegativeInteger])
-      .transform(([service, customer, requests, tokens]) => ({
-        service,
-        customer,
-        requests,
-        tokens,
-      })),
-  ),
-  boundedArray(
-    z.tuple([shortText, customer, nonNegativeInteger, nonNegativeInteger])
-      .transform(([service, customer, requests, tokens]) => ({
-        service,
-        customer,
-        requests,
-        tokens,
-      })),
-  ),
-  boundedArray(
-    z.tuple([shortText, nonNegativeInteger, nonNegativeInteger]).transform(
-      ([endpoint, contention, age]) => ({ endpoint, contention, age }),
-    ),
-  ),
-]).transform(([waiting, running, placed, paces]) => ({
-  waiting,
-  running,
-  placed,
-  paces,
-}));
-
 /** Schema of a region's outlook. */
 export const outlookSchema = z.tuple([
   shortText,
--- a/packages/daemon/src/gateway/fleet_decoder.ts
+++ b/packages/daemon/src/gateway/fleet_decoder.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type {
+  DemandReport,
   EntryRecord,
   FleetGossip,
   FleetMessage,
@@ -61,6 +62,13 @@
     case "announce":
       expectLength(body, 2);
       return { kind, ...decodeBase(body) };
+    case "demand":
+      expectLength(body, 2);
+      return {
+        kind,
+        incarnation: text(body[0]) as never,
+        report: decodeDemand(body[1]),
+      };
     default:
       return undefined;
   }
@@ -176,6 +184,52 @@
   };
 }
 
+function decodeDemand(value: unknown): DemandReport {
+  const items = tuple(value, 4);
+  return {
+    waiting: list(items[0], decodeWaiting),
+    running: list(items[1], decodeGroup),
+    placed: list(items[2], decodeGroup),
+    paces: list(items[3], decodePace),
+  };
+}
+
+function decodeWaiting(value: unknown): DemandReport["waiting"][number] {
+  const items = tuple(value, 6);
+  return {
+    service: text(items[0]),
+    rank: integer(items[1]),
+    late: flag(items[2]),
+    customer: decodeCustomer(items[3]),
+    requests: integer(items[4]),
+    tokens: integer(items[5]),
+  } as unknown as DemandReport["waiting"][number];
+}
+
+function decodeGroup(value: unknown): DemandReport["running"][number] {
+  const items = tuple(value, 4);
+  return {
+    service: text(items[0]),
+    customer: decodeCustomer(items[1]),
+    requests: integer(items[2]),
+    tokens: integer(items[3]),
+  } as unknown as DemandReport["running"][number];
+}
+
+/** Requests without a customer have an empty id. */
+function decodeCustomer(value: unknown): string | undefined {
+  return text(value) || undefined;
+}
+
+function decodePace(value: unknown): DemandReport["paces"][number] {
+  const items = tuple(value, 3);
+  return {
+    endpoint: text(items[0]),
+    contention: integer(items[1]),
+    age: integer(items[2]),
+  } as unknown as DemandReport["paces"][number];
+}
+
 function decodeWork(value: unknown): WorkReport["endpoints"][number] {
   const items = tuple(value, 5);
   return {
--- a/packages/daemon/src/gateway/fleet_schema.ts
+++ b/packages/daemon/src/gateway/fleet_schema.ts
@@ -22,7 +22,6 @@
   limitMessageSchema,
 } from "./terms_schema.ts";
 import {
-  demandReportSchema,
   encodeDemandReport,
   encodeOutlook,
   outlookSchema,
@@ -58,9 +57,6 @@
   departures: z.tuple([departureMessageSchema]).transform(
     ([message]) => ({ kind: "departures", message }),
   ),
-  demand: z.tuple([shortText, demandReportSchema]).transform(
-    ([incarnation, report]) => ({ kind: "demand", incarnation, report }),
-  ),
   outlook: z.tuple([outlookSchema]).transform(
     ([outlook]) => ({ kind: "outlook", outlook }),
   ),
