--- a/packages/core/src/fleet/fleet_sender.ts
+++ b/packages/core/src/fleet/fleet_sender.ts
@@ -5,6 +5,7 @@
  */
 import type { DemandReport } from "../demand/index.ts";
 import { sample } from "../ids/index.ts";
+import type { RegionOutlook } from "../outlook/index.ts";
 import type { QuarantineUpdate } from "../quarantine/index.ts";
 import type {
   EntryRecord,
@@ -68,6 +69,14 @@
     );
   }
 
+  /** Sends the outlook of a region to the matching entries of all regions. */
+  sendOutlook(
+    outlook: RegionOutlook,
+    isRecipient: (record: EntryRecord) => boolean,
+  ): void {
+    this.#sendToMatching({ kind: "outlook", outlook }, isRecipient);
+  }
+
   /** Sends quarantine updates to the matching entries of all regions. */
   sendQuarantine(
     news: QuarantineUpdate,
--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -15,6 +15,7 @@
   type ServiceId,
 } from "../ids/index.ts";
 import { type FleetController, NO_RETURN_MS } from "../fleet/index.ts";
+import type { EarlyRelay, RelayQuestion } from "../outlook/index.ts";
 import type { Call } from "./call.ts";
 import type { EndpointState } from "./endpoint_state.ts";
 import {
@@ -24,7 +25,7 @@
   type QueueAhead,
   type WaitReason,
 } from "./local_placement.ts";
-import type { CallTarget } from "./messages.ts";
+import type { CallTarget, Prompt } from "./messages.ts";
 import {
   findPrefixHolder,
   MIN_FETCH_TOKENS,
@@ -72,6 +73,7 @@
 export interface RouterSources extends LocalPlacementSources {
   readonly regions: RegionController;
   readonly serving: ServingSet;
+  readonly earlyRelay: EarlyRelay;
   readonly random: Randomness;
 }
 
@@ -109,14 +111,59 @@
       return (mayRelay && this.#bestPeer(call, Infinity, now)) ||
         this.#waitForEndpoints(call, now);
     }
-    const expected = Math.max(ahead.wait, local.wait);
+    const { wait, reason } = local;
+    const early = mayRelay ? this.#relayEarly(call, wait, now) : undefined;
+    if (early !== undefined) {
+      return early;
+    }
+    const expected = Math.max(ahead.wait, wait);
     const remote = mayRelay && expected > RELAY_COST_MS
       ? this.#bestPeer(call, expected, now)
       : undefined;
-    const { wait, reason } = local;
     return remote ?? { kind: "wait", wait, reason };
   }
 
+  /** Returns a relay to a region that begins the request in time, where this one would not. */
+  #relayEarly(
+    call: Call,
+    localWait: Milliseconds,
+    now: Instant,
+  ): RoutingDecision | undefined {
+    const { earlyRelay } = this.#sources;
+    const { prompt } = call.head;
+    if (!earlyRelay.isOn || prompt === undefined) {
+      return undefined;
+    }
+    const question = this.#relayQuestion(call, { prompt, localWait }, now);
+    const choice = earlyRelay.choose(question, now);
+    const decision = choice && this.#entryIn(choice.region, call, now);
+    if (choice !== undefined && decision !== undefined) {
+      earlyRelay.record(question, choice, now);
+    }
+    return decision;
+  }
+
+  #relayQuestion(
+    call: Call,
+    { prompt, localWait }: { prompt: Prompt; localWait: Milliseconds },
+    now: Instant,
+  ): RelayQuestion {
+    const parts = sharedParts(prompt);
+    return {
+      service: call.services[0]!,
+      rank: call.rank,
+      waited: milliseconds(now - call.arrivedAt),
+      objective: call.route.objective,
+      localWait,
+      promptTokens: prompt.promptTokens,
+      uncachedTokens: call.uncachedTokens,
+      sharedTokens: parts.reduce((sum, { tokens }) => sum + tokens, 0),
+      subject: parts[parts.length - 1]?.id,
+      regions: this.#openRegions(call, now).map(({ region }) => region),
+      entries: 1 + this.#sources.endpoints.busyPeerCount(),
+    };
+  }
+
   /**
    * Returns a relay to the region that prefills the prompt's subject, its last shared part, for all regions.
    * Returns `undefined` if that is this region, or if a relay is not worth it or not possible.
@@ -244,12 +291,14 @@
     localWait: number,
     now: Instant,
   ): RoutingDecision | undefined {
+    const { earlyRelay } = this.#sources;
     const candidates = this.#openRegions(call, now);
     const mustRelay = localWait === Infinity;
     const useful = candidates.filter((view) =>
       mustRelay
         ? (view.load?.endpoints ?? 0) > 0
-        : utilization(view) < MAX_REMOTE_UTILIZATION &&
+        : !earlyRelay.knows(view.region, call.services[0]!, now) &&
+          utilization(view) < MAX_REMOTE_UTILIZATION &&
           (view.load?.backlog ?? 0) + RELAY_COST_MS < localWait
     );
     const best =
--- a/packages/core/src/gateway/endpoint_placement.ts
+++ b/packages/core/src/gateway/endpoint_placement.ts
@@ -31,14 +31,14 @@
  * while events still arrive. In a simulated peak with the largest region evacuated this share earned most of
  * the total request value, and much more than no limit in the worst seconds.
  */
-const MAX_PREFILL_SHARE = 0.7;
+export const MAX_PREFILL_SHARE = 0.7;
 /** Prompts up to this length are short: they fit between the long ones. */
 const SHORT_PROMPT_TOKENS = 1_500;
 const SHORT_PROMPT_EXTRA_BACKLOG_MS = 120;
 /** Maximum fraction of an engine's memory for running requests. Beyond it the engine preempts. */
-const MAX_MEMORY_FRACTION = 0.9;
+export const MAX_MEMORY_FRACTION = 0.9;
 /** Slots of an engine that are left free for requests that other entries send at the same moment. */
-const SPARE_SLOTS = 2;
+export const SPARE_SLOTS = 2;
 /** Maximum number of requests at a plain endpoint, as a multiple of its slots. */
 const PLAIN_ENDPOINT_QUEUE_FACTOR = 1.5;
 /**
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -29,6 +29,10 @@
 } from "./customer_roles.ts";
 import { ColdAllowance } from "./cold_allowance.ts";
 import type { FreshnessExchange } from "./freshness_exchange.ts";
+import {
+  createEarlyRelay,
+  type EarlyRelayParts,
+} from "./create_early_relay.ts";
 import { createEndpointTerms } from "./endpoint_terms_factory.ts";
 import { EndpointRegistry } from "./endpoint_registry.ts";
 import {
@@ -97,6 +101,8 @@
   readonly demand: RegionDemand;
   /** Outlooks of other regions. */
   readonly outlooks: RegionOutlooks;
+  /** Relays to regions that begin a request sooner. */
+  readonly earlyRelay: EarlyRelayParts;
   readonly #demandReporter: DemandReporter;
   #bounds: GatewayBounds;
   #effects: GatewayEffect[] = [];
@@ -203,6 +209,17 @@
       fleet: this.fleet,
       catalogue: this.#catalogue,
     }, now);
+    this.earlyRelay = createEarlyRelay({
+      self,
+      emit,
+      catalogue: this.#catalogue,
+      endpoints: this.#endpoints,
+      demand: this.demand,
+      features: this.features,
+      fleet: this.fleet,
+      serving: this.#serving,
+      outlooks: this.outlooks,
+    });
     const router = new CallRouter({
       self,
       fleet: this.fleet,
@@ -211,6 +228,7 @@
       serving: this.#serving,
       cold: coldAllowance,
       terms: this.endpointTerms,
+      earlyRelay: this.earlyRelay.relay,
       random,
     });
     this.#calls = new CallController({
@@ -243,7 +261,8 @@
       demand: this.demand,
       isWanted: () =>
         this.features.isOn("fairShares") ||
-        this.features.isOn("regionAdmission"),
+        this.features.isOn("regionAdmission") ||
+        this.features.isOn("earlyRelay"),
       measure: (at) => this.#calls.measureDemand(at),
       send: (report, at) =>
         this.fleet.sender.sendDemand(
@@ -442,6 +461,7 @@
     this.#updateOutdatedState(now);
     this.#calls.tick(now);
     this.#demandReporter.tick(now);
+    this.earlyRelay.exchange.tick(now);
     this.#workReporter.tick(this.#calls.takeSentPrefixes(), now);
     this.#stopController.tick(now);
   }
@@ -502,7 +522,7 @@
     } else if (message.kind === "demand") {
       this.demand.receive(message.incarnation, message.report, now);
     } else if (message.kind === "outlook") {
-      this.outlooks.update(message.outlook, now);
+      this.earlyRelay.exchange.receive(message.outlook, now);
     } else if (message.kind === "work") {
       this.#endpoints.receiveReport(message.incarnation, message.report, now);
       if (this.#isStandby) {
--- a/packages/core/src/outlook/region_outlooks.ts
+++ b/packages/core/src/outlook/region_outlooks.ts
@@ -14,12 +14,21 @@
 
 /** Older outlooks are ignored: a queue can fill within a second. */
 export const OUTLOOK_LIFETIME_MS = 1_500;
+/** Up to this age an outlook counts in full; then less and less until its lifetime has passed. */
+const FULL_WEIGHT_AGE_MS = 600;
 
 interface KnownOutlook {
   readonly outlook: RegionOutlook;
   readonly estimatedAt: Instant;
 }
 
+/** The outlook of a service in another region. */
+export interface KnownServiceOutlook extends ServiceOutlook {
+  readonly estimatedAt: Instant;
+  /** How much it counts at its age, from 0 to 1. */
+  readonly weight: number;
+}
+
 /** Keeps the outlooks of other regions until they are too old. */
 export class RegionOutlooks {
   readonly #ownRegion: RegionId;
@@ -44,11 +53,21 @@
     region: RegionId,
     service: ServiceId,
     now: Instant,
-  ): ServiceOutlook | undefined {
+  ): KnownServiceOutlook | undefined {
     const known = this.#outlooks.get(region);
-    return known === undefined || now - known.estimatedAt > OUTLOOK_LIFETIME_MS
+    if (known === undefined || now - known.estimatedAt > OUTLOOK_LIFETIME_MS) {
+      return undefined;
+    }
+    const { outlook, estimatedAt } = known;
+    const found = outlook.services.find((item) => item.service === service);
+    return found === undefined
       ? undefined
-      : known.outlook.services.find((item) => item.service === service);
+      : { ...found, estimatedAt, weight: weightAt(now - estimatedAt) };
+  }
+
+  /** When the newest outlook of a region was estimated, `undefined` if none is known. */
+  estimatedAt(region: RegionId): Instant | undefined {
+    return this.#outlooks.get(region)?.estimatedAt;
   }
 
   /** Outlooks that have not expired, with their present age. */
@@ -61,3 +80,9 @@
       }));
   }
 }
+
+function weightAt(ageMs: number): number {
+  const left = (OUTLOOK_LIFETIME_MS - ageMs) /
+    (OUTLOOK_LIFETIME_MS - FULL_WEIGHT_AGE_MS);
+  return Math.min(1, Math.max(0, left));
+}
--- a/playground/src/load/load_report.ts
+++ b/playground/src/load/load_report.ts
@@ -36,10 +36,15 @@
   /** Prompt tokens that engines prefilled, and that they found cached, in thousands. */
   readonly readThousands: number;
   readonly keptThousands: number;
+  /** Share of the requests that entries relayed to another region, and of those that they relayed early. */
+  readonly relayedShare: number;
+  readonly earlyShare: number;
 }
 
 /** Summarizes a load's result. */
-export function reportLoad({ outcomes, engines }: LoadResult): LoadReport {
+export function reportLoad(
+  { outcomes, engines, world }: LoadResult,
+): LoadReport {
   const summarizeBy = (key: (outcome: LoadOutcome) => string) =>
     Object.fromEntries(
       [...new Set(outcomes.map(key))].sort().map((
@@ -63,6 +68,12 @@
       Math.max(1, worstWindows.length),
     readThousands: total(({ counts }) => counts.prefilledTokens),
     keptThousands: total(({ counts }) => counts.cachedTokens),
+    relayedShare: world.links.relays / Math.max(1, outcomes.length),
+    earlyShare: [...world.entries.values()].reduce(
+      (sum, { gateway }) =>
+        sum + (gateway?.earlyRelay.relay.counts.requests ?? 0),
+      0,
+    ) / Math.max(1, outcomes.length),
   };
 }
 
--- a/playground/src/load/main.ts
+++ b/playground/src/load/main.ts
@@ -104,5 +104,8 @@
     `  read ${
       mean(({ readThousands }) => readThousands)
     } thousand tokens, kept ${mean(({ keptThousands }) => keptThousands)}`,
+    `  relayed ${mean(({ relayedShare }) => relayedShare)}, early ${
+      mean(({ earlyShare }) => earlyShare)
+    }`,
   ].join("\n");
 }
--- a/playground/src/routes/route_links.ts
+++ b/playground/src/routes/route_links.ts
@@ -21,6 +21,8 @@
 
 /** The connections of one world. */
 export class RouteLinks {
+  /** Requests that entries have sent on to other entries. */
+  relays = 0;
   readonly #world: RouteWorld;
 
   constructor(world: RouteWorld) {
@@ -142,6 +144,7 @@
     { target, head, customer, resumeAfter, recipient }: PeerAttempt,
   ): () => void {
     const peer = this.#entryAt(target.address)!;
+    this.relays++;
     const delay = this.#world.network.delay(from.spot, peer.spot);
     let id: RequestId | undefined;
     let cancelled = false;
