--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -28,18 +28,10 @@
   RequestFingerprint,
 } from "../quarantine/index.ts";
 import type { RegionController } from "./region_controller.ts";
+import { waitLimit } from "./wait_limit.ts";
 
 /** A request with less time left than this is not sent any more. */
 export const MIN_SEND_TIME_MS = 30;
-/**
- * Longest wait for capacity, as a fraction of the request's time and in milliseconds. A request that would
- * wait longer is refused at once, while its caller still has time to retry and be served. Without the limit in
- * milliseconds, requests with a timeout of ten seconds waited four in vain: on a simulated day of high load,
- * more of the value was lost to requests that waited and were not served than with the limit.
- */
-const MAX_WAIT_FRACTION = 0.4;
-const MAX_WAIT_MS = 2_500;
-
 /** Longest back-off of endpoints that a request waits for. If it is longer, the request is refused at once. */
 const MAX_REST_WAIT_MS = 300;
 
@@ -255,10 +247,6 @@
   return reason === "resting" && wait > MAX_REST_WAIT_MS;
 }
 
-function waitLimit(timeLimit: number): number {
-  return Math.min(MAX_WAIT_MS, timeLimit * MAX_WAIT_FRACTION);
-}
-
 function quarantineSubject({ head: { id, fingerprint }, services }: Call): {
   id: RequestId;
   fingerprint: RequestFingerprint;
--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -34,6 +34,7 @@
 import type { RegionController, RegionView } from "./region_controller.ts";
 import type { ServingSet } from "./serving_set.ts";
 import { chooseSubjectRegion, type RegionCandidate } from "./subject_region.ts";
+import { waitLimit } from "./wait_limit.ts";
 
 /** Cost of relaying a request to another region and back. Shorter waits are not worth it. */
 const RELAY_COST_MS = 200;
@@ -154,6 +155,7 @@
       rank: call.rank,
       waited: milliseconds(now - call.arrivedAt),
       objective: call.route.objective,
+      patience: milliseconds(waitLimit(call.endsAt - now)),
       localWait,
       promptTokens: prompt.promptTokens,
       uncachedTokens: call.uncachedTokens,
--- a/packages/core/src/outlook/early_relay.ts
+++ b/packages/core/src/outlook/early_relay.ts
@@ -31,6 +31,8 @@
   readonly waited: Milliseconds;
   /** Time from its arrival within which it should begin. */
   readonly objective: Milliseconds;
+  /** Time that it may wait before it is refused. */
+  readonly patience: Milliseconds;
   /** Time until an endpoint here may take it. */
   readonly localWait: Milliseconds;
   /** Prompt tokens, those that no engine of this region holds, and those that other requests share. */
@@ -106,8 +108,9 @@
         }, now);
       return isUseful ? [{ region, tokens, outlook }] : [];
     });
-    return candidates.find(({ region }) => region === moved) ??
+    const chosen = candidates.find(({ region }) => region === moved) ??
       preferred(question, candidates);
+    return chosen && { region: chosen.region, tokens: chosen.tokens };
   }
 
   /** Whether it is known what a region has to spare, so that nothing else has to be assumed about it. */
@@ -155,12 +158,14 @@
   return delay + REGION_ROUND_TRIP_MS + tokens / Math.max(1, own.tokensPerMs);
 }
 
-/** A request that would be late in both regions stays: moving it would only cost. */
+/** A request that would be late in both regions stays, unless it would be refused here: moving it would only cost. */
 function isSooner(
-  { waited, objective }: RelayQuestion,
+  { waited, objective, patience }: RelayQuestion,
   { here, there }: { here: number; there: number },
 ): boolean {
-  return there + MARGIN_MS < here && waited + there <= objective;
+  const isServed = waited + there <= objective ||
+    here > patience && there <= patience;
+  return there + MARGIN_MS < here && isServed;
 }
 
 /** All entries of a region send a subject's requests to the same region, so that it is prefilled there once. */
--- a/packages/core/src/outlook/outlook_exchange.ts
+++ b/packages/core/src/outlook/outlook_exchange.ts
@@ -74,7 +74,7 @@
   receive(outlook: RegionOutlook, now: Instant): void {
     const { outlooks, isWanted, isPartnerOf, passOn } = this.#sources;
     const known = outlooks.estimatedAt(outlook.region);
-    const newerBy = now - outlook.age - (known ?? -Infinity);
+    const newerBy = now - Math.max(0, outlook.age) - (known ?? -Infinity);
     outlooks.update(outlook, now);
     if (
       isWanted() && newerBy >= this.#minNewsMs(now) &&
--- a/packages/core/src/outlook/region_outlooks.ts
+++ b/packages/core/src/outlook/region_outlooks.ts
@@ -40,7 +40,8 @@
 
   /** Keeps an outlook if it is newer than the one known of its region. */
   update(outlook: RegionOutlook, now: Instant): void {
-    const estimatedAt = instant(now - outlook.age);
+    // An age below zero would keep this outlook in place of newer ones.
+    const estimatedAt = instant(now - Math.max(0, outlook.age));
     const known = this.#outlooks.get(outlook.region);
     const isNewer = known === undefined || estimatedAt > known.estimatedAt;
     if (outlook.region !== this.#ownRegion && isNewer) {
