fix: early relays add to today's relays and replace none

Cause: regions with a known outlook got no relay for a long wait any more.

Change: a request with a long wait is relayed as before where no early relay was chosen for it.

--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -293,14 +293,12 @@
     localWait: number,
     now: Instant,
   ): RoutingDecision | undefined {
-    const { earlyRelay } = this.#sources;
     const candidates = this.#openRegions(call, now);
     const mustRelay = localWait === Infinity;
     const useful = candidates.filter((view) =>
       mustRelay
         ? (view.load?.endpoints ?? 0) > 0
-        : !earlyRelay.knows(view.region, call.services[0]!, now) &&
-          utilization(view) < MAX_REMOTE_UTILIZATION &&
+        : utilization(view) < MAX_REMOTE_UTILIZATION &&
           (view.load?.backlog ?? 0) + RELAY_COST_MS < localWait
     );
     const best =
--- a/packages/core/src/outlook/early_relay.ts
+++ b/packages/core/src/outlook/early_relay.ts
@@ -113,12 +113,6 @@
     return chosen && { region: chosen.region, tokens: chosen.tokens };
   }
 
-  /** Whether it is known what a region has to spare, so that nothing else has to be assumed about it. */
-  knows(region: RegionId, service: ServiceId, now: Instant): boolean {
-    return this.isOn &&
-      this.#sources.outlooks.of(region, service, now) !== undefined;
-  }
-
   /** Counts a request that goes to another region. */
   record(
     { service, subject }: RelayQuestion,
