--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { FairShares } from "../fair_shares/index.ts";
 import {
   type Instant,
   type Milliseconds,
@@ -22,6 +23,7 @@
 import type { QueueAhead } from "./local_placement.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
 import { isShortPrompt } from "./endpoint_placement.ts";
+import { spareRoom } from "./spare_room.ts";
 import { DEFAULT_PREFILL_TOKENS_PER_MS } from "./prompt_cost.ts";
 import type {
   QuarantineController,
@@ -44,6 +46,7 @@
   readonly router: CallRouter;
   readonly endpoints: EndpointRegistry;
   readonly regions: RegionController;
+  readonly shares: FairShares;
   readonly quarantine: QuarantineController;
   /** Number of entries in the region that carry requests, including this one. */
   readonly regionEntries: () => number;
@@ -51,11 +54,12 @@
 
 /** Places each request, or queues it. */
 export class CallPlacer {
-  readonly queue = new CallQueue();
+  readonly queue: CallQueue;
   readonly #deps: PlacerDependencies;
 
   constructor(deps: PlacerDependencies) {
     this.#deps = deps;
+    this.queue = new CallQueue(deps.shares);
   }
 
   /** Sends a request now, queues it, or refuses it. */
@@ -66,9 +70,11 @@
     if (this.#checkQuarantine(call, now) !== "free") {
       return;
     }
-    const ahead = this.#queueAhead(call);
+    const ahead = this.#queueAhead(call, now);
     const decision = this.#deps.router.next(call, ahead, now);
-    if (decision.kind === "wait") {
+    if (this.#mustYield(call, decision, now)) {
+      this.#yieldTurn(call, now);
+    } else if (decision.kind === "wait") {
       this.#enqueue(call, { decision, ahead, now });
     } else {
       this.#dispatch(call, decision, now);
@@ -90,11 +96,19 @@
       }
       const { rank, services, head } = call;
       const kind = `${services[0]} ${rank} ${isShortPrompt(head.prompt)}`;
-      if (blocked.has(kind)) {
+      const sender = `${kind} ${call.customer?.id ?? ""}`;
+      if (blocked.has(kind) || blocked.has(sender)) {
         continue;
       }
       const ahead = { wait: now - call.arrivedAt, turns: 0 };
       const decision = this.#deps.router.next(call, ahead, now);
+      if (this.#mustYield(call, decision, now)) {
+        blocked.add(sender);
+        continue;
+      }
+      if (decision.kind === "wait") {
+        this.#deps.shares.noteBusy(services[0]!);
+      }
       if (decision.kind === "wait" && !isRestTooLong(decision)) {
         blocked.add(kind);
       } else if (decision.kind === "wait") {
@@ -218,23 +232,66 @@
     this.#deps.outcomes.fail(call, "endpoints_resting", now, wait);
   }
 
-  #queueAhead(call: Call): QueueAhead {
+  #queueAhead(call: Call, now: Instant): QueueAhead {
     const { services, rank } = call;
     // Entries of the region take turns, and each is assumed to have as much waiting as this one.
     const turns = (1 + this.queue.callsAhead(services[0]!, rank)) *
       this.#deps.regionEntries();
-    return { wait: this.#expectedWait(call), turns };
+    return { wait: this.#expectedWait(call, now), turns };
+  }
+
+  /** Queues a request behind those of its customer, or refuses it at once if its turn comes too late. */
+  #yieldTurn(call: Call, now: Instant): void {
+    const { services, rank, customer } = call;
+    const position = { service: services[0]!, rank, late: false };
+    const wait = milliseconds(
+      this.#deps.shares.delayOf(position, customer?.id, now),
+    );
+    this.#enqueue(call, {
+      decision: { kind: "wait", wait, reason: "busy" },
+      ahead: { wait: 0, turns: 0 },
+      now,
+    });
+  }
+
+  /** Whether a request that could be sent has to leave the endpoint to other customers for a moment. */
+  #mustYield(call: Call, { kind }: RoutingDecision, now: Instant): boolean {
+    const { shares, endpoints } = this.#deps;
+    const [service] = call.services;
+    if (kind !== "endpoint" || call.attempts > 0) {
+      return false;
+    }
+    return shares.mustYield(
+      {
+        service: service!,
+        rank: call.rank,
+        late: false,
+        customer: call.customer?.id,
+      },
+      () =>
+        spareRoom(
+          endpoints.ofService(service!).filter((state) =>
+            endpoints.accepts(state, now)
+          ),
+        ),
+      now,
+    );
   }
 
   /** Expected milliseconds until the prompts of queued requests that go first have been read. */
-  #expectedWait({ rank }: Call): number {
+  #expectedWait({ rank, services, customer }: Call, now: Instant): number {
+    const tokens = this.queue.tokensAhead(rank);
+    if (tokens === 0) {
+      return 0;
+    }
     let engines = 0;
     for (const { service } of this.#deps.endpoints.all()) {
       engines += service?.engine === undefined ? 0 : 1;
     }
     // Callers choose among the region's entries at random, so that each has about as much waiting.
-    const waiting = this.queue.tokensAhead(rank) *
-      this.#deps.regionEntries();
+    const position = { service: services[0]!, rank, late: false };
+    const waiting = tokens * this.#deps.regionEntries() *
+      this.#deps.shares.partAheadOf(position, customer?.id, now);
     return waiting * this.#deps.regions.prefillFraction /
       (DEFAULT_PREFILL_TOKENS_PER_MS * Math.max(1, engines));
   }
--- a/packages/core/src/gateway/call_queue.ts
+++ b/packages/core/src/gateway/call_queue.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { costOf } from "../customers/index.ts";
+import type { FairShares } from "../fair_shares/index.ts";
 import {
   after,
   type CustomerId,
@@ -23,6 +24,12 @@
 /** Holds the waiting requests. */
 export class CallQueue {
   readonly #calls = new Map<RequestId, Call>();
+  readonly #shares: FairShares | undefined;
+
+  /** Orders requests of one rank by `shares` while there is contention in the region. */
+  constructor(shares?: FairShares) {
+    this.#shares = shares;
+  }
 
   get size(): number {
     return this.#calls.size;
@@ -78,7 +85,11 @@
         virtualTime: virtualArrival(call),
       });
     }
-    spaceOutCustomers(queued);
+    if (this.#shares?.isContended(now) === true) {
+      orderByShares(queued, this.#shares, now);
+    } else {
+      spaceOutCustomers(queued);
+    }
     queued.sort((left, right) =>
       left.late - right.late ||
       left.rank - right.rank ||
@@ -131,6 +142,30 @@
   }
 }
 
+/**
+ * Replaces virtual times by those of the region: a customer's clock counts what it has waiting and has got at all
+ * entries.
+ */
+function orderByShares(
+  queued: QueuedCall[],
+  shares: FairShares,
+  now: Instant,
+): void {
+  queued.sort((left, right) => left.virtualTime - right.virtualTime);
+  const times = shares.startTimes(
+    queued.map(({ call, rank, late, virtualTime }) => ({
+      service: call.services[0]!,
+      rank,
+      late: late === 1,
+      customer: call.customer?.id,
+      virtualArrival: virtualTime,
+      tokens: call.uncachedTokens,
+    })),
+    now,
+  );
+  queued.forEach((item, index) => item.virtualTime = times[index]!);
+}
+
 /** Virtual time of a request before its customer's other requests are taken into account. */
 function virtualArrival({ arrivedAt, uncachedTokens }: Call): number {
   return arrivedAt +
--- a/packages/core/src/gateway/endpoint_registry.ts
+++ b/packages/core/src/gateway/endpoint_registry.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { ReportedPace } from "../demand/index.ts";
 import {
   type EndpointWork,
   NO_RETURN_MS,
@@ -20,6 +21,7 @@
   type ZoneId,
 } from "../ids/index.ts";
 import type { StallAdjustedClockView } from "../listening/index.ts";
+import { ServicePace } from "../pace/index.ts";
 import { type EndpointRecord, isSameLife } from "../routes/index.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
 import { EndpointState } from "./endpoint_state.ts";
@@ -30,6 +32,18 @@
  */
 const REPORT_LIFETIME_MS = 2_200;
 
+/** Factor on the duration of work from which an endpoint counts as slow, for operators. */
+const SLOW_ENDPOINT = 1.5;
+
+/** What is known about the pace of the endpoints, for operators. */
+export interface PaceFigures {
+  /** Endpoints that are slower than usual at present. */
+  readonly slow: number;
+  /** Reports of contention passed on to peers, and received from them, since the start. */
+  readonly told: number;
+  readonly received: number;
+}
+
 interface ReceivedReport {
   readonly report: WorkReport;
   readonly receivedAt: Instant;
@@ -45,10 +59,14 @@
   readonly #backoffOf: (record: EndpointRecord, now: Instant) => Milliseconds;
   readonly #states = new Map<EndpointId, EndpointState>();
   readonly #byService = new Map<ServiceId, EndpointState[]>();
+  readonly #paces = new Map<ServiceId, ServicePace>();
   readonly #reports = new Map<Incarnation, ReceivedReport>();
   #evacuated: ReadonlySet<ZoneId> = new Set();
   #generation = -1;
   #reportsContention = false;
+  #usesPace = false;
+  #toldPaces = 0;
+  #receivedPaces = 0;
 
   constructor(
     { region, regionByZone, catalogue, clock, isLeaving, backoffOf }: {
@@ -93,6 +111,58 @@
     pace.recordContention(contention, now);
   }
 
+  /** Records the contention that endpoints reported to a peer. */
+  receivePaces(paces: readonly ReportedPace[], now: Instant): void {
+    for (const { endpoint, ...reported } of paces) {
+      const state = this.#states.get(endpoint);
+      if (state !== undefined) {
+        this.#reportsContention = true;
+        this.#receivedPaces++;
+        state.pace.receiveContention(reported, now);
+      }
+    }
+  }
+
+  /** Returns the contention that peers should know of, that with the largest effect first, at most `limit`. */
+  takeUntoldPaces(limit: number, now: Instant): ReportedPace[] {
+    const untold: { state: EndpointState; difference: number }[] = [];
+    for (const state of this.#states.values()) {
+      const difference = state.pace.untoldDifference(now);
+      if (difference > 0) {
+        untold.push({ state, difference });
+      }
+    }
+    const told = untold.sort((left, right) =>
+      right.difference - left.difference
+    ).slice(0, limit);
+    this.#toldPaces += told.length;
+    return told.map(({ state }) => ({
+      endpoint: state.record.id,
+      ...state.pace.tell(now)!,
+    }));
+  }
+
+  /** Sets whether decisions use the pace of endpoints. Returns whether that is a change. */
+  usePace(isUsed: boolean): boolean {
+    if (isUsed === this.#usesPace) {
+      return false;
+    }
+    this.#usesPace = isUsed;
+    for (const pace of this.#paces.values()) {
+      pace.isEnabled = isUsed;
+    }
+    return true;
+  }
+
+  /** What is known about the pace of the endpoints, for operators. */
+  paceFigures(now: Instant): PaceFigures {
+    let slow = 0;
+    for (const { pace } of this.#states.values()) {
+      slow += pace.slowdown(now) >= SLOW_ENDPOINT ? 1 : 0;
+    }
+    return { slow, told: this.#toldPaces, received: this.#receivedPaces };
+  }
+
   /** Endpoints of a service in this region, including those that are leaving. */
   ofService(service: ServiceId): readonly EndpointState[] {
     return this.#byService.get(service) ?? [];
@@ -245,7 +315,12 @@
     const known = this.#states.get(id);
     if (known === undefined || !isSameLife(known.record, record)) {
       // After a restart the endpoint has no cached prefixes and nothing in flight.
-      const state = new EndpointState(record, service, now);
+      const state = new EndpointState(
+        record,
+        service,
+        now,
+        this.#paceOf(record.service),
+      );
       this.#states.set(id, state);
       this.#addPeerWork(state);
     } else {
@@ -254,6 +329,16 @@
     }
   }
 
+  #paceOf(service: ServiceId): ServicePace {
+    let pace = this.#paces.get(service);
+    if (pace === undefined) {
+      pace = new ServicePace();
+      pace.isEnabled = this.#usesPace;
+      this.#paces.set(service, pace);
+    }
+    return pace;
+  }
+
   /** Removes endpoints that have departed, except those where this entry still has requests in flight. */
   #removeGone(): void {
     for (const [id, state] of this.#states) {
@@ -285,6 +370,11 @@
       list.push(state);
       this.#byService.set(service, list);
     }
+    for (const service of this.#paces.keys()) {
+      if (!this.#byService.has(service)) {
+        this.#paces.delete(service);
+      }
+    }
   }
 
   #applyReport(from: Incarnation, sign: 1 | -1, now: Instant): void {
--- a/packages/core/src/gateway/endpoint_state.ts
+++ b/packages/core/src/gateway/endpoint_state.ts
@@ -7,7 +7,7 @@
 import type { EndpointWork } from "../fleet/index.ts";
 import { after, type AttemptId, type Instant, instant } from "../ids/index.ts";
 import type { EndpointRecord, RoutedService } from "../routes/index.ts";
-import { EndpointPace } from "../pace/index.ts";
+import { EndpointPace, type ServicePace } from "../pace/index.ts";
 import { EndpointHealth } from "./endpoint_health.ts";
 import type { ReportedLoad } from "./messages.ts";
 import { PrefixCacheModel } from "./prefix_cache_model.ts";
@@ -45,7 +45,8 @@
   readonly tokens: number;
   readonly sentAt: Instant;
   /**
-   * Whether the endpoint had no other prefill when the attempt was sent, so that its rate can be measured.
+   * Whether the endpoint had no other prefill, or a plain endpoint a free slot, when the attempt was sent, so that its
+   * rate can be measured.
    */
   readonly alone: boolean;
 }
@@ -62,13 +63,14 @@
   record: EndpointRecord;
   service: RoutedService | undefined;
   readonly health = new EndpointHealth();
-  readonly pace = new EndpointPace();
+  readonly pace: EndpointPace;
   readonly prefixes: PrefixCacheModel;
   /** The load that the endpoint reported with its last answer. */
   reportedLoad: ReportedLoad | undefined;
   reportedLoadAt: Instant | undefined;
   /** When the last bytes from the endpoint arrived. */
   heardAt: Instant | undefined;
+  /** Prompt tokens that the endpoint usually prefills per millisecond. */
   prefillRate = DEFAULT_PREFILL_TOKENS_PER_MS;
   readonly own: LoadTotals = { prefill: 0, requests: 0, tokens: 0 };
   readonly peers: LoadTotals = { prefill: 0, requests: 0, tokens: 0 };
@@ -86,9 +88,11 @@
     record: EndpointRecord,
     service: RoutedService | undefined,
     now: Instant,
+    servicePace?: ServicePace,
   ) {
     this.record = record;
     this.service = service;
+    this.pace = new EndpointPace(servicePace);
     this.prefixes = new PrefixCacheModel(service?.engine?.cacheTokens ?? 0);
     this.#coldUntil = after(now, record.coldFor);
   }
@@ -135,6 +139,11 @@
     return this.own.tokens + this.peers.tokens;
   }
 
+  /** Prompt tokens that the endpoint prefills per millisecond at present. */
+  prefillRateAt(now: Instant): number {
+    return this.prefillRate / this.pace.contention(now);
+  }
+
   /** Whether prefill is paused so that the running streams progress faster. */
   isPrefillPaused(now: Instant): boolean {
     return this.#prefillPausedUntil !== undefined &&
@@ -181,7 +190,9 @@
     { prefill, tokens }: { prefill: number; tokens: number },
     now: Instant,
   ): void {
-    const alone = this.prefill === 0;
+    const alone = this.service?.engine === undefined
+      ? this.requests < this.slots
+      : this.prefill === 0;
     this.#attempts.set(attempt, { prefill, tokens, sentAt: now, alone });
     this.own.prefill += prefill;
     this.own.requests++;
@@ -205,6 +216,15 @@
     return true;
   }
 
+  /** Notes a plain endpoint's answer to an attempt that was sent to it at `sentAt`. */
+  noteAnswer(attempt: AttemptId, sentAt: Instant, now: Instant): void {
+    const isMeasurable = this.service?.engine === undefined &&
+      this.#attempts.get(attempt)?.alone === true;
+    if (isMeasurable) {
+      this.pace.recordAnswer(now - sentAt, now);
+    }
+  }
+
   /** Removes an attempt that has ended. */
   removeAttempt(attempt: AttemptId, now: Instant): void {
     const attemptLoad = this.#attempts.get(attempt);
@@ -253,7 +273,10 @@
     }
     const rate = Math.min(
       MAX_TOKENS_PER_MS,
-      Math.max(MIN_TOKENS_PER_MS, prefill / elapsed),
+      Math.max(
+        MIN_TOKENS_PER_MS,
+        prefill * this.pace.measuredContention(now) / elapsed,
+      ),
     );
     this.prefillRate += PREFILL_RATE_WEIGHT * (rate - this.prefillRate);
   }
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -5,8 +5,13 @@
  * @module
  */
 import type { CustomerLimits } from "../customers/index.ts";
-import { DemandReporter, RegionDemand } from "../demand/index.ts";
+import {
+  DemandReporter,
+  RegionDemand,
+  type ReportedPace,
+} from "../demand/index.ts";
 import type { EndpointTerms } from "../endpoint_terms/index.ts";
+import { FairShares } from "../fair_shares/index.ts";
 import { Features } from "../features/index.ts";
 import { FleetController } from "../fleet/index.ts";
 import {
@@ -17,6 +22,7 @@
 } from "../ids/index.ts";
 import { StallAdjustedClock } from "../listening/index.ts";
 import { RegionOutlooks } from "../outlook/index.ts";
+import { ReportAllowance } from "../pace/index.ts";
 import type { CatalogueSnapshot } from "../routes/index.ts";
 import { CallController } from "./call_controller.ts";
 import { CallRouter } from "./call_router.ts";
@@ -53,6 +59,7 @@
 import { RetryBudget } from "./retry_budget.ts";
 import { ServingSet } from "./serving_set.ts";
 import { tickInterval } from "./tick_interval.ts";
+import { ShareLog } from "./share_log.ts";
 import { StopController } from "./stop_controller.ts";
 import { WorkReporter } from "./work_reporter.ts";
 
@@ -99,11 +106,15 @@
   readonly features: Features;
   /** What waits and runs at the entries of the region. */
   readonly demand: RegionDemand;
+  /** Customers' shares of the region's endpoints. */
+  readonly shares: FairShares;
   /** Outlooks of other regions. */
   readonly outlooks: RegionOutlooks;
   /** Relays to regions that begin a request sooner. */
   readonly earlyRelay: EarlyRelayParts;
   readonly #demandReporter: DemandReporter;
+  readonly #shareLog: ShareLog;
+  readonly #paceAllowance = new ReportAllowance();
   #bounds: GatewayBounds;
   #effects: GatewayEffect[] = [];
   #lastEventAt: Instant;
@@ -156,6 +167,14 @@
       hasCustomerLimits: this.#catalogue.table?.customers.hasLimits ?? false,
     }));
     this.demand = new RegionDemand(this.#clock);
+    const placements = new PlacementMeter();
+    this.shares = new FairShares({
+      demand: this.demand,
+      isOn: () => this.features.isOn("fairShares"),
+      limitOf: (id) => this.#catalogue.table?.customers.get(id)?.limit,
+      placedHere: (at) => placements.lastSecond(at),
+    });
+    this.#shareLog = new ShareLog({ shares: this.shares, emit });
     this.outlooks = new RegionOutlooks(self.region);
     this.fleet = new FleetController({
       self,
@@ -237,7 +256,8 @@
       catalogue: this.#catalogue,
       endpoints: this.#endpoints,
       regions: this.#regions,
-      placements: new PlacementMeter(),
+      placements,
+      shares: this.shares,
       router,
       budget: this.#retryBudget,
       cold: coldAllowance,
@@ -262,11 +282,14 @@
       isWanted: () =>
         this.features.isOn("fairShares") ||
         this.features.isOn("regionAdmission") ||
+        this.features.isOn("endpointPace") ||
         this.features.isOn("earlyRelay"),
       measure: (at) => this.#calls.measureDemand(at),
       send: (report, at) =>
         this.fleet.sender.sendDemand(
-          report,
+          this.features.isOn("endpointPace")
+            ? { ...report, paces: this.#takeUntoldPaces(at) }
+            : report,
           (record) =>
             this.#serving.has(record, at) ||
             this.#endpoints.hasReport(record.incarnation),
@@ -451,6 +474,7 @@
     this.#catalogue.tick(now);
     this.#applyCatalogue(now);
     this.#endpoints.expire(now);
+    this.#updatePaceUse();
     this.fleet.tick(now);
     this.#regions.tick(this.fleet, now);
     this.#quarantine.tick(now);
@@ -462,10 +486,32 @@
     this.#calls.tick(now);
     this.#demandReporter.tick(now);
     this.earlyRelay.exchange.tick(now);
+    this.#shareLog.tick(now);
     this.#workReporter.tick(this.#calls.takeSentPrefixes(), now);
     this.#stopController.tick(now);
   }
 
+  #takeUntoldPaces(now: Instant): ReportedPace[] {
+    const limit = this.#paceAllowance.available(this.demand.entries, now);
+    const paces = this.#endpoints.takeUntoldPaces(limit, now);
+    this.#paceAllowance.spend(paces.length);
+    return paces;
+  }
+
+  #updatePaceUse(): void {
+    const isOn = this.features.isOn("endpointPace");
+    if (this.#endpoints.usePace(isOn)) {
+      this.#effects.push({
+        kind: "log",
+        part: "endpoint",
+        text: isOn
+          ? "Endpoints are chosen by their pace."
+          : "Endpoints are chosen by their usual rates.",
+        fields: {},
+      });
+    }
+  }
+
   #applyCatalogue(now: Instant): void {
     this.#endpoints.syncWithCatalogue(now);
     this.#calls.retryPending(now);
@@ -521,6 +567,7 @@
       this.endpointTerms.departures.receive(message.message);
     } else if (message.kind === "demand") {
       this.demand.receive(message.incarnation, message.report, now);
+      this.#endpoints.receivePaces(message.report.paces, now);
     } else if (message.kind === "outlook") {
       this.earlyRelay.exchange.receive(message.outlook, now);
     } else if (message.kind === "work") {
--- a/packages/core/src/gateway/service_figures.ts
+++ b/packages/core/src/gateway/service_figures.ts
@@ -44,7 +44,7 @@
 
 function engineFigures(state: EndpointState, now: Instant): EngineFigures {
   return {
-    tokensPerMs: state.prefillRate / state.pace.slowdown(now),
+    tokensPerMs: state.prefillRateAt(now),
     pendingTokens: state.prefill,
     freePlaces: freePlaces(state),
     prefillShare: state.prefillShare(now),
--- a/playground/src/load/__tests__/load.test.ts
+++ b/playground/src/load/__tests__/load.test.ts
@@ -145,6 +145,51 @@
     });
   });
 
+  describe("a peak with customers that send many times their usual", () => {
+    const runWith = (fairShares: "on" | "off"): LoadReport[] => {
+      const text = readFileSync(
+        new URL("competing_customers.load", FOLDER),
+        "utf8",
+      );
+      const features = { fairShares };
+      return SEEDS.map((seed) =>
+        reportLoad(runLoad(text, { seed, loadSetting, features }))
+      );
+    };
+
+    /**
+     * Guards against customers within their usual being served as badly as those that fill the queues. Each of
+     * eight entries ordered its own short queue, in which a loud customer had about one request.
+     */
+    it("serves those within their usual, at the cost of the loud ones only", () => {
+      const off = runWith("off");
+      const on = runWith("on");
+      const worst = ({ worstUsualCustomers }: LoadReport): number =>
+        worstUsualCustomers;
+      expect(mean(off, worst)).toBeLessThan(0.45);
+      expect(mean(on, worst)).toBeGreaterThan(0.5);
+      expect(mean(on, ({ all }) => all.earned))
+        .toBeGreaterThan(mean(off, ({ all }) => all.earned));
+    });
+  });
+
+  // Guards against engines that are given the same work while other work slows their machines down.
+  it("earns more where engines are chosen by their pace", () => {
+    const text = readFileSync(new URL("uneven_engines.load", FOLDER), "utf8");
+    const earned = (endpointPace: "on" | "off"): number =>
+      [2, 3].reduce((sum, seed) => {
+        const features = {
+          endpointPace,
+          fairShares: "off",
+          regionAdmission: "off",
+          earlyRelay: "off",
+        } as const;
+        const result = runLoad(text, { seed, loadSetting, features });
+        return sum + reportLoad(result).all.earned / 2;
+      }, 0);
+    expect(earned("on")).toBeGreaterThan(earned("off") + 0.01);
+  }, 60_000);
+
   it("gives the same result for the same seed", () => {
     const text = readFileSync(new URL("moving_peak.load", FOLDER), "utf8");
     const first = reportLoad(runLoad(text, { seed: 5, loadSetting }));
