--- a/packages/core/src/outlook/own_outlook.ts
+++ b/packages/core/src/outlook/own_outlook.ts
@@ -88,9 +88,14 @@
 
   /** Whether any service is busy. */
   isBusy(now: Instant): boolean {
-    return [...this.#sources.services()].some((service) =>
+    return this.busyServices(now) > 0;
+  }
+
+  /** Number of services that are busy. */
+  busyServices(now: Instant): number {
+    return [...this.#sources.services()].filter((service) =>
       this.of(service, now).isBusy
-    );
+    ).length;
   }
 
   /** What another region is told, with the spare rate divided among `takers`. A busy service has none to spare. */
--- a/packages/daemon/src/gateway/gauges.ts
+++ b/packages/daemon/src/gateway/gauges.ts
@@ -17,6 +17,7 @@
     quarantine,
     endpointTerms,
     shares,
+    earlyRelay,
   }: Gateway,
   { connections, datagrams }: {
     connections: Pick<ConnectionPool, "opened">;
@@ -44,6 +45,9 @@
     endpoints_slow: pace.slow,
     endpoint_paces_told: pace.told,
     endpoint_paces_received: pace.received,
+    services_busy: earlyRelay.own.busyServices(now),
+    early_relays: earlyRelay.relay.counts.requests,
+    early_relay_tokens: earlyRelay.relay.counts.tokens,
     document_version: catalogue.document?.version ?? 0,
     catalogue_epoch: catalogue.position.epoch,
     catalogue_revision: catalogue.position.revision,
