--- a/packages/core/src/gateway/endpoint_placement.ts
+++ b/packages/core/src/gateway/endpoint_placement.ts
@@ -117,7 +117,9 @@
     const { prefill, fetchFrom } = prefillAt(request, parts, state);
     const need = { prefill, tokens, urgent: request.urgent, contention };
     if (!hasCapacity(state, need, now)) {
-      wait = Math.min(wait, waitAt(state, contention, now));
+      if (best === undefined) {
+        wait = Math.min(wait, waitAt(state, contention, now));
+      }
       continue;
     }
     const work = workAt(state, prefill);
@@ -238,15 +240,16 @@
   }
   const short = prefill <= SHORT_PROMPT_TOKENS;
   const rate = state.prefillRate / contention;
-  const stretch = state.prefillDuration(now) +
-    (state.prefill + prefill) / rate;
-  const exceedsStretch = state.prefill > 0 && stretch > MAX_PREFILL_STRETCH_MS;
-  const exceedsShare = !idle && !urgent &&
-    state.prefillShare(now) > MAX_PREFILL_SHARE;
-  if (
-    !short && (exceedsStretch || exceedsShare || state.isPrefillPaused(now))
-  ) {
-    return false;
+  if (!short) {
+    const stretch = state.prefillDuration(now) +
+      (state.prefill + prefill) / rate;
+    const exceedsStretch = state.prefill > 0 &&
+      stretch > MAX_PREFILL_STRETCH_MS;
+    const exceedsShare = !idle && !urgent &&
+      state.prefillShare(now) > MAX_PREFILL_SHARE;
+    if (exceedsStretch || exceedsShare || state.isPrefillPaused(now)) {
+      return false;
+    }
   }
   const extra = short ? SHORT_PROMPT_EXTRA_BACKLOG_MS : 0;
   const limit = (MAX_PREFILL_BACKLOG_MS + extra) * rate;
