--- a/packages/daemon/src/gateway/gauges.ts
+++ b/packages/daemon/src/gateway/gauges.ts
@@ -45,7 +45,7 @@
     endpoints_slow: pace.slow,
     endpoint_paces_told: pace.told,
     endpoint_paces_received: pace.received,
-    services_busy: earlyRelay.own.busyServices(now),
+    services_busy: earlyRelay.relay.isOn ? earlyRelay.own.busyServices(now) : 0,
     early_relays: earlyRelay.relay.counts.requests,
     early_relay_tokens: earlyRelay.relay.counts.tokens,
     document_version: catalogue.document?.version ?? 0,
--- a/playground/src/load/__tests__/load.test.ts
+++ b/playground/src/load/__tests__/load.test.ts
@@ -190,6 +190,35 @@
     expect(earned("on")).toBeGreaterThan(earned("off") + 0.01);
   }, 60_000);
 
+  describe("a peak of prompts that share nothing", () => {
+    const text = readFileSync(new URL("unshared_peak.load", FOLDER), "utf8");
+    const isAboutOutlooks = ({ text }: { text: string }): boolean =>
+      text.startsWith("region: Service is");
+
+    it("leads to early relays where these are on, and loses nothing", () => {
+      const result = runLoad(text, {
+        seed: 4,
+        loadSetting,
+        features: { earlyRelay: "on" },
+      });
+      const { earlyShare, relayedShare, all } = reportLoad(result);
+      expect(result.world.log.some(isAboutOutlooks)).toBe(true);
+      expect(earlyShare).toBeGreaterThan(0);
+      expect(earlyShare).toBeLessThan(relayedShare);
+      expect(all.ends.failed / all.requests).toBeLessThan(0.02);
+    });
+
+    /** Guards against outlooks or early relays of entries for which they are switched off. */
+    it("leads to none where they are off", () => {
+      const play = (features: Parameters<typeof runLoad>[1]["features"]) =>
+        runLoad(text, { seed: 4, loadSetting, ...features && { features } });
+      const off = play({ earlyRelay: "off" });
+      expect(off.world.log.filter(isAboutOutlooks)).toEqual([]);
+      expect(reportLoad(off).earlyShare).toBe(0);
+      expect(reportLoad(play(undefined))).toEqual(reportLoad(off));
+    });
+  });
+
   it("gives the same result for the same seed", () => {
     const text = readFileSync(new URL("moving_peak.load", FOLDER), "utf8");
     const first = reportLoad(runLoad(text, { seed: 5, loadSetting }));
