perf: reports of changes come less often where many entries receive them

Cause: each serving entry tells each other one of its zone of changes at an engine, up to fifty times a second. With 18 serving entries in a zone these datagrams grow with the square of the entries.

Change: at least 2.5 ms between reports for each recipient of the last one. Up to eight recipients nothing changes. An entry sends and receives 400 such datagrams a second at the most, at any size of the zone.

--- a/packages/core/src/fleet/fleet_sender.ts
+++ b/packages/core/src/fleet/fleet_sender.ts
@@ -45,13 +45,13 @@
     this.#sources = sources;
   }
 
-  /** Sends a report of this entry's work to the matching entries of its region. */
+  /** Sends a report of this entry's work to the matching entries of its region. Returns their number. */
   sendWork(
     report: WorkReport,
     isRecipient: (record: EntryRecord) => boolean,
-  ): void {
+  ): number {
     const { region, incarnation } = this.#options.self;
-    this.#sendToMatching(
+    return this.#sendToMatching(
       { kind: "work", incarnation, report },
       (record) => record.region === region && isRecipient(record),
     );
@@ -130,15 +130,21 @@
     );
   }
 
-  /** Passes the same message object for all recipients, so that it is encoded only once. */
+  /**
+   * Passes the same message object for all recipients, so that it is encoded only once. Returns the number of
+   * recipients.
+   */
   #sendToMatching(
     message: FleetMessage,
     isRecipient: (record: EntryRecord) => boolean,
-  ): void {
+  ): number {
+    let recipients = 0;
     for (const { record } of this.#sources.live()) {
       if (isRecipient(record)) {
         this.#options.send(record.peerAddress, message);
+        recipients++;
       }
     }
+    return recipients;
   }
 }
--- a/packages/core/src/gateway/__tests__/work_reporter.test.ts
+++ b/packages/core/src/gateway/__tests__/work_reporter.test.ts
@@ -42,8 +42,10 @@
     busy: boolean;
   }[];
   let reporter: WorkReporter;
+  let recipients: number;
 
   beforeEach(() => {
+    recipients = 1;
     ownZoneEngine = createEngine("e1", "z1");
     otherZoneEngine = createEngine("e2", "z2");
     available = new Set([ownZoneEngine, otherZoneEngine]);
@@ -64,7 +66,7 @@
           sendWork: (
             report: WorkReport,
             isRecipient: (record: EntryRecord) => boolean,
-          ) =>
+          ) => {
             sent.push({
               zones: ["z1", "z2", "z3"].filter((zone) =>
                 isRecipient({ zone, incarnation: "carrier" } as never)
@@ -74,7 +76,9 @@
                 { zone: "z1", incarnation: "standby" } as never,
               ),
               busy: isRecipient({ zone: "z1", incarnation: "busy" } as never),
-            }),
+            });
+            return recipients;
+          },
         },
       } as never,
       endpoints: {
@@ -103,6 +107,18 @@
     expect(zones()).toEqual([["z1", "z2"]]);
   });
 
+  // Guards against dozens of serving entries that spend most of their time on each other's reports.
+  it("come less often where many entries receive them", () => {
+    recipients = 24;
+    begin(ownZoneEngine);
+    reporter.tick([], instant(20));
+    begin(ownZoneEngine);
+    reporter.tick([], instant(60));
+    expect(sent).toHaveLength(2);
+    reporter.tick([], instant(80));
+    expect(sent).toHaveLength(3);
+  });
+
   // Guards against work reports that are most of the datagrams and of the traffic between zones. Each
   // prompt used to be reported to all zones at once, though entries choose among the engines of their own
   // zone.
--- a/packages/core/src/gateway/work_reporter.ts
+++ b/packages/core/src/gateway/work_reporter.ts
@@ -23,6 +23,11 @@
  * the same engine, and every stream on it pauses for all of these prompts.
  */
 const CHANGE_INTERVAL_MS = 20;
+/**
+ * The same time for each recipient. With dozens of serving entries in a zone, the reports of all to all would take
+ * more of their processor time than the requests, and late entries cost more than late reports.
+ */
+const CHANGE_INTERVAL_PER_RECIPIENT_MS = 2.5;
 /** Time between two full reports to the own zone, which repair what a lost datagram left wrong. */
 const FULL_REPORT_INTERVAL_MS = 500;
 /** One of this many full reports also goes to the region's other zones. */
@@ -64,6 +69,8 @@
   readonly #lastReported = new Map<EndpointId, EndpointWork>();
   #fullReportAt: Instant | undefined;
   #changeReportAt: Instant | undefined;
+  /** Entries that received the last report of changes. */
+  #changeRecipients = 0;
   #fullReports = 0;
   /** Consecutive full reports without any work. */
   #emptyReports = 0;
@@ -95,12 +102,19 @@
       this.#fullReportAt = now;
       this.#reportAll(now);
     } else if (
-      now - (this.#changeReportAt ?? -Infinity) >= CHANGE_INTERVAL_MS
+      now - (this.#changeReportAt ?? -Infinity) >= this.#changeInterval
     ) {
       this.#reportChanges(now);
     }
   }
 
+  get #changeInterval(): number {
+    return Math.max(
+      CHANGE_INTERVAL_MS,
+      this.#changeRecipients * CHANGE_INTERVAL_PER_RECIPIENT_MS,
+    );
+  }
+
   /**
    * Sends a full report, unless there has been nothing to report for a while: no report means the same. 89
    * idle entries used to send 4,000 empty reports per second, half of all processor time before the first
@@ -200,11 +214,14 @@
     const servesCallers = (record: EntryRecord): boolean =>
       serving.has(record, now) ||
       this.#sources.endpoints.hasReport(record.incarnation);
-    fleet.sender.sendWork(
+    const recipients = fleet.sender.sendWork(
       report,
       (record) =>
         zones.has(record.zone) && (includeStandby || servesCallers(record)),
     );
+    if (partial) {
+      this.#changeRecipients = recipients;
+    }
   }
 
   #nextPrefixes(toAllZones: boolean): PrefixUpdate[] {
