--- a/packages/core/src/gateway/call_router.ts
+++ b/packages/core/src/gateway/call_router.ts
@@ -15,6 +15,7 @@
   type ServiceId,
 } from "../ids/index.ts";
 import { type FleetController, NO_RETURN_MS } from "../fleet/index.ts";
+import type { EarlyRelay, RelayQuestion } from "../outlook/index.ts";
 import type { Call } from "./call.ts";
 import type { EndpointState } from "./endpoint_state.ts";
 import {
@@ -24,7 +25,7 @@
   type QueueAhead,
   type WaitReason,
 } from "./local_placement.ts";
-import type { CallTarget } from "./messages.ts";
+import type { CallTarget, Prompt } from "./messages.ts";
 import {
   findPrefixHolder,
   MIN_FETCH_TOKENS,
@@ -33,6 +34,7 @@
 import type { RegionController, RegionView } from "./region_controller.ts";
 import type { ServingSet } from "./serving_set.ts";
 import { chooseSubjectRegion, type RegionCandidate } from "./subject_region.ts";
+import { waitLimit } from "./wait_limit.ts";
 
 /** Cost of relaying a request to another region and back. Shorter waits are not worth it. */
 const RELAY_COST_MS = 200;
@@ -72,6 +74,7 @@
 export interface RouterSources extends LocalPlacementSources {
   readonly regions: RegionController;
   readonly serving: ServingSet;
+  readonly earlyRelay: EarlyRelay;
   readonly random: Randomness;
 }
 
@@ -109,14 +112,60 @@
       return (mayRelay && this.#bestPeer(call, Infinity, now)) ||
         this.#waitForEndpoints(call, now);
     }
-    const expected = Math.max(ahead.wait, local.wait);
+    const { wait, reason } = local;
+    const early = mayRelay ? this.#relayEarly(call, wait, now) : undefined;
+    if (early !== undefined) {
+      return early;
+    }
+    const expected = Math.max(ahead.wait, wait);
     const remote = mayRelay && expected > RELAY_COST_MS
       ? this.#bestPeer(call, expected, now)
       : undefined;
-    const { wait, reason } = local;
     return remote ?? { kind: "wait", wait, reason };
   }
 
+  /** Returns a relay to a region that begins the request in time, where this one would not. */
+  #relayEarly(
+    call: Call,
+    localWait: Milliseconds,
+    now: Instant,
+  ): RoutingDecision | undefined {
+    const { earlyRelay } = this.#sources;
+    const { prompt } = call.head;
+    if (!earlyRelay.isOn || prompt === undefined) {
+      return undefined;
+    }
+    const question = this.#relayQuestion(call, { prompt, localWait }, now);
+    const choice = earlyRelay.choose(question, now);
+    const decision = choice && this.#entryIn(choice.region, call, now);
+    if (choice !== undefined && decision !== undefined) {
+      earlyRelay.record(question, choice, now);
+    }
+    return decision;
+  }
+
+  #relayQuestion(
+    call: Call,
+    { prompt, localWait }: { prompt: Prompt; localWait: Milliseconds },
+    now: Instant,
+  ): RelayQuestion {
+    const parts = sharedParts(prompt);
+    return {
+      service: call.services[0]!,
+      rank: call.rank,
+      waited: milliseconds(now - call.arrivedAt),
+      objective: call.route.objective,
+      patience: milliseconds(waitLimit(call.endsAt - now)),
+      localWait,
+      promptTokens: prompt.promptTokens,
+      uncachedTokens: call.uncachedTokens,
+      sharedTokens: parts.reduce((sum, { tokens }) => sum + tokens, 0),
+      subject: parts[parts.length - 1]?.id,
+      regions: this.#openRegions(call, now).map(({ region }) => region),
+      entries: 1 + this.#sources.endpoints.busyPeerCount(),
+    };
+  }
+
   /**
    * Returns a relay to the region that prefills the prompt's subject, its last shared part, for all regions.
    * Returns `undefined` if that is this region, or if a relay is not worth it or not possible.
@@ -127,8 +176,12 @@
     const subject = parts[parts.length - 1];
     const tokens = parts.reduce((sum, part) => sum + part.tokens, 0);
     const first = call.attempts === 0 && subject !== undefined;
+    if (!first || tokens < MIN_FETCH_TOKENS) {
+      return undefined;
+    }
+    const others = this.#openRegions(call, now).map(subjectView);
     if (
-      !first || tokens < MIN_FETCH_TOKENS ||
+      others.every(({ engines }) => engines === 0) ||
       tokens - this.#cachedTokens(call, now) < MIN_FETCH_TOKENS
     ) {
       return undefined;
@@ -136,7 +189,6 @@
     const { self, regions } = this.#sources;
     const load = regions.recentLoad(call.services[0]!, now);
     const own = subjectView({ region: self.region, load });
-    const others = this.#openRegions(call, now).map(subjectView);
     const region = own.engines === 0
       ? undefined
       : chooseSubjectRegion(subject.id, own, others);
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -35,6 +35,10 @@
 } from "./customer_roles.ts";
 import { ColdAllowance } from "./cold_allowance.ts";
 import type { FreshnessExchange } from "./freshness_exchange.ts";
+import {
+  createEarlyRelay,
+  type EarlyRelayParts,
+} from "./create_early_relay.ts";
 import { createEndpointTerms } from "./endpoint_terms_factory.ts";
 import { EndpointRegistry } from "./endpoint_registry.ts";
 import {
@@ -106,6 +110,8 @@
   readonly shares: FairShares;
   /** Outlooks of other regions. */
   readonly outlooks: RegionOutlooks;
+  /** Relays to regions that begin a request sooner. */
+  readonly earlyRelay: EarlyRelayParts;
   readonly #demandReporter: DemandReporter;
   readonly #shareLog: ShareLog;
   readonly #paceAllowance = new ReportAllowance();
@@ -222,6 +228,17 @@
       fleet: this.fleet,
       catalogue: this.#catalogue,
     }, now);
+    this.earlyRelay = createEarlyRelay({
+      self,
+      emit,
+      catalogue: this.#catalogue,
+      endpoints: this.#endpoints,
+      demand: this.demand,
+      features: this.features,
+      fleet: this.fleet,
+      serving: this.#serving,
+      outlooks: this.outlooks,
+    });
     const router = new CallRouter({
       self,
       fleet: this.fleet,
@@ -230,6 +247,7 @@
       serving: this.#serving,
       cold: coldAllowance,
       terms: this.endpointTerms,
+      earlyRelay: this.earlyRelay.relay,
       random,
     });
     this.#calls = new CallController({
@@ -264,7 +282,8 @@
       isWanted: () =>
         this.features.isOn("fairShares") ||
         this.features.isOn("regionAdmission") ||
-        this.features.isOn("endpointPace"),
+        this.features.isOn("endpointPace") ||
+        this.features.isOn("earlyRelay"),
       measure: (at) => this.#calls.measureDemand(at),
       send: (report, at) =>
         this.fleet.sender.sendDemand(
@@ -466,6 +485,7 @@
     this.#updateOutdatedState(now);
     this.#calls.tick(now);
     this.#demandReporter.tick(now);
+    this.earlyRelay.exchange.tick(now);
     this.#shareLog.tick(now);
     this.#workReporter.tick(this.#calls.takeSentPrefixes(), now);
     this.#stopController.tick(now);
@@ -549,7 +569,7 @@
       this.demand.receive(message.incarnation, message.report, now);
       this.#endpoints.receivePaces(message.report.paces, now);
     } else if (message.kind === "outlook") {
-      this.outlooks.update(message.outlook, now);
+      this.earlyRelay.exchange.receive(message.outlook, now);
     } else if (message.kind === "work") {
       this.#endpoints.receiveReport(message.incarnation, message.report, now);
       if (this.#isStandby) {
