feat: a full region decides whom it takes next by all entries' queues (unfinished)

Cause: an entry without room decides by its own queue times the number of entries, so that a late long request takes a place while an urgent one waits at the neighbour, and refused callers are told a random time.

Change: core/src/overload estimates waits from the region's demand and the rate at which work is placed, and refuses or holds by them; refused callers' returns are scheduled, and returning callers are recognised by the time that they state. Off unless regionAdmission is in use.

--- a/packages/core/src/gateway/call.ts
+++ b/packages/core/src/gateway/call.ts
@@ -3,12 +3,15 @@
  *
  * @module
  */
-import type {
-  AttemptId,
-  EndpointId,
-  Instant,
-  RegionId,
-  ServiceId,
+import {
+  after,
+  type AttemptId,
+  type EndpointId,
+  type Instant,
+  type Milliseconds,
+  milliseconds,
+  type RegionId,
+  type ServiceId,
 } from "../ids/index.ts";
 import { type Customer, mayServeCustomer } from "../customers/index.ts";
 import type { Permit } from "../endpoint_terms/index.ts";
@@ -62,6 +65,8 @@
   /** Services of the route, starting with the one that was chosen by weight. */
   readonly services: readonly ServiceId[];
   readonly arrivedAt: Instant;
+  /** Time since the caller's first attempt when the request arrived, as far as it is known. */
+  readonly age: Milliseconds;
   /** When the caller's timeout or the route's ends the request, whichever is shorter. */
   readonly endsAt: Instant;
   readonly log = new AttemptLog();
@@ -96,11 +101,12 @@
 
   constructor(
     head: CallHead,
-    { route, customer, services, arrivedAt, endsAt }: {
+    { route, customer, services, arrivedAt, age, endsAt }: {
       route: Route;
       customer: Customer | undefined;
       services: readonly ServiceId[];
       arrivedAt: Instant;
+      age?: Milliseconds;
       endsAt: Instant;
     },
   ) {
@@ -109,6 +115,7 @@
     this.customer = customer;
     this.services = services;
     this.arrivedAt = arrivedAt;
+    this.age = age ?? milliseconds(0);
     this.endsAt = endsAt;
     this.position = new StreamPosition(head.lastEventId);
   }
@@ -143,8 +150,13 @@
     return this.head.target.split("?")[0]!.slice(0, MAX_PATH_LENGTH);
   }
 
+  /** When the caller made its first attempt, as far as that is known. */
+  get firstAttemptAt(): Instant {
+    return after(this.arrivedAt, -this.age);
+  }
+
   /** Whether the route's response time objective has passed. */
   isLate(now: Instant): boolean {
-    return now - this.arrivedAt > this.route.objective;
+    return now - this.firstAttemptAt > this.route.objective;
   }
 }
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -40,6 +40,10 @@
 } from "./messages.ts";
 import type { PlacementMeter } from "./placement_meter.ts";
 import type { QuarantineController } from "../quarantine/index.ts";
+import {
+  createDisabledAdmission,
+  type RegionCallAdmission,
+} from "./region_call_admission.ts";
 import type { RegionController } from "./region_controller.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 
@@ -68,6 +72,8 @@
   readonly entries: () => number;
   /** Number of live entries in the region, including this one. */
   readonly regionEntries: () => number;
+  /** Decisions by the state of the whole region, by default none. */
+  readonly regionAdmission?: RegionCallAdmission;
 }
 
 /** Owns all requests of this entry and handles the events that concern them. */
@@ -82,16 +88,21 @@
   #refusesNew = false;
   readonly #pending = new PendingCalls();
   readonly #admission: CallAdmission;
+  readonly #regionAdmission: RegionCallAdmission;
 
   constructor(deps: CallDependencies) {
     this.#deps = deps;
     this.#attempts = new CallAttempts(deps);
+    this.#regionAdmission = deps.regionAdmission ??
+      createDisabledAdmission(deps.regions);
     const forget = (call: Call): void => this.#forget(call);
     this.#outcomes = new CallOutcomes({
       emit: deps.emit,
       random: deps.random,
       forget,
       onNotRun: (call, now) => this.#admission.refund(call, now),
+      returnTime: (call, reason, now) =>
+        this.#regionAdmission.returnTime(call, reason, now),
     });
     this.#admission = new CallAdmission({
       ...deps,
@@ -102,6 +113,7 @@
       ...deps,
       attempts: this.#attempts,
       outcomes: this.#outcomes,
+      regionAdmission: this.#regionAdmission,
     };
     this.#placer = new CallPlacer(parts);
     this.#recovery = new CallRecovery({
@@ -177,6 +189,7 @@
       customer,
       services: orderServices(route.targets, position),
       arrivedAt,
+      age: this.#regionAdmission.ageOf(route, head),
       endsAt: after(arrivedAt, timeLimit),
     });
     this.#calls.set(head.id, call);
@@ -332,6 +345,8 @@
   /** Ends requests that have run out of time, and abandons endpoints that have gone silent. */
   tick(now: Instant): void {
     this.retryPending(now);
+    this.#regionAdmission.tick(now);
+    this.#placer.refuseHopeless(now);
     for (const call of [...this.#calls.values()]) {
       if (call.orphaned) {
         this.#endOrphan(call, now);
--- a/packages/core/src/gateway/call_outcomes.ts
+++ b/packages/core/src/gateway/call_outcomes.ts
@@ -32,29 +32,39 @@
  */
 const DEFAULT_RETRY_MS = 1_200;
 
+/** When the caller of a refused request is told to return, `undefined` where the region's state doesn't tell. */
+export type ReturnTime = (
+  call: Call,
+  reason: CallRefusalReason,
+  now: Instant,
+) => Milliseconds | undefined;
+
 /** Ends requests, and logs those that were served late or not at all. */
 export class CallOutcomes {
   readonly #emit: GatewayEmit;
   readonly #random: Randomness;
   readonly #forget: (call: Call) => void;
   readonly #onNotRun: (call: Call, now: Instant) => void;
+  readonly #returnTime: ReturnTime;
   /** Requests without a matching route. */
   readonly unrouted = new LogThrottle();
 
   constructor(
-    { emit, random, forget, onNotRun }: {
+    { emit, random, forget, onNotRun, returnTime }: {
       emit: GatewayEmit;
       random: Randomness;
       /** Called for a request that has not run and never will. */
       onNotRun: (call: Call, now: Instant) => void;
       /** Called for a request that is over. */
       forget: (call: Call) => void;
+      returnTime?: ReturnTime;
     },
   ) {
     this.#emit = emit;
     this.#random = random;
     this.#forget = forget;
     this.#onNotRun = onNotRun;
+    this.#returnTime = returnTime ?? (() => undefined);
   }
 
   /** Ends a request whose whole answer has been sent to the caller. */
@@ -100,7 +110,8 @@
     const refusal = createRefusal(reason, {
       verdict,
       offered: call.offered,
-      retryAfter: this.#retryAfter(reason, wait),
+      retryAfter: this.#returnTime(call, reason, now) ??
+        this.#retryAfter(reason, wait),
     });
     this.log("Request is refused.", call, {
       reason,
--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -27,6 +27,7 @@
   QuarantineController,
   RequestFingerprint,
 } from "../quarantine/index.ts";
+import type { RegionCallAdmission } from "./region_call_admission.ts";
 import type { RegionController } from "./region_controller.ts";
 
 /** A request with less time left than this is not sent any more. */
@@ -55,6 +56,8 @@
   readonly quarantine: QuarantineController;
   /** Number of entries in the region that carry requests, including this one. */
   readonly regionEntries: () => number;
+  /** Decisions by the state of the whole region. */
+  readonly regionAdmission: RegionCallAdmission;
 }
 
 /** Places each request, or queues it. */
@@ -74,8 +77,11 @@
     if (this.#checkQuarantine(call, now) !== "free") {
       return;
     }
-    const ahead = this.#queueAhead(call);
-    const decision = this.#deps.router.next(call, ahead, now);
+    const ahead = this.#queueAhead(call, now);
+    const decision = this.#nextFor(call, ahead, now);
+    if (call.attempts === 0 && decision.kind !== "peer") {
+      this.#deps.regionAdmission.noteArrival(call, now);
+    }
     if (decision.kind === "wait") {
       this.#enqueue(call, { decision, ahead, now });
     } else {
@@ -92,13 +98,14 @@
     // would cost more the longer the queue is, and slow the entry down when it has most to do.
     const blocked = new Set<string>();
     const { prefillFraction } = this.#deps.regions;
+    const { regionAdmission } = this.#deps;
     for (const call of this.queue.ordered(prefillFraction, now)) {
       if (this.#checkQuarantine(call, now) !== "free") {
         continue;
       }
       const { rank, services, head } = call;
       const kind = `${services[0]} ${rank} ${isShortPrompt(head.prompt)}`;
-      if (blocked.has(kind)) {
+      if (blocked.has(kind) || regionAdmission.leavesPlace(call, now)) {
         continue;
       }
       const ahead = { wait: now - call.arrivedAt, turns: 0 };
@@ -106,15 +113,28 @@
       if (decision.kind === "wait" && !isRestTooLong(decision)) {
         blocked.add(kind);
       } else if (decision.kind === "wait") {
-        this.queue.remove(call);
+        this.#takeOut(call, now);
         this.#refuseResting(call, { wait: decision.wait, now });
       } else {
-        this.queue.remove(call);
+        this.#takeOut(call, now);
         this.#dispatch(call, decision, now);
       }
     }
   }
 
+  /** Refuses waiting requests for which the region will have no place in time. */
+  refuseHopeless(now: Instant): void {
+    const { regionAdmission, regions, outcomes } = this.#deps;
+    if (this.queue.size === 0 || !regionAdmission.isReviewDue(now)) {
+      return;
+    }
+    const ordered = this.queue.ordered(regions.prefillFraction, now);
+    for (const call of regionAdmission.review(ordered, now)) {
+      this.queue.remove(call);
+      outcomes.fail(call, "overloaded", now);
+    }
+  }
+
   /** Whether a connected request may be written. It may have been held back since it was placed. */
   maySend(call: Call, now: Instant): boolean {
     const { kind } = this.#deps.quarantine.check(quarantineSubject(call), now);
@@ -130,8 +150,10 @@
   waitedTooLong(call: Call, now: Instant): boolean {
     const timeLimit = call.endsAt - call.arrivedAt;
     const mayRefuse = call.offered === 0 || call.awaitsTrial;
+    const limit = this.#deps.regionAdmission.longestWait(call) ??
+      waitLimit(timeLimit);
     return call.phase === "waiting" && mayRefuse &&
-      now - call.arrivedAt > waitLimit(timeLimit);
+      now - call.arrivedAt > limit;
   }
 
   /**
@@ -204,7 +226,12 @@
       ? Math.max(wait, ahead.wait)
       : wait + ahead.wait;
     const mayRefuse = call.offered === 0 || limited;
-    if (mayRefuse && expectedWait > waitLimit(call.endsAt - now)) {
+    const refused = mayRefuse &&
+      (limited ? undefined : this.#deps.regionAdmission.refuses(call, now));
+    if (
+      refused ??
+        (mayRefuse && expectedWait > waitLimit(call.endsAt - now))
+    ) {
       const cause = limited ? "endpoints_limited" : "overloaded";
       return this.#deps.outcomes.fail(
         call,
@@ -217,6 +244,22 @@
       call.phase = "waiting";
     }
     this.queue.add(call);
+    this.#deps.regionAdmission.noteQueued(call, 1, now);
+  }
+
+  /** Removes a request from the queue, which it leaves for a place or a refusal. */
+  #takeOut(call: Call, now: Instant): void {
+    this.queue.remove(call);
+    this.#deps.regionAdmission.noteQueued(call, -1, now);
+  }
+
+  /** Returns where a request goes next. One that is late leaves its place to those that wait elsewhere and aren't. */
+  #nextFor(call: Call, ahead: QueueAhead, now: Instant): RoutingDecision {
+    const decision = this.#deps.router.next(call, ahead, now);
+    return decision.kind === "endpoint" &&
+        this.#deps.regionAdmission.leavesPlace(call, now)
+      ? { kind: "wait", wait: milliseconds(1), reason: "busy" }
+      : decision;
   }
 
   #refuseResting(
@@ -226,12 +269,14 @@
     this.#deps.outcomes.fail(call, "endpoints_resting", now, wait);
   }
 
-  #queueAhead(call: Call): QueueAhead {
+  #queueAhead(call: Call, now: Instant): QueueAhead {
     const { services, rank } = call;
     // Entries of the region take turns, and each is assumed to have as much waiting as this one.
     const turns = (1 + this.queue.callsAhead(services[0]!, rank)) *
       this.#deps.regionEntries();
-    return { wait: this.#expectedWait(call), turns };
+    const wait = this.#deps.regionAdmission.expectedWait(call, now) ??
+      this.#expectedWait(call);
+    return { wait, turns };
   }
 
   /** Expected milliseconds until the prompts of queued requests that go first have been read. */
--- a/packages/core/src/gateway/call_queue.ts
+++ b/packages/core/src/gateway/call_queue.ts
@@ -28,6 +28,10 @@
     return this.#calls.size;
   }
 
+  has(call: Call): boolean {
+    return this.#calls.has(call.head.id);
+  }
+
   add(call: Call): void {
     this.#calls.set(call.head.id, call);
   }
@@ -127,13 +131,13 @@
 }
 
 /** Virtual time of a request before its customer's other requests are taken into account. */
-function virtualArrival({ arrivedAt, uncachedTokens }: Call): number {
-  return arrivedAt +
+function virtualArrival({ firstAttemptAt, uncachedTokens }: Call): number {
+  return firstAttemptAt +
     COST_WEIGHT * uncachedTokens / DEFAULT_PREFILL_TOKENS_PER_MS;
 }
 
 /** Milliseconds from sending to the first event if `prefillFraction` of the prompt has to be prefilled. */
-function startTime({ head }: Call, prefillFraction: number): number {
+export function startTime({ head }: Call, prefillFraction: number): number {
   return head.prompt === undefined
     ? 0
     : START_OVERHEAD_MS + prefillTimeMs(head.prompt, prefillFraction);
--- a/packages/core/src/gateway/endpoint_registry.ts
+++ b/packages/core/src/gateway/endpoint_registry.ts
@@ -29,6 +29,8 @@
  * full reports to other zones, plus a margin.
  */
 const REPORT_LIFETIME_MS = 2_200;
+/** Share of their time that engines are assumed to prefill while requests wait. */
+const ASSUMED_PREFILL_SHARE = 0.7;
 
 interface ReceivedReport {
   readonly report: WorkReport;
@@ -104,6 +106,20 @@
       this.backoffOf(state, now) === 0;
   }
 
+  /**
+   * Prompt tokens per millisecond that the region's engines prefill while they also make answers, `undefined` for plain
+   * endpoints, whose work can't be told beforehand.
+   */
+  assumedRate(service: ServiceId, now: Instant): number | undefined {
+    let rate = 0;
+    for (const state of this.ofService(service)) {
+      if (state.service?.engine !== undefined && this.accepts(state, now)) {
+        rate += state.prefillRate * ASSUMED_PREFILL_SHARE;
+      }
+    }
+    return rate === 0 ? undefined : rate;
+  }
+
   /** Time for which an endpoint has asked this entry to send no requests, 0 if it accepts them. */
   backoffOf({ record }: EndpointState, now: Instant): Milliseconds {
     return this.#backoffOf(record, now);
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -17,6 +17,7 @@
 } from "../ids/index.ts";
 import { StallAdjustedClock } from "../listening/index.ts";
 import { RegionOutlooks } from "../outlook/index.ts";
+import type { RegionAdmission } from "../overload/index.ts";
 import type { CatalogueSnapshot } from "../routes/index.ts";
 import { CallController } from "./call_controller.ts";
 import { CallRouter } from "./call_router.ts";
@@ -43,6 +44,7 @@
   GatewayIdentity,
 } from "./messages.ts";
 import { PlacementMeter } from "./placement_meter.ts";
+import { RegionCallAdmission } from "./region_call_admission.ts";
 import { RegionController } from "./region_controller.ts";
 import type { QuarantineController } from "../quarantine/index.ts";
 import { createQuarantine } from "./create_quarantine.ts";
@@ -98,6 +100,7 @@
   /** Outlooks of other regions. */
   readonly outlooks: RegionOutlooks;
   readonly #demandReporter: DemandReporter;
+  readonly #regionAdmission: RegionCallAdmission;
   #bounds: GatewayBounds;
   #effects: GatewayEffect[] = [];
   #lastEventAt: Instant;
@@ -213,6 +216,14 @@
       terms: this.endpointTerms,
       random,
     });
+    const regionEntries = () => 1 + this.#endpoints.busyPeerCount();
+    this.#regionAdmission = new RegionCallAdmission({
+      isOn: () => this.features.isOn("regionAdmission"),
+      demand: this.demand,
+      regionEntries,
+      regions: this.#regions,
+      assumedRate: (service, at) => this.#endpoints.assumedRate(service, at),
+    });
     this.#calls = new CallController({
       emit,
       random,
@@ -229,7 +240,8 @@
       keyLifetime: () => this.#keyLifetime(),
       clock: this.#clock,
       entries: () => this.fleet.possiblyLiveMembers().length + 1,
-      regionEntries: () => 1 + this.#endpoints.busyPeerCount(),
+      regionEntries,
+      regionAdmission: this.#regionAdmission,
     });
     this.#workReporter = new WorkReporter({
       self,
@@ -297,6 +309,11 @@
     return this.#quarantine;
   }
 
+  /** Decisions about requests by the state of the whole region. */
+  get regionAdmission(): RegionAdmission {
+    return this.#regionAdmission.region;
+  }
+
   get calls(): CallController {
     return this.#calls;
   }
--- /dev/null
+++ b/packages/core/src/gateway/region_call_admission.ts
@@ -0,0 +1,189 @@
+/**
+ * Applies decisions by the state of the whole region to the requests of this entry.
+ *
+ * @module
+ */
+import { NO_DEMAND } from "../demand/index.ts";
+import {
+  after,
+  type Instant,
+  instant,
+  type Milliseconds,
+  milliseconds,
+  type ServiceId,
+} from "../ids/index.ts";
+import {
+  type AdmissionRequest,
+  RegionAdmission,
+  type RegionAdmissionSources,
+  StatedTimes,
+} from "../overload/index.ts";
+import type { Route } from "../routes/index.ts";
+import type { Call } from "./call.ts";
+import { startTime } from "./call_queue.ts";
+import type { CallHead, CallRefusalReason } from "./messages.ts";
+import type { RegionController } from "./region_controller.ts";
+
+/** Time between two reviews of the queue. Estimates change with the reports of other entries, which are rarer. */
+const REVIEW_PERIOD_MS = 100;
+/** Share of its time for which a request is held at the most, also if its place seems near. */
+const MAX_HOLD_SHARE = 0.6;
+/**
+ * Age from which a request counts as that of a caller that has returned. A first attempt may have taken as long to
+ * connect, and one that another region passed on has crossed between regions.
+ */
+const MIN_RETURN_AGE_MS = 60;
+const RELAY_AGE_MS = 300;
+
+/** Dependencies of `RegionCallAdmission`. */
+export interface RegionCallAdmissionSources extends RegionAdmissionSources {
+  readonly regions: Pick<RegionController, "prefillFraction">;
+}
+
+/** Decides for requests by what waits in the whole region. Decides nothing while the feature is off. */
+export class RegionCallAdmission {
+  readonly region: RegionAdmission;
+  readonly #sources: RegionCallAdmissionSources;
+  readonly #statedTimes = new StatedTimes();
+  #nextReviewAt = instant(0);
+
+  constructor(sources: RegionCallAdmissionSources) {
+    this.#sources = sources;
+    this.region = new RegionAdmission(sources);
+  }
+
+  /** Time since the first attempt of a new request's caller, 0 where it is not known. */
+  ageOf({ name }: Route, { timeLeft, relay }: CallHead): Milliseconds {
+    if (!this.region.isOn) {
+      return milliseconds(0);
+    }
+    const age = this.#statedTimes.ageOf(name, timeLeft) ?? milliseconds(0);
+    if (relay === undefined) {
+      this.#statedTimes.record(name, timeLeft);
+    }
+    return age;
+  }
+
+  noteArrival(call: Call, now: Instant): void {
+    if (this.region.isOn) {
+      this.region.noteArrival(this.#requestOf(call, now), now);
+    }
+  }
+
+  /** Counts a request that was added to the queue (1) or left it (-1). */
+  noteQueued(call: Call, sign: 1 | -1, now: Instant): void {
+    if (this.region.isOn) {
+      this.region.noteQueue(this.#requestOf(call, now), sign);
+    }
+  }
+
+  /** Whether a new request without a place is refused, `undefined` where the region's state is not known. */
+  refuses(call: Call, now: Instant): boolean | undefined {
+    return this.region.isInformed
+      ? this.region.refuses(this.#requestOf(call, now), now)
+      : undefined;
+  }
+
+  /** Expected wait of a new request, `undefined` where it is not known. */
+  expectedWait(call: Call, now: Instant): Milliseconds | undefined {
+    return this.region.isInformed
+      ? this.region.expectedWait(this.#requestOf(call, now), now)
+      : undefined;
+  }
+
+  /** Whether a late request leaves its place to one that waits at another entry. */
+  leavesPlace(call: Call, now: Instant): boolean {
+    return this.region.isInformed &&
+      this.region.leavesPlace(this.#requestOf(call, now), now);
+  }
+
+  /** Longest time for which a request is held, `undefined` where the region's state is not known. */
+  longestWait({ endsAt, arrivedAt, awaitsTrial }: Call): number | undefined {
+    return this.region.isInformed && !awaitsTrial
+      ? (endsAt - arrivedAt) * MAX_HOLD_SHARE
+      : undefined;
+  }
+
+  isReviewDue(now: Instant): boolean {
+    if (now < this.#nextReviewAt || !this.region.isInformed) {
+      return false;
+    }
+    this.#nextReviewAt = after(now, REVIEW_PERIOD_MS);
+    return true;
+  }
+
+  /** Returns the waiting requests that will get no place in time. `ordered` is in the order of service. */
+  review(ordered: readonly Call[], now: Instant): Call[] {
+    const requests = ordered.map((call) => this.#requestOf(call, now));
+    const units = new Map<string, number>();
+    for (const request of requests) {
+      const group = groupOf(request);
+      units.set(group, (units.get(group) ?? 0) + 1 + request.tokens);
+    }
+    const before = new Map<string, number>();
+    return ordered.filter((call, index) => {
+      const request = requests[index]!;
+      const group = groupOf(request);
+      const first = before.get(group) ?? 0;
+      const share = first / units.get(group)!;
+      const hopeless = call.offered === 0 && !call.awaitsTrial &&
+        this.region.isHopeless(request, share, now) === true;
+      if (hopeless) {
+        this.region.countHopeless(request);
+        return true;
+      }
+      before.set(group, first + 1 + request.tokens);
+      return false;
+    });
+  }
+
+  /** When the caller of a refused request is told to return, `undefined` where the region's state doesn't tell. */
+  returnTime(
+    call: Call,
+    reason: CallRefusalReason,
+    now: Instant,
+  ): Milliseconds | undefined {
+    return reason === "overloaded" && this.region.isInformed
+      ? this.region.bookReturn(this.#requestOf(call, now), now)
+      : undefined;
+  }
+
+  tick(now: Instant): void {
+    this.region.tick(now);
+  }
+
+  #requestOf(call: Call, now: Instant): AdmissionRequest {
+    const { regions } = this.#sources;
+    const { route, age, head } = call;
+    const minAge = MIN_RETURN_AGE_MS +
+      (head.relay === undefined ? 0 : RELAY_AGE_MS);
+    return {
+      service: call.services[0] as ServiceId,
+      rank: call.rank,
+      tokens: call.uncachedTokens,
+      timeUntilLate: call.firstAttemptAt + route.objective -
+        startTime(call, regions.prefillFraction) - now,
+      timeLeft: call.endsAt - now,
+      returned: age >= minAge,
+    };
+  }
+}
+
+/** Creates an admission that decides nothing. */
+export function createDisabledAdmission(
+  regions: RegionCallAdmissionSources["regions"],
+): RegionCallAdmission {
+  return new RegionCallAdmission({
+    isOn: () => false,
+    demand: { own: NO_DEMAND, reports: () => [], entries: 1 },
+    regionEntries: () => 1,
+    assumedRate: () => undefined,
+    regions,
+  });
+}
+
+function groupOf(
+  { service, rank, timeUntilLate }: AdmissionRequest,
+): string {
+  return `${service} ${rank} ${timeUntilLate < 0}`;
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,6 +22,7 @@
 export * from "./messages/index.ts";
 export * from "./metrics/index.ts";
 export * from "./outlook/index.ts";
+export * from "./overload/index.ts";
 export * from "./pace/index.ts";
 export * from "./placement/index.ts";
 export * from "./quarantine/index.ts";
