feat: late requests leave places to those on time, and wait as fillers below full demand (unfinished)

Cause: refusals by the region's queues alone left engines idle where demand is just above what they take.

--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -150,7 +150,7 @@
   waitedTooLong(call: Call, now: Instant): boolean {
     const timeLimit = call.endsAt - call.arrivedAt;
     const mayRefuse = call.offered === 0 || call.awaitsTrial;
-    const limit = this.#deps.regionAdmission.longestWait(call) ??
+    const limit = this.#deps.regionAdmission.longestWait(call, now) ??
       waitLimit(timeLimit);
     return call.phase === "waiting" && mayRefuse &&
       now - call.arrivedAt > limit;
--- a/packages/core/src/gateway/region_call_admission.ts
+++ b/packages/core/src/gateway/region_call_admission.ts
@@ -97,10 +97,17 @@
       this.region.leavesPlace(this.#requestOf(call, now), now);
   }
 
-  /** Longest time for which a request is held, `undefined` where the region's state is not known. */
-  longestWait({ endsAt, arrivedAt, awaitsTrial }: Call): number | undefined {
-    return this.region.isInformed && !awaitsTrial
-      ? (endsAt - arrivedAt) * MAX_HOLD_SHARE
+  /**
+   * Longest time for which a request is held, `undefined` where its entry decides as it does without knowledge of
+   * the region. Requests that can still be on time, and those of callers that were refused before, are held longer.
+   */
+  longestWait(call: Call, now: Instant): number | undefined {
+    if (!this.region.isInformed || call.awaitsTrial) {
+      return undefined;
+    }
+    const { timeUntilLate, returned } = this.#requestOf(call, now);
+    return timeUntilLate > 0 || returned
+      ? (call.endsAt - call.arrivedAt) * MAX_HOLD_SHARE
       : undefined;
   }
 
--- a/packages/core/src/overload/admission_decision.ts
+++ b/packages/core/src/overload/admission_decision.ts
@@ -6,14 +6,14 @@
 import type { Milliseconds } from "../ids/index.ts";
 
 /**
- * Share of the time in which a request can still be on time that it may expect to wait. The rest is for what the
- * estimate doesn't know: a queue that just fits makes every request late at the first disturbance.
+ * Factor by which the expected wait has to exceed the time in which a request can still be on time before a request
+ * that waits counts as hopeless. Estimates are rough, and a place may come free elsewhere.
  */
-const MAX_ON_TIME_SHARE = 0.7;
-/** Share by which the expected wait has to exceed that time before a request that waits already counts as hopeless. */
-const HOPELESS_FACTOR = 1.2;
-/** Share of its remaining time that a late request may expect to wait, and one whose caller has returned. */
-const MAX_LATE_SHARE = 0.3;
+const HOPELESS_FACTOR = 1.5;
+/** Longest expected wait of a late request, as a share of its remaining time and in milliseconds. */
+const MAX_LATE_SHARE = 0.4;
+const MAX_LATE_WAIT_MS = 2_500;
+/** The same share for a caller that has returned: refused twice, it has waited for nothing. */
 const MAX_RETURNED_LATE_SHARE = 0.5;
 
 /** What is known about a request, and the region's state from its point of view. */
@@ -31,8 +31,7 @@
 
 /** Whether a new request waits: on time, or behind all others. */
 export function mayWait(facts: AdmissionFacts): boolean {
-  return facts.waitOnTime <= facts.timeUntilLate * MAX_ON_TIME_SHARE ||
-    hasLateRoom(facts);
+  return facts.waitOnTime <= facts.timeUntilLate || hasLateRoom(facts);
 }
 
 /** Whether a request that has waited for some time gets no place any more that is worth the wait. */
@@ -42,15 +41,17 @@
   return !canBeOnTime && !hasLateRoom(facts);
 }
 
-/** Whether room for late requests shows in good time. A caller that is refused twice has waited for nothing. */
+/** Whether room for late requests shows in good time. */
 function hasLateRoom(
   { waitLate, timeLeft, returned }: AdmissionFacts,
 ): boolean {
-  const share = returned ? MAX_RETURNED_LATE_SHARE : MAX_LATE_SHARE;
-  return waitLate <= timeLeft * share;
+  const limit = returned
+    ? timeLeft * MAX_RETURNED_LATE_SHARE
+    : Math.min(MAX_LATE_WAIT_MS, timeLeft * MAX_LATE_SHARE);
+  return waitLate <= limit;
 }
 
 /** Expected wait behind `ahead` units where what goes first leaves `rate` units per millisecond. */
 export function waitBehind(ahead: number, rate: number): Milliseconds {
-  return (ahead <= 0 ? 0 : rate <= 0 ? Infinity : ahead / rate) as Milliseconds;
+  return (rate <= 0 ? Infinity : ahead / rate) as Milliseconds;
 }
--- a/packages/core/src/overload/region_admission.ts
+++ b/packages/core/src/overload/region_admission.ts
@@ -35,6 +35,11 @@
 const SUMS_LIFETIME_MS = 50;
 /** Least share of the region's rate that is assumed to be left by more urgent requests that can be on time. */
 const MIN_FREE_SHARE = 0.1;
+/**
+ * Work that can be on time, as a multiple of what the region places, from which late requests get no places. Below it
+ * they fill the gaps that other entries leave.
+ */
+const FULL_DEMAND = 1.2;
 /** Ranks are small numbers. Larger ones share one measurement. */
 const MAX_RANK = 9;
 
@@ -212,19 +217,17 @@
   }
 
   /**
-   * Whether a request leaves the place that it could have to another one: it is late, and one that can be on time and
-   * is no less urgent waits at another entry.
+   * Whether a request leaves the place that it could have to another one: it is late, and one that can be on time
+   * waits at another entry.
    */
-  leavesPlace(
-    { service, rank, timeUntilLate }: AdmissionRequest,
-    now: Instant,
-  ): boolean {
-    if (!this.isOn || timeUntilLate >= 0) {
+  leavesPlace(request: AdmissionRequest, now: Instant): boolean {
+    if (!this.isOn || request.timeUntilLate >= 0) {
       return false;
     }
-    this.#waiting(now);
-    const position = { service, rank, late: false };
-    return this.#peerSums.before(position) + this.#peerSums.at(position) > 0;
+    const { service } = request;
+    const waiting = this.#waiting(now);
+    return this.#peerSums.before({ service, rank: 0, late: true }) > 0 ||
+      waiting.has(service) && this.#ratesOf(request, now)?.late === 0;
   }
 
   /** Expected wait of a new request, `undefined` where it is not known. */
@@ -256,6 +259,7 @@
     return this.#stateOf(service).returns.book({
       rank,
       units: unitsOf({ requests: 1, tokens }),
+      timeUntilLate: request.timeUntilLate,
       roomIn: waitOf(facts, request),
       rate: rate / this.#entries,
       timeLeft,
@@ -284,20 +288,21 @@
       return undefined;
     }
     const { returns } = this.#stateOf(service);
-    // Those that come back don't wait behind callers who came after them.
-    const expected = returned ? 0 : this.#entries *
-      returns.unitsBefore(rank, after(now, Math.max(0, timeUntilLate)));
-    const ahead = (late: boolean): number => {
+    const waitAt = (late: boolean, rate: number): number => {
       const position = { service, rank, late };
+      // Those that come back don't wait behind callers who came after them.
       const same = returned && ownShare === 1 ? 0 : waiting.at(position);
-      return rates.scale *
-          (waiting.before(position) + ownShare * same) + expected;
+      const ahead = rates.scale *
+        (waiting.before(position) + ownShare * same);
+      const wait = waitBehind(ahead, rate);
+      const expected = returned
+        ? 0
+        : this.#entries * returns.unitsBefore(position, after(now, wait));
+      return waitBehind(ahead + expected, rate);
     };
     return {
-      waitOnTime: waitBehind(ahead(false), rates.onTime),
-      waitLate: rates.late <= 0
-        ? Infinity
-        : waitBehind(ahead(true), rates.late),
+      waitOnTime: waitAt(false, rates.onTime),
+      waitLate: waitAt(true, rates.late),
       timeUntilLate,
       timeLeft,
       returned,
@@ -327,10 +332,12 @@
         0,
       );
     const floor = total * MIN_FREE_SHARE;
-    const late = total - taken(MAX_RANK + 1);
+    const demanded = taken(MAX_RANK + 1);
     return {
       onTime: Math.max(floor, total - taken(Math.min(rank, MAX_RANK))),
-      late: late < floor ? 0 : late,
+      late: demanded > total * FULL_DEMAND
+        ? 0
+        : Math.max(floor, total - demanded),
       scale,
     };
   }
--- a/packages/core/src/overload/return_schedule.ts
+++ b/packages/core/src/overload/return_schedule.ts
@@ -23,6 +23,8 @@
 export interface ReturnRequest {
   readonly rank: number;
   readonly units: number;
+  /** Time until the request has to be sent to be on time. */
+  readonly timeUntilLate: number;
   /** Time until the room ahead of it frees up. */
   readonly roomIn: number;
   /** This entry's part of the region's free rate for the rank, in units per millisecond. */
@@ -34,26 +36,30 @@
   readonly rank: number;
   readonly units: number;
   readonly dueAt: Instant;
+  /** Whether the request will be late when it returns, so that it goes behind all that can be on time. */
+  readonly late: boolean;
 }
 
 /** The returns to one service that this entry has told. */
 export class ReturnSchedule {
   #bookings: Booking[] = [];
-  /** When the room after the last booked return of a rank begins. */
-  readonly #freeAt = new Map<number, Instant>();
+  /** When the room after the last booked return begins, by rank and lateness. */
+  readonly #freeAt = new Map<string, Instant>();
 
   /** Returns the time to tell, and books the return if its caller will honour that time. */
   book(
-    { rank, units, roomIn, rate, timeLeft }: ReturnRequest,
+    { rank, units, timeUntilLate, roomIn, rate, timeLeft }: ReturnRequest,
     now: Instant,
   ): Milliseconds {
-    const freeIn = Math.max(roomIn, (this.#freeAt.get(rank) ?? now) - now);
+    const late = roomIn > timeUntilLate;
+    const key = `${rank} ${late}`;
+    const freeIn = Math.max(roomIn, (this.#freeAt.get(key) ?? now) - now);
     const told = Math.min(MAX_RETURN_MS, Math.max(MIN_RETURN_MS, freeIn));
     if (told <= timeLeft * MAX_HONOURED_SHARE && rate > 0) {
       const dueAt = after(now, told);
-      this.#bookings.push({ rank, units, dueAt });
+      this.#bookings.push({ rank, units, dueAt, late });
       this.#freeAt.set(
-        rank,
+        key,
         after(dueAt, Math.min(MAX_RETURN_MS, units / rate)),
       );
     }
@@ -68,15 +74,15 @@
     }
   }
 
-  /** Work of returns that are due before `until` and go before a new request of a rank. */
-  unitsBefore(rank: number, until: Instant): number {
-    return this.#bookings.reduce(
-      (sum, booking) =>
-        booking.rank <= rank && booking.dueAt <= until
-          ? sum + booking.units
-          : sum,
-      0,
-    );
+  /** Work of returns that are due before `until` and go before a new request. */
+  unitsBefore(
+    { rank, late }: { rank: number; late: boolean },
+    until: Instant,
+  ): number {
+    return this.#bookings.reduce((sum, booking) => {
+      const goesBefore = booking.late === late ? booking.rank <= rank : late;
+      return goesBefore && booking.dueAt <= until ? sum + booking.units : sum;
+    }, 0);
   }
 
   /** Number of returns that are expected. */
--- a/playground/src/load/load_run.ts
+++ b/playground/src/load/load_run.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { SeededRandomness } from "@sassafrasstep/core";
+import { type FeatureSettings, SeededRandomness } from "@sassafrasstep/core";
 import { act, type RouteStage } from "../routes/route_actions.ts";
 import { recordOf, setUp } from "../routes/route_setting.ts";
 import { RouteWorld } from "../routes/route_world.ts";
@@ -65,6 +65,8 @@
 export interface LoadOptions {
   readonly seed: number;
   readonly loadSetting: (name: string) => string;
+  /** Settings of optional decisions; `auto` unless given. */
+  readonly features?: Partial<FeatureSettings>;
 }
 
 /** The state of a running load. */
@@ -80,10 +82,11 @@
 /** Runs a load until the requests that it sent have ended. */
 export function runLoad(
   text: string,
-  { seed, loadSetting }: LoadOptions,
+  { seed, loadSetting, features }: LoadOptions,
 ): LoadResult {
   const script = parseScript(text);
   const world = new RouteWorld(seed);
+  world.features = { ...world.features, ...features };
   const outcomes: LoadOutcome[] = [];
   const state: LoadState = {
     world,
--- a/playground/src/load/main.ts
+++ b/playground/src/load/main.ts
@@ -1,9 +1,14 @@
 /**
- * Runs loads and prints their summaries: `npm run load -- CASE... [--seeds N] [--json]`.
+ * Runs loads and prints their summaries: `npm run load -- CASE... [--seeds N] [--on A,B] [--off A,B] [--json]`.
  *
  * @module
  */
 import { readFileSync } from "node:fs";
+import {
+  FEATURE_NAMES,
+  type FeatureName,
+  type FeatureSetting,
+} from "@sassafrasstep/core";
 import meow from "meow";
 import { type LoadReport, reportLoad, runLoad } from "./index.ts";
 
@@ -16,22 +21,31 @@
 
   Options
     --seeds N  number of seeds for traffic and entries, default 4
+    --on A,B   optional decisions that are in use in any case
+    --off A,B  optional decisions that are not in use
     --json     print JSON
 `,
   {
     importMeta: import.meta,
     flags: {
       seeds: { type: "number", default: 4 },
+      on: { type: "string", default: "" },
+      off: { type: "string", default: "" },
       json: { type: "boolean", default: false },
     },
   },
 );
 
+const features = {
+  ...featuresOf(cli.flags.on, "on"),
+  ...featuresOf(cli.flags.off, "off"),
+};
+
 for (const name of cli.input) {
   const text = readFileSync(new URL(`${name}.load`, FOLDER), "utf8");
   const reports: LoadReport[] = [];
   for (let seed = 1; seed <= cli.flags.seeds; seed++) {
-    reports.push(reportLoad(runLoad(text, { seed, loadSetting })));
+    reports.push(reportLoad(runLoad(text, { seed, loadSetting, features })));
   }
   console.log(
     cli.flags.json
@@ -44,6 +58,22 @@
   return readFileSync(new URL(`${name}.setting`, FOLDER), "utf8");
 }
 
+function featuresOf(
+  list: string,
+  setting: FeatureSetting,
+): Partial<Record<FeatureName, FeatureSetting>> {
+  const names = list.split(",").filter((name) => name !== "");
+  const unknown = names.find((name) =>
+    !FEATURE_NAMES.some((feature) => feature === name)
+  );
+  if (unknown !== undefined) {
+    throw new Error(
+      `Unknown feature "${unknown}": use ${FEATURE_NAMES.join(", ")}`,
+    );
+  }
+  return Object.fromEntries(names.map((name) => [name, setting]));
+}
+
 function describe(name: string, reports: readonly LoadReport[]): string {
   const mean = (metric: (report: LoadReport) => number): string =>
     (reports.reduce((sum, report) => sum + metric(report), 0) / reports.length)
--- a/playground/src/routes/route_world.ts
+++ b/playground/src/routes/route_world.ts
@@ -9,6 +9,7 @@
   type CallId,
   type ContentDigest,
   type EntryId,
+  type FeatureSettings,
   type GatewayBounds,
   type GatewayIdentity,
   instant,
@@ -60,6 +61,8 @@
   startOfScript = 0;
   /** Fraction of datagrams that is lost. */
   datagramLossRate = 0;
+  /** The optional decisions of entries that start from now on. */
+  features: FeatureSettings = AUTOMATIC_FEATURES;
   readonly #seed: number;
   readonly #eventCounts = new Map<string, number>();
   readonly #bodies = new Map<string, string>();
@@ -186,7 +189,7 @@
       peerAddress: `${name}:90`,
       weight: 1,
       seeds: [...this.entries.keys()].slice(0, 2).map((seed) => `${seed}:90`),
-      features: AUTOMATIC_FEATURES,
+      features: this.features,
       regionByZone: new Map(
         [...this.spots.values()].map((
           { zone, region },
