--- a/playground/src/load/load_caller.ts
+++ b/playground/src/load/load_caller.ts
@@ -38,6 +38,9 @@
   readonly name: string;
   readonly startedAt: number;
   readonly number: number;
+  /** When this attempt began, and for how long earlier ones were held before they were refused. */
+  readonly attemptAt: number;
+  readonly heldMs: number;
 }
 
 /** The result of an attempt. */
@@ -86,6 +89,8 @@
       name,
       startedAt: this.#world.time.now,
       number: 1,
+      attemptAt: this.#world.time.now,
+      heldMs: 0,
     });
   }
 
@@ -106,7 +111,9 @@
     { end, retryAfter, firstEventMs }: AttemptResult,
   ): void {
     if (end === "refused") {
-      return this.#retryOnce(attempt, { waitMs: retryAfter ?? 0, end });
+      const heldMs = attempt.heldMs + this.#world.time.now - attempt.attemptAt;
+      const refused = { ...attempt, heldMs };
+      return this.#retryOnce(refused, { waitMs: retryAfter ?? 0, end });
     }
     this.#finish(attempt, end, firstEventMs);
   }
@@ -124,12 +131,17 @@
     this.#listExpiresAt = 0;
     time.after(
       Math.min(waitMs, leftMs * MAX_RETRY_WAIT_SHARE),
-      () => this.#startAttempt({ ...attempt, number: attempt.number + 1 }),
+      () =>
+        this.#startAttempt({
+          ...attempt,
+          number: attempt.number + 1,
+          attemptAt: time.now,
+        }),
     );
   }
 
   #finish(
-    { drawn, startedAt, number }: Attempt,
+    { drawn, startedAt, number, heldMs }: Attempt,
     end: RequestEnd,
     firstEventMs?: number,
   ): void {
@@ -143,6 +155,7 @@
       earnedValue: end === "on_time" ? value : end === "late" ? lateValue : 0,
       end,
       attempts: number,
+      heldMs,
       firstEventMs,
     });
   }
--- a/playground/src/load/load_report.ts
+++ b/playground/src/load/load_report.ts
@@ -24,6 +24,8 @@
   /** Time to the first event, median and 95th percentile, in milliseconds. */
   readonly firstMedian: number;
   readonly firstP95: number;
+  /** Mean time for which requests that ended refused were held at entries, in milliseconds. */
+  readonly heldMean: number;
 }
 
 /** The summary of one run, in total and by kind and region. */
@@ -83,9 +85,16 @@
     ) as Record<RequestEnd, number>,
     firstMedian: quantile(outcomes, 0.5),
     firstP95: quantile(outcomes, 0.95),
+    heldMean: meanHeld(outcomes),
   };
 }
 
+function meanHeld(outcomes: readonly LoadOutcome[]): number {
+  const refused = outcomes.filter(({ end }) => end === "refused");
+  const held = refused.reduce((sum, { heldMs }) => sum + heldMs, 0);
+  return Math.round(held / Math.max(1, refused.length));
+}
+
 function quantile(outcomes: readonly LoadOutcome[], share: number): number {
   const times = outcomes.flatMap(({ firstEventMs }) => firstEventMs ?? [])
     .sort((left, right) => left - right);
--- a/playground/src/load/load_types.ts
+++ b/playground/src/load/load_types.ts
@@ -51,6 +51,8 @@
   readonly earnedValue: number;
   readonly end: RequestEnd;
   readonly attempts: number;
+  /** Time for which attempts were held that ended with a refusal, in milliseconds. */
+  readonly heldMs: number;
   /** Time from the first attempt to the first event, in milliseconds; `undefined` without an event. */
   readonly firstEventMs: number | undefined;
 }
--- a/playground/src/load/main.ts
+++ b/playground/src/load/main.ts
@@ -94,7 +94,9 @@
         }`;
       const first = `first event ${
         mean(({ kinds }) => kinds[kind]!.firstMedian)
-      }, 95th ${mean(({ kinds }) => kinds[kind]!.firstP95)} ms`;
+      }, 95th ${mean(({ kinds }) => kinds[kind]!.firstP95)} ms, held ${
+        mean(({ kinds }) => kinds[kind]!.heldMean)
+      } ms if refused`;
       return `  ${kind.padEnd(8)} earned ${
         mean(({ kinds }) => kinds[kind]!.earned)
       }, ${formatShare("on_time")}, ${formatShare("late")}, ${
