--- a/packages/core/src/gateway/local_placement.ts
+++ b/packages/core/src/gateway/local_placement.ts
@@ -11,6 +11,7 @@
   type Instant,
   type Milliseconds,
   milliseconds,
+  type RegionId,
 } from "../ids/index.ts";
 import type { Call } from "./call.ts";
 import type { ColdAllowance } from "./cold_allowance.ts";
@@ -76,14 +77,21 @@
 /** Finds places for requests in this region. */
 export class LocalPlacement {
   readonly #sources: LocalPlacementSources;
+  readonly #biases = new WeakMap<EndpointState, number>();
 
   constructor(sources: LocalPlacementSources) {
     this.#sources = sources;
   }
 
-  readonly #biasOf = ({ record }: EndpointState): number => {
-    const { incarnation } = this.#sources.self;
-    return MAX_BIAS_MS * hash32(`${incarnation} ${record.id}`) / UINT32_RANGE;
+  readonly #biasOf = (state: EndpointState): number => {
+    let bias = this.#biases.get(state);
+    if (bias === undefined) {
+      const { incarnation } = this.#sources.self;
+      const hash = hash32(`${incarnation} ${state.record.id}`);
+      bias = MAX_BIAS_MS * hash / UINT32_RANGE;
+      this.#biases.set(state, bias);
+    }
+    return bias;
   };
 
   /** Finds the best place for a request, or the reason why it has to wait. */
@@ -95,10 +103,15 @@
     const { prompt } = call.head;
     let busy: LocalPlace = { kind: "none" };
     for (const service of call.services) {
-      const usable = endpoints.ofService(service).filter((state) =>
-        endpoints.accepts(state, now) && this.allowsWhileCold(state, now) &&
-        !call.avoidedVersions.has(state.record.softwareVersion)
-      );
+      const usable: EndpointState[] = [];
+      for (const state of endpoints.ofService(service)) {
+        if (
+          endpoints.accepts(state, now) && this.allowsWhileCold(state, now) &&
+          !call.avoidedVersions.has(state.record.softwareVersion)
+        ) {
+          usable.push(state);
+        }
+      }
       const untriedStates = untried(call, usable);
       const holder = findPrefixHolder(prompt, usable);
       call.uncachedTokens = (prompt?.promptTokens ?? 0) - (holder?.tokens ?? 0);
@@ -176,23 +189,21 @@
     if (!state.isCold(now)) {
       return true;
     }
-    const { self, cold } = this.#sources;
+    const { self, fleet, cold } = this.#sources;
     return cold.allows(state, {
       self: self.incarnation,
-      candidates: this.#minimumServing(),
+      // A standby entry would have no requests for a cold endpoint that it is responsible for.
+      candidates: fleet.derive(minimumServingIncarnations, self.region),
     }, now);
   }
+}
 
-  /**
-   * Entries of the region that serve callers at any load, chosen from all that may be alive. A standby
-   * entry would have no requests for a cold endpoint that it is responsible for.
-   */
-  #minimumServing(): Incarnation[] {
-    const { self, fleet } = this.#sources;
-    return minimumServingOf(self.region, fleet).map(({ incarnation }) =>
-      incarnation
-    );
-  }
+/** Entries of a region that serve callers at any load, chosen from all that may be alive. */
+function minimumServingIncarnations(
+  region: RegionId,
+  fleet: FleetController,
+): readonly Incarnation[] {
+  return minimumServingOf(region, fleet).map(({ incarnation }) => incarnation);
 }
 
 /**
@@ -204,6 +215,9 @@
   { triedEndpoints, unreachedEndpoints }: Call,
   states: readonly EndpointState[],
 ): readonly EndpointState[] {
+  if (triedEndpoints.size === 0) {
+    return states;
+  }
   const untriedStates = states.filter(({ record }) =>
     !triedEndpoints.has(record.id)
   );
