--- a/packages/core/src/overload/region_admission.ts
+++ b/packages/core/src/overload/region_admission.ts
@@ -39,7 +39,7 @@
  * Work that can be on time, as a multiple of what the region places, from which late requests get no places. Below it
  * they fill the gaps that other entries leave.
  */
-const FULL_DEMAND = 1.5;
+const FULL_DEMAND = 1.0;
 /** Least share of the region's rate that late requests are assumed to get below full demand. */
 const MIN_LATE_SHARE = 0.3;
 /** Ranks are small numbers. Larger ones share one measurement. */
