--- a/packages/core/src/overload/admission_decision.ts
+++ b/packages/core/src/overload/admission_decision.ts
@@ -10,9 +10,14 @@
  * that waits counts as hopeless. Estimates are rough, and a place may come free elsewhere.
  */
 const HOPELESS_FACTOR = 1.5;
-/** Longest expected wait of a late request, as a share of its remaining time and in milliseconds. */
+/**
+ * Longest expected wait of a request that will be late, as a share of its remaining time and in milliseconds. A caller
+ * that has not waited yet is better off with a time to return, for which room is kept, than with a long hold.
+ */
+const MAX_NEW_LATE_SHARE = 0.2;
+const MAX_NEW_LATE_MS = 1_000;
 const MAX_LATE_SHARE = 0.4;
-const MAX_LATE_WAIT_MS = 2_500;
+const MAX_LATE_MS = 2_500;
 /** The same share for a caller that has returned: refused twice, it has waited for nothing. */
 const MAX_RETURNED_LATE_SHARE = 0.5;
 
@@ -31,7 +36,10 @@
 
 /** Whether a new request waits: on time, or behind all others. */
 export function mayWait(facts: AdmissionFacts): boolean {
-  return facts.waitOnTime <= facts.timeUntilLate || hasLateRoom(facts);
+  const { waitOnTime, waitLate, timeUntilLate, timeLeft, returned } = facts;
+  return waitOnTime <= timeUntilLate ||
+    (returned ? hasLateRoom(facts) : waitLate <=
+      Math.min(MAX_NEW_LATE_MS, timeLeft * MAX_NEW_LATE_SHARE));
 }
 
 /** Whether a request that has waited for some time gets no place any more that is worth the wait. */
@@ -47,7 +55,7 @@
 ): boolean {
   const limit = returned
     ? timeLeft * MAX_RETURNED_LATE_SHARE
-    : Math.min(MAX_LATE_WAIT_MS, timeLeft * MAX_LATE_SHARE);
+    : Math.min(MAX_LATE_MS, timeLeft * MAX_LATE_SHARE);
   return waitLate <= limit;
 }
 
--- a/packages/core/src/overload/region_admission.ts
+++ b/packages/core/src/overload/region_admission.ts
@@ -80,6 +80,13 @@
   refusedAgain: number;
 }
 
+/** Units per millisecond that more urgent requests leave, and the factor by which reports are incomplete. */
+interface RankRates {
+  readonly onTime: number;
+  readonly late: number;
+  readonly scale: number;
+}
+
 interface ServiceState {
   readonly rate: RegionRate;
   /** New work that can be on time, by rank. */
@@ -150,7 +157,7 @@
       returns.expire(now);
       rate.observe({
         placed: placed.get(service) ?? 0,
-        contended: waiting.has(service),
+        waiting: waiting.unitsOf(service),
       }, now);
     }
   }
@@ -229,7 +236,8 @@
     const { service } = request;
     const waiting = this.#waiting(now);
     return this.#peerSums.before({ service, rank: 0, late: true }) > 0 ||
-      waiting.has(service) && this.#ratesOf(request, now)?.late === 0;
+      waiting.has(service) &&
+        this.#ratesOf({ ...request, returned: false }, now)?.late === 0;
   }
 
   /** Expected wait of a new request, `undefined` where it is not known. */
@@ -250,8 +258,8 @@
     now: Instant,
   ): Milliseconds | undefined {
     const waiting = this.#waiting(now);
-    const facts = this.#factsOf(request, { waiting, ownShare: 1, now });
     const rates = this.#ratesOf(request, now);
+    const facts = this.#factsOf(request, { waiting, ownShare: 1, rates, now });
     if (facts === undefined || rates === undefined) {
       return undefined;
     }
@@ -278,15 +286,15 @@
 
   #factsOf(
     request: AdmissionRequest,
-    { waiting, ownShare, now }: {
+    { waiting, ownShare, now, rates = this.#ratesOf(request, now) }: {
       waiting: WorkAhead;
       ownShare: number;
+      rates?: RankRates | undefined;
       now: Instant;
     },
   ): AdmissionFacts | undefined {
     const { service, rank, timeUntilLate, timeLeft, returned } = request;
-    const rates = this.isInformed ? this.#ratesOf(request, now) : undefined;
-    if (rates === undefined) {
+    if (!this.isInformed || rates === undefined) {
       return undefined;
     }
     const { returns } = this.#stateOf(service);
@@ -313,9 +321,9 @@
 
   /** What more urgent requests leave of the region's rate, to those that can be on time and to late ones. */
   #ratesOf(
-    { service, rank }: AdmissionRequest,
+    { service, rank, returned }: AdmissionRequest,
     now: Instant,
-  ): { onTime: number; late: number; scale: number } | undefined {
+  ): RankRates | undefined {
     const { demand, assumedRate } = this.#sources;
     const { rate, arrivals } = this.#stateOf(service);
     // Entries that report nothing place work too, and have as much waiting as the others.
@@ -337,7 +345,7 @@
     const demanded = taken(MAX_RANK + 1);
     return {
       onTime: Math.max(floor, total - taken(Math.min(rank, MAX_RANK))),
-      late: demanded > total * FULL_DEMAND
+      late: !returned && demanded > total * FULL_DEMAND
         ? 0
         : Math.max(total * MIN_LATE_SHARE, total - demanded),
       scale,
--- a/packages/core/src/overload/region_rate.ts
+++ b/packages/core/src/overload/region_rate.ts
@@ -12,6 +12,11 @@
  * entries report to each other only while requests wait.
  */
 const MIN_CONTENTION_MS = 1_000;
+/**
+ * Backlog from which endpoints count as fully used. While only a few requests wait here and there, what is placed is
+ * what comes.
+ */
+const MIN_BACKLOG_MS = 150;
 /** Age from which a rate no longer counts: endpoints have come and gone. */
 const LIFETIME_MS = 20_000;
 /** Rates below this cannot be told from a standstill. */
@@ -24,11 +29,13 @@
   #observedAt: Instant | undefined;
   #contendedSince: Instant | undefined;
 
-  /** Takes the work placed within the last second, and whether any waits. */
+  /** Takes the work that was placed within the last second, and the work that waits. */
   observe(
-    { placed, contended }: { placed: number; contended: boolean },
+    { placed, waiting }: { placed: number; waiting: number },
     now: Instant,
   ): void {
+    const contended = waiting > 0 &&
+      waiting >= (this.#rate ?? 0) * MIN_BACKLOG_MS;
     const elapsed = now - (this.#observedAt ?? now);
     this.#observedAt = now;
     if (!contended) {
--- a/packages/core/src/overload/waiting_work.ts
+++ b/packages/core/src/overload/waiting_work.ts
@@ -62,11 +62,15 @@
 
   /** Whether anything waits for a service. */
   has(service: ServiceId): boolean {
+    return this.unitsOf(service) > 0;
+  }
+
+  /** All work that waits for a service. */
+  unitsOf(service: ServiceId): number {
+    let units = 0;
     for (const group of this.#totals.values()) {
-      if (group.service === service && group.units > 0) {
-        return true;
-      }
+      units += group.service === service ? Math.max(0, group.units) : 0;
     }
-    return false;
+    return units;
   }
 }
