feat: gauges and a log line of a full region

Cause: an operator could not see whom a region refuses, nor who comes back. Change: five gauges, and one line of log in two seconds while requests are refused.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -222,6 +222,7 @@
       demand: this.demand,
       regionEntries,
       regions: this.#regions,
+      emit,
       assumedRate: (service, at) => this.#endpoints.assumedRate(service, at),
     });
     this.#calls = new CallController({
--- a/packages/core/src/gateway/region_call_admission.ts
+++ b/packages/core/src/gateway/region_call_admission.ts
@@ -13,6 +13,7 @@
   type ServiceId,
 } from "../ids/index.ts";
 import {
+  type AdmissionCounts,
   type AdmissionRequest,
   RegionAdmission,
   type RegionAdmissionSources,
@@ -21,11 +22,19 @@
 import type { Route } from "../routes/index.ts";
 import type { Call } from "./call.ts";
 import { startTime } from "./call_queue.ts";
-import type { CallHead, CallRefusalReason } from "./messages.ts";
+import type { CallHead, CallRefusalReason, GatewayEmit } from "./messages.ts";
 import type { RegionController } from "./region_controller.ts";
 
 /** Time between two reviews of the queue. Estimates change with the reports of other entries, which are rarer. */
 const REVIEW_PERIOD_MS = 100;
+/** Least time between two log lines about refusals. */
+const LOG_PERIOD_MS = 2_000;
+const NO_COUNTS: AdmissionCounts = {
+  refusedOnArrival: 0,
+  refusedWaiting: 0,
+  returned: 0,
+  refusedAgain: 0,
+};
 /** Share of its time for which a request is held at the most, also if its place seems near. */
 const MAX_HOLD_SHARE = 0.6;
 /**
@@ -38,6 +47,7 @@
 /** Dependencies of `RegionCallAdmission`. */
 export interface RegionCallAdmissionSources extends RegionAdmissionSources {
   readonly regions: Pick<RegionController, "prefillFraction">;
+  readonly emit: GatewayEmit;
 }
 
 /** Decides for requests by what waits in the whole region. Decides nothing while the feature is off. */
@@ -46,6 +56,8 @@
   readonly #sources: RegionCallAdmissionSources;
   readonly #statedTimes = new StatedTimes();
   #nextReviewAt = instant(0);
+  #nextLogAt = instant(0);
+  #logged: AdmissionCounts | undefined;
 
   constructor(sources: RegionCallAdmissionSources) {
     this.#sources = sources;
@@ -157,6 +169,32 @@
 
   tick(now: Instant): void {
     this.region.tick(now);
+    this.#logRefusals(now);
+  }
+
+  /** Writes a line while the region refuses requests, not one for each of them. */
+  #logRefusals(now: Instant): void {
+    const { counts, expectedReturns } = this.region;
+    const before = this.#logged ?? NO_COUNTS;
+    const refusedOnArrival = counts.refusedOnArrival - before.refusedOnArrival;
+    const refusedWaiting = counts.refusedWaiting - before.refusedWaiting;
+    if (now < this.#nextLogAt || refusedOnArrival + refusedWaiting === 0) {
+      return;
+    }
+    this.#nextLogAt = after(now, LOG_PERIOD_MS);
+    this.#logged = { ...counts };
+    this.#sources.emit({
+      kind: "log",
+      part: "region",
+      text: "Region is full.",
+      fields: {
+        refusedOnArrival,
+        refusedWaiting,
+        returned: counts.returned - before.returned,
+        refusedAgain: counts.refusedAgain - before.refusedAgain,
+        expectedReturns,
+      },
+    });
   }
 
   #requestOf(call: Call, now: Instant): AdmissionRequest {
@@ -186,6 +224,7 @@
     regionEntries: () => 1,
     assumedRate: () => undefined,
     regions,
+    emit: () => {},
   });
 }
 
--- a/packages/daemon/src/gateway/gauges.ts
+++ b/packages/daemon/src/gateway/gauges.ts
@@ -9,7 +9,14 @@
 
 /** Reads all gauges, by metric name without the prefix. */
 export function readGauges(
-  { catalogue, calls, fleet, quarantine, endpointTerms }: Gateway,
+  {
+    catalogue,
+    calls,
+    fleet,
+    quarantine,
+    endpointTerms,
+    regionAdmission,
+  }: Gateway,
   { connections, datagrams }: {
     connections: Pick<ConnectionPool, "opened">;
     datagrams: Pick<DatagramSocket, "counts">;
@@ -21,6 +28,11 @@
     queued: calls.queued,
     streams_resumed: calls.resumedStreams,
     requests_unrouted: calls.unroutedRequests,
+    region_refused_on_arrival: regionAdmission.counts.refusedOnArrival,
+    region_refused_waiting: regionAdmission.counts.refusedWaiting,
+    region_returned: regionAdmission.counts.returned,
+    region_refused_again: regionAdmission.counts.refusedAgain,
+    region_returns_expected: regionAdmission.expectedReturns,
     members: fleet.liveMembers().length,
     endpoint_ends: quarantine.crashes,
     requests_held: quarantine.holds.size,
