test: decisions about requests by the region's state, and the load of a full region

Cause: what a measurement of the queue already includes was counted twice or not at all when it was replaced between two looks; a test of the review showed it. Change: changes of the queue are kept per measurement. A load test compares region_full with the feature off and on: refused requests are held for less than half as long, and more is earned.

--- a/packages/core/src/overload/region_admission.ts
+++ b/packages/core/src/overload/region_admission.ts
@@ -186,6 +186,7 @@
     sign: 1 | -1,
   ): void {
     if (this.isOn) {
+      this.#forgetMeasuredChanges();
       const position = { service, rank, late: timeUntilLate < 0 };
       const work = { requests: sign, tokens: sign * tokens };
       this.#changes.push({ position, work });
@@ -376,15 +377,21 @@
     return placed;
   }
 
+  /** Drops changes of the own queue that its newest measurement includes. */
+  #forgetMeasuredChanges(): void {
+    const { own } = this.#sources.demand;
+    if (own !== this.#measured) {
+      this.#measured = own;
+      this.#changes = [];
+      this.#sumsAt = undefined;
+    }
+  }
+
   /** What waits in the region, added up anew every few milliseconds. */
   #waiting(now: Instant): WaitingWork {
     const { demand } = this.#sources;
-    if (demand.own !== this.#measured) {
-      this.#measured = demand.own;
-      this.#changes = [];
-    } else if (
-      this.#sumsAt !== undefined && now - this.#sumsAt < SUMS_LIFETIME_MS
-    ) {
+    this.#forgetMeasuredChanges();
+    if (this.#sumsAt !== undefined && now - this.#sumsAt < SUMS_LIFETIME_MS) {
       return this.#sums;
     }
     this.#sumsAt = now;
--- a/playground/src/load/__tests__/load.test.ts
+++ b/playground/src/load/__tests__/load.test.ts
@@ -145,6 +145,34 @@
     });
   });
 
+  describe("a region that is asked for far more than it has", () => {
+    const features = { regionAdmission: "on" } as const;
+
+    function runFull(on: boolean): LoadReport[] {
+      const text = readFileSync(new URL("region_full.load", FOLDER), "utf8");
+      return SEEDS.map((seed) =>
+        reportLoad(
+          runLoad(text, { seed, loadSetting, ...on ? { features } : {} }),
+        )
+      );
+    }
+
+    /**
+     * Guards against requests that are held for seconds and refused then. An entry decided by its own queue, and let
+     * requests wait for a share of their time that had no place in the region from the start.
+     */
+    it("refuses early what gets no place, and serves more urgent requests on time", () => {
+      const before = runFull(false);
+      const after = runFull(true);
+      const held = ({ kinds }: LoadReport) => kinds["ruling"]!.heldMean;
+      expect(mean(after, held)).toBeLessThan(mean(before, held) / 2);
+      expect(mean(after, ({ kinds }) => kinds["short"]!.earned))
+        .toBeGreaterThan(0.83);
+      expect(mean(after, ({ all }) => all.earned))
+        .toBeGreaterThan(mean(before, ({ all }) => all.earned));
+    });
+  });
+
   it("gives the same result for the same seed", () => {
     const text = readFileSync(new URL("moving_peak.load", FOLDER), "utf8");
     const first = reportLoad(runLoad(text, { seed: 5, loadSetting }));
