--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -5,8 +5,13 @@
  * @module
  */
 import type { CustomerLimits } from "../customers/index.ts";
-import { DemandReporter, RegionDemand } from "../demand/index.ts";
+import {
+  DemandReporter,
+  RegionDemand,
+  type ReportedPace,
+} from "../demand/index.ts";
 import type { EndpointTerms } from "../endpoint_terms/index.ts";
+import { FairShares } from "../fair_shares/index.ts";
 import { Features } from "../features/index.ts";
 import { FleetController } from "../fleet/index.ts";
 import {
@@ -18,6 +23,7 @@
 import { StallAdjustedClock } from "../listening/index.ts";
 import { RegionOutlooks } from "../outlook/index.ts";
 import type { RegionAdmission } from "../overload/index.ts";
+import { ReportAllowance } from "../pace/index.ts";
 import type { CatalogueSnapshot } from "../routes/index.ts";
 import { CallController } from "./call_controller.ts";
 import { CallRouter } from "./call_router.ts";
@@ -51,6 +57,7 @@
 import { RetryBudget } from "./retry_budget.ts";
 import { ServingSet } from "./serving_set.ts";
 import { tickInterval } from "./tick_interval.ts";
+import { ShareLog } from "./share_log.ts";
 import { StopController } from "./stop_controller.ts";
 import { WorkReporter } from "./work_reporter.ts";
 
@@ -97,10 +104,14 @@
   readonly features: Features;
   /** What waits and runs at the entries of the region. */
   readonly demand: RegionDemand;
+  /** Customers' shares of the region's endpoints. */
+  readonly shares: FairShares;
   /** Outlooks of other regions. */
   readonly outlooks: RegionOutlooks;
   readonly #demandReporter: DemandReporter;
   readonly #regionAdmission: RegionCallAdmission;
+  readonly #shareLog: ShareLog;
+  readonly #paceAllowance = new ReportAllowance();
   #bounds: GatewayBounds;
   #effects: GatewayEffect[] = [];
   #lastEventAt: Instant;
@@ -153,6 +164,14 @@
       hasCustomerLimits: this.#catalogue.table?.customers.hasLimits ?? false,
     }));
     this.demand = new RegionDemand(this.#clock);
+    const placements = new PlacementMeter();
+    this.shares = new FairShares({
+      demand: this.demand,
+      isOn: () => this.features.isOn("fairShares"),
+      limitOf: (id) => this.#catalogue.table?.customers.get(id)?.limit,
+      placedHere: (at) => placements.lastSecond(at),
+    });
+    this.#shareLog = new ShareLog({ shares: this.shares, emit });
     this.outlooks = new RegionOutlooks(self.region);
     this.fleet = new FleetController({
       self,
@@ -231,7 +250,8 @@
       catalogue: this.#catalogue,
       endpoints: this.#endpoints,
       regions: this.#regions,
-      placements: new PlacementMeter(),
+      placements,
+      shares: this.shares,
       router,
       budget: this.#retryBudget,
       cold: coldAllowance,
@@ -256,11 +276,14 @@
       demand: this.demand,
       isWanted: () =>
         this.features.isOn("fairShares") ||
-        this.features.isOn("regionAdmission"),
+        this.features.isOn("regionAdmission") ||
+        this.features.isOn("endpointPace"),
       measure: (at) => this.#calls.measureDemand(at),
       send: (report, at) =>
         this.fleet.sender.sendDemand(
-          report,
+          this.features.isOn("endpointPace")
+            ? { ...report, paces: this.#takeUntoldPaces(at) }
+            : report,
           (record) =>
             this.#serving.has(record, at) ||
             this.#endpoints.hasReport(record.incarnation),
@@ -450,6 +473,7 @@
     this.#catalogue.tick(now);
     this.#applyCatalogue(now);
     this.#endpoints.expire(now);
+    this.#updatePaceUse();
     this.fleet.tick(now);
     this.#regions.tick(this.fleet, now);
     this.#quarantine.tick(now);
@@ -460,10 +484,32 @@
     this.#updateOutdatedState(now);
     this.#calls.tick(now);
     this.#demandReporter.tick(now);
+    this.#shareLog.tick(now);
     this.#workReporter.tick(this.#calls.takeSentPrefixes(), now);
     this.#stopController.tick(now);
   }
 
+  #takeUntoldPaces(now: Instant): ReportedPace[] {
+    const limit = this.#paceAllowance.available(this.demand.entries, now);
+    const paces = this.#endpoints.takeUntoldPaces(limit, now);
+    this.#paceAllowance.spend(paces.length);
+    return paces;
+  }
+
+  #updatePaceUse(): void {
+    const isOn = this.features.isOn("endpointPace");
+    if (this.#endpoints.usePace(isOn)) {
+      this.#effects.push({
+        kind: "log",
+        part: "endpoint",
+        text: isOn
+          ? "Endpoints are chosen by their pace."
+          : "Endpoints are chosen by their usual rates.",
+        fields: {},
+      });
+    }
+  }
+
   #applyCatalogue(now: Instant): void {
     this.#endpoints.syncWithCatalogue(now);
     this.#calls.retryPending(now);
@@ -519,6 +565,7 @@
       this.endpointTerms.departures.receive(message.message);
     } else if (message.kind === "demand") {
       this.demand.receive(message.incarnation, message.report, now);
+      this.#endpoints.receivePaces(message.report.paces, now);
     } else if (message.kind === "outlook") {
       this.outlooks.update(message.outlook, now);
     } else if (message.kind === "work") {
--- a/packages/daemon/src/gateway/demand_schema.ts
+++ b/packages/daemon/src/gateway/demand_schema.ts
@@ -48,12 +48,26 @@
         tokens,
       })),
   ),
+  boundedArray(
+    z.tuple([shortText, customer, nonNegativeInteger, nonNegativeInteger])
+      .transform(([service, customer, requests, tokens]) => ({
+        service,
+        customer,
+        requests,
+        tokens,
+      })),
+  ),
   boundedArray(
     z.tuple([shortText, nonNegativeInteger, nonNegativeInteger]).transform(
-      ([service, requests, tokens]) => ({ service, requests, tokens }),
+      ([endpoint, contention, age]) => ({ endpoint, contention, age }),
     ),
   ),
-]).transform(([waiting, running, placed]) => ({ waiting, running, placed }));
+]).transform(([waiting, running, placed, paces]) => ({
+  waiting,
+  running,
+  placed,
+  paces,
+}));
 
 /** Schema of a region's outlook. */
 export const outlookSchema = z.tuple([
@@ -71,7 +85,7 @@
 
 /** Encodes a demand report. */
 export function encodeDemandReport(
-  { waiting, running, placed }: DemandReport,
+  { waiting, running, placed, paces }: DemandReport,
 ): unknown[] {
   return [
     waiting.map(({ service, rank, late, customer, requests, tokens }) => [
@@ -88,11 +102,17 @@
       requests,
       Math.round(tokens),
     ]),
-    placed.map(({ service, requests, tokens }) => [
+    placed.map(({ service, customer, requests, tokens }) => [
       service,
+      customer ?? NO_CUSTOMER,
       requests,
       Math.round(tokens),
     ]),
+    paces.map(({ endpoint, contention, age }) => [
+      endpoint,
+      Math.round(contention),
+      Math.round(age),
+    ]),
   ];
 }
 
--- a/packages/daemon/src/gateway/gauges.ts
+++ b/packages/daemon/src/gateway/gauges.ts
@@ -12,10 +12,12 @@
   {
     catalogue,
     calls,
+    endpoints,
     fleet,
     quarantine,
     endpointTerms,
     regionAdmission,
+    shares,
   }: Gateway,
   { connections, datagrams }: {
     connections: Pick<ConnectionPool, "opened">;
@@ -23,6 +25,7 @@
   },
   now: Instant,
 ): Record<string, number> {
+  const pace = endpoints.paceFigures(now);
   return {
     requests: calls.active,
     queued: calls.queued,
@@ -36,12 +39,17 @@
     members: fleet.liveMembers().length,
     endpoint_ends: quarantine.crashes,
     requests_held: quarantine.holds.size,
+    customers_over_share: shares.overShare(now),
+    turns_yielded: shares.yielded,
     endpoint_limits: endpointTerms.limits.size,
     endpoint_limits_withheld: endpointTerms.limits.withheld,
     endpoint_limits_ignored: endpointTerms.limits.ignored,
     endpoints_leaving: endpointTerms.departures.size,
     endpoints_resting: endpointTerms.backoffs.activeCount(now),
     endpoint_rests_ignored: endpointTerms.backoffs.ignored,
+    endpoints_slow: pace.slow,
+    endpoint_paces_told: pace.told,
+    endpoint_paces_received: pace.received,
     document_version: catalogue.document?.version ?? 0,
     catalogue_epoch: catalogue.position.epoch,
     catalogue_revision: catalogue.position.revision,
