--- a/packages/core/src/gateway/endpoint_registry.ts
+++ b/packages/core/src/gateway/endpoint_registry.ts
@@ -176,19 +176,6 @@
       this.backoffOf(state, now) === 0;
   }
 
-  /** Whether less than half of the places of a service's endpoints in the region are taken. */
-  hasFreePlaces(service: ServiceId, now: Instant): boolean {
-    let taken = 0;
-    let places = 0;
-    for (const state of this.ofService(service)) {
-      if (this.accepts(state, now)) {
-        taken += state.requests;
-        places += state.slots;
-      }
-    }
-    return taken < places / 2;
-  }
-
   /**
    * Prompt tokens per millisecond that the region's engines prefill while they also make answers, `undefined` for plain
    * endpoints, whose work can't be told beforehand.
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -243,8 +243,6 @@
       regions: this.#regions,
       emit,
       assumedRate: (service, at) => this.#endpoints.assumedRate(service, at),
-      hasFreePlaces: (service, at) =>
-        this.#endpoints.hasFreePlaces(service, at),
       partAhead: ({ services, rank, customer }, at) =>
         this.shares.partAheadOf(
           { service: services[0]!, rank, late: false },
--- a/packages/core/src/gateway/region_call_admission.ts
+++ b/packages/core/src/gateway/region_call_admission.ts
@@ -226,7 +226,6 @@
     demand: { own: NO_DEMAND, reports: () => [], entries: 1 },
     regionEntries: () => 1,
     assumedRate: () => undefined,
-    hasFreePlaces: () => false,
     regions,
     emit: () => {},
   });
--- a/packages/core/src/overload/region_admission.ts
+++ b/packages/core/src/overload/region_admission.ts
@@ -68,8 +68,6 @@
     service: ServiceId,
     now: Instant,
   ) => number | undefined;
-  /** Whether most places of a service's endpoints are free, so that a refusal would be wrong for its caller. */
-  readonly hasFreePlaces: (service: ServiceId, now: Instant) => boolean;
 }
 
 /** Counts since the start. */
@@ -209,8 +207,7 @@
     }
     const { service } = request;
     if (
-      !waiting.has(service) || mayWait(facts) ||
-      this.#sources.hasFreePlaces(service, now)
+      !waiting.has(service) || mayWait(facts)
     ) {
       return false;
     }
@@ -229,8 +226,7 @@
   ): boolean | undefined {
     const waiting = this.#waiting(now);
     const facts = this.#factsOf(request, { waiting, ownShare, now });
-    return facts === undefined ? undefined : isHopeless(facts) &&
-      !this.#sources.hasFreePlaces(request.service, now);
+    return facts === undefined ? undefined : isHopeless(facts);
   }
 
   countHopeless(request: AdmissionRequest): void {
