--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -22,6 +22,7 @@
 } from "../ids/index.ts";
 import { StallAdjustedClock } from "../listening/index.ts";
 import { RegionOutlooks } from "../outlook/index.ts";
+import type { RegionAdmission } from "../overload/index.ts";
 import { ReportAllowance } from "../pace/index.ts";
 import type { CatalogueSnapshot } from "../routes/index.ts";
 import { CallController } from "./call_controller.ts";
@@ -53,6 +54,7 @@
   GatewayIdentity,
 } from "./messages.ts";
 import { PlacementMeter } from "./placement_meter.ts";
+import { RegionCallAdmission } from "./region_call_admission.ts";
 import { RegionController } from "./region_controller.ts";
 import type { QuarantineController } from "../quarantine/index.ts";
 import { createQuarantine } from "./create_quarantine.ts";
@@ -113,6 +115,7 @@
   /** Relays to regions that begin a request sooner. */
   readonly earlyRelay: EarlyRelayParts;
   readonly #demandReporter: DemandReporter;
+  readonly #regionAdmission: RegionCallAdmission;
   readonly #shareLog: ShareLog;
   readonly #paceAllowance = new ReportAllowance();
   #bounds: GatewayBounds;
@@ -250,6 +253,21 @@
       earlyRelay: this.earlyRelay.relay,
       random,
     });
+    const regionEntries = () => 1 + this.#endpoints.busyPeerCount();
+    this.#regionAdmission = new RegionCallAdmission({
+      isOn: () => this.features.isOn("regionAdmission"),
+      demand: this.demand,
+      regionEntries,
+      regions: this.#regions,
+      emit,
+      assumedRate: (service, at) => this.#endpoints.assumedRate(service, at),
+      partAhead: ({ services, rank, customer }, at) =>
+        this.shares.partAheadOf(
+          { service: services[0]!, rank, late: false },
+          customer?.id,
+          at,
+        ),
+    });
     this.#calls = new CallController({
       emit,
       random,
@@ -267,7 +285,8 @@
       keyLifetime: () => this.#keyLifetime(),
       clock: this.#clock,
       entries: () => this.fleet.possiblyLiveMembers().length + 1,
-      regionEntries: () => 1 + this.#endpoints.busyPeerCount(),
+      regionEntries,
+      regionAdmission: this.#regionAdmission,
     });
     this.#workReporter = new WorkReporter({
       self,
@@ -339,6 +358,11 @@
     return this.#quarantine;
   }
 
+  /** Decisions about requests by the state of the whole region. */
+  get regionAdmission(): RegionAdmission {
+    return this.#regionAdmission.region;
+  }
+
   get calls(): CallController {
     return this.#calls;
   }
--- a/playground/src/load/__tests__/load.test.ts
+++ b/playground/src/load/__tests__/load.test.ts
@@ -145,6 +145,32 @@
     });
   });
 
+  describe("a region that is asked for far more than it has", () => {
+    const features = { regionAdmission: "on" } as const;
+
+    function runFull(on: boolean): LoadReport[] {
+      const text = readFileSync(new URL("region_full.load", FOLDER), "utf8");
+      return SEEDS.map((seed) =>
+        reportLoad(
+          runLoad(text, { seed, loadSetting, ...on ? { features } : {} }),
+        )
+      );
+    }
+
+    /**
+     * Guards against requests that are held for seconds and refused then. An entry decided by its own queue, and let
+     * requests wait for a share of their time that had no place in the region from the start.
+     */
+    it("refuses early what gets no place, and earns as much", () => {
+      const before = runFull(false);
+      const after = runFull(true);
+      const held = ({ kinds }: LoadReport) => kinds["ruling"]!.heldMean;
+      const earned = ({ all }: LoadReport) => all.earned;
+      expect(mean(after, held)).toBeLessThan(mean(before, held) / 2);
+      expect(mean(after, earned)).toBeGreaterThan(mean(before, earned) - 0.02);
+    });
+  });
+
   describe("a peak with customers that send many times their usual", () => {
     const runWith = (fairShares: "on" | "off"): LoadReport[] => {
       const text = readFileSync(
