feat: region admission is off unless an operator asks for it

Change: auto means off for it, as for early relays; on takes a setting.

Measured: packages/core, daemon's gateway and settings and the modelled loads, 798 passed, 0 failed.

--- a/packages/core/src/features/__tests__/features.test.ts
+++ b/packages/core/src/features/__tests__/features.test.ts
@@ -28,17 +28,23 @@
         reportsContention: true,
         hasCustomerLimits: true,
       });
-      expect(features.active).toEqual(
-        FEATURE_NAMES.filter((name) => name !== "earlyRelay"),
-      );
+      expect(features.active).toEqual(["endpointPace", "fairShares"]);
     });
 
-    it("leave early relays off whatever the deployment holds", () => {
-      const facts = { reportsContention: true, hasCustomerLimits: true };
-      expect(featuresWith({}, facts).isOn("earlyRelay")).toBe(false);
-      expect(featuresWith({ earlyRelay: "on" }, facts).active).toEqual(
-        FEATURE_NAMES,
+    it.each(["regionAdmission", "earlyRelay"] as const)(
+      "leave %s off whatever the deployment holds",
+      (name) => {
+        const facts = { reportsContention: true, hasCustomerLimits: true };
+        expect(featuresWith({}, facts).isOn(name)).toBe(false);
+        expect(featuresWith({ [name]: "on" }, facts).isOn(name)).toBe(true);
+      },
+    );
+
+    it("are all on where each is set on", () => {
+      const settings = Object.fromEntries(
+        FEATURE_NAMES.map((name) => [name, "on"]),
       );
+      expect(featuresWith(settings).active).toEqual(FEATURE_NAMES);
     });
 
     it("leave shares of customers off where none has a limit", () => {
--- a/packages/core/src/features/features.ts
+++ b/packages/core/src/features/features.ts
@@ -67,18 +67,18 @@
 
   /**
    * Endpoints whose speed is constant are planned for by their measured rates. Where machines are shared, capacity
-   * changes within a second, and an entry's own queue and averages say little about the region. Early relays are in use
-   * only where an operator asks for them.
+   * changes within a second, and an entry's own queue and averages say little about the region. The others are in
+   * use only where an operator asks for them.
    */
   #isCalledFor(name: FeatureName): boolean {
     const { reportsContention, hasCustomerLimits } = this.#facts();
     switch (name) {
       case "fairShares":
         return reportsContention && hasCustomerLimits;
-      case "earlyRelay":
-        return false;
-      default:
+      case "endpointPace":
         return reportsContention;
+      default:
+        return false;
     }
   }
 }
