refactor: demand reports leave out what runs

Cause: no decision reads the requests in flight by customer, which took up to a third of the bytes of a report: with 16 customers 1.9 KB to each serving entry of the region, five times a second while requests wait.

Change: reports hold what waits, what was placed in the last second, and paces.

--- a/packages/core/src/demand/demand_messages.ts
+++ b/packages/core/src/demand/demand_messages.ts
@@ -1,5 +1,5 @@
 /**
- * What one entry has waiting and running, as told to the other entries of its region.
+ * What one entry has waiting and has sent to endpoints, as reported to the other entries of its region.
  *
  * @module
  */
@@ -19,15 +19,6 @@
   readonly tokens: number;
 }
 
-/** Requests of one service and customer in flight at endpoints of the region. */
-export interface RunningGroup {
-  readonly service: ServiceId;
-  readonly customer: CustomerId | undefined;
-  readonly requests: number;
-  /** Prompt tokens of requests without a first event. */
-  readonly tokens: number;
-}
-
 /** Requests of one service and customer that were sent to endpoints within the last second. */
 export interface PlacedGroup {
   readonly service: ServiceId;
@@ -53,7 +44,6 @@
 /** The demand at one entry. */
 export interface DemandReport {
   readonly waiting: readonly WaitingGroup[];
-  readonly running: readonly RunningGroup[];
   readonly placed: readonly PlacedGroup[];
   /** Contention that other entries would not expect, and that they were not told of yet. */
   readonly paces: readonly ReportedPace[];
@@ -62,7 +52,6 @@
 /** A report without any demand. */
 export const NO_DEMAND: DemandReport = {
   waiting: [],
-  running: [],
   placed: [],
   paces: [],
 };
--- a/packages/core/src/demand/demand_tally.ts
+++ b/packages/core/src/demand/demand_tally.ts
@@ -4,19 +4,13 @@
  * @module
  */
 import type { CustomerId, ServiceId } from "../ids/index.ts";
-import type {
-  PlacedGroup,
-  RunningGroup,
-  WaitingGroup,
-} from "./demand_messages.ts";
+import type { PlacedGroup, WaitingGroup } from "./demand_messages.ts";
 
 /** Groups in one report, so that it fits into one datagram. The groups with the fewest tokens are left out. */
 export const MAX_GROUPS = 32;
 
 /** One waiting request. */
 export type WaitingItem = Omit<WaitingGroup, "requests">;
-/** One request in flight. */
-export type RunningItem = Omit<RunningGroup, "requests">;
 
 /** Adds up waiting requests by service, rank, lateness and customer. */
 export function groupWaiting(items: Iterable<WaitingItem>): WaitingGroup[] {
@@ -27,14 +21,6 @@
   );
 }
 
-/** Adds up requests in flight by service and customer. */
-export function groupRunning(items: Iterable<RunningItem>): RunningGroup[] {
-  return groupBy(
-    items,
-    ({ service, customer }) => `${service} ${customer ?? ""}`,
-  );
-}
-
 /**
  * Bounds the groups of placed requests. The smallest of each service are added up without their customer, so that the
  * sum of a service stays.
--- a/packages/core/src/fair_shares/__tests__/shared_region.ts
+++ b/packages/core/src/fair_shares/__tests__/shared_region.ts
@@ -284,7 +284,6 @@
         customer,
         tokens: TOKENS,
       }))),
-      running: [],
       placed: this.#placedAt(now),
     };
   }
--- a/packages/core/src/fleet/fleet_messages.ts
+++ b/packages/core/src/fleet/fleet_messages.ts
@@ -202,7 +202,7 @@
   | { readonly kind: "limits"; readonly message: LimitMessage }
   /** Endpoints that are about to shut down. */
   | { readonly kind: "departures"; readonly message: DepartureMessage }
-  /** What waits and runs at an entry of the region. */
+  /** What waits at an entry of the region, and what it sent to endpoints. */
   | {
     readonly kind: "demand";
     readonly incarnation: Incarnation;
--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -242,7 +242,6 @@
     return {
       waiting: [group(undefined, ownWaits), group("calm", othersWait)]
         .filter(({ requests }) => requests > 0),
-      running: [],
       placed: [group(undefined, 60)],
     };
   }
--- a/packages/core/src/gateway/__tests__/call_queue.test.ts
+++ b/packages/core/src/gateway/__tests__/call_queue.test.ts
@@ -153,7 +153,6 @@
         requests: 90,
         tokens: 90_000,
       }],
-      running: [],
       placed: [
         { service: SERVICE, customer: LOUD, requests: 60, tokens: 60_000 },
       ],
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -149,7 +149,7 @@
     return this.#outcomes.unrouted.count;
   }
 
-  /** What waits and runs here, for the other entries of the region. */
+  /** What waits here and was sent to endpoints, for the other entries of the region. */
   measureDemand(now: Instant): DemandReport {
     return measureDemand(this.#calls.values(), this.#deps, now);
   }
--- a/packages/core/src/gateway/call_demand.ts
+++ b/packages/core/src/gateway/call_demand.ts
@@ -6,9 +6,7 @@
 import {
   boundPlaced,
   type DemandReport,
-  groupRunning,
   groupWaiting,
-  type RunningItem,
   type WaitingItem,
 } from "../demand/index.ts";
 import type { Instant } from "../ids/index.ts";
@@ -27,7 +25,6 @@
   now: Instant,
 ): DemandReport {
   const waiting: WaitingItem[] = [];
-  const running: RunningItem[] = [];
   for (const call of calls) {
     const { services, rank, customer } = call;
     if (call.phase === "waiting") {
@@ -38,17 +35,10 @@
         customer: customer?.id,
         tokens: call.uncachedTokens,
       });
-    } else if (call.attempt?.state !== undefined) {
-      running.push({
-        service: call.attempt.state.record.service,
-        customer: customer?.id,
-        tokens: call.phase === "trying" ? call.uncachedTokens : 0,
-      });
     }
   }
   return {
     waiting: groupWaiting(waiting),
-    running: groupRunning(running),
     placed: boundPlaced(placements.lastSecond(now)),
     paces: [],
   };
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -106,7 +106,7 @@
   readonly endpointTerms: EndpointTerms;
   /** Optional decisions in use. */
   readonly features: Features;
-  /** What waits and runs at the entries of the region. */
+  /** What waits at the entries of the region, and what they sent to endpoints. */
   readonly demand: RegionDemand;
   /** Customers' shares of the region's endpoints. */
   readonly shares: FairShares;
--- a/packages/daemon/src/gateway/__tests__/fleet_decoder.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_decoder.test.ts
@@ -45,11 +45,9 @@
   few(fc.tuple(text, amount, amount)),
   count,
 );
-const group = fc.tuple(text, text, count, count);
 const demand = fc.tuple(
   few(fc.tuple(text, count, fc.boolean(), text, count, count)),
-  few(group),
-  few(group),
+  few(fc.tuple(text, text, count, count)),
   few(fc.tuple(text, count, count)),
 );
 const message: fc.Arbitrary<unknown[]> = fc.oneof(
--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -195,9 +195,6 @@
           tokens: 0,
         },
       ],
-      running: [
-        { service: "pool", customer: "clinic", requests: 2, tokens: 900 },
-      ],
       placed: [
         { service: "pool", customer: "clinic", requests: 9, tokens: 30_000 },
         { service: "pool", customer: undefined, requests: 5, tokens: 8_000 },
--- a/packages/daemon/src/gateway/__tests__/frequent_schema_fixture.ts
+++ b/packages/daemon/src/gateway/__tests__/frequent_schema_fixture.ts
@@ -156,23 +156,13 @@
         tokens,
       })),
   ),
-  boundedArray(
-    z.tuple([shortText, customer, nonNegativeInteger, nonNegativeInteger])
-      .transform(([service, customer, requests, tokens]) => ({
-        service,
-        customer,
-        requests,
-        tokens,
-      })),
-  ),
   boundedArray(
     z.tuple([shortText, nonNegativeInteger, nonNegativeInteger]).transform(
       ([endpoint, contention, age]) => ({ endpoint, contention, age }),
     ),
   ),
-]).transform(([waiting, running, placed, paces]) => ({
+]).transform(([waiting, placed, paces]) => ({
   waiting,
-  running,
   placed,
   paces,
 }));
--- a/packages/daemon/src/gateway/demand_schema.ts
+++ b/packages/daemon/src/gateway/demand_schema.ts
@@ -32,7 +32,7 @@
 
 /** Encodes a demand report. */
 export function encodeDemandReport(
-  { waiting, running, placed, paces }: DemandReport,
+  { waiting, placed, paces }: DemandReport,
 ): unknown[] {
   return [
     waiting.map(({ service, rank, late, customer, requests, tokens }) => [
@@ -43,12 +43,6 @@
       requests,
       Math.round(tokens),
     ]),
-    running.map(({ service, customer, requests, tokens }) => [
-      service,
-      customer ?? NO_CUSTOMER,
-      requests,
-      Math.round(tokens),
-    ]),
     placed.map(({ service, customer, requests, tokens }) => [
       service,
       customer ?? NO_CUSTOMER,
--- a/packages/daemon/src/gateway/fleet_decoder.ts
+++ b/packages/daemon/src/gateway/fleet_decoder.ts
@@ -185,12 +185,11 @@
 }
 
 function decodeDemand(value: unknown): DemandReport {
-  const items = tuple(value, 4);
+  const items = tuple(value, 3);
   return {
     waiting: list(items[0], decodeWaiting),
-    running: list(items[1], decodeGroup),
-    placed: list(items[2], decodeGroup),
-    paces: list(items[3], decodePace),
+    placed: list(items[1], decodePlaced),
+    paces: list(items[2], decodePace),
   };
 }
 
@@ -206,14 +205,14 @@
   } as unknown as DemandReport["waiting"][number];
 }
 
-function decodeGroup(value: unknown): DemandReport["running"][number] {
+function decodePlaced(value: unknown): DemandReport["placed"][number] {
   const items = tuple(value, 4);
   return {
     service: text(items[0]),
     customer: decodeCustomer(items[1]),
     requests: integer(items[2]),
     tokens: integer(items[3]),
-  } as unknown as DemandReport["running"][number];
+  } as unknown as DemandReport["placed"][number];
 }
 
 /** Requests without a customer have an empty id. */
