refactor: paces are shared, outlooks announced, retry times given

Names and comments of the new parts said told, untold and telling for three different things. The gauge endpoint_paces_told is endpoint_paces_shared.

Measured: the tests of the parts and of the gateway, 365 passed, 0 failed.

--- a/packages/core/src/demand/demand_messages.ts
+++ b/packages/core/src/demand/demand_messages.ts
@@ -45,7 +45,7 @@
 export interface DemandReport {
   readonly waiting: readonly WaitingGroup[];
   readonly placed: readonly PlacedGroup[];
-  /** Contention that other entries would not expect, and that they were not told of yet. */
+  /** Contention that other entries would not expect, and that was not shared with them yet. */
   readonly paces: readonly ReportedPace[];
 }
 
--- a/packages/core/src/gateway/__tests__/endpoint_paces.test.ts
+++ b/packages/core/src/gateway/__tests__/endpoint_paces.test.ts
@@ -64,7 +64,7 @@
     expect(state(FIRST).pace.contention(NOW)).toBeGreaterThan(2);
     expect(registry.paceFigures(NOW)).toEqual({
       slow: 1,
-      told: 0,
+      shared: 0,
       received: 1,
     });
   });
@@ -106,8 +106,8 @@
   it("are told to peers, those with the largest effect first", () => {
     registry.recordContention(state(FIRST), 200, NOW);
     registry.recordContention(state(SECOND), 280, NOW);
-    expect(registry.takeUntoldPaces(1, NOW)).toEqual(told(SECOND, 280));
-    expect(registry.takeUntoldPaces(1, NOW)).toEqual(told(FIRST, 200));
-    expect(registry.takeUntoldPaces(1, NOW)).toEqual([]);
+    expect(registry.takeUnsharedPaces(1, NOW)).toEqual(told(SECOND, 280));
+    expect(registry.takeUnsharedPaces(1, NOW)).toEqual(told(FIRST, 200));
+    expect(registry.takeUnsharedPaces(1, NOW)).toEqual([]);
   });
 });
--- a/packages/core/src/gateway/__tests__/pace_model.ts
+++ b/packages/core/src/gateway/__tests__/pace_model.ts
@@ -276,8 +276,8 @@
     const now = instant(this.#now);
     this.#states.forEach((states, entry) =>
       states.forEach(({ pace }, index) => {
-        const told = pace.untoldDifference(now) > 0
-          ? pace.tell(now)
+        const told = pace.unsharedDifference(now) > 0
+          ? pace.share(now)
           : undefined;
         if (told !== undefined) {
           this.#after(1, () =>
--- a/packages/core/src/gateway/call_outcomes.ts
+++ b/packages/core/src/gateway/call_outcomes.ts
@@ -32,7 +32,7 @@
  */
 const DEFAULT_RETRY_MS = 1_200;
 
-/** When the caller of a refused request is told to return, `undefined` where the region's state doesn't tell. */
+/** When the caller of a refused request should retry, `undefined` where the region's state is not known. */
 export type ReturnTime = (
   call: Call,
   reason: CallRefusalReason,
--- a/packages/core/src/gateway/create_early_relay.ts
+++ b/packages/core/src/gateway/create_early_relay.ts
@@ -74,7 +74,7 @@
       region !== self.region
     ),
     isPartnerOf: (region, now) => isPartner(fleet.record, region, now),
-    tell: (region, outlook, now) =>
+    announce: (region, outlook, now) =>
       fleet.sender.sendOutlook(
         outlook,
         (record) =>
--- a/packages/core/src/gateway/endpoint_registry.ts
+++ b/packages/core/src/gateway/endpoint_registry.ts
@@ -42,7 +42,7 @@
   /** Endpoints that are slower than usual at present. */
   readonly slow: number;
   /** Reports of contention passed on to peers, and received from them, since the start. */
-  readonly told: number;
+  readonly shared: number;
   readonly received: number;
 }
 
@@ -77,7 +77,7 @@
   #generation = -1;
   #reportsContention = false;
   #usesPace = false;
-  #toldPaces = 0;
+  #sharedPaces = 0;
   #receivedPaces = 0;
 
   constructor(
@@ -136,21 +136,21 @@
   }
 
   /** Returns the contention that peers should know of, that with the largest effect first, at most `limit`. */
-  takeUntoldPaces(limit: number, now: Instant): ReportedPace[] {
-    const untold: { state: EndpointState; difference: number }[] = [];
+  takeUnsharedPaces(limit: number, now: Instant): ReportedPace[] {
+    const unshared: { state: EndpointState; difference: number }[] = [];
     for (const state of this.#states.values()) {
-      const difference = state.pace.untoldDifference(now);
+      const difference = state.pace.unsharedDifference(now);
       if (difference > 0) {
-        untold.push({ state, difference });
+        unshared.push({ state, difference });
       }
     }
-    const told = untold.sort((left, right) =>
+    const shared = unshared.sort((left, right) =>
       right.difference - left.difference
     ).slice(0, limit);
-    this.#toldPaces += told.length;
-    return told.map(({ state }) => ({
+    this.#sharedPaces += shared.length;
+    return shared.map(({ state }) => ({
       endpoint: state.record.id,
-      ...state.pace.tell(now)!,
+      ...state.pace.share(now)!,
     }));
   }
 
@@ -172,7 +172,7 @@
     for (const { pace } of this.#states.values()) {
       slow += pace.slowdown(now) >= SLOW_ENDPOINT ? 1 : 0;
     }
-    return { slow, told: this.#toldPaces, received: this.#receivedPaces };
+    return { slow, shared: this.#sharedPaces, received: this.#receivedPaces };
   }
 
   /** Endpoints of a service in this region, including those that are leaving. */
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -307,7 +307,7 @@
       send: (report, at) =>
         this.fleet.sender.sendDemand(
           this.features.isOn("endpointPace")
-            ? { ...report, paces: this.#takeUntoldPaces(at) }
+            ? { ...report, paces: this.#takeUnsharedPaces(at) }
             : report,
           (record) =>
             this.#serving.has(record, at) ||
@@ -515,9 +515,9 @@
     this.#stopController.tick(now);
   }
 
-  #takeUntoldPaces(now: Instant): ReportedPace[] {
+  #takeUnsharedPaces(now: Instant): ReportedPace[] {
     const limit = this.#paceAllowance.available(this.demand.entries, now);
-    const paces = this.#endpoints.takeUntoldPaces(limit, now);
+    const paces = this.#endpoints.takeUnsharedPaces(limit, now);
     this.#paceAllowance.spend(paces.length);
     return paces;
   }
--- a/packages/core/src/gateway/region_call_admission.ts
+++ b/packages/core/src/gateway/region_call_admission.ts
@@ -159,7 +159,7 @@
     });
   }
 
-  /** When the caller of a refused request is told to return, `undefined` where the region's state doesn't tell. */
+  /** When the caller of a refused request should retry, `undefined` where the region's state is not known. */
   returnTime(
     call: Call,
     reason: CallRefusalReason,
--- a/packages/core/src/gateway/share_log.ts
+++ b/packages/core/src/gateway/share_log.ts
@@ -8,7 +8,7 @@
 import { LogThrottle } from "./log_throttle.ts";
 import type { GatewayEmit } from "./messages.ts";
 
-/** Tells now and then that requests are ordered by their customers' shares, and how many customers are over theirs. */
+/** Logs now and then that requests are ordered by their customers' shares, and how many customers are over theirs. */
 export class ShareLog {
   readonly #shares: FairShares;
   readonly #emit: GatewayEmit;
--- a/packages/core/src/outlook/__tests__/outlook_exchange.test.ts
+++ b/packages/core/src/outlook/__tests__/outlook_exchange.test.ts
@@ -43,7 +43,7 @@
       isWanted: () => isWanted,
       otherRegions: [SOUTH, WEST],
       isPartnerOf: (region) => partners.includes(region),
-      tell: (region, outlook, at) => told.push({ region, outlook, at }),
+      announce: (region, outlook, at) => told.push({ region, outlook, at }),
       passOn: (outlook) => passedOn.push(outlook),
       own: new OwnOutlook({
         region: NORTH,
--- a/packages/core/src/outlook/__tests__/relay_model.ts
+++ b/packages/core/src/outlook/__tests__/relay_model.ts
@@ -195,7 +195,7 @@
       id
     ),
     isPartnerOf: () => entry < 2,
-    tell: (id, outlook, at) => {
+    announce: (id, outlook, at) => {
       const other = regions.findIndex((item) => item.id === id);
       if (!network.isLost(index, other, at)) {
         regions[other]!.entries.slice(0, 2).forEach((to) =>
--- a/packages/core/src/outlook/outlook_exchange.ts
+++ b/packages/core/src/outlook/outlook_exchange.ts
@@ -1,5 +1,5 @@
 /**
- * Decides when this entry tells other regions the outlook of its own, and when it passes on theirs.
+ * Decides when this entry announces the outlook of its region to others, and when it passes on theirs.
  *
  * For each pair of regions, two serving entries on each side exchange outlooks: every entry knows which, from the
  * list of members. A region speaks while it is busy, to all others, and while another one is busy, to that one.
@@ -29,7 +29,7 @@
   /** Whether this entry exchanges outlooks with another region for its own. */
   readonly isPartnerOf: (region: RegionId, now: Instant) => boolean;
   /** Sends to the entries of another region that exchange outlooks with this one. */
-  readonly tell: (
+  readonly announce: (
     region: RegionId,
     outlook: RegionOutlook,
     now: Instant,
@@ -48,7 +48,8 @@
   }
 
   tick(now: Instant): void {
-    const { own, isWanted, otherRegions, isPartnerOf, tell } = this.#sources;
+    const { own, isWanted, otherRegions, isPartnerOf, announce } =
+      this.#sources;
     if (now < this.#nextAt) {
       return;
     }
@@ -65,7 +66,7 @@
     for (const region of otherRegions) {
       const isConcerned = isBusy || busyRegions.has(region);
       if (isConcerned && isPartnerOf(region, now)) {
-        tell(region, outlook, now);
+        announce(region, outlook, now);
       }
     }
   }
@@ -98,7 +99,7 @@
     return spare === 0 || better < MAX_REGIONS_PASSED_ON;
   }
 
-  /** Other regions that have told that a service is busy there. */
+  /** Other regions that have announced that a service is busy there. */
   #busyRegions(now: Instant): Set<RegionId> {
     return new Set(
       this.#sources.outlooks.fresh(now)
--- a/packages/core/src/outlook/outlook_messages.ts
+++ b/packages/core/src/outlook/outlook_messages.ts
@@ -1,5 +1,5 @@
 /**
- * How soon a region would begin a request that arrives now, as told to other regions.
+ * How soon a region would begin a request that arrives now, as announced to other regions.
  *
  * @module
  */
--- a/packages/core/src/outlook/own_outlook.ts
+++ b/packages/core/src/outlook/own_outlook.ts
@@ -98,7 +98,7 @@
     ).length;
   }
 
-  /** What another region is told, with the spare rate divided among `takers`. A busy service has none to spare. */
+  /** What is announced to another region, with the spare rate divided among `takers`. A busy service has none to spare. */
   describe(takers: number, now: Instant): RegionOutlook {
     return {
       region: this.#sources.region,
@@ -118,7 +118,7 @@
   }
 }
 
-/** Whether a region that told an outlook of a service has more work for it than it can begin soon. */
+/** Whether a region that announced an outlook of a service has more work for it than it can begin soon. */
 export function isBusyOutlook(
   { startDelays, spareTokensPerSecond }: ServiceOutlook,
 ): boolean {
--- a/packages/core/src/outlook/relay_room.ts
+++ b/packages/core/src/outlook/relay_room.ts
@@ -18,8 +18,8 @@
 /**
  * Accounts for the room in other regions.
  *
- * An account fills at this entry's share of the told rate, for `MAX_SAVED_MS` at the most, and a request may be sent
- * while it isn't empty. So the entries of a region together send, over any time, no more than the told rate times
+ * An account fills at this entry's share of the announced rate, for `MAX_SAVED_MS` at the most, and a request may be sent
+ * while it isn't empty. So the entries of a region together send, over any time, no more than the announced rate times
  * that time, `MAX_SAVED_MS` of it more, and one request each.
  */
 export class RelayRoom {
--- a/packages/core/src/overload/region_admission.ts
+++ b/packages/core/src/overload/region_admission.ts
@@ -1,5 +1,5 @@
 /**
- * Whom a full region takes next, and when those that it refuses are told to return.
+ * Whom a full region takes next, and when those that it refuses should retry.
  *
  * Each entry decides for the requests that it holds, from what all entries of its region report.
  *
@@ -260,7 +260,7 @@
       : waitOf(facts, request) as Milliseconds;
   }
 
-  /** When the caller of a refused request is told to return, `undefined` where that is not known. */
+  /** When the caller of a refused request should retry, `undefined` where that is not known. */
   bookReturn(
     request: AdmissionRequest,
     now: Instant,
--- a/packages/core/src/overload/return_schedule.ts
+++ b/packages/core/src/overload/return_schedule.ts
@@ -1,5 +1,5 @@
 /**
- * When refused callers are told to return: in the order in which they were refused, and no faster than room frees up.
+ * Retry times of refused callers: in the order in which they were refused, and no faster than room frees up.
  *
  * @module
  */
@@ -10,13 +10,13 @@
   milliseconds,
 } from "../ids/index.ts";
 
-/** Share of its remaining time for which a caller honours the time told. */
+/** Share of its remaining time for which a caller honours its retry time. */
 export const MAX_HONOURED_SHARE = 1 / 3;
-/** Shortest time told: a caller needs about this long for a new connection, and little frees up in less. */
+/** Shortest retry time: a caller needs about this long for a new connection, and little frees up in less. */
 const MIN_RETURN_MS = 100;
 /** A caller that is this much late has left, or has returned to another entry that counted it. */
 const BOOKING_GRACE_MS = 400;
-/** Longest time told. */
+/** Longest retry time. */
 const MAX_RETURN_MS = 10_000;
 
 /** A refused request. */
@@ -40,13 +40,13 @@
   readonly late: boolean;
 }
 
-/** The returns to one service that this entry has told. */
+/** The retry times that this entry gave for one service. */
 export class ReturnSchedule {
   #bookings: Booking[] = [];
   /** When the room after the last booked return begins, by rank and lateness. */
   readonly #freeAt = new Map<string, Instant>();
 
-  /** Returns the time to tell, and books the return if its caller will honour that time. */
+  /** Returns the retry time, and books the return if its caller will honour that time. */
   book(
     { rank, units, timeUntilLate, roomIn, rate, timeLeft }: ReturnRequest,
     now: Instant,
@@ -54,16 +54,16 @@
     const late = roomIn > timeUntilLate;
     const key = `${rank} ${late}`;
     const freeIn = Math.max(roomIn, (this.#freeAt.get(key) ?? now) - now);
-    const told = Math.min(MAX_RETURN_MS, Math.max(MIN_RETURN_MS, freeIn));
-    if (told <= timeLeft * MAX_HONOURED_SHARE && rate > 0) {
-      const dueAt = after(now, told);
+    const retryAfter = Math.min(MAX_RETURN_MS, Math.max(MIN_RETURN_MS, freeIn));
+    if (retryAfter <= timeLeft * MAX_HONOURED_SHARE && rate > 0) {
+      const dueAt = after(now, retryAfter);
       this.#bookings.push({ rank, units, dueAt, late });
       this.#freeAt.set(
         key,
         after(dueAt, Math.min(MAX_RETURN_MS, units / rate)),
       );
     }
-    return milliseconds(told);
+    return milliseconds(retryAfter);
   }
 
   /** Removes the booking of a caller that has returned; any of its rank, because callers choose entries at random. */
--- a/packages/core/src/pace/__tests__/endpoint_pace.test.ts
+++ b/packages/core/src/pace/__tests__/endpoint_pace.test.ts
@@ -103,32 +103,32 @@
   describe("is told to peers", () => {
     it("if it is not what they expect", () => {
       pace.recordContention(250, instant(0));
-      expect(pace.untoldDifference(instant(50))).toBeGreaterThan(1);
-      expect(pace.tell(instant(50))).toEqual({ contention: 250, age: 50 });
-      expect(pace.untoldDifference(instant(50))).toBe(0);
+      expect(pace.unsharedDifference(instant(50))).toBeGreaterThan(1);
+      expect(pace.share(instant(50))).toEqual({ contention: 250, age: 50 });
+      expect(pace.unsharedDifference(instant(50))).toBe(0);
     });
 
     it("again when it has changed back", () => {
       pace.recordContention(250, instant(0));
-      pace.tell(instant(0));
+      pace.share(instant(0));
       pace.recordContention(100, instant(100));
-      expect(pace.untoldDifference(instant(100))).toBeGreaterThan(1);
+      expect(pace.unsharedDifference(instant(100))).toBeGreaterThan(1);
     });
 
     it("not if the machine is as fast as usual", () => {
       pace.recordContention(100, instant(0));
-      expect(pace.untoldDifference(instant(0))).toBe(0);
+      expect(pace.unsharedDifference(instant(0))).toBe(0);
     });
 
     it("not if another entry has told the same", () => {
       pace.recordContention(250, instant(0));
       pace.receiveContention({ contention: 250, age: 0 }, instant(10));
-      expect(pace.untoldDifference(instant(10))).toBe(0);
+      expect(pace.unsharedDifference(instant(10))).toBe(0);
     });
 
     it("not once it is too old to matter", () => {
       pace.recordContention(250, instant(0));
-      expect(pace.untoldDifference(instant(5_000))).toBe(0);
+      expect(pace.unsharedDifference(instant(5_000))).toBe(0);
     });
 
     // Guards against peers that keep an outdated figure because the datagram with the newer one was lost.
--- a/packages/core/src/pace/endpoint_pace.ts
+++ b/packages/core/src/pace/endpoint_pace.ts
@@ -16,7 +16,7 @@
 const MIN_LASTING = 0.6;
 const MAX_LASTING = 2;
 /**
- * Peers are told of a figure that differs by this much from what they expect by themselves: smaller differences change
+ * A figure is shared with peers if it differs by this much from what they expect by themselves: smaller differences change
  * no choice.
  */
 const MIN_TOLD_DIFFERENCE = 0.3;
@@ -33,7 +33,7 @@
   /** The newest report that the endpoint made to this entry. */
   #own: ContentionReport | undefined;
   /** What all entries of the region know, from this entry or a peer. */
-  #told: ContentionReport | undefined;
+  #shared: ContentionReport | undefined;
   #lasting = 1;
 
   constructor(service = new ServicePace()) {
@@ -66,33 +66,33 @@
       factor: contentionFactor(contention),
       at: after(now, -age),
     };
-    if (report.at > (this.#told?.at ?? -Infinity)) {
-      this.#told = report;
+    if (report.at > (this.#shared?.at ?? -Infinity)) {
+      this.#shared = report;
     }
     if (report.at > (this.#report?.at ?? -Infinity)) {
       this.#report = report;
     }
   }
 
-  /** The difference between what the endpoint reported to this entry and what peers expect, 0 if it isn't worth telling. */
-  untoldDifference(now: Instant): number {
+  /** The difference between what the endpoint reported to this entry and what peers expect, 0 if it isn't worth sharing. */
+  unsharedDifference(now: Instant): number {
     const { contention } = this.#service;
     const own = this.#own;
     if (
-      own === undefined || own.at <= (this.#told?.at ?? -Infinity) ||
+      own === undefined || own.at <= (this.#shared?.at ?? -Infinity) ||
       now - own.at >= contention.span
     ) {
       return 0;
     }
     const difference = Math.abs(
-      contention.expected(own, now) - contention.expected(this.#told, now),
+      contention.expected(own, now) - contention.expected(this.#shared, now),
     );
     return difference >= MIN_TOLD_DIFFERENCE ? difference : 0;
   }
 
-  /** Returns the newest report to this entry, to tell peers. */
-  tell(now: Instant): { contention: number; age: number } | undefined {
-    this.#told = this.#own;
+  /** Returns the newest report to this entry, and counts it as known to the peers. */
+  share(now: Instant): { contention: number; age: number } | undefined {
+    this.#shared = this.#own;
     return this.#own === undefined ? undefined : {
       contention: Math.round(this.#own.factor * 100),
       age: now - this.#own.at,
--- a/packages/daemon/src/gateway/gauges.ts
+++ b/packages/daemon/src/gateway/gauges.ts
@@ -49,7 +49,7 @@
     endpoints_resting: endpointTerms.backoffs.activeCount(now),
     endpoint_rests_ignored: endpointTerms.backoffs.ignored,
     endpoints_slow: pace.slow,
-    endpoint_paces_told: pace.told,
+    endpoint_paces_shared: pace.shared,
     endpoint_paces_received: pace.received,
     services_busy: earlyRelay.relay.isOn ? earlyRelay.own.busyServices(now) : 0,
     early_relays: earlyRelay.relay.counts.requests,
