--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -5,11 +5,7 @@
  * @module
  */
 import type { CustomerLimits } from "../customers/index.ts";
-import {
-  DemandReporter,
-  RegionDemand,
-  type ReportedPace,
-} from "../demand/index.ts";
+import { type DemandReporter, RegionDemand } from "../demand/index.ts";
 import type { EndpointTerms } from "../endpoint_terms/index.ts";
 import { FairShares } from "../fair_shares/index.ts";
 import { Features } from "../features/index.ts";
@@ -23,7 +19,6 @@
 import { StallAdjustedClock } from "../listening/index.ts";
 import { RegionOutlooks } from "../outlook/index.ts";
 import type { RegionAdmission } from "../overload/index.ts";
-import { ReportAllowance } from "../pace/index.ts";
 import type { CatalogueSnapshot } from "../routes/index.ts";
 import { CallController } from "./call_controller.ts";
 import { CallRouter } from "./call_router.ts";
@@ -40,6 +35,7 @@
   createEarlyRelay,
   type EarlyRelayParts,
 } from "./create_early_relay.ts";
+import { createDemandReporter } from "./create_demand_reporter.ts";
 import { createEndpointTerms } from "./endpoint_terms_factory.ts";
 import { EndpointRegistry } from "./endpoint_registry.ts";
 import {
@@ -117,7 +113,6 @@
   readonly #demandReporter: DemandReporter;
   readonly #regionAdmission: RegionCallAdmission;
   readonly #shareLog: ShareLog;
-  readonly #paceAllowance = new ReportAllowance();
   #bounds: GatewayBounds;
   #effects: GatewayEffect[] = [];
   #lastEventAt: Instant;
@@ -253,7 +248,7 @@
       earlyRelay: this.earlyRelay.relay,
       random,
     });
-    const regionEntries = () => 1 + this.#endpoints.busyPeerCount();
+    const regionEntries = (): number => 1 + this.#endpoints.busyPeerCount();
     this.#regionAdmission = new RegionCallAdmission({
       isOn: () => this.features.isOn("regionAdmission"),
       demand: this.demand,
@@ -296,23 +291,13 @@
       serving: this.#serving,
       catalogueHash: () => this.#catalogue.contentHash,
     });
-    this.#demandReporter = new DemandReporter({
+    this.#demandReporter = createDemandReporter({
       demand: this.demand,
-      isWanted: () =>
-        this.features.isOn("fairShares") ||
-        this.features.isOn("regionAdmission") ||
-        this.features.isOn("endpointPace") ||
-        this.features.isOn("earlyRelay"),
+      endpoints: this.#endpoints,
+      features: this.features,
+      fleet: this.fleet,
+      serving: this.#serving,
       measure: (at) => this.#calls.measureDemand(at),
-      send: (report, at) =>
-        this.fleet.sender.sendDemand(
-          this.features.isOn("endpointPace")
-            ? { ...report, paces: this.#takeUnsharedPaces(at) }
-            : report,
-          (record) =>
-            this.#serving.has(record, at) ||
-            this.#endpoints.hasReport(record.incarnation),
-        ),
     });
     this.#stopController = new StopController({
       emit,
@@ -515,13 +500,6 @@
     this.#stopController.tick(now);
   }
 
-  #takeUnsharedPaces(now: Instant): ReportedPace[] {
-    const limit = this.#paceAllowance.available(this.demand.entries, now);
-    const paces = this.#endpoints.takeUnsharedPaces(limit, now);
-    this.#paceAllowance.spend(paces.length);
-    return paces;
-  }
-
   #updatePaceUse(): void {
     const isOn = this.features.isOn("endpointPace");
     if (this.#endpoints.usePace(isOn)) {
