--- a/playground/src/guards/customer_guards.ts
+++ b/playground/src/guards/customer_guards.ts
@@ -147,7 +147,7 @@
     name:
       "a customer's waiting requests follow each other at the pace of its limit",
     file: `${GATEWAY}/call_queue.ts`,
-    find: "return { call, virtualTime: virtualTime + offset };",
-    replace: "return { call, virtualTime: virtualTime + 0 * offset };",
+    find: "item.virtualTime += offset;",
+    replace: "item.virtualTime += 0 * offset;",
   },
 ];
--- a/playground/src/guards/guard_list.ts
+++ b/playground/src/guards/guard_list.ts
@@ -11,6 +11,7 @@
 import { TERMS_GUARDS } from "./terms_guards.ts";
 import type { Edit, Guard } from "./guard.ts";
 import { GUARDS } from "./guards.ts";
+import { LOAD_GUARDS } from "./load_guards.ts";
 import { QUARANTINE_GUARDS } from "./quarantine_guards.ts";
 import { ROUTE_GUARDS } from "./route_guards.ts";
 import { STALL_GUARDS } from "./stall_guards.ts";
@@ -25,6 +26,7 @@
   ...CUSTOMER_GUARDS,
   ...TERMS_GUARDS,
   ...EPOCH_GUARDS,
+  ...LOAD_GUARDS,
 ];
 
 /** Returns all edits that remove a guard. */
--- a/playground/src/guards/test_sets.ts
+++ b/playground/src/guards/test_sets.ts
@@ -8,9 +8,15 @@
 /** Folders of the gateway that serves routes. All other code belongs to the core configured by a deployment text. */
 const GATEWAY_PATHS = [
   "packages/core/src/customers/",
+  "packages/core/src/demand/",
   "packages/core/src/endpoint_terms/",
+  "packages/core/src/fair_shares/",
+  "packages/core/src/features/",
   "packages/core/src/gateway/",
   "packages/core/src/fleet/",
+  "packages/core/src/outlook/",
+  "packages/core/src/overload/",
+  "packages/core/src/pace/",
   "packages/core/src/quarantine/",
   "packages/core/src/routes/",
   "packages/daemon/src/gateway/",
