--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -1,6 +1,6 @@
 /**
- * Starts the bundle beside this file with the code that the build compiled. Compiling it anew took a third of the
- * processor time of a start. A Node that does not take the code compiles the bundle as usual.
+ * Starts the bundle beside this file with the code that the build compiled. Compiling it anew would delay
+ * each start. A Node that does not take the code compiles the bundle as usual.
  */
 const { existsSync, readFileSync, writeFileSync } = require("node:fs");
 const Module = require("node:module");
--- a/packages/daemon/src/gateway/fleet_decoder.ts
+++ b/packages/daemon/src/gateway/fleet_decoder.ts
@@ -1,6 +1,6 @@
 /**
- * Decodes the kinds of datagrams that entries send all the time. Checking them by schema took more processor time
- * than everything that is done with them.
+ * Decodes the kinds of datagrams that entries send all the time. Checking them by schema would take much of
+ * an entry's processor time.
  *
  * @module
  */
--- a/packages/daemon/src/gateway/snapshot_message.ts
+++ b/packages/daemon/src/gateway/snapshot_message.ts
@@ -1,8 +1,8 @@
 /**
  * Format in which entries copy the catalogue from each other: the answer of the tRPC procedure `catalogue`.
  *
- * Client and server of this procedure are written out here. The libraries for procedures, and the parts of Node that
- * they load, took more processor time than the rest of a start, and each entry copies the catalogue when it starts.
+ * Client and server of this procedure are written out here. Each entry copies the catalogue when it starts, and loading
+ * the libraries for procedures would delay that.
  *
  * @module
  */
