feat: lines of ended endpoints name the parts of prompts there

The lines of an incident could not tell whether ends follow requests with something in common or the load that ended endpoints leave to others: they named whole requests, of which no two were alike. No decision reads them.

--- a/packages/core/src/ids/hash.ts
+++ b/packages/core/src/ids/hash.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { createHash } from "node:crypto";
-import type { KeyDigest } from "./ids.ts";
+import type { KeyDigest, PartDigest } from "./ids.ts";
 
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
@@ -39,6 +39,24 @@
     .slice(0, KEY_DIGEST_LENGTH) as KeyDigest;
 }
 
+/** Sets digests of prompt parts apart from digests of whole requests. */
+const PART_PREFIX = "p:";
+/** Ids of this form are kept as they are, so that operators recognize them. */
+const SHORT_PART_ID = /^[0-9a-z_-]{1,32}$/;
+/** Characters of the digest of any other id: 96 bits. */
+const PART_DIGEST_LENGTH = 16;
+
+/** Digest that represents a prompt part. It has a bounded length, whatever the caller sends as the part's id. */
+export function partDigest(id: string): PartDigest {
+  const name = id.toLowerCase();
+  if (SHORT_PART_ID.test(name)) {
+    return `${PART_PREFIX}${name}` as PartDigest;
+  }
+  const digest = createHash("sha256").update(name).digest("base64url")
+    .slice(0, PART_DIGEST_LENGTH);
+  return `${PART_PREFIX}~${digest}` as PartDigest;
+}
+
 /** Orders candidates by rendezvous hash for `key`, best first. All processes get the same order. */
 export function rendezvous<Item>(
   key: string,
--- a/packages/core/src/ids/ids.ts
+++ b/packages/core/src/ids/ids.ts
@@ -47,6 +47,8 @@
 
 /** Digest of a request's host, path and body, the same for each repeat of the request. */
 export type ContentDigest = Branded<string, "ContentDigest">;
+/** Identifies a part of prompts that several requests may share. */
+export type PartDigest = Branded<string, "PartDigest">;
 /** Digest that identifies the sender of a request, as far as entries can tell. */
 export type CallerDigest = Branded<string, "CallerDigest">;
 
--- a/packages/core/src/quarantine/__tests__/quarantine_controller.test.ts
+++ b/packages/core/src/quarantine/__tests__/quarantine_controller.test.ts
@@ -9,6 +9,7 @@
   type Incarnation,
   instant,
   milliseconds,
+  partDigest,
   type RequestId,
   type ServiceId,
   StallAdjustedClock,
@@ -213,6 +214,38 @@
     expect(controller.crashes).toBe(40);
   });
 
+  it("logs the prompt parts at a crash, those without an answer first", () => {
+    const endpoint = { record: record("e1"), heardAt: undefined };
+    const start = (id: string, parts: string[], at: number) => {
+      const fingerprint = {
+        content: id as ContentDigest,
+        caller: CALLER,
+        parts: parts.map(partDigest),
+      };
+      const attempt = id as AttemptId;
+      controller.noteSent(
+        endpoint,
+        { attempt, fingerprint, path: "/p", sentAt: instant(at) },
+        id as RequestId,
+      );
+      return { attempt, fingerprint };
+    };
+    const sound = start("a1", ["first"], 0);
+    controller.noteOutcome(
+      endpoint,
+      { ...sound, end: "answered" },
+      instant(1_000),
+    );
+    const lost = start("a2", ["first", "new"], 1_500);
+    controller.noteOutcome(endpoint, { ...lost, end: "lost" }, instant(1_600));
+    controller.notePortClosed(endpoint.record);
+    controller.tick(instant(1_900));
+    expect(logEntries[0]?.fields.parts).toEqual([
+      { part: "p:new", requests: 1 },
+      { part: "p:first", requests: 1, answeredMsBefore: 600 },
+    ]);
+  });
+
   it("logs a bounded number of requests per crash", () => {
     crash("e1", Array.from({ length: 60 }, (_, index) => `x${index}`), 0);
     expect(logEntries[0]?.fields).toMatchObject({ requests: 60 });
--- a/packages/core/src/quarantine/crash_report.ts
+++ b/packages/core/src/quarantine/crash_report.ts
@@ -51,11 +51,13 @@
 function mergeCopies(attempts: readonly LostAttempt[]): RequestAtCrash[] {
   const requests = new Map<string, RequestAtCrash>();
   for (const { fingerprint, sentAt, lostAt, trial } of attempts) {
-    const key = `${fingerprint.content} ${fingerprint.caller}`;
+    const { content, caller } = fingerprint;
+    const key = `${content} ${caller}`;
     const existing = requests.get(key);
     const exposure = Math.max(existing?.exposure ?? 0, lostAt - sentAt);
     requests.set(key, {
-      ...fingerprint,
+      content,
+      caller,
       exposure: milliseconds(Math.round(exposure)),
       trial: trial || existing?.trial === true,
     });
--- a/packages/core/src/quarantine/quarantine_controller.ts
+++ b/packages/core/src/quarantine/quarantine_controller.ts
@@ -41,6 +41,7 @@
   type TriedRequest,
 } from "./quarantine_messages.ts";
 import { AnswerHistory } from "./answer_history.ts";
+import { PartAnswers } from "./part_answers.ts";
 import {
   createTrialPermission,
   type TrialDependencies,
@@ -98,6 +99,7 @@
   readonly #holdController: HoldController;
   readonly #trials: TrialCoordinator;
   readonly #recentAnswers = new AnswerHistory();
+  readonly #partAnswers = new PartAnswers();
   #pendingAnswered: AnsweredRequest[] = [];
   /** When crashes were reported within the last second. */
   #reportTimes: Instant[] = [];
@@ -206,7 +208,8 @@
     this.#detector.noteEnded(endpoint, attempt);
     if (end === "answered") {
       const { softwareVersion } = endpoint.record;
-      const { content } = fingerprint;
+      const { content, parts = [] } = fingerprint;
+      this.#partAnswers.add(parts, now);
       this.#noteAnswered({ content, softwareVersion }, now);
     }
   }
@@ -308,8 +311,11 @@
   #reportCrash({ record, at, attempts }: CrashedEndpoint, now: Instant): void {
     this.crashes++;
     const fields = crashLogFields(
-      { record, attempts },
-      (content) => this.#history.crashCount(content),
+      { record, at, attempts },
+      {
+        crashCountOf: (content) => this.#history.crashCount(content),
+        lastAnswerOf: (part) => this.#partAnswers.lastAnswer(part),
+      },
     );
     this.#deps.log("endpoint", "Endpoint has ended.", fields);
     const report = createReport({ record, at, attempts }, {
--- a/packages/core/src/quarantine/quarantine_log.ts
+++ b/packages/core/src/quarantine/quarantine_log.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { ContentDigest } from "../ids/index.ts";
+import type { ContentDigest, Instant, PartDigest } from "../ids/index.ts";
 import type { HoldNotice } from "./quarantine_messages.ts";
 import type { CrashedEndpoint, LostAttempt } from "./crash_detector.ts";
 
@@ -13,10 +13,21 @@
  */
 const MAX_LOGGED_REQUESTS = 8;
 
+/** Number of prompt parts in one log entry. */
+const MAX_LOGGED_PARTS = 16;
+
+/** What is known of the requests at a crash. */
+export interface CrashLogContext {
+  /** Returns the number of earlier crashes at which a request was present. */
+  readonly crashCountOf: (content: ContentDigest) => number;
+  /** Returns when a prompt with a part was last answered. */
+  readonly lastAnswerOf: (part: PartDigest) => Instant | undefined;
+}
+
 /** Returns the fields of the log entry about a crash. */
 export function crashLogFields(
-  { record, attempts }: Pick<CrashedEndpoint, "record" | "attempts">,
-  crashCountOf: (content: ContentDigest) => number,
+  { record, attempts, at }: CrashedEndpoint,
+  { crashCountOf, lastAnswerOf }: CrashLogContext,
 ): Record<string, unknown> {
   const quickest = [...attempts]
     .sort((left, right) => durationOf(left) - durationOf(right))
@@ -35,9 +46,36 @@
       ms: Math.round(durationOf(attempt)),
       ends: crashCountOf(attempt.fingerprint.content) + 1,
     })),
+    parts: partLogFields({ attempts, at }, lastAnswerOf),
   };
 }
 
+/** Lists the prompt parts of the lost requests, first those that were never answered or longest ago. */
+function partLogFields(
+  { attempts, at }: Pick<CrashedEndpoint, "attempts" | "at">,
+  lastAnswerOf: CrashLogContext["lastAnswerOf"],
+): { part: PartDigest; requests: number; answeredMsBefore?: number }[] {
+  const requests = new Map<PartDigest, number>();
+  for (
+    const part of attempts.flatMap(({ fingerprint }) => fingerprint.parts ?? [])
+  ) {
+    requests.set(part, (requests.get(part) ?? 0) + 1);
+  }
+  return [...requests].map(([part, count]) => {
+    const answeredAt = lastAnswerOf(part);
+    return {
+      part,
+      requests: count,
+      ...(answeredAt === undefined
+        ? {}
+        : { answeredMsBefore: Math.round(at - answeredAt) }),
+    };
+  }).sort((left, right) =>
+    (right.answeredMsBefore ?? Infinity) -
+      (left.answeredMsBefore ?? Infinity) || 0
+  ).slice(0, MAX_LOGGED_PARTS);
+}
+
 /** Returns the log entry about a hold that started, was extended or ended. */
 export function holdLogEntry(
   { content, caller, service, versions, term, remaining, released }: HoldNotice,
--- a/packages/core/src/quarantine/quarantine_messages.ts
+++ b/packages/core/src/quarantine/quarantine_messages.ts
@@ -11,10 +11,10 @@
   ServiceId,
   ZoneId,
 } from "../ids/index.ts";
-import type { RequestFingerprint } from "./fingerprint.ts";
+import type { RepetitionDigests } from "./fingerprint.ts";
 
 /** A request that an entry had in progress at an endpoint, running or queued, when the endpoint crashed. */
-export interface RequestAtCrash extends RequestFingerprint {
+export interface RequestAtCrash extends RepetitionDigests {
   /** Time from the sending of its first copy there to the crash. */
   readonly exposure: Milliseconds;
   /** Whether it was sent as a trial, because it was present at several crashes. */
@@ -39,7 +39,7 @@
 export interface HoldNotice {
   readonly content: ContentDigest;
   /** The caller whose requests are held, `undefined` for all callers. */
-  readonly caller: RequestFingerprint["caller"] | undefined;
+  readonly caller: RepetitionDigests["caller"] | undefined;
   readonly service: ServiceId;
   /** Software versions of the endpoints that the request crashed. */
   readonly versions: readonly string[];
--- a/packages/daemon/src/gateway/__tests__/fingerprint_builder.test.ts
+++ b/packages/daemon/src/gateway/__tests__/digest_builder.test.ts
@@ -1,13 +1,13 @@
 import type { IncomingMessage } from "node:http";
-import type { Incarnation, RequestFingerprint } from "@sassafrasstep/core";
+import type { Incarnation, RepetitionDigests } from "@sassafrasstep/core";
 import { describe, expect, it } from "vitest";
-import { FingerprintBuilder } from "../fingerprint_builder.ts";
+import { DigestBuilder } from "../digest_builder.ts";
 import { formatRelayHeader, parseRelayHeader } from "../relay_header.ts";
 
-function fingerprint(
+function digests(
   { host = "a.example", url = "/p/x", from = "10.0.0.1", chunks = ["body"] },
-): RequestFingerprint {
-  const builder = new FingerprintBuilder({
+): RepetitionDigests {
+  const builder = new DigestBuilder({
     headers: { host },
     url,
     socket: { remoteAddress: from },
@@ -16,12 +16,12 @@
   return builder.build();
 }
 
-describe("fingerprint of a request", () => {
-  const first = fingerprint({});
+describe("digests of a request", () => {
+  const first = digests({});
 
   it("is the same for each retry, however its body is chunked", () => {
-    expect(fingerprint({ chunks: ["bo", "", "dy"] })).toEqual(first);
-    expect(fingerprint({ host: "A.example" })).toEqual(first);
+    expect(digests({ chunks: ["bo", "", "dy"] })).toEqual(first);
+    expect(digests({ host: "A.example" })).toEqual(first);
   });
 
   it.each([
@@ -31,17 +31,17 @@
     ["host", { host: "b.example" }],
     ["end of the path", { url: "/p/xbody", chunks: [""] }],
   ])("differs with the %s", (_what, change) => {
-    expect(fingerprint(change).content).not.toBe(first.content);
+    expect(digests(change).content).not.toBe(first.content);
   });
 
   it("distinguishes callers without changing the content digest", () => {
-    const other = fingerprint({ from: "10.0.0.2" });
+    const other = digests({ from: "10.0.0.2" });
     expect(other.content).toBe(first.content);
     expect(other.caller).not.toBe(first.caller);
   });
 
   it("has the same size for any body", () => {
-    const large = fingerprint({ chunks: ["x".repeat(1_000_000)] });
+    const large = digests({ chunks: ["x".repeat(1_000_000)] });
     expect(large.content.length).toBe(first.content.length);
   });
 
@@ -49,7 +49,7 @@
     const relay = { from: "abc" as Incarnation, sentBefore: 2 };
     expect(parseRelayHeader(formatRelayHeader(relay, first))).toEqual({
       relay,
-      fingerprint: first,
+      digests: first,
     });
   });
 
--- a/packages/daemon/src/gateway/fingerprint_builder.ts
+++ b/packages/daemon/src/gateway/digest_builder.ts
@@ -1,5 +1,5 @@
 /**
- * Computes the fingerprint of a request while its body is received.
+ * Computes the digests of a request while its body is received.
  *
  * @module
  */
@@ -8,7 +8,7 @@
 import type {
   CallerDigest,
   ContentDigest,
-  RequestFingerprint,
+  RepetitionDigests,
 } from "@sassafrasstep/core";
 
 /**
@@ -23,8 +23,8 @@
  */
 const CALLER_DIGEST_CHARACTERS = 8;
 
-/** Computes the fingerprint of one request from its host and path, then its body. */
-export class FingerprintBuilder {
+/** Computes the digests of one request from its host and path, then its body. */
+export class DigestBuilder {
   readonly #hash: Hash = createHash("sha256");
   readonly #caller: string;
 
@@ -39,8 +39,8 @@
     this.#hash.update(chunk);
   }
 
-  /** Finishes the digest; may be called only once. */
-  build(): RequestFingerprint {
+  /** Finishes the digests; may be called only once. */
+  build(): RepetitionDigests {
     const content = this.#hash.digest("base64url").slice(
       0,
       CONTENT_DIGEST_CHARACTERS,
--- a/packages/daemon/src/gateway/ingress.ts
+++ b/packages/daemon/src/gateway/ingress.ts
@@ -15,12 +15,12 @@
 import type { Socket } from "node:net";
 import type {
   CallerLimits,
-  RequestFingerprint,
+  RepetitionDigests,
   RequestId,
 } from "@sassafrasstep/core";
 import { closeIdleAfterPoll } from "../timers/index.ts";
 import { Exchange } from "./exchange.ts";
-import { FingerprintBuilder } from "./fingerprint_builder.ts";
+import { DigestBuilder } from "./digest_builder.ts";
 import type { CallerProtocol } from "./protocol.ts";
 import {
   parseRelayHeader,
@@ -85,7 +85,7 @@
   const { message, reply, relays } = arrival;
   const limit = options.limits()?.bodyBytes ?? DEFAULT_BODY_BYTES;
   const chunks: Buffer[] = [];
-  const fingerprint = relays ? undefined : new FingerprintBuilder(message);
+  const digests = relays ? undefined : new DigestBuilder(message);
   let size = 0;
   message.on("data", (chunk: Buffer) => {
     size += chunk.length;
@@ -95,7 +95,7 @@
       rejectRequest(reply, TOO_LARGE);
     } else {
       chunks.push(chunk);
-      fingerprint?.update(chunk);
+      digests?.update(chunk);
     }
   });
   message.on("end", () => {
@@ -103,7 +103,7 @@
       const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
       openExchange(options, arrival, {
         body,
-        fingerprint: fingerprint?.build(),
+        digests: digests?.build(),
       });
     }
   });
@@ -113,22 +113,25 @@
 function openExchange(
   options: IngressOptions,
   { message, reply }: Arrival,
-  { body, fingerprint }: {
+  { body, digests }: {
     body: Buffer;
     /** `undefined` for a request relayed by another entry. */
-    fingerprint: RequestFingerprint | undefined;
+    digests: RepetitionDigests | undefined;
   },
 ): void {
-  const head = options.protocol.readHead(message);
-  const origin = fingerprint === undefined
+  const stated = options.protocol.readHead(message);
+  const origin = digests === undefined
     ? parseRelayHeader(
       message.headers[RELAY_HEADER] ?? message.headers[RESUMED_RELAY_HEADER],
     )
-    : { fingerprint, relay: undefined };
-  if (head === undefined || origin === undefined) {
+    : { digests, relay: undefined };
+  if (stated === undefined || origin === undefined) {
     rejectRequest(reply, BAD_REQUEST);
     return;
   }
+  const { sharedParts: parts, ...head } = stated;
+  const { relay } = origin;
+  const fingerprint = { ...origin.digests, parts };
   const id = options.nextRequestId();
   reply.on("close", () => {
     if (!reply.writableFinished) {
@@ -137,7 +140,7 @@
   });
   options.onRequest(
     new Exchange({
-      head: { ...head, ...origin, id, bodyBytes: body.length },
+      head: { ...head, fingerprint, relay, id, bodyBytes: body.length },
       body,
       message,
       reply,
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -15,6 +15,7 @@
   CatalogueSnapshot,
   CustomerId,
   Milliseconds,
+  PartDigest,
   Revision,
 } from "@sassafrasstep/core";
 
@@ -22,10 +23,11 @@
 export type RawHeaders = string[];
 
 /** What the headers of a caller's request state. */
-export type CallerRequestHead = Omit<
-  CallHead,
-  "id" | "bodyBytes" | "fingerprint" | "relay"
->;
+export interface CallerRequestHead
+  extends Omit<CallHead, "id" | "bodyBytes" | "fingerprint" | "relay"> {
+  /** The parts of the prompt that other requests may share; `undefined` for a request without a prompt. */
+  readonly sharedParts: readonly PartDigest[] | undefined;
+}
 
 /** Maps requests from callers and answers to them. */
 export interface CallerProtocol {
--- a/packages/daemon/src/gateway/relay_header.ts
+++ b/packages/daemon/src/gateway/relay_header.ts
@@ -9,7 +9,7 @@
   CustomerId,
   Incarnation,
   RelayInfo,
-  RequestFingerprint,
+  RepetitionDigests,
   ServiceId,
   StreamOrigin,
 } from "@sassafrasstep/core";
@@ -33,13 +33,13 @@
 export interface RelayedRequest {
   readonly relay: RelayInfo;
   /** As computed by the first entry: only that one sees the caller. */
-  readonly fingerprint: RequestFingerprint;
+  readonly digests: RepetitionDigests;
 }
 
 /** Formats the header's value. */
 export function formatRelayHeader(
   { from, sentBefore, customer, origin }: RelayInfo,
-  { content, caller }: RequestFingerprint,
+  { content, caller }: RepetitionDigests,
 ): string {
   return formatItems([
     from,
@@ -85,7 +85,7 @@
         ? { service: service as ServiceId, version }
         : undefined,
     },
-    fingerprint: {
+    digests: {
       content: content as ContentDigest,
       caller: caller as CallerDigest,
     },
