test: a part of prompts that crashes what runs it, listed as red

The simulator of crashes knows poison parts beside poison bodies, with events before the crash; a part counts as shown by five crashes, and entries that are cut off or of an earlier build are not held to what they cannot know.

--- a/playground/src/routes/crashes.ts
+++ b/playground/src/routes/crashes.ts
@@ -1,6 +1,6 @@
 /**
- * Simulates endpoint crashes: on their own, or caused by a request body that crashes every endpoint that
- * runs it. After a downtime, a new endpoint takes over the address.
+ * Simulates endpoint crashes: on their own, or caused by a request body or a part of prompts that crashes
+ * every endpoint that runs it. After a downtime, a new endpoint takes over the address.
  *
  * @module
  */
@@ -13,10 +13,11 @@
 const RECORD_LIFETIME_MS = 3_000;
 /** Default time from a crash until a new endpoint listens at the address. */
 const DOWNTIME_MS = 7_000;
-/** A request that crashes endpoints must be detected within this time after its third crash. */
+/** A cause of crashes must be detected within this time after the last of the crashes that show it. */
 const DETECTION_MS = 6_000;
-const CRASHES_TO_DETECT = 3;
-/** Number of sends of a detected request that are tolerated, over all entries. */
+/** Number of crashes that show the cause. Requests with the same part have less in common than repeats of one body. */
+const CRASHES_TO_DETECT = { body: 3, part: 5 } as const;
+/** Number of sends that are tolerated after that, over all entries. */
 export const MAX_LATE_SENDS = 3;
 
 /** How an endpoint crashes. */
@@ -30,27 +31,35 @@
   /** Like `close`, but it restarts at once under the same id. */
   | "reborn";
 
-/** One send of a poison body to an endpoint. */
+/** One send of a poison to an endpoint. */
 interface EndpointSend {
   readonly at: number;
-  /** Whether the sending entry had run long enough to have learned what its peers know. */
+  /** Whether the sending entry had time to learn what its peers know. */
   readonly upToDate: boolean;
 }
 
-/** A request body that crashes every endpoint that runs it. */
-interface PoisonBody {
+/** How a poison crashes endpoints. */
+interface PoisonOptions {
+  /** What every request that crashes endpoints has: this body, or this part of its prompt, which is not the last. */
+  readonly of: keyof typeof CRASHES_TO_DETECT;
   /** Time from the start of a run to the crash. */
   readonly crashAfterMs: number;
+  /** Number of events that precede the crash. */
+  readonly eventCount: number;
   readonly kind: CrashKind;
   readonly downtimeMs: number;
+}
+
+/** A request body or a part of prompts that crashes every endpoint that runs it. */
+interface Poison extends PoisonOptions {
   /** Times at which it crashed an endpoint. */
   readonly crashTimes: number[];
   readonly sends: EndpointSend[];
 }
 
-/** Crashes endpoints and records which request bodies caused it. */
+/** Crashes endpoints and records which request bodies and prompt parts caused it. */
 export class CrashSimulator {
-  readonly poisonBodies = new Map<string, PoisonBody>();
+  readonly poisons = new Map<string, Poison>();
   readonly #world: RouteWorld;
   readonly #fixedVersions = new Set<string>();
   #restartCount = 0;
@@ -59,21 +68,8 @@
     this.#world = world;
   }
 
-  addPoisonBody(
-    body: string,
-    { crashAfterMs, kind, downtimeMs = DOWNTIME_MS }: {
-      crashAfterMs: number;
-      kind: CrashKind;
-      downtimeMs?: number;
-    },
-  ): void {
-    this.poisonBodies.set(body, {
-      crashAfterMs,
-      kind,
-      downtimeMs,
-      crashTimes: [],
-      sends: [],
-    });
+  addPoison(name: string, options: PoisonOptions): void {
+    this.poisons.set(name, { ...options, crashTimes: [], sends: [] });
   }
 
   /** Marks a software version as fixed: its endpoints no longer crash on poison bodies. */
@@ -89,21 +85,24 @@
     if (this.#fixedVersions.has(at.version)) {
       return;
     }
-    const { now } = this.#world.time;
-    const upToDate = now - from.startedAt >= DETECTION_MS;
-    this.#poisonBodyOf(call)?.sends.push({ at: now, upToDate });
+    const send = {
+      at: this.#world.time.now,
+      upToDate: this.#isUpToDate(from),
+    };
+    this.#poisonOf(call)?.sends.push(send);
   }
 
-  /** Returns the time until a run of a request crashes its endpoint, `undefined` if it doesn't. */
-  crashDelay(call: string, { version }: FakeBackend): number | undefined {
-    return this.#fixedVersions.has(version)
-      ? undefined
-      : this.#poisonBodyOf(call)?.crashAfterMs;
+  /** Returns how a run of a request crashes its endpoint, `undefined` if it doesn't. */
+  crashOf(
+    call: string,
+    { version }: FakeBackend,
+  ): Pick<PoisonOptions, "crashAfterMs" | "eventCount"> | undefined {
+    return this.#fixedVersions.has(version) ? undefined : this.#poisonOf(call);
   }
 
   /** Crashes an endpoint because of a request that it runs. */
   crashUnder(call: string, backend: FakeBackend): void {
-    const poison = this.#poisonBodyOf(call)!;
+    const poison = this.#poisonOf(call)!;
     poison.crashTimes.push(this.#world.time.now);
     this.crash(backend, poison);
   }
@@ -127,17 +126,28 @@
     time.after(downtimeMs, () => this.#replace(backend));
   }
 
-  /** Counts the sends of a body by up-to-date entries after it should have been detected. */
-  lateSends(body: string): number {
-    const { crashTimes, sends } = this.poisonBodies.get(body)!;
-    const detectionStartsAt = crashTimes[CRASHES_TO_DETECT - 1] ?? Infinity;
+  /** Counts the sends of a poison by up-to-date entries after it should have been detected. */
+  lateSends(name: string): number {
+    const { of, crashTimes, sends } = this.poisons.get(name)!;
+    const detectionStartsAt = crashTimes[CRASHES_TO_DETECT[of] - 1] ?? Infinity;
     return sends.filter(({ at, upToDate }) =>
       upToDate && at > detectionStartsAt + DETECTION_MS
     ).length;
   }
 
-  #poisonBodyOf(call: string): PoisonBody | undefined {
-    return this.poisonBodies.get(this.#world.bodyOf(call));
+  #isUpToDate({ name, startedAt }: VirtualGateway): boolean {
+    const { time, oldEntries, connectedSince } = this.#world;
+    const since = Math.max(startedAt, connectedSince(name));
+    return !oldEntries.has(name) && time.now - since >= DETECTION_MS;
+  }
+
+  #poisonOf(call: string): Poison | undefined {
+    const body = this.poisons.get(this.#world.bodyOf(call));
+    if (body?.of === "body") {
+      return body;
+    }
+    return this.#world.sharedPartsOf(call).map((id) => this.poisons.get(id))
+      .find((poison) => poison?.of === "part");
   }
 
   #replace(backend: FakeBackend): void {
@@ -157,13 +167,12 @@
   }
 }
 
-/** Checks that no poison body was sent more often than tolerated after it should have been detected. */
-export function checkPoisonBodies({ crashes }: RouteWorld): string[] {
-  return [...crashes.poisonBodies.keys()].flatMap((body) => {
-    const late = crashes.lateSends(body);
-    const { crashTimes } = crashes.poisonBodies.get(body)!;
+/** Checks that no poison was sent more often than tolerated after it should have been detected. */
+export function checkPoisons({ crashes }: RouteWorld): string[] {
+  return [...crashes.poisons].flatMap(([name, { of, crashTimes }]) => {
+    const late = crashes.lateSends(name);
     return late <= MAX_LATE_SENDS ? [] : [
-      `Body ${body} reached endpoints ${late} times after it should have been detected; it crashed ${crashTimes.length}`,
+      `Requests with ${of} ${name} reached endpoints ${late} times after it should have been detected; they crashed ${crashTimes.length}`,
     ];
   });
 }
--- a/playground/src/routes/fake_backend.ts
+++ b/playground/src/routes/fake_backend.ts
@@ -71,8 +71,11 @@
     call: string,
     send: { from: VirtualGateway; at: FakeBackend },
   ): void;
-  /** Returns the time until a run of a request crashes its endpoint, `undefined` if it doesn't. */
-  crashDelay(call: string, backend: FakeBackend): number | undefined;
+  /** Returns when a run of a request crashes its endpoint, `undefined` if it doesn't. */
+  crashOf(
+    call: string,
+    backend: FakeBackend,
+  ): { crashAfterMs: number; eventCount: number } | undefined;
   /** Crashes an endpoint because of a request that it runs. */
   crashUnder(call: string, backend: FakeBackend): void;
 }
@@ -273,18 +276,26 @@
 
   #scheduleCrash(request: BackendRequest): boolean {
     const { crashes } = this.#dependencies;
-    const delay = crashes?.crashDelay(request.call, this);
-    if (delay === undefined) {
+    const crash = crashes?.crashOf(request.call, this);
+    if (crash === undefined) {
       return false;
     }
-    this.#runUnlessCancelled(
-      delay,
-      request,
-      () => crashes!.crashUnder(request.call, this),
-    );
+    this.#runUnlessCancelled(crash.crashAfterMs, request, () => {
+      this.#sendEvents(request, crash.eventCount);
+      crashes!.crashUnder(request.call, this);
+    });
     return true;
   }
 
+  #sendEvents({ answer, resumeAfter }: BackendRequest, count: number): void {
+    if (count > 0) {
+      answer.head(200, false);
+    }
+    for (let index = 1; index <= count; index++) {
+      answer.event(resumeAfter + index);
+    }
+  }
+
   #failAnswer(answer: BackendAnswer, sendFailure: boolean): void {
     if (sendFailure) {
       answer.head(STATUS_FAILED, false);
--- a/playground/src/routes/quarantine_trials.ts
+++ b/playground/src/routes/quarantine_trials.ts
@@ -59,11 +59,11 @@
   lines.push("at 30s expect held nobody 0");
   const { world } = runRoutes(lines.join("\n"), { seed, loadSetting });
   const { crashes } = world;
-  const poisonBodies = new Set(crashes.poisonBodies.keys());
+  const poisonBodies = new Set(crashes.poisons.keys());
   return {
     wronglyHeld: heldCalls(world).map((call) => world.bodyOf(call))
       .filter((body) => !poisonBodies.has(body)),
-    poisonBodies: [...crashes.poisonBodies].map(([body, { crashTimes }]) => ({
+    poisonBodies: [...crashes.poisons].map(([body, { crashTimes }]) => ({
       crashCount: crashTimes.length,
       lateSends: crashes.lateSends(body),
     })),
--- a/playground/src/routes/route_actions.ts
+++ b/playground/src/routes/route_actions.ts
@@ -107,7 +107,7 @@
     }));
   },
   reborn: ({ world }, line) => restartBackend(world, line),
-  poison: ({ world }, line) => addPoisonBody(world, line),
+  poison: ({ world }, line) => addPoison(world, line),
   end: ({ world }, line) => crashBackends(world, line),
   cure: ({ world: { crashes } }, line) =>
     crashes.markFixed(word(line, 1, "a version")),
@@ -134,7 +134,10 @@
   action(stage, line);
 }
 
-/** `call NAME ROUTE via ENTRY [time T] [prompt N] [shared ID:N] [events N] [body B] [from CALLER] [key K]` */
+/**
+ * `call NAME ROUTE via ENTRY [time T] [prompt N] [shared ID:N,...|ID:N,...] [events N] [body B] [from CALLER] [key K]`.
+ * Calls of a load take the lists of shared prompt parts in turn.
+ */
 function sendCall(world: RouteWorld, line: Line): void {
   sendRequest(world, line, { name: word(line, 1, "a name"), index: 0 });
 }
@@ -199,7 +202,7 @@
     route: word(line, 2, "a route"),
     entry: entries[index % entries.length]!,
     timeLeftMs: time === "" ? undefined : parseTime(line, time),
-    prompt: readPrompt(line, name),
+    prompt: readPrompt(line, { name, index }),
     events: Number(option(line, "events", "5")),
     body: option(line, "body", name),
     caller: callers[index % callers.length]!,
@@ -207,25 +210,32 @@
   });
 }
 
-function readPrompt(line: Line, name: string): Prompt | undefined {
+function readPrompt(
+  line: Line,
+  { name, index }: { name: string; index: number },
+): Prompt | undefined {
   const tokens = Number(option(line, "prompt", "0"));
   if (tokens === 0) {
     return undefined;
   }
-  const [id, sharedTokens] = option(line, "shared", "").split(":");
-  const shared = sharedTokens === undefined
-    ? []
-    : [{ id: id!, tokens: Number(sharedTokens) }];
+  const lists = option(line, "shared", "").split("|");
+  const list = lists[index % lists.length]!;
+  const shared = (list === "" ? [] : list.split(",")).map((item) => {
+    const [id, sharedTokens] = item.split(":");
+    return { id: id!, tokens: Number(sharedTokens) };
+  });
   return promptOf([...shared, { id: name, tokens }]);
 }
 
 /**
- * `poison BODY [after T] [how close|dark|failure|reborn] [down T]`: the body crashes each endpoint that
- * runs it.
+ * `poison NAME [part] [after T] [events N] [how close|dark|failure|reborn] [down T]`: the body or the prompt part of this
+ * name crashes each endpoint that runs it, after its first events if there are any.
  */
-function addPoisonBody(world: RouteWorld, line: Line): void {
-  world.crashes.addPoisonBody(word(line, 1, "a body"), {
+function addPoison(world: RouteWorld, line: Line): void {
+  world.crashes.addPoison(word(line, 1, "a body or a part"), {
+    of: line.words.includes("part") ? "part" : "body",
     crashAfterMs: parseTime(line, option(line, "after", "100ms")),
+    eventCount: Number(option(line, "events", "0")),
     kind: option(line, "how", "close") as CrashKind,
     downtimeMs: parseTime(line, option(line, "down", "7s")),
   });
--- a/playground/src/routes/route_expectations.ts
+++ b/playground/src/routes/route_expectations.ts
@@ -17,7 +17,7 @@
   word,
 } from "../scenario/script.ts";
 import { mostWithin } from "../client/most_within.ts";
-import { checkPoisonBodies } from "./crashes.ts";
+import { checkPoisons } from "./crashes.ts";
 import type { ObservedCall } from "./route_types.ts";
 import type { RouteWorld } from "./route_world.ts";
 import {
@@ -36,7 +36,10 @@
 const CHECKS: Readonly<Record<string, Check>> = {
   /** `expect call NAME [status N] [runs N] [by BACKEND] [events N] [complete|broken|open] [within T] [retry]` */
   call: (world, line) => checkCall(world, line),
-  /** `expect load NAME [served N] [cut N]`: the least number served and the most answers that broke off. */
+  /**
+   * `expect load NAME [served N] [cut N] [from T to T]`: the least number served and the most answers that broke off, of
+   * the calls sent in a time span.
+   */
   load: (world, line) => checkLoad(world, line),
   /** `expect refused NAME N within T`: at least N calls of a load were refused within T with a retry time. */
   refused: (world, line) => {
@@ -120,11 +123,11 @@
       ? undefined
       : `${found} arrivals, from ${min} to ${max} expected`;
   },
-  /** `expect poison BODY [sends N] [ends N]`: the most sends after it should be detected, and crashes in all. */
+  /** `expect poison NAME [sends N] [ends N]`: the most sends after it should be detected, and crashes in all. */
   poison: ({ crashes }, line) => {
-    const body = word(line, 1, "a body");
-    const sends = crashes.lateSends(body);
-    const crashCount = crashes.poisonBodies.get(body)!.crashTimes.length;
+    const name = word(line, 1, "a body or a part");
+    const sends = crashes.lateSends(name);
+    const crashCount = crashes.poisons.get(name)!.crashTimes.length;
     const tooMany = sends > Number(option(line, "sends", "Infinity")) ||
       crashCount > Number(option(line, "ends", "Infinity"));
     return tooMany ? `${sends} sends, ${crashCount} crashes` : undefined;
@@ -203,7 +206,7 @@
   return [
     ...calls,
     ...checkOneVersion(world),
-    ...checkPoisonBodies(world),
+    ...checkPoisons(world),
     ...terms,
   ];
 }
@@ -248,8 +251,11 @@
 
 function checkLoad(world: RouteWorld, line: Line): string | undefined {
   const prefix = `${word(line, 1, "a load")}-`;
-  const calls = [...world.calls.values()].filter(({ name }) =>
-    name.startsWith(prefix)
+  const isInSpan = line.words.includes("from")
+    ? isWithinSpan(world, line)
+    : () => true;
+  const calls = [...world.calls.values()].filter(({ name, sentAt }) =>
+    name.startsWith(prefix) && isInSpan(sentAt)
   );
   const servedCount =
     calls.filter(({ status, ended }) => status === 200 && ended === "complete")
--- a/playground/src/routes/route_world.ts
+++ b/playground/src/routes/route_world.ts
@@ -15,6 +15,7 @@
   instant,
   keyDigest,
   milliseconds,
+  partDigest,
   type RegionId,
   type RequestFingerprint,
   SeededRandomness,
@@ -72,6 +73,8 @@
   readonly #seed: number;
   readonly #eventCounts = new Map<string, number>();
   readonly #bodies = new Map<string, string>();
+  readonly #sharedParts = new Map<string, readonly string[]>();
+  readonly #reconnectedAt = new Map<string, number>();
   #machines = 0;
 
   constructor(seed: number) {
@@ -118,6 +121,17 @@
     return this.#bodies.get(call) ?? call;
   }
 
+  /** Returns the ids of the parts of a request's prompt but for the last. */
+  sharedPartsOf(call: string): readonly string[] {
+    return this.#sharedParts.get(call) ?? [];
+  }
+
+  /** Since when an entry has not been isolated; infinity while it is. */
+  readonly connectedSince = (entry: string): number =>
+    this.isolatedEntries.has(entry)
+      ? Infinity
+      : this.#reconnectedAt.get(entry) ?? 0;
+
   /** Sends a caller's request to an entry. */
   call(plan: CallPlan): void {
     const entry = this.entries.get(plan.entry)!;
@@ -140,6 +154,9 @@
     this.calls.set(plan.name, call);
     this.expectEvents(plan.name, plan.events);
     this.#bodies.set(plan.name, plan.body);
+    const sharedParts = (plan.prompt?.parts ?? []).slice(0, -1)
+      .map(({ id }) => id);
+    this.#sharedParts.set(plan.name, sharedParts);
     call.id = entry.arrive({
       call: plan.name as CallId,
       host: route?.host ?? "nowhere",
@@ -152,7 +169,10 @@
       lastEventId: plan.resumption && String(plan.resumption.after),
       resumedCall: plan.resumption?.stated,
       bodyBytes: 0,
-      fingerprint: fingerprintOf(plan.body, plan.caller),
+      fingerprint: {
+        ...fingerprintOf(plan.body, plan.caller),
+        parts: sharedParts.map(partDigest),
+      },
       relay: undefined,
     }, this.#recipientOf(call, plan.onEnd ?? (() => {})));
   }
@@ -164,6 +184,9 @@
   }
 
   heal(): void {
+    for (const entry of this.isolatedEntries) {
+      this.#reconnectedAt.set(entry, this.time.now);
+    }
     this.isolatedEntries.clear();
     this.network.heal();
   }
--- a/playground/src/routes/virtual_gateway.ts
+++ b/playground/src/routes/virtual_gateway.ts
@@ -132,7 +132,11 @@
     const id =
       `${this.name}.${this.#incarnationNumber}.${this.#requestCount}` as RequestId;
     this.#recipients.set(id, recipient);
-    const fullHead = { ...head, id };
+    // Earlier builds don't read the parts of prompts.
+    const fingerprint = this.#world.oldEntries.has(this.name)
+      ? { ...head.fingerprint, parts: undefined }
+      : head.fingerprint;
+    const fullHead = { ...head, fingerprint, id };
     this.#heads.set(id, fullHead);
     this.handle({ kind: "arrived", head: fullHead });
     this.#bringTickForward();
