--- a/packages/core/src/gateway/call.ts
+++ b/packages/core/src/gateway/call.ts
@@ -73,6 +73,8 @@
   backpressureSince: Instant | undefined;
   /** Whether the answer's status reports a failure. */
   failed: boolean;
+  /** Whether the answer's status reports a success. */
+  succeeded: boolean;
   /** Bytes received of an event that is not complete yet. */
   partialEventBytes: number;
 }
@@ -117,8 +119,10 @@
   #origin: StreamOrigin | undefined;
   /** How this entry learned what began the stream. */
   originSource: OriginSource | undefined;
-  /** Whether the request waits for the outcome of a copy that runs as a quarantine trial. */
+  /** Whether the request waits for the outcome of another that runs as a quarantine trial. */
   awaitsTrial = false;
+  /** Whether the request is sent as a quarantine trial. */
+  isTrial = false;
   /** Units charged against the customer's limit by this entry. */
   charged = 0;
   /** The caller has left, but the attempt continues because the request must not be retried. */
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -27,6 +27,8 @@
 /** HTTP status of an address at which another process than the intended endpoint answers. */
 export const MISDIRECTED_REQUEST = 421;
 
+const FIRST_SUCCESS = 200;
+const FIRST_REDIRECTION = 300;
 /** Statuses from this one on count as failures of the endpoint. */
 export const FIRST_SERVER_ERROR = 500;
 
@@ -148,6 +150,9 @@
       const { path } = call;
       const run = { attempt: id, fingerprint, path, sentAt: now };
       this.#deps.quarantine.noteSent(state, run, call.head.id);
+      if (call.isTrial) {
+        state.noteTrial(now);
+      }
       this.#deps.terms.backoffs.recordSent(state.record, now);
     }
     call.sentAttempts += countAttempts(call, attempt);
@@ -183,13 +188,16 @@
   /** Records what the head of an answer states about its endpoint. */
   noteAnswerHead(
     { head }: Call,
-    { state, id, sentAt }: OpenAttempt,
+    attempt: OpenAttempt,
     { answer, now }: { answer: CallAnswer; now: Instant },
   ): void {
+    const { state, id, sentAt } = attempt;
     if (state === undefined) {
       return;
     }
     const { load, status } = answer;
+    attempt.succeeded = isSuccess(answer);
+    this.#deps.quarantine.noteBegun(state, id, now);
     state.heardAt = now;
     state.reportedLoad = load ?? state.reportedLoad;
     state.reportedLoadAt = load === undefined ? state.reportedLoadAt : now;
@@ -247,7 +255,7 @@
 
   #noteEnd(
     { head: { fingerprint } }: Call,
-    { id, state: endpoint, sentAt, failed }: OpenAttempt,
+    { id, state: endpoint, sentAt, failed, succeeded }: OpenAttempt,
     { state, now }: {
       state: "unsent" | "lost" | "refused" | "completed";
       now: Instant;
@@ -259,7 +267,7 @@
     const lost = state === "lost" || failed;
     const end: AttemptOutcome = lost
       ? "lost"
-      : state === "completed"
+      : state === "completed" && succeeded
       ? "answered"
       : "refused";
     const run = { attempt: id, fingerprint, end };
@@ -303,6 +311,7 @@
       heardAt: undefined,
       backpressureSince: undefined,
       failed: false,
+      succeeded: false,
       partialEventBytes: 0,
     };
     call.attempt = attempt;
@@ -336,6 +345,10 @@
   }
 }
 
+function isSuccess({ status, notRun }: CallAnswer): boolean {
+  return !notRun && status >= FIRST_SUCCESS && status < FIRST_REDIRECTION;
+}
+
 /**
  * Attempts to count for one attempt. A peer may use all attempts of a relayed request, and its connection may
  * break before it reports them. Counted as one, the request could run at more endpoints than its route allows.
--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -4,13 +4,7 @@
  * @module
  */
 import type { FairShares } from "../fair_shares/index.ts";
-import {
-  type Instant,
-  type Milliseconds,
-  milliseconds,
-  type RequestId,
-  type ServiceId,
-} from "../ids/index.ts";
+import { type Instant, type Milliseconds, milliseconds } from "../ids/index.ts";
 import type { Call } from "./call.ts";
 import type { CallAttempts } from "./call_attempts.ts";
 import type { CallOutcomes } from "./call_outcomes.ts";
@@ -25,10 +19,7 @@
 import { isShortPrompt } from "./endpoint_placement.ts";
 import { spareRoom } from "./spare_room.ts";
 import { DEFAULT_PREFILL_TOKENS_PER_MS } from "./prompt_cost.ts";
-import type {
-  QuarantineController,
-  RequestFingerprint,
-} from "../quarantine/index.ts";
+import type { QuarantineController } from "../quarantine/index.ts";
 import type { RegionCallAdmission } from "./region_call_admission.ts";
 import type { RegionController } from "./region_controller.ts";
 import { waitLimit } from "./wait_limit.ts";
@@ -170,8 +161,8 @@
 
   /**
    * Checks the quarantine. A request that is held back is refused with a late retry time: it would crash the
-   * next endpoint too, and all requests that run there would be lost. A request of which another copy is on
-   * trial waits for the outcome.
+   * next endpoint too, and all requests that run there would be lost. If another copy of it is on trial, or another
+   * request with the same suspect part, it waits for the outcome.
    */
   #checkQuarantine(call: Call, now: Instant): "free" | "over" | "waits" {
     const verdict = this.#deps.quarantine.check(quarantineSubject(call), now);
@@ -183,6 +174,7 @@
         return this.#awaitTrial(call, now);
       default:
         call.awaitsTrial = false;
+        call.isTrial = verdict.kind === "limited" && verdict.trial;
         call.avoidedVersions = verdict.kind === "limited"
           ? verdict.except
           : NO_VERSIONS;
@@ -355,10 +347,15 @@
   return reason === "resting" && wait > MAX_REST_WAIT_MS;
 }
 
-function quarantineSubject({ head: { id, fingerprint }, services }: Call): {
-  id: RequestId;
-  fingerprint: RequestFingerprint;
-  services: readonly ServiceId[];
-} {
-  return { id, fingerprint, services };
+function quarantineSubject(
+  call: Call,
+): Parameters<QuarantineController["check"]>[0] {
+  const { head: { id, fingerprint, relay }, services } = call;
+  return {
+    id,
+    relayedBy: relay?.from,
+    fingerprint,
+    services,
+    mayServe: (region) => call.mayServe(region),
+  };
 }
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -95,7 +95,7 @@
     if (isUnsupported && target.kind === "peer") {
       this.#deps.router.noteUnsupported(target.incarnation);
     } else if (
-      declined && !this.#deps.quarantine.isSuspect(call.head.fingerprint)
+      declined && !this.#deps.quarantine.isSuspect(call.head.fingerprint, now)
     ) {
       this.#deps.router.noteDeclined(call, target.region, now);
     }
@@ -288,7 +288,7 @@
     const allowed = call.endsAt - now >= MIN_RETRY_TIME_MS &&
       call.possibleDeliveries < call.route.attempts &&
       call.attempts < MAX_ATTEMPTS &&
-      !this.#deps.quarantine.isSuspect(call.head.fingerprint);
+      !this.#deps.quarantine.isSuspect(call.head.fingerprint, now);
     const decision = allowed
       ? this.#deps.router.next(call, NOTHING_AHEAD, now)
       : undefined;
--- a/packages/core/src/gateway/create_quarantine.ts
+++ b/packages/core/src/gateway/create_quarantine.ts
@@ -53,15 +53,18 @@
     claimDelay: milliseconds(CLAIM_TIME_MS),
     send: (news, to) =>
       fleet.sender.sendQuarantine(news, selectRecipients(dependencies, to)),
+    peerCount: () => fleet.liveMembers().length,
     probePort: ({ id, life, address }) =>
       emit({ kind: "knock", endpoint: id, life, address }),
     endpoints: () => catalogue.endpoints,
-    servingEntries: (zones) => {
+    servingEntries: (zones, mayServe) => {
       const regions = new Set(
         [...zones].map((zone) => self.regionByZone.get(zone)),
       );
       return [...regions].flatMap((region) =>
-        region === undefined ? [] : serving.of(region, now())
+        region !== undefined && mayServe(region)
+          ? serving.of(region, now())
+          : []
       ).map(({ incarnation }) => incarnation);
     },
     log: (part, text, fields) => emit({ kind: "log", part, text, fields }),
--- a/packages/core/src/gateway/endpoint_placement.ts
+++ b/packages/core/src/gateway/endpoint_placement.ts
@@ -55,6 +55,8 @@
 
 /** Minimum number of tokens that fetching a prefix has to save to be worth the transfer. */
 export const MIN_FETCH_TOKENS = 1_024;
+/** Cost of a request in progress that is lost when a quarantine trial crashes its endpoint. */
+const LOST_REQUEST_COST_MS = 500;
 /** Time that a fetch takes before prefill continues. */
 const FETCH_COST_MS = 12;
 
@@ -71,6 +73,8 @@
   readonly biasOf: (state: EndpointState) => number;
   /** The endpoint with the longest cached prefix of the prompt, among those that others can fetch from. */
   readonly holder: PrefixHolder | undefined;
+  /** Whether the request is a quarantine trial, which may crash its endpoint. */
+  readonly trial: boolean;
 }
 
 /** An endpoint that has part of a prompt cached. */
@@ -124,6 +128,7 @@
     }
     const work = workAt(state, prefill);
     const other = distanceAt(state, request) + request.biasOf(state) +
+      riskAt(state, request, now) +
       (fetchFrom === undefined ? 0 : FETCH_COST_MS);
     const usualCost = work + other;
     if (usualCost < (second?.usualCost ?? Infinity)) {
@@ -275,6 +280,18 @@
   return zoneCost + state.health.failureRate * FAILURE_COST_MS;
 }
 
+/** Cost of the requests that a trial may take along when it crashes the endpoint. */
+function riskAt(
+  state: EndpointState,
+  { trial }: PlacementRequest,
+  now: Instant,
+): number {
+  if (trial) {
+    return state.requests * LOST_REQUEST_COST_MS;
+  }
+  return state.isOnTrial(now) ? LOST_REQUEST_COST_MS : 0;
+}
+
 /**
  * Time until the endpoint's pending prefill is done and its prefill share is low enough for more, at least
  * one millisecond.
--- a/packages/core/src/gateway/endpoint_state.ts
+++ b/packages/core/src/gateway/endpoint_state.ts
@@ -37,6 +37,9 @@
 /** Time constant of the exponentially decaying share of time that an engine spends on prefill. */
 const PREFILL_SHARE_DECAY_MS = 2_000;
 
+/** What crashes an endpoint usually does so within this time. */
+const TRIAL_PERIOD_MS = 1_000;
+
 /** The load of one of this entry's attempts in flight at the endpoint. */
 export interface AttemptLoad {
   /** Tokens to prefill before the first event, 0 once it has arrived. */
@@ -83,6 +86,7 @@
   #prefillPausedUntil: Instant | undefined;
   #prefillShare = 0;
   #prefillShareAt: Instant | undefined;
+  #onTrialUntil: Instant | undefined;
 
   constructor(
     record: EndpointRecord,
@@ -118,6 +122,16 @@
     );
   }
 
+  /** Records that a request that may crash the endpoint is being sent to it. */
+  noteTrial(now: Instant): void {
+    this.#onTrialUntil = after(now, TRIAL_PERIOD_MS);
+  }
+
+  /** Whether a request that may crash the endpoint was just sent to it. */
+  isOnTrial(now: Instant): boolean {
+    return now < (this.#onTrialUntil ?? -Infinity);
+  }
+
   isCold(now: Instant): boolean {
     return now < this.#coldUntil && (this.service?.coldRate ?? 0) > 0;
   }
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -473,7 +473,7 @@
         return this.#quarantine.notePortClosed({ id, life });
       }
       case "release":
-        this.#quarantine.release(event.content, now);
+        this.#quarantine.release(event.subject, now);
     }
   }
 
--- a/packages/core/src/gateway/local_placement.ts
+++ b/packages/core/src/gateway/local_placement.ts
@@ -121,6 +121,7 @@
         zone: self.zone,
         urgent: call.rank === 0,
         biasOf: this.#biasOf,
+        trial: call.isTrial,
       };
       const found = this.#placeWithinLimits(request, untriedStates, {
         ahead,
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -11,7 +11,6 @@
   AttemptId,
   CallId,
   CatalogueEpoch,
-  ContentDigest,
   CustomerId,
   EndpointId,
   EndpointLife,
@@ -24,7 +23,7 @@
   Revision,
   ZoneId,
 } from "../ids/index.ts";
-import type { RequestFingerprint } from "../quarantine/index.ts";
+import type { CrashSubject, RequestFingerprint } from "../quarantine/index.ts";
 import type { CatalogueChanges, CatalogueSnapshot } from "../routes/index.ts";
 import type { StreamOrigin } from "../stream_origins/index.ts";
 import type { Verdict } from "../verdict/index.ts";
@@ -288,8 +287,8 @@
     readonly endpoint: EndpointId;
     readonly life: EndpointLife | undefined;
   }
-  /** An operator releases a quarantined request. */
-  | { readonly kind: "release"; readonly content: ContentDigest };
+  /** An operator ends a quarantine. */
+  | { readonly kind: "release"; readonly subject: CrashSubject };
 
 /** Why an entry itself refuses a request. */
 export type CallRefusalReason =
--- a/packages/core/src/quarantine/__tests__/crash_analysis.test.ts
+++ b/packages/core/src/quarantine/__tests__/crash_analysis.test.ts
@@ -6,7 +6,7 @@
   type ServiceId,
   type ZoneId,
 } from "../../index.ts";
-import { findCrashingRequests, type ObservedCrash } from "../crash_analysis.ts";
+import { findCrashingSubjects, type ObservedCrash } from "../crash_analysis.ts";
 
 interface CrashSketch {
   readonly at: number;
@@ -20,7 +20,7 @@
 function crash(
   { at, requests, zone = "z", otherEndpoints = 5, trials = [] }: CrashSketch,
 ): ObservedCrash {
-  const byContent: ObservedCrash["requests"] = new Map();
+  const byContent: ObservedCrash["present"] = new Map();
   for (const [name, exposure] of Object.entries(requests)) {
     const [content, caller = "c"] = name.split("/") as [
       ContentDigest,
@@ -34,16 +34,19 @@
     zone: zone as ZoneId,
     softwareVersion: "v1",
     at: instant(at),
+    reportedAt: instant(at),
     otherEndpoints,
-    requests: byContent,
+    present: byContent,
     trials: new Set(trials as ContentDigest[]),
   };
 }
 
-const find = (...crashes: CrashSketch[]): string[] =>
-  findCrashingRequests(crashes.map(crash)).map(({ content, caller }) =>
-    caller === undefined ? content : `${content}/${caller}`
-  );
+const find = (...sketches: CrashSketch[]): string[] => {
+  const crashes = sketches.map(crash);
+  return findCrashingSubjects({ requests: crashes, parts: crashes }).map((
+    { subject, caller },
+  ) => caller === undefined ? subject : `${subject}/${caller}`);
+};
 
 describe("the request that crashes endpoints", () => {
   it("is the one present at every crash, the last time as a trial", () => {
@@ -121,3 +124,60 @@
     });
   });
 });
+
+describe("the part that crashes endpoints", () => {
+  it("is the one that requests of which no two are alike have in common", () => {
+    expect(find(
+      { at: 0, requests: { r1: 100, "p:bad/": 100, "p:first/": 900 } },
+      { at: 2_000, requests: { r2: 90, "p:bad/": 90, "p:near/": 90 } },
+      {
+        at: 4_000,
+        requests: { r3: 80, "p:bad/": 80, "p:near/": 80 },
+        trials: ["p:bad"],
+      },
+    )).toEqual(["p:bad"]);
+  });
+
+  it("is held together with what it always came with", () => {
+    const requests = { "p:bad/": 90, "p:near/": 90 };
+    const trials = ["p:bad", "p:near"];
+    expect(find(
+      { at: 0, requests },
+      { at: 2_000, requests, trials },
+      { at: 4_000, requests, trials },
+    )).toEqual(["p:bad+near"]);
+  });
+
+  it("is not held for a request that comes again and again", () => {
+    const requests = { r1: 100, "p:bad/": 100 };
+    expect(find(
+      { at: 0, requests },
+      { at: 3_000, requests },
+      { at: 6_000, requests, trials: ["r1", "p:bad"] },
+    )).toEqual(["r1/c"]);
+  });
+
+  describe("is not one that", () => {
+    it("was not tried together with what it always came with", () => {
+      const requests = { "p:bad/": 90, "p:near/": 90 };
+      expect(find(
+        { at: 0, requests },
+        { at: 2_000, requests, trials: ["p:bad", "p:near"] },
+        { at: 4_000, requests, trials: ["p:near"] },
+      )).toEqual([]);
+    });
+
+    it("was tried once where another part was at all of its crashes", () => {
+      expect(find(
+        { at: 0, requests: { "p:bad/": 60, "p:tip/": 60 } },
+        { at: 400, requests: { "p:bad/": 60, "p:tip/": 60 } },
+        { at: 900, requests: { "p:bad/": 60, "p:tip/": 60 } },
+        {
+          at: 7_000,
+          requests: { "p:bad/": 60, "p:tip/": 70 },
+          trials: ["p:tip"],
+        },
+      )).toEqual([]);
+    });
+  });
+});
--- a/packages/core/src/quarantine/__tests__/crash_history.test.ts
+++ b/packages/core/src/quarantine/__tests__/crash_history.test.ts
@@ -10,11 +10,13 @@
 } from "../../index.ts";
 import { CrashHistory } from "../crash_history.ts";
 import type { CrashReport } from "../quarantine_messages.ts";
-import { AnswerHistory } from "../answer_history.ts";
+import type { CrashSubject } from "../subject.ts";
 
 const BAD = "bad" as ContentDigest;
 
 const SHORT_EXPOSURE_MS = 100;
+/** Time after which every entry has reported its part of a crash. */
+const SETTLED_MS = 300;
 
 function report(endpoint: string, ...contents: string[]): CrashReport {
   return {
@@ -26,7 +28,7 @@
     age: milliseconds(0),
     others: 4,
     victims: contents.map((content) => ({
-      content: content as ContentDigest,
+      subject: content as ContentDigest,
       caller: "c" as CallerDigest,
       exposure: milliseconds(SHORT_EXPOSURE_MS),
       trial: false,
@@ -61,7 +63,7 @@
 
   describe("with copies of a request from two entries", () => {
     const TIMES_MS = [0, 30_000, 60_000];
-    const findRequests = (exposure: number): ContentDigest[] => {
+    const findRequests = (exposure: number): CrashSubject[] => {
       const history = new CrashHistory();
       TIMES_MS.forEach((at, index) => {
         const crash = report(`e${index}`, "bad");
@@ -71,9 +73,10 @@
         history.add(trial, instant(at));
         history.add({ ...crash, victims: [otherCopy] }, instant(at));
       });
-      return history.findCrashingRequests(() => false).map(({ content }) =>
-        content
-      );
+      const settledAt = instant(TIMES_MS.at(-1)! + SETTLED_MS);
+      return history.findCrashingSubjects(() => [], settledAt).map((
+        { subject },
+      ) => subject);
     };
 
     it("are evidence against it if both copies had just been sent", () => {
@@ -85,15 +88,33 @@
     });
   });
 
-  it("are evidence for some minutes only", () => {
+  it("are evidence for half an hour only", () => {
     const history = new CrashHistory();
     history.add(report("e1", "bad"), instant(0));
-    history.add(report("e2", "bad"), instant(200_000));
+    history.add(report("e2", "bad"), instant(1_700_000));
     expect(history.crashCount(BAD)).toBe(2);
-    history.add(report("e3", "other"), instant(301_000));
+    history.add(report("e3", "other"), instant(1_801_000));
     expect(history.crashCount(BAD)).toBe(1);
   });
 
+  // Guards against holding what only the first of several reports lists, since the cause is in another.
+  it("are analysed once all entries have reported them", () => {
+    const history = new CrashHistory();
+    const tried = (endpoint: string, name: string): CrashReport => {
+      const crash = report(endpoint, name);
+      return { ...crash, victims: [{ ...crash.victims[0]!, trial: true }] };
+    };
+    const find = (at: number): number =>
+      history.findCrashingSubjects(() => [], instant(at)).length;
+    [0, 30_000, 60_000].forEach((at) =>
+      history.add(tried(`e${at}`, "bad"), instant(at))
+    );
+    expect(history.isSettling(BAD)).toBe(true);
+    expect(find(60_000 + SETTLED_MS - 1)).toBe(0);
+    expect(find(60_000 + SETTLED_MS)).toBe(1);
+    expect(history.isSettling(BAD)).toBe(false);
+  });
+
   it("are bounded in number, and so are the requests of each", () => {
     const history = new CrashHistory();
     const many = Array.from({ length: 10_000 }, (_, index) => `x${index}`);
@@ -110,26 +131,3 @@
     expect(knownLater.filter(Boolean).length).toBe(128);
   });
 });
-
-describe("recently answered requests", () => {
-  const POPULAR = "popular" as ContentDigest;
-
-  it("are remembered for half a minute to a minute", () => {
-    const answers = new AnswerHistory();
-    answers.add(POPULAR, instant(0));
-    expect(answers.has(POPULAR, instant(29_000))).toBe(true);
-    expect(answers.has(POPULAR, instant(61_000))).toBe(false);
-  });
-
-  it("are remembered during a flood of others as long as they keep being answered", () => {
-    const answers = new AnswerHistory();
-    for (let index = 0; index < 20_000; index++) {
-      answers.add(`x${index}` as ContentDigest, instant(index));
-      if (index % 1_000 === 0) {
-        answers.add(POPULAR, instant(index));
-      }
-    }
-    expect(answers.has(POPULAR, instant(20_000))).toBe(true);
-    expect(answers.has("x10" as ContentDigest, instant(20_000))).toBe(false);
-  });
-});
--- a/packages/core/src/quarantine/__tests__/hold_list.test.ts
+++ b/packages/core/src/quarantine/__tests__/hold_list.test.ts
@@ -3,10 +3,13 @@
   type CallerDigest,
   type ContentDigest,
   instant,
+  type PartDigest,
+  partDigest,
   type ServiceId,
 } from "../../index.ts";
 import type { HoldNotice } from "../quarantine_messages.ts";
 import { HoldList, type TrialPermission } from "../hold_list.ts";
+import { groupOf } from "../subject.ts";
 
 const BAD = "bad" as ContentDigest;
 const CALLER = "c" as CallerDigest;
@@ -17,7 +20,7 @@
   let holds: HoldList;
   let publishedVersions: string[];
   let ownsTrial: boolean;
-  const mayTry: TrialPermission = (excludedVersions) =>
+  const mayTry: TrialPermission = (_subject, excludedVersions) =>
     ownsTrial &&
     publishedVersions.some((version) => !excludedVersions.has(version));
   const decide = (at: number, caller: string = CALLER): string =>
@@ -28,7 +31,7 @@
     ).kind;
   const hold = (at: number, fields: Partial<HoldNotice> = {}): void =>
     holds.hold({
-      content: BAD,
+      subject: BAD,
       caller: CALLER,
       service: SERVICE,
       versions: ["v1"],
@@ -60,14 +63,14 @@
       expect(decide(2 * MINUTE_MS)).toBe("held");
       ownsTrial = true;
       expect(decide(2 * MINUTE_MS)).toBe("limited");
-      holds.noteTrial(BAD, instant(2 * MINUTE_MS));
+      holds.noteTrial([BAD], instant(2 * MINUTE_MS));
       expect(decide(2 * MINUTE_MS + 1)).toBe("held");
     });
 
     it("at once on software versions that they have not crashed, and on no others", () => {
       publishedVersions = ["v1", "v2"];
       expect(holds.check({ content: BAD, caller: CALLER }, mayTry, instant(5)))
-        .toEqual({ kind: "limited", except: new Set(["v1"]) });
+        .toEqual({ kind: "limited", except: new Set(["v1"]), trial: true });
       hold(6, { versions: ["v2"] });
       expect(decide(7)).toBe("held");
     });
@@ -79,12 +82,81 @@
     });
   });
 
+  // Guards against trials that go on for as long as a request is sent: each costs all requests of an endpoint.
+  it("are not tried again after three trials, on any software version", () => {
+    [2, 6, 14].forEach((minute) => {
+      expect(decide(minute * MINUTE_MS)).toBe("limited");
+      hold(minute * MINUTE_MS);
+    });
+    publishedVersions = ["v1", "v2"];
+    expect(decide(1_000 * MINUTE_MS)).toBe("held");
+    holds.release(BAD);
+    expect(decide(1_000 * MINUTE_MS)).toBe("free");
+  });
+
+  describe("with a part", () => {
+    const [X, Y, Z] = ["x", "y", "z"].map(partDigest) as [
+      PartDigest,
+      PartDigest,
+      PartDigest,
+    ];
+    const decideParts = (...parts: PartDigest[]): string =>
+      holds.check(
+        {
+          content: "c" as ContentDigest,
+          caller: "any" as CallerDigest,
+          parts,
+        },
+        () => false,
+        instant(1),
+      ).kind;
+
+    it("are held whatever else they contain and whoever sends them", () => {
+      hold(0, { subject: X });
+      expect(decideParts(Z, X, Y)).toBe("held");
+      expect(decideParts(Z, Y)).toBe("free");
+    });
+
+    it("are held only with all parts of a group", () => {
+      hold(0, { subject: groupOf([Y, X]) });
+      expect(decideParts(X, Z, Y)).toBe("held");
+      expect(decideParts(X, Z)).toBe("free");
+      expect(decideParts(Y)).toBe("free");
+      holds.release(groupOf([X, Y]));
+      expect(decideParts(X, Y)).toBe("free");
+    });
+
+    it("show which part of a group is the cause if they are tried without the others", () => {
+      const group = groupOf([X, Y]);
+      hold(0, { subject: group });
+      expect(holds.findPartlyTried(new Set([X]))).toEqual([group]);
+      expect(holds.findPartlyTried(new Set([X, Y]))).toEqual([]);
+      expect(holds.findPartlyTried(new Set([Z]))).toEqual([]);
+    });
+
+    it("are refused for the longest of several holds", () => {
+      hold(0, { subject: X });
+      hold(0, { subject: Y });
+      hold(0, { subject: Y });
+      const decision = holds.check(
+        {
+          content: "c" as ContentDigest,
+          caller: "any" as CallerDigest,
+          parts: [X, Y],
+        },
+        () => false,
+        instant(0),
+      );
+      expect(decision).toEqual({ kind: "held", wait: 4 * MINUTE_MS });
+    });
+  });
+
   it("are sent to software versions that answered one, and to no others", () => {
     publishedVersions = ["v1", "v2"];
     expect(holds.noteAnswered(BAD, "v2")).toBe(false);
     ownsTrial = false;
     expect(holds.check({ content: BAD, caller: CALLER }, mayTry, instant(5)))
-      .toEqual({ kind: "limited", except: new Set(["v1"]) });
+      .toEqual({ kind: "limited", except: new Set(["v1"]), trial: false });
   });
 
   it("are released once the software version that they crashed answers one", () => {
@@ -94,9 +166,10 @@
   });
 
   it("are removed long after the hold if nobody sends them", () => {
-    expect(holds.removeExpired(instant(3 * MINUTE_MS))).toEqual([]);
-    expect(holds.removeExpired(instant(4 * MINUTE_MS))).toEqual([BAD]);
-    expect(decide(4 * MINUTE_MS)).toBe("free");
+    const removedAt = 242 * MINUTE_MS;
+    expect(holds.removeExpired(instant(removedAt - 1))).toEqual([]);
+    expect(holds.removeExpired(instant(removedAt))).toEqual([BAD]);
+    expect(decide(removedAt)).toBe("free");
   });
 
   describe("exchanged between entries", () => {
@@ -141,7 +214,7 @@
 
   it("are bounded in number", () => {
     for (let index = 0; index < 10_000; index++) {
-      hold(index, { content: `x${index}` as ContentDigest });
+      hold(index, { subject: `x${index}` as ContentDigest });
     }
     expect(holds.size).toBe(256);
   });
--- a/packages/core/src/quarantine/__tests__/quarantine_controller.test.ts
+++ b/packages/core/src/quarantine/__tests__/quarantine_controller.test.ts
@@ -22,6 +22,8 @@
 const CALLER = "c" as CallerDigest;
 const BAD = "bad" as ContentDigest;
 const DETECTION_MS = 200;
+/** Time in which all entries report their parts of a crash. */
+const SETTLING_MS = 300;
 
 function record(name: string): EndpointRecord {
   return {
@@ -61,6 +63,7 @@
       servingEntries: () => ["another" as Incarnation],
       clock: new StallAdjustedClock(instant(0)),
       claimDelay: milliseconds(200),
+      peerCount: () => 8,
       probePort: ({ id }) => probes.push(id),
       send: (news, to) => sentNews.push({ news, to }),
       log: (_part, text, fields) => logEntries.push({ text, fields }),
@@ -97,12 +100,14 @@
     }
     controller.notePortClosed(endpointState.record);
     controller.tick(instant(at + 100 + DETECTION_MS));
+    controller.tick(instant(at + 100 + DETECTION_MS + SETTLING_MS));
   };
   const decide = (at: number, id = "r") =>
     controller.check({
       id: id as RequestId,
       fingerprint: { content: BAD, caller: CALLER },
       services: [POOL],
+      mayServe: () => true,
     }, instant(at));
 
   it("holds a request after the third crash, and informs peers and operators", () => {
@@ -110,10 +115,10 @@
     expect(decide(500).kind).toBe("free");
     crash("e2", ["bad", "y"], 5_000);
     crash("e3", ["bad", "w"], 10_000);
-    expect(decide(10_500).kind).toBe("held");
+    expect(decide(10_700).kind).toBe("held");
     const hold = sentNews.find(({ news }) => news.holds.length > 0);
     expect(hold?.to).toBe("spread");
-    expect(hold?.news.holds[0]).toMatchObject({ content: BAD, term: 1 });
+    expect(hold?.news.holds[0]).toMatchObject({ subject: BAD, term: 1 });
     expect(logEntries.map(({ text }) => text)).toEqual([
       "Endpoint has ended.",
       "Endpoint has ended.",
@@ -128,9 +133,10 @@
   });
 
   describe("tries one copy of a suspect at a time", () => {
+    const TRIAL = { kind: "limited", trial: true };
     const OTHERS = ["a", "b", "c", "d", "e", "f"] as Incarnation[];
     const receive = (from: Incarnation, sent: boolean, at: number): void => {
-      const tried = [{ content: BAD, sent }];
+      const tried = [{ subject: BAD, sent }];
       const news = { crashes: [], answered: [], holds: [], tried };
       controller.apply(news, from, instant(at));
     };
@@ -151,19 +157,19 @@
       expect(decide(9_000, "first").kind).toBe("wait");
       expect(sentNews.at(-1)).toMatchObject({
         to: "carriers",
-        news: { tried: [{ content: BAD, sent: false }] },
+        news: { tried: [{ subject: BAD, sent: false }] },
       });
       expect(decide(9_100, "first").kind).toBe("wait");
       expect(decide(9_200, "second").kind).toBe("wait");
-      expect(decide(9_200, "first").kind).toBe("free");
+      expect(decide(9_200, "first")).toMatchObject(TRIAL);
       send("first", 9_200);
       expect(sentNews.at(-1)?.news.tried).toEqual([{
-        content: BAD,
+        subject: BAD,
         sent: true,
       }]);
       expect(decide(9_300, "second").kind).toBe("wait");
       expect(decide(14_200, "second").kind).toBe("wait");
-      expect(decide(14_400, "second").kind).toBe("free");
+      expect(decide(14_400, "second")).toMatchObject(TRIAL);
     });
 
     it("unless another entry's claim takes precedence", () => {
@@ -173,7 +179,7 @@
       const withPrecedence = OTHERS.filter((from) =>
         hash32(`bad ${from}`) < hash32("bad me")
       );
-      expect(decision).toBe(withPrecedence.length > 0 ? "wait" : "free");
+      expect(decision).toBe(withPrecedence.length > 0 ? "wait" : "limited");
     });
 
     it("and waits while a peer's copy is tried", () => {
@@ -187,7 +193,7 @@
       receive(OTHERS[0]!, false, 9_000);
       expect(decide(9_500, "first").kind).toBe("wait");
       decide(9_600, "first");
-      expect(decide(9_800, "first").kind).toBe("free");
+      expect(decide(9_800, "first")).toMatchObject(TRIAL);
     });
 
     it("and continues at once when the previous copy crashed an endpoint", () => {
@@ -241,8 +247,8 @@
     controller.notePortClosed(endpoint.record);
     controller.tick(instant(1_900));
     expect(logEntries[0]?.fields.parts).toEqual([
-      { part: "p:new", requests: 1 },
-      { part: "p:first", requests: 1, answeredMsBefore: 600 },
+      { part: "p:new", requests: 1, ends: 1 },
+      { part: "p:first", requests: 1, ends: 1, answeredMsBefore: 600 },
     ]);
   });
 
--- a/packages/core/src/quarantine/crash_analysis.ts
+++ b/packages/core/src/quarantine/crash_analysis.ts
@@ -1,16 +1,11 @@
 /**
- * Finds the requests that crash endpoints. The analysis has no state: the same crashes give the same result
- * at every entry.
+ * Finds the requests and the parts of prompts that crash endpoints. The analysis has no state: the same crashes give the
+ * same result at every entry.
  *
  * @module
  */
-import type {
-  CallerDigest,
-  ContentDigest,
-  Instant,
-  ServiceId,
-  ZoneId,
-} from "../ids/index.ts";
+import type { CallerDigest, Instant, ServiceId, ZoneId } from "../ids/index.ts";
+import { type CrashSubject, groupOf, isPart, membersOf } from "./subject.ts";
 
 /** A crash of an endpoint, merged from the reports of all entries. */
 export interface ObservedCrash {
@@ -18,31 +13,33 @@
   readonly zone: ZoneId;
   readonly softwareVersion: string;
   readonly at: Instant;
+  /** When the first report of it was received. */
+  readonly reportedAt: Instant;
   /** Number of other endpoints of the same service and zone that accepted requests at that time. */
   readonly otherEndpoints: number;
-  /**
-   * The requests in progress at the endpoint, by content and caller, with their exposure: the milliseconds
-   * from sending the first copy to the crash.
-   */
-  readonly requests: Map<ContentDigest, Map<CallerDigest, number>>;
-  /**
-   * Those of the requests that were sent as a trial: suspects of earlier crashes, of which one copy at a time
-   * is sent.
-   */
-  readonly trials: Set<ContentDigest>;
+  /** The requests in progress at the endpoint and their parts, by caller, with their exposure in milliseconds. */
+  readonly present: Map<CrashSubject, Map<CallerDigest, number>>;
+  /** Those that were sent as a trial: suspects of earlier crashes, of which one copy at a time is sent. */
+  readonly trials: Set<CrashSubject>;
 }
 
-/** A request that crashes endpoints. */
-export interface CrashingRequest {
-  readonly content: ContentDigest;
-  /** The only caller that sent it so far, `undefined` if several callers did. */
+/** A request or a part that crashes endpoints. */
+export interface CrashingSubject {
+  readonly subject: CrashSubject;
+  /** The only caller that sent it so far, `undefined` if several callers did or may have. */
   readonly caller: CallerDigest | undefined;
   readonly score: number;
   readonly crashes: readonly ObservedCrash[];
 }
 
+/** The crashes to explain by whole requests, and by parts of prompts. */
+export interface UnexplainedCrashes {
+  readonly requests: readonly ObservedCrash[];
+  readonly parts: readonly ObservedCrash[];
+}
+
 /**
- * Number of crashes at which a request must have been in progress. Two happen by chance too often, because a
+ * Number of crashes at which a subject must have been present. Two happen by chance too often, because a
  * request that is lost in one crash is sent to the next endpoint.
  */
 const MIN_CRASHES = 3;
@@ -53,7 +50,7 @@
  */
 const MIN_SCORE = 13;
 /**
- * Score that must remain without the crashes at which some other request was present as well: that of one
+ * Score that must remain without the crashes at which some other subject was present as well: that of one
  * crash in a quiet period, or of two within a series. Requests that are lost together are sent on to the same
  * few endpoints and lost together again. The one whose endpoints continue to crash without the others is the
  * cause.
@@ -64,6 +61,7 @@
  * and for a bad minute.
  */
 const RATE_WINDOWS_MS = [2_000, 10_000, 30_000] as const;
+const LONGEST_RATE_WINDOW_MS = Math.max(...RATE_WINDOWS_MS);
 /** Assumed crash rate of a zone without a known cause: at most one crash in this time. */
 const BASELINE_CRASH_INTERVAL_MS = 20_000;
 /** Crashes this close together have a common cause, such as a switch or a power line, and count once. */
@@ -85,110 +83,142 @@
  */
 const MIN_EXPOSURE_MS = 50;
 
+/** Number of trials at which the parts of a group must have crashed endpoints together. */
+const MIN_GROUP_TRIALS = 2;
+
 /**
- * Returns the requests that crash endpoints, strongest evidence first. Each crash is attributed to one
- * request, so requests that were present together with a crashing one are not held because of it.
+ * Returns what crashes endpoints, strongest evidence first. Each crash is attributed to one subject, so that what was
+ * present together with the cause is not held because of it.
  *
  * Software faults of the endpoint, a lost zone or a failed rack also crash endpoints that run harmless
- * requests. A crashing request differs from those around it in three ways: its endpoints crashed within its
- * exposure although this was unlikely by the crash rate in the zone; this happened at least three times, the
- * last time in a trial, and no endpoint answered the request; and no other request was present at the same
- * crashes. The tests of the quarantine's trials measure how often this is wrong.
+ * requests. The cause differs from what is around it in three ways: its endpoints crashed within its
+ * exposure although this was unlikely by the other crashes in the zone; this happened at least three times, once in a
+ * trial, and no endpoint answered it; and nothing else was present at the same crashes. The tests of the quarantine's
+ * trials measure how often this is wrong.
  */
-export function findCrashingRequests(
-  crashes: readonly ObservedCrash[],
-): CrashingRequest[] {
-  const crashingRequests: CrashingRequest[] = [];
-  let remaining = crashes;
+export function findCrashingSubjects(
+  { requests, parts }: UnexplainedCrashes,
+): CrashingSubject[] {
+  const found: CrashingSubject[] = [];
+  let unexplained = { requests, parts };
   for (;;) {
-    const [strongest] = findSuspects(remaining)
-      .filter(wasTried)
-      .filter((suspect) =>
-        suspect.score >= MIN_SCORE && isOnlyExplanation(suspect)
-      )
-      .sort((a, b) => b.score - a.score);
+    const [strongest] = [
+      ...findSuspects(unexplained.parts, isPart),
+      ...findSuspects(unexplained.requests, (subject) => !isPart(subject)),
+    ].filter(wasTried)
+      .filter(({ score }) => score >= MIN_SCORE)
+      .sort((a, b) => b.score - a.score)
+      .flatMap(withInseparable);
     if (strongest === undefined) {
-      return crashingRequests;
+      return found;
     }
-    const { content, score } = strongest;
-    const explained = strongest.crashes.map(({ crash }) => crash);
-    crashingRequests.push({
-      content,
-      score,
-      caller: findOnlyCaller(content, explained),
-      crashes: explained,
-    });
-    remaining = remaining.filter(({ requests }) => !requests.has(content));
+    found.push(strongest);
+    const members = membersOf(strongest.subject);
+    const isOther = ({ present }: ObservedCrash): boolean =>
+      !members.every((member) => present.has(member));
+    unexplained = {
+      requests: unexplained.requests.filter(isOther),
+      parts: unexplained.parts.filter(isOther),
+    };
   }
 }
 
-/** A crash and the weight of its evidence against each request. Weights below `MIN_WEIGHT` are left out. */
+/** Whether a subject, or every member of a group, was sent as a trial to an endpoint that crashed. */
+export function wasTriedAt(
+  subject: CrashSubject,
+  { trials }: ObservedCrash,
+): boolean {
+  return membersOf(subject).every((member) => trials.has(member));
+}
+
+/** A crash and the weight of its evidence against each subject. Weights below `MIN_WEIGHT` are left out. */
 interface WeightedCrash {
   readonly crash: ObservedCrash;
-  readonly weights: ReadonlyMap<ContentDigest, number>;
+  readonly weights: ReadonlyMap<CrashSubject, number>;
 }
 
 interface Suspect {
-  readonly content: ContentDigest;
-  /** The crashes that are evidence against the request, in order of time. */
+  readonly subject: CrashSubject;
+  /** The crashes that are evidence against the subject, in order of time. */
   readonly crashes: readonly WeightedCrash[];
   readonly score: number;
 }
 
-/** Suspects among the requests that were tried, the only ones that may be held. */
-function findSuspects(crashes: readonly ObservedCrash[]): Suspect[] {
-  const candidates = findCandidates(crashes);
-  const relevant = crashes.filter(({ requests }) =>
-    [...candidates].some((content) => requests.has(content))
+/** Suspects among the subjects of one kind that were tried, the only ones that may be held. */
+function findSuspects(
+  crashes: readonly ObservedCrash[],
+  isOfKind: (subject: CrashSubject) => boolean,
+): Suspect[] {
+  const candidates = findCandidates(crashes, isOfKind);
+  const relevant = crashes.filter(({ present }) =>
+    [...candidates].some((subject) => present.has(subject))
   );
-  const crashesByContent = new Map<ContentDigest, WeightedCrash[]>();
+  const recurring = findRecurring(relevant);
+  const crashesBySubject = new Map<CrashSubject, WeightedCrash[]>();
   for (const crash of relevant.sort((left, right) => left.at - right.at)) {
-    const weights = weighRequests(crash, estimateCrashRate(crash, crashes));
-    for (const content of weights.keys()) {
-      if (!candidates.has(content)) {
+    const weights = weighSubjects(crash, { subjects: recurring, crashes });
+    for (const subject of weights.keys()) {
+      if (!candidates.has(subject)) {
         continue;
       }
-      const known = crashesByContent.get(content) ?? [];
+      const known = crashesBySubject.get(subject) ?? [];
       known.push({ crash, weights });
-      crashesByContent.set(content, known);
+      crashesBySubject.set(subject, known);
     }
   }
-  return [...crashesByContent].filter(([, weighted]) =>
+  return [...crashesBySubject].filter(([, weighted]) =>
     weighted.length >= MIN_CRASHES
-  ).map(([content, weighted]) => ({
-    content,
+  ).map(([subject, weighted]) => ({
+    subject,
     crashes: weighted,
-    score: sumWeights(content, weighted),
+    score: sumWeights(subject, weighted),
   }));
 }
 
 /**
- * Requests that were present at enough crashes, at one of them as a trial. Weighing all requests at each crash would
+ * Subjects that were present at enough crashes, at one of them as a trial. Weighing all subjects at each crash would
  * take much of an entry's time while many endpoints crash.
  */
 function findCandidates(
   crashes: readonly ObservedCrash[],
-): ReadonlySet<ContentDigest> {
+  isOfKind: (subject: CrashSubject) => boolean,
+): ReadonlySet<CrashSubject> {
   const tried = new Set(crashes.flatMap(({ trials }) => [...trials]));
   return new Set(
-    [...tried].filter((content) =>
-      crashes.filter(({ requests }) => requests.has(content)).length >=
+    [...tried].filter((subject) =>
+      isOfKind(subject) &&
+      crashes.filter(({ present }) => present.has(subject)).length >=
         MIN_CRASHES
     ),
   );
 }
 
 /**
- * Whether a request was present at a crash as a trial. Crashes of a burst may be chance, a crash during a
+ * Subjects that were present at two crashes or more. Others can neither be the cause nor leave too little evidence for
+ * it: a single crash counts for less than the difference between the two minimum scores.
+ */
+function findRecurring(
+  crashes: readonly ObservedCrash[],
+): ReadonlySet<CrashSubject> {
+  const seen = new Set<CrashSubject>();
+  const recurring = new Set<CrashSubject>();
+  for (const subject of crashes.flatMap(({ present }) => [...present.keys()])) {
+    (seen.has(subject) ? recurring : seen).add(subject);
+  }
+  return recurring;
+}
+
+/**
+ * Whether a subject was present at a crash as a trial. Crashes of a burst may be chance, a crash during a
  * later trial is not.
  */
-function wasTried({ content, crashes }: Suspect): boolean {
-  return crashes.some(({ crash }) => crash.trials.has(content));
+function wasTried({ subject, crashes }: Suspect): boolean {
+  return crashes.some(({ crash }) => crash.trials.has(subject));
 }
 
-/** Adds up the evidence of crashes against a request. Of simultaneous crashes only the strongest counts. */
+/** Adds up the evidence of crashes against a subject. Of simultaneous crashes only the strongest counts. */
 function sumWeights(
-  content: ContentDigest,
+  subject: CrashSubject,
   crashes: readonly WeightedCrash[],
 ): number {
   let score = 0;
@@ -200,28 +230,39 @@
       groupWeight = 0;
       groupStartedAt = at;
     }
-    groupWeight = Math.max(groupWeight, weights.get(content) ?? 0);
+    groupWeight = Math.max(groupWeight, weights.get(subject) ?? 0);
   }
   return score + groupWeight;
 }
 
-function weighRequests(
-  { requests }: ObservedCrash,
-  rate: number,
-): Map<ContentDigest, number> {
-  const weights = new Map<ContentDigest, number>();
-  for (const [content, exposures] of requests) {
+function weighSubjects(
+  crash: ObservedCrash,
+  { subjects, crashes }: {
+    subjects: ReadonlySet<CrashSubject>;
+    crashes: readonly ObservedCrash[];
+  },
+): Map<CrashSubject, number> {
+  const nearby = crashes.filter((other) =>
+    other !== crash && other.service === crash.service &&
+    other.zone === crash.zone && crash.at - other.at < LONGEST_RATE_WINDOW_MS
+  );
+  const weights = new Map<CrashSubject, number>();
+  for (const [subject, exposures] of crash.present) {
+    if (!subjects.has(subject)) {
+      continue;
+    }
+    const rate = estimateCrashRate(crash, { nearby, subject });
     const weight = weighExposure(exposures, rate);
     if (weight >= MIN_WEIGHT) {
-      weights.set(content, weight);
+      weights.set(subject, weight);
     }
   }
   return weights;
 }
 
 /**
- * Returns the negative logarithm of the probability that a crash met an uninvolved request by chance. If
- * several copies of the request were present, the longest exposure counts, because that copy ran for so long
+ * Returns the negative logarithm of the probability that a crash met an uninvolved subject by chance. If
+ * several copies were present, the longest exposure counts, because that copy ran for so long
  * without a crash.
  */
 function weighExposure(
@@ -233,45 +274,80 @@
 }
 
 /**
- * Returns the crashes per endpoint and millisecond around a crash, from the other crashes of the same service
- * and zone.
+ * Returns the crashes per endpoint and millisecond around a crash. Of those at which the subject was present too, which it
+ * would explain, one is counted, so that a series of crashes that the subject met by chance is not taken for a quiet time.
  */
 function estimateCrashRate(
-  crash: ObservedCrash,
-  allCrashes: readonly ObservedCrash[],
+  { at: crashedAt, otherEndpoints }: ObservedCrash,
+  { nearby, subject }: {
+    nearby: readonly ObservedCrash[];
+    subject: CrashSubject;
+  },
 ): number {
-  const nearby = allCrashes.filter((other) =>
-    other !== crash && other.service === crash.service &&
-    other.zone === crash.zone
-  );
-  const rates = RATE_WINDOWS_MS.map((window) =>
-    nearby.filter(({ at }) =>
-      at > crash.at - window && at <= crash.at + COMMON_CAUSE_WINDOW_MS
-    ).length / window
-  );
+  const rates = RATE_WINDOWS_MS.map((window) => {
+    const inWindow = nearby.filter(({ at }) =>
+      at > crashedAt - window && at <= crashedAt + COMMON_CAUSE_WINDOW_MS
+    );
+    const others = inWindow.filter(({ present }) => !present.has(subject));
+    const counted = Math.min(inWindow.length, others.length + 1);
+    return counted / window;
+  });
   return Math.max(1 / BASELINE_CRASH_INTERVAL_MS, ...rates) /
-    (crash.otherEndpoints + 1);
+    (otherEndpoints + 1);
+}
+
+/**
+ * Returns a suspect as the cause if nothing else explains its crashes: for each rival, enough evidence remains from
+ * crashes at which the rival was not present. Parts that can't be told apart, because they were sent together in each
+ * trial, are the cause together: requests with only some of them show which one it is.
+ */
+function withInseparable(suspect: Suspect): CrashingSubject[] {
+  const { subject, crashes, score } = suspect;
+  const rivals = findInseparable(suspect);
+  const explained = crashes.map(({ crash }) => crash);
+  if (rivals.length === 0) {
+    const caller = isPart(subject)
+      ? undefined
+      : findOnlyCaller(subject, explained);
+    return [{ subject, score, caller, crashes: explained }];
+  }
+  const parts = [subject, ...rivals].filter(isPart);
+  const trials = explained.filter(({ trials }) => trials.has(subject));
+  const together = parts.length === rivals.length + 1 &&
+    trials.length >= MIN_GROUP_TRIALS &&
+    trials.every((crash) => parts.every((part) => wasTriedAt(part, crash)));
+  return together
+    ? [{
+      subject: groupOf(parts),
+      score,
+      caller: undefined,
+      crashes: explained,
+    }]
+    : [];
 }
 
 /**
- * Whether no other request explains the suspect's crashes: for each other request, enough evidence remains
- * from crashes at which that request was not present.
+ * Returns the rivals of a suspect that explain its crashes as well. A whole request is not compared with its own parts:
+ * they are at the same crashes unless other requests have them.
  */
-function isOnlyExplanation({ content, crashes }: Suspect): boolean {
+function findInseparable({ subject, crashes }: Suspect): CrashSubject[] {
   const rivals = new Set(crashes.flatMap(({ weights }) => [...weights.keys()]));
-  rivals.delete(content);
-  return [...rivals].every((rival) =>
-    sumWeights(content, crashes.filter(({ weights }) => !weights.has(rival))) >=
-      MIN_INDEPENDENT_SCORE
+  rivals.delete(subject);
+  return [...rivals].filter((rival) =>
+    (isPart(subject) || !isPart(rival)) &&
+    sumWeights(
+        subject,
+        crashes.filter(({ weights }) => !weights.has(rival)),
+      ) < MIN_INDEPENDENT_SCORE
   );
 }
 
 function findOnlyCaller(
-  content: ContentDigest,
+  subject: CrashSubject,
   crashes: readonly ObservedCrash[],
 ): CallerDigest | undefined {
   const callers = new Set(
-    crashes.flatMap(({ requests }) => [...requests.get(content)!.keys()]),
+    crashes.flatMap(({ present }) => [...present.get(subject)!.keys()]),
   );
   return callers.size === 1 ? [...callers][0] : undefined;
 }
--- a/packages/core/src/quarantine/crash_detector.ts
+++ b/packages/core/src/quarantine/crash_detector.ts
@@ -12,6 +12,7 @@
 import type { StallAdjustedClockView } from "../listening/index.ts";
 import type { EndpointRecord } from "../routes/index.ts";
 import type { RequestFingerprint } from "./fingerprint.ts";
+import type { CrashSubject } from "./subject.ts";
 
 /**
  * A lost attempt waits this long for a sign that its endpoint crashed. The platform removes a record after
@@ -54,8 +55,10 @@
   /** Path without its query, for operators. */
   readonly path: string;
   readonly sentAt: Instant;
-  /** Whether it was sent as a trial, because the request was present at several crashes. */
-  readonly trial: boolean;
+  /** When its answer began; `undefined` until then. */
+  readonly begunAt?: Instant;
+  /** The subjects for which it was sent as a trial, because they were present at several crashes. */
+  readonly trialOf: readonly CrashSubject[];
   /** Whether the answer is not being read because the caller's connection is full. */
   readonly readingPaused?: boolean;
   /** When reading resumed after that. */
@@ -128,9 +131,27 @@
     }
   }
 
-  /** Records that a request was answered, or abandoned while its endpoint answers others. */
-  noteEnded(endpoint: TrackedEndpoint, id: AttemptId): void {
-    this.#findOrAdd(endpoint).open.delete(id);
+  /** Records that the answer to a request has begun. */
+  noteBegun(endpoint: TrackedEndpoint, id: AttemptId, now: Instant): void {
+    const { open } = this.#findOrAdd(endpoint);
+    const attempt = open.get(id);
+    if (attempt !== undefined) {
+      open.set(id, { ...attempt, begunAt: now });
+    }
+  }
+
+  /**
+   * Records that a request was answered, or abandoned while its endpoint answers others. Returns the attempt, unless it
+   * is not known.
+   */
+  noteEnded(
+    endpoint: TrackedEndpoint,
+    id: AttemptId,
+  ): TrackedAttempt | undefined {
+    const { open } = this.#findOrAdd(endpoint);
+    const attempt = open.get(id);
+    open.delete(id);
+    return attempt;
   }
 
   /** Records that an answer broke off, failed, or was no longer waited for. */
--- a/packages/core/src/quarantine/hold_controller.ts
+++ b/packages/core/src/quarantine/hold_controller.ts
@@ -3,17 +3,24 @@
  *
  * @module
  */
-import type { ContentDigest, Instant } from "../ids/index.ts";
-import type { CrashingRequest } from "./crash_analysis.ts";
+import type { Instant } from "../ids/index.ts";
+import { type CrashingSubject, wasTriedAt } from "./crash_analysis.ts";
 import {
-  type AnsweredRequest,
+  type AnsweredSubject,
   type CrashReport,
   EMPTY_QUARANTINE_UPDATE,
   type HoldNotice,
   type QuarantineUpdate,
 } from "./quarantine_messages.ts";
-import { type HeldRequest, HoldList } from "./hold_list.ts";
-import { holdLogEntry } from "./quarantine_log.ts";
+import { type HeldSubject, HoldList } from "./hold_list.ts";
+import { holdLogEntry, subjectLogFields } from "./quarantine_log.ts";
+import {
+  ANY_CALLER,
+  type CrashSubject,
+  groupOf,
+  isPart,
+  membersOf,
+} from "./subject.ts";
 
 /** The peers that receive a message. */
 export type UpdateRecipients =
@@ -41,34 +48,46 @@
     this.#deps = deps;
   }
 
-  /** Holds a request that crashes endpoints. */
+  /** Holds what crashes endpoints. */
   hold(
-    { content, caller, crashes, score }: CrashingRequest,
+    { subject, caller, crashes, score }: CrashingSubject,
     now: Instant,
   ): void {
     const { service } = crashes[0]!;
     const versions = crashes.map(({ softwareVersion }) => softwareVersion);
-    const fields = { ends: crashes.length, score: Number(score.toFixed(1)) };
-    this.#holdAndAnnounce({ content, caller, service, versions }, fields, now);
+    const fields = {
+      ends: crashes.length,
+      trials: crashes.filter((crash) => wasTriedAt(subject, crash)).length,
+      score: Number(score.toFixed(1)),
+    };
+    this.#holdAndAnnounce({ subject, caller, service, versions }, fields, now);
   }
 
   /**
-   * Extends holds after a crash at which a held request was present: a trial failed, or the request also
-   * crashes other software versions or comes from other callers.
+   * Extends holds after a crash at which what they hold was present: a trial failed, or it also crashes other software
+   * versions or comes from other callers.
    */
   noteCrash(
     { service, softwareVersion, age, victims }: CrashReport,
     now: Instant,
   ): void {
     const at = (now - age) as Instant;
-    for (const { content, caller } of victims) {
+    const callers = new Map(
+      victims.map(({ subject, caller }) => [subject, caller]),
+    );
+    const tried = new Set(
+      victims.filter(({ trial }) => trial).map(({ subject }) => subject),
+    );
+    this.#narrowGroups(tried, { service, softwareVersion, now });
+    for (const subject of this.holds.findPresent(callers, tried)) {
+      const caller = callers.get(subject) ?? ANY_CALLER;
       const crash = { at, version: softwareVersion, caller };
-      if (this.holds.isNewCrash(content, crash)) {
-        const current = this.holds.notice(content, now)!;
+      if (this.holds.isNewCrash(subject, crash)) {
+        const current = this.holds.notice(subject, now)!;
         const onlyCaller = current.caller === caller ? caller : undefined;
         const versions = [softwareVersion];
         this.#holdAndAnnounce(
-          { content, caller: onlyCaller, service, versions },
+          { subject, caller: onlyCaller, service, versions },
           {},
           now,
         );
@@ -76,21 +95,42 @@
     }
   }
 
-  /** Records that an endpoint answered a request. */
+  /** Holds some parts of a held group by themselves, if an endpoint crashed under them without the others. */
+  #narrowGroups(
+    tried: ReadonlySet<CrashSubject>,
+    { service, softwareVersion, now }: {
+      service: HoldNotice["service"];
+      softwareVersion: string;
+      now: Instant;
+    },
+  ): void {
+    for (const group of this.holds.findPartlyTried(tried)) {
+      const parts = membersOf(group).filter((member) => tried.has(member));
+      const subject = groupOf(parts.filter(isPart));
+      const versions = [softwareVersion];
+      this.#holdAndAnnounce(
+        { subject, caller: undefined, service, versions },
+        { group },
+        now,
+      );
+    }
+  }
+
+  /** Records that an endpoint answered a request with the subject. */
   noteAnswered(
-    { content, softwareVersion }: AnsweredRequest,
+    { subject, softwareVersion }: AnsweredSubject,
     now: Instant,
   ): void {
-    if (this.holds.noteAnswered(content, softwareVersion)) {
-      this.#announceEnd(content, "answered", now);
+    if (this.holds.noteAnswered(subject, softwareVersion)) {
+      this.#announceEnd(subject, "answered", now);
     }
   }
 
-  /** Ends a hold at an operator's command. Returns `false` if the request is not held. */
-  release(content: ContentDigest, now: Instant): boolean {
-    const released = this.holds.release(content);
+  /** Ends a hold at an operator's command. Returns `false` if there is none. */
+  release(subject: CrashSubject, now: Instant): boolean {
+    const released = this.holds.release(subject);
     if (released) {
-      this.#announceEnd(content, "operator", now);
+      this.#announceEnd(subject, "operator", now);
     }
     return released;
   }
@@ -98,39 +138,39 @@
   /** Merges a hold received from a peer and forwards it if it was new. */
   merge(notice: HoldNotice, now: Instant): void {
     if (this.holds.merge(notice, now)) {
-      this.#logHold(notice.content, { told: true }, now);
-      this.#announce(notice.content, now);
+      this.#logHold(notice.subject, { told: true }, now);
+      this.#announce(notice.subject, now);
     }
   }
 
   /** Ends holds whose time is over. */
   tick(now: Instant): void {
-    this.holds.removeExpired(now).forEach((content) =>
-      this.#logEnd(content, "time")
+    this.holds.removeExpired(now).forEach((subject) =>
+      this.#logEnd(subject, "time")
     );
   }
 
   #holdAndAnnounce(
-    held: HeldRequest,
+    held: HeldSubject,
     fields: Readonly<Record<string, unknown>>,
     now: Instant,
   ): void {
     this.holds.hold(held, now);
-    this.#announce(held.content, now);
-    this.#logHold(held.content, fields, now);
+    this.#announce(held.subject, now);
+    this.#logHold(held.subject, fields, now);
   }
 
   #announceEnd(
-    content: ContentDigest,
+    subject: CrashSubject,
     reason: "answered" | "operator",
     now: Instant,
   ): void {
-    this.#logEnd(content, reason);
-    this.#announce(content, now);
+    this.#logEnd(subject, reason);
+    this.#announce(subject, now);
   }
 
-  #announce(content: ContentDigest, now: Instant): void {
-    const notice = this.holds.notice(content, now);
+  #announce(subject: CrashSubject, now: Instant): void {
+    const notice = this.holds.notice(subject, now);
     if (notice !== undefined) {
       this.#deps.send(
         { ...EMPTY_QUARANTINE_UPDATE, holds: [notice] },
@@ -139,19 +179,19 @@
     }
   }
 
-  #logEnd(content: ContentDigest, reason: string): void {
+  #logEnd(subject: CrashSubject, reason: string): void {
     this.#deps.log("quarantine", "Request is no longer held back.", {
-      digest: content,
+      ...subjectLogFields(subject),
       reason,
     });
   }
 
   #logHold(
-    content: ContentDigest,
+    subject: CrashSubject,
     fields: Readonly<Record<string, unknown>>,
     now: Instant,
   ): void {
-    const notice = this.holds.notice(content, now)!;
+    const notice = this.holds.notice(subject, now)!;
     const { text, fields: holdFields } = holdLogEntry(notice);
     this.#deps.log("quarantine", text, { ...holdFields, ...fields });
   }
--- a/packages/core/src/quarantine/index.ts
+++ b/packages/core/src/quarantine/index.ts
@@ -4,3 +4,9 @@
 export * from "./hold_controller.ts";
 export * from "./hold_list.ts";
 export * from "./quarantine_controller.ts";
+export {
+  ANY_CALLER,
+  type CrashSubject,
+  isPart,
+  subjectsOf,
+} from "./subject.ts";
--- a/packages/core/src/quarantine/quarantine_controller.ts
+++ b/packages/core/src/quarantine/quarantine_controller.ts
@@ -3,15 +3,17 @@
  *
  * Limits on attempts, the retry budget and the health checks of endpoints each protect one request, one entry
  * or one endpoint. A request that crashes its endpoint and is sent again, with another id and through another
- * entry, is new to all of them. One such request crashed 29 engines within 17 seconds, and most other callers
- * were not served in time. Entries therefore report to each other which requests were in progress at each
- * crash, evaluate the reports in the same way, and announce to all when they hold a request.
+ * entry, is new to all of them, and so is another request with the part of its prompt that does it. One such request
+ * crashed 29 engines within 17 seconds, and most other callers were not served in time. Entries therefore report to each
+ * other which requests and which parts were present at each crash, evaluate the reports in the same way, and announce to
+ * all when they hold one of them.
  *
  * @module
  */
 import {
+  after,
   type AttemptId,
-  type ContentDigest,
+  hash32,
   type Incarnation,
   type Instant,
   type Milliseconds,
@@ -30,25 +32,30 @@
 import type { RequestFingerprint } from "./fingerprint.ts";
 import { HoldController, type UpdateRecipients } from "./hold_controller.ts";
 import type { HoldDecision, HoldList } from "./hold_list.ts";
-import { TrialCoordinator } from "./trial_coordinator.ts";
+import { TrialCoordinator, type TrialRequest } from "./trial_coordinator.ts";
 import { crashLogFields } from "./quarantine_log.ts";
 import {
-  type AnsweredRequest,
+  type AnsweredSubject,
   type CrashReport,
   EMPTY_QUARANTINE_UPDATE,
   type HoldNotice,
   type QuarantineUpdate,
-  type TriedRequest,
 } from "./quarantine_messages.ts";
-import { AnswerHistory } from "./answer_history.ts";
-import { PartAnswers } from "./part_answers.ts";
+import { AnswerAnnouncements } from "./answer_announcements.ts";
+import { RecentAnswers } from "./recent_answers.ts";
+import { type CrashSubject, isPart, membersOf, subjectsOf } from "./subject.ts";
 import {
   createTrialPermission,
+  type RegionPredicate,
   type TrialDependencies,
 } from "./trial_permission.ts";
 
-/** Number of answered requests in one datagram, which keeps it below 1,400 bytes. */
-const ANSWERED_PER_MESSAGE = 48;
+/**
+ * Entries that had a part answered tell the others at different times within a period of this length for each entry, so
+ * that few announce it before they hear of the first.
+ */
+const ANNOUNCEMENT_SPREAD_MS = 20;
+const UINT32_RANGE = 2 ** 32;
 /**
  * Limit for the crashes that an entry reports per second. If more endpoints crash together, a zone or a rack
  * failed, which is no evidence against a request, and hundreds of reports to each serving entry would cost
@@ -66,6 +73,8 @@
    * trials are not claimed.
    */
   readonly claimDelay: Milliseconds;
+  /** Number of other entries that are live. */
+  readonly peerCount: () => number;
   /** Has the daemon probe whether something listens at the endpoint's address. */
   readonly probePort: (record: EndpointRecord) => void;
   readonly send: (news: QuarantineUpdate, to: UpdateRecipients) => void;
@@ -84,7 +93,7 @@
 
 /** The outcome of an attempt at an endpoint. */
 export type AttemptOutcome =
-  /** The endpoint answered the request. */
+  /** The endpoint answered the request completely. */
   | "answered"
   /** The answer broke off, failed or was no longer waited for. */
   | "lost"
@@ -98,9 +107,8 @@
   readonly #history = new CrashHistory();
   readonly #holdController: HoldController;
   readonly #trials: TrialCoordinator;
-  readonly #recentAnswers = new AnswerHistory();
-  readonly #partAnswers = new PartAnswers();
-  #pendingAnswered: AnsweredRequest[] = [];
+  readonly #recentAnswers = new RecentAnswers();
+  readonly #announcements = new AnswerAnnouncements();
   /** When crashes were reported within the last second. */
   #reportTimes: Instant[] = [];
   /** Number of endpoint crashes in which this entry lost requests. */
@@ -126,58 +134,125 @@
    * needs one.
    */
   check(
-    { id, fingerprint, services }: {
+    { id, relayedBy, fingerprint, services, mayServe }: {
       id: RequestId;
+      relayedBy?: Incarnation | undefined;
       fingerprint: RequestFingerprint;
       services: readonly EndpointRecord["service"][];
+      mayServe: RegionPredicate;
     },
     now: Instant,
   ): QuarantineDecision {
-    const { content } = fingerprint;
-    const mayTry = createTrialPermission(this.#deps, { content, services });
+    const mayTry = createTrialPermission(this.#deps, { services, mayServe });
     const decision = this.holds.check(fingerprint, mayTry, now);
-    if (decision.kind !== "free" || !this.#history.isSuspect(content)) {
+    if (decision.kind !== "free") {
       return decision;
     }
-    const crashes = this.#history.crashCount(content);
+    const suspects = this.#suspectsOf(fingerprint, now);
+    return suspects.length === 0
+      ? decision
+      : this.#requestTrial(suspects, { request: id, relayedBy }, now);
+  }
+
+  /**
+   * Claims a trial of the strongest of a request's suspects, so that requests with several of them don't each wait for
+   * what another has claimed. The others must not be on trial meanwhile.
+   */
+  #requestTrial(
+    suspects: readonly CrashSubject[],
+    request: Omit<TrialRequest, "crashes">,
+    now: Instant,
+  ): QuarantineDecision {
+    const [strongest] = [...suspects].sort((left, right) =>
+      this.#history.crashCount(right) - this.#history.crashCount(left) ||
+      (left < right ? -1 : 1)
+    );
+    const isBusy = suspects.some((subject) =>
+      this.#history.isSettling(subject) ||
+      this.#trials.isSentByOther(subject, this.#trialOf(subject, request), now)
+    );
+    if (isBusy) {
+      return { kind: "wait" };
+    }
     const trial = this.#trials.requestTrial(
-      content,
-      { request: id, crashes },
+      strongest!,
+      this.#trialOf(strongest!, request),
       now,
     );
     if (trial === "claim") {
-      this.#announceTrial({ content, sent: false });
+      this.#announceTrials([strongest!], { sent: false });
     }
-    return trial === "go" ? decision : { kind: "wait" };
+    return trial === "go"
+      ? { kind: "limited", except: new Set(), trial: true }
+      : { kind: "wait" };
   }
 
   /**
-   * Whether a request is held, or was present at so many crashes that it is sent as a trial only. If such a request
-   * is lost with its endpoint, this entry must not send it to another one.
+   * Whether something in a request is held, or was present at so many crashes that it is sent as a trial only. If such a
+   * request is lost with its endpoint, this entry must not send it to another one.
    */
-  isSuspect({ content }: Pick<RequestFingerprint, "content">): boolean {
-    return this.holds.has(content) || this.#history.isSuspect(content);
+  isSuspect(
+    fingerprint: Pick<RequestFingerprint, "content" | "parts">,
+    now: Instant,
+  ): boolean {
+    return this.#suspectsOf(fingerprint, now).length > 0 ||
+      this.holds.findApplicable(subjectsOf(fingerprint)).length > 0;
   }
 
   /** Records that a request is written to an endpoint. */
   noteSent(
     endpoint: TrackedEndpoint,
-    attempt: Omit<TrackedAttempt, "trial">,
+    attempt: Omit<TrackedAttempt, "trialOf">,
     request: RequestId,
   ): void {
-    const { fingerprint: { content }, sentAt } = attempt;
-    const trial = this.#history.isSuspect(content);
-    this.#detector.noteSent(endpoint, { ...attempt, trial });
-    this.holds.noteTrial(content, sentAt);
-    if (trial) {
-      const crashes = this.#history.crashCount(content);
-      this.#trials.begin(content, { request, crashes }, sentAt);
-      this.#announceTrial({ content, sent: true });
+    const { fingerprint, sentAt } = attempt;
+    const subjects = subjectsOf(fingerprint);
+    const held = this.holds.findApplicable(subjects).flatMap(membersOf);
+    const trialOf = [
+      ...new Set([...this.#suspectsOf(fingerprint, sentAt), ...held]),
+    ];
+    this.#detector.noteSent(endpoint, { ...attempt, trialOf });
+    this.holds.noteTrial(subjects, sentAt);
+    for (const subject of trialOf) {
+      this.#trials.begin(
+        subject,
+        this.#trialOf(subject, { request }),
+        sentAt,
+      );
+    }
+    if (trialOf.length > 0) {
+      this.#announceTrials(trialOf, { sent: true });
     }
   }
 
-  #announceTrial(trial: TriedRequest): void {
-    this.#deps.send({ ...EMPTY_QUARANTINE_UPDATE, tried: [trial] }, "carriers");
+  /** Records that the answer to a request has begun. */
+  noteBegun(endpoint: TrackedEndpoint, attempt: AttemptId, now: Instant): void {
+    this.#detector.noteBegun(endpoint, attempt, now);
+  }
+
+  #suspectsOf(
+    fingerprint: Pick<RequestFingerprint, "content" | "parts">,
+    now: Instant,
+  ): CrashSubject[] {
+    return subjectsOf(fingerprint).filter((subject) =>
+      this.#history.isSuspect(subject) &&
+      !(isPart(subject) && this.#recentAnswers.hasPart(subject, now))
+    );
+  }
+
+  #trialOf(
+    subject: CrashSubject,
+    request: Omit<TrialRequest, "crashes">,
+  ): TrialRequest {
+    return { ...request, crashes: this.#history.crashCount(subject) };
+  }
+
+  #announceTrials(
+    subjects: readonly CrashSubject[],
+    { sent }: { sent: boolean },
+  ): void {
+    const tried = subjects.map((subject) => ({ subject, sent }));
+    this.#deps.send({ ...EMPTY_QUARANTINE_UPDATE, tried }, "carriers");
   }
 
   /**
@@ -205,12 +280,11 @@
     if (end === "lost") {
       return this.#detector.noteLost(endpoint, attempt, now);
     }
-    this.#detector.noteEnded(endpoint, attempt);
+    const tracked = this.#detector.noteEnded(endpoint, attempt);
     if (end === "answered") {
       const { softwareVersion } = endpoint.record;
-      const { content, parts = [] } = fingerprint;
-      this.#partAnswers.add(parts, now);
-      this.#noteAnswered({ content, softwareVersion }, now);
+      const sentAt = tracked?.sentAt ?? now;
+      this.#noteAnswered(fingerprint, { softwareVersion, sentAt, now });
     }
   }
 
@@ -231,12 +305,22 @@
 
   /** Applies a message from a peer. */
   apply(news: QuarantineUpdate, from: Incarnation, now: Instant): void {
-    news.answered.forEach((answered) => this.#clearSuspicion(answered, now));
+    for (const answered of news.answered) {
+      const { subject } = answered;
+      this.#announcements.cancel(subject);
+      if (isPart(subject)) {
+        this.#recentAnswers.addPart(subject, now);
+      }
+      this.#clearSuspicion(answered, now);
+    }
     this.applyHolds(news.holds, now);
-    for (const { content, sent } of news.tried) {
-      const crashes = this.#history.crashCount(content);
-      this.#trials.noteRemote(content, { from, sent, crashes }, now);
+    for (const { subject, sent } of news.tried) {
+      const crashes = this.#history.crashCount(subject);
+      this.#trials.noteRemote(subject, { from, sent, crashes }, now);
     }
+    const sent = news.tried.filter(({ sent }) => sent)
+      .map(({ subject }) => subject);
+    this.holds.noteTrial(sent, now);
     for (const report of news.crashes) {
       this.#detector.noteReported(
         { id: report.endpoint, life: report.life },
@@ -244,7 +328,7 @@
       );
       this.#addReport(report, now);
     }
-    this.#answerReports(news, now);
+    news.crashes.forEach((report) => this.#answerReport(report, now));
   }
 
   /** Applies holds received from a peer. */
@@ -252,17 +336,20 @@
     holds.forEach((notice) => this.#holdController.merge(notice, now));
   }
 
-  /** Ends a hold at all entries, at an operator's command. Returns whether the request was held. */
-  release(content: ContentDigest, now: Instant): boolean {
-    this.#history.noteAnswered(content, now);
-    return this.#holdController.release(content, now);
+  /** Ends a hold at all entries, at an operator's command. Returns whether there was one. */
+  release(subject: CrashSubject, now: Instant): boolean {
+    membersOf(subject).forEach((member) =>
+      this.#history.noteAnswered(member, now)
+    );
+    return this.#holdController.release(subject, now);
   }
 
   tick(now: Instant): void {
     this.#reportCrashes(now);
+    this.#holdCauses(now);
     this.#trials.removeExpired(now);
-    if (this.#pendingAnswered.length > 0) {
-      const answered = this.#pendingAnswered.splice(0, ANSWERED_PER_MESSAGE);
+    const answered = this.#announcements.take(now);
+    if (answered.length > 0) {
       this.#deps.send({ ...EMPTY_QUARANTINE_UPDATE, answered }, "carriers");
     }
     this.#holdController.tick(now);
@@ -274,53 +361,85 @@
     );
   }
 
-  #noteAnswered(answered: AnsweredRequest, now: Instant): void {
-    const { content } = answered;
-    this.#recentAnswers.add(content, now);
-    if (this.isSuspect({ content })) {
-      this.#announceAnswered(answered, now);
-    } else {
-      this.#history.noteAnswered(content, now);
+  /** Clears what an answered request contains of suspicion, and tells the others what they may suspect too. */
+  #noteAnswered(
+    fingerprint: RequestFingerprint,
+    { softwareVersion, sentAt, now }: {
+      softwareVersion: string;
+      sentAt: Instant;
+      now: Instant;
+    },
+  ): void {
+    const { content, parts = [] } = fingerprint;
+    const urgent = new Set(this.#suspectsOf(fingerprint, now));
+    this.#recentAnswers.add(fingerprint, now);
+    const cleared = new Set(
+      this.holds.findApplicable(subjectsOf(fingerprint)),
+    );
+    cleared.forEach((subject) => urgent.add(subject));
+    if (urgent.has(content)) {
+      cleared.add(content);
+    }
+    this.#history.noteAnswered(content, now);
+    for (const part of parts.filter((part) => this.#history.has(part))) {
+      // A part that was sent before the latest crash may have been answered before it began to crash endpoints.
+      this.#history.noteAnswered(part, sentAt);
+      if (!this.#history.has(part)) {
+        cleared.add(part);
+      }
+    }
+    for (const subject of cleared) {
+      const answered = { subject, softwareVersion };
+      const delay = urgent.has(subject) ? 0 : this.#announcementDelay(subject);
+      this.#announcements.add(answered, after(now, delay));
+      this.#clearSuspicion(answered, now);
     }
   }
 
-  #announceAnswered(answered: AnsweredRequest, now: Instant): void {
-    this.#pendingAnswered.push(answered);
-    this.#clearSuspicion(answered, now);
-  }
-
-  #clearSuspicion(answered: AnsweredRequest, now: Instant): void {
-    this.#history.noteAnswered(answered.content, now);
+  #clearSuspicion(answered: AnsweredSubject, now: Instant): void {
+    this.#history.noteAnswered(answered.subject, now);
     this.#holdController.noteAnswered(answered, now);
   }
 
   /**
-   * Announces which requests of a peer's crash reports were recently answered here, and are therefore not the cause
-   * of the crash.
+   * Announces which requests of a peer's crash report were recently answered here, and are therefore not the cause of the
+   * crash.
    */
-  #answerReports({ crashes }: QuarantineUpdate, now: Instant): void {
-    for (const { victims, softwareVersion } of crashes) {
-      victims.filter(({ content }) => this.#recentAnswers.has(content, now))
-        .forEach(({ content }) =>
-          this.#announceAnswered({ content, softwareVersion }, now)
-        );
+  #answerReport(
+    { victims, softwareVersion }: CrashReport,
+    now: Instant,
+  ): void {
+    for (const { subject } of victims) {
+      if (!isPart(subject) && this.#recentAnswers.hasRequest(subject, now)) {
+        const answered = { subject, softwareVersion };
+        this.#announcements.add(answered, now);
+        this.#clearSuspicion(answered, now);
+      }
     }
   }
 
+  #announcementDelay(subject: CrashSubject): number {
+    const hash = hash32(`${this.#deps.self.incarnation} ${subject}`);
+    const spread = ANNOUNCEMENT_SPREAD_MS * this.#deps.peerCount();
+    return spread * hash / UINT32_RANGE;
+  }
+
   /** Logs and reports a crash that this entry detected. */
   #reportCrash({ record, at, attempts }: CrashedEndpoint, now: Instant): void {
     this.crashes++;
     const fields = crashLogFields(
       { record, at, attempts },
       {
-        crashCountOf: (content) => this.#history.crashCount(content),
-        lastAnswerOf: (part) => this.#partAnswers.lastAnswer(part),
+        crashCountOf: (subject) => this.#history.crashCount(subject),
+        lastAnswerOf: (part) => this.#recentAnswers.lastAnswerTo(part),
       },
     );
     this.#deps.log("endpoint", "Endpoint has ended.", fields);
     const report = createReport({ record, at, attempts }, {
       endpoints: this.#deps.endpoints(),
-      wasAnswered: (content) => this.#recentAnswers.has(content, now),
+      wasAnswered: (content) => this.#recentAnswers.hasRequest(content, now),
+      crashCountOf: (subject) => this.#history.crashCount(subject),
+      lastAnswerTo: (part) => this.#recentAnswers.lastAnswerTo(part),
     }, now);
     this.#sendReport(report, now);
     this.#addReport(report, now);
@@ -343,9 +462,12 @@
   #addReport(report: CrashReport, now: Instant): void {
     this.#history.add(report, now);
     this.#holdController.noteCrash(report, now);
-    this.#history.findCrashingRequests((content) => this.holds.has(content))
-      .forEach((
-        request,
-      ) => this.#holdController.hold(request, now));
+  }
+
+  #holdCauses(now: Instant): void {
+    this.#history.findCrashingSubjects(
+      ({ present, trials }) => this.holds.findPresent(present, trials),
+      now,
+    ).forEach((cause) => this.#holdController.hold(cause, now));
   }
 }
--- a/packages/core/src/quarantine/quarantine_log.ts
+++ b/packages/core/src/quarantine/quarantine_log.ts
@@ -3,9 +3,10 @@
  *
  * @module
  */
-import type { ContentDigest, Instant, PartDigest } from "../ids/index.ts";
+import type { Instant, PartDigest } from "../ids/index.ts";
 import type { HoldNotice } from "./quarantine_messages.ts";
 import type { CrashedEndpoint, LostAttempt } from "./crash_detector.ts";
+import { type CrashSubject, isPart } from "./subject.ts";
 
 /**
  * Number of requests in one log entry. Those with the shortest time to the crash come first, because requests
@@ -18,8 +19,8 @@
 
 /** What is known of the requests at a crash. */
 export interface CrashLogContext {
-  /** Returns the number of earlier crashes at which a request was present. */
-  readonly crashCountOf: (content: ContentDigest) => number;
+  /** Returns the number of earlier crashes at which a request or a part was present and after which none was answered. */
+  readonly crashCountOf: (subject: CrashSubject) => number;
   /** Returns when a prompt with a part was last answered. */
   readonly lastAnswerOf: (part: PartDigest) => Instant | undefined;
 }
@@ -46,15 +47,23 @@
       ms: Math.round(durationOf(attempt)),
       ends: crashCountOf(attempt.fingerprint.content) + 1,
     })),
-    parts: partLogFields({ attempts, at }, lastAnswerOf),
+    parts: partLogFields({ attempts, at }, { crashCountOf, lastAnswerOf }),
   };
 }
 
+/** Fields about one prompt part. */
+interface PartLogFields {
+  readonly part: PartDigest;
+  readonly requests: number;
+  readonly ends: number;
+  readonly answeredMsBefore?: number;
+}
+
 /** Lists the prompt parts of the lost requests, first those that were never answered or longest ago. */
 function partLogFields(
   { attempts, at }: Pick<CrashedEndpoint, "attempts" | "at">,
-  lastAnswerOf: CrashLogContext["lastAnswerOf"],
-): { part: PartDigest; requests: number; answeredMsBefore?: number }[] {
+  { crashCountOf, lastAnswerOf }: CrashLogContext,
+): PartLogFields[] {
   const requests = new Map<PartDigest, number>();
   for (
     const part of attempts.flatMap(({ fingerprint }) => fingerprint.parts ?? [])
@@ -66,6 +75,7 @@
     return {
       part,
       requests: count,
+      ends: crashCountOf(part) + 1,
       ...(answeredAt === undefined
         ? {}
         : { answeredMsBefore: Math.round(at - answeredAt) }),
@@ -76,16 +86,23 @@
   ).slice(0, MAX_LOGGED_PARTS);
 }
 
+/** Names what a log entry is about: a whole request, or a part of prompts or several that came together. */
+export function subjectLogFields(
+  subject: CrashSubject,
+): { digest: CrashSubject; kind: "request" | "part" } {
+  return { digest: subject, kind: isPart(subject) ? "part" : "request" };
+}
+
 /** Returns the log entry about a hold that started, was extended or ended. */
 export function holdLogEntry(
-  { content, caller, service, versions, term, remaining, released }: HoldNotice,
+  { subject, caller, service, versions, term, remaining, released }: HoldNotice,
 ): { text: string; fields: Record<string, unknown> } {
   return {
     text: released
       ? "Request is no longer held back."
       : "Request is held back.",
     fields: {
-      digest: content,
+      ...subjectLogFields(subject),
       caller,
       service,
       versions,
--- a/packages/core/src/quarantine/quarantine_messages.ts
+++ b/packages/core/src/quarantine/quarantine_messages.ts
@@ -4,18 +4,21 @@
  * @module
  */
 import type {
-  ContentDigest,
+  CallerDigest,
   EndpointId,
   EndpointLife,
   Milliseconds,
   ServiceId,
   ZoneId,
 } from "../ids/index.ts";
-import type { RepetitionDigests } from "./fingerprint.ts";
+import type { CrashSubject } from "./subject.ts";
 
-/** A request that an entry had in progress at an endpoint, running or queued, when the endpoint crashed. */
-export interface RequestAtCrash extends RepetitionDigests {
-  /** Time from the sending of its first copy there to the crash. */
+/** What the requests in progress at an endpoint, running or queued, had when the endpoint crashed. */
+export interface SubjectAtCrash {
+  readonly subject: CrashSubject;
+  /** The caller of a request, `ANY_CALLER` for a part. */
+  readonly caller: CallerDigest;
+  /** Longest time to the crash of the requests with it: since their answers began, or else since they were sent. */
   readonly exposure: Milliseconds;
   /** Whether it was sent as a trial, because it was present at several crashes. */
   readonly trial: boolean;
@@ -32,49 +35,49 @@
   readonly age: Milliseconds;
   /** Number of other endpoints of the same service and zone that accepted requests at that time. */
   readonly others: number;
-  readonly victims: readonly RequestAtCrash[];
+  readonly victims: readonly SubjectAtCrash[];
 }
 
-/** A hold on a request, which is then sent to no endpoint. */
+/** A hold on a request, or on all requests with some part: they are sent to no endpoint. */
 export interface HoldNotice {
-  readonly content: ContentDigest;
+  readonly subject: CrashSubject;
   /** The caller whose requests are held, `undefined` for all callers. */
-  readonly caller: RepetitionDigests["caller"] | undefined;
+  readonly caller: CallerDigest | undefined;
   readonly service: ServiceId;
-  /** Software versions of the endpoints that the request crashed. */
+  /** Software versions of the endpoints that it crashed. */
   readonly versions: readonly string[];
-  /** Other software versions that answered the request since. It may be sent to them. */
+  /** Other software versions that answered it since. It may be sent to them. */
   readonly mended: readonly string[];
   /**
-   * Number of times that the request was held, including this one. A hold with a higher number replaces an
+   * Number of times that it was held, including this one. A hold with a higher number replaces an
    * older one.
    */
   readonly term: number;
-  /** Time until the request may be tried again. */
+  /** Time until it may be tried again. */
   readonly remaining: Milliseconds;
-  /** Whether the hold is over, because an endpoint answered the request or an operator released it. */
+  /** Whether the hold is over, because an endpoint answered it or an operator released it. */
   readonly released: boolean;
 }
 
-/** A request that an endpoint answered. */
-export interface AnsweredRequest {
-  readonly content: ContentDigest;
+/** What a request had that an endpoint answered. */
+export interface AnsweredSubject {
+  readonly subject: CrashSubject;
   readonly softwareVersion: string;
 }
 
-/** A request of which an entry claims the next trial, or sends a copy as one. */
-export interface TriedRequest {
-  readonly content: ContentDigest;
+/** A suspect of which an entry claims the next trial, or sends a request with it as one. */
+export interface TriedSubject {
+  readonly subject: CrashSubject;
   readonly sent: boolean;
 }
 
 /** One message to other entries. */
 export interface QuarantineUpdate {
   readonly crashes: readonly CrashReport[];
-  /** Requests lost in earlier crashes that an endpoint answered since. */
-  readonly answered: readonly AnsweredRequest[];
-  /** Requests present at several crashes, for which the sender claims or starts a trial. */
-  readonly tried: readonly TriedRequest[];
+  /** Subjects of earlier crashes that an endpoint answered since. */
+  readonly answered: readonly AnsweredSubject[];
+  /** Subjects of several crashes, for which the sender claims or starts a trial. */
+  readonly tried: readonly TriedSubject[];
   readonly holds: readonly HoldNotice[];
 }
 
--- a/packages/core/src/quarantine/trial_coordinator.ts
+++ b/packages/core/src/quarantine/trial_coordinator.ts
@@ -1,18 +1,18 @@
 /**
- * Sends requests that were present at several crashes one copy at a time, until it is known whether they
- * crash endpoints.
+ * Sends requests with what was present at several crashes one at a time, until it is known whether it crashes
+ * endpoints.
  *
  * @module
  */
 import {
   after,
-  type ContentDigest,
   hash32,
   type Incarnation,
   type Instant,
   type Milliseconds,
   type RequestId,
 } from "../ids/index.ts";
+import type { CrashSubject } from "./subject.ts";
 
 /** A trial without a result ends after this time, which is longer than it takes to detect a crash. */
 const TRIAL_TIMEOUT_MS = 5_000;
@@ -29,12 +29,16 @@
   readonly crashes: number;
   /** `undefined` for a trial of another entry. */
   readonly request: RequestId | undefined;
+  /** The other entry, `undefined` for a trial of this one. */
+  readonly from: Incarnation | undefined;
   readonly sent: boolean;
 }
 
 /** A request that needs a trial. */
 export interface TrialRequest {
   readonly request: RequestId;
+  /** The entry that relayed the request, `undefined` for one that came from its caller. */
+  readonly relayedBy?: Incarnation | undefined;
   /** Known crashes with the request. */
   readonly crashes: number;
 }
@@ -60,7 +64,7 @@
 export class TrialCoordinator {
   readonly #self: Incarnation;
   readonly #claimDelay: Milliseconds;
-  readonly #trials = new Map<ContentDigest, Trial>();
+  readonly #trials = new Map<CrashSubject, Trial>();
 
   /**
    * `claimDelay` must exceed the latency of a message between any two entries. With 0, trials are not
@@ -73,38 +77,55 @@
 
   /** Decides whether a copy of a request may be sent now, and claims the trial if it is free. */
   requestTrial(
-    content: ContentDigest,
-    { request, crashes }: TrialRequest,
+    subject: CrashSubject,
+    trialRequest: TrialRequest,
     now: Instant,
   ): TrialDecision {
-    const trial = this.#current(content, crashes, now);
+    const { request, relayedBy, crashes } = trialRequest;
+    const trial = this.#current(subject, crashes, now);
     if (trial === undefined) {
-      return this.#claim(content, { request, crashes }, now);
+      return this.#claim(subject, trialRequest, now);
+    }
+    if (trial.request === request) {
+      const settled = trial.sent || now - trial.since >= this.#claimDelay;
+      return settled ? "go" : "wait";
     }
-    const isOwn = trial.request === request;
-    const settled = trial.sent || now - trial.since >= this.#claimDelay;
-    return isOwn && settled ? "go" : "wait";
+    // An entry relays only the request for which it claimed the trial.
+    const claimed = !trial.sent && relayedBy !== undefined &&
+      trial.from === relayedBy;
+    return claimed ? "go" : "wait";
+  }
+
+  /** Whether another request with the subject was sent as a trial that has no result yet. */
+  isSentByOther(
+    subject: CrashSubject,
+    { request, crashes }: TrialRequest,
+    now: Instant,
+  ): boolean {
+    const trial = this.#current(subject, crashes, now);
+    return trial?.sent === true && trial.request !== request;
   }
 
   /** Records that this entry sends a copy. */
   begin(
-    content: ContentDigest,
+    subject: CrashSubject,
     { request, crashes }: TrialRequest,
     now: Instant,
   ): void {
     const until = after(now, TRIAL_TIMEOUT_MS);
-    this.#trials.set(content, {
+    this.#trials.set(subject, {
       since: now,
       until,
       crashes,
       request,
+      from: undefined,
       sent: true,
     });
   }
 
   /** Records that another entry claims a trial or sends its copy. */
   noteRemote(
-    content: ContentDigest,
+    subject: CrashSubject,
     { from, sent, crashes }: {
       from: Incarnation;
       sent: boolean;
@@ -112,27 +133,33 @@
     },
     now: Instant,
   ): void {
-    const pending = this.#current(content, crashes, now);
+    const pending = this.#current(subject, crashes, now);
     const isOwn = pending?.request !== undefined;
     const keepsOwn = isOwn &&
-      (pending.sent || !sent && this.#hasPriority(content, from));
+      (pending.sent || !sent && this.#hasPriority(subject, from));
     if (!keepsOwn) {
       const until = after(now, sent ? TRIAL_TIMEOUT_MS : CLAIM_TIMEOUT_MS);
-      const request = undefined;
-      this.#trials.set(content, { since: now, until, crashes, request, sent });
+      this.#trials.set(subject, {
+        since: now,
+        until,
+        crashes,
+        request: undefined,
+        from,
+        sent,
+      });
     }
   }
 
   removeExpired(now: Instant): void {
-    for (const [content, { until }] of this.#trials) {
+    for (const [subject, { until }] of this.#trials) {
       if (now >= until) {
-        this.#trials.delete(content);
+        this.#trials.delete(subject);
       }
     }
   }
 
   #claim(
-    content: ContentDigest,
+    subject: CrashSubject,
     { request, crashes }: TrialRequest,
     now: Instant,
   ): TrialDecision {
@@ -140,33 +167,34 @@
       return "go";
     }
     const until = after(now, CLAIM_TIMEOUT_MS);
-    this.#trials.set(content, {
+    this.#trials.set(subject, {
       since: now,
       until,
       crashes,
       request,
+      from: undefined,
       sent: false,
     });
     return "claim";
   }
 
   #current(
-    content: ContentDigest,
+    subject: CrashSubject,
     crashes: number,
     now: Instant,
   ): Trial | undefined {
-    const trial = this.#trials.get(content);
+    const trial = this.#trials.get(subject);
     const ended = trial === undefined || now >= trial.until ||
       crashes > trial.crashes;
     return ended ? undefined : trial;
   }
 
   /** Whether this entry's claim takes precedence over that of another entry. */
-  #hasPriority(content: ContentDigest, other: Incarnation): boolean {
-    return rankOf(content, this.#self) < rankOf(content, other);
+  #hasPriority(subject: CrashSubject, other: Incarnation): boolean {
+    return rankOf(subject, this.#self) < rankOf(subject, other);
   }
 }
 
-function rankOf(content: ContentDigest, entry: Incarnation): number {
-  return hash32(`${content} ${entry}`);
+function rankOf(subject: CrashSubject, entry: Incarnation): number {
+  return hash32(`${subject} ${entry}`);
 }
--- a/packages/core/src/quarantine/trial_permission.ts
+++ b/packages/core/src/quarantine/trial_permission.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import {
-  type ContentDigest,
   type EndpointId,
   type Incarnation,
+  type RegionId,
   rendezvous,
   type ServiceId,
   type ZoneId,
@@ -19,24 +19,28 @@
   readonly self: { readonly incarnation: Incarnation };
   /** Returns the published endpoints of all regions. */
   readonly endpoints: () => ReadonlyMap<EndpointId, EndpointRecord>;
-  /** Returns the entries that serve the regions of the given zones. */
+  /** Returns the entries that serve those regions of the given zones in which a request may run. */
   readonly servingEntries: (
     zones: ReadonlySet<ZoneId>,
+    mayServe: RegionPredicate,
   ) => readonly Incarnation[];
 }
 
+/** Whether a request may run in a region. */
+export type RegionPredicate = (region: RegionId) => boolean;
+
 /**
  * Lets a single entry try a held request, so that the fleet does not run one trial per entry. It is one of
- * the entries that serve a region with endpoints to try the request on.
+ * the entries that serve a region with endpoints to try the request on: relayed by another, it would be refused there.
  */
 export function createTrialPermission(
   { self, endpoints, servingEntries }: TrialDependencies,
-  { content, services }: {
-    content: ContentDigest;
+  { services, mayServe }: {
     services: readonly ServiceId[];
+    mayServe: RegionPredicate;
   },
 ): TrialPermission {
-  return (excludedVersions) => {
+  return (subject, excludedVersions) => {
     const zones = new Set(
       [...endpoints().values()].filter((record) =>
         record.state === "ready" && services.includes(record.service) &&
@@ -47,8 +51,8 @@
       return false;
     }
     const [owner] = rendezvous(
-      content,
-      servingEntries(zones),
+      subject,
+      servingEntries(zones, mayServe),
       (entry) => entry,
     );
     return owner === self.incarnation;
--- a/packages/core/src/requests/request_quarantine.ts
+++ b/packages/core/src/requests/request_quarantine.ts
@@ -81,6 +81,7 @@
         board.self.incarnation,
         ...this.#livePeers().map(({ incarnation }) => incarnation),
       ],
+      peerCount: () => this.#livePeers().length,
       // A load poll shows whether the endpoint is running.
       probePort: ({ id, address: url }) =>
         emit({ kind: "pollLoad", endpoint: id, url }),
@@ -101,6 +102,7 @@
       id: request.head.id,
       fingerprint: fingerprintOf(request),
       services: [poolOf(request)],
+      mayServe: () => true,
     }, now);
     switch (verdict.kind) {
       case "held":
@@ -114,7 +116,7 @@
 
   /** Whether a request whose attempt was lost may be sent to another endpoint. */
   mayRepeat(request: ActiveRequest): boolean {
-    return !this.#controller.isSuspect(fingerprintOf(request));
+    return !this.#controller.isSuspect(fingerprintOf(request), this.#now);
   }
 
   /** Records that an attempt is being written to its endpoint. */
--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -14,7 +14,7 @@
   weight: 0.324,
 };
 const hold = {
-  content: "Y2FsbGVyIGRpZ2Vz",
+  subject: "Y2FsbGVyIGRpZ2Vz",
   caller: "ZGlnZXN0",
   service: "pool",
   versions: ["v1"],
@@ -57,14 +57,14 @@
     age: 120,
     others: 3,
     victims: [{
-      content: "Y2FsbGVyIGRpZ2Vz",
+      subject: "Y2FsbGVyIGRpZ2Vz",
       caller: "ZGlnZXN0",
       exposure: 88,
       trial: true,
     }],
   }],
-  answered: [{ content: "Y2FsbGVyIGRpZ2Vz", softwareVersion: "v2" }],
-  tried: [{ content: "Y2FsbGVyIGRpZ2Vz", sent: false }],
+  answered: [{ subject: "Y2FsbGVyIGRpZ2Vz", softwareVersion: "v2" }],
+  tried: [{ subject: "Y2FsbGVyIGRpZ2Vz", sent: false }],
   holds: [hold, { ...hold, caller: undefined, released: true }],
 };
 const report = {
--- a/packages/daemon/src/gateway/fleet_decoder.ts
+++ b/packages/daemon/src/gateway/fleet_decoder.ts
@@ -155,7 +155,7 @@
   const items = tuple(value, 8);
   const caller = text(items[1]);
   return {
-    content: text(items[0]),
+    subject: text(items[0]),
     caller: caller === "" ? undefined : caller,
     service: text(items[2]),
     versions: list(items[3], text),
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -8,7 +8,7 @@
 import {
   type AttemptId,
   type CallAttempt,
-  type ContentDigest,
+  type CrashSubject,
   Gateway,
   type GatewayEffect,
   type GatewayEvent,
@@ -244,13 +244,13 @@
           datagrams: this.#datagrams,
         }, this.#now())),
       isReady: () => this.#gateway.ready,
-      release: (digest) => this.#release(digest as ContentDigest),
+      release: (digest) => this.#release(digest as CrashSubject),
     };
   }
 
-  #release(content: ContentDigest): boolean {
-    const wasHeld = this.#gateway.quarantine.holds.has(content);
-    this.#dispatch({ kind: "release", content });
+  #release(subject: CrashSubject): boolean {
+    const wasHeld = this.#gateway.quarantine.holds.has(subject);
+    this.#dispatch({ kind: "release", subject });
     return wasHeld;
   }
 
--- a/packages/daemon/src/gateway/status.ts
+++ b/packages/daemon/src/gateway/status.ts
@@ -34,7 +34,7 @@
   readonly held: readonly HeldRequestStatus[];
 }
 
-/** A quarantined request. */
+/** A quarantined request, or a part of prompts that quarantines all requests with it. */
 export interface HeldRequestStatus {
   readonly digest: string;
   /** Digest of the caller, if only one caller sent the request. */
@@ -115,10 +115,10 @@
 }
 
 function heldRequestStatus(
-  { content, caller, service, versions, term, remaining }: HoldNotice,
+  { subject, caller, service, versions, term, remaining }: HoldNotice,
 ): HeldRequestStatus {
   return {
-    digest: content,
+    digest: subject,
     caller,
     service,
     versions,
--- a/packages/daemon/src/peers/__tests__/peers.test.ts
+++ b/packages/daemon/src/peers/__tests__/peers.test.ts
@@ -166,8 +166,8 @@
     describe("with quarantine news", () => {
       const NEWS = {
         crashes: [],
-        answered: [{ content: "abc", softwareVersion: "" }],
-        tried: [{ content: "def", sent: true }],
+        answered: [{ subject: "abc", softwareVersion: "" }],
+        tried: [{ subject: "def", sent: true }],
         holds: [],
       } as unknown as QuarantineUpdate;
 
--- a/packages/daemon/src/quarantine/quarantine_schema.ts
+++ b/packages/daemon/src/quarantine/quarantine_schema.ts
@@ -1,5 +1,5 @@
 /**
- * Schemas of what entries tell each other about crashed endpoints and about requests that are held back.
+ * Schemas of what entries tell each other about crashed endpoints and about what is held back because of them.
  *
  * @module
  */
@@ -17,8 +17,8 @@
 const MAX_MESSAGE_CHARACTERS = 65_536;
 
 const victim = z.tuple([shortText, shortText, number, z.boolean()]).transform(
-  ([content, caller, exposure, trial]) => ({
-    content,
+  ([subject, caller, exposure, trial]) => ({
+    subject,
     caller,
     exposure,
     trial,
@@ -47,11 +47,11 @@
 }));
 
 const answered = z.tuple([shortText, shortText]).transform(
-  ([content, softwareVersion]) => ({ content, softwareVersion }),
+  ([subject, softwareVersion]) => ({ subject, softwareVersion }),
 );
 
 const tried = z.tuple([shortText, z.boolean()]).transform(
-  ([content, sent]) => ({ content, sent }),
+  ([subject, sent]) => ({ subject, sent }),
 );
 
 /** Schema of a notice about a request that is held back; an empty caller stands for all callers. */
@@ -65,9 +65,9 @@
   number,
   z.boolean(),
 ]).transform((
-  [content, caller, service, versions, mended, term, remaining, released],
+  [subject, caller, service, versions, mended, term, remaining, released],
 ) => ({
-  content,
+  subject,
   caller: caller === "" ? undefined : caller,
   service,
   versions,
@@ -114,7 +114,7 @@
 /** Encodes a notice about a request that is held back. */
 export function encodeHoldNotice(notice: HoldNotice): unknown[] {
   return [
-    notice.content,
+    notice.subject,
     notice.caller ?? "",
     notice.service,
     notice.versions,
@@ -139,11 +139,11 @@
       report.age,
       report.others,
       report.victims.map((
-        { content, caller, exposure, trial },
-      ) => [content, caller, exposure, trial]),
+        { subject, caller, exposure, trial },
+      ) => [subject, caller, exposure, trial]),
     ]),
-    answered.map(({ content, softwareVersion }) => [content, softwareVersion]),
-    tried.map(({ content, sent }) => [content, sent]),
+    answered.map(({ subject, softwareVersion }) => [subject, softwareVersion]),
+    tried.map(({ subject, sent }) => [subject, sent]),
     holds.map(encodeHoldNotice),
   ];
 }
