--- a/packages/core/src/quarantine/__tests__/crash_analysis.test.ts
+++ b/packages/core/src/quarantine/__tests__/crash_analysis.test.ts
@@ -129,15 +129,29 @@
   it("is the one that requests of which no two are alike have in common", () => {
     expect(find(
       { at: 0, requests: { r1: 100, "p:bad/": 100, "p:first/": 900 } },
-      { at: 2_000, requests: { r2: 90, "p:bad/": 90, "p:near/": 90 } },
+      {
+        at: 2_000,
+        requests: { r2: 90, "p:bad/": 90, "p:near/": 90 },
+        trials: ["p:bad"],
+      },
       {
         at: 4_000,
         requests: { r3: 80, "p:bad/": 80, "p:near/": 80 },
-        trials: ["p:bad"],
+        trials: ["p:bad", "p:near"],
       },
     )).toEqual(["p:bad"]);
   });
 
+  it("is held after four trials if other suspects were tried with it each time", () => {
+    const crashes = [1, 2, 3, 4].map((index) => ({
+      at: index * 3_000,
+      requests: { "p:bad/": 90, [`p:near${index}/`]: 90 },
+      trials: ["p:bad", `p:near${index}`],
+    }));
+    expect(find(...crashes.slice(0, 3))).toEqual([]);
+    expect(find(...crashes)).toEqual(["p:bad"]);
+  });
+
   it("is held together with what it always came with", () => {
     const requests = { "p:bad/": 90, "p:near/": 90 };
     const trials = ["p:bad", "p:near"];
@@ -167,6 +181,14 @@
       )).toEqual([]);
     });
 
+    it("was tried once only, since one of many parts meets a trial by chance", () => {
+      expect(find(
+        { at: 0, requests: { "p:bad/": 60 } },
+        { at: 3_000, requests: { "p:bad/": 60 } },
+        { at: 6_000, requests: { "p:bad/": 60 }, trials: ["p:bad"] },
+      )).toEqual([]);
+    });
+
     it("was tried once where another part was at all of its crashes", () => {
       expect(find(
         { at: 0, requests: { "p:bad/": 60, "p:tip/": 60 } },
--- a/packages/core/src/quarantine/__tests__/quarantine_controller.test.ts
+++ b/packages/core/src/quarantine/__tests__/quarantine_controller.test.ts
@@ -262,6 +262,46 @@
     expect((logEntries[0]?.fields.quickest as unknown[]).length).toBe(8);
   });
 
+  // Guards against holding what only one entry believes to crash endpoints.
+  it("ends a peer's hold of a part that was just answered here", () => {
+    const endpoint = { record: record("e1"), heardAt: undefined };
+    const part = partDigest("x");
+    const fingerprint = {
+      content: "r" as ContentDigest,
+      caller: CALLER,
+      parts: [part],
+    };
+    const attempt = "a" as AttemptId;
+    controller.noteSent(
+      endpoint,
+      { attempt, fingerprint, path: "/p", sentAt: instant(0) },
+      "r" as RequestId,
+    );
+    controller.noteOutcome(
+      endpoint,
+      { attempt, fingerprint, end: "answered" },
+      instant(1_000),
+    );
+    const hold = {
+      subject: part,
+      caller: undefined,
+      service: POOL,
+      versions: ["v1"],
+      mended: [],
+      term: 1,
+      remaining: milliseconds(120_000),
+      released: false,
+    };
+    controller.applyHolds([hold], instant(2_000));
+    expect(controller.holds.has(part)).toBe(false);
+    controller.tick(instant(2_025));
+    expect(sentNews.at(-1)?.news.answered).toEqual([
+      { subject: part, softwareVersion: "v1" },
+    ]);
+    controller.applyHolds([{ ...hold, term: 2 }], instant(9_000));
+    expect(controller.holds.has(part)).toBe(true);
+  });
+
   it("lets operators end a hold at all entries", () => {
     ["e1", "e2", "e3"].forEach((name, index) =>
       crash(name, ["bad"], index * 5_000)
