fix: repeated trials of a request count in full again

Cause: trials wait until a crash is reported completely, so that they fall into zones whose other crashes are the request's own, and these counted against it as the zone's usual ones. At the second trial of a request all crashes at which it was present are left out of the rate; parts are weighed as before.

--- a/packages/core/src/quarantine/crash_analysis.ts
+++ b/packages/core/src/quarantine/crash_analysis.ts
@@ -85,9 +85,10 @@
 
 /**
  * Number of trials at which a part, or the parts of a group together, must have crashed endpoints. A crash has many more
- * parts than requests that come back, so that one of them meets a trial by chance more often.
+ * parts than requests that come back, so that one of them meets a trial by chance more often. A request needs one, and
+ * from two on its trials count for more.
  */
-const MIN_PART_TRIALS = 2;
+const MIN_TRIALS = 2;
 /**
  * Number of trials after which a part is the cause although other suspects were tried with it each time. Until then, the
  * part may only have been in the prompts of several causes, and an answer to a prompt without them would show it.
@@ -222,7 +223,7 @@
  */
 function wasTried({ subject, crashes }: Suspect): boolean {
   const trials = crashes.filter(({ crash }) => crash.trials.has(subject));
-  return trials.length >= (isPart(subject) ? MIN_PART_TRIALS : 1);
+  return trials.length >= (isPart(subject) ? MIN_TRIALS : 1);
 }
 
 /** Adds up the evidence of crashes against a subject. Of simultaneous crashes only the strongest counts. */
@@ -283,24 +284,32 @@
 }
 
 /**
- * Returns the crashes per endpoint and millisecond around a crash. Those under trials of a part are left out: they came one
- * by one when it was sent, whatever else the requests contained.
+ * Returns the crashes per endpoint and millisecond around a crash, without those that the subject explains. For a part
+ * these are the crashes under its trials, which came one by one when it was sent, whatever else the requests contained;
+ * at a repeated trial of a request, all at which it was present.
  */
 function estimateCrashRate(
-  { at: crashedAt, otherEndpoints }: ObservedCrash,
+  crash: ObservedCrash,
   { nearby, subject }: {
     nearby: readonly ObservedCrash[];
     subject: CrashSubject;
   },
 ): number {
+  const ownTrials = [crash, ...nearby].filter(({ trials }) =>
+    trials.has(subject)
+  );
+  const isRepeatedTrial = ownTrials.length >= MIN_TRIALS &&
+    crash.trials.has(subject);
+  const explains = (other: ObservedCrash): boolean =>
+    isPart(subject)
+      ? other.trials.has(subject)
+      : isRepeatedTrial && other.present.has(subject);
+  const { at: crashedAt, otherEndpoints } = crash;
   const rates = RATE_WINDOWS_MS.map((window) => {
     const inWindow = nearby.filter(({ at }) =>
       at > crashedAt - window && at <= crashedAt + COMMON_CAUSE_WINDOW_MS
     );
-    const unexplained = isPart(subject)
-      ? inWindow.filter(({ trials }) => !trials.has(subject))
-      : inWindow;
-    return unexplained.length / window;
+    return inWindow.filter((other) => !explains(other)).length / window;
   });
   return Math.max(1 / BASELINE_CRASH_INTERVAL_MS, ...rates) /
     (otherEndpoints + 1);
@@ -327,7 +336,7 @@
   }
   const parts = [subject, ...rivals].filter(isPart);
   const together = parts.length === rivals.length + 1 &&
-    trials.length >= MIN_PART_TRIALS &&
+    trials.length >= MIN_TRIALS &&
     trials.every((crash) => parts.every((part) => wasTriedAt(part, crash)));
   return together
     ? [{
