--- a/packages/core/src/quarantine/quarantine_controller.ts
+++ b/packages/core/src/quarantine/quarantine_controller.ts
@@ -172,14 +172,18 @@
     );
     const isBusy = suspects.some((subject) =>
       this.#history.isSettling(subject) ||
-      this.#trials.isSentByOther(subject, this.#trialOf(subject, request), now)
+      this.#trials.isSentByOther(
+        subject,
+        this.#trialRequest(subject, request),
+        now,
+      )
     );
     if (isBusy) {
       return { kind: "wait" };
     }
     const trial = this.#trials.requestTrial(
       strongest!,
-      this.#trialOf(strongest!, request),
+      this.#trialRequest(strongest!, request),
       now,
     );
     if (trial === "claim") {
@@ -219,7 +223,7 @@
     for (const subject of trialOf) {
       this.#trials.begin(
         subject,
-        this.#trialOf(subject, { request }),
+        this.#trialRequest(subject, { request }),
         sentAt,
       );
     }
@@ -246,7 +250,7 @@
     );
   }
 
-  #trialOf(
+  #trialRequest(
     subject: CrashSubject,
     request: Omit<TrialRequest, "crashes">,
   ): TrialRequest {
