--- a/packages/core/src/gateway/call.ts
+++ b/packages/core/src/gateway/call.ts
@@ -21,6 +21,7 @@
   mayServe,
   type Route,
 } from "../routes/index.ts";
+import type { CrashSubject } from "../quarantine/index.ts";
 import { AttemptLog } from "../verdict/index.ts";
 import { isSameOrigin, type StreamOrigin } from "../stream_origins/index.ts";
 import { CallTrace } from "./call_trace.ts";
@@ -121,6 +122,8 @@
   originSource: OriginSource | undefined;
   /** Whether the request waits for the outcome of another that runs as a quarantine trial. */
   awaitsTrial = false;
+  /** What the request contains that is quarantined. */
+  held: readonly CrashSubject[] = [];
   /** Whether the request is sent as a quarantine trial. */
   isTrial = false;
   /** Units charged against the customer's limit by this entry. */
--- a/packages/core/src/gateway/call_outcomes.ts
+++ b/packages/core/src/gateway/call_outcomes.ts
@@ -123,6 +123,7 @@
       status: refusal.status,
       cause: causeOf(reason),
       retryAfterMs: rounded(refusal.retryAfter),
+      ...(call.held.length > 0 ? { held: call.held } : {}),
       ...(call.isResumption ? resumptionFields(call) : {}),
       ...call.trace.fields(call, now),
     });
--- a/packages/core/src/gateway/call_placer.ts
+++ b/packages/core/src/gateway/call_placer.ts
@@ -168,6 +168,7 @@
     const verdict = this.#deps.quarantine.check(quarantineSubject(call), now);
     switch (verdict.kind) {
       case "held":
+        call.held = verdict.subjects;
         this.#deps.outcomes.fail(call, "held", now, verdict.wait);
         return "over";
       case "wait":
--- a/packages/core/src/ids/hash.ts
+++ b/packages/core/src/ids/hash.ts
@@ -40,7 +40,7 @@
 }
 
 /** Sets digests of prompt parts apart from digests of whole requests. */
-const PART_PREFIX = "p:";
+export const PART_PREFIX = "p:";
 /** Ids of this form are kept as they are, so that operators recognize them. */
 const SHORT_PART_ID = /^[0-9a-z_-]{1,32}$/;
 /** Characters of the digest of any other id: 96 bits. */
--- a/packages/core/src/quarantine/__tests__/hold_list.test.ts
+++ b/packages/core/src/quarantine/__tests__/hold_list.test.ts
@@ -48,7 +48,7 @@
 
   it("go to no endpoint and have a time to wait", () => {
     expect(holds.check({ content: BAD, caller: CALLER }, mayTry, instant(0)))
-      .toEqual({ kind: "held", wait: 2 * MINUTE_MS });
+      .toEqual({ kind: "held", wait: 2 * MINUTE_MS, subjects: [BAD] });
   });
 
   it("are held for the caller that sent them only", () => {
@@ -147,7 +147,11 @@
         () => false,
         instant(0),
       );
-      expect(decision).toEqual({ kind: "held", wait: 4 * MINUTE_MS });
+      expect(decision).toEqual({
+        kind: "held",
+        wait: 4 * MINUTE_MS,
+        subjects: [X, Y],
+      });
     });
   });
 
@@ -182,7 +186,7 @@
           mayTry,
           instant(0),
         ),
-      ).toEqual({ kind: "held", wait: MINUTE_MS });
+      ).toEqual({ kind: "held", wait: MINUTE_MS, subjects: [BAD] });
     });
 
     it("are not extended by a delayed message about the same hold", () => {
--- a/packages/core/src/quarantine/hold_list.ts
+++ b/packages/core/src/quarantine/hold_list.ts
@@ -66,7 +66,12 @@
 export type HoldDecision =
   | { readonly kind: "free" }
   /** The request is sent to no endpoint. Retrying before `wait` is over is useless. */
-  | { readonly kind: "held"; readonly wait: Milliseconds }
+  | {
+    readonly kind: "held";
+    readonly wait: Milliseconds;
+    /** What the request contains that is held. */
+    readonly subjects: readonly CrashSubject[];
+  }
   /**
    * The request may be sent to endpoints with other software versions than these, either as a trial or
    * because such a version already answered it.
@@ -363,16 +368,20 @@
     return { kind: "limited", except, trial: true };
   }
   const remaining = Math.max(TRIAL_TIMEOUT_MS, heldUntil - now);
-  return { kind: "held", wait: milliseconds(remaining) };
+  return { kind: "held", wait: milliseconds(remaining), subjects: [subject] };
 }
 
 /** Combines the decisions of two holds. */
 function stricter(left: HoldDecision, right: HoldDecision): HoldDecision {
+  if (left.kind === "held" && right.kind === "held") {
+    return {
+      kind: "held",
+      wait: milliseconds(Math.max(left.wait, right.wait)),
+      subjects: [...left.subjects, ...right.subjects],
+    };
+  }
   if (left.kind === "held" || right.kind === "held") {
-    const waits = [left, right].map((decision) =>
-      decision.kind === "held" ? decision.wait : 0
-    );
-    return { kind: "held", wait: milliseconds(Math.max(...waits)) };
+    return left.kind === "held" ? left : right;
   }
   if (left.kind === "free" || right.kind === "free") {
     return left.kind === "free" ? right : left;
--- a/packages/core/src/quarantine/subject.ts
+++ b/packages/core/src/quarantine/subject.ts
@@ -6,7 +6,12 @@
  *
  * @module
  */
-import type { CallerDigest, ContentDigest, PartDigest } from "../ids/index.ts";
+import {
+  type CallerDigest,
+  type ContentDigest,
+  PART_PREFIX,
+  type PartDigest,
+} from "../ids/index.ts";
 import type { RequestFingerprint } from "./fingerprint.ts";
 
 /**
@@ -18,7 +23,6 @@
 /** Stands for the caller of a part: requests with it are held whoever sends them. */
 export const ANY_CALLER = "" as CallerDigest;
 
-const PART_PREFIX = "p:";
 const GROUP_SEPARATOR = "+";
 
 /** Returns everything in a request to which a crash may be attributed. */
