feat: each retry has a line with its kind, what was left and the entries assumed

A line for each request that is sent once more, one for those denied, counters of both by kind. The budget moves to a folder of its own; noteRetry, which nobody called, goes.

--- a/packages/core/src/gateway/__tests__/budgets.test.ts
+++ b/packages/core/src/gateway/__tests__/budgets.test.ts
@@ -11,7 +11,6 @@
 import { EndpointHealth } from "../endpoint_health.ts";
 import { EndpointState } from "../endpoint_state.ts";
 import type { GatewayBounds } from "../messages.ts";
-import { RetryBudget } from "../retry_budget.ts";
 
 const SERVICE = "s" as ServiceId;
 const BOUNDS: GatewayBounds = {
@@ -24,36 +23,6 @@
   stopTime: milliseconds(8_000),
 };
 
-describe("the repeat budget", () => {
-  // Guards against more repeats by all entries together than the platform allows. Each entry must not use
-  // the whole slack for itself.
-  it.each([1, 7, 91])("is not exceeded by %i entries together", (entries) => {
-    const firsts = 40;
-    let repeats = 0;
-    for (let entry = 0; entry < entries; entry++) {
-      const budget = new RetryBudget(BOUNDS);
-      for (let index = 0; index < firsts; index++) {
-        budget.noteFirstSend(SERVICE, instant(index));
-      }
-      while (budget.spend(SERVICE, { entries }, instant(100))) {
-        repeats++;
-      }
-    }
-    const allowed = BOUNDS.retryRatio * firsts * entries + BOUNDS.retrySlack;
-    expect(repeats).toBeLessThanOrEqual(allowed);
-    expect(repeats).toBeGreaterThan(0);
-  });
-
-  it("becomes available again after its window", () => {
-    const budget = new RetryBudget(BOUNDS);
-    while (budget.spend(SERVICE, { entries: 9 }, instant(0))) {
-      // Uses up the budget.
-    }
-    expect(budget.spend(SERVICE, { entries: 9 }, instant(5_000))).toBe(false);
-    expect(budget.spend(SERVICE, { entries: 9 }, instant(11_000))).toBe(true);
-  });
-});
-
 describe("the allowance of a cold endpoint", () => {
   const state = new EndpointState(
     {
--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -28,7 +28,7 @@
 import { ColdAllowance } from "../cold_allowance.ts";
 import { EndpointState } from "../endpoint_state.ts";
 import type { CallAnswer, GatewayBounds, GatewayEffect } from "../messages.ts";
-import { RetryBudget } from "../retry_budget.ts";
+import { RetryBudget } from "../../retries/index.ts";
 import { PlacementMeter } from "../placement_meter.ts";
 import type { RegionController } from "../region_controller.ts";
 import { emptyTerms } from "./endpoint_terms_fixture.ts";
--- a/packages/core/src/gateway/call.ts
+++ b/packages/core/src/gateway/call.ts
@@ -25,6 +25,7 @@
 import { AttemptLog } from "../verdict/index.ts";
 import { isSameOrigin, type StreamOrigin } from "../stream_origins/index.ts";
 import { CallTrace } from "./call_trace.ts";
+import type { GrantedRetry } from "./call_retries.ts";
 import type { EndpointState } from "./endpoint_state.ts";
 import type { CallHead, CallTarget } from "./messages.ts";
 import { StreamPosition } from "./stream_position.ts";
@@ -126,6 +127,8 @@
   held: readonly CrashSubject[] = [];
   /** Whether the request is sent as a quarantine trial. */
   isTrial = false;
+  /** The retry that the budget has granted and that is not sent yet. */
+  retry: GrantedRetry | undefined;
   /** Units charged against the customer's limit by this entry. */
   charged = 0;
   /** The caller has left, but the attempt continues because the request must not be retried. */
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -8,6 +8,7 @@
 import type { PrefixUpdate } from "../fleet/index.ts";
 import { type AttemptId, type Instant, milliseconds } from "../ids/index.ts";
 import type { Call, OpenAttempt } from "./call.ts";
+import type { CallRetries } from "./call_retries.ts";
 import type { CallRouter, RoutingDecision } from "./call_router.ts";
 import type { ChosenEndpoint } from "./local_placement.ts";
 import type { ColdAllowance } from "./cold_allowance.ts";
@@ -22,7 +23,6 @@
 import type { EndpointRegistry } from "./endpoint_registry.ts";
 import type { PlacementMeter } from "./placement_meter.ts";
 import type { RegionController } from "./region_controller.ts";
-import type { RetryBudget } from "./retry_budget.ts";
 
 /** HTTP status of an address at which another process than the intended endpoint answers. */
 export const MISDIRECTED_REQUEST = 421;
@@ -41,7 +41,7 @@
   readonly placements: PlacementMeter;
   readonly shares: FairShares;
   readonly router: CallRouter;
-  readonly budget: RetryBudget;
+  readonly retries: CallRetries;
   readonly cold: ColdAllowance;
   readonly quarantine: QuarantineController;
   readonly terms: EndpointTerms;
@@ -137,12 +137,10 @@
     call.trace.noteSent(now);
     call.log.record(id, "sent");
     if (state !== undefined) {
+      this.#deps.retries.recordSend(call, state.record.service, now);
       call.triedEndpoints.add(state.record.id);
       call.unreachedEndpoints.delete(state.record.id);
       call.offered++;
-      if (call.possibleDeliveries === 0) {
-        this.#deps.budget.noteFirstSend(state.record.service, now);
-      }
       if (state.isCold(now)) {
         this.#deps.cold.recordSend(state.record.id, now);
       }
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -23,6 +23,7 @@
   type OriginMessage,
   type StreamOrigins,
 } from "../stream_origins/index.ts";
+import type { RetryBudget } from "../retries/index.ts";
 import { createPendingCall, PendingCalls } from "./pending_calls.ts";
 import { Call, type OpenAttempt } from "./call.ts";
 import { type AdmittedCall, CallAdmission } from "./call_admission.ts";
@@ -30,6 +31,7 @@
 import { CallOutcomes } from "./call_outcomes.ts";
 import { CallPlacer, MIN_SEND_TIME_MS } from "./call_placer.ts";
 import { CallRecovery } from "./call_recovery.ts";
+import { CallRetries } from "./call_retries.ts";
 import { CallResumptions } from "./call_resumptions.ts";
 import { type CallRouter } from "./call_router.ts";
 import { measureDemand } from "./call_demand.ts";
@@ -51,7 +53,6 @@
   type RegionCallAdmission,
 } from "./region_call_admission.ts";
 import type { RegionController } from "./region_controller.ts";
-import type { RetryBudget } from "./retry_budget.ts";
 import type { SoftwareHistory } from "./software_history.ts";
 
 /** How long after its deadline a non-idempotent request may run on once its caller has left. */
@@ -89,6 +90,8 @@
 /** Owns all requests of this entry and handles the events that concern them. */
 export class CallController {
   readonly #deps: CallDependencies;
+  /** Retries that were sent and denied. */
+  readonly retries: CallRetries;
   readonly #calls = new Map<RequestId, Call>();
   readonly #attempts: CallAttempts;
   readonly #outcomes: CallOutcomes;
@@ -103,7 +106,8 @@
 
   constructor(deps: CallDependencies) {
     this.#deps = deps;
-    this.#attempts = new CallAttempts(deps);
+    this.retries = new CallRetries(deps);
+    this.#attempts = new CallAttempts({ ...deps, retries: this.retries });
     this.#regionAdmission = deps.regionAdmission ??
       createDisabledAdmission(deps.regions);
     const forget = (call: Call): void => this.#forget(call);
@@ -122,6 +126,7 @@
     });
     const parts = {
       ...deps,
+      retries: this.retries,
       attempts: this.#attempts,
       outcomes: this.#outcomes,
       regionAdmission: this.#regionAdmission,
@@ -278,7 +283,10 @@
     if (call.phase === "answering") {
       return this.#recovery.resumeStream(call, answer, now);
     }
-    if (failed && call.mayRetry && this.#recovery.reserveRetry(call, now)) {
+    if (
+      failed && call.mayRetry &&
+      this.#recovery.reserveRetry(call, "failed", now)
+    ) {
       // The shell reads the failed answer to its end, so that the connection can be reused.
       attempt.failed = true;
       this.#attempts.close(call, "lost", now);
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -5,6 +5,7 @@
  */
 import type { Instant } from "../ids/index.ts";
 import type { StallAdjustedClockView } from "../listening/index.ts";
+import type { RetryKind } from "../retries/index.ts";
 import { isSameOrigin } from "../stream_origins/index.ts";
 import type { Call, OpenAttempt } from "./call.ts";
 import {
@@ -12,6 +13,7 @@
   countAttempts,
   MISDIRECTED_REQUEST,
 } from "./call_attempts.ts";
+import type { CallRetries } from "./call_retries.ts";
 import type { CallResumptions } from "./call_resumptions.ts";
 import type { CallOutcomes } from "./call_outcomes.ts";
 import type { CallPlacer } from "./call_placer.ts";
@@ -23,7 +25,6 @@
 } from "./messages.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
 import type { QuarantineController } from "../quarantine/index.ts";
-import type { RetryBudget } from "./retry_budget.ts";
 
 /** A retry is only made with at least this much time left. */
 const MIN_RETRY_TIME_MS = 150;
@@ -52,12 +53,10 @@
   readonly placer: CallPlacer;
   readonly router: CallRouter;
   readonly endpoints: EndpointRegistry;
-  readonly budget: RetryBudget;
+  readonly retries: CallRetries;
   readonly quarantine: QuarantineController;
   readonly resumptions: CallResumptions;
   readonly clock: StallAdjustedClockView;
-  /** Number of entries that may be alive, including this one. */
-  readonly entries: () => number;
   /** Removes a request that is over without sending anything to its caller. */
   readonly forget: (call: Call) => void;
 }
@@ -111,7 +110,7 @@
       return this.#deps.outcomes.fail(call, "no_route", now);
     }
     const again = call.rejections <= MAX_REJECTIONS &&
-      this.#spendRetry(call, now);
+      this.#deps.retries.reserve(call, "rejected", now);
     if (again) {
       return this.#deps.placer.place(call, now);
     }
@@ -123,7 +122,7 @@
     if (call.rejections > MAX_REJECTIONS) {
       return this.#deps.outcomes.breakOff(call, "endpoint_lost", now);
     }
-    this.#breakOffOrRetry(call, now);
+    this.#breakOffOrRetry(call, "rejected", now);
   }
 
   /** Resumes an interrupted stream at another endpoint, after the head of its first answer. */
@@ -133,7 +132,7 @@
     if (status !== OK || !events || this.joinsStreams(call, answer)) {
       call.trace.noteInterrupted(call.attempt!, `Answered ${status}`);
       this.#deps.attempts.abandon(call, now);
-      return this.#breakOffOrRetry(call, now);
+      return this.#breakOffOrRetry(call, "failed", now);
     }
     this.resumedStreams++;
     this.#deps.outcomes.log("Stream goes on elsewhere.", call, {
@@ -165,7 +164,7 @@
   /** Abandons a peer whose answer would join two streams. */
   refuseJoined(call: Call, now: Instant): void {
     call.trace.noteInterrupted(call.attempt!, "Continues another stream");
-    if (!this.#tryElsewhere(call, now)) {
+    if (!this.#tryElsewhere(call, "failed", now)) {
       this.#deps.attempts.abandon(call, now);
       this.#deps.outcomes.fail(call, "endpoint_failed", now);
     }
@@ -218,9 +217,9 @@
       return this.#deps.forget(call);
     }
     if (call.phase === "answering") {
-      return this.#breakOffOrRetry(call, now);
+      return this.#breakOffOrRetry(call, "resumed", now);
     }
-    if (!call.mayRetry || !this.#tryElsewhere(call, now)) {
+    if (!call.mayRetry || !this.#tryElsewhere(call, "lost", now)) {
       this.#deps.outcomes.fail(call, "endpoint_failed", now);
     }
   }
@@ -275,7 +274,7 @@
       return;
     }
     call.trace.noteInterrupted(attempt, "Silent");
-    if (this.#tryElsewhere(call, now)) {
+    if (this.#tryElsewhere(call, "silent", now)) {
       this.#deps.outcomes.log("Endpoint is silent.", call, {
         endpoint: state.record.id,
       });
@@ -284,7 +283,7 @@
   }
 
   /** Reserves a retry in the budget, if the request may be retried and can be sent to another endpoint or peer. */
-  reserveRetry(call: Call, now: Instant): boolean {
+  reserveRetry(call: Call, kind: RetryKind, now: Instant): boolean {
     const allowed = call.endsAt - now >= MIN_RETRY_TIME_MS &&
       call.possibleDeliveries < call.route.attempts &&
       call.attempts < MAX_ATTEMPTS &&
@@ -293,31 +292,25 @@
       ? this.#deps.router.next(call, NOTHING_AHEAD, now)
       : undefined;
     const possible = decision?.kind === "endpoint" || decision?.kind === "peer";
-    return possible && this.#spendRetry(call, now);
+    return possible && this.#deps.retries.reserve(call, kind, now);
   }
 
   /** Resumes a stream at another endpoint where its route allows it, or breaks it off. */
-  #breakOffOrRetry(call: Call, now: Instant): void {
-    if (!this.#tryElsewhere(call, now)) {
+  #breakOffOrRetry(call: Call, kind: RetryKind, now: Instant): void {
+    if (!this.#tryElsewhere(call, kind, now)) {
       this.#deps.outcomes.breakOff(call, "endpoint_lost", now);
     }
   }
 
   /** Abandons the current attempt for another endpoint, if there is one and the budget allows it. */
-  #tryElsewhere(call: Call, now: Instant): boolean {
+  #tryElsewhere(call: Call, kind: RetryKind, now: Instant): boolean {
     // Another endpoint could only start again from the beginning, and the caller would receive parts twice.
     const fixed = call.phase === "answering" && !call.resumable;
-    if (fixed || !this.reserveRetry(call, now)) {
+    if (fixed || !this.reserveRetry(call, kind, now)) {
       return false;
     }
     this.#deps.attempts.abandon(call, now);
     this.#deps.placer.place(call, now);
     return true;
   }
-
-  #spendRetry(call: Call, now: Instant): boolean {
-    const [service] = call.services;
-    const entries = this.#deps.entries();
-    return this.#deps.budget.spend(service!, { entries }, now);
-  }
 }
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -19,6 +19,7 @@
 import { StallAdjustedClock } from "../listening/index.ts";
 import { RegionOutlooks } from "../outlook/index.ts";
 import type { RegionAdmission } from "../overload/index.ts";
+import { RetryBudget } from "../retries/index.ts";
 import type { CatalogueSnapshot } from "../routes/index.ts";
 import type { StreamOrigins } from "../stream_origins/index.ts";
 import { CallController } from "./call_controller.ts";
@@ -56,7 +57,6 @@
 import type { QuarantineController } from "../quarantine/index.ts";
 import { createStreamOrigins } from "./create_stream_origins.ts";
 import { createQuarantine } from "./create_quarantine.ts";
-import { RetryBudget } from "./retry_budget.ts";
 import { ServingSet } from "./serving_set.ts";
 import { tickInterval } from "./tick_interval.ts";
 import { ShareLog } from "./share_log.ts";
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -24,6 +24,7 @@
   ZoneId,
 } from "../ids/index.ts";
 import type { CrashSubject, RequestFingerprint } from "../quarantine/index.ts";
+import type { RetryBounds } from "../retries/index.ts";
 import type { CatalogueChanges, CatalogueSnapshot } from "../routes/index.ts";
 import type { StreamOrigin } from "../stream_origins/index.ts";
 import type { Verdict } from "../verdict/index.ts";
@@ -47,11 +48,7 @@
 }
 
 /** Limits and guarantees of the deployment, from the settings. */
-export interface GatewayBounds {
-  /** Retries allowed over all entries: this fraction of the requests in a window, plus `retrySlack`. */
-  readonly retryRatio: number;
-  readonly retryWindow: Milliseconds;
-  readonly retrySlack: number;
+export interface GatewayBounds extends RetryBounds {
   /** How soon after its revocation a key is rejected everywhere; `undefined` where nothing is guaranteed. */
   readonly keyLifetime: Milliseconds | undefined;
   /** In any one second a cold endpoint receives at most its rate times this factor, plus `coldSlack`. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -28,6 +28,12 @@
 export * from "./placement/index.ts";
 export * from "./quarantine/index.ts";
 export * from "./requests/index.ts";
+export {
+  RETRY_KINDS,
+  type RetryBounds,
+  type RetryCounts,
+  type RetryKind,
+} from "./retries/index.ts";
 export * from "./routes/index.ts";
 export * from "./routing/index.ts";
 export * from "./stream_origins/index.ts";
--- a/packages/core/src/gateway/retry_budget.ts
+++ b/packages/core/src/retries/retry_budget.ts
@@ -3,8 +3,24 @@
  *
  * @module
  */
-import type { Instant, ServiceId } from "../ids/index.ts";
-import type { GatewayBounds } from "./messages.ts";
+import type { Instant, Milliseconds, ServiceId } from "../ids/index.ts";
+
+/** How many retries the entries of a deployment may make together. */
+export interface RetryBounds {
+  /** Retries allowed over all entries: this fraction of the requests in a window, plus `retrySlack`. */
+  readonly retryRatio: number;
+  readonly retryWindow: Milliseconds;
+  readonly retrySlack: number;
+}
+
+/** Whether a retry may be made, and what that was decided by. */
+export interface RetryDecision {
+  readonly granted: boolean;
+  /** Retries that the budget had left before. */
+  readonly left: number;
+  /** Number of entries that the slack was divided by. */
+  readonly entries: number;
+}
 
 /** Fraction of the fleet's budget that is used, because the windows of the entries differ slightly. */
 const BUDGET_FRACTION = 0.7;
@@ -23,15 +39,15 @@
  * and the slack divided by the largest number of entries that may be alive.
  */
 export class RetryBudget {
-  #bounds: GatewayBounds;
+  #bounds: RetryBounds;
   readonly #services = new Map<ServiceId, Counts>();
 
-  constructor(bounds: GatewayBounds) {
+  constructor(bounds: RetryBounds) {
     this.#bounds = bounds;
   }
 
   /** Replaces the bounds and keeps the counts. */
-  updateBounds(bounds: GatewayBounds): void {
+  updateBounds(bounds: RetryBounds): void {
     this.#bounds = bounds;
   }
 
@@ -40,26 +56,22 @@
     this.#counts(service, now).firsts[0]!++;
   }
 
-  /** Counts a retry that was made without asking the budget, such as one that another entry began. */
-  noteRetry(service: ServiceId, now: Instant): void {
-    this.#counts(service, now).retries[0]!++;
-  }
-
-  /** Takes one retry from the budget. Returns `false` if none is left. */
+  /** Takes one retry from the budget, if one is left. */
   spend(
     service: ServiceId,
     { entries }: { entries: number },
     now: Instant,
-  ): boolean {
+  ): RetryDecision {
     const counts = this.#counts(service, now);
     const { retryRatio, retrySlack } = this.#bounds;
     const allowed = BUDGET_FRACTION *
       (retryRatio * sum(counts.firsts) + retrySlack / Math.max(1, entries));
-    if (sum(counts.retries) + 1 > allowed) {
-      return false;
+    const left = allowed - sum(counts.retries);
+    const granted = left >= 1;
+    if (granted) {
+      counts.retries[0]!++;
     }
-    counts.retries[0]!++;
-    return true;
+    return { granted, left, entries };
   }
 
   #counts(service: ServiceId, now: Instant): Counts {
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -239,10 +239,13 @@
       snapshot: () => this.#gateway.snapshot(),
       status: () => reportGateway(this.#gateway, this.#now()),
       prometheus: () =>
-        this.#metrics.toPrometheus(readGauges(this.#gateway, {
-          connections: this.#connections,
-          datagrams: this.#datagrams,
-        }, this.#now())),
+        this.#metrics.toPrometheus(
+          readGauges(this.#gateway, {
+            connections: this.#connections,
+            datagrams: this.#datagrams,
+          }, this.#now()),
+          this.#gateway.calls.retries.counts,
+        ),
       isReady: () => this.#gateway.ready,
       release: (digest) => this.#release(digest as CrashSubject),
     };
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import type { CallRefusalReason } from "@sassafrasstep/core";
+import type { CallRefusalReason, RetryCounts } from "@sassafrasstep/core";
 
 /** Upper bounds of the answer time buckets in milliseconds. A further bucket has no bound. */
 const TIME_BOUNDS_MS = [50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000];
@@ -31,8 +31,11 @@
     this.#timeSum += durationMs;
   }
 
-  /** Returns all counters and the given gauges in the Prometheus text format. */
-  toPrometheus(gauges: Readonly<Record<string, number>>): string {
+  /** Returns all counters, those of retries and the given gauges in the Prometheus text format. */
+  toPrometheus(
+    gauges: Readonly<Record<string, number>>,
+    retries: RetryCounts,
+  ): string {
     const lines = Object.entries(gauges).map(([name, value]) =>
       `sassafrasstep_${name} ${value}`
     );
@@ -42,6 +45,12 @@
     for (const [status, count] of this.#answers) {
       lines.push(`sassafrasstep_answers_total{status="${status}"} ${count}`);
     }
+    for (const [kind, count] of retries.sent) {
+      lines.push(`sassafrasstep_retries_total{kind="${kind}"} ${count}`);
+    }
+    for (const [kind, count] of retries.denied) {
+      lines.push(`sassafrasstep_retries_denied_total{kind="${kind}"} ${count}`);
+    }
     let sum = 0;
     this.#times.forEach((count, index) => {
       sum += count;
