test: the sum of retries over all entries, from what endpoints see, listed as red

Nothing added up the retries of all entries. Each scenario in virtual time now holds the sum over all entries to the budget in each sliding window; eleven scenarios bring about restarts in a row, rolls, mass kills, cuts of entries and regions, joins, pauses, reloaded bounds, earlier builds, relays and broken streams, and drawn trials mix them.

--- a/playground/src/routes/fake_backend.ts
+++ b/playground/src/routes/fake_backend.ts
@@ -23,6 +23,8 @@
   | "fail"
   /** Answers that the request was not run. */
   | "reject"
+  /** Answers for three in five requests that they were not run, like a queue that is full at times. */
+  | "shed"
   /** Runs the request, then resets the connection. */
   | "reset_after"
   /** Resets the connection without running the request. */
@@ -39,6 +41,9 @@
 /** Number of events that a stream in mode `torn` delivers before its connection is reset. */
 export const EVENTS_BEFORE_RESET = 3;
 const EVENT_INTERVAL_MS = 40;
+/** In mode `shed`, this many of a cycle's requests are rejected. */
+const SHED_PER_CYCLE = 3;
+const SHED_CYCLE = 5;
 const STATUS_FAILED = 500;
 const MS_PER_SECOND = 1_000;
 
@@ -253,6 +258,10 @@
         return;
       case "reject":
         return this.#respond(request, 503, true);
+      case "shed":
+        return this.arrivals.length % SHED_CYCLE < SHED_PER_CYCLE
+          ? this.#respond(request, 503, true)
+          : this.#accept(request);
       case "misdirect":
         return this.#respond(request, 421, true);
       case "reset_before":
@@ -262,15 +271,19 @@
           () => request.answer.lost("reset"),
         );
       default:
-        this.#dependencies.runs.push({
-          call: request.call,
-          backend: this.name,
-          at: this.time.now,
-          customer: request.customer,
-        });
-        if (!this.#scheduleCrash(request)) {
-          this.run(request);
-        }
+        return this.#accept(request);
+    }
+  }
+
+  #accept(request: BackendRequest): void {
+    this.#dependencies.runs.push({
+      call: request.call,
+      backend: this.name,
+      at: this.time.now,
+      customer: request.customer,
+    });
+    if (!this.#scheduleCrash(request)) {
+      this.run(request);
     }
   }
 
--- a/playground/src/routes/route_actions.ts
+++ b/playground/src/routes/route_actions.ts
@@ -16,6 +16,7 @@
 import type { StoreMode } from "./fake_store.ts";
 import {
   addBackend,
+  readBounds,
   readCustomer,
   readRoute,
   recordOf,
@@ -59,6 +60,12 @@
   leaving: ({ world }, line) => {
     findBackend(world, line).leaving = true;
   },
+  /** `bounds slack N`: operators change the settings, and all entries read them again. */
+  bounds: ({ world }, line) => world.changeBounds(readBounds(world, line)),
+  /** `kill_all`: the processes of all entries end at once. */
+  kill_all: ({ world }) => world.entries.forEach((entry) => entry.kill()),
+  start_all: ({ world }) =>
+    [...world.entries.keys()].forEach((name) => world.startEntry(name)),
   kill: ({ world }, line) => findEntry(world, line).kill(),
   start: ({ world }, line) => world.startEntry(word(line, 1, "an entry")),
   stop: ({ world }, line) => findEntry(world, line).stop(),
--- a/playground/src/routes/route_expectations.ts
+++ b/playground/src/routes/route_expectations.ts
@@ -18,6 +18,7 @@
 } from "../scenario/script.ts";
 import { mostWithin } from "../client/most_within.ts";
 import { checkPoisons } from "./crashes.ts";
+import { checkRetries, countRetries } from "./retry_expectations.ts";
 import type { ObservedCall } from "./route_types.ts";
 import type { RouteWorld } from "./route_world.ts";
 import {
@@ -132,6 +133,16 @@
       crashCount > Number(option(line, "ends", "Infinity"));
     return tooMany ? `${sends} sends, ${crashCount} crashes` : undefined;
   },
+  /** `expect retries SERVICE N from T to T`: the service got at least N retries in a time span. */
+  retries: (world, line) => {
+    const at = (key: string): number =>
+      world.startOfScript + parseTime(line, option(line, key, ""));
+    const service = word(line, 1, "a service");
+    const span = { service, from: at("from"), to: at("to") };
+    const found = countRetries(world, span);
+    const min = Number(word(line, 2, "a number"));
+    return found >= min ? undefined : `${found} retries, at least ${min}`;
+  },
   taken_up: (world, line) => checkTakenUp(world, line),
   /** `expect relays most N`: at most N requests were sent on to other entries. */
   relays: ({ links }, line) =>
@@ -206,6 +217,7 @@
   return [
     ...calls,
     ...checkOneVersion(world),
+    ...checkRetries(world),
     ...checkPoisons(world),
     ...terms,
   ];
--- a/playground/src/routes/route_links.ts
+++ b/playground/src/routes/route_links.ts
@@ -109,6 +109,12 @@
     { target, head, customer, resumeAfter, recipient }: BackendAttempt,
   ): () => void {
     const backend = this.#world.backendAt(target.address)!;
+    this.#world.arrivals.push({
+      call: head.call,
+      service: backend.service,
+      entry: from.name,
+      at: this.#world.time.now,
+    });
     if (backend.id !== target.endpoint) {
       this.#world.time.after(1, () => recipient.head(answerHead(421, true)));
       return () => {};
--- a/playground/src/routes/route_setting.ts
+++ b/playground/src/routes/route_setting.ts
@@ -8,6 +8,7 @@
   type CustomerId,
   type EndpointLife,
   type EndpointRecord,
+  type GatewayBounds,
   keyDigest,
   type Milliseconds,
   milliseconds,
@@ -50,6 +51,9 @@
     case "old":
       line.words.slice(1).forEach((entry) => world.oldEntries.add(entry));
       return;
+    case "bounds":
+      world.bounds = readBounds(world, line);
+      return;
     case "service":
       return addService(world, line);
     case "backend":
@@ -63,11 +67,19 @@
     default:
       throw new ScriptError(
         line,
-        "region, entry, service, backend, route, customer or at",
+        "region, entry, bounds, service, backend, route, customer or at",
       );
   }
 }
 
+/** `bounds slack N`: the retries that are allowed beside a fraction of the requests. */
+export function readBounds(
+  { bounds }: RouteWorld,
+  line: Line,
+): GatewayBounds {
+  return { ...bounds, retrySlack: Number(option(line, "slack", "50")) };
+}
+
 /** `route NAME SERVICE KIND [host H] [attempts N] [timeout T] [objective T] [pause T] [homes R,R] [resumable]` */
 export function readRoute(line: Line): Route {
   const name = word(line, 1, "a name");
--- a/playground/src/routes/route_types.ts
+++ b/playground/src/routes/route_types.ts
@@ -81,6 +81,14 @@
   readonly recipient: Recipient;
 }
 
+/** A request that reached an endpoint. */
+export interface ServiceArrival {
+  readonly call: string;
+  readonly service: string;
+  readonly entry: string;
+  readonly at: number;
+}
+
 /** A line of an entry's log. */
 export interface WorldLogLine {
   readonly at: number;
--- a/playground/src/routes/route_world.ts
+++ b/playground/src/routes/route_world.ts
@@ -26,13 +26,18 @@
 import { CrashSimulator } from "./crashes.ts";
 import type { FakeBackend, Run } from "./fake_backend.ts";
 import { FakeStore } from "./fake_store.ts";
-import type { CallPlan, ObservedCall, WorldLogLine } from "./route_types.ts";
+import type {
+  CallPlan,
+  ObservedCall,
+  ServiceArrival,
+  WorldLogLine,
+} from "./route_types.ts";
 import { RouteLinks } from "./route_links.ts";
 import { type ContentionParameters, SharedMachine } from "./shared_machine.ts";
 import type { Recipient } from "./virtual_attempts.ts";
 import { VirtualGateway } from "./virtual_gateway.ts";
 
-const BOUNDS: GatewayBounds = {
+const DEFAULT_BOUNDS: GatewayBounds = {
   retryRatio: 0.2,
   retryWindow: milliseconds(10_000),
   retrySlack: 50,
@@ -55,6 +60,10 @@
   readonly backends = new Map<string, FakeBackend>();
   readonly calls = new Map<string, ObservedCall>();
   readonly runs: Run[] = [];
+  /** Requests that reached endpoints, whether these ran them or not. */
+  readonly arrivals: ServiceArrival[] = [];
+  /** Bounds in the settings of entries. */
+  bounds: GatewayBounds = DEFAULT_BOUNDS;
   readonly links = new RouteLinks(this);
   readonly crashes = new CrashSimulator(this);
   readonly log: WorldLogLine[] = [];
@@ -106,6 +115,12 @@
     entry.start(this.#identityOf(entry));
   }
 
+  /** Changes the bounds in the settings of all entries, those that run included. */
+  changeBounds(bounds: GatewayBounds): void {
+    this.bounds = bounds;
+    this.entries.forEach((entry) => entry.handle({ kind: "rebound", bounds }));
+  }
+
   /** Sets the number of events in the answer to a request. */
   expectEvents(call: string, events: number): void {
     this.#eventCounts.set(call, events);
@@ -249,7 +264,7 @@
           { zone, region },
         ) => [zone as ZoneId, region as RegionId]),
       ),
-      bounds: BOUNDS,
+      bounds: this.bounds,
     };
   }
 
