fix: an entry's part of the retry budget depends on nobody being alive

Cause: the slack was divided by the entries believed alive, so that an entry that is cut off, or has just started, took up to the whole of it, and a process that starts anew had a full part once more.

Now each region has a fixed part of the slack and each entry of it an equal part of that, by all entries that were known within an hour, silent ones too; one that has heard of nobody uses none. Entries that start are told the number by those that run. Each window that ends now is checked, and a process has no burst before one window has passed since its start, so that it adds up with what its predecessor spent. Requests count once, where their callers sent them. The last check before a request is written covers every way to a second endpoint; a retry that waited for over 500 ms is granted anew.

--- a/packages/core/src/fleet/fleet_controller.ts
+++ b/packages/core/src/fleet/fleet_controller.ts
@@ -12,6 +12,7 @@
   type RegionId,
   sample,
 } from "../ids/index.ts";
+import { EntryCensus } from "./entry_census.ts";
 import { type IndirectProbe, IndirectProbes } from "./indirect_probes.ts";
 import type {
   EntryRecord,
@@ -66,6 +67,11 @@
   readonly #unreachablePeers: UnreachablePeers;
   readonly #joinPhase: JoinPhase;
   readonly #holdings = new PeerHoldings();
+  readonly #census = new EntryCensus();
+  /** Version of the members that the census was last updated from. */
+  #censusVersion = -1;
+  /** Whether another entry was heard since the start. */
+  #hasHeardPeer = false;
   readonly #derived = new MembershipCache<FleetController>();
   #record: EntryRecord;
   /** Increases with each change of this entry's own record. */
@@ -109,6 +115,22 @@
     return this.#members.possiblyLive();
   }
 
+  /**
+   * Number of entries of a region that may exist, this one included: all that this entry knew or was told of within an
+   * hour, unless they announced their end. `undefined` while it has heard of no other entry, though there may be some.
+   */
+  entriesThatMayExist(region: RegionId, now: Instant): number | undefined {
+    const { self, seeds } = this.#options;
+    const isAlone = seeds.every((seed) => seed === self.peerAddress);
+    if (!this.#hasHeardPeer && !isAlone) {
+      return undefined;
+    }
+    return Math.max(
+      this.#observedEntries(region, now),
+      this.#census.reportedIn(region, now),
+    );
+  }
+
   /**
    * What a function derives from the members and this entry's own record, for one region. It is computed again only
    * after one of them has changed.
@@ -193,6 +215,7 @@
     );
     this.#declareSuspectsDead(now);
     if (now >= this.#nextPeriodAt) {
+      this.#updateCensus(now);
       const joining = this.isJoining(now);
       this.#nextPeriodAt = after(
         now,
@@ -215,6 +238,9 @@
 
   /** Handles a datagram from a peer. */
   receive(message: FleetMessage, now: Instant): void {
+    if (message.kind === "census") {
+      return this.#census.applyReport(message.report, now);
+    }
     if (!("from" in message)) {
       return;
     }
@@ -223,6 +249,7 @@
       return;
     }
     this.#detectPause(now);
+    this.#hasHeardPeer = true;
     this.#members.recordHeard(from, now);
     this.#holdings.set(from.incarnation, holdings);
     this.#probeSchedule.closeFor(from.incarnation);
@@ -315,19 +342,39 @@
   }
 
   #acknowledge(to: EntryRecord, sequence: number, now: Instant): void {
+    const member = this.#members.get(to.incarnation);
     this.sender.send(to.peerAddress, {
       kind: "ack",
       sequence,
-      ...this.#createGossip(this.#members.get(to.incarnation), now),
+      ...this.#createGossip(member, now),
     });
+    if (isNewcomer(member, now)) {
+      const { region } = to;
+      const report = { region, entries: this.#observedEntries(region, now) };
+      this.sender.sendWithoutRecord(to.peerAddress, {
+        kind: "census",
+        report,
+      });
+    }
+  }
+
+  #observedEntries(region: RegionId, now: Instant): number {
+    this.#updateCensus(now);
+    const own = region === this.#record.region ? 1 : 0;
+    return own + this.#census.observedIn(region, now);
+  }
+
+  #updateCensus(now: Instant): void {
+    if (this.#censusVersion !== this.#members.version) {
+      this.#censusVersion = this.#members.version;
+      this.#census.update(this.#members.all(), now);
+    }
   }
 
   #createGossip(to: FleetMember | undefined, now: Instant): FleetGossip {
     const ownSummary = this.#options.summary(now);
     const holds = this.#options.nextHolds(now);
-    const isNewcomer = to !== undefined &&
-      now - to.since < NEWCOMER_DURATION_MS;
-    return isNewcomer
+    return isNewcomer(to, now)
       ? {
         news: this.#members.updatesForNewcomer(UPDATES_PER_NEWCOMER_MESSAGE),
         regions: [ownSummary],
@@ -386,3 +433,7 @@
     }
   }
 }
+
+function isNewcomer(member: FleetMember | undefined, now: Instant): boolean {
+  return member !== undefined && now - member.since < NEWCOMER_DURATION_MS;
+}
--- a/packages/core/src/fleet/fleet_messages.ts
+++ b/packages/core/src/fleet/fleet_messages.ts
@@ -26,6 +26,7 @@
 import type { HoldNotice, QuarantineUpdate } from "../quarantine/index.ts";
 import type { OriginMessage } from "../stream_origins/index.ts";
 import type { CataloguePosition, FreshnessMessage } from "../routes/index.ts";
+import type { CensusReport } from "./entry_census.ts";
 
 /** Whether an entry takes new requests. */
 export type EntryState =
@@ -212,7 +213,9 @@
   /** How soon another region would begin a request. */
   | { readonly kind: "outlook"; readonly outlook: RegionOutlook }
   /** Which software versions began streams. */
-  | { readonly kind: "origins"; readonly message: OriginMessage };
+  | { readonly kind: "origins"; readonly message: OriginMessage }
+  /** How many entries the recipient's region may have. */
+  | { readonly kind: "census"; readonly report: CensusReport };
 
 type MessageBody<Message> = Message extends { readonly from: EntryRecord }
   ? Omit<Message, "from" | "holdings">
--- a/packages/core/src/fleet/fleet_sender.ts
+++ b/packages/core/src/fleet/fleet_sender.ts
@@ -26,7 +26,8 @@
   | "limits"
   | "departures"
   | "origins"
-  | "outlook";
+  | "outlook"
+  | "census";
 
 /** The sender's record and the possible recipients. */
 export interface SenderSources {
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -1,3 +1,4 @@
+export type { CensusReport } from "./entry_census.ts";
 export {
   FleetController,
   type MembershipDerivation,
--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -28,7 +28,7 @@
 import { ColdAllowance } from "../cold_allowance.ts";
 import { EndpointState } from "../endpoint_state.ts";
 import type { CallAnswer, GatewayBounds, GatewayEffect } from "../messages.ts";
-import { RetryBudget } from "../../retries/index.ts";
+import { divideSlack, RetryBudget } from "../../retries/index.ts";
 import { PlacementMeter } from "../placement_meter.ts";
 import type { RegionController } from "../region_controller.ts";
 import { emptyTerms } from "./endpoint_terms_fixture.ts";
@@ -134,7 +134,7 @@
     placements: new PlacementMeter(),
     shares,
     router,
-    budget: new RetryBudget(BOUNDS),
+    budget: new RetryBudget(BOUNDS, { roundsUpFrom: 1 }, instant(0)),
     cold: new ColdAllowance(BOUNDS, instant(0)),
     quarantine: emptyQuarantine(),
     terms: emptyTerms(),
@@ -143,7 +143,7 @@
     history: {} as never,
     keyLifetime: () => undefined,
     clock: new StallAdjustedClock(instant(0)),
-    entries: () => 1,
+    slackShare: () => divideSlack({ regions: 1, entries: 1 }),
     regionEntries: () => 1,
   });
   return { controller, effects, asked };
--- a/packages/core/src/gateway/call.ts
+++ b/packages/core/src/gateway/call.ts
@@ -73,6 +73,8 @@
   heardAt: Instant | undefined;
   /** Since when the answer is not read because the caller's connection is full. */
   backpressureSince: Instant | undefined;
+  /** The retry from the budget with which it was sent, `undefined` for a first attempt. */
+  retry: GrantedRetry | undefined;
   /** Whether the answer's status reports a failure. */
   failed: boolean;
   /** Whether the answer's status reports a success. */
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -136,8 +136,8 @@
     attempt.sentAt = now;
     call.trace.noteSent(now);
     call.log.record(id, "sent");
+    this.#deps.retries.recordSend(call, attempt, now);
     if (state !== undefined) {
-      this.#deps.retries.recordSend(call, state.record.service, now);
       call.triedEndpoints.add(state.record.id);
       call.unreachedEndpoints.delete(state.record.id);
       call.offered++;
@@ -308,6 +308,7 @@
       sentAt: undefined,
       heardAt: undefined,
       backpressureSince: undefined,
+      retry: undefined,
       failed: false,
       succeeded: false,
       partialEventBytes: 0,
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -23,7 +23,7 @@
   type OriginMessage,
   type StreamOrigins,
 } from "../stream_origins/index.ts";
-import type { RetryBudget } from "../retries/index.ts";
+import type { RetryBudget, SlackShare } from "../retries/index.ts";
 import { createPendingCall, PendingCalls } from "./pending_calls.ts";
 import { Call, type OpenAttempt } from "./call.ts";
 import { type AdmittedCall, CallAdmission } from "./call_admission.ts";
@@ -79,8 +79,8 @@
   /** Age of the document from which keys are no longer trusted, `undefined` where there is no such limit. */
   readonly keyLifetime: () => Milliseconds | undefined;
   readonly clock: StallAdjustedClockView;
-  /** Number of entries that may be alive, including this one. */
-  readonly entries: () => number;
+  /** This entry's share of the fleet's slack for retries. */
+  readonly slackShare: (now: Instant) => SlackShare;
   /** Number of live entries in the region, including this one. */
   readonly regionEntries: () => number;
   /** Decisions by the state of the whole region, by default none. */
@@ -219,6 +219,7 @@
     this.#calls.set(head.id, call);
     call.charged = cost;
     this.#recordArrival(call, now);
+    this.retries.recordRequest(call, now);
     if (call.isResumption) {
       this.#resumptions.begin(call, now);
     } else {
@@ -246,6 +247,11 @@
     if (!this.#placer.maySend(call, now)) {
       return;
     }
+    if (!this.retries.authorizeSend(call, attempt, now)) {
+      this.#attempts.close(call, "unsent", now);
+      this.#recovery.endWithoutRetry(call, now);
+      return;
+    }
     if (!this.#hasPermit(attempt, now)) {
       this.#attempts.close(call, "unsent", now);
       this.#placer.place(call, now);
@@ -486,6 +492,7 @@
   #forget(call: Call): void {
     this.#placer.queue.remove(call);
     this.#resumptions.remove(call);
+    this.retries.release(call);
     this.#calls.delete(call.head.id);
   }
 }
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -73,7 +73,8 @@
 
   /** Handles a refusal by an endpoint or a peer that guarantees that the request did not run. */
   rejected(call: Call, answer: CallAnswer, now: Instant): void {
-    const { state } = call.attempt!;
+    const attempt = call.attempt!;
+    const { state, target } = attempt;
     const deferred = answer.rest?.kind === "value";
     state?.health.recordOutcome(deferred ? "deferred" : "failed", now);
     if (answer.status === MISDIRECTED_REQUEST && state !== undefined) {
@@ -81,7 +82,6 @@
       // Another process uses the address, so the intended endpoint has ended.
       this.#deps.quarantine.notePortClosed(state.record);
     }
-    const { target } = call.attempt!;
     const isUnsupported = this.isUnsupported(call, answer);
     const declined = target.kind === "peer" &&
       (answer.offered === 0 || isUnsupported);
@@ -98,6 +98,9 @@
     ) {
       this.#deps.router.noteDeclined(call, target.region, now);
     }
+    if (declined) {
+      this.#deps.retries.returnRetry(call, attempt);
+    }
     if (declined && call.phase !== "answering") {
       // No endpoint received the request, so sending it elsewhere does not count as a retry.
       return this.#deps.placer.place(call, now);
@@ -295,6 +298,13 @@
     return possible && this.#deps.retries.reserve(call, kind, now);
   }
 
+  /** Ends a request that may not be sent to another endpoint, because the budget has no retry left. */
+  endWithoutRetry(call: Call, now: Instant): void {
+    const isNotRun = call.log.verdict().kind === "not_run";
+    const reason = isNotRun ? "rejected" : "endpoint_failed";
+    this.#deps.outcomes.fail(call, reason, now);
+  }
+
   /** Resumes a stream at another endpoint where its route allows it, or breaks it off. */
   #breakOffOrRetry(call: Call, kind: RetryKind, now: Instant): void {
     if (!this.#tryElsewhere(call, kind, now)) {
--- a/packages/core/src/gateway/call_retries.ts
+++ b/packages/core/src/gateway/call_retries.ts
@@ -9,14 +9,19 @@
   RetryCounts,
   type RetryDecision,
   type RetryKind,
+  type SlackShare,
 } from "../retries/index.ts";
-import type { Call } from "./call.ts";
+import type { Call, OpenAttempt } from "./call.ts";
 import { LogThrottle } from "./log_throttle.ts";
 import type { GatewayEmit } from "./messages.ts";
 
+/** A retry that is sent later than this after it was granted is granted anew: it would count in another window. */
+const GRANT_LIFETIME_MS = 500;
+
 /** A retry that the budget has granted to a request. */
 export interface GrantedRetry {
   readonly kind: RetryKind;
+  readonly service: ServiceId;
   readonly decision: RetryDecision;
   readonly at: Instant;
 }
@@ -25,8 +30,8 @@
 export interface RetryDependencies {
   readonly emit: GatewayEmit;
   readonly budget: RetryBudget;
-  /** Number of entries that may be alive, including this one. */
-  readonly entries: () => number;
+  /** This entry's share of the fleet's slack. */
+  readonly slackShare: (now: Instant) => SlackShare;
 }
 
 /** Grants and records the retries of this entry's requests. */
@@ -39,38 +44,81 @@
     this.#deps = deps;
   }
 
+  /** Counts a request that its caller sent to this entry. Relayed ones count where their callers sent them. */
+  recordRequest({ head, services }: Call, now: Instant): void {
+    if (head.relay === undefined) {
+      this.#deps.budget.recordRequest(services[0]!, now);
+    }
+  }
+
   /** Takes a retry for a request from the budget. Returns whether the request may be sent once more. */
   reserve(call: Call, kind: RetryKind, now: Instant): boolean {
-    const [service] = call.services;
-    const entries = this.#deps.entries();
-    const decision = this.#deps.budget.spend(service!, { entries }, now);
-    if (decision.granted) {
-      call.retry = { kind, decision, at: now };
-    } else {
-      this.#recordDenial(call, { kind, decision, service: service! }, now);
-    }
-    return decision.granted;
+    return this.#reserve(call, { kind, service: call.services[0]! }, now);
   }
 
-  /** Records that a request is sent to an endpoint of a service. Must be called before the request counts it. */
-  recordSend(call: Call, service: ServiceId, now: Instant): void {
-    if (call.possibleDeliveries === 0) {
-      this.#deps.budget.noteFirstSend(service, now);
+  /**
+   * Last check before a request is written to an endpoint. Every request to an endpoint passes through here, so that no
+   * way to a second endpoint avoids the budget.
+   */
+  authorizeSend(call: Call, { state }: OpenAttempt, now: Instant): boolean {
+    if (state === undefined || !isRetry(call) || isPrepaid(call, now)) {
+      return true;
     }
-    if (call.offered > 0 || call.possibleDeliveries > 0) {
-      this.#recordRetry(call, service, now);
+    const { service } = state.record;
+    const { retry } = call;
+    const isValid = retry?.service === service &&
+      now - retry.at <= GRANT_LIFETIME_MS;
+    const kind = retry?.kind ?? "relayed";
+    return isValid || this.#reserve(call, { kind, service }, now);
+  }
+
+  /** Records that a request is sent. Must be called before the request counts the attempt. */
+  recordSend(call: Call, attempt: OpenAttempt, now: Instant): void {
+    if (isRetry(call)) {
+      this.#recordRetry(call, attempt, now);
     }
+    attempt.retry = call.retry;
     call.retry = undefined;
   }
 
-  #recordRetry(call: Call, service: ServiceId, now: Instant): void {
+  /** Takes back the retry of an attempt that reached no endpoint, so that the request can use it elsewhere. */
+  returnRetry(call: Call, { retry }: OpenAttempt): void {
+    call.retry ??= retry;
+  }
+
+  /** Gives the retry of a request back that was granted and not sent. */
+  release(call: Call): void {
     const { retry } = call;
-    const isRelayed = call.offered === 0 && call.head.relay !== undefined;
-    const kind = isRelayed ? "relayed" : retry?.kind ?? "unasked";
+    if (retry !== undefined) {
+      this.#deps.budget.refund(retry.service, retry.at);
+      call.retry = undefined;
+    }
+  }
+
+  #reserve(
+    call: Call,
+    { kind, service }: { kind: RetryKind; service: ServiceId },
+    now: Instant,
+  ): boolean {
+    this.release(call);
+    const share = this.#deps.slackShare(now);
+    const decision = this.#deps.budget.spend(service, share, now);
+    if (decision.granted) {
+      call.retry = { kind, service, decision, at: now };
+    } else {
+      this.#recordDenial(call, { kind, service, decision }, now);
+    }
+    return decision.granted;
+  }
+
+  #recordRetry(call: Call, { target }: OpenAttempt, now: Instant): void {
+    const { retry, services } = call;
+    const kind = retry?.kind ?? "relayed";
     this.counts.recordSent(kind);
     this.#log("Request is sent again.", call, {
       kind,
-      service,
+      to: target.kind,
+      service: retry?.service ?? services[0],
       waitedMs: retry && Math.round(now - retry.at),
       ...decisionFields(retry?.decision),
     });
@@ -78,11 +126,7 @@
 
   #recordDenial(
     call: Call,
-    { kind, decision, service }: {
-      kind: RetryKind;
-      decision: RetryDecision;
-      service: ServiceId;
-    },
+    { kind, service, decision }: Omit<GrantedRetry, "at">,
     now: Instant,
   ): void {
     this.counts.recordDenied(kind);
@@ -111,11 +155,30 @@
   }
 }
 
+/** Whether an endpoint may have received a request already, here or by way of another entry. */
+function isRetry({ offered, possibleDeliveries }: Call): boolean {
+  return offered > 0 || possibleDeliveries > 0;
+}
+
+/** Whether the entry that relayed a request has taken the retry from its own budget just before. */
+function isPrepaid(
+  { offered, sentAttempts, arrivedAt }: Call,
+  now: Instant,
+): boolean {
+  return offered === 0 && sentAttempts === 0 &&
+    now - arrivedAt <= GRANT_LIFETIME_MS;
+}
+
 function decisionFields(
   decision: RetryDecision | undefined,
 ): Record<string, unknown> {
-  return decision === undefined ? {} : {
-    left: Math.round(decision.left * 10) / 10,
-    entries: decision.entries,
+  if (decision === undefined) {
+    return {};
+  }
+  const { left, share } = decision;
+  return {
+    left: Math.round(left * 10) / 10,
+    regions: share.regions,
+    entries: share.entries,
   };
 }
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -11,6 +11,7 @@
 import { Features } from "../features/index.ts";
 import { FleetController } from "../fleet/index.ts";
 import {
+  hash32,
   type Instant,
   type Milliseconds,
   milliseconds,
@@ -19,7 +20,7 @@
 import { StallAdjustedClock } from "../listening/index.ts";
 import { RegionOutlooks } from "../outlook/index.ts";
 import type { RegionAdmission } from "../overload/index.ts";
-import { RetryBudget } from "../retries/index.ts";
+import { divideSlack, RetryBudget } from "../retries/index.ts";
 import type { CatalogueSnapshot } from "../routes/index.ts";
 import type { StreamOrigins } from "../stream_origins/index.ts";
 import { CallController } from "./call_controller.ts";
@@ -64,6 +65,7 @@
 import { StopController } from "./stop_controller.ts";
 import { WorkReporter } from "./work_reporter.ts";
 
+const UINT32_RANGE = 2 ** 32;
 /** Interval between pings of peers. */
 const PING_INTERVAL_MS = 500;
 /** The event loop ticks far more often: a longer gap means that the process was paused. */
@@ -225,9 +227,12 @@
       clock: this.#clock,
       now: () => this.#lastEventAt,
     });
+    const regions = new Set(self.regionByZone.values()).size;
     const coldAllowance = new ColdAllowance(self.bounds, now);
     this.#coldAllowance = coldAllowance;
-    this.#retryBudget = new RetryBudget(self.bounds);
+    this.#retryBudget = new RetryBudget(self.bounds, {
+      roundsUpFrom: hash32(`retries ${self.incarnation}`) / UINT32_RANGE,
+    }, now);
     this.endpointTerms = createEndpointTerms({
       self,
       emit,
@@ -294,7 +299,11 @@
       history: this.#softwareHistory,
       keyLifetime: () => this.#keyLifetime(),
       clock: this.#clock,
-      entries: () => this.fleet.possiblyLiveMembers().length + 1,
+      slackShare: (at) =>
+        divideSlack({
+          regions,
+          entries: this.fleet.entriesThatMayExist(self.region, at),
+        }),
       regionEntries,
       regionAdmission: this.#regionAdmission,
     });
--- a/packages/core/src/retries/index.ts
+++ b/packages/core/src/retries/index.ts
@@ -4,4 +4,5 @@
   type RetryDecision,
 } from "./retry_budget.ts";
 export { RetryCounts } from "./retry_counts.ts";
+export { divideSlack, type SlackShare } from "./slack_share.ts";
 export { RETRY_KINDS, type RetryKind } from "./retry_kind.ts";
--- a/packages/core/src/retries/retry_budget.ts
+++ b/packages/core/src/retries/retry_budget.ts
@@ -1,9 +1,16 @@
 /**
- * Limits how often this entry may send a request to a second endpoint.
+ * Limits how often this entry sends requests to a second endpoint.
  *
  * @module
  */
-import type { Instant, Milliseconds, ServiceId } from "../ids/index.ts";
+import {
+  type Instant,
+  type Milliseconds,
+  milliseconds,
+  type ServiceId,
+} from "../ids/index.ts";
+import { BucketCounter } from "./bucket_counter.ts";
+import { type SlackShare, slackWithin } from "./slack_share.ts";
 
 /** How many retries the entries of a deployment may make together. */
 export interface RetryBounds {
@@ -18,88 +25,132 @@
   readonly granted: boolean;
   /** Retries that the budget had left before. */
   readonly left: number;
-  /** Number of entries that the slack was divided by. */
-  readonly entries: number;
+  /** The entry's part of the slack. */
+  readonly share: SlackShare;
 }
 
-/** Fraction of the fleet's budget that is used, because the windows of the entries differ slightly. */
-const BUDGET_FRACTION = 0.7;
-const BUCKETS = 20;
+/**
+ * Fraction of the fleet's budget that is used: a retry arrives a little later than it is sent, so that more of them can
+ * fall into a window of an endpoint than into one of the entries.
+ */
+const BUDGET_FRACTION = 0.9;
+const BUCKETS_PER_WINDOW = 20;
+/** The requests of a window and of the one before it count half each: the larger of the two is allowed. */
+const WINDOWS_OF_REQUESTS = 2;
 
-interface Counts {
-  firsts: number[];
-  retries: number[];
-  bucket: number;
+/** What counts for one service. */
+interface ServiceCounts {
+  readonly requests: BucketCounter;
+  readonly retries: BucketCounter;
 }
 
 /**
- * Budget for retries. When endpoints fail under load, retries add to the load that makes them fail. The budget
- * holds for all entries together, and an entry cannot know the total without asking all others. So each entry
- * uses a share such that all shares add up to no more than the whole: the ratio applied to its own requests,
- * and the slack divided by the largest number of entries that may be alive.
+ * Budget for retries. When endpoints fail under load, retries add to the load that makes them fail. The bound holds for
+ * all entries together, for any window, and also while entries cannot reach each other or have just started.
+ *
+ * So no entry relies on knowing what others spend. Each keeps to a part of the bound, and all parts add up to no more than
+ * the whole: a fraction of the requests that its own callers send, and its share of the slack. Both are checked for each
+ * window that ends now, so that a retry that is granted never overdraws a window that began earlier.
  */
 export class RetryBudget {
   #bounds: RetryBounds;
-  readonly #services = new Map<ServiceId, Counts>();
+  readonly #roundsUpFrom: number;
+  readonly #startedAt: Instant;
+  readonly #services = new Map<ServiceId, ServiceCounts>();
 
-  constructor(bounds: RetryBounds) {
+  /**
+   * `roundsUpFrom`, from 0 to 1, is the fraction of a retry that is rounded up to a whole one. Where it is spread evenly
+   * over the entries, rounding changes their sum little. Rounded down by all, the parts of a large fleet add up to much less
+   * than the whole, and a part below 1 is never used.
+   */
+  constructor(
+    bounds: RetryBounds,
+    { roundsUpFrom }: { roundsUpFrom: number },
+    now: Instant,
+  ) {
     this.#bounds = bounds;
+    this.#roundsUpFrom = roundsUpFrom;
+    this.#startedAt = now;
   }
 
-  /** Replaces the bounds and keeps the counts. */
+  /** Replaces the bounds and keeps the counts, unless they are of windows of another length. */
   updateBounds(bounds: RetryBounds): void {
+    if (bounds.retryWindow !== this.#bounds.retryWindow) {
+      this.#services.clear();
+    }
     this.#bounds = bounds;
   }
 
-  /** Counts the first send of a request. */
-  noteFirstSend(service: ServiceId, now: Instant): void {
-    this.#counts(service, now).firsts[0]!++;
+  /** Counts a request that a caller sent to this entry. */
+  recordRequest(service: ServiceId, now: Instant): void {
+    this.#countsOf(service).requests.add(now);
   }
 
   /** Takes one retry from the budget, if one is left. */
-  spend(
-    service: ServiceId,
-    { entries }: { entries: number },
-    now: Instant,
-  ): RetryDecision {
-    const counts = this.#counts(service, now);
-    const { retryRatio, retrySlack } = this.#bounds;
-    const allowed = BUDGET_FRACTION *
-      (retryRatio * sum(counts.firsts) + retrySlack / Math.max(1, entries));
-    const left = allowed - sum(counts.retries);
-    const granted = left >= 1;
+  spend(service: ServiceId, share: SlackShare, now: Instant): RetryDecision {
+    const left = this.left(service, share, now);
+    const granted = left > 0 && left >= this.#roundsUpFrom;
     if (granted) {
-      counts.retries[0]!++;
+      this.#countsOf(service).retries.add(now);
+    }
+    return { granted, left, share };
+  }
+
+  /** Gives back a retry that was taken at an instant and not made. */
+  refund(service: ServiceId, spentAt: Instant): void {
+    this.#countsOf(service).retries.remove(spentAt);
+  }
+
+  /** Retries that may still be made now: the least that any window has left. */
+  left(service: ServiceId, share: SlackShare, now: Instant): number {
+    const { requests, retries } = this.#countsOf(service);
+    const { retryRatio } = this.#bounds;
+    const bucketMs = this.#bucketMs;
+    let left = Infinity;
+    for (let age = 0; age <= BUCKETS_PER_WINDOW; age++) {
+      const from = retries.startOf(now, age);
+      // A window may begin anywhere in its first bucket.
+      const elapsed = Math.max(0, now - from - bucketMs);
+      const base = requests.sum(now, age + BUCKETS_PER_WINDOW - 1) /
+        WINDOWS_OF_REQUESTS;
+      const allowed = BUDGET_FRACTION *
+        (retryRatio * base + this.#slackOf(share, { from, elapsed }, now));
+      left = Math.min(left, allowed - retries.sum(now, age));
     }
-    return { granted, left, entries };
+    return left;
   }
 
-  #counts(service: ServiceId, now: Instant): Counts {
-    const bucket = Math.floor(now * BUCKETS / this.#bounds.retryWindow);
+  #slackOf(
+    share: SlackShare,
+    { from, elapsed }: { from: number; elapsed: number },
+    now: Instant,
+  ): number {
+    const { retrySlack, retryWindow } = this.#bounds;
+    const beganBefore = from <= this.#startedAt;
+    return slackWithin(retrySlack * share.fraction, {
+      beganBefore,
+      windowFraction: (beganBefore ? now - this.#startedAt : elapsed) /
+        retryWindow,
+    });
+  }
+
+  get #bucketMs(): number {
+    return this.#bounds.retryWindow / BUCKETS_PER_WINDOW;
+  }
+
+  #countsOf(service: ServiceId): ServiceCounts {
     let counts = this.#services.get(service);
     if (counts === undefined) {
+      const bucket = milliseconds(this.#bucketMs);
       counts = {
-        firsts: new Array(BUCKETS).fill(0),
-        retries: new Array(BUCKETS).fill(0),
-        bucket,
+        requests: new BucketCounter(
+          bucket,
+          WINDOWS_OF_REQUESTS * BUCKETS_PER_WINDOW + 1,
+        ),
+        retries: new BucketCounter(bucket, BUCKETS_PER_WINDOW + 1),
       };
       this.#services.set(service, counts);
     }
-    const passed = Math.min(BUCKETS, bucket - counts.bucket);
-    for (let step = 0; step < passed; step++) {
-      dropOldest(counts.firsts);
-      dropOldest(counts.retries);
-    }
-    counts.bucket = bucket;
     return counts;
   }
 }
-
-function dropOldest(buckets: number[]): void {
-  buckets.pop();
-  buckets.unshift(0);
-}
-
-function sum(numbers: readonly number[]): number {
-  return numbers.reduce((total, number) => total + number, 0);
-}
--- a/packages/core/src/retries/retry_kind.ts
+++ b/packages/core/src/retries/retry_kind.ts
@@ -18,8 +18,6 @@
   "resumed",
   /** Another entry relayed the request after an endpoint may have received it. */
   "relayed",
-  /** No decision granted it. */
-  "unasked",
 ] as const;
 
 /** Why a request is sent to an endpoint once more. */
--- a/packages/daemon/src/gateway/fleet_schema.ts
+++ b/packages/daemon/src/gateway/fleet_schema.ts
@@ -64,6 +64,9 @@
   outlook: z.tuple([outlookSchema]).transform(
     ([outlook]) => ({ kind: "outlook", outlook }),
   ),
+  census: z.tuple([shortText, z.number().int().positive()]).transform(
+    ([region, entries]) => ({ kind: "census", report: { region, entries } }),
+  ),
 } as const;
 
 /** Decodes a datagram; returns `undefined` if it is not a valid message. */
@@ -119,6 +122,9 @@
   if (message.kind === "origins") {
     return [encodeOriginMessage(message.message)];
   }
+  if (message.kind === "census") {
+    return [message.report.region, message.report.entries];
+  }
   const base = [encodeRecord(message.from), encodeHoldings(message.holdings)];
   switch (message.kind) {
     case "ping":
--- a/playground/src/guards/route_guards.ts
+++ b/playground/src/guards/route_guards.ts
@@ -15,8 +15,8 @@
     point: "routes: at most once",
     name: "a lost attempt is repeated only where the route allows it",
     file: `${GATEWAY}/call_recovery.ts`,
-    find: "if (!call.mayRetry || !this.#tryElsewhere(call, now)) {",
-    replace: "if (!this.#tryElsewhere(call, now)) {",
+    find: `if (!call.mayRetry || !this.#tryElsewhere(call, "lost", now)) {`,
+    replace: `if (!this.#tryElsewhere(call, "lost", now)) {`,
     also: [{
       file: `${GATEWAY}/call_recovery.ts`,
       find: "call.possibleDeliveries < call.route.attempts &&",
@@ -258,8 +258,8 @@
     point: "routes: list of entries",
     name: "a newcomer is told of members that are no news",
     file: `${FLEET}/fleet_controller.ts`,
-    find: "const isNewcomer = to !== undefined &&",
-    replace: "const isNewcomer = to === null &&",
+    find: "return member !== undefined && now - member.since",
+    replace: "return member === null && now - member!.since",
   },
   {
     point: "routes: overload",
