feat: entries of a region lend each other retries that they do not need

An entry that has none left asks two of its region; each lends up to half of what it has and counts that as spent before it answers, so that lost messages and kills only reduce the sum. A request waits up to 120 ms for it, a stream in progress 400 ms. A quarter of a part may be used at once (half before), the rest accrues.

--- a/packages/core/src/fleet/fleet_messages.ts
+++ b/packages/core/src/fleet/fleet_messages.ts
@@ -25,6 +25,7 @@
 import type { RegionOutlook } from "../outlook/index.ts";
 import type { HoldNotice, QuarantineUpdate } from "../quarantine/index.ts";
 import type { OriginMessage } from "../stream_origins/index.ts";
+import type { RetryLoanMessage } from "../retries/index.ts";
 import type { CataloguePosition, FreshnessMessage } from "../routes/index.ts";
 import type { CensusReport } from "./entry_census.ts";
 
@@ -214,6 +215,8 @@
   | { readonly kind: "outlook"; readonly outlook: RegionOutlook }
   /** Which software versions began streams. */
   | { readonly kind: "origins"; readonly message: OriginMessage }
+  /** Retries that entries of a region ask each other for and lend. */
+  | { readonly kind: "retries"; readonly message: RetryLoanMessage }
   /** How many entries the recipient's region may have. */
   | { readonly kind: "census"; readonly report: CensusReport };
 
--- a/packages/core/src/fleet/fleet_sender.ts
+++ b/packages/core/src/fleet/fleet_sender.ts
@@ -27,7 +27,8 @@
   | "departures"
   | "origins"
   | "outlook"
-  | "census";
+  | "census"
+  | "retries";
 
 /** The sender's record and the possible recipients. */
 export interface SenderSources {
--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -143,6 +143,7 @@
     history: {} as never,
     keyLifetime: () => undefined,
     clock: new StallAdjustedClock(instant(0)),
+    loans: { ask: () => false } as never,
     slackShare: () => divideSlack({ regions: 1, entries: 1 }),
     regionEntries: () => 1,
   });
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -23,7 +23,7 @@
   type OriginMessage,
   type StreamOrigins,
 } from "../stream_origins/index.ts";
-import type { RetryBudget, SlackShare } from "../retries/index.ts";
+import type { RetryBudget, RetryLoans, SlackShare } from "../retries/index.ts";
 import { createPendingCall, PendingCalls } from "./pending_calls.ts";
 import { Call, type OpenAttempt } from "./call.ts";
 import { type AdmittedCall, CallAdmission } from "./call_admission.ts";
@@ -70,6 +70,7 @@
   readonly shares: FairShares;
   readonly router: CallRouter;
   readonly budget: RetryBudget;
+  readonly loans: RetryLoans;
   readonly cold: ColdAllowance;
   readonly quarantine: QuarantineController;
   readonly terms: EndpointTerms;
@@ -387,6 +388,7 @@
     this.retryPending(now);
     this.#resumptions.handleUnknown(this.#deps.origins.tick(now), now);
     this.#regionAdmission.tick(now);
+    this.retries.tick(now);
     this.#placer.refuseHopeless(now);
     for (const call of [...this.#calls.values()]) {
       if (call.orphaned) {
@@ -492,7 +494,7 @@
   #forget(call: Call): void {
     this.#placer.queue.remove(call);
     this.#resumptions.remove(call);
-    this.retries.release(call);
+    this.retries.remove(call);
     this.#calls.delete(call.head.id);
   }
 }
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -112,12 +112,12 @@
     if (answer.status === NOT_FOUND) {
       return this.#deps.outcomes.fail(call, "no_route", now);
     }
-    const again = call.rejections <= MAX_REJECTIONS &&
-      this.#deps.retries.reserve(call, "rejected", now);
-    if (again) {
-      return this.#deps.placer.place(call, now);
+    const refuse = (at: Instant): void =>
+      this.#deps.outcomes.fail(call, "rejected", at, answer.retryAfter);
+    if (call.rejections > MAX_REJECTIONS) {
+      return refuse(now);
     }
-    this.#deps.outcomes.fail(call, "rejected", now, answer.retryAfter);
+    this.#retryOr(refuse, { call, kind: "rejected" }, now);
   }
 
   /** Retries a refused resumption: with a broken stream, the caller would lose time and request it again. */
@@ -222,9 +222,12 @@
     if (call.phase === "answering") {
       return this.#breakOffOrRetry(call, "resumed", now);
     }
-    if (!call.mayRetry || !this.#tryElsewhere(call, "lost", now)) {
-      this.#deps.outcomes.fail(call, "endpoint_failed", now);
+    const fail = (at: Instant): void =>
+      this.#deps.outcomes.fail(call, "endpoint_failed", at);
+    if (!call.mayRetry || !this.#hasAlternative(call, now)) {
+      return fail(now);
     }
+    this.#retryOr(fail, { call, kind: "lost" }, now);
   }
 
   /** Checks whether the endpoint of an attempt has restarted or gone silent. */
@@ -287,6 +290,12 @@
 
   /** Reserves a retry in the budget, if the request may be retried and can be sent to another endpoint or peer. */
   reserveRetry(call: Call, kind: RetryKind, now: Instant): boolean {
+    return this.#hasAlternative(call, now) &&
+      this.#deps.retries.reserve(call, kind, now);
+  }
+
+  /** Whether a request may be retried and can be sent to another endpoint or peer, if the budget allows it. */
+  #hasAlternative(call: Call, now: Instant): boolean {
     const allowed = call.endsAt - now >= MIN_RETRY_TIME_MS &&
       call.possibleDeliveries < call.route.attempts &&
       call.attempts < MAX_ATTEMPTS &&
@@ -294,8 +303,18 @@
     const decision = allowed
       ? this.#deps.router.next(call, NOTHING_AHEAD, now)
       : undefined;
-    const possible = decision?.kind === "endpoint" || decision?.kind === "peer";
-    return possible && this.#deps.retries.reserve(call, kind, now);
+    return decision?.kind === "endpoint" || decision?.kind === "peer";
+  }
+
+  /** Sends a request without an attempt in progress once more if the budget allows it, and ends it otherwise. */
+  #retryOr(
+    end: (now: Instant) => void,
+    { call, kind }: { call: Call; kind: RetryKind },
+    now: Instant,
+  ): void {
+    const granted = (at: Instant): void => this.#deps.placer.place(call, at);
+    const outcome = { granted, denied: end };
+    this.#deps.retries.obtain(call, { kind, outcome }, now);
   }
 
   /** Ends a request that may not be sent to another endpoint, because the budget has no retry left. */
@@ -307,9 +326,13 @@
 
   /** Resumes a stream at another endpoint where its route allows it, or breaks it off. */
   #breakOffOrRetry(call: Call, kind: RetryKind, now: Instant): void {
-    if (!this.#tryElsewhere(call, kind, now)) {
-      this.#deps.outcomes.breakOff(call, "endpoint_lost", now);
+    const breakOff = (at: Instant): void =>
+      this.#deps.outcomes.breakOff(call, "endpoint_lost", at);
+    // Another endpoint could only start again from the beginning, and the caller would receive parts twice.
+    if (!call.resumable || !this.#hasAlternative(call, now)) {
+      return breakOff(now);
     }
+    this.#retryOr(breakOff, { call, kind }, now);
   }
 
   /** Abandons the current attempt for another endpoint, if there is one and the budget allows it. */
--- a/packages/core/src/gateway/call_retries.ts
+++ b/packages/core/src/gateway/call_retries.ts
@@ -9,6 +9,8 @@
   RetryCounts,
   type RetryDecision,
   type RetryKind,
+  type RetryLoanMessage,
+  type RetryLoans,
   type SlackShare,
 } from "../retries/index.ts";
 import type { Call, OpenAttempt } from "./call.ts";
@@ -18,6 +20,11 @@
 /** A retry that is sent later than this after it was granted is granted anew: it would count in another window. */
 const GRANT_LIFETIME_MS = 500;
 
+/** How long a request waits until this entry or others of its region have a retry left. */
+const MAX_WAIT_MS = 120;
+/** The same for a stream in progress: its caller sees a pause instead of a stream that breaks off. */
+const MAX_STREAM_WAIT_MS = 400;
+
 /** A retry that the budget has granted to a request. */
 export interface GrantedRetry {
   readonly kind: RetryKind;
@@ -26,10 +33,24 @@
   readonly at: Instant;
 }
 
+/** What follows once it is decided whether a request may be sent once more. */
+export interface RetryOutcome {
+  readonly granted: (now: Instant) => void;
+  readonly denied: (now: Instant) => void;
+}
+
+/** A request whose retry depends on a loan. */
+interface WaitingRetry {
+  readonly kind: RetryKind;
+  readonly since: Instant;
+  readonly outcome: RetryOutcome;
+}
+
 /** Dependencies of `CallRetries`. */
 export interface RetryDependencies {
   readonly emit: GatewayEmit;
   readonly budget: RetryBudget;
+  readonly loans: RetryLoans;
   /** This entry's share of the fleet's slack. */
   readonly slackShare: (now: Instant) => SlackShare;
 }
@@ -39,6 +60,7 @@
   readonly counts = new RetryCounts();
   readonly #deps: RetryDependencies;
   readonly #denials = new LogThrottle();
+  readonly #waiting = new Map<Call, WaitingRetry>();
 
   constructor(deps: RetryDependencies) {
     this.#deps = deps;
@@ -53,7 +75,44 @@
 
   /** Takes a retry for a request from the budget. Returns whether the request may be sent once more. */
   reserve(call: Call, kind: RetryKind, now: Instant): boolean {
-    return this.#reserve(call, { kind, service: call.services[0]! }, now);
+    const service = call.services[0]!;
+    if (this.#reserve(call, { kind, service }, now)) {
+      return true;
+    }
+    this.#deps.loans.ask(service, now);
+    this.#recordDenial(call, { kind, service }, now);
+    return false;
+  }
+
+  /** Takes a retry for a request that has no attempt in progress, and waits a moment for a loan if none is left. */
+  obtain(
+    call: Call,
+    { kind, outcome }: { kind: RetryKind; outcome: RetryOutcome },
+    now: Instant,
+  ): void {
+    const service = call.services[0]!;
+    if (this.#reserve(call, { kind, service }, now)) {
+      outcome.granted(now);
+    } else if (this.#deps.loans.ask(service, now)) {
+      this.#waiting.set(call, { kind, since: now, outcome });
+    } else {
+      this.#recordDenial(call, { kind, service }, now);
+      outcome.denied(now);
+    }
+  }
+
+  /** Handles a message about loans. */
+  receiveLoan(message: RetryLoanMessage, now: Instant): void {
+    if (this.#deps.loans.receive(message, now)) {
+      this.#decideWaiting(now);
+    }
+  }
+
+  /** Decides about requests that have waited for a loan for too long, and asks again for the others. */
+  tick(now: Instant): void {
+    if (this.#waiting.size > 0) {
+      this.#decideWaiting(now);
+    }
   }
 
   /**
@@ -69,7 +128,11 @@
     const isValid = retry?.service === service &&
       now - retry.at <= GRANT_LIFETIME_MS;
     const kind = retry?.kind ?? "relayed";
-    return isValid || this.#reserve(call, { kind, service }, now);
+    if (isValid || this.#reserve(call, { kind, service }, now)) {
+      return true;
+    }
+    this.#recordDenial(call, { kind, service }, now);
+    return false;
   }
 
   /** Records that a request is sent. Must be called before the request counts the attempt. */
@@ -86,8 +149,14 @@
     call.retry ??= retry;
   }
 
+  /** Forgets a request that is over. */
+  remove(call: Call): void {
+    this.#waiting.delete(call);
+    this.#release(call);
+  }
+
   /** Gives the retry of a request back that was granted and not sent. */
-  release(call: Call): void {
+  #release(call: Call): void {
     const { retry } = call;
     if (retry !== undefined) {
       this.#deps.budget.refund(retry.service, retry.at);
@@ -95,18 +164,37 @@
     }
   }
 
+  #decideWaiting(now: Instant): void {
+    // Requests of a service wait in turn, so that only the first of them is weighed while none is left.
+    const exhausted = new Set<ServiceId>();
+    for (const [call, { kind, since, outcome }] of [...this.#waiting]) {
+      const service = call.services[0]!;
+      const isGranted = !exhausted.has(service) &&
+        this.#reserve(call, { kind, service }, now);
+      if (isGranted) {
+        this.#waiting.delete(call);
+        outcome.granted(now);
+      } else if (now - since >= longestWait(call)) {
+        this.#waiting.delete(call);
+        this.#recordDenial(call, { kind, service }, now);
+        outcome.denied(now);
+      } else {
+        exhausted.add(service);
+        this.#deps.loans.ask(service, now);
+      }
+    }
+  }
+
   #reserve(
     call: Call,
     { kind, service }: { kind: RetryKind; service: ServiceId },
     now: Instant,
   ): boolean {
-    this.release(call);
+    this.#release(call);
     const share = this.#deps.slackShare(now);
     const decision = this.#deps.budget.spend(service, share, now);
     if (decision.granted) {
       call.retry = { kind, service, decision, at: now };
-    } else {
-      this.#recordDenial(call, { kind, service, decision }, now);
     }
     return decision.granted;
   }
@@ -126,17 +214,20 @@
 
   #recordDenial(
     call: Call,
-    { kind, service, decision }: Omit<GrantedRetry, "at">,
+    { kind, service }: Pick<GrantedRetry, "kind" | "service">,
     now: Instant,
   ): void {
     this.counts.recordDenied(kind);
     const denied = this.#denials.add(now);
     if (denied > 0) {
+      const { budget, slackShare } = this.#deps;
+      const share = slackShare(now);
+      const left = budget.left(service, share, now);
       this.#log("Retries are denied.", call, {
         kind,
         service,
         denied,
-        ...decisionFields(decision),
+        ...decisionFields({ left, share }),
       });
     }
   }
@@ -155,6 +246,10 @@
   }
 }
 
+function longestWait({ phase }: Call): number {
+  return phase === "answering" ? MAX_STREAM_WAIT_MS : MAX_WAIT_MS;
+}
+
 /** Whether an endpoint may have received a request already, here or by way of another entry. */
 function isRetry({ offered, possibleDeliveries }: Call): boolean {
   return offered > 0 || possibleDeliveries > 0;
@@ -170,7 +265,7 @@
 }
 
 function decisionFields(
-  decision: RetryDecision | undefined,
+  decision: Pick<RetryDecision, "left" | "share"> | undefined,
 ): Record<string, unknown> {
   if (decision === undefined) {
     return {};
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -11,7 +11,6 @@
 import { Features } from "../features/index.ts";
 import { FleetController } from "../fleet/index.ts";
 import {
-  hash32,
   type Instant,
   type Milliseconds,
   milliseconds,
@@ -20,7 +19,6 @@
 import { StallAdjustedClock } from "../listening/index.ts";
 import { RegionOutlooks } from "../outlook/index.ts";
 import type { RegionAdmission } from "../overload/index.ts";
-import { divideSlack, RetryBudget } from "../retries/index.ts";
 import type { CatalogueSnapshot } from "../routes/index.ts";
 import type { StreamOrigins } from "../stream_origins/index.ts";
 import { CallController } from "./call_controller.ts";
@@ -58,6 +56,10 @@
 import type { QuarantineController } from "../quarantine/index.ts";
 import { createStreamOrigins } from "./create_stream_origins.ts";
 import { createQuarantine } from "./create_quarantine.ts";
+import {
+  createRetryBudget,
+  type RetryBudgetParts,
+} from "./create_retry_budget.ts";
 import { ServingSet } from "./serving_set.ts";
 import { tickInterval } from "./tick_interval.ts";
 import { ShareLog } from "./share_log.ts";
@@ -65,7 +67,6 @@
 import { StopController } from "./stop_controller.ts";
 import { WorkReporter } from "./work_reporter.ts";
 
-const UINT32_RANGE = 2 ** 32;
 /** Interval between pings of peers. */
 const PING_INTERVAL_MS = 500;
 /** The event loop ticks far more often: a longer gap means that the process was paused. */
@@ -97,7 +98,8 @@
   readonly #calls: CallController;
   readonly #workReporter: WorkReporter;
   readonly #stopController: StopController;
-  readonly #retryBudget: RetryBudget;
+  /** The budget for retries, and loans from other entries. */
+  readonly retries: RetryBudgetParts;
   readonly #coldAllowance: ColdAllowance;
   readonly #serving: ServingSet;
   readonly #quarantine: QuarantineController;
@@ -227,12 +229,9 @@
       clock: this.#clock,
       now: () => this.#lastEventAt,
     });
-    const regions = new Set(self.regionByZone.values()).size;
     const coldAllowance = new ColdAllowance(self.bounds, now);
     this.#coldAllowance = coldAllowance;
-    this.#retryBudget = new RetryBudget(self.bounds, {
-      roundsUpFrom: hash32(`retries ${self.incarnation}`) / UINT32_RANGE,
-    }, now);
+    this.retries = createRetryBudget({ self, fleet: this.fleet, random }, now);
     this.endpointTerms = createEndpointTerms({
       self,
       emit,
@@ -290,7 +289,7 @@
       placements,
       shares: this.shares,
       router,
-      budget: this.#retryBudget,
+      ...this.retries,
       cold: coldAllowance,
       quarantine: this.#quarantine,
       terms: this.endpointTerms,
@@ -299,11 +298,6 @@
       history: this.#softwareHistory,
       keyLifetime: () => this.#keyLifetime(),
       clock: this.#clock,
-      slackShare: (at) =>
-        divideSlack({
-          regions,
-          entries: this.fleet.entriesThatMayExist(self.region, at),
-        }),
       regionEntries,
       regionAdmission: this.#regionAdmission,
     });
@@ -435,7 +429,7 @@
         return this.#catalogue.documentFreshness.addSuspendedTime(event.time);
       case "rebound":
         this.#bounds = event.bounds;
-        this.#retryBudget.updateBounds(event.bounds);
+        this.retries.budget.updateBounds(event.bounds);
         this.#coldAllowance.updateBounds(event.bounds);
         return this.#stopController.setStopTime(event.bounds.stopTime);
       case "datagram":
@@ -597,6 +591,8 @@
       this.#endpoints.receivePaces(message.report.paces, now);
     } else if (message.kind === "origins") {
       this.#calls.receiveOrigins(message.message, now);
+    } else if (message.kind === "retries") {
+      this.#calls.retries.receiveLoan(message.message, now);
     } else if (message.kind === "outlook") {
       this.earlyRelay.exchange.receive(message.outlook, now);
     } else if (message.kind === "work") {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -33,6 +33,7 @@
   type RetryBounds,
   type RetryCounts,
   type RetryKind,
+  type RetryLoanMessage,
 } from "./retries/index.ts";
 export * from "./routes/index.ts";
 export * from "./routing/index.ts";
--- a/packages/core/src/retries/__tests__/retry_budget.test.ts
+++ b/packages/core/src/retries/__tests__/retry_budget.test.ts
@@ -161,12 +161,14 @@
     const entries = 200;
     const share = divideSlack({ regions: 1, entries });
     let spent = 0;
+    let whole = 0;
     for (let entry = 0; entry < entries; entry++) {
       const roundsUpFrom = (entry + 0.5) / entries;
       const budget = new RetryBudget(BOUNDS, { roundsUpFrom }, LONG_AGO);
+      whole += budget.left(SERVICE, share, instant(0));
       spent += spendAll(budget, share, 0);
     }
-    expect(spent).toBeGreaterThan(BOUNDS.retrySlack / 3);
+    expect(Math.abs(spent - whole)).toBeLessThanOrEqual(1);
     expect(spent).toBeLessThanOrEqual(BOUNDS.retrySlack);
   });
 });
--- a/packages/core/src/retries/bucket_counter.ts
+++ b/packages/core/src/retries/bucket_counter.ts
@@ -18,10 +18,10 @@
     this.#counts = new Array(buckets).fill(0);
   }
 
-  /** Counts an event. */
-  add(now: Instant): void {
+  /** Counts an event, or an amount of it. */
+  add(now: Instant, amount = 1): void {
     this.#advance(now);
-    this.#counts[this.#slot(this.#newest)]!++;
+    this.#counts[this.#slot(this.#newest)]! += amount;
   }
 
   /** Takes back an event that was counted at an instant. */
@@ -29,20 +29,27 @@
     const bucket = this.#bucketOf(countedAt);
     const slot = this.#slot(bucket);
     const isKept = bucket > this.#newest - this.#counts.length;
-    if (isKept && this.#counts[slot]! > 0) {
-      this.#counts[slot]!--;
+    if (isKept) {
+      this.#counts[slot] = Math.max(0, this.#counts[slot]! - 1);
     }
   }
 
-  /** Number of events in the bucket in progress and in the given number of buckets before it. */
-  sum(now: Instant, bucketsBefore: number): number {
+  /**
+   * Returns for each number of buckets how many events they have, together with the bucket in progress: at index 0 those
+   * of the bucket in progress alone.
+   */
+  sums(now: Instant): number[] {
     this.#advance(now);
-    const count = Math.min(bucketsBefore + 1, this.#counts.length);
+    const { length } = this.#counts;
+    const sums = new Array<number>(length);
+    let slot = this.#slot(this.#newest);
     let sum = 0;
-    for (let age = 0; age < count; age++) {
-      sum += this.#counts[this.#slot(this.#newest - age)]!;
+    for (let age = 0; age < length; age++) {
+      sum += this.#counts[slot]!;
+      sums[age] = sum;
+      slot = slot === 0 ? length - 1 : slot - 1;
     }
-    return sum;
+    return sums;
   }
 
   /** When the bucket began that is the given number of buckets before the one in progress. */
--- a/packages/core/src/retries/retry_budget.ts
+++ b/packages/core/src/retries/retry_budget.ts
@@ -35,13 +35,20 @@
  */
 const BUDGET_FRACTION = 0.9;
 const BUCKETS_PER_WINDOW = 20;
+/** Fraction of what an entry has left that it lends to one that asks. */
+const LENT_FRACTION = 0.5;
+/** Smallest part of a retry that is worth a message. */
+const MIN_LOAN = 0.05;
 /** The requests of a window and of the one before it count half each: the larger of the two is allowed. */
 const WINDOWS_OF_REQUESTS = 2;
 
 /** What counts for one service. */
 interface ServiceCounts {
   readonly requests: BucketCounter;
+  /** Retries that were made, and parts that were lent to other entries. */
   readonly retries: BucketCounter;
+  /** What other entries lent. */
+  readonly loans: BucketCounter;
 }
 
 /**
@@ -101,21 +108,50 @@
     this.#countsOf(service).retries.remove(spentAt);
   }
 
+  /** Lends another entry up to an amount of what is left. Returns how much, 0 if there is nothing to spare. */
+  lend(
+    service: ServiceId,
+    { share, wanted }: { share: SlackShare; wanted: number },
+    now: Instant,
+  ): number {
+    const spare = this.left(service, share, now) * LENT_FRACTION;
+    const amount = Math.min(wanted, spare);
+    if (amount < MIN_LOAN) {
+      return 0;
+    }
+    this.#countsOf(service).retries.add(now, amount);
+    return amount;
+  }
+
+  /** Adds what another entry has just lent. It counts in the windows in which it is spent there. */
+  borrow(service: ServiceId, amount: number, now: Instant): void {
+    this.#countsOf(service).loans.add(now, amount);
+  }
+
+  /** How much has to be borrowed before another retry is granted. */
+  missing(service: ServiceId, share: SlackShare, now: Instant): number {
+    const left = this.left(service, share, now);
+    return Math.max(MIN_LOAN, this.#roundsUpFrom - left);
+  }
+
   /** Retries that may still be made now: the least that any window has left. */
   left(service: ServiceId, share: SlackShare, now: Instant): number {
-    const { requests, retries } = this.#countsOf(service);
+    const counts = this.#countsOf(service);
+    const requests = counts.requests.sums(now);
+    const retries = counts.retries.sums(now);
+    const loans = counts.loans.sums(now);
     const { retryRatio } = this.#bounds;
     const bucketMs = this.#bucketMs;
     let left = Infinity;
     for (let age = 0; age <= BUCKETS_PER_WINDOW; age++) {
-      const from = retries.startOf(now, age);
+      const from = counts.retries.startOf(now, age);
       // A window may begin anywhere in its first bucket.
       const elapsed = Math.max(0, now - from - bucketMs);
-      const base = requests.sum(now, age + BUCKETS_PER_WINDOW - 1) /
+      const base = requests[age + BUCKETS_PER_WINDOW - 1]! /
         WINDOWS_OF_REQUESTS;
       const allowed = BUDGET_FRACTION *
         (retryRatio * base + this.#slackOf(share, { from, elapsed }, now));
-      left = Math.min(left, allowed - retries.sum(now, age));
+      left = Math.min(left, allowed - retries[age]! + loans[age]!);
     }
     return left;
   }
@@ -148,6 +184,7 @@
           WINDOWS_OF_REQUESTS * BUCKETS_PER_WINDOW + 1,
         ),
         retries: new BucketCounter(bucket, BUCKETS_PER_WINDOW + 1),
+        loans: new BucketCounter(bucket, BUCKETS_PER_WINDOW + 1),
       };
       this.#services.set(service, counts);
     }
--- a/packages/core/src/retries/slack_share.ts
+++ b/packages/core/src/retries/slack_share.ts
@@ -14,7 +14,7 @@
 }
 
 /** Part of a share that may be used in an instant. The rest accrues evenly over a window. */
-const BURST_FRACTION = 0.5;
+const BURST_FRACTION = 0.25;
 
 /**
  * Divides the slack. Each region has a fixed part, so that regions that cannot reach each other do not use the same one.
--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -203,6 +203,15 @@
       paces: [{ endpoint: "i-7f3a91c2", contention: 250, age: 120 }],
     },
   },
+  {
+    kind: "retries",
+    message: {
+      kind: "loan",
+      from: record.incarnation,
+      service: "pool",
+      amount: 0.75,
+    },
+  },
   { kind: "census", report: { region: "r1", entries: 40 } },
   {
     kind: "outlook",
--- a/packages/daemon/src/gateway/fleet_schema.ts
+++ b/packages/daemon/src/gateway/fleet_schema.ts
@@ -16,6 +16,7 @@
 import { z } from "zod";
 import { decodeFrequent } from "./fleet_decoder.ts";
 import { encodeOriginMessage, originMessageSchema } from "./origin_schema.ts";
+import { encodeRetryLoan, retryLoanSchema } from "./retry_schema.ts";
 import {
   departureMessageSchema,
   encodeDepartures,
@@ -64,6 +65,9 @@
   outlook: z.tuple([outlookSchema]).transform(
     ([outlook]) => ({ kind: "outlook", outlook }),
   ),
+  retries: z.tuple([retryLoanSchema]).transform(
+    ([message]) => ({ kind: "retries", message }),
+  ),
   census: z.tuple([shortText, z.number().int().positive()]).transform(
     ([region, entries]) => ({ kind: "census", report: { region, entries } }),
   ),
@@ -122,6 +126,9 @@
   if (message.kind === "origins") {
     return [encodeOriginMessage(message.message)];
   }
+  if (message.kind === "retries") {
+    return [encodeRetryLoan(message.message)];
+  }
   if (message.kind === "census") {
     return [message.report.region, message.report.entries];
   }
--- a/packages/daemon/src/gateway/gauges.ts
+++ b/packages/daemon/src/gateway/gauges.ts
@@ -20,6 +20,7 @@
     shares,
     earlyRelay,
     streamOrigins,
+    retries,
   }: Gateway,
   { connections, datagrams }: {
     connections: Pick<ConnectionPool, "opened">;
@@ -32,6 +33,9 @@
     requests: calls.active,
     queued: calls.queued,
     streams_resumed: calls.resumedStreams,
+    retries_borrowed: retries.loans.counts.borrowed,
+    retries_lent: retries.loans.counts.lent,
+    retry_slack_fraction: retries.slackShare(now).fraction,
     stream_origins: streamOrigins.size,
     stream_lookups: streamOrigins.lookups.started,
     stream_lookups_failed: streamOrigins.lookups.failed,
--- a/playground/src/bytes/byte_fleet.ts
+++ b/playground/src/bytes/byte_fleet.ts
@@ -35,6 +35,8 @@
   readonly processes?: boolean;
   /** Time limit of an entry's planned stop. */
   readonly stopSeconds?: number;
+  /** Retries that all entries may make together beside a fraction of the requests; by default more than any test. */
+  readonly retrySlack?: number | undefined;
 }
 
 /** An entry in this process or in its own. */
@@ -55,7 +57,7 @@
 
   /** Starts the store, the engines and the entries, and waits until all entries are ready. */
   async start(): Promise<void> {
-    const { engines, entries = ["a"], stopSeconds } = this.#plan;
+    const { engines, entries = ["a"], stopSeconds, retrySlack } = this.#plan;
     const start = this.#plan.processes ? ProcessEntry.start : LocalEntry.start;
     const storeAddress = await this.store.listen();
     for (const { engine, region = "a", version = "v1" } of engines) {
@@ -83,6 +85,7 @@
           zones,
           storeAddress,
           stopSeconds,
+          retrySlack,
         }),
       );
     }
--- a/playground/src/bytes/index.ts
+++ b/playground/src/bytes/index.ts
@@ -23,4 +23,5 @@
   type Stop,
 } from "./raw_engine.ts";
 export { mostWithin } from "../client/most_within.ts";
+export { findRetryExcess } from "../client/retry_sum.ts";
 export { askStream, type StreamRequest } from "./stream_caller.ts";
--- a/playground/src/bytes/local_entry.ts
+++ b/playground/src/bytes/local_entry.ts
@@ -61,6 +61,8 @@
   readonly storeAddress: string;
   /** Time limit of a planned stop. */
   readonly stopSeconds?: number;
+  /** Retries that all entries may make together beside a fraction of the requests. */
+  readonly retrySlack?: number | undefined;
 }
 
 /** An entry in this process. */
@@ -121,6 +123,7 @@
 /** Number of ports that an entry needs besides the port for peers. */
 export const PORTS_PER_ENTRY = 4;
 const DEFAULT_STOP_SECONDS = 8;
+const DEFAULT_RETRY_SLACK = 10_000;
 
 /** Formats the settings file of an entry. */
 export function formatSettings(
@@ -150,7 +153,7 @@
 [store]
 address = ${options.storeAddress}
 [bounds]
-repeat_slack = 10000
+repeat_slack = ${options.retrySlack ?? DEFAULT_RETRY_SLACK}
 stop_s = ${stopSeconds}
 `;
 }
--- a/playground/src/bytes/process_entry.ts
+++ b/playground/src/bytes/process_entry.ts
@@ -30,28 +30,42 @@
   readonly control: string;
   readonly #folder = mkdtempSync(join(tmpdir(), "entry-"));
   readonly #lines: LogLine[] = [];
-  readonly #process: ChildProcess;
-  readonly #exited: Promise<unknown>;
+  readonly #settings: string;
+  #process: ChildProcess;
+  #exited: Promise<unknown>;
 
   private constructor(options: EntryOptions, ports: readonly number[]) {
     this.callers = `${options.host}:${ports[0]}`;
     this.readiness = `${options.host}:${ports[2]}`;
     this.control = `${options.host}:${ports[3]}`;
-    const settings = join(this.#folder, "entry.ini");
-    writeFileSync(settings, formatSettings(options, ports));
-    this.#process = spawn(process.execPath, [PROGRAM], {
-      env: { [SETTINGS_PATH_VARIABLE]: settings },
+    this.#settings = join(this.#folder, "entry.ini");
+    writeFileSync(this.#settings, formatSettings(options, ports));
+    this.#process = this.#spawn();
+    this.#exited = once(this.#process, "exit");
+  }
+
+  #spawn(): ChildProcess {
+    const child = spawn(process.execPath, [PROGRAM], {
+      env: { [SETTINGS_PATH_VARIABLE]: this.#settings },
       stdio: ["ignore", "pipe", "inherit"],
     });
-    this.#exited = once(this.#process, "exit");
     // Kills the entry if the test run exits first.
-    const kill = (): void => this.signal("SIGKILL");
+    const kill = (): void => void child.kill("SIGKILL");
     process.once("exit", kill);
-    void this.#exited.then(() => process.off("exit", kill));
-    createInterface(this.#process.stdout!).on("line", (text) => {
+    child.once("exit", () => process.off("exit", kill));
+    createInterface(child.stdout!).on("line", (text) => {
       const { msg, ...fields } = JSON.parse(text);
       this.#lines.push({ text: msg, fields });
     });
+    return child;
+  }
+
+  /** Kills the process and starts another one with the same addresses. */
+  async restart(): Promise<void> {
+    this.signal("SIGKILL");
+    await this.#exited;
+    this.#process = this.#spawn();
+    this.#exited = once(this.#process, "exit");
   }
 
   /** Spawns an entry without waiting until it is ready. */
--- a/playground/src/bytes/raw_engine.ts
+++ b/playground/src/bytes/raw_engine.ts
@@ -89,6 +89,8 @@
   readonly runs: RawRequest[] = [];
   /** Calls whose answer has begun and has neither ended nor lost its connection. */
   readonly open = new Set<string>();
+  /** Requests that arrived, whether they ran or not. */
+  readonly received: RawRequest[] = [];
   /** `performance.now()` at the arrival of each request. */
   readonly arrivals: number[] = [];
   /** Number of requests refused with a backoff. */
@@ -164,6 +166,7 @@
       socket.write(formatEmptyAnswer(MISDIRECTED, []));
       return;
     }
+    this.received.push(request);
     this.arrivals.push(performance.now());
     const statedHeaders = this.#statedHeaderLines();
     if (performance.now() < this.#refusesUntil) {
--- a/playground/src/guards/guard_list.ts
+++ b/playground/src/guards/guard_list.ts
@@ -13,6 +13,7 @@
 import { GUARDS } from "./guards.ts";
 import { LOAD_GUARDS } from "./load_guards.ts";
 import { QUARANTINE_GUARDS } from "./quarantine_guards.ts";
+import { RETRY_GUARDS } from "./retry_guards.ts";
 import { ROUTE_GUARDS } from "./route_guards.ts";
 import { STALL_GUARDS } from "./stall_guards.ts";
 import { STREAM_GUARDS } from "./stream_guards.ts";
@@ -29,6 +30,7 @@
   ...EPOCH_GUARDS,
   ...LOAD_GUARDS,
   ...STREAM_GUARDS,
+  ...RETRY_GUARDS,
 ];
 
 /** Returns all edits that remove a guard. */
--- a/playground/src/guards/route_guards.ts
+++ b/playground/src/guards/route_guards.ts
@@ -15,8 +15,8 @@
     point: "routes: at most once",
     name: "a lost attempt is repeated only where the route allows it",
     file: `${GATEWAY}/call_recovery.ts`,
-    find: `if (!call.mayRetry || !this.#tryElsewhere(call, "lost", now)) {`,
-    replace: `if (!this.#tryElsewhere(call, "lost", now)) {`,
+    find: "if (!call.mayRetry || !this.#hasAlternative(call, now)) {",
+    replace: "if (!this.#hasAlternative(call, now)) {",
     also: [{
       file: `${GATEWAY}/call_recovery.ts`,
       find: "call.possibleDeliveries < call.route.attempts &&",
@@ -215,9 +215,8 @@
     point: "routes: failures",
     name: "a failure is dropped only for another endpoint",
     file: `${GATEWAY}/call_recovery.ts`,
-    find:
-      'const possible = decision?.kind === "endpoint" || decision?.kind === "peer";',
-    replace: "const possible = decision !== undefined;",
+    find: 'return decision?.kind === "endpoint" || decision?.kind === "peer";',
+    replace: "return decision !== undefined;",
   },
   {
     point: "routes: overload",
--- a/playground/src/routes/route_links.ts
+++ b/playground/src/routes/route_links.ts
@@ -16,6 +16,10 @@
 import type { RouteWorld } from "./route_world.ts";
 import type { VirtualGateway } from "./virtual_gateway.ts";
 
+/** Kinds of messages that a build drops that knows nothing of streams' versions. */
+const UNKNOWN_TO_OLD: ReadonlySet<FleetMessage["kind"]> = new Set<
+  FleetMessage["kind"]
+>(["origins", "census", "retries"]);
 /** Prompt tokens that an endpoint prefills per millisecond. */
 const PREFILL_TOKENS_PER_MS = 38;
 
@@ -34,8 +38,8 @@
     const target = this.#entryAt(to);
     const lost = this.#world.datagramLossRate > 0 &&
       this.#world.random.next() < this.#world.datagramLossRate;
-    const isUnknown = message.kind === "origins" && target !== undefined &&
-      (this.#isOld(from) || this.#isOld(target));
+    const isUnknown = UNKNOWN_TO_OLD.has(message.kind) &&
+      target !== undefined && (this.#isOld(from) || this.#isOld(target));
     if (
       target === undefined || lost || isUnknown || !this.#reaches(from, target)
     ) {
--- a/soak/src/__tests__/waves.test.ts
+++ b/soak/src/__tests__/waves.test.ts
@@ -36,6 +36,14 @@
     expect(broken, `Files of the wave: ${folder}`).toEqual([]);
   });
 
+  // Guards against more retries by all entries together than allowed while they start again several times in a row.
+  it("keeps to the retry budget of all entries", async () => {
+    const wave = WAVE_KINDS.indexOf("retries");
+    const plan = planWave(SEED, { wave, entries: ENTRY_COUNT });
+    const { broken, folder } = await playWave(plan);
+    expect(broken, `Files of the wave: ${folder}`).toEqual([]);
+  });
+
   // Each of these waves once violated a guarantee for the cause in its title.
   describe("no longer fails", () => {
     for (const { seed, wave, cause } of REGRESSIONS.filter(isQuick)) {
--- a/soak/src/plan.ts
+++ b/soak/src/plan.ts
@@ -13,6 +13,7 @@
 import {
   planCompleteRun,
   planFailingRun,
+  planRetriesRuns,
   planTermsRuns,
   type RunPlan,
 } from "./plan_runs.ts";
@@ -47,7 +48,7 @@
 export interface EntryEvent {
   readonly atMs: number;
   readonly entry: number;
-  readonly kind: "pause" | "kill" | "stop";
+  readonly kind: "pause" | "kill" | "stop" | "restart";
   /** Length of a pause; unused for other kinds. */
   readonly forMs: number;
 }
@@ -67,7 +68,9 @@
   /** Engines state rate limits, leave or ask for rest while entries are paused, killed and stopped. */
   | "terms"
   /** The store is restored from a copy while entries are paused, killed and stopped. */
-  | "restores";
+  | "restores"
+  /** Engines reject many requests and break streams off while entries are killed and start again, in series. */
+  | "retries";
 
 /** A set of streams that run at the same time, and the faults during them. */
 export interface WavePlan {
@@ -100,6 +103,7 @@
   "slow",
   "terms",
   "restores",
+  "retries",
 ];
 /** Endpoints that a resumable stream may be sent to. */
 export const MAX_ATTEMPTS = 4;
@@ -116,6 +120,13 @@
 const RESTORES_CASE_COUNT = 300;
 const RESTORES_START_WINDOW_MS = 13_000;
 
+/** The same for a `retries` wave. Entries start again three times within one window of the retry budget. */
+const RETRIES_CASE_COUNT = 300;
+const RETRIES_START_WINDOW_MS = 12_000;
+const RESTARTS_PER_ENTRY = 3;
+/** Retries that all entries may make together in a `retries` wave, beside a fraction of the requests. */
+export const RETRY_SLACK = 24;
+
 /** Plans one wave. */
 export function planWave(
   seed: number,
@@ -138,6 +149,7 @@
     slow: 6,
     terms: TERMS_CASE_COUNT,
     restores: RESTORES_CASE_COUNT,
+    retries: RETRIES_CASE_COUNT,
   };
   const cases = Array.from(
     { length: caseCounts[kind] },
@@ -151,7 +163,9 @@
   );
   const terminatesEntries = kind === "ends" || kind === "terms" ||
     kind === "restores";
-  const entryEvents = kind === "pauses" || terminatesEntries
+  const entryEvents = kind === "retries"
+    ? planRestarts(draw, entryCount)
+    : kind === "pauses" || terminatesEntries
     ? planEntryEvents(draw, { entryCount, terminatesEntries })
     : [];
   const terms = kind === "terms" ? planTerms(draw, engines) : [];
@@ -328,6 +342,19 @@
   });
 }
 
+/** Plans a short stream that is rejected or breaks off more often than not. */
+function planRetriesCase(
+  call: string,
+  { draw, entries }: { draw: Draw; entries: number },
+): CasePlan {
+  const plan = planTermsCase(call, {
+    draw,
+    entries,
+    startWindowMs: RETRIES_START_WINDOW_MS,
+  });
+  return { ...plan, runs: planRetriesRuns(draw) };
+}
+
 const CASE_PLANNERS = {
   stops: planCase,
   stalls: planCase,
@@ -336,6 +363,7 @@
   slow: planSlowCase,
   terms: planTermsCase,
   restores: planRestoresCase,
+  retries: planRetriesCase,
 } as const;
 
 function planCaller(draw: Draw, events: number): CallerPlan {
@@ -349,6 +377,20 @@
     : { kind: "reads" };
 }
 
+/** All entries start again several times, at about the same time or each by itself. */
+function planRestarts(draw: Draw, entryCount: number): EntryEvent[] {
+  const spreadMs = draw.pick([0, 200, 2_000]);
+  return Array.from({ length: RESTARTS_PER_ENTRY }, (_, index) => index)
+    .flatMap((index) =>
+      Array.from({ length: entryCount }, (_, entry): EntryEvent => ({
+        atMs: 2_500 + index * 2_800 + draw.integer(0, spreadMs),
+        entry,
+        kind: draw.chance(0.85) ? "restart" : "pause",
+        forMs: draw.integer(300, 1_500),
+      }))
+    );
+}
+
 function planEntryEvents(
   draw: Draw,
   { entryCount, terminatesEntries }: {
--- a/soak/src/plan_runs.ts
+++ b/soak/src/plan_runs.ts
@@ -61,6 +61,22 @@
     : [completeRun];
 }
 
+/** Plans the runs of a stream in a `retries` wave: up to three are rejected or break off. */
+export function planRetriesRuns(draw: Draw): RunPlan[] {
+  const completeRun = { ...planCompleteRun(draw), piece: 20, pace: 5 };
+  const failed = Array.from(
+    { length: draw.integer(0, 3) },
+    (): RunPlan =>
+      draw.chance(0.7) ? { ...completeRun, status: 503, notRun: true } : {
+        ...completeRun,
+        framing: "chunked",
+        stop: draw.pick<Stop>(["closed", "reset"]),
+        part: draw.fraction(),
+      },
+  );
+  return [...failed, completeRun];
+}
+
 /** Plans a run that completes. */
 export function planCompleteRun(draw: Draw): RunPlan {
   return {
--- a/soak/src/promises.ts
+++ b/soak/src/promises.ts
@@ -184,7 +184,7 @@
     ).length;
   const tooFew = servedCount * MAX_STREAMS_PER_SERVED < undisturbed.length;
   const terminatesEntries = kind === "ends" || kind === "terms" ||
-    kind === "restores";
+    kind === "restores" || kind === "retries";
   return !terminatesEntries && undisturbed.length > 0 && tooFew
     ? {
       call: undisturbed[0]!.call,
--- a/soak/src/wave.ts
+++ b/soak/src/wave.ts
@@ -9,6 +9,7 @@
 import { setTimeout as pause } from "node:timers/promises";
 import {
   ByteFleet,
+  findRetryExcess,
   ProcessEntry,
   RawEngine,
   type RawRequest,
@@ -16,7 +17,12 @@
 } from "@sassafrasstep/playground/bytes";
 import { CallerRun } from "./caller_run.ts";
 import { findOpenRequests } from "./open_requests.ts";
-import { MAX_ATTEMPTS, ROUTE_TIMEOUT_MS, type WavePlan } from "./plan.ts";
+import {
+  MAX_ATTEMPTS,
+  RETRY_SLACK,
+  ROUTE_TIMEOUT_MS,
+  type WavePlan,
+} from "./plan.ts";
 import type { Disturbance } from "./plan_runs.ts";
 import {
   type EntryHistory,
@@ -37,6 +43,9 @@
 
 /** Software versions of the engines, in turn. */
 const SOFTWARE_VERSIONS = ["v1", "v2"];
+/** The entries' settings by default. */
+const DEFAULT_RETRY_RATIO = 0.1;
+const DEFAULT_RETRY_WINDOW_MS = 10_000;
 /** Never notified: `Atomics.wait` on it blocks this process for a given time. */
 const SLEEP_CELL = new Int32Array(new SharedArrayBuffer(4));
 /** After a stall, this process, which runs the engines, resumes this much later than the entry processes. */
@@ -65,6 +74,7 @@
       ...findVersionViolations(seen),
       ...wave.findTermsViolations(),
       ...wave.findRestoreViolations(),
+      ...wave.findRetryViolations(seen),
       ...(await wave.findOpenRequests()).map((what) => ({
         call: "at the end",
         what,
@@ -131,6 +141,7 @@
       attempts: MAX_ATTEMPTS,
       timeout: ROUTE_TIMEOUT_MS,
       processes: plan.processes,
+      retrySlack: plan.kind === "retries" ? RETRY_SLACK : undefined,
     });
   }
 
@@ -240,6 +251,10 @@
         this.history.killed.add(target.callers);
         target.signal("SIGKILL");
         break;
+      case "restart":
+        this.history.killed.add(target.callers);
+        await target.restart();
+        break;
       case "stop":
         target.signal("SIGTERM");
         break;
@@ -298,6 +313,25 @@
     });
   }
 
+  /** Finds more retries by all entries together than the settings allow, from what the engines received. */
+  findRetryViolations(seen: readonly ObservedCall[]): Violation[] {
+    if (this.#plan.kind !== "retries") {
+      return [];
+    }
+    const excess = findRetryExcess({
+      arrivals: this.#engines.flatMap(({ received }) => received),
+      requests: seen.map(({ askedAt }) => askedAt),
+    }, {
+      ratio: DEFAULT_RETRY_RATIO,
+      slack: RETRY_SLACK,
+      windowMs: DEFAULT_RETRY_WINDOW_MS,
+    });
+    return excess === undefined ? [] : [{
+      call: "all",
+      what: `${excess.retries} retries in a window, ${excess.allowed} allowed`,
+    }];
+  }
+
   /** Finds requests that outlive all their callers. */
   async findOpenRequests(): Promise<string[]> {
     return await findOpenRequests({
