fix: entries that do not hear each other share the bound of a cold endpoint

Found while looking for other totals that are divided by who is believed alive: the bound of a cold endpoint belongs to one owner among the entries heard. Entries of a region that are cut off from each other each took themselves for that owner, with half of the bound each.

The share is now divided by the entries of the region that may exist and are not heard, one request a second at the least. Two of a region of three that are silent: one request in place of two.

--- a/packages/core/src/gateway/__tests__/budgets.test.ts
+++ b/packages/core/src/gateway/__tests__/budgets.test.ts
@@ -54,7 +54,7 @@
     let sent = 0;
     for (const self of candidates) {
       const cold = new ColdAllowance(BOUNDS, instant(-10_000));
-      while (cold.allows(state, { self, candidates }, instant(10))) {
+      while (cold.allows(state, { self, candidates, silent: 0 }, instant(10))) {
         cold.recordSend(state.record.id, instant(10));
         sent++;
       }
@@ -63,6 +63,23 @@
     expect(sent).toBeGreaterThan(0);
     expect(2 * sent).toBeLessThanOrEqual(bound);
   });
+
+  // Guards against entries that are cut off from each other and each use the share of an owner.
+  it("stays within the bound if entries that are not heard own the endpoint too", () => {
+    const bound = 1.9 * BOUNDS.coldOvershoot + BOUNDS.coldSlack;
+    for (const entries of [3, 4, 5]) {
+      const cold = new ColdAllowance(BOUNDS, instant(-10_000));
+      const self = "a" as Incarnation;
+      const options = { self, candidates: [self], silent: entries - 1 };
+      let sent = 0;
+      while (cold.allows(state, options, instant(10))) {
+        cold.recordSend(state.record.id, instant(10));
+        sent++;
+      }
+      expect(sent).toBeGreaterThan(0);
+      expect(entries * sent).toBeLessThanOrEqual(bound);
+    }
+  });
 });
 
 describe("an endpoint's health", () => {
--- a/packages/core/src/gateway/cold_allowance.ts
+++ b/packages/core/src/gateway/cold_allowance.ts
@@ -16,8 +16,8 @@
  * The bound applies to any second of the endpoint's clock. The margin covers differences in network delay.
  */
 const RATE_WINDOW_MS = 1_100;
-/** Maximum number of entries that consider themselves the owner of an endpoint while their views differ. */
-const MAX_CONCURRENT_OWNERS = 2;
+/** Number of entries that may consider themselves the owner of an endpoint while their views differ for a moment. */
+const MIN_CONCURRENT_OWNERS = 2;
 /** An entry that has been running for less time may not know its peers yet. */
 const OWNER_SETTLING_MS = 3_000;
 
@@ -41,7 +41,8 @@
  * Ten entries that each send a cold endpoint only a few requests overload and crash it together; the
  * symptom is endpoints that end again right after their return. So a single owner, the same in the views
  * of all entries of the region, may send to a cold endpoint. It uses only half of the endpoint's bound,
- * because two entries may both consider themselves the owner.
+ * because two entries may both consider themselves the owner, and less while entries are silent: each of them may be cut
+ * off and consider itself the owner too.
  */
 export class ColdAllowance {
   #bounds: GatewayBounds;
@@ -62,10 +63,12 @@
   /** Whether this entry may send to the cold endpoint now. */
   allows(
     { record, service }: EndpointState,
-    { self, candidates }: {
+    { self, candidates, silent }: {
       self: Incarnation;
       /** Entries of the region that may be alive, including this one. The same array as long as they are the same. */
       candidates: readonly Incarnation[];
+      /** Number of other entries of the region that may exist and are not heard. */
+      silent: number;
     },
     now: Instant,
   ): boolean {
@@ -77,8 +80,10 @@
     }
     const { coldOvershoot, coldSlack } = this.#bounds;
     const bound = (service?.coldRate ?? 0) * coldOvershoot + coldSlack;
+    const owners = Math.max(MIN_CONCURRENT_OWNERS, 1 + silent);
+    // One request at the least: otherwise nobody would send to cold endpoints after the loss of many entries.
     return this.#countRecentSends(record.id, now) <
-      Math.floor(bound / MAX_CONCURRENT_OWNERS);
+      Math.max(1, Math.floor(bound / owners));
   }
 
   /** Records a request that is sent to a cold endpoint. */
--- a/packages/core/src/gateway/local_placement.ts
+++ b/packages/core/src/gateway/local_placement.ts
@@ -195,14 +195,23 @@
       return true;
     }
     const { self, fleet, cold } = this.#sources;
+    const entries = fleet.entriesThatMayExist(self.region, now) ?? Infinity;
+    const heard = fleet.derive(countLive, self.region);
     return cold.allows(state, {
       self: self.incarnation,
+      silent: Math.max(0, entries - 1 - heard),
       // A standby entry would have no requests for a cold endpoint that it is responsible for.
       candidates: fleet.derive(minimumServingIncarnations, self.region),
     }, now);
   }
 }
 
+/** Number of other entries of a region that are heard. */
+function countLive(region: RegionId, fleet: FleetController): number {
+  return fleet.liveMembers().filter(({ record }) => record.region === region)
+    .length;
+}
+
 /** Entries of a region that serve callers at any load, chosen from all that may be alive. */
 function minimumServingIncarnations(
   region: RegionId,
