fix: the budget has no burst after its window changes; denials count once

A reload that changes the window of the budget dropped the counts and left the process its burst, so that two reloads gave it a full part again. It begins like a process that has just started now; a unit test states it.

A silent endpoint is checked on each tick, and each check that the budget denied was counted as a denial; now once while the same check is repeated (a unit test). Found by reading.

--- a/packages/core/src/gateway/__tests__/call_retries.test.ts
+++ b/packages/core/src/gateway/__tests__/call_retries.test.ts
@@ -124,6 +124,13 @@
     expect(send(2_000)).toBe(false);
   });
 
+  it("count as denied once while the same check is repeated", () => {
+    const { retries } = build(0);
+    const call = callOf();
+    [0, 25, 50].forEach((at) => retries.reserve(call, "silent", instant(at)));
+    expect(retries.counts.denied.get("silent")).toBe(1);
+  });
+
   it("have a line with their kind and what the budget decided by", () => {
     const { retries, effects } = build();
     const call = callOf();
--- a/packages/core/src/gateway/call_retries.ts
+++ b/packages/core/src/gateway/call_retries.ts
@@ -39,7 +39,7 @@
   readonly denied: (now: Instant) => void;
 }
 
-/** A request whose retry depends on a loan. */
+/** A request that waits until there is a retry for it. */
 interface WaitingRetry {
   readonly kind: RetryKind;
   readonly since: Instant;
@@ -61,6 +61,8 @@
   readonly #deps: RetryDependencies;
   readonly #denials = new LogThrottle();
   readonly #waiting = new Map<Call, WaitingRetry>();
+  /** Requests whose last retry was denied, and its kind: a silent endpoint is checked on each tick. */
+  readonly #lastDenied = new WeakMap<Call, RetryKind>();
 
   constructor(deps: RetryDependencies) {
     this.#deps = deps;
@@ -217,6 +219,10 @@
     { kind, service }: Pick<GrantedRetry, "kind" | "service">,
     now: Instant,
   ): void {
+    if (this.#lastDenied.get(call) === kind) {
+      return;
+    }
+    this.#lastDenied.set(call, kind);
     this.counts.recordDenied(kind);
     const denied = this.#denials.add(now);
     if (denied > 0) {
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -429,7 +429,7 @@
         return this.#catalogue.documentFreshness.addSuspendedTime(event.time);
       case "rebound":
         this.#bounds = event.bounds;
-        this.retries.budget.updateBounds(event.bounds);
+        this.retries.budget.updateBounds(event.bounds, now);
         this.#coldAllowance.updateBounds(event.bounds);
         return this.#stopController.setStopTime(event.bounds.stopTime);
       case "datagram":
--- a/packages/core/src/retries/__tests__/retry_budget.test.ts
+++ b/packages/core/src/retries/__tests__/retry_budget.test.ts
@@ -152,11 +152,22 @@
     const budget = new RetryBudget(BOUNDS, EXACT, LONG_AGO);
     const share = divideSlack({ regions: 1, entries: 2 });
     spendAll(budget, share, 0);
-    budget.updateBounds({ ...BOUNDS, retrySlack: 20 });
-    budget.updateBounds(BOUNDS);
+    budget.updateBounds({ ...BOUNDS, retrySlack: 20 }, instant(1));
+    budget.updateBounds(BOUNDS, instant(1));
     expect(spendAll(budget, share, 1)).toBe(0);
   });
 
+  // Guards against a burst with each change of the settings.
+  it("has no burst after its window has changed", () => {
+    const budget = new RetryBudget(BOUNDS, EXACT, LONG_AGO);
+    const share = divideSlack({ regions: 1, entries: 2 });
+    spendAll(budget, share, 0);
+    const retryWindow = milliseconds(5_000);
+    budget.updateBounds({ ...BOUNDS, retryWindow }, instant(1));
+    budget.updateBounds(BOUNDS, instant(2));
+    expect(spendAll(budget, share, 3)).toBe(0);
+  });
+
   it("rounds the parts of a large fleet so that they add up to about the whole", () => {
     const entries = 200;
     const share = divideSlack({ regions: 1, entries });
--- a/packages/core/src/retries/retry_budget.ts
+++ b/packages/core/src/retries/retry_budget.ts
@@ -62,7 +62,7 @@
 export class RetryBudget {
   #bounds: RetryBounds;
   readonly #roundsUpFrom: number;
-  readonly #startedAt: Instant;
+  #startedAt: Instant;
   readonly #services = new Map<ServiceId, ServiceCounts>();
 
   /**
@@ -80,10 +80,14 @@
     this.#startedAt = now;
   }
 
-  /** Replaces the bounds and keeps the counts, unless they are of windows of another length. */
-  updateBounds(bounds: RetryBounds): void {
+  /**
+   * Replaces the bounds and keeps the counts. Those of windows of another length are of no use: the budget then begins anew,
+   * without a burst, like that of a process that has just started.
+   */
+  updateBounds(bounds: RetryBounds, now: Instant): void {
     if (bounds.retryWindow !== this.#bounds.retryWindow) {
       this.#services.clear();
+      this.#startedAt = now;
     }
     this.#bounds = bounds;
   }
