--- a/playground/src/routes/crashes.ts
+++ b/playground/src/routes/crashes.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { FakeBackend } from "./fake_backend.ts";
+import type { CrashPolicy, FakeBackend } from "./fake_backend.ts";
 import { addressOf, type RouteWorld } from "./route_world.ts";
 import { recordOf } from "./route_setting.ts";
 import type { VirtualGateway } from "./virtual_gateway.ts";
@@ -42,8 +42,12 @@
 interface PoisonOptions {
   /** What every request that crashes endpoints has: this body, or this part of its prompt, which is not the last. */
   readonly of: keyof typeof CRASHES_TO_DETECT;
-  /** Time from the start of a run to the crash. */
+  /** Time from the start of a run to the crash, at the least. */
   readonly crashAfterMs: number;
+  /** Length of the span from which the time is drawn. */
+  readonly crashSpanMs: number;
+  /** Whether the endpoint answers the request as usual until it crashes, so that it may complete before. */
+  readonly answersMeanwhile: boolean;
   /** Number of events that precede the crash. */
   readonly eventCount: number;
   readonly kind: CrashKind;
@@ -96,8 +100,15 @@
   crashOf(
     call: string,
     { version }: FakeBackend,
-  ): Pick<PoisonOptions, "crashAfterMs" | "eventCount"> | undefined {
-    return this.#fixedVersions.has(version) ? undefined : this.#poisonOf(call);
+  ): ReturnType<CrashPolicy["crashOf"]> {
+    const poison = this.#fixedVersions.has(version)
+      ? undefined
+      : this.#poisonOf(call);
+    if (poison === undefined || poison.crashSpanMs === 0) {
+      return poison;
+    }
+    const drawn = poison.crashSpanMs * this.#world.random.next();
+    return { ...poison, crashAfterMs: poison.crashAfterMs + drawn };
   }
 
   /** Crashes an endpoint because of a request that it runs. */
--- a/playground/src/routes/fake_backend.ts
+++ b/playground/src/routes/fake_backend.ts
@@ -80,7 +80,9 @@
   crashOf(
     call: string,
     backend: FakeBackend,
-  ): { crashAfterMs: number; eventCount: number } | undefined;
+  ):
+    | { crashAfterMs: number; eventCount: number; answersMeanwhile: boolean }
+    | undefined;
   /** Crashes an endpoint because of a request that it runs. */
   crashUnder(call: string, backend: FakeBackend): void;
 }
@@ -132,6 +134,8 @@
   readonly #cancelled = new Set<BackendAnswer>();
   readonly #open = new Set<BackendAnswer>();
   #busyUntil = 0;
+  /** Number of times that its process has ended or started anew. */
+  #starts = 0;
 
   constructor(
     { name, id, service, spot, slots, work, version = "v1", machine }: {
@@ -234,6 +238,7 @@
    */
   restart(life: number | undefined): void {
     this.life = life;
+    this.#starts++;
     this.#busyUntil = this.time.now;
     this.#open.forEach((answer) => this.#cancelled.add(answer));
     this.#open.clear();
@@ -293,6 +298,16 @@
     if (crash === undefined) {
       return false;
     }
+    if (crash.answersMeanwhile) {
+      // The crash follows even if the answer is complete by then, unless the endpoint has ended before.
+      const starts = this.#starts;
+      this.time.after(crash.crashAfterMs, () => {
+        if (starts === this.#starts) {
+          crashes!.crashUnder(request.call, this);
+        }
+      });
+      return false;
+    }
     this.#runUnlessCancelled(crash.crashAfterMs, request, () => {
       this.#sendEvents(request, crash.eventCount);
       crashes!.crashUnder(request.call, this);
--- a/playground/src/routes/route_actions.ts
+++ b/playground/src/routes/route_actions.ts
@@ -235,13 +235,18 @@
 }
 
 /**
- * `poison NAME [part] [after T] [events N] [how close|dark|failure|reborn] [down T]`: the body or the prompt part of this
- * name crashes each endpoint that runs it, after its first events if there are any.
+ * `poison NAME [part] [after T] [until T] [answers] [events N] [how close|dark|failure|reborn] [down T]`: the body or the
+ * prompt part of this name crashes each endpoint that runs it, after its first events if there are any. With `until` the
+ * time is drawn from a span; with `answers` the endpoint goes on answering until then.
  */
 function addPoison(world: RouteWorld, line: Line): void {
+  const crashAfterMs = parseTime(line, option(line, "after", "100ms"));
+  const until = option(line, "until", "");
   world.crashes.addPoison(word(line, 1, "a body or a part"), {
     of: line.words.includes("part") ? "part" : "body",
-    crashAfterMs: parseTime(line, option(line, "after", "100ms")),
+    crashAfterMs,
+    crashSpanMs: until === "" ? 0 : parseTime(line, until) - crashAfterMs,
+    answersMeanwhile: line.words.includes("answers"),
     eventCount: Number(option(line, "events", "0")),
     kind: option(line, "how", "close") as CrashKind,
     downtimeMs: parseTime(line, option(line, "down", "7s")),
