--- a/packages/core/src/retries/__tests__/retry_budget.test.ts
+++ b/packages/core/src/retries/__tests__/retry_budget.test.ts
@@ -148,6 +148,16 @@
     expect(budget.left(SERVICE, share, instant(700))).toBeCloseTo(before, 0);
   });
 
+  // Guards against a part that its lender and the borrower both spend.
+  it("has less left by what it lends, and never lends more than half", () => {
+    const budget = new RetryBudget(BOUNDS, EXACT, LONG_AGO);
+    const share = divideSlack({ regions: 1, entries: 2 });
+    const before = budget.left(SERVICE, share, instant(0));
+    const lent = budget.lend(SERVICE, { share, wanted: 99 }, instant(0));
+    expect(lent).toBeCloseTo(before / 2);
+    expect(budget.left(SERVICE, share, instant(0))).toBeCloseTo(before - lent);
+  });
+
   it("keeps its counts when the slack changes", () => {
     const budget = new RetryBudget(BOUNDS, EXACT, LONG_AGO);
     const share = divideSlack({ regions: 1, entries: 2 });
