--- a/playground/src/bytes/__tests__/stream_versions.test.ts
+++ b/playground/src/bytes/__tests__/stream_versions.test.ts
@@ -7,6 +7,7 @@
   type RunScript,
   type SeenAnswer,
 } from "../index.ts";
+import { eventually } from "../../platform/platform_fleet.ts";
 
 const EVENTS = 40;
 const EVENT_INTERVAL_MS = 30;
@@ -22,6 +23,9 @@
   pace: EVENT_INTERVAL_MS,
 };
 
+/** So slow that none ends before all have begun on a busy machine. */
+const LONG: RunScript = { ...STEADY, pace: 2 * EVENT_INTERVAL_MS };
+
 /** An engine's region and software version. */
 interface EnginePlan {
   readonly region: string;
@@ -85,7 +89,7 @@
       { region: "a", version: "v2" },
       { region: "b", version: "v1" },
       { region: "b", version: "v2" },
-    ]);
+    ], () => LONG);
     const { fleet } = versioned;
 
     beforeAll(() => versioned.start());
@@ -113,6 +117,9 @@
     it("go on at their version after the entry that began them was killed", async () => {
       const names = namesOf("k");
       const begun = names.map((call) => fleet.ask(call));
+      await eventually(() =>
+        names.every((call) => versioned.versionsOf(call).size > 0)
+      );
       await pause(BEGIN_MS);
       fleet.entries[0]!.signal("SIGKILL");
       const first = await Promise.all(begun);
