fix: a record with an impossible port ended every entry of its region

Callers: while one record of another program with the address 127.0.0.1:80800 stood in the store, each entry of its region ended about once a second.

Cause: socket.connect throws at once for a port over 65535 (ERR_SOCKET_BAD_PORT), where other failures are events. The record's address was checked by its shape only, so that it became an endpoint. Trace of the entry process on the code before: ConnectionPool.#connect < acquire < OutboundCall.start < GatewayEntry.#runEffect < onRequest. Decoding was ruled out: entries of other regions read the same record and went on.

Change: parseSocketAddress in the core is the one place that splits host:port. No exception handler.

--- /dev/null
+++ b/packages/core/src/addresses/index.ts
@@ -0,0 +1,1 @@
+export { parseSocketAddress, type SocketAddress } from "./socket_address.ts";
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./actions/index.ts";
+export * from "./addresses/index.ts";
 export * from "./blackboard/index.ts";
 export * from "./configuration/index.ts";
 export * from "./core.ts";
--- a/packages/daemon/src/gateway/__tests__/connection_pool.test.ts
+++ b/packages/daemon/src/gateway/__tests__/connection_pool.test.ts
@@ -68,6 +68,22 @@
     expect(await acquire()).not.toBe(first);
   });
 
+  // An endpoint's record had a port over 65535. Connecting threw at once, and the process ended with all its requests.
+  it.each(["127.0.0.1:80800", "127.0.0.1:0", "127.0.0.1:", "127.0.0.1", ""])(
+    "to %j fail without a connection",
+    (address) => {
+      const results: unknown[] = [];
+      connections.acquire(
+        { address, limit: 4, maxIdleTime: Infinity, crossRegion: false },
+        NOW,
+        (result) => results.push(result),
+      );
+      connections.probe(address, () => results.push("refused"));
+      expect(results).toEqual([expect.any(ConnectError)]);
+      expect(connections.opened).toBe(0);
+    },
+  );
+
   // An attempt that is aborted while it connects leaves a connection that never carried a request. Its client
   // has not received the socket yet, so neither the endpoint's end nor closing the client closed the socket.
   // Such connections counted as open forever, and once they reached the limit, the endpoint received no more
--- a/packages/daemon/src/gateway/connection_pool.ts
+++ b/packages/daemon/src/gateway/connection_pool.ts
@@ -4,7 +4,11 @@
  * @module
  */
 import { connect, type Socket } from "node:net";
-import { CONNECTION_LIMIT_REACHED, type Instant } from "@sassafrasstep/core";
+import {
+  CONNECTION_LIMIT_REACHED,
+  type Instant,
+  parseSocketAddress,
+} from "@sassafrasstep/core";
 import { type buildConnector, Client } from "undici";
 import { PausableSocket } from "./pausable_socket.ts";
 import { afterPoll } from "../timers/index.ts";
@@ -162,11 +166,11 @@
 
   /** Connects and closes again immediately; calls `onRefused` if nothing listens at the address. */
   probe(address: string, onRefused: () => void): void {
-    const colon = address.lastIndexOf(":");
-    const socket = connect({
-      host: address.slice(0, colon),
-      port: Number(address.slice(colon + 1)),
-    });
+    const target = parseSocketAddress(address);
+    if (target === undefined) {
+      return;
+    }
+    const socket = connect({ ...target });
     this.opened++;
     const cancel = afterPoll(CONNECT_TIMEOUT_MS, () => socket.destroy());
     socket.once("close", cancel);
@@ -222,14 +226,14 @@
     now: Instant,
     done: (result: Connection | ConnectError) => void,
   ): void {
-    const colon = address.lastIndexOf(":");
+    const target = parseSocketAddress(address);
+    if (target === undefined) {
+      done(new ConnectError(`Cannot connect to "${address}": not host:port`));
+      return;
+    }
     // Our side stays open when the server closes its side, as `isReset` requires; the client closes it.
     const socket = new PausableSocket({ allowHalfOpen: true });
-    socket.connect({
-      host: address.slice(0, colon),
-      port: Number(address.slice(colon + 1)),
-      noDelay: true,
-    });
+    socket.connect({ ...target, noDelay: true });
     this.#adjustOpenCount(address, 1);
     this.opened++;
     const timeout = crossRegion
