fix: an address in one datagram ended the entry that received it

Cause: entries send to addresses that stand in messages (members' own, the sender of a question, the target of an indirect probe, an entry that wants records confirmed). Datagrams were checked for short texts only, and dgram.send throws at once for a port out of range (ERR_SOCKET_BAD_PORT), before its callback.

Change: every address in a datagram is checked where it is decoded, and the datagram counts as undecodable otherwise; the socket counts a message without a valid recipient (datagrams_unaddressed) in place of throwing.

--- a/packages/core/src/addresses/index.ts
+++ b/packages/core/src/addresses/index.ts
@@ -1,1 +1,5 @@
-export { parseSocketAddress, type SocketAddress } from "./socket_address.ts";
+export {
+  isSocketAddress,
+  parseSocketAddress,
+  type SocketAddress,
+} from "./socket_address.ts";
--- a/packages/core/src/addresses/socket_address.ts
+++ b/packages/core/src/addresses/socket_address.ts
@@ -16,6 +16,11 @@
   readonly port: number;
 }
 
+/** Whether a text is the address of a socket. */
+export function isSocketAddress(text: string): boolean {
+  return parseSocketAddress(text) !== undefined;
+}
+
 /**
  * Parses `host:port`; returns `undefined` for a text that names no address. The socket API throws for ports out of
  * range, so addresses that come from another process are parsed before they are used.
--- a/packages/daemon/src/customers/customer_schema.ts
+++ b/packages/daemon/src/customers/customer_schema.ts
@@ -19,6 +19,7 @@
   nonNegativeInteger,
   number,
   shortText,
+  socketAddress,
 } from "../quarantine/index.ts";
 
 /** Encodes fractions of a limit as integers with four decimal places, which is precise enough. */
@@ -31,7 +32,7 @@
 const endpoint = z.tuple([
   shortText,
   shortText,
-  shortText,
+  socketAddress,
   shortText,
   shortText,
   nonNegativeInteger,
@@ -89,7 +90,7 @@
 export const freshnessMessageSchema = z.union([
   z.tuple([
     z.literal("question"),
-    shortText,
+    socketAddress,
     nonNegativeInteger,
     cataloguePosition,
   ]).transform(
--- a/packages/daemon/src/gateway/__tests__/fleet_decoder.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_decoder.test.ts
@@ -4,6 +4,10 @@
 import { FREQUENT_SCHEMAS } from "./frequent_schema_fixture.ts";
 
 const text = fc.oneof(fc.string({ maxLength: 12 }), fc.constant(""));
+const address = fc.tuple(
+  fc.constantFrom("127.0.0.1", "::1", "entry-1.internal"),
+  fc.integer({ min: 1, max: 65_535 }),
+).map(([host, port]) => `${host}:${port}`);
 const count = fc.oneof(fc.nat(), fc.constant(0), fc.maxSafeNat());
 const amount = fc.oneof(fc.nat(), fc.double({ noNaN: true }), fc.constant(0));
 const few = <Item>(item: fc.Arbitrary<Item>): fc.Arbitrary<Item[]> =>
@@ -14,8 +18,8 @@
   count,
   text,
   text,
-  text,
-  text,
+  address,
+  address,
   fc.constantFrom("starting", "ready", "outdated", "stopping"),
   amount,
 );
@@ -62,7 +66,7 @@
     few(summary),
     few(hold),
   ),
-  fc.tuple(fc.constant("indirect"), record, holdings, count, text),
+  fc.tuple(fc.constant("indirect"), record, holdings, count, address),
   fc.tuple(fc.constant("indirect_ack"), record, holdings, count),
   fc.tuple(fc.constant("announce"), record, holdings),
 );
@@ -81,6 +85,10 @@
   '""',
   '"ready"',
   '"dead"',
+  '"127.0.0.1:1"',
+  '"127.0.0.1:65536"',
+  '"127.0.0.1:0"',
+  '"127.0.0.1"',
   `"${"a".repeat(256)}"`,
   `"${"a".repeat(257)}"`,
   `[${"0,".repeat(1_023)}0]`,
--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -47,6 +47,54 @@
   }],
   holds: [hold],
 };
+/** One message for each place that holds an address. */
+function withAddress(address: string): FleetMessage[] {
+  const position = { epoch: 1, revision: 2 };
+  const endpoint = {
+    id: "i-1",
+    service: "pool",
+    address,
+    zone: "z1",
+    softwareVersion: "v1",
+    slots: 4,
+    state: "ready",
+    coldFor: 0,
+    leavesIn: undefined,
+    life: undefined,
+    sequence: 1,
+  };
+  const delta = {
+    revision: 3,
+    changes: [{ kind: "endpoint", record: endpoint }],
+  };
+  const messages = [
+    { ...base, kind: "announce", from: { ...record, peerAddress: address } },
+    { ...base, kind: "announce", from: { ...record, callerAddress: address } },
+    { ...base, kind: "indirect", sequence: 1, target: address },
+    {
+      kind: "origins",
+      message: { kind: "query", replyTo: address, keys: [], spread: false },
+    },
+    {
+      kind: "currency",
+      message: { kind: "question", from: address, sequence: 1, position },
+    },
+    {
+      kind: "currency",
+      message: {
+        kind: "answer",
+        incarnation: "a1",
+        sequence: 1,
+        version: 1,
+        position,
+        age: 1,
+        news: delta,
+      },
+    },
+  ];
+  return messages as unknown as FleetMessage[];
+}
+
 const news = {
   crashes: [{
     endpoint: "i-7f3a91c2",
@@ -289,6 +337,21 @@
       expect(decodeFleetMessage(Buffer.from(text))).toBeUndefined();
     });
 
+    // Entries send to the addresses in messages, and the socket API throws for ports out of range.
+    it.each(["127.0.0.1:80800", "127.0.0.1:0", "127.0.0.1", "a b:1", "", ":"])(
+      "with the address %j of an entry or an endpoint",
+      (address) => {
+        for (const message of withAddress(address)) {
+          expect(decodeFleetMessage(encodeFleetMessage(message)), message.kind)
+            .toBeUndefined();
+        }
+        for (const message of withAddress("127.0.0.1:65535")) {
+          expect(decodeFleetMessage(encodeFleetMessage(message)))
+            .toEqual(message);
+        }
+      },
+    );
+
     it("truncated at any byte", () => {
       const bytes = encodeFleetMessage(messages[5]!);
       for (let length = 0; length < bytes.length; length++) {
--- a/packages/daemon/src/gateway/__tests__/frequent_schema_fixture.ts
+++ b/packages/daemon/src/gateway/__tests__/frequent_schema_fixture.ts
@@ -10,6 +10,7 @@
   nonNegativeInteger,
   number,
   shortText,
+  socketAddress,
 } from "../../quarantine/index.ts";
 
 const recordSchema = z.tuple([
@@ -18,8 +19,8 @@
   nonNegativeInteger,
   shortText,
   shortText,
-  shortText,
-  shortText,
+  socketAddress,
+  socketAddress,
   z.enum(["starting", "ready", "outdated", "stopping"]),
   number,
 ]).transform((
@@ -191,15 +192,16 @@
     regions,
     holds,
   })),
-  indirect: z.tuple([...baseItems, nonNegativeInteger, shortText]).transform(
-    ([from, holdings, sequence, target]) => ({
-      kind: "indirect",
-      from,
-      holdings,
-      sequence,
-      target,
-    }),
-  ),
+  indirect: z.tuple([...baseItems, nonNegativeInteger, socketAddress])
+    .transform(
+      ([from, holdings, sequence, target]) => ({
+        kind: "indirect",
+        from,
+        holdings,
+        sequence,
+        target,
+      }),
+    ),
   indirect_ack: z.tuple([...baseItems, nonNegativeInteger]).transform(
     ([from, holdings, sequence]) => ({
       kind: "indirect_ack",
--- a/packages/daemon/src/gateway/datagram_socket.ts
+++ b/packages/daemon/src/gateway/datagram_socket.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { createSocket, type Socket } from "node:dgram";
-import type { FleetMessage } from "@sassafrasstep/core";
+import { type FleetMessage, parseSocketAddress } from "@sassafrasstep/core";
 import { decodeFleetMessage, encodeFleetMessage } from "./fleet_schema.ts";
 
 /** Sends and receives messages between entries as datagrams. */
@@ -12,8 +12,11 @@
   readonly #socket: Socket = createSocket("udp4");
   /** The message encoded last. */
   #lastEncoded: { message: FleetMessage; bytes: Buffer } | undefined;
-  /** Bytes sent and received, and the number of datagrams that could not be decoded, for metrics. */
-  readonly counts = { sent: 0, received: 0, undecodable: 0 };
+  /**
+   * Bytes sent and received, and the number of datagrams that could not be decoded or whose recipient has no valid
+   * address, for metrics.
+   */
+  readonly counts = { sent: 0, received: 0, undecodable: 0, unaddressed: 0 };
 
   constructor(receive: (message: FleetMessage) => void) {
     this.#socket.on("message", (bytes) => {
@@ -41,15 +44,14 @@
   }
 
   send(to: string, message: FleetMessage): void {
+    const target = parseSocketAddress(to);
+    if (target === undefined) {
+      this.counts.unaddressed++;
+      return;
+    }
     const bytes = this.#encode(message);
-    const colon = to.lastIndexOf(":");
     this.counts.sent += bytes.length;
-    this.#socket.send(
-      bytes,
-      Number(to.slice(colon + 1)),
-      to.slice(0, colon),
-      ignoreSendError,
-    );
+    this.#socket.send(bytes, target.port, target.host, ignoreSendError);
   }
 
   close(): void {
--- a/packages/daemon/src/gateway/fleet_decoder.ts
+++ b/packages/daemon/src/gateway/fleet_decoder.ts
@@ -4,14 +4,15 @@
  *
  * @module
  */
-import type {
-  DemandReport,
-  EntryRecord,
-  FleetGossip,
-  FleetMessage,
-  HeldVersions,
-  RegionSummary,
-  WorkReport,
+import {
+  type DemandReport,
+  type EntryRecord,
+  type FleetGossip,
+  type FleetMessage,
+  type HeldVersions,
+  isSocketAddress,
+  type RegionSummary,
+  type WorkReport,
 } from "@sassafrasstep/core";
 import { MAX_ITEMS, MAX_TEXT_CHARACTERS } from "../quarantine/index.ts";
 
@@ -54,7 +55,7 @@
         kind,
         ...decodeBase(body),
         sequence: integer(body[2]),
-        target: text(body[3]),
+        target: socketAddress(body[3]),
       };
     case "indirect_ack":
       expectLength(body, 3);
@@ -88,8 +89,8 @@
     version: integer(items[2]),
     zone: text(items[3]),
     region: text(items[4]),
-    callerAddress: text(items[5]),
-    peerAddress: text(items[6]),
+    callerAddress: socketAddress(items[5]),
+    peerAddress: socketAddress(items[6]),
     state: oneOf(STATES, items[7]),
     weight: finite(items[8]),
   } as unknown as EntryRecord;
@@ -287,6 +288,14 @@
   return value;
 }
 
+function socketAddress(value: unknown): string {
+  const address = text(value);
+  if (!isSocketAddress(address)) {
+    throw new TypeError("Cannot decode datagram: expected an address");
+  }
+  return address;
+}
+
 function finite(value: unknown): number {
   if (!Number.isFinite(value)) {
     throw new TypeError("Cannot decode datagram: expected a number");
--- a/packages/daemon/src/gateway/gauges.ts
+++ b/packages/daemon/src/gateway/gauges.ts
@@ -73,5 +73,6 @@
     datagram_bytes_sent: datagrams.counts.sent,
     datagram_bytes_received: datagrams.counts.received,
     datagrams_foreign: datagrams.counts.undecodable,
+    datagrams_unaddressed: datagrams.counts.unaddressed,
   };
 }
--- a/packages/daemon/src/gateway/origin_schema.ts
+++ b/packages/daemon/src/gateway/origin_schema.ts
@@ -10,7 +10,12 @@
   StreamKey,
 } from "@sassafrasstep/core";
 import { z } from "zod";
-import { boundedArray, number, shortText } from "../quarantine/index.ts";
+import {
+  boundedArray,
+  number,
+  shortText,
+  socketAddress,
+} from "../quarantine/index.ts";
 
 const KEY_LENGTH = 11;
 const MAX_KEYS = 500;
@@ -36,14 +41,19 @@
 
 /** Schema of the messages about origins of streams. */
 export const originMessageSchema = z.union([
-  z.tuple([z.literal("records"), shortText, groupsSchema, shortText])
+  z.tuple([
+    z.literal("records"),
+    shortText,
+    groupsSchema,
+    socketAddress.or(z.literal("")),
+  ])
     .transform(([kind, from, groups, confirmTo]) => ({
       kind,
       from,
       groups,
       confirmTo: confirmTo || undefined,
     })),
-  z.tuple([z.literal("query"), shortText, keysSchema, z.boolean()])
+  z.tuple([z.literal("query"), socketAddress, keysSchema, z.boolean()])
     .transform(([kind, replyTo, keys, spread]) => ({
       kind,
       replyTo,
--- a/packages/daemon/src/quarantine/schema_parts.ts
+++ b/packages/daemon/src/quarantine/schema_parts.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { CataloguePosition } from "@sassafrasstep/core";
+import { type CataloguePosition, isSocketAddress } from "@sassafrasstep/core";
 import { z } from "zod";
 
 /** Maximum number of items of an array in a datagram. */
@@ -11,6 +11,8 @@
 /** Maximum length of a text in a datagram. */
 export const MAX_TEXT_CHARACTERS = 256;
 export const shortText = z.string().max(MAX_TEXT_CHARACTERS);
+/** Address of an entry or an endpoint, as `host:port`. */
+export const socketAddress = shortText.refine(isSocketAddress);
 export const number = z.number();
 export const nonNegativeInteger = z.number().int().nonnegative();
 /** Life of an endpoint; 0 stands for an endpoint that does not report its life. */
--- a/playground/src/platform/platform_fleet.ts
+++ b/playground/src/platform/platform_fleet.ts
@@ -59,7 +59,8 @@
   #storeAddress = "";
   /** Store listeners that only one entry uses, by the entry's index. */
   readonly storeListeners = new Map<number, StoreListener>();
-  #peerPort = 0;
+  /** Port of all entries for messages of peers. */
+  peerPort = 0;
   #version = 1;
   /** Standard output of all entries. */
   output = "";
@@ -83,7 +84,7 @@
   /** Starts the store and the endpoints, and publishes the endpoints and the document. */
   async prepare(): Promise<void> {
     this.#storeAddress = await this.store.listen();
-    this.#peerPort = await freeUdpPort();
+    this.peerPort = await freeUdpPort();
     for (const [id, service] of this.#endpoints) {
       this.publishEndpoint(id, {
         service,
@@ -245,7 +246,7 @@
 directory = ${directory}
 readiness = ${readiness}
 control = ${control}
-peers = ${host}:${this.#peerPort}
+peers = ${host}:${this.peerPort}
 [peers]
 seeds = ${NETWORK_PREFIX}.${FIRST_HOST_NUMBER}:1
 [zones]
