fix: a version with an unpaired surrogate ended the entry that relays its stream

Cause: the header of a relayed stream names the service and version that began it. encodeURIComponent throws for an unpaired surrogate, which JSON can hold, inside the event of an established connection.

The header is encoded as UTF-8 encodes the text, since origins come from other entries too.

Not shown over sockets: the endpoint would have to begin a stream that is then relayed.

--- a/packages/daemon/src/gateway/__tests__/origin_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/origin_schema.test.ts
@@ -81,6 +81,13 @@
     expect(parseStreamOrigin(formatStreamOrigin(origin))).toEqual(origin);
   });
 
+  // Endpoints publish their versions as JSON, which can hold an unpaired surrogate: encoding it in a header threw in
+  // the middle of a connection's event, and the process ended.
+  it("with an unpaired surrogate in its version can be sent", () => {
+    const odd = { ...origin, version: "v\ud800" };
+    expect(parseStreamOrigin(formatStreamOrigin(odd))?.version).toBe("v\ufffd");
+  });
+
   it.each(["", ";v1", "pool", "%zz;v1"])(
     "is unknown if its header is %o",
     (text) => expect(parseStreamOrigin(text)).toBeUndefined(),
--- a/packages/daemon/src/gateway/relay_header.ts
+++ b/packages/daemon/src/gateway/relay_header.ts
@@ -93,7 +93,12 @@
 }
 
 function formatItems(items: readonly (string | number)[]): string {
-  return items.map((item) => encodeURIComponent(item)).join(";");
+  return items.map(encodeItem).join(";");
+}
+
+/** Encodes an item; an unpaired surrogate, which has no encoding, is replaced as in UTF-8. */
+function encodeItem(item: string | number): string {
+  return encodeURIComponent(Buffer.from(String(item)).toString());
 }
 
 /** Decodes an item; a malformed one counts as missing. */
