--- a/playground/src/platform/__tests__/foreign_records.test.ts
+++ b/playground/src/platform/__tests__/foreign_records.test.ts
@@ -8,11 +8,13 @@
 const ANSWER_DELAY_MS = 250;
 const SERVED = 200;
 
-/** Fields that no endpoint writes; each record is otherwise that of a ready endpoint. */
-const FOREIGN_RECORDS: readonly object[] = [
-  { address: "127.0.0.1:80800" },
-  { address: "127.0.0.1:65536" },
-  { address: "127.0.0.1:0" },
+/** Ids and fields that no endpoint writes; each record is otherwise that of a ready endpoint. */
+const FOREIGN_RECORDS: readonly [id: string, fields: object][] = [
+  ["i-other", { address: "127.0.0.1:80800" }],
+  ["i-other", { address: "127.0.0.1:65536" }],
+  ["i-other", { address: "127.0.0.1:0" }],
+  ["i-\u2603", {}],
+  ["i-1\r\nx-other: 1", {}],
 ];
 
 // Guards against an entry that ends with all its requests because of one record that another program has written.
@@ -30,20 +32,22 @@
   });
   afterAll(() => fleet.close());
 
-  it.each(FOREIGN_RECORDS)("with %o harms no request", async (fields) => {
-    const record = {
-      service: "plain",
-      address: "127.0.0.1:1",
-      state: "ready",
-      sequence: 1,
-      ...fields,
-    };
-    fleet.publishEndpoint("i-other", record);
-    const statuses = await sendSteadily();
-    expect(exits).toEqual([]);
-    expect(statuses).toEqual(Array(REQUESTS).fill(SERVED));
-    fleet.store.remove(fleet.endpointKey("i-other"));
-  });
+  it.each(FOREIGN_RECORDS)(
+    "%j with %o harms no request",
+    async (id, fields) => {
+      fleet.publishEndpoint(id, {
+        service: "plain",
+        address: fleet.addressOf("i-p1"),
+        state: "ready",
+        sequence: 1,
+        ...fields,
+      });
+      const statuses = await sendSteadily();
+      expect(exits).toEqual([]);
+      expect(statuses).toEqual(Array(REQUESTS).fill(SERVED));
+      fleet.store.remove(fleet.endpointKey(id));
+    },
+  );
 
   async function sendSteadily(): Promise<number[]> {
     const answers: Promise<number>[] = [];
