--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -305,10 +305,10 @@
       this.#exchange.head,
     );
     if (!head.matches) {
-      // The bytes belong to another request, so nothing more on this connection can be trusted.
+      // The bytes don't belong to this request, so nothing more on this connection can be trusted.
       this.#reportEnd({
         kind: "lost",
-        detail: "Answer belongs to another request",
+        detail: "Answer is not shown to belong to the request",
       });
       return undefined;
     }
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -48,7 +48,7 @@
 
 /** The status and the parsed headers of an endpoint's answer. */
 export interface EndpointAnswerHead extends AnswerHead {
-  /** Whether the answer belongs to the request that was sent. */
+  /** Whether the answer belongs to the request that was sent, and proves that it does where it is a success. */
   readonly matches: boolean;
 }
 
--- a/playground/src/platform/stand_in_endpoint.ts
+++ b/playground/src/platform/stand_in_endpoint.ts
@@ -24,7 +24,9 @@
   /** Closes the connection of a stream inside an event. */
   | "torn"
   /** Accepts the request and never answers. */
-  | "silent";
+  | "silent"
+  /** Answers with a success that bears no seal, as another program at the address does. */
+  | "unsealed";
 
 const UNAVAILABLE = 503;
 const MISDIRECTED = 421;
@@ -99,6 +101,10 @@
     if (this.fault === "silent") {
       return;
     }
+    if (this.fault === "unsealed") {
+      reply.end("ok");
+      return;
+    }
     this.executedCalls.push(call);
     if (this.fault === "breaks") {
       message.socket.resetAndDestroy();
