fix: copying datagrams took 40% of a long scenario, which timed out

Cause: for_good.scenario plays 100 minutes of nine entries in virtual time, so that its time is computing alone.

Change: datagrams are copied by a function for plain data and maps, which throws for anything else.

--- a/playground/src/routes/route_links.ts
+++ b/playground/src/routes/route_links.ts
@@ -11,6 +11,7 @@
   RequestId,
 } from "@sassafrasstep/core";
 import { PLATFORM, type Spot } from "../scenario/network.ts";
+import { copyMessage } from "./copy_message.ts";
 import type { BackendAnswer } from "./fake_backend.ts";
 import type { BackendAttempt, PeerAttempt } from "./route_types.ts";
 import type { RouteWorld } from "./route_world.ts";
@@ -45,7 +46,7 @@
     ) {
       return;
     }
-    const copy = structuredClone(message);
+    const copy = copyMessage(message);
     this.#world.time.after(
       this.#world.network.delay(from.spot, target.spot),
       () => {
