fix: an action that its endpoint refused was sent again after its caller had left

Callers: an action that they had given up could run later, at another endpoint.

Cause: an action that was sent goes on without its caller, so that an endpoint does not stop halfway; a refusal by the endpoint placed it again as if the caller still waited.

Change: it is forgotten.

Evidence: call_controller.test.ts, "is not sent again if its endpoint refuses it", two sends for one on the code before; passes now.

--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -306,20 +306,50 @@
   });
 });
 
-describe("a stream under backpressure from its caller", () => {
-  const ANSWER: CallAnswer = {
-    status: 200,
-    notRun: false,
-    fromEndpoint: true,
-    load: undefined,
-    retryAfter: undefined,
-    limit: undefined,
-    leaving: false,
-    rest: undefined,
-    offered: undefined,
-    events: true,
-  };
+const ANSWER: CallAnswer = {
+  status: 200,
+  notRun: false,
+  fromEndpoint: true,
+  load: undefined,
+  retryAfter: undefined,
+  limit: undefined,
+  leaving: false,
+  rest: undefined,
+  offered: undefined,
+  events: true,
+};
+
+describe("an action whose caller has left", () => {
+  // Guards against an action that runs although its endpoint had refused it and its caller had given it up.
+  it("is not sent again if its endpoint refuses it", () => {
+    const { controller, effects, asked } = build({
+      ...ROUTE,
+      kind: "non_idempotent",
+      attempts: 2,
+    });
+    asked.decision = {
+      kind: "endpoint",
+      placement: {
+        kind: "chosen",
+        state: createEngine("e1"),
+        prefill: 0,
+        tokens: 0,
+        fetchFrom: undefined,
+      },
+    };
+    arrive(controller, "a", 500);
+    const attempt = "a.1" as AttemptId;
+    // Late enough that the retry budget has its burst.
+    controller.commit(attempt, instant(20_000));
+    controller.callerGone("a" as RequestId, instant(20_010));
+    const refusal = { ...ANSWER, status: 503, notRun: true, events: false };
+    controller.answered(attempt, refusal, instant(20_700));
+    expect(effects.filter(({ kind }) => kind === "send").length).toBe(1);
+    expect(controller.active).toBe(0);
+  });
+});
 
+describe("a stream under backpressure from its caller", () => {
   // The stream of a caller that did not read for 1.5 s was run again elsewhere: nothing had arrived from the
   // endpoint, because nothing had been read. Once reading resumes, the endpoint has the full time to send.
   it("counts as silent only if nothing arrives after reading has resumed", () => {
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -91,6 +91,9 @@
     }
     call.trace.noteInterrupted(call.attempt!, `Refused with ${answer.status}`);
     this.#deps.attempts.close(call, "refused", now);
+    if (call.orphaned) {
+      return this.#deps.forget(call);
+    }
     if (isUnsupported && target.kind === "peer") {
       this.#deps.router.noteUnsupported(target.incarnation);
     } else if (
