fix: actions ran in another region after their callers had left

Cause: an action that has been sent is not cut when its caller leaves, and passing it on to a peer counted as sent. It still waited in the peer's queue, and since the connection stayed open the peer never learned of the caller.

Change: an attempt at a peer is given up when the caller leaves; the closed connection tells the peer, which removes a request that waits and lets one run on.

--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -373,8 +373,11 @@
     if (wasPending || call === undefined) {
       return;
     }
-    const running = call.attempt?.sentAt !== undefined;
-    if (call.route.kind === "non_idempotent" && running) {
+    const { attempt } = call;
+    // A peer learns of it by the closed connection: it removes a request that still waits there, and lets one run on.
+    const mayRunHere = attempt?.sentAt !== undefined &&
+      attempt.target.kind === "endpoint";
+    if (call.route.kind === "non_idempotent" && mayRunHere) {
       call.orphaned = true;
       return;
     }
--- a/playground/src/routes/fake_backend.ts
+++ b/playground/src/routes/fake_backend.ts
@@ -121,6 +121,8 @@
   overload: { until: number; backoffS: number } | undefined;
   /** Backoffs that it has asked entries for. */
   readonly backoffs: { entry: Incarnation; from: number; to: number }[] = [];
+  /** Number of requests whose connection was closed while it had them. */
+  cancelledRuns = 0;
   /** Arrival times of requests. */
   readonly arrivals: number[] = [];
   /** For each arrival, the incarnation of the entry that sent the request. */
@@ -245,6 +247,7 @@
   }
 
   cancel(answer: BackendAnswer): void {
+    this.cancelledRuns += this.#open.has(answer) ? 1 : 0;
     this.#cancelled.add(answer);
   }
 
--- a/playground/src/routes/route_expectations.ts
+++ b/playground/src/routes/route_expectations.ts
@@ -124,6 +124,13 @@
       ? undefined
       : `${found} arrivals, from ${min} to ${max} expected`;
   },
+  /** `expect cancelled BACKEND N`: the connections of exactly N requests were closed while the backend had them. */
+  cancelled: (world, line) =>
+    describeMismatch(
+      "cancelled",
+      String(world.backends.get(word(line, 1, "a backend"))!.cancelledRuns),
+      word(line, 2, "a number"),
+    ),
   /** `expect poison NAME [sends N] [ends N]`: the most sends after it should be detected, and crashes in all. */
   poison: ({ crashes }, line) => {
     const name = word(line, 1, "a body or a part");
