--- a/packages/daemon/src/gateway/snapshot_message.ts
+++ b/packages/daemon/src/gateway/snapshot_message.ts
@@ -13,11 +13,14 @@
   RoutingDocument,
 } from "@sassafrasstep/core";
 import { Client } from "undici";
+import { z } from "zod";
 import { readJson } from "../sockets/index.ts";
+import { endpointRecordSchema, snapshotSchema } from "./snapshot_schema.ts";
 
 /** Path of the procedure. */
 export const CATALOGUE_PATH = "/trpc/catalogue";
 const OK = 200;
+const answerSchema = z.object({ result: z.object({ data: z.unknown() }) });
 
 /** A catalogue snapshot as JSON, with maps converted to arrays. */
 export type SnapshotMessage =
@@ -45,11 +48,19 @@
   };
 }
 
-/** Decodes a snapshot received from a peer. */
-export function decodeSnapshot(message: SnapshotMessage): CatalogueSnapshot {
-  const { document } = message;
+/**
+ * Decodes a snapshot received from a peer, without records of endpoints that are not valid.
+ *
+ * @throws {z.ZodError} if it is not one.
+ */
+export function decodeSnapshot(data: unknown): CatalogueSnapshot {
+  const message = snapshotSchema.parse(data) as unknown as SnapshotMessage;
+  const { document, endpoints } = message;
   return {
     ...message,
+    endpoints: endpoints.filter((record) =>
+      endpointRecordSchema.safeParse(record).success
+    ),
     document: document === undefined ? undefined : {
       ...document,
       services: new Map(
@@ -90,9 +101,7 @@
     if (statusCode !== OK) {
       throw new Error(`Cannot copy catalogue: status "${statusCode}"`);
     }
-    const { result } = await readJson(body, onData) as {
-      result: { data: SnapshotMessage | null };
-    };
+    const { result } = answerSchema.parse(await readJson(body, onData));
     return result.data === null ? undefined : decodeSnapshot(result.data);
   } finally {
     await client.destroy();
