fix: settings accepted addresses that nobody can connect to

Cause: a seed without a valid port, and port 0 or no host for the addresses of callers, peers and store, were accepted; sending to such a seed threw before the datagram socket checked its recipients.

--- a/packages/daemon/src/settings/__tests__/gateway_settings.test.ts
+++ b/packages/daemon/src/settings/__tests__/gateway_settings.test.ts
@@ -113,6 +113,28 @@
     ["region = a\n", "", "entry.region", "nothing"],
     ["repeat_ratio", "repeat_ration", "bounds.repeat_ration", "unknown name"],
     ["[store]", "[stores]", "store", "unknown name"],
+    // Entries send to these addresses, and sockets throw for ports out of range.
+    ["peers = 10.1.0.1:90", "peers = 10.1.0.1:0", "addresses.peers", "port"],
+    [
+      "callers = 10.1.0.1:80",
+      "callers = 10.1.0.1:80800",
+      "addresses.callers",
+      "port",
+    ],
+    ["10.9.0.1:70", "10.9.0.1:0", "store.address", "port"],
+    ["10.9.0.1:70", "10.9.0.1/x:70", "store.address", "host name"],
+    [
+      "seeds = 10.1.0.1:83",
+      "seeds = 10.1.0.1",
+      "peers.seeds",
+      "host:port",
+    ],
+    [
+      "seeds = 10.1.0.1:83",
+      "seeds = 10.1.0.1:83000",
+      "peers.seeds",
+      "host:port",
+    ],
     [
       "[store]",
       "[features]\nfair_shares = maybe\n[store]",
--- a/packages/daemon/src/settings/gateway_settings.ts
+++ b/packages/daemon/src/settings/gateway_settings.ts
@@ -3,16 +3,17 @@
  *
  * @module
  */
-import type {
-  EntryId,
-  FeatureSetting,
-  FeatureSettings,
-  GatewayBounds,
-  GatewayIdentity,
-  LineFault,
-  Milliseconds,
-  RegionId,
-  ZoneId,
+import {
+  type EntryId,
+  type FeatureSetting,
+  type FeatureSettings,
+  type GatewayBounds,
+  type GatewayIdentity,
+  isSocketAddress,
+  type LineFault,
+  type Milliseconds,
+  type RegionId,
+  type ZoneId,
 } from "@sassafrasstep/core";
 import { z } from "zod";
 import {
@@ -21,6 +22,7 @@
   decimalWithDefault,
   LIST_SCHEMA,
   parseSections,
+  REACHABLE_ADDRESS_SCHEMA,
 } from "./ini_sections.ts";
 
 /** Addresses on which an entry listens. */
@@ -58,6 +60,11 @@
   "63 characters at most",
 );
 
+const SEEDS_SCHEMA = LIST_SCHEMA.refine(
+  (seeds) => seeds.every(isSocketAddress),
+  "addresses, each as host:port, separated by commas",
+);
+
 const schema = z.strictObject({
   entry: z.strictObject({
     id: PLACE_NAME_SCHEMA,
@@ -71,17 +78,17 @@
     ),
   }),
   addresses: z.strictObject({
-    callers: ADDRESS_SCHEMA,
+    callers: REACHABLE_ADDRESS_SCHEMA,
     readiness: ADDRESS_SCHEMA,
     directory: ADDRESS_SCHEMA,
     control: ADDRESS_SCHEMA,
-    peers: ADDRESS_SCHEMA,
+    peers: REACHABLE_ADDRESS_SCHEMA,
   }),
-  peers: z.strictObject({ seeds: LIST_SCHEMA.default([]) }).default({
+  peers: z.strictObject({ seeds: SEEDS_SCHEMA.default([]) }).default({
     seeds: [],
   }),
   zones: z.record(PLACE_NAME_SCHEMA, PLACE_NAME_SCHEMA),
-  store: z.strictObject({ address: ADDRESS_SCHEMA }),
+  store: z.strictObject({ address: REACHABLE_ADDRESS_SCHEMA }),
   bounds: z.strictObject({
     repeat_ratio: decimalWithDefault(0.1, 1),
     repeat_window_s: decimalWithDefault(10, MAX_SECONDS),
--- a/packages/daemon/src/settings/ini_sections.ts
+++ b/packages/daemon/src/settings/ini_sections.ts
@@ -3,7 +3,12 @@
  *
  * @module
  */
-import { type LineFault, LineIndex, toExcerpt } from "@sassafrasstep/core";
+import {
+  isSocketAddress,
+  type LineFault,
+  LineIndex,
+  toExcerpt,
+} from "@sassafrasstep/core";
 import { parse as parseIni } from "ini";
 import { z } from "zod";
 
@@ -100,6 +105,12 @@
     `a port up to ${MAX_PORT}`,
   );
 
+/** Schema of an address that others connect to, whose port is therefore known. */
+export const REACHABLE_ADDRESS_SCHEMA = ADDRESS_SCHEMA.refine(
+  ({ host, port }) => isSocketAddress(`${host}:${port}`),
+  `a host name or IP address with a port from 1 to ${MAX_PORT}`,
+);
+
 /** Returns the schema of an integer in a range. */
 export function integer(min: number, max: number): z.ZodType<number> {
   const expected = `a whole number from ${min} to ${max}`;
