fix: a region that was cut off sent to cold endpoints as to warm ones

Cause: how long an endpoint is cold stands in its record, and only an evacuation that ends makes endpoints count as cold. Neither reaches an entry that is cut off.

Change: once nothing has confirmed the catalogue for 2.5 s, one entry of the region asks each endpoint that can be cold for its health, ten times a second, and tells the others. A cold one gets nothing for 1.1 s, then what it bears.

--- a/packages/core/src/fleet/fleet_messages.ts
+++ b/packages/core/src/fleet/fleet_messages.ts
@@ -156,6 +156,14 @@
   readonly requests: number;
 }
 
+/** What an endpoint said of itself in a health check. */
+export interface ColdReport {
+  readonly endpoint: EndpointId;
+  readonly life: EndpointLife | undefined;
+  /** How long it stays cold. */
+  readonly coldFor: Milliseconds;
+}
+
 interface FleetMessageBase {
   readonly from: EntryRecord;
   readonly holdings: HeldVersions;
@@ -205,6 +213,8 @@
   | { readonly kind: "limits"; readonly message: LimitMessage }
   /** Endpoints that are about to shut down. */
   | { readonly kind: "departures"; readonly message: DepartureMessage }
+  /** Endpoints that said in health checks that they are cold. */
+  | { readonly kind: "cold"; readonly reports: readonly ColdReport[] }
   /** What waits at an entry of the region, and what it sent to endpoints. */
   | {
     readonly kind: "demand";
--- a/packages/core/src/fleet/fleet_sender.ts
+++ b/packages/core/src/fleet/fleet_sender.ts
@@ -25,6 +25,7 @@
   | "spending"
   | "limits"
   | "departures"
+  | "cold"
   | "origins"
   | "outlook"
   | "census"
--- a/packages/core/src/gateway/cold_allowance.ts
+++ b/packages/core/src/gateway/cold_allowance.ts
@@ -101,11 +101,7 @@
     if (known?.candidates === candidates) {
       return known;
     }
-    const [entry] = rendezvous(
-      `cold ${endpoint}`,
-      candidates,
-      (incarnation) => incarnation,
-    );
+    const entry = coldOwner(endpoint, candidates);
     if (known !== undefined && known.entry === entry) {
       known.candidates = candidates;
       return known;
@@ -131,6 +127,19 @@
   }
 }
 
+/** The entry that alone may send to an endpoint while it is cold. */
+export function coldOwner(
+  endpoint: EndpointId,
+  candidates: readonly Incarnation[],
+): Incarnation | undefined {
+  const [entry] = rendezvous(
+    `cold ${endpoint}`,
+    candidates,
+    (incarnation) => incarnation,
+  );
+  return entry;
+}
+
 function evictOldest(endpoints: Map<EndpointId, unknown>): void {
   if (endpoints.size > MAX_TRACKED_ENDPOINTS) {
     const [oldest] = endpoints.keys();
--- a/packages/core/src/gateway/endpoint_health.ts
+++ b/packages/core/src/gateway/endpoint_health.ts
@@ -1,5 +1,5 @@
 /**
- * Tracks an endpoint's health from the outcomes of real requests. There are no active health checks: an
+ * Tracks an endpoint's health from the outcomes of real requests. Health checks do not decide it: an
  * endpoint may pass them and still fail its callers, or the reverse, and each probe costs it a slot.
  *
  * @module
--- a/packages/core/src/gateway/endpoint_state.ts
+++ b/packages/core/src/gateway/endpoint_state.ts
@@ -5,7 +5,13 @@
  * @module
  */
 import type { EndpointWork } from "../fleet/index.ts";
-import { after, type AttemptId, type Instant, instant } from "../ids/index.ts";
+import {
+  after,
+  type AttemptId,
+  type Instant,
+  instant,
+  type Milliseconds,
+} from "../ids/index.ts";
 import type { EndpointRecord, RoutedService } from "../routes/index.ts";
 import { EndpointPace, type ServicePace } from "../pace/index.ts";
 import { EndpointHealth } from "./endpoint_health.ts";
@@ -37,6 +43,8 @@
 /** Time constant of the exponentially decaying share of time that an engine spends on prefill. */
 const PREFILL_SHARE_DECAY_MS = 2_000;
 
+/** The bound of a cold endpoint applies to any second of its clock; the margin covers the network. */
+const COLD_REPORT_REST_MS = 1_100;
 /** What crashes an endpoint usually does so within this time. */
 const TRIAL_PERIOD_MS = 1_000;
 
@@ -78,6 +86,8 @@
   readonly own: LoadTotals = { prefill: 0, requests: 0, tokens: 0 };
   readonly peers: LoadTotals = { prefill: 0, requests: 0, tokens: 0 };
   #coldUntil: Instant;
+  /** Until when nothing is sent to the endpoint, which has just reported that it is cold. */
+  #restUntil = instant(-Infinity);
   /** After an evacuation, records up to this sequence number do not tell whether the endpoint is cold. */
   #lastUntrustedSequence = -1;
   readonly #attempts = new Map<AttemptId, AttemptLoad>();
@@ -122,6 +132,22 @@
     );
   }
 
+  /**
+   * Notes that the endpoint itself reported to be cold. What was sent to it as to a warm one counts for the second after
+   * it, in which it gets nothing.
+   */
+  noteReportedCold(coldFor: Milliseconds, now: Instant): void {
+    if (!this.isCold(now)) {
+      this.#restUntil = after(now, COLD_REPORT_REST_MS);
+    }
+    this.#coldUntil = after(now, coldFor);
+  }
+
+  /** Whether the endpoint has just reported that it is cold. */
+  restsAsCold(now: Instant): boolean {
+    return now < this.#restUntil;
+  }
+
   /** Records that a request that may crash the endpoint is being sent to it. */
   noteTrial(now: Instant): void {
     this.#onTrialUntil = after(now, TRIAL_PERIOD_MS);
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -31,6 +31,8 @@
   CustomerRoles,
 } from "./customer_roles.ts";
 import { ColdAllowance } from "./cold_allowance.ts";
+import type { ColdChecks } from "./cold_checks.ts";
+import { createColdChecks } from "./create_cold_checks.ts";
 import type { FreshnessExchange } from "./freshness_exchange.ts";
 import {
   createEarlyRelay,
@@ -101,6 +103,8 @@
   /** The budget for retries, and loans from other entries. */
   readonly retries: RetryBudgetParts;
   readonly #coldAllowance: ColdAllowance;
+  /** Health checks while the platform does not tell which endpoints are cold. */
+  readonly coldChecks: ColdChecks;
   readonly #serving: ServingSet;
   readonly #quarantine: QuarantineController;
   readonly #clock: StallAdjustedClock;
@@ -231,6 +235,13 @@
     });
     const coldAllowance = new ColdAllowance(self.bounds, now);
     this.#coldAllowance = coldAllowance;
+    this.coldChecks = createColdChecks({
+      self,
+      emit,
+      fleet: this.fleet,
+      catalogue: this.#catalogue,
+      endpoints: this.#endpoints,
+    }, now);
     this.retries = createRetryBudget({ self, fleet: this.fleet, random }, now);
     this.endpointTerms = createEndpointTerms({
       self,
@@ -472,6 +483,8 @@
         return this.#calls.ended(event.attempt, event.end, now);
       case "callerGone":
         return this.#calls.callerGone(event.request, now);
+      case "healthChecked":
+        return this.coldChecks.receiveAnswer(event, now);
       case "portClosed": {
         const { endpoint: id, life } = event;
         return this.#quarantine.notePortClosed({ id, life });
@@ -501,6 +514,7 @@
     this.#catalogue.tick(now);
     this.#applyCatalogue(now);
     this.#endpoints.expire(now);
+    this.coldChecks.tick(now);
     this.#updatePaceUse();
     this.fleet.tick(now);
     this.#regions.tick(this.fleet, now);
@@ -586,6 +600,8 @@
       }
     } else if (message.kind === "departures") {
       this.endpointTerms.departures.receive(message.message);
+    } else if (message.kind === "cold") {
+      this.coldChecks.receive(message.reports, now);
     } else if (message.kind === "demand") {
       this.demand.receive(message.incarnation, message.report, now);
       this.#endpoints.receivePaces(message.report.paces, now);
--- a/packages/core/src/gateway/local_placement.ts
+++ b/packages/core/src/gateway/local_placement.ts
@@ -7,7 +7,6 @@
 import type { FleetController } from "../fleet/index.ts";
 import {
   hash32,
-  type Incarnation,
   type Instant,
   type Milliseconds,
   milliseconds,
@@ -24,7 +23,7 @@
   type Placement,
   type PlacementRequest,
 } from "./endpoint_placement.ts";
-import { minimumServingOf } from "./serving_set.ts";
+import { minimumServingIncarnations } from "./serving_set.ts";
 
 const MS_PER_SECOND = 1_000;
 /**
@@ -194,6 +193,9 @@
     if (!state.isCold(now)) {
       return true;
     }
+    if (state.restsAsCold(now)) {
+      return false;
+    }
     const { self, fleet, cold } = this.#sources;
     const entries = fleet.entriesThatMayExist(self.region, now) ?? Infinity;
     const heard = fleet.derive(countLive, self.region);
@@ -212,14 +214,6 @@
     .length;
 }
 
-/** Entries of a region that serve callers at any load, chosen from all that may be alive. */
-function minimumServingIncarnations(
-  region: RegionId,
-  fleet: FleetController,
-): readonly Incarnation[] {
-  return minimumServingOf(region, fleet).map(({ incarnation }) => incarnation);
-}
-
 /**
  * Endpoints that have not been tried for the request. If there are none, returns those that could not be
  * reached: one that is back can take the request. Without this, the trial request of a suspected endpoint
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -284,6 +284,14 @@
     readonly endpoint: EndpointId;
     readonly life: EndpointLife | undefined;
   }
+  /** An endpoint has answered a health check. */
+  | {
+    readonly kind: "healthChecked";
+    readonly endpoint: EndpointId;
+    readonly life: EndpointLife | undefined;
+    /** How long the endpoint stays cold, 0 if it is not. */
+    readonly coldFor: Milliseconds;
+  }
   /** An operator ends a quarantine. */
   | { readonly kind: "release"; readonly subject: CrashSubject };
 
@@ -366,6 +374,16 @@
     readonly life: EndpointLife | undefined;
     readonly address: string;
   }
+  /** Ask an endpoint for its health, and report what it answers. */
+  | {
+    readonly kind: "checkHealth";
+    readonly endpoint: EndpointId;
+    readonly life: EndpointLife | undefined;
+    readonly address: string;
+    readonly path: string;
+    /** Maximum number of open connections to the address. */
+    readonly connections: number;
+  }
   /** Reply to `answered`: forward the answer to the caller. */
   | {
     readonly kind: "forward";
--- a/packages/core/src/gateway/serving_set.ts
+++ b/packages/core/src/gateway/serving_set.ts
@@ -208,3 +208,11 @@
     )
     .map(({ record }) => record);
 }
+
+/** Incarnations of these entries. */
+export function minimumServingIncarnations(
+  region: RegionId,
+  fleet: FleetController,
+): readonly Incarnation[] {
+  return minimumServingOf(region, fleet).map(({ incarnation }) => incarnation);
+}
--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -222,6 +222,13 @@
       ],
     },
   },
+  {
+    kind: "cold",
+    reports: [
+      { endpoint: "i-7f3a91c2", life: undefined, coldFor: 2_700 },
+      { endpoint: "i-2c917f3a", life: 7, coldFor: 1 },
+    ],
+  },
   {
     kind: "demand",
     incarnation: record.incarnation,
--- a/packages/daemon/src/gateway/__tests__/gateway_datagrams.test.ts
+++ b/packages/daemon/src/gateway/__tests__/gateway_datagrams.test.ts
@@ -111,6 +111,7 @@
   limits: fc.tuple(
     fc.tuple(fc.constantFrom("notice", "ask", "grant"), name, few(notice)),
   ),
+  cold: fc.tuple(few(fc.tuple(name, count, count))),
   departures: fc.tuple(fc.tuple(name, few(fc.tuple(name, count)))),
   outlook: fc.tuple(
     fc.tuple(name, amount, few(fc.tuple(name, few(count), count))),
--- a/packages/daemon/src/gateway/__tests__/wire_fixture.ts
+++ b/packages/daemon/src/gateway/__tests__/wire_fixture.ts
@@ -101,6 +101,8 @@
       retryAfter: undefined,
     };
   },
+  healthHeaders: () => [],
+  readColdTime: () => undefined,
   answerHeaders: (headers) =>
     headers.filter((_, index) =>
       !/^(transfer-encoding|connection)$/i.test(headers[index - index % 2]!)
--- a/packages/daemon/src/gateway/fleet_schema.ts
+++ b/packages/daemon/src/gateway/fleet_schema.ts
@@ -14,6 +14,7 @@
   WorkReport,
 } from "@sassafrasstep/core";
 import { z } from "zod";
+import { coldReportsSchema, encodeColdReports } from "./cold_schema.ts";
 import { decodeFrequent } from "./fleet_decoder.ts";
 import { encodeOriginMessage, originMessageSchema } from "./origin_schema.ts";
 import { encodeRetryLoan, retryLoanSchema } from "./retry_schema.ts";
@@ -59,6 +60,9 @@
   departures: z.tuple([departureMessageSchema]).transform(
     ([message]) => ({ kind: "departures", message }),
   ),
+  cold: z.tuple([coldReportsSchema]).transform(
+    ([reports]) => ({ kind: "cold", reports }),
+  ),
   origins: z.tuple([originMessageSchema]).transform(
     ([message]) => ({ kind: "origins", message }),
   ),
@@ -117,6 +121,9 @@
   if (message.kind === "departures") {
     return [encodeDepartures(message.message)];
   }
+  if (message.kind === "cold") {
+    return [encodeColdReports(message.reports)];
+  }
   if (message.kind === "demand") {
     return [message.incarnation, encodeDemandReport(message.report)];
   }
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -28,6 +28,7 @@
 import { DatagramSocket } from "./datagram_socket.ts";
 import type { Exchange } from "./exchange.ts";
 import { applyLimits, createIngress, type IngressOptions } from "./ingress.ts";
+import { HealthCheck } from "./health_check.ts";
 import { readGauges } from "./gauges.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { OpenAnswers } from "./open_answers.ts";
@@ -265,6 +266,8 @@
         return this.#attempts.get(effect.attempt)?.abort();
       case "knock":
         return this.#probe(effect);
+      case "checkHealth":
+        return new HealthCheck(effect, this.#outboundContext).start();
       case "refuse":
         return this.#closeCall(effect.request, (exchange) => {
           exchange.refuse(effect.refusal);
--- a/packages/daemon/src/gateway/gauges.ts
+++ b/packages/daemon/src/gateway/gauges.ts
@@ -20,6 +20,7 @@
     shares,
     earlyRelay,
     streamOrigins,
+    coldChecks,
     retries,
   }: Gateway,
   { connections, datagrams }: {
@@ -56,6 +57,7 @@
     endpoints_leaving: endpointTerms.departures.size,
     endpoints_resting: endpointTerms.backoffs.activeCount(now),
     endpoint_rests_ignored: endpointTerms.backoffs.ignored,
+    endpoint_health_checks: coldChecks.checks,
     endpoints_slow: pace.slow,
     endpoint_paces_shared: pace.shared,
     endpoint_paces_received: pace.received,
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -14,6 +14,7 @@
   CatalogueEpoch,
   CatalogueSnapshot,
   CustomerId,
+  EndpointId,
   Milliseconds,
   PartDigest,
   Revision,
@@ -62,6 +63,10 @@
     headers: RawHeaders,
     sent: Pick<CallHead, "call">,
   ): EndpointAnswerHead;
+  /** Returns the headers of a health check. */
+  healthHeaders(endpoint: EndpointId): RawHeaders;
+  /** Reads from the answer to a health check how long the endpoint stays cold, `undefined` if it does not tell. */
+  readColdTime(status: number, headers: RawHeaders): Milliseconds | undefined;
   /** Returns the answer headers for the caller, derived from those of the endpoint. */
   answerHeaders(endpoint: RawHeaders): RawHeaders;
 }
--- a/playground/src/routes/fake_backend.ts
+++ b/playground/src/routes/fake_backend.ts
@@ -113,6 +113,8 @@
   life: number | undefined;
   /** Limits that it has stated, in requests per second, each with the time it was set. */
   readonly limits: { at: number; perSecond: number | undefined }[] = [];
+  /** Until when it is cold, as its health checks tell. */
+  coldUntil = 0;
   /** Whether its answers say that it is leaving. */
   leaving = false;
   /** When each incarnation of an entry first received an answer saying that the endpoint is leaving. */
@@ -181,6 +183,11 @@
     };
   }
 
+  /** How long it stays cold. */
+  get remainingCold(): number {
+    return Math.max(0, this.coldUntil - this.time.now);
+  }
+
   get isOverloaded(): boolean {
     return this.overload !== undefined && this.time.now < this.overload.until;
   }
--- a/playground/src/routes/route_actions.ts
+++ b/playground/src/routes/route_actions.ts
@@ -50,6 +50,11 @@
     const perSecond = text === "none" ? undefined : Number(text);
     findBackend(world, line).limits.push({ at: world.time.now, perSecond });
   },
+  /** `cools NAME T`: the backend is cold for time T and says so in health checks; its record does not change. */
+  cools: ({ world }, line) => {
+    const coldFor = parseTime(line, word(line, 2, "a time"));
+    findBackend(world, line).coldUntil = world.time.now + coldFor;
+  },
   /** `tired NAME T rest T`: for time T the backend rejects requests and asks each sender for a backoff. */
   tired: ({ world }, line) => {
     const until = world.time.now + parseTime(line, word(line, 2, "a time"));
--- a/playground/src/routes/route_links.ts
+++ b/playground/src/routes/route_links.ts
@@ -3,12 +3,15 @@
  *
  * @module
  */
-import type {
-  AnswerHead,
-  CallTarget,
-  CatalogueSnapshot,
-  FleetMessage,
-  RequestId,
+import {
+  type AnswerHead,
+  type CallTarget,
+  type CatalogueSnapshot,
+  type FleetMessage,
+  type GatewayEffect,
+  type Milliseconds,
+  milliseconds,
+  type RequestId,
 } from "@sassafrasstep/core";
 import { PLATFORM, type Spot } from "../scenario/network.ts";
 import { copyMessage } from "./copy_message.ts";
@@ -20,7 +23,7 @@
 /** Kinds of messages that a build drops that knows nothing of streams' versions. */
 const UNKNOWN_TO_OLD: ReadonlySet<FleetMessage["kind"]> = new Set<
   FleetMessage["kind"]
->(["origins", "census", "retries"]);
+>(["origins", "census", "retries", "cold"]);
 /** Prompt tokens that an endpoint prefills per millisecond. */
 const PREFILL_TOKENS_PER_MS = 38;
 
@@ -101,6 +104,17 @@
     return backend.mode === "refuse" ? "refused" : "yes";
   }
 
+  /** Returns how long an endpoint says that it stays cold, `undefined` if its answer does not reach an entry. */
+  coldTimeOf(
+    from: VirtualGateway,
+    { endpoint, address }: Extract<GatewayEffect, { kind: "checkHealth" }>,
+  ): Milliseconds | undefined {
+    const backend = this.#world.backendAt(address);
+    const answers = backend?.id === endpoint && backend.mode !== "dark" &&
+      this.#world.network.reaches(from.spot, backend.spot);
+    return answers ? milliseconds(backend.remainingCold) : undefined;
+  }
+
   /** Tells whether an entry's connection attempt shows that no process listens at an address. */
   isPortClosed(from: VirtualGateway, address: string): boolean {
     const backend = this.#world.backendAt(address);
--- a/playground/src/routes/virtual_gateway.ts
+++ b/playground/src/routes/virtual_gateway.ts
@@ -212,6 +212,8 @@
         return this.#attempts.abort(effect.attempt);
       case "knock":
         return this.#probePort(effect);
+      case "checkHealth":
+        return this.#checkHealth(effect);
       case "refuse":
         return this.#refuse(effect);
       case "breakOff":
@@ -240,6 +242,18 @@
     });
   }
 
+  #checkHealth(
+    check: Extract<GatewayEffect, { kind: "checkHealth" }>,
+  ): void {
+    const { endpoint, life } = check;
+    this.#world.time.after(CONNECT_MS, () => {
+      const coldFor = this.#world.links.coldTimeOf(this, check);
+      if (coldFor !== undefined) {
+        this.handle({ kind: "healthChecked", endpoint, life, coldFor });
+      }
+    });
+  }
+
   #readCatalogue(
     effect: Extract<GatewayEffect, { kind: "readCatalogue" }>,
   ): void {
