fix: bodies of requests filled an entry's memory

Callers: an entry that takes more memory than its 350 MB is killed with all its requests; 80 bodies of 4 MB at once took one to 650 MB (a review's trial).

Cause: each body was bounded by the document, their sum was not, and a body is held until its request is answered.

What does not fit is refused at once and unread: 503, not run, with a time to return.

--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -313,6 +313,8 @@
   /** The software version that began the stream has no endpoint any more. */
   | "version_gone"
   | "overloaded"
+  /** The bodies of other requests take the memory that this one would need. */
+  | "memory_limit"
   /** All eligible endpoints have reached the limits that they stated. */
   | "endpoints_limited"
   /** All eligible endpoints have asked callers to back off. */
--- a/packages/daemon/src/gateway/__tests__/idle_callers.test.ts
+++ b/packages/daemon/src/gateway/__tests__/idle_callers.test.ts
@@ -3,6 +3,7 @@
 import { type AddressInfo, connect, type Socket } from "node:net";
 import type { RequestId } from "@sassafrasstep/core";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { BodyBudget } from "../body_budget.ts";
 import { createIngress } from "../ingress.ts";
 
 const IDLE_MS = 300;
@@ -35,6 +36,8 @@
       onRequest: (exchange) =>
         exchange.respond(200, { reason: "", headers: [], body: Buffer.of() }),
       onCallerGone: () => {},
+      bodies: new BodyBudget(Infinity),
+      onRefused: () => {},
     }, { relays: false });
     server.keepAliveTimeout = IDLE_MS;
     server.listen(0, "127.0.0.1");
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -4,16 +4,11 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import {
-  type CallHead,
-  type CallRefusal,
-  formatVerdictHeader,
-  type RequestId,
-} from "@sassafrasstep/core";
-import { OFFERED_HEADER, VERDICT_HEADER } from "../callers/headers.ts";
+import type { CallHead, CallRefusal, RequestId } from "@sassafrasstep/core";
 import { type AnswerSource, AnswerWriter } from "./answer_writer.ts";
 import { abortReply } from "./abort_reply.ts";
 import type { CallerProtocol, RawHeaders } from "./protocol.ts";
+import { refusalAnswer } from "./refusal_answer.ts";
 
 const NO_CONTENT_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -129,23 +124,7 @@
     if (reply.destroyed || reply.headersSent) {
       return this.abort();
     }
-    const body = Buffer.from(JSON.stringify({
-      type: "about:blank",
-      status: refusal.status,
-      title: refusal.reason,
-    }));
-    this.respond(refusal.status, {
-      reason: "",
-      body,
-      headers: [
-        ...protocol.refusalHeaders(refusal),
-        VERDICT_HEADER,
-        formatVerdictHeader(refusal.verdict),
-        OFFERED_HEADER,
-        String(refusal.offered),
-        "content-type",
-        "application/problem+json",
-      ],
-    });
+    const answer = refusalAnswer(refusal, protocol);
+    this.respond(refusal.status, { reason: "", ...answer });
   }
 }
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -23,6 +23,7 @@
 import type { Logger } from "../logs/index.ts";
 import type { GatewaySettings } from "../settings/index.ts";
 import { afterPoll, type Cancel, SuspensionDetector } from "../timers/index.ts";
+import { BodyBudget } from "./body_budget.ts";
 import { CatalogueReader } from "./catalogue_reader.ts";
 import { ConnectionPool } from "./connection_pool.ts";
 import { DatagramSocket } from "./datagram_socket.ts";
@@ -79,6 +80,7 @@
   readonly #outboundContext: OutboundContext;
   readonly #datagrams: DatagramSocket;
   readonly #catalogueReader: CatalogueReader;
+  readonly #bodies: BodyBudget;
   readonly #suspensions = new SuspensionDetector();
   readonly #servers: Server[] = [];
   #requests = 0;
@@ -99,6 +101,7 @@
     this.#settings = settings;
     this.#platform = platform;
     this.#logger = logger;
+    this.#bodies = new BodyBudget(settings.memoryBytes);
     const incarnation = randomBytes(INCARNATION_BYTES).toString(
       "hex",
     ) as Incarnation;
@@ -228,6 +231,8 @@
         this.#dispatch({ kind: "arrived", head: exchange.head });
         this.#rescheduleTick();
       },
+      bodies: this.#bodies,
+      onRefused: ({ reason }) => this.#metrics.countRefusal(reason),
       onCallerGone: (request) => {
         this.#calls.delete(request);
         this.#dispatch({ kind: "callerGone", request });
@@ -244,6 +249,7 @@
           readGauges(this.#gateway, {
             connections: this.#connections,
             datagrams: this.#datagrams,
+            bodies: this.#bodies,
           }, this.#now()),
           this.#gateway.calls.retries.counts,
         ),
--- a/packages/daemon/src/gateway/gauges.ts
+++ b/packages/daemon/src/gateway/gauges.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { catalogueAge, type Gateway, type Instant } from "@sassafrasstep/core";
+import type { BodyBudget } from "./body_budget.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 import type { DatagramSocket } from "./datagram_socket.ts";
 
@@ -23,9 +24,10 @@
     coldChecks,
     retries,
   }: Gateway,
-  { connections, datagrams }: {
+  { connections, datagrams, bodies }: {
     connections: Pick<ConnectionPool, "opened">;
     datagrams: Pick<DatagramSocket, "counts">;
+    bodies: Pick<BodyBudget, "heldBytes">;
   },
   now: Instant,
 ): Record<string, number> {
@@ -72,6 +74,7 @@
     store_reachable: catalogue.reachable ? 1 : 0,
     store_age_ms: Math.round(catalogueAge(catalogue, now) ?? -1),
     connections_opened: connections.opened,
+    request_body_bytes: bodies.heldBytes,
     datagram_bytes_sent: datagrams.counts.sent,
     datagram_bytes_received: datagrams.counts.received,
     datagrams_foreign: datagrams.counts.undecodable,
--- a/packages/daemon/src/gateway/ingress.ts
+++ b/packages/daemon/src/gateway/ingress.ts
@@ -13,12 +13,16 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import type {
-  CallerLimits,
-  RepetitionDigests,
-  RequestId,
+import {
+  type CallerLimits,
+  type CallRefusal,
+  createCallRefusal,
+  milliseconds,
+  type RepetitionDigests,
+  type RequestId,
 } from "@sassafrasstep/core";
 import { closeIdleAfterPoll } from "../timers/index.ts";
+import type { BodyBudget } from "./body_budget.ts";
 import { Exchange } from "./exchange.ts";
 import { DigestBuilder } from "./digest_builder.ts";
 import type { CallerProtocol } from "./protocol.ts";
@@ -27,6 +31,7 @@
   RELAY_HEADER,
   RESUMED_RELAY_HEADER,
 } from "./relay_header.ts";
+import { refusalAnswer } from "./refusal_answer.ts";
 
 /** Limit of the request headers. Callers themselves are given a lower limit. */
 const MAX_HEADER_BYTES = 65_536;
@@ -36,6 +41,9 @@
 const IDLE_MARGIN_MS = 2_000;
 const DEFAULT_IDLE_MS = 60_000;
 const DEFAULT_BODY_BYTES = 4_194_304;
+/** Callers that are refused together return one after another. */
+const MIN_BODY_RETRY_MS = 500;
+const BODY_RETRY_SPREAD_MS = 1_000;
 const BAD_REQUEST = 400;
 const TOO_LARGE = 413;
 const HEADERS_TOO_LARGE = 431;
@@ -46,6 +54,10 @@
   readonly limits: () => CallerLimits | undefined;
   readonly closing: () => boolean;
   nextRequestId(): RequestId;
+  /** Memory for the bodies of requests. */
+  readonly bodies: BodyBudget;
+  /** Called when a request was refused because there is no memory for its body. */
+  onRefused(refusal: CallRefusal): void;
   /** Called when a request has arrived with its complete body. */
   onRequest(exchange: Exchange): void;
   /** Called when the caller disconnected before its answer was complete. */
@@ -86,20 +98,35 @@
   const limit = options.limits()?.bodyBytes ?? DEFAULT_BODY_BYTES;
   const chunks: Buffer[] = [];
   const digests = relays ? undefined : new DigestBuilder(message);
+  const reservation = options.bodies.open();
+  reply.once("close", () => reservation.release());
   let size = 0;
+  let accepted = true;
+  const stopReading = (): void => {
+    accepted = false;
+    message.removeAllListeners("data");
+    message.resume();
+  };
+  const statedSize = Number(message.headers["content-length"] ?? 0);
+  if (!reservation.growTo(Math.min(statedSize, limit))) {
+    stopReading();
+    return refuseBody(options, reply);
+  }
   message.on("data", (chunk: Buffer) => {
     size += chunk.length;
     if (size > limit) {
-      message.removeAllListeners("data");
-      message.resume();
+      stopReading();
       rejectRequest(reply, TOO_LARGE);
+    } else if (!reservation.growTo(size)) {
+      stopReading();
+      refuseBody(options, reply);
     } else {
       chunks.push(chunk);
       digests?.update(chunk);
     }
   });
   message.on("end", () => {
-    if (size <= limit) {
+    if (accepted) {
       const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
       openExchange(options, arrival, {
         body,
@@ -159,6 +186,30 @@
   reply.end();
 }
 
+/** Refuses a request whose body is not read: it has not run. The connection can't be used further. */
+function refuseBody(
+  { protocol, onRefused }: IngressOptions,
+  reply: ServerResponse,
+): void {
+  const refusal = createCallRefusal("memory_limit", {
+    verdict: { kind: "not_run" },
+    offered: 0,
+    retryAfter: milliseconds(
+      MIN_BODY_RETRY_MS + Math.random() * BODY_RETRY_SPREAD_MS,
+    ),
+  });
+  const { headers, body } = refusalAnswer(refusal, protocol);
+  reply.writeHead(refusal.status, [
+    ...headers,
+    "connection",
+    "close",
+    "content-length",
+    String(body.length),
+  ]);
+  reply.end(body);
+  onRefused(refusal);
+}
+
 function answerMalformed(
   error: Error & { code?: string },
   socket: { writable: boolean } & Pick<Socket, "end" | "destroy">,
--- a/packages/daemon/src/settings/gateway_settings.ts
+++ b/packages/daemon/src/settings/gateway_settings.ts
@@ -41,6 +41,8 @@
   readonly addresses: GatewayAddresses;
   /** Host and port of the platform's store, as `host:port`. */
   readonly storeAddress: string;
+  /** Memory that the process may use. */
+  readonly memoryBytes: number;
   readonly logLevel: "debug" | "info" | "warn" | "error" | "silent";
 }
 
@@ -50,6 +52,7 @@
   | { readonly ok: false; readonly faults: readonly LineFault[] };
 
 const MS_PER_SECOND = 1_000;
+const BYTES_PER_MEGABYTE = 1_000_000;
 const MAX_WEIGHT = 4_096;
 const MAX_SECONDS = 3_600;
 const MAX_COUNT = 1_000_000;
@@ -73,6 +76,8 @@
     /** Share of a core, and the relative speed of the cores. */
     processor_share: decimalWithDefault(1, MAX_WEIGHT),
     cores: decimalWithDefault(1, MAX_WEIGHT),
+    /** Memory that the process may use. */
+    memory_mb: decimalWithDefault(512, MAX_COUNT),
     log_level: z.enum(["debug", "info", "warn", "error", "silent"]).default(
       "info",
     ),
@@ -124,6 +129,7 @@
     addresses,
     storeAddress: formatAddress(store.address),
     logLevel: entry.log_level,
+    memoryBytes: entry.memory_mb * BYTES_PER_MEGABYTE,
     self: {
       id: entry.id as EntryId,
       zone: entry.zone as ZoneId,
--- a/playground/src/platform/platform_fleet.ts
+++ b/playground/src/platform/platform_fleet.ts
@@ -66,17 +66,30 @@
   output = "";
   readonly #bounds: string;
   readonly #endpoints: EndpointPlan;
+  readonly #memoryMegabytes: number;
+  readonly #bodyBytes: number;
 
   /**
+   * @param options.memoryMegabytes Memory that an entry may use.
+   * @param options.bodyBytes Largest body that the document allows.
    * @param options.bounds Further lines for the `[bounds]` section of the entries' settings.
    * @param options.endpoints Ids and services of the endpoints.
    */
   constructor(
-    { bounds = "", endpoints = ENDPOINTS }: {
+    {
+      bounds = "",
+      endpoints = ENDPOINTS,
+      memoryMegabytes = 512,
+      bodyBytes = 65_536,
+    }: {
       bounds?: string;
       endpoints?: EndpointPlan;
+      memoryMegabytes?: number;
+      bodyBytes?: number;
     } = {},
   ) {
+    this.#memoryMegabytes = memoryMegabytes;
+    this.#bodyBytes = bodyBytes;
     this.#bounds = bounds;
     this.#endpoints = endpoints;
   }
@@ -142,7 +155,7 @@
       services: SERVICES,
       limits: {
         header_bytes: 16_384,
-        body_bytes: 65_536,
+        body_bytes: this.#bodyBytes,
         header_ms: 3_000,
         idle_ms: 15_000,
       },
@@ -241,6 +254,7 @@
 id = ${name}
 zone = a-1
 region = a
+memory_mb = ${this.#memoryMegabytes}
 [addresses]
 callers = ${callers}
 directory = ${directory}
