--- a/playground/src/routes/copy_message.ts
+++ b/playground/src/routes/copy_message.ts
@@ -33,8 +33,11 @@
     );
   }
   const copied: Record<string, unknown> = {};
-  for (const key of Object.keys(value)) {
-    copied[key] = copy((value as Record<string, unknown>)[key]);
+  for (const [key, item] of Object.entries(value)) {
+    if (key === "__proto__") {
+      throw new TypeError(`Cannot copy the key "${key}" in a message`);
+    }
+    copied[key] = copy(item);
   }
   return copied;
 }
