fix: a peer's report keeps an endpoint cold for an hour at most

The time in a datagram about a cold endpoint had no bound, so that one wrong number would have bounded an endpoint to a few requests a second until it writes its record again. A longer time makes the datagram undecodable; the new case of fleet_schema.test.ts fails without the bound.

--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -333,6 +333,7 @@
         "a string instead of a number",
         '["work","a",[true,[["e","9",1,1]],[],[]]]',
       ],
+      ["an endpoint that is cold for years", '["cold",[["i-1",0,1e12]]]'],
       ["a truncated record", '["announce",["id"],[0,0]]'],
       ["a negative version", '["indirect_ack",[],[0,-1],1]'],
       [
--- a/packages/daemon/src/gateway/cold_schema.ts
+++ b/packages/daemon/src/gateway/cold_schema.ts
@@ -12,11 +12,15 @@
   shortText,
 } from "../quarantine/index.ts";
 
+/** No endpoint is cold for longer. */
+const MAX_COLD_MS = 3_600_000;
+
 /** Schema of the reports of cold endpoints. */
 export const coldReportsSchema = boundedArray(
-  z.tuple([shortText, endpointLife, nonNegativeInteger]).transform(
-    ([endpoint, life, coldFor]) => ({ endpoint, life, coldFor }),
-  ),
+  z.tuple([shortText, endpointLife, nonNegativeInteger.max(MAX_COLD_MS)])
+    .transform(
+      ([endpoint, life, coldFor]) => ({ endpoint, life, coldFor }),
+    ),
 );
 
 /** Encodes reports of cold endpoints as arrays. */
