--- a/playground/src/platform/__tests__/endless_endpoints.test.ts
+++ b/playground/src/platform/__tests__/endless_endpoints.test.ts
@@ -18,6 +18,7 @@
 const DEADLINE_MS = 3_000;
 /** Memory that the entry may need beside that of its start. */
 const EXTRA_MEMORY_BYTES = 120 * MEGABYTE;
+const CALL_ID = new RegExp(`^${HEADERS.callId}: (.*)\\r$`, "im");
 const FILLER = "a".repeat(16_384);
 
 interface Endless {
@@ -81,7 +82,7 @@
       socket.on("error", () => {});
       socket.on("close", () => sockets.delete(socket));
       socket.once("data", (bytes) => {
-        const call = /^x-attempt-id: (.*)\r$/im.exec(String(bytes))?.[1] ?? "";
+        const call = CALL_ID.exec(String(bytes))?.[1] ?? "";
         socket.write(sent.start(call));
         sendEndlessly(socket, sent.endless);
       });
