fix: health checks were made while the platform answers

Cause: reads that wait for a change are answered up to 2.9 s apart, and the catalogue counted as in doubt after 2.5 s. Entries also ranked all candidates anew for each endpoint at each tick.

Change: in doubt after 3.2 s; the responsible entry is ranked once for each set of candidates.

Evidence: cold_checks.test.ts, "are not made between reads that wait for a change", fails with 2.5 s; the scenario of the fault passes as before.

--- a/packages/core/src/gateway/cold_checks.ts
+++ b/packages/core/src/gateway/cold_checks.ts
@@ -15,8 +15,11 @@
 import type { EndpointState } from "./endpoint_state.ts";
 import type { GatewayEmit } from "./messages.ts";
 
-/** Age of the catalogue from which records no longer show which endpoints are cold; reads come every 1.2 s. */
-const MAX_CATALOGUE_AGE_MS = 2_500;
+/**
+ * Age of the catalogue from which its records no longer show which endpoints are cold. Two answers are up to three
+ * seconds apart while nothing changes.
+ */
+const MAX_CATALOGUE_AGE_MS = 3_200;
 /** What an endpoint gets between two checks, a few requests at the peak, has to be less than a cold one bears. */
 const CHECK_INTERVAL_MS = 100;
 
--- a/packages/core/src/gateway/create_cold_checks.ts
+++ b/packages/core/src/gateway/create_cold_checks.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { FleetController } from "../fleet/index.ts";
-import type { Instant } from "../ids/index.ts";
+import type { EndpointId, Incarnation, Instant } from "../ids/index.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
 import { coldOwner } from "./cold_allowance.ts";
 import { ColdChecks } from "./cold_checks.ts";
@@ -24,15 +24,23 @@
   now: Instant,
 ): ColdChecks {
   const { region, incarnation } = self;
+  const owners = new Map<EndpointId, Incarnation | undefined>();
+  let candidates: readonly Incarnation[] = [];
   return new ColdChecks({
     catalogue,
     endpoints,
     emit,
-    isResponsible: (endpoint) =>
-      coldOwner(
-        endpoint,
-        fleet.derive(minimumServingIncarnations, region),
-      ) === incarnation,
+    isResponsible: (endpoint) => {
+      const current = fleet.derive(minimumServingIncarnations, region);
+      if (current !== candidates) {
+        candidates = current;
+        owners.clear();
+      }
+      if (!owners.has(endpoint)) {
+        owners.set(endpoint, coldOwner(endpoint, candidates));
+      }
+      return owners.get(endpoint) === incarnation;
+    },
     announce: (reports) => {
       for (const { record } of fleet.liveMembers()) {
         if (record.region === region) {
