test: entries have heard of each other before the foreign datagrams

Traced: an entry is ready with its catalogue and hears of the other with the next datagram, so that the list before the datagrams was short too. The test waits until both are listed; its checks are unchanged.

--- a/playground/src/platform/__tests__/foreign_datagrams.test.ts
+++ b/playground/src/platform/__tests__/foreign_datagrams.test.ts
@@ -47,6 +47,11 @@
     for (const { name, process } of fleet.entries) {
       process.once("exit", (code) => exits.push(`${name}: ${code}`));
     }
+    // Entries are ready before they have heard of each other.
+    await eventually(async () =>
+      (await fleet.listedAddresses(fleet.entries[0]!, "kiosk.example"))
+        .length === ENTRIES
+    );
     sender = createSocket("udp4");
   });
   afterAll(async () => {
