--- a/review/stand_ins_2/harness.mjs
+++ b/review/stand_ins_2/harness.mjs
@@ -54,13 +54,14 @@
   #history = [];
   #revision = 100;
   #waiting = new Set();
-  /** Addresses of entries whose calls are turned away, and how (`busy`, `silent`). */
+  /** Names of entries whose calls are turned away, and how (`busy`, `silent`). */
   refused = new Map();
-  constructor() {
-    this.server = createServer((message, reply) => this.#receive(message, reply));
-  }
-  async listen() {
-    this.address = await listen(this.server, `${NETWORK}.1`);
+  servers = [];
+  /** Listens on an address for one entry. Connections on loopback don't tell who opened them. */
+  async listen(name) {
+    const server = createServer((message, reply) => this.#receive(name, message, reply));
+    this.servers.push(server);
+    return await listen(server, `${NETWORK}.1`);
   }
   put(key, value) {
     const text = Buffer.from(JSON.stringify(value)).toString("base64");
@@ -76,8 +77,8 @@
     this.#history.push(event);
     for (const notify of [...this.#waiting]) notify();
   }
-  #receive(message, reply) {
-    const refusal = this.refused.get(message.socket.remoteAddress);
+  #receive(name, message, reply) {
+    const refusal = this.refused.get(name);
     if (refusal === "silent") return;
     if (refusal === "busy") return void reply.writeHead(503).end();
     const url = new URL(message.url, "http://store");
@@ -93,7 +94,7 @@
     const answer = () => {
       const events = this.#history.filter(({ key, revision }) => revision > after && key.startsWith(prefix));
       if (events.length === 0) return false;
-      if (this.refused.has(message.socket.remoteAddress)) message.socket.destroy();
+      if (this.refused.has(name)) message.socket.destroy();
       else this.#send(reply, { events });
       return true;
     };
@@ -180,9 +181,7 @@
     this.version = 3;
   }
   async open() {
-    await this.store.listen();
     this.peerPort = await freeUdpPort();
-    // A runner writes its record about every heartbeat; the entry changes when more than the sequence does.
   }
   async addRunner(options) {
     const runner = new Runner(this, options);
@@ -219,7 +218,7 @@
         listen: Object.fromEntries(Object.entries(ports).map(([name, port]) => [name, `${host}:${port}`])),
         limits: { processor_share: 0.675, cores: 1, memory_mb: 350 },
         bounds: { ...BOUNDS, ...this.bounds },
-        platform: { address: this.store.address },
+        platform: { address: await this.store.listen(`front-${index + 1}`) },
       };
       const settings = join(this.folder, `${fields.node_name}.ini`);
       writeFileSync(settings, fill(readFileSync(join(ROOT, "deploy/settings.ini"), "utf8"), fields));
@@ -263,7 +262,7 @@
         await exited;
       }
     }
-    for (const { server } of [...this.runners, this.store]) {
+    for (const server of [...this.runners.map((runner) => runner.server), ...this.store.servers]) {
       server.closeAllConnections();
       server.close();
     }
