log: what an answer claims, and what shows that it belongs to its request

Logs could not tell apart whether a caller's 408, 421, 429 or 503 was its endpoint's own status, a refusal that belongs to another request, or a refusal of the entry after a send: an answer below 500 that is passed on in time had no line, and no line told what proved a refusal. The lines about a request's end now name the last answer's status, whether it states that the request did not run, names the request, is sealed, and came on a connection that had carried a request before; an answer whose status is a promise has a line of its own. No decision changes.

--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -309,6 +309,7 @@
 const ANSWER: CallAnswer = {
   status: 200,
   notRun: false,
+  namesRequest: true,
   fromEndpoint: true,
   load: undefined,
   retryAfter: undefined,
@@ -317,6 +318,7 @@
   rest: undefined,
   offered: undefined,
   events: true,
+  reusedConnection: false,
 };
 
 describe("an action whose caller has left", () => {
--- a/packages/core/src/gateway/__tests__/stalls.test.ts
+++ b/packages/core/src/gateway/__tests__/stalls.test.ts
@@ -77,6 +77,7 @@
       answer: {
         status: 200,
         notRun: false,
+        namesRequest: true,
         fromEndpoint: true,
         load: undefined,
         retryAfter: undefined,
@@ -85,6 +86,7 @@
         rest: undefined,
         offered: undefined,
         events: true,
+        reusedConnection: false,
       },
     });
     progress(attempt, "1");
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -281,6 +281,7 @@
     }
     const { call, attempt } = found;
     attempt.heardAt = now;
+    call.trace.noteAnswer(answer);
     this.#attempts.noteAnswerHead(call, attempt, { answer, now });
     if (answer.notRun || this.#recovery.isUnsupported(call, answer)) {
       return this.#recovery.rejected(call, answer, now);
@@ -302,6 +303,7 @@
     if (this.#recovery.joinsStreams(call, answer)) {
       return this.#recovery.refuseJoined(call, now);
     }
+    this.#outcomes.logPromise(call, answer);
     this.#resumptions.noteBegun(call, attempt, { answer, now });
     call.phase = "answering";
     call.isEventStream = answer.events;
--- a/packages/core/src/gateway/call_trace.ts
+++ b/packages/core/src/gateway/call_trace.ts
@@ -6,7 +6,7 @@
  */
 import type { Instant, Milliseconds } from "../ids/index.ts";
 import type { Call, OpenAttempt } from "./call.ts";
-import type { CallTarget } from "./messages.ts";
+import type { CallAnswer, CallTarget } from "./messages.ts";
 
 /** A caller whose connection was full for more than this fraction of its stream's time counts as slow. */
 const SLOW_CALLER_FRACTION = 0.5;
@@ -65,6 +65,7 @@
   #longestPause = 0;
   #backpressureMs = 0;
   #events = 0;
+  #answer: CallAnswer | undefined;
 
   /** Records a new attempt. Must be called before the attempt counts at its endpoint. */
   notePlaced({ target, state }: Pick<OpenAttempt, "target" | "state">): void {
@@ -89,6 +90,11 @@
     this.#firstSentAt ??= now;
   }
 
+  /** Records the head of an attempt's answer. */
+  noteAnswer(answer: CallAnswer): void {
+    this.#answer = answer;
+  }
+
   /** Records that bytes of the answer arrived. */
   noteBytes(now: Instant): void {
     this.#firstAt ??= now;
@@ -172,6 +178,23 @@
       events: this.#events,
       endedMs: since(now),
       relayed: head.relay !== undefined,
+      ...this.answerFields(),
+    };
+  }
+
+  /** Log fields about the last answer: what it claims, and what shows that it belongs to the request. */
+  answerFields(): Record<string, unknown> {
+    if (this.#answer === undefined) {
+      return {};
+    }
+    const { status, notRun, namesRequest, fromEndpoint, reusedConnection } =
+      this.#answer;
+    return {
+      answerStatus: status,
+      answerNotRun: notRun,
+      answerNamesRequest: namesRequest,
+      answerSealed: fromEndpoint,
+      reusedConnection,
     };
   }
 }
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -167,6 +167,8 @@
   readonly status: number;
   /** Whether the sender guarantees that the request was not executed and will not be. */
   readonly notRun: boolean;
+  /** Whether the answer names the request that it belongs to. */
+  readonly namesRequest: boolean;
   /** Whether the endpoint itself answered, rather than an entry on the way that refused the request. */
   readonly fromEndpoint: boolean;
   readonly load: ReportedLoad | undefined;
@@ -194,6 +196,8 @@
 export interface CallAnswer extends AnswerHead {
   /** Whether it is forwarded event by event, so that another endpoint can continue after the last event. */
   readonly events: boolean;
+  /** Whether the connection had carried an answer before, so that this one may be an extra answer to that request. */
+  readonly reusedConnection: boolean;
 }
 
 /**
--- a/packages/core/src/gateway/refusals.ts
+++ b/packages/core/src/gateway/refusals.ts
@@ -10,6 +10,8 @@
 const BAD_REQUEST = 400;
 const UNAUTHORIZED = 401;
 const NOT_FOUND = 404;
+const REQUEST_TIMEOUT = 408;
+const MISDIRECTED_REQUEST = 421;
 const TOO_MANY_REQUESTS = 429;
 const BAD_GATEWAY = 502;
 const UNAVAILABLE = 503;
@@ -23,6 +25,19 @@
   malformed_resumption: BAD_REQUEST,
 };
 
+/** Statuses with which callers are told that their request did not run and never will. */
+const PROMISE_STATUSES: ReadonlySet<number> = new Set([
+  REQUEST_TIMEOUT,
+  MISDIRECTED_REQUEST,
+  TOO_MANY_REQUESTS,
+  UNAVAILABLE,
+]);
+
+/** Whether a caller takes a status for the promise that its request did not run and never will. */
+export function promisesNotRun(status: number): boolean {
+  return PROMISE_STATUSES.has(status);
+}
+
 /**
  * Creates a refusal, with a status that agrees with its verdict.
  *
--- a/packages/daemon/src/gateway/__tests__/wire_fixture.ts
+++ b/packages/daemon/src/gateway/__tests__/wire_fixture.ts
@@ -96,6 +96,7 @@
       status,
       matches: echoed === undefined || echoed === call,
       notRun: valueOf("x-not-run") !== undefined,
+      namesRequest: echoed === call,
       fromEndpoint: true,
       load: undefined,
       retryAfter: undefined,
--- a/packages/daemon/src/gateway/connection_pool.ts
+++ b/packages/daemon/src/gateway/connection_pool.ts
@@ -65,6 +65,8 @@
   failed = false;
   /** Whether the end of the current answer is marked only by the connection closing. */
   closeDelimited = false;
+  /** Requests that were sent on the connection. */
+  #requests = 0;
   /** Whether the client has received the socket, which it requests with its first request. */
   #handedOut = false;
 
@@ -93,8 +95,14 @@
     this.client.on("disconnect", () => this.failed = true);
   }
 
+  /** Whether a request was sent before the current one. */
+  get isReused(): boolean {
+    return this.#requests > 1;
+  }
+
   /** Notes that a request is about to be sent. */
   beginAnswer(): void {
+    this.#requests++;
     this.#socket.framing.reset();
   }
 
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -312,7 +312,11 @@
       });
       return undefined;
     }
-    const answer = { ...head, events: mode === "events" };
+    const answer = {
+      ...head,
+      events: mode === "events",
+      reusedConnection: this.#connection!.isReused,
+    };
     const effects = dispatch({ kind: "answered", attempt: id, answer });
     const decision = effects.find((effect) =>
       (effect.kind === "forward" || effect.kind === "goOn") &&
--- a/playground/src/routes/route_links.ts
+++ b/playground/src/routes/route_links.ts
@@ -257,6 +257,7 @@
   return {
     status,
     notRun,
+    namesRequest: true,
     fromEndpoint,
     load: undefined,
     retryAfter: undefined,
--- a/playground/src/routes/virtual_gateway.ts
+++ b/playground/src/routes/virtual_gateway.ts
@@ -281,6 +281,7 @@
       to.head({
         status: refusal.status,
         notRun: refusal.verdict.kind === "not_run",
+        namesRequest: false,
         fromEndpoint: false,
         load: undefined,
         retryAfter: refusal.retryAfter,
