--- a/playground/src/platform/index.ts
+++ b/playground/src/platform/index.ts
@@ -8,7 +8,7 @@
   ROUTES,
   THREE_ENDPOINTS_PER_SERVICE,
 } from "./platform_fleet.ts";
-export { StandInEndpoint } from "./stand_in_endpoint.ts";
+export { type EndpointFault, StandInEndpoint } from "./stand_in_endpoint.ts";
 export { type LoadResult, SteadyLoad } from "./steady_load.ts";
 export {
   StandInStore,
--- a/playground/src/platform/stand_in_endpoint.ts
+++ b/playground/src/platform/stand_in_endpoint.ts
@@ -9,6 +9,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import { HEADERS } from "@sassafrasstep/platform";
 import { forceClose, listenOnLoopback } from "./loopback.ts";
 
@@ -17,8 +18,12 @@
   | "none"
   /** Refuses the request and states that it did not run. */
   | "full"
-  /** Runs the request and answers 500. */
+  /** Runs the request and answers with `failureStatus`, without stating whether it ran. */
   | "fails"
+  /** The same without a seal and the request's id. */
+  | "failsUnsealed"
+  /** Sends a refusal that names no request before the answer to each further request on a connection. */
+  | "extraRefusal"
   /** Runs the request and resets the connection. */
   | "breaks"
   /** Closes the connection of a stream inside an event. */
@@ -31,6 +36,8 @@
 const UNAVAILABLE = 503;
 const MISDIRECTED = 421;
 const FAILED = 500;
+const EXTRA_REFUSAL =
+  `HTTP/1.1 503 Service Unavailable\r\n${HEADERS.notRun}: 1\r\ncontent-length: 0\r\n\r\n`;
 const DEFAULT_EVENT_INTERVAL_MS = 5;
 
 /** An HTTP endpoint on loopback that records its requests. */
@@ -50,6 +57,12 @@
   eventIntervalMs = DEFAULT_EVENT_INTERVAL_MS;
   /** Time before a plain answer. */
   delayMs = 0;
+  /** Status of the requests that it fails. */
+  failureStatus = FAILED;
+  /** It fails one of so many requests. */
+  failureInterval = 1;
+  /** Connections that have carried a request. */
+  readonly #usedConnections = new WeakSet<Socket>();
   readonly #server: Server = createServer((message, reply) =>
     this.#receive(message, reply)
   );
@@ -106,6 +119,16 @@
       return;
     }
     this.executedCalls.push(call);
+    const { socket } = message;
+    if (this.fault === "extraRefusal" && this.#usedConnections.has(socket)) {
+      socket.write(EXTRA_REFUSAL);
+    }
+    this.#usedConnections.add(socket);
+    const isFailed = this.executedCalls.length % this.failureInterval === 0;
+    if (this.fault === "failsUnsealed" && isFailed) {
+      reply.writeHead(this.failureStatus, this.statedHeaders).end();
+      return;
+    }
     if (this.fault === "breaks") {
       message.socket.resetAndDestroy();
       return;
@@ -115,12 +138,19 @@
       [HEADERS.callId]: call,
       [HEADERS.seal]: `seal-${call}`,
     };
+    if (this.fault === "fails" && isFailed) {
+      setTimeout(() => {
+        reply.writeHead(this.failureStatus, headers);
+        reply.end(StandInEndpoint.responseBody(call));
+      }, this.delayMs);
+      return;
+    }
     if (message.headers[HEADERS.tokenCounts] !== undefined) {
       this.#stream(message, { reply, headers });
       return;
     }
     setTimeout(() => {
-      reply.writeHead(this.fault === "fails" ? FAILED : 200, headers);
+      reply.writeHead(200, headers);
       reply.end(StandInEndpoint.responseBody(call));
     }, this.delayMs);
   }
