fix: a promise that no endpoint made reached callers

Callers got 408, 421, 429 or 503 for requests that their endpoint had run (REFUSED), and may send an action again because of it. A relayed answer passes the same check at each entry. Of an endpoint the verdict between entries proves nothing, of an entry the endpoint's mark does not; a success that bears the mark is neither. Stand-ins now echo the id in refusals, as the protocol says.

--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -22,6 +22,7 @@
 } from "../quarantine/index.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
 import type { PlacementMeter } from "./placement_meter.ts";
+import { promisesNotRun } from "./refusals.ts";
 import type { RegionController } from "./region_controller.ts";
 
 /** HTTP status of an address at which another process than the intended endpoint answers. */
@@ -29,8 +30,7 @@
 
 const FIRST_SUCCESS = 200;
 const FIRST_REDIRECTION = 300;
-/** Statuses from this one on count as failures of the endpoint. */
-export const FIRST_SERVER_ERROR = 500;
+const FIRST_SERVER_ERROR = 500;
 
 /** Dependencies of `CallAttempts`. */
 export interface AttemptDependencies {
@@ -205,7 +205,8 @@
     if (status === MISDIRECTED_REQUEST) {
       return;
     }
-    if (sentAt !== undefined && !answer.notRun && status < FIRST_SERVER_ERROR) {
+    const served = !answer.notRun && !isFailure(answer);
+    if (sentAt !== undefined && served) {
       state.noteAnswer(id, sentAt, now);
     }
     const { record } = state;
@@ -219,7 +220,7 @@
     if (answer.leaving) {
       terms.departures.handleAnswer(record, context);
     }
-    if (!answer.notRun && status < FIRST_SERVER_ERROR) {
+    if (served) {
       terms.backoffs.recordServed(record, now);
     }
     if (answer.rest !== undefined) {
@@ -344,6 +345,14 @@
   }
 }
 
+/**
+ * Whether an answer to a request that may have run counts as a failure of its endpoint. A status that promises the
+ * opposite does.
+ */
+export function isFailure({ status }: Pick<CallAnswer, "status">): boolean {
+  return status >= FIRST_SERVER_ERROR || promisesNotRun(status);
+}
+
 function isSuccess({ status, notRun }: CallAnswer): boolean {
   return !notRun && status >= FIRST_SUCCESS && status < FIRST_REDIRECTION;
 }
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -27,7 +27,7 @@
 import { createPendingCall, PendingCalls } from "./pending_calls.ts";
 import { Call, type OpenAttempt } from "./call.ts";
 import { type AdmittedCall, CallAdmission } from "./call_admission.ts";
-import { CallAttempts, FIRST_SERVER_ERROR } from "./call_attempts.ts";
+import { CallAttempts, isFailure } from "./call_attempts.ts";
 import { CallOutcomes } from "./call_outcomes.ts";
 import { CallPlacer, MIN_SEND_TIME_MS } from "./call_placer.ts";
 import { CallRecovery } from "./call_recovery.ts";
@@ -52,6 +52,7 @@
   createDisabledAdmission,
   type RegionCallAdmission,
 } from "./region_call_admission.ts";
+import { promisesNotRun } from "./refusals.ts";
 import type { RegionController } from "./region_controller.ts";
 import type { SoftwareHistory } from "./software_history.ts";
 
@@ -286,7 +287,7 @@
     if (answer.notRun || this.#recovery.isUnsupported(call, answer)) {
       return this.#recovery.rejected(call, answer, now);
     }
-    const failed = answer.status >= FIRST_SERVER_ERROR;
+    const failed = isFailure(answer);
     attempt.state?.health.recordOutcome(failed ? "failed" : "good", now);
     if (call.phase === "answering") {
       return this.#recovery.resumeStream(call, answer, now);
@@ -303,7 +304,9 @@
     if (this.#recovery.joinsStreams(call, answer)) {
       return this.#recovery.refuseJoined(call, now);
     }
-    this.#outcomes.logPromise(call, answer);
+    if (promisesNotRun(answer.status)) {
+      return this.#recovery.failUnproved(call, now);
+    }
     this.#resumptions.noteBegun(call, attempt, { answer, now });
     call.phase = "answering";
     call.isEventStream = answer.events;
--- a/packages/core/src/gateway/call_outcomes.ts
+++ b/packages/core/src/gateway/call_outcomes.ts
@@ -15,13 +15,12 @@
 import type { LossCause } from "./call_trace.ts";
 import { LogThrottle } from "./log_throttle.ts";
 import type {
-  CallAnswer,
   CallHead,
   CallRefusal,
   CallRefusalReason,
   GatewayEmit,
 } from "./messages.ts";
-import { createRefusal, promisesNotRun } from "./refusals.ts";
+import { createRefusal } from "./refusals.ts";
 
 /** Fraction by which retry times vary at random: callers with equal times would return in a wave. */
 const RETRY_JITTER_FRACTION = 0.5;
@@ -183,16 +182,6 @@
     });
   }
 
-  /** Logs an answer whose status tells the caller that its request did not run. */
-  logPromise(call: Call, { status }: CallAnswer): void {
-    if (promisesNotRun(status)) {
-      this.log("Answer promises that the request did not run.", call, {
-        ...call.trace.placementFields(),
-        ...call.trace.answerFields(),
-      });
-    }
-  }
-
   /** Writes a log line about a request. */
   log(
     text: string,
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -131,6 +131,20 @@
     this.#breakOffOrRetry(call, "rejected", now);
   }
 
+  /**
+   * Ends a request whose answer has a status that promises that it did not run, without anything that proves it. Its
+   * caller would send it again.
+   */
+  failUnproved(call: Call, now: Instant): void {
+    const attempt = call.attempt!;
+    attempt.failed = true;
+    this.#deps.attempts.close(call, "lost", now);
+    if (call.orphaned) {
+      return this.#deps.forget(call);
+    }
+    this.#deps.outcomes.fail(call, "endpoint_failed", now);
+  }
+
   /** Resumes an interrupted stream at another endpoint, after the head of its first answer. */
   resumeStream(call: Call, answer: CallAnswer, now: Instant): void {
     const { id } = call.attempt!;
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -299,11 +299,12 @@
   #submitHead(mode: "events" | "bytes"): AnswerDecision | undefined {
     const { protocol, dispatch } = this.#context;
     const { id } = this.#attempt;
-    const head = protocol.readHead(
-      this.#status,
-      this.#headers,
-      this.#exchange.head,
-    );
+    const { isReused: reusedConnection } = this.#connection!;
+    const head = protocol.readHead(this.#status, this.#headers, {
+      call: this.#exchange.head.call,
+      target: this.#attempt.target,
+      reusedConnection,
+    });
     if (!head.matches) {
       // The bytes don't belong to this request, so nothing more on this connection can be trusted.
       this.#reportEnd({
@@ -312,11 +313,7 @@
       });
       return undefined;
     }
-    const answer = {
-      ...head,
-      events: mode === "events",
-      reusedConnection: this.#connection!.isReused,
-    };
+    const answer = { ...head, events: mode === "events", reusedConnection };
     const effects = dispatch({ kind: "answered", attempt: id, answer });
     const decision = effects.find((effect) =>
       (effect.kind === "forward" || effect.kind === "goOn") &&
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -8,6 +8,7 @@
 import type {
   AnswerHead,
   CallHead,
+  CallId,
   CallRefusal,
   CallTarget,
   CatalogueChanges,
@@ -47,6 +48,14 @@
   readonly resumeAfter: string | undefined;
 }
 
+/** What is known of the request to which an answer arrives. */
+export interface SentRequest {
+  readonly call: CallId;
+  readonly target: CallTarget;
+  /** Whether the connection had carried a request before. */
+  readonly reusedConnection: boolean;
+}
+
 /** The status and the parsed headers of an endpoint's answer. */
 export interface EndpointAnswerHead extends AnswerHead {
   /** Whether the answer belongs to the request that was sent, and proves that it does where it is a success. */
@@ -61,7 +70,7 @@
   readHead(
     status: number,
     headers: RawHeaders,
-    sent: Pick<CallHead, "call">,
+    sent: SentRequest,
   ): EndpointAnswerHead;
   /** Returns the headers of a health check. */
   healthHeaders(endpoint: EndpointId): RawHeaders;
--- a/playground/src/bytes/raw_engine.ts
+++ b/playground/src/bytes/raw_engine.ts
@@ -163,7 +163,12 @@
   async #respond(socket: Socket, request: RawRequest): Promise<void> {
     const { headers, call, after } = request;
     if (headers.get(HEADERS.expectedEndpoint) !== this.id) {
-      socket.write(formatEmptyAnswer(MISDIRECTED, []));
+      socket.write(
+        formatEmptyAnswer(MISDIRECTED, [
+          `${HEADERS.callId}: ${call}`,
+          `${HEADERS.notRun}: 1`,
+        ]),
+      );
       return;
     }
     this.received.push(request);
@@ -172,7 +177,12 @@
     if (performance.now() < this.#refusesUntil) {
       this.refusals++;
       const rest = `${HEADERS.retryAfter}: ${this.#terms.restS}`;
-      const lines = [...statedHeaders, `${HEADERS.notRun}: 1`, rest];
+      const lines = [
+        ...statedHeaders,
+        `${HEADERS.callId}: ${call}`,
+        `${HEADERS.notRun}: 1`,
+        rest,
+      ];
       socket.write(formatEmptyAnswer(UNAVAILABLE, lines));
       return;
     }
--- a/playground/src/platform/__tests__/promises.test.ts
+++ b/playground/src/platform/__tests__/promises.test.ts
@@ -1,4 +1,5 @@
 import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
+import { HEADERS } from "@sassafrasstep/platform";
 import {
   callPlatform,
   type EndpointFault,
@@ -37,6 +38,7 @@
   afterEach(() => {
     for (const endpoint of fleet.endpoints) {
       endpoint.fault = "none";
+      endpoint.statedHeaders = {};
       endpoint.executedCalls.length = 0;
     }
   });
@@ -93,6 +95,8 @@
             endpoint.fault = fault;
             endpoint.failureStatus = status;
             endpoint.failureInterval = FAILURE_INTERVAL;
+            // A misdirected request is what only another endpoint may call it.
+            endpoint.statedHeaders = { [HEADERS.endpoint]: endpoint.id };
           }
           const outcomes = await sendAll(name, tokens);
           expect(falsePromises(outcomes)).toEqual([]);
--- a/playground/src/platform/stand_in_endpoint.ts
+++ b/playground/src/platform/stand_in_endpoint.ts
@@ -101,13 +101,15 @@
     this.requests.push(message);
     this.arrivalTimes.push(performance.now());
     const expected = message.headers[HEADERS.expectedEndpoint];
+    const call = String(message.headers[HEADERS.callId]);
+    const refusal = { [HEADERS.callId]: call, [HEADERS.notRun]: "1" };
     if (expected !== this.id) {
-      reply.writeHead(MISDIRECTED, { [HEADERS.endpoint]: this.id }).end();
+      reply.writeHead(MISDIRECTED, { ...refusal, [HEADERS.endpoint]: this.id })
+        .end();
       return;
     }
-    const call = String(message.headers[HEADERS.callId]);
     if (this.fault === "full") {
-      const headers = { ...this.statedHeaders, [HEADERS.notRun]: "1" };
+      const headers = { ...this.statedHeaders, ...refusal };
       reply.writeHead(UNAVAILABLE, headers).end();
       return;
     }
