fix: an endpoint's 400 behind a peer counted as a peer that ran nothing

A relayed resumption that a peer's endpoint answered with an unsealed 400 was taken for the rejection by an entry of an earlier version: the attempt counted as not run, and a later refusal promised that. Peers state the stream's origin with each answer of an endpoint, earlier entries reject before they read the request: with an origin the answer is the endpoint's. Found while asking of each refusal whether 'not run' is proved; no caller's answer shows it.

--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -165,14 +165,16 @@
 
   /**
    * Whether a peer does not accept relayed resumptions. Entries of earlier versions would continue a stream at any
-   * software version, so that they are sent such requests in a form that they reject.
+   * software version, so that they are sent such requests in a form that they reject. An answer that states an origin
+   * comes from an entry that accepted the request, and from an endpoint that may have run it.
    */
   isUnsupported(
-    { attempt, origin }: Call,
-    { status, fromEndpoint }: CallAnswer,
+    { attempt, origin }: Pick<Call, "attempt" | "origin">,
+    answer: CallAnswer,
   ): boolean {
     return attempt?.target.kind === "peer" && origin !== undefined &&
-      status === BAD_REQUEST && !fromEndpoint;
+      answer.status === BAD_REQUEST && !answer.fromEndpoint &&
+      answer.origin === undefined;
   }
 
   /** Whether a peer answers with a stream of another origin than that of the stream that it was to continue. */
