fix: a stopping entry cut off answers that their callers had not read yet

Cause: Node takes a connection for idle once its answer has been ended, though a part of it still waits in the process, and its close destroys it. Servers are now closed by what they still have to send.

--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -48,6 +48,7 @@
 import { PlatformClient } from "../platform/index.ts";
 import { afterPoll, type Cancel } from "../timers/index.ts";
 import type { Address, Settings } from "../settings/index.ts";
+import { ServerDrain } from "../sockets/index.ts";
 import { EffectRunner } from "./effect_runner.ts";
 
 /** Interval between ticks of the core, which is the resolution of deadlines and queue timeouts. */
@@ -67,6 +68,7 @@
   readonly #callers = new Map<RequestId, Caller>();
   readonly #callerServer: Server;
   readonly #controlServer: Server;
+  readonly #drains: readonly ServerDrain[];
   readonly #peers: PeerClients;
   readonly #platform: PlatformClient;
   readonly #endpointClient = new EndpointClient();
@@ -90,6 +92,10 @@
     this.#platform = new PlatformClient(settings);
     this.#callerServer = createCallerServer(this);
     this.#controlServer = createControlServer(this, this.credentials);
+    this.#drains = [
+      new ServerDrain(this.#callerServer),
+      new ServerDrain(this.#controlServer),
+    ];
     this.#attemptRunner = new AttemptRunner({
       incarnation: this.#incarnation,
       credentials: this.credentials,
@@ -323,10 +329,7 @@
   async #close(): Promise<void> {
     this.#cancelTick();
     this.#platform.close();
-    await Promise.all([
-      closeServer(this.#callerServer),
-      closeServer(this.#controlServer),
-    ]);
+    await Promise.all(this.#drains.map(closeServer));
     await Promise.all([
       this.#attemptRunner.close(),
       this.#endpointClient.close(),
@@ -348,10 +351,7 @@
   return `http://${family === "IPv6" ? `[${address}]` : address}:${actualPort}`;
 }
 
-/** Closes idle connections at once, and the others when their last answer has been sent. */
-async function closeServer(server: Server): Promise<void> {
-  await new Promise<void>((resolve) => {
-    server.close(() => resolve());
-    server.closeIdleConnections();
-  });
+/** Resolves once each connection has sent its last answer and is closed. */
+async function closeServer(drain: ServerDrain): Promise<void> {
+  await new Promise<void>((resolve) => drain.close(resolve));
 }
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -22,6 +22,7 @@
 } from "@sassafrasstep/core";
 import type { Logger } from "../logs/index.ts";
 import type { GatewaySettings } from "../settings/index.ts";
+import { ServerDrain } from "../sockets/index.ts";
 import { afterPoll, type Cancel, SuspensionDetector } from "../timers/index.ts";
 import { BodyBudget } from "./body_budget.ts";
 import { CatalogueReader } from "./catalogue_reader.ts";
@@ -83,6 +84,7 @@
   readonly #bodies: BodyBudget;
   readonly #suspensions = new SuspensionDetector();
   readonly #servers: Server[] = [];
+  readonly #drains: ServerDrain[] = [];
   #requests = 0;
   #cancelTick: Cancel = () => {};
   /** Delay with which the tick timer was last set. */
@@ -148,6 +150,9 @@
       createAppServer(directory(this.#gateway, () => this.#now())),
       createAppServer(readiness(this.#gateway)),
     );
+    this.#drains.push(
+      ...this.#servers.map((server) => new ServerDrain(server)),
+    );
     const bindings = [
       addresses.callers,
       addresses.peers,
@@ -338,20 +343,15 @@
   }
 
   #stopListening(): void {
-    const [callers, peers] = this.#servers;
-    for (const server of [callers!, peers!]) {
-      server.close();
-      server.closeIdleConnections();
-    }
+    const [callers, peers] = this.#drains;
+    callers!.close();
+    peers!.close();
   }
 
   async #exit(within: Milliseconds): Promise<void> {
     this.#exiting = true;
     this.#cancelTick();
-    for (const server of this.#servers) {
-      server.close();
-      server.closeIdleConnections();
-    }
+    this.#drains.forEach((drain) => drain.close());
     this.#datagrams.close();
     await this.#openAnswers.waitUntilSent(within);
     this.#connections.closeAll();
