feat: an entry that starts learns which versions were published before it

A stream that no entry knows goes on where its service has had one version for longer than it can have lasted; a record that is in doubt still refuses it. Where two versions were published in that time nothing changes.

--- a/packages/core/src/gateway/__tests__/software_history.test.ts
+++ b/packages/core/src/gateway/__tests__/software_history.test.ts
@@ -12,7 +12,7 @@
     generation: 0,
     endpoints: new Map(),
   };
-  const history = new SoftwareHistory(catalogue as never);
+  const history = new SoftwareHistory(catalogue as never, {}, instant(0));
   const publish = (...versions: string[]): void => {
     catalogue.generation++;
     catalogue.endpoints = new Map(
@@ -64,3 +64,56 @@
     expect(soleVersion(72_000)).toBe("v2");
   });
 });
+
+describe("the only version of a service, right after the start", () => {
+  const START = 100_000;
+  const NOW = instant(START + 500);
+  const createHistory = (
+    options: { isFirstStart?: boolean },
+    firstAnswerAt = START + 200,
+  ): SoftwareHistory => {
+    const catalogue = {
+      lastAnsweredAt: instant(firstAnswerAt),
+      generation: 0,
+      endpoints: new Map([["e1", createEngine("e1").record]]),
+    };
+    const history = new SoftwareHistory(
+      catalogue as never,
+      options,
+      instant(START),
+    );
+    history.update(instant(firstAnswerAt));
+    return history;
+  };
+  const { softwareVersion } = createEngine("e1").record;
+
+  it("is known where the whole system starts", () => {
+    const history = createHistory({ isFirstStart: true });
+    expect(history.soleVersion(SERVICE, WITHIN, NOW)).toBe(softwareVersion);
+  });
+
+  it("is not known where the platform answers late", () => {
+    const history = createHistory({ isFirstStart: true }, START + 5_000);
+    const now = instant(START + 5_500);
+    expect(history.soleVersion(SERVICE, WITHIN, now)).toBeUndefined();
+  });
+
+  // Guards against streams that are refused although all entries can know the version after a loss of all of them.
+  it("is known from what the platform published before", () => {
+    const history = createHistory({});
+    expect(history.soleVersion(SERVICE, WITHIN, NOW)).toBeUndefined();
+    const version = softwareVersion;
+    const versions = [{ service: SERVICE, version }];
+    history.extendBack({ since: instant(START - 19_000), versions }, NOW);
+    expect(history.soleVersion(SERVICE, WITHIN, NOW)).toBeUndefined();
+    history.extendBack({ since: instant(START - 20_000), versions }, NOW);
+    expect(history.soleVersion(SERVICE, WITHIN, NOW)).toBe(version);
+  });
+
+  it("is not known where another version was published before", () => {
+    const history = createHistory({});
+    const versions = [{ service: SERVICE, version: "another" }];
+    history.extendBack({ since: instant(START - 30_000), versions }, NOW);
+    expect(history.soleVersion(SERVICE, WITHIN, NOW)).toBeUndefined();
+  });
+});
--- a/packages/core/src/gateway/call_resumptions.ts
+++ b/packages/core/src/gateway/call_resumptions.ts
@@ -57,7 +57,7 @@
       return this.#deps.outcomes.fail(call, "malformed_resumption", now);
     }
     if (resumedCall === undefined) {
-      return this.#beginUnnamed(call, now);
+      return this.#beginUnknown(call, now);
     }
     const key = streamKey(resumedCall.call);
     const found = this.#deps.origins.search(key, now);
@@ -70,15 +70,15 @@
         );
       case "pending":
         return this.#hold(call, key);
-      case "unknown":
+      case "doubtful":
         return this.#deps.outcomes.fail(call, "stream_unknown", now);
+      case "unknown":
+        return this.#beginUnknown(call, now);
     }
   }
 
-  /**
-   * A caller that does not name the call that began its stream can still take it up where there was no other version.
-   */
-  #beginUnnamed(call: Call, now: Instant): void {
+  /** A stream that no entry knows can still be taken up where there was no other version. */
+  #beginUnknown(call: Call, now: Instant): void {
     const [service, ...others] = call.services;
     const version = others.length === 0
       ? this.#deps.history.soleVersion(service!, longestStream(call), now)
@@ -104,12 +104,10 @@
     }
   }
 
-  /** Refuses the requests of streams that no entry knows. */
+  /** Decides about the requests of streams that no entry knows. */
   handleUnknown(keys: readonly StreamKey[], now: Instant): void {
     for (const key of keys) {
-      this.#takeWaiting(key).forEach((call) =>
-        this.#deps.outcomes.fail(call, "stream_unknown", now)
-      );
+      this.#takeWaiting(key).forEach((call) => this.#beginUnknown(call, now));
     }
   }
 
--- a/packages/core/src/gateway/software_history.ts
+++ b/packages/core/src/gateway/software_history.ts
@@ -3,8 +3,14 @@
  *
  * @module
  */
-import type { Instant, Milliseconds, ServiceId } from "../ids/index.ts";
+import {
+  type Instant,
+  instant,
+  type Milliseconds,
+  type ServiceId,
+} from "../ids/index.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
+import type { SeenVersions } from "./history_lookup.ts";
 
 /** After a longer time without an answer of the platform a version may have come and gone unseen. */
 const MAX_GAP_MS = 4_000;
@@ -21,8 +27,17 @@
   #answeredAt: Instant | undefined;
   #generation = -1;
 
-  constructor(catalogue: CatalogueView) {
+  /** @param options.isFirstStart Whether nothing can have run before this entry started. */
+  constructor(
+    catalogue: CatalogueView,
+    { isFirstStart = false }: { isFirstStart?: boolean },
+    now: Instant,
+  ) {
     this.#catalogue = catalogue;
+    if (isFirstStart) {
+      this.#answeredAt = now;
+      this.#since = instant(-Infinity);
+    }
   }
 
   /** Applies the current catalogue. */
@@ -42,6 +57,20 @@
     }
   }
 
+  /** Adds what the platform published before this entry's first read. */
+  extendBack({ since, versions }: SeenVersions, now: Instant): void {
+    for (const { service, version } of versions) {
+      const known = this.#versions.get(service) ?? new Map<string, LastSeen>();
+      this.#versions.set(service, known);
+      if (!known.has(version)) {
+        known.set(version, now);
+      }
+    }
+    if (this.#since !== undefined) {
+      this.#since = instant(Math.min(this.#since, since));
+    }
+  }
+
   /**
    * The only version of a service that an endpoint had within a time, `undefined` if there were several or one may have
    * been missed.
--- a/packages/core/src/stream_origins/stream_origins.ts
+++ b/packages/core/src/stream_origins/stream_origins.ts
@@ -37,6 +37,8 @@
 /** The outcome of a search for a stream's origin. */
 export type OriginSearch =
   | { readonly kind: "known"; readonly origin: StreamOrigin }
+  /** A record states that it is not certain what began the stream. */
+  | { readonly kind: "doubtful" }
   /** Other entries were asked. */
   | { readonly kind: "pending" }
   | { readonly kind: "unknown" };
@@ -100,7 +102,7 @@
     const known = this.#table.get(key);
     if (known !== undefined && now < known.expiresAt) {
       return known.origin === undefined
-        ? { kind: "unknown" }
+        ? { kind: "doubtful" }
         : { kind: "known", origin: known.origin };
     }
     return this.#lookups.start(key, now)
--- a/packages/daemon/src/settings/gateway_settings.ts
+++ b/packages/daemon/src/settings/gateway_settings.ts
@@ -78,6 +78,8 @@
     cores: decimalWithDefault(1, MAX_WEIGHT),
     /** Memory that the process may use. */
     memory_mb: decimalWithDefault(512, MAX_COUNT),
+    /** Whether the whole system starts for the first time. */
+    first_start: z.enum(["true", "false", ""]).or(z.boolean()).default(""),
     log_level: z.enum(["debug", "info", "warn", "error", "silent"]).default(
       "info",
     ),
@@ -102,6 +104,8 @@
     cold_slack: decimalWithDefault(1, MAX_COUNT),
     list_lifetime_s: decimalWithDefault(5, MAX_SECONDS),
     stop_s: decimalWithDefault(8, MAX_SECONDS),
+    /** How often endpoints write their records, 0 if it is not known. */
+    heartbeat_ms: decimalWithDefault(0, MAX_SECONDS * MS_PER_SECOND),
     /** Time after which a revoked key is rejected by every entry; enforced only with `strict_keys`. */
     key_lifetime_ms: decimalWithDefault(0, MAX_SECONDS * MS_PER_SECOND),
     strict_keys: z.enum(["true", "false", ""]).or(z.boolean()).default(""),
@@ -146,6 +150,10 @@
       ),
       bounds: resolveBounds(bounds),
       features: resolveFeatures(features),
+      isFirstStart: String(entry.first_start) === "true",
+      endpointHeartbeat: bounds.heartbeat_ms === 0
+        ? undefined
+        : bounds.heartbeat_ms as Milliseconds,
     },
   };
 }
