--- a/packages/core/src/gateway/call.ts
+++ b/packages/core/src/gateway/call.ts
@@ -11,6 +11,7 @@
   type Milliseconds,
   milliseconds,
   type RegionId,
+  type Revision,
   type ServiceId,
 } from "../ids/index.ts";
 import { type Customer, mayServeCustomer } from "../customers/index.ts";
@@ -96,6 +97,8 @@
   readonly age: Milliseconds;
   /** When the caller's timeout or the route's ends the request, whichever is shorter. */
   readonly endsAt: Instant;
+  /** Version of the document by which the request was admitted. */
+  readonly documentVersion: Revision | undefined;
   readonly log = new AttemptLog();
   readonly trace = new CallTrace();
   readonly triedEndpoints = new Set<EndpointId>();
@@ -138,13 +141,14 @@
 
   constructor(
     head: CallHead,
-    { route, customer, services, arrivedAt, age, endsAt }: {
+    { route, customer, services, arrivedAt, age, endsAt, documentVersion }: {
       route: Route;
       customer: Customer | undefined;
       services: readonly ServiceId[];
       arrivedAt: Instant;
       age?: Milliseconds;
       endsAt: Instant;
+      documentVersion?: Revision | undefined;
     },
   ) {
     this.head = head;
@@ -154,6 +158,7 @@
     this.arrivedAt = arrivedAt;
     this.age = age ?? milliseconds(0);
     this.endsAt = endsAt;
+    this.documentVersion = documentVersion;
     this.position = new StreamPosition(head.lastEventId);
   }
 
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -6,7 +6,12 @@
 import type { EndpointTerms } from "../endpoint_terms/index.ts";
 import type { FairShares } from "../fair_shares/index.ts";
 import type { PrefixUpdate } from "../fleet/index.ts";
-import { type AttemptId, type Instant, milliseconds } from "../ids/index.ts";
+import {
+  type AttemptId,
+  type Instant,
+  milliseconds,
+  type Revision,
+} from "../ids/index.ts";
 import type { Call, OpenAttempt } from "./call.ts";
 import type { CallRetries } from "./call_retries.ts";
 import type { CallRouter, RoutingDecision } from "./call_router.ts";
@@ -35,6 +40,8 @@
 /** Dependencies of `CallAttempts`. */
 export interface AttemptDependencies {
   readonly emit: GatewayEmit;
+  /** The newest version of the document that is known. */
+  readonly documentVersion: () => Revision | undefined;
   readonly endpoints: EndpointRegistry;
   readonly regions: RegionController;
   /** Requests sent to endpoints, for the region's demand. */
@@ -125,6 +132,7 @@
       region,
       address,
       sentBefore: call.possibleDeliveries,
+      documentVersion: this.#deps.documentVersion(),
     };
     const attempt = this.#open(call, { target, state: undefined, now });
     this.#emitSend(call, attempt, now);
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -24,7 +24,11 @@
   type StreamOrigins,
 } from "../stream_origins/index.ts";
 import type { RetryBudget, RetryLoans, SlackShare } from "../retries/index.ts";
-import { createPendingCall, PendingCalls } from "./pending_calls.ts";
+import {
+  createPendingCall,
+  type PendingCall,
+  PendingCalls,
+} from "./pending_calls.ts";
 import { Call, type OpenAttempt } from "./call.ts";
 import { type AdmittedCall, CallAdmission } from "./call_admission.ts";
 import { CallAttempts, isFailure } from "./call_attempts.ts";
@@ -46,6 +50,10 @@
   type GatewayEmit,
   type GatewayEvent,
 } from "./messages.ts";
+import {
+  type DocumentSource,
+  NewerDocumentWait,
+} from "./newer_document_wait.ts";
 import type { PlacementMeter } from "./placement_meter.ts";
 import type { QuarantineController } from "../quarantine/index.ts";
 import {
@@ -65,6 +73,8 @@
   readonly emit: GatewayEmit;
   readonly random: Randomness;
   readonly catalogue: CatalogueView;
+  /** Ways to obtain a newer document. */
+  readonly documents: DocumentSource;
   readonly endpoints: EndpointRegistry;
   readonly regions: RegionController;
   readonly placements: PlacementMeter;
@@ -103,13 +113,19 @@
   #lastArrivalAt: Instant | undefined;
   #refusesNew = false;
   readonly #pending = new PendingCalls();
+  readonly #newerDocument: NewerDocumentWait;
   readonly #admission: CallAdmission;
   readonly #regionAdmission: RegionCallAdmission;
 
   constructor(deps: CallDependencies) {
     this.#deps = deps;
     this.retries = new CallRetries(deps);
-    this.#attempts = new CallAttempts({ ...deps, retries: this.retries });
+    this.#newerDocument = new NewerDocumentWait(deps.documents);
+    this.#attempts = new CallAttempts({
+      ...deps,
+      retries: this.retries,
+      documentVersion: () => this.#newerDocument.newestVersion,
+    });
     this.#regionAdmission = deps.regionAdmission ??
       createDisabledAdmission(deps.regions);
     const forget = (call: Call): void => this.#forget(call);
@@ -156,7 +172,8 @@
 
   /** Number of requests without a final answer. */
   get active(): number {
-    return this.#calls.size + this.#pending.size + this.#admission.size;
+    return this.#calls.size + this.#pending.size + this.#newerDocument.size +
+      this.#admission.size;
   }
 
   get queued(): number {
@@ -193,6 +210,9 @@
       return this.#outcomes.refuseHead(head, "stopping");
     }
     this.#lastArrivalAt = now;
+    if (this.#newerDocument.hold(head, now)) {
+      return;
+    }
     const { catalogue } = this.#deps;
     const { table, failing } = catalogue;
     if (table !== undefined && !catalogue.isStale(now)) {
@@ -217,6 +237,7 @@
       arrivedAt,
       age: this.#regionAdmission.ageOf(route, head),
       endsAt: after(arrivedAt, timeLimit),
+      documentVersion: this.#deps.catalogue.document?.version,
     });
     this.#calls.set(head.id, call);
     call.charged = cost;
@@ -283,6 +304,7 @@
     const { call, attempt } = found;
     attempt.heardAt = now;
     call.trace.noteAnswer(answer);
+    this.#noteDocumentVersion(attempt, answer, now);
     this.#attempts.noteAnswerHead(call, attempt, { answer, now });
     if (answer.notRun || this.#recovery.isUnsupported(call, answer)) {
       return this.#recovery.rejected(call, answer, now);
@@ -311,7 +333,12 @@
     call.phase = "answering";
     call.isEventStream = answer.events;
     attempt.failed = failed;
-    this.#deps.emit({ kind: "forward", attempt: id, origin: call.origin });
+    this.#deps.emit({
+      kind: "forward",
+      attempt: id,
+      origin: call.origin,
+      documentVersion: call.documentVersion,
+    });
   }
 
   /** Handles bytes of an answer's body. */
@@ -374,7 +401,8 @@
   /** Handles a caller that has closed its connection. */
   callerGone(id: RequestId, now: Instant): void {
     const call = this.#calls.get(id);
-    const wasPending = this.#pending.remove(id) || this.#admission.remove(id);
+    const wasPending = this.#pending.remove(id) ||
+      this.#newerDocument.remove(id) || this.#admission.remove(id);
     if (wasPending || call === undefined) {
       return;
     }
@@ -415,6 +443,7 @@
   /** Continues with waiting requests once the catalogue is available, its read has failed or their time is up. */
   retryPending(now: Instant): void {
     this.#admission.retryPending(now);
+    this.#retryNewerDocument(now);
     if (this.#pending.size === 0) {
       return;
     }
@@ -432,6 +461,36 @@
     );
   }
 
+  /** A peer that handled a request by a newer document has shown it to the caller. */
+  #noteDocumentVersion(
+    { target }: OpenAttempt,
+    { documentVersion }: CallAnswer,
+    now: Instant,
+  ): void {
+    if (target.kind === "peer" && documentVersion !== undefined) {
+      const { incarnation } = target;
+      this.#newerDocument.noteVersion(documentVersion, incarnation, now);
+    }
+  }
+
+  #retryNewerDocument(now: Instant): void {
+    const { ready, expired } = this.#newerDocument.take(now);
+    const { table } = this.#deps.catalogue;
+    const admit = (pending: PendingCall): void =>
+      table === undefined
+        ? this.#outcomes.refuseHead(pending.head, "no_document")
+        : this.#admission.admit(table, pending, now);
+    ready.forEach(admit);
+    for (const pending of expired) {
+      // The first entry has other peers to choose from.
+      if (pending.head.relay === undefined) {
+        admit(pending);
+      } else {
+        this.#outcomes.refuseHead(pending.head, "outdated_document");
+      }
+    }
+  }
+
   /** Handles a message about what began streams. */
   receiveOrigins(message: OriginMessage, now: Instant): void {
     const found = this.#deps.origins.receive(message, now);
@@ -451,7 +510,11 @@
   /** Ends all requests before the process exits, so that each caller still learns the outcome. */
   endAll(now: Instant): void {
     this.refuseNew();
-    const pending = [...this.#pending.takeAll(), ...this.#admission.takeAll()];
+    const pending = [
+      ...this.#pending.takeAll(),
+      ...this.#newerDocument.takeAll(),
+      ...this.#admission.takeAll(),
+    ];
     pending.forEach(({ head }) => this.#outcomes.refuseHead(head, "stopping"));
     for (const call of [...this.#calls.values()]) {
       this.#attempts.abandon(call, now);
--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -165,6 +165,17 @@
     this.#schedule.readAtOnce(now);
   }
 
+  /** Reads the platform now, because a peer holds a newer document. */
+  readAtOnce(now: Instant): void {
+    this.#schedule.readAtOnce(now);
+    this.tick(now);
+  }
+
+  /** Copies the catalogue of a peer that holds a newer document. */
+  copyFrom(address: string, now: Instant): void {
+    this.#copies.request(address, now);
+  }
+
   isStale(now: Instant): boolean {
     return this.table !== undefined && this.#schedule.isStale(now);
   }
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -11,6 +11,7 @@
 import { Features } from "../features/index.ts";
 import { FleetController } from "../fleet/index.ts";
 import {
+  type Incarnation,
   type Instant,
   type Milliseconds,
   milliseconds,
@@ -304,6 +305,11 @@
       emit,
       random,
       catalogue: this.#catalogue,
+      documents: {
+        version: () => this.#catalogue.document?.version,
+        read: (at) => this.#catalogue.readAtOnce(at),
+        copyFrom: (peer, at) => this.#copyCatalogueFrom(peer, at),
+      },
       endpoints: this.#endpoints,
       regions: this.#regions,
       placements,
@@ -581,6 +587,15 @@
     }
   }
 
+  #copyCatalogueFrom(peer: Incarnation, now: Instant): void {
+    const member = this.fleet.possiblyLiveMembers().find(({ record }) =>
+      record.incarnation === peer
+    );
+    if (member !== undefined) {
+      this.#catalogue.copyFrom(member.record.peerAddress, now);
+    }
+  }
+
   /**
    * Returns how old the document may be for its keys to be trusted. Reduced by a margin for clock differences and
    * for delays within the process.
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -115,6 +115,8 @@
   readonly customer: CustomerId | undefined;
   /** What began the stream that the request continues; `undefined` for a new stream or if the sender can't tell. */
   readonly origin?: StreamOrigin | undefined;
+  /** Version of the document by which the sender routed the request; `undefined` if the sender doesn't state it. */
+  readonly documentVersion?: Revision | undefined;
 }
 
 /** Destination of an attempt. */
@@ -136,6 +138,8 @@
     readonly region: RegionId;
     readonly address: string;
     readonly sentBefore: number;
+    /** Version of the document by which the request was routed. */
+    readonly documentVersion?: Revision | undefined;
   };
 
 /** One attempt for the daemon to make. */
@@ -195,6 +199,8 @@
   readonly offered: number | undefined;
   /** What began the stream, as a relaying entry states it; `undefined` for an endpoint's own answer. */
   readonly origin?: StreamOrigin | undefined;
+  /** Version of the document by which a peer handled the request; `undefined` for an endpoint's own answer. */
+  readonly documentVersion?: Revision | undefined;
 }
 
 /** An answer that is about to be forwarded. */
@@ -312,6 +318,8 @@
 /** Why an entry itself refuses a request. */
 export type CallRefusalReason =
   | "no_document"
+  /** A peer routed the request by a newer document, which this entry could not obtain in time. */
+  | "outdated_document"
   | "no_route"
   /** The request has no key, or one that belongs to no customer. */
   | "unknown_key"
@@ -406,6 +414,8 @@
     readonly attempt: AttemptId;
     /** What began the stream, for the entry that relayed the request. */
     readonly origin: StreamOrigin | undefined;
+    /** Version of the document by which the request was handled, for the entry that relayed it. */
+    readonly documentVersion?: Revision | undefined;
   }
   /** Reply to `answered`: continue the stream where the previous attempt broke off. */
   | { readonly kind: "goOn"; readonly attempt: AttemptId }
--- a/packages/daemon/src/gateway/__tests__/origin_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/origin_schema.test.ts
@@ -74,6 +74,7 @@
       sentBefore: 1,
       customer: undefined,
       origin,
+      documentVersion: 7 as never,
     };
     const fingerprint = { content: "c" as never, caller: "d" as never };
     expect(parseRelayHeader(formatRelayHeader(relay, fingerprint))?.relay)
--- a/packages/daemon/src/gateway/index.ts
+++ b/packages/daemon/src/gateway/index.ts
@@ -3,4 +3,9 @@
 export { createGatewayClient } from "./gateway_router.ts";
 export * from "./protocol.ts";
 export type { GatewayStatus } from "./status.ts";
-export { parseStreamOrigin, STREAM_ORIGIN_HEADER } from "./relay_header.ts";
+export {
+  DOCUMENT_VERSION_HEADER,
+  parseDocumentVersion,
+  parseStreamOrigin,
+  STREAM_ORIGIN_HEADER,
+} from "./relay_header.ts";
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -11,6 +11,7 @@
   Incarnation,
   Instant,
   Milliseconds,
+  Revision,
   StreamOrigin,
 } from "@sassafrasstep/core";
 import type { Dispatcher } from "undici";
@@ -25,6 +26,7 @@
 import type { Exchange } from "./exchange.ts";
 import { afterPoll, type Cancel } from "../timers/index.ts";
 import {
+  DOCUMENT_VERSION_HEADER,
   formatRelayHeader,
   formatStreamOrigin,
   RELAY_HEADER,
@@ -267,8 +269,14 @@
       resumeAfter,
     });
     if (target.kind === "peer") {
-      const { sentBefore } = target;
-      const relayInfo = { from: incarnation, sentBefore, customer, origin };
+      const { sentBefore, documentVersion } = target;
+      const relayInfo = {
+        from: incarnation,
+        sentBefore,
+        customer,
+        origin,
+        documentVersion,
+      };
       const { fingerprint } = this.#exchange.head;
       headers.push(
         origin === undefined ? RELAY_HEADER : RESUMED_RELAY_HEADER,
@@ -352,12 +360,23 @@
   }
 
   /** Headers for the caller, or for the entry that relayed the request. */
-  #answerHeaders({ origin }: { origin: StreamOrigin | undefined }): RawHeaders {
+  #answerHeaders(
+    { origin, documentVersion }: {
+      origin: StreamOrigin | undefined;
+      documentVersion?: Revision | undefined;
+    },
+  ): RawHeaders {
     const headers = this.#context.protocol.answerHeaders(this.#headers);
-    const isRelayed = this.#exchange.head.relay !== undefined;
-    return isRelayed && origin !== undefined
-      ? [...headers, STREAM_ORIGIN_HEADER, formatStreamOrigin(origin)]
-      : headers;
+    if (this.#exchange.head.relay === undefined) {
+      return headers;
+    }
+    if (origin !== undefined) {
+      headers.push(STREAM_ORIGIN_HEADER, formatStreamOrigin(origin));
+    }
+    if (documentVersion !== undefined) {
+      headers.push(DOCUMENT_VERSION_HEADER, String(documentVersion));
+    }
+    return headers;
   }
 
   /** Reads and discards the rest to keep the connection reusable, unless that takes too long. */
@@ -427,9 +446,7 @@
     }
     this.#exchange.respond(this.#status, {
       reason: this.#reasonPhrase,
-      headers: withoutContentLength(
-        this.#context.protocol.answerHeaders(this.#headers),
-      ),
+      headers: withoutContentLength(this.#answerHeaders(decision)),
       body: Buffer.concat(this.#heldChunks),
     });
     this.#reportEnd({ kind: "complete" });
--- a/packages/daemon/src/gateway/relay_header.ts
+++ b/packages/daemon/src/gateway/relay_header.ts
@@ -10,6 +10,7 @@
   Incarnation,
   RelayInfo,
   RepetitionDigests,
+  Revision,
   ServiceId,
   StreamOrigin,
 } from "@sassafrasstep/core";
@@ -29,6 +30,9 @@
 /** Header of an answer to a relayed request: what began the stream. */
 export const STREAM_ORIGIN_HEADER = "sassafrasstep-stream-origin";
 
+/** Header of an answer to a relayed request: version of the document by which it was handled. */
+export const DOCUMENT_VERSION_HEADER = "sassafrasstep-document-version";
+
 /** What a relaying entry states about a request. */
 export interface RelayedRequest {
   readonly relay: RelayInfo;
@@ -38,7 +42,7 @@
 
 /** Formats the header's value. */
 export function formatRelayHeader(
-  { from, sentBefore, customer, origin }: RelayInfo,
+  { from, sentBefore, customer, origin, documentVersion }: RelayInfo,
   { content, caller }: RepetitionDigests,
 ): string {
   return formatItems([
@@ -47,7 +51,9 @@
     content,
     caller,
     customer ?? "",
-    ...(origin === undefined ? [] : [origin.service, origin.version]),
+    origin?.service ?? "",
+    origin?.version ?? "",
+    documentVersion ?? "",
   ]);
 }
 
@@ -71,7 +77,8 @@
   text: string | string[] | undefined,
 ): RelayedRequest | undefined {
   const items = typeof text === "string" ? text.split(";").map(decodeItem) : [];
-  const [from, sent, content, caller, customer, service, version] = items;
+  const [from, sent, content, caller, customer, service, version, document] =
+    items;
   const sentBefore = Number(sent);
   if (!Number.isInteger(sentBefore) || !from || !content || !caller) {
     return undefined;
@@ -84,6 +91,7 @@
       origin: service && version !== undefined
         ? { service: service as ServiceId, version }
         : undefined,
+      documentVersion: parseDocumentVersion(document),
     },
     digests: {
       content: content as ContentDigest,
@@ -92,6 +100,15 @@
   };
 }
 
+/** Parses the version of a document. */
+export function parseDocumentVersion(
+  text: string | undefined,
+): Revision | undefined {
+  return text !== undefined && /^\d{1,15}$/.test(text)
+    ? Number(text) as Revision
+    : undefined;
+}
+
 function formatItems(items: readonly (string | number)[]): string {
   return items.map(encodeItem).join(";");
 }
--- a/playground/src/routes/route_links.ts
+++ b/playground/src/routes/route_links.ts
@@ -202,12 +202,17 @@
             sentBefore: target.sentBefore,
             customer,
             origin: this.#isOld(from) ? undefined : origin,
+            documentVersion: this.#isOld(from) || this.#isOld(peer)
+              ? undefined
+              : target.documentVersion,
           },
         }, {
           head: (answer) =>
             sendBack(() =>
               recipient.head(
-                this.#isOld(peer) ? { ...answer, origin: undefined } : answer,
+                this.#isOld(peer)
+                  ? { ...answer, origin: undefined, documentVersion: undefined }
+                  : answer,
               )
             ),
           event: (event, version) =>
--- a/playground/src/routes/virtual_attempts.ts
+++ b/playground/src/routes/virtual_attempts.ts
@@ -146,8 +146,12 @@
           effect.kind === "goOn" && effect.attempt === id
         );
         if (forwarded?.kind === "forward") {
-          const { origin } = forwarded;
-          this.#recipients.get(request)?.head({ ...answer, origin });
+          const { origin, documentVersion } = forwarded;
+          this.#recipients.get(request)?.head({
+            ...answer,
+            origin,
+            documentVersion,
+          });
         } else if (!continuesStream) {
           this.#open.delete(id);
         }
