fix: the host of one request to the control address ended the entry

GET /r/../a with Host: ended an entry: the library under the RPC server makes a URL of target and host, whose constructor throws inside the server's event. Such a request is answered 400 before the library sees it, at each listener that uses it. foreign_requests.test.ts failed before (the entry ended at the control address).

--- a/packages/daemon/src/callers/caller_server.ts
+++ b/packages/daemon/src/callers/caller_server.ts
@@ -13,6 +13,7 @@
 import { H3, type H3Event } from "h3";
 import { toNodeHandler } from "h3/node";
 import type { Credentials } from "../peers/index.ts";
+import { withValidUrl } from "../sockets/index.ts";
 import { closeIdleAfterPoll } from "../timers/index.ts";
 import { Caller, type CallerEvents } from "./caller.ts";
 import { readCallerRequest, tokenDigest } from "./request_head.ts";
@@ -51,7 +52,7 @@
   app.all("/**", (event) => answerRequest(service, event));
   const server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES },
-    toNodeHandler(app),
+    withValidUrl(toNodeHandler(app)),
   );
   server.headersTimeout = HEAD_TIMEOUT_MS;
   server.requestTimeout = REQUEST_TIMEOUT_MS;
--- a/packages/daemon/src/control/control_server.ts
+++ b/packages/daemon/src/control/control_server.ts
@@ -13,6 +13,7 @@
   peerRouter,
   type PeerService,
 } from "../peers/index.ts";
+import { withValidUrl } from "../sockets/index.ts";
 import { closeIdleAfterPoll } from "../timers/index.ts";
 
 const MAX_HEADER_BYTES = 8_192;
@@ -66,7 +67,7 @@
   });
   const server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES },
-    toNodeHandler(app),
+    withValidUrl(toNodeHandler(app)),
   );
   server.requestTimeout = REQUEST_TIMEOUT_MS;
   closeIdleAfterPoll(server);
--- a/packages/daemon/src/gateway/control_app.ts
+++ b/packages/daemon/src/gateway/control_app.ts
@@ -8,6 +8,7 @@
 import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
 import { H3 } from "h3";
 import { toNodeHandler } from "h3/node";
+import { withValidUrl } from "../sockets/index.ts";
 import { gatewayRouter } from "./gateway_router.ts";
 import { type ControlService, TRPC_PATH } from "./servers.ts";
 
@@ -40,5 +41,5 @@
         createContext: () => ({ service }),
       }),
   );
-  return toNodeHandler(app);
+  return withValidUrl(toNodeHandler(app));
 }
--- a/packages/daemon/src/sockets/index.ts
+++ b/packages/daemon/src/sockets/index.ts
@@ -2,3 +2,4 @@
 export { PausableReads } from "./pausable_reads.ts";
 export { readJson } from "./read_json.ts";
 export { ServerDrain } from "./server_drain.ts";
+export { withValidUrl } from "./valid_url.ts";
--- a/playground/src/platform/__tests__/foreign_requests.test.ts
+++ b/playground/src/platform/__tests__/foreign_requests.test.ts
@@ -23,7 +23,12 @@
   `/${"a".repeat(20_000)}`,
 ];
 
-// Guards against an entry that ends because of the target of one request.
+/** Hosts with which a target is no URL. */
+const HOSTS = ["99999999999999999999", "[", "a b", "x:80800", "%", "", "::"];
+/** A target that libraries resolve by means of a URL. */
+const TARGET_WITH_PARENT = "/r/../a";
+
+// Guards against an entry that ends because of the target or the host of one request.
 describe("a request for an odd target", () => {
   const fleet = new PlatformFleet();
   const exits: (number | null)[] = [];
@@ -49,6 +54,26 @@
     expect(exits).toEqual([]);
   });
 
+  it.each(listeners)(
+    "with an odd host is answered at the address for %s",
+    async (
+      listener,
+    ) => {
+      const [entry] = fleet.entries;
+      const { host, callers, control, directory, readiness } = entry!;
+      const peers = `${host}:${fleet.peerPort}`;
+      const addresses = { callers, peers, control, directory, readiness };
+      const address = addresses[listener as keyof typeof addresses];
+      for (const oddHost of HOSTS) {
+        for (const target of [TARGET_WITH_PARENT, "/health", "/trpc/x"]) {
+          const status = await statusOf(address, target, oddHost);
+          expect(`${target} ${oddHost}: ${status}`).toMatch(/: [24]\d\d$/);
+        }
+      }
+      expect(exits).toEqual([]);
+    },
+  );
+
   it("does not keep the directory from answering others", async () => {
     const { directory } = fleet.entries[0]!;
     const path = `${API_PATHS.resolve}?${RESOLVE_QUERY}`;
@@ -58,11 +83,15 @@
 });
 
 /** Sends a request line as it is; resolves with the status of the answer, 0 if there is none. */
-async function statusOf(address: string, target: string): Promise<number> {
+async function statusOf(
+  address: string,
+  target: string,
+  hostHeader = "kiosk.example",
+): Promise<number> {
   const [host, port] = address.split(":");
   const socket = connect({ host: host!, port: Number(port) });
   socket.write(
-    `GET ${target} HTTP/1.1\r\nhost: kiosk.example\r\nconnection: close\r\n\r\n`,
+    `GET ${target} HTTP/1.1\r\nhost: ${hostHeader}\r\nconnection: close\r\n\r\n`,
   );
   const answer = await text(socket).catch(() => "");
   return Number(/^HTTP\/1\.1 (\d{3})/.exec(answer)?.[1] ?? 0);
