fix: an endpoint's reason phrase kept its answer from the caller

A phrase of 20,000 bytes was passed on and overflowed the head that callers accept; one outside of Latin-1 made the head of the answer throw.

--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -3,7 +3,11 @@
  *
  * @module
  */
-import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  type IncomingMessage,
+  type ServerResponse,
+  STATUS_CODES,
+} from "node:http";
 import type { CallHead, CallRefusal, RequestId } from "@sassafrasstep/core";
 import { type AnswerSource, AnswerWriter } from "./answer_writer.ts";
 import { abortReply } from "./abort_reply.ts";
@@ -64,15 +68,13 @@
   }
 
   /** Begins the answer with its status line and headers. */
-  begin(
-    status: number,
-    { reason, headers }: { reason: string; headers: RawHeaders },
-  ): void {
+  begin(status: number, headers: RawHeaders): void {
     const { reply, closing } = this.#options;
     this.status = status;
     reply.sendDate = false;
     const all = closing() ? [...headers, "connection", "close"] : headers;
-    reply.writeHead(status, reason, all);
+    // The standard phrase: an endpoint's may be longer than the caller accepts, or hold what no head can.
+    reply.writeHead(status, STATUS_CODES[status] ?? "", all);
   }
 
   /** Opens a writer for an attempt and closes that of the previous attempt. */
@@ -96,16 +98,12 @@
   /** Sends a complete answer. */
   respond(
     status: number,
-    { reason, headers, body }: {
-      reason: string;
-      headers: RawHeaders;
-      body: Buffer;
-    },
+    { headers, body }: { headers: RawHeaders; body: Buffer },
   ): void {
     const framed = NO_CONTENT_STATUSES.has(status)
       ? headers
       : [...headers, "content-length", String(body.length)];
-    this.begin(status, { reason, headers: framed });
+    this.begin(status, framed);
     this.#options.reply.end(body);
   }
 
@@ -125,6 +123,6 @@
       return this.abort();
     }
     const answer = refusalAnswer(refusal, protocol);
-    this.respond(refusal.status, { reason: "", ...answer });
+    this.respond(refusal.status, answer);
   }
 }
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -99,7 +99,6 @@
   #mode: ForwardingMode = "waiting";
   #interimResponses = 0;
   #status = 0;
-  #reasonPhrase = "";
   #headers: RawHeaders = [];
   #framed = false;
   #heldChunks: Buffer[] = [];
@@ -165,8 +164,6 @@
   onResponseStart(
     controller: Dispatcher.DispatchController,
     status: number,
-    _headers: unknown,
-    reason?: string,
   ): void {
     if (this.#finished) {
       return;
@@ -175,7 +172,6 @@
       return this.#countInterimResponse();
     }
     this.#status = status;
-    this.#reasonPhrase = reason ?? "";
     this.#headers = decodeHeaders(controller.rawHeaders as Buffer[]);
     this.#framed = isFramed(this.#headers);
     this.#connection!.closeDelimited = !this.#framed;
@@ -349,12 +345,12 @@
     }
     if (decision.kind === "forward") {
       const headers = this.#answerHeaders(decision);
-      this.#exchange.begin(this.#status, {
-        reason: this.#reasonPhrase,
+      this.#exchange.begin(
+        this.#status,
         // Another endpoint may continue the stream, with a different length. Given the length of this answer,
         // the caller could take a stream that ends inside an event for complete.
-        headers: mode === "events" ? withoutContentLength(headers) : headers,
-      });
+        mode === "events" ? withoutContentLength(headers) : headers,
+      );
     }
     this.#writer = this.#exchange.openWriter(this);
   }
@@ -445,7 +441,6 @@
       return this.#finishDiscarded();
     }
     this.#exchange.respond(this.#status, {
-      reason: this.#reasonPhrase,
       headers: withoutContentLength(this.#answerHeaders(decision)),
       body: Buffer.concat(this.#heldChunks),
     });
--- a/playground/src/platform/stand_in_endpoint.ts
+++ b/playground/src/platform/stand_in_endpoint.ts
@@ -57,6 +57,8 @@
   eventIntervalMs = DEFAULT_EVENT_INTERVAL_MS;
   /** Time before a plain answer. */
   delayMs = 0;
+  /** Reason phrase of its complete answers. */
+  reasonPhrase = "OK";
   /** Status of the requests that it fails. */
   failureStatus = FAILED;
   /** It fails one of so many requests. */
@@ -152,7 +154,7 @@
       return;
     }
     setTimeout(() => {
-      reply.writeHead(200, headers);
+      reply.writeHead(200, this.reasonPhrase, headers);
       reply.end(StandInEndpoint.responseBody(call));
     }, this.delayMs);
   }
@@ -164,7 +166,10 @@
       headers: Record<string, string | string[]>;
     },
   ): void {
-    reply.writeHead(200, { ...headers, "content-type": "text/event-stream" });
+    reply.writeHead(200, this.reasonPhrase, {
+      ...headers,
+      "content-type": "text/event-stream",
+    });
     const first = Number(message.headers[HEADERS.lastEventId] ?? 0) + 1;
     const writeEvent = (id: number): void => {
       if (this.fault === "torn" && id === first + 2) {
