fix: connections kept the bodies of the requests that opened them

Each pooled connection to an endpoint held the request that had opened it, with its body: closures of one function share its variables, and the listener that stays with the connection was made in the function that knew the request. A test of the pool holds a body weakly: kept before, gone now. Parts of a body are let go once it is whole.

--- a/packages/daemon/src/gateway/__tests__/connection_pool.test.ts
+++ b/packages/daemon/src/gateway/__tests__/connection_pool.test.ts
@@ -1,3 +1,5 @@
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
 import { instant } from "@sassafrasstep/core";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import {
@@ -133,6 +135,36 @@
     expect(await acquired).not.toBeInstanceOf(ConnectError);
   });
 
+  // Guards against an entry whose memory fills with the bodies of requests that were answered long ago.
+  it("keep nothing of the request that opened them", async () => {
+    const openWithBody = async (): Promise<[Connection, WeakRef<Buffer>]> => {
+      const body = Buffer.alloc(1_000);
+      const connection = await new Promise<Connection>((resolve) =>
+        connections.acquire(
+          {
+            address: endpoint.address,
+            limit: 4,
+            maxIdleTime: Infinity,
+            crossRegion: false,
+          },
+          NOW,
+          (result) => {
+            if (body.length > 0) {
+              resolve(result as Connection);
+            }
+          },
+        )
+      );
+      return [connection, new WeakRef(body)];
+    };
+    const [connection, body] = await openWithBody();
+    await new Promise((resolve) => setImmediate(resolve));
+    setFlagsFromString("--expose-gc");
+    runInNewContext("gc")();
+    expect(body.deref()).toBeUndefined();
+    expect(connection.failed).toBe(false);
+  });
+
   it("are not reported as refused by a probe if something listens", async () => {
     let closed = false;
     connections.probe(endpoint.address, () => closed = true);
--- a/packages/daemon/src/gateway/connection_pool.ts
+++ b/packages/daemon/src/gateway/connection_pool.ts
@@ -252,8 +252,7 @@
     // Our side stays open when the server closes its side, as `isReset` requires; the client closes it.
     const socket = new PausableSocket({ allowHalfOpen: true });
     socket.connect({ ...target, noDelay: true });
-    this.#adjustOpenCount(address, 1);
-    this.opened++;
+    this.#countOpen(socket, address);
     const timeout = crossRegion
       ? CROSS_REGION_CONNECT_TIMEOUT_MS
       : CONNECT_TIMEOUT_MS;
@@ -268,16 +267,28 @@
       done(new ConnectError(error.message, { refused }));
     };
     socket.once("error", fail);
-    socket.once("close", () => this.#adjustOpenCount(address, -1));
     socket.once("connect", () => {
       cancel();
       socket.off("error", fail);
-      const connection = new Connection(socket, address, now);
-      socket.once("close", () => this.#removeIdle(connection));
-      done(connection);
+      done(this.#adopt(socket, address, now));
     });
   }
 
+  // Listeners that stay with the connection are added in functions of their own. Closures of one function share its
+  // variables, and `done` refers to the request that opened the connection, with its body.
+
+  #countOpen(socket: Socket, address: string): void {
+    this.#adjustOpenCount(address, 1);
+    this.opened++;
+    socket.once("close", () => this.#adjustOpenCount(address, -1));
+  }
+
+  #adopt(socket: PausableSocket, address: string, now: Instant): Connection {
+    const connection = new Connection(socket, address, now);
+    socket.once("close", () => this.#removeIdle(connection));
+    return connection;
+  }
+
   /** Closes the connection that was idle for longest; returns whether there was one. */
   #evictIdle(address: string): boolean {
     const oldest = this.#idleByAddress.get(address)?.shift();
--- a/packages/daemon/src/gateway/ingress.ts
+++ b/packages/daemon/src/gateway/ingress.ts
@@ -128,6 +128,8 @@
   message.on("end", () => {
     if (accepted) {
       const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+      // The listeners of the message keep the array until the answer is sent.
+      chunks.length = 0;
       openExchange(options, arrival, {
         body,
         digests: digests?.build(),
