--- a/playground/src/guards/byte_guards.ts
+++ b/playground/src/guards/byte_guards.ts
@@ -67,8 +67,7 @@
     point: POINT,
     name: "a stream's length is its entry's to tell",
     file: `${DAEMON}/outbound_call.ts`,
-    find:
-      'headers: mode === "events" ? withoutContentLength(headers) : headers,',
+    find: 'mode === "events" ? withoutContentLength(headers) : headers,',
     replace: "headers,",
   },
   {
--- a/playground/src/guards/route_guards.ts
+++ b/playground/src/guards/route_guards.ts
@@ -30,6 +30,27 @@
     find: 'const notRun = verdict.kind === "not_run";',
     replace: "const notRun = verdict.kind !== undefined;",
   },
+  {
+    point: "routes: not run is true",
+    name: "an endpoint's status alone promises nothing",
+    file: `${GATEWAY}/call_controller.ts`,
+    find: "if (promisesNotRun(answer.status)) {",
+    replace: "if (promisesNotRun(0)) {",
+  },
+  {
+    point: "routes: not run is true",
+    name: "a refusal on a used connection names its request",
+    file: "platform/src/endpoint_protocol.ts",
+    find: 'return target.kind === "peer" || !reusedConnection;',
+    replace: 'return target.kind === "peer" || reusedConnection !== undefined;',
+  },
+  {
+    point: "routes: a document is never older than what its caller has seen",
+    name: "a peer's newer document is waited for",
+    file: `${GATEWAY}/newer_document_wait.ts`,
+    find: "if (version === undefined || this.#has(version)) {",
+    replace: "if (version === undefined || version >= 0) {",
+  },
   {
     point: "routes: an endpoint starts again",
     name: "a late record of the same life changes nothing",
--- a/playground/src/guards/stream_guards.ts
+++ b/playground/src/guards/stream_guards.ts
@@ -90,7 +90,14 @@
     point: POINT,
     name: "a peer states the origin with its answer",
     file: `${DAEMON}/outbound_call.ts`,
-    find: "return isRelayed && origin !== undefined",
-    replace: "return isRelayed && origin === null",
+    find: "if (origin !== undefined) {",
+    replace: "if (origin === null) {",
+  },
+  {
+    point: POINT,
+    name: "the history before a start has no gap",
+    file: "packages/core/src/gateway/history_lookup.ts",
+    find: "const isContinuous = history.complete &&",
+    replace: "const isContinuous = history.complete !== undefined &&",
   },
 ];
