fix: a document version that only an ended peer held kept relays from all others

A version that a peer has shown is asked of others for two seconds; after that requests are judged by what there is, as callers' own requests were already. Found by reading; newer_document_wait.test.ts.

--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -40,8 +40,8 @@
 /** Dependencies of `CallAttempts`. */
 export interface AttemptDependencies {
   readonly emit: GatewayEmit;
-  /** The newest version of the document that is known. */
-  readonly documentVersion: () => Revision | undefined;
+  /** Version of the document by which a relayed request has to be judged at least. */
+  readonly requiredDocument: (now: Instant) => Revision | undefined;
   readonly endpoints: EndpointRegistry;
   readonly regions: RegionController;
   /** Requests sent to endpoints, for the region's demand. */
@@ -132,7 +132,7 @@
       region,
       address,
       sentBefore: call.possibleDeliveries,
-      documentVersion: this.#deps.documentVersion(),
+      documentVersion: this.#deps.requiredDocument(now),
     };
     const attempt = this.#open(call, { target, state: undefined, now });
     this.#emitSend(call, attempt, now);
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -124,7 +124,7 @@
     this.#attempts = new CallAttempts({
       ...deps,
       retries: this.retries,
-      documentVersion: () => this.#newerDocument.newestVersion,
+      requiredDocument: (now) => this.#newerDocument.requiredVersion(now),
     });
     this.#regionAdmission = deps.regionAdmission ??
       createDisabledAdmission(deps.regions);
--- a/packages/core/src/gateway/newer_document_wait.ts
+++ b/packages/core/src/gateway/newer_document_wait.ts
@@ -18,7 +18,7 @@
 
 /** A read of the platform that takes longer than this is not waited for alone. */
 const COPY_AFTER_MS = 200;
-/** How long callers' own requests wait for a version that a peer has shown. */
+/** How long a version that a peer has shown is asked for. */
 const MAX_AWAITED_MS = 2_000;
 
 /** Ways to obtain the document. */
@@ -55,9 +55,9 @@
     return this.#pending.size;
   }
 
-  /** The newest version that this entry knows of, whether it holds it or not. */
-  get newestVersion(): Revision | undefined {
-    return this.#newest?.version ?? this.#source.version();
+  /** The version by which a relayed request has to be judged at least. */
+  requiredVersion(now: Instant): Revision | undefined {
+    return this.#awaitedVersion(now) ?? this.#source.version();
   }
 
   /** Records that a peer has handled a request by a version of the document. */
@@ -107,8 +107,8 @@
   }
 
   /**
-   * The version that callers' own requests wait for. After a while without it this entry is cut off, and serves by what it
-   * holds.
+   * The newest version that a peer has shown. After a while without it this entry is cut off, or the peer has ended, and
+   * requests are judged by what there is.
    */
   #awaitedVersion(now: Instant): Revision | undefined {
     return this.#newest !== undefined &&
