--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -27,7 +27,8 @@
 import type { CallRouter, RoutingDecision } from "../call_router.ts";
 import { ColdAllowance } from "../cold_allowance.ts";
 import { EndpointState } from "../endpoint_state.ts";
-import type { CallAnswer, GatewayBounds, GatewayEffect } from "../messages.ts";
+import { createAnswer } from "./answer_fixture.ts";
+import type { GatewayBounds, GatewayEffect } from "../messages.ts";
 import { divideSlack, RetryBudget } from "../../retries/index.ts";
 import { PlacementMeter } from "../placement_meter.ts";
 import type { RegionController } from "../region_controller.ts";
@@ -306,20 +307,7 @@
   });
 });
 
-const ANSWER: CallAnswer = {
-  status: 200,
-  notRun: false,
-  namesRequest: true,
-  fromEndpoint: true,
-  load: undefined,
-  retryAfter: undefined,
-  limit: undefined,
-  leaving: false,
-  rest: undefined,
-  offered: undefined,
-  events: true,
-  reusedConnection: false,
-};
+const ANSWER = createAnswer();
 
 describe("an action whose caller has left", () => {
   // Guards against an action that runs although its endpoint had refused it and its caller had given it up.
--- a/packages/core/src/gateway/__tests__/call_recovery.test.ts
+++ b/packages/core/src/gateway/__tests__/call_recovery.test.ts
@@ -8,6 +8,7 @@
 import type { OpenAttempt } from "../call.ts";
 import { CallRecovery, type RecoveryDependencies } from "../call_recovery.ts";
 import type { CallAnswer } from "../messages.ts";
+import { createAnswer } from "./answer_fixture.ts";
 
 const ORIGIN = { service: "pool" as ServiceId, version: "v1" };
 const ATTEMPT = {
@@ -20,20 +21,12 @@
   },
   createdAt: 0 as Instant,
 } as OpenAttempt;
-const REJECTION: CallAnswer = {
+const REJECTION = createAnswer({
   status: 400,
-  notRun: false,
   namesRequest: false,
   fromEndpoint: false,
-  load: undefined,
-  retryAfter: undefined,
-  limit: undefined,
-  leaving: false,
-  rest: undefined,
-  offered: undefined,
   events: false,
-  reusedConnection: false,
-};
+});
 
 describe("a relayed resumption that is answered 400", () => {
   const recovery = new CallRecovery({} as RecoveryDependencies);
--- a/packages/core/src/gateway/__tests__/stalls.test.ts
+++ b/packages/core/src/gateway/__tests__/stalls.test.ts
@@ -11,6 +11,7 @@
   NO_POSITION,
   type Revision,
 } from "../../index.ts";
+import { createAnswer } from "./answer_fixture.ts";
 import { startGateway } from "./gateway_fixture.ts";
 import { HEAD, PEER, REGION, SNAPSHOT, ZONE } from "./resume_fixture.ts";
 
@@ -74,20 +75,7 @@
     handle({
       kind: "answered",
       attempt,
-      answer: {
-        status: 200,
-        notRun: false,
-        namesRequest: true,
-        fromEndpoint: true,
-        load: undefined,
-        retryAfter: undefined,
-        limit: undefined,
-        leaving: false,
-        rest: undefined,
-        offered: undefined,
-        events: true,
-        reusedConnection: false,
-      },
+      answer: createAnswer(),
     });
     progress(attempt, "1");
     return attempt;
--- a/packages/core/src/requests/__tests__/service_queue.test.ts
+++ b/packages/core/src/requests/__tests__/service_queue.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from "vitest";
 import { type CustomerId, instant, type RequestId } from "../../ids/index.ts";
 import type { RequestClass } from "../../text/index.ts";
-import { LOW_CLASS_INTERVAL, RetryBudget, ServiceQueue } from "../index.ts";
+import { LOW_CLASS_INTERVAL, RetryThrottle, ServiceQueue } from "../index.ts";
 
 function fill(
   queue: ServiceQueue,
@@ -71,7 +71,7 @@
 
 describe("the retry budget", () => {
   it("allows a burst, then one retry for every ten successes", () => {
-    const budget = new RetryBudget();
+    const budget = new RetryThrottle();
     const burst =
       Array.from({ length: 15 }, () => budget.trySpend()).filter(Boolean)
         .length;
--- a/packages/core/src/requests/attempt_tracker.ts
+++ b/packages/core/src/requests/attempt_tracker.ts
@@ -27,7 +27,7 @@
 import { attemptStateOf } from "./attempt_state.ts";
 import type { RequestTable } from "./request_table.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
-import { RetryBudget } from "./retry_budget.ts";
+import { RetryThrottle } from "./retry_throttle.ts";
 import { DEFAULT_RETRY_MS, type Router } from "./router.ts";
 import type { SpillTracker } from "./spill_tracker.ts";
 
@@ -57,7 +57,7 @@
 export class AttemptTracker {
   readonly #board: Blackboard;
   readonly #dependencies: TrackerDependencies;
-  readonly #retryBudget = new RetryBudget();
+  readonly #retryThrottle = new RetryThrottle();
 
   constructor(board: Blackboard, dependencies: TrackerDependencies) {
     this.#board = board;
@@ -244,7 +244,7 @@
   }
 
   #complete(request: ActiveRequest, end: AttemptEnd, now: Instant): void {
-    this.#retryBudget.recordSuccess();
+    this.#retryThrottle.recordSuccess();
     this.#recordLatency("whole_answer", request, now - request.arrivedAt);
     if (end.kind === "answered") {
       this.#dependencies.answers.recordOutcome(
@@ -376,7 +376,7 @@
    */
   #isAffordable(request: ActiveRequest, end: AttemptEnd): boolean {
     return end.kind === "unsent" || hasStreamedTokens(request) ||
-      this.#retryBudget.trySpend();
+      this.#retryThrottle.trySpend();
   }
 
   #closeAttempt(
--- a/packages/core/src/requests/index.ts
+++ b/packages/core/src/requests/index.ts
@@ -20,7 +20,7 @@
   ACTION_GRACE_MS,
   CONFIRMATION_TIMEOUT_MS,
 } from "./request_dependencies.ts";
-export { RetryBudget } from "./retry_budget.ts";
+export { RetryThrottle } from "./retry_throttle.ts";
 export {
   LOW_CLASS_INTERVAL,
   type QueuedRequest,
--- a/packages/core/src/requests/retry_budget.ts
+++ b/packages/core/src/requests/retry_throttle.ts
@@ -4,17 +4,17 @@
  * @module
  */
 
-/** Successes needed for one retry. The budget counts whole successes, since ten times 0.1 adds up to less than 1. */
+/** Successes needed for one retry. Whole successes are counted, since ten times 0.1 adds up to less than 1. */
 const SUCCESSES_PER_RETRY = 10;
 /** Maximum number of retries that can be saved up. */
 const MAX_SAVED_RETRIES = 10;
 
 /**
- * Budget of retries: one for every ten successes. When endpoints fail under load, each retry adds to that load,
+ * Allows one retry for every ten successes. When endpoints fail under load, each retry adds to that load,
  * and unlimited retries could double the traffic while the endpoints are overloaded.
  */
-export class RetryBudget {
-  /** Saved budget, as a number of successes. */
+export class RetryThrottle {
+  /** What is saved up, as a number of successes. */
   #savedSuccesses = MAX_SAVED_RETRIES * SUCCESSES_PER_RETRY;
 
   /** Records a success. */
@@ -25,7 +25,7 @@
     );
   }
 
-  /** Takes one retry from the budget. Returns `false` if none is left. */
+  /** Takes one retry. Returns `false` if none is left. */
   trySpend(): boolean {
     if (this.#savedSuccesses < SUCCESSES_PER_RETRY) {
       return false;
--- a/playground/src/platform/__tests__/foreign_requests.test.ts
+++ b/playground/src/platform/__tests__/foreign_requests.test.ts
@@ -40,13 +40,21 @@
   });
   afterAll(() => fleet.close());
 
-  const listeners = ["callers", "peers", "control", "directory", "readiness"];
+  const listeners = [
+    "callers",
+    "peers",
+    "control",
+    "directory",
+    "readiness",
+  ] as const;
+  const addressOf = (listener: typeof listeners[number]): string => {
+    const entry = fleet.entries[0]!;
+    return listener === "peers"
+      ? `${entry.host}:${fleet.peerPort}`
+      : entry[listener];
+  };
   it.each(listeners)("is answered at the address for %s", async (listener) => {
-    const [entry] = fleet.entries;
-    const { host, callers, control, directory, readiness } = entry!;
-    const peers = `${host}:${fleet.peerPort}`;
-    const addresses = { callers, peers, control, directory, readiness };
-    const address = addresses[listener as keyof typeof addresses];
+    const address = addressOf(listener);
     for (const target of TARGETS) {
       const status = await statusOf(address, target);
       expect(`${target.slice(0, 30)}: ${status}`).toMatch(/: 4\d\d$/);
@@ -56,14 +64,8 @@
 
   it.each(listeners)(
     "with an odd host is answered at the address for %s",
-    async (
-      listener,
-    ) => {
-      const [entry] = fleet.entries;
-      const { host, callers, control, directory, readiness } = entry!;
-      const peers = `${host}:${fleet.peerPort}`;
-      const addresses = { callers, peers, control, directory, readiness };
-      const address = addresses[listener as keyof typeof addresses];
+    async (listener) => {
+      const address = addressOf(listener);
       for (const oddHost of HOSTS) {
         for (const target of [TARGET_WITH_PARENT, "/health", "/trpc/x"]) {
           const status = await statusOf(address, target, oddHost);
