revert: the history of the platform tells no time

Reading the store's history at a start rested on heartbeats that raise the revision. Taken out, with that test.

--- a/packages/core/src/gateway/__tests__/call_resumptions.test.ts
+++ b/packages/core/src/gateway/__tests__/call_resumptions.test.ts
@@ -12,12 +12,16 @@
 
 const SERVICE: ServiceId = POOL.id;
 
-/** Handles a request that continues a stream, before engines of `v1` and `v2`. */
+/** Handles a request that continues a stream, by default before engines of `v1` and `v2`. */
 function resume(
   fields: Partial<CallHead>,
-  { resumable = true }: { resumable?: boolean } = {},
+  { resumable = true, versions = ["v1", "v2"], isFirstStart = false }: {
+    resumable?: boolean;
+    versions?: readonly string[];
+    isFirstStart?: boolean;
+  } = {},
 ): GatewayEffect[] {
-  const gateway = startGateway({ zone: ZONE, region: REGION });
+  const gateway = startGateway({ zone: ZONE, region: REGION, isFirstStart });
   const document = SNAPSHOT.document!;
   const snapshot = {
     ...SNAPSHOT,
@@ -25,7 +29,7 @@
       ...document,
       routes: document.routes.map((route) => ({ ...route, resumable })),
     },
-    endpoints: ["v1", "v2"].map((softwareVersion) =>
+    endpoints: versions.map((softwareVersion) =>
       createEngine(`e-${softwareVersion}`, { softwareVersion }).record
     ),
   };
@@ -117,4 +121,26 @@
       }
     },
   );
+
+  // Guards against streams that are refused although their service can have had one version only.
+  describe.each<[string, Partial<CallHead>]>([
+    ["names no call", {}],
+    ["names an unknown call", {
+      resumedCall: { kind: "named", call: "x" as CallId },
+    }],
+  ])("and %s", (_name, fields) => {
+    it("goes on where the system has started with one version", () => {
+      const effects = resume(fields, { versions: ["v1"], isFirstStart: true });
+      expect(endpointOf(effects)).toBe("e-v1");
+    });
+
+    it.each([
+      ["there are two", { isFirstStart: true }],
+      ["the entry started again a moment ago", { versions: ["v1"] }],
+    ])("is refused where %s", (_reason, options) => {
+      expect(refusalOf(resume(fields, options))).toMatchObject({
+        reason: "stream_unknown",
+      });
+    });
+  });
 });
--- a/packages/core/src/gateway/__tests__/gateway_fixture.ts
+++ b/packages/core/src/gateway/__tests__/gateway_fixture.ts
@@ -12,7 +12,11 @@
 
 /** Starts one entry in a zone, at instant 0. */
 export function startGateway(
-  { zone, region }: { zone: ZoneId; region: RegionId },
+  { zone, region, isFirstStart = false }: {
+    zone: ZoneId;
+    region: RegionId;
+    isFirstStart?: boolean;
+  },
 ): Gateway {
   return new Gateway({
     self: {
@@ -25,6 +29,7 @@
       weight: 1,
       seeds: [],
       features: AUTOMATIC_FEATURES,
+      isFirstStart,
       regionByZone: new Map([[zone, region]]),
       bounds: {
         retryRatio: 0.2,
--- a/packages/core/src/gateway/__tests__/software_history.test.ts
+++ b/packages/core/src/gateway/__tests__/software_history.test.ts
@@ -87,6 +87,7 @@
   };
   const { softwareVersion } = createEngine("e1").record;
 
+  // Guards against streams that are refused in the first seconds of a system that nothing ran before.
   it("is known where the whole system starts", () => {
     const history = createHistory({ isFirstStart: true });
     expect(history.soleVersion(SERVICE, WITHIN, NOW)).toBe(softwareVersion);
@@ -98,22 +99,8 @@
     expect(history.soleVersion(SERVICE, WITHIN, now)).toBeUndefined();
   });
 
-  // Guards against streams that are refused although all entries can know the version after a loss of all of them.
-  it("is known from what the platform published before", () => {
+  it("is not known where an entry starts again", () => {
     const history = createHistory({});
     expect(history.soleVersion(SERVICE, WITHIN, NOW)).toBeUndefined();
-    const version = softwareVersion;
-    const versions = [{ service: SERVICE, version }];
-    history.extendBack({ since: instant(START - 19_000), versions }, NOW);
-    expect(history.soleVersion(SERVICE, WITHIN, NOW)).toBeUndefined();
-    history.extendBack({ since: instant(START - 20_000), versions }, NOW);
-    expect(history.soleVersion(SERVICE, WITHIN, NOW)).toBe(version);
-  });
-
-  it("is not known where another version was published before", () => {
-    const history = createHistory({});
-    const versions = [{ service: SERVICE, version: "another" }];
-    history.extendBack({ since: instant(START - 30_000), versions }, NOW);
-    expect(history.soleVersion(SERVICE, WITHIN, NOW)).toBeUndefined();
   });
 });
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -63,7 +63,6 @@
   createRetryBudget,
   type RetryBudgetParts,
 } from "./create_retry_budget.ts";
-import { type CatalogueHistory, HistoryLookup } from "./history_lookup.ts";
 import { ServingSet } from "./serving_set.ts";
 import { tickInterval } from "./tick_interval.ts";
 import { ShareLog } from "./share_log.ts";
@@ -129,7 +128,6 @@
   readonly #regionAdmission: RegionCallAdmission;
   readonly #shareLog: ShareLog;
   readonly #softwareHistory: SoftwareHistory;
-  readonly #historyLookup: HistoryLookup | undefined;
   #bounds: GatewayBounds;
   #effects: GatewayEffect[] = [];
   #lastEventAt: Instant;
@@ -162,13 +160,6 @@
           : "asks",
     });
     this.#softwareHistory = new SoftwareHistory(this.#catalogue, self, now);
-    this.#historyLookup = self.isFirstStart || !self.endpointHeartbeat
-      ? undefined
-      : new HistoryLookup({
-        emit,
-        catalogue: this.#catalogue,
-        heartbeat: self.endpointHeartbeat,
-      });
     this.#endpoints = new EndpointRegistry({
       region: self.region,
       regionByZone: self.regionByZone,
@@ -462,7 +453,6 @@
         return this.#receive(event.message, now);
       case "catalogueRead":
         this.#catalogue.applySnapshot(event.snapshot, now);
-        this.#historyLookup?.begin();
         return this.#applyCatalogue(now);
       case "catalogueChanged":
         this.#catalogue.applyChanges(event.changes, now);
@@ -477,8 +467,6 @@
       case "catalogueCopied":
         this.#catalogue.applyPeerCopy(event.snapshot, now);
         return this.#applyCatalogue(now);
-      case "historyRead":
-        return this.#applyHistory(event.history, now);
       default:
         return this.#applyCall(event, now);
     }
@@ -574,19 +562,6 @@
     }
   }
 
-  #applyHistory(history: CatalogueHistory | undefined, now: Instant): void {
-    const seen = this.#historyLookup?.receive(history, now);
-    if (seen !== undefined) {
-      this.#softwareHistory.extendBack(seen, now);
-      this.#effects.push({
-        kind: "log",
-        part: "catalogue",
-        text: "Read what was published before the start.",
-        fields: { coveredMs: Math.round(now - seen.since) },
-      });
-    }
-  }
-
   #copyCatalogueFrom(peer: Incarnation, now: Instant): void {
     const member = this.fleet.possiblyLiveMembers().find(({ record }) =>
       record.incarnation === peer
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -4,5 +4,4 @@
 export type { EndpointState } from "./endpoint_state.ts";
 export { Gateway } from "./gateway.ts";
 export { createRefusal as createCallRefusal } from "./refusals.ts";
-export type { CatalogueHistory } from "./history_lookup.ts";
 export * from "./messages.ts";
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -26,7 +26,6 @@
 import type { CrashSubject, RequestFingerprint } from "../quarantine/index.ts";
 import type { RetryBounds } from "../retries/index.ts";
 import type { CatalogueChanges, CatalogueSnapshot } from "../routes/index.ts";
-import type { CatalogueHistory } from "./history_lookup.ts";
 import type { StreamOrigin } from "../stream_origins/index.ts";
 import type { Verdict } from "../verdict/index.ts";
 
@@ -48,8 +47,6 @@
   readonly features: FeatureSettings;
   /** Whether the whole system starts for the first time, so that no stream began before. */
   readonly isFirstStart?: boolean;
-  /** How often endpoints write their records, `undefined` if it is not known. */
-  readonly endpointHeartbeat?: Milliseconds | undefined;
 }
 
 /** Limits and guarantees of the deployment, from the settings. */
@@ -259,11 +256,6 @@
     readonly epoch?: CatalogueEpoch | undefined;
   }
   | { readonly kind: "catalogueFailed"; readonly detail: string }
-  | {
-    readonly kind: "historyRead";
-    /** `undefined` if the platform no longer has the changes, or did not answer. */
-    readonly history: CatalogueHistory | undefined;
-  }
   | {
     readonly kind: "catalogueCopied";
     readonly snapshot: CatalogueSnapshot | undefined;
@@ -440,12 +432,6 @@
     readonly wait: Milliseconds;
     readonly timeout: Milliseconds;
   }
-  /** Read the changes after an earlier revision, without waiting for further ones. */
-  | {
-    readonly kind: "readHistory";
-    readonly after: Revision;
-    readonly timeout: Milliseconds;
-  }
   | {
     readonly kind: "copyCatalogue";
     readonly address: string;
--- a/packages/core/src/gateway/software_history.ts
+++ b/packages/core/src/gateway/software_history.ts
@@ -10,7 +10,6 @@
   type ServiceId,
 } from "../ids/index.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
-import type { SeenVersions } from "./history_lookup.ts";
 
 /** After a longer time without an answer of the platform a version may have come and gone unseen. */
 const MAX_GAP_MS = 4_000;
@@ -57,20 +56,6 @@
     }
   }
 
-  /** Adds what the platform published before this entry's first read. */
-  extendBack({ since, versions }: SeenVersions, now: Instant): void {
-    for (const { service, version } of versions) {
-      const known = this.#versions.get(service) ?? new Map<string, LastSeen>();
-      this.#versions.set(service, known);
-      if (!known.has(version)) {
-        known.set(version, now);
-      }
-    }
-    if (this.#since !== undefined) {
-      this.#since = instant(Math.min(this.#since, since));
-    }
-  }
-
   /**
    * The only version of a service that an endpoint had within a time, `undefined` if there were several or one may have
    * been missed.
--- a/packages/daemon/src/gateway/catalogue_reader.ts
+++ b/packages/daemon/src/gateway/catalogue_reader.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import {
-  type CatalogueHistory,
   type CatalogueSnapshot,
   type GatewayEffect,
   type GatewayEvent,
@@ -46,14 +45,6 @@
     );
   }
 
-  /** Reads the changes after an earlier revision. */
-  readHistory(effect: EffectOf<"readHistory">): void {
-    this.#readHistory(effect).then(
-      (history) => this.#dispatch({ kind: "historyRead", history }),
-      () => this.#dispatch({ kind: "historyRead", history: undefined }),
-    );
-  }
-
   /** Copies the catalogue from a peer. */
   copy(effect: EffectOf<"copyCatalogue">): void {
     this.#copy(effect).then(
@@ -71,18 +62,6 @@
     );
   }
 
-  async #readHistory(
-    { after, timeout }: EffectOf<"readHistory">,
-  ): Promise<CatalogueHistory | undefined> {
-    const answer = await this.#source.changes(after, {
-      wait: milliseconds(0),
-      timeout,
-    });
-    return answer.kind === "compacted"
-      ? undefined
-      : { ...answer.changes, complete: answer.complete };
-  }
-
   async #read(
     { after, wait, timeout, proof }: EffectOf<"readCatalogue">,
   ): Promise<GatewayEvent> {
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -296,8 +296,6 @@
       case "readCatalogue":
         this.#applyLimits();
         return this.#catalogueReader.read(effect);
-      case "readHistory":
-        return this.#catalogueReader.readHistory(effect);
       case "copyCatalogue":
         return this.#catalogueReader.copy(effect);
       case "log":
--- a/packages/daemon/src/settings/gateway_settings.ts
+++ b/packages/daemon/src/settings/gateway_settings.ts
@@ -104,8 +104,6 @@
     cold_slack: decimalWithDefault(1, MAX_COUNT),
     list_lifetime_s: decimalWithDefault(5, MAX_SECONDS),
     stop_s: decimalWithDefault(8, MAX_SECONDS),
-    /** How often endpoints write their records, 0 if it is not known. */
-    heartbeat_ms: decimalWithDefault(0, MAX_SECONDS * MS_PER_SECOND),
     /** Time after which a revoked key is rejected by every entry; enforced only with `strict_keys`. */
     key_lifetime_ms: decimalWithDefault(0, MAX_SECONDS * MS_PER_SECOND),
     strict_keys: z.enum(["true", "false", ""]).or(z.boolean()).default(""),
@@ -151,9 +149,6 @@
       bounds: resolveBounds(bounds),
       features: resolveFeatures(features),
       isFirstStart: String(entry.first_start) === "true",
-      endpointHeartbeat: bounds.heartbeat_ms === 0
-        ? undefined
-        : bounds.heartbeat_ms as Milliseconds,
     },
   };
 }
--- a/playground/src/guards/stream_guards.ts
+++ b/playground/src/guards/stream_guards.ts
@@ -93,11 +93,4 @@
     find: "if (origin !== undefined) {",
     replace: "if (origin === null) {",
   },
-  {
-    point: POINT,
-    name: "the history before a start has no gap",
-    file: "packages/core/src/gateway/history_lookup.ts",
-    find: "const isContinuous = history.complete &&",
-    replace: "const isContinuous = history.complete !== undefined &&",
-  },
 ];
