log: where a request was sent, and what ended the attempt before

Logs could not tell apart whether a request ran twice because an answer was taken for another request's, because a peer ran it, or because an endpoint that was given up went on: the lines about a request's end named its last attempt only, and "Request is sent again" did not say what had ended the one before. The first now list all sends with their ends where there were several; the second names the attempt before and what its answer claimed. No decision changes.

--- a/packages/core/src/gateway/__tests__/call_retries.test.ts
+++ b/packages/core/src/gateway/__tests__/call_retries.test.ts
@@ -3,6 +3,7 @@
 import { divideSlack, RetryBudget } from "../../retries/index.ts";
 import type { Call, OpenAttempt } from "../call.ts";
 import { CallRetries } from "../call_retries.ts";
+import { CallTrace } from "../call_trace.ts";
 import type { GatewayEffect } from "../messages.ts";
 
 const POOL = "pool" as ServiceId;
@@ -44,6 +45,7 @@
     sentAttempts: 1,
     arrivedAt: instant(0),
     retry: undefined,
+    trace: new CallTrace(),
     ...fields,
   } as unknown as Call;
 }
--- a/packages/core/src/gateway/__tests__/call_trace.test.ts
+++ b/packages/core/src/gateway/__tests__/call_trace.test.ts
@@ -162,6 +162,41 @@
   });
 });
 
+// Guards against a request that runs twice without a line that tells where, and what led to the second run.
+describe("a request that is sent more than once", () => {
+  const sendTo = (trace: CallTrace, endpoint: string, at: number): void => {
+    trace.notePlaced({ ...attempt(), state: createEngine(endpoint) });
+    trace.noteSent(instant(at));
+  };
+
+  it("lists where it was sent and how each attempt ended", () => {
+    const call = new Call({} as never, { arrivedAt: instant(100) } as never);
+    sendTo(call.trace, "e1", 110);
+    call.trace.noteEnd("refused");
+    sendTo(call.trace, "e1", 130);
+    expect(call.trace.fields(call, instant(150))).toMatchObject({
+      sends: [
+        { to: "e1", atMs: 10, end: "refused" },
+        { to: "e1", atMs: 30, end: undefined },
+      ],
+    });
+  });
+
+  it("states what ended the attempt before, and by what answer", () => {
+    const { trace } = new Call({} as never, {} as never);
+    expect(trace.previousFields()).toEqual({});
+    sendTo(trace, "e1", 10);
+    trace.noteAnswer({ status: 503, notRun: true } as never);
+    trace.noteEnd("refused");
+    expect(trace.previousFields()).toMatchObject({
+      previous: "e1",
+      previousEnd: "refused",
+      answerStatus: 503,
+      answerNotRun: true,
+    });
+  });
+});
+
 describe("the log line of a resumed stream", () => {
   it("names both endpoints with their versions, why the former was abandoned and how many bytes were dropped", () => {
     const trace = new CallTrace();
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -142,9 +142,9 @@
   noteSent(call: Call, attempt: OpenAttempt, now: Instant): void {
     const { state, id } = attempt;
     attempt.sentAt = now;
-    call.trace.noteSent(now);
     call.log.record(id, "sent");
     this.#deps.retries.recordSend(call, attempt, now);
+    call.trace.noteSent(now);
     if (state !== undefined) {
       call.triedEndpoints.add(state.record.id);
       call.unreachedEndpoints.delete(state.record.id);
@@ -253,6 +253,9 @@
         this.#deps.terms.limits.returnPermit(attempt.state!.record, permit);
       }
       call.log.record(attempt.id, state);
+      if (sentAt !== undefined) {
+        call.trace.noteEnd(state);
+      }
       attempt.state?.removeAttempt(attempt.id, now);
       this.#calls.delete(attempt.id);
       call.attempt = undefined;
--- a/packages/core/src/gateway/call_retries.ts
+++ b/packages/core/src/gateway/call_retries.ts
@@ -202,12 +202,13 @@
   }
 
   #recordRetry(call: Call, { target }: OpenAttempt, now: Instant): void {
-    const { retry, services } = call;
+    const { retry, services, trace } = call;
     const kind = retry?.kind ?? "relayed";
     this.counts.recordSent(kind);
     this.#log("Request is sent again.", call, {
       kind,
       to: target.kind,
+      ...trace.previousFields(),
       service: retry?.service ?? services[0],
       waitedMs: retry && Math.round(now - retry.at),
       ...decisionFields(retry?.decision),
--- a/packages/core/src/gateway/call_trace.ts
+++ b/packages/core/src/gateway/call_trace.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Instant, Milliseconds } from "../ids/index.ts";
+import type { AttemptState } from "../verdict/index.ts";
 import type { Call, OpenAttempt } from "./call.ts";
 import type { CallAnswer, CallTarget } from "./messages.ts";
 
@@ -54,6 +55,14 @@
   readonly droppedBytes: number;
 }
 
+/** One time that the request was written to an endpoint or a peer. */
+interface Send {
+  readonly to: string;
+  readonly at: Instant;
+  /** How the attempt ended, `undefined` while it is in progress. */
+  end?: AttemptState;
+}
+
 /** History of one request. */
 export class CallTrace {
   #interruption: Interruption | undefined;
@@ -66,6 +75,7 @@
   #backpressureMs = 0;
   #events = 0;
   #answer: CallAnswer | undefined;
+  readonly #sends: Send[] = [];
 
   /** Records a new attempt. Must be called before the attempt counts at its endpoint. */
   notePlaced({ target, state }: Pick<OpenAttempt, "target" | "state">): void {
@@ -88,6 +98,15 @@
   noteSent(now: Instant): void {
     this.#sentAt = now;
     this.#firstSentAt ??= now;
+    this.#sends.push({ to: this.#placed?.endpoint ?? "", at: now });
+  }
+
+  /** Records how the attempt that was sent last ended. */
+  noteEnd(end: AttemptState): void {
+    const last = this.#sends[this.#sends.length - 1];
+    if (last !== undefined) {
+      last.end ??= end;
+    }
   }
 
   /** Records the head of an attempt's answer. */
@@ -179,9 +198,29 @@
       endedMs: since(now),
       relayed: head.relay !== undefined,
       ...this.answerFields(),
+      ...this.#sendFields(arrivedAt),
     };
   }
 
+  /** Log field about where a request was sent, unless the fields about the last attempt tell it all. */
+  #sendFields(arrivedAt: Instant): Record<string, unknown> {
+    return this.#sends.length < 2 ? {} : {
+      sends: this.#sends.map(({ to, at, end }) => ({
+        to,
+        atMs: Math.round(at - arrivedAt),
+        end,
+      })),
+    };
+  }
+
+  /** Log fields about what ended the attempt before the one that is about to be sent. */
+  previousFields(): Record<string, unknown> {
+    const last = this.#sends[this.#sends.length - 1];
+    return last === undefined
+      ? {}
+      : { previous: last.to, previousEnd: last.end, ...this.answerFields() };
+  }
+
   /** Log fields about the last answer: what it claims, and what shows that it belongs to the request. */
   answerFields(): Record<string, unknown> {
     if (this.#answer === undefined) {
