test: actions over real entries, judged by a ledger of what ran, while links and processes fail

No run of ours judged actions over real entries: the soak plays streams alone. Six entry processes of three regions, ten endpoints on raw sockets and a store, with a link of its own between each two of them; requests that must run once, may repeat or go on, with callers that send again only where they were promised that nothing ran, keep connections and leave. Endpoints refuse, fail, break off, and send extra answers; entries are paused, killed, stopped and started, links cut in either direction, reset and delayed, endpoints end, hang and leave, the store falls silent, all drawn from a seed so that they overlap. Each run is entered in a ledger by the id of its request.

--- a/playground/src/bytes/index.ts
+++ b/playground/src/bytes/index.ts
@@ -13,15 +13,18 @@
   LocalEntry,
   type LogLine,
 } from "./local_entry.ts";
-export { ProcessEntry } from "./process_entry.ts";
+export { ProcessEntry, type ProcessOptions } from "./process_entry.ts";
 export {
   type Framing,
   RawEngine,
-  type RawRequest,
   type RunScript,
   type StatedTerms,
   type Stop,
 } from "./raw_engine.ts";
+export { parseRequest, type RawRequest } from "./raw_request.ts";
+export { NETWORK_PREFIX } from "../platform/loopback.ts";
+export { eventually, route } from "../platform/platform_fleet.ts";
+export { StandInStore, type StoreFault } from "../platform/stand_in_store.ts";
 export { mostWithin } from "../client/most_within.ts";
 export { findRetryExcess } from "../client/retry_sum.ts";
 export { askStream, type StreamRequest } from "./stream_caller.ts";
--- a/playground/src/bytes/process_entry.ts
+++ b/playground/src/bytes/process_entry.ts
@@ -23,6 +23,19 @@
   new URL("../../../platform/dist/main.js", import.meta.url),
 );
 
+/** Processes that have not exited; they are killed if the test run exits first. */
+const RUNNING = new Set<ChildProcess>();
+process.once("exit", () => RUNNING.forEach((child) => child.kill("SIGKILL")));
+
+/** How the process of an entry is started. */
+export interface ProcessOptions {
+  /** Path of the program, by default the platform's. */
+  readonly program?: string;
+  readonly env?: Readonly<Record<string, string>>;
+  /** Whether the program receives messages. */
+  readonly messages?: boolean;
+}
+
 /** An entry in its own process. */
 export class ProcessEntry {
   readonly callers: string;
@@ -31,10 +44,18 @@
   readonly #folder = mkdtempSync(join(tmpdir(), "entry-"));
   readonly #lines: LogLine[] = [];
   readonly #settings: string;
+  readonly #options: ProcessOptions;
   #process: ChildProcess;
   #exited: Promise<unknown>;
 
-  private constructor(options: EntryOptions, ports: readonly number[]) {
+  private constructor(
+    options: EntryOptions,
+    { ports, process }: {
+      ports: readonly number[];
+      process: ProcessOptions;
+    },
+  ) {
+    this.#options = process;
     this.callers = `${options.host}:${ports[0]}`;
     this.readiness = `${options.host}:${ports[2]}`;
     this.control = `${options.host}:${ports[3]}`;
@@ -45,14 +66,13 @@
   }
 
   #spawn(): ChildProcess {
-    const child = spawn(process.execPath, [PROGRAM], {
-      env: { [SETTINGS_PATH_VARIABLE]: this.#settings },
-      stdio: ["ignore", "pipe", "inherit"],
+    const { program = PROGRAM, env = {}, messages = false } = this.#options;
+    const child = spawn(process.execPath, [program], {
+      env: { ...env, [SETTINGS_PATH_VARIABLE]: this.#settings },
+      stdio: ["ignore", "pipe", "inherit", ...messages ? ["ipc" as const] : []],
     });
-    // Kills the entry if the test run exits first.
-    const kill = (): void => void child.kill("SIGKILL");
-    process.once("exit", kill);
-    child.once("exit", () => process.off("exit", kill));
+    RUNNING.add(child);
+    child.once("exit", () => RUNNING.delete(child));
     createInterface(child.stdout!).on("line", (text) => {
       const { msg, ...fields } = JSON.parse(text);
       this.#lines.push({ text: msg, fields });
@@ -69,10 +89,12 @@
   }
 
   /** Spawns an entry without waiting until it is ready. */
-  static start(options: EntryOptions): Promise<ProcessEntry> {
-    return Promise.resolve(
-      new ProcessEntry(options, allocatePorts(PORTS_PER_ENTRY)),
-    );
+  static start(
+    options: EntryOptions,
+    process: ProcessOptions = {},
+  ): Promise<ProcessEntry> {
+    const ports = allocatePorts(PORTS_PER_ENTRY);
+    return Promise.resolve(new ProcessEntry(options, { ports, process }));
   }
 
   /** The log lines, or only those with the given text. */
@@ -86,6 +108,18 @@
     return this.#process.exitCode === null && this.#process.signalCode === null;
   }
 
+  /** Id of the process. */
+  get pid(): number {
+    return this.#process.pid!;
+  }
+
+  /** Sends a message to the process, if it runs. */
+  send(message: object): void {
+    if (this.#process.connected) {
+      this.#process.send(message, () => {});
+    }
+  }
+
   /** Sends a signal to the process. */
   signal(name: NodeJS.Signals): void {
     this.#process.kill(name);
--- a/playground/src/bytes/raw_engine.ts
+++ b/playground/src/bytes/raw_engine.ts
@@ -13,6 +13,7 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { HEADERS } from "@sassafrasstep/platform";
 import { eventsOf, type EventStyle } from "./event_text.ts";
+import { parseRequest, type RawRequest } from "./raw_request.ts";
 
 /** How an answer marks the end of its body: by chunks, by its length, or only by closing the connection. */
 export type Framing = "chunked" | "length" | "none";
@@ -56,15 +57,6 @@
   readonly rawParts?: readonly string[];
 }
 
-/** A request as the engine received it. */
-export interface RawRequest {
-  readonly call: string;
-  /** Number of the event after which the stream is to continue, or 0. */
-  readonly after: number;
-  readonly headers: ReadonlyMap<string, string>;
-  readonly at: number;
-}
-
 const OK = 200;
 const HEAD_END = "\r\n\r\n";
 const MISDIRECTED = 421;
@@ -234,30 +226,6 @@
   }
 }
 
-/** Parses a request, or returns `undefined` while its body is incomplete. */
-function parseRequest(text: string): RawRequest | undefined {
-  const end = text.indexOf(HEAD_END);
-  if (end < 0) {
-    return undefined;
-  }
-  const headers = new Map(
-    text.slice(0, end).split("\r\n").slice(1).map((line) => {
-      const colon = line.indexOf(":");
-      return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()];
-    }),
-  );
-  const length = Number(headers.get("content-length") ?? 0);
-  if (text.length < end + HEAD_END.length + length) {
-    return undefined;
-  }
-  return {
-    call: headers.get(HEADERS.callId) ?? "",
-    after: Number(headers.get(HEADERS.lastEventId) ?? 0),
-    headers,
-    at: performance.now(),
-  };
-}
-
 function formatEmptyAnswer(status: number, headers: readonly string[]): string {
   const lines = [`HTTP/1.1 ${status} x`, ...headers, "content-length: 0"];
   return lines.join("\r\n") + HEAD_END;
--- /dev/null
+++ b/soak/src/__tests__/actions.test.ts
@@ -0,0 +1,21 @@
+import { describe, expect, it } from "vitest";
+import { planActionWave, playActionWave } from "../actions/index.ts";
+
+const SEEDS = [1, 2];
+
+describe("actions while links and processes fail", () => {
+  it("have the same plan for the same seed", () => {
+    const [first, second, other] = [1, 1, 2].map(planActionWave);
+    expect(first).toEqual(second);
+    expect(first).not.toEqual(other);
+  });
+
+  // Guards against actions that run twice, and promises for what ran, behind extra answers, cuts, resets and ends.
+  it.each(SEEDS)(
+    "run once, and are refused only if they did not run: seed %i",
+    async (seed) => {
+      const { broken, folder } = await playActionWave(planActionWave(seed));
+      expect(broken, `Files of the wave: ${folder}`).toEqual([]);
+    },
+  );
+});
--- /dev/null
+++ b/soak/src/actions/index.ts
@@ -0,0 +1,2 @@
+export { planActionWave } from "./action_plan.ts";
+export { type ActionWaveResult, playActionWave } from "./action_wave.ts";
