fix: streams went on at another version at an entry that was out of step

What callers saw: an entry that could not read the store for a second or two, or stood still, while a version joined, took streams of the new version up at the old one (ORDER). Cause: a stream that no entry knows goes on where its service has had one version, judged by a read that might be four seconds old; what was read then was taken for what is published now. Change: the entry asks the platform for its newest revision and goes on only where its catalogue was the newest when the request arrived; the request waits a second at most and is refused at once where reads fail.

--- a/packages/core/src/gateway/__tests__/call_resumptions.test.ts
+++ b/packages/core/src/gateway/__tests__/call_resumptions.test.ts
@@ -2,8 +2,10 @@
 import {
   type CallHead,
   type CallId,
+  type CatalogueSnapshot,
   type GatewayEffect,
   instant,
+  type Revision,
   type ServiceId,
 } from "../../index.ts";
 import { createEngine, POOL } from "./engine_fixture.ts";
@@ -11,14 +13,22 @@
 import { HEAD, PEER, REGION, SNAPSHOT, ZONE } from "./resume_fixture.ts";
 
 const SERVICE: ServiceId = POOL.id;
+const NEWEST_ANSWERED_AT = 500;
 
 /** Handles a request that continues a stream, by default before engines of `v1` and `v2`. */
 function resume(
   fields: Partial<CallHead>,
-  { resumable = true, versions = ["v1", "v2"], isFirstStart = false }: {
+  {
+    resumable = true,
+    versions = ["v1", "v2"],
+    isFirstStart = false,
+    newest = SNAPSHOT,
+  }: {
     resumable?: boolean;
     versions?: readonly string[];
     isFirstStart?: boolean;
+    /** Position that the platform states when it is asked for the newest. */
+    newest?: Pick<CatalogueSnapshot, "epoch" | "revision"> | "unanswered";
   } = {},
 ): GatewayEffect[] {
   const gateway = startGateway({ zone: ZONE, region: REGION, isFirstStart });
@@ -39,6 +49,11 @@
   const effects = gateway.handle({ kind: "arrived", head }, instant(10));
   // Nobody answers a lookup within this time.
   for (let time = 25; time <= 1_500; time += 25) {
+    const isAsked = effects.some(({ kind }) => kind === "askNewest");
+    if (isAsked && newest !== "unanswered" && time === NEWEST_ANSWERED_AT) {
+      const event = { kind: "catalogueNewest", newest } as const;
+      effects.push(...gateway.handle(event, instant(time)));
+    }
     effects.push(...gateway.handle({ kind: "tick" }, instant(time)));
   }
   return effects;
@@ -134,9 +149,20 @@
       expect(endpointOf(effects)).toBe("e-v1");
     });
 
-    it.each([
+    it.each<[string, Parameters<typeof resume>[1]]>([
       ["there are two", { isFirstStart: true }],
       ["the entry started again a moment ago", { versions: ["v1"] }],
+      // Guards against a version that was published since the last read.
+      ["the platform does not say that there is nothing newer", {
+        versions: ["v1"],
+        isFirstStart: true,
+        newest: "unanswered",
+      }],
+      ["there is something newer that is not read", {
+        versions: ["v1"],
+        isFirstStart: true,
+        newest: { ...SNAPSHOT, revision: SNAPSHOT.revision + 1 as Revision },
+      }],
     ])("is refused where %s", (_reason, options) => {
       expect(refusalOf(resume(fields, options))).toMatchObject({
         reason: "stream_unknown",
--- a/packages/core/src/gateway/__tests__/software_history.test.ts
+++ b/packages/core/src/gateway/__tests__/software_history.test.ts
@@ -1,6 +1,11 @@
 import { describe, expect, it } from "vitest";
-import { instant, milliseconds, type ServiceId } from "../../ids/index.ts";
-import { SoftwareHistory } from "../software_history.ts";
+import {
+  type Instant,
+  instant,
+  milliseconds,
+  type ServiceId,
+} from "../../ids/index.ts";
+import { SoftwareHistory, type VersionKnowledge } from "../software_history.ts";
 import { createEngine } from "./engine_fixture.ts";
 
 const SERVICE = "pool" as ServiceId;
@@ -10,6 +15,7 @@
   const catalogue = {
     lastAnsweredAt: instant(0),
     generation: 0,
+    confirmedAt: undefined as Instant | undefined,
     endpoints: new Map(),
   };
   const history = new SoftwareHistory(catalogue as never, {}, instant(0));
@@ -29,11 +35,20 @@
       time += 1_000
     ) {
       catalogue.lastAnsweredAt = instant(time);
+      catalogue.confirmedAt = instant(time);
       history.update(instant(time));
     }
   };
-  const soleVersion = (time: number): string | undefined =>
-    history.soleVersion(SERVICE, WITHIN, instant(time));
+  const versionsUntil = (until: number, now = until): VersionKnowledge =>
+    history.versionsUntil(
+      instant(until),
+      { service: SERVICE, within: WITHIN },
+      instant(now),
+    );
+  const soleVersion = (time: number): string | undefined => {
+    const known = versionsUntil(time);
+    return known.kind === "sole" ? known.version : undefined;
+  };
 
   it("is known once no stream can be older than what was seen", () => {
     publish("v1");
@@ -43,6 +58,12 @@
     expect(soleVersion(20_000)).toBe("v1");
   });
 
+  // Guards against a version that was published since the last read and began streams at other entries.
+  it("is not confirmed for streams that may have begun since the last read", () => {
+    expect(versionsUntil(20_000, 20_001).kind).toBe("sole");
+    expect(versionsUntil(20_001).kind).toBe("unconfirmed");
+  });
+
   it("is not known while streams of a former version may go on", () => {
     publish("v1", "v2");
     answerUntil(25_000);
@@ -74,6 +95,7 @@
   ): SoftwareHistory => {
     const catalogue = {
       lastAnsweredAt: instant(firstAnswerAt),
+      confirmedAt: NOW,
       generation: 0,
       endpoints: new Map([["e1", createEngine("e1").record]]),
     };
@@ -86,21 +108,29 @@
     return history;
   };
   const { softwareVersion } = createEngine("e1").record;
+  const versionsAt = (
+    history: SoftwareHistory,
+    now: Instant,
+  ): VersionKnowledge =>
+    history.versionsUntil(NOW, { service: SERVICE, within: WITHIN }, now);
 
   // Guards against streams that are refused in the first seconds of a system that nothing ran before.
   it("is known where the whole system starts", () => {
     const history = createHistory({ isFirstStart: true });
-    expect(history.soleVersion(SERVICE, WITHIN, NOW)).toBe(softwareVersion);
+    expect(versionsAt(history, NOW)).toEqual({
+      kind: "sole",
+      version: softwareVersion,
+    });
   });
 
   it("is not known where the platform answers late", () => {
     const history = createHistory({ isFirstStart: true }, START + 5_000);
     const now = instant(START + 5_500);
-    expect(history.soleVersion(SERVICE, WITHIN, now)).toBeUndefined();
+    expect(versionsAt(history, now).kind).toBe("unknown");
   });
 
   it("is not known where an entry starts again", () => {
     const history = createHistory({});
-    expect(history.soleVersion(SERVICE, WITHIN, NOW)).toBeUndefined();
+    expect(versionsAt(history, NOW).kind).toBe("unknown");
   });
 });
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -153,6 +153,7 @@
     this.#resumptions = new CallResumptions({
       origins: deps.origins,
       history: deps.history,
+      catalogue: deps.catalogue,
       outcomes: this.#outcomes,
       isServed: (call, origin) => deps.router.isServed(call, origin),
       place: (call, now) => this.#placer.place(call, now),
@@ -442,6 +443,7 @@
 
   /** Continues with waiting requests once the catalogue is available, its read has failed or their time is up. */
   retryPending(now: Instant): void {
+    this.#resumptions.retryUnconfirmed(now);
     this.#admission.retryPending(now);
     this.#retryNewerDocument(now);
     if (this.#pending.size === 0) {
--- a/packages/core/src/gateway/call_resumptions.ts
+++ b/packages/core/src/gateway/call_resumptions.ts
@@ -17,19 +17,24 @@
 } from "../stream_origins/index.ts";
 import type { Call, OpenAttempt, OriginSource } from "./call.ts";
 import type { CallOutcomes } from "./call_outcomes.ts";
+import type { CatalogueView } from "./catalogue_view.ts";
 import type { CallAnswer } from "./messages.ts";
-import type { SoftwareHistory } from "./software_history.ts";
+import type { SoftwareHistory, VersionKnowledge } from "./software_history.ts";
 
 /** How long a record is kept after the caller's timeout, since callers and entries do not see its end at once. */
 const RECORD_MARGIN_MS = 5_000;
 /** Records of one attempt: when it is sent, and when a peer's answer states the origin. */
 const REVISIONS_PER_ATTEMPT = 2;
 
+/** Longest time for which a request waits until it is certain that its service has one version. */
+const MAX_CONFIRMATION_MS = 1_000;
+
 /** Dependencies of `CallResumptions`. */
 export interface ResumptionDependencies {
   readonly origins: StreamOrigins;
   readonly outcomes: CallOutcomes;
   readonly history: SoftwareHistory;
+  readonly catalogue: Pick<CatalogueView, "confirm" | "failing">;
   /** Whether an endpoint of an origin is published where the request may be served. */
   readonly isServed: (call: Call, origin: StreamOrigin) => boolean;
   readonly place: (call: Call, now: Instant) => void;
@@ -42,6 +47,8 @@
   readonly #recorded = new WeakSet<Call>();
   /** Requests that wait until the origin of their stream is known. */
   readonly #waiting = new Map<StreamKey, Set<Call>>();
+  /** Requests that wait until it is certain that their service has had one version. */
+  readonly #unconfirmed = new Set<Call>();
 
   constructor(deps: ResumptionDependencies) {
     this.#deps = deps;
@@ -69,6 +76,8 @@
           now,
         );
       case "pending":
+        // Asked for already now, since hardly any lookup fails where an entry knows the stream.
+        this.#askIfUnconfirmed(call, now);
         return this.#hold(call, key);
       case "doubtful":
         return this.#deps.outcomes.fail(call, "stream_unknown", now);
@@ -79,15 +88,45 @@
 
   /** A stream that no entry knows can still be taken up where there was no other version. */
   #beginUnknown(call: Call, now: Instant): void {
-    const [service, ...others] = call.services;
-    const version = others.length === 0
-      ? this.#deps.history.soleVersion(service!, longestStream(call), now)
-      : undefined;
-    if (version === undefined) {
-      return this.#deps.outcomes.fail(call, "stream_unknown", now);
+    const { catalogue, outcomes } = this.#deps;
+    const known = this.#versionsOf(call, now);
+    const mayWait = !catalogue.failing &&
+      now - call.arrivedAt < MAX_CONFIRMATION_MS;
+    if (known.kind === "sole") {
+      const origin = { service: call.services[0]!, version: known.version };
+      this.#resume(call, { origin, source: "catalogue" }, now);
+    } else if (known.kind === "unconfirmed" && mayWait) {
+      this.#unconfirmed.add(call);
+      catalogue.confirm(now);
+    } else {
+      outcomes.fail(call, "stream_unknown", now);
+    }
+  }
+
+  /** Decides about the requests that wait for certainty, after news of the catalogue or some time. */
+  retryUnconfirmed(now: Instant): void {
+    if (this.#unconfirmed.size > 0) {
+      const calls = [...this.#unconfirmed];
+      this.#unconfirmed.clear();
+      calls.forEach((call) => this.#beginUnknown(call, now));
     }
-    const origin = { service: service!, version };
-    this.#resume(call, { origin, source: "catalogue" }, now);
+  }
+
+  #askIfUnconfirmed(call: Call, now: Instant): void {
+    if (this.#versionsOf(call, now).kind === "unconfirmed") {
+      this.#deps.catalogue.confirm(now);
+    }
+  }
+
+  /** The versions that may have begun a request's stream, which began before the request arrived. */
+  #versionsOf(call: Call, now: Instant): VersionKnowledge {
+    const [service, ...others] = call.services;
+    return others.length > 0 ? { kind: "unknown" } : this.#deps.history
+      .versionsUntil(
+        call.arrivedAt,
+        { service: service!, within: longestStream(call) },
+        now,
+      );
   }
 
   /** Continues with the requests that waited for streams. */
@@ -113,6 +152,7 @@
 
   /** Forgets a request that is over. */
   remove(call: Call): void {
+    this.#unconfirmed.delete(call);
     const { resumedCall } = call.head;
     if (this.#waiting.size > 0 && resumedCall?.kind === "named") {
       const key = streamKey(resumedCall.call);
--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -27,6 +27,10 @@
   type RouteTable,
   type RoutingDocument,
 } from "../routes/index.ts";
+import {
+  CatalogueConfirmation,
+  type NewestPosition,
+} from "./catalogue_confirmation.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
 import { LocalCatalogue } from "./local_catalogue.ts";
 import type { GatewayEmit } from "./messages.ts";
@@ -83,6 +87,7 @@
   readonly #grace: MissingRecordGrace;
   readonly #freshness: FreshnessProofs;
   readonly #copies: PeerCopies;
+  readonly #confirmation: CatalogueConfirmation;
   /** When the read under way was sent, and its timeout. */
   #readSentAt: Instant;
   #readTimeout = milliseconds(0);
@@ -109,6 +114,7 @@
       newestDocument,
     });
     this.#copies = new PeerCopies({ emit, newestHolder }, now);
+    this.#confirmation = new CatalogueConfirmation(emit);
     this.#readSentAt = now;
   }
 
@@ -149,6 +155,21 @@
     return this.#schedule.failures > 0;
   }
 
+  get confirmedAt(): Instant | undefined {
+    return this.#confirmation.confirmedAt;
+  }
+
+  confirm(now: Instant): void {
+    this.#confirmation.request(now);
+  }
+
+  /** Handles the platform's newest position, and reads at once if the local catalogue is behind it. */
+  handleNewest(newest: NewestPosition | undefined, now: Instant): void {
+    if (this.#confirmation.receive(newest, this.position)) {
+      this.readAtOnce(now);
+    }
+  }
+
   /** Starts a read if one is due. */
   tick(now: Instant): void {
     this.#local.expire(now);
@@ -424,6 +445,7 @@
     if (!this.#restorePending) {
       this.#grace.noteNotRestored(now);
     }
+    this.#confirmation.notePosition(this.position);
     const holder = this.#freshness.evaluate(this.#local, { isFullRead, now });
     if (holder !== undefined) {
       this.#copies.request(holder.address, now);
--- a/packages/core/src/gateway/catalogue_view.ts
+++ b/packages/core/src/gateway/catalogue_view.ts
@@ -29,6 +29,8 @@
   readonly generation: number;
   /** When the platform last answered. */
   readonly lastAnsweredAt: Instant | undefined;
+  /** The latest time at which the local catalogue is known to have been the newest, `undefined` if none is known. */
+  readonly confirmedAt: Instant | undefined;
   /** Whether the platform answered the last read. False until the first answer. */
   readonly reachable: boolean;
   /** Whether the last read failed. */
@@ -37,6 +39,8 @@
   readonly contentHash: number;
   /** Whether the catalogue is so old that requests have to wait for the read under way. */
   isStale(now: Instant): boolean;
+  /** Asks the platform whether the local catalogue is the newest, upon which `confirmedAt` rises. */
+  confirm(now: Instant): void;
   /**
    * Schedules an early read, for a request that only a newer document can decide. Returns false if reads are
    * failing, so that waiting is of no use.
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -460,6 +460,9 @@
       case "catalogueConfirmed":
         this.#catalogue.applyConfirmation(event.epoch, now);
         return this.#applyCatalogue(now);
+      case "catalogueNewest":
+        this.#catalogue.handleNewest(event.newest, now);
+        return this.#applyCatalogue(now);
       case "catalogueCompacted":
         return this.#catalogue.handleCompaction(event.epoch, now);
       case "catalogueFailed":
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -248,6 +248,13 @@
     readonly kind: "catalogueConfirmed";
     readonly epoch?: CatalogueEpoch | undefined;
   }
+  /** The platform's newest position, `undefined` if it did not answer. */
+  | {
+    readonly kind: "catalogueNewest";
+    readonly newest:
+      | Pick<CatalogueSnapshot, "epoch" | "revision">
+      | undefined;
+  }
   /** The machine was suspended for this long, during which the process's clock did not advance. */
   | { readonly kind: "slept"; readonly time: Milliseconds }
   /** The changes since the local revision have been compacted away. */
@@ -432,6 +439,8 @@
     readonly wait: Milliseconds;
     readonly timeout: Milliseconds;
   }
+  /** Ask the platform for its newest position. */
+  | { readonly kind: "askNewest"; readonly timeout: Milliseconds }
   | {
     readonly kind: "copyCatalogue";
     readonly address: string;
--- a/packages/core/src/gateway/software_history.ts
+++ b/packages/core/src/gateway/software_history.ts
@@ -17,6 +17,15 @@
 /** When a version was last published, `undefined` if it still is. */
 type LastSeen = Instant | undefined;
 
+/** What is known of the versions of a service. */
+export type VersionKnowledge =
+  /** No endpoint had another version. */
+  | { readonly kind: "sole"; readonly version: string }
+  /** There was one version as far as was read, and another may have been published since. */
+  | { readonly kind: "unconfirmed" }
+  /** There were several, or one may have been missed. */
+  | { readonly kind: "unknown" };
+
 /** Tracks the versions of the published endpoints of all regions. */
 export class SoftwareHistory {
   readonly #catalogue: CatalogueView;
@@ -56,21 +65,25 @@
     }
   }
 
-  /**
-   * The only version of a service that an endpoint had within a time, `undefined` if there were several or one may have
-   * been missed.
-   */
-  soleVersion(
-    service: ServiceId,
-    within: Milliseconds,
+  /** What is known of the versions that endpoints of a service had until `until`, for a time before that. */
+  versionsUntil(
+    until: Instant,
+    { service, within }: { service: ServiceId; within: Milliseconds },
     now: Instant,
-  ): string | undefined {
+  ): VersionKnowledge {
     const isComplete = this.#since !== undefined &&
       now - this.#since >= within && now - this.#answeredAt! <= MAX_GAP_MS;
     const recent = [...this.#versions.get(service) ?? []].filter(([, seen]) =>
       seen === undefined || now - seen < within
     );
-    return isComplete && recent.length === 1 ? recent[0]![0] : undefined;
+    const [first] = recent;
+    if (!isComplete || first === undefined || recent.length > 1) {
+      return { kind: "unknown" };
+    }
+    // A version that was published since the last answer may have begun streams at other entries.
+    return (this.#catalogue.confirmedAt ?? -Infinity) >= until
+      ? { kind: "sole", version: first[0] }
+      : { kind: "unconfirmed" };
   }
 
   #markGone(now: Instant): void {
--- a/packages/daemon/src/gateway/catalogue_reader.ts
+++ b/packages/daemon/src/gateway/catalogue_reader.ts
@@ -45,6 +45,14 @@
     );
   }
 
+  /** Asks the platform for its newest position. */
+  askNewest({ timeout }: EffectOf<"askNewest">): void {
+    this.#source.newest(timeout).then(
+      (newest) => this.#dispatch({ kind: "catalogueNewest", newest }),
+      () => this.#dispatch({ kind: "catalogueNewest", newest: undefined }),
+    );
+  }
+
   /** Copies the catalogue from a peer. */
   copy(effect: EffectOf<"copyCatalogue">): void {
     this.#copy(effect).then(
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -296,6 +296,8 @@
       case "readCatalogue":
         this.#applyLimits();
         return this.#catalogueReader.read(effect);
+      case "askNewest":
+        return this.#catalogueReader.askNewest(effect);
       case "copyCatalogue":
         return this.#catalogueReader.copy(effect);
       case "log":
--- a/playground/src/routes/fake_store.ts
+++ b/playground/src/routes/fake_store.ts
@@ -227,6 +227,21 @@
     });
   }
 
+  /** Answers with the newest position, as `read` answers. */
+  askNewest(reader: string, answer: (event: GatewayEvent) => void): void {
+    const mode = this.modes.get(reader) ?? this.mode;
+    if (mode === "silent") {
+      return;
+    }
+    this.#time.after(ANSWER_DELAY_MS, () => {
+      const revision = this.#revision as Revision;
+      const newest = mode === "busy"
+        ? undefined
+        : { ...this.#epochFields, revision };
+      answer({ kind: "catalogueNewest", newest });
+    });
+  }
+
   /** Returns what a reader concludes from an answer that lists no changes, whether or not there were some. */
   #answerWithoutChanges(
     { after, proof }: { after: number; proof: RequiredProof },
--- a/playground/src/routes/virtual_gateway.ts
+++ b/playground/src/routes/virtual_gateway.ts
@@ -200,6 +200,8 @@
         return this.#world.links.sendDatagram(this, effect.to, effect.message);
       case "readCatalogue":
         return this.#readCatalogue(effect);
+      case "askNewest":
+        return this.#askNewest(effect);
       case "copyCatalogue":
         return this.#world.links.fetchCatalogue(
           this,
@@ -256,6 +258,26 @@
 
   #readCatalogue(
     effect: Extract<GatewayEffect, { kind: "readCatalogue" }>,
+  ): void {
+    this.#callStore({
+      timeoutMs: effect.timeout,
+      failure: { kind: "catalogueFailed", detail: "Read timed out" },
+    }, (answer) => this.#world.store.read(this.name, effect, answer));
+  }
+
+  #askNewest(
+    { timeout }: Extract<GatewayEffect, { kind: "askNewest" }>,
+  ): void {
+    this.#callStore({
+      timeoutMs: timeout,
+      failure: { kind: "catalogueNewest", newest: undefined },
+    }, (answer) => this.#world.store.askNewest(this.name, answer));
+  }
+
+  /** Makes a call to the store, of which the process handles the answer or, after the timeout, the failure. */
+  #callStore(
+    { timeoutMs, failure }: { timeoutMs: number; failure: GatewayEvent },
+    call: (answer: (event: GatewayEvent) => void) => void,
   ): void {
     const incarnation = this.#incarnationNumber;
     let open = true;
@@ -266,12 +288,9 @@
       }
     };
     if (this.#world.links.reachesStore(this)) {
-      this.#world.store.read(this.name, effect, handleOnce);
+      call(handleOnce);
     }
-    this.#world.time.after(
-      effect.timeout,
-      () => handleOnce({ kind: "catalogueFailed", detail: "Read timed out" }),
-    );
+    this.#world.time.after(timeoutMs, () => handleOnce(failure));
   }
 
   #refuse(
