--- a/soak/src/actions/behaviours.ts
+++ b/soak/src/actions/behaviours.ts
@@ -16,7 +16,9 @@
   /** A bare 421. */
   | "misdirected"
   /** A success for a request of another connection. */
-  | "foreign";
+  | "foreign"
+  /** The beginning of a refusal, which the head of the next answer continues. */
+  | "tornRefusal";
 
 /** When extra bytes are sent. */
 export type ExtraTime =
@@ -51,6 +53,8 @@
     readonly kind: "extra";
     readonly extra: ExtraAnswer;
     readonly time: ExtraTime;
+    /** Fraction of the bytes after which torn ones end. */
+    readonly part: number;
   };
 
 /** A behaviour with its pace. */
@@ -111,7 +115,10 @@
       "namedRefusal",
       "misdirected",
       "foreign",
+      "tornRefusal",
+      "tornRefusal",
     ]),
     time: draw.pick(["withEnd", "later", "beforeNext"]),
+    part: draw.fraction(),
   };
 }
--- a/soak/src/actions/ledger_endpoint.ts
+++ b/soak/src/actions/ledger_endpoint.ts
@@ -12,7 +12,7 @@
 } from "node:net";
 import { HEADERS } from "@sassafrasstep/platform";
 import { parseRequest, type RawRequest } from "@sassafrasstep/playground/bytes";
-import type { Behaviour, ExtraAnswer, RunPlan } from "./behaviours.ts";
+import type { Behaviour, RunPlan } from "./behaviours.ts";
 import { endRun, type Run, type RunLedger } from "./run_ledger.ts";
 
 const OK = 200;
@@ -21,6 +21,8 @@
 const EXTRA_DELAY_MS = 60;
 const HEAD_END = "\r\n\r\n";
 
+type ExtraBehaviour = Extract<Behaviour, { kind: "extra" }>;
+
 /** What an endpoint needs from the fleet. */
 export interface EndpointContext {
   readonly ledger: RunLedger;
@@ -200,11 +202,11 @@
 
   #sendExtra(
     socket: Socket,
-    { extra, time }: Extract<Behaviour, { kind: "extra" }>,
+    behaviour: ExtraBehaviour,
     { call, parts }: { call: string; parts: readonly string[] },
   ): void {
-    const bytes = formatExtra(extra, call, parts);
-    switch (time) {
+    const bytes = formatExtra(behaviour, call, parts);
+    switch (behaviour.time) {
       case "withEnd":
         socket.write(bytes, "latin1");
         return;
@@ -279,7 +281,7 @@
 }
 
 function formatExtra(
-  extra: ExtraAnswer,
+  { extra, part }: ExtraBehaviour,
   call: string,
   parts: readonly string[],
 ): string {
@@ -299,6 +301,11 @@
         `${HEADERS.seal}: seal-foreign`,
         "content-length: 7",
       ].join("\r\n") + HEAD_END + "foreign";
+    case "tornRefusal": {
+      const lines = [`${HEADERS.retryAfter}: 1`];
+      const whole = formatRefusal(UNAVAILABLE, undefined, lines);
+      return whole.slice(0, Math.floor(part * whole.length));
+    }
   }
 }
 
