fix: the head of an extra answer ran on into that of the next one

What callers saw: an action ran twice, was answered 503 after it had run, or an endpoint's failure reached its caller as a success. Cause: bytes after a complete answer belong to no request. Where they stop inside a head, the next answer's status line becomes the value of a header or a part of the reason phrase: one head is read where there are two, with the status and the mark of the first, the id and the seal of the second. The check that a refusal names its request is met by the wrong answer. Why it works: an answer begins with a status line, so a head that runs on holds it in a value or in the reason phrase; such an answer is lost, which promises nothing, and its connection is closed.

--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -35,6 +35,7 @@
 } from "./relay_header.ts";
 import type { EndpointProtocol, RawHeaders } from "./protocol.ts";
 import {
+  containsStatusLine,
   decodeHeaders,
   isEventStream,
   isFramed,
@@ -164,6 +165,8 @@
   onResponseStart(
     controller: Dispatcher.DispatchController,
     status: number,
+    _headers: unknown,
+    reason?: string,
   ): void {
     if (this.#finished) {
       return;
@@ -173,6 +176,13 @@
     }
     this.#status = status;
     this.#headers = decodeHeaders(controller.rawHeaders as Buffer[]);
+    if (containsStatusLine(reason, this.#headers)) {
+      // Bytes before the answer stopped inside a head. The status may be theirs and the rest that of the answer.
+      return this.#reportEnd({
+        kind: "lost",
+        detail: "Two answers ran into one",
+      });
+    }
     this.#framed = isFramed(this.#headers);
     this.#connection!.closeDelimited = !this.#framed;
     if (!this.#attempt.streaming) {
--- a/packages/daemon/src/gateway/raw_headers.ts
+++ b/packages/daemon/src/gateway/raw_headers.ts
@@ -12,6 +12,22 @@
   );
 }
 
+/**
+ * Whether the head of one answer runs on into that of another: the status line of the second is then a part of the
+ * reason phrase or of a header's value of the first.
+ */
+export function containsStatusLine(
+  reason: string | undefined,
+  headers: RawHeaders,
+): boolean {
+  return isStatusLineIn(reason ?? "") ||
+    headers.some((text, index) => index % 2 === 1 && isStatusLineIn(text));
+}
+
+function isStatusLineIn(text: string): boolean {
+  return text.includes("HTTP/1.") && /HTTP\/1\.\d [1-5]\d\d/.test(text);
+}
+
 /** Whether the headers mark the end of the body, by a length or by chunked encoding. */
 export function isFramed(headers: RawHeaders): boolean {
   return headers.some((name, index) =>
--- a/playground/src/guards/byte_guards.ts
+++ b/playground/src/guards/byte_guards.ts
@@ -19,6 +19,13 @@
     replace:
       "const kept = this.#exchange as unknown as { eventReader?: EventStreamReader };\n      this.#eventReader = kept.eventReader ??= new EventStreamReader(",
   },
+  {
+    point: POINT,
+    name: "two answers that ran into one are no answer",
+    file: `${DAEMON}/outbound_call.ts`,
+    find: "if (containsStatusLine(reason, this.#headers)) {",
+    replace: "if (containsStatusLine(reason, [])) {",
+  },
   {
     point: POINT,
     name: "an answer that ends inside an event is not whole",
--- a/playground/src/guards/stream_guards.ts
+++ b/playground/src/guards/stream_guards.ts
@@ -12,6 +12,13 @@
 
 /** Guards of the software version of a stream. */
 export const STREAM_GUARDS: readonly Guard[] = [
+  {
+    point: POINT,
+    name: "a version that joined since the last read counts",
+    file: `${GATEWAY}/software_history.ts`,
+    find: "return (this.#catalogue.confirmedAt ?? -Infinity) >= until",
+    replace: "return (this.#catalogue.confirmedAt ?? Infinity) >= -until",
+  },
   {
     point: POINT,
     name: "a bound request goes only to endpoints of its origin",
