--- a/playground/src/guards/stream_guards.ts
+++ b/playground/src/guards/stream_guards.ts
@@ -38,11 +38,11 @@
     point: POINT,
     name: "a stream without a known origin does not go on",
     file: `${GATEWAY}/call_resumptions.ts`,
-    find: `    if (version === undefined) {
-      return this.#deps.outcomes.fail(call, "stream_unknown", now);
+    find: `    } else {
+      outcomes.fail(call, "stream_unknown", now);
     }`,
-    replace: `    if (version === undefined) {
-      return this.#deps.place(call, now);
+    replace: `    } else {
+      this.#deps.place(call, now);
     }`,
   },
   {
