fix: time in which the machine was suspended did not count as a gap in what an entry has read

Suspended time now counts. A unit test, red before ("sole" after a suspension of six seconds). Beside it: what the gateway wanted done when it learned of a suspension, a log line, was dropped; it is carried out now.

--- a/packages/core/src/gateway/__tests__/software_history.test.ts
+++ b/packages/core/src/gateway/__tests__/software_history.test.ts
@@ -86,6 +86,42 @@
   });
 });
 
+// Guards against a version that came and went while the machine, and with it the process's clock, stood still.
+describe("the only version of a service, after a suspension of the machine", () => {
+  it("is not known until no stream can be older than the suspension", () => {
+    const catalogue = {
+      lastAnsweredAt: instant(0),
+      generation: 0,
+      confirmedAt: instant(50_000),
+      endpoints: new Map([["e1", createEngine("e1").record]]),
+    };
+    const history = new SoftwareHistory(
+      catalogue as never,
+      { isFirstStart: true },
+      instant(0),
+    );
+    const kindAt = (time: number): string =>
+      history.versionsUntil(
+        instant(time),
+        { service: SERVICE, within: WITHIN },
+        instant(time),
+      ).kind;
+    const answerAt = (time: number): void => {
+      catalogue.lastAnsweredAt = instant(time);
+      history.update(instant(time));
+    };
+    answerAt(1_000);
+    expect(kindAt(1_100)).toBe("sole");
+    history.addSuspendedTime(milliseconds(6_000));
+    expect(kindAt(1_200)).toBe("unknown");
+    for (let time = 2_000; time <= 22_000; time += 1_000) {
+      answerAt(time);
+    }
+    expect(kindAt(21_900)).toBe("unknown");
+    expect(kindAt(22_000)).toBe("sole");
+  });
+});
+
 describe("the only version of a service, right after the start", () => {
   const START = 100_000;
   const NOW = instant(START + 500);
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -443,7 +443,8 @@
         this.fleet.changeState("stopping", now);
         return this.#stopController.begin(now);
       case "slept":
-        return this.#catalogue.documentFreshness.addSuspendedTime(event.time);
+        this.#catalogue.documentFreshness.addSuspendedTime(event.time);
+        return this.#softwareHistory.addSuspendedTime(event.time);
       case "rebound":
         this.#bounds = event.bounds;
         this.retries.budget.updateBounds(event.bounds, now);
--- a/packages/core/src/gateway/software_history.ts
+++ b/packages/core/src/gateway/software_history.ts
@@ -33,6 +33,8 @@
   /** Since when no version can have been missed. */
   #since: Instant | undefined;
   #answeredAt: Instant | undefined;
+  /** Time since the last answer that the process's clock did not count. */
+  #suspendedMs = 0;
   #generation = -1;
 
   /** @param options.isFirstStart Whether nothing can have run before this entry started. */
@@ -48,16 +50,23 @@
     }
   }
 
+  /** Records that the machine was suspended: meanwhile a version may have come and gone. */
+  addSuspendedTime(duration: Milliseconds): void {
+    this.#suspendedMs += duration;
+  }
+
   /** Applies the current catalogue. */
   update(now: Instant): void {
     const { lastAnsweredAt, generation } = this.#catalogue;
     if (lastAnsweredAt === undefined) {
       return;
     }
-    const isContinuous = this.#answeredAt !== undefined &&
-      lastAnsweredAt - this.#answeredAt <= MAX_GAP_MS;
+    const isContinuous = this.#gapAt(lastAnsweredAt) <= MAX_GAP_MS;
     this.#since = isContinuous ? this.#since : now;
-    this.#answeredAt = lastAnsweredAt;
+    if (lastAnsweredAt !== this.#answeredAt) {
+      this.#answeredAt = lastAnsweredAt;
+      this.#suspendedMs = 0;
+    }
     if (generation !== this.#generation) {
       this.#generation = generation;
       this.#markGone(now);
@@ -72,7 +81,7 @@
     now: Instant,
   ): VersionKnowledge {
     const isComplete = this.#since !== undefined &&
-      now - this.#since >= within && now - this.#answeredAt! <= MAX_GAP_MS;
+      now - this.#since >= within && this.#gapAt(now) <= MAX_GAP_MS;
     const recent = [...this.#versions.get(service) ?? []].filter(([, seen]) =>
       seen === undefined || now - seen < within
     );
@@ -86,6 +95,13 @@
       : { kind: "unconfirmed" };
   }
 
+  /** Time from the last answer until `at`. */
+  #gapAt(at: Instant): number {
+    return this.#answeredAt === undefined
+      ? Infinity
+      : at - this.#answeredAt + this.#suspendedMs;
+  }
+
   #markGone(now: Instant): void {
     for (const versions of this.#versions.values()) {
       for (const [version, seen] of versions) {
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -210,8 +210,12 @@
   #dispatch(event: GatewayEvent): readonly GatewayEffect[] {
     const suspendedTime = this.#suspensions.take();
     if (suspendedTime > 0) {
-      this.#gateway.handle({ kind: "slept", time: suspendedTime }, this.#now());
+      this.#handle({ kind: "slept", time: suspendedTime });
     }
+    return this.#handle(event);
+  }
+
+  #handle(event: GatewayEvent): readonly GatewayEffect[] {
     const effects = this.#gateway.handle(event, this.#now());
     for (const effect of effects) {
       this.#runEffect(effect);
