--- a/playground/src/links/linked_entry_main.ts
+++ b/playground/src/links/linked_entry_main.ts
@@ -28,6 +28,8 @@
   held.forEach(({ address, start }) => connectWhenReachable(address, start));
 });
 process.channel?.unref();
+// A parent that ends without closing its fleet leaves no entry behind.
+process.on("disconnect", () => process.exit());
 
 interface ConnectOptions {
   host?: string;
--- a/soak/src/actions/behaviours.ts
+++ b/soak/src/actions/behaviours.ts
@@ -17,7 +17,7 @@
   | "misdirected"
   /** A success for a request of another connection. */
   | "foreign"
-  /** The beginning of a refusal, which the head of the next answer continues. */
+  /** The beginning of a refusal; the head of the next answer may run on from it. */
   | "tornRefusal";
 
 /** When extra bytes are sent. */
@@ -121,7 +121,7 @@
       "tornRefusal",
       "tornRefusal",
     ]),
-    time: draw.pick(["withEnd", "later", "beforeNext"]),
+    time: draw.pick(["withEnd", "later", "beforeNext", "beforeNext"]),
     part: draw.fraction(),
   };
 }
--- a/soak/src/actions/ledger_endpoint.ts
+++ b/soak/src/actions/ledger_endpoint.ts
@@ -330,12 +330,18 @@
       ].join("\r\n") + HEAD_END + "foreign";
     case "tornRefusal": {
       const lines = [`${HEADERS.retryAfter}: 1`];
-      const whole = formatRefusal(UNAVAILABLE, undefined, lines);
-      return whole.slice(0, Math.floor(part * whole.length));
+      return tear(formatRefusal(UNAVAILABLE, undefined, lines), part);
     }
   }
 }
 
+/** Cuts a head at a byte, or at the end of a line, where what follows becomes a part of that line's value. */
+function tear(head: string, part: number): string {
+  const cut = Math.floor(part * head.length);
+  const lineEnd = head.indexOf("\r\n", cut);
+  return head.slice(0, cut % 2 === 0 || lineEnd < 0 ? cut : lineEnd);
+}
+
 function describeBehaviour(behaviour: Behaviour): string {
   return Object.values(behaviour).join(" ");
 }
--- a/soak/src/guard_list.ts
+++ b/soak/src/guard_list.ts
@@ -8,6 +8,7 @@
 const CORE_GATEWAY = "packages/core/src/gateway";
 const DAEMON_GATEWAY = "packages/daemon/src/gateway";
 const POINT = "streams byte by byte";
+const ACTION_POINT = "actions run once, and refusals are true";
 
 /** A guard and the kinds of waves, separated by commas, that are played without it. */
 export interface SoakGuard extends Guard {
@@ -17,6 +18,8 @@
 const FAULT_KINDS = "stops,ends";
 const PAUSE_KINDS = "stalls,pauses";
 const SLOW_KINDS = "slow";
+/** Stands for the waves of actions, which are played by a program of their own. */
+export const ACTION_WAVES = "actions";
 
 /** All guards that the soak test checks. */
 export const SOAK_GUARDS: readonly SoakGuard[] = [
@@ -159,4 +162,60 @@
     find: 'const notRun = verdict.kind === "not_run";',
     replace: "const notRun = verdict.kind !== undefined;",
   },
+  {
+    point: ACTION_POINT,
+    kinds: ACTION_WAVES,
+    name: "a refusal on a used connection names its request",
+    file: "platform/src/endpoint_protocol.ts",
+    find: 'return target.kind === "peer" || !reusedConnection;',
+    replace: 'return target.kind === "peer" || reusedConnection !== undefined;',
+  },
+  {
+    point: ACTION_POINT,
+    kinds: ACTION_WAVES,
+    name: "an endpoint's status alone promises nothing",
+    file: `${CORE_GATEWAY}/call_controller.ts`,
+    find: "if (promisesNotRun(answer.status)) {",
+    replace: "if (promisesNotRun(0)) {",
+  },
+  {
+    point: ACTION_POINT,
+    kinds: ACTION_WAVES,
+    name: "two answers that ran into one are no answer",
+    file: `${DAEMON_GATEWAY}/outbound_call.ts`,
+    find: "if (containsStatusLine(reason, this.#headers)) {",
+    replace: "if (containsStatusLine(reason, [])) {",
+  },
+  {
+    point: ACTION_POINT,
+    kinds: ACTION_WAVES,
+    name: "a lost attempt may have run",
+    file: "packages/core/src/verdict/verdict.ts",
+    find: 'state === "sent" || state === "lost"',
+    replace: 'state === "sent"',
+  },
+  {
+    point: ACTION_POINT,
+    kinds: ACTION_WAVES,
+    name: "an action is not sent again after it was lost",
+    file: `${CORE_GATEWAY}/call_recovery.ts`,
+    find: "if (!call.mayRetry || !this.#hasAlternative(call, now)) {",
+    replace: "if (!this.#hasAlternative(call, now)) {",
+  },
+  {
+    point: ACTION_POINT,
+    kinds: ACTION_WAVES,
+    name: "a peer's failure is no refusal",
+    file: "platform/src/endpoint_protocol.ts",
+    find: "? isRefusedByEntry(headers)",
+    replace: "? isRefusedByEntry(headers) || status === 502",
+  },
+  {
+    point: ACTION_POINT,
+    kinds: ACTION_WAVES,
+    name: "a success names its request",
+    file: "platform/src/endpoint_protocol.ts",
+    find: "return isSealed && echoedCall === call && !isMarked;",
+    replace: "return isSealed && !isMarked;",
+  },
 ];
--- a/soak/src/guards_main.ts
+++ b/soak/src/guards_main.ts
@@ -16,7 +16,7 @@
   removeGuard,
   ROOT,
 } from "@sassafrasstep/playground/guards";
-import { SOAK_GUARDS, type SoakGuard } from "./guard_list.ts";
+import { ACTION_WAVES, SOAK_GUARDS, type SoakGuard } from "./guard_list.ts";
 
 const SEED_RANGE = "1-10";
 const WORKER_COUNT = 3;
@@ -55,10 +55,7 @@
     removeGuard(guard, folder);
     const tsc = join(ROOT, "node_modules/.bin/tsc");
     await execFileAsync(tsc, ["-b"], { cwd: folder });
-    const main = join(folder, "soak/dist/main.js");
-    const { kinds } = guard;
-    const args = [main, "--seeds", SEED_RANGE, "--first", "--kinds", kinds];
-    const output = await execFileAsync(process.execPath, args, {
+    const output = await execFileAsync(process.execPath, commandOf(guard), {
       cwd: folder,
       maxBuffer: MAX_OUTPUT_BYTES,
       env: { ...process.env, TMPDIR: folder },
@@ -72,14 +69,22 @@
   }
 }
 
+/** Arguments that play the waves of a guard. */
+function commandOf({ kinds }: SoakGuard): string[] {
+  const seeds = ["--seeds", SEED_RANGE, "--first"];
+  return kinds === ACTION_WAVES
+    ? ["soak/dist/actions_main.js", ...seeds]
+    : ["soak/dist/main.js", ...seeds, "--kinds", kinds];
+}
+
 function readFailure(output: string): string | undefined {
   const lines = output.split("\n");
   if (output !== "" && !output.includes(" waves, ")) {
     return `did not run to its end: ${lines.at(-2)}`;
   }
   const failureIndex = lines.findIndex((line) =>
-    line.startsWith("First broken promise")
+    line.startsWith("First broken promise") || line.startsWith("  ")
   );
-  const wave = lines[failureIndex - 1]?.match(/seed \d+ wave \d+ \w+/)?.[0];
+  const wave = lines[failureIndex - 1]?.match(/seed \d+( wave \d+ \w+)?/)?.[0];
   return failureIndex < 0 ? undefined : `${wave}: ${lines[failureIndex]}`;
 }
