--- a/packages/core/src/gateway/catalogue_confirmation.ts
+++ b/packages/core/src/gateway/catalogue_confirmation.ts
@@ -4,16 +4,13 @@
  * @module
  */
 import { type Instant, milliseconds } from "../ids/index.ts";
-import type { CataloguePosition, CatalogueSnapshot } from "../routes/index.ts";
-import type { GatewayEmit } from "./messages.ts";
+import type { CataloguePosition } from "../routes/index.ts";
+import type { GatewayEmit, NewestPosition } from "./messages.ts";
 
 /** Minimum time between two questions, so that many requests at once don't load the platform. */
 const MIN_INTERVAL_MS = 200;
 const TIMEOUT_MS = 700;
 
-/** The platform's newest position at some time. */
-export type NewestPosition = Pick<CatalogueSnapshot, "epoch" | "revision">;
-
 /** Asks the platform for its newest position, beside the reads of changes, which may wait for one. */
 export class CatalogueConfirmation {
   readonly #emit: GatewayEmit;
--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -27,13 +27,10 @@
   type RouteTable,
   type RoutingDocument,
 } from "../routes/index.ts";
-import {
-  CatalogueConfirmation,
-  type NewestPosition,
-} from "./catalogue_confirmation.ts";
+import { CatalogueConfirmation } from "./catalogue_confirmation.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
 import { LocalCatalogue } from "./local_catalogue.ts";
-import type { GatewayEmit } from "./messages.ts";
+import type { GatewayEmit, NewestPosition } from "./messages.ts";
 import { PeerCopies } from "./peer_copies.ts";
 import { FreshnessProofs } from "./freshness_proofs.ts";
 import { type AnswerValidity, EpochTracker } from "./epoch_tracker.ts";
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -228,6 +228,9 @@
   /** The complete answer arrived. */
   | { readonly kind: "complete" };
 
+/** The platform's newest position at some time. */
+export type NewestPosition = Pick<CatalogueSnapshot, "epoch" | "revision">;
+
 /** An input of the gateway. The time is passed separately. */
 export type GatewayEvent =
   | { readonly kind: "tick" }
@@ -251,9 +254,7 @@
   /** The platform's newest position, `undefined` if it did not answer. */
   | {
     readonly kind: "catalogueNewest";
-    readonly newest:
-      | Pick<CatalogueSnapshot, "epoch" | "revision">
-      | undefined;
+    readonly newest: NewestPosition | undefined;
   }
   /** The machine was suspended for this long, during which the process's clock did not advance. */
   | { readonly kind: "slept"; readonly time: Milliseconds }
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -17,6 +17,7 @@
   CustomerId,
   EndpointId,
   Milliseconds,
+  NewestPosition,
   PartDigest,
   Revision,
 } from "@sassafrasstep/core";
@@ -93,12 +94,6 @@
     readonly epoch?: CatalogueEpoch | undefined;
   };
 
-/** A position in the history of the catalogue. */
-export interface NewestPosition {
-  readonly epoch?: CatalogueEpoch | undefined;
-  readonly revision: Revision;
-}
-
 /** The platform's store, from which the catalogue is read. */
 export interface CatalogueSource {
   /** Reads the entire catalogue. */
--- a/playground/src/bytes/index.ts
+++ b/playground/src/bytes/index.ts
@@ -21,7 +21,7 @@
   type StatedTerms,
   type Stop,
 } from "./raw_engine.ts";
-export { parseRequest, type RawRequest } from "./raw_request.ts";
+export { onRequests, type RawRequest } from "./raw_request.ts";
 export { NETWORK_PREFIX } from "../platform/loopback.ts";
 export { eventually, route } from "../platform/platform_fleet.ts";
 export { StandInStore, type StoreFault } from "../platform/stand_in_store.ts";
--- a/playground/src/bytes/raw_engine.ts
+++ b/playground/src/bytes/raw_engine.ts
@@ -13,7 +13,7 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { HEADERS } from "@sassafrasstep/platform";
 import { eventsOf, type EventStyle } from "./event_text.ts";
-import { parseRequest, type RawRequest } from "./raw_request.ts";
+import { onRequests, type RawRequest } from "./raw_request.ts";
 
 /** How an answer marks the end of its body: by chunks, by its length, or only by closing the connection. */
 export type Framing = "chunked" | "length" | "none";
@@ -141,15 +141,7 @@
     socket.setNoDelay(true);
     socket.on("close", () => this.#sockets.delete(socket));
     socket.on("error", () => {});
-    let text = "";
-    socket.on("data", (bytes) => {
-      text += bytes.toString("latin1");
-      const request = parseRequest(text);
-      if (request !== undefined) {
-        text = "";
-        void this.#respond(socket, request);
-      }
-    });
+    onRequests(socket, (request) => void this.#respond(socket, request));
   }
 
   async #respond(socket: Socket, request: RawRequest): Promise<void> {
--- a/playground/src/bytes/raw_request.ts
+++ b/playground/src/bytes/raw_request.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Socket } from "node:net";
 import { HEADERS } from "@sassafrasstep/platform";
 
 const HEAD_END = "\r\n\r\n";
@@ -17,7 +18,7 @@
 }
 
 /** Parses a request, or returns `undefined` while its body is incomplete. */
-export function parseRequest(text: string): RawRequest | undefined {
+function parseRequest(text: string): RawRequest | undefined {
   const end = text.indexOf(HEAD_END);
   if (end < 0) {
     return undefined;
@@ -39,3 +40,19 @@
     at: performance.now(),
   };
 }
+
+/** Calls `receive` for each request that arrives on a connection, one at a time. */
+export function onRequests(
+  socket: Socket,
+  receive: (request: RawRequest) => void,
+): void {
+  let text = "";
+  socket.on("data", (bytes) => {
+    text += bytes.toString("latin1");
+    const request = parseRequest(text);
+    if (request !== undefined) {
+      text = "";
+      receive(request);
+    }
+  });
+}
--- a/playground/src/platform/__tests__/torn_extra_answers.test.ts
+++ b/playground/src/platform/__tests__/torn_extra_answers.test.ts
@@ -7,7 +7,7 @@
 } from "node:net";
 import { HEADERS } from "@sassafrasstep/platform";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
-import { parseRequest } from "../../bytes/index.ts";
+import { onRequests } from "../../bytes/index.ts";
 import { callPlatform, PlatformFleet, route } from "../index.ts";
 
 const PROMISE_STATUSES = [408, 421, 429, 503];
@@ -36,8 +36,7 @@
     socket.on("close", () => this.#sockets.delete(socket));
     socket.on("error", () => {});
     let isUsed = false;
-    socket.on("data", (bytes) => {
-      const call = parseRequest(bytes.toString("latin1"))!.call;
+    onRequests(socket, ({ call }) => {
       TornEndpoint.executed.push(call);
       const lines = [
         `HTTP/1.1 ${this.status} x`,
--- a/soak/src/actions/action_checks.ts
+++ b/soak/src/actions/action_checks.ts
@@ -5,7 +5,7 @@
  */
 import { type ObservedAnswer, PROMISE_STATUSES } from "./action_caller.ts";
 import { mustRunOnce, ROUTES } from "./action_plan.ts";
-import { formatEvent, plainBody } from "./ledger_endpoint.ts";
+import { formatEvent, plainBody } from "./answer_bytes.ts";
 import type { Run, RunLedger } from "./run_ledger.ts";
 import type { Violation } from "../promises.ts";
 
--- a/soak/src/actions/behaviours.ts
+++ b/soak/src/actions/behaviours.ts
@@ -57,6 +57,9 @@
     readonly part: number;
   };
 
+/** Sends bytes that belong to no request, after a whole answer. */
+export type ExtraBehaviour = Extract<Behaviour, { kind: "extra" }>;
+
 /** A behaviour with its pace. */
 export interface RunPlan {
   readonly behaviour: Behaviour;
--- a/soak/src/actions/ledger_endpoint.ts
+++ b/soak/src/actions/ledger_endpoint.ts
@@ -13,27 +13,24 @@
 import { HEADERS } from "@sassafrasstep/platform";
 import {
   NETWORK_PREFIX,
-  parseRequest,
+  onRequests,
   type RawRequest,
 } from "@sassafrasstep/playground/bytes";
-import type { Behaviour, RunPlan } from "./behaviours.ts";
+import type { ExtraBehaviour, RunPlan } from "./behaviours.ts";
+import { answerParts, formatExtra, formatRefusal } from "./answer_bytes.ts";
 import { endRun, type Run, type RunLedger } from "./run_ledger.ts";
 
 /** Not the address from which connections are opened: one of them could take the port of an endpoint that has ended. */
 const HOST = `${NETWORK_PREFIX}.50`;
-const OK = 200;
 const MISDIRECTED = 421;
 const UNAVAILABLE = 503;
 const EXTRA_DELAY_MS = 60;
 /** Time after an answer at which an idle connection is closed, when the next request may be on its way. */
 const IDLE_CLOSE_MS = 150;
-const HEAD_END = "\r\n\r\n";
 
 /** Services of the fleet: plain requests, and streams. */
 export type ServiceName = "core" | "model";
 
-type ExtraBehaviour = Extract<Behaviour, { kind: "extra" }>;
-
 /** What an endpoint needs from the fleet. */
 export interface EndpointContext {
   readonly ledger: RunLedger;
@@ -110,15 +107,7 @@
     socket.setNoDelay(true);
     socket.on("close", () => this.#sockets.delete(socket));
     socket.on("error", () => {});
-    let text = "";
-    socket.on("data", (bytes) => {
-      text += bytes.toString("latin1");
-      const request = parseRequest(text);
-      if (request !== undefined) {
-        text = "";
-        this.#receive(connection, request);
-      }
-    });
+    onRequests(socket, (request) => this.#receive(connection, request));
   }
 
   #receive(connection: EndpointConnection, request: RawRequest): void {
@@ -160,7 +149,7 @@
       entry: this.#context.entryOf(socket.remotePort ?? 0),
       after: request.after,
       earlierRequests: connection.requests++,
-      behaviour: describeBehaviour(behaviour),
+      behaviour: Object.values(behaviour).join(" "),
       startedAt: performance.now(),
     };
     this.#context.ledger.begin(run);
@@ -251,101 +240,6 @@
   }
 }
 
-/** The whole answer to a plain request. */
-export function plainBody(call: string): string {
-  return `answer to ${call}`;
-}
-
-/** An event of a stream. */
-export function formatEvent(id: number): string {
-  return `id: ${id}\ndata: event ${id}\n\n`;
-}
-
-function answerParts(
-  { call, headers, after }: RawRequest,
-  { behaviour, events, closes }: RunPlan,
-): string[] {
-  const status = behaviour.kind === "fails" ? behaviour.status : OK;
-  const isSealed = behaviour.kind !== "fails" || behaviour.sealed;
-  const lines = [
-    `HTTP/1.1 ${status} x`,
-    ...isSealed
-      ? [`${HEADERS.callId}: ${call}`, `${HEADERS.seal}: seal-${call}`]
-      : [],
-  ];
-  if (closes === "announced") {
-    lines.push("connection: close");
-  }
-  const isStream = headers.has(HEADERS.tokenCounts) && status === OK;
-  if (!isStream) {
-    const body = plainBody(call);
-    lines.push(`content-length: ${body.length}`);
-    return [lines.join("\r\n") + HEAD_END, body];
-  }
-  lines.push("content-type: text/event-stream", "transfer-encoding: chunked");
-  const chunks = Array.from(
-    { length: Math.max(0, events - after) },
-    (_, index) => {
-      const event = formatEvent(after + index + 1);
-      return `${event.length.toString(16)}\r\n${event}\r\n`;
-    },
-  );
-  return [lines.join("\r\n") + HEAD_END, ...chunks, "0\r\n\r\n"];
-}
-
-function formatRefusal(
-  status: number,
-  call: string | undefined,
-  lines: readonly string[] = [],
-): string {
-  return [
-    `HTTP/1.1 ${status} x`,
-    `${HEADERS.notRun}: 1`,
-    ...call === undefined ? [] : [`${HEADERS.callId}: ${call}`],
-    ...lines,
-    "content-length: 0",
-  ].join("\r\n") + HEAD_END;
-}
-
-function formatExtra(
-  { extra, part }: ExtraBehaviour,
-  call: string,
-  parts: readonly string[],
-): string {
-  switch (extra) {
-    case "copy":
-      return parts.join("");
-    case "bareRefusal":
-      return formatRefusal(UNAVAILABLE, undefined);
-    case "namedRefusal":
-      return formatRefusal(UNAVAILABLE, call);
-    case "misdirected":
-      return formatRefusal(MISDIRECTED, undefined);
-    case "foreign":
-      return [
-        `HTTP/1.1 ${OK} x`,
-        `${HEADERS.callId}: foreign`,
-        `${HEADERS.seal}: seal-foreign`,
-        "content-length: 7",
-      ].join("\r\n") + HEAD_END + "foreign";
-    case "tornRefusal": {
-      const lines = [`${HEADERS.retryAfter}: 1`];
-      return tear(formatRefusal(UNAVAILABLE, undefined, lines), part);
-    }
-  }
-}
-
-/** Cuts a head at a byte, or at the end of a line, where what follows becomes a part of that line's value. */
-function tear(head: string, part: number): string {
-  const cut = Math.floor(part * head.length);
-  const lineEnd = head.indexOf("\r\n", cut);
-  return head.slice(0, cut % 2 === 0 || lineEnd < 0 ? cut : lineEnd);
-}
-
-function describeBehaviour(behaviour: Behaviour): string {
-  return Object.values(behaviour).join(" ");
-}
-
 function breakOff(socket: Socket, how: "reset" | "closed" | "silent"): void {
   if (how === "reset") {
     socket.resetAndDestroy();
