--- a/soak/src/actions/action_checks.ts
+++ b/soak/src/actions/action_checks.ts
@@ -91,17 +91,23 @@
     : [...faults, "events out of order"];
 }
 
-/** Finds runs that go on while the same request runs on elsewhere. */
+/** Finds runs that their entry lets go on while it sends the same request elsewhere. */
 function findOverlaps(
   runs: readonly Run[],
   isDisturbed: ObservedWave["isDisturbed"],
 ): string[] {
   return runs.slice(1).flatMap((run, index) => {
     const before = runs[index]!;
-    const overlapEnd = before.endedAt ?? Infinity;
+    const overlapEnd = Math.min(
+      before.endedAt ?? Infinity,
+      before.closedAt ?? Infinity,
+    );
     const overlap = overlapEnd - run.startedAt;
-    const isExcused = before.end !== "dropped" ||
-      isDisturbed(before.entry, before.startedAt, run.startedAt);
+    const isExcused = isDisturbed(
+      before.entry,
+      before.startedAt,
+      run.startedAt + MAX_OVERLAP_MS,
+    );
     return overlap > MAX_OVERLAP_MS && !isExcused
       ? [`ran at two endpoints for ${Math.round(overlap)} ms`]
       : [];
--- a/soak/src/actions/ledger_endpoint.ts
+++ b/soak/src/actions/ledger_endpoint.ts
@@ -157,6 +157,7 @@
     const closed = new AbortController();
     const onClose = (): void => {
       closed.abort();
+      run.closedAt = performance.now();
       if (!stubborn) {
         endRun(run, "dropped", performance.now());
       }
--- a/soak/src/actions/run_ledger.ts
+++ b/soak/src/actions/run_ledger.ts
@@ -29,6 +29,8 @@
   /** `undefined` while it runs. */
   endedAt?: number;
   end?: RunEnd;
+  /** When the entry closed its connection, upon which an endpoint drops most runs. */
+  closedAt?: number;
 }
 
 /** Records runs of all endpoints. */
