gateway: chunks of a byte no longer fill an entry's memory

Found by drawn_endless.test.ts: faulty endpoints that send bytes without end in 40 shapes, fast and byte by byte, to 8 to 40 requests at once, directly, over a relay and in streams that are resumed, before callers that read fast, slowly, not at all or leave.

What arrives in chunks is collected in a ChunkList, which takes about as much memory as it has bytes, and what one read of a connection brings is passed on together but for its first chunk.

Touches outbound_call.ts (what is held, and the joiner before it) and outbound/attempt_runner.ts (the answer's chunks).

--- a/packages/daemon/src/callers/caller.ts
+++ b/packages/daemon/src/callers/caller.ts
@@ -21,6 +21,7 @@
   FrameFormat,
   type TokenFormat,
 } from "./chat_format.ts";
+import { ChunkList } from "../sockets/index.ts";
 import { REPLAYED_HEADER } from "./headers.ts";
 import {
   problemResponse,
@@ -279,17 +280,15 @@
 async function readLimited(
   message: IncomingMessage,
 ): Promise<Uint8Array | undefined> {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
+  const chunks = new ChunkList();
   for await (const chunk of message as AsyncIterable<Uint8Array>) {
-    size += chunk.length;
-    if (size > MAX_BODY_BYTES) {
+    chunks.add(chunk);
+    if (chunks.length > MAX_BODY_BYTES) {
       return undefined;
     }
-    chunks.push(chunk);
   }
   if (!message.complete) {
     throw new Error("The request ended before its body was complete");
   }
-  return Buffer.concat(chunks);
+  return chunks.take();
 }
--- a/packages/daemon/src/gateway/event_splitter.ts
+++ b/packages/daemon/src/gateway/event_splitter.ts
@@ -8,6 +8,8 @@
  * @module
  */
 
+import { ChunkList } from "../sockets/index.ts";
+
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 /** Line feed, carriage return, line feed. */
@@ -27,8 +29,7 @@
 /** Buffers the incomplete event at the end of the stream. Belongs to one answer and must not be reused. */
 export class EventSplitter {
   /** Bytes after the last event boundary. */
-  #pendingChunks: Buffer[] = [];
-  #pendingBytes = 0;
+  readonly #pending = new ChunkList();
   /** Whether the pending chunks contain anything but line ends. */
   #eventStarted = false;
   /** The last pending bytes, in which an event boundary may begin. */
@@ -37,12 +38,11 @@
    * Comments that precede the next event. If they were forwarded ahead of it and the event is then truncated,
    * the next endpoint would send them again.
    */
-  #comments: Buffer[] = [];
-  #commentBytes = 0;
+  readonly #comments = new ChunkList();
 
   /** Adds bytes and returns the events that they complete. */
   push(chunk: Buffer): CompleteEvents | undefined {
-    if (this.#pendingBytes === 0 && endsWithBlankLine(chunk)) {
+    if (this.#pending.length === 0 && endsWithBlankLine(chunk)) {
       return this.#extractEvents(chunk);
     }
     // Only new bytes are searched: searching the entire event each time would block the process on long
@@ -53,13 +53,9 @@
       this.#buffer(chunk, searched);
       return undefined;
     }
-    const complete = Buffer.concat([
-      ...this.#pendingChunks,
-      chunk.subarray(0, end),
-    ]);
+    this.#pending.add(chunk.subarray(0, end));
+    const complete = this.#pending.take();
     const rest = chunk.subarray(end);
-    this.#pendingChunks = [];
-    this.#pendingBytes = 0;
     this.#eventStarted = false;
     this.#buffer(rest, rest);
     return this.#extractEvents(complete);
@@ -67,17 +63,17 @@
 
   /** All buffered bytes: the comments before the next event, and the incomplete event. */
   get remainder(): Buffer {
-    return Buffer.concat([...this.#comments, ...this.#pendingChunks]);
+    return Buffer.concat([this.#comments.copy(), this.#pending.copy()]);
   }
 
   /** Number of buffered bytes. */
   get bufferedBytes(): number {
-    return this.#commentBytes + this.#pendingBytes;
+    return this.#comments.length + this.#pending.length;
   }
 
   /** Number of buffered bytes of an incomplete event. Blank lines after the last event do not start one. */
   get unfinishedBytes(): number {
-    return this.#eventStarted ? this.#pendingBytes : 0;
+    return this.#eventStarted ? this.#pending.length : 0;
   }
 
   /** Returns the events and buffers the comments that follow the last one. */
@@ -86,29 +82,20 @@
     const end = endOfEvents(text);
     if (end === 0) {
       // Set aside: searching them again with each following comment would block the process.
-      this.#bufferComments(complete);
+      this.#comments.add(complete);
       return undefined;
     }
     if (this.#comments.length === 0 && end === complete.length) {
       return { bytes: complete, ...readIds(text) };
     }
-    const bytes = Buffer.concat([...this.#comments, complete.subarray(0, end)]);
-    this.#comments = [];
-    this.#commentBytes = 0;
-    if (end < complete.length) {
-      this.#bufferComments(complete.subarray(end));
-    }
+    this.#comments.add(complete.subarray(0, end));
+    const bytes = this.#comments.take();
+    this.#comments.add(complete.subarray(end));
     return { bytes, ...readIds(text.slice(0, end)) };
   }
 
-  #bufferComments(bytes: Buffer): void {
-    this.#comments.push(bytes);
-    this.#commentBytes += bytes.length;
-  }
-
   #buffer(bytes: Buffer, searched: Buffer): void {
-    this.#pendingChunks.push(bytes);
-    this.#pendingBytes += bytes.length;
+    this.#pending.add(bytes);
     this.#eventStarted ||= !bytes.every(isLineEnd);
     this.#tail = searched.subarray(
       Math.max(0, searched.length - MAX_BOUNDARY_BYTES + 1),
--- a/packages/daemon/src/gateway/ingress.ts
+++ b/packages/daemon/src/gateway/ingress.ts
@@ -21,6 +21,7 @@
   type RepetitionDigests,
   type RequestId,
 } from "@sassafrasstep/core";
+import { ChunkList } from "../sockets/index.ts";
 import { closeIdleAfterPoll } from "../timers/index.ts";
 import type { BodyBudget } from "./body_budget.ts";
 import { Exchange } from "./exchange.ts";
@@ -96,7 +97,7 @@
 function readRequest(options: IngressOptions, arrival: Arrival): void {
   const { message, reply, relays } = arrival;
   const limit = options.limits()?.bodyBytes ?? DEFAULT_BODY_BYTES;
-  const chunks: Buffer[] = [];
+  const chunks = new ChunkList();
   const digests = relays ? undefined : new DigestBuilder(message);
   const reservation = options.bodies.open();
   reply.once("close", () => reservation.release());
@@ -121,17 +122,14 @@
       stopReading();
       refuseBody(options, reply);
     } else {
-      chunks.push(chunk);
+      chunks.add(chunk);
       digests?.update(chunk);
     }
   });
   message.on("end", () => {
     if (accepted) {
-      const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-      // The listeners of the message keep the array until the answer is sent.
-      chunks.length = 0;
       openExchange(options, arrival, {
-        body,
+        body: chunks.take(),
         digests: digests?.build(),
       });
     }
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -24,6 +24,7 @@
 import { EventStreamReader } from "./event_stream_reader.ts";
 import type { AnswerSource, AnswerWriter } from "./answer_writer.ts";
 import type { Exchange } from "./exchange.ts";
+import { ChunkJoiner, ChunkList } from "../sockets/index.ts";
 import { afterPoll, type Cancel } from "../timers/index.ts";
 import {
   DOCUMENT_VERSION_HEADER,
@@ -102,7 +103,8 @@
   #status = 0;
   #headers: RawHeaders = [];
   #framed = false;
-  #heldChunks: Buffer[] = [];
+  readonly #heldBytes = new ChunkList();
+  readonly #received = new ChunkJoiner((bytes) => this.#onBody(bytes));
   #receivedBytes = 0;
   #finished = false;
   #cancelDiscardTimer: Cancel | undefined;
@@ -198,6 +200,10 @@
 
   onResponseData(_controller: unknown, chunk: Buffer): void {
     this.#connection?.addBody(chunk.length);
+    this.#received.push(chunk);
+  }
+
+  #onBody(chunk: Buffer): void {
     if (this.#finished) {
       return;
     }
@@ -217,6 +223,7 @@
   }
 
   onResponseEnd(): void {
+    this.#received.flush();
     if (this.#finished) {
       return;
     }
@@ -236,6 +243,7 @@
   }
 
   onResponseError(_controller: unknown, error: Error): void {
+    this.#received.flush();
     this.#reportEnd({ kind: "lost", detail: error.message });
   }
 
@@ -431,14 +439,13 @@
   }
 
   #holdChunk(chunk: Buffer): void {
-    this.#heldChunks.push(chunk);
+    this.#heldBytes.add(chunk);
     if (this.#receivedBytes <= MAX_HELD_BYTES) {
       // Without this progress report, the endpoint would be treated as silent and the request would be run again.
       return this.#reportProgress();
     }
     this.#startForwarding("bytes");
-    this.#heldChunks.forEach((chunk) => this.#writer?.write(chunk));
-    this.#heldChunks = [];
+    this.#writer?.write(this.#heldBytes.take());
   }
 
   /** Forwards a held answer that is now complete. */
@@ -452,7 +459,7 @@
     }
     this.#exchange.respond(this.#status, {
       headers: withoutContentLength(this.#answerHeaders(decision)),
-      body: Buffer.concat(this.#heldChunks),
+      body: this.#heldBytes.take(),
     });
     this.#reportEnd({ kind: "complete" });
   }
--- a/packages/daemon/src/outbound/attempt_runner.ts
+++ b/packages/daemon/src/outbound/attempt_runner.ts
@@ -30,6 +30,7 @@
   createSingleUseClient,
   isConnectError,
 } from "./connections.ts";
+import { ChunkList } from "../sockets/index.ts";
 import { LOAD_HEADER, parseLoadReport } from "./load_report.ts";
 import { relayFrames } from "./relay_frames.ts";
 
@@ -203,14 +204,12 @@
       ),
     }
     : {};
-  const chunks: Uint8Array[] = [];
-  let size = 0;
+  const chunks = new ChunkList();
   for await (const chunk of body as AsyncIterable<Uint8Array>) {
-    size += chunk.length;
-    if (size > MAX_ANSWER_BYTES) {
+    chunks.add(chunk);
+    if (chunks.length > MAX_ANSWER_BYTES) {
       return { kind: "oversize", status: statusCode, ...verdictField };
     }
-    chunks.push(chunk);
   }
   const retryAfter = readRetryAfter(headers);
   return {
@@ -220,7 +219,7 @@
       contentType: String(
         headers["content-type"] ?? "application/octet-stream",
       ),
-      body: Buffer.concat(chunks).toString("base64"),
+      body: chunks.take().toString("base64"),
     },
     ...verdictField,
     ...(retryAfter === undefined
--- a/packages/daemon/src/platform/platform_client.ts
+++ b/packages/daemon/src/platform/platform_client.ts
@@ -14,6 +14,7 @@
 import VError from "verror";
 import { z } from "zod";
 import { createResetAwareAgent } from "../clients/index.ts";
+import { ChunkList } from "../sockets/index.ts";
 import { withActiveTimeout } from "../timers/index.ts";
 
 /** Time for which a watch waits for a newer revision. */
@@ -178,18 +179,16 @@
   body: AsyncIterable<Uint8Array>,
   limit: number,
 ): Promise<string> {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
+  const chunks = new ChunkList();
   for await (const chunk of body) {
-    size += chunk.length;
-    if (size > limit) {
+    chunks.add(chunk);
+    if (chunks.length > limit) {
       throw new VError(
         { name: "PlatformError" },
         "Cannot read the platform: more than %d bytes",
         limit,
       );
     }
-    chunks.push(chunk);
   }
-  return Buffer.concat(chunks).toString("utf8");
+  return chunks.take().toString("utf8");
 }
--- a/packages/daemon/src/sockets/read_json.ts
+++ b/packages/daemon/src/sockets/read_json.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { ChunkList } from "./chunk_list.ts";
+
 /** Several times the largest catalogue. A body is held in memory until it is complete. */
 const MAX_BODY_BYTES = 33_554_432;
 
@@ -21,15 +23,13 @@
   body: AsyncIterable<Uint8Array> | Iterable<Uint8Array>,
   onChunk: () => void,
 ): Promise<unknown> {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
+  const chunks = new ChunkList();
   for await (const chunk of body) {
     onChunk();
-    size += chunk.length;
-    if (size > MAX_BODY_BYTES) {
+    chunks.add(chunk);
+    if (chunks.length > MAX_BODY_BYTES) {
       throw new BodyTooLargeError("Cannot read body: it exceeds 32 MiB");
     }
-    chunks.push(chunk);
   }
-  return JSON.parse(Buffer.concat(chunks).toString("utf8"));
+  return JSON.parse(chunks.take().toString("utf8"));
 }
