--- a/packages/daemon/src/outbound/__tests__/endpoint_client.test.ts
+++ b/packages/daemon/src/outbound/__tests__/endpoint_client.test.ts
@@ -9,6 +9,8 @@
 const REPORT = '{"running":1,"slots":4}';
 const ANSWER =
   `HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: ${REPORT.length}\r\n\r\n${REPORT}`;
+/** The largest report, and room for the buffers of the sockets. */
+const MAX_SENT_BYTES = 16_000_000;
 /** Durations that exceed the timeouts of a poll and of an order. */
 const STALLS_MS = { poll: 1_100, order: 3_100 };
 
@@ -59,6 +61,22 @@
     });
   });
 
+  // Guards against a load report without end that fills the memory until the poll times out.
+  it("read no more than a report needs", async () => {
+    const text = `HTTP/1.1 200 OK\r\n\r\n${" ".repeat(100_000)}`;
+    let sentBytes = 0;
+    answer = (socket) => {
+      const write = (): void => {
+        sentBytes = socket.bytesWritten;
+        socket.destroyed || socket.write(text, () => setImmediate(write));
+      };
+      write();
+    };
+    await expect(client.pollLoad(`http://${endpoint.address}`)).rejects
+      .toThrow();
+    expect(sentBytes).toBeLessThan(MAX_SENT_BYTES);
+  });
+
   it("time out if the endpoint does not answer", async () => {
     answer = () => {};
     await expect(client.pollLoad(`http://${endpoint.address}`)).rejects
--- a/packages/daemon/src/outbound/endpoint_client.ts
+++ b/packages/daemon/src/outbound/endpoint_client.ts
@@ -5,6 +5,7 @@
  */
 import type { EngineOrder, LoadReport } from "@sassafrasstep/core";
 import { Agent, request } from "undici";
+import { ChunkList } from "../sockets/index.ts";
 import { withActiveTimeout } from "../timers/index.ts";
 import { parseLoadReport } from "./load_report.ts";
 
@@ -43,7 +44,7 @@
       dispatcher: this.#agent,
       signal,
     });
-    const text = (await response.body.text()).slice(0, MAX_REPORT_BYTES);
+    const text = await readReport(response.body);
     const report = response.statusCode === HTTP_OK
       ? parseLoadReport(text)
       : undefined;
@@ -70,3 +71,15 @@
     return response.statusCode === HTTP_OK;
   }
 }
+
+/** Reads a report up to its largest size; the rest of a larger one is not read. */
+async function readReport(body: AsyncIterable<Uint8Array>): Promise<string> {
+  const chunks = new ChunkList();
+  for await (const chunk of body) {
+    chunks.add(chunk);
+    if (chunks.length > MAX_REPORT_BYTES) {
+      throw new Error("Cannot read a load report: it exceeds 64 KiB");
+    }
+  }
+  return chunks.take().toString("utf8");
+}
--- a/playground/src/endless/__tests__/drawn_endless.test.ts
+++ b/playground/src/endless/__tests__/drawn_endless.test.ts
@@ -63,6 +63,7 @@
   let servers: EndlessServer[] = [];
   let checks: ServedAnswer | undefined;
   let checked = 0;
+  const reached = new Set<string>();
 
   beforeAll(async () => {
     await fleet.start();
@@ -81,6 +82,7 @@
     const call = new RegExp(`^${HEADERS.callId}: (.*)\r$`, "im")
       .exec(request)![1]!;
     const left = answers.get(call)!;
+    reached.add(call);
     return left.length > 1 ? left.shift()! : left[0]!;
   }
 
@@ -219,10 +221,11 @@
     ]);
     const entries = fleet.entries as ProcessEntry[];
     const peaks = entries.map(({ pid }) => peakMemoryOf(pid));
+    const arrived = requests.filter(({ call }) => reached.has(call)).length;
     if (process.env.DRAWN_PRINT !== undefined) {
       const sent = servers.map(({ sentBytes }) => sentBytes / MEGABYTE);
       console.log(
-        `seed ${seed}: ${requests.length} requests, ` +
+        `seed ${seed}: ${arrived} of ${requests.length} requests arrived, ` +
           `peaks ${peaks.map((peak) => Math.round(peak / MEGABYTE))} MB, ` +
           `served ${
             shares.map((share) => share.toFixed(2))
