sockets: a pipelined request runs only if it can be answered

Found by drawn_stop.test.ts: 70 sends around the SIGTERM of one entry (of the callers' entry, or of one that others relay to), at drawn times from 1.5 s before it to 0.5 s beyond the grace, on new and kept connections, one to three requests at once, with bodies sent at once or over up to 6 s, plain requests, actions and streams of 5 ms to 9 s.

A request is held back until the one before it on its connection is answered, and dropped unread if that answer closes the connection. A stopping entry closes with the last request's answer.

server_drain.test.ts: only how it waits for the close has changed.

--- a/packages/daemon/src/callers/caller_server.ts
+++ b/packages/daemon/src/callers/caller_server.ts
@@ -13,7 +13,7 @@
 import { H3, type H3Event } from "h3";
 import { toNodeHandler } from "h3/node";
 import type { Credentials } from "../peers/index.ts";
-import { withValidUrl } from "../sockets/index.ts";
+import { RequestSequence, withValidUrl } from "../sockets/index.ts";
 import { closeIdleAfterPoll } from "../timers/index.ts";
 import { Caller, type CallerEvents } from "./caller.ts";
 import { readCallerRequest, tokenDigest } from "./request_head.ts";
@@ -52,7 +52,7 @@
   app.all("/**", (event) => answerRequest(service, event));
   const server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES },
-    withValidUrl(toNodeHandler(app)),
+    new RequestSequence().wrap(withValidUrl(toNodeHandler(app))),
   );
   server.headersTimeout = HEAD_TIMEOUT_MS;
   server.requestTimeout = REQUEST_TIMEOUT_MS;
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -353,5 +353,6 @@
 
 /** Resolves once each connection has sent its last answer and is closed. */
 async function closeServer(drain: ServerDrain): Promise<void> {
-  await new Promise<void>((resolve) => drain.close(resolve));
+  drain.close();
+  await drain.closed;
 }
--- a/packages/daemon/src/gateway/gateway_entry.ts
+++ b/packages/daemon/src/gateway/gateway_entry.ts
@@ -33,7 +33,6 @@
 import { HealthCheck } from "./health_check.ts";
 import { readGauges } from "./gauges.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
-import { OpenAnswers } from "./open_answers.ts";
 import { OutboundCall, type OutboundContext } from "./outbound_call.ts";
 import type {
   CallerProtocol,
@@ -76,7 +75,6 @@
   readonly #metrics = new GatewayMetrics();
   readonly #connections = new ConnectionPool();
   readonly #calls = new Map<RequestId, Exchange>();
-  readonly #openAnswers = new OpenAnswers();
   readonly #attempts = new Map<AttemptId, OutboundCall>();
   readonly #outboundContext: OutboundContext;
   readonly #datagrams: DatagramSocket;
@@ -236,7 +234,6 @@
       },
       onRequest: (exchange) => {
         this.#calls.set(exchange.id, exchange);
-        this.#openAnswers.add(exchange);
         this.#dispatch({ kind: "arrived", head: exchange.head });
         this.#rescheduleTick();
       },
@@ -348,10 +345,13 @@
     }
   }
 
+  /** The servers for callers and for peers. */
+  #requestDrains(): readonly ServerDrain[] {
+    return this.#drains.slice(0, 2);
+  }
+
   #stopListening(): void {
-    const [callers, peers] = this.#drains;
-    callers!.close();
-    peers!.close();
+    this.#requestDrains().forEach((drain) => drain.close());
   }
 
   async #exit(within: Milliseconds): Promise<void> {
@@ -359,9 +359,20 @@
     this.#cancelTick();
     this.#drains.forEach((drain) => drain.close());
     this.#datagrams.close();
-    await this.#openAnswers.waitUntilSent(within);
+    const drains = this.#requestDrains().map(({ closed }) => closed);
+    await waitAtMost(within, Promise.all(drains));
     this.#connections.closeAll();
     await this.#platform.source.close();
     this.#resolveStopped();
   }
 }
+
+async function waitAtMost(
+  time: Milliseconds,
+  work: Promise<unknown>,
+): Promise<void> {
+  let timer: NodeJS.Timeout | undefined;
+  const timeout = new Promise((resolve) => timer = setTimeout(resolve, time));
+  await Promise.race([work, timeout]);
+  clearTimeout(timer);
+}
--- a/packages/daemon/src/gateway/ingress.ts
+++ b/packages/daemon/src/gateway/ingress.ts
@@ -21,7 +21,7 @@
   type RepetitionDigests,
   type RequestId,
 } from "@sassafrasstep/core";
-import { ChunkList } from "../sockets/index.ts";
+import { ChunkList, RequestSequence } from "../sockets/index.ts";
 import { closeIdleAfterPoll } from "../timers/index.ts";
 import type { BodyBudget } from "./body_budget.ts";
 import { Exchange } from "./exchange.ts";
@@ -70,9 +70,12 @@
   options: IngressOptions,
   { relays }: { relays: boolean },
 ): Server {
+  const sequence = new RequestSequence();
   const server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true },
-    (message, reply) => readRequest(options, { message, reply, relays }),
+    sequence.wrap((message, reply) =>
+      readRequest(options, { message, reply, relays, sequence })
+    ),
   );
   server.headersTimeout = HEAD_TIMEOUT_MS;
   server.requestTimeout = 0;
@@ -92,6 +95,7 @@
   readonly message: IncomingMessage;
   readonly reply: ServerResponse;
   readonly relays: boolean;
+  readonly sequence: RequestSequence;
 }
 
 function readRequest(options: IngressOptions, arrival: Arrival): void {
@@ -139,7 +143,7 @@
 
 function openExchange(
   options: IngressOptions,
-  { message, reply }: Arrival,
+  { message, reply, sequence }: Arrival,
   { body, digests }: {
     body: Buffer;
     /** `undefined` for a request relayed by another entry. */
@@ -172,7 +176,7 @@
       message,
       reply,
       protocol: options.protocol,
-      closing: options.closing,
+      closing: () => options.closing() && !sequence.hasNext(reply),
     }),
   );
 }
--- a/packages/daemon/src/sockets/__tests__/server_drain.test.ts
+++ b/packages/daemon/src/sockets/__tests__/server_drain.test.ts
@@ -34,8 +34,10 @@
     await once(client, "readable");
     return client;
   };
-  const close = (): Promise<void> =>
-    new Promise((resolve) => drain.close(resolve));
+  const close = (): Promise<void> => {
+    drain.close();
+    return drain.closed;
+  };
   const readAll = async (client: Socket): Promise<number> => {
     let size = 0;
     client.on("data", (chunk: Buffer) => size += chunk.length);
--- a/packages/daemon/src/sockets/server_drain.ts
+++ b/packages/daemon/src/sockets/server_drain.ts
@@ -15,6 +15,11 @@
   /** Answers under way by connection. */
   readonly #answers = new Map<Socket, number>();
   #closing = false;
+  #resolveClosed!: () => void;
+  /** Resolves once the server was closed and each connection has sent its last answer, slowly sent requests included. */
+  readonly closed: Promise<void> = new Promise((resolve) => {
+    this.#resolveClosed = resolve;
+  });
 
   constructor(server: Server) {
     this.#server = server;
@@ -29,10 +34,10 @@
   }
 
   /** Accepts no more connections, and closes each open one as soon as it has no answer to send. */
-  close(onClosed?: () => void): void {
+  close(): void {
     if (!this.#closing) {
       this.#closing = true;
-      NetServer.prototype.close.call(this.#server, onClosed);
+      NetServer.prototype.close.call(this.#server, () => this.#resolveClosed());
       this.#answers.forEach((count, socket) => {
         if (count === 0) {
           socket.destroy();
