soak: requests with homes, and the endpoints that a request runs at

The soak of actions had no route with homes, and counted runs but not endpoints. Three routes have homes now; the links between entries are read for bodies, which name their request. Judged: no run outside of a route's homes, no body at an entry that is neither at home nor in the region of the entry that received the request, no more endpoints than `attempts`.

--- a/playground/src/links/tcp_link.ts
+++ b/playground/src/links/tcp_link.ts
@@ -109,6 +109,7 @@
   readonly #target: string;
   readonly #delayMs: number;
   readonly #onConnect: (localPort: number) => void;
+  readonly #watch: (() => (bytes: Buffer) => void) | undefined;
   readonly #pairs = new Set<LinkedPair>();
   readonly #cuts = { out: 0, in: 0 };
   #extraDelayMs = 0;
@@ -121,17 +122,20 @@
    * @param options.delayMs One-way delay.
    * @param options.onConnect Receives the local port of each connection to the target, by which the target can tell who
    * connected.
+   * @param options.watch Called for each connection; what it returns receives the bytes of both directions.
    */
   constructor(
     target: string,
-    { delayMs = 0, onConnect = (): void => {} }: {
+    { delayMs = 0, onConnect = (): void => {}, watch }: {
       delayMs?: number;
       onConnect?: (localPort: number) => void;
+      watch?: () => (bytes: Buffer) => void;
     } = {},
   ) {
     this.#target = target;
     this.#delayMs = delayMs;
     this.#onConnect = onConnect;
+    this.#watch = watch;
   }
 
   /** Starts listening on a free port; resolves with `host:port`. */
@@ -180,6 +184,9 @@
     const address = parseSocketAddress(this.#target)!;
     const target = connect({ ...address, allowHalfOpen: true, noDelay: true });
     target.once("connect", () => this.#onConnect(target.localPort!));
+    for (const socket of this.#watch === undefined ? [] : [caller, target]) {
+      socket.on("data", this.#watch!());
+    }
     const delayMs = (): number => this.#delayMs + this.#extraDelayMs;
     const lane = (
       from: Socket,
--- a/soak/src/actions/action_caller.ts
+++ b/soak/src/actions/action_caller.ts
@@ -6,7 +6,13 @@
 import { Agent, request } from "node:http";
 import { setTimeout as pause } from "node:timers/promises";
 import { HEADERS } from "@sassafrasstep/platform";
-import { type ActionPlan, mustRunOnce } from "./action_plan.ts";
+import {
+  type ActionPlan,
+  isResumable,
+  isStream,
+  mustRunOnce,
+} from "./action_plan.ts";
+import { requestBody } from "./body_watch.ts";
 
 /** What a caller saw of one of its requests. */
 export interface ObservedAnswer {
@@ -62,7 +68,7 @@
       });
       answers.push(answer);
       const lastEvent = lastEventOf(answer);
-      if (plan.route === "resume" && lastEvent > 0) {
+      if (isResumable(plan.route) && lastEvent > 0) {
         resumed = { call: resumed?.call ?? call, after: lastEvent };
       }
       const wait = (answer.retryAfterS ?? 0) * 1_000;
@@ -92,7 +98,7 @@
     },
   ): Promise<ObservedAnswer> {
     const [host, port] = this.#addressOf(entry).split(":");
-    const isStream = plan.route === "stream" || plan.route === "resume";
+    const body = requestBody(call, plan.bodyBytes);
     const askedAt = performance.now();
     return new Promise((resolve) => {
       const parts: Buffer[] = [];
@@ -136,8 +142,8 @@
           host: "kiosk.example",
           [HEADERS.callId]: call,
           [HEADERS.timeLeft]: String(timeMs),
-          "content-length": plan.bodyBytes,
-          ...(isStream ? { [HEADERS.tokenCounts]: "10,100" } : {}),
+          "content-length": body.length,
+          ...(isStream(plan.route) ? { [HEADERS.tokenCounts]: "10,100" } : {}),
           ...(resumed === undefined ? {} : {
             [HEADERS.lastEventId]: String(resumed.after),
             [HEADERS.resumedCall]: resumed.call,
@@ -151,7 +157,7 @@
         answer.on("error", () => finish("broken"));
       });
       outgoing.on("error", () => finish("broken"));
-      outgoing.end("x".repeat(plan.bodyBytes));
+      outgoing.end(body);
       const patience = setTimeout(() => finish("open"), timeMs + EXTRA_WAIT_MS);
       const leaving = plan.leavesAfterMs === undefined
         ? undefined
--- a/soak/src/actions/action_checks.ts
+++ b/soak/src/actions/action_checks.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type ObservedAnswer, PROMISE_STATUSES } from "./action_caller.ts";
-import { mustRunOnce, ROUTES } from "./action_plan.ts";
+import { isStream, mustRunOnce, ROUTES } from "./action_plan.ts";
 import { formatEvent, plainBody } from "./answer_bytes.ts";
 import type { Run, RunLedger } from "./run_ledger.ts";
 import type { Violation } from "../promises.ts";
@@ -75,8 +75,7 @@
   if (runs.length === 0) {
     faults.push("answered with a success and did not run");
   }
-  const isStream = plan.route === "stream" || plan.route === "resume";
-  if (!isStream) {
+  if (!isStream(plan.route)) {
     return end === "whole" && body !== plainBody(call)
       ? [...faults, `answered "${body.slice(0, 60)}"`]
       : faults;
--- a/soak/src/actions/action_plan.ts
+++ b/soak/src/actions/action_plan.ts
@@ -17,13 +17,47 @@
   /** Streams that can't be resumed: at most one run. */
   stream: { kind: "stream", service: "model", attempts: 3 },
   resume: { kind: "stream", service: "model", attempts: 3, resumable: true },
+  /** With homes, beside or away from the entry that receives the request. */
+  homeOnce: {
+    kind: "non_idempotent",
+    service: "core",
+    attempts: 2,
+    home_regions: ["b"],
+  },
+  homeAgain: {
+    kind: "idempotent",
+    service: "core",
+    attempts: 2,
+    home_regions: ["a", "b"],
+  },
+  homeResume: {
+    kind: "stream",
+    service: "model",
+    attempts: 2,
+    resumable: true,
+    home_regions: ["c"],
+  },
 } as const;
 
 export type RouteName = keyof typeof ROUTES;
 
 /** Whether a request of a route may run only once. */
 export function mustRunOnce(route: RouteName): boolean {
-  return route === "once" || route === "twice" || route === "stream";
+  return ROUTES[route].kind !== "idempotent" && !isResumable(route);
+}
+
+export function isStream(route: RouteName): boolean {
+  return ROUTES[route].kind === "stream";
+}
+
+export function isResumable(route: RouteName): boolean {
+  return "resumable" in ROUTES[route];
+}
+
+/** Regions in which a route may be served, `undefined` if it may be served everywhere. */
+export function homesOf(route: RouteName): readonly string[] | undefined {
+  const fields = ROUTES[route];
+  return "home_regions" in fields ? fields.home_regions : undefined;
 }
 
 /** One request of a caller. */
@@ -71,6 +105,9 @@
   "stream",
   "stream",
   "resume",
+  "homeOnce",
+  "homeAgain",
+  "homeResume",
 ];
 
 /** Plans a wave; the same seed gives the same plan. */
--- a/soak/src/actions/action_wave.ts
+++ b/soak/src/actions/action_wave.ts
@@ -14,6 +14,7 @@
 import { findActionViolations } from "./action_checks.ts";
 import type { Fault } from "./action_faults.ts";
 import type { ActionWavePlan } from "./action_plan.ts";
+import { findPlaceViolations } from "./home_checks.ts";
 import { drawRunPlan, type RunPlan } from "./behaviours.ts";
 import { LinkedFleet } from "./linked_fleet.ts";
 import { RunLedger } from "./run_ledger.ts";
@@ -86,6 +87,12 @@
         ledger: this.#ledger,
         isDisturbed: (entry, from, to) => this.#isDisturbed(entry, from, to),
       }),
+      ...findPlaceViolations({
+        ...this.#plan,
+        answers,
+        ledger: this.#ledger,
+        bodies: this.#fleet.bodyWatch.bodies,
+      }),
       ...this.#findEndedEntries(),
     ];
     return {
--- a/soak/src/actions/linked_fleet.ts
+++ b/soak/src/actions/linked_fleet.ts
@@ -20,6 +20,7 @@
   TcpLink,
 } from "@sassafrasstep/playground/links";
 import { ROUTES } from "./action_plan.ts";
+import { BodyWatch } from "./body_watch.ts";
 import type { LinkSet } from "./action_faults.ts";
 import {
   type EndpointContext,
@@ -71,6 +72,7 @@
   readonly store = new StandInStore();
   readonly endpoints: LedgerEndpoint[];
   readonly entries: ProcessEntry[] = [];
+  readonly bodyWatch = new BodyWatch();
   readonly #plan: LinkedFleetPlan;
   readonly #links: EntryLinks[] = [];
   readonly #senders = new Map<number, string>();
@@ -243,7 +245,10 @@
       if (peer !== index) {
         const delayMs = delayTo(entries[peer]!);
         peers.set(peer, {
-          ...await openLink(`${host}:${peerPort}`, { delayMs }),
+          ...await openLink(`${host}:${peerPort}`, {
+            delayMs,
+            watch: () => this.bodyWatch.connection(index, peer),
+          }),
           host,
         });
       }
--- a/soak/src/actions/run_ledger.ts
+++ b/soak/src/actions/run_ledger.ts
@@ -56,3 +56,8 @@
   run.end ??= end;
   run.endedAt ??= now;
 }
+
+/** Index of the endpoint's place, from the id of the process. */
+export function indexOfEndpoint({ endpoint }: Pick<Run, "endpoint">): number {
+  return Number(endpoint.split("-")[1]) - 1;
+}
--- a/soak/src/guard_list.ts
+++ b/soak/src/guard_list.ts
@@ -8,6 +8,7 @@
 const CORE_GATEWAY = "packages/core/src/gateway";
 const DAEMON_GATEWAY = "packages/daemon/src/gateway";
 const POINT = "streams byte by byte";
+const PLACE_POINT = "homes and attempts";
 const ACTION_POINT = "actions run once, and refusals are true";
 
 /** A guard and the kinds of waves, separated by commas, that are played without it. */
@@ -218,4 +219,20 @@
     find: "return isSealed && echoedCall === call && !isMarked;",
     replace: "return isSealed && !isMarked;",
   },
+  {
+    point: PLACE_POINT,
+    kinds: ACTION_WAVES,
+    name: "a request with homes stays there",
+    file: "packages/core/src/routes/route.ts",
+    find: "return route.homes.length === 0 || route.homes.includes(region);",
+    replace: "return region !== undefined || route.homes.length === 0;",
+  },
+  {
+    point: PLACE_POINT,
+    kinds: ACTION_WAVES,
+    name: "a request is sent to no more endpoints than its route allows",
+    file: `${CORE_GATEWAY}/call_recovery.ts`,
+    find: "call.possibleDeliveries < call.route.attempts &&",
+    replace: "",
+  },
 ];
