soak: entries that are gone, recovery, and changes in force in time

The waves of actions had no entry gone for longer than its restart, asked no directory, and judged neither drains, evacuations nor documents by time.

Two kinds of waves beside `links`. `deaths`: one to three entries gone for 8 to 10.5 s, then all killed and started again; no directory of an undisturbed entry names, beside a running one, an entry that ended over 5 s before, and a quarter or more of the requests asked 12 s after the last start are served. `changes`: documents that move, add and drop routes and change timeouts, drains and evacuations beside pauses, kills and stops; an endpoint is reached at most 4 s after its drain and 5 s after its zone's evacuation, documents are in force within 4 s, and a request has ended 0.5 s after its route's timeout, less the time that the callers' own process was kept from its work.

--- a/playground/src/bytes/process_entry.ts
+++ b/playground/src/bytes/process_entry.ts
@@ -39,6 +39,7 @@
 /** An entry in its own process. */
 export class ProcessEntry {
   readonly callers: string;
+  readonly directory: string;
   readonly readiness: string;
   readonly control: string;
   readonly #folder = mkdtempSync(join(tmpdir(), "entry-"));
@@ -57,6 +58,7 @@
   ) {
     this.#options = process;
     this.callers = `${options.host}:${ports[0]}`;
+    this.directory = `${options.host}:${ports[1]}`;
     this.readiness = `${options.host}:${ports[2]}`;
     this.control = `${options.host}:${ports[3]}`;
     this.#settings = join(this.#folder, "entry.ini");
--- a/soak/src/actions/action_caller.ts
+++ b/soak/src/actions/action_caller.ts
@@ -166,6 +166,11 @@
   }
 }
 
+/** Name of the entry that a caller sent a request to. */
+export function entryOf({ call, plan }: ObservedAnswer): string {
+  return `entry-${1 + (call === plan.id ? plan.entry : plan.nextEntry)}`;
+}
+
 /** Number of the last event that the caller has received whole. */
 function lastEventOf({ body, after }: ObservedAnswer): number {
   const ids = [...body.matchAll(/id: (\d+)\ndata: .*\n\n/g)];
--- a/soak/src/actions/action_checks.ts
+++ b/soak/src/actions/action_checks.ts
@@ -3,7 +3,11 @@
  *
  * @module
  */
-import { type ObservedAnswer, PROMISE_STATUSES } from "./action_caller.ts";
+import {
+  entryOf,
+  type ObservedAnswer,
+  PROMISE_STATUSES,
+} from "./action_caller.ts";
 import { isStream, mustRunOnce, ROUTES } from "./action_plan.ts";
 import { formatEvent, plainBody } from "./answer_bytes.ts";
 import type { Run, RunLedger } from "./run_ledger.ts";
@@ -54,9 +58,9 @@
   }
   violations.push(...findOverlaps(runs, isDisturbed));
   const lateBy = endedAt - askedAt - plan.timeMs;
-  const entry = `entry-${1 + (call === plan.id ? plan.entry : plan.nextEntry)}`;
   if (
-    lateBy > MAX_END_DELAY_MS && !isDisturbed(entry, askedAt, endedAt)
+    lateBy > MAX_END_DELAY_MS &&
+    !isDisturbed(entryOf(answer), askedAt, endedAt)
   ) {
     violations.push(`ended ${Math.round(lateBy)} ms after its time`);
   }
--- a/soak/src/actions/action_faults.ts
+++ b/soak/src/actions/action_faults.ts
@@ -6,6 +6,7 @@
 import type { LinkDirection } from "@sassafrasstep/playground/links";
 import type { StoreFault } from "@sassafrasstep/playground/bytes";
 import type { Draw } from "../draw.ts";
+import { type DocumentFields, FIRST_DOCUMENT } from "./change_faults.ts";
 
 /** Links between two kinds of processes. Entries and endpoints are indexes. */
 export interface LinkSet {
@@ -24,6 +25,10 @@
   & (
     | { readonly kind: "pause"; readonly entry: number }
     | { readonly kind: "kill" | "stop"; readonly entry: number }
+    /** The entry is killed, and started again `forMs` later. */
+    | { readonly kind: "absence"; readonly entry: number }
+    /** All entries are killed, and started again within `forMs`. */
+    | { readonly kind: "allKilled" }
     | { readonly kind: "hup"; readonly entry: number }
     | {
       readonly kind: "cut";
@@ -50,7 +55,9 @@
     | { readonly kind: "endpointLeaves"; readonly endpoint: number }
     | { readonly kind: "store"; readonly fault: StoreFault }
     | { readonly kind: "compact" }
-    | { readonly kind: "document"; readonly timeoutMs: number }
+    | ({ readonly kind: "document" } & DocumentFields)
+    | { readonly kind: "drain"; readonly endpoint: number }
+    | { readonly kind: "evacuation"; readonly zone: string }
   );
 
 const MIN_FAULTS = 8;
@@ -113,6 +120,7 @@
     [0.96, { kind: "compact" }],
     [1, {
       kind: "document",
+      ...FIRST_DOCUMENT,
       timeoutMs: draw.pick([2_000, 3_000, 5_000]),
     }],
   ];
--- a/soak/src/actions/action_plan.ts
+++ b/soak/src/actions/action_plan.ts
@@ -5,6 +5,8 @@
  */
 import { Draw } from "../draw.ts";
 import { drawFaults, type Fault } from "./action_faults.ts";
+import { drawChanges } from "./change_faults.ts";
+import { drawDeaths } from "./death_faults.ts";
 import type { ServiceName } from "./ledger_endpoint.ts";
 
 /** Routes by the name that is their path. */
@@ -37,6 +39,10 @@
     resumable: true,
     home_regions: ["c"],
   },
+  /** Its service changes from document to document. */
+  moving: { kind: "idempotent", service: "core", attempts: 3 },
+  /** Comes and goes. */
+  late: { kind: "idempotent", service: "core", attempts: 3 },
 } as const;
 
 export type RouteName = keyof typeof ROUTES;
@@ -76,8 +82,18 @@
   readonly leavesAfterMs: number | undefined;
 }
 
+/** What a wave is about. */
+export type ActionWaveKind =
+  /** Links, processes, endpoints and the store fail, overlapping. */
+  | "links"
+  /** Entries are gone for long, then all of them are killed. */
+  | "deaths"
+  /** Documents, drains and evacuations. */
+  | "changes";
+
 /** A wave. */
 export interface ActionWavePlan {
+  readonly kind: ActionWaveKind;
   readonly seed: number;
   /** Region of each entry. */
   readonly entries: readonly string[];
@@ -94,8 +110,14 @@
 const MODEL_ENDPOINTS = ["a", "a", "a", "b", "b", "c"];
 /** One region has none, so that its requests are relayed. */
 const CORE_ENDPOINTS = ["a", "a", "b", "b"];
-const ACTION_COUNT = 500;
-const START_WINDOW_MS = 9_000;
+/** Requests of a wave, and the time in which they start. */
+const LOADS: Readonly<Record<ActionWaveKind, { count: number; ms: number }>> = {
+  links: { count: 500, ms: 9_000 },
+  deaths: { count: 900, ms: 32_000 },
+  changes: { count: 900, ms: 18_000 },
+};
+/** Kinds in the order in which seeds are played. */
+export const ACTION_WAVE_KINDS = Object.keys(LOADS) as ActionWaveKind[];
 const ROUTE_DRAWS: readonly RouteName[] = [
   "once",
   "once",
@@ -110,8 +132,19 @@
   "homeResume",
 ];
 
+const CHANGING_ROUTE_DRAWS: readonly RouteName[] = [
+  ...ROUTE_DRAWS,
+  "moving",
+  "moving",
+  "late",
+  "late",
+];
+
 /** Plans a wave; the same seed gives the same plan. */
-export function planActionWave(seed: number): ActionWavePlan {
+export function planActionWave(
+  seed: number,
+  kind: ActionWaveKind = "links",
+): ActionWavePlan {
   const draw = new Draw(seed, 0);
   const entries = REGIONS.flatMap((region) =>
     Array.from({ length: ENTRIES_PER_REGION }, () => region)
@@ -120,32 +153,55 @@
     ...CORE_ENDPOINTS.map((region) => ({ service: "core" as const, region })),
     ...MODEL_ENDPOINTS.map((region) => ({ service: "model" as const, region })),
   ];
-  return {
-    seed,
+  const { count, ms } = LOADS[kind];
+  const actions = Array.from(
+    { length: count },
+    (_, index) =>
+      planAction(`s${seed}c${index}`, {
+        draw,
+        entries: entries.length,
+        startWindowMs: ms,
+        routes: kind === "changes" ? CHANGING_ROUTE_DRAWS : ROUTE_DRAWS,
+      }),
+  );
+  const places = {
     entries,
-    endpoints,
-    actions: Array.from(
-      { length: ACTION_COUNT },
-      (_, index) =>
-        planAction(`s${seed}c${index}`, { draw, entries: entries.length }),
-    ),
-    faults: drawFaults(draw, {
-      entries,
-      endpoints: endpoints.map(({ region }) => region),
-    }),
+    endpoints: endpoints.map(({ region }) => region),
   };
+  const faults = drawFaultsOf(kind, draw, places);
+  return { kind, seed, entries, endpoints, actions, faults };
+}
+
+function drawFaultsOf(
+  kind: ActionWaveKind,
+  draw: Draw,
+  places: Parameters<typeof drawFaults>[1],
+): Fault[] {
+  switch (kind) {
+    case "links":
+      return drawFaults(draw, places);
+    case "deaths":
+      return drawDeaths(draw, places.entries);
+    case "changes":
+      return drawChanges(draw, places);
+  }
 }
 
 function planAction(
   id: string,
-  { draw, entries }: { draw: Draw; entries: number },
+  { draw, entries, startWindowMs, routes }: {
+    draw: Draw;
+    entries: number;
+    startWindowMs: number;
+    routes: readonly RouteName[];
+  },
 ): ActionPlan {
   return {
     id,
-    route: draw.pick(ROUTE_DRAWS),
+    route: draw.pick(routes),
     entry: draw.integer(0, entries - 1),
     nextEntry: draw.integer(0, entries - 1),
-    startMs: draw.integer(0, START_WINDOW_MS),
+    startMs: draw.integer(0, startWindowMs),
     timeMs: draw.pick([800, 2_000, 3_000, 5_000]),
     keepsConnection: draw.chance(0.6),
     bodyBytes: draw.pick([1, 1, 1, 40_000]),
--- a/soak/src/actions/action_wave.ts
+++ b/soak/src/actions/action_wave.ts
@@ -12,9 +12,22 @@
 import type { Violation } from "../promises.ts";
 import { ActionCallers, type ObservedAnswer } from "./action_caller.ts";
 import { findActionViolations } from "./action_checks.ts";
+import {
+  type Closure,
+  findLateChanges,
+  type PublishedDocument,
+} from "./change_checks.ts";
+import { FIRST_DOCUMENT } from "./change_faults.ts";
+import { DelayMeter } from "./delay_meter.ts";
 import type { Fault } from "./action_faults.ts";
 import type { ActionWavePlan } from "./action_plan.ts";
 import { findPlaceViolations } from "./home_checks.ts";
+import {
+  type Absence,
+  DirectoryWatch,
+  findDeadNamed,
+} from "./directory_watch.ts";
+import { findLackOfRecovery } from "./recovery_checks.ts";
 import { drawRunPlan, type RunPlan } from "./behaviours.ts";
 import { LinkedFleet } from "./linked_fleet.ts";
 import { RunLedger } from "./run_ledger.ts";
@@ -31,6 +44,9 @@
   readonly broken: readonly Violation[];
   readonly answers: readonly ObservedAnswer[];
   readonly runs: number;
+  /** Bodies that entries sent each other, and answers of directories. */
+  readonly bodies: number;
+  readonly directoryAnswers: number;
   /** Folder with the plan, logs and ledger, `undefined` if no guarantee was violated. */
   readonly folder: string | undefined;
 }
@@ -58,6 +74,12 @@
   #endpointStarts = 0;
   /** Entries that are being killed, stopped and started again. */
   readonly #restarting = new Set<number>();
+  readonly #absences: Absence[] = [];
+  readonly #closures: Closure[] = [];
+  readonly #delays = new DelayMeter();
+  readonly #documents: PublishedDocument[] = [{ ...FIRST_DOCUMENT, at: 0 }];
+  /** When all entries were killed, and when the last of them started again. */
+  #allKilled: { killedAt: number; startedAt: number } | undefined;
 
   constructor(plan: ActionWavePlan) {
     this.#plan = plan;
@@ -71,6 +93,11 @@
   async play(): Promise<ActionWaveResult> {
     const { actions, faults } = this.#plan;
     await this.#fleet.start();
+    const directories = new DirectoryWatch(
+      this.#fleet.entries,
+      this.#plan.entries,
+    );
+    void directories.run();
     const faultsPlayed = Promise.all(
       faults.map((fault) => this.#playFault(fault)),
     );
@@ -81,12 +108,34 @@
     const answers = observed.flat();
     await faultsPlayed;
     await pause(AFTERMATH_MS);
+    directories.stop();
+    const isDisturbed = (entry: string, from: number, to: number): boolean =>
+      this.#isDisturbed(entry, from, to);
     const broken = [
       ...findActionViolations({
         answers,
         ledger: this.#ledger,
-        isDisturbed: (entry, from, to) => this.#isDisturbed(entry, from, to),
+        isDisturbed,
+      }),
+      ...this.#plan.kind === "changes"
+        ? findLateChanges({
+          answers,
+          ledger: this.#ledger,
+          closures: this.#closures,
+          documents: this.#documents,
+          isDisturbed,
+          delayWithin: (from, to) => this.#delays.within(from, to),
+        })
+        : [],
+      ...findDeadNamed({
+        answers: directories.answers,
+        entries: this.#fleet.entries,
+        absences: this.#absences,
+        isDisturbed,
       }),
+      ...this.#allKilled === undefined
+        ? []
+        : findLackOfRecovery(answers, this.#allKilled),
       ...findPlaceViolations({
         ...this.#plan,
         answers,
@@ -100,11 +149,14 @@
       broken,
       answers,
       runs: this.#ledger.runs.length,
+      bodies: this.#fleet.bodyWatch.bodies.length,
+      directoryAnswers: directories.answers.length,
       folder: broken.length > 0 ? this.#writeFiles(broken, answers) : undefined,
     };
   }
 
   async close(): Promise<void> {
+    this.#delays.stop();
     this.#callers.close();
     await this.#fleet.close();
   }
@@ -135,7 +187,10 @@
       case "pause":
       case "kill":
       case "stop":
+      case "absence":
         return [fault.entry];
+      case "allKilled":
+        return this.#plan.entries.map((_, index) => index);
       case "cut":
       case "reset":
       case "delay":
@@ -156,6 +211,10 @@
       case "kill":
       case "stop":
         return await this.#restartEntry(fault.entry, fault.kind);
+      case "absence":
+        return await this.#killEntry(fault.entry, fault.forMs);
+      case "allKilled":
+        return await this.#killAll(fault.forMs);
       case "hup":
         fleet.entries[fault.entry]!.signal("SIGHUP");
         return;
@@ -192,10 +251,69 @@
       case "compact":
         return fleet.store.compact();
       case "document":
-        return fleet.publishDocument(fault.timeoutMs);
+        fleet.publishDocument(fault);
+        this.#documents.push({ ...fault, at: performance.now() });
+        return;
+      case "drain":
+        fleet.publishEndpoint(fault.endpoint, { state: "draining" });
+        await this.#close("drain", { endpoints: [fault.endpoint], fault });
+        return fleet.publishEndpoint(fault.endpoint);
+      case "evacuation": {
+        const takeBack = fleet.evacuate(fault.zone);
+        const endpoints = this.#plan.endpoints.flatMap(({ region }, index) =>
+          fault.zone === `${region}-1` ? [index] : []
+        );
+        await this.#close("evacuation", { endpoints, fault });
+        return takeBack();
+      }
     }
   }
 
+  /** Waits while endpoints may receive nothing. */
+  async #close(
+    kind: Closure["kind"],
+    { endpoints, fault }: { endpoints: readonly number[]; fault: Fault },
+  ): Promise<void> {
+    const from = performance.now();
+    const closure: Closure = { kind, endpoints, from, to: Infinity };
+    this.#closures.push(closure);
+    await pause(fault.forMs);
+    closure.to = performance.now();
+  }
+
+  /** Kills an entry and starts it again after a time. */
+  async #killEntry(index: number, forMs: number): Promise<void> {
+    if (this.#restarting.has(index)) {
+      return;
+    }
+    this.#restarting.add(index);
+    const entry = this.#fleet.entries[index]!;
+    entry.signal("SIGKILL");
+    await entry.exitStatus();
+    const absence: Absence = {
+      entry: index,
+      from: performance.now(),
+      to: Infinity,
+    };
+    this.#absences.push(absence);
+    await pause(forMs);
+    await entry.restart();
+    absence.to = performance.now();
+    this.#fleet.tellEntry(index);
+    this.#restarting.delete(index);
+  }
+
+  async #killAll(forMs: number): Promise<void> {
+    const killedAt = performance.now();
+    const { entries } = this.#plan;
+    await Promise.all(
+      entries.map((_, index) =>
+        this.#killEntry(index, forMs * (1 + index) / entries.length)
+      ),
+    );
+    this.#allKilled = { killedAt, startedAt: performance.now() };
+  }
+
   async #restartEntry(index: number, kind: "kill" | "stop"): Promise<void> {
     if (this.#restarting.has(index)) {
       return;
@@ -262,6 +380,8 @@
     write("answers.json", answers);
     write("runs.json", this.#ledger.runs);
     write("disturbances.json", this.#disturbances);
+    write("closures.json", this.#closures);
+    write("documents.json", this.#documents);
     for (const [index, entry] of this.#fleet.entries.entries()) {
       write(`entry-${index + 1}.json`, entry.lines());
     }
--- a/soak/src/actions/index.ts
+++ b/soak/src/actions/index.ts
@@ -1,2 +1,6 @@
-export { planActionWave } from "./action_plan.ts";
+export {
+  ACTION_WAVE_KINDS,
+  type ActionWaveKind,
+  planActionWave,
+} from "./action_plan.ts";
 export { type ActionWaveResult, playActionWave } from "./action_wave.ts";
--- a/soak/src/actions/ledger_endpoint.ts
+++ b/soak/src/actions/ledger_endpoint.ts
@@ -34,8 +34,11 @@
 /** What an endpoint needs from the fleet. */
 export interface EndpointContext {
   readonly ledger: RunLedger;
-  /** The plan for the next request of a call that reaches an endpoint. */
-  readonly plan: (call: string) => RunPlan;
+  /** The plan for the next request of a call that reaches an endpoint, from the entry of a remote port. */
+  readonly plan: (
+    call: string,
+    from: { readonly endpoint: string; readonly port: number },
+  ) => RunPlan;
   /** The entry that opened a connection, by its remote port. */
   readonly entryOf: (remotePort: number) => string;
 }
@@ -122,7 +125,10 @@
     if (this.isHung) {
       return;
     }
-    const plan = this.#context.plan(call);
+    const plan = this.#context.plan(call, {
+      endpoint: this.id,
+      port: socket.remotePort ?? 0,
+    });
     const { behaviour } = plan;
     if (behaviour.kind === "refuses" || this.#running >= this.#slots) {
       const { status = UNAVAILABLE, retryAfterS = undefined } =
--- a/soak/src/actions/linked_fleet.ts
+++ b/soak/src/actions/linked_fleet.ts
@@ -21,7 +21,9 @@
 } from "@sassafrasstep/playground/links";
 import { ROUTES } from "./action_plan.ts";
 import { BodyWatch } from "./body_watch.ts";
+import { type DocumentFields, FIRST_DOCUMENT } from "./change_faults.ts";
 import type { LinkSet } from "./action_faults.ts";
+import type { RunPlan } from "./behaviours.ts";
 import {
   type EndpointContext,
   LedgerEndpoint,
@@ -38,7 +40,6 @@
 const REGION_DELAY_MS = 40;
 const SLOTS = { core: 6, model: 64 };
 const STOP_SECONDS = 8;
-const DEFAULT_TIMEOUT_MS = 4_000;
 
 /** Processes of a fleet. */
 export interface LinkedFleetPlan {
@@ -83,26 +84,43 @@
 
   constructor(
     plan: LinkedFleetPlan,
-    context: Omit<EndpointContext, "entryOf">,
+    context: Pick<EndpointContext, "ledger"> & {
+      /** The plan for the next request of a call that reaches an endpoint. */
+      readonly plan: (call: string) => RunPlan;
+    },
   ) {
     this.#plan = plan;
     this.endpoints = plan.endpoints.map(({ service }, index) =>
       new LedgerEndpoint(
         { id: `i-${index + 1}`, service, slots: SLOTS[service] },
         {
-          ...context,
-          entryOf: (port) => this.#senders.get(port) ?? "unknown",
+          ledger: context.ledger,
+          plan: (call, { endpoint, port }) => {
+            context.ledger.arrivals.push({
+              call,
+              endpoint,
+              entry: this.#entryOf(port),
+              at: performance.now(),
+            });
+            return context.plan(call);
+          },
+          entryOf: (port) => this.#entryOf(port),
         },
       )
     );
   }
 
+  /** Name of the entry that opened a connection. */
+  #entryOf(port: number): string {
+    return this.#senders.get(port) ?? "unknown";
+  }
+
   /** Starts all processes and waits until the entries are ready. */
   async start(): Promise<void> {
     const storeAddress = await this.store.listen();
     await Promise.all(this.endpoints.map((endpoint) => endpoint.listen()));
     this.endpoints.forEach((_, index) => this.publishEndpoint(index));
-    this.publishDocument(DEFAULT_TIMEOUT_MS);
+    this.publishDocument(FIRST_DOCUMENT);
     const [peerPort] = allocatePorts(1);
     const hosts = this.#plan.entries.map((_, index) =>
       `${NETWORK_PREFIX}.${FIRST_HOST_NUMBER + index}`
@@ -143,15 +161,28 @@
     this.store.remove(`${STORE_KEYS.endpoint}${id}`);
   }
 
-  /** Publishes a newer document whose routes have the given timeout. */
-  publishDocument(timeoutMs: number): void {
+  /** Asks that nothing be sent to the endpoints of a zone; the returned function takes it back. */
+  evacuate(zone: string): () => void {
+    const key = `${STORE_KEYS.evacuation}${zone}`;
+    this.store.put(key, {});
+    return () => this.store.remove(key);
+  }
+
+  /** Publishes a newer document. */
+  publishDocument({ timeoutMs, movesTo, hasLate }: DocumentFields): void {
     this.#version += 2;
     const service = { connection_limit: 200, cold_s: 0, cold_per_s: 0 };
     this.store.put(STORE_KEYS.document, {
       version: this.#version,
-      routes: Object.entries(ROUTES).map(([name, fields]) =>
-        route(name, { ...fields, timeout_ms: timeoutMs })
-      ),
+      routes: Object.entries(ROUTES)
+        .filter(([name]) => hasLate || name !== "late")
+        .map(([name, fields]) =>
+          route(name, {
+            ...fields,
+            ...name === "moving" ? { service: movesTo } : {},
+            timeout_ms: timeoutMs,
+          })
+        ),
       services: [
         { ...service, name: "core" },
         {
--- a/soak/src/actions/run_ledger.ts
+++ b/soak/src/actions/run_ledger.ts
@@ -33,9 +33,19 @@
   closedAt?: number;
 }
 
+/** A request that reached an endpoint which could run it, and may have been refused. */
+export interface Arrival {
+  readonly call: string;
+  readonly endpoint: string;
+  /** The entry that sent the request. */
+  readonly entry: string;
+  readonly at: number;
+}
+
 /** Records runs of all endpoints. */
 export class RunLedger {
   readonly runs: Run[] = [];
+  readonly arrivals: Arrival[] = [];
   readonly #byCall = new Map<string, Run[]>();
 
   begin(run: Run): void {
--- a/soak/src/actions_main.ts
+++ b/soak/src/actions_main.ts
@@ -6,6 +6,8 @@
  */
 import meow from "meow";
 import {
+  ACTION_WAVE_KINDS,
+  type ActionWaveKind,
   type ActionWaveResult,
   planActionWave,
   playActionWave,
@@ -17,6 +19,7 @@
     $ npm run soak:actions -- --seeds A-B   play the waves of many seeds
 
   Options
+    --kinds A,B  kinds of waves, default all
     --jobs N   waves at the same time, default 1
     --first    stop at the first violated guarantee
 `,
@@ -24,6 +27,7 @@
     importMeta: import.meta,
     flags: {
       seeds: { type: "string", default: "1-5" },
+      kinds: { type: "string", default: ACTION_WAVE_KINDS.join(",") },
       jobs: { type: "number", default: 1 },
       first: { type: "boolean", default: false },
     },
@@ -35,32 +39,37 @@
   { length: (lastSeed ?? firstSeed!) - firstSeed! + 1 },
   (_, index) => firstSeed! + index,
 );
-const failedSeeds: number[] = [];
+const kinds = cli.flags.kinds.split(",") as ActionWaveKind[];
+const waves = seeds.flatMap((seed) => kinds.map((kind) => ({ seed, kind })));
+const failedWaves: string[] = [];
 let waveCount = 0;
 await Promise.all(Array.from({ length: cli.flags.jobs }, playSeeds));
 console.log(
-  `${waveCount} waves, ${failedSeeds.length} failed ${failedSeeds.join(" ")}`,
+  `${waveCount} waves, ${failedWaves.length} failed ${failedWaves.join(", ")}`,
 );
 // Sockets that were reset at the last moment can keep Node.js from exiting by itself.
-process.exit(failedSeeds.length === 0 ? 0 : 1);
+process.exit(failedWaves.length === 0 ? 0 : 1);
 
 async function playSeeds(): Promise<void> {
   for (;;) {
-    const seed = seeds.shift();
-    if (seed === undefined || (cli.flags.first && failedSeeds.length > 0)) {
+    const wave = waves.shift();
+    if (wave === undefined || (cli.flags.first && failedWaves.length > 0)) {
       return;
     }
-    const result = await playActionWave(planActionWave(seed));
+    const result = await playActionWave(
+      planActionWave(wave.seed, wave.kind),
+    );
     waveCount++;
     console.log(formatResult(result));
     if (result.broken.length > 0) {
-      failedSeeds.push(seed);
+      failedWaves.push(`${wave.kind} ${wave.seed}`);
     }
   }
 }
 
 function formatResult(
-  { plan, broken, answers, runs, folder }: ActionWaveResult,
+  { plan, broken, answers, runs, bodies, directoryAnswers, folder }:
+    ActionWaveResult,
 ): string {
   const counts = new Map<string, number>();
   for (const { status, end } of answers) {
@@ -70,7 +79,7 @@
   const outcomes = [...counts].map(([name, count]) => `${count} ${name}`);
   const violations = broken.map(({ call, what }) => `  ${call} ${what}`);
   return [
-    `seed ${plan.seed}: ${answers.length} requests, ${runs} runs, ${plan.faults.length} faults, ${
+    `${plan.kind} seed ${plan.seed}: ${answers.length} requests, ${runs} runs, ${bodies} bodies relayed, ${directoryAnswers} lists, ${plan.faults.length} faults, ${
       outcomes.join(", ")
     }`,
     ...violations,
--- a/soak/src/guard_list.ts
+++ b/soak/src/guard_list.ts
@@ -8,6 +8,8 @@
 const CORE_GATEWAY = "packages/core/src/gateway";
 const DAEMON_GATEWAY = "packages/daemon/src/gateway";
 const POINT = "streams byte by byte";
+const CHANGE_POINT = "changes in force in time";
+const DEATH_POINT = "entries that end, and recovery";
 const PLACE_POINT = "homes and attempts";
 const ACTION_POINT = "actions run once, and refusals are true";
 
@@ -19,8 +21,11 @@
 const FAULT_KINDS = "stops,ends";
 const PAUSE_KINDS = "stalls,pauses";
 const SLOW_KINDS = "slow";
-/** Stands for the waves of actions, which are played by a program of their own. */
-export const ACTION_WAVES = "actions";
+/** Prefix of the kinds of waves of actions, which are played by a program of their own. */
+export const ACTION_WAVES = "actions:";
+const LINK_WAVES = `${ACTION_WAVES}links`;
+const DEATH_WAVES = `${ACTION_WAVES}deaths`;
+const CHANGE_WAVES = `${ACTION_WAVES}changes`;
 
 /** All guards that the soak test checks. */
 export const SOAK_GUARDS: readonly SoakGuard[] = [
@@ -165,7 +170,7 @@
   },
   {
     point: ACTION_POINT,
-    kinds: ACTION_WAVES,
+    kinds: LINK_WAVES,
     name: "a refusal on a used connection names its request",
     file: "platform/src/endpoint_protocol.ts",
     find: 'return target.kind === "peer" || !reusedConnection;',
@@ -173,7 +178,7 @@
   },
   {
     point: ACTION_POINT,
-    kinds: ACTION_WAVES,
+    kinds: LINK_WAVES,
     name: "an endpoint's status alone promises nothing",
     file: `${CORE_GATEWAY}/call_controller.ts`,
     find: "if (promisesNotRun(answer.status)) {",
@@ -181,7 +186,7 @@
   },
   {
     point: ACTION_POINT,
-    kinds: ACTION_WAVES,
+    kinds: LINK_WAVES,
     name: "two answers that ran into one are no answer",
     file: `${DAEMON_GATEWAY}/outbound_call.ts`,
     find: "if (containsStatusLine(reason, this.#headers)) {",
@@ -189,7 +194,7 @@
   },
   {
     point: ACTION_POINT,
-    kinds: ACTION_WAVES,
+    kinds: LINK_WAVES,
     name: "a lost attempt may have run",
     file: "packages/core/src/verdict/verdict.ts",
     find: 'state === "sent" || state === "lost"',
@@ -197,7 +202,7 @@
   },
   {
     point: ACTION_POINT,
-    kinds: ACTION_WAVES,
+    kinds: LINK_WAVES,
     name: "an action is not sent again after it was lost",
     file: `${CORE_GATEWAY}/call_recovery.ts`,
     find: "if (!call.mayRetry || !this.#hasAlternative(call, now)) {",
@@ -205,7 +210,7 @@
   },
   {
     point: ACTION_POINT,
-    kinds: ACTION_WAVES,
+    kinds: LINK_WAVES,
     name: "a peer's failure is no refusal",
     file: "platform/src/endpoint_protocol.ts",
     find: "? isRefusedByEntry(headers)",
@@ -213,7 +218,7 @@
   },
   {
     point: ACTION_POINT,
-    kinds: ACTION_WAVES,
+    kinds: LINK_WAVES,
     name: "a success names its request",
     file: "platform/src/endpoint_protocol.ts",
     find: "return isSealed && echoedCall === call && !isMarked;",
@@ -221,7 +226,7 @@
   },
   {
     point: PLACE_POINT,
-    kinds: ACTION_WAVES,
+    kinds: LINK_WAVES,
     name: "a request with homes stays there",
     file: "packages/core/src/routes/route.ts",
     find: "return route.homes.length === 0 || route.homes.includes(region);",
@@ -229,10 +234,48 @@
   },
   {
     point: PLACE_POINT,
-    kinds: ACTION_WAVES,
+    kinds: LINK_WAVES,
     name: "a request is sent to no more endpoints than its route allows",
     file: `${CORE_GATEWAY}/call_recovery.ts`,
     find: "call.possibleDeliveries < call.route.attempts &&",
     replace: "",
   },
+  {
+    point: DEATH_POINT,
+    kinds: DEATH_WAVES,
+    name: "the directory forgets an entry that has ended",
+    file: "packages/core/src/fleet/fleet_controller.ts",
+    find: "export const SUSPICION_TIMEOUT_MS = 2_000;",
+    replace: "export const SUSPICION_TIMEOUT_MS = 20_000;",
+    also: [{
+      file: "packages/core/src/fleet/fleet_controller.ts",
+      find: 'return this.#members.withHealth("live");',
+      replace: "return this.#members.possiblyLive();",
+    }],
+  },
+  {
+    point: CHANGE_POINT,
+    kinds: CHANGE_WAVES,
+    name: "an evacuated zone receives nothing",
+    file: `${CORE_GATEWAY}/evacuations.ts`,
+    find: `  begin(zone: ZoneId): void {
+    this.zones.add(zone);`,
+    replace: "  begin(zone: ZoneId): void {",
+  },
+  {
+    point: CHANGE_POINT,
+    kinds: CHANGE_WAVES,
+    name: "an endpoint that is draining receives nothing",
+    file: `${CORE_GATEWAY}/endpoint_registry.ts`,
+    find: 'return record.state === "ready" && !this.#isLeaving(record);',
+    replace: "return !this.#isLeaving(record);",
+  },
+  {
+    point: CHANGE_POINT,
+    kinds: CHANGE_WAVES,
+    name: "a request ends with its route's timeout",
+    file: `${CORE_GATEWAY}/call_controller.ts`,
+    find: "Math.min(head.timeLeft ?? route.timeout, route.timeout);",
+    replace: "head.timeLeft ?? route.timeout;",
+  },
 ];
--- a/soak/src/guards_main.ts
+++ b/soak/src/guards_main.ts
@@ -72,8 +72,13 @@
 /** Arguments that play the waves of a guard. */
 function commandOf({ kinds }: SoakGuard): string[] {
   const seeds = ["--seeds", SEED_RANGE, "--first"];
-  return kinds === ACTION_WAVES
-    ? ["soak/dist/actions_main.js", ...seeds]
+  return kinds.startsWith(ACTION_WAVES)
+    ? [
+      "soak/dist/actions_main.js",
+      ...seeds,
+      "--kinds",
+      kinds.slice(ACTION_WAVES.length),
+    ]
     : ["soak/dist/main.js", ...seeds, "--kinds", kinds];
 }
 
