directory: lists state the lifetime of the settings in force

Cause: the directory read `list_lifetime_s` from the entry's identity, which holds the bounds of its start, so that a SIGHUP changed nothing there. It is given the bounds in force.

--- a/packages/core/src/gateway/entry_directory.ts
+++ b/packages/core/src/gateway/entry_directory.ts
@@ -15,7 +15,7 @@
 } from "../ids/index.ts";
 import { mayServe, type Route } from "../routes/index.ts";
 import type { CatalogueView } from "./catalogue_view.ts";
-import type { GatewayIdentity } from "./messages.ts";
+import type { GatewayBounds, GatewayIdentity } from "./messages.ts";
 import type { RegionController } from "./region_controller.ts";
 import type { ServingSet } from "./serving_set.ts";
 
@@ -64,6 +64,8 @@
   readonly catalogue: CatalogueView;
   readonly regions: RegionController;
   readonly serving: ServingSet;
+  /** Those of the settings in force, which may be others than at the start. */
+  readonly bounds: Pick<GatewayBounds, "listLifetime">;
 }
 
 /**
@@ -74,7 +76,7 @@
  * and to the home regions of the host's routes.
  */
 export function chooseEntries(
-  { self, fleet, catalogue, regions, serving }: DirectorySources,
+  { self, fleet, catalogue, regions, serving, bounds }: DirectorySources,
   question: DirectoryRequest,
   now: Instant,
 ): DirectoryAnswer | undefined {
@@ -94,7 +96,7 @@
   return entries.length === 0 ? undefined : {
     addresses: entries.map(({ callerAddress }) => callerAddress),
     lifetime: milliseconds(
-      Math.min(MAX_LIST_LIFETIME_MS, self.bounds.listLifetime),
+      Math.min(MAX_LIST_LIFETIME_MS, bounds.listLifetime),
     ),
   };
 }
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -413,6 +413,7 @@
         catalogue: this.#catalogue,
         regions: this.#regions,
         serving: this.#serving,
+        bounds: this.#bounds,
       },
       question,
       now,
