soak: settings changed with SIGHUP

Waves of changes write other bounds into the settings files of entries, sound or faulty ones, and send SIGHUP. Lists of undisturbed entries state the new lifetime within 4 s, and never one of faulty settings.

--- a/playground/src/bytes/process_entry.ts
+++ b/playground/src/bytes/process_entry.ts
@@ -45,6 +45,7 @@
   readonly #folder = mkdtempSync(join(tmpdir(), "entry-"));
   readonly #lines: LogLine[] = [];
   readonly #settings: string;
+  readonly #settingsText: string;
   readonly #options: ProcessOptions;
   #process: ChildProcess;
   #exited: Promise<unknown>;
@@ -62,7 +63,8 @@
     this.readiness = `${options.host}:${ports[2]}`;
     this.control = `${options.host}:${ports[3]}`;
     this.#settings = join(this.#folder, "entry.ini");
-    writeFileSync(this.#settings, formatSettings(options, ports));
+    this.#settingsText = formatSettings(options, ports);
+    this.changeSettings((text) => text);
     this.#process = this.#spawn();
     this.#exited = once(this.#process, "exit");
   }
@@ -82,6 +84,11 @@
     return child;
   }
 
+  /** Writes the settings file with changes to its first text. The process reads it at a SIGHUP. */
+  changeSettings(change: (text: string) => string): void {
+    writeFileSync(this.#settings, change(this.#settingsText));
+  }
+
   /** Kills the process and starts another one with the same addresses. */
   async restart(): Promise<void> {
     this.signal("SIGKILL");
--- a/soak/src/actions/action_faults.ts
+++ b/soak/src/actions/action_faults.ts
@@ -6,6 +6,7 @@
 import type { LinkDirection } from "@sassafrasstep/playground/links";
 import type { StoreFault } from "@sassafrasstep/playground/bytes";
 import type { Draw } from "../draw.ts";
+import type { SettingsChange } from "./settings_changes.ts";
 import { type DocumentFields, FIRST_DOCUMENT } from "./change_faults.ts";
 
 /** Links between two kinds of processes. Entries and endpoints are indexes. */
@@ -57,6 +58,7 @@
     | { readonly kind: "compact" }
     | ({ readonly kind: "document" } & DocumentFields)
     | { readonly kind: "drain"; readonly endpoint: number }
+    | ({ readonly kind: "settings" } & SettingsChange)
     | { readonly kind: "evacuation"; readonly zone: string }
   );
 
--- a/soak/src/actions/action_wave.ts
+++ b/soak/src/actions/action_wave.ts
@@ -18,6 +18,7 @@
   type PublishedDocument,
 } from "./change_checks.ts";
 import { FIRST_DOCUMENT } from "./change_faults.ts";
+import { findOldSettings, SettingsChanges } from "./settings_changes.ts";
 import { DelayMeter } from "./delay_meter.ts";
 import type { Fault } from "./action_faults.ts";
 import type { ActionWavePlan } from "./action_plan.ts";
@@ -76,6 +77,7 @@
   readonly #restarting = new Set<number>();
   readonly #absences: Absence[] = [];
   readonly #closures: Closure[] = [];
+  readonly #settings: SettingsChanges;
   readonly #delays = new DelayMeter();
   readonly #documents: PublishedDocument[] = [{ ...FIRST_DOCUMENT, at: 0 }];
   /** When all entries were killed, and when the last of them started again. */
@@ -87,6 +89,7 @@
       ledger: this.#ledger,
       plan: (call) => this.#nextRun(call),
     });
+    this.#settings = new SettingsChanges(this.#fleet.entries);
     this.#callers = new ActionCallers((entry) => this.#fleet.callersOf(entry));
   }
 
@@ -127,6 +130,10 @@
           delayWithin: (from, to) => this.#delays.within(from, to),
         })
         : [],
+      ...findOldSettings(directories.answers, {
+        applied: this.#settings.applied,
+        isDisturbed,
+      }),
       ...findDeadNamed({
         answers: directories.answers,
         entries: this.#fleet.entries,
@@ -258,6 +265,11 @@
         fleet.publishEndpoint(fault.endpoint, { state: "draining" });
         await this.#close("drain", { endpoints: [fault.endpoint], fault });
         return fleet.publishEndpoint(fault.endpoint);
+      case "settings":
+        // An entry that starts by faulty settings ends at once.
+        return this.#restarting.has(fault.entry)
+          ? undefined
+          : await this.#settings.play(fault, fault.forMs);
       case "evacuation": {
         const takeBack = fleet.evacuate(fault.zone);
         const endpoints = this.#plan.endpoints.flatMap(({ region }, index) =>
@@ -382,6 +394,7 @@
     write("disturbances.json", this.#disturbances);
     write("closures.json", this.#closures);
     write("documents.json", this.#documents);
+    write("settings.json", this.#settings.applied);
     for (const [index, entry] of this.#fleet.entries.entries()) {
       write(`entry-${index + 1}.json`, entry.lines());
     }
--- a/soak/src/actions/change_faults.ts
+++ b/soak/src/actions/change_faults.ts
@@ -25,6 +25,8 @@
 };
 
 const LAST_AT_MS = 11_000;
+/** Entries end before this time, since none starts by faulty settings. */
+const FIRST_SETTINGS_AT_MS = 6_000;
 
 /** Draws documents, drains and evacuations, and some faults beside them. The store stays sound. */
 export function drawChanges(
@@ -66,6 +68,14 @@
       atMs: atMs(),
       forMs: 0,
     })),
+    ...times(draw.integer(1, 5), (): Fault => ({
+      kind: "settings",
+      entry: entry(),
+      lifetimeS: draw.pick([0.2, 0.4, 0.6, 0.8]),
+      faulty: draw.chance(0.3),
+      atMs: draw.integer(FIRST_SETTINGS_AT_MS, LAST_AT_MS),
+      forMs: draw.integer(500, 3_000),
+    })),
     ...times(draw.integer(0, 2), (): Fault => ({
       kind: draw.pick(["pause", "kill", "stop"]),
       entry: entry(),
--- a/soak/src/actions/directory_watch.ts
+++ b/soak/src/actions/directory_watch.ts
@@ -26,6 +26,7 @@
 export interface DirectoryAnswer {
   readonly entry: number;
   readonly askedAt: number;
+  readonly answeredAt: number;
   readonly addresses: readonly string[];
   readonly lifetimeS: number;
 }
@@ -68,7 +69,14 @@
     const text = await answer?.text().catch(() => undefined);
     if (answer?.status === OK && text !== undefined) {
       const { addresses, lifetime_s: lifetimeS } = JSON.parse(text);
-      this.answers.push({ entry, askedAt, addresses, lifetimeS });
+      const answeredAt = performance.now();
+      this.answers.push({
+        entry,
+        askedAt,
+        answeredAt,
+        addresses,
+        lifetimeS,
+      });
     }
   }
 }
--- a/soak/src/guard_list.ts
+++ b/soak/src/guard_list.ts
@@ -278,4 +278,12 @@
     find: "Math.min(head.timeLeft ?? route.timeout, route.timeout);",
     replace: "head.timeLeft ?? route.timeout;",
   },
+  {
+    point: CHANGE_POINT,
+    kinds: CHANGE_WAVES,
+    name: "lists state the lifetime of the settings in force",
+    file: `${CORE_GATEWAY}/gateway.ts`,
+    find: "bounds: this.#bounds,",
+    replace: "bounds: this.self.bounds,",
+  },
 ];
