soak: memory and descriptors over a long wave, keys and a limit

`long` plays links, endpoints and the store failing for 38 s while no entry ends, then 65 s of rest, for idle connections between entries stay for 60 s: under 200 MB and 512 descriptors throughout, at the end within 32 MB and 20 descriptors of the start.

`keys` gives customers keys and one of them a limit beside the faults of `links`: no run with a key that nobody has, none 3 s (`key_lifetime_ms`) after a key was taken away, at any entry; no 401, 403 or 404 with a key in force; over the wave no more runs than the rate and one burst for each start of an entry, and half of the rate at least. The tighter bound of a burst over all entries is known red and not asked here.

--- a/soak/src/__tests__/actions.test.ts
+++ b/soak/src/__tests__/actions.test.ts
@@ -36,4 +36,10 @@
     );
     expect(broken, `Files of the wave: ${folder}`).toEqual([]);
   });
+
+  // Guards against requests that run with a key which was taken away, or beyond the limit of a customer.
+  it("are checked by keys and limits", async () => {
+    const { broken, folder } = await playActionWave(planActionWave(1, "keys"));
+    expect(broken, `Files of the wave: ${folder}`).toEqual([]);
+  });
 });
--- a/soak/src/actions/action_caller.ts
+++ b/soak/src/actions/action_caller.ts
@@ -12,6 +12,7 @@
   isStream,
   mustRunOnce,
 } from "./action_plan.ts";
+import { KEYS } from "./key_plan.ts";
 import { requestBody } from "./body_watch.ts";
 
 /** What a caller saw of one of its requests. */
@@ -142,6 +143,7 @@
           host: "kiosk.example",
           [HEADERS.callId]: call,
           [HEADERS.timeLeft]: String(timeMs),
+          ...(plan.key === undefined ? {} : { [HEADERS.key]: KEYS[plan.key] }),
           "content-length": body.length,
           ...(isStream(plan.route) ? { [HEADERS.tokenCounts]: "10,100" } : {}),
           ...(resumed === undefined ? {} : {
--- a/soak/src/actions/action_checks.ts
+++ b/soak/src/actions/action_checks.ts
@@ -140,6 +140,7 @@
 function findUnserved({ answers, isDisturbed }: ObservedWave): Violation[] {
   const counted = answers.filter(({ plan, call, askedAt, endedAt }) =>
     plan.leavesAfterMs === undefined && call === plan.id &&
+    (plan.key === undefined || plan.key === "kept") &&
     !isDisturbed(`entry-${plan.entry + 1}`, askedAt, endedAt)
   );
   const served = counted.filter(({ status, end }) =>
--- a/soak/src/actions/action_plan.ts
+++ b/soak/src/actions/action_plan.ts
@@ -7,6 +7,9 @@
 import { drawFaults, type Fault } from "./action_faults.ts";
 import { drawChanges } from "./change_faults.ts";
 import { drawDeaths } from "./death_faults.ts";
+import { addRemoval, customersOf, drawKey, type KeyName } from "./key_plan.ts";
+import { type DocumentFields, FIRST_DOCUMENT } from "./change_faults.ts";
+import { drawLongFaults } from "./long_faults.ts";
 import type { ServiceName } from "./ledger_endpoint.ts";
 
 /** Routes by the name that is their path. */
@@ -80,6 +83,8 @@
   readonly bodyBytes: number;
   /** When the caller leaves, `undefined` for one that waits for its answer. */
   readonly leavesAfterMs: number | undefined;
+  /** The caller's key, `undefined` where none is needed. */
+  readonly key: KeyName | undefined;
 }
 
 /** What a wave is about. */
@@ -89,7 +94,11 @@
   /** Entries are gone for long, then all of them are killed. */
   | "deaths"
   /** Documents, drains and evacuations. */
-  | "changes";
+  | "changes"
+  /** Links, endpoints and the store fail for long, and memory and descriptors are bounded. */
+  | "long"
+  /** Customers have keys and a limit, and a key is taken away. */
+  | "keys";
 
 /** A wave. */
 export interface ActionWavePlan {
@@ -103,6 +112,8 @@
   }[];
   readonly actions: readonly ActionPlan[];
   readonly faults: readonly Fault[];
+  /** The document at the start. */
+  readonly document: DocumentFields;
 }
 
 export const REGIONS = ["a", "b", "c"];
@@ -115,6 +126,8 @@
   links: { count: 500, ms: 9_000 },
   deaths: { count: 900, ms: 32_000 },
   changes: { count: 900, ms: 18_000 },
+  long: { count: 2_400, ms: 38_000 },
+  keys: { count: 700, ms: 14_000 },
 };
 /** Kinds in the order in which seeds are played. */
 export const ACTION_WAVE_KINDS = Object.keys(LOADS) as ActionWaveKind[];
@@ -161,6 +174,7 @@
         draw,
         entries: entries.length,
         startWindowMs: ms,
+        hasKeys: kind === "keys",
         routes: kind === "changes" ? CHANGING_ROUTE_DRAWS : ROUTE_DRAWS,
       }),
   );
@@ -169,7 +183,11 @@
     endpoints: endpoints.map(({ region }) => region),
   };
   const faults = drawFaultsOf(kind, draw, places);
-  return { kind, seed, entries, endpoints, actions, faults };
+  const document = {
+    ...FIRST_DOCUMENT,
+    ...kind === "keys" ? { customers: customersOf({ isRemoved: false }) } : {},
+  };
+  return { kind, seed, entries, endpoints, actions, faults, document };
 }
 
 function drawFaultsOf(
@@ -184,12 +202,17 @@
       return drawDeaths(draw, places.entries);
     case "changes":
       return drawChanges(draw, places);
+    case "long":
+      return drawLongFaults(draw, places);
+    case "keys":
+      return addRemoval(draw, drawFaults(draw, places));
   }
 }
 
 function planAction(
   id: string,
-  { draw, entries, startWindowMs, routes }: {
+  { draw, entries, startWindowMs, routes, hasKeys }: {
+    hasKeys: boolean;
     draw: Draw;
     entries: number;
     startWindowMs: number;
@@ -206,5 +229,6 @@
     keepsConnection: draw.chance(0.6),
     bodyBytes: draw.pick([1, 1, 1, 40_000]),
     leavesAfterMs: draw.chance(0.1) ? draw.integer(5, 1_200) : undefined,
+    key: hasKeys ? drawKey(draw) : undefined,
   };
 }
--- a/soak/src/actions/action_wave.ts
+++ b/soak/src/actions/action_wave.ts
@@ -18,6 +18,9 @@
   type PublishedDocument,
 } from "./change_checks.ts";
 import { FIRST_DOCUMENT } from "./change_faults.ts";
+import { findKeyViolations } from "./key_checks.ts";
+import { KEY_LIFETIME_MS } from "./key_plan.ts";
+import { findKeptResources, UsageMeter } from "./process_usage.ts";
 import { findOldSettings, SettingsChanges } from "./settings_changes.ts";
 import { DelayMeter } from "./delay_meter.ts";
 import type { Fault } from "./action_faults.ts";
@@ -38,6 +41,11 @@
 /** Time for late runs, after all callers have their answers. */
 const AFTERMATH_MS = 1_500;
 const DRAIN_MS = 4_000;
+const RELOAD_MS = 500;
+const STRICT_KEYS =
+  `key_lifetime_ms = ${KEY_LIFETIME_MS}\nstrict_keys = true\n`;
+/** Time after a long wave in which entries close what they no longer use: they keep idle peers' connections for 60 s. */
+const REST_MS = 65_000;
 
 /** The result of a wave. */
 export interface ActionWaveResult {
@@ -75,6 +83,7 @@
   #endpointStarts = 0;
   /** Entries that are being killed, stopped and started again. */
   readonly #restarting = new Set<number>();
+  #restarts = 0;
   readonly #absences: Absence[] = [];
   readonly #closures: Closure[] = [];
   readonly #settings: SettingsChanges;
@@ -96,6 +105,12 @@
   async play(): Promise<ActionWaveResult> {
     const { actions, faults } = this.#plan;
     await this.#fleet.start();
+    if (this.#plan.kind === "keys") {
+      await this.#enforceKeys();
+    }
+    const usage = this.#plan.kind === "long"
+      ? new UsageMeter(this.#fleet.entries)
+      : undefined;
     const directories = new DirectoryWatch(
       this.#fleet.entries,
       this.#plan.entries,
@@ -112,6 +127,11 @@
     await faultsPlayed;
     await pause(AFTERMATH_MS);
     directories.stop();
+    if (usage !== undefined) {
+      this.#callers.close();
+      await pause(REST_MS);
+      usage.stop();
+    }
     const isDisturbed = (entry: string, from: number, to: number): boolean =>
       this.#isDisturbed(entry, from, to);
     const broken = [
@@ -134,6 +154,15 @@
         applied: this.#settings.applied,
         isDisturbed,
       }),
+      ...this.#plan.kind === "keys"
+        ? findKeyViolations({
+          answers,
+          ledger: this.#ledger,
+          removedAt: this.#documents.at(-1)!.at,
+          starts: this.#plan.entries.length + this.#restarts,
+        })
+        : [],
+      ...findKeptResources(usage?.samples ?? []),
       ...findDeadNamed({
         answers: directories.answers,
         entries: this.#fleet.entries,
@@ -281,6 +310,15 @@
     }
   }
 
+  /** Has all entries check keys strictly, those that start again, too. */
+  async #enforceKeys(): Promise<void> {
+    for (const entry of this.#fleet.entries) {
+      entry.changeSettings((text) => `${text}${STRICT_KEYS}`);
+      entry.signal("SIGHUP");
+    }
+    await pause(RELOAD_MS);
+  }
+
   /** Waits while endpoints may receive nothing. */
   async #close(
     kind: Closure["kind"],
@@ -331,6 +369,7 @@
       return;
     }
     this.#restarting.add(index);
+    this.#restarts++;
     const entry = this.#fleet.entries[index]!;
     if (kind === "stop") {
       entry.signal("SIGTERM");
--- a/soak/src/actions/change_faults.ts
+++ b/soak/src/actions/change_faults.ts
@@ -15,6 +15,8 @@
   readonly movesTo: ServiceName;
   /** Whether it has the route that comes and goes. */
   readonly hasLate: boolean;
+  /** Customers with keys, none by default, when no key is needed. */
+  readonly customers?: readonly object[];
 }
 
 /** The document at the start of a wave. */
--- a/soak/src/actions/linked_fleet.ts
+++ b/soak/src/actions/linked_fleet.ts
@@ -21,7 +21,7 @@
 } from "@sassafrasstep/playground/links";
 import { ROUTES } from "./action_plan.ts";
 import { BodyWatch } from "./body_watch.ts";
-import { type DocumentFields, FIRST_DOCUMENT } from "./change_faults.ts";
+import type { DocumentFields } from "./change_faults.ts";
 import type { LinkSet } from "./action_faults.ts";
 import type { RunPlan } from "./behaviours.ts";
 import {
@@ -49,6 +49,8 @@
     readonly service: ServiceName;
     readonly region: string;
   }[];
+  /** The document at the start. */
+  readonly document: DocumentFields;
 }
 
 /** A link with the address of its proxy, and the host of the datagrams beside it. */
@@ -120,7 +122,7 @@
     const storeAddress = await this.store.listen();
     await Promise.all(this.endpoints.map((endpoint) => endpoint.listen()));
     this.endpoints.forEach((_, index) => this.publishEndpoint(index));
-    this.publishDocument(FIRST_DOCUMENT);
+    this.publishDocument(this.#plan.document);
     const [peerPort] = allocatePorts(1);
     const hosts = this.#plan.entries.map((_, index) =>
       `${NETWORK_PREFIX}.${FIRST_HOST_NUMBER + index}`
@@ -169,7 +171,9 @@
   }
 
   /** Publishes a newer document. */
-  publishDocument({ timeoutMs, movesTo, hasLate }: DocumentFields): void {
+  publishDocument(
+    { timeoutMs, movesTo, hasLate, customers }: DocumentFields,
+  ): void {
     this.#version += 2;
     const service = { connection_limit: 200, cold_s: 0, cold_per_s: 0 };
     this.store.put(STORE_KEYS.document, {
@@ -191,6 +195,7 @@
           engine: { slots: SLOTS.model, cache_tokens: 100_000 },
         },
       ],
+      ...customers === undefined ? {} : { tenants: customers },
       limits: {
         header_bytes: 16_384,
         body_bytes: 65_536,
--- a/soak/src/guard_list.ts
+++ b/soak/src/guard_list.ts
@@ -9,6 +9,8 @@
 const DAEMON_GATEWAY = "packages/daemon/src/gateway";
 const POINT = "streams byte by byte";
 const CHANGE_POINT = "changes in force in time";
+const KEY_POINT = "keys and limits of customers";
+const USAGE_POINT = "memory and descriptors";
 const DEATH_POINT = "entries that end, and recovery";
 const PLACE_POINT = "homes and attempts";
 const ACTION_POINT = "actions run once, and refusals are true";
@@ -26,6 +28,7 @@
 const LINK_WAVES = `${ACTION_WAVES}links`;
 const DEATH_WAVES = `${ACTION_WAVES}deaths`;
 const CHANGE_WAVES = `${ACTION_WAVES}changes`;
+const KEY_WAVES = `${ACTION_WAVES}keys`;
 
 /** All guards that the soak test checks. */
 export const SOAK_GUARDS: readonly SoakGuard[] = [
@@ -286,4 +289,29 @@
     find: "bounds: this.#bounds,",
     replace: "bounds: this.self.bounds,",
   },
+  {
+    point: KEY_POINT,
+    kinds: KEY_WAVES,
+    name: "a key that nobody has opens nothing",
+    file: "packages/core/src/customers/check_key.ts",
+    find: 'return { kind: "unknown" };',
+    replace: 'return { kind: "accepted", customer: undefined };',
+  },
+  {
+    point: KEY_POINT,
+    kinds: KEY_WAVES,
+    name: "entries share the limit of a customer",
+    file: "packages/core/src/customers/limit_bucket.ts",
+    find: "Math.min(room, elapsedSeconds * this.#limit.perSecond * share);",
+    replace:
+      "Math.min(room, elapsedSeconds * this.#limit.perSecond * 9 * share);",
+  },
+  {
+    point: USAGE_POINT,
+    kinds: `${ACTION_WAVES}long`,
+    name: "idle connections between entries are closed",
+    file: `${DAEMON_GATEWAY}/ingress.ts`,
+    find: "const DEFAULT_IDLE_MS = 60_000;",
+    replace: "const DEFAULT_IDLE_MS = 600_000;",
+  },
 ];
