soak: drawn bytes at the listeners of callers and of the directory

Waves of `bytes` send 900 inputs to six entries beside 300 sound requests and questions to the directories: odd methods, targets, hosts, framings and values of headers that are read, four mutations of bytes at most, cut into parts, then left open, closed or reset. Endpoints are sound and nothing else fails. No entry ends, none is over 200 MB, nothing runs that was not asked for or was refused, nine in ten of the sound requests and questions are answered.

--- a/soak/src/actions/action_plan.ts
+++ b/soak/src/actions/action_plan.ts
@@ -9,6 +9,7 @@
 import { drawDeaths } from "./death_faults.ts";
 import { addRemoval, customersOf, drawKey, type KeyName } from "./key_plan.ts";
 import { type DocumentFields, FIRST_DOCUMENT } from "./change_faults.ts";
+import { drawOddInput, type OddInput } from "./odd_inputs.ts";
 import { drawLongFaults } from "./long_faults.ts";
 import type { ServiceName } from "./ledger_endpoint.ts";
 
@@ -98,7 +99,9 @@
   /** Links, endpoints and the store fail for long, and memory and descriptors are bounded. */
   | "long"
   /** Customers have keys and a limit, and a key is taken away. */
-  | "keys";
+  | "keys"
+  /** Drawn bytes arrive at listeners, endpoints are sound, and no process or link fails. */
+  | "bytes";
 
 /** A wave. */
 export interface ActionWavePlan {
@@ -114,10 +117,12 @@
   readonly faults: readonly Fault[];
   /** The document at the start. */
   readonly document: DocumentFields;
+  readonly oddInputs: readonly OddInput[];
 }
 
 export const REGIONS = ["a", "b", "c"];
 const ENTRIES_PER_REGION = 2;
+const ODD_INPUT_COUNT = 900;
 const MODEL_ENDPOINTS = ["a", "a", "a", "b", "b", "c"];
 /** One region has none, so that its requests are relayed. */
 const CORE_ENDPOINTS = ["a", "a", "b", "b"];
@@ -128,6 +133,7 @@
   changes: { count: 900, ms: 18_000 },
   long: { count: 2_400, ms: 38_000 },
   keys: { count: 700, ms: 14_000 },
+  bytes: { count: 300, ms: 9_000 },
 };
 /** Kinds in the order in which seeds are played. */
 export const ACTION_WAVE_KINDS = Object.keys(LOADS) as ActionWaveKind[];
@@ -187,7 +193,24 @@
     ...FIRST_DOCUMENT,
     ...kind === "keys" ? { customers: customersOf({ isRemoved: false }) } : {},
   };
-  return { kind, seed, entries, endpoints, actions, faults, document };
+  const oddInputs = Array.from(
+    { length: kind === "bytes" ? ODD_INPUT_COUNT : 0 },
+    (_, index) =>
+      drawOddInput(draw, `odd${seed}c${index}`, {
+        entries: entries.length,
+        windowMs: ms,
+      }),
+  );
+  return {
+    kind,
+    seed,
+    entries,
+    endpoints,
+    actions,
+    faults,
+    document,
+    oddInputs,
+  };
 }
 
 function drawFaultsOf(
@@ -206,6 +229,8 @@
       return drawLongFaults(draw, places);
     case "keys":
       return addRemoval(draw, drawFaults(draw, places));
+    case "bytes":
+      return [];
   }
 }
 
--- a/soak/src/actions/action_wave.ts
+++ b/soak/src/actions/action_wave.ts
@@ -20,7 +20,16 @@
 import { FIRST_DOCUMENT } from "./change_faults.ts";
 import { findKeyViolations } from "./key_checks.ts";
 import { KEY_LIFETIME_MS } from "./key_plan.ts";
-import { findKeptResources, UsageMeter } from "./process_usage.ts";
+import {
+  findOddViolations,
+  findUnservedBeside,
+  sendOddInput,
+} from "./odd_caller.ts";
+import {
+  findKeptResources,
+  findOverused,
+  UsageMeter,
+} from "./process_usage.ts";
 import { findOldSettings, SettingsChanges } from "./settings_changes.ts";
 import { DelayMeter } from "./delay_meter.ts";
 import type { Fault } from "./action_faults.ts";
@@ -41,6 +50,13 @@
 /** Time for late runs, after all callers have their answers. */
 const AFTERMATH_MS = 1_500;
 const DRAIN_MS = 4_000;
+/** What all endpoints do where only callers are odd. */
+const SOUND_RUN = {
+  behaviour: { kind: "answers" },
+  workMs: 20,
+  eventMs: 5,
+  closes: undefined,
+} as const;
 const RELOAD_MS = 500;
 const STRICT_KEYS =
   `key_lifetime_ms = ${KEY_LIFETIME_MS}\nstrict_keys = true\n`;
@@ -108,7 +124,12 @@
     if (this.#plan.kind === "keys") {
       await this.#enforceKeys();
     }
-    const usage = this.#plan.kind === "long"
+    const odd = Promise.all(
+      this.#plan.oddInputs.map((input) =>
+        sendOddInput(input, this.#fleet.entries[input.entry]![input.listener])
+      ),
+    );
+    const usage = this.#plan.kind === "long" || this.#plan.kind === "bytes"
       ? new UsageMeter(this.#fleet.entries)
       : undefined;
     const directories = new DirectoryWatch(
@@ -125,13 +146,14 @@
     }));
     const answers = observed.flat();
     await faultsPlayed;
+    const oddAnswers = await odd;
     await pause(AFTERMATH_MS);
     directories.stop();
-    if (usage !== undefined) {
+    if (this.#plan.kind === "long") {
       this.#callers.close();
       await pause(REST_MS);
-      usage.stop();
     }
+    usage?.stop();
     const isDisturbed = (entry: string, from: number, to: number): boolean =>
       this.#isDisturbed(entry, from, to);
     const broken = [
@@ -162,7 +184,19 @@
           starts: this.#plan.entries.length + this.#restarts,
         })
         : [],
-      ...findKeptResources(usage?.samples ?? []),
+      ...findOverused(usage?.samples ?? []),
+      ...this.#plan.kind === "long"
+        ? findKeptResources(usage?.samples ?? [])
+        : [],
+      ...this.#plan.kind === "bytes"
+        ? [
+          ...findOddViolations(oddAnswers, { answers, ledger: this.#ledger }),
+          ...findUnservedBeside(answers, {
+            asked: directories.asked,
+            answered: directories.answers.length,
+          }),
+        ]
+        : [],
       ...findDeadNamed({
         answers: directories.answers,
         entries: this.#fleet.entries,
@@ -201,7 +235,9 @@
   #nextRun(call: string): RunPlan {
     const count = this.#runCounts.get(call) ?? 0;
     this.#runCounts.set(call, count + 1);
-    return drawRunPlan(new Draw(this.#plan.seed, hash32(`${call} ${count}`)));
+    const draw = new Draw(this.#plan.seed, hash32(`${call} ${count}`));
+    const run = drawRunPlan(draw);
+    return this.#plan.kind === "bytes" ? { ...run, ...SOUND_RUN } : run;
   }
 
   async #playFault(fault: Fault): Promise<void> {
--- a/soak/src/actions/directory_watch.ts
+++ b/soak/src/actions/directory_watch.ts
@@ -34,6 +34,8 @@
 /** Collects the answers of all directories. */
 export class DirectoryWatch {
   readonly answers: DirectoryAnswer[] = [];
+  /** Number of questions. */
+  asked = 0;
   readonly #entries: readonly ProcessEntry[];
   readonly #regions: readonly string[];
   readonly #stopped = new AbortController();
@@ -62,6 +64,7 @@
       this.#entries[entry]!.directory
     }${API_PATHS.resolve}?name=kiosk.example&region=${region}&zone=${region}-1`;
     const askedAt = performance.now();
+    this.asked++;
     // An entry that is paused or gone answers nothing.
     const answer = await fetch(url, {
       signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
--- a/soak/src/actions/process_usage.ts
+++ b/soak/src/actions/process_usage.ts
@@ -55,18 +55,24 @@
   }
 }
 
-/** Finds entries that used too much, or did not give back what they had used. */
-export function findKeptResources(samples: readonly Usage[]): Violation[] {
-  const pids = [...new Set(samples.map(({ pid }) => pid))];
-  return pids.flatMap((pid) => {
-    const own = samples.filter((sample) => sample.pid === pid);
-    const { memoryMb, descriptors, entry } = own.at(-1)!;
-    const first = own[0]!;
+/** Finds entries that used too much at any time. */
+export function findOverused(samples: readonly Usage[]): Violation[] {
+  return findByProcess(samples, (own) => {
     const peakMb = Math.max(...own.map((sample) => sample.memoryMb));
     const peak = Math.max(...own.map((sample) => sample.descriptors));
-    const faults = [
+    return [
       ...peakMb > MAX_MEMORY_MB ? [`used ${Math.round(peakMb)} MB`] : [],
       ...peak > MAX_DESCRIPTORS ? [`had ${peak} descriptors open`] : [],
+    ];
+  });
+}
+
+/** Finds entries that did not give back in the end what they had used. */
+export function findKeptResources(samples: readonly Usage[]): Violation[] {
+  return findByProcess(samples, (own) => {
+    const { memoryMb, descriptors } = own.at(-1)!;
+    const first = own[0]!;
+    return [
       ...memoryMb > first.memoryMb + MAX_KEPT_MB
         ? [
           `kept ${Math.round(memoryMb)} MB after ${Math.round(first.memoryMb)}`,
@@ -76,6 +82,17 @@
         ? [`kept ${descriptors} descriptors open after ${first.descriptors}`]
         : [],
     ];
-    return faults.map((what) => ({ call: `entry-${entry + 1}`, what }));
+  });
+}
+
+function findByProcess(
+  samples: readonly Usage[],
+  find: (own: readonly Usage[]) => string[],
+): Violation[] {
+  const pids = [...new Set(samples.map(({ pid }) => pid))];
+  return pids.flatMap((pid) => {
+    const own = samples.filter((sample) => sample.pid === pid);
+    const call = `entry-${own[0]!.entry + 1}`;
+    return find(own).map((what) => ({ call, what }));
   });
 }
--- a/soak/src/guard_list.ts
+++ b/soak/src/guard_list.ts
@@ -11,6 +11,7 @@
 const CHANGE_POINT = "changes in force in time";
 const KEY_POINT = "keys and limits of customers";
 const USAGE_POINT = "memory and descriptors";
+const BYTE_POINT = "bytes that nobody would send";
 const DEATH_POINT = "entries that end, and recovery";
 const PLACE_POINT = "homes and attempts";
 const ACTION_POINT = "actions run once, and refusals are true";
@@ -314,4 +315,12 @@
     find: "const DEFAULT_IDLE_MS = 60_000;",
     replace: "const DEFAULT_IDLE_MS = 600_000;",
   },
+  {
+    point: BYTE_POINT,
+    kinds: `${ACTION_WAVES}bytes`,
+    name: "a target that is no URL does not end the entry",
+    file: "platform/src/directory.ts",
+    find: "return URL.canParse(text) ? new URL(text) : undefined;",
+    replace: "return new URL(text);",
+  },
 ];
