soak: a process that has ended is not sampled, delays of the callers count

The meter of memory threw where an entry had ended by itself, so that the wave ended without a verdict: the guard "a target that is no URL does not end the entry" was reported as not found. How late a request may end is judged as before.

--- a/soak/src/actions/action_wave.ts
+++ b/soak/src/actions/action_wave.ts
@@ -194,6 +194,7 @@
           ...findUnservedBeside(answers, {
             asked: directories.asked,
             answered: directories.answers.length,
+            delayWithin: (from, to) => this.#delays.within(from, to),
           }),
         ]
         : [],
--- a/soak/src/actions/odd_caller.ts
+++ b/soak/src/actions/odd_caller.ts
@@ -14,6 +14,8 @@
 const PART_INTERVAL_MS = 30;
 const WAIT_MS = 2_500;
 const OK = 200;
+/** A caller that was kept from its work for longer has not seen in time what it was answered. */
+const MAX_DELAY_MS = 200;
 /** All but one of this many sound requests, and questions to directories, are answered. */
 const REQUESTS_PER_UNSERVED = 10;
 
@@ -76,17 +78,24 @@
 /** Reports sound requests that were not served beside drawn bytes, and directories that did not answer. */
 export function findUnservedBeside(
   answers: readonly ObservedAnswer[],
-  lists: { readonly asked: number; readonly answered: number },
+  { asked, answered, delayWithin }: {
+    /** Questions to directories, and how many of them were answered. */
+    readonly asked: number;
+    readonly answered: number;
+    /** How long the callers' own process was kept from its work in a span of time. */
+    readonly delayWithin: (from: number, to: number) => number;
+  },
 ): Violation[] {
-  const counted = answers.filter(({ plan, call }) =>
-    plan.leavesAfterMs === undefined && call === plan.id
+  const counted = answers.filter(({ plan, call, askedAt, endedAt }) =>
+    plan.leavesAfterMs === undefined && call === plan.id &&
+    delayWithin(askedAt, endedAt) < MAX_DELAY_MS
   );
   const served =
     counted.filter(({ status, end }) => status === OK && end === "whole")
       .length;
   return [
     ["requests", served, counted.length] as const,
-    ["questions to directories", lists.answered, lists.asked] as const,
+    ["questions to directories", answered, asked] as const,
   ].flatMap(([what, good, all]) =>
     (all - good) * REQUESTS_PER_UNSERVED > all
       ? [{ call: "all", what: `served ${good} of ${all} ${what}` }]
--- a/soak/src/actions/process_usage.ts
+++ b/soak/src/actions/process_usage.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { readdirSync, readFileSync } from "node:fs";
+import { existsSync, readdirSync, readFileSync } from "node:fs";
 import type { ProcessEntry } from "@sassafrasstep/playground/bytes";
 import type { Violation } from "../promises.ts";
 
@@ -43,6 +43,10 @@
 
   #sample(): void {
     for (const [entry, { pid }] of this.#entries.entries()) {
+      // An entry that has ended by itself is reported by another check.
+      if (!existsSync(`/proc/${pid}/fd`)) {
+        continue;
+      }
       const status = readFileSync(`/proc/${pid}/status`, "utf8");
       const memoryKb = Number(/VmRSS:\s+(\d+) kB/.exec(status)?.[1] ?? 0);
       this.samples.push({
