--- a/soak/src/actions/odd_caller.ts
+++ b/soak/src/actions/odd_caller.ts
@@ -66,7 +66,14 @@
     parts.join("").includes(`${HEADERS.callId}: ${call}\r\n`) &&
     ledger.of(call).length > 0
   );
+  const repeated = odd.filter(({ input: { call, parts } }) =>
+    isSingleAction(parts.join(""), call) && ledger.of(call).length > 1
+  );
   return [
+    ...repeated.map(({ input: { call } }) => ({
+      call,
+      what: `ran ${ledger.of(call).length} times for odd bytes`,
+    })),
     ...unasked.map(({ call }) => ({ call, what: "ran and was not asked for" })),
     ...unkept.map(({ status, input: { call } }) => ({
       call,
@@ -75,6 +82,12 @@
   ];
 }
 
+/** Whether bytes hold one request on a route for actions, which names the call in its target and in one header. */
+function isSingleAction(text: string, call: string): boolean {
+  return /^\w+ \/(once|homeOnce)\//.test(text) &&
+    text.split(call).length <= 3;
+}
+
 /** Reports sound requests that were not served beside drawn bytes, and directories that did not answer. */
 export function findUnservedBeside(
   answers: readonly ObservedAnswer[],
