log: whether a connection had carried the same request before

The lines about a request tell whether an answer names it and whether its connection had been used, and not whether the connection had carried the same request before; then the id does not tell which time that it was sent is answered, and the hypotheses on copied refusals can't be told apart.

Connections remember the calls that got no success; the field repeatedOnConnection joins the others of the last answer. Nothing decides by it.

--- a/packages/core/src/gateway/__tests__/answer_fixture.ts
+++ b/packages/core/src/gateway/__tests__/answer_fixture.ts
@@ -15,6 +15,7 @@
     offered: undefined,
     events: true,
     reusedConnection: false,
+    repeatedOnConnection: false,
     ...fields,
   };
 }
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -55,6 +55,7 @@
 /** Interim responses before an answer. A server that sends more is not going to answer. */
 const MAX_INTERIM_RESPONSES = 16;
 const OK = 200;
+const FIRST_REDIRECTION = 300;
 /** Maximum number of open connections to one peer. */
 const PEER_CONNECTIONS = 64;
 
@@ -99,6 +100,8 @@
   #controller: Dispatcher.DispatchController | undefined;
   #mode: ForwardingMode = "waiting";
   #interimResponses = 0;
+  /** Whether the connection had carried the same call before. */
+  #isRepeated = false;
   #status = 0;
   #headers: RawHeaders = [];
   #framed = false;
@@ -289,7 +292,9 @@
         formatRelayHeader(relayInfo, fingerprint),
       );
     }
-    this.#connection!.beginAnswer();
+    const connection = this.#connection!;
+    this.#isRepeated = connection.hasCarried(this.#exchange.head.call);
+    connection.beginAnswer();
     client.dispatch({
       path: this.#exchange.head.target,
       method: this.#exchange.method as Dispatcher.HttpMethod,
@@ -327,7 +332,12 @@
       });
       return undefined;
     }
-    const answer = { ...head, events: mode === "events", reusedConnection };
+    const answer = {
+      ...head,
+      events: mode === "events",
+      reusedConnection,
+      repeatedOnConnection: this.#isRepeated,
+    };
     const effects = dispatch({ kind: "answered", attempt: id, answer });
     const decision = effects.find((effect) =>
       (effect.kind === "forward" || effect.kind === "goOn") &&
@@ -495,8 +505,17 @@
   }
 
   #releaseConnection(): void {
-    if (this.#connection !== undefined) {
-      this.#context.connections.release(this.#connection, this.#context.now());
+    const connection = this.#connection;
+    if (connection === undefined) {
+      return;
+    }
+    if (!isSuccess(this.#status)) {
+      connection.noteUnserved(this.#exchange.head.call);
     }
+    this.#context.connections.release(connection, this.#context.now());
   }
 }
+
+function isSuccess(status: number): boolean {
+  return status >= OK && status < FIRST_REDIRECTION;
+}
--- a/playground/src/routes/virtual_attempts.ts
+++ b/playground/src/routes/virtual_attempts.ts
@@ -137,7 +137,12 @@
         const effects = this.#entry.handle({
           kind: "answered",
           attempt: id,
-          answer: { ...answer, events, reusedConnection: false },
+          answer: {
+            ...answer,
+            events,
+            reusedConnection: false,
+            repeatedOnConnection: false,
+          },
         });
         const forwarded = effects.find((effect) =>
           effect.kind === "forward" && effect.attempt === id
