--- a/playground/src/bytes/byte_fleet.ts
+++ b/playground/src/bytes/byte_fleet.ts
@@ -10,20 +10,28 @@
 import type { SeenAnswer } from "./event_text.ts";
 import { allocatePorts, LocalEntry } from "./local_entry.ts";
 import { ProcessEntry } from "./process_entry.ts";
-import type { RawEngine } from "./raw_engine.ts";
 import { askStream, type StreamRequest } from "./stream_caller.ts";
 
 const FIRST_HOST_NUMBER = 31;
 const SERVICE = "pool";
 const ROUTE_TIMEOUT_MS = 10_000;
 
+/** An endpoint that sends scripted bytes. */
+export interface ScriptedEndpoint {
+  readonly id: string;
+  /** Starts listening; resolves with the address. */
+  listen(): Promise<string>;
+  close(): Promise<void>;
+}
+
 /** Engines and entries of a fleet. Region `a` consists of the zone `a-1`, and so on. */
 export interface ByteFleetPlan {
   readonly engines: readonly {
-    engine: RawEngine;
+    engine: ScriptedEndpoint;
     region?: string;
     /** Software version. */
     version?: string;
+    service?: string;
   }[];
   /** The region of each entry. */
   readonly entries?: readonly string[];
@@ -46,8 +54,10 @@
 export class ByteFleet {
   readonly store = new StandInStore();
   readonly entries: ByteEntry[] = [];
-  readonly engines: { readonly engine: RawEngine; readonly address: string }[] =
-    [];
+  readonly engines: {
+    readonly engine: ScriptedEndpoint;
+    readonly address: string;
+  }[] = [];
   readonly #plan: ByteFleetPlan;
   #version = 1;
 
@@ -60,10 +70,11 @@
     const { engines, entries = ["a"], stopSeconds, retrySlack } = this.#plan;
     const start = this.#plan.processes ? ProcessEntry.start : LocalEntry.start;
     const storeAddress = await this.store.listen();
-    for (const { engine, region = "a", version = "v1" } of engines) {
+    for (const { engine, region = "a", version = "v1", service } of engines) {
       const address = await engine.listen();
       this.engines.push({ engine, address });
-      this.publish(engine.id, { address, region, version, born: 1 });
+      const fields = service === undefined ? {} : { service };
+      this.publish(engine.id, { address, region, version, born: 1, ...fields });
     }
     this.publishDocument();
     const hosts = entries.map((_, index) =>
--- a/playground/src/bytes/index.ts
+++ b/playground/src/bytes/index.ts
@@ -1,4 +1,9 @@
-export { type ByteEntry, ByteFleet, type ByteFleetPlan } from "./byte_fleet.ts";
+export {
+  type ByteEntry,
+  ByteFleet,
+  type ByteFleetPlan,
+  type ScriptedEndpoint,
+} from "./byte_fleet.ts";
 export {
   eventsOf,
   type EventStyle,
@@ -21,6 +26,11 @@
   type StatedTerms,
   type Stop,
 } from "./raw_engine.ts";
+export {
+  type CopyTime,
+  type RefusalScript,
+  RefusingEndpoint,
+} from "./refusing_endpoint.ts";
 export { onRequests, type RawRequest } from "./raw_request.ts";
 export { NETWORK_PREFIX } from "../platform/loopback.ts";
 export { eventually, route } from "../platform/platform_fleet.ts";
