fix: the copy of a refusal was taken for the answer to the same request, sent again

Callers saw actions that ran twice (TWICE), and actions that were answered with a promise and had run (REFUSED), where an endpoint sent a refusal once more.

Cause: a refusal is believed if it names the request, and the id of a request is the same each time that it is sent. An entry that gets a refused request anew, by relay or from its caller, sends it to the endpoint on the connection that was used last, which is the one on which it was refused; the copy is read there as the refusal of the second send, while the endpoint runs it. Class: the proof names the request, and not which of its sends it is about.

Fix: a connection on which an endpoint refused a request is closed. So a connection carries a request at most once until it is answered otherwise, no copy of a refusal meets a later request, and what a refusal's id proves is the one send on its connection. No state is kept. The field repeatedOnConnection goes, since no refusal can have it any more. A refused request is tried elsewhere as before; the price is a connection for each refusal.

--- a/packages/core/src/gateway/__tests__/answer_fixture.ts
+++ b/packages/core/src/gateway/__tests__/answer_fixture.ts
@@ -15,7 +15,6 @@
     offered: undefined,
     events: true,
     reusedConnection: false,
-    repeatedOnConnection: false,
     ...fields,
   };
 }
--- a/packages/core/src/gateway/call_trace.ts
+++ b/packages/core/src/gateway/call_trace.ts
@@ -226,21 +226,14 @@
     if (this.#answer === undefined) {
       return {};
     }
-    const {
-      status,
-      notRun,
-      namesRequest,
-      fromEndpoint,
-      reusedConnection,
-      repeatedOnConnection,
-    } = this.#answer;
+    const { status, notRun, namesRequest, fromEndpoint, reusedConnection } =
+      this.#answer;
     return {
       answerStatus: status,
       answerNotRun: notRun,
       answerNamesRequest: namesRequest,
       answerSealed: fromEndpoint,
       reusedConnection,
-      repeatedOnConnection,
     };
   }
 }
--- a/packages/core/src/gateway/messages.ts
+++ b/packages/core/src/gateway/messages.ts
@@ -206,8 +206,6 @@
   readonly events: boolean;
   /** Whether the connection had carried an answer before, so that this one may be an extra answer to that request. */
   readonly reusedConnection: boolean;
-  /** Whether the connection had carried the same call before, so that its id does not tell which send is answered. */
-  readonly repeatedOnConnection: boolean;
 }
 
 /**
--- a/packages/daemon/src/gateway/connection_pool.ts
+++ b/packages/daemon/src/gateway/connection_pool.ts
@@ -5,7 +5,6 @@
  */
 import { connect, type Socket } from "node:net";
 import {
-  type CallId,
   CONNECTION_LIMIT_REACHED,
   type Instant,
   parseSocketAddress,
@@ -68,8 +67,6 @@
   closeDelimited = false;
   /** Requests that were sent on the connection. */
   #requests = 0;
-  /** Calls that were sent on the connection and not answered with a success. */
-  readonly #unserved = new Set<CallId>();
   /** Whether the client has received the socket, which it requests with its first request. */
   #handedOut = false;
 
@@ -103,16 +100,6 @@
     return this.#requests > 1;
   }
 
-  /** Whether a call was sent on the connection before and may be sent again, since it got no success. */
-  hasCarried(call: CallId): boolean {
-    return this.#unserved.has(call);
-  }
-
-  /** Notes that a call got no success, so that it may be sent again. */
-  noteUnserved(call: CallId): void {
-    this.#unserved.add(call);
-  }
-
   /** Notes that a request is about to be sent. */
   beginAnswer(): void {
     this.#requests++;
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -55,7 +55,6 @@
 /** Interim responses before an answer. A server that sends more is not going to answer. */
 const MAX_INTERIM_RESPONSES = 16;
 const OK = 200;
-const FIRST_REDIRECTION = 300;
 /** Maximum number of open connections to one peer. */
 const PEER_CONNECTIONS = 64;
 
@@ -100,8 +99,6 @@
   #controller: Dispatcher.DispatchController | undefined;
   #mode: ForwardingMode = "waiting";
   #interimResponses = 0;
-  /** Whether the connection had carried the same call before. */
-  #isRepeated = false;
   #status = 0;
   #headers: RawHeaders = [];
   #framed = false;
@@ -292,9 +289,7 @@
         formatRelayHeader(relayInfo, fingerprint),
       );
     }
-    const connection = this.#connection!;
-    this.#isRepeated = connection.hasCarried(this.#exchange.head.call);
-    connection.beginAnswer();
+    this.#connection!.beginAnswer();
     client.dispatch({
       path: this.#exchange.head.target,
       method: this.#exchange.method as Dispatcher.HttpMethod,
@@ -332,19 +327,20 @@
       });
       return undefined;
     }
-    const answer = {
-      ...head,
-      events: mode === "events",
-      reusedConnection,
-      repeatedOnConnection: this.#isRepeated,
-    };
+    const answer = { ...head, events: mode === "events", reusedConnection };
     const effects = dispatch({ kind: "answered", attempt: id, answer });
     const decision = effects.find((effect) =>
       (effect.kind === "forward" || effect.kind === "goOn") &&
       effect.attempt === id
     );
     if (decision?.kind !== "forward" && decision?.kind !== "goOn") {
-      this.#discard();
+      if (head.notRun && this.#attempt.target.kind === "endpoint") {
+        // An endpoint may send a refusal once more. On a connection that is used again, the copy could be taken for
+        // the answer to the same request, sent again, or reach another request in place of its answer.
+        this.abort();
+      } else {
+        this.#discard();
+      }
       return undefined;
     }
     this.#mode = mode;
@@ -505,17 +501,8 @@
   }
 
   #releaseConnection(): void {
-    const connection = this.#connection;
-    if (connection === undefined) {
-      return;
+    if (this.#connection !== undefined) {
+      this.#context.connections.release(this.#connection, this.#context.now());
     }
-    if (!isSuccess(this.#status)) {
-      connection.noteUnserved(this.#exchange.head.call);
-    }
-    this.#context.connections.release(connection, this.#context.now());
   }
 }
-
-function isSuccess(status: number): boolean {
-  return status >= OK && status < FIRST_REDIRECTION;
-}
--- a/playground/src/guards/route_guards.ts
+++ b/playground/src/guards/route_guards.ts
@@ -44,6 +44,13 @@
     find: 'return target.kind === "peer" || !reusedConnection;',
     replace: 'return target.kind === "peer" || reusedConnection !== undefined;',
   },
+  {
+    point: "routes: not run is true",
+    name: "a connection on which a request was refused is not used again",
+    file: `${DAEMON}/outbound_call.ts`,
+    find: 'if (head.notRun && this.#attempt.target.kind === "endpoint") {',
+    replace: "if (head.notRun && this.#connection === undefined) {",
+  },
   {
     point: "routes: a document is never older than what its caller has seen",
     name: "a peer's newer document is waited for",
--- a/playground/src/routes/virtual_attempts.ts
+++ b/playground/src/routes/virtual_attempts.ts
@@ -137,12 +137,7 @@
         const effects = this.#entry.handle({
           kind: "answered",
           attempt: id,
-          answer: {
-            ...answer,
-            events,
-            reusedConnection: false,
-            repeatedOnConnection: false,
-          },
+          answer: { ...answer, events, reusedConnection: false },
         });
         const forwarded = effects.find((effect) =>
           effect.kind === "forward" && effect.attempt === id
