fix: a health check took an extra answer for its own

A request that should have been served was lost (502 for an action, which then ran): an endpoint's extra answer, such as the copy of a refusal, reached a health check on the same connection. The check asked for no id and returned the connection to the pool; its own answer stood where that of the next request was due. A cold time could come from an answer to a request, too.

Cause: an answer on a used connection belongs to whatever waits there.

Fix: the protocol tells whether an answer is that of the healthy endpoint to a check: 200, with the endpoint's id, naming no request. Otherwise the connection is closed, and an answer to a request tells no cold time.

--- a/packages/daemon/src/gateway/__tests__/health_check.test.ts
+++ b/packages/daemon/src/gateway/__tests__/health_check.test.ts
@@ -19,11 +19,15 @@
 const PROTOCOL: EndpointProtocol = {
   ...TEST_PROTOCOL,
   healthHeaders: (endpoint) => ["x-endpoint", endpoint],
-  readColdTime: (status, headers) => {
+  readHealth: (status, headers) => {
     const index = headers.findIndex((item) => item.toLowerCase() === "x-cold");
-    return status === 200 && index >= 0
-      ? milliseconds(Number(headers[index + 1]))
-      : undefined;
+    const isOfCall = headers.some((item) => item.toLowerCase() === "x-call");
+    return {
+      coldFor: status === 200 && index >= 0 && !isOfCall
+        ? milliseconds(Number(headers[index + 1]))
+        : undefined,
+      isProved: status === 200 && !isOfCall,
+    };
   },
 };
 
@@ -107,6 +111,16 @@
     expect(endpoint.open()).toBe(0);
   });
 
+  // Guards against a request that gets the answer to the check before it, which took an extra answer for its own.
+  it.each([
+    ["names a request", "HTTP/1.1 200 OK\r\nx-call: c1\r\nx-cold: 9\r\n"],
+    ["is a refusal", "HTTP/1.1 503 No\r\n"],
+  ])("closes its connection if the answer %s", async (_name, head) => {
+    expect(await check(send(`${head}content-length: 0\r\n\r\n`))).toEqual([]);
+    expect(endpoint.connections).toBe(1);
+    expect(endpoint.open()).toBe(0);
+  });
+
   it("reports nothing if nobody listens or the address is not valid", async () => {
     expect(await check(() => {}, { address: "127.0.0.1:80800" })).toEqual([]);
     await endpoint.close();
--- a/packages/daemon/src/gateway/__tests__/wire_fixture.ts
+++ b/packages/daemon/src/gateway/__tests__/wire_fixture.ts
@@ -103,7 +103,7 @@
     };
   },
   healthHeaders: () => [],
-  readColdTime: () => undefined,
+  readHealth: () => ({ coldFor: undefined, isProved: true }),
   answerHeaders: (headers) =>
     headers.filter((_, index) =>
       !/^(transfer-encoding|connection)$/i.test(headers[index - index % 2]!)
--- a/packages/daemon/src/gateway/health_check.ts
+++ b/packages/daemon/src/gateway/health_check.ts
@@ -3,12 +3,7 @@
  *
  * @module
  */
-import type {
-  GatewayEffect,
-  GatewayEvent,
-  Instant,
-  Milliseconds,
-} from "@sassafrasstep/core";
+import type { GatewayEffect, GatewayEvent, Instant } from "@sassafrasstep/core";
 import type { Dispatcher } from "undici";
 import { afterPoll } from "../timers/index.ts";
 import {
@@ -16,7 +11,7 @@
   type Connection,
   type ConnectionPool,
 } from "./connection_pool.ts";
-import type { EndpointProtocol } from "./protocol.ts";
+import type { EndpointProtocol, HealthAnswer } from "./protocol.ts";
 import { decodeHeaders } from "./raw_headers.ts";
 
 /** An endpoint that has no place for the check answers later than its state is of use. */
@@ -37,7 +32,7 @@
   readonly #check: Extract<GatewayEffect, { kind: "checkHealth" }>;
   readonly #context: HealthCheckContext;
   #connection: Connection | undefined;
-  #coldFor: Milliseconds | undefined;
+  #answer: HealthAnswer | undefined;
   #bodyBytes = 0;
   #finished = false;
   readonly #cancelTimeout = afterPoll(CHECK_TIMEOUT_MS, () => this.#fail());
@@ -68,7 +63,11 @@
     status: number,
   ): void {
     const headers = decodeHeaders(controller.rawHeaders as Buffer[]);
-    this.#coldFor = this.#context.protocol.readColdTime(status, headers);
+    this.#answer = this.#context.protocol.readHealth(
+      status,
+      headers,
+      this.#check.endpoint,
+    );
   }
 
   onResponseData(_controller: unknown, chunk: Buffer): void {
@@ -82,7 +81,11 @@
   onResponseEnd(): void {
     if (this.#finish()) {
       const { connections, now } = this.#context;
-      connections.release(this.#connection!, now());
+      if (this.#answer?.isProved === true) {
+        connections.release(this.#connection!, now());
+      } else {
+        this.#connection!.close();
+      }
       this.#report();
     }
   }
@@ -109,8 +112,8 @@
 
   #report(): void {
     const { endpoint, life } = this.#check;
-    if (this.#coldFor !== undefined) {
-      const coldFor = this.#coldFor;
+    const coldFor = this.#answer?.coldFor;
+    if (coldFor !== undefined) {
       this.#context.dispatch({
         kind: "healthChecked",
         endpoint,
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -63,6 +63,17 @@
   readonly matches: boolean;
 }
 
+/** What the answer to a health check states. */
+export interface HealthAnswer {
+  /** How long the endpoint stays cold, `undefined` if the answer does not tell. */
+  readonly coldFor: Milliseconds | undefined;
+  /**
+   * Whether the answer is that of the healthy endpoint to a check. Otherwise it may be an extra answer, with the
+   * check's own still to come.
+   */
+  readonly isProved: boolean;
+}
+
 /** Maps requests to endpoints and their answers. */
 export interface EndpointProtocol {
   /** Returns the request headers for an endpoint, derived from those of the caller. */
@@ -75,8 +86,12 @@
   ): EndpointAnswerHead;
   /** Returns the headers of a health check. */
   healthHeaders(endpoint: EndpointId): RawHeaders;
-  /** Reads from the answer to a health check how long the endpoint stays cold, `undefined` if it does not tell. */
-  readColdTime(status: number, headers: RawHeaders): Milliseconds | undefined;
+  /** Parses the answer to a health check of an endpoint. */
+  readHealth(
+    status: number,
+    headers: RawHeaders,
+    endpoint: EndpointId,
+  ): HealthAnswer;
   /** Returns the answer headers for the caller, derived from those of the endpoint. */
   answerHeaders(endpoint: RawHeaders): RawHeaders;
 }
--- a/playground/src/guards/route_guards.ts
+++ b/playground/src/guards/route_guards.ts
@@ -51,6 +51,13 @@
     find: 'if (head.notRun && this.#attempt.target.kind === "endpoint") {',
     replace: "if (head.notRun && this.#connection === undefined) {",
   },
+  {
+    point: "routes: not run is true",
+    name: "the answer to a health check names no request",
+    file: "platform/src/endpoint_protocol.ts",
+    find: "isProved: !isOfCall && status === FIRST_SUCCESS &&",
+    replace: "isProved: status === FIRST_SUCCESS &&",
+  },
   {
     point: "routes: a document is never older than what its caller has seen",
     name: "a peer's newer document is waited for",
