fix: a peer's refusal proved which request it was about, and not which attempt

An entry that relays a request once more believes a refusal of the peer by its verdict alone; the request's id is the same each time that it is relayed.

--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -13,6 +13,7 @@
 import { abortReply } from "./abort_reply.ts";
 import type { CallerProtocol, RawHeaders } from "./protocol.ts";
 import { refusalAnswer } from "./refusal_answer.ts";
+import { RELAY_ATTEMPT_HEADER } from "./relay_header.ts";
 
 const NO_CONTENT_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -72,11 +73,22 @@
     const { reply, closing } = this.#options;
     this.status = status;
     reply.sendDate = false;
-    const all = closing() ? [...headers, "connection", "close"] : headers;
+    const all = [...headers, ...this.#attemptHeaders()];
+    if (closing()) {
+      all.push("connection", "close");
+    }
     // The standard phrase: an endpoint's may be longer than the caller accepts, or hold what no head can.
     reply.writeHead(status, STATUS_CODES[status] ?? "", all);
   }
 
+  /** Names the attempt of the entry that relayed the request. */
+  #attemptHeaders(): RawHeaders {
+    const attempt = this.#options.message.headers[RELAY_ATTEMPT_HEADER];
+    return this.head.relay !== undefined && typeof attempt === "string"
+      ? [RELAY_ATTEMPT_HEADER, attempt]
+      : [];
+  }
+
   /** Opens a writer for an attempt and closes that of the previous attempt. */
   openWriter(source: AnswerSource): AnswerWriter {
     this.#writer?.close();
--- a/packages/daemon/src/gateway/index.ts
+++ b/packages/daemon/src/gateway/index.ts
@@ -7,5 +7,6 @@
   DOCUMENT_VERSION_HEADER,
   parseDocumentVersion,
   parseStreamOrigin,
+  RELAY_ATTEMPT_HEADER,
   STREAM_ORIGIN_HEADER,
 } from "./relay_header.ts";
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -29,6 +29,7 @@
   DOCUMENT_VERSION_HEADER,
   formatRelayHeader,
   formatStreamOrigin,
+  RELAY_ATTEMPT_HEADER,
   RELAY_HEADER,
   RESUMED_RELAY_HEADER,
   STREAM_ORIGIN_HEADER,
@@ -287,6 +288,8 @@
       headers.push(
         origin === undefined ? RELAY_HEADER : RESUMED_RELAY_HEADER,
         formatRelayHeader(relayInfo, fingerprint),
+        RELAY_ATTEMPT_HEADER,
+        this.#attempt.id,
       );
     }
     this.#connection!.beginAnswer();
@@ -316,6 +319,7 @@
     const { isReused: reusedConnection } = this.#connection!;
     const head = protocol.readHead(this.#status, this.#headers, {
       call: this.#exchange.head.call,
+      attempt: id,
       target: this.#attempt.target,
       reusedConnection,
     });
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage } from "node:http";
 import type {
   AnswerHead,
+  AttemptId,
   CallHead,
   CallId,
   CallRefusal,
@@ -52,6 +53,7 @@
 /** What is known of the request to which an answer arrives. */
 export interface SentRequest {
   readonly call: CallId;
+  readonly attempt: AttemptId;
   readonly target: CallTarget;
   /** Whether the connection had carried a request before. */
   readonly reusedConnection: boolean;
--- a/packages/daemon/src/gateway/relay_header.ts
+++ b/packages/daemon/src/gateway/relay_header.ts
@@ -27,6 +27,12 @@
  */
 export const RESUMED_RELAY_HEADER = "sassafrasstep-resumed-relay";
 
+/**
+ * Header of a relayed request and of the answer to it: the attempt that is answered. The id of a request is the same
+ * each time that it is relayed. Entries of earlier versions do not return it.
+ */
+export const RELAY_ATTEMPT_HEADER = "sassafrasstep-relay-attempt";
+
 /** Header of an answer to a relayed request: what began the stream. */
 export const STREAM_ORIGIN_HEADER = "sassafrasstep-stream-origin";
 
