soak: refusals that endpoints send once more, and requests that are sent again under their id

The soak of actions drew extra answers after answers that ran, none after a refusal. A refusal may now be sent once more: with itself, a moment later, before the answer of the next request on the connection, or before that of the same request when it arrives there again. Half of the waves have endpoints that only refuse, one of a service in a region, so that a request which is sent again reaches the endpoint that refused it; half of the callers send a refused request again under its id, half of these at the same entry. A promise is judged by the runs before the same id is sent again, and the total by all runs, as before.

The guard list has the fix.

--- a/soak/src/actions/action_caller.ts
+++ b/soak/src/actions/action_caller.ts
@@ -12,6 +12,8 @@
 export interface ObservedAnswer {
   readonly plan: ActionPlan;
   readonly call: string;
+  /** Entry that was asked. */
+  readonly entry: number;
   /** 0 if no answer came. */
   readonly status: number;
   readonly body: string;
@@ -52,8 +54,8 @@
     const answers: ObservedAnswer[] = [];
     const endsAt = performance.now() + plan.timeMs;
     let resumed: { call: string; after: number } | undefined;
+    let call = plan.id;
     for (let index = 0; index < MAX_REQUESTS; index++) {
-      const call = index === 0 ? plan.id : `${plan.id}-${index}`;
       const answer = await this.#send(plan, {
         call,
         entry: index === 0 ? plan.entry : plan.nextEntry,
@@ -73,6 +75,9 @@
       ) {
         break;
       }
+      if (!plan.keepsId || !PROMISE_STATUSES.has(answer.status)) {
+        call = `${plan.id}-${index + 1}`;
+      }
       await pause(wait);
     }
     return answers;
@@ -110,6 +115,7 @@
         resolve({
           plan,
           call,
+          entry,
           status,
           body: Buffer.concat(parts).toString("latin1"),
           seal: headers[HEADERS.seal]?.toString(),
--- a/soak/src/actions/action_checks.ts
+++ b/soak/src/actions/action_checks.ts
@@ -36,17 +36,22 @@
 
 function findAnswerViolations(
   answer: ObservedAnswer,
-  { ledger, isDisturbed }: ObservedWave,
+  { answers, ledger, isDisturbed }: ObservedWave,
 ): Violation[] {
   const { call, status, plan, askedAt, endedAt } = answer;
   const runs = ledger.of(call);
   const violations: string[] = [];
   const { attempts } = ROUTES[plan.route];
-  const maxRuns = mustRunOnce(plan.route) ? 1 : attempts;
+  const sends = answers.filter((other) => other.call === call);
+  const maxRuns = mustRunOnce(plan.route) ? 1 : attempts * sends.length;
+  const nextSentAt = Math.min(
+    ...sends.map((send) => send.askedAt).filter((at) => at > askedAt),
+  );
   if (runs.length > maxRuns) {
     violations.push(`ran ${runs.length} times for ${maxRuns}`);
   }
-  if (PROMISE_STATUSES.has(status) && runs.length > 0) {
+  const runsOfSend = runs.filter(({ startedAt }) => startedAt < nextSentAt);
+  if (PROMISE_STATUSES.has(status) && runsOfSend.length > 0) {
     violations.push(`answered ${status} and ran`);
   }
   if (status >= OK && status < 300) {
@@ -54,7 +59,7 @@
   }
   violations.push(...findOverlaps(runs, isDisturbed));
   const lateBy = endedAt - askedAt - plan.timeMs;
-  const entry = `entry-${1 + (call === plan.id ? plan.entry : plan.nextEntry)}`;
+  const entry = `entry-${1 + answer.entry}`;
   if (
     lateBy > MAX_END_DELAY_MS && !isDisturbed(entry, askedAt, endedAt)
   ) {
@@ -116,18 +121,18 @@
 
 /** Finds actions that ran more than once over all requests of a caller that trusted what it was told. */
 function findRepeatedActions({ answers, ledger }: ObservedWave): Violation[] {
-  const runs = new Map<string, number>();
+  const calls = new Map<string, Set<string>>();
   for (const { plan, call } of answers) {
     if (mustRunOnce(plan.route)) {
-      const count = (runs.get(plan.id) ?? 0) + ledger.of(call).length;
-      runs.set(plan.id, count);
+      calls.set(plan.id, (calls.get(plan.id) ?? new Set()).add(call));
     }
   }
-  return [...runs].flatMap(([call, count]) =>
-    count > 1
-      ? [{ call, what: `ran ${count} times over its caller's requests` }]
-      : []
-  );
+  return [...calls].flatMap(([id, sent]) => {
+    const count = [...sent].flatMap((call) => ledger.of(call)).length;
+    return count > 1
+      ? [{ call: id, what: `ran ${count} times over its caller's requests` }]
+      : [];
+  });
 }
 
 /**
@@ -135,9 +140,17 @@
  * those of callers that wait, at entries that nothing disturbed; their endpoints may fail.
  */
 function findUnserved({ answers, isDisturbed }: ObservedWave): Violation[] {
-  const counted = answers.filter(({ plan, call, askedAt, endedAt }) =>
-    plan.leavesAfterMs === undefined && call === plan.id &&
-    !isDisturbed(`entry-${plan.entry + 1}`, askedAt, endedAt)
+  const firstSends = new Map<string, ObservedAnswer>();
+  for (const answer of answers) {
+    if (answer.call === answer.plan.id && !firstSends.has(answer.call)) {
+      firstSends.set(answer.call, answer);
+    }
+  }
+  const counted = [...firstSends.values()].filter((
+    { plan, entry, askedAt, endedAt },
+  ) =>
+    plan.leavesAfterMs === undefined &&
+    !isDisturbed(`entry-${entry + 1}`, askedAt, endedAt)
   );
   const served = counted.filter(({ status, end }) =>
     status === OK && end === "whole"
--- a/soak/src/actions/action_plan.ts
+++ b/soak/src/actions/action_plan.ts
@@ -5,6 +5,7 @@
  */
 import { Draw } from "../draw.ts";
 import { drawFaults, type Fault } from "./action_faults.ts";
+import type { EndpointFaults } from "./behaviours.ts";
 import type { ServiceName } from "./ledger_endpoint.ts";
 
 /** Routes by the name that is their path. */
@@ -35,6 +36,8 @@
   readonly nextEntry: number;
   readonly startMs: number;
   readonly timeMs: number;
+  /** Whether the caller sends a request that was refused again under its id. */
+  readonly keepsId: boolean;
   /** Whether the caller's connection is kept and used again. */
   readonly keepsConnection: boolean;
   readonly bodyBytes: number;
@@ -51,15 +54,25 @@
     readonly service: ServiceName;
     readonly region: string;
   }[];
+  /** Faults of endpoints: of every kind, or refusals alone, some of which are sent once more. */
+  readonly endpointFaults: EndpointFaults;
   readonly actions: readonly ActionPlan[];
   readonly faults: readonly Fault[];
 }
 
 export const REGIONS = ["a", "b", "c"];
 const ENTRIES_PER_REGION = 2;
-const MODEL_ENDPOINTS = ["a", "a", "a", "b", "b", "c"];
-/** One region has none, so that its requests are relayed. */
-const CORE_ENDPOINTS = ["a", "a", "b", "b"];
+/** Regions of the endpoints of each service. One region has none for plain requests, so that these are relayed. */
+const LAYOUTS = {
+  mixed: { model: ["a", "a", "a", "b", "b", "c"], core: ["a", "a", "b", "b"] },
+  // A request that is sent again reaches the endpoint that refused it.
+  refusals: { model: ["a", "b"], core: ["a", "b"] },
+} as const;
+const ENDPOINT_FAULTS: ReadonlySet<Fault["kind"]> = new Set([
+  "endpointEnds",
+  "endpointHangs",
+  "endpointLeaves",
+]);
 const ACTION_COUNT = 500;
 const START_WINDOW_MS = 9_000;
 const ROUTE_DRAWS: readonly RouteName[] = [
@@ -79,23 +92,29 @@
   const entries = REGIONS.flatMap((region) =>
     Array.from({ length: ENTRIES_PER_REGION }, () => region)
   );
+  const endpointFaults = draw.pick(["mixed", "refusals"] as const);
+  const { core, model } = LAYOUTS[endpointFaults];
   const endpoints = [
-    ...CORE_ENDPOINTS.map((region) => ({ service: "core" as const, region })),
-    ...MODEL_ENDPOINTS.map((region) => ({ service: "model" as const, region })),
+    ...core.map((region) => ({ service: "core" as const, region })),
+    ...model.map((region) => ({ service: "model" as const, region })),
   ];
+  const faults = drawFaults(draw, {
+    entries,
+    endpoints: endpoints.map(({ region }) => region),
+  });
   return {
     seed,
     entries,
     endpoints,
+    endpointFaults,
     actions: Array.from(
       { length: ACTION_COUNT },
       (_, index) =>
         planAction(`s${seed}c${index}`, { draw, entries: entries.length }),
     ),
-    faults: drawFaults(draw, {
-      entries,
-      endpoints: endpoints.map(({ region }) => region),
-    }),
+    faults: endpointFaults === "mixed"
+      ? faults
+      : faults.filter(({ kind }) => !ENDPOINT_FAULTS.has(kind)),
   };
 }
 
@@ -103,13 +122,16 @@
   id: string,
   { draw, entries }: { draw: Draw; entries: number },
 ): ActionPlan {
+  const entry = draw.integer(0, entries - 1);
+  const otherEntry = draw.integer(0, entries - 1);
   return {
     id,
     route: draw.pick(ROUTE_DRAWS),
-    entry: draw.integer(0, entries - 1),
-    nextEntry: draw.integer(0, entries - 1),
+    entry,
+    nextEntry: draw.chance(0.5) ? entry : otherEntry,
     startMs: draw.integer(0, START_WINDOW_MS),
     timeMs: draw.pick([800, 2_000, 3_000, 5_000]),
+    keepsId: draw.chance(0.5),
     keepsConnection: draw.chance(0.6),
     bodyBytes: draw.pick([1, 1, 1, 40_000]),
     leavesAfterMs: draw.chance(0.1) ? draw.integer(5, 1_200) : undefined,
--- a/soak/src/actions/action_wave.ts
+++ b/soak/src/actions/action_wave.ts
@@ -106,7 +106,11 @@
   #nextRun(call: string): RunPlan {
     const count = this.#runCounts.get(call) ?? 0;
     this.#runCounts.set(call, count + 1);
-    return drawRunPlan(new Draw(this.#plan.seed, hash32(`${call} ${count}`)));
+    const { seed, endpointFaults } = this.#plan;
+    return drawRunPlan(
+      new Draw(seed, hash32(`${call} ${count}`)),
+      endpointFaults,
+    );
   }
 
   async #playFault(fault: Fault): Promise<void> {
--- a/soak/src/actions/behaviours.ts
+++ b/soak/src/actions/behaviours.ts
@@ -20,14 +20,16 @@
   /** The beginning of a refusal; the head of the next answer may run on from it. */
   | "tornRefusal";
 
-/** When extra bytes are sent. */
+/** When extra bytes are sent after an answer or a refusal. */
 export type ExtraTime =
-  /** With the end of the answer. */
+  /** With the end of what was sent before. */
   | "withEnd"
   /** Some time later. */
   | "later"
   /** When the next request has arrived on the connection, before its answer. */
-  | "beforeNext";
+  | "beforeNext"
+  /** When the same request has arrived on the connection once more, before its answer. */
+  | "beforeSame";
 
 /** What an endpoint does with one request. */
 export type Behaviour =
@@ -36,6 +38,8 @@
     readonly kind: "refuses";
     readonly status: number;
     readonly retryAfterS: number | undefined;
+    /** When the refusal is sent once more, if it is. */
+    readonly copy: ExtraTime | undefined;
   }
   /** Runs the request and answers with a status of its own. */
   | {
@@ -52,7 +56,7 @@
   | {
     readonly kind: "extra";
     readonly extra: ExtraAnswer;
-    readonly time: ExtraTime;
+    readonly time: Exclude<ExtraTime, "beforeSame">;
     /** Fraction of the bytes after which torn ones end. */
     readonly part: number;
   };
@@ -74,17 +78,23 @@
   readonly eventMs: number;
 }
 
+/** Which faults the endpoints of a wave have. */
+export type EndpointFaults = "mixed" | "refusals";
+
 /** Part of the requests for which an endpoint does anything else than to answer. */
 const FAULTY_FRACTION = 0.32;
 
 /** Draws what an endpoint does with a request. */
-export function drawRunPlan(draw: Draw): RunPlan {
+export function drawRunPlan(draw: Draw, faults: EndpointFaults): RunPlan {
   const faulty = draw.chance(FAULTY_FRACTION);
+  const drawKind = faults === "mixed" ? drawFault : drawRefusal;
   return {
-    behaviour: faulty ? drawFault(draw) : { kind: "answers" },
+    behaviour: faulty ? drawKind(draw) : { kind: "answers" },
     workMs: draw.chance(0.12) ? draw.integer(300, 1_800) : draw.integer(3, 60),
     stubborn: draw.chance(0.15),
-    closes: draw.chance(0.12) ? draw.pick(["announced", "idle"]) : undefined,
+    closes: draw.chance(faults === "mixed" ? 0.12 : 0)
+      ? draw.pick(["announced", "idle"])
+      : undefined,
     events: draw.integer(2, 30),
     eventMs: draw.pick([5, 15, 40, 80]),
   };
@@ -93,11 +103,7 @@
 function drawFault(draw: Draw): Behaviour {
   const roll = draw.fraction();
   if (roll < 0.3) {
-    return {
-      kind: "refuses",
-      status: draw.pick([503, 503, 429]),
-      retryAfterS: draw.pick([undefined, undefined, 0.2, 1]),
-    };
+    return drawRefusal(draw);
   }
   if (roll < 0.45) {
     return {
@@ -128,3 +134,19 @@
     part: draw.fraction(),
   };
 }
+
+function drawRefusal(draw: Draw): Behaviour {
+  return {
+    kind: "refuses",
+    status: draw.pick([503, 503, 429]),
+    retryAfterS: draw.pick([undefined, undefined, 0.2, 1]),
+    copy: draw.pick([
+      undefined,
+      "withEnd",
+      "later",
+      "beforeNext",
+      "beforeSame",
+      "beforeSame",
+    ]),
+  };
+}
--- a/soak/src/actions/ledger_endpoint.ts
+++ b/soak/src/actions/ledger_endpoint.ts
@@ -16,7 +16,7 @@
   onRequests,
   type RawRequest,
 } from "@sassafrasstep/playground/bytes";
-import type { ExtraBehaviour, RunPlan } from "./behaviours.ts";
+import type { Behaviour, ExtraTime, RunPlan } from "./behaviours.ts";
 import { answerParts, formatExtra, formatRefusal } from "./answer_bytes.ts";
 import { endRun, type Run, type RunLedger } from "./run_ledger.ts";
 
@@ -44,6 +44,8 @@
 interface EndpointConnection {
   readonly socket: Socket;
   requests: number;
+  /** Copies of refusals, to be sent when the same request arrives again. */
+  readonly copies: Map<string, string>;
 }
 
 /** A place for an endpoint process: the process may end, and others may start at the same address. */
@@ -102,7 +104,11 @@
   }
 
   #accept(socket: Socket): void {
-    const connection: EndpointConnection = { socket, requests: 0 };
+    const connection: EndpointConnection = {
+      socket,
+      requests: 0,
+      copies: new Map(),
+    };
     this.#sockets.add(socket);
     socket.setNoDelay(true);
     socket.on("close", () => this.#sockets.delete(socket));
@@ -122,15 +128,18 @@
     if (this.isHung) {
       return;
     }
+    const copy = connection.copies.get(call);
+    if (copy !== undefined) {
+      connection.copies.delete(call);
+      socket.write(copy);
+    }
     const plan = this.#context.plan(call);
     const { behaviour } = plan;
-    if (behaviour.kind === "refuses" || this.#running >= this.#slots) {
-      const { status = UNAVAILABLE, retryAfterS = undefined } =
-        behaviour.kind === "refuses" ? behaviour : {};
-      const lines = retryAfterS === undefined
-        ? []
-        : [`${HEADERS.retryAfter}: ${retryAfterS}`];
-      socket.write(formatRefusal(status, call, lines));
+    if (behaviour.kind === "refuses") {
+      return refuse(connection, call, behaviour);
+    }
+    if (this.#running >= this.#slots) {
+      socket.write(formatRefusal(UNAVAILABLE, call));
       return;
     }
     void this.#run(connection, { request, plan });
@@ -210,34 +219,49 @@
       setTimeout(() => socket.end(), IDLE_CLOSE_MS);
     }
     if (behaviour.kind === "extra") {
-      this.#sendExtra(socket, behaviour, { call: run.call, parts });
+      const bytes = formatExtra(behaviour, run.call, parts);
+      sendExtra(socket, bytes, behaviour.time);
     }
   }
+}
 
-  #sendExtra(
-    socket: Socket,
-    behaviour: ExtraBehaviour,
-    { call, parts }: { call: string; parts: readonly string[] },
-  ): void {
-    const bytes = formatExtra(behaviour, call, parts);
-    switch (behaviour.time) {
-      case "withEnd":
-        socket.write(bytes, "latin1");
-        return;
-      case "later":
-        setTimeout(() => {
-          if (!socket.destroyed) {
-            socket.write(bytes, "latin1");
-          }
-        }, EXTRA_DELAY_MS);
-        return;
-      case "beforeNext":
-        socket.once("data", () => {
-          if (!socket.destroyed) {
-            socket.write(bytes, "latin1");
-          }
-        });
+function refuse(
+  { socket, copies }: EndpointConnection,
+  call: string,
+  { status, retryAfterS, copy }: Extract<Behaviour, { kind: "refuses" }>,
+): void {
+  const lines = retryAfterS === undefined
+    ? []
+    : [`${HEADERS.retryAfter}: ${retryAfterS}`];
+  const bytes = formatRefusal(status, call, lines);
+  socket.write(bytes);
+  if (copy === "beforeSame") {
+    copies.set(call, bytes);
+  } else if (copy !== undefined) {
+    sendExtra(socket, bytes, copy);
+  }
+}
+
+/** Sends bytes that belong to no request. */
+function sendExtra(
+  socket: Socket,
+  bytes: string,
+  time: Exclude<ExtraTime, "beforeSame">,
+): void {
+  const send = (): void => {
+    if (!socket.destroyed) {
+      socket.write(bytes, "latin1");
     }
+  };
+  switch (time) {
+    case "withEnd":
+      return send();
+    case "later":
+      setTimeout(send, EXTRA_DELAY_MS);
+      return;
+    case "beforeNext":
+      // Before the listener that answers the next request.
+      socket.prependOnceListener("data", send);
   }
 }
 
--- a/soak/src/guard_list.ts
+++ b/soak/src/guard_list.ts
@@ -170,6 +170,14 @@
     find: 'return target.kind === "peer" || !reusedConnection;',
     replace: 'return target.kind === "peer" || reusedConnection !== undefined;',
   },
+  {
+    point: ACTION_POINT,
+    kinds: ACTION_WAVES,
+    name: "a connection on which a request was refused is not used again",
+    file: `${DAEMON_GATEWAY}/outbound_call.ts`,
+    find: 'if (head.notRun && this.#attempt.target.kind === "endpoint") {',
+    replace: "if (head.notRun && this.#connection === undefined) {",
+  },
   {
     point: ACTION_POINT,
     kinds: ACTION_WAVES,
