feat: a stream that no entry knows is refused as soon as all have said so

Cause: an entry that knew none of the streams of a query stayed silent, so that each caller whose stream nobody knows was held for 450 ms. After all entries were killed at once these are all streams that callers take up.

Change: who is asked names the streams that it does not know. A lookup ends once all entries that may be alive have done so, unless this entry still joins. An entry of an earlier build says nothing and ignores it: the timeout holds then. What happens to the stream does not change.

--- a/packages/core/src/stream_origins/__tests__/stream_origins.test.ts
+++ b/packages/core/src/stream_origins/__tests__/stream_origins.test.ts
@@ -36,6 +36,7 @@
   let candidates: ReplicaCandidates;
   let sent: { to: string; message: OriginMessage }[];
   let origins: StreamOrigins;
+  let joining: boolean;
 
   const setMembers = (...records: EntryRecord[]): void => {
     members = records;
@@ -64,10 +65,11 @@
 
   beforeEach(() => {
     sent = [];
+    joining = false;
     setMembers();
     const fleet = {
       record,
-      isJoining: () => false,
+      isJoining: () => joining,
       possiblyLiveMembers: () => members.map((item) => ({ record: item })),
     } as unknown as FleetController;
     origins = new StreamOrigins({
@@ -149,4 +151,59 @@
     expect(asked()).toEqual(["a2:90", "b1:90", "c1:90"]);
     expect(origins.tick(instant(450))).toEqual([key]);
   });
+
+  describe("that nobody knows", () => {
+    const key = streamKey("x" as CallId);
+    const denyFrom = (from: string, at: number): void => {
+      const keys = [key];
+      const denial = { kind: "missing", from: from as never, keys } as const;
+      expect(origins.receive(denial, instant(at))).toEqual([]);
+    };
+
+    beforeEach(() => {
+      setMembers(entry("a2", "a"), entry("b1", "b"));
+      origins.search(key, instant(0));
+    });
+
+    // Guards against callers that are held for the whole timeout although every entry has answered.
+    it("are unknown as soon as all others have said so", () => {
+      denyFrom("a2", 2);
+      denyFrom("a2", 3);
+      expect(origins.tick(instant(25))).toEqual([]);
+      denyFrom("b1", 180);
+      expect(origins.tick(instant(200))).toEqual([key]);
+      expect(origins.tick(instant(450))).toEqual([]);
+    });
+
+    // Guards against a stream that is refused although an entry that answers later knows it.
+    it.each<[string, () => void]>([
+      ["does not answer", () => {}],
+      ["has become known since", () => {
+        denyFrom("b1", 180);
+        setMembers(entry("a2", "a"), entry("b1", "b"), entry("b2", "b"));
+      }],
+      ["may turn up, since this one has just started", () => {
+        denyFrom("b1", 180);
+        joining = true;
+      }],
+    ])("are not unknown before the timeout if an entry %s", (_name, act) => {
+      denyFrom("a2", 2);
+      act();
+      expect(origins.tick(instant(425))).toEqual([]);
+      expect(origins.tick(instant(450))).toEqual([key]);
+    });
+
+    it("are denied to an entry that asks, and known ones are not", () => {
+      begin(1);
+      sent = [];
+      const known = streamKey("c0" as CallId);
+      const keys = [key, known];
+      const query = { kind: "query", replyTo: "b1:90", spread: false } as const;
+      origins.receive({ ...query, keys }, instant(5));
+      expect(sent.map(({ message }) => message)).toMatchObject([
+        { kind: "found", groups: [{ keys: [known] }] },
+        { kind: "missing", from: "a1", keys: [key] },
+      ]);
+    });
+  });
 });
--- a/packages/core/src/stream_origins/origin_lookups.ts
+++ b/packages/core/src/stream_origins/origin_lookups.ts
@@ -6,6 +6,7 @@
 import type { EntryRecord } from "../fleet/index.ts";
 import {
   after,
+  type Incarnation,
   type Instant,
   type Randomness,
   type RegionId,
@@ -43,6 +44,8 @@
   readonly endsAt: Instant;
   nextLocalAt: Instant;
   nextRemoteAt: Instant;
+  /** Entries that do not know the stream. */
+  readonly deniedBy: Set<Incarnation>;
 }
 
 /** The queries that have not been answered. */
@@ -67,6 +70,7 @@
         endsAt: after(now, LOOKUP_TIMEOUT_MS),
         nextLocalAt: now,
         nextRemoteAt: after(now, REMOTE_DELAY_MS),
+        deniedBy: new Set(),
       });
       this.#sendQueries(now);
     }
@@ -78,11 +82,18 @@
     this.#lookups.delete(key);
   }
 
+  /** Notes that an entry does not know streams. */
+  noteMissing(
+    { from, keys }: Extract<OriginMessage, { kind: "missing" }>,
+  ): void {
+    keys.forEach((key) => this.#lookups.get(key)?.deniedBy.add(from));
+  }
+
   /** Repeats queries; returns the streams that nobody knows. */
   tick(now: Instant): StreamKey[] {
     const failed: StreamKey[] = [];
-    for (const [key, { endsAt }] of this.#lookups) {
-      if (now >= endsAt) {
+    for (const [key, lookup] of this.#lookups) {
+      if (now >= lookup.endsAt || this.#isDeniedByAll(lookup, now)) {
         this.#lookups.delete(key);
         failed.push(key);
       }
@@ -107,6 +118,13 @@
     );
   }
 
+  /** Whether no further answer can name the stream. An entry of an earlier version never denies one. */
+  #isDeniedByAll({ deniedBy }: Lookup, now: Instant): boolean {
+    const { members, isJoining } = this.#deps;
+    return deniedBy.size > 0 && !isJoining(now) &&
+      members().every(({ incarnation }) => deniedBy.has(incarnation));
+  }
+
   #sendQueries(now: Instant): void {
     if (this.#lookups.size === 0) {
       return;
--- a/packages/core/src/stream_origins/origin_messages.ts
+++ b/packages/core/src/stream_origins/origin_messages.ts
@@ -37,5 +37,11 @@
     /** Whether the receiver passes the query on to the other entries of its region. */
     readonly spread: boolean;
   }
-  /** Answers a query with what is known; an entry that knows none of the streams does not answer. */
-  | { readonly kind: "found"; readonly groups: readonly OriginGroup[] };
+  /** Answers a query with what is known. */
+  | { readonly kind: "found"; readonly groups: readonly OriginGroup[] }
+  /** Answers a query with the streams that the sender does not know. */
+  | {
+    readonly kind: "missing";
+    readonly from: Incarnation;
+    readonly keys: readonly StreamKey[];
+  };
--- a/packages/core/src/stream_origins/stream_origins.ts
+++ b/packages/core/src/stream_origins/stream_origins.ts
@@ -11,6 +11,7 @@
 import type { FleetController } from "../fleet/index.ts";
 import {
   after,
+  type Incarnation,
   type Instant,
   type Randomness,
   type StreamKey,
@@ -48,6 +49,7 @@
   readonly #table: OriginTable;
   readonly #replicator: OriginReplicator;
   readonly #lookups: OriginLookups;
+  readonly #self: Incarnation;
   readonly #send: (to: string, message: OriginMessage) => void;
 
   constructor(
@@ -55,6 +57,7 @@
     now: Instant,
   ) {
     this.#table = new OriginTable(now);
+    this.#self = fleet.record.incarnation;
     this.#send = send;
     this.#replicator = new OriginReplicator(
       { fleet, table: this.#table, candidates, send },
@@ -122,6 +125,9 @@
       case "query":
         this.#answer(message, now);
         return [];
+      case "missing":
+        this.#lookups.noteMissing(message);
+        return [];
       case "found":
         return message.groups.flatMap(({ lifetime, keys, ...group }) => {
           const record = { ...group, expiresAt: after(now, lifetime) };
@@ -149,8 +155,13 @@
     if (groups.length > 0) {
       this.#send(query.replyTo, { kind: "found", groups });
     }
-    const found = groups.reduce((sum, { keys }) => sum + keys.length, 0);
-    if (query.spread && found < query.keys.length) {
+    const found = new Set(groups.flatMap(({ keys }) => keys));
+    const keys = query.keys.filter((key) => !found.has(key));
+    if (keys.length === 0) {
+      return;
+    }
+    this.#send(query.replyTo, { kind: "missing", from: this.#self, keys });
+    if (query.spread) {
       this.#lookups.spread(query);
     }
   }
--- a/packages/daemon/src/gateway/__tests__/gateway_datagrams.test.ts
+++ b/packages/daemon/src/gateway/__tests__/gateway_datagrams.test.ts
@@ -124,6 +124,7 @@
     fc.tuple(fc.constant("records"), name, few(group), address),
     fc.tuple(fc.constant("query"), address, key, fc.boolean()),
     fc.tuple(fc.constant("found"), few(group)),
+    fc.tuple(fc.constant("missing"), name, key),
     fc.tuple(fc.constant("confirmed"), name),
   )),
   spending: fc.tuple(fc.oneof(
--- a/packages/daemon/src/gateway/__tests__/origin_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/origin_schema.test.ts
@@ -26,6 +26,7 @@
     { kind: "confirmed", from: "b1" },
     { kind: "query", replyTo: "10.0.0.1:90", keys: KEYS, spread: true },
     { kind: "found", groups: GROUPS },
+    { kind: "missing", from: "b1", keys: KEYS },
   ])("are decoded as they were encoded: $kind", (message) => {
     const datagram = { kind: "origins", message } as unknown as FleetMessage;
     expect(decodeFleetMessage(encodeFleetMessage(datagram))).toEqual(datagram);
--- a/packages/daemon/src/gateway/origin_schema.ts
+++ b/packages/daemon/src/gateway/origin_schema.ts
@@ -62,6 +62,8 @@
     })),
   z.tuple([z.literal("found"), groupsSchema])
     .transform(([kind, groups]) => ({ kind, groups })),
+  z.tuple([z.literal("missing"), shortText, keysSchema])
+    .transform(([kind, from, keys]) => ({ kind, from, keys })),
   z.tuple([z.literal("confirmed"), shortText])
     .transform(([kind, from]) => ({ kind, from })),
 ]);
@@ -85,6 +87,8 @@
       ];
     case "found":
       return [message.kind, message.groups.map(encodeGroup)];
+    case "missing":
+      return [message.kind, message.from, encodeKeys(message.keys)];
     case "confirmed":
       return [message.kind, message.from];
   }
