fix: a request failed as one that may have run, though none of its bytes was written

An endpoint's extra answer, or the end of its connection, met the connection between the decision to send and the write: the HTTP client writes the next request a turn of the event loop after the last answer, and matches bytes that arrive before to the request that waits.

Cause: the end of the connection counted as the end of an attempt that was written. The client hands out the request's controller before the first byte, so that a request without one was not written.

Fix: such an attempt is unsent. It may go to another endpoint whatever its route allows, is counted as no attempt and no arrival at an endpoint, and takes no retry from the budget.

--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -235,6 +235,39 @@
   });
 });
 
+describe("a request whose connection ends before it is written", () => {
+  // Guards against an action that fails, or uses up retries, though no endpoint received it.
+  it("is sent without a retry of the budget, and has not run", () => {
+    const { controller, effects, asked } = build();
+    asked.decision = {
+      kind: "endpoint",
+      placement: {
+        kind: "chosen",
+        state: createEngine("e1"),
+        prefill: 0,
+        tokens: 0,
+        fetchFrom: undefined,
+      },
+    };
+    arrive(controller, "a", 500);
+    const commitLast = (): AttemptId => {
+      const { length } = effects;
+      const send = effects.filter((effect) => effect.kind === "send").at(-1)!;
+      controller.commit(send.attempt.id, instant(1));
+      expect(effects.slice(length)).toMatchObject([{ kind: "proceed" }]);
+      return send.attempt.id;
+    };
+    const unsent = { kind: "unsent", detail: "", refused: false } as const;
+    controller.ended(commitLast(), unsent, instant(2));
+    const rejection = createAnswer({ status: 503, notRun: true });
+    controller.answered(commitLast(), rejection, instant(3));
+    expect(effects.at(-1)).toMatchObject({
+      kind: "refuse",
+      refusal: { status: 503, verdict: { kind: "not_run" } },
+    });
+  });
+});
+
 describe("a request whose customer had its share", () => {
   /** What a peer reports: most was placed for the customer of the requests here, which have none. */
   function peerDemand({ ownWaits, othersWait }: {
--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -195,13 +195,19 @@
   /** Handles an attempt of which no byte was written. */
   failedToSend(
     call: Call,
-    { state }: OpenAttempt,
+    attempt: OpenAttempt,
     { detail, refused, now }: {
       detail: string;
       refused: boolean;
       now: Instant;
     },
   ): void {
+    const { state, sentAt } = attempt;
+    if (sentAt !== undefined) {
+      // Its connection ended between the decision to send and the write.
+      call.sentAttempts -= countAttempts(call, attempt);
+      call.offered -= state === undefined ? 0 : 1;
+    }
     if (detail !== CONNECTION_LIMIT_REACHED) {
       state?.health.recordOutcome("unreached", now);
     }
--- a/packages/daemon/src/gateway/__tests__/outbound_call.test.ts
+++ b/packages/daemon/src/gateway/__tests__/outbound_call.test.ts
@@ -3,6 +3,7 @@
 import { ConnectionPool } from "../connection_pool.ts";
 import {
   attempt,
+  decideDefault,
   endKindOf,
   listenRaw,
   type RawAnswer,
@@ -174,6 +175,25 @@
       expect(endpoint.connections).toBe(2);
     });
 
+    // Guards against a request that counts as lost, and fails, though none of its bytes was written.
+    it("is unsent if an extra answer ends its connection before it is written", async () => {
+      endpoint = await listenRaw(send(`${LENGTH}hello${LENGTH}extra`));
+      let second: ReturnType<typeof attempt> | undefined;
+      await attempt(endpoint.address, {
+        connections,
+        decide: (event) => {
+          if (event.kind === "ended") {
+            second = attempt(endpoint!.address, { connections });
+          }
+          return decideDefault(event);
+        },
+      }).done;
+      const result = await second!.done;
+      expect(endKindOf(result)).toBe("unsent");
+      expect(result.body).toBe("");
+      expect(endpoint.requests.length).toBe(1);
+    });
+
     it("is sent with its own body after an early answer to another request", async () => {
       endpoint = await listenRaw((socket, request) => {
         if (request.includes(" /x ")) {
--- a/packages/daemon/src/gateway/__tests__/wire_fixture.ts
+++ b/packages/daemon/src/gateway/__tests__/wire_fixture.ts
@@ -216,7 +216,8 @@
   return { seen, done, call };
 }
 
-function decideDefault(event: GatewayEvent): GatewayEffect[] {
+/** Sends each request, and forwards each answer but refusals. */
+export function decideDefault(event: GatewayEvent): GatewayEffect[] {
   if (event.kind === "commit") {
     return [{
       kind: "proceed",
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -237,7 +237,14 @@
   }
 
   onResponseError(_controller: unknown, error: Error): void {
-    this.#reportEnd({ kind: "lost", detail: error.message });
+    const detail = error.message;
+    // The client hands out the controller before it writes the first byte.
+    const isWritten = this.#controller !== undefined;
+    this.#reportEnd(
+      isWritten
+        ? { kind: "lost", detail }
+        : { kind: "unsent", detail, refused: false },
+    );
   }
 
   #onConnected(result: Connection | ConnectError): void {
@@ -482,7 +489,7 @@
       return;
     }
     this.#stop();
-    if (end.kind === "lost") {
+    if (end.kind !== "complete") {
       this.#controller?.abort(new Error("Attempt was lost"));
       this.#connection?.close();
     }
