--- a/packages/daemon/src/entry/__tests__/entry_fixture.ts
+++ b/packages/daemon/src/entry/__tests__/entry_fixture.ts
@@ -219,13 +219,26 @@
 
   /** Returns an idempotency key that the first entry owns. */
   async newKey(name: string): Promise<string> {
+    const [first] = await this.#listEntries();
+    return `${first!.owner_token}.${name.padEnd(8, "x")}`;
+  }
+
+  /** Returns the token from which keys of an entry are made, given by the entry's id. */
+  async ownerTokenOf(id: string): Promise<string> {
+    const entries = await this.#listEntries();
+    return entries.find((entry) => entry.id === id)!.owner_token;
+  }
+
+  async #listEntries(): Promise<
+    readonly { id: string; owner_token: string }[]
+  > {
     const { body } = await request(`${this.urls[0]}/v1/entries`, {
       headers: { authorization: `Bearer ${TOKEN}` },
     });
     const { entries } = await body.json() as {
-      entries: { owner_token: string }[];
+      entries: { id: string; owner_token: string }[];
     };
-    return `${entries[0]!.owner_token}.${name.padEnd(8, "x")}`;
+    return entries;
   }
 
   /** Returns the headers with which a peer forwards a request. */
