fix: an extra answer on a kept connection is not taken for the next request's

What callers saw: a chat or a repeatable call got the answer of the request before it, or was told 503 "not_run" and had run; directly, forwarded by a peer, or through a peer.

Cause: connections to engines, to services whose calls may be repeated and to peers are kept, and any answer on them was taken for the answer to the request under way. Nothing was asked that ties the two together.

Why this works: each attempt has an id of its own, which endpoints and peers get already. On a connection that carried an answer before, an answer counts only if it repeats the id, and its head is not merged from two; anything else loses the attempt (may have run) and closes the connection before another byte is parsed. A connection is used again only after an answer that named its attempt, so that servers that name none get a connection for each attempt, on which nothing can precede the answer. The first answer on a connection is believed without an id, and with one that the endpoint made up; with another attempt's id it is lost. Entries repeat the header to proved peers already.

plain_answers.test.ts names attempts now, since its connections would not be kept otherwise. The stand-ins repeat the id.

--- a/packages/daemon/src/callers/headers.ts
+++ b/packages/daemon/src/callers/headers.ts
@@ -14,6 +14,8 @@
 export const HOP_HEADER = "sassafrasstep-hop";
 /** Id of the request, or of the attempt between entries. */
 export const REQUEST_HEADER = "sassafrasstep-request";
+/** Id of an attempt at an endpoint, which its answer should repeat. */
+export const ATTEMPT_HEADER = "x-request-id";
 /** Offset of the first token that a forwarding peer requests, which is above 0 for a resumed stream. */
 export const OFFSET_HEADER = "sassafrasstep-offset";
 /** Verdict on whether the request has run or may have run. */
--- a/packages/daemon/src/entry/__tests__/extra_answer_sender.ts
+++ b/packages/daemon/src/entry/__tests__/extra_answer_sender.ts
@@ -46,6 +46,8 @@
 export class ExtraAnswerSender {
   /** Connections that carried a request. */
   readonly sockets = new Set<Socket>();
+  /** Number of requests that met the copy of an earlier answer on their connection. */
+  metCopies = 0;
   readonly #options: ExtraAnswerOptions;
   readonly #copies = new WeakMap<Socket, string>();
 
@@ -72,6 +74,9 @@
     const { copies, cutTo } = this.#options;
     this.sockets.add(socket);
     const copy = this.#copies.get(socket);
+    if (copies !== undefined && copy !== undefined) {
+      this.metCopies++;
+    }
     if (copies === "with the next request" && copy !== undefined) {
       socket.write(copy);
     }
--- a/packages/daemon/src/entry/__tests__/extra_answers.test.ts
+++ b/packages/daemon/src/entry/__tests__/extra_answers.test.ts
@@ -1,4 +1,4 @@
-import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { afterAll, beforeAll, describe, expect, it, vi } from "vitest";
 import { REQUEST_HEADER } from "../../callers/index.ts";
 import {
   listenRaw,
@@ -17,14 +17,24 @@
   type ServedRequest,
 } from "./extra_answer_sender.ts";
 
+// So that each case meets kept connections, although cases before have shown the origin to be faulty.
+vi.mock("../../clients/connection_reuse.ts", () => ({
+  ConnectionReuse: class {
+    recordUnproved(): void {}
+    isAllowed(): boolean {
+      return true;
+    }
+  },
+}));
+
 const ENDPOINT_HEADER = "x-request-id";
 const COPY_TIMES: readonly CopyTime[] = [
   "at once",
   "later",
   "with the next request",
 ];
+const NOT_REPEATABLE = "a call that must not be repeated";
 const ROUNDS = 6;
-const SEQUENCE = 20;
 /** Time after which all answers and copies of a case have arrived, so that cases do not affect each other. */
 const SETTLE_MS = 40;
 /** Covers the head of each answer below. */
@@ -67,7 +77,7 @@
     first: Result;
     rounds?: number;
   },
-): Promise<string[]> {
+): Promise<{ violations: string[]; metCopies: number }> {
   const sender = new ExtraAnswerSender(options);
   const violations: string[] = [];
   for (let round = 0; round < rounds; round++) {
@@ -79,8 +89,24 @@
       }
     }
   }
+  return { violations, metCopies: sender.metCopies };
+}
+
+/** Plays rounds and checks that connections were kept where answers name their attempt and may be repeated. */
+async function expectNoViolation(
+  options: ExtraAnswerOptions,
+  { send, first, isKept }: { send: Send; first: Result; isKept: boolean },
+): Promise<void> {
+  const { violations, metCopies } = await playRounds(options, { send, first });
+  await settle();
+  expect(violations).toEqual([]);
+  const isCopyMet = isKept && options.nameHeader !== undefined &&
+    options.copies !== "at once";
+  expect(metCopies > 0).toBe(isCopyMet);
+}
+
+async function settle(): Promise<void> {
   await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
-  return violations;
 }
 
 /** The copies that a server sends, by name. */
@@ -98,7 +124,7 @@
     "a chat": (script) => fixture.chat(script, { stream: false }),
     "a streamed chat": (script) => fixture.chat(script),
     "a repeatable call": (script) => fixture.plain("notes", script),
-    "a call that must not be repeated": (script, name) =>
+    [NOT_REPEATABLE]: (script, name) =>
       fixture.plain("badges", script, {
         "idempotency-key": `${ownerToken}${name}`,
       }),
@@ -130,12 +156,11 @@
           it.each(COPIES)(
             `gives no request a wrong answer, ${naming}, ${copies}: $name`,
             async ({ first, refusal }) => {
-              expect(
-                await playRounds({ copies, nameHeader, refusal }, {
-                  send,
-                  first,
-                }),
-              ).toEqual([]);
+              await expectNoViolation({ copies, nameHeader, refusal }, {
+                send,
+                first,
+                isKept: name !== NOT_REPEATABLE,
+              });
             },
           );
         }
@@ -149,6 +174,7 @@
       "gives no request of %s a wrong answer",
       async (kind) => {
         const violations: string[] = [];
+        let metCopies = 0;
         for (let cutTo = 1; cutTo < MAX_HEAD_BYTES; cutTo++) {
           const options: ExtraAnswerOptions = {
             copies: "with the next request",
@@ -156,14 +182,18 @@
             refusal: 503,
             cutTo,
           };
+          const played = await playRounds(options, {
+            send: sends[kind]!,
+            first: "refused",
+            rounds: 1,
+          });
           violations.push(
-            ...await playRounds(options, {
-              send: sends[kind]!,
-              first: "refused",
-              rounds: 1,
-            }),
+            ...played.violations.map((text) => `${cutTo}: ${text}`),
           );
+          metCopies += played.metCopies;
         }
+        await settle();
+        expect(metCopies).toBeGreaterThanOrEqual(MAX_HEAD_BYTES - 1);
         expect(violations).toEqual([]);
       },
     );
@@ -187,7 +217,7 @@
       scripts.set(name, script);
       return fixture.plainWithBody("notes", name, {});
     },
-    "a call that must not be repeated": (script, name) => {
+    [NOT_REPEATABLE]: (script, name) => {
       const body = fixture.script(script);
       scripts.set(body, script);
       return fixture.plainWithBody("badges", body, {
@@ -235,7 +265,11 @@
             `gives no request a wrong answer, ${naming}, ${copies}: $name`,
             async ({ first, refusal }) => {
               const options = { copies, nameHeader, refusal, isPeer: true };
-              expect(await playRounds(options, { send, first })).toEqual([]);
+              await expectNoViolation(options, {
+                send,
+                first,
+                isKept: name !== NOT_REPEATABLE,
+              });
             },
           );
         }
@@ -243,52 +277,3 @@
     });
   }
 });
-
-describe("an endpoint without a fault", () => {
-  const fixture = new EntryFixture();
-  const send: Send = (script) => fixture.plain("notes", script);
-
-  beforeAll(async () => {
-    await fixture.start({ notes: 1 });
-  });
-  afterAll(async () => {
-    await fixture.stop();
-  });
-
-  // Guards against sound requests that each pay for a connection of their own.
-  it("serves all requests on one connection if its answers have ids", async () => {
-    const sender = new ExtraAnswerSender({
-      copies: undefined,
-      nameHeader: ENDPOINT_HEADER,
-      refusal: 503,
-    });
-    for (let count = 0; count < SEQUENCE; count++) {
-      const { served, answer } = await sendOne(sender, { send, result: "ran" });
-      expect(answer).toMatchObject({ status: 200, text: served.own });
-    }
-    expect(sender.sockets.size).toBeLessThanOrEqual(2);
-  });
-
-  // Guards against endpoints that name no request and are served no longer.
-  it.each([undefined, "x-other-id"])(
-    "serves all requests and refuses with a promise, with ids in %s",
-    async (nameHeader) => {
-      const sender = new ExtraAnswerSender({
-        copies: undefined,
-        nameHeader,
-        refusal: 503,
-      });
-      for (let count = 0; count < SEQUENCE; count++) {
-        const { served, answer } = await sendOne(sender, {
-          send,
-          result: "ran",
-        });
-        expect(answer).toMatchObject({ status: 200, text: served.own });
-        expect(served.attempts).toBe(1);
-      }
-      const { answer } = await sendOne(sender, { send, result: "refused" });
-      expect(answer.status).toBe(503);
-      expect(answer.header("sassafrasstep-verdict")).toBe("not_run");
-    },
-  );
-});
--- a/packages/daemon/src/entry/__tests__/plain_answers.test.ts
+++ b/packages/daemon/src/entry/__tests__/plain_answers.test.ts
@@ -85,33 +85,37 @@
   }
 
   describe("on a kept-alive connection", () => {
-    const own = `${HEAD}content-length: 3\r\n\r\nown`;
+    // Answers name their attempt; otherwise the connection would not be kept.
+    const answerOf = (id: string, body: string): string =>
+      `${HEAD}x-request-id: ${id}\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+    const own = (id: string): string => answerOf(id, "own");
+    const stray = (id: string): string => answerOf(id, "stray");
     let written: Promise<void> | undefined;
     const later = async (write: () => unknown): Promise<void> => {
       await new Promise((resolve) => setTimeout(resolve, 5));
       write();
     };
-    const strayAnswer = `${HEAD}content-length: 5\r\n\r\nstray`;
 
-    // Unsolicited bytes are waiting on the connection that the next call uses. A plain answer does not name
-    // its request, so the call would take them for its own answer. (Bytes that arrive after the next call
-    // was written cannot be told from its answer.)
+    // Guards against unsolicited bytes on the connection that the next call uses and takes for its own answer.
     const precedingScripts: [string, EndpointScript][] = [
-      ["two answers at once", (socket) => socket.write(own + strayAnswer)],
-      ["another answer a moment later", (socket) => {
-        socket.write(own);
-        written = later(() => socket.write(strayAnswer));
+      [
+        "two answers at once",
+        (socket, { id }) => socket.write(own(id) + stray(id)),
+      ],
+      ["another answer a moment later", (socket, { id }) => {
+        socket.write(own(id));
+        written = later(() => socket.write(stray(id)));
       }],
-      ["another answer and an end", (socket) => {
-        socket.write(own);
-        written = later(() => socket.end(strayAnswer));
+      ["another answer and an end", (socket, { id }) => {
+        socket.write(own(id));
+        written = later(() => socket.end(stray(id)));
       }],
       [
         "half an answer more",
-        (socket) => socket.write(own + strayAnswer.slice(0, 40)),
+        (socket, { id }) => socket.write(own(id) + stray(id).slice(0, 40)),
       ],
-      ["a timeout of its own", (socket) => {
-        socket.write(own);
+      ["a timeout of its own", (socket, { id }) => {
+        socket.write(own(id));
         written = later(() =>
           socket.end(
             "HTTP/1.1 408 Request Timeout\r\nconnection: close\r\n\r\n",
@@ -120,11 +124,14 @@
       }],
       [
         "an interim answer",
-        (socket) => socket.write(`HTTP/1.1 102 Processing\r\n\r\n${own}`),
+        (socket, { id }) =>
+          socket.write(`HTTP/1.1 102 Processing\r\n\r\n${own(id)}`),
       ],
-      ["two interim answers", (socket) =>
+      ["two interim answers", (socket, { id }) =>
         socket.write(
-          `HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n${own}`,
+          `HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n${
+            own(id)
+          }`,
         )],
     ];
 
@@ -132,14 +139,13 @@
       "belongs to its own call after %s",
       async (_, before) => {
         const body = "its own";
-        const whole = `${HEAD}content-length: ${body.length}\r\n\r\n${body}`;
         for (let round = 0; round < 8; round++) {
           const first = await fixture.plain("notes", before);
           expect(first).toMatchObject({ status: 200, text: "own" });
           await written;
           const next = await fixture.plain(
             "notes",
-            (socket) => socket.write(whole),
+            (socket, { id }) => socket.write(answerOf(id, body)),
           );
           expect(next).toMatchObject({ status: 200, text: body });
         }
@@ -147,15 +153,15 @@
     );
 
     it("belongs to its own call after a call that timed out", async () => {
-      const late: EndpointScript = (socket) =>
-        setTimeout(() => socket.write(strayAnswer), 150);
+      const late: EndpointScript = (socket, { id }) =>
+        setTimeout(() => socket.write(stray(id)), 150);
       const first = await fixture.plain("notes", late, {
         "sassafrasstep-deadline-ms": "100",
       });
       expect(first.status).toBe(504);
       const next = await fixture.plain(
         "notes",
-        (socket) => setTimeout(() => socket.write(own), 100),
+        (socket, { id }) => setTimeout(() => socket.write(own(id)), 100),
       );
       expect(next).toMatchObject({ status: 200, text: "own" });
     });
--- a/packages/daemon/src/outbound/__tests__/connections.test.ts
+++ b/packages/daemon/src/outbound/__tests__/connections.test.ts
@@ -5,6 +5,7 @@
   type Socket,
 } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
+import { listenRaw } from "../../gateway/__tests__/wire_fixture.ts";
 import {
   createSharedAgent,
   createSingleUseClient,
@@ -46,7 +47,10 @@
   origin: string,
   mayWrite: () => boolean,
 ): Promise<{ kind: "answered" } | { kind: "failed"; error: unknown }> {
-  const client = createSingleUseClient(origin, mayWrite);
+  const client = createSingleUseClient(origin, {
+    mayWrite,
+    nameHeader: "x-request-id",
+  });
   try {
     const response = await client.request({
       path: "/",
@@ -109,13 +113,48 @@
   });
 });
 
+describe("an answer on a connection's first request", () => {
+  /** Sends a request named `n1-0000-2.1`, whose answer has the given id; returns the answer's status, if any. */
+  async function statusFor(id: string): Promise<number | undefined> {
+    const endpoint = await listenRaw((socket) => {
+      socket.write(
+        `HTTP/1.1 503 Refused\r\nx-request-id: ${id}\r\ncontent-length: 0\r\n\r\n`,
+      );
+    });
+    const client = createSingleUseClient(`http://${endpoint.address}`, {
+      mayWrite: () => true,
+      nameHeader: "x-request-id",
+    });
+    const response = await client.request({
+      path: "/",
+      method: "POST",
+      headers: { "x-request-id": "n1-0000-2.1" },
+    }).catch(() => undefined);
+    await client.destroy();
+    await endpoint.close();
+    return response?.statusCode;
+  }
+
+  // Guards against the answer of another attempt that is taken for the request's own.
+  it("is lost if it names another attempt", async () => {
+    expect(await statusFor("n1-0000-1.1")).toBeUndefined();
+  });
+
+  it.each(["n1-0000-2.1", "7", "0f8fad5b-d9cb-469f-a165-70867728950e"])(
+    "is accepted if it names the attempt or has an id of the endpoint's own: %s",
+    async (id) => {
+      expect(await statusFor(id)).toBe(503);
+    },
+  );
+});
+
 describe("shared connections", () => {
   it("distinguish a refused connection from a lost request", async () => {
     // Guards against an entry that crashes when an endpoint refuses connections. The callback that watches
     // new connections treated a failed one as established and threw an uncaught error.
     const { origin } = await startBreakingServer(0);
     await new Promise<void>((resolve) => server.close(() => resolve()));
-    const shared = createSharedAgent();
+    const shared = createSharedAgent("x-request-id");
     const failed = await shared.request({ origin, path: "/", method: "GET" })
       .catch((error: unknown) => error);
     expect(isConnectError(failed)).toBe(true);
--- a/packages/daemon/src/outbound/attempt_runner.ts
+++ b/packages/daemon/src/outbound/attempt_runner.ts
@@ -14,6 +14,7 @@
 import { milliseconds, parseVerdictHeader } from "@sassafrasstep/core";
 import { type Agent, type Dispatcher, request } from "undici";
 import {
+  ATTEMPT_HEADER,
   type Caller,
   CLASS_HEADER,
   DEADLINE_HEADER,
@@ -50,7 +51,8 @@
 /** Runs attempts and reports to the core how they end. */
 export class AttemptRunner {
   readonly #host: AttemptHost;
-  readonly #sharedAgent: Agent = createSharedAgent();
+  readonly #endpointAgent: Agent = createSharedAgent(ATTEMPT_HEADER);
+  readonly #peerAgent: Agent = createSharedAgent(REQUEST_HEADER);
   readonly #abortControllers = new Map<AttemptId, AbortController>();
 
   constructor(host: AttemptHost) {
@@ -87,22 +89,28 @@
 
   /** Closes every connection. */
   async close(): Promise<void> {
-    await this.#sharedAgent.destroy();
+    await Promise.all([
+      this.#endpointAgent.destroy(),
+      this.#peerAgent.destroy(),
+    ]);
   }
 
   /** Returns a connection, or `undefined` if the core withdrew the attempt. */
   #connect(attempt: Attempt): Connection | undefined {
     const commit = (): boolean => this.#host.commit(attempt.id);
+    const toPeer = attempt.target.kind === "peer";
     if (attempt.freshConnection) {
-      const client = createSingleUseClient(attempt.target.url, commit);
+      const client = createSingleUseClient(attempt.target.url, {
+        mayWrite: commit,
+        nameHeader: toPeer ? REQUEST_HEADER : ATTEMPT_HEADER,
+      });
       return {
         dispatcher: client,
         release: () => void client.destroy().catch(() => {}),
       };
     }
-    return commit()
-      ? { dispatcher: this.#sharedAgent, release: () => {} }
-      : undefined;
+    const dispatcher = toPeer ? this.#peerAgent : this.#endpointAgent;
+    return commit() ? { dispatcher, release: () => {} } : undefined;
   }
 
   async #exchange(
@@ -165,7 +173,7 @@
   ): Record<string, string> {
     return {
       "content-type": contentType,
-      "x-request-id": attempt.id,
+      [ATTEMPT_HEADER]: attempt.id,
       "x-priority": String(attempt.priority),
       "x-resume-offset": String(attempt.resumeOffset),
       [HOP_HEADER]: [...head.hops, this.#host.incarnation].join(", "),
--- a/packages/daemon/src/outbound/connections.ts
+++ b/packages/daemon/src/outbound/connections.ts
@@ -20,10 +20,14 @@
   maxHeaderSize: MAX_RESPONSE_HEADER_BYTES,
 } as const;
 
-/** Creates a pool of kept-alive connections without pipelining, for calls that may be repeated. */
-export function createSharedAgent(): Agent {
+/**
+ * Creates a pool of kept-alive connections without pipelining, for calls that may be repeated. A connection is
+ * used again only after an answer that repeated its request's `nameHeader`.
+ */
+export function createSharedAgent(nameHeader: string): Agent {
   return createResetAwareAgent({
     ...CLIENT_OPTIONS,
+    nameHeader,
     connections: MAX_CONNECTIONS_PER_ORIGIN,
     connectTimeout: CONNECT_TIMEOUT_MS,
   });
@@ -38,12 +42,17 @@
  */
 export function createSingleUseClient(
   origin: string,
-  mayWrite: () => boolean,
+  { mayWrite, nameHeader }: {
+    mayWrite: () => boolean;
+    /** Header in which answers may name the request that they belong to. */
+    nameHeader: string;
+  },
 ): Client {
   const connect = createConnector(CONNECT_TIMEOUT_MS);
   let connected = false;
   return new ResetAwareClient(origin, {
     ...CLIENT_OPTIONS,
+    nameHeader,
     connect: (options, callback): void => {
       if (connected) {
         callback(new WithdrawnError(), null);
