fix: an extra answer does not accept an order, nor pass for a load report

What operators would see: an engine counts as having accepted an order that it refused, or its load is that of an earlier poll.

Cause: load polls and orders shared one connection per endpoint, and any answer on it was taken for that of the call under way.

Evidence: in endpoint_client.test.ts an endpoint sends a copy of its last answer before the next one.

Why this works: an order gets a connection of its own, on which nothing can precede its answer. Stand-ins repeat the id of every request, in one place now.

--- a/packages/daemon/src/outbound/__tests__/endpoint_client.test.ts
+++ b/packages/daemon/src/outbound/__tests__/endpoint_client.test.ts
@@ -7,11 +7,15 @@
 import { EndpointClient } from "../endpoint_client.ts";
 
 const REPORT = '{"running":1,"slots":4}';
-const ANSWER =
-  `HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: ${REPORT.length}\r\n\r\n${REPORT}`;
+const ANSWER = answerOf("200 OK", REPORT);
 /** Durations that exceed the timeouts of a poll and of an order. */
 const STALLS_MS = { poll: 1_100, order: 3_100 };
 
+function answerOf(status: string, body: string, id?: string): string {
+  const name = id === undefined ? "" : `x-request-id: ${id}\r\n`;
+  return `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\n${name}content-length: ${body.length}\r\n\r\n${body}`;
+}
+
 /** Blocks the event loop, as a busy machine or a stopped process does. */
 function blockEventLoop(durationMs: number): void {
   const until = performance.now() + durationMs;
@@ -59,6 +63,78 @@
     });
   });
 
+  // Guards against an extra answer that is taken for that of the next control call.
+  describe("to an endpoint that sends an answer too many", () => {
+    const ORDER = { model: "m", fence: 1, expected: "", endpoint: "e1" };
+    let previous: string;
+    let served: number;
+    let used: WeakSet<object>;
+
+    /** Answers each call by the number of calls so far, after a copy of the answer before. */
+    function answerAfterCopy(status: string, isNamed: boolean): RawAnswer {
+      return (socket, text) => {
+        const id = /^x-request-id: (.*)$/im.exec(text)?.[1]?.trim();
+        served++;
+        const isOrder = text.startsWith("POST");
+        const own = answerOf(
+          isOrder ? status : "200 OK",
+          `{"running":${served},"slots":4}`,
+          isNamed ? id : undefined,
+        );
+        const copy = used.has(socket) ? previous : "";
+        used.add(socket);
+        previous = own;
+        socket.write(copy + own);
+      };
+    }
+
+    beforeEach(() => {
+      previous = "";
+      served = 0;
+      used = new WeakSet();
+    });
+
+    describe.each([[true], [false]])("with ids: %s", (isNamed) => {
+      it("take no order for accepted that was refused", async () => {
+        answer = answerAfterCopy("409 Conflict", isNamed);
+        const url = `http://${endpoint.address}`;
+        for (let round = 0; round < 3; round++) {
+          await client.pollLoad(url).catch(() => {});
+          expect(await client.sendOrder({ ...ORDER, url } as never)).toBe(
+            false,
+          );
+        }
+      });
+
+      it("take no load report of an earlier poll or of an order", async () => {
+        answer = answerAfterCopy("200 OK", isNamed);
+        const url = `http://${endpoint.address}`;
+        for (let round = 0; round < 3; round++) {
+          await client.sendOrder({ ...ORDER, url } as never);
+          for (let poll = 0; poll < 2; poll++) {
+            const report = await client.pollLoad(url).catch(() => undefined);
+            expect([served, undefined]).toContain(report?.running);
+          }
+        }
+      });
+    });
+  });
+
+  it.each([
+    ["keep a connection if polls' answers name them", true, 1],
+    ["use a connection for each poll if answers name none", false, 3],
+  ])("%s", async (_, isNamed, connections) => {
+    answer = (socket, text) => {
+      const id = /^x-request-id: (.*)$/im.exec(text)?.[1]?.trim();
+      socket.write(answerOf("200 OK", REPORT, isNamed ? id : undefined));
+    };
+    for (let poll = 0; poll < 3; poll++) {
+      const report = await client.pollLoad(`http://${endpoint.address}`);
+      expect(report.running).toBe(1);
+    }
+    expect(endpoint.connections).toBe(connections);
+  });
+
   it("time out if the endpoint does not answer", async () => {
     answer = () => {};
     await expect(client.pollLoad(`http://${endpoint.address}`)).rejects
--- a/packages/daemon/src/outbound/endpoint_client.ts
+++ b/packages/daemon/src/outbound/endpoint_client.ts
@@ -3,9 +3,13 @@
  *
  * @module
  */
+import { randomUUID } from "node:crypto";
 import type { EngineOrder, LoadReport } from "@sassafrasstep/core";
-import { Agent, request } from "undici";
+import { type Agent, request } from "undici";
+import { ATTEMPT_HEADER } from "../callers/index.ts";
+import { createResetAwareAgent } from "../clients/index.ts";
 import { withActiveTimeout } from "../timers/index.ts";
+import { createSingleUseClient } from "./connections.ts";
 import { parseLoadReport } from "./load_report.ts";
 
 const POLL_TIMEOUT_MS = 1_000;
@@ -13,9 +17,16 @@
 const MAX_REPORT_BYTES = 65_536;
 const HTTP_OK = 200;
 
-/** Polls endpoints' loads and sends them orders, outside callers' requests. */
+/**
+ * Polls endpoints' loads and sends them orders, outside callers' requests. Only polls share connections, and only
+ * while answers name their poll: an extra answer must not pass for the acceptance of an order.
+ */
 export class EndpointClient {
-  readonly #agent = new Agent({ connections: 1, pipelining: 1 });
+  readonly #pollAgent: Agent = createResetAwareAgent({
+    connections: 1,
+    connectTimeout: POLL_TIMEOUT_MS,
+    nameHeader: ATTEMPT_HEADER,
+  });
 
   /** Reads an endpoint's load; throws if it does not answer with a valid report. */
   pollLoad(url: string): Promise<LoadReport> {
@@ -35,12 +46,13 @@
 
   /** Closes every connection. */
   async close(): Promise<void> {
-    await this.#agent.destroy();
+    await this.#pollAgent.destroy();
   }
 
   async #pollLoad(url: string, signal: AbortSignal): Promise<LoadReport> {
     const response = await request(`${url}/v1/load`, {
-      dispatcher: this.#agent,
+      headers: { [ATTEMPT_HEADER]: randomUUID() },
+      dispatcher: this.#pollAgent,
       signal,
     });
     const text = (await response.body.text()).slice(0, MAX_REPORT_BYTES);
@@ -59,14 +71,25 @@
     { url, model, fence, expected }: EngineOrder,
     signal: AbortSignal,
   ): Promise<boolean> {
-    const response = await request(`${url}/v1/model`, {
-      method: "POST",
-      headers: { "content-type": "application/json" },
-      body: JSON.stringify({ model, fence, expected }),
-      dispatcher: this.#agent,
-      signal,
+    const client = createSingleUseClient(url, {
+      mayWrite: () => true,
+      nameHeader: ATTEMPT_HEADER,
     });
-    await response.body.dump();
-    return response.statusCode === HTTP_OK;
+    try {
+      const response = await request(`${url}/v1/model`, {
+        method: "POST",
+        headers: {
+          "content-type": "application/json",
+          [ATTEMPT_HEADER]: randomUUID(),
+        },
+        body: JSON.stringify({ model, fence, expected }),
+        dispatcher: client,
+        signal,
+      });
+      await response.body.dump();
+      return response.statusCode === HTTP_OK;
+    } finally {
+      void client.destroy().catch(() => {});
+    }
   }
 }
--- a/playground/src/guards/guards.ts
+++ b/playground/src/guards/guards.ts
@@ -380,6 +380,13 @@
     find: "return ranked.slice(0, WATCHERS_PER_ZONE).includes(self);",
     replace: "return ranked.includes(self) && Date.now() < 0;",
   },
+  {
+    point: "engine orders",
+    name: "an extra answer accepts no order",
+    file: `${DAEMON}/outbound/endpoint_client.ts`,
+    find: "dispatcher: client,",
+    replace: "dispatcher: this.#pollAgent,",
+  },
   {
     point: "engine orders",
     name: "a woken orderer whose text nobody confirmed orders nothing",
--- a/playground/src/stand_ins/engine.ts
+++ b/playground/src/stand_ins/engine.ts
@@ -176,8 +176,7 @@
       this.#requestsAfterDrain++;
     }
     if (this.#draining || this.#faults.refuse === true) {
-      reply.writeHead(503, { "x-request-id": id, "retry-after": "1" })
-        .end("refused\n");
+      reply.writeHead(503, { "retry-after": "1" }).end("refused\n");
       return;
     }
     this.#runs.set(id, (this.#runs.get(id) ?? 0) + 1);
@@ -214,10 +213,7 @@
     this.#prefilledTokens += uncached;
     await sleep((uncached / this.#options.prefillRate) * 1_000);
     this.#cache.store(blocks);
-    reply.writeHead(200, {
-      "x-request-id": id,
-      "content-type": "text/event-stream",
-    });
+    reply.writeHead(200, { "content-type": "text/event-stream" });
     await this.#decode(reply, { id, prompt, tokens, startAt });
     const held = performance.now() - startedAt;
     this.#busyMs += held;
--- a/playground/src/stand_ins/plain_service.ts
+++ b/playground/src/stand_ins/plain_service.ts
@@ -116,7 +116,6 @@
     this.#calls++;
     this.#callsAfterDrain += this.#draining ? 1 : 0;
     this.#running++;
-    reply.setHeader("x-request-id", message.headers["x-request-id"] ?? "");
     try {
       await drainBody(message);
       await this.#applyMode(message, reply);
--- a/playground/src/stand_ins/stand_in.ts
+++ b/playground/src/stand_ins/stand_in.ts
@@ -26,6 +26,9 @@
   reply: ServerResponse,
 ) => boolean;
 
+/** Header that answers repeat, so that entries keep the connection. */
+const NAME_HEADER = "x-request-id";
+
 /** HTTP server that serves an app on the loopback interface. */
 export class StandInServer {
   readonly #server: Server;
@@ -33,6 +36,10 @@
   constructor(app: H3, handleRaw: RawHandler = () => false) {
     const handle = toNodeHandler(app);
     this.#server = createServer((message, reply) => {
+      const name = message.headers[NAME_HEADER];
+      if (name !== undefined) {
+        reply.setHeader(NAME_HEADER, name);
+      }
       if (!handleRaw(message, reply)) {
         void handle(message, reply);
       }
