--- a/packages/daemon/src/entry/__tests__/connection_use.test.ts
+++ b/packages/daemon/src/entry/__tests__/connection_use.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { REQUEST_HEADER } from "../../callers/index.ts";
 import { type CallerAnswer, EntryFixture } from "./entry_fixture.ts";
 import {
   type ExtraAnswerOptions,
@@ -82,4 +83,18 @@
     expect(sender.metCopies).toBeGreaterThan(0);
     await expectPromise();
   });
+
+  // Guards against entries that don't name forwarded requests, so that peers open a connection for each.
+  it.each<Result>(["ran", "refused"])(
+    "carry many requests between entries: answers to peers name them, %s",
+    async (result) => {
+      sender = new ExtraAnswerSender(SOUND);
+      const id = `n9-0000-${result}.1`;
+      const { script } = sender.request("own", result);
+      const headers = fixture.peerHeaders(id, 0);
+      const answer = await fixture.plain("notes", script, headers);
+      expect(answer.status).toBe(result === "ran" ? 200 : 503);
+      expect(answer.header(REQUEST_HEADER)).toBe(id);
+    },
+  );
 });
