--- a/soak/src/actions/behaviours.ts
+++ b/soak/src/actions/behaviours.ts
@@ -61,6 +61,9 @@
     readonly part: number;
   };
 
+/** Refuses a request without running it. */
+export type RefusingBehaviour = Extract<Behaviour, { kind: "refuses" }>;
+
 /** Sends bytes that belong to no request, after a whole answer. */
 export type ExtraBehaviour = Extract<Behaviour, { kind: "extra" }>;
 
@@ -82,11 +85,15 @@
 export type EndpointFaults = "mixed" | "refusals";
 
 /** Part of the requests for which an endpoint does anything else than to answer. */
-const FAULTY_FRACTION = 0.32;
+const FAULTY_FRACTIONS: Readonly<Record<EndpointFaults, number>> = {
+  mixed: 0.32,
+  // There is no second endpoint in the region, and one that refuses more is left out for a while.
+  refusals: 0.15,
+};
 
 /** Draws what an endpoint does with a request. */
 export function drawRunPlan(draw: Draw, faults: EndpointFaults): RunPlan {
-  const faulty = draw.chance(FAULTY_FRACTION);
+  const faulty = draw.chance(FAULTY_FRACTIONS[faults]);
   const drawKind = faults === "mixed" ? drawFault : drawRefusal;
   return {
     behaviour: faulty ? drawKind(draw) : { kind: "answers" },
@@ -103,7 +110,10 @@
 function drawFault(draw: Draw): Behaviour {
   const roll = draw.fraction();
   if (roll < 0.3) {
-    return drawRefusal(draw);
+    return {
+      ...drawRefusal(draw),
+      retryAfterS: draw.pick([undefined, undefined, 0.2, 1]),
+    };
   }
   if (roll < 0.45) {
     return {
@@ -135,11 +145,11 @@
   };
 }
 
-function drawRefusal(draw: Draw): Behaviour {
+function drawRefusal(draw: Draw): RefusingBehaviour {
   return {
     kind: "refuses",
     status: draw.pick([503, 503, 429]),
-    retryAfterS: draw.pick([undefined, undefined, 0.2, 1]),
+    retryAfterS: undefined,
     copy: draw.pick([
       undefined,
       "withEnd",
--- a/soak/src/actions/ledger_endpoint.ts
+++ b/soak/src/actions/ledger_endpoint.ts
@@ -16,7 +16,7 @@
   onRequests,
   type RawRequest,
 } from "@sassafrasstep/playground/bytes";
-import type { Behaviour, ExtraTime, RunPlan } from "./behaviours.ts";
+import type { ExtraTime, RefusingBehaviour, RunPlan } from "./behaviours.ts";
 import { answerParts, formatExtra, formatRefusal } from "./answer_bytes.ts";
 import { endRun, type Run, type RunLedger } from "./run_ledger.ts";
 
@@ -228,7 +228,7 @@
 function refuse(
   { socket, copies }: EndpointConnection,
   call: string,
-  { status, retryAfterS, copy }: Extract<Behaviour, { kind: "refuses" }>,
+  { status, retryAfterS, copy }: RefusingBehaviour,
 ): void {
   const lines = retryAfterS === undefined
     ? []
