--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -29,6 +29,7 @@
   DOCUMENT_VERSION_HEADER,
   formatRelayHeader,
   formatStreamOrigin,
+  RELAY_ATTEMPT_HEADER,
   RELAY_HEADER,
   RESUMED_RELAY_HEADER,
   STREAM_ORIGIN_HEADER,
@@ -236,7 +237,14 @@
   }
 
   onResponseError(_controller: unknown, error: Error): void {
-    this.#reportEnd({ kind: "lost", detail: error.message });
+    const detail = error.message;
+    // The client hands out the controller before it writes the first byte.
+    const isWritten = this.#controller !== undefined;
+    this.#reportEnd(
+      isWritten
+        ? { kind: "lost", detail }
+        : { kind: "unsent", detail, refused: false },
+    );
   }
 
   #onConnected(result: Connection | ConnectError): void {
@@ -287,6 +295,8 @@
       headers.push(
         origin === undefined ? RELAY_HEADER : RESUMED_RELAY_HEADER,
         formatRelayHeader(relayInfo, fingerprint),
+        RELAY_ATTEMPT_HEADER,
+        this.#attempt.id,
       );
     }
     this.#connection!.beginAnswer();
@@ -316,6 +326,7 @@
     const { isReused: reusedConnection } = this.#connection!;
     const head = protocol.readHead(this.#status, this.#headers, {
       call: this.#exchange.head.call,
+      attempt: id,
       target: this.#attempt.target,
       reusedConnection,
     });
@@ -334,7 +345,13 @@
       effect.attempt === id
     );
     if (decision?.kind !== "forward" && decision?.kind !== "goOn") {
-      this.#discard();
+      if (head.notRun && this.#attempt.target.kind === "endpoint") {
+        // An endpoint may send a refusal once more. On a connection that is used again, the copy could be taken for
+        // the answer to the same request, sent again, or reach another request in place of its answer.
+        this.abort();
+      } else {
+        this.#discard();
+      }
       return undefined;
     }
     this.#mode = mode;
@@ -472,7 +489,7 @@
       return;
     }
     this.#stop();
-    if (end.kind === "lost") {
+    if (end.kind !== "complete") {
       this.#controller?.abort(new Error("Attempt was lost"));
       this.#connection?.close();
     }
--- a/soak/src/__tests__/actions.test.ts
+++ b/soak/src/__tests__/actions.test.ts
@@ -21,6 +21,16 @@
     },
   );
 
+  // Guards against copies of refusals that are taken for answers to requests which are sent again.
+  it.each(SEEDS)(
+    "run once beside refusals that come once more: seed %i",
+    async (seed) => {
+      const plan = planActionWave(seed, "refusals");
+      const { broken, folder } = await playActionWave(plan);
+      expect(broken, `Files of the wave: ${folder}`).toEqual([]);
+    },
+  );
+
   // Guards against bytes of a caller that end an entry, fill its memory or keep it from serving others.
   it("are served beside bytes that nobody would send", async () => {
     const { broken, folder } = await playActionWave(planActionWave(1, "bytes"));
--- a/soak/src/actions/action_plan.ts
+++ b/soak/src/actions/action_plan.ts
@@ -79,6 +79,8 @@
   readonly nextEntry: number;
   readonly startMs: number;
   readonly timeMs: number;
+  /** Whether the caller sends a request that was refused again under its id. */
+  readonly keepsId: boolean;
   /** Whether the caller's connection is kept and used again. */
   readonly keepsConnection: boolean;
   readonly bodyBytes: number;
@@ -92,6 +94,8 @@
 export type ActionWaveKind =
   /** Links, processes, endpoints and the store fail, overlapping. */
   | "links"
+  /** The same with endpoints that only refuse, and send some refusals once more. */
+  | "refusals"
   /** Entries are gone for long, then all of them are killed. */
   | "deaths"
   /** Documents, drains and evacuations. */
@@ -123,12 +127,10 @@
 export const REGIONS = ["a", "b", "c"];
 const ENTRIES_PER_REGION = 2;
 const ODD_INPUT_COUNT = 900;
-const MODEL_ENDPOINTS = ["a", "a", "a", "b", "b", "c"];
-/** One region has none, so that its requests are relayed. */
-const CORE_ENDPOINTS = ["a", "a", "b", "b"];
 /** Requests of a wave, and the time in which they start. */
 const LOADS: Readonly<Record<ActionWaveKind, { count: number; ms: number }>> = {
   links: { count: 500, ms: 9_000 },
+  refusals: { count: 500, ms: 9_000 },
   deaths: { count: 900, ms: 32_000 },
   changes: { count: 900, ms: 18_000 },
   long: { count: 2_400, ms: 38_000 },
@@ -137,6 +139,17 @@
 };
 /** Kinds in the order in which seeds are played. */
 export const ACTION_WAVE_KINDS = Object.keys(LOADS) as ActionWaveKind[];
+/** Regions of the endpoints of each service. One region has none for plain requests, so that these are relayed. */
+const LAYOUTS = {
+  mixed: { model: ["a", "a", "a", "b", "b", "c"], core: ["a", "a", "b", "b"] },
+  // A request that is sent again reaches the endpoint that refused it.
+  refusals: { model: ["a", "b"], core: ["a", "b"] },
+} as const;
+const ENDPOINT_FAULTS: ReadonlySet<Fault["kind"]> = new Set([
+  "endpointEnds",
+  "endpointHangs",
+  "endpointLeaves",
+]);
 const ROUTE_DRAWS: readonly RouteName[] = [
   "once",
   "once",
@@ -168,9 +181,10 @@
   const entries = REGIONS.flatMap((region) =>
     Array.from({ length: ENTRIES_PER_REGION }, () => region)
   );
+  const { core, model } = LAYOUTS[kind === "refusals" ? "refusals" : "mixed"];
   const endpoints = [
-    ...CORE_ENDPOINTS.map((region) => ({ service: "core" as const, region })),
-    ...MODEL_ENDPOINTS.map((region) => ({ service: "model" as const, region })),
+    ...core.map((region) => ({ service: "core" as const, region })),
+    ...model.map((region) => ({ service: "model" as const, region })),
   ];
   const { count, ms } = LOADS[kind];
   const actions = Array.from(
@@ -221,6 +235,9 @@
   switch (kind) {
     case "links":
       return drawFaults(draw, places);
+    case "refusals":
+      return drawFaults(draw, places)
+        .filter((fault) => !ENDPOINT_FAULTS.has(fault.kind));
     case "deaths":
       return drawDeaths(draw, places.entries);
     case "changes":
@@ -244,13 +261,16 @@
     routes: readonly RouteName[];
   },
 ): ActionPlan {
+  const entry = draw.integer(0, entries - 1);
+  const otherEntry = draw.integer(0, entries - 1);
   return {
     id,
     route: draw.pick(routes),
-    entry: draw.integer(0, entries - 1),
-    nextEntry: draw.integer(0, entries - 1),
+    entry,
+    nextEntry: draw.chance(0.5) ? entry : otherEntry,
     startMs: draw.integer(0, startWindowMs),
     timeMs: draw.pick([800, 2_000, 3_000, 5_000]),
+    keepsId: draw.chance(0.5),
     keepsConnection: draw.chance(0.6),
     bodyBytes: draw.pick([1, 1, 1, 40_000]),
     leavesAfterMs: draw.chance(0.1) ? draw.integer(5, 1_200) : undefined,
--- a/soak/src/actions/action_wave.ts
+++ b/soak/src/actions/action_wave.ts
@@ -236,9 +236,12 @@
   #nextRun(call: string): RunPlan {
     const count = this.#runCounts.get(call) ?? 0;
     this.#runCounts.set(call, count + 1);
-    const draw = new Draw(this.#plan.seed, hash32(`${call} ${count}`));
-    const run = drawRunPlan(draw);
-    return this.#plan.kind === "bytes" ? { ...run, ...SOUND_RUN } : run;
+    const { kind, seed } = this.#plan;
+    const run = drawRunPlan(
+      new Draw(seed, hash32(`${call} ${count}`)),
+      kind === "refusals" ? "refusals" : "mixed",
+    );
+    return kind === "bytes" ? { ...run, ...SOUND_RUN } : run;
   }
 
   async #playFault(fault: Fault): Promise<void> {
--- a/soak/src/guard_list.ts
+++ b/soak/src/guard_list.ts
@@ -27,6 +27,7 @@
 /** Prefix of the kinds of waves of actions, which are played by a program of their own. */
 export const ACTION_WAVES = "actions:";
 const LINK_WAVES = `${ACTION_WAVES}links`;
+const REFUSAL_WAVES = `${ACTION_WAVES}refusals`;
 const DEATH_WAVES = `${ACTION_WAVES}deaths`;
 const CHANGE_WAVES = `${ACTION_WAVES}changes`;
 const KEY_WAVES = `${ACTION_WAVES}keys`;
@@ -180,6 +181,14 @@
     find: 'return target.kind === "peer" || !reusedConnection;',
     replace: 'return target.kind === "peer" || reusedConnection !== undefined;',
   },
+  {
+    point: ACTION_POINT,
+    kinds: REFUSAL_WAVES,
+    name: "a connection on which a request was refused is not used again",
+    file: `${DAEMON_GATEWAY}/outbound_call.ts`,
+    find: 'if (head.notRun && this.#attempt.target.kind === "endpoint") {',
+    replace: "if (head.notRun && this.#connection === undefined) {",
+  },
   {
     point: ACTION_POINT,
     kinds: LINK_WAVES,
