fix: a copy from a peer used a removed endpoint on beyond the limit after a restore

An endpoint whose record goes missing at a restore is used on for 2.2 s, and for 3.2 s at most from the last moment at which the store was known not to be restored. The limit was applied by an entry's own answer of the new epoch only: an entry whose read had hung, and that took the restored catalogue from a peer after the timeout, counted 2.2 s from the copy; the end of its outage, and a slow full read, set the grace anew as well.

The model test (entries that read one store and copy from each other, 300 drawn plans) fails before after 12 plans: read sent 300 ms before the restore, timed out 2.2 s after it, copy 2.45 s after it, kept until 4.65 s after it.

--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -353,7 +353,7 @@
     this.#schedule.noteFailure(now);
     // A read that times out may have hung since before the platform came back.
     const timedOut = now - this.#readSentAt >= this.#readTimeout;
-    this.#grace.noteNotRestored(timedOut ? this.#readSentAt : now);
+    this.#grace.noteFailure(timedOut ? this.#readSentAt : now);
     // A read that waited for changes may have hung and missed some.
     this.#fullReadNeeded = this.#fullReadNeeded || this.#schedule.failures > 1;
     if (this.reachable) {
@@ -374,10 +374,11 @@
     if (!isLaterPosition({ epoch, revision }, this.position)) {
       return;
     }
-    const keptUntil = this.#keptUntil(now);
     if (epoch === this.position.epoch) {
-      this.#local.applySnapshot(snapshot, keptUntil);
+      this.#local.applySnapshot(snapshot, this.#keptUntil(now));
     } else {
+      this.#grace.noteRestore(now);
+      const keptUntil = this.#keptUntil(now);
       this.#local.applyRestoredSnapshot(snapshot, { keptUntil, now });
       this.#freshness.noteRestore(now);
       // Only this entry's own full read shows which parts of the copy the restored platform is missing.
@@ -440,7 +441,7 @@
     now: Instant,
   ): void {
     if (!this.#restorePending) {
-      this.#grace.noteNotRestored(now);
+      this.#grace.noteAnswer(now);
     }
     this.#confirmation.notePosition(this.position);
     const holder = this.#freshness.evaluate(this.#local, { isFullRead, now });
--- a/packages/core/src/gateway/missing_record_grace.ts
+++ b/packages/core/src/gateway/missing_record_grace.ts
@@ -20,31 +20,42 @@
 
 /** Tracks the end of the grace period. */
 export class MissingRecordGrace {
+  /** The latest time at which the platform is known not to have been restored yet. */
   #lastBeforeRestoreAt: Instant;
+  /** When the last restore was noticed, `undefined` after an answer or another failure. */
+  #restoreNoticedAt: Instant | undefined;
   #endsAt: Instant | undefined;
 
   constructor(now: Instant) {
     this.#lastBeforeRestoreAt = now;
   }
 
-  /** Records that the platform had not been restored at that time, according to an answer or a failure. */
-  noteNotRestored(at: Instant): void {
-    this.#lastBeforeRestoreAt = at;
+  /** Records an answer, which belongs to the epoch of the local catalogue. */
+  noteAnswer(now: Instant): void {
+    this.#lastBeforeRestoreAt = now;
+    this.#restoreNoticedAt = undefined;
+  }
+
+  /**
+   * Records a failure that shows the platform's state at that time. One from before a restore was noticed is
+   * no sign of another outage.
+   */
+  noteFailure(at: Instant): void {
+    if (this.#restoreNoticedAt === undefined || at > this.#restoreNoticedAt) {
+      this.#lastBeforeRestoreAt = at;
+      this.#restoreNoticedAt = undefined;
+    }
   }
 
   /** Records the platform's first answer after an outage. */
   noteOutageEnd(now: Instant): void {
-    this.#endsAt = after(now, MISSING_RECORD_GRACE_MS);
+    this.#endsAt = this.#limited(after(now, MISSING_RECORD_GRACE_MS));
   }
 
-  /** Records the first answer of a new epoch, which means that the platform was restored. */
+  /** Records the first answer, or the first peer's copy, of a new epoch: the platform was restored. */
   noteRestore(now: Instant): void {
-    this.#endsAt = instant(
-      Math.min(
-        after(now, MISSING_RECORD_GRACE_MS),
-        after(this.#lastBeforeRestoreAt, MAX_RESTORE_GRACE_MS),
-      ),
-    );
+    this.#restoreNoticedAt = now;
+    this.noteOutageEnd(now);
   }
 
   /** Returns until when a record that goes missing now is kept, `undefined` if it is dropped at once. */
@@ -54,8 +65,15 @@
       : undefined;
   }
 
-  /** Returns until when a record that goes missing now is kept while the platform does not answer. */
-  keptUntilDuringOutage(now: Instant): Instant {
-    return after(now, MISSING_RECORD_GRACE_MS);
+  /** The same while the platform does not answer. */
+  keptUntilDuringOutage(now: Instant): Instant | undefined {
+    const until = this.#limited(after(now, MISSING_RECORD_GRACE_MS));
+    return now < until ? until : undefined;
+  }
+
+  #limited(end: Instant): Instant {
+    return this.#restoreNoticedAt === undefined ? end : instant(
+      Math.min(end, after(this.#lastBeforeRestoreAt, MAX_RESTORE_GRACE_MS)),
+    );
   }
 }
