fix: a paused entry took the end of its pause for the time at which a read had ended

An answer or a failure that waits for the end of a pause counted as of then, so that the limit on the use of missing endpoints after a restore (3.2 s from the last moment at which the store was known not to be restored) began up to the length of the pause too late. It counts as of the sending of the read now.

--- a/packages/core/src/gateway/__tests__/restored_store.test.ts
+++ b/packages/core/src/gateway/__tests__/restored_store.test.ts
@@ -19,6 +19,10 @@
   readonly lostMs: number;
   readonly removedAfterMs: number;
   readonly quietMs: number;
+  /** How long before the restore the first entry is paused and after it goes on, if it is paused. */
+  readonly pause:
+    | { readonly beforeMs: number; readonly afterMs: number }
+    | undefined;
 }
 
 const drawn: fc.Arbitrary<Drawn> = fc.record({
@@ -35,11 +39,29 @@
   lostMs: fc.integer({ min: 0, max: 3_000 }),
   removedAfterMs: fc.integer({ min: 0, max: 2_000 }),
   quietMs: fc.integer({ min: 0, max: 4_000 }),
+  pause: fc.constant(undefined),
 });
 
-/** Runs a restore and returns the entries that used the removed endpoint for too long, with the last time. */
+const drawnWithPause: fc.Arbitrary<Drawn> = fc.record({
+  plan: drawn,
+  pause: fc.record({
+    beforeMs: fc.integer({ min: 0, max: 2_500 }),
+    afterMs: fc.integer({ min: 0, max: 2_500 }),
+  }),
+  silentMs: fc.integer({ min: 0, max: 300 }),
+  removedAfterMs: fc.integer({ min: 0, max: 300 }),
+}).map(({ plan, ...rest }) => ({ ...plan, ...rest }));
+
+/** Runs a restore and returns the entries that used the removed endpoint for too long. */
 function run(
-  { plans, silentMs, lostMs, removedAfterMs, quietMs }: Drawn,
+  {
+    plans,
+    silentMs,
+    lostMs,
+    removedAfterMs,
+    quietMs,
+    pause,
+  }: Drawn,
 ): { late: string[]; model: RestoredStoreModel } {
   const records = ENDPOINTS.map((id) => createEngine(id).record);
   const model = new RestoredStoreModel(plans, records);
@@ -48,7 +70,7 @@
   let restore = (): void => {};
   let removedAt: number | undefined;
   const late = new Set<string>();
-  const steps: { at: number; run: () => void }[] = [
+  const steps = [
     {
       at: RESTORED_AT_MS - silentMs - lostMs,
       run: () => restore = model.backup(),
@@ -68,7 +90,11 @@
         removedAt = model.now;
       },
     },
-  ];
+    ...pause === undefined ? [] : [
+      { at: RESTORED_AT_MS - pause.beforeMs, run: () => model.pause(0) },
+      { at: RESTORED_AT_MS + pause.afterMs, run: () => model.resume(0) },
+    ],
+  ].sort((left, right) => left.at - right.at);
   model.runUntil(RESTORED_AT_MS + removedAfterMs + SETTLED_MS, () => {
     while (steps.length > 0 && model.now >= steps[0]!.at) {
       steps.shift()!.run();
@@ -95,27 +121,30 @@
   return { late: [...late], model };
 }
 
-describe("entries that read a restored store and copy from each other", () => {
-  // Guards against requests to an endpoint that is gone, because an entry notices the restore late.
-  it("do not use an endpoint for long after its record was removed", () => {
-    fc.assert(
-      fc.property(drawn, (plan) => {
-        expect(run(plan).late).toEqual([]);
-      }),
-      { numRuns: 300, seed: 1 },
-    );
-  });
+describe.each([["running", drawn], ["one paused", drawnWithPause]])(
+  "entries that read a restored store and copy from each other, %s",
+  (_, plans) => {
+    // Guards against requests to an endpoint that is gone, because an entry notices the restore late.
+    it("do not use an endpoint for long after its record was removed", () => {
+      fc.assert(
+        fc.property(plans, (plan) => {
+          expect(run(plan).late).toEqual([]);
+        }),
+        { numRuns: 300, seed: 1 },
+      );
+    });
 
-  it("end with the store's endpoints", () => {
-    fc.assert(
-      fc.property(drawn, (plan) => {
-        const { model } = run(plan);
-        model.entries.forEach(({ position }, index) => {
-          expect(model.used(index)).toEqual(model.published);
-          expect(position.epoch).toBe(model.epoch);
-        });
-      }),
-      { numRuns: 300, seed: 1 },
-    );
-  });
-});
+    it("end with the store's endpoints", () => {
+      fc.assert(
+        fc.property(plans, (plan) => {
+          const { model } = run(plan);
+          model.entries.forEach(({ position }, index) => {
+            expect(model.used(index)).toEqual(model.published);
+            expect(position.epoch).toBe(model.epoch);
+          });
+        }),
+        { numRuns: 300, seed: 1 },
+      );
+    });
+  },
+);
--- a/packages/core/src/gateway/__tests__/restored_store_model.ts
+++ b/packages/core/src/gateway/__tests__/restored_store_model.ts
@@ -25,6 +25,8 @@
 import { SNAPSHOT } from "./resume_fixture.ts";
 
 const TICK_MS = 25;
+/** Stands for the store in place of an entry's index. */
+const STORE_INDEX = -1;
 
 interface Change {
   readonly revision: number;
@@ -34,6 +36,8 @@
 /** An event that is due at a time. */
 interface Due {
   readonly at: number;
+  /** The entry that handles it, which may be paused, or `STORE_INDEX`. */
+  readonly index: number;
   readonly run: () => void;
 }
 
@@ -64,6 +68,7 @@
   #history: Change[] = [];
   #records = new Map<EndpointId, EndpointRecord>();
   readonly #plans: readonly EntryPlan[];
+  readonly #paused = new Set<number>();
   readonly #dues = new Set<Due>();
   readonly #pending = new Set<PendingRead>();
   /** Positions of the entries at each tick. */
@@ -101,6 +106,15 @@
     this.#write({ kind: "endpointRemoved", id });
   }
 
+  pause(index: number): void {
+    this.#paused.add(index);
+  }
+
+  resume(index: number): void {
+    this.#paused.delete(index);
+    this.entries[index]!.handleWakeUp(instant(this.now));
+  }
+
   backup(): () => void {
     const records = new Map(this.#records);
     const revision = this.#revision;
@@ -120,14 +134,18 @@
   runUntil(end: number, check: () => void = () => {}): void {
     while (this.now < end) {
       this.now += TICK_MS;
-      const due = [...this.#dues].filter(({ at }) => at <= this.now)
+      const due = [...this.#dues].filter(({ at, index }) =>
+        at <= this.now && !this.#paused.has(index)
+      )
         .sort((left, right) => left.at - right.at);
       due.forEach((item) => {
         this.#dues.delete(item);
         item.run();
       });
       this.entries.forEach((entry, index) => {
-        if (this.now >= this.#plans[index]!.startAt) {
+        if (
+          this.now >= this.#plans[index]!.startAt && !this.#paused.has(index)
+        ) {
           entry.tick(instant(this.now));
         }
       });
@@ -165,18 +183,19 @@
 
   #carryOut(effect: GatewayEffect, index: number): void {
     const entry = this.entries[index]!;
-    const { copyMs, readMs } = this.#plans[index]!;
+    const { copyMs } = this.#plans[index]!;
     if (effect.kind === "copyCatalogue") {
       const peer = this.entries[Number(effect.address)]!;
-      this.#in(copyMs, () => {
+      this.#in(copyMs, Number(effect.address), () => {
         const snapshot = peer.snapshot();
         this.#in(
           copyMs,
+          index,
           () => entry.applyPeerCopy(snapshot, instant(this.now)),
         );
       });
     } else if (effect.kind === "readCatalogue") {
-      this.#read(effect, { entry, readMs });
+      this.#read(effect, index);
     }
   }
 
@@ -186,18 +205,21 @@
       wait: Milliseconds;
       timeout: Milliseconds;
     },
-    { entry, readMs }: { entry: CatalogueController; readMs: number },
+    index: number,
   ): void {
+    const entry = this.entries[index]!;
+    const { readMs } = this.#plans[index]!;
     if (this.silent) {
       this.#in(
         timeout,
+        index,
         () => entry.handleFailure("Timed out", instant(this.now)),
       );
       return;
     }
     const answer = (): void => {
       const apply = this.#answer(after, entry);
-      this.#in(readMs, apply);
+      this.#in(readMs, index, apply);
     };
     if (wait === 0 || this.#hasAnswer(after)) {
       return answer();
@@ -206,10 +228,14 @@
       answer,
       abort: () => {
         this.#dues.delete(due);
-        this.#in(0, () => entry.handleFailure("Reset", instant(this.now)));
+        this.#in(
+          0,
+          index,
+          () => entry.handleFailure("Reset", instant(this.now)),
+        );
       },
     };
-    const due = this.#in(wait, () => {
+    const due = this.#in(wait, STORE_INDEX, () => {
       if (this.#pending.delete(pending)) {
         answer();
       }
@@ -251,8 +277,8 @@
     pending.forEach(({ answer }) => answer());
   }
 
-  #in(time: number, run: () => void): Due {
-    const due = { at: this.now + time, run };
+  #in(time: number, index: number, run: () => void): Due {
+    const due = { at: this.now + time, index, run };
     this.#dues.add(due);
     return due;
   }
--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -88,6 +88,8 @@
   /** When the read under way was sent, and its timeout. */
   #readSentAt: Instant;
   #readTimeout = milliseconds(0);
+  /** Whether this process was paused after it sent that read. */
+  #pausedSinceRead = false;
   /** The highest epoch later than the local one that a peer reported. */
   #highestPeerEpoch = NO_POSITION.epoch;
   constructor(
@@ -180,6 +182,7 @@
 
   /** After a pause of the process, reads at once: the catalogue may be outdated. */
   handleWakeUp(now: Instant): void {
+    this.#pausedSinceRead = true;
     this.#schedule.readAtOnce(now);
   }
 
@@ -353,7 +356,7 @@
     this.#schedule.noteFailure(now);
     // A read that times out may have hung since before the platform came back.
     const timedOut = now - this.#readSentAt >= this.#readTimeout;
-    this.#grace.noteFailure(timedOut ? this.#readSentAt : now);
+    this.#grace.noteFailure(timedOut ? this.#readSentAt : this.#readEndAt(now));
     // A read that waited for changes may have hung and missed some.
     this.#fullReadNeeded = this.#fullReadNeeded || this.#schedule.failures > 1;
     if (this.reachable) {
@@ -399,6 +402,7 @@
     });
     this.#readSentAt = now;
     this.#readTimeout = milliseconds(READ_TIMEOUT_MS + wait);
+    this.#pausedSinceRead = false;
     this.#emit({
       kind: "readCatalogue",
       proof,
@@ -408,6 +412,11 @@
     });
   }
 
+  /** When the last read ended at the earliest: an answer or failure may have waited for the end of a pause. */
+  #readEndAt(now: Instant): Instant {
+    return this.#pausedSinceRead ? this.#readSentAt : now;
+  }
+
   /** Whether the local catalogue has changed since the last read was sent. */
   get #hasChangedSinceRead(): boolean {
     return !isSamePosition(this.#epochs.readPosition, this.position);
@@ -441,7 +450,7 @@
     now: Instant,
   ): void {
     if (!this.#restorePending) {
-      this.#grace.noteAnswer(now);
+      this.#grace.noteAnswer(this.#readEndAt(now));
     }
     this.#confirmation.notePosition(this.position);
     const holder = this.#freshness.evaluate(this.#local, { isFullRead, now });
