--- a/packages/core/src/gateway/catalogue_controller.ts
+++ b/packages/core/src/gateway/catalogue_controller.ts
@@ -88,6 +88,8 @@
   /** When the read under way was sent, and its timeout. */
   #readSentAt: Instant;
   #readTimeout = milliseconds(0);
+  /** Whether this process was paused after it sent that read. */
+  #pausedSinceRead = false;
   /** The highest epoch later than the local one that a peer reported. */
   #highestPeerEpoch = NO_POSITION.epoch;
   constructor(
@@ -180,6 +182,7 @@
 
   /** After a pause of the process, reads at once: the catalogue may be outdated. */
   handleWakeUp(now: Instant): void {
+    this.#pausedSinceRead = true;
     this.#schedule.readAtOnce(now);
   }
 
@@ -353,7 +356,7 @@
     this.#schedule.noteFailure(now);
     // A read that times out may have hung since before the platform came back.
     const timedOut = now - this.#readSentAt >= this.#readTimeout;
-    this.#grace.noteNotRestored(timedOut ? this.#readSentAt : now);
+    this.#grace.noteFailure(timedOut ? this.#readSentAt : this.#readEndAt(now));
     // A read that waited for changes may have hung and missed some.
     this.#fullReadNeeded = this.#fullReadNeeded || this.#schedule.failures > 1;
     if (this.reachable) {
@@ -374,10 +377,11 @@
     if (!isLaterPosition({ epoch, revision }, this.position)) {
       return;
     }
-    const keptUntil = this.#keptUntil(now);
     if (epoch === this.position.epoch) {
-      this.#local.applySnapshot(snapshot, keptUntil);
+      this.#local.applySnapshot(snapshot, this.#keptUntil(now));
     } else {
+      this.#grace.noteRestore(now);
+      const keptUntil = this.#keptUntil(now);
       this.#local.applyRestoredSnapshot(snapshot, { keptUntil, now });
       this.#freshness.noteRestore(now);
       // Only this entry's own full read shows which parts of the copy the restored platform is missing.
@@ -398,6 +402,7 @@
     });
     this.#readSentAt = now;
     this.#readTimeout = milliseconds(READ_TIMEOUT_MS + wait);
+    this.#pausedSinceRead = false;
     this.#emit({
       kind: "readCatalogue",
       proof,
@@ -407,6 +412,11 @@
     });
   }
 
+  /** When the last read ended at the earliest: an answer or failure may have waited for the end of a pause. */
+  #readEndAt(now: Instant): Instant {
+    return this.#pausedSinceRead ? this.#readSentAt : now;
+  }
+
   /** Whether the local catalogue has changed since the last read was sent. */
   get #hasChangedSinceRead(): boolean {
     return !isSamePosition(this.#epochs.readPosition, this.position);
@@ -440,7 +450,7 @@
     now: Instant,
   ): void {
     if (!this.#restorePending) {
-      this.#grace.noteNotRestored(now);
+      this.#grace.noteAnswer(this.#readEndAt(now));
     }
     this.#confirmation.notePosition(this.position);
     const holder = this.#freshness.evaluate(this.#local, { isFullRead, now });
--- a/packages/daemon/src/gateway/__tests__/wire_fixture.ts
+++ b/packages/daemon/src/gateway/__tests__/wire_fixture.ts
@@ -103,7 +103,7 @@
     };
   },
   healthHeaders: () => [],
-  readColdTime: () => undefined,
+  readHealth: () => ({ coldFor: undefined, isProved: true }),
   answerHeaders: (headers) =>
     headers.filter((_, index) =>
       !/^(transfer-encoding|connection)$/i.test(headers[index - index % 2]!)
@@ -216,7 +216,8 @@
   return { seen, done, call };
 }
 
-function decideDefault(event: GatewayEvent): GatewayEffect[] {
+/** Sends each request, and forwards each answer but refusals. */
+export function decideDefault(event: GatewayEvent): GatewayEffect[] {
   if (event.kind === "commit") {
     return [{
       kind: "proceed",
--- a/playground/src/bytes/process_entry.ts
+++ b/playground/src/bytes/process_entry.ts
@@ -39,11 +39,13 @@
 /** An entry in its own process. */
 export class ProcessEntry {
   readonly callers: string;
+  readonly directory: string;
   readonly readiness: string;
   readonly control: string;
   readonly #folder = mkdtempSync(join(tmpdir(), "entry-"));
   readonly #lines: LogLine[] = [];
   readonly #settings: string;
+  readonly #settingsText: string;
   readonly #options: ProcessOptions;
   #process: ChildProcess;
   #exited: Promise<unknown>;
@@ -57,10 +59,12 @@
   ) {
     this.#options = process;
     this.callers = `${options.host}:${ports[0]}`;
+    this.directory = `${options.host}:${ports[1]}`;
     this.readiness = `${options.host}:${ports[2]}`;
     this.control = `${options.host}:${ports[3]}`;
     this.#settings = join(this.#folder, "entry.ini");
-    writeFileSync(this.#settings, formatSettings(options, ports));
+    this.#settingsText = formatSettings(options, ports);
+    this.changeSettings((text) => text);
     this.#process = this.#spawn();
     this.#exited = once(this.#process, "exit");
   }
@@ -80,6 +84,11 @@
     return child;
   }
 
+  /** Writes the settings file with changes to its first text. The process reads it at a SIGHUP. */
+  changeSettings(change: (text: string) => string): void {
+    writeFileSync(this.#settings, change(this.#settingsText));
+  }
+
   /** Kills the process and starts another one with the same addresses. */
   async restart(): Promise<void> {
     this.signal("SIGKILL");
--- a/playground/src/guards/route_guards.ts
+++ b/playground/src/guards/route_guards.ts
@@ -44,6 +44,20 @@
     find: 'return target.kind === "peer" || !reusedConnection;',
     replace: 'return target.kind === "peer" || reusedConnection !== undefined;',
   },
+  {
+    point: "routes: not run is true",
+    name: "a connection on which a request was refused is not used again",
+    file: `${DAEMON}/outbound_call.ts`,
+    find: 'if (head.notRun && this.#attempt.target.kind === "endpoint") {',
+    replace: "if (head.notRun && this.#connection === undefined) {",
+  },
+  {
+    point: "routes: not run is true",
+    name: "the answer to a health check names no request",
+    file: "platform/src/endpoint_protocol.ts",
+    find: "isProved: !isOfCall && status === FIRST_SUCCESS &&",
+    replace: "isProved: status === FIRST_SUCCESS &&",
+  },
   {
     point: "routes: a document is never older than what its caller has seen",
     name: "a peer's newer document is waited for",
--- a/soak/src/actions/action_caller.ts
+++ b/soak/src/actions/action_caller.ts
@@ -6,12 +6,21 @@
 import { Agent, request } from "node:http";
 import { setTimeout as pause } from "node:timers/promises";
 import { HEADERS } from "@sassafrasstep/platform";
-import { type ActionPlan, mustRunOnce } from "./action_plan.ts";
+import {
+  type ActionPlan,
+  isResumable,
+  isStream,
+  mustRunOnce,
+} from "./action_plan.ts";
+import { KEYS } from "./key_plan.ts";
+import { requestBody } from "./body_watch.ts";
 
 /** What a caller saw of one of its requests. */
 export interface ObservedAnswer {
   readonly plan: ActionPlan;
   readonly call: string;
+  /** Entry that was asked. */
+  readonly entry: number;
   /** 0 if no answer came. */
   readonly status: number;
   readonly body: string;
@@ -52,8 +61,8 @@
     const answers: ObservedAnswer[] = [];
     const endsAt = performance.now() + plan.timeMs;
     let resumed: { call: string; after: number } | undefined;
+    let call = plan.id;
     for (let index = 0; index < MAX_REQUESTS; index++) {
-      const call = index === 0 ? plan.id : `${plan.id}-${index}`;
       const answer = await this.#send(plan, {
         call,
         entry: index === 0 ? plan.entry : plan.nextEntry,
@@ -62,7 +71,7 @@
       });
       answers.push(answer);
       const lastEvent = lastEventOf(answer);
-      if (plan.route === "resume" && lastEvent > 0) {
+      if (isResumable(plan.route) && lastEvent > 0) {
         resumed = { call: resumed?.call ?? call, after: lastEvent };
       }
       const wait = (answer.retryAfterS ?? 0) * 1_000;
@@ -73,6 +82,9 @@
       ) {
         break;
       }
+      if (!plan.keepsId || !PROMISE_STATUSES.has(answer.status)) {
+        call = `${plan.id}-${index + 1}`;
+      }
       await pause(wait);
     }
     return answers;
@@ -92,7 +104,7 @@
     },
   ): Promise<ObservedAnswer> {
     const [host, port] = this.#addressOf(entry).split(":");
-    const isStream = plan.route === "stream" || plan.route === "resume";
+    const body = requestBody(call, plan.bodyBytes);
     const askedAt = performance.now();
     return new Promise((resolve) => {
       const parts: Buffer[] = [];
@@ -110,6 +122,7 @@
         resolve({
           plan,
           call,
+          entry,
           status,
           body: Buffer.concat(parts).toString("latin1"),
           seal: headers[HEADERS.seal]?.toString(),
@@ -136,8 +149,9 @@
           host: "kiosk.example",
           [HEADERS.callId]: call,
           [HEADERS.timeLeft]: String(timeMs),
-          "content-length": plan.bodyBytes,
-          ...(isStream ? { [HEADERS.tokenCounts]: "10,100" } : {}),
+          ...(plan.key === undefined ? {} : { [HEADERS.key]: KEYS[plan.key] }),
+          "content-length": body.length,
+          ...(isStream(plan.route) ? { [HEADERS.tokenCounts]: "10,100" } : {}),
           ...(resumed === undefined ? {} : {
             [HEADERS.lastEventId]: String(resumed.after),
             [HEADERS.resumedCall]: resumed.call,
@@ -151,7 +165,7 @@
         answer.on("error", () => finish("broken"));
       });
       outgoing.on("error", () => finish("broken"));
-      outgoing.end("x".repeat(plan.bodyBytes));
+      outgoing.end(body);
       const patience = setTimeout(() => finish("open"), timeMs + EXTRA_WAIT_MS);
       const leaving = plan.leavesAfterMs === undefined
         ? undefined
@@ -160,6 +174,11 @@
   }
 }
 
+/** Name of the entry that a caller sent a request to. */
+export function entryOf({ call, plan }: ObservedAnswer): string {
+  return `entry-${1 + (call === plan.id ? plan.entry : plan.nextEntry)}`;
+}
+
 /** Number of the last event that the caller has received whole. */
 function lastEventOf({ body, after }: ObservedAnswer): number {
   const ids = [...body.matchAll(/id: (\d+)\ndata: .*\n\n/g)];
--- a/soak/src/actions/ledger_endpoint.ts
+++ b/soak/src/actions/ledger_endpoint.ts
@@ -16,7 +16,7 @@
   onRequests,
   type RawRequest,
 } from "@sassafrasstep/playground/bytes";
-import type { ExtraBehaviour, RunPlan } from "./behaviours.ts";
+import type { ExtraTime, RefusingBehaviour, RunPlan } from "./behaviours.ts";
 import { answerParts, formatExtra, formatRefusal } from "./answer_bytes.ts";
 import { endRun, type Run, type RunLedger } from "./run_ledger.ts";
 
@@ -34,8 +34,11 @@
 /** What an endpoint needs from the fleet. */
 export interface EndpointContext {
   readonly ledger: RunLedger;
-  /** The plan for the next request of a call that reaches an endpoint. */
-  readonly plan: (call: string) => RunPlan;
+  /** The plan for the next request of a call that reaches an endpoint, from the entry of a remote port. */
+  readonly plan: (
+    call: string,
+    from: { readonly endpoint: string; readonly port: number },
+  ) => RunPlan;
   /** The entry that opened a connection, by its remote port. */
   readonly entryOf: (remotePort: number) => string;
 }
@@ -44,6 +47,8 @@
 interface EndpointConnection {
   readonly socket: Socket;
   requests: number;
+  /** Copies of refusals, to be sent when the same request arrives again. */
+  readonly copies: Map<string, string>;
 }
 
 /** A place for an endpoint process: the process may end, and others may start at the same address. */
@@ -102,7 +107,11 @@
   }
 
   #accept(socket: Socket): void {
-    const connection: EndpointConnection = { socket, requests: 0 };
+    const connection: EndpointConnection = {
+      socket,
+      requests: 0,
+      copies: new Map(),
+    };
     this.#sockets.add(socket);
     socket.setNoDelay(true);
     socket.on("close", () => this.#sockets.delete(socket));
@@ -122,15 +131,21 @@
     if (this.isHung) {
       return;
     }
-    const plan = this.#context.plan(call);
+    const copy = connection.copies.get(call);
+    if (copy !== undefined) {
+      connection.copies.delete(call);
+      socket.write(copy);
+    }
+    const plan = this.#context.plan(call, {
+      endpoint: this.id,
+      port: socket.remotePort ?? 0,
+    });
     const { behaviour } = plan;
-    if (behaviour.kind === "refuses" || this.#running >= this.#slots) {
-      const { status = UNAVAILABLE, retryAfterS = undefined } =
-        behaviour.kind === "refuses" ? behaviour : {};
-      const lines = retryAfterS === undefined
-        ? []
-        : [`${HEADERS.retryAfter}: ${retryAfterS}`];
-      socket.write(formatRefusal(status, call, lines));
+    if (behaviour.kind === "refuses") {
+      return refuse(connection, call, behaviour);
+    }
+    if (this.#running >= this.#slots) {
+      socket.write(formatRefusal(UNAVAILABLE, call));
       return;
     }
     void this.#run(connection, { request, plan });
@@ -210,34 +225,49 @@
       setTimeout(() => socket.end(), IDLE_CLOSE_MS);
     }
     if (behaviour.kind === "extra") {
-      this.#sendExtra(socket, behaviour, { call: run.call, parts });
+      const bytes = formatExtra(behaviour, run.call, parts);
+      sendExtra(socket, bytes, behaviour.time);
     }
   }
+}
+
+function refuse(
+  { socket, copies }: EndpointConnection,
+  call: string,
+  { status, retryAfterS, copy }: RefusingBehaviour,
+): void {
+  const lines = retryAfterS === undefined
+    ? []
+    : [`${HEADERS.retryAfter}: ${retryAfterS}`];
+  const bytes = formatRefusal(status, call, lines);
+  socket.write(bytes);
+  if (copy === "beforeSame") {
+    copies.set(call, bytes);
+  } else if (copy !== undefined) {
+    sendExtra(socket, bytes, copy);
+  }
+}
 
-  #sendExtra(
-    socket: Socket,
-    behaviour: ExtraBehaviour,
-    { call, parts }: { call: string; parts: readonly string[] },
-  ): void {
-    const bytes = formatExtra(behaviour, call, parts);
-    switch (behaviour.time) {
-      case "withEnd":
-        socket.write(bytes, "latin1");
-        return;
-      case "later":
-        setTimeout(() => {
-          if (!socket.destroyed) {
-            socket.write(bytes, "latin1");
-          }
-        }, EXTRA_DELAY_MS);
-        return;
-      case "beforeNext":
-        socket.once("data", () => {
-          if (!socket.destroyed) {
-            socket.write(bytes, "latin1");
-          }
-        });
+/** Sends bytes that belong to no request. */
+function sendExtra(
+  socket: Socket,
+  bytes: string,
+  time: Exclude<ExtraTime, "beforeSame">,
+): void {
+  const send = (): void => {
+    if (!socket.destroyed) {
+      socket.write(bytes, "latin1");
     }
+  };
+  switch (time) {
+    case "withEnd":
+      return send();
+    case "later":
+      setTimeout(send, EXTRA_DELAY_MS);
+      return;
+    case "beforeNext":
+      // Before the listener that answers the next request.
+      socket.prependOnceListener("data", send);
   }
 }
 
--- a/soak/src/actions/run_ledger.ts
+++ b/soak/src/actions/run_ledger.ts
@@ -33,9 +33,19 @@
   closedAt?: number;
 }
 
+/** A request that reached an endpoint which could run it, and may have been refused. */
+export interface Arrival {
+  readonly call: string;
+  readonly endpoint: string;
+  /** The entry that sent the request. */
+  readonly entry: string;
+  readonly at: number;
+}
+
 /** Records runs of all endpoints. */
 export class RunLedger {
   readonly runs: Run[] = [];
+  readonly arrivals: Arrival[] = [];
   readonly #byCall = new Map<string, Run[]>();
 
   begin(run: Run): void {
@@ -56,3 +66,8 @@
   run.end ??= end;
   run.endedAt ??= now;
 }
+
+/** Index of the endpoint's place, from the id of the process. */
+export function indexOfEndpoint({ endpoint }: Pick<Run, "endpoint">): number {
+  return Number(endpoint.split("-")[1]) - 1;
+}
--- a/soak/src/guard_list.ts
+++ b/soak/src/guard_list.ts
@@ -8,6 +8,12 @@
 const CORE_GATEWAY = "packages/core/src/gateway";
 const DAEMON_GATEWAY = "packages/daemon/src/gateway";
 const POINT = "streams byte by byte";
+const CHANGE_POINT = "changes in force in time";
+const KEY_POINT = "keys and limits of customers";
+const USAGE_POINT = "memory and descriptors";
+const BYTE_POINT = "bytes that nobody would send";
+const DEATH_POINT = "entries that end, and recovery";
+const PLACE_POINT = "homes and attempts";
 const ACTION_POINT = "actions run once, and refusals are true";
 
 /** A guard and the kinds of waves, separated by commas, that are played without it. */
@@ -18,8 +24,13 @@
 const FAULT_KINDS = "stops,ends";
 const PAUSE_KINDS = "stalls,pauses";
 const SLOW_KINDS = "slow";
-/** Stands for the waves of actions, which are played by a program of their own. */
-export const ACTION_WAVES = "actions";
+/** Prefix of the kinds of waves of actions, which are played by a program of their own. */
+export const ACTION_WAVES = "actions:";
+const LINK_WAVES = `${ACTION_WAVES}links`;
+const REFUSAL_WAVES = `${ACTION_WAVES}refusals`;
+const DEATH_WAVES = `${ACTION_WAVES}deaths`;
+const CHANGE_WAVES = `${ACTION_WAVES}changes`;
+const KEY_WAVES = `${ACTION_WAVES}keys`;
 
 /** All guards that the soak test checks. */
 export const SOAK_GUARDS: readonly SoakGuard[] = [
@@ -164,7 +175,7 @@
   },
   {
     point: ACTION_POINT,
-    kinds: ACTION_WAVES,
+    kinds: LINK_WAVES,
     name: "a refusal on a used connection names its request",
     file: "platform/src/endpoint_protocol.ts",
     find: 'return target.kind === "peer" || !reusedConnection;',
@@ -172,7 +183,15 @@
   },
   {
     point: ACTION_POINT,
-    kinds: ACTION_WAVES,
+    kinds: REFUSAL_WAVES,
+    name: "a connection on which a request was refused is not used again",
+    file: `${DAEMON_GATEWAY}/outbound_call.ts`,
+    find: 'if (head.notRun && this.#attempt.target.kind === "endpoint") {',
+    replace: "if (head.notRun && this.#connection === undefined) {",
+  },
+  {
+    point: ACTION_POINT,
+    kinds: LINK_WAVES,
     name: "an endpoint's status alone promises nothing",
     file: `${CORE_GATEWAY}/call_controller.ts`,
     find: "if (promisesNotRun(answer.status)) {",
@@ -180,7 +199,7 @@
   },
   {
     point: ACTION_POINT,
-    kinds: ACTION_WAVES,
+    kinds: LINK_WAVES,
     name: "two answers that ran into one are no answer",
     file: `${DAEMON_GATEWAY}/outbound_call.ts`,
     find: "if (containsStatusLine(reason, this.#headers)) {",
@@ -188,7 +207,7 @@
   },
   {
     point: ACTION_POINT,
-    kinds: ACTION_WAVES,
+    kinds: LINK_WAVES,
     name: "a lost attempt may have run",
     file: "packages/core/src/verdict/verdict.ts",
     find: 'state === "sent" || state === "lost"',
@@ -196,7 +215,7 @@
   },
   {
     point: ACTION_POINT,
-    kinds: ACTION_WAVES,
+    kinds: LINK_WAVES,
     name: "an action is not sent again after it was lost",
     file: `${CORE_GATEWAY}/call_recovery.ts`,
     find: "if (!call.mayRetry || !this.#hasAlternative(call, now)) {",
@@ -204,7 +223,7 @@
   },
   {
     point: ACTION_POINT,
-    kinds: ACTION_WAVES,
+    kinds: LINK_WAVES,
     name: "a peer's failure is no refusal",
     file: "platform/src/endpoint_protocol.ts",
     find: "? isRefusedByEntry(headers)",
@@ -212,10 +231,105 @@
   },
   {
     point: ACTION_POINT,
-    kinds: ACTION_WAVES,
+    kinds: LINK_WAVES,
     name: "a success names its request",
     file: "platform/src/endpoint_protocol.ts",
     find: "return isSealed && echoedCall === call && !isMarked;",
     replace: "return isSealed && !isMarked;",
   },
+  {
+    point: PLACE_POINT,
+    kinds: LINK_WAVES,
+    name: "a request with homes stays there",
+    file: "packages/core/src/routes/route.ts",
+    find: "return route.homes.length === 0 || route.homes.includes(region);",
+    replace: "return region !== undefined || route.homes.length === 0;",
+  },
+  {
+    point: PLACE_POINT,
+    kinds: LINK_WAVES,
+    name: "a request is sent to no more endpoints than its route allows",
+    file: `${CORE_GATEWAY}/call_recovery.ts`,
+    find: "call.possibleDeliveries < call.route.attempts &&",
+    replace: "",
+  },
+  {
+    point: DEATH_POINT,
+    kinds: DEATH_WAVES,
+    name: "the directory forgets an entry that has ended",
+    file: "packages/core/src/fleet/fleet_controller.ts",
+    find: "export const SUSPICION_TIMEOUT_MS = 2_000;",
+    replace: "export const SUSPICION_TIMEOUT_MS = 20_000;",
+    also: [{
+      file: "packages/core/src/fleet/fleet_controller.ts",
+      find: 'return this.#members.withHealth("live");',
+      replace: "return this.#members.possiblyLive();",
+    }],
+  },
+  {
+    point: CHANGE_POINT,
+    kinds: CHANGE_WAVES,
+    name: "an evacuated zone receives nothing",
+    file: `${CORE_GATEWAY}/evacuations.ts`,
+    find: `  begin(zone: ZoneId): void {
+    this.zones.add(zone);`,
+    replace: "  begin(zone: ZoneId): void {",
+  },
+  {
+    point: CHANGE_POINT,
+    kinds: CHANGE_WAVES,
+    name: "an endpoint that is draining receives nothing",
+    file: `${CORE_GATEWAY}/endpoint_registry.ts`,
+    find: 'return record.state === "ready" && !this.#isLeaving(record);',
+    replace: "return !this.#isLeaving(record);",
+  },
+  {
+    point: CHANGE_POINT,
+    kinds: CHANGE_WAVES,
+    name: "a request ends with its route's timeout",
+    file: `${CORE_GATEWAY}/call_controller.ts`,
+    find: "Math.min(head.timeLeft ?? route.timeout, route.timeout);",
+    replace: "head.timeLeft ?? route.timeout;",
+  },
+  {
+    point: CHANGE_POINT,
+    kinds: CHANGE_WAVES,
+    name: "lists state the lifetime of the settings in force",
+    file: `${CORE_GATEWAY}/gateway.ts`,
+    find: "bounds: this.#bounds,",
+    replace: "bounds: this.self.bounds,",
+  },
+  {
+    point: KEY_POINT,
+    kinds: KEY_WAVES,
+    name: "a key that nobody has opens nothing",
+    file: "packages/core/src/customers/check_key.ts",
+    find: 'return { kind: "unknown" };',
+    replace: 'return { kind: "accepted", customer: undefined };',
+  },
+  {
+    point: KEY_POINT,
+    kinds: KEY_WAVES,
+    name: "entries share the limit of a customer",
+    file: "packages/core/src/customers/limit_bucket.ts",
+    find: "Math.min(room, elapsedSeconds * this.#limit.perSecond * share);",
+    replace:
+      "Math.min(room, elapsedSeconds * this.#limit.perSecond * 9 * share);",
+  },
+  {
+    point: USAGE_POINT,
+    kinds: `${ACTION_WAVES}long`,
+    name: "idle connections between entries are closed",
+    file: `${DAEMON_GATEWAY}/ingress.ts`,
+    find: "const DEFAULT_IDLE_MS = 60_000;",
+    replace: "const DEFAULT_IDLE_MS = 600_000;",
+  },
+  {
+    point: BYTE_POINT,
+    kinds: `${ACTION_WAVES}bytes`,
+    name: "a target that is no URL does not end the entry",
+    file: "platform/src/directory.ts",
+    find: "return URL.canParse(text) ? new URL(text) : undefined;",
+    replace: "return new URL(text);",
+  },
 ];
