fix: a waiting request was given a connection that ended with the answer before

Cause: the end of an answer was reported inside the client's callback, and the gateway placed the next request on the connection in the same step; the client closes the connection after the callback. Fix: the end is reported once what was read has been parsed, and a connection whose socket is closed is not kept. An attempt that is withdrawn before the write is no sign of its endpoint's health.

--- a/packages/core/src/gateway/call_recovery.ts
+++ b/packages/core/src/gateway/call_recovery.ts
@@ -203,12 +203,13 @@
     },
   ): void {
     const { state, sentAt } = attempt;
-    if (sentAt !== undefined) {
-      // Its connection ended between the decision to send and the write.
+    // The connection was established and ended between the decision to send and the write.
+    const isWithdrawn = sentAt !== undefined;
+    if (isWithdrawn) {
       call.sentAttempts -= countAttempts(call, attempt);
       call.offered -= state === undefined ? 0 : 1;
     }
-    if (detail !== CONNECTION_LIMIT_REACHED) {
+    if (!isWithdrawn && detail !== CONNECTION_LIMIT_REACHED) {
       state?.health.recordOutcome("unreached", now);
     }
     if (state !== undefined && refused) {
--- a/packages/daemon/src/gateway/connection_pool.ts
+++ b/packages/daemon/src/gateway/connection_pool.ts
@@ -100,6 +100,11 @@
     return this.#requests > 1;
   }
 
+  /** Whether the connection can carry another request. */
+  get isUsable(): boolean {
+    return !this.failed && !this.#socket.destroyed;
+  }
+
   /** Notes that a request is about to be sent. */
   beginAnswer(): void {
     this.#requests++;
@@ -203,7 +208,7 @@
   /** Returns a connection to the pool when its request has ended, unless the connection has failed. */
   release(connection: Connection, now: Instant): void {
     connection.resumeReading();
-    if (connection.failed) {
+    if (!connection.isUsable) {
       return;
     }
     connection.idleSince = now;
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -218,10 +218,17 @@
   }
 
   onResponseEnd(): void {
+    const isCutOff = !this.#framed && this.#connection?.failed === true;
+    // The client closes the connection after this call, if the answer says so or more bytes were read with its end.
+    // A request that waits for the connection would not be written.
+    queueMicrotask(() => this.#end(isCutOff));
+  }
+
+  #end(isCutOff: boolean): void {
     if (this.#finished) {
       return;
     }
-    if (!this.#framed && this.#connection?.failed === true) {
+    if (isCutOff) {
       return this.#reportEnd({ kind: "lost", detail: "Answer was cut off" });
     }
     switch (this.#mode) {
