fix: a connection that was closed after a refusal still counted against the limit

A request that was placed in between, at the limit, found no connection.

The count falls when this side closes the connection; the event counts once. connection_pool.test.ts: the new case fails without the change.

--- a/packages/daemon/src/gateway/__tests__/connection_pool.test.ts
+++ b/packages/daemon/src/gateway/__tests__/connection_pool.test.ts
@@ -53,6 +53,13 @@
     expect(other).not.toBe(kept);
   });
 
+  // Guards against a request that finds no place at its endpoint because a closed connection still counts.
+  it("makes room as soon as one is closed", async () => {
+    const first = await acquire({ limit: 1 }) as Connection;
+    first.close();
+    expect(await acquire({ limit: 1 })).not.toBeInstanceOf(ConnectError);
+  });
+
   it("enforces the limit and closes an idle one to make room", async () => {
     const first = await acquire({ limit: 2 }) as Connection;
     await acquire({ limit: 2 });
--- a/packages/daemon/src/gateway/connection_pool.ts
+++ b/packages/daemon/src/gateway/connection_pool.ts
@@ -57,6 +57,7 @@
   readonly client: Client;
   readonly address: string;
   readonly #socket: PausableSocket;
+  readonly #onClosing: () => void;
   idleSince: Instant;
   /**
    * Whether the connection has failed or was closed. An answer without a length ends with its connection; if
@@ -70,10 +71,16 @@
   /** Whether the client has received the socket, which it requests with its first request. */
   #handedOut = false;
 
-  constructor(socket: PausableSocket, address: string, now: Instant) {
+  /** `onClosing` is called when the connection is closed by this side, before the socket reports it. */
+  constructor(
+    socket: PausableSocket,
+    address: string,
+    { now, onClosing }: { now: Instant; onClosing: () => void },
+  ) {
     this.#socket = socket;
     this.address = address;
     this.idleSince = now;
+    this.#onClosing = onClosing;
     socket.on("error", () => this.failed = true);
     socket.on("end", () => {
       if (!this.#handedOut) {
@@ -130,9 +137,8 @@
   close(): void {
     this.failed = true;
     this.client.destroy().catch(ignoreCloseError);
-    if (!this.#handedOut) {
-      this.#socket.destroy();
-    }
+    this.#socket.destroy();
+    this.#onClosing();
   }
 }
 
@@ -165,6 +171,8 @@
 export class ConnectionPool {
   readonly #idleByAddress = new Map<string, Connection[]>();
   readonly #openCounts = new Map<string, number>();
+  /** Sockets that are counted as open. */
+  readonly #open = new WeakSet<Socket>();
   /** Number of connections opened since the start, for metrics. */
   opened = 0;
 
@@ -285,11 +293,21 @@
   #countOpen(socket: Socket, address: string): void {
     this.#adjustOpenCount(address, 1);
     this.opened++;
-    socket.once("close", () => this.#adjustOpenCount(address, -1));
+    this.#open.add(socket);
+    socket.once("close", () => this.#discount(socket, address));
+  }
+
+  #discount(socket: Socket, address: string): void {
+    if (this.#open.delete(socket)) {
+      this.#adjustOpenCount(address, -1);
+    }
   }
 
   #adopt(socket: PausableSocket, address: string, now: Instant): Connection {
-    const connection = new Connection(socket, address, now);
+    const connection = new Connection(socket, address, {
+      now,
+      onClosing: () => this.#discount(socket, address),
+    });
     socket.once("close", () => this.#removeIdle(connection));
     return connection;
   }
