--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -268,6 +268,29 @@
   });
 });
 
+describe("a request whose attempt is still connecting", () => {
+  // Guards against a stop that tells callers of requests which were not sent that these may have run.
+  it("has not run when its entry stops", () => {
+    const { controller, effects, asked } = build();
+    asked.decision = {
+      kind: "endpoint",
+      placement: {
+        kind: "chosen",
+        state: createEngine("e1"),
+        prefill: 0,
+        tokens: 0,
+        fetchFrom: undefined,
+      },
+    };
+    arrive(controller, "a", 500);
+    controller.endAll(instant(1));
+    expect(effects.at(-1)).toMatchObject({
+      kind: "refuse",
+      refusal: { status: 503, verdict: { kind: "not_run" } },
+    });
+  });
+});
+
 describe("a request whose customer had its share", () => {
   /** What a peer reports: most was placed for the customer of the requests here, which have none. */
   function peerDemand({ ownWaits, othersWait }: {
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -290,8 +290,9 @@
   /** Aborts the attempt in progress, if there is one. */
   abandon(call: Call, now: Instant): void {
     if (call.attempt !== undefined) {
-      this.#deps.emit({ kind: "abort", attempt: call.attempt.id });
-      this.close(call, "lost", now);
+      const { id, sentAt } = call.attempt;
+      this.#deps.emit({ kind: "abort", attempt: id });
+      this.close(call, sentAt === undefined ? "unsent" : "lost", now);
     }
   }
 
