test: a timer and the data before it start in one turn of the event loop

Traced: the timer of 20 ms began before the turn in which the data is sent, so that a process that is held up in between has a timer that was due before any data was. Blocking 25 ms there fails the test each time (8 passed, 1 failed). The guarantee is about data that had arrived when the timer was due, and was kept.

The timer now starts in the turn that sends the data and blocks until it is due; the checks are the same. 9 passed, three times.

--- a/packages/daemon/src/timers/__tests__/after_poll.test.ts
+++ b/packages/daemon/src/timers/__tests__/after_poll.test.ts
@@ -30,9 +30,10 @@
     server.close();
   });
 
-  /** Sends data directly before the event loop is blocked. */
-  const sendAndBlock = (): void => {
+  /** Starts a timer, sends data and blocks the event loop until the timer is due. */
+  const sendAndBlock = (startTimer: () => void): void => {
     setImmediate(() => {
+      startTimer();
       peer.write("x");
       blockEventLoop(50);
     });
@@ -41,22 +42,20 @@
   it("fires after data that had arrived when it was due", async () => {
     const order: string[] = [];
     client.once("data", () => order.push("data"));
-    const fired = new Promise<void>((resolve) =>
-      afterPoll(20, () => {
-        order.push("timer");
-        resolve();
-      })
+    await new Promise<void>((resolve) =>
+      sendAndBlock(() =>
+        afterPoll(20, () => {
+          order.push("timer");
+          resolve();
+        })
+      )
     );
-    sendAndBlock();
-    await fired;
     expect(order).toEqual(["data", "timer"]);
   });
 
   it("can be cancelled by data that is read just before", async () => {
     let fired = false;
-    const cancel = afterPoll(20, () => fired = true);
-    client.once("data", cancel);
-    sendAndBlock();
+    sendAndBlock(() => client.once("data", afterPoll(20, () => fired = true)));
     await wait(100);
     expect(fired).toBe(false);
   });
