guards: the text of one guard has moved

Two places note a restore since copies from peers do; the guard of the one that follows a read names it with the line before. Without it tests of restored stores fail in the core's gateway.

--- a/playground/src/guards/epoch_guards.ts
+++ b/playground/src/guards/epoch_guards.ts
@@ -62,8 +62,8 @@
     point: POINT,
     name: "endpoints that a copy lacks are used for a while",
     file: CONTROLLER,
-    find: "      this.#grace.noteRestore(now);",
-    replace: "      this.#grace.noteNotRestored(now);",
+    find: "this.#restorePending = true;\n      this.#grace.noteRestore(now);",
+    replace: "this.#restorePending = true;\n      this.#grace.noteAnswer(now);",
   },
   {
     point: POINT,
