--- a/packages/daemon/src/gateway/__tests__/outbound_call.test.ts
+++ b/packages/daemon/src/gateway/__tests__/outbound_call.test.ts
@@ -1,5 +1,6 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Socket } from "node:net";
+import type { GatewayEffect, GatewayEvent } from "@sassafrasstep/core";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { ConnectionPool } from "../connection_pool.ts";
 import {
@@ -178,6 +179,35 @@
       expect(endpoint.connections).toBe(2);
     });
 
+    // Guards against the copy of a refusal, proved or not, that is taken for the answer to the next request.
+    it.each([
+      ["states that nothing ran", "x-call: c1\r\nx-not-run: 1\r\n"],
+      ["states nothing", "x-call: c1\r\n"],
+    ])(
+      "uses another connection after a refusal that %s",
+      async (_name, lines) => {
+        const refusal = `HTTP/1.1 503 No\r\n${lines}content-length: 0\r\n\r\n`;
+        endpoint = await listenRaw((socket) =>
+          socket.write(
+            endpoint!.requests.length === 1
+              ? refusal
+              : endpoint!.connections === 1
+              ? refusal + `${LENGTH}hello`
+              : `${LENGTH}hello`,
+          )
+        );
+        const decide = (event: GatewayEvent): GatewayEffect[] =>
+          event.kind === "answered" && event.answer.status === 503
+            ? []
+            : decideDefault(event);
+        await attempt(endpoint.address, { connections, decide }).done;
+        const second = await attempt(endpoint.address, { connections, decide })
+          .done;
+        expect(second.body).toBe("hello");
+        expect(endpoint.connections).toBe(2);
+      },
+    );
+
     // Guards against a request that waits on a connection which ends with the answer before, and fails unsent.
     it.each([
       ["has an extra answer behind it", `${LENGTH}hello${LENGTH}extra`],
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -3,16 +3,17 @@
  *
  * @module
  */
-import type {
-  CallAttempt,
-  CallEnd,
-  GatewayEffect,
-  GatewayEvent,
-  Incarnation,
-  Instant,
-  Milliseconds,
-  Revision,
-  StreamOrigin,
+import {
+  type CallAttempt,
+  type CallEnd,
+  type GatewayEffect,
+  type GatewayEvent,
+  type Incarnation,
+  type Instant,
+  type Milliseconds,
+  promisesNotRun,
+  type Revision,
+  type StreamOrigin,
 } from "@sassafrasstep/core";
 import type { Dispatcher } from "undici";
 import {
@@ -360,7 +361,8 @@
       effect.attempt === id
     );
     if (decision?.kind !== "forward" && decision?.kind !== "goOn") {
-      if (head.notRun && this.#attempt.target.kind === "endpoint") {
+      const isRefusal = head.notRun || promisesNotRun(this.#status);
+      if (isRefusal && this.#attempt.target.kind === "endpoint") {
         // An endpoint may send a refusal once more. On a connection that is used again, the copy could be taken for
         // the answer to the same request, sent again, or reach another request in place of its answer.
         this.abort();
--- a/playground/src/guards/route_guards.ts
+++ b/playground/src/guards/route_guards.ts
@@ -48,8 +48,8 @@
     point: "routes: not run is true",
     name: "a connection on which a request was refused is not used again",
     file: `${DAEMON}/outbound_call.ts`,
-    find: 'if (head.notRun && this.#attempt.target.kind === "endpoint") {',
-    replace: "if (head.notRun && this.#connection === undefined) {",
+    find: 'if (isRefusal && this.#attempt.target.kind === "endpoint") {',
+    replace: "if (isRefusal && this.#connection === undefined) {",
   },
   {
     point: "routes: not run is true",
--- a/soak/src/guard_list.ts
+++ b/soak/src/guard_list.ts
@@ -186,8 +186,8 @@
     kinds: REFUSAL_WAVES,
     name: "a connection on which a request was refused is not used again",
     file: `${DAEMON_GATEWAY}/outbound_call.ts`,
-    find: 'if (head.notRun && this.#attempt.target.kind === "endpoint") {',
-    replace: "if (head.notRun && this.#connection === undefined) {",
+    find: 'if (isRefusal && this.#attempt.target.kind === "endpoint") {',
+    replace: "if (isRefusal && this.#connection === undefined) {",
   },
   {
     point: ACTION_POINT,
