--- a/playground/src/platform/__tests__/copied_refusals.test.ts
+++ b/playground/src/platform/__tests__/copied_refusals.test.ts
@@ -13,6 +13,8 @@
 const PROMISE_STATUSES = [408, 421, 429, 503];
 const OK = 200;
 const REQUESTS = 9;
+/** Rounds of requests that bear one id. */
+const ROUNDS = 6;
 /** One of so many requests is refused when it first arrives. */
 const REFUSAL_INTERVAL = 3;
 /** Times that a caller sends a request which it was told had not run. */
@@ -36,6 +38,8 @@
 
 type RouteName = keyof typeof ROUTES;
 
+const ROUTE_NAMES = Object.keys(ROUTES) as RouteName[];
+
 const isRefused = (call: string): boolean =>
   Number(call.slice(1)) % REFUSAL_INTERVAL === 0;
 
@@ -84,54 +88,61 @@
       },
     });
     for (const entry of Object.values(ENTRIES)) {
-      await eventually(async () =>
-        Object.keys(ROUTES).length ===
-          (await Promise.all(
-            Object.keys(ROUTES).map((name) => ask(name, { entry })),
-          )).filter(({ status }) => status === OK).length
-      );
+      await eventually(async () => {
+        const outcomes = await Promise.all(
+          ROUTE_NAMES.map((name) => ask(name, entry)),
+        );
+        return outcomes.every(({ status }) => status === OK);
+      });
     }
   });
   afterAll(() => fleet.close());
 
-  const ask = async (
-    name: string,
-    { entry }: { entry: number },
-  ): Promise<Outcome> => {
+  /** Sends a request once; resolves with the status of its answer. */
+  const send = async (
+    name: RouteName,
+    { call, entry }: { call: string; entry: number },
+  ): Promise<number> => {
+    const { status } = await callPlatform(fleet.entries[entry]!.callers, {
+      path: `/${name}/x`,
+      call,
+      ...(ROUTES[name].service === "pool" ? { tokens: STREAM_TOKENS } : {}),
+    });
+    return status;
+  };
+
+  /** Sends a request again, under its id, as long as it is refused. */
+  const ask = async (name: RouteName, entry: number): Promise<Outcome> => {
     const call = `c${calls++}`;
-    const tokens = name === "stream" || name === "resume"
-      ? { tokens: STREAM_TOKENS }
-      : {};
-    let status = 0;
-    for (let sends = 0; sends < MAX_SENDS && status !== OK; sends++) {
-      ({ status } = await callPlatform(fleet.entries[entry]!.callers, {
-        path: `/${name}/x`,
-        call,
-        ...tokens,
-      }));
-      if (status !== OK && !PROMISE_STATUSES.includes(status)) {
-        break;
-      }
+    let status = await send(name, { call, entry });
+    for (
+      let sends = 1;
+      sends < MAX_SENDS && PROMISE_STATUSES.includes(status);
+      sends++
+    ) {
+      status = await send(name, { call, entry });
     }
     return { call, status };
   };
 
-  /** Sends requests of all routes; returns what is wrong with how they ended. */
-  const findFaults = async (
-    entry: number,
-    script: Partial<RefusalScript>,
-  ): Promise<string[]> => {
+  const runsOf = (name: RouteName, call: string): number =>
+    endpoints[ROUTES[name].service].runsOf(call);
+
+  const setScripts = (script: Omit<RefusalScript, "refuses">): void => {
     for (const endpoint of Object.values(endpoints)) {
-      endpoint.script = { ...endpoint.script, ...script, refuses: isRefused };
+      endpoint.script = { ...script, refuses: isRefused };
     }
-    const names = Object.keys(ROUTES) as RouteName[];
-    const faults = await Promise.all(names.map(async (name) => {
+  };
+
+  /** Sends requests of all routes; returns what is wrong with how they ended. */
+  const findFaults = async (entry: number): Promise<string[]> => {
+    const faults = await Promise.all(ROUTE_NAMES.map(async (name) => {
       const outcomes: Outcome[] = [];
       for (let index = 0; index < REQUESTS; index++) {
-        outcomes.push(await ask(name, { entry }));
+        outcomes.push(await ask(name, entry));
       }
       return outcomes.flatMap(({ call, status }) => {
-        const runs = endpoints[ROUTES[name].service].runsOf(call);
+        const runs = runsOf(name, call);
         return runs === 1 && status === OK
           ? []
           : [`${name}: ${status}, ran ${runs} times`];
@@ -140,12 +151,43 @@
     return faults.flat();
   };
 
+  // Guards against a request that its caller sends to two entries at once, and that runs behind a promise to both.
+  describe.each(COPY_TIMES)(
+    "%s, where two requests have one id",
+    (copyTime) => {
+      it.each([
+        ["one entry", [ENTRIES.direct, ENTRIES.direct]],
+        ["an entry and one that relays", [ENTRIES.direct, ENTRIES.relayed]],
+        ["an entry that relays", [ENTRIES.relayed, ENTRIES.relayed]],
+      ])("is no promise for what runs, at %s", async (_name, entries) => {
+        setScripts({ copyTime, status: 503, forSameCall: false });
+        const faults: string[] = [];
+        for (let round = 0; round < ROUNDS; round++) {
+          await Promise.all(ROUTE_NAMES.map(async (name) => {
+            const call = `c${calls++}`;
+            const sendToAll = (): Promise<number[]> =>
+              Promise.all(entries.map((entry) => send(name, { call, entry })));
+            const statuses = [...await sendToAll(), ...await sendToAll()];
+            const runs = runsOf(name, call);
+            const unpromised = statuses.filter((status) =>
+              !PROMISE_STATUSES.includes(status)
+            );
+            if (runs > unpromised.length) {
+              faults.push(`${name}: ${statuses}, ran ${runs} times`);
+            }
+          }));
+        }
+        expect(faults).toEqual([]);
+      });
+    },
+  );
+
   describe.each(COPY_TIMES)("%s", (copyTime) => {
     it.each(cases)(
       "is not the answer to its request, under way again (%s, %i)",
       async (entry, status) => {
-        const script = { copyTime, status, forSameCall: true };
-        expect(await findFaults(ENTRIES[entry], script)).toEqual([]);
+        setScripts({ copyTime, status, forSameCall: true });
+        expect(await findFaults(ENTRIES[entry])).toEqual([]);
       },
     );
   });
