refactor: what finds two heads in one stands once, and so does a test's placement

The check for a status line inside a head stood in the gateway and in the clients of the product's own interface; the decision to send to an endpoint stood five times in a test.

--- a/packages/core/src/gateway/__tests__/call_controller.test.ts
+++ b/packages/core/src/gateway/__tests__/call_controller.test.ts
@@ -151,6 +151,20 @@
   return { controller, effects, asked };
 }
 
+/** The decision to send a request to an endpoint. */
+function placementAt(state: EndpointState): RoutingDecision {
+  return {
+    kind: "endpoint",
+    placement: {
+      kind: "chosen",
+      state,
+      prefill: 0,
+      tokens: 0,
+      fetchFrom: undefined,
+    },
+  };
+}
+
 function arrive(
   controller: CallController,
   id: string,
@@ -211,16 +225,9 @@
       life: undefined,
       sequence: 1,
     };
-    asked.decision = {
-      kind: "endpoint",
-      placement: {
-        kind: "chosen",
-        state: new EndpointState(record, undefined, instant(0)),
-        prefill: 0,
-        tokens: 0,
-        fetchFrom: undefined,
-      },
-    };
+    asked.decision = placementAt(
+      new EndpointState(record, undefined, instant(0)),
+    );
     controller.tick(instant(25));
     expect(controller.queued).toBe(0);
     expect(effects.filter(({ kind }) => kind === "send").length).toBe(2);
@@ -239,16 +246,7 @@
   // Guards against an action that fails, or uses up retries, though no endpoint received it.
   it("is sent without a retry of the budget, and has not run", () => {
     const { controller, effects, asked } = build();
-    asked.decision = {
-      kind: "endpoint",
-      placement: {
-        kind: "chosen",
-        state: createEngine("e1"),
-        prefill: 0,
-        tokens: 0,
-        fetchFrom: undefined,
-      },
-    };
+    asked.decision = placementAt(createEngine("e1"));
     arrive(controller, "a", 500);
     const commitLast = (): AttemptId => {
       const { length } = effects;
@@ -272,16 +270,7 @@
   // Guards against a stop that tells callers of requests which were not sent that these may have run.
   it("has not run when its entry stops", () => {
     const { controller, effects, asked } = build();
-    asked.decision = {
-      kind: "endpoint",
-      placement: {
-        kind: "chosen",
-        state: createEngine("e1"),
-        prefill: 0,
-        tokens: 0,
-        fetchFrom: undefined,
-      },
-    };
+    asked.decision = placementAt(createEngine("e1"));
     arrive(controller, "a", 500);
     controller.endAll(instant(1));
     expect(effects.at(-1)).toMatchObject({
@@ -317,16 +306,7 @@
     kinds: () => string[];
   } {
     const { controller, effects, asked } = build(ROUTE, sharesOf(peer));
-    asked.decision = {
-      kind: "endpoint",
-      placement: {
-        kind: "chosen",
-        state: createEngine("e1"),
-        prefill: 0,
-        tokens: 0,
-        fetchFrom: undefined,
-      },
-    };
+    asked.decision = placementAt(createEngine("e1"));
     arrive(controller, "a", 500);
     return { controller, kinds: () => effects.map(({ kind }) => kind) };
   }
@@ -373,16 +353,7 @@
       kind: "non_idempotent",
       attempts: 2,
     });
-    asked.decision = {
-      kind: "endpoint",
-      placement: {
-        kind: "chosen",
-        state: createEngine("e1"),
-        prefill: 0,
-        tokens: 0,
-        fetchFrom: undefined,
-      },
-    };
+    asked.decision = placementAt(createEngine("e1"));
     arrive(controller, "a", 500);
     const attempt = "a.1" as AttemptId;
     // Late enough that the retry budget has its burst.
@@ -405,16 +376,7 @@
       public: false,
       resumable: true,
     });
-    asked.decision = {
-      kind: "endpoint",
-      placement: {
-        kind: "chosen",
-        state: createEngine("e1"),
-        prefill: 0,
-        tokens: 0,
-        fetchFrom: undefined,
-      },
-    };
+    asked.decision = placementAt(createEngine("e1"));
     const sends = (): number =>
       effects.filter(({ kind }) => kind === "send").length;
     arrive(controller, "a", 500);
--- a/packages/daemon/src/clients/answer_name.ts
+++ b/packages/daemon/src/clients/answer_name.ts
@@ -5,10 +5,10 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
+import { holdsStatusLine } from "../sockets/index.ts";
 
 /** Ids of attempts end with their number. Endpoints that number answers in their own way use other forms. */
 const ATTEMPT_ID_PATTERN = /-[0-9a-f]{4}-[0-9a-z]+(?:\.\d+)+$/;
-const STATUS_LINE_PATTERN = /HTTP\/1\.\d [1-5]\d\d/;
 
 /** Which request an answer names: its own, another one, or none. */
 export type AnswerName = "own" | "other" | "none";
@@ -59,6 +59,6 @@
  */
 export function isMergedHead({ headers, reason }: AnswerHead): boolean {
   return [reason ?? "", ...Object.values(headers).flat()].some((text) =>
-    STATUS_LINE_PATTERN.test(text ?? "")
+    holdsStatusLine(text ?? "")
   );
 }
--- a/packages/daemon/src/gateway/raw_headers.ts
+++ b/packages/daemon/src/gateway/raw_headers.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { holdsStatusLine } from "../sockets/index.ts";
 import type { RawHeaders } from "./protocol.ts";
 
 /** Decodes header names and values to strings. */
@@ -20,12 +21,8 @@
   reason: string | undefined,
   headers: RawHeaders,
 ): boolean {
-  return isStatusLineIn(reason ?? "") ||
-    headers.some((text, index) => index % 2 === 1 && isStatusLineIn(text));
-}
-
-function isStatusLineIn(text: string): boolean {
-  return text.includes("HTTP/1.") && /HTTP\/1\.\d [1-5]\d\d/.test(text);
+  return holdsStatusLine(reason ?? "") ||
+    headers.some((text, index) => index % 2 === 1 && holdsStatusLine(text));
 }
 
 /** Whether the headers mark the end of the body, by a length or by chunked encoding. */
--- a/packages/daemon/src/sockets/index.ts
+++ b/packages/daemon/src/sockets/index.ts
@@ -6,3 +6,4 @@
 export { RequestSequence } from "./request_sequence.ts";
 export { ServerDrain } from "./server_drain.ts";
 export { withValidUrl } from "./valid_url.ts";
+export { holdsStatusLine } from "./status_line.ts";
