feat: streams counted by how they end and how long they were

Callers left answers that began at once and were still being made at their deadline. Only answers that were late or not served leave a log line, so that no log or metric told whether the long ones are served like the short ones, and none what their endpoint was doing meanwhile.

--- a/packages/cli/src/commands/gateway_commands.ts
+++ b/packages/cli/src/commands/gateway_commands.ts
@@ -35,6 +35,7 @@
       status.members.map(({ id, region, state }) => [id, region, state]),
     ),
     formatEndpoints(status),
+    formatStreams(status),
     formatHeldRequests(status),
     problems.map((problem) => `problem: ${problem}`).join("\n"),
   ];
@@ -107,6 +108,18 @@
   );
 }
 
+function formatStreams({ streams }: GatewayStatus): string {
+  return streams === undefined || streams.length === 0 ? "" : formatTable(
+    ["STREAMS OF ROUTE", "EVENTS UP TO", "COMPLETE", "UNFINISHED"],
+    streams.map(({ route, maxEvents, complete, unfinished }) => [
+      route,
+      maxEvents,
+      complete,
+      unfinished,
+    ]),
+  );
+}
+
 function formatHeldRequests({ held }: GatewayStatus): string {
   return held.length === 0 ? "" : formatTable(
     ["HELD BACK", "CALLER", "SERVICE", "SOFTWARE", "TERM", "SECONDS LEFT"],
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -256,7 +256,10 @@
       if (sentAt !== undefined) {
         call.trace.noteEnd(state);
       }
-      attempt.state?.removeAttempt(attempt.id, now);
+      if (attempt.state !== undefined) {
+        call.trace.noteEndpointLoad(attempt.state, now);
+        attempt.state.removeAttempt(attempt.id, now);
+      }
       this.#calls.delete(attempt.id);
       call.attempt = undefined;
       this.#noteEnd(call, attempt, { state, now });
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -63,6 +63,7 @@
 import { promisesNotRun } from "./refusals.ts";
 import type { RegionController } from "./region_controller.ts";
 import type { SoftwareHistory } from "./software_history.ts";
+import type { StreamEnds } from "./stream_ends.ts";
 
 /** How long after its deadline a non-idempotent request may run on once its caller has left. */
 const ORPHAN_GRACE_MS = 5_000;
@@ -186,6 +187,11 @@
     return this.#recovery.resumedStreams;
   }
 
+  /** How streams ended since the start, by route and length. */
+  get streamEnds(): StreamEnds {
+    return this.#outcomes.streamEnds;
+  }
+
   /** Number of requests without a matching route since the start. */
   get unroutedRequests(): number {
     return this.#outcomes.unrouted.count;
--- a/packages/core/src/gateway/call_outcomes.ts
+++ b/packages/core/src/gateway/call_outcomes.ts
@@ -21,6 +21,7 @@
   GatewayEmit,
 } from "./messages.ts";
 import { createRefusal } from "./refusals.ts";
+import { StreamEnds } from "./stream_ends.ts";
 
 /** Fraction by which retry times vary at random: callers with equal times would return in a wave. */
 const RETRY_JITTER_FRACTION = 0.5;
@@ -48,6 +49,7 @@
   readonly #returnTime: ReturnTime;
   /** Requests without a matching route. */
   readonly unrouted = new LogThrottle();
+  readonly streamEnds = new StreamEnds();
 
   constructor(
     { emit, random, forget, onNotRun, returnTime }: {
@@ -77,6 +79,7 @@
       this.#logLoss(text, call, { cause, now });
     }
     this.#emit({ kind: "complete", request: call.head.id });
+    this.#recordStream(call, !failed);
     this.#forget(call);
   }
 
@@ -84,6 +87,7 @@
   callerLeft(call: Call, now: Instant): void {
     const cause = call.trace.cause(call, false, now) ?? "starved";
     this.#logLoss("Caller left.", call, { cause, now });
+    this.#recordStream(call, false);
     this.#refundIfNotRun(call, now);
     this.#forget(call);
   }
@@ -96,6 +100,7 @@
       ...call.trace.fields(call, now),
     });
     this.#emit({ kind: "breakOff", request: call.head.id });
+    this.#recordStream(call, false);
     this.#forget(call);
   }
 
@@ -219,6 +224,15 @@
     return refusal;
   }
 
+  #recordStream(
+    { route, trace, isEventStream }: Call,
+    complete: boolean,
+  ): void {
+    if (isEventStream) {
+      this.streamEnds.record(route.name, { events: trace.events, complete });
+    }
+  }
+
   #refundIfNotRun(call: Call, now: Instant): void {
     if (call.log.verdict().kind === "not_run") {
       this.#onNotRun(call, now);
--- a/packages/core/src/gateway/call_trace.ts
+++ b/packages/core/src/gateway/call_trace.ts
@@ -7,6 +7,7 @@
 import type { Instant, Milliseconds } from "../ids/index.ts";
 import type { AttemptState } from "../verdict/index.ts";
 import type { Call, OpenAttempt } from "./call.ts";
+import type { EndpointState } from "./endpoint_state.ts";
 import type { CallAnswer, CallTarget } from "./messages.ts";
 
 /** A caller whose connection was full for more than this fraction of its stream's time counts as slow. */
@@ -63,6 +64,12 @@
   end?: AttemptState;
 }
 
+/** What an endpoint was doing when an attempt ended there. */
+interface EndpointLoad {
+  readonly endRequests: number;
+  readonly endPrefillShare: number;
+}
+
 /** History of one request. */
 export class CallTrace {
   #interruption: Interruption | undefined;
@@ -75,6 +82,7 @@
   #backpressureMs = 0;
   #events = 0;
   #answer: CallAnswer | undefined;
+  #load: EndpointLoad | undefined;
   readonly #sends: Send[] = [];
 
   /** Records a new attempt. Must be called before the attempt counts at its endpoint. */
@@ -101,6 +109,14 @@
     this.#sends.push({ to: this.#placed?.endpoint ?? "", at: now });
   }
 
+  /** Records what the endpoint of an attempt does that is about to end. */
+  noteEndpointLoad(state: EndpointState, now: Instant): void {
+    this.#load = {
+      endRequests: state.requests,
+      endPrefillShare: Number(state.prefillShare(now).toFixed(2)),
+    };
+  }
+
   /** Records how the attempt that was sent last ended. */
   noteEnd(end: AttemptState): void {
     const last = this.#sends[this.#sends.length - 1];
@@ -124,6 +140,11 @@
     this.#events++;
   }
 
+  /** Number of pieces of the answer that arrived. */
+  get events(): number {
+    return this.#events;
+  }
+
   /** Records how long an answer was not read due to backpressure, which is no pause of the endpoint. */
   noteBackpressure(duration: Milliseconds, now: Instant): void {
     this.#backpressureMs += duration;
@@ -196,6 +217,7 @@
       heldMs: Math.round(this.#backpressureMs),
       events: this.#events,
       endedMs: since(now),
+      ...this.#load,
       relayed: head.relay !== undefined,
       ...this.answerFields(),
       ...this.#sendFields(arrivedAt),
--- a/packages/daemon/src/gateway/status.ts
+++ b/packages/daemon/src/gateway/status.ts
@@ -28,12 +28,23 @@
   readonly members: readonly MemberStatus[];
   readonly endpoints: readonly EndpointStatus[];
   readonly shares: readonly { region: string; share: number }[];
+  /** How streams ended since the start, by route and length. */
+  readonly streams?: readonly StreamStatus[] | undefined;
   /** Optional decisions in use. */
   readonly features?: readonly string[] | undefined;
   /** Quarantined requests: they are sent to no endpoint because some endpoints crashed while running them. */
   readonly held: readonly HeldRequestStatus[];
 }
 
+/** How the streams of one route and range of lengths ended. */
+export interface StreamStatus {
+  readonly route: string;
+  /** Most events of a stream in the range. */
+  readonly maxEvents: number;
+  readonly complete: number;
+  readonly unfinished: number;
+}
+
 /** A quarantined request, or a part of prompts that quarantines all requests with it. */
 export interface HeldRequestStatus {
   readonly digest: string;
@@ -105,6 +116,7 @@
       slowdown: roundSlowdown(state.pace.slowdown(now)),
     })),
     shares: regions.shares.map(({ region, share }) => ({ region, share })),
+    streams: calls.streamEnds.list(),
     features: gateway.features.active,
     held: gateway.quarantine.holds.list(now).map(heldRequestStatus),
   };
