--- a/playground/src/load/index.ts
+++ b/playground/src/load/index.ts
@@ -1,2 +1,6 @@
-export { type LoadReport, reportLoad } from "./load_report.ts";
+export {
+  type LoadReport,
+  type LoadSummary,
+  reportLoad,
+} from "./load_report.ts";
 export { type LoadResult, runLoad } from "./load_run.ts";
--- a/playground/src/load/load_caller.ts
+++ b/playground/src/load/load_caller.ts
@@ -145,13 +145,14 @@
     end: RequestEnd,
     firstEventMs?: number,
   ): void {
-    const { value, kind } = drawn;
+    const { size, value, kind } = drawn;
     const lateValue = value * kind.lateValue / kind.value;
     this.#onOutcome({
       kind: kind.name,
       region: this.#region,
       customer: drawn.customer?.id,
       at: startedAt - this.#world.startOfScript,
+      size,
       value,
       earnedValue: end === "on_time" ? value : end === "late" ? lateValue : 0,
       end,
--- a/playground/src/load/load_draw.ts
+++ b/playground/src/load/load_draw.ts
@@ -13,6 +13,8 @@
 /** Share of a request's value that does not depend on its size. */
 const FIXED_VALUE_SHARE = 0.3;
 const MIN_ANSWER_TOKENS = 4;
+/** Prompt tokens that cost an engine as much as one token of an answer. */
+const ANSWER_TOKEN_SIZE = 10;
 
 /** Draws one request. Its name identifies the unshared part of its prompt. */
 export function drawRequest(
@@ -49,7 +51,8 @@
       MAX_VALUE_FACTOR,
       FIXED_VALUE_SHARE + (1 - FIXED_VALUE_SHARE) * size,
     );
-  return { kind, prompt, answerTokens, value };
+  const requestSize = prompt.promptTokens + ANSWER_TOKEN_SIZE * answerTokens;
+  return { kind, prompt, answerTokens, size: requestSize, value };
 }
 
 function pickKind(
--- a/playground/src/load/load_report.ts
+++ b/playground/src/load/load_report.ts
@@ -13,6 +13,8 @@
 const NO_CUSTOMER = "";
 /** Share of the customers that count as the worst served. */
 const WORST_CUSTOMER_SHARE = 0.1;
+/** Share of the requests of a kind, counted from the largest, at which each size class ends. */
+const SIZE_CLASS_ENDS = { largest: 0.1, large: 0.3, others: 1 } as const;
 const ENDS: readonly RequestEnd[] = [
   "on_time",
   "late",
@@ -33,10 +35,15 @@
   readonly heldMean: number;
 }
 
+/** The largest tenth of the requests of a kind, the fifth below it, and the others. */
+export type SizeClass = keyof typeof SIZE_CLASS_ENDS;
+
 /** The summary of one run, in total and by kind, region and customer. */
 export interface LoadReport {
   readonly all: LoadSummary;
   readonly kinds: Readonly<Record<string, LoadSummary>>;
+  /** Share of the requests of each kind and size class that are served, on time or late. */
+  readonly servedBySize: Readonly<Record<string, Record<SizeClass, number>>>;
   readonly regions: Readonly<Record<string, LoadSummary>>;
   readonly customers: Readonly<Record<string, LoadSummary>>;
   /** Mean earned share of the worst served tenth of the customers, 0 in a load without customers. */
@@ -79,6 +86,12 @@
   return {
     all: summarize(outcomes),
     kinds: summarizeBy(({ kind }) => kind),
+    servedBySize: Object.fromEntries(
+      [...new Set(outcomes.map(({ kind }) => kind))].sort().map((name) => [
+        name,
+        servedBySize(outcomes.filter(({ kind }) => kind === name)),
+      ]),
+    ),
     regions: summarizeBy(({ region }) => region),
     customers,
     worstCustomers: meanOfWorst(Object.values(customers)),
@@ -100,6 +113,24 @@
   };
 }
 
+function servedBySize(
+  outcomes: readonly LoadOutcome[],
+): Record<SizeClass, number> {
+  const sorted = outcomes.toSorted((left, right) => right.size - left.size);
+  let first = 0;
+  return Object.fromEntries(
+    Object.entries(SIZE_CLASS_ENDS).map(([name, share]) => {
+      const end = Math.ceil(sorted.length * share);
+      const group = sorted.slice(first, end);
+      first = end;
+      const served = group.filter(({ end }) =>
+        end === "on_time" || end === "late"
+      );
+      return [name, served.length / Math.max(1, group.length)];
+    }),
+  ) as Record<SizeClass, number>;
+}
+
 function meanOfWorst(customers: readonly LoadSummary[]): number {
   const count = Math.ceil(customers.length * WORST_CUSTOMER_SHARE);
   const worst = customers.map(({ earned }) => earned)
--- a/playground/src/load/load_types.ts
+++ b/playground/src/load/load_types.ts
@@ -36,6 +36,8 @@
   readonly kind: LoadKind;
   readonly prompt: Prompt;
   readonly answerTokens: number;
+  /** Tokens of prompt and answer, weighted by what each costs an engine. */
+  readonly size: number;
   readonly value: number;
   /** The customer that sends the request, `undefined` in a load without customers. */
   readonly customer?: LoadCustomer | undefined;
@@ -52,6 +54,7 @@
   readonly customer: CustomerId | undefined;
   /** Time of the first attempt, in milliseconds since the start of the load's steps. */
   readonly at: number;
+  readonly size: number;
   readonly value: number;
   readonly earnedValue: number;
   readonly end: RequestEnd;
--- a/playground/src/load/main.ts
+++ b/playground/src/load/main.ts
@@ -12,6 +12,7 @@
 import meow from "meow";
 import { type LoadReport, reportLoad, runLoad } from "./index.ts";
 
+const SIZE_CLASSES = ["largest", "large", "others"] as const;
 const FOLDER = new URL("../../loads/", import.meta.url);
 
 const cli = meow(
@@ -119,6 +120,10 @@
       } ms if refused`;
       return `  ${kind.padEnd(8)} earned ${
         mean(({ kinds }) => kinds[kind]!.earned)
+      }, served by size ${
+        SIZE_CLASSES.map((size) =>
+          `${size} ${mean(({ servedBySize }) => servedBySize[kind]![size])}`
+        ).join(", ")
       }, ${formatShare("on_time")}, ${formatShare("late")}, ${
         formatShare("refused")
       }, ${formatShare("failed")}, ${formatShare("left")}, ${first}`;
