fix: engines prefilled so much that the long answers beside were not complete in time

Callers of long answers got their first event at once and left at their deadline with most of the answer: in a burst of 1.6 on the deployment that was reported (code as landed) 95 chats of 3,420, at 14.6 ms a token in the median, where 946 tokens in ten seconds bear 10.5.

Cause: the share of an engine's time for long prompts was one figure, 0.7, whatever the answers that run there need, and no decision asked whether they could end. Short prompts and the first rank, which are exempt, come on top.

Now each entry knows for its answers how many tokens a millisecond they need (expected length, grown with the answer, over the time left) and how long a token takes at the engine without prefill, learned from gaps between events; entries tell each other twice a second where that limits an engine. An engine may prefill for 0.55 to 0.75 of its time, by the most demanding of its answers, and an answer is placed where it takes least of that share, so that long ones come together.

--- a/packages/core/src/fleet/fleet_messages.ts
+++ b/packages/core/src/fleet/fleet_messages.ts
@@ -156,6 +156,14 @@
   readonly requests: number;
 }
 
+/** How fast an engine has to generate so that the answers that run there for one entry are complete in time. */
+export interface AnswerNeed {
+  readonly endpoint: EndpointId;
+  readonly life: EndpointLife | undefined;
+  /** Tokens per second of each answer. */
+  readonly rate: number;
+}
+
 /** What an endpoint said of itself in a health check. */
 export interface ColdReport {
   readonly endpoint: EndpointId;
@@ -199,6 +207,12 @@
     readonly incarnation: Incarnation;
     readonly report: WorkReport;
   }
+  /** What answers in progress need. An engine that is not listed has no need that limits others. */
+  | {
+    readonly kind: "needs";
+    readonly incarnation: Incarnation;
+    readonly needs: readonly AnswerNeed[];
+  }
   /** Endpoint crashes, and requests that are held back because of them. */
   | {
     readonly kind: "quarantine";
--- a/packages/core/src/fleet/fleet_sender.ts
+++ b/packages/core/src/fleet/fleet_sender.ts
@@ -8,6 +8,7 @@
 import type { RegionOutlook } from "../outlook/index.ts";
 import type { QuarantineUpdate } from "../quarantine/index.ts";
 import type {
+  AnswerNeed,
   EntryRecord,
   FleetMessage,
   FleetMessageBody,
@@ -61,6 +62,18 @@
     );
   }
 
+  /** Sends what this entry's answers need to the matching entries of its region. */
+  sendNeeds(
+    needs: readonly AnswerNeed[],
+    isRecipient: (record: EntryRecord) => boolean,
+  ): void {
+    const { region, incarnation } = this.#options.self;
+    this.#sendToMatching(
+      { kind: "needs", incarnation, needs },
+      (record) => record.region === region && isRecipient(record),
+    );
+  }
+
   /** Sends this entry's demand to the matching entries of its region. */
   sendDemand(
     report: DemandReport,
--- a/packages/core/src/gateway/__tests__/pace_model.ts
+++ b/packages/core/src/gateway/__tests__/pace_model.ts
@@ -13,6 +13,9 @@
 import { EndpointState } from "../endpoint_state.ts";
 import { POOL } from "./engine_fixture.ts";
 
+/** Time that callers give a request. */
+const REQUEST_TIME_MS = 10_000;
+
 /** What an engine reports, whatever its real pace is. */
 export type ReportKind =
   | "true"
@@ -171,6 +174,7 @@
           },
           zone: "z" as ZoneId,
           urgent: true,
+          endsAt: instant(this.#now + REQUEST_TIME_MS),
           biasOf: ({ record }) =>
             MAX_BIAS_MS * hash32(`${entry} ${record.id}`) / 2 ** 32,
           holder: undefined,
@@ -313,6 +317,6 @@
     },
     POOL,
     instant(0),
-    pace,
+    { pace },
   );
 }
--- a/packages/core/src/gateway/__tests__/pace_placement.test.ts
+++ b/packages/core/src/gateway/__tests__/pace_placement.test.ts
@@ -189,7 +189,7 @@
           ? POOL
           : { ...POOL, id: "plain" as ServiceId, engine: undefined },
         instant(0),
-        pace,
+        { pace },
       );
     }
 
@@ -215,6 +215,7 @@
           },
           zone: "z1" as ZoneId,
           urgent: false,
+          endsAt: instant(10_000),
           biasOf: () => 0,
           holder: undefined,
         },
--- a/packages/core/src/gateway/__tests__/placement.test.ts
+++ b/packages/core/src/gateway/__tests__/placement.test.ts
@@ -36,6 +36,7 @@
     prompt: requested,
     zone: "z1" as ZoneId,
     urgent: false,
+    endsAt: instant(10_000),
     biasOf: () => 0,
     holder: findPrefixHolder(requested, states),
   };
--- a/packages/core/src/gateway/__tests__/prompt_cost.test.ts
+++ b/packages/core/src/gateway/__tests__/prompt_cost.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "vitest";
 import type { Prompt } from "../messages.ts";
-import { engineWorkMs, expectedOutputTokens } from "../prompt_cost.ts";
+import { expectedOutputTokens } from "../../decode/index.ts";
+import { engineWorkMs } from "../prompt_cost.ts";
 
 function prompt(part: Partial<Prompt>): Prompt {
   return {
--- a/packages/core/src/gateway/__tests__/work_reporter.test.ts
+++ b/packages/core/src/gateway/__tests__/work_reporter.test.ts
@@ -1,5 +1,6 @@
 import { beforeEach, describe, expect, it } from "vitest";
 import {
+  type AnswerNeed,
   type AttemptId,
   type EndpointId,
   type EntryRecord,
@@ -43,9 +44,13 @@
   }[];
   let reporter: WorkReporter;
   let recipients: number;
+  let needs: AnswerNeed[];
+  let sentNeeds: { needs: readonly AnswerNeed[]; recipients: string[] }[];
 
   beforeEach(() => {
     recipients = 1;
+    needs = [];
+    sentNeeds = [];
     ownZoneEngine = createEngine("e1");
     otherZoneEngine = createEngine("e2", { zone: "z2" });
     available = new Set([ownZoneEngine, otherZoneEngine]);
@@ -79,12 +84,24 @@
             });
             return recipients;
           },
+          sendNeeds: (
+            list: readonly AnswerNeed[],
+            isRecipient: (record: EntryRecord) => boolean,
+          ) => {
+            sentNeeds.push({
+              needs: list,
+              recipients: ["carrier", "standby", "busy"].filter((incarnation) =>
+                isRecipient({ zone: "z1", incarnation } as never)
+              ),
+            });
+          },
         },
       } as never,
       endpoints: {
         all: () => [ownZoneEngine, otherZoneEngine],
         isInService: (state: EndpointState) => available.has(state),
         hasReport: (incarnation: string) => incarnation === "busy",
+        ownNeeds: () => needs,
       } as unknown as EndpointRegistry,
       regions: { report: () => [] } as never,
       catalogueHash: () => 7,
@@ -103,6 +120,21 @@
     );
   const zones = (): string[][] => sent.map((item) => item.zones);
 
+  // Guards against entries that each know only what their own answers need.
+  it("say what answers need to those that serve, until there is no need", () => {
+    const need = { endpoint: "e1" as EndpointId, life: undefined, rate: 95 };
+    begin(ownZoneEngine);
+    needs = [need];
+    reporter.tick([], instant(500));
+    needs = [];
+    reporter.tick([], instant(1_000));
+    reporter.tick([], instant(1_500));
+    expect(sentNeeds).toEqual([
+      { needs: [need], recipients: ["carrier", "busy"] },
+      { needs: [], recipients: ["carrier", "busy"] },
+    ]);
+  });
+
   it("first go to all zones of the region, and to no other region", () => {
     expect(zones()).toEqual([["z1", "z2"]]);
   });
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -92,13 +92,16 @@
     const target = this.#deps.router.targetOf(call, chosen, now);
     const attempt = this.#open(call, { target, state, now });
     call.trace.notePrefill(prefill);
-    state.addAttempt(attempt.id, { prefill, tokens }, now);
+    const { prompt } = call.head;
+    const answer = prompt === undefined
+      ? undefined
+      : { bounds: prompt, endsAt: call.endsAt, events: call.trace.events };
+    state.addAttempt(attempt.id, { prefill, tokens, answer }, now);
     state.health.noteRequestSent(now);
     const { service } = state.record;
     const customer = call.customer?.id;
     this.#deps.placements.add(service, { customer, prefill }, now);
     this.#deps.shares.recordPlaced(service, { customer, tokens: prefill });
-    const { prompt } = call.head;
     if (prompt !== undefined && state.service?.engine !== undefined) {
       const parts = sharedParts(prompt);
       this.#deps.regions.recordPrefill(prefill, prompt.promptTokens);
@@ -258,7 +261,9 @@
       }
       if (attempt.state !== undefined) {
         call.trace.noteEndpointLoad(attempt.state, now);
-        attempt.state.removeAttempt(attempt.id, now);
+        attempt.state.removeAttempt(attempt.id, now, {
+          complete: state === "completed" && attempt.succeeded,
+        });
       }
       this.#calls.delete(attempt.id);
       call.attempt = undefined;
--- a/packages/core/src/gateway/endpoint_placement.ts
+++ b/packages/core/src/gateway/endpoint_placement.ts
@@ -24,14 +24,6 @@
  * as the prefill.
  */
 const MAX_PREFILL_STRETCH_MS = 420;
-/**
- * Maximum share of time that an engine may spend on prefill before long prompts of all ranks but the first
- * have to wait. Beyond it answers come so slowly that they time out: on an engine that prefills nine
- * tenths of the time, an event of nine tokens takes a fifth of a second. The symptom is callers that leave
- * while events still arrive. In a simulated peak with the largest region evacuated this share earned most of
- * the total request value, and much more than no limit in the worst seconds.
- */
-export const MAX_PREFILL_SHARE = 0.7;
 /** Prompts up to this length are short: they fit between the long ones. */
 const SHORT_PROMPT_TOKENS = 1_500;
 const SHORT_PROMPT_EXTRA_BACKLOG_MS = 120;
@@ -57,6 +49,8 @@
 export const MIN_FETCH_TOKENS = 1_024;
 /** Cost of a request in progress that is lost when a quarantine trial crashes its endpoint. */
 const LOST_REQUEST_COST_MS = 500;
+/** Cost of all of an engine's prefill for as long as an answer takes. */
+const SHARE_COST_MS = 1_000;
 /** Time that a fetch takes before prefill continues. */
 const FETCH_COST_MS = 12;
 
@@ -64,7 +58,9 @@
 export interface PlacementRequest {
   readonly prompt: Prompt | undefined;
   readonly zone: ZoneId;
-  /** Whether the request has the first rank, which is exempt from `MAX_PREFILL_SHARE`. */
+  /** When the caller's time is over. */
+  readonly endsAt: Instant;
+  /** Whether the request has the first rank, which is exempt from the limit of the prefill share. */
   readonly urgent: boolean;
   /**
    * Small cost that differs by entry, so that entries that choose at the same moment choose different
@@ -130,7 +126,7 @@
     }
     const work = workAt(state, prefill);
     const other = distanceAt(state, request) + request.biasOf(state) +
-      riskAt(state, request, now) +
+      riskAt(state, request, now) + shareCostAt(state, request, now) +
       (fetchFrom === undefined ? 0 : FETCH_COST_MS);
     const usualCost = work + other;
     if (usualCost < (second?.usualCost ?? Infinity)) {
@@ -253,7 +249,8 @@
     const exceedsStretch = state.prefill > 0 &&
       stretch > MAX_PREFILL_STRETCH_MS;
     const exceedsShare = !idle && !urgent &&
-      state.prefillShare(now) > MAX_PREFILL_SHARE;
+      state.prefillShare(now) >
+        state.answers.maxPrefillShare(now);
     if (exceedsStretch || exceedsShare || state.isPrefillPaused(now)) {
       return false;
     }
@@ -282,6 +279,20 @@
   return zoneCost + state.health.failureRate * FAILURE_COST_MS;
 }
 
+/**
+ * Cost of the prefill that an engine can't do beside an answer if that is to be complete in time. It brings long answers
+ * together, and leaves other engines to long prompts.
+ */
+function shareCostAt(
+  state: EndpointState,
+  { prompt, endsAt }: PlacementRequest,
+  now: Instant,
+): number {
+  return prompt === undefined || state.service?.engine === undefined
+    ? 0
+    : SHARE_COST_MS * state.answers.shareTakenBy(prompt, endsAt, now);
+}
+
 /** Cost of the requests that a trial may take along when it crashes the endpoint. */
 function riskAt(
   state: EndpointState,
@@ -305,6 +316,7 @@
   const prefillTime = state.prefill * contention / state.prefillRate;
   return Math.max(
     1,
-    prefillTime + state.timeUntilPrefillShare(MAX_PREFILL_SHARE, now),
+    prefillTime +
+      state.timeUntilPrefillShare(state.answers.maxPrefillShare(now), now),
   );
 }
--- a/packages/core/src/gateway/endpoint_registry.ts
+++ b/packages/core/src/gateway/endpoint_registry.ts
@@ -5,6 +5,7 @@
  */
 import type { ReportedPace } from "../demand/index.ts";
 import {
+  type AnswerNeed,
   type EndpointWork,
   NO_RETURN_MS,
   type PrefixUpdate,
@@ -21,6 +22,7 @@
   type ZoneId,
 } from "../ids/index.ts";
 import type { StallAdjustedClockView } from "../listening/index.ts";
+import { ServiceDecodeSpeed } from "../decode/index.ts";
 import { ServicePace } from "../pace/index.ts";
 import { type EndpointRecord, isSameProcess } from "../routes/index.ts";
 import type { StreamOrigin } from "../stream_origins/index.ts";
@@ -32,6 +34,7 @@
  * full reports to other zones, plus a margin.
  */
 const REPORT_LIFETIME_MS = 2_200;
+const MS_PER_SECOND = 1_000;
 /** Share of their time that engines are assumed to prefill while requests wait. */
 const ASSUMED_PREFILL_SHARE = 0.7;
 
@@ -62,6 +65,11 @@
   readonly receivedAt: Instant;
 }
 
+interface ReceivedNeeds {
+  readonly needs: readonly AnswerNeed[];
+  readonly receivedAt: Instant;
+}
+
 /** Keeps the state of each endpoint in step with the catalogue. */
 export class EndpointRegistry {
   readonly #region: RegionId;
@@ -74,7 +82,9 @@
   readonly #byService = new Map<ServiceId, EndpointState[]>();
   readonly #regionsByOrigin = new Map<string, Set<RegionId>>();
   readonly #paces = new Map<ServiceId, ServicePace>();
+  readonly #decodeSpeeds = new Map<ServiceId, ServiceDecodeSpeed>();
   readonly #reports = new Map<Incarnation, ReceivedReport>();
+  readonly #needs = new Map<Incarnation, ReceivedNeeds>();
   /** Sums of the arrivals in `#reports`, by service. */
   readonly #peerArrivals = new Map<ServiceId, ArrivalTotals>();
   #evacuated: ReadonlySet<ZoneId> = new Set();
@@ -323,6 +333,34 @@
     report.prefixes.forEach((update) => this.#notePrefix(update));
   }
 
+  /** Replaces what a peer's answers need. */
+  receiveNeeds(
+    from: Incarnation,
+    needs: readonly AnswerNeed[],
+    now: Instant,
+  ): void {
+    this.#forgetNeeds(from);
+    if (needs.length > 0) {
+      this.#needs.set(from, { needs, receivedAt: now });
+    }
+    for (const need of needs) {
+      const rate = need.rate / MS_PER_SECOND;
+      this.#stateOfLife(need)?.answers.setPeerNeed(from, rate);
+    }
+  }
+
+  /** What this entry's answers need, where that limits what an engine may prefill. */
+  ownNeeds(now: Instant): AnswerNeed[] {
+    const needs: AnswerNeed[] = [];
+    for (const { record: { id, life }, answers } of this.#states.values()) {
+      if (answers.limitsPrefill(now)) {
+        const rate = Math.ceil(answers.ownNeed(now) * MS_PER_SECOND);
+        needs.push({ endpoint: id, life, rate });
+      }
+    }
+    return needs;
+  }
+
   /** What arrived for a service at this entry's peers within the last second. */
   peerArrivals(service: ServiceId): Readonly<ArrivalTotals> {
     return this.#peerArrivals.get(service) ?? NO_ARRIVALS;
@@ -352,6 +390,18 @@
         this.#reports.delete(from);
       }
     }
+    for (const [from, { receivedAt }] of this.#needs) {
+      if (this.#clock.since(receivedAt, now) > REPORT_LIFETIME_MS) {
+        this.#forgetNeeds(from);
+      }
+    }
+  }
+
+  #forgetNeeds(from: Incarnation): void {
+    for (const need of this.#needs.get(from)?.needs ?? []) {
+      this.#states.get(need.endpoint)?.answers.setPeerNeed(from, 0);
+    }
+    this.#needs.delete(from);
   }
 
   #upsert(id: EndpointId, now: Instant): void {
@@ -364,7 +414,10 @@
         record,
         service,
         now,
-        this.#paceOf(record.service),
+        {
+          pace: this.#paceOf(record.service),
+          decode: this.#decodeSpeedOf(record.service),
+        },
       );
       this.#states.set(id, state);
       this.#addPeerWork(state);
@@ -384,6 +437,15 @@
     return pace;
   }
 
+  #decodeSpeedOf(service: ServiceId): ServiceDecodeSpeed {
+    let speed = this.#decodeSpeeds.get(service);
+    if (speed === undefined) {
+      speed = new ServiceDecodeSpeed();
+      this.#decodeSpeeds.set(service, speed);
+    }
+    return speed;
+  }
+
   /** Removes endpoints that have departed, except those where this entry still has requests in flight. */
   #removeGone(): void {
     for (const [id, state] of this.#states) {
@@ -418,6 +480,7 @@
     for (const service of this.#paces.keys()) {
       if (!this.#byService.has(service)) {
         this.#paces.delete(service);
+        this.#decodeSpeeds.delete(service);
       }
     }
   }
--- a/packages/core/src/gateway/endpoint_state.ts
+++ b/packages/core/src/gateway/endpoint_state.ts
@@ -4,6 +4,11 @@
  *
  * @module
  */
+import {
+  type AnswerBounds,
+  EngineAnswers,
+  ServiceDecodeSpeed,
+} from "../decode/index.ts";
 import type { EndpointWork } from "../fleet/index.ts";
 import {
   after,
@@ -62,6 +67,14 @@
   readonly alone: boolean;
 }
 
+/** An answer that is about to be generated. */
+export interface PlannedAnswer {
+  readonly bounds: AnswerBounds;
+  readonly endsAt: Instant;
+  /** Events that the caller has received before. */
+  readonly events: number;
+}
+
 /** Sums over several attempts. */
 export interface LoadTotals {
   prefill: number;
@@ -76,6 +89,7 @@
   readonly health = new EndpointHealth();
   readonly pace: EndpointPace;
   readonly prefixes: PrefixCacheModel;
+  readonly answers: EngineAnswers;
   /** The load that the endpoint reported with its last answer. */
   reportedLoad: ReportedLoad | undefined;
   reportedLoadAt: Instant | undefined;
@@ -96,17 +110,23 @@
   #prefillPausedUntil: Instant | undefined;
   #prefillShare = 0;
   #prefillShareAt: Instant | undefined;
+  /** Time spent on prefill before the current period. */
+  #pastPrefillTime = 0;
   #onTrialUntil: Instant | undefined;
 
   constructor(
     record: EndpointRecord,
     service: RoutedService | undefined,
     now: Instant,
-    servicePace?: ServicePace,
+    { pace, decode }: {
+      pace?: ServicePace | undefined;
+      decode?: ServiceDecodeSpeed | undefined;
+    } = {},
   ) {
     this.record = record;
     this.service = service;
-    this.pace = new EndpointPace(servicePace);
+    this.pace = new EndpointPace(pace);
+    this.answers = new EngineAnswers(decode ?? new ServiceDecodeSpeed());
     this.prefixes = new PrefixCacheModel(service?.engine?.cacheTokens ?? 0);
     this.#coldUntil = after(now, record.coldFor);
   }
@@ -214,6 +234,11 @@
     return this.#prefillSince === undefined ? 0 : now - this.#prefillSince;
   }
 
+  /** Milliseconds that the endpoint has spent on prefill since it is known. */
+  #prefillTime(now: Instant): number {
+    return this.#pastPrefillTime + this.prefillDuration(now);
+  }
+
   /** Adds (1) or subtracts (-1) the work that a peer reported. */
   applyPeerWork(work: EndpointWork, sign: 1 | -1, now: Instant): void {
     this.peers.prefill += sign * work.prefill;
@@ -227,9 +252,17 @@
   /** Counts an attempt that is sent to the endpoint. */
   addAttempt(
     attempt: AttemptId,
-    { prefill, tokens }: { prefill: number; tokens: number },
+    { prefill, tokens, answer }: {
+      prefill: number;
+      tokens: number;
+      /** The answer that an engine is going to generate. */
+      answer?: PlannedAnswer | undefined;
+    },
     now: Instant,
   ): void {
+    if (answer !== undefined) {
+      this.answers.begin(attempt, answer.bounds, answer);
+    }
     const alone = this.service?.engine === undefined
       ? this.requests < this.slots
       : this.prefill === 0;
@@ -256,6 +289,11 @@
     return true;
   }
 
+  /** Notes an event of an answer. */
+  noteEvent(attempt: AttemptId, now: Instant): void {
+    this.answers.noteEvent(attempt, this.#prefillTime(now), now);
+  }
+
   /** Notes a plain endpoint's answer to an attempt that was sent to it at `sentAt`. */
   noteAnswer(attempt: AttemptId, sentAt: Instant, now: Instant): void {
     const isMeasurable = this.service?.engine === undefined &&
@@ -265,8 +303,13 @@
     }
   }
 
-  /** Removes an attempt that has ended. */
-  removeAttempt(attempt: AttemptId, now: Instant): void {
+  /** Removes an attempt that has ended, with a complete answer or without one. */
+  removeAttempt(
+    attempt: AttemptId,
+    now: Instant,
+    { complete = false }: { complete?: boolean } = {},
+  ): void {
+    this.answers.end(attempt, complete);
     const attemptLoad = this.#attempts.get(attempt);
     if (attemptLoad === undefined) {
       return;
@@ -291,6 +334,7 @@
       this.#prefillSince ??= now;
     } else if (this.#prefillSince !== undefined) {
       const elapsed = now - this.#prefillSince;
+      this.#pastPrefillTime += elapsed;
       this.#prefillSince = undefined;
       const pause = Math.max(
         MIN_PREFILL_PAUSE_MS,
--- a/packages/core/src/gateway/local_placement.ts
+++ b/packages/core/src/gateway/local_placement.ts
@@ -118,6 +118,7 @@
         prompt,
         holder,
         zone: self.zone,
+        endsAt: call.endsAt,
         urgent: call.rank === 0,
         biasOf: this.#biasOf,
         trial: call.isTrial,
--- a/packages/core/src/gateway/prompt_cost.ts
+++ b/packages/core/src/gateway/prompt_cost.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { expectedOutputTokens } from "../decode/index.ts";
 import type { Prompt } from "./messages.ts";
 
 /** Prompt tokens that an engine prefills per millisecond, assumed until the rate is measured. */
@@ -12,22 +13,6 @@
  * context in each step. Taken from the engines' data sheets.
  */
 const OUTPUT_TOKEN_MS = 0.15;
-/**
- * Typical answer length as a fraction of the caller's limit, for callers that state no expected length.
- * The limit is one figure for a whole kind of request, and answers have about a third of it in the median.
- */
-const TYPICAL_OUTPUT_FRACTION = 0.35;
-
-/** The number of tokens that the answer will probably have. */
-export function expectedOutputTokens(
-  { outputTokens, outputHint }: Pick<Prompt, "outputTokens" | "outputHint">,
-): number {
-  return Math.min(
-    outputTokens,
-    outputHint ?? outputTokens * TYPICAL_OUTPUT_FRACTION,
-  );
-}
-
 /**
  * Engine time that a request takes, in milliseconds, if `prefillFraction` of its prompt has to be
  * prefilled.
--- a/packages/core/src/gateway/service_figures.ts
+++ b/packages/core/src/gateway/service_figures.ts
@@ -10,11 +10,7 @@
   OUTLOOK_RANKS,
   type ServiceFigures,
 } from "../outlook/index.ts";
-import {
-  MAX_MEMORY_FRACTION,
-  MAX_PREFILL_SHARE,
-  SPARE_SLOTS,
-} from "./endpoint_placement.ts";
+import { MAX_MEMORY_FRACTION, SPARE_SLOTS } from "./endpoint_placement.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
 import type { EndpointState } from "./endpoint_state.ts";
 
@@ -48,7 +44,10 @@
     pendingTokens: state.prefill,
     freePlaces: freePlaces(state),
     prefillShare: state.prefillShare(now),
-    restMs: state.timeUntilPrefillShare(MAX_PREFILL_SHARE, now),
+    restMs: state.timeUntilPrefillShare(
+      state.answers.maxPrefillShare(now),
+      now,
+    ),
   };
 }
 
--- a/packages/core/src/gateway/work_reporter.ts
+++ b/packages/core/src/gateway/work_reporter.ts
@@ -72,6 +72,8 @@
   /** Entries that received the last report of changes. */
   #changeRecipients = 0;
   #fullReports = 0;
+  /** Whether the last report of what answers need listed any. */
+  #hadNeeds = false;
   /** Consecutive full reports without any work. */
   #emptyReports = 0;
   #prefixes: PrefixUpdate[] = [];
@@ -135,6 +137,23 @@
       { partial: false, endpoints, zones, includeStandby: toRegion },
       now,
     );
+    this.#reportNeeds(zones, now);
+  }
+
+  #reportNeeds(zones: ReadonlySet<ZoneId>, now: Instant): void {
+    const needs = this.#sources.endpoints.ownNeeds(now);
+    if (needs.length > 0 || this.#hadNeeds) {
+      this.#hadNeeds = needs.length > 0;
+      this.#sources.fleet.sender.sendNeeds(
+        needs,
+        (record) => zones.has(record.zone) && this.#servesCallers(record, now),
+      );
+    }
+  }
+
+  #servesCallers(record: EntryRecord, now: Instant): boolean {
+    const { endpoints, serving } = this.#sources;
+    return serving.has(record, now) || endpoints.hasReport(record.incarnation);
   }
 
   #hasWork(now: Instant): boolean {
@@ -201,7 +220,7 @@
     },
     now: Instant,
   ): void {
-    const { fleet, regions, serving } = this.#sources;
+    const { fleet, regions } = this.#sources;
     endpoints.forEach((work) => this.#lastReported.set(work.endpoint, work));
     const toAllZones = zones.size === this.#zones.size;
     const report = {
@@ -211,13 +230,11 @@
       arrivals: regions.report(now),
       picture: this.#sources.catalogueHash(),
     };
-    const servesCallers = (record: EntryRecord): boolean =>
-      serving.has(record, now) ||
-      this.#sources.endpoints.hasReport(record.incarnation);
     const recipients = fleet.sender.sendWork(
       report,
       (record) =>
-        zones.has(record.zone) && (includeStandby || servesCallers(record)),
+        zones.has(record.zone) &&
+        (includeStandby || this.#servesCallers(record, now)),
     );
     if (partial) {
       this.#changeRecipients = recipients;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./configuration/index.ts";
 export * from "./core.ts";
 export * from "./customers/index.ts";
+export * from "./decode/index.ts";
 export * from "./demand/index.ts";
 export * from "./endpoint_terms/index.ts";
 export * from "./endpoints/index.ts";
--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -222,6 +222,11 @@
       ],
     },
   },
+  {
+    kind: "needs",
+    incarnation: record.incarnation,
+    needs: [{ endpoint: "i-7f3a91c2", life: 7, rate: 95 }],
+  },
   {
     kind: "cold",
     reports: [
--- a/packages/daemon/src/gateway/fleet_schema.ts
+++ b/packages/daemon/src/gateway/fleet_schema.ts
@@ -14,6 +14,7 @@
   WorkReport,
 } from "@sassafrasstep/core";
 import { z } from "zod";
+import { answerNeedsSchema, encodeAnswerNeeds } from "./needs_schema.ts";
 import { coldReportsSchema, encodeColdReports } from "./cold_schema.ts";
 import { decodeFrequent } from "./fleet_decoder.ts";
 import { encodeOriginMessage, originMessageSchema } from "./origin_schema.ts";
@@ -60,6 +61,9 @@
   departures: z.tuple([departureMessageSchema]).transform(
     ([message]) => ({ kind: "departures", message }),
   ),
+  needs: z.tuple([shortText, answerNeedsSchema]).transform(
+    ([incarnation, needs]) => ({ kind: "needs", incarnation, needs }),
+  ),
   cold: z.tuple([coldReportsSchema]).transform(
     ([reports]) => ({ kind: "cold", reports }),
   ),
@@ -121,6 +125,9 @@
   if (message.kind === "departures") {
     return [encodeDepartures(message.message)];
   }
+  if (message.kind === "needs") {
+    return [message.incarnation, encodeAnswerNeeds(message.needs)];
+  }
   if (message.kind === "cold") {
     return [encodeColdReports(message.reports)];
   }
--- /dev/null
+++ b/packages/daemon/src/gateway/needs_schema.ts
@@ -0,0 +1,24 @@
+/**
+ * Format of the datagrams about what answers need: arrays whose items are identified by position.
+ *
+ * @module
+ */
+import type { AnswerNeed } from "@sassafrasstep/core";
+import { z } from "zod";
+import {
+  boundedArray,
+  endpointLife,
+  nonNegativeInteger,
+  shortText,
+} from "../quarantine/index.ts";
+
+/** Schema of what the answers of an entry need. */
+export const answerNeedsSchema = boundedArray(
+  z.tuple([shortText, endpointLife, nonNegativeInteger])
+    .transform(([endpoint, life, rate]) => ({ endpoint, life, rate })),
+);
+
+/** Encodes what the answers of an entry need as arrays. */
+export function encodeAnswerNeeds(needs: readonly AnswerNeed[]): unknown[] {
+  return needs.map(({ endpoint, life, rate }) => [endpoint, life ?? 0, rate]);
+}
--- a/playground/src/guards/route_guards.ts
+++ b/playground/src/guards/route_guards.ts
@@ -326,10 +326,17 @@
   {
     point: "routes: overload",
     name: "engines read for a part of their time",
-    file: `${GATEWAY}/endpoint_placement.ts`,
-    find: "const MAX_PREFILL_SHARE = 0.7;",
+    file: "packages/core/src/decode/engine_answers.ts",
+    find: "const MAX_PREFILL_SHARE = 0.75;",
     replace: "const MAX_PREFILL_SHARE = 1.1;",
   },
+  {
+    point: "routes: overload",
+    name: "answers in progress limit what their engine prefills",
+    file: "packages/core/src/decode/engine_answers.ts",
+    find: "1 - need * this.speed.msPerToken",
+    replace: "1 - 0 * need * this.speed.msPerToken",
+  },
   {
     point: "routes: overload",
     name: "reading counts where on time and late are told apart",
