fix: long prompts waited behind all shorter ones until they were refused

Cause: two places where a prompt's own length counted without bound. In the queue it was moved back by twice its prefill, so that from 26,000 tokens on it was late, behind all that are not, before its turn. And its own prefill counted in the limits of an engine's backlog, so that from 12,500 tokens on it needed an engine with nothing pending, which short prompts, exempt from the pauses, rarely leave.

Now a prompt is moved back by a fifth of its objective at most, and counts for 130 ms of prefill at most in the two limits.

--- a/packages/core/src/gateway/call_queue.ts
+++ b/packages/core/src/gateway/call_queue.ts
@@ -20,6 +20,8 @@
 const START_OVERHEAD_MS = 50;
 /** Milliseconds by which a request is moved back in the queue for each that an engine reads its prompt. */
 const COST_WEIGHT = 2;
+/** The longest such time, as a fraction of the objective: with a longer one, long prompts are late before their turn. */
+const MAX_COST_FRACTION = 0.2;
 
 /** Holds the waiting requests. */
 export class CallQueue {
@@ -75,7 +77,7 @@
    * it, each request was sent just too late, and less of the value of a simulated peak during an evacuation
    * was served, most of all in its worst seconds.
    *
-   * Within a rank, a request is moved back by twice the time that it keeps an engine reading. More cheap
+   * Within a rank, a request is moved back by twice the time that it keeps an engine reading, up to a limit. More cheap
    * requests are served this way, such as prompts whose shared prefix is cached, and no request waits forever.
    * In order of arrival, less of the value of the reviews in that peak was served.
    */
@@ -171,9 +173,14 @@
 }
 
 /** Virtual time of a request before its customer's other requests are taken into account. */
-function virtualArrival({ firstAttemptAt, uncachedTokens }: Call): number {
+function virtualArrival(
+  { firstAttemptAt, uncachedTokens, route }: Call,
+): number {
   return firstAttemptAt +
-    COST_WEIGHT * uncachedTokens / DEFAULT_PREFILL_TOKENS_PER_MS;
+    Math.min(
+      MAX_COST_FRACTION * route.objective,
+      COST_WEIGHT * uncachedTokens / DEFAULT_PREFILL_TOKENS_PER_MS,
+    );
 }
 
 /** Milliseconds from sending to the first event if `prefillFraction` of the prompt has to be prefilled. */
--- a/packages/core/src/gateway/endpoint_placement.ts
+++ b/packages/core/src/gateway/endpoint_placement.ts
@@ -24,6 +24,11 @@
  * as the prefill.
  */
 const MAX_PREFILL_STRETCH_MS = 420;
+/**
+ * Longest time by which a prompt's own prefill counts in the two limits above. Where all of it counted, a long prompt
+ * would wait for an engine without any pending prefill, which it never finds among short ones.
+ */
+const MAX_COUNTED_PREFILL_MS = 130;
 /** Prompts up to this length are short: they fit between the long ones. */
 const SHORT_PROMPT_TOKENS = 1_500;
 const SHORT_PROMPT_EXTRA_BACKLOG_MS = 120;
@@ -243,9 +248,10 @@
   }
   const short = prefill <= SHORT_PROMPT_TOKENS;
   const rate = state.prefillRate / contention;
+  const counted = Math.min(prefill, MAX_COUNTED_PREFILL_MS * rate);
   if (!short) {
     const stretch = state.prefillDuration(now) +
-      (state.prefill + prefill) / rate;
+      (state.prefill + counted) / rate;
     const exceedsStretch = state.prefill > 0 &&
       stretch > MAX_PREFILL_STRETCH_MS;
     const exceedsShare = !idle && !urgent &&
@@ -257,7 +263,7 @@
   }
   const extra = short ? SHORT_PROMPT_EXTRA_BACKLOG_MS : 0;
   const limit = (MAX_PREFILL_BACKLOG_MS + extra) * rate;
-  return state.prefill === 0 || state.prefill + prefill <= limit;
+  return state.prefill === 0 || state.prefill + counted <= limit;
 }
 
 /** The part of the cost that grows with contention. */
