fix: what answers need was compared with a share of prefill that entries can't measure

The share that entries measure is the time for which any prompt is pending; with dozens of entries it was 0.6 to 0.97 at the end of these answers, while 13.6 ms a token with 28 requests show about 0.57. So the time for a token without prefill came out at a third, and nearly no engine was limited.

Now the rate that an answer needs is held against the rate at which its engine generates at present, from the gaps between its events. Where the most demanding answer is behind, the share falls from 0.75 to 0.35; entries tell each other how far it is behind.

--- a/packages/core/src/decode/answer_progress.ts
+++ b/packages/core/src/decode/answer_progress.ts
@@ -17,9 +17,7 @@
   readonly #endsAt: Instant;
   /** Events that have arrived. */
   events: number;
-  /** When the last event arrived, and the engine's prefill time until then. */
   lastEventAt: Instant | undefined;
-  lastPrefillTime = 0;
 
   /** `events` is the number of events that the caller received before, of a stream that is resumed. */
   constructor(
--- a/packages/core/src/decode/decode_speed.ts
+++ b/packages/core/src/decode/decode_speed.ts
@@ -1,91 +1,101 @@
 /**
- * How fast engines generate answers while they prefill nothing, learned from the events of answers.
+ * How fast engines generate answers at present, whatever else they do, and how many tokens an event holds.
  *
  * @module
  */
+import type { Instant } from "../ids/index.ts";
 import { type AnswerBounds, expectedOutputTokens } from "./answer_length.ts";
 
 /** Assumed until enough is measured. */
-const INITIAL_MS_PER_TOKEN = 5;
+const INITIAL_MS_PER_EVENT = 80;
 const INITIAL_TOKENS_PER_EVENT = 8;
-/** Measured tokens that count as much as what is assumed. */
-const ASSUMED_TOKENS = 400;
+/** Measured events that count as much as what is assumed. */
 const ASSUMED_EVENTS = 40;
-/** Measured tokens from which older ones are forgotten: batches grow and shrink within seconds. */
-const REMEMBERED_TOKENS = 4_000;
+/** Measured events from which older ones are forgotten. */
 const REMEMBERED_EVENTS = 4_000;
+/** Time constant after which older gaps between events count less: load changes within seconds. */
+const SPEED_DECAY_MS = 1_500;
+/** Gaps that the speed of the service's other engines counts as, for an engine with few of its own. */
+const ASSUMED_GAPS = 3;
 
-/** A mean whose older values count less and less, beginning with an assumed one. */
-class ForgettingRatio {
-  #numerator = 0;
-  #denominator = 0;
-  readonly #remembered: number;
+/** Gaps between events, of which older ones count less. */
+class RecentGaps {
+  #count = 0;
+  #sum = 0;
+  #at: Instant | undefined;
 
-  constructor(remembered: number) {
-    this.#remembered = remembered;
+  add(ms: number, now: Instant): void {
+    this.#decay(now);
+    this.#count++;
+    this.#sum += ms;
   }
 
-  add(numerator: number, denominator: number): void {
-    if (this.#denominator > this.#remembered) {
-      this.#numerator /= 2;
-      this.#denominator /= 2;
-    }
-    this.#numerator += numerator;
-    this.#denominator += denominator;
+  /** Mean gap, where `assumed` counts like `weight` measured ones. */
+  meanWith(assumed: number, weight: number, now: Instant): number {
+    this.#decay(now);
+    return (this.#sum + assumed * weight) / (this.#count + weight);
   }
 
-  /** The ratio, where `assumed` counts like measured values with the denominator `weight`. */
-  valueWith(assumed: number, weight: number): number {
-    return (this.#numerator + assumed * weight) / (this.#denominator + weight);
+  #decay(now: Instant): void {
+    const factor = Math.exp(((this.#at ?? now) - now) / SPEED_DECAY_MS);
+    this.#count *= factor;
+    this.#sum *= factor;
+    this.#at = now;
   }
 }
 
 /** Speed of the engines of one service. */
 export class ServiceDecodeSpeed {
-  readonly #msPerToken = new ForgettingRatio(REMEMBERED_TOKENS);
-  readonly #tokensPerEvent = new ForgettingRatio(REMEMBERED_EVENTS);
+  readonly #gaps = new RecentGaps();
+  #expectedTokens = INITIAL_TOKENS_PER_EVENT * ASSUMED_EVENTS;
+  #events = ASSUMED_EVENTS;
 
-  /** Time for one token of an answer without prefill, in milliseconds. */
-  get msPerToken(): number {
-    return this.#msPerToken.valueWith(INITIAL_MS_PER_TOKEN, ASSUMED_TOKENS);
+  /** Mean time between two events of an answer, in milliseconds. */
+  msPerEvent(now: Instant): number {
+    return this.#gaps.meanWith(INITIAL_MS_PER_EVENT, 1, now);
   }
 
   /** Tokens in an event of a stream. */
   get tokensPerEvent(): number {
-    return this.#tokensPerEvent.valueWith(
-      INITIAL_TOKENS_PER_EVENT,
-      ASSUMED_EVENTS,
-    );
+    return this.#expectedTokens / this.#events;
   }
 
-  record(ms: number, tokens: number): void {
-    this.#msPerToken.add(ms, tokens);
+  record(gap: number, now: Instant): void {
+    this.#gaps.add(gap, now);
   }
 
   /** Learns from a complete answer how many tokens an event has: expected lengths are correct in the median. */
   recordComplete(bounds: AnswerBounds, events: number): void {
-    if (bounds.outputHint !== undefined && events > 0) {
-      this.#tokensPerEvent.add(expectedOutputTokens(bounds), events);
+    if (bounds.outputHint === undefined || events <= 0) {
+      return;
+    }
+    if (this.#events > REMEMBERED_EVENTS) {
+      this.#expectedTokens /= 2;
+      this.#events /= 2;
     }
+    this.#expectedTokens += expectedOutputTokens(bounds);
+    this.#events += events;
   }
 }
 
-/** Speed of one engine, which is assumed to be that of its service until enough is measured. */
+/** Speed of one engine, which is assumed to be that of its service where little is measured. */
 export class EngineDecodeSpeed {
   readonly service: ServiceDecodeSpeed;
-  readonly #msPerToken = new ForgettingRatio(REMEMBERED_TOKENS);
+  readonly #gaps = new RecentGaps();
 
   constructor(service: ServiceDecodeSpeed) {
     this.service = service;
   }
 
-  get msPerToken(): number {
-    return this.#msPerToken.valueWith(this.service.msPerToken, ASSUMED_TOKENS);
+  /** Tokens of each answer that the engine generates in a millisecond. */
+  tokensPerMs(now: Instant): number {
+    const usual = this.service.msPerEvent(now);
+    return this.service.tokensPerEvent /
+      Math.max(1, this.#gaps.meanWith(usual, ASSUMED_GAPS, now));
   }
 
-  record(ms: number, events: number): void {
-    const tokens = events * this.service.tokensPerEvent;
-    this.#msPerToken.add(ms, tokens);
-    this.service.record(ms, tokens);
+  record(gap: number, now: Instant): void {
+    this.#gaps.add(gap, now);
+    this.service.record(gap, now);
   }
 }
--- a/packages/core/src/decode/engine_answers.ts
+++ b/packages/core/src/decode/engine_answers.ts
@@ -14,22 +14,25 @@
  * must not keep all long prompts waiting.
  */
 export const MAX_PREFILL_SHARE = 0.75;
-export const MIN_PREFILL_SHARE = 0.55;
-/** Time for which a needed rate is used again. */
-const NEED_LIFETIME_MS = 50;
+export const MIN_PREFILL_SHARE = 0.35;
+/** Pressure up to which answers limit no prefill, and from which they leave the least. */
+const LOW_PRESSURE = 1;
+const HIGH_PRESSURE = 1.5;
+/** Time for which a measured pressure is used again. */
+const PRESSURE_LIFETIME_MS = 50;
 /** Longest gap between events that tells the engine's speed: with a longer one something else was wrong. */
 const MAX_MEASURED_GAP_MS = 2_000;
 
 /** The answers in progress at one engine, of this entry and its peers. */
 export class EngineAnswers {
-  readonly speed: EngineDecodeSpeed;
+  readonly #speed: EngineDecodeSpeed;
   readonly #answers = new Map<AttemptId, AnswerProgress>();
-  readonly #peerNeeds = new Map<Incarnation, number>();
-  #ownNeed = 0;
+  readonly #peerPressures = new Map<Incarnation, number>();
+  #ownPressure = 0;
   #measuredAt: Instant | undefined;
 
   constructor(service: ServiceDecodeSpeed) {
-    this.speed = new EngineDecodeSpeed(service);
+    this.#speed = new EngineDecodeSpeed(service);
   }
 
   begin(
@@ -41,8 +44,7 @@
     this.#measuredAt = undefined;
   }
 
-  /** Records an event. `prefillTime` is the time that the engine has spent on prefill so far. */
-  noteEvent(attempt: AttemptId, prefillTime: number, now: Instant): void {
+  noteEvent(attempt: AttemptId, now: Instant): void {
     const answer = this.#answers.get(attempt);
     if (answer === undefined) {
       return;
@@ -50,79 +52,75 @@
     answer.events++;
     const gap = now - (answer.lastEventAt ?? now);
     if (answer.lastEventAt !== undefined && gap <= MAX_MEASURED_GAP_MS) {
-      const prefilled = prefillTime - answer.lastPrefillTime;
-      this.speed.record(Math.max(0, gap - prefilled), 1);
+      this.#speed.record(gap, now);
     }
     answer.lastEventAt = now;
-    answer.lastPrefillTime = prefillTime;
   }
 
   /** Removes an answer that has ended. */
   end(attempt: AttemptId, complete: boolean): void {
     const answer = this.#answers.get(attempt);
     if (answer !== undefined && complete) {
-      this.speed.service.recordComplete(answer.bounds, answer.events);
+      this.#speed.service.recordComplete(answer.bounds, answer.events);
     }
     this.#answers.delete(attempt);
     this.#measuredAt = undefined;
   }
 
-  /** Sets the rate that a peer's answers need, 0 for none. */
-  setPeerNeed(peer: Incarnation, rate: number): void {
-    if (rate > 0) {
-      this.#peerNeeds.set(peer, rate);
+  /** Sets the pressure of a peer's answers, 0 for none. */
+  setPeerPressure(peer: Incarnation, pressure: number): void {
+    if (pressure > 0) {
+      this.#peerPressures.set(peer, pressure);
     } else {
-      this.#peerNeeds.delete(peer);
+      this.#peerPressures.delete(peer);
     }
   }
 
-  /** Tokens per millisecond that the most demanding of this entry's answers needs. */
-  ownNeed(now: Instant): number {
+  /** The rate that the most demanding of this entry's answers needs, relative to the engine's present one. */
+  ownPressure(now: Instant): number {
     if (
       this.#measuredAt === undefined ||
-      now - this.#measuredAt > NEED_LIFETIME_MS
+      now - this.#measuredAt > PRESSURE_LIFETIME_MS
     ) {
-      const { tokensPerEvent } = this.speed.service;
+      const { tokensPerEvent } = this.#speed.service;
       let need = 0;
       for (const answer of this.#answers.values()) {
         need = Math.max(need, answer.neededRate(tokensPerEvent, now));
       }
-      this.#ownNeed = need;
+      this.#ownPressure = need / this.#speed.tokensPerMs(now);
       this.#measuredAt = now;
     }
-    return this.#ownNeed;
+    return this.#ownPressure;
   }
 
   /** Whether this entry's answers limit what the engine may prefill. */
   limitsPrefill(now: Instant): boolean {
-    return this.ownNeed(now) * this.speed.msPerToken > 1 - MAX_PREFILL_SHARE;
+    return this.ownPressure(now) > LOW_PRESSURE;
   }
 
   /** Share of its time that the engine may prefill so that its answers are complete in time. */
   maxPrefillShare(now: Instant): number {
-    return this.#shareBeside(this.#need(now));
+    return shareUnder(this.#pressure(now));
   }
 
   /** By how much another answer would lower that share. */
-  shareTakenBy(
-    bounds: AnswerBounds,
-    endsAt: Instant,
-    now: Instant,
-  ): number {
-    const need = this.#need(now);
+  shareTakenBy(bounds: AnswerBounds, endsAt: Instant, now: Instant): number {
+    const present = this.#pressure(now);
     const answer = new AnswerProgress(bounds, { endsAt, events: 0 });
-    const rate = answer.neededRate(this.speed.service.tokensPerEvent, now);
-    return rate <= need ? 0 : this.#shareBeside(need) - this.#shareBeside(rate);
+    const pressure =
+      answer.neededRate(this.#speed.service.tokensPerEvent, now) /
+      this.#speed.tokensPerMs(now);
+    return pressure <= present ? 0 : shareUnder(present) - shareUnder(pressure);
   }
 
-  #need(now: Instant): number {
-    return Math.max(this.ownNeed(now), ...this.#peerNeeds.values());
+  #pressure(now: Instant): number {
+    return Math.max(this.ownPressure(now), ...this.#peerPressures.values());
   }
+}
 
-  #shareBeside(need: number): number {
-    return Math.max(
-      MIN_PREFILL_SHARE,
-      Math.min(MAX_PREFILL_SHARE, 1 - need * this.speed.msPerToken),
-    );
-  }
+function shareUnder(pressure: number): number {
+  const excess = (pressure - LOW_PRESSURE) / (HIGH_PRESSURE - LOW_PRESSURE);
+  return MAX_PREFILL_SHARE -
+    (MAX_PREFILL_SHARE - MIN_PREFILL_SHARE) *
+      Math.max(0, Math.min(1, excess));
 }
--- a/packages/core/src/fleet/fleet_messages.ts
+++ b/packages/core/src/fleet/fleet_messages.ts
@@ -160,8 +160,8 @@
 export interface AnswerNeed {
   readonly endpoint: EndpointId;
   readonly life: EndpointLife | undefined;
-  /** Tokens per second of each answer. */
-  readonly rate: number;
+  /** The rate that the most demanding answer needs, relative to the engine's present one. */
+  readonly pressure: number;
 }
 
 /** What an endpoint said of itself in a health check. */
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -373,7 +373,7 @@
     attempt.partialEventBytes = update.unfinished;
     call.trace.noteBytes(now);
     const hasRoom = attempt.state?.noteFirstEvent(id, now) === true;
-    attempt.state?.noteEvent(id, now);
+    attempt.state?.answers.noteEvent(id, now);
     call.position.advance(update);
     if (hasRoom) {
       this.#placer.drain(now);
--- a/packages/core/src/gateway/endpoint_registry.ts
+++ b/packages/core/src/gateway/endpoint_registry.ts
@@ -34,7 +34,6 @@
  * full reports to other zones, plus a margin.
  */
 const REPORT_LIFETIME_MS = 2_200;
-const MS_PER_SECOND = 1_000;
 /** Share of their time that engines are assumed to prefill while requests wait. */
 const ASSUMED_PREFILL_SHARE = 0.7;
 
@@ -344,8 +343,10 @@
       this.#needs.set(from, { needs, receivedAt: now });
     }
     for (const need of needs) {
-      const rate = need.rate / MS_PER_SECOND;
-      this.#stateOfLife(need)?.answers.setPeerNeed(from, rate);
+      this.#stateOfLife(need)?.answers.setPeerPressure(
+        from,
+        need.pressure,
+      );
     }
   }
 
@@ -354,8 +355,7 @@
     const needs: AnswerNeed[] = [];
     for (const { record: { id, life }, answers } of this.#states.values()) {
       if (answers.limitsPrefill(now)) {
-        const rate = Math.ceil(answers.ownNeed(now) * MS_PER_SECOND);
-        needs.push({ endpoint: id, life, rate });
+        needs.push({ endpoint: id, life, pressure: answers.ownPressure(now) });
       }
     }
     return needs;
@@ -383,23 +383,29 @@
   /** Drops the reports of peers that have fallen silent. */
   expire(now: Instant): void {
     for (const [from, { receivedAt }] of this.#reports) {
-      // After a pause of this process the peer's next reports are still unread. If the pause counted as
-      // silence, the engines that the peer uses would look idle.
-      if (this.#clock.since(receivedAt, now) > REPORT_LIFETIME_MS) {
+      if (this.#isExpired(receivedAt, now)) {
         this.#applyReport(from, -1, now);
         this.#reports.delete(from);
       }
     }
     for (const [from, { receivedAt }] of this.#needs) {
-      if (this.#clock.since(receivedAt, now) > REPORT_LIFETIME_MS) {
+      if (this.#isExpired(receivedAt, now)) {
         this.#forgetNeeds(from);
       }
     }
   }
 
+  /**
+   * Whether a peer has fallen silent since a report. After a pause of this process the peer's next reports are still
+   * unread. If the pause counted as silence, the engines that the peer uses would look idle.
+   */
+  #isExpired(receivedAt: Instant, now: Instant): boolean {
+    return this.#clock.since(receivedAt, now) > REPORT_LIFETIME_MS;
+  }
+
   #forgetNeeds(from: Incarnation): void {
     for (const need of this.#needs.get(from)?.needs ?? []) {
-      this.#states.get(need.endpoint)?.answers.setPeerNeed(from, 0);
+      this.#states.get(need.endpoint)?.answers.setPeerPressure(from, 0);
     }
     this.#needs.delete(from);
   }
--- a/packages/core/src/gateway/endpoint_state.ts
+++ b/packages/core/src/gateway/endpoint_state.ts
@@ -110,8 +110,6 @@
   #prefillPausedUntil: Instant | undefined;
   #prefillShare = 0;
   #prefillShareAt: Instant | undefined;
-  /** Time spent on prefill before the current period. */
-  #pastPrefillTime = 0;
   #onTrialUntil: Instant | undefined;
 
   constructor(
@@ -234,11 +232,6 @@
     return this.#prefillSince === undefined ? 0 : now - this.#prefillSince;
   }
 
-  /** Milliseconds that the endpoint has spent on prefill since it is known. */
-  #prefillTime(now: Instant): number {
-    return this.#pastPrefillTime + this.prefillDuration(now);
-  }
-
   /** Adds (1) or subtracts (-1) the work that a peer reported. */
   applyPeerWork(work: EndpointWork, sign: 1 | -1, now: Instant): void {
     this.peers.prefill += sign * work.prefill;
@@ -289,11 +282,6 @@
     return true;
   }
 
-  /** Notes an event of an answer. */
-  noteEvent(attempt: AttemptId, now: Instant): void {
-    this.answers.noteEvent(attempt, this.#prefillTime(now), now);
-  }
-
   /** Notes a plain endpoint's answer to an attempt that was sent to it at `sentAt`. */
   noteAnswer(attempt: AttemptId, sentAt: Instant, now: Instant): void {
     const isMeasurable = this.service?.engine === undefined &&
@@ -334,7 +322,6 @@
       this.#prefillSince ??= now;
     } else if (this.#prefillSince !== undefined) {
       const elapsed = now - this.#prefillSince;
-      this.#pastPrefillTime += elapsed;
       this.#prefillSince = undefined;
       const pause = Math.max(
         MIN_PREFILL_PAUSE_MS,
--- a/packages/daemon/src/gateway/needs_schema.ts
+++ b/packages/daemon/src/gateway/needs_schema.ts
@@ -12,13 +12,23 @@
   shortText,
 } from "../quarantine/index.ts";
 
+const PERCENT = 100;
+
 /** Schema of what the answers of an entry need. */
 export const answerNeedsSchema = boundedArray(
   z.tuple([shortText, endpointLife, nonNegativeInteger])
-    .transform(([endpoint, life, rate]) => ({ endpoint, life, rate })),
+    .transform(([endpoint, life, percent]) => ({
+      endpoint,
+      life,
+      pressure: percent / PERCENT,
+    })),
 );
 
 /** Encodes what the answers of an entry need as arrays. */
 export function encodeAnswerNeeds(needs: readonly AnswerNeed[]): unknown[] {
-  return needs.map(({ endpoint, life, rate }) => [endpoint, life ?? 0, rate]);
+  return needs.map(({ endpoint, life, pressure }) => [
+    endpoint,
+    life ?? 0,
+    Math.round(pressure * PERCENT),
+  ]);
 }
--- a/playground/src/guards/route_guards.ts
+++ b/playground/src/guards/route_guards.ts
@@ -334,8 +334,8 @@
     point: "routes: overload",
     name: "answers in progress limit what their engine prefills",
     file: "packages/core/src/decode/engine_answers.ts",
-    find: "1 - need * this.speed.msPerToken",
-    replace: "1 - 0 * need * this.speed.msPerToken",
+    find: "Math.max(0, Math.min(1, excess))",
+    replace: "Math.max(0, Math.min(0, excess))",
   },
   {
     point: "routes: overload",
@@ -361,7 +361,7 @@
   {
     point: "routes: overload",
     name: "work is counted with the expected answer",
-    file: `${GATEWAY}/prompt_cost.ts`,
+    file: "packages/core/src/decode/answer_length.ts",
     find: "outputHint ?? outputTokens",
     replace: "outputTokens ?? outputTokens",
   },
