test: how size and answers that are behind count in placement and order

Unit tests of the two fixes before: a long prompt beside little pending prefill, none beside answers that are behind, the limit of how far a long prompt moves back, and what a peer said of an endpoint's earlier life. Without the limits the first three fail.

--- a/packages/core/src/gateway/__tests__/call_queue.test.ts
+++ b/packages/core/src/gateway/__tests__/call_queue.test.ts
@@ -106,6 +106,16 @@
     const late = waiting("late", { at: 400, uncachedTokens: 700 });
     expect(order([costly, late], 500)).toEqual(["costly", "late"]);
   });
+
+  // Guards against the longest prompts being late, behind all others, before their turn.
+  it("moves a prompt back by a part of its objective at most, however long it is", () => {
+    const calls = [
+      waiting("long", { at: 0, tokens: 15_000 }),
+      waiting("earlier", { at: 190, tokens: 1, uncachedTokens: 0 }),
+      waiting("later", { at: 210, tokens: 1, uncachedTokens: 0 }),
+    ];
+    expect(order(calls, 300)).toEqual(["earlier", "long", "later"]);
+  });
 });
 
 describe("customers of one rank", () => {
--- a/packages/core/src/gateway/__tests__/endpoint_restarts.test.ts
+++ b/packages/core/src/gateway/__tests__/endpoint_restarts.test.ts
@@ -6,7 +6,9 @@
   type EndpointRecord,
   type Incarnation,
   instant,
+  MAX_PREFILL_SHARE,
   milliseconds,
+  MIN_PREFILL_SHARE,
   type RegionId,
   StallAdjustedClock,
   supersedes,
@@ -127,6 +129,21 @@
     expect(state().requests).toBe(0);
   });
 
+  it("ignores what a peer's answers need at its previous life, and at last what it said", () => {
+    const need = (life: EndpointLife): void => {
+      const needs = [{ endpoint: "e1" as EndpointId, life, pressure: 2 }];
+      registry.receiveNeeds(PEER, needs, instant(1));
+    };
+    const share = (): number => state().answers.maxPrefillShare(instant(1));
+    publish({ life: CURRENT_LIFE });
+    need(PREVIOUS_LIFE);
+    expect(share()).toBe(MAX_PREFILL_SHARE);
+    need(CURRENT_LIFE);
+    expect(share()).toBe(MIN_PREFILL_SHARE);
+    registry.expire(instant(10_000));
+    expect(share()).toBe(MAX_PREFILL_SHARE);
+  });
+
   it("counts a peer's report that arrived before its record", () => {
     report(CURRENT_LIFE);
     expect(state().requests).toBe(0);
--- a/packages/core/src/gateway/__tests__/placement.test.ts
+++ b/packages/core/src/gateway/__tests__/placement.test.ts
@@ -1,5 +1,10 @@
 import { beforeEach, describe, expect, it } from "vitest";
-import { type AttemptId, instant, type ZoneId } from "../../index.ts";
+import {
+  type AttemptId,
+  type Incarnation,
+  instant,
+  type ZoneId,
+} from "../../index.ts";
 import type { EndpointState } from "../endpoint_state.ts";
 import type { Prompt } from "../messages.ts";
 import { createEngine } from "./engine_fixture.ts";
@@ -108,6 +113,22 @@
     expect(chosen(prompt(800), [engine1], 1)).toBe("e1");
   });
 
+  // Guards against long prompts that wait for an engine without pending prefill, which short ones never leave.
+  it("gives a long prompt to an engine with little pending prefill", () => {
+    send(engine1, 1_000, 0);
+    expect(chosen(prompt(30_000), [engine1], 1)).toBe("e1");
+  });
+
+  // Guards against long prompts beside an answer that can't be complete in time any more.
+  it("gives no long prompt to an engine whose answers are behind", () => {
+    const id = send(engine1, 2_000, 0);
+    engine1.noteFirstEvent(id, instant(2_000));
+    expect(chosen(prompt(5_000), [engine1], 2_100)).toBe("e1");
+    engine1.answers.setPeerPressure("p" as Incarnation, 2);
+    expect(chosen(prompt(5_000), [engine1], 2_100)).toBe("busy");
+    expect(chosen(prompt(500), [engine1], 2_100)).toBe("e1");
+  });
+
   it("pauses prefill on an engine while streams run there", () => {
     send(engine1, 500, 0);
     const long = send(engine1, LONG, 0);
