fix: engines got fewer long prompts for answers that could still catch up

Cause: an engine was limited as soon as an answer needed more than the engine's present rate.

Now an engine is limited from 1.2 times its rate on, and most at 1.7 times.

--- a/packages/core/src/decode/engine_answers.ts
+++ b/packages/core/src/decode/engine_answers.ts
@@ -16,8 +16,8 @@
 export const MAX_PREFILL_SHARE = 0.75;
 export const MIN_PREFILL_SHARE = 0.35;
 /** Pressure up to which answers limit no prefill, and from which they leave the least. */
-const LOW_PRESSURE = 1;
-const HIGH_PRESSURE = 1.5;
+const LOW_PRESSURE = 1.2;
+const HIGH_PRESSURE = 1.7;
 /** Time for which a measured pressure is used again. */
 const PRESSURE_LIFETIME_MS = 50;
 /** Longest gap between events that tells the engine's speed: with a longer one something else was wrong. */
