fix: pieces of events counted as events, and one word for what is told

Bytes of an event that is not complete yet moved an answer on and made its engine look fast, since each arrival counted. The position of a stream counts complete events now, for the planned rest of an answer and for the counts of ended streams; a test of the position failed before (nothing counted). What entries tell each other is named pressure throughout, where half of the names said need.

--- a/packages/core/src/fleet/fleet_messages.ts
+++ b/packages/core/src/fleet/fleet_messages.ts
@@ -157,7 +157,7 @@
 }
 
 /** How fast an engine has to generate so that the answers that run there for one entry are complete in time. */
-export interface AnswerNeed {
+export interface EndpointPressure {
   readonly endpoint: EndpointId;
   readonly life: EndpointLife | undefined;
   /** The rate that the most demanding answer needs, relative to the engine's present one. */
@@ -209,9 +209,9 @@
   }
   /** What answers in progress need. An engine that is not listed has no need that limits others. */
   | {
-    readonly kind: "needs";
+    readonly kind: "pressures";
     readonly incarnation: Incarnation;
-    readonly needs: readonly AnswerNeed[];
+    readonly pressures: readonly EndpointPressure[];
   }
   /** Endpoint crashes, and requests that are held back because of them. */
   | {
--- a/packages/core/src/fleet/fleet_sender.ts
+++ b/packages/core/src/fleet/fleet_sender.ts
@@ -8,7 +8,7 @@
 import type { RegionOutlook } from "../outlook/index.ts";
 import type { QuarantineUpdate } from "../quarantine/index.ts";
 import type {
-  AnswerNeed,
+  EndpointPressure,
   EntryRecord,
   FleetMessage,
   FleetMessageBody,
@@ -63,13 +63,13 @@
   }
 
   /** Sends what this entry's answers need to the matching entries of its region. */
-  sendNeeds(
-    needs: readonly AnswerNeed[],
+  sendPressures(
+    pressures: readonly EndpointPressure[],
     isRecipient: (record: EntryRecord) => boolean,
   ): void {
     const { region, incarnation } = this.#options.self;
     this.#sendToMatching(
-      { kind: "needs", incarnation, needs },
+      { kind: "pressures", incarnation, pressures },
       (record) => record.region === region && isRecipient(record),
     );
   }
--- a/packages/core/src/gateway/__tests__/endpoint_restarts.test.ts
+++ b/packages/core/src/gateway/__tests__/endpoint_restarts.test.ts
@@ -131,8 +131,8 @@
 
   it("ignores what a peer's answers need at its previous life, and at last what it said", () => {
     const need = (life: EndpointLife): void => {
-      const needs = [{ endpoint: "e1" as EndpointId, life, pressure: 2 }];
-      registry.receiveNeeds(PEER, needs, instant(1));
+      const pressures = [{ endpoint: "e1" as EndpointId, life, pressure: 2 }];
+      registry.receivePressures(PEER, pressures, instant(1));
     };
     const share = (): number => state().answers.maxPrefillShare(instant(1));
     publish({ life: CURRENT_LIFE });
--- a/packages/core/src/gateway/__tests__/stream_position.test.ts
+++ b/packages/core/src/gateway/__tests__/stream_position.test.ts
@@ -33,4 +33,13 @@
       known: true,
     });
   });
+
+  // Guards against an answer that counts as further than it is, since its events arrive in pieces.
+  it("counts events, and neither comments nor pieces of events", () => {
+    const position = new StreamPosition("1");
+    expect(position.advance(NUMBERED)).toBe(true);
+    expect(position.advance(COMMENT)).toBe(false);
+    expect(position.advance(UNNUMBERED)).toBe(true);
+    expect(position.events).toBe(2);
+  });
 });
--- a/packages/core/src/gateway/__tests__/work_reporter.test.ts
+++ b/packages/core/src/gateway/__tests__/work_reporter.test.ts
@@ -1,8 +1,8 @@
 import { beforeEach, describe, expect, it } from "vitest";
 import {
-  type AnswerNeed,
   type AttemptId,
   type EndpointId,
+  type EndpointPressure,
   type EntryRecord,
   type FleetMessage,
   instant,
@@ -44,13 +44,16 @@
   }[];
   let reporter: WorkReporter;
   let recipients: number;
-  let needs: AnswerNeed[];
-  let sentNeeds: { needs: readonly AnswerNeed[]; recipients: string[] }[];
+  let pressures: EndpointPressure[];
+  let sentPressures: {
+    pressures: readonly EndpointPressure[];
+    recipients: string[];
+  }[];
 
   beforeEach(() => {
     recipients = 1;
-    needs = [];
-    sentNeeds = [];
+    pressures = [];
+    sentPressures = [];
     ownZoneEngine = createEngine("e1");
     otherZoneEngine = createEngine("e2", { zone: "z2" });
     available = new Set([ownZoneEngine, otherZoneEngine]);
@@ -84,12 +87,12 @@
             });
             return recipients;
           },
-          sendNeeds: (
-            list: readonly AnswerNeed[],
+          sendPressures: (
+            list: readonly EndpointPressure[],
             isRecipient: (record: EntryRecord) => boolean,
           ) => {
-            sentNeeds.push({
-              needs: list,
+            sentPressures.push({
+              pressures: list,
               recipients: ["carrier", "standby", "busy"].filter((incarnation) =>
                 isRecipient({ zone: "z1", incarnation } as never)
               ),
@@ -101,7 +104,7 @@
         all: () => [ownZoneEngine, otherZoneEngine],
         isInService: (state: EndpointState) => available.has(state),
         hasReport: (incarnation: string) => incarnation === "busy",
-        ownNeeds: () => needs,
+        ownPressures: () => pressures,
       } as unknown as EndpointRegistry,
       regions: { report: () => [] } as never,
       catalogueHash: () => 7,
@@ -128,14 +131,14 @@
       pressure: 1.2,
     };
     begin(ownZoneEngine);
-    needs = [need];
+    pressures = [need];
     reporter.tick([], instant(500));
-    needs = [];
+    pressures = [];
     reporter.tick([], instant(1_000));
     reporter.tick([], instant(1_500));
-    expect(sentNeeds).toEqual([
-      { needs: [need], recipients: ["carrier", "busy"] },
-      { needs: [], recipients: ["carrier", "busy"] },
+    expect(sentPressures).toEqual([
+      { pressures: [need], recipients: ["carrier", "busy"] },
+      { pressures: [], recipients: ["carrier", "busy"] },
     ]);
   });
 
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -95,7 +95,7 @@
     const { prompt } = call.head;
     const answer = prompt === undefined
       ? undefined
-      : { bounds: prompt, endsAt: call.endsAt, events: call.trace.events };
+      : { bounds: prompt, endsAt: call.endsAt, events: call.position.events };
     state.addAttempt(attempt.id, { prefill, tokens, answer }, now);
     state.health.noteRequestSent(now);
     const { service } = state.record;
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -373,8 +373,9 @@
     attempt.partialEventBytes = update.unfinished;
     call.trace.noteBytes(now);
     const hasRoom = attempt.state?.noteFirstEvent(id, now) === true;
-    attempt.state?.answers.noteEvent(id, now);
-    call.position.advance(update);
+    if (call.position.advance(update)) {
+      attempt.state?.answers.noteEvent(id, now);
+    }
     if (hasRoom) {
       this.#placer.drain(now);
     }
--- a/packages/core/src/gateway/call_outcomes.ts
+++ b/packages/core/src/gateway/call_outcomes.ts
@@ -225,11 +225,12 @@
   }
 
   #recordStream(
-    { route, trace, isEventStream }: Call,
+    { route, position, isEventStream }: Call,
     complete: boolean,
   ): void {
     if (isEventStream) {
-      this.streamEnds.record(route.name, { events: trace.events, complete });
+      const { events } = position;
+      this.streamEnds.record(route.name, { events, complete });
     }
   }
 
--- a/packages/core/src/gateway/call_trace.ts
+++ b/packages/core/src/gateway/call_trace.ts
@@ -140,11 +140,6 @@
     this.#events++;
   }
 
-  /** Number of pieces of the answer that arrived. */
-  get events(): number {
-    return this.#events;
-  }
-
   /** Records how long an answer was not read due to backpressure, which is no pause of the endpoint. */
   noteBackpressure(duration: Milliseconds, now: Instant): void {
     this.#backpressureMs += duration;
--- a/packages/core/src/gateway/endpoint_registry.ts
+++ b/packages/core/src/gateway/endpoint_registry.ts
@@ -5,7 +5,7 @@
  */
 import type { ReportedPace } from "../demand/index.ts";
 import {
-  type AnswerNeed,
+  type EndpointPressure,
   type EndpointWork,
   NO_RETURN_MS,
   type PrefixUpdate,
@@ -64,8 +64,8 @@
   readonly receivedAt: Instant;
 }
 
-interface ReceivedNeeds {
-  readonly needs: readonly AnswerNeed[];
+interface ReceivedPressures {
+  readonly pressures: readonly EndpointPressure[];
   readonly receivedAt: Instant;
 }
 
@@ -83,7 +83,7 @@
   readonly #paces = new Map<ServiceId, ServicePace>();
   readonly #decodeSpeeds = new Map<ServiceId, ServiceDecodeSpeed>();
   readonly #reports = new Map<Incarnation, ReceivedReport>();
-  readonly #needs = new Map<Incarnation, ReceivedNeeds>();
+  readonly #pressures = new Map<Incarnation, ReceivedPressures>();
   /** Sums of the arrivals in `#reports`, by service. */
   readonly #peerArrivals = new Map<ServiceId, ArrivalTotals>();
   #evacuated: ReadonlySet<ZoneId> = new Set();
@@ -333,32 +333,36 @@
   }
 
   /** Replaces what a peer's answers need. */
-  receiveNeeds(
+  receivePressures(
     from: Incarnation,
-    needs: readonly AnswerNeed[],
+    pressures: readonly EndpointPressure[],
     now: Instant,
   ): void {
-    this.#forgetNeeds(from);
-    if (needs.length > 0) {
-      this.#needs.set(from, { needs, receivedAt: now });
+    this.#forgetPressures(from);
+    if (pressures.length > 0) {
+      this.#pressures.set(from, { pressures, receivedAt: now });
     }
-    for (const need of needs) {
-      this.#stateOfLife(need)?.answers.setPeerPressure(
+    for (const item of pressures) {
+      this.#stateOfLife(item)?.answers.setPeerPressure(
         from,
-        need.pressure,
+        item.pressure,
       );
     }
   }
 
   /** What this entry's answers need, where that limits what an engine may prefill. */
-  ownNeeds(now: Instant): AnswerNeed[] {
-    const needs: AnswerNeed[] = [];
+  ownPressures(now: Instant): EndpointPressure[] {
+    const pressures: EndpointPressure[] = [];
     for (const { record: { id, life }, answers } of this.#states.values()) {
       if (answers.limitsPrefill(now)) {
-        needs.push({ endpoint: id, life, pressure: answers.ownPressure(now) });
+        pressures.push({
+          endpoint: id,
+          life,
+          pressure: answers.ownPressure(now),
+        });
       }
     }
-    return needs;
+    return pressures;
   }
 
   /** What arrived for a service at this entry's peers within the last second. */
@@ -388,9 +392,9 @@
         this.#reports.delete(from);
       }
     }
-    for (const [from, { receivedAt }] of this.#needs) {
+    for (const [from, { receivedAt }] of this.#pressures) {
       if (this.#isExpired(receivedAt, now)) {
-        this.#forgetNeeds(from);
+        this.#forgetPressures(from);
       }
     }
   }
@@ -403,11 +407,11 @@
     return this.#clock.since(receivedAt, now) > REPORT_LIFETIME_MS;
   }
 
-  #forgetNeeds(from: Incarnation): void {
-    for (const need of this.#needs.get(from)?.needs ?? []) {
-      this.#states.get(need.endpoint)?.answers.setPeerPressure(from, 0);
+  #forgetPressures(from: Incarnation): void {
+    for (const item of this.#pressures.get(from)?.pressures ?? []) {
+      this.#states.get(item.endpoint)?.answers.setPeerPressure(from, 0);
     }
-    this.#needs.delete(from);
+    this.#pressures.delete(from);
   }
 
   #upsert(id: EndpointId, now: Instant): void {
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -631,8 +631,12 @@
       this.#calls.retries.receiveLoan(message.message, now);
     } else if (message.kind === "outlook") {
       this.earlyRelay.exchange.receive(message.outlook, now);
-    } else if (message.kind === "needs") {
-      this.#endpoints.receiveNeeds(message.incarnation, message.needs, now);
+    } else if (message.kind === "pressures") {
+      this.#endpoints.receivePressures(
+        message.incarnation,
+        message.pressures,
+        now,
+      );
     } else if (message.kind === "work") {
       this.#endpoints.receiveReport(message.incarnation, message.report, now);
       if (this.#isStandby) {
--- a/packages/core/src/gateway/stream_position.ts
+++ b/packages/core/src/gateway/stream_position.ts
@@ -8,6 +8,7 @@
 export class StreamPosition {
   #lastId: string | undefined;
   #known = true;
+  #events = 0;
 
   /** `lastId` is the last event that the caller received earlier, before this request. */
   constructor(lastId: string | undefined) {
@@ -19,19 +20,27 @@
     return this.#lastId;
   }
 
+  /** Number of reports of complete events that were sent to the caller for this request. */
+  get events(): number {
+    return this.#events;
+  }
+
   /** Whether the position can be given to another endpoint. It cannot after events without an id. */
   get known(): boolean {
     return this.#known;
   }
 
-  /** Records events that were sent to the caller. */
+  /** Records what was sent to the caller. Returns whether it held complete events. */
   advance(
     { lastEventId, unnumbered }: {
       lastEventId: string | undefined;
       unnumbered: boolean;
     },
-  ): void {
+  ): boolean {
     this.#lastId = lastEventId ?? this.#lastId;
     this.#known = !unnumbered && (this.#known || lastEventId !== undefined);
+    const complete = unnumbered || lastEventId !== undefined;
+    this.#events += complete ? 1 : 0;
+    return complete;
   }
 }
--- a/packages/core/src/gateway/work_reporter.ts
+++ b/packages/core/src/gateway/work_reporter.ts
@@ -73,7 +73,7 @@
   #changeRecipients = 0;
   #fullReports = 0;
   /** Whether the last report of what answers need listed any. */
-  #hadNeeds = false;
+  #hadPressures = false;
   /** Consecutive full reports without any work. */
   #emptyReports = 0;
   #prefixes: PrefixUpdate[] = [];
@@ -137,15 +137,15 @@
       { partial: false, endpoints, zones, includeStandby: toRegion },
       now,
     );
-    this.#reportNeeds(zones, now);
+    this.#reportPressures(zones, now);
   }
 
-  #reportNeeds(zones: ReadonlySet<ZoneId>, now: Instant): void {
-    const needs = this.#sources.endpoints.ownNeeds(now);
-    if (needs.length > 0 || this.#hadNeeds) {
-      this.#hadNeeds = needs.length > 0;
-      this.#sources.fleet.sender.sendNeeds(
-        needs,
+  #reportPressures(zones: ReadonlySet<ZoneId>, now: Instant): void {
+    const pressures = this.#sources.endpoints.ownPressures(now);
+    if (pressures.length > 0 || this.#hadPressures) {
+      this.#hadPressures = pressures.length > 0;
+      this.#sources.fleet.sender.sendPressures(
+        pressures,
         (record) => zones.has(record.zone) && this.#servesCallers(record, now),
       );
     }
--- a/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
+++ b/packages/daemon/src/gateway/__tests__/fleet_schema.test.ts
@@ -223,9 +223,9 @@
     },
   },
   {
-    kind: "needs",
+    kind: "pressures",
     incarnation: record.incarnation,
-    needs: [{ endpoint: "i-7f3a91c2", life: 7, pressure: 1.2 }],
+    pressures: [{ endpoint: "i-7f3a91c2", life: 7, pressure: 1.2 }],
   },
   {
     kind: "cold",
--- a/packages/daemon/src/gateway/fleet_schema.ts
+++ b/packages/daemon/src/gateway/fleet_schema.ts
@@ -14,7 +14,7 @@
   WorkReport,
 } from "@sassafrasstep/core";
 import { z } from "zod";
-import { answerNeedsSchema, encodeAnswerNeeds } from "./needs_schema.ts";
+import { encodePressures, pressuresSchema } from "./pressure_schema.ts";
 import { coldReportsSchema, encodeColdReports } from "./cold_schema.ts";
 import { decodeFrequent } from "./fleet_decoder.ts";
 import { encodeOriginMessage, originMessageSchema } from "./origin_schema.ts";
@@ -61,8 +61,12 @@
   departures: z.tuple([departureMessageSchema]).transform(
     ([message]) => ({ kind: "departures", message }),
   ),
-  needs: z.tuple([shortText, answerNeedsSchema]).transform(
-    ([incarnation, needs]) => ({ kind: "needs", incarnation, needs }),
+  pressures: z.tuple([shortText, pressuresSchema]).transform(
+    ([incarnation, pressures]) => ({
+      kind: "pressures",
+      incarnation,
+      pressures,
+    }),
   ),
   cold: z.tuple([coldReportsSchema]).transform(
     ([reports]) => ({ kind: "cold", reports }),
@@ -125,8 +129,8 @@
   if (message.kind === "departures") {
     return [encodeDepartures(message.message)];
   }
-  if (message.kind === "needs") {
-    return [message.incarnation, encodeAnswerNeeds(message.needs)];
+  if (message.kind === "pressures") {
+    return [message.incarnation, encodePressures(message.pressures)];
   }
   if (message.kind === "cold") {
     return [encodeColdReports(message.reports)];
--- a/packages/daemon/src/gateway/pressure_schema.ts
+++ b/packages/daemon/src/gateway/pressure_schema.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { AnswerNeed } from "@sassafrasstep/core";
+import type { EndpointPressure } from "@sassafrasstep/core";
 import { z } from "zod";
 import {
   boundedArray,
@@ -15,7 +15,7 @@
 const PERCENT = 100;
 
 /** Schema of what the answers of an entry need. */
-export const answerNeedsSchema = boundedArray(
+export const pressuresSchema = boundedArray(
   z.tuple([shortText, endpointLife, nonNegativeInteger])
     .transform(([endpoint, life, percent]) => ({
       endpoint,
@@ -25,8 +25,10 @@
 );
 
 /** Encodes what the answers of an entry need as arrays. */
-export function encodeAnswerNeeds(needs: readonly AnswerNeed[]): unknown[] {
-  return needs.map(({ endpoint, life, pressure }) => [
+export function encodePressures(
+  pressures: readonly EndpointPressure[],
+): unknown[] {
+  return pressures.map(({ endpoint, life, pressure }) => [
     endpoint,
     life ?? 0,
     Math.round(pressure * PERCENT),
