--- a/playground/src/load/__tests__/sizes.test.ts
+++ b/playground/src/load/__tests__/sizes.test.ts
@@ -20,38 +20,53 @@
   return (ends.on_time + ends.late) / requests;
 }
 
+function runSeeds(name: string): LoadReport[] {
+  const text = readFileSync(new URL(`${name}.load`, FOLDER), "utf8");
+  return SEEDS.map((seed) => reportLoad(runLoad(text, { seed, loadSetting })));
+}
+
+function expectServedBySize(
+  reports: readonly LoadReport[],
+  kind: string,
+): void {
+  for (const { kinds, servedBySize } of reports) {
+    const { largest, large } = servedBySize[kind]!;
+    const least = MIN_RELATIVE_SHARE * servedShare(kinds[kind]!);
+    expect(largest).toBeGreaterThanOrEqual(least);
+    expect(large).toBeGreaterThanOrEqual(least);
+  }
+}
+
 describe("large requests", () => {
   describe("beside more long prompts than a region has room for", () => {
     let reports: LoadReport[];
 
     beforeAll(() => {
-      const text = readFileSync(new URL("long_answers.load", FOLDER), "utf8");
-      reports = SEEDS.map((seed) =>
-        reportLoad(runLoad(text, { seed, loadSetting }))
-      );
+      reports = runSeeds("long_answers");
     });
 
-    function expectServedBySize(kind: string): void {
-      for (const { kinds, servedBySize } of reports) {
-        const { largest, large } = servedBySize[kind]!;
-        const least = MIN_RELATIVE_SHARE * servedShare(kinds[kind]!);
-        expect(largest).toBeGreaterThanOrEqual(least);
-        expect(large).toBeGreaterThanOrEqual(least);
-      }
-    }
-
     /** Guards against long answers that begin at once and are not complete at their deadline. */
     it("are served like the others of chat", () => {
-      expectServedBySize("chat");
+      expectServedBySize(reports, "chat");
     });
 
     /** Guards against long prompts that wait behind all shorter ones until they are refused. */
     it("are served like the others of review", () => {
-      expectServedBySize("review");
+      expectServedBySize(reports, "review");
     });
 
     it("are served like the others of extract", () => {
-      expectServedBySize("extract");
+      expectServedBySize(reports, "extract");
     });
   });
+
+  it.each(["tight_memory", "evacuated_peak", "uneven_engines"])(
+    "are served like the others of each kind: %s",
+    (name) => {
+      const reports = runSeeds(name);
+      Object.keys(reports[0]!.kinds).forEach((kind) =>
+        expectServedBySize(reports, kind)
+      );
+    },
+  );
 });
