--- a/packages/cli/src/commands/gateway_commands.ts
+++ b/packages/cli/src/commands/gateway_commands.ts
@@ -35,7 +35,7 @@
       status.members.map(({ id, region, state }) => [id, region, state]),
     ),
     formatEndpoints(status),
-    formatStreams(status),
+    formatSizes(status),
     formatHeldRequests(status),
     problems.map((problem) => `problem: ${problem}`).join("\n"),
   ];
@@ -108,14 +108,16 @@
   );
 }
 
-function formatStreams({ streams }: GatewayStatus): string {
-  return streams === undefined || streams.length === 0 ? "" : formatTable(
-    ["STREAMS OF ROUTE", "EVENTS UP TO", "COMPLETE", "UNFINISHED"],
-    streams.map(({ route, maxEvents, complete, unfinished }) => [
+function formatSizes({ sizes }: GatewayStatus): string {
+  return sizes === undefined || sizes.length === 0 ? "" : formatTable(
+    ["ROUTE", "SIZE IN", "UP TO", "COMPLETE", "UNFINISHED", "UNSERVED"],
+    sizes.map(({ route, measure, upTo, complete, unfinished, unserved }) => [
       route,
-      maxEvents,
+      measure,
+      upTo,
       complete,
       unfinished,
+      unserved,
     ]),
   );
 }
--- a/packages/core/src/gateway/call_controller.ts
+++ b/packages/core/src/gateway/call_controller.ts
@@ -62,8 +62,8 @@
 } from "./region_call_admission.ts";
 import { promisesNotRun } from "./refusals.ts";
 import type { RegionController } from "./region_controller.ts";
+import type { SizeOutcome } from "./size_outcomes.ts";
 import type { SoftwareHistory } from "./software_history.ts";
-import type { StreamEnds } from "./stream_ends.ts";
 
 /** How long after its deadline a non-idempotent request may run on once its caller has left. */
 const ORPHAN_GRACE_MS = 5_000;
@@ -187,9 +187,9 @@
     return this.#recovery.resumedStreams;
   }
 
-  /** How streams ended since the start, by route and length. */
-  get streamEnds(): StreamEnds {
-    return this.#outcomes.streamEnds;
+  /** How requests with prompts ended since the start, by route and size. */
+  get sizeOutcomes(): SizeOutcome[] {
+    return this.#outcomes.sizes.list();
   }
 
   /** Number of requests without a matching route since the start. */
@@ -447,6 +447,7 @@
       }
     }
     this.#placer.drain(now);
+    this.#outcomes.logSizes(now);
   }
 
   /** Continues with waiting requests once the catalogue is available, its read has failed or their time is up. */
--- a/packages/core/src/gateway/call_outcomes.ts
+++ b/packages/core/src/gateway/call_outcomes.ts
@@ -21,7 +21,7 @@
   GatewayEmit,
 } from "./messages.ts";
 import { createRefusal } from "./refusals.ts";
-import { StreamEnds } from "./stream_ends.ts";
+import { SizeOutcomes } from "./size_outcomes.ts";
 
 /** Fraction by which retry times vary at random: callers with equal times would return in a wave. */
 const RETRY_JITTER_FRACTION = 0.5;
@@ -49,7 +49,7 @@
   readonly #returnTime: ReturnTime;
   /** Requests without a matching route. */
   readonly unrouted = new LogThrottle();
-  readonly streamEnds = new StreamEnds();
+  readonly sizes = new SizeOutcomes();
 
   constructor(
     { emit, random, forget, onNotRun, returnTime }: {
@@ -79,7 +79,7 @@
       this.#logLoss(text, call, { cause, now });
     }
     this.#emit({ kind: "complete", request: call.head.id });
-    this.#recordStream(call, !failed);
+    this.#recordSize(call, !failed);
     this.#forget(call);
   }
 
@@ -87,7 +87,7 @@
   callerLeft(call: Call, now: Instant): void {
     const cause = call.trace.cause(call, false, now) ?? "starved";
     this.#logLoss("Caller left.", call, { cause, now });
-    this.#recordStream(call, false);
+    this.#recordSize(call);
     this.#refundIfNotRun(call, now);
     this.#forget(call);
   }
@@ -100,7 +100,7 @@
       ...call.trace.fields(call, now),
     });
     this.#emit({ kind: "breakOff", request: call.head.id });
-    this.#recordStream(call, false);
+    this.#recordSize(call);
     this.#forget(call);
   }
 
@@ -133,6 +133,7 @@
       ...call.trace.fields(call, now),
     });
     this.#emit({ kind: "refuse", request: call.head.id, refusal });
+    this.#recordSize(call);
     this.#forget(call);
   }
 
@@ -187,6 +188,23 @@
     });
   }
 
+  /** Logs from time to time how requests ended by size. */
+  logSizes(now: Instant): void {
+    const sizes = this.sizes.takeLogged(now);
+    if (sizes !== undefined) {
+      this.#emit({
+        kind: "log",
+        part: "call",
+        text: "Requests ended, by size.",
+        fields: {
+          sizes: sizes.map((
+            { route, measure, upTo, complete, unfinished, unserved },
+          ) => [route, measure, upTo, complete, unfinished, unserved]),
+        },
+      });
+    }
+  }
+
   /** Writes a log line about a request. */
   log(
     text: string,
@@ -224,14 +242,18 @@
     return refusal;
   }
 
-  #recordStream(
-    { route, position, isEventStream }: Call,
-    complete: boolean,
-  ): void {
-    if (isEventStream) {
-      const { events } = position;
-      this.streamEnds.record(route.name, { events, complete });
+  /** Counts the end of a request for its caller. One that another entry relayed is counted there. */
+  #recordSize({ head, route, position, phase }: Call, complete = false): void {
+    const { prompt, relay } = head;
+    if (prompt === undefined || relay !== undefined) {
+      return;
     }
+    const begun = phase === "answering";
+    this.sizes.record(
+      route.name,
+      complete ? "complete" : begun ? "unfinished" : "unserved",
+      { promptTokens: prompt.promptTokens, events: position.events },
+    );
   }
 
   #refundIfNotRun(call: Call, now: Instant): void {
--- a/packages/daemon/src/gateway/status.ts
+++ b/packages/daemon/src/gateway/status.ts
@@ -28,21 +28,24 @@
   readonly members: readonly MemberStatus[];
   readonly endpoints: readonly EndpointStatus[];
   readonly shares: readonly { region: string; share: number }[];
-  /** How streams ended since the start, by route and length. */
-  readonly streams?: readonly StreamStatus[] | undefined;
+  /** How requests with prompts ended since the start, by route and size. */
+  readonly sizes?: readonly SizeStatus[] | undefined;
   /** Optional decisions in use. */
   readonly features?: readonly string[] | undefined;
   /** Quarantined requests: they are sent to no endpoint because some endpoints crashed while running them. */
   readonly held: readonly HeldRequestStatus[];
 }
 
-/** How the streams of one route and range of lengths ended. */
-export interface StreamStatus {
+/** How the requests of one route and range of sizes ended. */
+export interface SizeStatus {
   readonly route: string;
-  /** Most events of a stream in the range. */
-  readonly maxEvents: number;
+  /** Tokens of the prompt, or events of the answer. */
+  readonly measure: "prompt" | "events";
+  /** Upper end of the range. */
+  readonly upTo: number;
   readonly complete: number;
   readonly unfinished: number;
+  readonly unserved: number;
 }
 
 /** A quarantined request, or a part of prompts that quarantines all requests with it. */
@@ -116,7 +119,7 @@
       slowdown: roundSlowdown(state.pace.slowdown(now)),
     })),
     shares: regions.shares.map(({ region, share }) => ({ region, share })),
-    streams: calls.streamEnds.list(),
+    sizes: calls.sizeOutcomes,
     features: gateway.features.active,
     held: gateway.quarantine.holds.list(now).map(heldRequestStatus),
   };
