fix: a stream that its caller takes up limited its engine as if it had just begun

A stream that went on at another entry was planned for from its first event on: with the little time left it asked for a rate that no engine has, and kept long prompts off its engine. An id that is a whole number, and no larger than the limit of the answer's tokens, is now taken as the number of events that the caller has; other ids tell nothing, as before. The test of the position fails without it (no such count).

--- a/packages/core/src/gateway/__tests__/stream_position.test.ts
+++ b/packages/core/src/gateway/__tests__/stream_position.test.ts
@@ -34,6 +34,17 @@
     });
   });
 
+  // Guards against a stream that its caller takes up near its end, and that limits its engine as if it had just begun.
+  it("tells the events that the caller had before, by ids that count them", () => {
+    const position = new StreamPosition("60");
+    expect(position.eventsOf(900)).toBe(60);
+    position.advance({ lastEventId: "61", unnumbered: false });
+    expect(position.eventsOf(900)).toBe(61);
+    expect(position.eventsOf(50)).toBe(1);
+    expect(new StreamPosition("a-60").eventsOf(900)).toBe(0);
+    expect(new StreamPosition(undefined).eventsOf(900)).toBe(0);
+  });
+
   // Guards against an answer that counts as further than it is, since its events arrive in pieces.
   it("counts events, and neither comments nor pieces of events", () => {
     const position = new StreamPosition("1");
--- a/packages/core/src/gateway/call_attempts.ts
+++ b/packages/core/src/gateway/call_attempts.ts
@@ -93,9 +93,11 @@
     const attempt = this.#open(call, { target, state, now });
     call.trace.notePrefill(prefill);
     const { prompt } = call.head;
-    const answer = prompt === undefined
-      ? undefined
-      : { bounds: prompt, endsAt: call.endsAt, events: call.position.events };
+    const answer = prompt === undefined ? undefined : {
+      bounds: prompt,
+      endsAt: call.endsAt,
+      events: call.position.eventsOf(prompt.outputTokens),
+    };
     state.addAttempt(attempt.id, { prefill, tokens, answer }, now);
     state.health.noteRequestSent(now);
     const { service } = state.record;
--- a/packages/core/src/gateway/stream_position.ts
+++ b/packages/core/src/gateway/stream_position.ts
@@ -25,6 +25,17 @@
     return this.#events;
   }
 
+  /**
+   * Events of the whole stream that the caller has, as far as that can be told: an id counts them unless it is larger than
+   * any answer of `maxEvents`.
+   */
+  eventsOf(maxEvents: number): number {
+    const id = Number(this.#lastId ?? NaN);
+    return Number.isInteger(id) && id <= maxEvents
+      ? Math.max(id, this.#events)
+      : this.#events;
+  }
+
   /** Whether the position can be given to another endpoint. It cannot after events without an id. */
   get known(): boolean {
     return this.#known;
