--- a/playground/src/bytes/byte_fleet.ts
+++ b/playground/src/bytes/byte_fleet.ts
@@ -15,6 +15,7 @@
 const FIRST_HOST_NUMBER = 31;
 const SERVICE = "pool";
 const ROUTE_TIMEOUT_MS = 10_000;
+const DEFAULT_BODY_BYTES = 65_536;
 
 /** An endpoint that sends scripted bytes. */
 export interface ScriptedEndpoint {
@@ -45,6 +46,8 @@
   readonly stopSeconds?: number;
   /** Retries that all entries may make together beside a fraction of the requests; by default more than any test. */
   readonly retrySlack?: number | undefined;
+  /** Largest body that the document allows. */
+  readonly bodyBytes?: number;
 }
 
 /** An entry in this process or in its own. */
@@ -106,10 +109,14 @@
   /** Publishes a newer document; `fields` override those of its resumable route. */
   publishDocument(fields: object = {}): void {
     this.#version += 2;
-    const { attempts = 3, timeout = ROUTE_TIMEOUT_MS } = this.#plan;
+    const {
+      attempts = 3,
+      timeout = ROUTE_TIMEOUT_MS,
+      bodyBytes = DEFAULT_BODY_BYTES,
+    } = this.#plan;
     this.store.put(
       STORE_KEYS.document,
-      buildDocument(this.#version, { attempts, timeout, fields }),
+      buildDocument(this.#version, { attempts, timeout, bodyBytes, fields }),
     );
   }
 
@@ -176,9 +183,10 @@
 
 function buildDocument(
   version: number,
-  { attempts, timeout, fields }: {
+  { attempts, timeout, bodyBytes, fields }: {
     attempts: number;
     timeout: number;
+    bodyBytes: number;
     fields: object;
   },
 ): object {
@@ -199,6 +207,7 @@
       route("once", { ...commonFields, attempts: 1 }),
       route("fixed", { ...commonFields, attempts }),
       route("plain", { ...commonFields, attempts, kind: "idempotent" }),
+      route("action", { ...commonFields, attempts, kind: "non_idempotent" }),
     ],
     services: [{
       name: SERVICE,
@@ -209,7 +218,7 @@
     }],
     limits: {
       header_bytes: 16_384,
-      body_bytes: 65_536,
+      body_bytes: bodyBytes,
       header_ms: 3_000,
       idle_ms: 15_000,
     },
--- a/playground/src/bytes/index.ts
+++ b/playground/src/bytes/index.ts
@@ -1,3 +1,8 @@
+export {
+  type AnswerEnding,
+  BreakingEndpoint,
+  type BreakingScript,
+} from "./breaking_endpoint.ts";
 export {
   type ByteEntry,
   ByteFleet,
