fix: an answer with a coding other than chunked counted as one whose end is known

Cause: there were two functions that tell whether the head marks the end of the body. The gateway's took any transfer coding for one that does; the second client's took any coding that ends in the word chunked. Only chunked as the last coding marks an end; with others the parser reads on until the connection ends, and no reset was looked for.

Change: one isFramed for both clients, that asks for chunked as the last coding. A head with codings and a length is refused by the parser, as before.

--- a/packages/daemon/src/clients/__tests__/broken_answers.test.ts
+++ b/packages/daemon/src/clients/__tests__/broken_answers.test.ts
@@ -9,7 +9,6 @@
 
 /** Larger than the buffers of both sockets, so that a part stays queued while the endpoint reads nothing. */
 const QUEUED_UPLOAD = "u".repeat(16_000_000);
-const HEAD = "HTTP/1.1 200 OK\r\n";
 
 describe("a client that gets an answer", () => {
   let endpoint: RawEndpoint;
@@ -36,23 +35,33 @@
     return await body.text();
   }
 
-  describe("without a length while its request is queued", () => {
+  describe.each([
+    ["without a length while its request is queued", "", QUEUED_UPLOAD],
+    ["without a length", "", undefined],
+    ["with the coding identity", "transfer-encoding: identity", undefined],
+    ["with the coding gzip", "transfer-encoding: gzip", undefined],
+    ["with an unknown coding", "transfer-encoding: x-chunked", undefined],
+  ])("%s", (_name, field, upload) => {
+    const head = `HTTP/1.1 200 OK\r\nconnection: close\r\n${field}${
+      field && "\r\n"
+    }\r\n`;
+
     // Guards against the part of an answer that counts as a whole one.
     it("fails if the connection is reset", async () => {
       answer = (socket) => {
         socket.pause();
-        socket.write(`${HEAD}connection: close\r\n\r\npart`);
+        socket.write(`${head}part`);
         socket.resetAndDestroy();
       };
-      await expect(read(QUEUED_UPLOAD)).rejects.toThrow();
+      await expect(read(upload)).rejects.toThrow();
     });
 
     it("returns it if the connection ends in order", async () => {
       answer = (socket) => {
         socket.pause();
-        socket.end(`${HEAD}connection: close\r\n\r\nwhole`);
+        socket.end(`${head}whole`);
       };
-      expect(await read(QUEUED_UPLOAD)).toBe("whole");
+      expect(await read(upload)).toBe("whole");
     });
   });
 });
--- a/packages/daemon/src/clients/reset_aware_client.ts
+++ b/packages/daemon/src/clients/reset_aware_client.ts
@@ -15,7 +15,7 @@
   type Dispatcher,
   Pool,
 } from "undici";
-import { isReset, PausableReads } from "../sockets/index.ts";
+import { isFramed, isReset, PausableReads } from "../sockets/index.ts";
 import {
   type AnswerHead,
   isMergedHead,
@@ -318,9 +318,3 @@
   // `isReset` needs sockets that stay writable after the other side has ended; the client closes them.
   return buildConnector({ timeout, allowHalfOpen: true });
 }
-
-/** Whether a body has a length or is chunked, so that its end is known. */
-function isFramed(headers: IncomingHttpHeaders): boolean {
-  return headers["content-length"] !== undefined ||
-    /\bchunked\s*$/i.test(String(headers["transfer-encoding"]));
-}
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { IncomingHttpHeaders } from "node:http";
 import {
   type CallAttempt,
   type CallEnd,
@@ -25,7 +26,7 @@
 import { EventStreamReader } from "./event_stream_reader.ts";
 import type { AnswerSource, AnswerWriter } from "./answer_writer.ts";
 import type { Exchange } from "./exchange.ts";
-import { ChunkJoiner, ChunkList } from "../sockets/index.ts";
+import { ChunkJoiner, ChunkList, isFramed } from "../sockets/index.ts";
 import { afterPoll, type Cancel } from "../timers/index.ts";
 import {
   DOCUMENT_VERSION_HEADER,
@@ -41,7 +42,6 @@
   containsStatusLine,
   decodeHeaders,
   isEventStream,
-  isFramed,
   withoutContentLength,
 } from "./raw_headers.ts";
 
@@ -169,7 +169,7 @@
   onResponseStart(
     controller: Dispatcher.DispatchController,
     status: number,
-    _headers: unknown,
+    headers: IncomingHttpHeaders,
     reason?: string,
   ): void {
     if (this.#finished) {
@@ -187,7 +187,7 @@
         detail: "Two answers ran into one",
       });
     }
-    this.#framed = isFramed(this.#headers);
+    this.#framed = isFramed(headers);
     this.#connection!.closeDelimited = !this.#framed;
     if (!this.#attempt.streaming) {
       this.#mode = "holding";
--- a/packages/daemon/src/gateway/raw_headers.ts
+++ b/packages/daemon/src/gateway/raw_headers.ts
@@ -25,13 +25,6 @@
     headers.some((text, index) => index % 2 === 1 && holdsStatusLine(text));
 }
 
-/** Whether the headers mark the end of the body, by a length or by chunked encoding. */
-export function isFramed(headers: RawHeaders): boolean {
-  return headers.some((name, index) =>
-    index % 2 === 0 && /^(content-length|transfer-encoding)$/i.test(name)
-  );
-}
-
 /** Whether the body is an event stream. It is unless the headers state another content type. */
 export function isEventStream(headers: RawHeaders): boolean {
   const nameIndex = headers.findIndex((name, index) =>
--- a/packages/daemon/src/sockets/index.ts
+++ b/packages/daemon/src/sockets/index.ts
@@ -1,3 +1,4 @@
+export { isFramed } from "./answer_framing.ts";
 export { ChunkJoiner } from "./chunk_joiner.ts";
 export { ChunkList } from "./chunk_list.ts";
 export { isReset } from "./is_reset.ts";
--- a/playground/src/bytes/__tests__/broken_answers.test.ts
+++ b/playground/src/bytes/__tests__/broken_answers.test.ts
@@ -113,6 +113,10 @@
 /** Ways in which the end of an answer is marked by its connection alone, with the upload to which it is sent. */
 const UNFRAMED = [
   ["while the upload is queued", "connection: close", QUEUED_UPLOAD],
+  ["and it has no length", "connection: close", ""],
+  ["and it has the coding identity", "transfer-encoding: identity", ""],
+  ["and it has the coding gzip", "transfer-encoding: gzip", ""],
+  ["and it has an unknown coding", "transfer-encoding: x-chunked", ""],
 ] as const;
 
 describe.each(ROUTES)("an answer of a %s route", (_kind, path, tokens) => {
