fix: answers of HTTP/2.0, HTTP/0.9 and RTSP were passed on as answers of HTTP/1

Cause: the HTTP parser accepts these versions and does not tell which it read.

Change: both clients look at the version before the parser reads the bytes, in each head of an answer, also after interim responses. Another version than HTTP/1.0 and HTTP/1.1 destroys the connection, and the answer is lost like any other that is none.

--- a/packages/daemon/src/clients/__tests__/broken_answers.test.ts
+++ b/packages/daemon/src/clients/__tests__/broken_answers.test.ts
@@ -5,6 +5,7 @@
   type RawAnswer,
   type RawEndpoint,
 } from "../../gateway/__tests__/wire_fixture.ts";
+import { MALFORMED_HEADS } from "../../gateway/__tests__/malformed_heads.ts";
 import { createConnector, ResetAwareClient } from "../index.ts";
 
 /** Larger than the buffers of both sockets, so that a part stays queued while the endpoint reads nothing. */
@@ -35,6 +36,12 @@
     return await body.text();
   }
 
+  // Guards against what is no answer in the protocol and counts as one.
+  it.each(MALFORMED_HEADS)("fails if its head has %s", async (_name, bytes) => {
+    answer = (socket) => socket.end(bytes("hello"), "latin1");
+    await expect(read()).rejects.toThrow();
+  });
+
   describe.each([
     ["without a length while its request is queued", "", QUEUED_UPLOAD],
     ["without a length", "", undefined],
--- a/packages/daemon/src/clients/reset_aware_client.ts
+++ b/packages/daemon/src/clients/reset_aware_client.ts
@@ -1,6 +1,6 @@
 /**
- * An HTTP client that does not mistake a truncated answer for a complete one, nor an extra answer for that of the
- * next request.
+ * An HTTP client that does not mistake a truncated answer for a complete one, an extra answer for that of the next
+ * request, or an answer of another protocol for one of HTTP/1.
  *
  * @module
  */
@@ -15,7 +15,13 @@
   type Dispatcher,
   Pool,
 } from "undici";
-import { isFramed, isReset, PausableReads } from "../sockets/index.ts";
+import {
+  isFramed,
+  isReset,
+  PausableReads,
+  type VersionCheck,
+  watchVersion,
+} from "../sockets/index.ts";
 import {
   type AnswerHead,
   isMergedHead,
@@ -36,8 +42,14 @@
   /** Whether the connection has carried an answer, so that an extra answer may follow. */
   used = false;
   #reads: PausableReads | undefined;
+  #version: VersionCheck | undefined;
   #socket: Socket | undefined;
 
+  /** Notes that a request is about to be sent. */
+  beginAnswer(): void {
+    this.#version?.reset();
+  }
+
   /** Closes the connection, so that no further request uses it. */
   close(): void {
     this.#socket?.destroy();
@@ -71,6 +83,7 @@
     this.used = false;
     this.#socket = socket;
     this.#reads = new PausableReads(socket);
+    this.#version = watchVersion(socket);
     socket.on("error", () => this.failed = true);
     socket.on("end", () => this.failed ||= this.endsAnswer && isReset(socket));
   }
@@ -145,6 +158,7 @@
     controller: Dispatcher.DispatchController,
     context: unknown,
   ): void {
+    this.#monitor.beginAnswer();
     super.onRequestStart(this.#pausingController(controller), context);
   }
 
--- a/packages/daemon/src/gateway/connection_pool.ts
+++ b/packages/daemon/src/gateway/connection_pool.ts
@@ -12,7 +12,7 @@
 import { type buildConnector, Client } from "undici";
 import { PausableSocket } from "./pausable_socket.ts";
 import { afterPoll } from "../timers/index.ts";
-import { isReset } from "../sockets/index.ts";
+import { isReset, type VersionCheck, watchVersion } from "../sockets/index.ts";
 
 /** Within a region connecting takes a few milliseconds; this allows for losing the first packet once. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -57,6 +57,7 @@
   readonly client: Client;
   readonly address: string;
   readonly #socket: PausableSocket;
+  readonly #version: VersionCheck;
   readonly #onClosing: () => void;
   idleSince: Instant;
   /**
@@ -78,6 +79,7 @@
     { now, onClosing }: { now: Instant; onClosing: () => void },
   ) {
     this.#socket = socket;
+    this.#version = watchVersion(socket);
     this.address = address;
     this.idleSince = now;
     this.#onClosing = onClosing;
@@ -116,6 +118,7 @@
   beginAnswer(): void {
     this.#requests++;
     this.#socket.framing.reset();
+    this.#version.reset();
   }
 
   /** Counts bytes that arrived as a part of an answer's body. */
--- a/packages/daemon/src/sockets/index.ts
+++ b/packages/daemon/src/sockets/index.ts
@@ -8,3 +8,4 @@
 export { ServerDrain } from "./server_drain.ts";
 export { withValidUrl } from "./valid_url.ts";
 export { holdsStatusLine } from "./status_line.ts";
+export { VersionCheck, watchVersion } from "./version_check.ts";
--- a/playground/src/bytes/__tests__/broken_answers.test.ts
+++ b/playground/src/bytes/__tests__/broken_answers.test.ts
@@ -1,5 +1,5 @@
 import { HEADERS } from "@sassafrasstep/platform";
-import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
 import { callPlatform } from "../../platform/platform_caller.ts";
 import {
   BreakingEndpoint,
@@ -14,6 +14,8 @@
 /** Larger than the buffers of both sockets, so that a part stays queued while the endpoint reads nothing. */
 const QUEUED_UPLOAD = "u".repeat(16_000_000);
 const OK = 200;
+const BAD_GATEWAY = 502;
+const OK_LINE = "HTTP/1.1 200 OK";
 const SOUND_REQUESTS = 3;
 /** Kinds of routes with their path and the tokens of a request. */
 const ROUTES = [
@@ -48,6 +50,7 @@
     bodyBytes: QUEUED_UPLOAD.length,
   });
   #calls = 0;
+  #endpoints = 1;
 
   start(): Promise<void> {
     return this.#fleet.start();
@@ -57,7 +60,15 @@
     return this.#fleet.close();
   }
 
-  /** Sends requests until one reaches the endpoint, which an entry avoids for a while after a lost answer. */
+  /** Gives the endpoint another id: entries avoid one for a while after a lost answer. */
+  renewEndpoint(): void {
+    const [{ address }] = this.#fleet.engines as [{ address: string }];
+    this.#fleet.withdraw(`e${this.#endpoints}`);
+    this.#endpoints++;
+    this.#fleet.publish(`e${this.#endpoints}`, { address });
+  }
+
+  /** Sends requests until one reaches the endpoint. */
   async sendUntilAnswered(entry: number, request: Upload): Promise<Outcome> {
     const { length: before } = this.endpoint.arrivals;
     let outcome: Outcome | undefined;
@@ -93,11 +104,15 @@
 /** The head of an endpoint's answer to a call, with a further field. */
 function headOf(
   call: string,
-  { field, tokens }: { field: string; tokens: string | undefined },
+  { line = OK_LINE, field, tokens }: {
+    line?: string;
+    field: string;
+    tokens: string | undefined;
+  },
 ): string {
   const type = tokens === undefined ? "text/plain" : "text/event-stream";
   return [
-    "HTTP/1.1 200 OK",
+    line,
     `${HEADERS.callId}: ${call}`,
     `${HEADERS.seal}: s`,
     `content-type: ${type}`,
@@ -108,6 +123,7 @@
 
 const FLEET = new AnswerFleet();
 beforeAll(() => FLEET.start());
+afterEach(() => FLEET.renewEndpoint());
 afterAll(() => FLEET.close());
 
 /** Ways in which the end of an answer is marked by its connection alone, with the upload to which it is sent. */
@@ -165,3 +181,40 @@
     );
   });
 });
+
+/** Heads that are not valid HTTP/1: a status line, and a field. */
+const MALFORMED = [
+  ["is of HTTP/2.0", "HTTP/2.0 200 OK", ""],
+  ["is of RTSP/1.0", "RTSP/1.0 200 OK", ""],
+  ["has the status 000", "HTTP/1.1 000 x", ""],
+  ["has a blank in a field's name", OK_LINE, "x y: 1\r\n"],
+  ["has a control byte in a field's name", OK_LINE, "x\x01y: 1\r\n"],
+] as const;
+
+describe.each(ROUTES)("an answer of a %s route", (_kind, path, tokens) => {
+  const body = tokens === undefined ? BODY : EVENTS;
+
+  describe.each(WAYS)("to a request that was %s", (_way, entry) => {
+    // Guards against what is no answer in the protocol and reaches a caller as one.
+    it.each(MALFORMED)(
+      "is not passed on if it %s",
+      async (_case, line, field) => {
+        FLEET.script = (call) => ({
+          bytes: headOf(call, {
+            line,
+            field: `${field}content-length: ${body.length}`,
+            tokens,
+          }) + body,
+          ending: "end",
+          readsBody: true,
+        });
+        const outcome = await FLEET.sendUntilAnswered(entry, {
+          path,
+          tokens,
+          upload: "",
+        });
+        expect(outcome).toMatchObject({ status: BAD_GATEWAY });
+      },
+    );
+  });
+});
