fix: an order counted as accepted though its answer broke off

Seen: an endpoint answers an order with a 200 and breaks off within the body, with a length, in chunks or without either; the order counts as accepted, and the engine as one that loads the model.

Cause: the body was discarded with the library's dump, which resolves however the body ends.

Change: the body is read to its end, and an error counts as for any other order that is not answered. Load reports were read so before; their tests are kept.

--- a/packages/daemon/src/outbound/__tests__/endpoint_client.test.ts
+++ b/packages/daemon/src/outbound/__tests__/endpoint_client.test.ts
@@ -4,9 +4,11 @@
   type RawAnswer,
   type RawEndpoint,
 } from "../../gateway/__tests__/wire_fixture.ts";
+import { MALFORMED_HEADS } from "../../gateway/__tests__/malformed_heads.ts";
 import { EndpointClient } from "../endpoint_client.ts";
 
 const REPORT = '{"running":1,"slots":4}';
+const ORDER = { model: "m", fence: 1, expected: "", endpoint: "e1" };
 const ANSWER = answerOf("200 OK", REPORT);
 /** The largest report, and room for the buffers of the sockets. */
 const MAX_SENT_BYTES = 16_000_000;
@@ -59,9 +61,8 @@
 
     it("accept the answer to an order that arrived in the meantime", async () => {
       answer = answerAndStall(STALLS_MS.order);
-      const order = { model: "m", fence: 1, expected: "", endpoint: "e1" };
       const url = `http://${endpoint.address}`;
-      expect(await client.sendOrder({ ...order, url } as never)).toBe(true);
+      expect(await client.sendOrder({ ...ORDER, url } as never)).toBe(true);
     });
   });
 
@@ -83,7 +84,6 @@
 
   // Guards against an extra answer that is taken for that of the next control call.
   describe("to an endpoint that sends an answer too many", () => {
-    const ORDER = { model: "m", fence: 1, expected: "", endpoint: "e1" };
     let previous: string;
     let served: number;
     let used: WeakSet<object>;
@@ -138,6 +138,38 @@
     });
   });
 
+  // Guards against an order that counts as accepted though its answer is not one, or is only a part of one.
+  describe("to an endpoint whose answer is not whole", () => {
+    const OK_HEAD = "HTTP/1.1 200 OK\r\n";
+    const PARTS: readonly [string, string][] = [
+      ["with a length", `${OK_HEAD}content-length: ${REPORT.length + 1}`],
+      ["in chunks", `${OK_HEAD}transfer-encoding: chunked\r\n\r\nff`],
+      ["without a length", `${OK_HEAD}connection: close`],
+      ["with a coding", `${OK_HEAD}transfer-encoding: x-chunked`],
+    ];
+    it.each(PARTS)("accept no part of one %s", async (_name, head) => {
+      answer = (socket) => {
+        socket.write(`${head}\r\n\r\n${REPORT}`);
+        socket.resetAndDestroy();
+      };
+      const url = `http://${endpoint.address}`;
+      await expect(client.pollLoad(url)).rejects.toThrow();
+      await expect(client.sendOrder({ ...ORDER, url } as never)).rejects
+        .toThrow();
+    });
+
+    it.each(MALFORMED_HEADS)(
+      "accept none whose head has %s",
+      async (_name, answerOf) => {
+        answer = (socket) => socket.end(answerOf(REPORT), "latin1");
+        const url = `http://${endpoint.address}`;
+        await expect(client.pollLoad(url)).rejects.toThrow();
+        await expect(client.sendOrder({ ...ORDER, url } as never)).rejects
+          .toThrow();
+      },
+    );
+  });
+
   it.each([
     ["keep a connection if polls' answers name them", true, 1],
     ["use a connection for each poll if answers name none", false, 3],
--- a/packages/daemon/src/outbound/endpoint_client.ts
+++ b/packages/daemon/src/outbound/endpoint_client.ts
@@ -87,7 +87,7 @@
         dispatcher: client,
         signal,
       });
-      await response.body.dump();
+      await drain(response.body);
       return response.statusCode === HTTP_OK;
     } finally {
       void client.destroy().catch(() => {});
@@ -106,3 +106,10 @@
   }
   return chunks.take().toString("utf8");
 }
+
+/** Reads a body to its end and discards it. Unlike the library's `dump`, it fails if the body is not whole. */
+async function drain(body: AsyncIterable<Uint8Array>): Promise<void> {
+  for await (const _chunk of body) {
+    // Only whether the end arrives is of interest.
+  }
+}
