fix: health checks read the state from an answer that was reset

Seen: the answer to a health check without a length is reset within its body; the check reports for how long the endpoint stays cold, as from a whole answer.

Cause: a health check asked nothing of how its answer ended; that a reset was noticed mattered to requests alone.

Change: a health check tells its connection how the answer ends, and whether an answer was cut off is asked of the connection, by requests and checks alike.

--- a/packages/daemon/src/gateway/__tests__/health_check.test.ts
+++ b/packages/daemon/src/gateway/__tests__/health_check.test.ts
@@ -8,6 +8,7 @@
 import { ConnectionPool } from "../connection_pool.ts";
 import { HealthCheck } from "../health_check.ts";
 import type { EndpointProtocol } from "../protocol.ts";
+import { MALFORMED_HEADS } from "./malformed_heads.ts";
 import {
   listenRaw,
   type RawAnswer,
@@ -16,6 +17,8 @@
 } from "./wire_fixture.ts";
 
 const WAIT_MS = 600;
+/** Time in which an answer arrives and is read. */
+const SHORT_WAIT_MS = 100;
 const PROTOCOL: EndpointProtocol = {
   ...TEST_PROTOCOL,
   healthHeaders: (endpoint) => ["x-endpoint", endpoint],
@@ -50,7 +53,7 @@
   /** Checks an endpoint once and returns the reported events after the longest time that a check may take. */
   async function check(
     answer: RawAnswer,
-    { address }: { address?: string } = {},
+    { address, waitMs = WAIT_MS }: { address?: string; waitMs?: number } = {},
   ): Promise<GatewayEvent[]> {
     endpoint = await listenRaw(answer);
     const events: GatewayEvent[] = [];
@@ -67,7 +70,7 @@
       now: () => instant(performance.now()),
       dispatch: (event) => void events.push(event),
     }).start();
-    const end = performance.now() + WAIT_MS;
+    const end = performance.now() + waitMs;
     while (events.length === 0 && performance.now() < end) {
       await new Promise((done) => setTimeout(done, 5));
     }
@@ -104,6 +107,33 @@
     expect(await check(answer)).toEqual([]);
   });
 
+  // Guards against a state that is read from what is no answer, or only a part of one.
+  it.each([
+    ["has no length", "connection: close"],
+    ["has a coding", "transfer-encoding: x-chunked"],
+  ])("reports nothing if the answer is reset and %s", async (_name, field) => {
+    const answer: RawAnswer = (socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\nx-cold: 9\r\n${field}\r\n\r\npart`);
+      socket.resetAndDestroy();
+    };
+    expect(await check(answer)).toEqual([]);
+  });
+
+  it("reports the state if the answer has no length and ends in order", async () => {
+    const events = await check((socket) =>
+      socket.end("HTTP/1.1 200 OK\r\nx-cold: 9\r\n\r\nok")
+    );
+    expect(events).toMatchObject([{ coldFor: 9 }]);
+  });
+
+  describe("reports nothing if the answer's head has", () => {
+    it.each(MALFORMED_HEADS)("%s", async (_name, answerOf) => {
+      const answer: RawAnswer = (socket) =>
+        socket.end(answerOf("ok", ["x-cold: 9"]), "latin1");
+      expect(await check(answer, { waitMs: SHORT_WAIT_MS })).toEqual([]);
+    });
+  });
+
   // Guards against connections that pile up at an endpoint that has no place for the check.
   it("closes its connection if no answer comes in time", async () => {
     await check(() => {});
--- a/packages/daemon/src/gateway/connection_pool.ts
+++ b/packages/daemon/src/gateway/connection_pool.ts
@@ -114,6 +114,11 @@
     return !this.failed && !this.#socket.destroyed;
   }
 
+  /** Whether the end of the current answer is that of a connection that failed, so that the answer is not whole. */
+  get isCutOff(): boolean {
+    return this.closeDelimited && this.failed;
+  }
+
   /** Notes that a request is about to be sent. */
   beginAnswer(): void {
     this.#requests++;
--- a/packages/daemon/src/gateway/health_check.ts
+++ b/packages/daemon/src/gateway/health_check.ts
@@ -3,8 +3,10 @@
  *
  * @module
  */
+import type { IncomingHttpHeaders } from "node:http";
 import type { GatewayEffect, GatewayEvent, Instant } from "@sassafrasstep/core";
 import type { Dispatcher } from "undici";
+import { isFramed } from "../sockets/index.ts";
 import { afterPoll } from "../timers/index.ts";
 import {
   ConnectError,
@@ -61,7 +63,9 @@
   onResponseStart(
     controller: Dispatcher.DispatchController,
     status: number,
+    parsedHeaders: IncomingHttpHeaders,
   ): void {
+    this.#connection!.closeDelimited = !isFramed(parsedHeaders);
     const headers = decodeHeaders(controller.rawHeaders as Buffer[]);
     this.#answer = this.#context.protocol.readHealth(
       status,
@@ -79,6 +83,9 @@
   }
 
   onResponseEnd(): void {
+    if (this.#connection!.isCutOff) {
+      return this.#fail();
+    }
     if (this.#finish()) {
       const { connections, now } = this.#context;
       if (this.#answer?.isProved === true) {
--- a/packages/daemon/src/gateway/outbound_call.ts
+++ b/packages/daemon/src/gateway/outbound_call.ts
@@ -226,7 +226,7 @@
 
   onResponseEnd(): void {
     this.#received.flush();
-    const isCutOff = !this.#framed && this.#connection?.failed === true;
+    const isCutOff = this.#connection?.isCutOff === true;
     // The client closes the connection after this call, if the answer says so or more bytes were read with its end.
     // A request that waits for the connection would not be written.
     queueMicrotask(() => this.#end(isCutOff));
