--- a/packages/daemon/src/entry/__tests__/plain_answers.test.ts
+++ b/packages/daemon/src/entry/__tests__/plain_answers.test.ts
@@ -17,6 +17,9 @@
     }\r\n8\r\n${BODY.slice(7)}\r\n0\r\n\r\n`,
   "without a length": `${HEAD}\r\n${BODY}`,
   "without a length, closing": `${HEAD}connection: close\r\n\r\n${BODY}`,
+  "without a length, coded": `${HEAD}transfer-encoding: gzip\r\n\r\n${BODY}`,
+  "without a length, with an unknown coding":
+    `${HEAD}transfer-encoding: x-chunked\r\n\r\n${BODY}`,
 };
 /** Ways in which a connection ends. */
 const CONNECTION_ENDS: Readonly<Record<string, (socket: Socket) => void>> = {
