fix: peers' answers, copies of the catalogue and the store's pages were read in any version

Seen: an answer with the status line HTTP/2.0 200 OK or RTSP/1.0 200 OK counts as what a peer or the store holds.

Cause: these readers used the library's client as it is. That their answers are whole is shown by their JSON; of the version nothing was asked.

Change: they use the clients that watch for resets and versions.

--- a/packages/daemon/src/gateway/snapshot_message.ts
+++ b/packages/daemon/src/gateway/snapshot_message.ts
@@ -12,13 +12,15 @@
   RoutedService,
   RoutingDocument,
 } from "@sassafrasstep/core";
-import { Client } from "undici";
 import { z } from "zod";
+import { createConnector, ResetAwareClient } from "../clients/index.ts";
 import { readJson } from "../sockets/index.ts";
 import { endpointRecordSchema, snapshotSchema } from "./snapshot_schema.ts";
 
 /** Path of the procedure. */
 export const CATALOGUE_PATH = "/trpc/catalogue";
+/** Callers limit how long a copy may take. */
+const CONNECT_TIMEOUT_MS = 10_000;
 const OK = 200;
 const answerSchema = z.object({ result: z.object({ data: z.unknown() }) });
 
@@ -90,7 +92,9 @@
     onData: () => void;
   },
 ): Promise<CatalogueSnapshot | undefined> {
-  const client = new Client(`http://${address}`);
+  const client = new ResetAwareClient(`http://${address}`, {
+    connect: createConnector(CONNECT_TIMEOUT_MS),
+  });
   try {
     const { statusCode, body } = await client.request({
       path: CATALOGUE_PATH,
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -26,6 +26,7 @@
   type SettingsResult,
 } from "./settings/index.ts";
 export * from "./gateway/index.ts";
+export { createResetAwareAgent } from "./clients/index.ts";
 export { readJson } from "./sockets/index.ts";
 export { withActiveTimeout, withIdleTimeout } from "./timers/index.ts";
 export { Logger } from "./logs/index.ts";
--- a/packages/daemon/src/peers/client.ts
+++ b/packages/daemon/src/peers/client.ts
@@ -10,7 +10,8 @@
   Revision,
 } from "@sassafrasstep/core";
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
-import { Agent, request } from "undici";
+import { type Agent, request } from "undici";
+import { createResetAwareAgent } from "../clients/index.ts";
 import { withActiveTimeout } from "../timers/index.ts";
 import { type Credentials, PEER_HEADER } from "./credentials.ts";
 import type { PeerRouter } from "./router.ts";
@@ -26,9 +27,9 @@
 /** Creates and caches a client for each control address. */
 export class PeerClients {
   readonly #clients = new Map<string, TRPCClient<PeerRouter>>();
-  readonly #agent = new Agent({
+  readonly #agent: Agent = createResetAwareAgent({
     connections: 1,
-    pipelining: 1,
+    connectTimeout: PEER_TIMEOUT_MS,
     keepAliveTimeout: 30_000,
   });
   readonly #credentials: Credentials;
