fix: an aborted answer ended in order for a caller that reads late and knows no chunks

Seen: an answer to an HTTP/1.0 caller, which ends with its connection, breaks off while the caller reads nothing for five seconds; the caller later reads a part that ends in order, as a whole answer does.

Cause: an aborted answer of that kind is reset, but the limit for callers that read nothing closed the connection in order.

Change: the limit resets it too, unless the answer is in chunks, whose missing end shows that it is not whole.

Evidence: abort_reply.test.ts, red before, green after. Found while looking at what else ends an answer without a length.

--- a/packages/daemon/src/gateway/abort_reply.ts
+++ b/packages/daemon/src/gateway/abort_reply.ts
@@ -24,10 +24,14 @@
     reply.destroy();
     return;
   }
-  const flushTimer = setTimeout(() => socket.destroy(), FLUSH_TIMEOUT_MS);
+  // Without the final chunk the answer is recognizably incomplete, however the connection closes.
+  const isChunked = reply.chunkedEncoding;
+  const flushTimer = setTimeout(
+    () => isChunked ? socket.destroy() : socket.resetAndDestroy(),
+    FLUSH_TIMEOUT_MS,
+  );
   socket.once("close", () => clearTimeout(flushTimer));
-  if (reply.chunkedEncoding) {
-    // Without the final chunk the answer is recognizably incomplete, however the connection closes.
+  if (isChunked) {
     socket.destroySoon();
   } else {
     socket.write("", () => resetAfterDelay(socket));
