fix: a part of an answer of the store counted as the notice that its history is gone

Seen: the store's answer 410 breaks off within its body; the reader takes it as whole and reads the whole catalogue again.

Cause: as with orders, the body was discarded with the library's dump, which resolves however it ends.

Change: it is read to its end, by the same function as the answer to an order. No caller saw this: a full read is right at any time.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -27,7 +27,7 @@
 } from "./settings/index.ts";
 export * from "./gateway/index.ts";
 export { createResetAwareAgent } from "./clients/index.ts";
-export { readJson } from "./sockets/index.ts";
+export { drainBody, readJson } from "./sockets/index.ts";
 export { withActiveTimeout, withIdleTimeout } from "./timers/index.ts";
 export { Logger } from "./logs/index.ts";
 export {
--- a/packages/daemon/src/outbound/endpoint_client.ts
+++ b/packages/daemon/src/outbound/endpoint_client.ts
@@ -8,7 +8,7 @@
 import { type Agent, request } from "undici";
 import { ATTEMPT_HEADER } from "../callers/index.ts";
 import { createResetAwareAgent } from "../clients/index.ts";
-import { ChunkList } from "../sockets/index.ts";
+import { ChunkList, drainBody } from "../sockets/index.ts";
 import { withActiveTimeout } from "../timers/index.ts";
 import { createSingleUseClient } from "./connections.ts";
 import { parseLoadReport } from "./load_report.ts";
@@ -87,7 +87,7 @@
         dispatcher: client,
         signal,
       });
-      await drain(response.body);
+      await drainBody(response.body);
       return response.statusCode === HTTP_OK;
     } finally {
       void client.destroy().catch(() => {});
@@ -106,10 +106,3 @@
   }
   return chunks.take().toString("utf8");
 }
-
-/** Reads a body to its end and discards it. Unlike the library's `dump`, it fails if the body is not whole. */
-async function drain(body: AsyncIterable<Uint8Array>): Promise<void> {
-  for await (const _chunk of body) {
-    // Only whether the end arrives is of interest.
-  }
-}
--- a/packages/daemon/src/sockets/index.ts
+++ b/packages/daemon/src/sockets/index.ts
@@ -1,6 +1,7 @@
 export { isFramed } from "./answer_framing.ts";
 export { ChunkJoiner } from "./chunk_joiner.ts";
 export { ChunkList } from "./chunk_list.ts";
+export { drainBody } from "./drain_body.ts";
 export { isReset } from "./is_reset.ts";
 export { PausableReads } from "./pausable_reads.ts";
 export { readJson } from "./read_json.ts";
--- a/playground/src/platform/__tests__/store_answers.test.ts
+++ b/playground/src/platform/__tests__/store_answers.test.ts
@@ -90,6 +90,17 @@
     );
   });
 
+  it.each([
+    ["with a length", "content-length: 9"],
+    ["without a length", "connection: close"],
+  ])("is not found compacted in a part of an answer %s", async (_, field) => {
+    respond = (socket) => {
+      socket.write(`HTTP/1.1 410 Gone\r\n${field}\r\n\r\npart`);
+      socket.resetAndDestroy();
+    };
+    await expect(read(source)).rejects.toThrow();
+  });
+
   it.each([
     ["is of HTTP/2.0", "HTTP/2.0 200 OK"],
     ["is of RTSP/1.0", "RTSP/1.0 200 OK"],
