fix: an answer with the status 205 never reached its caller

Seen at the product's own interface: an endpoint answers a plain call with 205; the caller gets no answer, not even at its deadline, and the entry does not stop afterwards.

Cause: a response with the status 205 must have no body, and the one that was made had an empty one, which throws.

Change: 205 is among the statuses whose response has none, beside 204 and 304.

--- a/packages/daemon/src/callers/caller.ts
+++ b/packages/daemon/src/callers/caller.ts
@@ -36,6 +36,8 @@
 /** Maximum length of a completion that is buffered for a caller without streaming. */
 const MAX_BUFFERED_CHARACTERS = 4_194_304;
 const MILLISECONDS_PER_SECOND = 1_000;
+/** Statuses with which a response must have no body. */
+const NULL_BODY_STATUSES: ReadonlySet<number> = new Set([204, 205, 304]);
 
 /** A caller's request, as its attempts need it. */
 export interface CallerRequest {
@@ -273,7 +275,7 @@
   headers: Headers,
 ): Response {
   const bytes = Buffer.from(body, "base64");
-  const hasBody = status !== 204 && status !== 304;
+  const hasBody = !NULL_BODY_STATUSES.has(status);
   return new Response(hasBody ? bytes : null, { status, headers });
 }
 
