--- a/packages/daemon/src/sockets/version_check.ts
+++ b/packages/daemon/src/sockets/version_check.ts
@@ -39,11 +39,12 @@
 
   /** Reads further bytes of an answer; returns whether its version is accepted so far. */
   accepts(chunk: Buffer): boolean {
-    for (const byte of chunk) {
-      if (this.#position === "after") {
-        return true;
-      }
-      if (!this.#acceptsByte(byte)) {
+    for (
+      let index = 0;
+      index < chunk.length && this.#position !== "after";
+      index++
+    ) {
+      if (!this.#acceptsByte(chunk[index]!)) {
         return false;
       }
     }
